--- a/packages/greengaged/src/daemon_settings.c
+++ b/packages/greengaged/src/daemon_settings.c
@@ -52,11 +52,11 @@
 	ENUM_FIELD("log_level", log_level, level_choices, "info", false),
 
 	STRING_FIELD("http.address", http_address, NULL, true),
-	INT_FIELD("http.threads", http_threads, 2, 4096, 64),
+	INT_FIELD("http.threads", http_threads, 2, 4096, 256),
 	INT_FIELD("http.header_max_bytes", http_header_max_bytes, 1024, 65536, 16384),
 	INT_FIELD("http.body_max_bytes", http_body_max_bytes, 1024, 64 * MIB, 8 * MIB),
 	INT_FIELD("http.body_limit_ms", http_body_limit_ms, 100, 600000, 10000),
-	INT_FIELD("http.open_requests", http_open_requests, 1, 4096, 60),
+	INT_FIELD("http.open_requests", http_open_requests, 1, 4096, 240),
 	INT_FIELD("http.wait_max_ms", http_wait_max_ms, 0, HOUR_MS, 30000),
 
 	INT_FIELD("channel.heartbeat_ms", heartbeat_ms, 10, 60000, 1000),
