--- a/packages/core/include/scheduler.h
+++ b/packages/core/include/scheduler.h
@@ -23,8 +23,9 @@
 	const char *class_name;
 	const char *team;
 	uint32_t tasks;
-	uint64_t bytes;		 /* body size, counted against max_queued_bytes */
-	int64_t declared_run_us; /* 0 when not declared */
+	uint64_t bytes;		 /* body size, counted against max_queued_bytes until the job ends
+				  */
+	int64_t declared_run_us; /* of one task; 0 when not declared */
 	int64_t deadline_us;	 /* absolute on the monotonic clock, or 0 */
 	void *context;		 /* returned with each action */
 };
@@ -101,7 +102,12 @@
 struct sched *sched_new(const struct sched_limits *limits, const char *local_zone, uint64_t seed);
 void sched_free(struct sched *sched);
 
-/* Replaces the rules of all classes and teams; queued jobs follow the new rules. */
+/*
+ * Replaces the rules of all classes and teams; queued jobs follow the new rules. Jobs of a class
+ * that is no longer listed finish under its last rules, and no new ones are admitted. While no
+ * class is listed at all, every class may run on every server. A team that is not listed has weight
+ * 1 and no limit.
+ */
 void sched_set_rules(struct sched *sched, const struct sched_class_rules *classes,
 		     uint32_t class_count, const struct sched_team_rules *teams,
 		     uint32_t team_count);
@@ -121,7 +127,7 @@
 /*
  * Admits a job and stores its handle at JOB. Refusals, all "not run": STATUS_QUEUE_FULL,
  * STATUS_QUOTA_EXCEEDED, STATUS_NO_CAPACITY_MATCH, STATUS_DEADLINE_UNREACHABLE,
- * STATUS_INVALID_REQUEST (no task).
+ * STATUS_INVALID_REQUEST (no task, or a name of NAME_BYTES or more).
  */
 enum status sched_submit(struct sched *sched, const struct sched_job_spec *spec, int64_t now_us,
 			 struct handle *job, struct error *err);
@@ -132,7 +138,18 @@
  */
 bool sched_next(struct sched *sched, int64_t now_us, struct sched_start *out);
 
-/* A task finished with a result after RUN_US microseconds at SERVER. Returns the job's state. */
+/*
+ * Returns the time at which sched_next must be called again even without an event, because its last
+ * call left a task waiting for a faster server; INT64_MAX when there is none.
+ */
+int64_t sched_wake_us(const struct sched *sched);
+
+/*
+ * A task finished with a result after RUN_US microseconds at SERVER. Returns the job's state. This
+ * and the next two ignore a task that is not out, as in a repeated event; for an unknown job they
+ * return SCHED_JOB_FAILED. A task that is still out when its job ends stays in "started" and in the
+ * running counts until its event comes.
+ */
 enum sched_job_state sched_task_done(struct sched *sched, struct handle job, uint32_t task,
 				     struct handle server, int64_t run_us, int64_t now_us);
 /* A task did not start (refused or sealed) and is queued again, unless its job has ended. */
@@ -142,15 +159,16 @@
 enum sched_job_state sched_task_failed(struct sched *sched, struct handle job, uint32_t task,
 				       struct handle server, int64_t now_us);
 
-/* Cancels a job: queued tasks are dropped at O(1) cost. Returns false when it had ended already. */
+/* Cancels a job: queued tasks are dropped at a cost that does not depend on their number. Returns
+ * false when it had ended already. */
 bool sched_cancel(struct sched *sched, struct handle job, int64_t now_us);
 
 /* Fails a job that has not ended, for a reason outside the scheduler such as its deadline. As
  * sched_cancel. */
 bool sched_fail(struct sched *sched, struct handle job, int64_t now_us);
 
-/* Forgets a job that has ended; events for its tasks still running are then ignored but free their
- * server. */
+/* Forgets a job that has ended; a job that has not is left alone. Events for its tasks still
+ * running free their server and count for the limits as before. */
 void sched_release(struct sched *sched, struct handle job);
 
 /* Fills VIEW and returns true, or returns false for a job that is not known. */
@@ -160,7 +178,7 @@
 bool sched_server_view(const struct sched *sched, struct handle server,
 		       struct sched_server_view *view);
 
-/* Returns the number of queued tasks that SERVER could run. */
+/* Returns the number of queued tasks that SERVER could run by the rules of their class. */
 uint64_t sched_demand(const struct sched *sched, struct handle server);
 
 /* Returns the number of queued tasks, and the number of started tasks without an answer. */
@@ -168,8 +186,8 @@
 uint64_t sched_running(const struct sched *sched);
 
 /*
- * Stores up to CAPACITY jobs whose deadline passed at NOW_US at OUT and returns their number. The
- * caller fails them. Costs time in proportion to the number returned.
+ * Stores up to CAPACITY jobs whose deadline passed at NOW_US at OUT and returns their number. Each
+ * job is returned once; the caller fails it. Costs time in proportion to the number returned.
  */
 uint32_t sched_expired(struct sched *sched, int64_t now_us, struct handle *out, uint32_t capacity);
 
--- /dev/null
+++ b/packages/core/src/scheduler.c
@@ -0,0 +1,370 @@
+#include "scheduler_defs.h"
+
+#include <string.h>
+
+struct sched *sched_new(const struct sched_limits *limits, const char *local_zone, uint64_t seed)
+{
+	struct sched *sched = g_new0(struct sched, 1);
+
+	sched->limits = *limits;
+	sched->seed = seed;
+	sched->wake_us = INT64_MAX;
+	g_strlcpy(sched->local_zone, local_zone ? local_zone : "", sizeof(sched->local_zone));
+	table_init(&sched->jobs, sizeof(struct job_row));
+	rules_init(sched);
+	place_init(sched);
+	return sched;
+}
+
+void sched_free(struct sched *sched)
+{
+	uint32_t cursor = 0;
+	struct job_row *job;
+
+	if (!sched)
+		return;
+	while ((job = table_next(&sched->jobs, &cursor, NULL)))
+		task_free(sched, job);
+	task_pool_free(sched);
+	place_free(sched);
+	rules_free(sched);
+	table_free(&sched->jobs);
+	g_free(sched->deadlines);
+	g_free(sched);
+}
+
+static bool has_ended(const struct job_row *job)
+{
+	return job->state != SCHED_JOB_QUEUED && job->state != SCHED_JOB_RUNNING;
+}
+
+static struct job_row *job_add(struct sched *sched, const struct sched_job_spec *spec,
+			       struct class_row *class, struct team_row *team, int64_t now_us)
+{
+	struct handle handle;
+	struct job_row *job = table_add(&sched->jobs, &handle);
+
+	job->handle = handle;
+	job->seq = ++sched->next_seq;
+	job->class = class;
+	job->bucket = queue_bucket(sched, class, team);
+	job->context = spec->context;
+	job->bytes = spec->bytes;
+	job->submitted_us = now_us;
+	job->deadline_us = spec->deadline_us;
+	job->tasks = spec->tasks;
+	class->jobs++;
+	team->jobs++;
+	sched->bytes += spec->bytes;
+	task_init(sched, job);
+	deadline_add(sched, job);
+	queue_push(sched, job);
+	return job;
+}
+
+static bool name_fits(const char *name)
+{
+	return name && strlen(name) < NAME_BYTES;
+}
+
+enum status sched_submit(struct sched *sched, const struct sched_job_spec *spec, int64_t now_us,
+			 struct handle *job, struct error *err)
+{
+	struct class_row *class;
+	struct team_row *team;
+	enum status status;
+
+	if (spec->tasks == 0)
+		return error_set(err, STATUS_INVALID_REQUEST, "job without a task");
+	if (!name_fits(spec->class_name) || !name_fits(spec->team))
+		return error_set(err, STATUS_INVALID_REQUEST,
+				 "names of class and team take at most %d bytes", NAME_BYTES - 1);
+	class = rules_class(sched, spec->class_name);
+	if (!class)
+		return error_set(err, STATUS_NO_CAPACITY_MATCH, "class \"%s\" is not configured",
+				 spec->class_name);
+	team = rules_team(sched, spec->team);
+	status = admit_check(sched, spec, class, team, now_us, err);
+	if (status != STATUS_OK)
+		return status;
+	rules_declared(sched, class, spec->declared_run_us);
+	*job = job_add(sched, spec, class, team, now_us)->handle;
+	return STATUS_OK;
+}
+
+/* Returns the class whose first job goes next among those not tried in this pass, or NULL. */
+static struct class_row *next_class(const struct sched *sched)
+{
+	struct class_row *best = NULL;
+	const struct entry *first = NULL;
+
+	for (uint32_t i = 0; i < sched->class_list->len; i++) {
+		struct class_row *class = sched->class_list->pdata[i];
+		const struct entry *entry;
+
+		if (class->heap_count == 0 || class->tried_pass == sched->pass)
+			continue;
+		if (class->max_running > 0 && class->running >= class->max_running)
+			continue;
+		entry = &class->heap[0]->heap[0];
+		if (best && (entry->key > first->key ||
+			     (entry->key == first->key && entry->seq > first->seq)))
+			continue;
+		best = class;
+		first = entry;
+	}
+	return best;
+}
+
+static void start(struct sched *sched, struct class_row *class, struct server_row *server,
+		  struct sched_start *out)
+{
+	struct job_row *job = queue_head(class);
+	struct team_row *team = job->bucket->team;
+
+	*out = (struct sched_start){
+		.job = job->handle,
+		.job_context = job->context,
+		.task = task_take(job),
+		.server = server->handle,
+		.server_context = server->context,
+	};
+	job->state = SCHED_JOB_RUNNING;
+	job->started++;
+	job->running++;
+	class->running++;
+	class->hold_since_us = NO_TIME;
+	team->running++;
+	sched->running++;
+	queue_task_started(sched, job);
+	if (team->max_running > 0 && team->running >= team->max_running)
+		queue_team_changed(sched, team);
+	server->credits--;
+	server->running++;
+	place_refresh(sched, server);
+}
+
+bool sched_next(struct sched *sched, int64_t now_us, struct sched_start *out)
+{
+	struct class_row *class;
+
+	sched->wake_us = INT64_MAX;
+	sched->pass++;
+	while (sched->available > 0 && (class = next_class(sched))) {
+		struct server_row *server = place_choose(sched, class, now_us);
+
+		if (server) {
+			start(sched, class, server, out);
+			return true;
+		}
+		class->tried_pass = sched->pass;
+	}
+	return false;
+}
+
+int64_t sched_wake_us(const struct sched *sched)
+{
+	return sched->wake_us;
+}
+
+/* Ends a job: its queued tasks are dropped, tasks that are out stay counted. */
+static void end_job(struct sched *sched, struct job_row *job, enum sched_job_state state)
+{
+	queue_remove(sched, job);
+	deadline_remove(sched, job);
+	sched->bytes -= job->bytes;
+	job->state = state;
+}
+
+static void free_if_unused(struct sched *sched, struct job_row *job)
+{
+	if (!job->released || job->running > 0)
+		return;
+	job->class->jobs--;
+	job->bucket->team->jobs--;
+	task_free(sched, job);
+	job->seq = 0;
+	table_remove(&sched->jobs, job->handle);
+}
+
+/* Takes a task that is no longer out from the running counts. Returns its job, or NULL when the
+ * task is not out. */
+static struct job_row *task_ended(struct sched *sched, struct handle handle, uint32_t task,
+				  struct server_row *server)
+{
+	struct job_row *job = table_get(&sched->jobs, handle);
+	struct team_row *team;
+
+	if (!job || !task_give_back(job, task))
+		return NULL;
+	team = job->bucket->team;
+	job->running--;
+	job->class->running--;
+	team->running--;
+	sched->running--;
+	if (team->max_running > 0 && team->running < team->max_running)
+		queue_team_changed(sched, team);
+	if (server && server->running > 0)
+		server->running--;
+	return job;
+}
+
+/* Returns the state for an event that was ignored. */
+static enum sched_job_state state_of(const struct sched *sched, struct handle handle)
+{
+	const struct job_row *job = table_get(&sched->jobs, handle);
+
+	return job ? job->state : SCHED_JOB_FAILED;
+}
+
+enum sched_job_state sched_task_done(struct sched *sched, struct handle handle, uint32_t task,
+				     struct handle server_handle, int64_t run_us, int64_t now_us)
+{
+	struct server_row *server = table_get(&sched->servers, server_handle);
+	struct job_row *job = task_ended(sched, handle, task, server);
+	enum sched_job_state state;
+
+	if (!job)
+		return state_of(sched, handle);
+	job->finished++;
+	if (server) {
+		server->finished++;
+		learn_result(&job->class->learned, &server->learned, &sched->scale, run_us);
+		job->longest_us = MAX(job->longest_us, (double)run_us / server->learned.factor);
+		place_refresh(sched, server);
+		queue_class_learned(sched, job->class);
+	}
+	if (!has_ended(job) && job->finished == job->tasks)
+		end_job(sched, job, SCHED_JOB_DONE);
+	state = job->state;
+	free_if_unused(sched, job);
+	return state;
+}
+
+enum sched_job_state sched_task_refused(struct sched *sched, struct handle handle, uint32_t task,
+					struct handle server_handle, int64_t now_us)
+{
+	struct server_row *server = table_get(&sched->servers, server_handle);
+	struct job_row *job = task_ended(sched, handle, task, server);
+	enum sched_job_state state;
+
+	if (!job)
+		return state_of(sched, handle);
+	job->started--;
+	if (server) {
+		learn_setback(&server->learned);
+		place_refresh(sched, server);
+	}
+	if (!has_ended(job)) {
+		task_requeue(job, task);
+		queue_task_returned(sched, job);
+		job->state = job->started > 0 ? SCHED_JOB_RUNNING : SCHED_JOB_QUEUED;
+	}
+	state = job->state;
+	free_if_unused(sched, job);
+	return state;
+}
+
+enum sched_job_state sched_task_failed(struct sched *sched, struct handle handle, uint32_t task,
+				       struct handle server_handle, int64_t now_us)
+{
+	struct server_row *server = table_get(&sched->servers, server_handle);
+	struct job_row *job = task_ended(sched, handle, task, server);
+	enum sched_job_state state;
+
+	if (!job)
+		return state_of(sched, handle);
+	if (server) {
+		server->failed++;
+		learn_setback(&server->learned);
+		place_refresh(sched, server);
+	}
+	if (!has_ended(job))
+		end_job(sched, job, SCHED_JOB_FAILED);
+	state = job->state;
+	free_if_unused(sched, job);
+	return state;
+}
+
+static bool end_by_request(struct sched *sched, struct handle handle, enum sched_job_state state)
+{
+	struct job_row *job = table_get(&sched->jobs, handle);
+
+	if (!job || has_ended(job))
+		return false;
+	end_job(sched, job, state);
+	return true;
+}
+
+bool sched_cancel(struct sched *sched, struct handle job, int64_t now_us)
+{
+	return end_by_request(sched, job, SCHED_JOB_CANCELLED);
+}
+
+bool sched_fail(struct sched *sched, struct handle job, int64_t now_us)
+{
+	return end_by_request(sched, job, SCHED_JOB_FAILED);
+}
+
+void sched_release(struct sched *sched, struct handle handle)
+{
+	struct job_row *job = table_get(&sched->jobs, handle);
+
+	if (!job || !has_ended(job))
+		return;
+	job->released = true;
+	free_if_unused(sched, job);
+}
+
+static int64_t ideal_us(const struct job_row *job)
+{
+	double longest = job->longest_us > 0 ? job->longest_us : job->class->learned.run_us;
+	double factor = place_fastest_factor(job->class);
+
+	return (int64_t)(longest * (factor > 0 ? factor : 1));
+}
+
+bool sched_job_view(const struct sched *sched, struct handle handle, struct sched_job_view *view)
+{
+	const struct job_row *job = table_get(&sched->jobs, handle);
+
+	if (!job || job->released)
+		return false;
+	*view = (struct sched_job_view){
+		.state = job->state,
+		.tasks = job->tasks,
+		.started = job->started,
+		.running = job->running,
+		.finished = job->finished,
+		.submitted_us = job->submitted_us,
+		.ideal_us = ideal_us(job),
+	};
+	return true;
+}
+
+bool sched_server_view(const struct sched *sched, struct handle handle,
+		       struct sched_server_view *view)
+{
+	const struct server_row *server = table_get(&sched->servers, handle);
+
+	if (!server)
+		return false;
+	*view = (struct sched_server_view){
+		.speed_factor = learn_relative_factor(&server->learned, &sched->scale),
+		.running = server->running,
+		.credits = server->credits,
+		.finished = server->finished,
+		.failed = server->failed,
+	};
+	return true;
+}
+
+uint64_t sched_queued(const struct sched *sched)
+{
+	return sched->queued;
+}
+
+uint64_t sched_running(const struct sched *sched)
+{
+	return sched->running;
+}
--- /dev/null
+++ b/packages/core/src/scheduler_defs.h
@@ -0,0 +1,242 @@
+/* Rows and functions shared by the files of the scheduler. */
+#ifndef GG_SCHEDULER_DEFS_H
+#define GG_SCHEDULER_DEFS_H
+
+#include <glib.h>
+
+#include "scheduler.h"
+#include "scheduler_learn.h"
+
+enum {
+	NO_POSITION = UINT32_MAX,
+	INLINE_TASKS = 64, /* jobs up to this size keep their task bits in the row */
+	SIZE_CLASSES = 32, /* powers of two */
+	NO_TIME = -1	   /* no point in time */
+};
+
+struct class_row;
+struct team_row;
+struct bucket;
+
+struct job_row {
+	uint64_t seq; /* order of submission from 1; 0 in a free row */
+	double key;
+	struct class_row *class;
+	struct bucket *bucket;
+	void *context;
+	uint64_t bytes;
+	int64_t submitted_us;
+	int64_t deadline_us;
+	double longest_us; /* longest result, scaled to a server of factor 1 */
+	uint32_t tasks;
+	uint32_t cursor; /* tasks below it were started at least once */
+	uint32_t queued;
+	uint32_t started;
+	uint32_t running;
+	uint32_t finished;
+	uint32_t deadline_position;
+	uint32_t first_requeued_word; /* words below it hold no requeued task */
+	struct handle handle;
+	enum sched_job_state state;
+	bool released;
+	uint64_t inline_bits[2];
+	uint64_t *bits; /* two bitmaps: tasks that are out, tasks that are queued again */
+};
+
+/* A queued job in a bucket's heap. Entries of jobs that have left the queue or have another key
+ * since stay until they reach the top or the heap is compacted. */
+struct entry {
+	double key;
+	uint64_t seq;
+	struct job_row *job;
+};
+
+/* The queued jobs of one class and team. */
+struct bucket {
+	struct class_row *class;
+	struct team_row *team;
+	struct bucket *next_of_class;
+	struct bucket *next_of_team;
+	struct handle handle;
+	struct entry *heap;
+	uint32_t count;
+	uint32_t capacity;
+	uint32_t live;	   /* entries that are valid */
+	uint32_t position; /* in the class's heap */
+};
+
+struct class_row {
+	char name[NAME_BYTES];
+	struct handle handle;
+	bool configured;
+	bool listed;   /* in the rules that are being set */
+	char **zones;  /* NULL for all */
+	char **labels; /* NULL for none */
+	int64_t declared_us;
+	uint32_t max_running;
+	struct learn_class learned;
+	double order_run_us; /* run time that the keys of queued jobs are based on */
+	uint64_t results_since_rekey;
+	uint64_t running;
+	uint64_t queued;
+	uint32_t queued_jobs;
+	uint32_t jobs;			       /* rows that refer to this class */
+	uint64_t queued_by_size[SIZE_CLASSES]; /* queued tasks by log2 of their job's size */
+	struct bucket *buckets;
+	struct bucket **heap; /* buckets with queued jobs of teams below their limit */
+	uint32_t heap_count;
+	uint32_t heap_capacity;
+	GPtrArray *pools; /* that may run the class */
+	int64_t hold_since_us;
+	uint64_t tried_pass; /* last search that found no server */
+	uint32_t refusals;
+};
+
+struct team_row {
+	char name[NAME_BYTES];
+	struct handle handle;
+	bool configured;
+	bool listed; /* in the rules that are being set */
+	double weight;
+	uint32_t max_running;
+	uint64_t max_queued;
+	uint64_t queued;
+	uint64_t running;
+	uint32_t jobs;
+	struct bucket *buckets;
+};
+
+/* Where an open server stands in its pool. */
+enum server_group {
+	GROUP_AVAILABLE, /* holds a credit */
+	GROUP_BUSY,	 /* no credit, runs tasks of this entry */
+	GROUP_IDLE,	 /* no credit, runs none */
+	GROUP_COUNT,
+	GROUP_CLOSED = GROUP_COUNT
+};
+
+struct server_row;
+
+/* Servers of the same zone and labels, by group, each group a heap by placement factor. */
+struct pool {
+	struct handle handle;
+	char *key;
+	char *zone;
+	char **labels;
+	double penalty_us;
+	struct server_row **heap[GROUP_COUNT];
+	uint32_t count[GROUP_COUNT];
+	uint32_t capacity[GROUP_COUNT];
+	uint32_t servers;
+	uint64_t pass;		 /* last admission check that marked it */
+	uint64_t finish_rate;	 /* of busy servers, tasks in 1,000 s */
+	uint64_t parallel_milli; /* slots divided by factor, of open servers, in thousandths */
+	GPtrArray *classes;	 /* that may run here */
+};
+
+struct server_row {
+	struct handle handle;
+	struct pool *pool;
+	void *context;
+	uint64_t serial;
+	uint64_t tie;
+	uint32_t slots;
+	bool open;
+	uint64_t credits;
+	uint32_t running;
+	uint64_t finished;
+	uint64_t failed;
+	struct learn_server learned;
+	double factor; /* placement factor that the heap is ordered by */
+	enum server_group group;
+	uint32_t position;
+	uint64_t finish_rate;
+	uint64_t parallel_milli;
+};
+
+/* Free blocks of task bits by log2 of their words. */
+struct bit_pool {
+	uint64_t *free[SIZE_CLASSES];
+};
+
+struct sched {
+	struct sched_limits limits;
+	char local_zone[NAME_BYTES];
+	uint64_t seed;
+	struct table jobs;
+	struct table classes;
+	struct table teams;
+	struct table buckets;
+	struct table servers;
+	struct table pools;
+	GHashTable *class_names;
+	GHashTable *team_names;
+	GHashTable *pool_keys;
+	GPtrArray *class_list;
+	struct bit_pool bit_pool;
+	struct learn_scale scale;
+	struct job_row **deadlines;
+	uint32_t deadline_count;
+	uint32_t deadline_capacity;
+	uint64_t queued;
+	uint64_t bytes;
+	uint64_t running;
+	uint64_t next_seq;
+	uint64_t next_serial;
+	uint64_t pass;
+	uint32_t available;   /* servers that hold a credit */
+	uint32_t class_sweep; /* rows at which unused ones are dropped */
+	uint32_t team_sweep;
+	uint32_t configured_classes;
+	int64_t wake_us;
+};
+
+/* scheduler_rules.c: classes and teams. */
+void rules_init(struct sched *sched);
+void rules_free(struct sched *sched);
+struct class_row *rules_class(struct sched *sched, const char *name);
+struct team_row *rules_team(struct sched *sched, const char *name);
+void rules_declared(struct sched *sched, struct class_row *class, int64_t declared_us);
+bool rules_zone_allowed(const struct class_row *class, const char *zone);
+bool rules_labels_match(const struct class_row *class, char **labels);
+
+/* scheduler_queue.c: order of queued jobs. */
+void queue_push(struct sched *sched, struct job_row *job);
+void queue_remove(struct sched *sched, struct job_row *job);
+void queue_task_started(struct sched *sched, struct job_row *job);
+void queue_task_returned(struct sched *sched, struct job_row *job);
+void queue_team_changed(struct sched *sched, struct team_row *team);
+void queue_class_learned(struct sched *sched, struct class_row *class);
+void queue_rekey(struct sched *sched, struct bucket *bucket);
+struct bucket *queue_bucket(struct sched *sched, struct class_row *class, struct team_row *team);
+void queue_bucket_free(struct sched *sched, struct bucket *bucket);
+struct job_row *queue_head(const struct class_row *class);
+
+/* scheduler_task.c: the tasks of one job. */
+void task_init(struct sched *sched, struct job_row *job);
+void task_free(struct sched *sched, struct job_row *job);
+uint32_t task_take(struct job_row *job);
+bool task_give_back(struct job_row *job, uint32_t task);
+void task_requeue(struct job_row *job, uint32_t task);
+void task_pool_free(struct sched *sched);
+
+/* scheduler_place.c: servers and the choice among them. */
+void place_init(struct sched *sched);
+void place_free(struct sched *sched);
+void place_refresh(struct sched *sched, struct server_row *server);
+void place_relink_class(struct sched *sched, struct class_row *class);
+void place_unlink_class(struct sched *sched, struct class_row *class);
+double place_fastest_factor(const struct class_row *class);
+uint64_t place_demand(const struct pool *pool);
+struct server_row *place_choose(struct sched *sched, struct class_row *class, int64_t now_us);
+
+/* scheduler_deadline.c: jobs by deadline. */
+void deadline_add(struct sched *sched, struct job_row *job);
+void deadline_remove(struct sched *sched, struct job_row *job);
+
+/* scheduler_admit.c: admission. */
+enum status admit_check(struct sched *sched, const struct sched_job_spec *spec,
+			struct class_row *class, const struct team_row *team, int64_t now_us,
+			struct error *err);
+
+#endif
--- /dev/null
+++ b/packages/core/src/scheduler_place.c
@@ -0,0 +1,459 @@
+#include "scheduler_defs.h"
+
+#include <string.h>
+
+/*
+ * Servers of equal zone and labels form a pool. Within a pool the order of servers is the same for
+ * every class, since run time is class mean x factor and the zone distance is equal; so each pool
+ * keeps its servers in heaps by factor, and a class only compares the first of each pool.
+ */
+
+enum {
+	FIRST_CAPACITY = 4,
+	MILLI = 1000,
+	/* Longest wait for a faster server. An agent that does not answer for this long is removed
+	 * (agent_lost_ms), and until then its server may look busy. */
+	HOLD_LIMIT_US = 10000000
+};
+
+static const double us_per_rate = 1e9; /* finish rates count tasks in 1,000 s */
+
+void place_init(struct sched *sched)
+{
+	table_init(&sched->servers, sizeof(struct server_row));
+	table_init(&sched->pools, sizeof(struct pool));
+	sched->pool_keys = g_hash_table_new(g_str_hash, g_str_equal);
+}
+
+static void pool_clear(struct pool *pool)
+{
+	for (int group = 0; group < GROUP_COUNT; group++)
+		g_free(pool->heap[group]);
+	g_free(pool->key);
+	g_free(pool->zone);
+	g_strfreev(pool->labels);
+	g_ptr_array_unref(pool->classes);
+}
+
+void place_free(struct sched *sched)
+{
+	uint32_t cursor = 0;
+	struct pool *pool;
+
+	while ((pool = table_next(&sched->pools, &cursor, NULL)))
+		pool_clear(pool);
+	table_free(&sched->pools);
+	table_free(&sched->servers);
+	g_hash_table_unref(sched->pool_keys);
+}
+
+/* Heaps of servers. */
+
+static bool server_before(const struct server_row *a, const struct server_row *b)
+{
+	if (a->factor != b->factor)
+		return a->factor < b->factor;
+	if (a->tie != b->tie)
+		return a->tie < b->tie;
+	return a->serial < b->serial;
+}
+
+static void put(struct server_row **heap, uint32_t i, struct server_row *server)
+{
+	heap[i] = server;
+	server->position = i;
+}
+
+static void sift_up(struct server_row **heap, uint32_t i)
+{
+	struct server_row *moved = heap[i];
+
+	while (i > 0 && server_before(moved, heap[(i - 1) / 2])) {
+		put(heap, i, heap[(i - 1) / 2]);
+		i = (i - 1) / 2;
+	}
+	put(heap, i, moved);
+}
+
+static void sift_down(struct server_row **heap, uint32_t count, uint32_t i)
+{
+	struct server_row *moved = heap[i];
+
+	for (;;) {
+		uint32_t least = 2 * i + 1;
+
+		if (least >= count)
+			break;
+		if (least + 1 < count && server_before(heap[least + 1], heap[least]))
+			least++;
+		if (!server_before(heap[least], moved))
+			break;
+		put(heap, i, heap[least]);
+		i = least;
+	}
+	put(heap, i, moved);
+}
+
+static void leave_group(struct sched *sched, struct server_row *server)
+{
+	struct pool *pool = server->pool;
+	enum server_group group = server->group;
+	struct server_row *last;
+
+	server->group = GROUP_CLOSED;
+	if (group == GROUP_CLOSED)
+		return;
+	if (group == GROUP_AVAILABLE)
+		sched->available--;
+	last = pool->heap[group][--pool->count[group]];
+	if (last == server)
+		return;
+	put(pool->heap[group], server->position, last);
+	sift_up(pool->heap[group], last->position);
+	sift_down(pool->heap[group], pool->count[group], last->position);
+}
+
+static void enter_group(struct sched *sched, struct server_row *server, enum server_group group)
+{
+	struct pool *pool = server->pool;
+
+	server->group = group;
+	if (group == GROUP_CLOSED)
+		return;
+	if (group == GROUP_AVAILABLE)
+		sched->available++;
+	if (pool->count[group] == pool->capacity[group]) {
+		pool->capacity[group] =
+			pool->capacity[group] > 0 ? 2 * pool->capacity[group] : FIRST_CAPACITY;
+		pool->heap[group] =
+			g_renew(struct server_row *, pool->heap[group], pool->capacity[group]);
+	}
+	put(pool->heap[group], pool->count[group]++, server);
+	sift_up(pool->heap[group], server->position);
+}
+
+static enum server_group group_of(const struct server_row *server)
+{
+	if (!server->open)
+		return GROUP_CLOSED;
+	if (server->credits > 0)
+		return GROUP_AVAILABLE;
+	return server->running > 0 ? GROUP_BUSY : GROUP_IDLE;
+}
+
+static uint64_t finish_rate(const struct server_row *server)
+{
+	if (group_of(server) != GROUP_BUSY || server->learned.mean_run_us <= 0)
+		return 0;
+	return (uint64_t)(server->running * us_per_rate / server->learned.mean_run_us);
+}
+
+static uint64_t parallel_milli(const struct server_row *server)
+{
+	return server->open ? (uint64_t)(server->slots * (double)MILLI / server->factor) : 0;
+}
+
+/* Brings the server's place in its pool and its share in the pool's sums up to date. */
+void place_refresh(struct sched *sched, struct server_row *server)
+{
+	struct pool *pool = server->pool;
+	enum server_group group = group_of(server);
+	double factor = learn_placement_factor(&server->learned);
+	bool moved = factor != server->factor;
+
+	server->factor = factor;
+	pool->finish_rate -= server->finish_rate;
+	pool->parallel_milli -= server->parallel_milli;
+	server->finish_rate = finish_rate(server);
+	server->parallel_milli = parallel_milli(server);
+	pool->finish_rate += server->finish_rate;
+	pool->parallel_milli += server->parallel_milli;
+	if (group != server->group) {
+		leave_group(sched, server);
+		enter_group(sched, server, group);
+	} else if (moved && group != GROUP_CLOSED) {
+		sift_up(pool->heap[group], server->position);
+		sift_down(pool->heap[group], pool->count[group], server->position);
+	}
+}
+
+/* Pools and the classes that may run in them. */
+
+static void link_if_allowed(struct class_row *class, struct pool *pool)
+{
+	if (!rules_zone_allowed(class, pool->zone) || !rules_labels_match(class, pool->labels))
+		return;
+	g_ptr_array_add(class->pools, pool);
+	g_ptr_array_add(pool->classes, class);
+}
+
+void place_unlink_class(struct sched *sched, struct class_row *class)
+{
+	for (uint32_t i = 0; i < class->pools->len; i++) {
+		struct pool *pool = class->pools->pdata[i];
+
+		g_ptr_array_remove_fast(pool->classes, class);
+	}
+	g_ptr_array_set_size(class->pools, 0);
+}
+
+/* Finds the pools of a class after its rules changed. */
+void place_relink_class(struct sched *sched, struct class_row *class)
+{
+	uint32_t cursor = 0;
+	struct pool *pool;
+
+	place_unlink_class(sched, class);
+	while ((pool = table_next(&sched->pools, &cursor, NULL)))
+		link_if_allowed(class, pool);
+}
+
+static int compare_labels(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* Returns the zone and the sorted labels as one string, separated by a byte that JSON text does not
+ * hold unescaped. */
+static char *pool_key(const char *zone, char **labels)
+{
+	char *joined = g_strjoinv("\n", labels);
+	char *key = g_strconcat(zone, "\n", joined, NULL);
+
+	g_free(joined);
+	return key;
+}
+
+static struct pool *find_pool(struct sched *sched, const struct sched_server_spec *spec)
+{
+	char *none[] = {NULL};
+	char **labels = g_strdupv(spec->labels ? (char **)spec->labels : none);
+	const char *zone = spec->zone ? spec->zone : "";
+	struct handle handle;
+	struct pool *pool;
+	char *key;
+
+	qsort(labels, g_strv_length(labels), sizeof(*labels), compare_labels);
+	key = pool_key(zone, labels);
+	pool = g_hash_table_lookup(sched->pool_keys, key);
+	if (pool) {
+		g_free(key);
+		g_strfreev(labels);
+		return pool;
+	}
+	pool = table_add(&sched->pools, &handle);
+	pool->handle = handle;
+	pool->key = key;
+	pool->zone = g_strdup(zone);
+	pool->labels = labels;
+	pool->classes = g_ptr_array_new();
+	if (strcmp(zone, sched->local_zone) != 0)
+		pool->penalty_us = (double)sched->limits.zone_penalty_us;
+	g_hash_table_insert(sched->pool_keys, pool->key, pool);
+	for (uint32_t i = 0; i < sched->class_list->len; i++)
+		link_if_allowed(sched->class_list->pdata[i], pool);
+	return pool;
+}
+
+static void leave_pool(struct sched *sched, struct server_row *server)
+{
+	struct pool *pool = server->pool;
+
+	leave_group(sched, server);
+	pool->finish_rate -= server->finish_rate;
+	pool->parallel_milli -= server->parallel_milli;
+	server->finish_rate = 0;
+	server->parallel_milli = 0;
+	server->pool = NULL;
+	if (--pool->servers > 0)
+		return;
+	for (uint32_t i = 0; i < pool->classes->len; i++) {
+		struct class_row *class = pool->classes->pdata[i];
+
+		g_ptr_array_remove_fast(class->pools, pool);
+	}
+	g_hash_table_remove(sched->pool_keys, pool->key);
+	pool_clear(pool);
+	table_remove(&sched->pools, pool->handle);
+}
+
+static void set_spec(struct sched *sched, struct server_row *server,
+		     const struct sched_server_spec *spec)
+{
+	struct pool *pool = find_pool(sched, spec);
+
+	server->slots = spec->slots;
+	server->open = spec->open;
+	if (pool != server->pool) {
+		pool->servers++;
+		if (server->pool)
+			leave_pool(sched, server);
+		server->pool = pool;
+	}
+	place_refresh(sched, server);
+}
+
+/* Returns a number that orders equally fast servers, so that entries with different seeds prefer
+ * different ones (the finalizer of splitmix64). */
+static uint64_t tie_break(uint64_t seed, uint64_t serial)
+{
+	uint64_t mixed = seed + serial * 0x9e3779b97f4a7c15U;
+
+	mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9U;
+	mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebU;
+	return mixed ^ (mixed >> 31);
+}
+
+struct handle sched_server_add(struct sched *sched, const struct sched_server_spec *spec,
+			       void *context)
+{
+	struct handle handle;
+	struct server_row *server = table_add(&sched->servers, &handle);
+
+	server->handle = handle;
+	server->context = context;
+	server->serial = ++sched->next_serial;
+	server->tie = tie_break(sched->seed, server->serial);
+	server->group = GROUP_CLOSED;
+	learn_server_init(&server->learned, &sched->scale);
+	set_spec(sched, server, spec);
+	return handle;
+}
+
+void sched_server_update(struct sched *sched, struct handle handle,
+			 const struct sched_server_spec *spec)
+{
+	struct server_row *server = table_get(&sched->servers, handle);
+
+	if (server)
+		set_spec(sched, server, spec);
+}
+
+void sched_server_remove(struct sched *sched, struct handle handle)
+{
+	struct server_row *server = table_get(&sched->servers, handle);
+
+	if (!server)
+		return;
+	leave_pool(sched, server);
+	learn_server_end(&server->learned, &sched->scale);
+	table_remove(&sched->servers, handle);
+}
+
+void sched_server_credits(struct sched *sched, struct handle handle, uint64_t credits)
+{
+	struct server_row *server = table_get(&sched->servers, handle);
+
+	if (!server)
+		return;
+	server->credits = credits;
+	place_refresh(sched, server);
+}
+
+uint64_t place_demand(const struct pool *pool)
+{
+	uint64_t demand = 0;
+
+	for (uint32_t i = 0; i < pool->classes->len; i++) {
+		const struct class_row *class = pool->classes->pdata[i];
+
+		demand += class->queued;
+	}
+	return demand;
+}
+
+uint64_t sched_demand(const struct sched *sched, struct handle handle)
+{
+	const struct server_row *server = table_get(&sched->servers, handle);
+
+	return server ? place_demand(server->pool) : 0;
+}
+
+/* Returns the placement factor of the fastest open server of CLASS, or 0 when none is open. */
+double place_fastest_factor(const struct class_row *class)
+{
+	double fastest = 0;
+
+	for (uint32_t i = 0; i < class->pools->len; i++) {
+		const struct pool *pool = class->pools->pdata[i];
+
+		for (int group = 0; group < GROUP_COUNT; group++) {
+			if (pool->count[group] == 0)
+				continue;
+			if (fastest == 0 || pool->heap[group][0]->factor < fastest)
+				fastest = pool->heap[group][0]->factor;
+		}
+	}
+	return fastest;
+}
+
+static double cost_at(const struct class_row *class, const struct server_row *server)
+{
+	return class->learned.run_us * server->factor + server->pool->penalty_us;
+}
+
+/* Returns the server of GROUP with the least expected run time plus zone penalty, or NULL. */
+static struct server_row *best_of(const struct class_row *class, enum server_group group)
+{
+	struct server_row *best = NULL;
+	double best_cost = 0;
+
+	for (uint32_t i = 0; i < class->pools->len; i++) {
+		const struct pool *pool = class->pools->pdata[i];
+		struct server_row *server;
+		double cost;
+
+		if (pool->count[group] == 0)
+			continue;
+		server = pool->heap[group][0];
+		cost = cost_at(class, server);
+		if (best &&
+		    (cost > best_cost || (cost == best_cost && server_before(best, server))))
+			continue;
+		best = server;
+		best_cost = cost;
+	}
+	return best;
+}
+
+/*
+ * Returns whether a task of CLASS should wait for the busy server BUSY rather than start on FREE
+ * now. It should when all queued tasks are expected to find places on servers like BUSY and to
+ * finish there before FREE would finish one; so with a deep queue no free slot is left unused. A
+ * wait ends after it has cost as much as it could gain, which bounds the loss when BUSY does not
+ * answer.
+ */
+static bool should_wait(struct sched *sched, struct class_row *class, const struct server_row *free,
+			const struct server_row *busy, int64_t now_us)
+{
+	double gain = cost_at(class, free) - cost_at(class, busy);
+	double wait;
+	int64_t limit;
+
+	if (gain <= 0 || busy->pool->finish_rate == 0)
+		return false;
+	wait = (double)place_demand(busy->pool) * us_per_rate / (double)busy->pool->finish_rate;
+	if (wait >= gain)
+		return false;
+	if (class->hold_since_us == NO_TIME)
+		class->hold_since_us = now_us;
+	limit = class->hold_since_us + (int64_t)MIN(gain, (double)HOLD_LIMIT_US);
+	if (now_us >= limit)
+		return false;
+	sched->wake_us = MIN(sched->wake_us, limit);
+	return true;
+}
+
+/* Chooses the server for the next task of CLASS, or returns NULL when the task should wait. */
+struct server_row *place_choose(struct sched *sched, struct class_row *class, int64_t now_us)
+{
+	struct server_row *free = best_of(class, GROUP_AVAILABLE);
+	const struct server_row *busy;
+
+	if (!free)
+		return NULL;
+	busy = best_of(class, GROUP_BUSY);
+	if (busy && should_wait(sched, class, free, busy, now_us))
+		return NULL;
+	return free;
+}
--- /dev/null
+++ b/packages/core/src/scheduler_queue.c
@@ -0,0 +1,382 @@
+#include "scheduler_defs.h"
+
+/*
+ * Order of jobs. The key of a job is its expected remaining queued work divided by the team's
+ * weight, plus submission time / ageing divisor; the smallest goes first. Time passing lowers
+ * every key alike, so that ageing needs no work. Ageing is not divided by the weight: the weight
+ * would otherwise turn against a team once its jobs have aged below zero.
+ *
+ * Each class and team has a heap of jobs, each class a heap of these by their first job.
+ */
+
+enum {
+	FIRST_CAPACITY = 4,
+	ARITY = 4,
+	COMPACT_SLACK = 64,    /* entries that left the queue are kept up to the number of valid
+				  ones plus this */
+	LARGE_CAPACITY = 4096, /* entries; a larger heap is freed when it is empty */
+	REKEY_SHARE = 4	       /* keys follow the learned run time after at least one result for
+				  each 4 queued jobs, so that the cost per result is constant */
+};
+
+/* Learned run time over the one in the keys, beyond which the keys are computed anew. */
+static const double rekey_ratio = 1.5;
+
+static bool entry_before(const struct entry *a, const struct entry *b)
+{
+	return a->key < b->key || (a->key == b->key && a->seq < b->seq);
+}
+
+static bool entry_valid(const struct entry *entry)
+{
+	const struct job_row *job = entry->job;
+
+	return job->seq == entry->seq && job->queued > 0 && job->key == entry->key;
+}
+
+static void sift_up(struct entry *heap, uint32_t i)
+{
+	struct entry moved = heap[i];
+
+	while (i > 0 && entry_before(&moved, &heap[(i - 1) / ARITY])) {
+		heap[i] = heap[(i - 1) / ARITY];
+		i = (i - 1) / ARITY;
+	}
+	heap[i] = moved;
+}
+
+static void sift_down(struct entry *heap, uint32_t count, uint32_t i)
+{
+	struct entry moved = heap[i];
+
+	for (;;) {
+		uint64_t first = (uint64_t)i * ARITY + 1;
+		uint64_t end = MIN(first + ARITY, count);
+		uint32_t least = (uint32_t)first;
+
+		if (first >= count)
+			break;
+		for (uint32_t child = least + 1; child < end; child++) {
+			if (entry_before(&heap[child], &heap[least]))
+				least = child;
+		}
+		if (!entry_before(&heap[least], &moved))
+			break;
+		heap[i] = heap[least];
+		i = least;
+	}
+	heap[i] = moved;
+}
+
+static void heapify(struct bucket *bucket)
+{
+	for (uint32_t i = bucket->count / ARITY + 1; i-- > 0;) {
+		if (i < bucket->count)
+			sift_down(bucket->heap, bucket->count, i);
+	}
+}
+
+static void pop(struct bucket *bucket)
+{
+	bucket->heap[0] = bucket->heap[--bucket->count];
+	if (bucket->count > 0)
+		sift_down(bucket->heap, bucket->count, 0);
+}
+
+/* Drops the invalid entries and restores the heap. */
+static void compact(struct bucket *bucket)
+{
+	uint32_t kept = 0;
+
+	for (uint32_t i = 0; i < bucket->count; i++) {
+		if (entry_valid(&bucket->heap[i]))
+			bucket->heap[kept++] = bucket->heap[i];
+	}
+	bucket->count = kept;
+	heapify(bucket);
+}
+
+static void clean_top(struct bucket *bucket)
+{
+	while (bucket->count > 0 && !entry_valid(&bucket->heap[0]))
+		pop(bucket);
+	if (bucket->count > 2 * (uint64_t)bucket->live + COMPACT_SLACK)
+		compact(bucket);
+	if (bucket->count == 0 && bucket->capacity > LARGE_CAPACITY) {
+		g_free(bucket->heap);
+		bucket->heap = NULL;
+		bucket->capacity = 0;
+	}
+}
+
+/* The class's heap of buckets. */
+
+static bool bucket_before(const struct bucket *a, const struct bucket *b)
+{
+	return entry_before(&a->heap[0], &b->heap[0]);
+}
+
+static void place_bucket(struct class_row *class, uint32_t i, struct bucket *bucket)
+{
+	class->heap[i] = bucket;
+	bucket->position = i;
+}
+
+static void bucket_up(struct class_row *class, uint32_t i)
+{
+	struct bucket *moved = class->heap[i];
+
+	while (i > 0 && bucket_before(moved, class->heap[(i - 1) / 2])) {
+		place_bucket(class, i, class->heap[(i - 1) / 2]);
+		i = (i - 1) / 2;
+	}
+	place_bucket(class, i, moved);
+}
+
+static void bucket_down(struct class_row *class, uint32_t i)
+{
+	struct bucket *moved = class->heap[i];
+
+	for (;;) {
+		uint32_t least = 2 * i + 1;
+
+		if (least >= class->heap_count)
+			break;
+		if (least + 1 < class->heap_count &&
+		    bucket_before(class->heap[least + 1], class->heap[least]))
+			least++;
+		if (!bucket_before(class->heap[least], moved))
+			break;
+		place_bucket(class, i, class->heap[least]);
+		i = least;
+	}
+	place_bucket(class, i, moved);
+}
+
+static void bucket_leave(struct bucket *bucket)
+{
+	struct class_row *class = bucket->class;
+	uint32_t i = bucket->position;
+
+	bucket->position = NO_POSITION;
+	if (i == --class->heap_count)
+		return;
+	place_bucket(class, i, class->heap[class->heap_count]);
+	bucket_up(class, i);
+	bucket_down(class, class->heap[i]->position);
+}
+
+static void bucket_enter(struct bucket *bucket)
+{
+	struct class_row *class = bucket->class;
+
+	if (class->heap_count == class->heap_capacity) {
+		class->heap_capacity =
+			class->heap_capacity > 0 ? 2 * class->heap_capacity : FIRST_CAPACITY;
+		class->heap = g_renew(struct bucket *, class->heap, class->heap_capacity);
+	}
+	place_bucket(class, class->heap_count++, bucket);
+	bucket_up(class, bucket->position);
+}
+
+static bool team_may_start(const struct team_row *team)
+{
+	return team->max_running == 0 || team->running < team->max_running;
+}
+
+/* Gives BUCKET its place in the class's heap after its first job or its team changed. */
+static void update_bucket(struct bucket *bucket)
+{
+	bool wanted;
+
+	clean_top(bucket);
+	wanted = bucket->count > 0 && team_may_start(bucket->team);
+	if (!wanted && bucket->position != NO_POSITION)
+		bucket_leave(bucket);
+	else if (wanted && bucket->position == NO_POSITION)
+		bucket_enter(bucket);
+	if (bucket->position == NO_POSITION)
+		return;
+	bucket_up(bucket->class, bucket->position);
+	bucket_down(bucket->class, bucket->position);
+}
+
+static double job_key(const struct sched *sched, const struct job_row *job)
+{
+	double work = job->queued * job->class->order_run_us / job->bucket->team->weight;
+
+	if (sched->limits.ageing_divisor <= 0)
+		return work;
+	return work + (double)job->submitted_us / (double)sched->limits.ageing_divisor;
+}
+
+static void insert(struct sched *sched, struct job_row *job)
+{
+	struct bucket *bucket = job->bucket;
+
+	if (bucket->count == bucket->capacity) {
+		bucket->capacity = bucket->capacity > 0 ? 2 * bucket->capacity : FIRST_CAPACITY;
+		bucket->heap = g_renew(struct entry, bucket->heap, bucket->capacity);
+	}
+	job->key = job_key(sched, job);
+	bucket->heap[bucket->count] = (struct entry){.key = job->key, .seq = job->seq, .job = job};
+	sift_up(bucket->heap, bucket->count++);
+}
+
+static unsigned int size_class(const struct job_row *job)
+{
+	return SIZE_CLASSES - 1 - (unsigned int)__builtin_clz(job->tasks);
+}
+
+static void count_queued(struct sched *sched, struct job_row *job, int64_t change)
+{
+	struct class_row *class = job->class;
+
+	job->queued = (uint32_t)(job->queued + change);
+	sched->queued += (uint64_t)change;
+	class->queued += (uint64_t)change;
+	class->queued_by_size[size_class(job)] += (uint64_t)change;
+	job->bucket->team->queued += (uint64_t)change;
+	if (class->queued == 0)
+		class->hold_since_us = NO_TIME;
+}
+
+/* Adds a job with all its tasks. */
+void queue_push(struct sched *sched, struct job_row *job)
+{
+	count_queued(sched, job, job->tasks);
+	job->class->queued_jobs++;
+	job->bucket->live++;
+	insert(sched, job);
+	update_bucket(job->bucket);
+}
+
+/* Takes a job with all its queued tasks out of the queue. Its entry becomes invalid. */
+void queue_remove(struct sched *sched, struct job_row *job)
+{
+	if (job->queued == 0)
+		return;
+	count_queued(sched, job, -(int64_t)job->queued);
+	job->class->queued_jobs--;
+	job->bucket->live--;
+	update_bucket(job->bucket);
+}
+
+/* Records the start of a task of JOB, which is first of its bucket. The key falls, so that the job
+ * stays first. */
+void queue_task_started(struct sched *sched, struct job_row *job)
+{
+	struct bucket *bucket = job->bucket;
+
+	count_queued(sched, job, -1);
+	if (job->queued == 0) {
+		job->class->queued_jobs--;
+		bucket->live--;
+		pop(bucket);
+	} else {
+		job->key = job_key(sched, job);
+		bucket->heap[0].key = job->key;
+	}
+	update_bucket(bucket);
+}
+
+/* Records that a task of JOB is queued again. The key rises, so that the old entry becomes
+ * invalid. */
+void queue_task_returned(struct sched *sched, struct job_row *job)
+{
+	count_queued(sched, job, 1);
+	if (job->queued == 1) {
+		job->class->queued_jobs++;
+		job->bucket->live++;
+	}
+	insert(sched, job);
+	update_bucket(job->bucket);
+}
+
+/* Lets the queued jobs of TEAM in or out after its running tasks or its limit changed. */
+void queue_team_changed(struct sched *sched, struct team_row *team)
+{
+	for (struct bucket *bucket = team->buckets; bucket; bucket = bucket->next_of_team) {
+		bool listed = bucket->position != NO_POSITION;
+
+		if (listed != (bucket->count > 0 && team_may_start(team)))
+			update_bucket(bucket);
+	}
+}
+
+/* Computes the keys of BUCKET anew. */
+void queue_rekey(struct sched *sched, struct bucket *bucket)
+{
+	compact(bucket);
+	for (uint32_t i = 0; i < bucket->count; i++) {
+		struct entry *entry = &bucket->heap[i];
+
+		entry->job->key = job_key(sched, entry->job);
+		entry->key = entry->job->key;
+	}
+	heapify(bucket);
+	update_bucket(bucket);
+}
+
+/* Computes the keys of a class anew once its learned run time has moved away from them. */
+void queue_class_learned(struct sched *sched, struct class_row *class)
+{
+	double ratio = class->learned.run_us / class->order_run_us;
+
+	class->results_since_rekey++;
+	if (ratio < rekey_ratio && ratio * rekey_ratio > 1)
+		return;
+	if (class->results_since_rekey < class->queued_jobs / REKEY_SHARE)
+		return;
+	class->results_since_rekey = 0;
+	class->order_run_us = class->learned.run_us;
+	for (struct bucket *bucket = class->buckets; bucket; bucket = bucket->next_of_class)
+		queue_rekey(sched, bucket);
+}
+
+struct bucket *queue_bucket(struct sched *sched, struct class_row *class, struct team_row *team)
+{
+	struct bucket *bucket;
+	struct handle handle;
+
+	for (bucket = team->buckets; bucket; bucket = bucket->next_of_team) {
+		if (bucket->class == class)
+			return bucket;
+	}
+	bucket = table_add(&sched->buckets, &handle);
+	*bucket = (struct bucket){
+		.class = class,
+		.team = team,
+		.next_of_class = class->buckets,
+		.next_of_team = team->buckets,
+		.handle = handle,
+		.position = NO_POSITION,
+	};
+	class->buckets = bucket;
+	team->buckets = bucket;
+	return bucket;
+}
+
+/* Removes an empty bucket. */
+void queue_bucket_free(struct sched *sched, struct bucket *bucket)
+{
+	struct bucket **link = &bucket->class->buckets;
+
+	while (*link != bucket)
+		link = &(*link)->next_of_class;
+	*link = bucket->next_of_class;
+	link = &bucket->team->buckets;
+	while (*link != bucket)
+		link = &(*link)->next_of_team;
+	*link = bucket->next_of_team;
+	if (bucket->position != NO_POSITION)
+		bucket_leave(bucket);
+	g_free(bucket->heap);
+	table_remove(&sched->buckets, bucket->handle);
+}
+
+/* Returns the first job of a class among the teams below their limit, or NULL. */
+struct job_row *queue_head(const struct class_row *class)
+{
+	return class->heap_count > 0 ? class->heap[0]->heap[0].job : NULL;
+}
--- /dev/null
+++ b/packages/core/src/scheduler_rules.c
@@ -0,0 +1,236 @@
+#include "scheduler_defs.h"
+
+#include <string.h>
+
+enum {
+	FIRST_SWEEP = 256 /* rows of classes or teams before unused ones are dropped */
+};
+
+void rules_init(struct sched *sched)
+{
+	table_init(&sched->classes, sizeof(struct class_row));
+	table_init(&sched->teams, sizeof(struct team_row));
+	table_init(&sched->buckets, sizeof(struct bucket));
+	sched->class_names = g_hash_table_new(g_str_hash, g_str_equal);
+	sched->team_names = g_hash_table_new(g_str_hash, g_str_equal);
+	sched->class_list = g_ptr_array_new();
+	sched->class_sweep = FIRST_SWEEP;
+	sched->team_sweep = FIRST_SWEEP;
+}
+
+static void class_clear(struct class_row *class)
+{
+	g_strfreev(class->zones);
+	g_strfreev(class->labels);
+	g_free(class->heap);
+	g_ptr_array_unref(class->pools);
+}
+
+void rules_free(struct sched *sched)
+{
+	uint32_t cursor = 0;
+	struct class_row *class;
+	struct bucket *bucket;
+
+	while ((class = table_next(&sched->classes, &cursor, NULL)))
+		class_clear(class);
+	cursor = 0;
+	while ((bucket = table_next(&sched->buckets, &cursor, NULL)))
+		g_free(bucket->heap);
+	table_free(&sched->classes);
+	table_free(&sched->teams);
+	table_free(&sched->buckets);
+	g_hash_table_unref(sched->class_names);
+	g_hash_table_unref(sched->team_names);
+	g_ptr_array_unref(sched->class_list);
+}
+
+/* Names of unconfigured classes and teams come from clients. Those without jobs are dropped each
+ * time the table has doubled, which bounds it by the number of jobs at constant cost per row. */
+static void sweep_classes(struct sched *sched)
+{
+	uint32_t cursor = 0;
+	struct class_row *class;
+
+	while ((class = table_next(&sched->classes, &cursor, NULL))) {
+		if (class->configured || class->jobs > 0)
+			continue;
+		while (class->buckets)
+			queue_bucket_free(sched, class->buckets);
+		place_unlink_class(sched, class);
+		g_hash_table_remove(sched->class_names, class->name);
+		g_ptr_array_remove_fast(sched->class_list, class);
+		class_clear(class);
+		table_remove(&sched->classes, class->handle);
+	}
+	sched->class_sweep = MAX(FIRST_SWEEP, 2 * table_count(&sched->classes));
+}
+
+static void sweep_teams(struct sched *sched)
+{
+	uint32_t cursor = 0;
+	struct team_row *team;
+
+	while ((team = table_next(&sched->teams, &cursor, NULL))) {
+		if (team->configured || team->jobs > 0)
+			continue;
+		while (team->buckets)
+			queue_bucket_free(sched, team->buckets);
+		g_hash_table_remove(sched->team_names, team->name);
+		table_remove(&sched->teams, team->handle);
+	}
+	sched->team_sweep = MAX(FIRST_SWEEP, 2 * table_count(&sched->teams));
+}
+
+static struct class_row *class_add(struct sched *sched, const char *name)
+{
+	struct class_row *class;
+	struct handle handle;
+
+	if (table_count(&sched->classes) >= sched->class_sweep)
+		sweep_classes(sched);
+	class = table_add(&sched->classes, &handle);
+	class->handle = handle;
+	g_strlcpy(class->name, name, sizeof(class->name));
+	class->hold_since_us = NO_TIME;
+	class->pools = g_ptr_array_new();
+	learn_class_init(&class->learned, &sched->scale, 0);
+	class->order_run_us = class->learned.run_us;
+	g_hash_table_insert(sched->class_names, class->name, class);
+	g_ptr_array_add(sched->class_list, class);
+	place_relink_class(sched, class);
+	return class;
+}
+
+static struct team_row *team_add(struct sched *sched, const char *name)
+{
+	struct team_row *team;
+	struct handle handle;
+
+	if (table_count(&sched->teams) >= sched->team_sweep)
+		sweep_teams(sched);
+	team = table_add(&sched->teams, &handle);
+	team->handle = handle;
+	g_strlcpy(team->name, name, sizeof(team->name));
+	team->weight = 1;
+	g_hash_table_insert(sched->team_names, team->name, team);
+	return team;
+}
+
+/* Returns the class of a job that is submitted, or NULL when no rule allows it. Without any
+ * configured class every class runs on every server. */
+struct class_row *rules_class(struct sched *sched, const char *name)
+{
+	struct class_row *class = g_hash_table_lookup(sched->class_names, name);
+
+	if (sched->configured_classes > 0)
+		return class && class->configured ? class : NULL;
+	return class ? class : class_add(sched, name);
+}
+
+/* Returns the team of a job that is submitted. A team without a rule has weight 1 and no limit. */
+struct team_row *rules_team(struct sched *sched, const char *name)
+{
+	struct team_row *team = g_hash_table_lookup(sched->team_names, name);
+
+	return team ? team : team_add(sched, name);
+}
+
+static void set_class(struct sched *sched, const struct sched_class_rules *rules)
+{
+	struct class_row *class = g_hash_table_lookup(sched->class_names, rules->name);
+
+	if (!class)
+		class = class_add(sched, rules->name);
+	if (!class->listed)
+		sched->configured_classes++;
+	class->listed = true;
+	class->configured = true;
+	g_strfreev(class->zones);
+	g_strfreev(class->labels);
+	class->zones = g_strdupv((char **)rules->zones);
+	class->labels = g_strdupv((char **)rules->labels);
+	class->max_running = rules->max_running;
+	class->declared_us = rules->run_us;
+	place_relink_class(sched, class);
+	if (class->learned.samples > 0)
+		return;
+	learn_class_init(&class->learned, &sched->scale, rules->run_us);
+	class->order_run_us = class->learned.run_us;
+	for (struct bucket *bucket = class->buckets; bucket; bucket = bucket->next_of_class)
+		queue_rekey(sched, bucket);
+}
+
+static void set_team_values(struct sched *sched, struct team_row *team, double weight,
+			    uint32_t max_running, uint64_t max_queued)
+{
+	bool reweighted = team->weight != weight;
+
+	team->weight = weight;
+	team->max_running = max_running;
+	team->max_queued = max_queued;
+	for (struct bucket *bucket = team->buckets; bucket && reweighted;
+	     bucket = bucket->next_of_team)
+		queue_rekey(sched, bucket);
+	queue_team_changed(sched, team);
+}
+
+static void set_team(struct sched *sched, const struct sched_team_rules *rules)
+{
+	struct team_row *team = rules_team(sched, rules->name);
+
+	team->listed = true;
+	team->configured = true;
+	set_team_values(sched, team, rules->weight > 0 ? rules->weight : 1, rules->max_running,
+			rules->max_queued);
+}
+
+void sched_set_rules(struct sched *sched, const struct sched_class_rules *classes,
+		     uint32_t class_count, const struct sched_team_rules *teams,
+		     uint32_t team_count)
+{
+	uint32_t cursor = 0;
+	struct class_row *class;
+	struct team_row *team;
+
+	sched->configured_classes = 0;
+	for (uint32_t i = 0; i < class_count; i++)
+		set_class(sched, &classes[i]);
+	for (uint32_t i = 0; i < team_count; i++)
+		set_team(sched, &teams[i]);
+	while ((class = table_next(&sched->classes, &cursor, NULL))) {
+		class->configured = class->listed;
+		class->listed = false;
+	}
+	cursor = 0;
+	while ((team = table_next(&sched->teams, &cursor, NULL))) {
+		team->configured = team->listed;
+		team->listed = false;
+		if (!team->configured)
+			set_team_values(sched, team, 1, 0, 0);
+	}
+}
+
+/* Takes the run time that a client declared as the start value of a class without any other. */
+void rules_declared(struct sched *sched, struct class_row *class, int64_t declared_us)
+{
+	if (declared_us <= 0 || class->declared_us > 0 || class->jobs > 0 ||
+	    class->learned.samples > 0)
+		return;
+	learn_class_init(&class->learned, &sched->scale, declared_us);
+	class->order_run_us = class->learned.run_us;
+}
+
+bool rules_zone_allowed(const struct class_row *class, const char *zone)
+{
+	return !class->zones || g_strv_contains((const char *const *)class->zones, zone);
+}
+
+bool rules_labels_match(const struct class_row *class, char **labels)
+{
+	for (char **label = class->labels; label && *label; label++) {
+		if (!g_strv_contains((const char *const *)labels, *label))
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/test/unit/scheduler_test.c
@@ -0,0 +1,509 @@
+#include <glib.h>
+#include <stdio.h>
+
+#include "scheduler.h"
+
+enum {
+	SEED = 7,
+	MAX_STARTS = 64
+};
+
+static struct sched *new_sched(void)
+{
+	const struct sched_limits limits = {
+		.max_queued_tasks = 1000,
+		.max_queued_bytes = 100000,
+		.ageing_divisor = 10,
+		.zone_penalty_us = 500,
+	};
+
+	return sched_new(&limits, "a", SEED);
+}
+
+static struct handle add_server(struct sched *sched, const char *zone, uint64_t credits)
+{
+	const struct sched_server_spec spec = {.id = "s", .zone = zone, .slots = 8, .open = true};
+	struct handle server = sched_server_add(sched, &spec, NULL);
+
+	sched_server_credits(sched, server, credits);
+	return server;
+}
+
+static enum status try_submit(struct sched *sched, const char *class, const char *team,
+			      uint32_t tasks, int64_t now_us, struct handle *job)
+{
+	const struct sched_job_spec spec = {
+		.class_name = class,
+		.team = team,
+		.tasks = tasks,
+		.bytes = 10,
+		.declared_run_us = 100000,
+	};
+
+	return sched_submit(sched, &spec, now_us, job, NULL);
+}
+
+static struct handle submit(struct sched *sched, const char *team, uint32_t tasks, int64_t now_us)
+{
+	struct handle job;
+
+	g_assert_cmpint(try_submit(sched, "c", team, tasks, now_us, &job), ==, STATUS_OK);
+	return job;
+}
+
+static struct sched_start next(struct sched *sched, int64_t now_us)
+{
+	struct sched_start start;
+
+	g_assert_true(sched_next(sched, now_us, &start));
+	return start;
+}
+
+static void assert_none(struct sched *sched, int64_t now_us)
+{
+	struct sched_start start;
+
+	g_assert_false(sched_next(sched, now_us, &start));
+}
+
+static struct sched_job_view view_of(struct sched *sched, struct handle job)
+{
+	struct sched_job_view view;
+
+	g_assert_true(sched_job_view(sched, job, &view));
+	return view;
+}
+
+static enum sched_job_state done(struct sched *sched, const struct sched_start *start,
+				 int64_t run_us)
+{
+	return sched_task_done(sched, start->job, start->task, start->server, run_us, 0);
+}
+
+static enum sched_job_state refused(struct sched *sched, const struct sched_start *start)
+{
+	return sched_task_refused(sched, start->job, start->task, start->server, 0);
+}
+
+/* Teaches the scheduler that SERVER takes RUN_US for class "c". */
+static void teach(struct sched *sched, struct handle server, int64_t run_us, int results)
+{
+	for (int i = 0; i < results; i++) {
+		struct handle job = submit(sched, "t", 1, 0);
+		struct sched_start start;
+
+		sched_server_credits(sched, server, 1);
+		start = next(sched, 0);
+		g_assert_true(handle_equal(start.server, server));
+		g_assert_cmpint(done(sched, &start, run_us), ==, SCHED_JOB_DONE);
+		sched_release(sched, job);
+	}
+}
+
+/* A job must run every task exactly once and end with the last result. */
+static void test_job_runs_to_its_end(void)
+{
+	struct sched *sched = new_sched();
+	struct sched_start starts[130];
+	struct handle job;
+	bool seen[130] = {false};
+
+	add_server(sched, "a", 130);
+	job = submit(sched, "t", 130, 0);
+	for (int i = 0; i < 130; i++) {
+		starts[i] = next(sched, 0);
+		g_assert_false(seen[starts[i].task]);
+		seen[starts[i].task] = true;
+	}
+	assert_none(sched, 0);
+	for (int i = 0; i < 129; i++)
+		g_assert_cmpint(done(sched, &starts[i], 1000), ==, SCHED_JOB_RUNNING);
+	g_assert_cmpint(done(sched, &starts[129], 1000), ==, SCHED_JOB_DONE);
+	g_assert_cmpuint(sched_running(sched), ==, 0);
+	sched_release(sched, job);
+	sched_free(sched);
+}
+
+/* "not_run" must not be said of a cancelled or failed job while a task of it may run: a task stays
+ * in "started" until it is refused, also when it failed. */
+static void test_started_is_counted_until_refused(void)
+{
+	struct sched *sched = new_sched();
+	struct sched_start a;
+	struct sched_start b;
+	struct handle job;
+
+	add_server(sched, "a", 2);
+	job = submit(sched, "t", 3, 0);
+	a = next(sched, 0);
+	b = next(sched, 0);
+	g_assert_true(sched_cancel(sched, job, 0));
+	g_assert_false(sched_cancel(sched, job, 0));
+	g_assert_cmpuint(view_of(sched, job).started, ==, 2);
+	g_assert_cmpint(refused(sched, &a), ==, SCHED_JOB_CANCELLED);
+	g_assert_cmpuint(view_of(sched, job).started, ==, 1);
+	refused(sched, &a);
+	g_assert_cmpuint(view_of(sched, job).started, ==, 1);
+	sched_task_failed(sched, b.job, b.task, b.server, 0);
+	refused(sched, &b);
+	g_assert_cmpuint(view_of(sched, job).started, ==, 1);
+	g_assert_cmpuint(view_of(sched, job).running, ==, 0);
+	g_assert_cmpuint(sched_queued(sched), ==, 0);
+	sched_free(sched);
+}
+
+/* Releasing a job whose task is still out must not free the place that the task takes in the limits
+ * of its team, and a repeated event must not free it twice. */
+static void test_released_job_keeps_its_running_task(void)
+{
+	const struct sched_team_rules rules = {.name = "t", .weight = 1, .max_running = 1};
+	struct sched *sched = new_sched();
+	struct sched_job_view view;
+	struct sched_start start;
+	struct handle job;
+
+	sched_set_rules(sched, NULL, 0, &rules, 1);
+	add_server(sched, "a", 5);
+	job = submit(sched, "t", 1, 0);
+	submit(sched, "t", 2, 0);
+	start = next(sched, 0);
+	g_assert_true(sched_fail(sched, job, 0));
+	sched_release(sched, job);
+	g_assert_false(sched_job_view(sched, job, &view));
+	g_assert_cmpuint(sched_running(sched), ==, 1);
+	assert_none(sched, 0);
+	done(sched, &start, 1000);
+	done(sched, &start, 1000);
+	g_assert_cmpuint(sched_running(sched), ==, 0);
+	next(sched, 0);
+	assert_none(sched, 0);
+	sched_free(sched);
+}
+
+/* A refused task must be started again, and a job without a started task must say so. */
+static void test_refused_task_is_queued_again(void)
+{
+	struct sched *sched = new_sched();
+	struct sched_start start;
+	struct handle job;
+
+	add_server(sched, "a", 9);
+	job = submit(sched, "t", 100, 0);
+	start = next(sched, 0);
+	next(sched, 0);
+	g_assert_cmpint(refused(sched, &start), ==, SCHED_JOB_RUNNING);
+	g_assert_cmpuint(sched_queued(sched), ==, 99);
+	g_assert_cmpuint(next(sched, 0).task, ==, start.task);
+	sched_cancel(sched, job, 0);
+	job = submit(sched, "t", 1, 0);
+	start = next(sched, 0);
+	g_assert_cmpint(refused(sched, &start), ==, SCHED_JOB_QUEUED);
+	g_assert_cmpuint(view_of(sched, job).started, ==, 0);
+	sched_free(sched);
+}
+
+/* A failed task must fail its job at once and drop what is queued. */
+static void test_failed_task_fails_its_job(void)
+{
+	struct sched *sched = new_sched();
+	struct sched_start start;
+
+	add_server(sched, "a", 9);
+	submit(sched, "t", 5, 0);
+	start = next(sched, 0);
+	g_assert_cmpint(sched_task_failed(sched, start.job, start.task, start.server, 0), ==,
+			SCHED_JOB_FAILED);
+	assert_none(sched, 0);
+	g_assert_cmpuint(sched_queued(sched), ==, 0);
+	sched_free(sched);
+}
+
+/* Order: a small job goes before a large one, weight divides the work, and a large job that has
+ * waited long enough goes before newer small ones. */
+static void test_order_of_jobs(void)
+{
+	const struct sched_team_rules rules = {.name = "heavy", .weight = 20};
+	struct sched *sched = new_sched();
+	struct handle large;
+	struct handle heavy;
+	struct handle small;
+
+	sched_set_rules(sched, NULL, 0, &rules, 1);
+	add_server(sched, "a", 0);
+	large = submit(sched, "t", 10, 0);
+	heavy = submit(sched, "heavy", 20, 0);
+	small = submit(sched, "t", 3, 0);
+	for (int i = 0; i < 23; i++) {
+		struct sched_start start;
+
+		sched_server_credits(sched, (struct handle){.index = 0, .generation = 1}, 1);
+		start = next(sched, 0);
+		g_assert_true(handle_equal(start.job, i < 20 ? heavy : small));
+	}
+	submit(sched, "t", 1, 10 * 10 * 100000);
+	sched_server_credits(sched, (struct handle){.index = 0, .generation = 1}, 1);
+	g_assert_true(handle_equal(next(sched, 10 * 10 * 100000).job, large));
+	sched_free(sched);
+}
+
+/* A class must run only where its zones and labels allow, and within its running limit. */
+static void test_class_rules(void)
+{
+	const char *zones[] = {"b", NULL};
+	const char *labels[] = {"gpu=yes", NULL};
+	const char *server_labels[] = {"disk=ssd", "gpu=yes", NULL};
+	const struct sched_class_rules rules = {
+		.name = "c", .zones = zones, .labels = labels, .max_running = 1};
+	const struct sched_server_spec spec = {
+		.id = "s", .zone = "b", .labels = server_labels, .slots = 8, .open = true};
+	struct sched *sched = new_sched();
+	struct sched_start start;
+	struct handle server;
+	struct handle job;
+
+	sched_set_rules(sched, &rules, 1, NULL, 0);
+	add_server(sched, "a", 5);
+	add_server(sched, "b", 5);
+	g_assert_cmpint(try_submit(sched, "c", "t", 1, 0, &job), ==, STATUS_NO_CAPACITY_MATCH);
+	g_assert_cmpint(try_submit(sched, "x", "t", 1, 0, &job), ==, STATUS_NO_CAPACITY_MATCH);
+	server = sched_server_add(sched, &spec, NULL);
+	sched_server_credits(sched, server, 5);
+	submit(sched, "t", 3, 0);
+	g_assert_cmpuint(sched_demand(sched, server), ==, 3);
+	start = next(sched, 0);
+	g_assert_true(handle_equal(start.server, server));
+	assert_none(sched, 0);
+	done(sched, &start, 1000);
+	next(sched, 0);
+	sched_server_remove(sched, server);
+	g_assert_cmpint(try_submit(sched, "c", "t", 1, 0, &job), ==, STATUS_NO_CAPACITY_MATCH);
+	sched_free(sched);
+}
+
+/* The queue must be bounded in tasks and bytes, a team by its quota, and the room must come back.
+ */
+static void test_admission_bounds(void)
+{
+	const struct sched_team_rules rules = {.name = "q", .weight = 1, .max_queued = 5};
+	struct sched *sched = new_sched();
+	struct sched_job_spec big = {.class_name = "c", .team = "t", .tasks = 1, .bytes = 99991};
+	struct handle first;
+	struct handle job;
+
+	sched_set_rules(sched, NULL, 0, &rules, 1);
+	add_server(sched, "a", 0);
+	g_assert_cmpint(try_submit(sched, "c", "t", 0, 0, &job), ==, STATUS_INVALID_REQUEST);
+	g_assert_cmpint(try_submit(sched, "c", "q", 6, 0, &job), ==, STATUS_QUOTA_EXCEEDED);
+	submit(sched, "q", 5, 0);
+	first = submit(sched, "t", 995, 0);
+	g_assert_cmpint(try_submit(sched, "c", "t", 1, 0, &job), ==, STATUS_QUEUE_FULL);
+	sched_cancel(sched, first, 0);
+	g_assert_cmpint(sched_submit(sched, &big, 0, &job, NULL), ==, STATUS_QUEUE_FULL);
+	big.bytes--;
+	g_assert_cmpint(sched_submit(sched, &big, 0, &job, NULL), ==, STATUS_OK);
+	sched_free(sched);
+}
+
+/* A deadline that the queue and the run time make unreachable must be refused at once; one that is
+ * reachable must be admitted and reported once when it passes. */
+static void test_deadlines(void)
+{
+	struct sched *sched = new_sched();
+	struct sched_job_spec spec = {.class_name = "c",
+				      .team = "t",
+				      .tasks = 1,
+				      .declared_run_us = 100000,
+				      .deadline_us = 150000};
+	struct handle expired[4];
+	struct handle job;
+	struct handle ended;
+
+	add_server(sched, "a", 0);
+	g_assert_cmpint(sched_submit(sched, &spec, 100000, &job, NULL), ==,
+			STATUS_DEADLINE_UNREACHABLE);
+	g_assert_cmpint(sched_submit(sched, &spec, 0, &job, NULL), ==, STATUS_OK);
+	g_assert_cmpint(sched_submit(sched, &spec, 0, &ended, NULL), ==, STATUS_OK);
+	sched_cancel(sched, ended, 0);
+	for (int i = 0; i < 80; i++)
+		submit(sched, "t", 1, 0);
+	g_assert_cmpint(sched_submit(sched, &spec, 0, &ended, NULL), ==,
+			STATUS_DEADLINE_UNREACHABLE);
+	g_assert_cmpuint(sched_expired(sched, 149999, expired, 4), ==, 0);
+	g_assert_cmpuint(sched_expired(sched, 150000, expired, 4), ==, 1);
+	g_assert_true(handle_equal(expired[0], job));
+	g_assert_true(sched_fail(sched, job, 150000));
+	g_assert_cmpuint(sched_expired(sched, 150000, expired, 4), ==, 0);
+	sched_free(sched);
+}
+
+/* A class refused for its learned run time must be tried now and then, or a wrong value would stay
+ * for good. */
+static void test_deadline_refusals_do_not_last(void)
+{
+	struct sched *sched = new_sched();
+	struct sched_job_spec spec = {
+		.class_name = "c", .team = "t", .tasks = 1, .deadline_us = 1000000};
+	struct handle job;
+	int refusals = 0;
+
+	teach(sched, add_server(sched, "a", 0), 5000000, 3);
+	while (sched_submit(sched, &spec, 0, &job, NULL) != STATUS_OK)
+		g_assert_cmpint(++refusals, <, 100);
+	g_assert_cmpint(refusals, >, 3);
+	sched_free(sched);
+}
+
+/* A declared run time that is 10 times too long or too short must not outlive the first results,
+ * and a straggler must not shift a learned value much. */
+static void test_learning_corrects_declared_values(void)
+{
+	for (int64_t real = 10000; real <= 1000000; real *= 100) {
+		struct sched *sched = new_sched();
+		struct handle server = add_server(sched, "a", 0);
+		int64_t ideal;
+
+		teach(sched, server, real, 5);
+		ideal = view_of(sched, submit(sched, "t", 1, 0)).ideal_us;
+		g_assert_cmpint(ideal, >, real * 8 / 10);
+		g_assert_cmpint(ideal, <, real * 12 / 10);
+		sched_free(sched);
+	}
+	struct sched *sched = new_sched();
+	struct handle server = add_server(sched, "a", 0);
+
+	teach(sched, server, 100000, 40);
+	teach(sched, server, 100000000, 2);
+	g_assert_cmpint(view_of(sched, submit(sched, "t", 1, 0)).ideal_us, <, 150000);
+	sched_free(sched);
+}
+
+/* The faster server must be preferred, a near one among equals, and a server that fails or refuses
+ * everything must be avoided although it is "free" first. */
+static void test_choice_of_server(void)
+{
+	struct sched *sched = new_sched();
+	struct handle far = add_server(sched, "b", 0);
+	struct handle near = add_server(sched, "a", 0);
+	struct sched_start start;
+
+	submit(sched, "t", 9, 0);
+	sched_server_credits(sched, far, 9);
+	sched_server_credits(sched, near, 9);
+	start = next(sched, 0);
+	g_assert_true(handle_equal(start.server, near));
+	refused(sched, &start);
+	g_assert_true(handle_equal(next(sched, 0).server, far));
+	sched_free(sched);
+
+	sched = new_sched();
+	near = add_server(sched, "a", 0);
+	far = add_server(sched, "b", 0);
+	teach(sched, near, 800000, 10);
+	sched_server_credits(sched, near, 0);
+	teach(sched, far, 100000, 10);
+	sched_server_credits(sched, near, 1);
+	sched_server_credits(sched, far, 1);
+	submit(sched, "t", 1, 0);
+	g_assert_true(handle_equal(next(sched, 0).server, far));
+	sched_free(sched);
+}
+
+/* The last tasks of a burst must wait for a much faster server, but not when the queue is deep, and
+ * not for longer than the wait can gain. */
+static void test_waits_for_a_much_faster_server(void)
+{
+	struct sched *sched = new_sched();
+	struct handle slow = add_server(sched, "a", 0);
+	struct handle fast = add_server(sched, "a", 0);
+	struct handle deep;
+	int64_t wake;
+
+	teach(sched, slow, 1000000, 20);
+	sched_server_credits(sched, slow, 0);
+	teach(sched, fast, 100000, 20);
+	submit(sched, "t", 5, 0);
+	sched_server_credits(sched, fast, 4);
+	for (int i = 0; i < 4; i++)
+		g_assert_true(handle_equal(next(sched, 0).server, fast));
+	sched_server_credits(sched, slow, 2);
+	assert_none(sched, 0);
+	wake = sched_wake_us(sched);
+	g_assert_cmpint(wake, >, 100000);
+	g_assert_cmpint(wake, <, 2000000);
+	deep = submit(sched, "t", 200, 0);
+	g_assert_true(handle_equal(next(sched, 0).server, slow));
+	sched_cancel(sched, deep, 0);
+	submit(sched, "t", 1, 0);
+	assert_none(sched, 0);
+	g_assert_true(handle_equal(next(sched, sched_wake_us(sched)).server, slow));
+	sched_free(sched);
+}
+
+/* Jobs of a class or team must follow new rules, and a class that is dropped from the rules must
+ * finish what was admitted. */
+static void test_rules_change_for_queued_jobs(void)
+{
+	struct sched_class_rules classes[] = {{.name = "c"}, {.name = "d"}};
+	struct sched_team_rules team = {.name = "t", .weight = 1, .max_running = 1};
+	struct sched *sched = new_sched();
+	struct handle job;
+
+	sched_set_rules(sched, classes, 2, &team, 1);
+	add_server(sched, "a", 9);
+	submit(sched, "t", 4, 0);
+	next(sched, 0);
+	assert_none(sched, 0);
+	team.max_running = 2;
+	sched_set_rules(sched, classes, 2, &team, 1);
+	next(sched, 0);
+	assert_none(sched, 0);
+	sched_set_rules(sched, &classes[1], 1, NULL, 0);
+	next(sched, 0);
+	next(sched, 0);
+	g_assert_cmpint(try_submit(sched, "c", "t", 1, 0, &job), ==, STATUS_NO_CAPACITY_MATCH);
+	sched_free(sched);
+}
+
+/* Names of teams and classes come from clients: rows without jobs must not pile up or break later
+ * jobs. */
+static void test_unknown_names_are_dropped(void)
+{
+	struct sched *sched = new_sched();
+	struct handle job;
+
+	add_server(sched, "a", 9);
+	for (int i = 0; i < 2000; i++) {
+		char name[16];
+		struct sched_start start;
+
+		snprintf(name, sizeof(name), "n%d", i);
+		g_assert_cmpint(try_submit(sched, name, name, 1, 0, &job), ==, STATUS_OK);
+		sched_server_credits(sched, (struct handle){.index = 0, .generation = 1}, 1);
+		start = next(sched, 0);
+		done(sched, &start, 1000);
+		sched_release(sched, job);
+	}
+	g_assert_cmpuint(sched_queued(sched), ==, 0);
+	sched_free(sched);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/scheduler/job-runs-to-its-end", test_job_runs_to_its_end);
+	g_test_add_func("/scheduler/started-until-refused", test_started_is_counted_until_refused);
+	g_test_add_func("/scheduler/released-job", test_released_job_keeps_its_running_task);
+	g_test_add_func("/scheduler/refused-task", test_refused_task_is_queued_again);
+	g_test_add_func("/scheduler/failed-task", test_failed_task_fails_its_job);
+	g_test_add_func("/scheduler/order", test_order_of_jobs);
+	g_test_add_func("/scheduler/class-rules", test_class_rules);
+	g_test_add_func("/scheduler/admission-bounds", test_admission_bounds);
+	g_test_add_func("/scheduler/deadlines", test_deadlines);
+	g_test_add_func("/scheduler/deadline-probes", test_deadline_refusals_do_not_last);
+	g_test_add_func("/scheduler/learning", test_learning_corrects_declared_values);
+	g_test_add_func("/scheduler/choice-of-server", test_choice_of_server);
+	g_test_add_func("/scheduler/waits-for-faster", test_waits_for_a_much_faster_server);
+	g_test_add_func("/scheduler/rules-change", test_rules_change_for_queued_jobs);
+	g_test_add_func("/scheduler/unknown-names", test_unknown_names_are_dropped);
+	return g_test_run();
+}
