--- a/test/unit/scheduler_test.c
+++ b/test/unit/scheduler_test.c
@@ -224,24 +224,25 @@
 {
 	const struct sched_team_rules rules = {.name = "heavy", .weight = 20};
 	struct sched *sched = new_sched();
+	struct handle server;
 	struct handle large;
 	struct handle heavy;
 	struct handle small;
 
 	sched_set_rules(sched, NULL, 0, &rules, 1);
-	add_server(sched, "a", 0);
+	server = add_server(sched, "a", 0);
 	large = submit(sched, "t", 10, 0);
 	heavy = submit(sched, "heavy", 20, 0);
 	small = submit(sched, "t", 3, 0);
 	for (int i = 0; i < 23; i++) {
 		struct sched_start start;
 
-		sched_server_credits(sched, (struct handle){.index = 0, .generation = 1}, 1);
+		sched_server_credits(sched, server, 1);
 		start = next(sched, 0);
 		g_assert_true(handle_equal(start.job, i < 20 ? heavy : small));
 	}
 	submit(sched, "t", 1, 10 * 10 * 100000);
-	sched_server_credits(sched, (struct handle){.index = 0, .generation = 1}, 1);
+	sched_server_credits(sched, server, 1);
 	g_assert_true(handle_equal(next(sched, 10 * 10 * 100000).job, large));
 	sched_free(sched);
 }
@@ -464,21 +465,42 @@
 	sched_free(sched);
 }
 
+/* A wave of cancellations must leave the order of the remaining jobs intact, also when the queue
+ * drops the entries of the cancelled ones. */
+static void test_wave_of_cancellations(void)
+{
+	struct sched *sched = new_sched();
+	struct handle jobs[900];
+
+	add_server(sched, "a", 900);
+	for (int i = 0; i < 900; i++)
+		jobs[i] = submit(sched, "t", 1, i);
+	for (int i = 0; i < 900; i++) {
+		if (i % 10 != 0)
+			sched_cancel(sched, jobs[i], 1000);
+	}
+	g_assert_cmpuint(sched_queued(sched), ==, 90);
+	for (int i = 0; i < 900; i += 10)
+		g_assert_true(handle_equal(next(sched, 1000).job, jobs[i]));
+	assert_none(sched, 1000);
+	sched_free(sched);
+}
+
 /* Names of teams and classes come from clients: rows without jobs must not pile up or break later
  * jobs. */
 static void test_unknown_names_are_dropped(void)
 {
 	struct sched *sched = new_sched();
+	struct handle server = add_server(sched, "a", 9);
 	struct handle job;
 
-	add_server(sched, "a", 9);
 	for (int i = 0; i < 2000; i++) {
 		char name[16];
 		struct sched_start start;
 
 		snprintf(name, sizeof(name), "n%d", i);
 		g_assert_cmpint(try_submit(sched, name, name, 1, 0, &job), ==, STATUS_OK);
-		sched_server_credits(sched, (struct handle){.index = 0, .generation = 1}, 1);
+		sched_server_credits(sched, server, 1);
 		start = next(sched, 0);
 		done(sched, &start, 1000);
 		sched_release(sched, job);
@@ -504,6 +526,7 @@
 	g_test_add_func("/scheduler/choice-of-server", test_choice_of_server);
 	g_test_add_func("/scheduler/waits-for-faster", test_waits_for_a_much_faster_server);
 	g_test_add_func("/scheduler/rules-change", test_rules_change_for_queued_jobs);
+	g_test_add_func("/scheduler/cancellations", test_wave_of_cancellations);
 	g_test_add_func("/scheduler/unknown-names", test_unknown_names_are_dropped);
 	return g_test_run();
 }
