--- a/packages/core/include/link.h
+++ b/packages/core/include/link.h
@@ -26,6 +26,10 @@
 	uint32_t start_capacity;
 };
 
+/*
+ * A link lives as long as the agent incarnation may come back: its counters span connections. When
+ * an agent is taken for gone, end its starts with link_abandon and keep the link.
+ */
 void link_init(struct link *link);
 void link_free(struct link *link);
 
@@ -48,12 +52,22 @@
  */
 bool link_finish(struct link *link, uint64_t seq, struct link_start *out);
 
-/* Returns whether the result numbered NUMBER is new, and if it is the next one in order raises
- * result_ack. */
+/*
+ * Returns whether the result numbered NUMBER is new, and if it is the next one in order raises
+ * result_ack. A result that arrives after a gap is new but not acknowledged, so it will be repeated
+ * once the gap is filled; link_finish then reports that its start has ended.
+ */
 bool link_accept_result(struct link *link, uint64_t number);
 
 /* Returns the number of outstanding starts, and copies up to CAPACITY of them to OUT (which may be
  * NULL). */
 uint32_t link_outstanding(const struct link *link, struct link_start *out, uint32_t capacity);
 
+/*
+ * Ends any one outstanding start, whose task may have run. Stores it at OUT and returns true, or
+ * returns false when there is none. Called in a loop when the agent is taken for gone; a result
+ * that arrives later is not accepted.
+ */
+bool link_abandon(struct link *link, struct link_start *out);
+
 #endif
