Add the agent's gate: admission, results and credits

Counters are cumulative, so that the entry's consumed covers starts and grants lost with a connection. A closed channel keeps its high-water mark: an entry that was frozen for longer than the agent remembers its results would otherwise be told that a finished start was sealed, and would run it again; it now gets agent_lost. Numbers skipped within a connection (a transparent reconnect of the socket) are answered as not started, since no reconcile comes for them.

The smallest delay is kept over two windows of ten minutes. With one minimum for ever, two clocks drifting by 50 ppm would reach the start-by limit of 2 s after eleven hours.

--- a/packages/core/include/gate.h
+++ b/packages/core/include/gate.h
@@ -14,6 +14,8 @@
 	int64_t start_by_us; /* delay beyond the channel's baseline after which a start is refused
 			      */
 	uint32_t prefetch;   /* starts admitted for each slot beyond the one that runs, 0 or 1 */
+	int64_t silent_us;   /* credits of an entry not heard for this long are granted to others;
+				0 for never */
 };
 
 /* A start as received. */
@@ -31,7 +33,8 @@
 	uint64_t result_ack;
 };
 
-/* A result kept until the entry acknowledges it. BODY is owned by the gate once stored. */
+/* A result kept until the entry acknowledges it. BODY and REASON come from malloc and are owned by
+ * the gate once passed to it. */
 struct gate_result {
 	uint64_t number;
 	uint64_t seq;
@@ -57,13 +60,17 @@
 
 /*
  * Opens the channel of the entry incarnation ENTRY, or the next epoch of an open one, and returns
- * its handle. A channel keeps its high-water mark and results over epochs.
+ * its handle. EPOCH is above 0. A channel keeps its high-water mark and results over epochs.
  */
 struct handle gate_open(struct gate *gate, const struct ident *entry, uint64_t epoch,
 			int64_t now_us);
 
-/* Forgets a channel with its credits and results. Starts that still run keep their slots until
- * gate_finish. */
+/*
+ * Forgets the credits and results of a channel. Starts that still run keep their slots until
+ * gate_finish. The high-water mark stays: should the entry incarnation return, a start that passed
+ * before must not pass again, nor be called sealed. The channel opens again, under the same handle,
+ * with an epoch above the last one only.
+ */
 void gate_close(struct gate *gate, struct handle channel);
 
 /* Takes what a message of EPOCH says. Returns false when the epoch is lower than the channel's: the
@@ -75,6 +82,8 @@
  * Decides on a start. STATUS_OK: it passed the gate, holds a slot and must be run. Otherwise it did
  * not start and never will: STATUS_DUPLICATE_START (number not above the high-water mark; nothing
  * is answered), STATUS_START_LATE, STATUS_STALE_CONFIG, STATUS_SERVER_LEAVING, STATUS_NO_SLOT.
+ * Numbers skipped since the last start were lost within the connection; each is refused with a
+ * stored result of STATUS_NETWORK, since it can no longer pass.
  */
 enum status gate_admit(struct gate *gate, struct handle channel, const struct gate_start *start,
 		       int64_t now_us);
@@ -89,7 +98,8 @@
 
 /*
  * Answers for the outstanding start SEQ after a new connection, and first raises the high-water
- * mark to NEXT_SEQ - 1, so that what was never seen is sealed.
+ * mark to NEXT_SEQ - 1, so that what was never seen is sealed. A start whose result was forgotten
+ * by gate_close gets a new result of STATUS_AGENT_LOST (it may have run) and is GATE_FINISHED.
  */
 enum gate_state gate_reconcile(struct gate *gate, struct handle channel, uint64_t next_seq,
 			       uint64_t seq);
@@ -117,8 +127,12 @@
 };
 
 /*
- * Distributes free slots as credits by demand and stores up to CAPACITY changes at OUT. Returns
- * their number. Without demand anywhere the credits are spread evenly.
+ * Distributes free slots as credits and stores up to CAPACITY changes at OUT. Returns their number;
+ * changes that found no place there come with the next call. Credits go to the entries in
+ * proportion to demand, in rotation; what exceeds the demand is spread evenly. When an entry has
+ * demand and no credit, or the slots shrank below what is promised, unused credits are asked back,
+ * once until they are returned. Call it after all starts of a message were admitted, since
+ * gate_hear already counts them as consumed.
  */
 uint32_t gate_distribute(struct gate *gate, struct gate_change *out, uint32_t capacity);
 
--- /dev/null
+++ b/packages/core/src/gate.c
@@ -0,0 +1,380 @@
+#include "gate.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core_defs.h"
+#include "gate_state.h"
+
+enum {
+	RESULT_CAPACITY = 16,
+	/* Clocks slewed by up to 500 ppm drift apart by 0.6 s over two windows, well below the
+	 * start-by limit; without windows a slow drift would in time refuse every start. */
+	BASELINE_WINDOW_US = 600 * US_PER_SECOND,
+};
+
+static struct gate_channel *channel_of(const struct gate *gate, struct handle channel)
+{
+	return table_get(&gate->channels, channel);
+}
+
+static void free_result(struct gate_result *result)
+{
+	free(result->body);
+	free(result->reason);
+}
+
+static struct gate_result *result_at(const struct gate_results *results, uint32_t i)
+{
+	return &results->ring[(results->first + i) & (results->capacity - 1)];
+}
+
+static void grow_results(struct gate_results *results)
+{
+	uint32_t capacity = results->capacity ? results->capacity * 2 : RESULT_CAPACITY;
+	struct gate_result *ring = g_new(struct gate_result, capacity);
+
+	for (uint32_t i = 0; i < results->count; i++)
+		ring[i] = *result_at(results, i);
+	g_free(results->ring);
+	results->ring = ring;
+	results->first = 0;
+	results->capacity = capacity;
+}
+
+static void store_result(struct gate *gate, struct gate_channel *ch, struct gate_result *result)
+{
+	struct gate_results *results = &ch->results;
+
+	if (results->count == results->capacity)
+		grow_results(results);
+	result->number = ++results->last_number;
+	*result_at(results, results->count++) = *result;
+	gate->unacknowledged++;
+}
+
+/* Drops results up to the number ACK. */
+static void acknowledge(struct gate *gate, struct gate_channel *ch, uint64_t ack)
+{
+	struct gate_results *results = &ch->results;
+
+	while (results->count > 0 && result_at(results, 0)->number <= ack) {
+		free_result(result_at(results, 0));
+		results->first = (results->first + 1) & (results->capacity - 1);
+		results->count--;
+		gate->unacknowledged--;
+	}
+}
+
+/* Continues the numbering after ACK, the entry's acknowledgement, when earlier results were
+ * forgotten. */
+static void renumber(struct gate_channel *ch, uint64_t ack)
+{
+	struct gate_results *results = &ch->results;
+
+	for (uint32_t i = 0; i < results->count; i++)
+		result_at(results, i)->number = ack + 1 + i;
+	results->last_number = ack + results->count;
+	ch->renumber = false;
+}
+
+/* Returns a - b. Unsigned arithmetic, since the clocks differ by an arbitrary constant. */
+static int64_t difference(int64_t a, int64_t b)
+{
+	return (int64_t)((uint64_t)a - (uint64_t)b);
+}
+
+/* Takes the delay of a message, in which the difference of both clocks is contained. */
+static void note_delay(struct gate_baseline *baseline, int64_t delay_us, int64_t now_us)
+{
+	if (!baseline->known) {
+		*baseline = (struct gate_baseline){.current_us = delay_us,
+						   .previous_us = delay_us,
+						   .window_start_us = now_us,
+						   .known = true};
+		return;
+	}
+	if (now_us - baseline->window_start_us > BASELINE_WINDOW_US) {
+		baseline->previous_us = baseline->current_us;
+		baseline->current_us = delay_us;
+		baseline->window_start_us = now_us;
+		return;
+	}
+	if (difference(delay_us, baseline->current_us) < 0)
+		baseline->current_us = delay_us;
+}
+
+static bool is_late(const struct gate *gate, const struct gate_channel *ch, int64_t delay_us)
+{
+	const struct gate_baseline *baseline = &ch->baseline;
+	int64_t excess = MAX(difference(delay_us, baseline->current_us),
+			     difference(delay_us, baseline->previous_us));
+
+	return excess > gate->limits.start_by_us;
+}
+
+struct gate *gate_new(const struct gate_limits *limits)
+{
+	struct gate *gate = g_new0(struct gate, 1);
+
+	gate->limits = *limits;
+	table_init(&gate->channels, sizeof(struct gate_channel));
+	gate->by_entry = g_hash_table_new(ident_hash, ident_equal_func);
+	return gate;
+}
+
+void gate_free(struct gate *gate)
+{
+	struct gate_channel *ch;
+	uint32_t cursor = 0;
+
+	if (!gate)
+		return;
+	while ((ch = table_next(&gate->channels, &cursor, NULL))) {
+		acknowledge(gate, ch, UINT64_MAX);
+		g_free(ch->results.ring);
+		seqset_free(&ch->running);
+	}
+	g_hash_table_destroy(gate->by_entry);
+	table_free(&gate->channels);
+	g_free(gate);
+}
+
+/* Begins the epoch EPOCH of CH. A reclaim may have been lost with the connection before. */
+static void begin_epoch(struct gate_channel *ch, uint64_t epoch)
+{
+	ch->epoch = epoch;
+	ch->reclaim_target = 0;
+}
+
+static struct gate_channel *add_channel(struct gate *gate, const struct ident *entry,
+					struct handle *handle)
+{
+	struct gate_channel *ch = table_add(&gate->channels, handle);
+
+	ch->entry = *entry;
+	ch->self = *handle;
+	g_hash_table_insert(gate->by_entry, &ch->entry, ch);
+	return ch;
+}
+
+struct handle gate_open(struct gate *gate, const struct ident *entry, uint64_t epoch,
+			int64_t now_us)
+{
+	struct gate_channel *ch = g_hash_table_lookup(gate->by_entry, entry);
+	struct handle handle;
+
+	gate->now_us = MAX(gate->now_us, now_us);
+	if (!ch)
+		ch = add_channel(gate, entry, &handle);
+	handle = ch->self;
+	if (epoch <= ch->epoch)
+		return handle;
+	begin_epoch(ch, epoch);
+	ch->closed = false;
+	ch->heard_us = now_us;
+	return handle;
+}
+
+void gate_close(struct gate *gate, struct handle channel)
+{
+	struct gate_channel *ch = channel_of(gate, channel);
+
+	if (!ch || ch->closed)
+		return;
+	ch->closed = true;
+	ch->lost_mark = ch->mark;
+	ch->renumber = true;
+	ch->demand = 0;
+	ch->share = 0;
+	ch->reclaim = 0;
+	ch->granted_news = false;
+	acknowledge(gate, ch, UINT64_MAX);
+}
+
+bool gate_hear(struct gate *gate, struct handle channel, uint64_t epoch,
+	       const struct gate_news *news, int64_t now_us)
+{
+	struct gate_channel *ch = channel_of(gate, channel);
+
+	if (!ch || ch->closed || epoch < ch->epoch)
+		return false;
+	if (epoch > ch->epoch)
+		begin_epoch(ch, epoch);
+	gate->now_us = MAX(gate->now_us, now_us);
+	ch->heard_us = now_us;
+	/* A message that was overtaken says nothing about the present demand. */
+	if (!ch->baseline.known || difference(news->sent_us, ch->demand_sent_us) >= 0) {
+		ch->demand = news->demand;
+		ch->demand_sent_us = news->sent_us;
+	}
+	note_delay(&ch->baseline, difference(now_us, news->sent_us), now_us);
+	ch->consumed = MAX(ch->consumed, MIN(news->consumed, ch->granted));
+	if (ch->renumber)
+		renumber(ch, news->result_ack);
+	acknowledge(gate, ch, news->result_ack);
+	return true;
+}
+
+uint64_t gate_room(const struct gate *gate)
+{
+	return (uint64_t)gate->slots * (1 + (uint64_t)gate->limits.prefetch);
+}
+
+static void refuse(struct gate *gate, struct gate_channel *ch, uint64_t seq, enum status status)
+{
+	struct gate_result result = {.seq = seq, .status = status, .not_started = true};
+
+	store_result(gate, ch, &result);
+}
+
+/* Refuses the numbers between the mark and SEQ. They were lost within the connection, so that no
+ * reconcile may come for them. */
+static void refuse_skipped(struct gate *gate, struct gate_channel *ch, uint64_t seq)
+{
+	for (uint64_t skipped = ch->mark + 1; skipped < seq; skipped++)
+		refuse(gate, ch, skipped, STATUS_NETWORK);
+}
+
+enum status gate_admit(struct gate *gate, struct handle channel, const struct gate_start *start,
+		       int64_t now_us)
+{
+	struct gate_channel *ch = channel_of(gate, channel);
+	int64_t delay_us = difference(now_us, start->sent_us);
+
+	if (!ch || ch->closed || start->seq <= ch->mark)
+		return STATUS_DUPLICATE_START;
+	/* No credit was granted for this number: it is not from a correct entry. */
+	if (start->seq > ch->granted) {
+		ch->mark = start->seq;
+		return STATUS_NO_SLOT;
+	}
+	refuse_skipped(gate, ch, start->seq);
+	ch->mark = start->seq;
+	ch->consumed = MAX(ch->consumed, start->seq);
+	note_delay(&ch->baseline, delay_us, now_us);
+	if (gate->leaving)
+		return STATUS_SERVER_LEAVING;
+	if (is_late(gate, ch, delay_us))
+		return STATUS_START_LATE;
+	if (start->config_version < gate->config_version)
+		return STATUS_STALE_CONFIG;
+	if (gate->running >= gate_room(gate))
+		return STATUS_NO_SLOT;
+	seqset_add(&ch->running, start->seq);
+	gate->running++;
+	return STATUS_OK;
+}
+
+void gate_finish(struct gate *gate, struct handle channel, struct gate_result *result)
+{
+	struct gate_channel *ch = channel_of(gate, channel);
+
+	if (!ch || !seqset_remove(&ch->running, result->seq)) {
+		free_result(result);
+		return;
+	}
+	gate->running--;
+	if (ch->closed) {
+		free_result(result);
+		return;
+	}
+	store_result(gate, ch, result);
+}
+
+void gate_refuse(struct gate *gate, struct handle channel, struct gate_result *result)
+{
+	struct gate_channel *ch = channel_of(gate, channel);
+
+	if (!ch || ch->closed) {
+		free_result(result);
+		return;
+	}
+	result->not_started = true;
+	store_result(gate, ch, result);
+}
+
+static bool has_result(const struct gate_channel *ch, uint64_t seq)
+{
+	for (uint32_t i = 0; i < ch->results.count; i++) {
+		if (result_at(&ch->results, i)->seq == seq)
+			return true;
+	}
+	return false;
+}
+
+enum gate_state gate_reconcile(struct gate *gate, struct handle channel, uint64_t next_seq,
+			       uint64_t seq)
+{
+	struct gate_channel *ch = channel_of(gate, channel);
+	struct gate_result lost = {.seq = seq, .status = STATUS_AGENT_LOST};
+
+	if (!ch)
+		return GATE_SEALED;
+	if (next_seq > ch->mark + 1)
+		ch->mark = next_seq - 1;
+	ch->mark = MAX(ch->mark, seq);
+	if (seqset_has(&ch->running, seq))
+		return GATE_RUNNING;
+	if (has_result(ch, seq))
+		return GATE_FINISHED;
+	if (seq > ch->lost_mark)
+		return GATE_SEALED;
+	store_result(gate, ch, &lost);
+	return GATE_FINISHED;
+}
+
+const struct gate_result *gate_next_result(const struct gate *gate, struct handle channel,
+					   uint64_t after)
+{
+	const struct gate_channel *ch = channel_of(gate, channel);
+	uint64_t before_first;
+
+	if (!ch)
+		return NULL;
+	before_first = ch->results.last_number - ch->results.count;
+	if (after < before_first)
+		after = before_first;
+	if (after >= ch->results.last_number)
+		return NULL;
+	return result_at(&ch->results, (uint32_t)(after - before_first));
+}
+
+void gate_set_slots(struct gate *gate, uint32_t slots)
+{
+	gate->slots = slots;
+}
+
+void gate_set_config_version(struct gate *gate, uint64_t version)
+{
+	gate->config_version = MAX(gate->config_version, version);
+}
+
+void gate_set_leaving(struct gate *gate, bool leaving)
+{
+	gate->leaving = leaving;
+}
+
+uint64_t gate_granted(const struct gate *gate, struct handle channel)
+{
+	const struct gate_channel *ch = channel_of(gate, channel);
+
+	return ch ? ch->granted : 0;
+}
+
+uint64_t gate_next_seq(const struct gate *gate, struct handle channel)
+{
+	const struct gate_channel *ch = channel_of(gate, channel);
+
+	return ch ? ch->mark + 1 : 1;
+}
+
+uint32_t gate_running(const struct gate *gate)
+{
+	return gate->running;
+}
+
+uint32_t gate_unacknowledged(const struct gate *gate)
+{
+	return gate->unacknowledged;
+}
--- /dev/null
+++ b/packages/core/src/seqset.c
@@ -0,0 +1,86 @@
+#include "seqset.h"
+
+#include <glib.h>
+
+enum {
+	FIRST_CAPACITY = 16
+};
+
+static void place(struct seqset *set, uint64_t seq)
+{
+	uint32_t mask = set->capacity - 1;
+	uint32_t i = (uint32_t)seq & mask;
+
+	while (set->places[i] != 0)
+		i = (i + 1) & mask;
+	set->places[i] = seq;
+}
+
+static void grow(struct seqset *set)
+{
+	uint64_t *old = set->places;
+	uint32_t old_capacity = set->capacity;
+
+	set->capacity = old_capacity ? old_capacity * 2 : FIRST_CAPACITY;
+	set->places = g_new0(uint64_t, set->capacity);
+	for (uint32_t i = 0; i < old_capacity; i++) {
+		if (old[i] != 0)
+			place(set, old[i]);
+	}
+	g_free(old);
+}
+
+/* Returns the index of SEQ, or the capacity when it is not in the set. */
+static uint32_t find(const struct seqset *set, uint64_t seq)
+{
+	uint32_t mask = set->capacity - 1;
+
+	if (seq == 0 || set->count == 0)
+		return set->capacity;
+	for (uint32_t i = (uint32_t)seq & mask; set->places[i] != 0; i = (i + 1) & mask) {
+		if (set->places[i] == seq)
+			return i;
+	}
+	return set->capacity;
+}
+
+void seqset_free(struct seqset *set)
+{
+	g_free(set->places);
+	*set = (struct seqset){0};
+}
+
+void seqset_add(struct seqset *set, uint64_t seq)
+{
+	/* A quarter of the places stays free, which keeps probe runs short. */
+	if ((uint64_t)set->count * 4 >= (uint64_t)set->capacity * 3)
+		grow(set);
+	place(set, seq);
+	set->count++;
+}
+
+bool seqset_has(const struct seqset *set, uint64_t seq)
+{
+	return find(set, seq) < set->capacity;
+}
+
+bool seqset_remove(struct seqset *set, uint64_t seq)
+{
+	uint32_t mask = set->capacity - 1;
+	uint32_t hole = find(set, seq);
+
+	if (hole == set->capacity)
+		return false;
+	/* Later entries of the probe run move up, so that no search ends early. */
+	for (uint32_t i = (hole + 1) & mask; set->places[i] != 0; i = (i + 1) & mask) {
+		uint32_t home = (uint32_t)set->places[i] & mask;
+
+		if (((i - home) & mask) < ((i - hole) & mask))
+			continue;
+		set->places[hole] = set->places[i];
+		hole = i;
+	}
+	set->places[hole] = 0;
+	set->count--;
+	return true;
+}
