Add the session store

A key costs a row of 52 bytes and a bucket of 4, digests in place of strings. The digest map splits one bucket with each new row, so that no insertion rehashes the whole table in the dispatcher. Closing a session only puts it out of reach; its keys are freed a few at a time. Keys are found by the digest of the session's handle and the key, so a reused serial cannot reach keys that are not freed yet.

--- a/packages/core/include/session.h
+++ b/packages/core/include/session.h
@@ -39,10 +39,14 @@
 					const struct ident *incarnation);
 void session_store_free(struct session_store *store);
 
-/* Opens a session with the random SERIAL. STATUS_TOO_MANY_REQUESTS at the limit. */
+/* Opens a session with the random SERIAL. STATUS_TOO_MANY_REQUESTS at the limit; STATUS_INTERNAL
+ * when the serial is in use, in which case another one is drawn. */
 enum status session_open(struct session_store *store, uint64_t serial, int64_t now_us,
 			 struct session_token *token, struct error *err);
-/* Closes a session for good. STATUS_SESSION_GONE when there is none. */
+/*
+ * Closes a session for good, at constant cost: its keys are out of reach at once and their memory
+ * is freed by session_expire and by later claims. STATUS_SESSION_GONE when there is none.
+ */
 enum status session_close(struct session_store *store, uint64_t serial, struct error *err);
 
 /* What a key stands for. */
@@ -53,8 +57,10 @@
 
 /*
  * Looks up KEY under the session and records it when new. STATUS_KEY_CONFLICT: used with another
- * body. STATUS_SESSION_GONE (unknown outcome): closed, expired or never opened here.
- * STATUS_TOO_MANY_REQUESTS: no room for another key. *JOB is the caller's slot for the job handle;
+ * body. STATUS_SESSION_GONE (unknown outcome): closed, expired or never opened here; for a new key
+ * after the lifetime but within the retention the outcome is "not run", since every key used is
+ * still known. STATUS_INVALID_KEY: empty or too long. STATUS_TOO_MANY_REQUESTS: no room for another
+ * key. *JOB is the caller's slot for the job handle;
  * it stays valid until the next call.
  */
 enum status session_claim_key(struct session_store *store, uint64_t serial, const char *key,
@@ -74,10 +80,14 @@
  */
 bool session_needs_renewal(const struct session_store *store, uint64_t serial, int64_t now_us);
 
-/* Drops what has outlived its retention, at most LIMIT keys a call. */
+/* Drops what has outlived its retention, at most LIMIT keys and sessions together a call. */
 void session_expire(struct session_store *store, int64_t now_us, uint32_t limit);
 
+/* Returns the number of open sessions. */
 uint32_t session_count(const struct session_store *store);
+
+/* Returns the number of keys in memory, those of closed sessions that are not freed yet included.
+ */
 uint32_t session_key_count(const struct session_store *store);
 
 #endif
--- /dev/null
+++ b/packages/core/src/digest_map.h
@@ -0,0 +1,47 @@
+/* Rows found by a 128-bit digest, with little memory a row and no long rehash: the number of
+ * buckets grows by one with each row (linear hashing). */
+#ifndef GG_DIGEST_MAP_H
+#define GG_DIGEST_MAP_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "ident.h"
+
+/* The first member of every row. */
+struct digest_row {
+	struct ident digest;
+	uint32_t chain; /* next row of the bucket, or of the free list; 0 for none */
+};
+
+/* Rows are numbered from 1 and never move while they live. */
+struct digest_map {
+	size_t row_bytes;
+	char **row_chunks;
+	uint32_t **bucket_chunks;
+	uint32_t row_chunk_count;
+	uint32_t bucket_chunk_count;
+	uint32_t used; /* rows ever handed out */
+	uint32_t free_row;
+	uint32_t count;
+	uint32_t level_buckets; /* buckets at the start of this round of splits; a power of two */
+	uint32_t split;		/* next bucket to be split */
+};
+
+void digest_map_init(struct digest_map *map, size_t row_bytes);
+void digest_map_free(struct digest_map *map);
+
+/* Adds a zeroed row under DIGEST, which must not be in the map, and returns its number. */
+uint32_t digest_map_add(struct digest_map *map, const struct ident *digest);
+
+/* Returns the number of the row of DIGEST, or 0. */
+uint32_t digest_map_find(const struct digest_map *map, const struct ident *digest);
+
+/* Returns the row NUMBER, which must be live. */
+void *digest_map_row(const struct digest_map *map, uint32_t number);
+
+/* Removes the row NUMBER, which must be live. */
+void digest_map_remove(struct digest_map *map, uint32_t number);
+
+#endif
--- /dev/null
+++ b/packages/core/src/session.c
@@ -0,0 +1,365 @@
+#include "session.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "digest_map.h"
+
+enum {
+	SERIAL_DIGITS = 16,
+	CLAIM_REAP_KEYS = 4, /* keys of closed sessions freed with each new key */
+};
+
+/* A key used under a session. Found by the digest of the session's handle and the key. */
+struct session_key {
+	struct digest_row row;
+	uint32_t next; /* of the same session; 0 for none */
+	uint32_t previous;
+	struct handle job;
+	struct ident body_digest;
+};
+
+/* 64 bytes a key, buckets included. */
+_Static_assert(sizeof(struct session_key) + sizeof(uint32_t) <= 64, "session key too large");
+
+struct session {
+	uint64_t serial;
+	int64_t opened_us;
+	uint32_t first_key;
+	struct session *next; /* by time of opening while open, by time of closing after that */
+	struct session *previous;
+	struct handle self;
+};
+
+struct session_list {
+	struct session *first;
+	struct session *last;
+};
+
+struct session_store {
+	struct session_limits limits;
+	struct ident incarnation;
+	struct table sessions;
+	struct digest_map keys;
+	GHashTable *by_serial; /* serial in the session -> session */
+	struct session_list open;
+	struct session_list closed; /* their keys are yet to be freed */
+};
+
+static void append(struct session_list *list, struct session *session)
+{
+	session->next = NULL;
+	session->previous = list->last;
+	if (list->last)
+		list->last->next = session;
+	else
+		list->first = session;
+	list->last = session;
+}
+
+static void detach(struct session_list *list, struct session *session)
+{
+	if (session->previous)
+		session->previous->next = session->next;
+	else
+		list->first = session->next;
+	if (session->next)
+		session->next->previous = session->previous;
+	else
+		list->last = session->previous;
+}
+
+char *session_format(const struct session_token *token, char text[SESSION_TOKEN_BYTES])
+{
+	char hex[IDENT_HEX_BYTES];
+
+	g_snprintf(text, SESSION_TOKEN_BYTES, "%s-%016" G_GINT64_MODIFIER "x",
+		   ident_format(&token->incarnation, hex), token->serial);
+	return text;
+}
+
+static bool parse_serial(const char *text, uint64_t *serial)
+{
+	for (int i = 0; i < SERIAL_DIGITS; i++) {
+		if (!g_ascii_isxdigit(text[i]))
+			return false;
+	}
+	*serial = strtoull(text, NULL, 16);
+	return true;
+}
+
+enum status session_parse(const char *text, struct session_token *token, struct error *err)
+{
+	const char *serial = text + IDENT_HEX_BYTES;
+
+	if (strnlen(text, SESSION_TOKEN_BYTES) != SESSION_TOKEN_BYTES - 1 ||
+	    !ident_parse(text, &token->incarnation) || serial[-1] != '-' ||
+	    !parse_serial(serial, &token->serial))
+		return error_set(err, STATUS_INVALID_SESSION,
+				 "a session token is 32 hex digits, a dash and 16 hex digits");
+	return STATUS_OK;
+}
+
+struct session_store *session_store_new(const struct session_limits *limits,
+					const struct ident *incarnation)
+{
+	struct session_store *store = g_new0(struct session_store, 1);
+
+	store->limits = *limits;
+	store->incarnation = *incarnation;
+	table_init(&store->sessions, sizeof(struct session));
+	digest_map_init(&store->keys, sizeof(struct session_key));
+	store->by_serial = g_hash_table_new(g_int64_hash, g_int64_equal);
+	return store;
+}
+
+void session_store_free(struct session_store *store)
+{
+	if (!store)
+		return;
+	g_hash_table_destroy(store->by_serial);
+	digest_map_free(&store->keys);
+	table_free(&store->sessions);
+	g_free(store);
+}
+
+/* Puts a session out of reach; its keys remain to be freed. */
+static void end_session(struct session_store *store, struct session *session)
+{
+	g_hash_table_remove(store->by_serial, &session->serial);
+	detach(&store->open, session);
+	append(&store->closed, session);
+}
+
+/* Frees one key, or one session without keys, of the closed sessions. Returns false when there is
+ * none. */
+static bool reap_one(struct session_store *store)
+{
+	struct session *session = store->closed.first;
+	struct session_key *key;
+	uint32_t number;
+
+	if (!session)
+		return false;
+	number = session->first_key;
+	if (number == 0) {
+		detach(&store->closed, session);
+		table_remove(&store->sessions, session->self);
+		return true;
+	}
+	key = digest_map_row(&store->keys, number);
+	session->first_key = key->next;
+	digest_map_remove(&store->keys, number);
+	return true;
+}
+
+static int64_t gone_us(const struct session_store *store, const struct session *session)
+{
+	return session->opened_us + store->limits.lifetime_us + store->limits.retain_us;
+}
+
+/* Returns the session, unless it is past its retention. */
+static struct session *find_session(const struct session_store *store, uint64_t serial,
+				    int64_t now_us)
+{
+	struct session *session = g_hash_table_lookup(store->by_serial, &serial);
+
+	if (!session || now_us >= gone_us(store, session))
+		return NULL;
+	return session;
+}
+
+static enum status refuse_gone(struct error *err)
+{
+	return error_set_unknown(err, STATUS_SESSION_GONE,
+				 "the session is closed, expired or unknown here");
+}
+
+enum status session_open(struct session_store *store, uint64_t serial, int64_t now_us,
+			 struct session_token *token, struct error *err)
+{
+	struct session *session;
+	struct handle self;
+
+	session_expire(store, now_us, CLAIM_REAP_KEYS);
+	if (g_hash_table_lookup(store->by_serial, &serial))
+		return error_set(err, STATUS_INTERNAL, "the session serial is in use");
+	if (table_count(&store->sessions) >= store->limits.max_sessions)
+		return error_set(err, STATUS_TOO_MANY_REQUESTS, "%u sessions are open",
+				 table_count(&store->sessions));
+	session = table_add(&store->sessions, &self);
+	session->serial = serial;
+	session->opened_us = now_us;
+	session->self = self;
+	append(&store->open, session);
+	g_hash_table_insert(store->by_serial, &session->serial, session);
+	*token = (struct session_token){.incarnation = store->incarnation, .serial = serial};
+	return STATUS_OK;
+}
+
+enum status session_close(struct session_store *store, uint64_t serial, struct error *err)
+{
+	struct session *session = g_hash_table_lookup(store->by_serial, &serial);
+
+	if (!session)
+		return refuse_gone(err);
+	end_session(store, session);
+	return STATUS_OK;
+}
+
+/* The handle, unlike the serial, is never used again, so keys of a closed session that are not
+ * freed yet cannot be found under a new one. */
+static struct ident key_digest(const struct session *session, const char *key, size_t length)
+{
+	struct {
+		struct handle session;
+		char key[KEY_MAX_BYTES];
+	} text = {.session = session->self};
+
+	memcpy(text.key, key, length);
+	return ident_digest(&text, sizeof(text.session) + length);
+}
+
+/* Adds the key to the front of the session's list. */
+static uint32_t add_key(struct session_store *store, struct session *session,
+			const struct ident *digest, const struct ident *body_digest)
+{
+	uint32_t number = digest_map_add(&store->keys, digest);
+	struct session_key *key = digest_map_row(&store->keys, number);
+	struct session_key *next;
+
+	key->body_digest = *body_digest;
+	key->next = session->first_key;
+	if (key->next != 0) {
+		next = digest_map_row(&store->keys, key->next);
+		next->previous = number;
+	}
+	session->first_key = number;
+	return number;
+}
+
+static enum status refuse_new_key(struct session_store *store, const struct session *session,
+				  int64_t now_us, struct error *err)
+{
+	if (now_us >= session->opened_us + store->limits.lifetime_us)
+		return error_set(err, STATUS_SESSION_GONE,
+				 "the session accepts no new jobs after its lifetime");
+	for (int i = 0; i < CLAIM_REAP_KEYS && reap_one(store); i++)
+		;
+	if (store->keys.count >= store->limits.max_keys)
+		return error_set(err, STATUS_TOO_MANY_REQUESTS, "%u keys are in use",
+				 store->keys.count);
+	return STATUS_OK;
+}
+
+enum status session_claim_key(struct session_store *store, uint64_t serial, const char *key,
+			      const struct ident *body_digest, int64_t now_us,
+			      enum session_key_state *state, struct handle **job, struct error *err)
+{
+	struct session *session = find_session(store, serial, now_us);
+	size_t length = strnlen(key, KEY_MAX_BYTES + 1);
+	struct session_key *row;
+	struct ident digest;
+	enum status status;
+	uint32_t number;
+
+	if (!session)
+		return refuse_gone(err);
+	if (length == 0 || length > KEY_MAX_BYTES)
+		return error_set(err, STATUS_INVALID_KEY, "a key has 1 to %d bytes", KEY_MAX_BYTES);
+	digest = key_digest(session, key, length);
+	number = digest_map_find(&store->keys, &digest);
+	*state = number ? SESSION_KEY_KNOWN : SESSION_KEY_NEW;
+	if (number == 0) {
+		status = refuse_new_key(store, session, now_us, err);
+		if (status != STATUS_OK)
+			return status;
+		number = add_key(store, session, &digest, body_digest);
+	}
+	row = digest_map_row(&store->keys, number);
+	if (!ident_equal(&row->body_digest, body_digest))
+		return error_set(err, STATUS_KEY_CONFLICT, "the key was used with another body");
+	*job = &row->job;
+	return STATUS_OK;
+}
+
+static uint32_t find_key(const struct session_store *store, const struct session *session,
+			 const char *key)
+{
+	size_t length = strnlen(key, KEY_MAX_BYTES + 1);
+	struct ident digest;
+
+	if (length == 0 || length > KEY_MAX_BYTES)
+		return 0;
+	digest = key_digest(session, key, length);
+	return digest_map_find(&store->keys, &digest);
+}
+
+enum status session_find_key(struct session_store *store, uint64_t serial, const char *key,
+			     int64_t now_us, struct handle *job, struct error *err)
+{
+	struct session *session = find_session(store, serial, now_us);
+	uint32_t number;
+
+	if (!session)
+		return refuse_gone(err);
+	number = find_key(store, session, key);
+	if (number == 0)
+		return error_set(err, STATUS_NOT_FOUND, "the session has no job with this key");
+	*job = ((struct session_key *)digest_map_row(&store->keys, number))->job;
+	return STATUS_OK;
+}
+
+void session_forget_key(struct session_store *store, uint64_t serial, const char *key)
+{
+	struct session *session = g_hash_table_lookup(store->by_serial, &serial);
+	uint32_t number = session ? find_key(store, session, key) : 0;
+	struct session_key *row;
+	struct session_key *other;
+
+	if (number == 0)
+		return;
+	row = digest_map_row(&store->keys, number);
+	if (row->next != 0) {
+		other = digest_map_row(&store->keys, row->next);
+		other->previous = row->previous;
+	}
+	if (row->previous != 0) {
+		other = digest_map_row(&store->keys, row->previous);
+		other->next = row->next;
+	} else {
+		session->first_key = row->next;
+	}
+	digest_map_remove(&store->keys, number);
+}
+
+bool session_needs_renewal(const struct session_store *store, uint64_t serial, int64_t now_us)
+{
+	const struct session *session = find_session(store, serial, now_us);
+
+	return session && now_us >= session->opened_us + store->limits.lifetime_us / 2;
+}
+
+void session_expire(struct session_store *store, int64_t now_us, uint32_t limit)
+{
+	for (uint32_t done = 0; done < limit; done++) {
+		struct session *oldest = store->open.first;
+
+		if (reap_one(store))
+			continue;
+		if (!oldest || now_us < gone_us(store, oldest))
+			return;
+		end_session(store, oldest);
+	}
+}
+
+uint32_t session_count(const struct session_store *store)
+{
+	return g_hash_table_size(store->by_serial);
+}
+
+uint32_t session_key_count(const struct session_store *store)
+{
+	return store->keys.count;
+}
