Add health of a backend server: slow start, quarantine, trial starts

The back-off is reset only when slow start ends; a server that manages single trial starts would otherwise be back at the shortest quarantine each time. Results during a quarantine belong to tasks started before it and are ignored.

--- /dev/null
+++ b/packages/core/src/health.c
@@ -0,0 +1,96 @@
+#include "health.h"
+
+#include <glib.h>
+
+void health_init(struct health *health, const struct health_limits *limits)
+{
+	*health = (struct health){.limits = *limits,
+				  .state = HEALTH_SLOW_START,
+				  .allowed = 1,
+				  .backoff_us = limits->first_backoff_us};
+}
+
+/* Begins a quarantine, the next of which is twice as long. */
+static void quarantine(struct health *health, int64_t now_us)
+{
+	health->state = HEALTH_QUARANTINED;
+	health->until_us = now_us + health->backoff_us;
+	health->backoff_us = MIN(health->backoff_us * 2, health->limits.longest_backoff_us);
+	health->allowed = 1;
+	health->streak = 0;
+}
+
+static void note_failure(struct health *health, int64_t now_us)
+{
+	health->streak++;
+	if (health->state == HEALTH_TRIAL || health->streak >= health->limits.fail_streak)
+		quarantine(health, now_us);
+}
+
+static void note_success(struct health *health, uint32_t slots)
+{
+	health->streak = 0;
+	if (health->state == HEALTH_OPEN)
+		return;
+	health->state = HEALTH_SLOW_START;
+	health->allowed = MIN(health->allowed, UINT32_MAX / 2) * 2;
+	if (slots == 0 || health->allowed < slots)
+		return;
+	health->state = HEALTH_OPEN;
+	/* Not reset before slow start ends: a server that manages single starts only would be
+	 * tried again every second. */
+	health->backoff_us = health->limits.first_backoff_us;
+}
+
+void health_result(struct health *health, bool success, uint32_t slots, int64_t now_us)
+{
+	/* The task was started before the quarantine began and says nothing new. */
+	if (health->state == HEALTH_QUARANTINED)
+		return;
+	if (success)
+		note_success(health, slots);
+	else
+		note_failure(health, now_us);
+}
+
+bool health_tick(struct health *health, int64_t now_us)
+{
+	if (health->state != HEALTH_QUARANTINED || now_us < health->until_us)
+		return false;
+	health->state = HEALTH_TRIAL;
+	return true;
+}
+
+uint32_t health_allowed(const struct health *health, uint32_t slots)
+{
+	switch (health->state) {
+	case HEALTH_OPEN:
+		return slots;
+	case HEALTH_QUARANTINED:
+		return 0;
+	case HEALTH_SLOW_START:
+	case HEALTH_TRIAL:
+		break;
+	}
+	return MIN(health->allowed, slots);
+}
+
+int64_t health_next_us(const struct health *health)
+{
+	return health->state == HEALTH_QUARANTINED ? health->until_us : INT64_MAX;
+}
+
+const char *health_state_name(enum health_state state)
+{
+	switch (state) {
+	case HEALTH_SLOW_START:
+		return "slow_start";
+	case HEALTH_OPEN:
+		return "open";
+	case HEALTH_QUARANTINED:
+		return "quarantined";
+	case HEALTH_TRIAL:
+		return "trial";
+	}
+	return "unknown";
+}
