--- a/packages/core/include/config.h
+++ b/packages/core/include/config.h
@@ -12,7 +12,9 @@
 
 enum {
 	CONFIG_HISTORY_LENGTH = 64,
-	CONFIG_MAX_BYTES = 1 << 20
+	CONFIG_MAX_BYTES = 1 << 20,
+	CONFIG_RECENT_IDS = 512, /* record ids remembered to fold a repeated append once */
+	CONFIG_BUFFER_MAX_BYTES = 64 << 20 /* of records held until the first snapshot */
 };
 
 /* One entry of the history. */
@@ -27,35 +29,57 @@
 	enum status status;
 };
 
-struct config_fold; /* opaque: document, version, history, records buffered until the first snapshot
-		     */
+/*
+ * Opaque. It holds two states: the one folded from the stream, which depends on the stream alone,
+ * and the highest one adopted from a peer. The one with the higher version is in force.
+ */
+struct config_fold;
 
 struct config_fold *config_fold_new(void);
 void config_fold_free(struct config_fold *fold);
 
-/* Checks a whole document. STATUS_INVALID_CONFIG names the path and what is accepted there. */
+/*
+ * Checks a whole document. STATUS_INVALID_CONFIG names the path and what is accepted there. The
+ * result depends on the document alone, so that every reader folds alike.
+ */
 enum status config_validate(const json_t *document, struct error *err);
 
+/*
+ * Checks what depends on this host: that the time zones of a valid document are installed. For use
+ * before a patch is appended, never in the fold. STATUS_INVALID_CONFIG.
+ */
+enum status config_check_host(const json_t *document, struct error *err);
+
+/* Returns a new document: PATCH (RFC 7396) applied to TARGET, which stays as it is. */
+json_t *config_merge(const json_t *target, const json_t *patch);
+
 /* Returns a new record (JSON text, freed with free()) for a patch. */
 char *config_patch_record(const struct ident *id, uint64_t base, const json_t *patch,
 			  const char *author, int64_t time_ms);
-/* Returns a new snapshot record (freed with free()) of the fold's state. */
+/* Returns a new snapshot record (freed with free()) of the state folded from the stream, or NULL
+ * while the fold is not synced. */
 char *config_snapshot_record(const struct config_fold *fold, int64_t time_ms);
 
 enum config_effect {
-	CONFIG_EFFECT_NONE,	/* buffered, repeated or not understood */
-	CONFIG_EFFECT_APPLIED,	/* the version rose */
+	CONFIG_EFFECT_NONE,    /* buffered, repeated or not understood */
+	CONFIG_EFFECT_APPLIED, /* accepted; the version rose unless a peer's state had it already */
 	CONFIG_EFFECT_REJECTED, /* base or document not accepted */
-	CONFIG_EFFECT_SNAPSHOT, /* a snapshot was read */
+	CONFIG_EFFECT_SNAPSHOT, /* a snapshot was read; buffered records may have been folded */
 };
 
-/* Folds the record at OFFSET. The version never goes down. ID receives the record's id or zeros;
- * ERR the reason of a rejection. */
+/*
+ * Folds the record at OFFSET. The version in force never goes down. ID receives the record's id or
+ * zeros; ERR the reason of a rejection. An offset beyond the next expected one counts as a
+ * truncation. After CONFIG_EFFECT_SNAPSHOT, records that were buffered are found with
+ * config_find_change.
+ */
 enum config_effect config_fold_record(struct config_fold *fold, uint64_t offset, const char *record,
 				      size_t length, struct ident *id, struct error *err);
 
-/* Tells the fold that records below FIRST_OFFSET have expired, so that without state it waits for a
- * snapshot. */
+/*
+ * Tells the fold that records below FIRST_OFFSET have expired. When it has not read them all it
+ * waits for a snapshot that represents FIRST_OFFSET or later; the state in force stays in force.
+ */
 void config_fold_truncated(struct config_fold *fold, uint64_t first_offset);
 
 /* Takes a state received from a peer when its version is higher. Returns whether it was taken;
@@ -68,8 +92,11 @@
 const json_t *config_document(const struct config_fold *fold);
 /* Returns whether the fold follows the stream (false while it waits for a first snapshot). */
 bool config_is_synced(const struct config_fold *fold);
-/* Returns the offset of the last snapshot read, and stores whether there was one. */
+/* Returns the offset that the newest snapshot read represents (a reader that starts from it needs
+ * the records from there on), and stores whether there was one. */
 uint64_t config_last_snapshot(const struct config_fold *fold, bool *exists);
+/* Returns the offset of the next record to be read. */
+uint64_t config_next_offset(const struct config_fold *fold);
 /* Copies the history, newest first, to OUT and returns the number of entries. */
 uint32_t config_history(const struct config_fold *fold, struct config_change *out,
 			uint32_t capacity);
--- /dev/null
+++ b/packages/core/src/config_capacity.c
@@ -0,0 +1,93 @@
+#include <glib.h>
+#include <string.h>
+
+#include "calendar.h"
+#include "config.h"
+
+static bool matches_text(const json_t *rule, const char *key, const char *actual)
+{
+	const char *wanted = json_string_value(json_object_get(rule, key));
+
+	return !wanted || (actual && strcmp(wanted, actual) == 0);
+}
+
+static bool matches_labels(const json_t *wanted, const json_t *actual)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach ((json_t *)wanted, key, value) {
+		if (!json_equal(value, json_object_get(actual, key)))
+			return false;
+	}
+	return true;
+}
+
+static bool rule_matches(const json_t *match, const struct config_subject *subject)
+{
+	return matches_text(match, "server", subject->server) &&
+	       matches_text(match, "host", subject->host) &&
+	       matches_text(match, "zone", subject->zone) &&
+	       matches_labels(json_object_get(match, "labels"), subject->labels);
+}
+
+static bool list_holds(const json_t *list, const char *name)
+{
+	size_t index;
+	json_t *item;
+
+	json_array_foreach ((json_t *)list, index, item) {
+		if (name && strcmp(json_string_value(item), name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool is_drained(const json_t *drain, const struct config_subject *subject)
+{
+	return list_holds(json_object_get(drain, "servers"), subject->server) ||
+	       list_holds(json_object_get(drain, "hosts"), subject->host) ||
+	       list_holds(json_object_get(drain, "zones"), subject->zone);
+}
+
+uint32_t config_capacity(const json_t *document, const struct config_subject *subject,
+			 uint32_t slots, int64_t wall_ms, bool *drained)
+{
+	bool is_off = is_drained(json_object_get(document, "drain"), subject);
+	const json_t *rules = json_object_get(document, "capacity");
+	size_t index;
+	json_t *rule;
+
+	if (drained)
+		*drained = is_off;
+	json_array_foreach ((json_t *)rules, index, rule) {
+		const json_t *limit = json_object_get(rule, "slots");
+		const json_t *calendar = json_object_get(rule, "calendar");
+
+		if (!rule_matches(json_object_get(rule, "match"), subject))
+			continue;
+		if (limit)
+			slots = MIN(slots, (uint32_t)json_integer_value(limit));
+		if (calendar && !calendar_is_on(calendar, wall_ms))
+			slots = 0;
+	}
+	return is_off ? 0 : slots;
+}
+
+enum status config_check_host(const json_t *document, struct error *err)
+{
+	const json_t *rules = json_object_get(document, "capacity");
+	size_t index;
+	json_t *rule;
+
+	json_array_foreach ((json_t *)rules, index, rule) {
+		const json_t *calendar = json_object_get(rule, "calendar");
+
+		if (calendar && !calendar_zone_is_known(calendar))
+			return error_set(err, STATUS_INVALID_CONFIG,
+					 "capacity[%zu].calendar.time_zone: accepted: a time zone "
+					 "installed on this host",
+					 index);
+	}
+	return STATUS_OK;
+}
--- /dev/null
+++ b/test/unit/calendar_test.c
@@ -0,0 +1,164 @@
+#include "calendar.h"
+
+#include <glib.h>
+
+static json_t *make_calendar(const char *weekly, const char *exceptions)
+{
+	char *text = g_strdup_printf("{\"time_zone\": \"America/Toronto\", \"weekly\": [%s], "
+				     "\"exceptions\": [%s]}",
+				     weekly, exceptions);
+	json_t *calendar = json_loads(text, 0, NULL);
+	struct error err;
+
+	if (calendar_validate(calendar, "calendar", &err) != STATUS_OK)
+		g_error("%s", err.message);
+	g_free(text);
+	return calendar;
+}
+
+static int64_t utc_ms(const char *text)
+{
+	GDateTime *time = g_date_time_new_from_iso8601(text, NULL);
+	int64_t ms = g_date_time_to_unix(time) * 1000;
+
+	g_date_time_unref(time);
+	return ms;
+}
+
+static void assert_on(const json_t *calendar, const char *time, bool on)
+{
+	if (calendar_is_on(calendar, utc_ms(time)) != on)
+		g_error("%s: expected %s", time, on ? "on" : "off");
+}
+
+/* A window over midnight belongs to the day on which it begins; taken by the clock alone it would
+ * be off after midnight, or on in the wrong night. */
+static void test_window_over_midnight(void)
+{
+	json_t *calendar =
+		make_calendar("{\"days\": [\"fri\"], \"from\": \"22:00\", \"to\": \"06:00\"}", "");
+
+	/* 2026-12-04 is a Friday; Toronto is at UTC-5. */
+	assert_on(calendar, "2026-12-05T02:59:59Z", false);
+	assert_on(calendar, "2026-12-05T03:00:00Z", true);
+	assert_on(calendar, "2026-12-05T10:59:59Z", true);
+	assert_on(calendar, "2026-12-05T11:00:00Z", false);
+	assert_on(calendar, "2026-12-06T04:00:00Z", false);
+	json_decref(calendar);
+}
+
+/* "00:00" to "00:00" and "00:00" to "24:00" are the whole day, not nothing. */
+static void test_whole_day(void)
+{
+	json_t *calendar =
+		make_calendar("{\"days\": [\"sat\"], \"from\": \"00:00\", \"to\": \"00:00\"},"
+			      "{\"days\": [\"sun\"], \"from\": \"00:00\", \"to\": \"24:00\"}",
+			      "");
+
+	assert_on(calendar, "2026-12-05T04:59:59Z", false);
+	assert_on(calendar, "2026-12-05T05:00:00Z", true);
+	assert_on(calendar, "2026-12-07T04:59:59Z", true);
+	assert_on(calendar, "2026-12-07T05:00:00Z", false);
+	g_assert_cmpint(calendar_next_change_ms(calendar, utc_ms("2026-12-05T06:00:00Z")), ==,
+			utc_ms("2026-12-07T05:00:00Z"));
+	json_decref(calendar);
+}
+
+/* In spring 02:00 to 03:00 is skipped (07:00 UTC): a window there must not move by an hour. */
+static void test_spring_change(void)
+{
+	json_t *calendar =
+		make_calendar("{\"days\": [\"sun\"], \"from\": \"02:30\", \"to\": \"08:00\"}", "");
+
+	assert_on(calendar, "2026-03-08T06:59:59Z", false);
+	assert_on(calendar, "2026-03-08T07:00:00Z", true);
+	assert_on(calendar, "2026-03-08T11:59:59Z", true);
+	assert_on(calendar, "2026-03-08T12:00:00Z", false);
+	json_decref(calendar);
+}
+
+/* In autumn 01:00 to 02:00 occurs twice (05:00 and 06:00 UTC): capacity must not be cut short. */
+static void test_autumn_change(void)
+{
+	json_t *calendar =
+		make_calendar("{\"days\": [\"sun\"], \"from\": \"00:30\", \"to\": \"01:30\"}", "");
+	json_t *begins =
+		make_calendar("{\"days\": [\"sun\"], \"from\": \"01:30\", \"to\": \"03:00\"}", "");
+
+	assert_on(calendar, "2026-11-01T04:29:59Z", false);
+	assert_on(calendar, "2026-11-01T04:30:00Z", true);
+	assert_on(calendar, "2026-11-01T06:29:59Z", true);
+	assert_on(calendar, "2026-11-01T06:30:00Z", false);
+	assert_on(begins, "2026-11-01T05:29:59Z", false);
+	assert_on(begins, "2026-11-01T05:30:00Z", true);
+	assert_on(begins, "2026-11-01T07:59:59Z", true);
+	assert_on(begins, "2026-11-01T08:00:00Z", false);
+	json_decref(calendar);
+	json_decref(begins);
+}
+
+/* A holiday drops the windows that begin on it; an extra day is on from midnight to midnight. */
+static void test_exceptions(void)
+{
+	json_t *calendar = make_calendar(
+		"{\"days\": [\"thu\", \"fri\"], \"from\": \"22:00\", \"to\": \"06:00\"}",
+		"{\"date\": \"2026-12-25\", \"on\": false}, {\"date\": \"2026-12-27\", \"on\": "
+		"true}");
+
+	assert_on(calendar, "2026-12-25T10:59:59Z", true); /* began on Thursday the 24th */
+	assert_on(calendar, "2026-12-26T04:00:00Z", false);
+	assert_on(calendar, "2026-12-27T04:59:59Z", false);
+	assert_on(calendar, "2026-12-27T05:00:00Z", true);
+	assert_on(calendar, "2026-12-28T04:59:59Z", true);
+	assert_on(calendar, "2026-12-28T05:00:00Z", false);
+	json_decref(calendar);
+}
+
+/* A timer armed from calendar_next_change_ms must neither miss a change nor fire at boundaries
+ * where one window continues another. */
+static void test_next_change(void)
+{
+	json_t *calendar =
+		make_calendar("{\"days\": [\"mon\"], \"from\": \"08:00\", \"to\": \"12:00\"},"
+			      "{\"days\": [\"mon\"], \"from\": \"12:00\", \"to\": \"18:00\"}",
+			      "");
+	json_t *never = make_calendar("", "");
+	int64_t now = utc_ms("2026-12-04T00:00:00Z");
+
+	now = calendar_next_change_ms(calendar, now);
+	g_assert_cmpint(now, ==, utc_ms("2026-12-07T13:00:00Z"));
+	now = calendar_next_change_ms(calendar, now);
+	g_assert_cmpint(now, ==, utc_ms("2026-12-07T23:00:00Z"));
+	now = calendar_next_change_ms(calendar, now + 1);
+	g_assert_cmpint(now, ==, utc_ms("2026-12-14T13:00:00Z"));
+	g_assert_cmpint(calendar_next_change_ms(never, now), ==, INT64_MAX);
+	json_decref(calendar);
+	json_decref(never);
+}
+
+/* Hosts may have different time zones installed, so the validation that every reader does must not
+ * depend on them. */
+static void test_unknown_zone(void)
+{
+	json_t *calendar = json_loads("{\"time_zone\": \"Mars/Olympus\", \"weekly\": [{\"days\": "
+				      "[\"fri\"], \"from\": \"12:00\", \"to\": \"13:00\"}]}",
+				      0, NULL);
+
+	g_assert_cmpint(calendar_validate(calendar, "", NULL), ==, STATUS_OK);
+	g_assert_false(calendar_zone_is_known(calendar));
+	assert_on(calendar, "2026-12-04T12:30:00Z", true);
+	json_decref(calendar);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/calendar/over-midnight", test_window_over_midnight);
+	g_test_add_func("/calendar/whole-day", test_whole_day);
+	g_test_add_func("/calendar/spring", test_spring_change);
+	g_test_add_func("/calendar/autumn", test_autumn_change);
+	g_test_add_func("/calendar/exceptions", test_exceptions);
+	g_test_add_func("/calendar/next-change", test_next_change);
+	g_test_add_func("/calendar/unknown-zone", test_unknown_zone);
+	return g_test_run();
+}
