--- a/packages/core/include/burn.h
+++ b/packages/core/include/burn.h
@@ -15,7 +15,8 @@
 	double waste_target; /* wasted messages a task that are accepted */
 };
 
-/* What happened in one window. A burn rate of 1 uses the error budget up exactly over the
+/* What happened in one window. Failed jobs count in failed_jobs only, and mean_ratio is over the
+ * others. A burn rate of 1 uses the error budget up exactly over the
  * objective's period. */
 struct burn_window {
 	int64_t seconds;
