Read and append to the log service with libcurl

One thread runs a curl multi loop with a long-poll read a stream and up to 64 appends at once, so that a held read delays nothing. Until the end of a stream is reached reads are not held open, otherwise caught_up would come up to poll_ms late.

Each append has a connection of its own: libcurl sends a request again when a kept connection dies before an answer, and with kept connections every idle close by the service would turn into an append of unknown outcome.

Stopping cancels reads and waits for appends under way, which have a time limit each; logclient.h now says that every append gets its callback before logclient_free returns.

--- a/packages/platform/include/logclient.h
+++ b/packages/platform/include/logclient.h
@@ -18,12 +18,12 @@
 
 /*
  * What a user of the log provides. All are called on the client's own thread with CONTEXT; what
- * they get is valid during the call. record: the next record of STREAM, in order, without gaps but
- * for those that truncated told of. truncated: records of STREAM below FIRST were dropped before
- * they were read. appended: the end of an append. STATUS_OK with its offset; STATUS_LOG_UNAVAILABLE
- * with outcome "not run" in ERR when it was surely not taken, or outcome "unknown" when it may have
- * been. caught_up: STREAM has been read to its end at least once since it was followed or the
- * service came back. availability: the service went away or came back.
+ * they get is valid during the call. All are required. record: the next record of STREAM, in order,
+ * without gaps but for those that truncated told of. truncated: records of STREAM below FIRST were
+ * dropped before they were read. appended: the end of an append. STATUS_OK with its offset;
+ * STATUS_LOG_UNAVAILABLE with outcome "not run" in ERR when it was surely not taken, or outcome
+ * "unknown" when it may have been. caught_up: STREAM has been read to its end at least once since
+ * it was followed or the service came back. availability: the service went away or came back.
  */
 struct log_callbacks {
 	void *context;
@@ -43,13 +43,16 @@
 	int64_t retry_ms;  /* first pause after a failed read; doubles to 16 times this */
 };
 
-/* Starts a client of the service at URL with its own threads. STATUS_RESOURCE when they cannot be
+/* Starts a client of the service at URL with its own thread. STATUS_RESOURCE when it cannot be
  * made. */
 enum status logclient_new(const char *url, const struct log_limits *limits,
 			  const struct log_callbacks *callbacks, struct log_client **client,
 			  struct error *err);
 
-/* Stops the threads, within the limits, and frees the client. No callback is called afterwards. */
+/*
+ * Stops the thread and frees the client. Appends under way are waited for, at most append_ms; every
+ * append gets its callback before the return, and no callback is called afterwards.
+ */
 void logclient_free(struct log_client *client);
 
 /* Begins to read STREAM from its first kept record. Call once a stream. */
--- a/packages/platform/src/logclient.c
+++ b/packages/platform/src/logclient.c
@@ -1,1 +1,456 @@
 #include "logclient.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "transfer.h"
+
+enum {
+	READ_MAX_RECORDS = 1000,
+	READ_GRACE_MS = 2000, /* for the transfer of an answer beyond the time it may be held open
+			       */
+	APPENDS_AT_ONCE = 64,
+	IDLE_WAIT_MS = 60000,
+	BACKOFF_DOUBLINGS = 4 /* the longest pause is 16 times the first */
+};
+
+/* A followed stream. Owned by the client's thread. */
+struct reader {
+	char *stream;
+	uint64_t next;
+	bool caught_up;
+	bool failing;
+	int64_t max_records;
+	unsigned failures;	   /* in a row */
+	int64_t resume_us;	   /* no read before this time */
+	struct transfer *transfer; /* under way, or NULL */
+};
+
+/* An append from its request to its callback. */
+struct append {
+	char *stream;
+	char *data;
+	size_t length;
+	uint64_t request;
+	int64_t due_us;
+	struct transfer *transfer;
+};
+
+/* A request of another thread. */
+struct command {
+	struct append *append;
+	char *follow;
+};
+
+struct log_client {
+	char *url;
+	struct log_limits limits;
+	struct log_callbacks callbacks;
+	CURLM *multi;
+	GThread *thread;
+	GAsyncQueue *commands;
+	int stopping;
+	/* The rest belongs to the client's thread. */
+	GPtrArray *readers;
+	GQueue waiting; /* appends beyond APPENDS_AT_ONCE */
+	GPtrArray *running;
+	int available; /* -1 while not known */
+};
+
+static int64_t now_us(void)
+{
+	return g_get_monotonic_time();
+}
+
+static void update_availability(struct log_client *client)
+{
+	int available = 1;
+
+	for (guint i = 0; i < client->readers->len; i++) {
+		const struct reader *reader = g_ptr_array_index(client->readers, i);
+
+		if (reader->failing)
+			available = 0;
+	}
+	if (client->available == available)
+		return;
+	client->available = available;
+	client->callbacks.availability(client->callbacks.context, available);
+}
+
+/* Pauses a reader after a failure: the pause doubles and is spread by a quarter, so that clients do
+ * not return all at once after an outage. */
+static void back_off(struct log_client *client, struct reader *reader)
+{
+	unsigned doublings = MIN(reader->failures, BACKOFF_DOUBLINGS);
+	int64_t pause_us = (client->limits.retry_ms * 1000) << doublings;
+
+	pause_us = (int64_t)((double)pause_us * g_random_double_range(0.75, 1.25));
+	reader->resume_us = now_us() + pause_us;
+	reader->failures++;
+	reader->failing = true;
+	reader->caught_up = false;
+	update_availability(client);
+}
+
+static void start_read(struct log_client *client, struct reader *reader)
+{
+	/* Until the end of the stream is reached an answer must not be held open, so that caught_up
+	 * comes at once. */
+	int64_t wait_ms = reader->caught_up ? client->limits.poll_ms : 0;
+	char *url = g_strdup_printf("%s/streams/%s/records?from=%llu&max=%lld&wait_ms=%lld",
+				    client->url, reader->stream, (unsigned long long)reader->next,
+				    (long long)reader->max_records, (long long)wait_ms);
+
+	reader->transfer = transfer_new(url, reader);
+	transfer_limit(reader->transfer, client->limits.connect_ms,
+		       client->limits.connect_ms + wait_ms + READ_GRACE_MS);
+	/* A kept connection may be silent for good while a new one works. */
+	if (reader->failing)
+		transfer_use_new_connection(reader->transfer);
+	transfer_start(reader->transfer, client->multi);
+	g_free(url);
+}
+
+static bool read_integer(const json_t *object, const char *key, int64_t *number)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (!json_is_integer(value) || json_integer_value(value) < 0)
+		return false;
+	*number = json_integer_value(value);
+	return true;
+}
+
+/* Delivers one record. Returns false when it is not the next one. */
+static bool deliver(struct log_client *client, struct reader *reader, const json_t *item)
+{
+	const json_t *data = json_object_get(item, "data");
+	struct log_record record = {0};
+	int64_t offset;
+
+	if (!read_integer(item, "offset", &offset) || (uint64_t)offset != reader->next ||
+	    !read_integer(item, "time_ms", &record.time_ms) || !json_is_string(data))
+		return false;
+	record.offset = (uint64_t)offset;
+	record.data = json_string_value(data);
+	record.length = json_string_length(data);
+	reader->next++;
+	client->callbacks.record(client->callbacks.context, reader->stream, &record);
+	return true;
+}
+
+/* Delivers the records of an answer. Returns false when it is not valid, or when the service's end
+ * lies before what was read already. */
+static bool take_answer(struct log_client *client, struct reader *reader, const json_t *answer)
+{
+	const json_t *records = json_object_get(answer, "records");
+	int64_t first;
+	int64_t next;
+	size_t index;
+	json_t *item;
+
+	if (!read_integer(answer, "first", &first) || !read_integer(answer, "next", &next) ||
+	    !json_is_array(records) || (uint64_t)next < reader->next)
+		return false;
+	if ((uint64_t)first > reader->next) {
+		reader->next = (uint64_t)first;
+		client->callbacks.truncated(client->callbacks.context, reader->stream,
+					    (uint64_t)first);
+	}
+	json_array_foreach ((json_t *)records, index, item) {
+		if (!deliver(client, reader, item))
+			return false;
+	}
+	reader->failing = false;
+	reader->failures = 0;
+	update_availability(client);
+	if (!reader->caught_up && reader->next >= (uint64_t)next) {
+		reader->caught_up = true;
+		client->callbacks.caught_up(client->callbacks.context, reader->stream,
+					    reader->next);
+	}
+	return true;
+}
+
+static void finish_read(struct log_client *client, struct reader *reader, CURLcode code)
+{
+	struct transfer *transfer = reader->transfer;
+	json_t *answer = NULL;
+
+	if (transfer_too_large(transfer) && reader->max_records > 1)
+		reader->max_records /= 2;
+	if (code == CURLE_OK && transfer_http_code(transfer) == 200)
+		answer = json_loadb(transfer->body->str, transfer->body->len, JSON_ALLOW_NUL, NULL);
+	reader->transfer = NULL;
+	transfer_free(transfer, client->multi);
+	if (!answer || !take_answer(client, reader, answer))
+		back_off(client, reader);
+	json_decref(answer);
+}
+
+static void free_append(struct append *append)
+{
+	g_free(append->stream);
+	g_free(append->data);
+	g_free(append);
+}
+
+static void append_done(struct log_client *client, struct append *append, uint64_t offset,
+			const struct error *err)
+{
+	client->callbacks.appended(client->callbacks.context, append->request, offset, err);
+	free_append(append);
+}
+
+static void append_not_run(struct log_client *client, struct append *append, const char *reason)
+{
+	struct error err;
+
+	error_set(&err, STATUS_LOG_UNAVAILABLE, "append to %s not sent: %s", append->stream,
+		  reason);
+	append_done(client, append, 0, &err);
+}
+
+static void start_append(struct log_client *client, struct append *append)
+{
+	int64_t left_ms = (append->due_us - now_us()) / 1000;
+	char *url;
+
+	if (left_ms <= 0) {
+		append_not_run(client, append, "time limit reached");
+		return;
+	}
+	url = g_strdup_printf("%s/streams/%s/records", client->url, append->stream);
+	append->transfer = transfer_new(url, append);
+	transfer_post(append->transfer, append->data, append->length);
+	/* libcurl sends a request again when a kept connection dies before any answer. On a new
+	 * connection it does not; transfer counts the requests all the same. */
+	transfer_use_new_connection(append->transfer);
+	transfer_limit(append->transfer, MIN(client->limits.connect_ms, left_ms), left_ms);
+	transfer_start(append->transfer, client->multi);
+	g_ptr_array_add(client->running, append);
+	g_free(url);
+}
+
+static void start_waiting(struct log_client *client)
+{
+	while (client->running->len < APPENDS_AT_ONCE && !g_queue_is_empty(&client->waiting))
+		start_append(client, g_queue_pop_head(&client->waiting));
+}
+
+static enum status append_outcome(const struct transfer *transfer, CURLcode code, uint64_t *offset,
+				  struct error *err)
+{
+	long http = transfer_http_code(transfer);
+	json_t *answer;
+	int64_t number;
+	bool valid;
+
+	if (code != CURLE_OK && !transfer_was_sent(transfer))
+		return error_set(err, STATUS_LOG_UNAVAILABLE, "append not sent: %s",
+				 curl_easy_strerror(code));
+	if (code != CURLE_OK)
+		return error_set_unknown(err, STATUS_LOG_UNAVAILABLE, "append without answer: %s",
+					 curl_easy_strerror(code));
+	if (http != 200 && http != 201)
+		return error_set_unknown(err, STATUS_LOG_UNAVAILABLE,
+					 "append answered with HTTP status %ld", http);
+	answer = json_loadb(transfer->body->str, transfer->body->len, 0, NULL);
+	valid = read_integer(answer, "offset", &number);
+	json_decref(answer);
+	if (!valid)
+		return error_set_unknown(err, STATUS_LOG_UNAVAILABLE,
+					 "append answered without an offset");
+	*offset = (uint64_t)number;
+	return error_set(err, STATUS_OK, "appended");
+}
+
+static void finish_append(struct log_client *client, struct append *append, CURLcode code)
+{
+	uint64_t offset = 0;
+	struct error err;
+
+	append_outcome(append->transfer, code, &offset, &err);
+	transfer_free(append->transfer, client->multi);
+	g_ptr_array_remove_fast(client->running, append);
+	append_done(client, append, offset, &err);
+	start_waiting(client);
+}
+
+static void finish_transfers(struct log_client *client)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+		CURLcode code = message->data.result;
+		struct transfer *transfer = transfer_of(message->easy_handle);
+
+		if (transfer_is_post(transfer))
+			finish_append(client, transfer->owner, code);
+		else
+			finish_read(client, transfer->owner, code);
+	}
+}
+
+static void take_commands(struct log_client *client)
+{
+	struct command *command;
+
+	while ((command = g_async_queue_try_pop(client->commands)) != NULL) {
+		if (command->append) {
+			g_queue_push_tail(&client->waiting, command->append);
+		} else {
+			struct reader *reader = g_new0(struct reader, 1);
+
+			reader->stream = command->follow;
+			reader->max_records = READ_MAX_RECORDS;
+			g_ptr_array_add(client->readers, reader);
+		}
+		g_free(command);
+	}
+}
+
+/* Starts the reads that are due. Returns the time to the next one in ms. */
+static int start_reads(struct log_client *client)
+{
+	int64_t now = now_us();
+	int64_t wait_us = (int64_t)IDLE_WAIT_MS * 1000;
+
+	for (guint i = 0; i < client->readers->len; i++) {
+		struct reader *reader = g_ptr_array_index(client->readers, i);
+
+		if (reader->transfer)
+			continue;
+		if (reader->resume_us <= now)
+			start_read(client, reader);
+		else
+			wait_us = MIN(wait_us, reader->resume_us - now);
+	}
+	return (int)(wait_us / 1000) + 1;
+}
+
+/* Ends the reads and waits for the appends under way, each of which has its own time limit. */
+static void shut_down(struct log_client *client)
+{
+	struct append *append;
+	int running;
+
+	for (guint i = 0; i < client->readers->len; i++) {
+		struct reader *reader = g_ptr_array_index(client->readers, i);
+
+		if (reader->transfer)
+			transfer_free(reader->transfer, client->multi);
+		g_free(reader->stream);
+		g_free(reader);
+	}
+	g_ptr_array_set_size(client->readers, 0);
+	while ((append = g_queue_pop_head(&client->waiting)) != NULL)
+		append_not_run(client, append, "the client is stopping");
+	while (client->running->len > 0) {
+		curl_multi_poll(client->multi, NULL, 0, IDLE_WAIT_MS, NULL);
+		curl_multi_perform(client->multi, &running);
+		finish_transfers(client);
+	}
+}
+
+static gpointer run(gpointer data)
+{
+	struct log_client *client = data;
+	int running;
+
+	while (!g_atomic_int_get(&client->stopping)) {
+		int wait_ms;
+
+		take_commands(client);
+		start_waiting(client);
+		curl_multi_perform(client->multi, &running);
+		finish_transfers(client);
+		/* Transfers added here make curl_multi_poll return at once. */
+		wait_ms = start_reads(client);
+		curl_multi_poll(client->multi, NULL, 0, wait_ms, NULL);
+	}
+	take_commands(client);
+	shut_down(client);
+	return NULL;
+}
+
+enum status logclient_new(const char *url, const struct log_limits *limits,
+			  const struct log_callbacks *callbacks, struct log_client **client,
+			  struct error *err)
+{
+	static gsize initialised;
+	struct log_client *made;
+	GError *problem = NULL;
+
+	if (g_once_init_enter(&initialised)) {
+		curl_global_init(CURL_GLOBAL_DEFAULT);
+		g_once_init_leave(&initialised, 1);
+	}
+	made = g_new0(struct log_client, 1);
+	made->url = g_strdup(url);
+	if (g_str_has_suffix(made->url, "/"))
+		made->url[strlen(made->url) - 1] = '\0';
+	made->limits = *limits;
+	made->callbacks = *callbacks;
+	made->available = -1;
+	made->multi = curl_multi_init();
+	made->commands = g_async_queue_new();
+	made->readers = g_ptr_array_new();
+	made->running = g_ptr_array_new();
+	g_queue_init(&made->waiting);
+	if (made->multi)
+		made->thread = g_thread_try_new("log", run, made, &problem);
+	if (!made->thread) {
+		error_set(err, STATUS_RESOURCE, "log client: %s",
+			  problem ? problem->message : "no memory");
+		g_clear_error(&problem);
+		logclient_free(made);
+		return STATUS_RESOURCE;
+	}
+	*client = made;
+	return STATUS_OK;
+}
+
+void logclient_free(struct log_client *client)
+{
+	g_atomic_int_set(&client->stopping, 1);
+	if (client->thread) {
+		curl_multi_wakeup(client->multi);
+		g_thread_join(client->thread);
+	}
+	if (client->multi)
+		curl_multi_cleanup(client->multi);
+	g_async_queue_unref(client->commands);
+	g_ptr_array_free(client->readers, TRUE);
+	g_ptr_array_free(client->running, TRUE);
+	g_free(client->url);
+	g_free(client);
+}
+
+static void send_command(struct log_client *client, struct command command)
+{
+	g_async_queue_push(client->commands, g_memdup2(&command, sizeof(command)));
+	curl_multi_wakeup(client->multi);
+}
+
+void logclient_follow(struct log_client *client, const char *stream)
+{
+	send_command(client, (struct command){.follow = g_strdup(stream)});
+}
+
+void logclient_append(struct log_client *client, const char *stream, const char *data,
+		      size_t length, uint64_t request)
+{
+	struct append *append = g_new0(struct append, 1);
+
+	append->stream = g_strdup(stream);
+	append->data = g_memdup2(data, length);
+	append->length = length;
+	append->request = request;
+	append->due_us = now_us() + client->limits.append_ms * 1000;
+	send_command(client, (struct command){.append = append});
+}
--- /dev/null
+++ b/test/unit/logclient_test.c
@@ -0,0 +1,322 @@
+#include "logclient.h"
+
+#include <curl/curl.h>
+#include <gio/gio.h>
+#include <stdio.h>
+#include <string.h>
+
+enum {
+	LIMIT_S = 10, /* on every wait; far above what a pass takes */
+	MAX_APPENDS = 100
+};
+
+/* What the callbacks have reported. */
+struct seen {
+	GMutex lock;
+	GCond changed;
+	GString *records; /* "offset=data " each */
+	uint64_t truncated;
+	int caught_up;
+	int available; /* last report; -1 when none */
+	int appended;
+	uint64_t offsets[MAX_APPENDS];
+	struct error errors[MAX_APPENDS];
+};
+
+struct fixture {
+	GSubprocess *service;
+	char *url;
+	struct seen seen;
+	struct log_client *client;
+};
+
+static void on_record(void *context, const char *stream, const struct log_record *record)
+{
+	struct seen *seen = context;
+
+	g_mutex_lock(&seen->lock);
+	g_string_append_printf(seen->records, "%llu=%.*s ", (unsigned long long)record->offset,
+			       (int)record->length, record->data);
+	g_cond_broadcast(&seen->changed);
+	g_mutex_unlock(&seen->lock);
+}
+
+static void on_truncated(void *context, const char *stream, uint64_t first)
+{
+	struct seen *seen = context;
+
+	g_mutex_lock(&seen->lock);
+	seen->truncated = first;
+	g_mutex_unlock(&seen->lock);
+}
+
+static void on_appended(void *context, uint64_t request, uint64_t offset, const struct error *err)
+{
+	struct seen *seen = context;
+
+	g_mutex_lock(&seen->lock);
+	g_assert_cmpuint(request, <, MAX_APPENDS);
+	seen->offsets[request] = offset;
+	seen->errors[request] = *err;
+	seen->appended++;
+	g_cond_broadcast(&seen->changed);
+	g_mutex_unlock(&seen->lock);
+}
+
+static void on_caught_up(void *context, const char *stream, uint64_t next)
+{
+	struct seen *seen = context;
+
+	g_mutex_lock(&seen->lock);
+	seen->caught_up++;
+	g_cond_broadcast(&seen->changed);
+	g_mutex_unlock(&seen->lock);
+}
+
+static void on_availability(void *context, bool available)
+{
+	struct seen *seen = context;
+
+	g_mutex_lock(&seen->lock);
+	seen->available = available;
+	g_cond_broadcast(&seen->changed);
+	g_mutex_unlock(&seen->lock);
+}
+
+/* Waits until *VALUE is WANTED. */
+static void wait_for(struct seen *seen, const int *value, int wanted)
+{
+	int64_t until = g_get_monotonic_time() + (int64_t)LIMIT_S * G_USEC_PER_SEC;
+
+	g_mutex_lock(&seen->lock);
+	while (*value != wanted) {
+		if (!g_cond_wait_until(&seen->changed, &seen->lock, until))
+			g_error("waited %d s for %d, last value %d", LIMIT_S, wanted, *value);
+	}
+	g_mutex_unlock(&seen->lock);
+}
+
+static void wait_for_records(struct seen *seen, const char *wanted)
+{
+	int64_t until = g_get_monotonic_time() + (int64_t)LIMIT_S * G_USEC_PER_SEC;
+
+	g_mutex_lock(&seen->lock);
+	while (strcmp(seen->records->str, wanted) != 0) {
+		if (!g_cond_wait_until(&seen->changed, &seen->lock, until))
+			g_error("waited %d s for \"%s\", got \"%s\"", LIMIT_S, wanted,
+				seen->records->str);
+	}
+	g_mutex_unlock(&seen->lock);
+}
+
+/* Sends BODY to the service by another client: to /control, or to the stream "s". */
+static void post(struct fixture *fixture, const char *path, const char *body)
+{
+	char *url = g_strconcat(fixture->url, path, NULL);
+	CURL *easy = curl_easy_init();
+	FILE *answer = tmpfile();
+
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
+	g_assert_cmpint(curl_easy_perform(easy), ==, CURLE_OK);
+	curl_easy_cleanup(easy);
+	fclose(answer);
+	g_free(url);
+}
+
+static void control(struct fixture *fixture, const char *body)
+{
+	post(fixture, "/control", body);
+}
+
+static void start_service(struct fixture *fixture)
+{
+	GDataInputStream *output;
+	char *line;
+
+	fixture->service =
+		g_subprocess_new(G_SUBPROCESS_FLAGS_STDOUT_PIPE, NULL,
+				 GG_BUILD_DIR "/test/standin/standin_log", "--port", "0", NULL);
+	g_assert_nonnull(fixture->service);
+	output = g_data_input_stream_new(g_subprocess_get_stdout_pipe(fixture->service));
+	line = g_data_input_stream_read_line(output, NULL, NULL, NULL);
+	g_assert_true(line && g_str_has_prefix(line, "listening "));
+	fixture->url = g_strconcat("http://127.0.0.1:", line + strlen("listening "), NULL);
+	g_free(line);
+	g_object_unref(output);
+}
+
+static void set_up(struct fixture *fixture, gconstpointer data)
+{
+	const struct log_limits limits = {
+		.connect_ms = 1000, .append_ms = 1000, .poll_ms = 2000, .retry_ms = 10};
+	const struct log_callbacks callbacks = {
+		.context = &fixture->seen,
+		.record = on_record,
+		.truncated = on_truncated,
+		.appended = on_appended,
+		.caught_up = on_caught_up,
+		.availability = on_availability,
+	};
+
+	start_service(fixture);
+	g_mutex_init(&fixture->seen.lock);
+	g_cond_init(&fixture->seen.changed);
+	fixture->seen.records = g_string_new(NULL);
+	fixture->seen.available = -1;
+	g_assert_cmpint(logclient_new(fixture->url, &limits, &callbacks, &fixture->client, NULL),
+			==, STATUS_OK);
+}
+
+static void stop_service(struct fixture *fixture)
+{
+	g_subprocess_send_signal(fixture->service, SIGTERM);
+	g_assert_true(g_subprocess_wait_check(fixture->service, NULL, NULL));
+}
+
+static void tear_down(struct fixture *fixture, gconstpointer data)
+{
+	if (fixture->client)
+		logclient_free(fixture->client);
+	if (g_subprocess_get_identifier(fixture->service))
+		stop_service(fixture);
+	g_object_unref(fixture->service);
+	g_string_free(fixture->seen.records, TRUE);
+	g_free(fixture->url);
+}
+
+static void append(struct fixture *fixture, uint64_t request, const char *data)
+{
+	logclient_append(fixture->client, "s", data, strlen(data), request);
+}
+
+static void assert_outcome(const struct fixture *fixture, int request, enum outcome outcome)
+{
+	g_assert_cmpint(fixture->seen.errors[request].status, ==, STATUS_LOG_UNAVAILABLE);
+	g_assert_cmpint(fixture->seen.errors[request].outcome, ==, outcome);
+}
+
+/* Records from before and after the start must arrive in order and once, and the end of the stream
+ * must be told without waiting for the long poll to end. */
+static void test_follow(struct fixture *fixture, gconstpointer data)
+{
+	int64_t begin;
+
+	post(fixture, "/streams/s/records", "a");
+	begin = g_get_monotonic_time();
+	logclient_follow(fixture->client, "s");
+	wait_for(&fixture->seen, &fixture->seen.caught_up, 1);
+	g_assert_cmpint(g_get_monotonic_time() - begin, <, G_USEC_PER_SEC);
+	append(fixture, 1, "b");
+	wait_for(&fixture->seen, &fixture->seen.appended, 1);
+	g_assert_cmpint(fixture->seen.errors[1].status, ==, STATUS_OK);
+	g_assert_cmpuint(fixture->seen.offsets[1], ==, 1);
+	wait_for_records(&fixture->seen, "0=a 1=b ");
+	g_assert_cmpint(fixture->seen.available, ==, 1);
+	g_assert_cmpuint(fixture->seen.truncated, ==, 0);
+}
+
+/* An append that took effect though its answer was lost must neither count as not run nor be sent
+ * again. */
+static void test_lost_answer(struct fixture *fixture, gconstpointer data)
+{
+	logclient_follow(fixture->client, "s");
+	append(fixture, 0, "a");
+	wait_for(&fixture->seen, &fixture->seen.appended, 1);
+	control(fixture, "{\"lose_answers\": 1}");
+	append(fixture, 1, "b");
+	wait_for(&fixture->seen, &fixture->seen.appended, 2);
+	assert_outcome(fixture, 1, OUTCOME_UNKNOWN);
+	append(fixture, 2, "c");
+	wait_for_records(&fixture->seen, "0=a 1=b 2=c ");
+}
+
+/* Only what was surely not sent may be called not run: a refused connection is, an answer with an
+ * error status is not. */
+static void test_outcomes(struct fixture *fixture, gconstpointer data)
+{
+	control(fixture, "{\"refuse_appends\": 1}");
+	append(fixture, 0, "a");
+	wait_for(&fixture->seen, &fixture->seen.appended, 1);
+	assert_outcome(fixture, 0, OUTCOME_UNKNOWN);
+	control(fixture, "{\"down\": true, \"hang\": true}");
+	append(fixture, 1, "b");
+	wait_for(&fixture->seen, &fixture->seen.appended, 2);
+	assert_outcome(fixture, 1, OUTCOME_UNKNOWN);
+	stop_service(fixture);
+	append(fixture, 2, "c");
+	wait_for(&fixture->seen, &fixture->seen.appended, 3);
+	assert_outcome(fixture, 2, OUTCOME_NOT_RUN);
+}
+
+/* After an outage the reader must go on where it was and report the way back and the end again. */
+static void test_outage(struct fixture *fixture, gconstpointer data)
+{
+	logclient_follow(fixture->client, "s");
+	append(fixture, 0, "a");
+	wait_for_records(&fixture->seen, "0=a ");
+	wait_for(&fixture->seen, &fixture->seen.caught_up, 1);
+	control(fixture, "{\"down\": true}");
+	wait_for(&fixture->seen, &fixture->seen.available, 0);
+	control(fixture, "{\"down\": false}");
+	wait_for(&fixture->seen, &fixture->seen.available, 1);
+	wait_for(&fixture->seen, &fixture->seen.caught_up, 2);
+	append(fixture, 1, "b");
+	wait_for_records(&fixture->seen, "0=a 1=b ");
+}
+
+/* A reader that finds records expired must say so before it delivers later ones. */
+static void test_truncated(struct fixture *fixture, gconstpointer data)
+{
+	post(fixture, "/streams/s/records", "a");
+	post(fixture, "/streams/s/records", "b");
+	post(fixture, "/streams/s/records", "c");
+	control(fixture, "{\"expire_before\": 2, \"streams\": \"s\"}");
+	logclient_follow(fixture->client, "s");
+	wait_for_records(&fixture->seen, "2=c ");
+	g_assert_cmpuint(fixture->seen.truncated, ==, 2);
+}
+
+/* Stopping must not wait for a held read, and must settle every append within its limit. */
+static void test_bounded_stop(struct fixture *fixture, gconstpointer data)
+{
+	int64_t begin;
+
+	logclient_follow(fixture->client, "s");
+	wait_for(&fixture->seen, &fixture->seen.caught_up, 1);
+	control(fixture, "{\"down\": true, \"hang\": true}");
+	for (uint64_t i = 0; i < MAX_APPENDS; i++)
+		append(fixture, i, "x");
+	begin = g_get_monotonic_time();
+	logclient_free(fixture->client);
+	fixture->client = NULL;
+	g_assert_cmpint(g_get_monotonic_time() - begin, <, 3 * G_USEC_PER_SEC);
+	g_assert_cmpint(fixture->seen.appended, ==, MAX_APPENDS);
+}
+
+/* A proxy in the environment must not get requests that are meant for the log service. */
+static void test_proxy_is_ignored(struct fixture *fixture, gconstpointer data)
+{
+	append(fixture, 0, "a");
+	wait_for(&fixture->seen, &fixture->seen.appended, 1);
+	g_assert_cmpint(fixture->seen.errors[0].status, ==, STATUS_OK);
+}
+
+int main(int argc, char **argv)
+{
+	/* Nothing listens there; set before any thread starts. */
+	g_setenv("http_proxy", "http://127.0.0.1:1", TRUE);
+	g_test_init(&argc, &argv, NULL);
+#define ADD(name, function)                                                                        \
+	g_test_add("/logclient/" name, struct fixture, NULL, set_up, function, tear_down)
+	ADD("follow", test_follow);
+	ADD("lost-answer", test_lost_answer);
+	ADD("outcomes", test_outcomes);
+	ADD("outage", test_outage);
+	ADD("truncated", test_truncated);
+	ADD("bounded-stop", test_bounded_stop);
+	ADD("proxy", test_proxy_is_ignored);
+	return g_test_run();
+}
