Add the caller of the backend server

One thread posts tasks with curl multi over kept connections and hands the results back through a mailbox.

libcurl repeats a request whose reused connection closes before any byte of the answer, which would run a task twice. The pre-request callback is counted and the second one aborts the transfer. Without the abort the test never_resent counts 3 requests instead of 2.

CURLOPT_MAXAGE_CONN counts whole seconds, so an announced keep-alive under 1.5 s means one connection for each task.

--- /dev/null
+++ b/packages/greengaged/src/caller.c
@@ -0,0 +1,444 @@
+#include "caller.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core_defs.h"
+#include "timer.h"
+
+enum {
+	IDLE_WAIT_MS = 60000,	    /* the mailbox ends the wait earlier */
+	KEEP_ALIVE_MARGIN_MS = 500, /* for the way of a request and the server's timer */
+	MS_PER_SECOND = 1000,	    /* CURLOPT_MAXAGE_CONN counts whole seconds */
+	HEADER_BYTES = 80,
+	FIRST_BUFFER_BYTES = 256,
+};
+
+enum command_kind {
+	COMMAND_SERVER,
+	COMMAND_STOP,
+};
+
+/* Travels to the thread through a mailbox of its own, apart from the tasks. */
+struct command {
+	struct mailbox_node node; /* first */
+	enum command_kind kind;
+	char *url;
+	struct caller_server server;
+};
+
+/* A curl handle with the task that it carries. Calls are reused. */
+struct call {
+	CURL *easy;
+	struct curl_slist *headers;
+	struct caller *caller;
+	struct caller_task *task;
+	unsigned sends; /* pre-request callbacks, one for each time curl is about to send */
+	bool too_large;
+	size_t result_capacity;
+	int64_t begun_us;
+	struct call *next;
+};
+
+struct caller {
+	struct caller_limits limits;
+	struct mailbox *results;
+	struct mailbox tasks;
+	struct mailbox commands;
+	pthread_t thread;
+
+	/* Used by the thread only. */
+	CURLM *multi;
+	char *url;
+	struct caller_server server;
+	struct call *idle;
+	GPtrArray *calls; /* all, idle or not */
+	GQueue waiting;
+	uint32_t active;
+	bool stopping;
+};
+
+void caller_task_free(struct caller_task *task)
+{
+	if (!task)
+		return;
+	free(task->body);
+	free(task->result);
+	free(task);
+}
+
+static void end_task(struct caller *caller, struct caller_task *task, enum status status,
+		     bool not_started, const char *reason)
+{
+	task->status = status;
+	task->not_started = not_started;
+	g_strlcpy(task->reason, reason, sizeof(task->reason));
+	if (status != STATUS_OK) {
+		g_clear_pointer(&task->result, free);
+		task->result_bytes = 0;
+	}
+	mailbox_send(caller->results, &task->node);
+}
+
+/*
+ * libcurl calls this each time it is about to send the request, also when it repeats one whose
+ * reused connection died before any byte of the answer. The first request may have been executed,
+ * so the second is not let through.
+ */
+static int before_request(void *context, char *peer, char *local, int peer_port, int local_port)
+{
+	struct call *call = context;
+
+	return ++call->sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+static size_t receive_body(char *data, size_t size, size_t count, void *context)
+{
+	struct call *call = context;
+	struct caller_task *task = call->task;
+	size_t bytes = size * count;
+	size_t needed = task->result_bytes + bytes;
+
+	if (needed > (size_t)call->caller->limits.result_max_bytes) {
+		call->too_large = true;
+		return 0;
+	}
+	if (needed > call->result_capacity) {
+		call->result_capacity =
+			MAX(needed, MAX(FIRST_BUFFER_BYTES, call->result_capacity * 2));
+		task->result = g_realloc(task->result, call->result_capacity);
+	}
+	memcpy(task->result + task->result_bytes, data, bytes);
+	task->result_bytes = needed;
+	return bytes;
+}
+
+static struct call *call_new(struct caller *caller)
+{
+	struct call *call = g_new0(struct call, 1);
+
+	call->caller = caller;
+	call->easy = curl_easy_init();
+	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(call->easy, CURLOPT_POST, 1L);
+	curl_easy_setopt(call->easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(call->easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(call->easy, CURLOPT_FOLLOWLOCATION, 0L);
+	curl_easy_setopt(call->easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(call->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)caller->limits.connect_ms);
+	curl_easy_setopt(call->easy, CURLOPT_PREREQFUNCTION, before_request);
+	curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, receive_body);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
+	g_ptr_array_add(caller->calls, call);
+	return call;
+}
+
+static void call_free(void *item)
+{
+	struct call *call = item;
+
+	if (call->task)
+		curl_multi_remove_handle(call->caller->multi, call->easy);
+	caller_task_free(call->task);
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	g_free(call);
+}
+
+static void set_headers(struct call *call)
+{
+	char job[IDENT_HEX_BYTES];
+	char line[HEADER_BYTES];
+
+	curl_slist_free_all(call->headers);
+	call->headers = curl_slist_append(NULL, "Content-Type: application/json");
+	/* libcurl would otherwise wait for "100 Continue" before it sends a large body. */
+	call->headers = curl_slist_append(call->headers, "Expect:");
+	snprintf(line, sizeof(line), "Greengage-Job: %s", ident_format(&call->task->job, job));
+	call->headers = curl_slist_append(call->headers, line);
+	snprintf(line, sizeof(line), "Greengage-Task: %u", call->task->index);
+	call->headers = curl_slist_append(call->headers, line);
+	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+/*
+ * Keeps an idle connection from being used when the server may be closing it. libcurl gives a
+ * connection up once it was idle for more than N whole seconds, hence at N + 1.
+ */
+static void set_reuse(struct call *call)
+{
+	long usable_ms = (long)call->caller->server.keep_alive_ms - KEEP_ALIVE_MARGIN_MS;
+	long seconds = usable_ms / MS_PER_SECOND - 1;
+
+	curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, seconds < 0 ? 1L : 0L);
+	curl_easy_setopt(call->easy, CURLOPT_MAXAGE_CONN, MAX(seconds, 0));
+}
+
+static void call_begin(struct caller *caller, struct caller_task *task)
+{
+	struct call *call = caller->idle;
+
+	if (call)
+		caller->idle = call->next;
+	else
+		call = call_new(caller);
+	call->task = task;
+	call->sends = 0;
+	call->too_large = false;
+	call->result_capacity = 0;
+	call->begun_us = timer_clock_us();
+	set_headers(call);
+	set_reuse(call);
+	curl_easy_setopt(call->easy, CURLOPT_URL, caller->url);
+	curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, (long)task->limit_ms);
+	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, task->body);
+	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)task->body_bytes);
+	caller->active++;
+	curl_multi_add_handle(caller->multi, call->easy);
+}
+
+static bool is_json(const struct caller_task *task)
+{
+	json_t *value = json_loadb(task->result ? task->result : "", task->result_bytes,
+				   JSON_DECODE_ANY | JSON_ALLOW_NUL, NULL);
+
+	json_decref(value);
+	return value != NULL;
+}
+
+/* Ends a task whose transfer failed. */
+static void end_broken(struct call *call, CURLcode code)
+{
+	struct caller_task *task = call->task;
+
+	if (call->sends == 0)
+		end_task(call->caller, task, STATUS_SERVER_UNREACHABLE, true,
+			 curl_easy_strerror(code));
+	else if (call->sends > 1)
+		end_task(call->caller, task, STATUS_TASK_FAILED, false,
+			 "connection closed before the answer");
+	else if (call->too_large)
+		end_task(call->caller, task, STATUS_RESULT_TOO_LARGE, false,
+			 "answer above the size limit");
+	else if (code == CURLE_OPERATION_TIMEDOUT)
+		end_task(call->caller, task, STATUS_TIMEOUT, false, "no answer within the limit");
+	else
+		end_task(call->caller, task, STATUS_TASK_FAILED, false, curl_easy_strerror(code));
+}
+
+/* Ends a task whose transfer brought a whole answer. */
+static void end_answered(struct call *call)
+{
+	struct caller_task *task = call->task;
+	char reason[CALLER_REASON_BYTES];
+	struct curl_header *header;
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status == 503 &&
+	    curl_easy_header(call->easy, "Greengage-Not-Run", 0, CURLH_HEADER, -1, &header) ==
+		    CURLHE_OK &&
+	    strcmp(header->value, "1") == 0) {
+		end_task(call->caller, task, STATUS_SERVER_REFUSED, true, "refused by the server");
+		return;
+	}
+	if (status < 200 || status > 299) {
+		snprintf(reason, sizeof(reason), "status %ld", status);
+		end_task(call->caller, task, STATUS_TASK_FAILED, false, reason);
+		return;
+	}
+	if (!is_json(task)) {
+		end_task(call->caller, task, STATUS_INVALID_RESULT, false, "answer is not JSON");
+		return;
+	}
+	end_task(call->caller, task, STATUS_OK, false, "");
+}
+
+static void call_end(struct call *call, CURLcode code)
+{
+	struct caller *caller = call->caller;
+
+	call->task->run_us = timer_clock_us() - call->begun_us;
+	curl_multi_remove_handle(caller->multi, call->easy);
+	if (code == CURLE_OK)
+		end_answered(call);
+	else
+		end_broken(call, code);
+	call->task = NULL;
+	call->next = caller->idle;
+	caller->idle = call;
+	caller->active--;
+}
+
+static void collect(struct caller *caller)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(caller->multi, &left))) {
+		struct call *call = NULL;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+		call_end(call, message->data.result);
+	}
+}
+
+static void apply_server(struct caller *caller, struct command *command)
+{
+	long connections = MAX(command->server.connections, 1);
+
+	g_free(caller->url);
+	caller->url = g_steal_pointer(&command->url);
+	caller->server = command->server;
+	caller->server.url = caller->url;
+	curl_multi_setopt(caller->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, connections);
+	curl_multi_setopt(caller->multi, CURLMOPT_MAXCONNECTS, connections);
+}
+
+static void apply_commands(struct caller *caller)
+{
+	struct command *command;
+
+	while ((command = (struct command *)mailbox_take(&caller->commands))) {
+		if (command->kind == COMMAND_STOP)
+			caller->stopping = true;
+		else
+			apply_server(caller, command);
+		g_free(command->url);
+		g_free(command);
+	}
+}
+
+static void begin_waiting(struct caller *caller)
+{
+	struct caller_task *task;
+
+	while ((task = (struct caller_task *)mailbox_take(&caller->tasks)))
+		g_queue_push_tail(&caller->waiting, task);
+	while (caller->active < MIN(caller->server.slots, caller->server.connections)) {
+		task = g_queue_pop_head(&caller->waiting);
+		if (!task)
+			return;
+		call_begin(caller, task);
+	}
+}
+
+static void sleep_until_event(struct caller *caller)
+{
+	struct curl_waitfd extra[] = {
+		{.fd = mailbox_fd(&caller->tasks), .events = CURL_WAIT_POLLIN},
+		{.fd = mailbox_fd(&caller->commands), .events = CURL_WAIT_POLLIN},
+	};
+	bool tasks_empty = mailbox_arm(&caller->tasks);
+	bool commands_empty = mailbox_arm(&caller->commands);
+
+	if (tasks_empty && commands_empty)
+		curl_multi_poll(caller->multi, extra, G_N_ELEMENTS(extra), IDLE_WAIT_MS, NULL);
+	mailbox_disarm(&caller->tasks);
+	mailbox_disarm(&caller->commands);
+}
+
+static void *run(void *context)
+{
+	struct caller *caller = context;
+	int running;
+
+	for (;;) {
+		apply_commands(caller);
+		if (caller->stopping)
+			return NULL;
+		begin_waiting(caller);
+		curl_multi_perform(caller->multi, &running);
+		collect(caller);
+		/* A call that ended may have made room for one that waits. */
+		if (caller->active < MIN(caller->server.slots, caller->server.connections) &&
+		    !g_queue_is_empty(&caller->waiting))
+			continue;
+		sleep_until_event(caller);
+	}
+}
+
+static enum status start_thread(struct caller *caller, struct error *err)
+{
+	enum status status = mailbox_init(&caller->tasks, err);
+
+	if (status != STATUS_OK)
+		return status;
+	status = mailbox_init(&caller->commands, err);
+	if (status != STATUS_OK) {
+		mailbox_free(&caller->tasks);
+		return status;
+	}
+	if (pthread_create(&caller->thread, NULL, run, caller) == 0)
+		return STATUS_OK;
+	mailbox_free(&caller->tasks);
+	mailbox_free(&caller->commands);
+	return error_set(err, STATUS_RESOURCE, "thread of the caller cannot be made");
+}
+
+enum status caller_new(const struct caller_limits *limits, struct mailbox *results,
+		       struct caller **caller, struct error *err)
+{
+	struct caller *self = g_new0(struct caller, 1);
+	enum status status;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	self->limits = *limits;
+	self->results = results;
+	self->multi = curl_multi_init();
+	self->calls = g_ptr_array_new_with_free_func(call_free);
+	g_queue_init(&self->waiting);
+	status = start_thread(self, err);
+	if (status == STATUS_OK) {
+		*caller = self;
+		return STATUS_OK;
+	}
+	g_ptr_array_free(self->calls, TRUE);
+	curl_multi_cleanup(self->multi);
+	g_free(self);
+	return status;
+}
+
+void caller_free(struct caller *caller)
+{
+	struct command *stop = g_new0(struct command, 1);
+	struct mailbox_node *node;
+
+	stop->kind = COMMAND_STOP;
+	mailbox_send(&caller->commands, &stop->node);
+	pthread_join(caller->thread, NULL);
+	g_ptr_array_free(caller->calls, TRUE);
+	curl_multi_cleanup(caller->multi);
+	while ((node = mailbox_take(&caller->tasks)))
+		caller_task_free((struct caller_task *)node);
+	while ((node = g_queue_pop_head(&caller->waiting)))
+		caller_task_free((struct caller_task *)node);
+	mailbox_free(&caller->tasks);
+	mailbox_free(&caller->commands);
+	g_free(caller->url);
+	g_free(caller);
+}
+
+void caller_set_server(struct caller *caller, const struct caller_server *server)
+{
+	struct command *command = g_new0(struct command, 1);
+
+	command->kind = COMMAND_SERVER;
+	command->url = g_strdup(server->url);
+	command->server = *server;
+	mailbox_send(&caller->commands, &command->node);
+}
+
+void caller_submit(struct caller *caller, struct caller_task *task)
+{
+	mailbox_send(&caller->tasks, &task->node);
+}
--- /dev/null
+++ b/test/unit/caller_test.c
@@ -0,0 +1,245 @@
+#include "caller.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	RESULT_LIMIT_BYTES = 1000,
+	WAIT_MS = 5000,
+	REQUEST_BYTES = 4096,
+	BIG_BYTES = 2000,
+};
+
+/* A server on one thread. The last character of a request's body says how it is answered. */
+struct fake_server {
+	int listener;
+	pthread_t thread;
+	atomic_int requests;
+	atomic_int connections;
+};
+
+struct fixture {
+	struct fake_server server;
+	struct mailbox results;
+	struct caller *caller;
+	char url[64];
+};
+
+static void answer(int client, const char *status, const char *headers, const char *body)
+{
+	char text[REQUEST_BYTES];
+	int length = snprintf(text, sizeof(text), "HTTP/1.1 %s\r\n%sContent-Length: %zu\r\n\r\n%s",
+			      status, headers, strlen(body), body);
+
+	g_assert_cmpint(send(client, text, (size_t)length, MSG_NOSIGNAL), ==, length);
+}
+
+/* Answers one request. Returns false when the connection is to be closed. */
+static bool serve_request(int client, char kind)
+{
+	char big[BIG_BYTES + 1];
+
+	memset(big, '1', BIG_BYTES);
+	big[BIG_BYTES] = '\0';
+	switch (kind) {
+	case '1':
+		answer(client, "200 OK", "", "{\"a\":1}");
+		return true;
+	case '2':
+		return false;
+	case '3':
+		answer(client, "503 No", "Greengage-Not-Run: 1\r\n", "");
+		return true;
+	case '4':
+		answer(client, "503 No", "", "");
+		return true;
+	case '5':
+		answer(client, "200 OK", "", "{\"a\":");
+		return true;
+	case '6':
+		answer(client, "200 OK", "", big);
+		return true;
+	case '7':
+		answer(client, "307 Moved", "Location: /elsewhere\r\n", "");
+		return true;
+	default:
+		return poll(NULL, 0, WAIT_MS) > 0;
+	}
+}
+
+static void serve_connection(struct fake_server *server, int client)
+{
+	char request[REQUEST_BYTES];
+	ssize_t count;
+
+	do {
+		count = recv(client, request, sizeof(request), 0);
+		if (count <= 0)
+			break;
+		server->requests++;
+	} while (serve_request(client, request[count - 1]));
+	close(client);
+}
+
+static void *serve(void *context)
+{
+	struct fake_server *server = context;
+	int client;
+
+	while ((client = accept(server->listener, NULL, NULL)) >= 0) {
+		server->connections++;
+		serve_connection(server, client);
+	}
+	return NULL;
+}
+
+static void set_up(struct fixture *f, const void *unused)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t length = sizeof(address);
+	const struct caller_limits limits = {.connect_ms = 500,
+					     .result_max_bytes = RESULT_LIMIT_BYTES};
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	f->server.listener = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(bind(f->server.listener, (struct sockaddr *)&address, length), ==, 0);
+	g_assert_cmpint(listen(f->server.listener, 8), ==, 0);
+	getsockname(f->server.listener, (struct sockaddr *)&address, &length);
+	pthread_create(&f->server.thread, NULL, serve, &f->server);
+	snprintf(f->url, sizeof(f->url), "http://127.0.0.1:%d/", ntohs(address.sin_port));
+	g_assert_cmpint(mailbox_init(&f->results, NULL), ==, STATUS_OK);
+	g_assert_cmpint(caller_new(&limits, &f->results, &f->caller, NULL), ==, STATUS_OK);
+	caller_set_server(f->caller, &(struct caller_server){.url = f->url,
+							     .slots = 1,
+							     .connections = 1,
+							     .keep_alive_ms = 10000});
+}
+
+static void tear_down(struct fixture *f, const void *unused)
+{
+	caller_free(f->caller);
+	shutdown(f->server.listener, SHUT_RDWR);
+	pthread_join(f->server.thread, NULL);
+	close(f->server.listener);
+	mailbox_free(&f->results);
+}
+
+static void submit(struct fixture *f, const char *body)
+{
+	struct caller_task *task = g_new0(struct caller_task, 1);
+
+	task->body = g_strdup(body);
+	task->body_bytes = strlen(body);
+	task->limit_ms = 300;
+	caller_submit(f->caller, task);
+}
+
+static struct caller_task *wait_result(struct fixture *f)
+{
+	struct pollfd item = {.fd = mailbox_fd(&f->results), .events = POLLIN};
+	struct mailbox_node *node;
+
+	if (mailbox_arm(&f->results))
+		g_assert_cmpint(poll(&item, 1, WAIT_MS), ==, 1);
+	mailbox_disarm(&f->results);
+	node = mailbox_take(&f->results);
+	g_assert_nonnull(node);
+	return (struct caller_task *)node;
+}
+
+static void expect(struct fixture *f, const char *body, enum status status, bool not_started)
+{
+	struct caller_task *task;
+
+	submit(f, body);
+	task = wait_result(f);
+	g_assert_cmpstr(status_name(task->status), ==, status_name(status));
+	g_assert_cmpint(task->not_started, ==, not_started);
+	g_assert_cmpint(task->result != NULL, ==, status == STATUS_OK);
+	caller_task_free(task);
+}
+
+/* Guards against reporting a task as not run that reached the server, and the other way round. */
+static void test_outcomes(struct fixture *f, const void *unused)
+{
+	expect(f, "1", STATUS_OK, false);
+	expect(f, "3", STATUS_SERVER_REFUSED, true);
+	expect(f, "4", STATUS_TASK_FAILED, false);
+	expect(f, "5", STATUS_INVALID_RESULT, false);
+	expect(f, "6", STATUS_RESULT_TOO_LARGE, false);
+	expect(f, "7", STATUS_TASK_FAILED, false);
+	expect(f, "8", STATUS_TIMEOUT, false);
+	g_assert_cmpint(f->server.requests, ==, 7);
+}
+
+/* Guards against libcurl's own repetition of a request on a kept connection that was closed. */
+static void test_never_resent(struct fixture *f, const void *unused)
+{
+	expect(f, "1", STATUS_OK, false);
+	g_assert_cmpint(f->server.connections, ==, 1);
+	expect(f, "2", STATUS_TASK_FAILED, false);
+	g_assert_cmpint(f->server.requests, ==, 2);
+	expect(f, "1", STATUS_OK, false);
+	g_assert_cmpint(f->server.requests, ==, 3);
+}
+
+/* Guards against calling a task started when no connection could be made. */
+static void test_unreachable(struct fixture *f, const void *unused)
+{
+	caller_set_server(f->caller, &(struct caller_server){.url = "http://127.0.0.1:1/",
+							     .slots = 1,
+							     .connections = 1});
+	expect(f, "1", STATUS_SERVER_UNREACHABLE, true);
+}
+
+/* Guards against use of a connection that the server is about to close. */
+static void test_short_keep_alive(struct fixture *f, const void *unused)
+{
+	caller_set_server(f->caller, &(struct caller_server){.url = f->url,
+							     .slots = 1,
+							     .connections = 1,
+							     .keep_alive_ms = 900});
+	expect(f, "1", STATUS_OK, false);
+	expect(f, "1", STATUS_OK, false);
+	g_assert_cmpint(f->server.connections, ==, 2);
+}
+
+/* Guards against loss or disorder of tasks that wait for the only slot. */
+static void test_waiting_order(struct fixture *f, const void *unused)
+{
+	char body[16];
+
+	for (unsigned i = 0; i < 50; i++) {
+		snprintf(body, sizeof(body), "%u1", i);
+		submit(f, body);
+	}
+	for (unsigned i = 0; i < 50; i++) {
+		struct caller_task *task = wait_result(f);
+
+		snprintf(body, sizeof(body), "%u1", i);
+		g_assert_cmpmem(task->body, task->body_bytes, body, strlen(body));
+		caller_task_free(task);
+	}
+	g_assert_cmpint(f->server.connections, ==, 1);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+#define CASE(name, function)                                                                       \
+	g_test_add("/caller/" name, struct fixture, NULL, set_up, function, tear_down)
+	CASE("outcomes", test_outcomes);
+	CASE("never_resent", test_never_resent);
+	CASE("unreachable", test_unreachable);
+	CASE("short_keep_alive", test_short_keep_alive);
+	CASE("waiting_order", test_waiting_order);
+	return g_test_run();
+}
