Add the backend server stand-in

It announces itself to an agent, sleeps for each task, counts starts per job and task, and fails as POST /control says. On SIGTERM it repeats DELETE /v1/server until neither side has a running task.

--- /dev/null
+++ b/test/standin/server.c
@@ -0,0 +1,520 @@
+/* Backend server stand-in: runs tasks by sleeping, counts every start, and fails on request. */
+#include <civetweb.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ident.h"
+#include "timer.h"
+
+enum {
+	DEFAULT_SLOTS = 8,
+	DEFAULT_CONNECTIONS = 60,
+	CONTROL_THREADS = 8, /* beyond one thread for each task connection */
+	KEEP_ALIVE_MS = 10000,
+	TTL_MS = 3000,
+	RENEW_MS = 1000,
+	RENEW_LIMIT_MS = 1000,
+	LEAVE_POLL_MS = 20,
+	LEAVE_LIMIT_MS = 60000,
+	HANG_POLL_MS = 10,
+	URL_BYTES = 64,
+	JOB_TEXT_BYTES = 32,
+};
+
+struct options {
+	int port;
+	int slots;
+	int connections;
+	int seed;
+	double speed;
+	double jitter;
+	char *id;
+	char *agent;
+	char *labels;
+};
+
+/* What POST /control sets. The numbers count down with each request that they hit. */
+struct faults {
+	bool fail_all;
+	bool hang;
+	bool stop_renewing;
+	bool leave;
+	double slow_factor;
+	int64_t half_answer;
+	int64_t close_before_answer;
+	int64_t refuse_not_run;
+};
+
+enum fault {
+	FAULT_NONE,
+	FAULT_FAIL,
+	FAULT_HALF_ANSWER,
+	FAULT_CLOSE,
+	FAULT_REFUSE,
+};
+
+static struct options options = {
+	.slots = DEFAULT_SLOTS, .connections = DEFAULT_CONNECTIONS, .speed = 1, .seed = 1};
+static GMutex lock; /* guards all below */
+static struct faults faults = {.slow_factor = 1};
+static GHashTable *starts; /* job to GArray of the number of starts of each task index */
+static uint64_t total_starts;
+static int64_t running;
+static int64_t max_running;
+static GRand *random_source;
+static atomic_bool stopping;
+static char own_url[URL_BYTES];
+
+static void free_counts(void *counts)
+{
+	g_array_free(counts, TRUE);
+}
+
+/* Adds a start of task INDEX of JOB. The lock is held. */
+static void count_start(const char *job, size_t index)
+{
+	GArray *counts = g_hash_table_lookup(starts, job);
+
+	if (!counts) {
+		counts = g_array_new(FALSE, TRUE, sizeof(uint16_t));
+		g_hash_table_insert(starts, g_strdup(job), counts);
+	}
+	if (counts->len <= index)
+		g_array_set_size(counts, (guint)index + 1);
+	g_array_index(counts, uint16_t, index)++;
+	total_starts++;
+	running++;
+	max_running = MAX(max_running, running);
+}
+
+static bool count_down(int64_t *number)
+{
+	if (*number <= 0)
+		return false;
+	(*number)--;
+	return true;
+}
+
+/* Chooses what happens to a request and counts its start unless it is refused. */
+static enum fault begin_task(const char *job, size_t index, double *factor)
+{
+	enum fault fault = FAULT_NONE;
+
+	g_mutex_lock(&lock);
+	*factor = options.speed * faults.slow_factor *
+		  (1 + options.jitter * g_rand_double(random_source));
+	if (count_down(&faults.refuse_not_run))
+		fault = FAULT_REFUSE;
+	else if (faults.fail_all)
+		fault = FAULT_FAIL;
+	else if (count_down(&faults.close_before_answer))
+		fault = FAULT_CLOSE;
+	else if (count_down(&faults.half_answer))
+		fault = FAULT_HALF_ANSWER;
+	if (fault != FAULT_REFUSE)
+		count_start(job, index);
+	g_mutex_unlock(&lock);
+	return fault;
+}
+
+static void end_task(void)
+{
+	g_mutex_lock(&lock);
+	running--;
+	g_mutex_unlock(&lock);
+}
+
+static bool is_hanging(void)
+{
+	bool hanging;
+
+	g_mutex_lock(&lock);
+	hanging = faults.hang;
+	g_mutex_unlock(&lock);
+	return hanging && !stopping;
+}
+
+static void respond(struct mg_connection *conn, int status, const char *headers, const char *body,
+		    size_t length)
+{
+	char *text = g_strdup_printf("HTTP/1.1 %d -\r\nContent-Type: application/json\r\n%s"
+				     "Content-Length: %zu\r\n\r\n%s",
+				     status, headers, length, body);
+
+	mg_write(conn, text, strlen(text));
+	g_free(text);
+}
+
+static json_t *read_json(struct mg_connection *conn)
+{
+	GString *body = g_string_new(NULL);
+	char chunk[4096];
+	json_t *value;
+	int count;
+
+	while ((count = mg_read(conn, chunk, sizeof(chunk))) > 0)
+		g_string_append_len(body, chunk, count);
+	value = json_loadb(body->str, body->len, JSON_DECODE_ANY | JSON_ALLOW_NUL, NULL);
+	g_string_free(body, TRUE);
+	return value;
+}
+
+static void answer_task(struct mg_connection *conn, const json_t *task, enum fault fault)
+{
+	json_t *echo = json_object_get(task, "echo");
+	json_t *answer =
+		json_pack("{s:s, s:O}", "server", options.id, "echo", echo ? echo : json_null());
+	char *text = json_dumps(answer, JSON_COMPACT);
+	size_t length = strlen(text);
+
+	if (fault == FAULT_FAIL) {
+		respond(conn, 500, "", "{}", 2);
+	} else if (fault == FAULT_CLOSE) {
+		mg_disable_connection_keep_alive(conn);
+	} else if (fault == FAULT_HALF_ANSWER) {
+		mg_disable_connection_keep_alive(conn);
+		text[length / 2] = '\0';
+		respond(conn, 200, "", text, length);
+	} else {
+		respond(conn, 200, "", text, length);
+	}
+	free(text);
+	json_decref(answer);
+}
+
+static int handle_task(struct mg_connection *conn, void *context)
+{
+	const char *job = mg_get_header(conn, "Greengage-Job");
+	const char *index = mg_get_header(conn, "Greengage-Task");
+	json_t *task = read_json(conn);
+	double sleep_ms;
+	double factor;
+	enum fault fault;
+
+	fault = begin_task(job ? job : "", index ? strtoul(index, NULL, 10) : 0, &factor);
+	if (fault == FAULT_REFUSE) {
+		respond(conn, 503, "Greengage-Not-Run: 1\r\n", "{}", 2);
+		json_decref(task);
+		return 503;
+	}
+	sleep_ms = json_number_value(json_object_get(task, "sleep_ms")) * factor;
+	if (sleep_ms > 0)
+		g_usleep((gulong)(sleep_ms * 1000));
+	while (is_hanging())
+		g_usleep(HANG_POLL_MS * 1000);
+	answer_task(conn, task, fault);
+	end_task();
+	json_decref(task);
+	return 200;
+}
+
+static json_t *counts_json(const GArray *counts)
+{
+	json_t *tasks = json_object();
+	char index[JOB_TEXT_BYTES];
+
+	for (guint i = 0; i < counts->len; i++) {
+		uint16_t count = g_array_index(counts, uint16_t, i);
+
+		snprintf(index, sizeof(index), "%u", i);
+		if (count > 0)
+			json_object_set_new(tasks, index, json_integer(count));
+	}
+	return tasks;
+}
+
+static int handle_starts(struct mg_connection *conn, void *context)
+{
+	const char *query = mg_get_request_info(conn)->query_string;
+	json_t *answer = json_object();
+	json_t *jobs = json_object();
+	GHashTableIter iter;
+	void *job;
+	void *counts;
+	char *text;
+
+	g_mutex_lock(&lock);
+	json_object_set_new(answer, "total", json_integer((json_int_t)total_starts));
+	json_object_set_new(answer, "running", json_integer(running));
+	json_object_set_new(answer, "max_running", json_integer(max_running));
+	g_hash_table_iter_init(&iter, starts);
+	while (!(query && strcmp(query, "total") == 0) &&
+	       g_hash_table_iter_next(&iter, &job, &counts))
+		json_object_set_new(jobs, job, counts_json(counts));
+	g_mutex_unlock(&lock);
+	json_object_set_new(answer, "jobs", jobs);
+	text = json_dumps(answer, JSON_COMPACT);
+	respond(conn, 200, "", text, strlen(text));
+	free(text);
+	json_decref(answer);
+	return 200;
+}
+
+static int handle_control(struct mg_connection *conn, void *context)
+{
+	json_t *body = read_json(conn);
+	json_error_t problem;
+	int status = 200;
+	int fail_all;
+	int hang;
+	int stop_renewing;
+	int leave;
+
+	g_mutex_lock(&lock);
+	fail_all = faults.fail_all;
+	hang = faults.hang;
+	stop_renewing = faults.stop_renewing;
+	leave = faults.leave;
+	if (json_unpack_ex(body, &problem, JSON_STRICT, "{s?b, s?b, s?F, s?I, s?I, s?I, s?b, s?b}",
+			   "fail_all", &fail_all, "hang", &hang, "slow_factor", &faults.slow_factor,
+			   "half_answer", &faults.half_answer, "close_before_answer",
+			   &faults.close_before_answer, "refuse_not_run", &faults.refuse_not_run,
+			   "stop_renewing", &stop_renewing, "leave", &leave) != 0) {
+		fprintf(stderr, "control: %s\n", problem.text);
+		status = 400;
+	}
+	faults.fail_all = fail_all != 0;
+	faults.hang = hang != 0;
+	faults.stop_renewing = stop_renewing != 0;
+	faults.leave = leave != 0;
+	g_mutex_unlock(&lock);
+	json_decref(body);
+	respond(conn, status, "", "{}", 2);
+	return status;
+}
+
+static json_t *labels_json(void)
+{
+	json_t *labels = json_object();
+	char **pairs = g_strsplit(options.labels ? options.labels : "", ",", -1);
+
+	for (int i = 0; pairs[i]; i++) {
+		char *equals = strchr(pairs[i], '=');
+
+		if (!equals)
+			continue;
+		*equals = '\0';
+		json_object_set_new(labels, pairs[i], json_string(equals + 1));
+	}
+	g_strfreev(pairs);
+	return labels;
+}
+
+static size_t keep_body(char *data, size_t size, size_t count, void *context)
+{
+	g_string_append_len(context, data, (gssize)(size * count));
+	return size * count;
+}
+
+/* Sends METHOD /v1/server with BODY to the agent. Returns the HTTP status, or 0 without an answer.
+ */
+static long call_agent(CURL *easy, const char *method, const char *body, GString *answer)
+{
+	char *url = g_strconcat(options.agent, "/v1/server", NULL);
+	struct curl_slist *headers = curl_slist_append(NULL, "Content-Type: application/json");
+	long status = 0;
+
+	g_string_truncate(answer, 0);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)RENEW_LIMIT_MS);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, keep_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
+	if (curl_easy_perform(easy) == CURLE_OK)
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_slist_free_all(headers);
+	g_free(url);
+	return status;
+}
+
+static void *announce(void *context)
+{
+	CURL *easy = curl_easy_init();
+	GString *answer = g_string_new(NULL);
+	json_t *body =
+		json_pack("{s:s, s:s, s:i, s:i, s:o, s:i, s:i}", "id", options.id, "url", own_url,
+			  "slots", options.slots, "connections", options.connections, "labels",
+			  labels_json(), "keep_alive_ms", KEEP_ALIVE_MS, "ttl_ms", TTL_MS);
+	char *text = json_dumps(body, JSON_COMPACT);
+	bool left = false;
+
+	while (!stopping) {
+		bool silent;
+		bool leave;
+		long status;
+
+		g_mutex_lock(&lock);
+		silent = faults.stop_renewing;
+		leave = faults.leave;
+		g_mutex_unlock(&lock);
+		if (leave && !left)
+			left = call_agent(easy, "DELETE", "", answer) == 200;
+		if (!leave && !silent) {
+			left = false;
+			status = call_agent(easy, "PUT", text, answer);
+			if (status >= 400)
+				fprintf(stderr, "announcement refused: %s\n", answer->str);
+		}
+		/* Short steps, so that a control request and SIGTERM take effect soon. */
+		for (int i = 0; i < RENEW_MS / LEAVE_POLL_MS && !stopping; i++) {
+			g_usleep(LEAVE_POLL_MS * 1000);
+			g_mutex_lock(&lock);
+			leave = faults.leave;
+			g_mutex_unlock(&lock);
+			if (leave != left || silent != faults.stop_renewing)
+				break;
+		}
+	}
+	free(text);
+	json_decref(body);
+	g_string_free(answer, TRUE);
+	curl_easy_cleanup(easy);
+	return NULL;
+}
+
+/* Returns the number of tasks that the agent still has for this server, or 0 when it is gone. */
+static int64_t leave_agent(CURL *easy, GString *answer)
+{
+	json_t *body;
+	int64_t count;
+
+	if (!options.agent || call_agent(easy, "DELETE", "", answer) != 200)
+		return 0;
+	body = json_loads(answer->str, 0, NULL);
+	count = json_integer_value(json_object_get(body, "running"));
+	json_decref(body);
+	return count;
+}
+
+/* Tells the agent to stop and waits until neither side has a running task. */
+static void finish_tasks(void)
+{
+	CURL *easy = curl_easy_init();
+	GString *answer = g_string_new(NULL);
+	int64_t limit_us = timer_clock_us() + (int64_t)LEAVE_LIMIT_MS * 1000;
+	int64_t left;
+
+	do {
+		left = leave_agent(easy, answer);
+		g_mutex_lock(&lock);
+		left += running;
+		g_mutex_unlock(&lock);
+		if (left > 0)
+			g_usleep(LEAVE_POLL_MS * 1000);
+	} while (left > 0 && timer_clock_us() < limit_us);
+	g_string_free(answer, TRUE);
+	curl_easy_cleanup(easy);
+}
+
+static bool parse_options(int argc, char **argv)
+{
+	const GOptionEntry entries[] = {
+		{"port", 0, 0, G_OPTION_ARG_INT, &options.port, "Port, 0 for any", "N"},
+		{"id", 0, 0, G_OPTION_ARG_STRING, &options.id, "Name of the server", "ID"},
+		{"agent", 0, 0, G_OPTION_ARG_STRING, &options.agent, "Agent to announce to", "URL"},
+		{"slots", 0, 0, G_OPTION_ARG_INT, &options.slots, "Tasks at once", "N"},
+		{"connections", 0, 0, G_OPTION_ARG_INT, &options.connections, "Connections", "N"},
+		{"labels", 0, 0, G_OPTION_ARG_STRING, &options.labels, "Labels", "K=V,..."},
+		{"speed", 0, 0, G_OPTION_ARG_DOUBLE, &options.speed,
+		 "Factor on the time that tasks sleep", "FACTOR"},
+		{"jitter", 0, 0, G_OPTION_ARG_DOUBLE, &options.jitter,
+		 "Random extra part of the time", "FRACTION"},
+		{"seed", 0, 0, G_OPTION_ARG_INT, &options.seed, "Seed of the jitter", "N"},
+		{0},
+	};
+	GOptionContext *context = g_option_context_new("- backend server stand-in");
+	GError *problem = NULL;
+	bool parsed;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	parsed = g_option_context_parse(context, &argc, &argv, &problem);
+	if (!parsed)
+		fprintf(stderr, "%s\n", problem->message);
+	g_clear_error(&problem);
+	g_option_context_free(context);
+	if (!options.id)
+		options.id = g_strdup("server");
+	return parsed;
+}
+
+static struct mg_context *listen_http(void)
+{
+	struct mg_callbacks callbacks = {0};
+	struct mg_server_port port = {0};
+	char ports[URL_BYTES];
+	char threads[16];
+	char keep_alive[16];
+	const char *settings[] = {"listening_ports",
+				  ports,
+				  "num_threads",
+				  threads,
+				  "enable_keep_alive",
+				  "yes",
+				  "keep_alive_timeout_ms",
+				  keep_alive,
+				  "tcp_nodelay",
+				  "1",
+				  NULL};
+	struct mg_context *http;
+
+	snprintf(ports, sizeof(ports), "127.0.0.1:%d", options.port);
+	snprintf(threads, sizeof(threads), "%d", options.connections + CONTROL_THREADS);
+	snprintf(keep_alive, sizeof(keep_alive), "%d", KEEP_ALIVE_MS);
+	http = mg_start(&callbacks, NULL, settings);
+	if (!http || mg_get_server_ports(http, 1, &port) < 1) {
+		fprintf(stderr, "cannot listen on %s\n", ports);
+		return NULL;
+	}
+	options.port = port.port;
+	snprintf(own_url, sizeof(own_url), "http://127.0.0.1:%d/task", options.port);
+	mg_set_request_handler(http, "/task$", handle_task, NULL);
+	mg_set_request_handler(http, "/starts$", handle_starts, NULL);
+	mg_set_request_handler(http, "/control$", handle_control, NULL);
+	return http;
+}
+
+int main(int argc, char **argv)
+{
+	struct mg_context *http;
+	pthread_t announcer;
+	sigset_t signals;
+	int signal_number;
+
+	if (!parse_options(argc, argv))
+		return 2;
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	mg_init_library(0);
+	starts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_counts);
+	random_source = g_rand_new_with_seed((guint32)options.seed);
+	http = listen_http();
+	if (!http)
+		return 1;
+	printf("seed %d\nlistening %d\n", options.seed, options.port);
+	fflush(stdout);
+	if (options.agent)
+		pthread_create(&announcer, NULL, announce, NULL);
+	sigwait(&signals, &signal_number);
+	stopping = true;
+	if (options.agent)
+		pthread_join(announcer, NULL);
+	finish_tasks();
+	mg_stop(http);
+	g_rand_free(random_source);
+	g_hash_table_destroy(starts);
+	return 0;
+}
