Add the agent role of the daemon

The dispatcher thread owns the gate, one connection for each known entry and the state of the backend server. ZeroMQ reconnects by itself and would lose what was on the way without a reconcile, so a monitor socket reports the end of a connection and the agent opens the next epoch. The announcement expires by a timer, not by the tick, because new work must stop within 3 s.

--- a/packages/greengaged/src/agent.c
+++ b/packages/greengaged/src/agent.c
@@ -1,6 +1,255 @@
 #include "agent.h"
 
+#include <errno.h>
+#include <poll.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "agent_board.h"
+#include "agent_dispatch.h"
+#include "agent_http.h"
+#include "agent_metrics.h"
+#include "agent_peer.h"
+#include "agent_server.h"
+#include "event.h"
+
+enum {
+	CAPACITY_CHECK_US = US_PER_SECOND, /* calendars count in minutes */
+	/* Position of the fixed items in the polled set; two for each entry follow. */
+	POLL_RESULTS = 0,
+	POLL_COMMANDS = 1,
+	POLL_SIGNALS = 2,
+	POLL_PEERS = 3,
+};
+
+/* The dispatcher's loop with the sockets that it polls. */
+struct loop {
+	struct agent_board board;
+	struct agent_http *http;
+	int signal_fd;
+	GArray *items; /* of zmq_pollitem_t */
+};
+
+static void on_tick(void *context, int64_t now_us)
+{
+	agent_peer_maintain(context);
+}
+
+static void on_capacity_check(void *context, int64_t now_us)
+{
+	agent_server_refresh(context);
+}
+
+static void begin_drain(struct agent_board *board)
+{
+	event_log(EVENT_DRAIN_STARTED, EV_I("running", gate_running(board->gate)));
+	board->draining = true;
+	board->drain_end_us = board->now_us + board->settings->drain_limit_ms * US_PER_MS;
+	agent_server_refresh(board);
+}
+
+static void take_signals(struct loop *loop)
+{
+	struct signalfd_siginfo info;
+
+	while (read(loop->signal_fd, &info, sizeof(info)) == sizeof(info)) {
+		if (loop->board.draining)
+			loop->board.forced = true;
+		else
+			begin_drain(&loop->board);
+	}
+}
+
+/* Ends the loop once everything is delivered, or when the shutdown is cut short. */
+static void check_drained(struct agent_board *board)
+{
+	if (!board->draining)
+		return;
+	if (gate_running(board->gate) == 0 && gate_unacknowledged(board->gate) == 0) {
+		event_log_fields(EVENT_DRAIN_FINISHED, NULL, 0);
+		board->stopped = true;
+		return;
+	}
+	if (!board->forced && board->now_us < board->drain_end_us)
+		return;
+	event_log(EVENT_DRAIN_FORCED, EV_I("running", gate_running(board->gate)),
+		  EV_I("unacknowledged", gate_unacknowledged(board->gate)));
+	board->forced = true;
+	board->stopped = true;
+}
+
+static void add_item(GArray *items, void *socket, int fd)
+{
+	const zmq_pollitem_t item = {.socket = socket, .fd = fd, .events = ZMQ_POLLIN};
+
+	g_array_append_val(items, item);
+}
+
+static void rebuild_items(struct loop *loop)
+{
+	struct agent_board *board = &loop->board;
+
+	g_array_set_size(loop->items, 0);
+	add_item(loop->items, NULL, mailbox_fd(&board->results));
+	add_item(loop->items, NULL, mailbox_fd(&board->commands));
+	add_item(loop->items, NULL, loop->signal_fd);
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct agent_peer *peer = g_ptr_array_index(board->peers, i);
+
+		if (peer->channel.socket)
+			add_item(loop->items, peer->channel.socket, -1);
+		if (peer->monitor)
+			add_item(loop->items, peer->monitor, -1);
+	}
+	board->peers_changed = false;
+}
+
+static long wait_ms(const struct agent_board *board)
+{
+	int64_t next_us = MIN(timer_next_us(&board->timers), agent_peer_next_us(board));
+	int64_t wait_us = next_us - timer_clock_us();
+
+	if (wait_us <= 0)
+		return 0;
+	return (long)MIN((wait_us + US_PER_MS - 1) / US_PER_MS, G_MAXINT);
+}
+
+static void wait_for_events(struct loop *loop)
+{
+	struct agent_board *board = &loop->board;
+	bool results_empty = mailbox_arm(&board->results);
+	bool commands_empty = mailbox_arm(&board->commands);
+
+	if (board->peers_changed)
+		rebuild_items(loop);
+	zmq_poll((zmq_pollitem_t *)(void *)loop->items->data, (int)loop->items->len,
+		 results_empty && commands_empty ? wait_ms(board) : 0);
+	mailbox_disarm(&board->results);
+	mailbox_disarm(&board->commands);
+}
+
+static void iterate(struct loop *loop)
+{
+	struct agent_board *board = &loop->board;
+
+	wait_for_events(loop);
+	board->now_us = timer_clock_us();
+	if (g_array_index(loop->items, zmq_pollitem_t, POLL_SIGNALS).revents)
+		take_signals(loop);
+	agent_dispatch_results(board);
+	agent_http_commands(board);
+	for (guint i = 0; i < board->peers->len; i++) {
+		agent_peer_receive(board, g_ptr_array_index(board->peers, i));
+		agent_peer_check_monitor(board, g_ptr_array_index(board->peers, i));
+	}
+	timer_run(&board->timers, board->now_us);
+	if (agent_peer_next_us(board) <= board->now_us)
+		agent_peer_maintain(board);
+	agent_dispatch_credits(board);
+	agent_peer_flush(board);
+	check_drained(board);
+}
+
+static int open_signals(void)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	/* Blocked before any thread is made, so that all threads inherit it. */
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+static enum status start_caller(struct agent_board *board, struct error *err)
+{
+	const struct caller_limits limits = {
+		.connect_ms = board->settings->server_connect_ms,
+		.result_max_bytes = board->settings->max_result_bytes,
+	};
+	enum status status = mailbox_init(&board->results, err);
+
+	if (status == STATUS_OK)
+		status = mailbox_init(&board->commands, err);
+	if (status == STATUS_OK)
+		status = caller_new(&limits, &board->results, &board->caller, err);
+	return status;
+}
+
+static void init_board(struct agent_board *board, const struct daemon_settings *settings)
+{
+	const struct gate_limits limits = {
+		.start_by_us = settings->start_by_ms * US_PER_MS,
+		.prefetch = (uint32_t)settings->prefetch,
+		.silent_us = settings->heartbeat_limit_ms * US_PER_MS,
+	};
+	int64_t tick_us = settings->heartbeat_ms * US_PER_MS / 2;
+
+	board->settings = settings;
+	board->incarnation = ident_random();
+	board->now_us = timer_clock_us();
+	board->peers = g_ptr_array_new();
+	board->gate = gate_new(&limits);
+	board->config = config_fold_new();
+	board->zmq = zmq_ctx_new();
+	timer_init(&board->timers);
+	timer_subscribe(&board->timers, board->now_us + tick_us, tick_us, on_tick, board);
+	timer_subscribe(&board->timers, board->now_us + CAPACITY_CHECK_US, CAPACITY_CHECK_US,
+			on_capacity_check, board);
+	agent_server_init(board);
+	agent_metrics_register();
+}
+
+static void free_board(struct agent_board *board)
+{
+	if (board->caller)
+		caller_free(board->caller);
+	agent_peer_free_all(board);
+	zmq_ctx_term(board->zmq);
+	agent_server_free(board);
+	gate_free(board->gate);
+	config_fold_free(board->config);
+	timer_free(&board->timers);
+}
+
+static enum status start(struct loop *loop, struct error *err)
+{
+	struct agent_board *board = &loop->board;
+	enum status status = start_caller(board, err);
+
+	if (status == STATUS_OK)
+		status = agent_http_start(board, &loop->http, err);
+	if (status != STATUS_OK)
+		return status;
+	for (int i = 0; board->settings->entries[i]; i++)
+		agent_peer_add(board, board->settings->entries[i], true);
+	return STATUS_OK;
+}
+
 enum exit_code agent_run(const struct daemon_settings *settings)
 {
-	return EXIT_CODE_RUNTIME;
+	struct loop loop = {.signal_fd = open_signals()};
+	struct error err;
+	enum exit_code code = EXIT_CODE_RUNTIME;
+
+	loop.items = g_array_new(FALSE, FALSE, sizeof(zmq_pollitem_t));
+	init_board(&loop.board, settings);
+	if (start(&loop, &err) != STATUS_OK) {
+		event_log_error(EVENT_PROCESS_FAILED, &err);
+	} else {
+		while (!loop.board.stopped)
+			iterate(&loop);
+		agent_peer_goodbye(&loop.board, loop.board.forced ? "forced" : "drained");
+		code = loop.board.forced ? EXIT_CODE_FORCED : EXIT_CODE_OK;
+	}
+	if (loop.http)
+		agent_http_stop(loop.http);
+	free_board(&loop.board);
+	g_array_free(loop.items, TRUE);
+	close(loop.signal_fd);
+	return code;
 }
--- /dev/null
+++ b/packages/greengaged/src/agent_peer.c
@@ -0,0 +1,463 @@
+#include "agent_peer.h"
+
+#include <string.h>
+#include <zmq.h>
+
+#include "agent_dispatch.h"
+#include "agent_metrics.h"
+#include "agent_server.h"
+#include "event.h"
+
+enum {
+	PAUSE_FIRST_US = 50 * US_PER_MS, /* before a broken connection is replaced */
+	PAUSE_LONGEST_US = US_PER_SECOND,
+	RECEIVE_BATCH = 200, /* messages taken from one entry before the others have a turn */
+	PEERS_MAX = 1000,
+	GOODBYE_LINGER_MS = 500,
+	MONITOR_ADDRESS_BYTES = 48,
+};
+
+static struct agent_peer *peer_at(const struct agent_board *board, guint i)
+{
+	return g_ptr_array_index(board->peers, i);
+}
+
+static void count_connected(const struct agent_board *board)
+{
+	int64_t count = 0;
+
+	for (guint i = 0; i < board->peers->len; i++)
+		count += peer_at(board, i)->heard && !peer_at(board, i)->broken;
+	agent_metric_set(AGENT_METRIC_ENTRIES, count);
+}
+
+static void close_connection(struct agent_board *board, struct agent_peer *peer)
+{
+	if (peer->channel.socket) {
+		zmq_socket_monitor(peer->channel.socket, NULL, 0);
+		channel_close(&peer->channel);
+	}
+	if (peer->monitor)
+		zmq_close(peer->monitor);
+	peer->monitor = NULL;
+	board->peers_changed = true;
+}
+
+/* Has ZeroMQ report the end of the connection, since it would otherwise reconnect unnoticed and
+ * what was on the way would be lost without a reconcile. */
+static void open_monitor(struct agent_board *board, struct agent_peer *peer)
+{
+	char address[MONITOR_ADDRESS_BYTES];
+	int none = 0;
+
+	g_snprintf(address, sizeof(address), "inproc://monitor-%" G_GUINT64_FORMAT, peer->epoch);
+	if (zmq_socket_monitor(peer->channel.socket, address, ZMQ_EVENT_DISCONNECTED) != 0)
+		return;
+	peer->monitor = zmq_socket(board->zmq, ZMQ_PAIR);
+	if (!peer->monitor)
+		return;
+	zmq_setsockopt(peer->monitor, ZMQ_LINGER, &none, sizeof(none));
+	zmq_connect(peer->monitor, address);
+}
+
+static void send_hello(struct agent_board *board, struct agent_peer *peer);
+
+static void open_connection(struct agent_board *board, struct agent_peer *peer)
+{
+	struct error err;
+
+	close_connection(board, peer);
+	peer->epoch = ++board->last_epoch;
+	peer->heard = false;
+	peer->opened_us = board->now_us;
+	peer->result_sent = 0;
+	peer->reclaim = 0;
+	peer->asked_version = 0;
+	peer->broken =
+		channel_connect(board->zmq, peer->address, &peer->channel, &err) != STATUS_OK;
+	if (peer->broken) {
+		event_log_error(EVENT_PROCESS_FAILED, &err);
+		return;
+	}
+	open_monitor(board, peer);
+	agent_metric_add(AGENT_METRIC_CONNECTIONS, 1);
+	send_hello(board, peer);
+	count_connected(board);
+}
+
+static void free_peer(struct agent_board *board, struct agent_peer *peer)
+{
+	close_connection(board, peer);
+	g_free(peer->address);
+	g_free(peer);
+}
+
+void agent_peer_add(struct agent_board *board, const char *address, bool configured)
+{
+	struct agent_peer *peer;
+
+	for (guint i = 0; i < board->peers->len; i++) {
+		if (strcmp(peer_at(board, i)->address, address) == 0)
+			return;
+	}
+	if (board->peers->len >= PEERS_MAX)
+		return;
+	peer = g_new0(struct agent_peer, 1);
+	peer->address = g_strdup(address);
+	peer->configured = configured;
+	peer->pause_us = PAUSE_FIRST_US;
+	peer->last_heard_us = board->now_us;
+	g_ptr_array_add(board->peers, peer);
+	open_connection(board, peer);
+}
+
+void agent_peer_free_all(struct agent_board *board)
+{
+	for (guint i = 0; i < board->peers->len; i++)
+		free_peer(board, peer_at(board, i));
+	g_ptr_array_free(board->peers, TRUE);
+}
+
+bool agent_peer_send(struct agent_board *board, struct agent_peer *peer, Gg__Envelope *envelope)
+{
+	if (peer->broken)
+		return false;
+	envelope->sender = channel_put_ident(&board->incarnation);
+	envelope->epoch = peer->epoch;
+	envelope->sent_us = timer_clock_us();
+	envelope->config_version = config_version(board->config);
+	if (peer->known)
+		envelope->granted = gate_granted(board->gate, peer->gate);
+	if (channel_send(&peer->channel, NULL, envelope, NULL) != STATUS_OK) {
+		agent_metric_add(AGENT_METRIC_SEND_FAILED, 1);
+		return false;
+	}
+	peer->sent_us = board->now_us;
+	peer->tell = false;
+	agent_metric_add(AGENT_METRIC_MESSAGES_SENT, 1);
+	if (envelope->body_case != GG__ENVELOPE__BODY_RESULT_BATCH)
+		agent_metric_add(AGENT_METRIC_MESSAGES_CONTROL, 1);
+	return true;
+}
+
+/* The server's state in the form of a message. */
+struct server_info {
+	Gg__ServerInfo info;
+	Gg__ServerInfo__LabelsEntry *labels;
+	Gg__ServerInfo__LabelsEntry **label_list;
+};
+
+static void fill_server_info(const struct agent_board *board, struct server_info *out)
+{
+	const struct agent_server *server = &board->server;
+	size_t count = json_object_size(server->labels);
+	const char *key;
+	json_t *value;
+	size_t i = 0;
+
+	gg__server_info__init(&out->info);
+	out->labels = g_new(Gg__ServerInfo__LabelsEntry, count);
+	out->label_list = g_new(Gg__ServerInfo__LabelsEntry *, count);
+	json_object_foreach (server->labels, key, value) {
+		gg__server_info__labels_entry__init(&out->labels[i]);
+		out->labels[i].key = (char *)key;
+		out->labels[i].value = (char *)json_string_value(value);
+		out->label_list[i] = &out->labels[i];
+		i++;
+	}
+	out->info.id = (char *)server->announcement.id;
+	/* An entry judges by the slots whether a job could ever run here, also while none is open.
+	 */
+	out->info.slots = server->usable > 0 ? server->usable : server->announcement.slots;
+	out->info.connections = server->announcement.connections;
+	out->info.n_labels = count;
+	out->info.labels = out->label_list;
+	out->info.open = agent_server_is_open(board) && server->usable > 0;
+	out->info.quarantined = server->health.state == HEALTH_QUARANTINED;
+}
+
+static void clear_server_info(struct server_info *info)
+{
+	g_free(info->labels);
+	g_free(info->label_list);
+}
+
+static void send_hello(struct agent_board *board, struct agent_peer *peer)
+{
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__Hello hello = GG__HELLO__INIT;
+	struct server_info server = {0};
+
+	fill_server_info(board, &server);
+	hello.role = GG__HELLO__ROLE__AGENT;
+	hello.zone = board->settings->zone;
+	hello.host = board->settings->host;
+	if (board->server.state != AGENT_SERVER_NONE)
+		hello.server = &server.info;
+	if (peer->known)
+		hello.next_seq = gate_next_seq(board->gate, peer->gate);
+	envelope.body_case = GG__ENVELOPE__BODY_HELLO;
+	envelope.hello = &hello;
+	if (agent_peer_send(board, peer, &envelope))
+		peer->tell_server = false;
+	clear_server_info(&server);
+}
+
+static void send_heartbeat(struct agent_board *board, struct agent_peer *peer)
+{
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__Heartbeat heartbeat = GG__HEARTBEAT__INIT;
+	struct server_info server = {0};
+
+	if (peer->tell_server && board->server.state != AGENT_SERVER_NONE) {
+		fill_server_info(board, &server);
+		heartbeat.server = &server.info;
+	}
+	envelope.body_case = GG__ENVELOPE__BODY_HEARTBEAT;
+	envelope.heartbeat = &heartbeat;
+	if (agent_peer_send(board, peer, &envelope))
+		peer->tell_server = false;
+	clear_server_info(&server);
+}
+
+static void send_reclaim(struct agent_board *board, struct agent_peer *peer)
+{
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__Reclaim reclaim = GG__RECLAIM__INIT;
+
+	reclaim.count = peer->reclaim;
+	envelope.body_case = GG__ENVELOPE__BODY_RECLAIM;
+	envelope.reclaim = &reclaim;
+	if (agent_peer_send(board, peer, &envelope))
+		peer->reclaim = 0;
+}
+
+void agent_peer_flush(struct agent_board *board)
+{
+	int64_t heartbeat_us = board->settings->heartbeat_ms * US_PER_MS;
+
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct agent_peer *peer = peer_at(board, i);
+
+		if (peer->broken)
+			continue;
+		/* Before the entry's first message on this connection it has nothing to be told but
+		 * the Hello. */
+		if (peer->heard) {
+			agent_dispatch_send_results(board, peer);
+			if (peer->reclaim > 0)
+				send_reclaim(board, peer);
+			if (peer->tell || peer->tell_server)
+				send_heartbeat(board, peer);
+		}
+		if (board->now_us - peer->sent_us >= heartbeat_us)
+			send_heartbeat(board, peer);
+	}
+}
+
+void agent_peer_goodbye(struct agent_board *board, const char *reason)
+{
+	int linger = GOODBYE_LINGER_MS;
+
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct agent_peer *peer = peer_at(board, i);
+		Gg__Envelope envelope = GG__ENVELOPE__INIT;
+		Gg__Goodbye goodbye = GG__GOODBYE__INIT;
+
+		if (!peer->heard || peer->broken)
+			continue;
+		goodbye.reason = (char *)reason;
+		envelope.body_case = GG__ENVELOPE__BODY_GOODBYE;
+		envelope.goodbye = &goodbye;
+		agent_peer_send(board, peer, &envelope);
+		zmq_setsockopt(peer->channel.socket, ZMQ_LINGER, &linger, sizeof(linger));
+	}
+}
+
+static void mark_broken(struct agent_board *board, struct agent_peer *peer)
+{
+	peer->broken = true;
+	/* A connection that worked is replaced soon; one that breaks each time, less and less
+	 * often. */
+	peer->pause_us = peer->heard ? PAUSE_FIRST_US : MIN(peer->pause_us * 2, PAUSE_LONGEST_US);
+	close_connection(board, peer);
+	count_connected(board);
+}
+
+void agent_peer_check_monitor(struct agent_board *board, struct agent_peer *peer)
+{
+	bool ended = false;
+
+	if (!peer->monitor)
+		return;
+	/* Two frames an event; only one kind is subscribed. */
+	while (zmq_recv(peer->monitor, NULL, 0, ZMQ_DONTWAIT) >= 0)
+		ended = true;
+	if (ended && !peer->broken)
+		mark_broken(board, peer);
+}
+
+/* Returns another peer that reached the same entry incarnation by another address, or NULL. */
+static struct agent_peer *find_twin(const struct agent_board *board, const struct agent_peer *peer,
+				    const struct ident *incarnation)
+{
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct agent_peer *other = peer_at(board, i);
+
+		if (other != peer && other->known && ident_equal(&other->incarnation, incarnation))
+			return other;
+	}
+	return NULL;
+}
+
+/*
+ * One entry was reached by two addresses: keeps the configured one. The entry follows the higher
+ * epoch, so the one kept is connected anew. Returns false when PEER is the one to go.
+ */
+static bool resolve_twin(struct agent_board *board, struct agent_peer *peer,
+			 struct agent_peer *other)
+{
+	struct agent_peer *kept = peer->configured ? peer : other;
+	struct agent_peer *dropped = kept == peer ? other : peer;
+
+	dropped->known = false;
+	dropped->forgotten = true;
+	mark_broken(board, dropped);
+	mark_broken(board, kept);
+	return false;
+}
+
+/* Takes note of the entry's identity on the first message of a connection. Returns false when the
+ * message must not be handled. */
+static bool meet(struct agent_board *board, struct agent_peer *peer, const Gg__Envelope *envelope)
+{
+	struct agent_peer *twin;
+	struct ident incarnation;
+
+	if (!channel_get_ident(&envelope->sender, &incarnation))
+		return false;
+	if (peer->heard)
+		return ident_equal(&peer->incarnation, &incarnation);
+	twin = find_twin(board, peer, &incarnation);
+	if (twin)
+		return resolve_twin(board, peer, twin);
+	/* The process before is gone for good, since its address belongs to this one. */
+	if (peer->known && !ident_equal(&peer->incarnation, &incarnation))
+		gate_close(board->gate, peer->gate);
+	peer->incarnation = incarnation;
+	peer->known = true;
+	peer->heard = true;
+	peer->forgotten = false;
+	peer->pause_us = PAUSE_FIRST_US;
+	peer->gate = gate_open(board->gate, &incarnation, peer->epoch, board->now_us);
+	peer->tell = true;
+	event_log(EVENT_CHANNEL_OPENED, EV_S("address", peer->address),
+		  EV_I("epoch", (int64_t)peer->epoch));
+	count_connected(board);
+	return true;
+}
+
+static void handle(struct agent_board *board, struct agent_peer *peer, Gg__Envelope *envelope)
+{
+	const struct gate_news news = {
+		.sent_us = envelope->sent_us,
+		.demand = envelope->demand,
+		.consumed = envelope->consumed,
+		.result_ack = envelope->result_ack,
+	};
+
+	agent_metric_add(AGENT_METRIC_MESSAGES_RECEIVED, 1);
+	if (envelope->body_case != GG__ENVELOPE__BODY_START_BATCH)
+		agent_metric_add(AGENT_METRIC_MESSAGES_CONTROL, 1);
+	if (envelope->epoch != peer->epoch || !meet(board, peer, envelope) ||
+	    !gate_hear(board->gate, peer->gate, envelope->epoch, &news, board->now_us)) {
+		agent_metric_add(AGENT_METRIC_MESSAGES_STALE, 1);
+		return;
+	}
+	peer->last_heard_us = board->now_us;
+	agent_dispatch_see_version(board, peer, envelope->config_version);
+	agent_dispatch_message(board, peer, envelope);
+}
+
+void agent_peer_receive(struct agent_board *board, struct agent_peer *peer)
+{
+	Gg__Envelope *envelope;
+	struct error err;
+
+	for (int i = 0; i < RECEIVE_BATCH && !peer->broken; i++) {
+		enum status status = channel_receive(&peer->channel, NULL, &envelope, &err);
+
+		if (status == STATUS_NOT_FOUND)
+			return;
+		if (status != STATUS_OK) {
+			agent_metric_add(AGENT_METRIC_MESSAGES_INVALID, 1);
+			event_log_error(EVENT_MESSAGE_INVALID, &err);
+			continue;
+		}
+		handle(board, peer, envelope);
+		channel_free_envelope(envelope);
+	}
+}
+
+/* Replaces the connection when it is broken or silent. */
+static void maintain_connection(struct agent_board *board, struct agent_peer *peer)
+{
+	int64_t limit_us = board->settings->heartbeat_limit_ms * US_PER_MS;
+	int64_t silent_us = board->now_us - MAX(peer->opened_us, peer->last_heard_us);
+
+	if (peer->broken) {
+		if (board->now_us - peer->opened_us >= peer->pause_us)
+			open_connection(board, peer);
+		return;
+	}
+	if (silent_us <= limit_us)
+		return;
+	if (peer->heard)
+		event_log(EVENT_CHANNEL_SILENT, EV_S("address", peer->address),
+			  EV_I("epoch", (int64_t)peer->epoch));
+	open_connection(board, peer);
+}
+
+/* Drops the results and credits of an entry that is gone. While draining the entry has given this
+ * agent up after agent_lost_ms, so there is no one left to deliver to. */
+static void forget_if_silent(struct agent_board *board, struct agent_peer *peer)
+{
+	int64_t limit_ms =
+		board->draining ? board->settings->agent_lost_ms : board->settings->entry_forget_ms;
+
+	if (peer->forgotten || board->now_us - peer->last_heard_us < limit_ms * US_PER_MS)
+		return;
+	peer->forgotten = true;
+	if (!peer->known)
+		return;
+	gate_close(board->gate, peer->gate);
+	event_log(EVENT_MEMBER_LOST, EV_S("address", peer->address));
+}
+
+void agent_peer_maintain(struct agent_board *board)
+{
+	for (guint i = board->peers->len; i-- > 0;) {
+		struct agent_peer *peer = peer_at(board, i);
+
+		forget_if_silent(board, peer);
+		if (peer->forgotten && !peer->configured) {
+			g_ptr_array_remove_index_fast(board->peers, i);
+			free_peer(board, peer);
+			continue;
+		}
+		maintain_connection(board, peer);
+	}
+}
+
+int64_t agent_peer_next_us(const struct agent_board *board)
+{
+	int64_t next_us = INT64_MAX;
+
+	for (guint i = 0; i < board->peers->len; i++) {
+		const struct agent_peer *peer = peer_at(board, i);
+
+		if (peer->broken)
+			next_us = MIN(next_us, peer->opened_us + peer->pause_us);
+	}
+	return next_us;
+}
--- /dev/null
+++ b/packages/greengaged/src/agent_server.c
@@ -0,0 +1,305 @@
+#include "agent_server.h"
+
+#include <string.h>
+
+#include "agent_metrics.h"
+#include "event.h"
+
+enum {
+	SLOTS_MAX = 10000,
+	KEEP_ALIVE_DEFAULT_MS = 5000, /* a common idle limit of HTTP servers */
+	KEEP_ALIVE_MAX_MS = 3600000,
+	URL_MAX_BYTES = 500,
+	LABELS_MAX = 64,
+};
+
+static enum status read_number(const json_t *body, const char *name, int64_t preset, int64_t least,
+			       int64_t most, uint32_t *out, struct error *err)
+{
+	const json_t *value = json_object_get(body, name);
+	int64_t number = value ? json_integer_value(value) : preset;
+
+	if ((value && !json_is_integer(value)) || number < least || number > most)
+		return error_set(err, STATUS_INVALID_REQUEST, "%s: accepted: integer %lld to %lld",
+				 name, (long long)least, (long long)most);
+	*out = (uint32_t)number;
+	return STATUS_OK;
+}
+
+static enum status read_texts(const json_t *body, struct agent_announcement *out, struct error *err)
+{
+	const char *id = json_string_value(json_object_get(body, "id"));
+	const char *url = json_string_value(json_object_get(body, "url"));
+
+	if (!id || !*id || strlen(id) >= sizeof(out->id))
+		return error_set(err, STATUS_INVALID_REQUEST,
+				 "id: accepted: string of 1 to %zu bytes", sizeof(out->id) - 1);
+	if (!url || strlen(url) > URL_MAX_BYTES ||
+	    (!g_str_has_prefix(url, "http://") && !g_str_has_prefix(url, "https://")))
+		return error_set(err, STATUS_INVALID_REQUEST,
+				 "url: accepted: http or https URL of at most %d bytes",
+				 URL_MAX_BYTES);
+	g_strlcpy(out->id, id, sizeof(out->id));
+	out->url = g_strdup(url);
+	return STATUS_OK;
+}
+
+static enum status read_labels(const json_t *body, struct agent_announcement *out,
+			       struct error *err)
+{
+	json_t *labels = json_object_get(body, "labels");
+	const char *key;
+	json_t *value;
+
+	if (labels && (!json_is_object(labels) || json_object_size(labels) > LABELS_MAX))
+		return error_set(err, STATUS_INVALID_REQUEST,
+				 "labels: accepted: object of at most %d strings", LABELS_MAX);
+	json_object_foreach (labels, key, value) {
+		if (!json_is_string(value))
+			return error_set(err, STATUS_INVALID_REQUEST, "labels.%s: accepted: string",
+					 key);
+	}
+	out->labels = labels ? json_deep_copy(labels) : json_object();
+	return STATUS_OK;
+}
+
+enum status agent_announcement_parse(const json_t *body, struct agent_announcement *announcement,
+				     struct error *err)
+{
+	struct agent_announcement *out = announcement;
+	enum status status;
+
+	*out = (struct agent_announcement){0};
+	if (!json_is_object(body))
+		return error_set(err, STATUS_INVALID_REQUEST, "the body must be a JSON object");
+	status = read_texts(body, out, err);
+	if (status == STATUS_OK)
+		status = read_number(body, "slots", 0, 1, SLOTS_MAX, &out->slots, err);
+	if (status == STATUS_OK)
+		status = read_number(body, "connections", out->slots, 1, SLOTS_MAX,
+				     &out->connections, err);
+	if (status == STATUS_OK)
+		status = read_number(body, "keep_alive_ms", KEEP_ALIVE_DEFAULT_MS, 0,
+				     KEEP_ALIVE_MAX_MS, &out->keep_alive_ms, err);
+	if (status == STATUS_OK)
+		status = read_number(body, "ttl_ms", AGENT_TTL_MAX_MS, 1, AGENT_TTL_MAX_MS,
+				     &out->ttl_ms, err);
+	if (status == STATUS_OK)
+		status = read_labels(body, out, err);
+	if (status != STATUS_OK)
+		agent_announcement_clear(out);
+	return status;
+}
+
+void agent_announcement_clear(struct agent_announcement *announcement)
+{
+	g_free(announcement->url);
+	json_decref(announcement->labels);
+	*announcement = (struct agent_announcement){0};
+}
+
+static void begin_health(struct agent_board *board)
+{
+	const struct health_limits limits = {
+		.fail_streak = (uint32_t)board->settings->fail_streak,
+		.first_backoff_us = board->settings->quarantine_first_ms * US_PER_MS,
+		.longest_backoff_us = board->settings->quarantine_longest_ms * US_PER_MS,
+	};
+
+	health_init(&board->server.health, &limits);
+}
+
+void agent_server_init(struct agent_board *board)
+{
+	board->server = (struct agent_server){.state = AGENT_SERVER_NONE};
+	board->server.announcement.labels = json_object();
+	board->server.labels = json_object();
+	begin_health(board);
+	gate_set_leaving(board->gate, true);
+}
+
+void agent_server_free(struct agent_board *board)
+{
+	agent_announcement_clear(&board->server.announcement);
+	json_decref(board->server.labels);
+}
+
+bool agent_server_is_open(const struct agent_board *board)
+{
+	return board->server.state == AGENT_SERVER_PRESENT && !board->draining;
+}
+
+/* Slots beyond the connections could not be called at once. */
+static uint32_t announced_slots(const struct agent_server *server)
+{
+	return MIN(server->announcement.slots, server->announcement.connections);
+}
+
+static void find_usable(struct agent_board *board)
+{
+	struct agent_server *server = &board->server;
+	const struct config_subject subject = {
+		.server = server->announcement.id,
+		.host = board->settings->host,
+		.zone = board->settings->zone,
+		.labels = server->labels,
+	};
+
+	server->usable = config_capacity(config_document(board->config), &subject,
+					 announced_slots(server), timer_wall_ms(), NULL);
+}
+
+static void tell_entries(struct agent_board *board)
+{
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct agent_peer *peer = g_ptr_array_index(board->peers, i);
+
+		peer->tell_server = true;
+	}
+}
+
+void agent_server_refresh(struct agent_board *board)
+{
+	struct agent_server *server = &board->server;
+	bool accepting = agent_server_is_open(board);
+	bool quarantined = server->health.state == HEALTH_QUARANTINED;
+	uint32_t slots = 0;
+
+	find_usable(board);
+	if (accepting)
+		slots = health_allowed(&server->health, server->usable);
+	gate_set_slots(board->gate, slots);
+	gate_set_leaving(board->gate, !accepting);
+	atomic_store(&board->ready, accepting);
+	agent_metric_set(AGENT_METRIC_SLOTS, slots);
+
+	accepting = accepting && server->usable > 0;
+	if (accepting != server->told_open || quarantined != server->told_quarantined ||
+	    server->usable != server->told_slots)
+		tell_entries(board);
+	server->told_open = accepting;
+	server->told_quarantined = quarantined;
+	server->told_slots = server->usable;
+}
+
+static void on_expiry(void *context, int64_t now_us)
+{
+	struct agent_board *board = context;
+
+	board->server.expiry = (struct handle){0};
+	board->server.state = AGENT_SERVER_EXPIRED;
+	event_log(EVENT_SERVER_EXPIRED, EV_S("server", board->server.announcement.id));
+	agent_server_refresh(board);
+}
+
+static void set_expiry(struct agent_board *board)
+{
+	struct agent_server *server = &board->server;
+	int64_t due_us = board->now_us + (int64_t)server->announcement.ttl_ms * US_PER_MS;
+
+	timer_cancel(&board->timers, server->expiry);
+	server->expiry = timer_subscribe(&board->timers, due_us, 0, on_expiry, board);
+}
+
+static void on_health_due(void *context, int64_t now_us)
+{
+	struct agent_board *board = context;
+
+	board->server.health_due = (struct handle){0};
+	if (health_tick(&board->server.health, now_us))
+		agent_server_refresh(board);
+}
+
+static void set_health_timer(struct agent_board *board)
+{
+	struct agent_server *server = &board->server;
+	int64_t due_us = health_next_us(&server->health);
+
+	timer_cancel(&board->timers, server->health_due);
+	server->health_due = (struct handle){0};
+	if (due_us != INT64_MAX)
+		server->health_due =
+			timer_subscribe(&board->timers, due_us, 0, on_health_due, board);
+}
+
+static void merge_labels(struct agent_board *board)
+{
+	json_decref(board->server.labels);
+	board->server.labels = json_deep_copy(board->server.announcement.labels);
+	json_object_update(board->server.labels, board->settings->labels);
+}
+
+static bool same_announcement(const struct agent_announcement *a,
+			      const struct agent_announcement *b)
+{
+	return strcmp(a->id, b->id) == 0 && g_strcmp0(a->url, b->url) == 0 &&
+	       a->slots == b->slots && a->connections == b->connections &&
+	       a->keep_alive_ms == b->keep_alive_ms && json_equal(a->labels, b->labels);
+}
+
+static void apply_announcement(struct agent_board *board)
+{
+	const struct agent_announcement *announcement = &board->server.announcement;
+
+	caller_set_server(board->caller,
+			  &(struct caller_server){.url = announcement->url,
+						  .slots = announced_slots(&board->server),
+						  .connections = announcement->connections,
+						  .keep_alive_ms = announcement->keep_alive_ms});
+	merge_labels(board);
+	tell_entries(board);
+}
+
+void agent_server_announce(struct agent_board *board, struct agent_announcement *announcement)
+{
+	struct agent_server *server = &board->server;
+	bool changed = !same_announcement(&server->announcement, announcement);
+
+	/* A renewal does not end a quarantine; another server or a restart does. */
+	if (strcmp(server->announcement.id, announcement->id) != 0 ||
+	    server->state == AGENT_SERVER_LEAVING) {
+		begin_health(board);
+		set_health_timer(board);
+	}
+	if (changed || server->state != AGENT_SERVER_PRESENT)
+		event_log(EVENT_SERVER_ANNOUNCED, EV_S("server", announcement->id),
+			  EV_S("url", announcement->url), EV_I("slots", announcement->slots));
+	agent_announcement_clear(&server->announcement);
+	server->announcement = *announcement;
+	*announcement = (struct agent_announcement){0};
+	if (changed)
+		apply_announcement(board);
+	server->state = AGENT_SERVER_PRESENT;
+	set_expiry(board);
+	agent_server_refresh(board);
+}
+
+void agent_server_leave(struct agent_board *board)
+{
+	struct agent_server *server = &board->server;
+
+	if (server->state != AGENT_SERVER_PRESENT)
+		return;
+	timer_cancel(&board->timers, server->expiry);
+	server->expiry = (struct handle){0};
+	server->state = AGENT_SERVER_LEAVING;
+	event_log(EVENT_SERVER_LEAVING, EV_S("server", server->announcement.id));
+	agent_server_refresh(board);
+}
+
+void agent_server_result(struct agent_board *board, bool success)
+{
+	struct agent_server *server = &board->server;
+	enum health_state before = server->health.state;
+
+	health_result(&server->health, success, announced_slots(server), board->now_us);
+	if (server->health.state == before && before == HEALTH_OPEN)
+		return;
+	if (server->health.state == HEALTH_QUARANTINED && before != HEALTH_QUARANTINED)
+		event_log(EVENT_SERVER_QUARANTINED, EV_S("server", server->announcement.id),
+			  EV_I("backoff_ms", server->health.backoff_us / US_PER_MS));
+	if (before == HEALTH_TRIAL && success)
+		event_log(EVENT_SERVER_RECOVERED, EV_S("server", server->announcement.id));
+	set_health_timer(board);
+	agent_server_refresh(board);
+}
