Add the test harness and tests of the agent against a played entry

The harness runs real processes from settings in a temporary directory. A child dies with the test program (PR_SET_PDEATHSIG), and a failed assertion prints every process's log.

The reconcile test found that the agent answered Reconciled before it repeated the kept results, so an entry could not tell a finished start from a lost one. Results now go first.

--- a/packages/greengaged/src/agent_dispatch.c
+++ b/packages/greengaged/src/agent_dispatch.c
@@ -97,6 +97,8 @@
 			break;
 		}
 	}
+	/* The entry then has all results before it learns which numbers have none. */
+	agent_dispatch_send_results(board, peer);
 	answer.running = running;
 	answer.sealed = sealed;
 	envelope.body_case = GG__ENVELOPE__BODY_RECONCILED;
--- /dev/null
+++ b/test/functional/agent_test.c
@@ -0,0 +1,366 @@
+/* The agent against an entry that the test plays, so that late, repeated and lost messages can be
+ * made at will. */
+#include <poll.h>
+#include <signal.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "channel.h"
+#include "harness.h"
+#include "timer.h"
+
+enum {
+	LIMIT_MS = 10000,
+	SLOTS = 2,
+	SHORT_US = 300000, /* in which nothing is expected */
+};
+
+struct fake_entry {
+	struct harness *harness;
+	void *zmq;
+	struct channel channel;
+	struct channel_route route;
+	struct ident incarnation;
+	struct ident agent;
+	uint64_t epoch;
+	uint64_t granted;
+	uint64_t consumed;
+	uint64_t result_ack;
+	uint64_t config_version;
+	int64_t clock_lag_us; /* how much older messages pretend to be */
+	bool open;	      /* as the agent last told */
+};
+
+static void fake_send(struct fake_entry *entry, Gg__Envelope *envelope)
+{
+	envelope->sender = channel_put_ident(&entry->incarnation);
+	envelope->epoch = entry->epoch;
+	envelope->sent_us = timer_clock_us() - entry->clock_lag_us;
+	envelope->consumed = entry->consumed;
+	envelope->result_ack = entry->result_ack;
+	envelope->config_version = entry->config_version;
+	g_assert_cmpint(channel_send(&entry->channel, &entry->route, envelope, NULL), ==,
+			STATUS_OK);
+}
+
+static void note_header(struct fake_entry *entry, const Gg__Envelope *envelope)
+{
+	const Gg__ServerInfo *server = NULL;
+
+	entry->granted = MAX(entry->granted, envelope->granted);
+	if (envelope->body_case == GG__ENVELOPE__BODY_HELLO)
+		server = envelope->hello->server;
+	if (envelope->body_case == GG__ENVELOPE__BODY_HEARTBEAT)
+		server = envelope->heartbeat->server;
+	if (server)
+		entry->open = server->open;
+}
+
+/* Returns the next message within LIMIT_US, or NULL. */
+static Gg__Envelope *receive_any(struct fake_entry *entry, int64_t limit_us)
+{
+	zmq_pollitem_t item = {.socket = entry->channel.socket, .events = ZMQ_POLLIN};
+	Gg__Envelope *envelope = NULL;
+
+	if (zmq_poll(&item, 1, (long)(limit_us / 1000)) <= 0)
+		return NULL;
+	g_assert_cmpint(channel_receive(&entry->channel, &entry->route, &envelope, NULL), ==,
+			STATUS_OK);
+	entry->epoch = MAX(entry->epoch, envelope->epoch);
+	channel_get_ident(&envelope->sender, &entry->agent);
+	note_header(entry, envelope);
+	return envelope;
+}
+
+/* Returns the next message with the body KIND; others only count for their header. */
+static Gg__Envelope *receive(struct fake_entry *entry, Gg__Envelope__BodyCase kind)
+{
+	int64_t end_us = timer_clock_us() + (int64_t)LIMIT_MS * 1000;
+
+	for (;;) {
+		int64_t left_us = end_us - timer_clock_us();
+		Gg__Envelope *envelope = left_us > 0 ? receive_any(entry, left_us) : NULL;
+
+		if (!envelope)
+			g_error("no message of kind %d", (int)kind);
+		if (envelope->body_case == kind)
+			return envelope;
+		channel_free_envelope(envelope);
+	}
+}
+
+static void send_heartbeat(struct fake_entry *entry)
+{
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__Heartbeat heartbeat = GG__HEARTBEAT__INIT;
+
+	envelope.body_case = GG__ENVELOPE__BODY_HEARTBEAT;
+	envelope.heartbeat = &heartbeat;
+	fake_send(entry, &envelope);
+}
+
+static void wait_credits(struct fake_entry *entry, uint64_t granted)
+{
+	while (entry->granted < granted) {
+		channel_free_envelope(receive(entry, GG__ENVELOPE__BODY_HEARTBEAT));
+		send_heartbeat(entry);
+	}
+}
+
+/* Takes the Hello and answers it. */
+static void welcome(struct fake_entry *entry)
+{
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__Welcome body = GG__WELCOME__INIT;
+
+	channel_free_envelope(receive(entry, GG__ENVELOPE__BODY_HELLO));
+	envelope.body_case = GG__ENVELOPE__BODY_WELCOME;
+	envelope.welcome = &body;
+	fake_send(entry, &envelope);
+}
+
+static void send_start(struct fake_entry *entry, uint64_t seq, const char *body)
+{
+	static const struct ident job = {{1}};
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__StartBatch batch = GG__START_BATCH__INIT;
+	Gg__Start start = GG__START__INIT;
+	Gg__Start *list = &start;
+
+	start.seq = seq;
+	start.job = channel_put_ident(&job);
+	start.task = (uint32_t)seq;
+	start.body = (ProtobufCBinaryData){.len = strlen(body), .data = (uint8_t *)body};
+	start.limit_ms = LIMIT_MS;
+	batch.n_starts = 1;
+	batch.starts = &list;
+	entry->consumed = MAX(entry->consumed, seq);
+	envelope.body_case = GG__ENVELOPE__BODY_START_BATCH;
+	envelope.start_batch = &batch;
+	fake_send(entry, &envelope);
+}
+
+/* Expects the result of SEQ with STATUS, and acknowledges it if ACK is set. */
+static void expect_result(struct fake_entry *entry, uint64_t seq, const char *status,
+			  bool not_started, bool ack)
+{
+	Gg__Envelope *envelope = receive(entry, GG__ENVELOPE__BODY_RESULT_BATCH);
+	const Gg__Result *result = envelope->result_batch->results[0];
+
+	g_assert_cmpuint(envelope->result_batch->n_results, ==, 1);
+	g_assert_cmpuint(result->seq, ==, seq);
+	g_assert_cmpstr(result->status, ==, status);
+	g_assert_cmpint(result->not_started, ==, not_started);
+	if (ack) {
+		entry->result_ack = result->number;
+		send_heartbeat(entry);
+	}
+	channel_free_envelope(envelope);
+}
+
+static void set_up(struct fake_entry *entry, const void *settings)
+{
+	const struct harness_shape shape = {.entries = 1,
+					    .agents = 1,
+					    .slots = SLOTS,
+					    .without_log = true,
+					    .own_entries = true,
+					    .with_proxy = true,
+					    .agent_settings = settings};
+	char *address;
+
+	*entry = (struct fake_entry){.incarnation = ident_random(), .zmq = zmq_ctx_new()};
+	entry->harness = harness_start(&shape);
+	address = g_strdup_printf("tcp://127.0.0.1:%d", entry->harness->entries[0].channel_port);
+	g_assert_cmpint(channel_accept(entry->zmq, address, &entry->channel, NULL), ==, STATUS_OK);
+	g_free(address);
+	welcome(entry);
+	wait_credits(entry, 1);
+}
+
+static void tear_down(struct fake_entry *entry, const void *unused)
+{
+	channel_close(&entry->channel);
+	zmq_ctx_term(entry->zmq);
+	harness_free(entry->harness);
+}
+
+/* Guards against more starts than credits, and a slow start that never opens all slots. */
+static void test_credits(struct fake_entry *entry, const void *unused)
+{
+	g_assert_cmpuint(entry->granted, ==, 1);
+	send_start(entry, 1, "{}");
+	expect_result(entry, 1, "ok", false, true);
+	wait_credits(entry, 3);
+	/* Both slots are promised now, so the credits stay as they are. */
+	send_start(entry, 4, "{}");
+	expect_result(entry, 4, "no_slot", true, true);
+	g_assert_cmpuint(harness_starts(entry->harness).total, ==, 1);
+}
+
+/* Guards against a second run of a start that is repeated, by whatever fault. */
+static void test_repeated_start(struct fake_entry *entry, const void *unused)
+{
+	Gg__Envelope *envelope;
+
+	send_start(entry, 1, "{\"echo\": 5}");
+	expect_result(entry, 1, "ok", false, true);
+	send_start(entry, 1, "{\"echo\": 5}");
+	while ((envelope = receive_any(entry, SHORT_US))) {
+		g_assert_cmpint(envelope->body_case, !=, GG__ENVELOPE__BODY_RESULT_BATCH);
+		channel_free_envelope(envelope);
+	}
+	g_assert_cmpuint(harness_starts(entry->harness).total, ==, 1);
+}
+
+/* Guards against loss of a result with its connection, and of the answer to what never arrived. */
+static void test_reconcile(struct fake_entry *entry, const void *unused)
+{
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__Reconcile reconcile = GG__RECONCILE__INIT;
+	uint64_t outstanding[] = {1, 2};
+	uint64_t epoch = entry->epoch;
+	Gg__Envelope *answer;
+	char *done;
+
+	send_start(entry, 1, "{\"echo\": 5}");
+	expect_result(entry, 1, "ok", false, false);
+	done = harness_proxy(entry->harness, "agent0-entry0 cut");
+	g_free(done);
+	welcome(entry);
+	g_assert_cmpuint(entry->epoch, >, epoch);
+
+	reconcile.next_seq = 3;
+	reconcile.n_outstanding = G_N_ELEMENTS(outstanding);
+	reconcile.outstanding = outstanding;
+	envelope.body_case = GG__ENVELOPE__BODY_RECONCILE;
+	envelope.reconcile = &reconcile;
+	fake_send(entry, &envelope);
+	expect_result(entry, 1, "ok", false, false);
+	answer = receive(entry, GG__ENVELOPE__BODY_RECONCILED);
+	g_assert_cmpuint(answer->reconciled->n_sealed, ==, 1);
+	g_assert_cmpuint(answer->reconciled->sealed[0], ==, 2);
+	g_assert_cmpuint(answer->reconciled->n_running, ==, 0);
+	channel_free_envelope(answer);
+	send_start(entry, 2, "{}");
+	send_heartbeat(entry);
+	g_assert_cmpuint(harness_starts(entry->harness).total, ==, 1);
+}
+
+/* Guards against a connection that stays silent for ever. */
+static void test_silent_connection(struct fake_entry *entry, const void *unused)
+{
+	uint64_t epoch = entry->epoch;
+	char *done = harness_proxy(entry->harness, "agent0-entry0 silence");
+
+	g_free(done);
+	welcome(entry);
+	g_assert_cmpuint(entry->epoch, >, epoch);
+}
+
+/* Guards against a start that was held up in a paused entry or a stuck connection. */
+static void test_late_start(struct fake_entry *entry, const void *unused)
+{
+	entry->clock_lag_us = 3000000;
+	send_start(entry, 1, "{}");
+	expect_result(entry, 1, "start_late", true, true);
+	g_assert_cmpuint(harness_starts(entry->harness).total, ==, 0);
+}
+
+/* Guards against work under a configuration that was replaced. */
+static void test_config(struct fake_entry *entry, const void *unused)
+{
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__ConfigState state = GG__CONFIG_STATE__INIT;
+	char drain_all[] = "{\"drain\": {\"servers\": [\"server0\"]}}";
+	Gg__Envelope *request;
+
+	entry->config_version = 5;
+	send_heartbeat(entry);
+	request = receive(entry, GG__ENVELOPE__BODY_CONFIG_REQUEST);
+	g_assert_cmpuint(request->config_request->have_version, ==, 0);
+	channel_free_envelope(request);
+	g_assert_true(entry->open);
+	state.version = 5;
+	state.document = drain_all;
+	envelope.body_case = GG__ENVELOPE__BODY_CONFIG_STATE;
+	envelope.config_state = &state;
+	fake_send(entry, &envelope);
+	while (entry->open)
+		channel_free_envelope(receive(entry, GG__ENVELOPE__BODY_HEARTBEAT));
+	entry->config_version = 4;
+	send_start(entry, 1, "{}");
+	expect_result(entry, 1, "stale_config", true, true);
+	g_assert_cmpuint(harness_starts(entry->harness).total, ==, 0);
+}
+
+/* Guards against new work at a server that is leaving or silent. */
+static void test_server_leaves(struct fake_entry *entry, const void *fault)
+{
+	harness_server_control(entry->harness, 0, fault);
+	while (entry->open) {
+		channel_free_envelope(receive(entry, GG__ENVELOPE__BODY_HEARTBEAT));
+		send_heartbeat(entry);
+	}
+	send_start(entry, 1, "{}");
+	expect_result(entry, 1, "server_leaving", true, true);
+	g_assert_cmpuint(harness_starts(entry->harness).total, ==, 0);
+}
+
+static void test_leave(struct fake_entry *entry, const void *unused)
+{
+	test_server_leaves(entry, "{\"leave\": true}");
+}
+
+static void test_expire(struct fake_entry *entry, const void *unused)
+{
+	test_server_leaves(entry, "{\"stop_renewing\": true}");
+}
+
+/* Guards against a server that fails everything and still gets work at full rate. */
+static void test_quarantine(struct fake_entry *entry, const void *unused)
+{
+	harness_server_control(entry->harness, 0, "{\"fail_all\": true}");
+	for (uint64_t seq = 1; seq <= 5; seq++) {
+		wait_credits(entry, seq);
+		send_start(entry, seq, "{}");
+		expect_result(entry, seq, "task_failed", false, true);
+	}
+	send_start(entry, 6, "{}");
+	expect_result(entry, 6, "no_slot", true, true);
+	harness_server_control(entry->harness, 0, "{\"fail_all\": false}");
+	wait_credits(entry, 6);
+	g_assert_cmpuint(harness_starts(entry->harness).total, ==, 5);
+}
+
+/* Guards against a planned stop that cuts a running task or forgets its result. */
+static void test_graceful_stop(struct fake_entry *entry, const void *unused)
+{
+	send_start(entry, 1, "{\"sleep_ms\": 500}");
+	HARNESS_WAIT(LIMIT_MS, harness_starts(entry->harness).total == 1);
+	harness_signal(entry->harness->agents[0].process, SIGTERM);
+	expect_result(entry, 1, "ok", false, true);
+	channel_free_envelope(receive(entry, GG__ENVELOPE__BODY_GOODBYE));
+	g_assert_cmpint(harness_wait_exit(entry->harness->agents[0].process, LIMIT_MS), ==, 0);
+}
+
+int main(int argc, char **argv)
+{
+	static const char fast[] = "{\"channel\": {\"heartbeat_ms\": 50, \"heartbeat_limit_ms\": "
+				   "300}}";
+
+	g_test_init(&argc, &argv, NULL);
+#define CASE(name, settings, function)                                                             \
+	g_test_add("/agent/" name, struct fake_entry, settings, set_up, function, tear_down)
+	CASE("credits", NULL, test_credits);
+	CASE("repeated_start", NULL, test_repeated_start);
+	CASE("reconcile", NULL, test_reconcile);
+	CASE("silent_connection", fast, test_silent_connection);
+	CASE("late_start", NULL, test_late_start);
+	CASE("config", NULL, test_config);
+	CASE("leave", NULL, test_leave);
+	CASE("expire", NULL, test_expire);
+	CASE("quarantine", NULL, test_quarantine);
+	CASE("graceful_stop", NULL, test_graceful_stop);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/functional/harness.c
@@ -0,0 +1,266 @@
+#include "harness.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+enum {
+	STOP_MS = 3000, /* from SIGTERM to SIGKILL when a test ends */
+	LOG_FILES_MAX = 64,
+	PATH_BYTES = 256,
+	COPY_BYTES = 4096,
+};
+
+/* Read by the signal handler, so kept in plain arrays. */
+static char log_paths[LOG_FILES_MAX][PATH_BYTES];
+static volatile sig_atomic_t log_count;
+
+static void write_all(const char *data, size_t length)
+{
+	while (length > 0) {
+		ssize_t count = write(STDERR_FILENO, data, length);
+
+		if (count <= 0)
+			return;
+		data += count;
+		length -= (size_t)count;
+	}
+}
+
+void harness_print_logs(void)
+{
+	char buffer[COPY_BYTES];
+
+	for (int i = 0; i < log_count; i++) {
+		int fd = open(log_paths[i], O_RDONLY | O_CLOEXEC);
+		ssize_t count;
+
+		if (fd < 0)
+			continue;
+		write_all("--- ", 4);
+		write_all(log_paths[i], strlen(log_paths[i]));
+		write_all("\n", 1);
+		while ((count = read(fd, buffer, sizeof(buffer))) > 0)
+			write_all(buffer, (size_t)count);
+		close(fd);
+	}
+}
+
+/* A failed assertion ends in SIGABRT. */
+static void on_abort(int signal_number)
+{
+	harness_print_logs();
+	signal(signal_number, SIG_DFL);
+	raise(signal_number);
+}
+
+struct harness *harness_new(void)
+{
+	struct harness *harness = g_new0(struct harness, 1);
+
+	harness->directory = g_dir_make_tmp("greengage-XXXXXX", NULL);
+	g_assert_nonnull(harness->directory);
+	harness->processes = g_ptr_array_new();
+	log_count = 0;
+	signal(SIGABRT, on_abort);
+	signal(SIGTRAP, on_abort);
+	return harness;
+}
+
+/* Runs in the child: it must not outlive the test program, however that ends. */
+static void set_up_child(void *context)
+{
+	sigset_t none;
+
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	sigemptyset(&none);
+	sigprocmask(SIG_SETMASK, &none, NULL);
+}
+
+static void launch(struct harness *harness, struct harness_process *process)
+{
+	GSubprocessLauncher *launcher = g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+	GError *problem = NULL;
+
+	g_subprocess_launcher_set_child_setup(launcher, set_up_child, NULL, NULL);
+	g_subprocess_launcher_set_stdout_file_path(launcher, process->out_file);
+	g_subprocess_launcher_set_stderr_file_path(launcher, process->log_file);
+	process->child = g_subprocess_launcher_spawnv(launcher, (const char *const *)process->argv,
+						      &problem);
+	if (!process->child)
+		g_error("%s: %s", process->argv[0], problem->message);
+	g_object_unref(launcher);
+}
+
+/* Each run of a process has files of its own. */
+static void name_files(struct harness *harness, struct harness_process *process)
+{
+	int number = log_count;
+
+	g_free(process->log_file);
+	g_free(process->out_file);
+	process->log_file =
+		g_strdup_printf("%s/%d-%s.log", harness->directory, number, process->name);
+	process->out_file =
+		g_strdup_printf("%s/%d-%s.out", harness->directory, number, process->name);
+	if (number >= LOG_FILES_MAX)
+		return;
+	g_strlcpy(log_paths[number], process->log_file, PATH_BYTES);
+	log_count = number + 1;
+}
+
+struct harness_process *harness_spawn(struct harness *harness, const char *name,
+				      const char *const *argv)
+{
+	struct harness_process *process = g_new0(struct harness_process, 1);
+
+	process->name = g_strdup(name);
+	process->argv = g_strdupv((char **)argv);
+	name_files(harness, process);
+	g_ptr_array_add(harness->processes, process);
+	launch(harness, process);
+	return process;
+}
+
+void harness_restart(struct harness *harness, struct harness_process *process)
+{
+	g_assert_null(process->child);
+	name_files(harness, process);
+	launch(harness, process);
+}
+
+static int read_port(const struct harness_process *process)
+{
+	char *text = NULL;
+	char *line;
+	int port = 0;
+
+	if (!g_file_get_contents(process->out_file, &text, NULL, NULL))
+		return 0;
+	line = g_strrstr(text, "listening ");
+	if (line && strchr(line, '\n'))
+		port = atoi(line + strlen("listening "));
+	g_free(text);
+	return port;
+}
+
+int harness_wait_listening(const struct harness_process *process)
+{
+	int port;
+
+	HARNESS_WAIT(HARNESS_START_MS, (port = read_port(process)) > 0);
+	return port;
+}
+
+void harness_signal(struct harness_process *process, int signal_number)
+{
+	if (process->child)
+		g_subprocess_send_signal(process->child, signal_number);
+}
+
+/* Returns whether the process ended within LIMIT_MS. The wait is bounded, so it polls instead of
+ * g_subprocess_wait. */
+static bool ended_within(struct harness_process *process, int64_t limit_ms)
+{
+	int64_t end_us = g_get_monotonic_time() + limit_ms * 1000;
+
+	/* The identifier is NULL once GLib's worker thread has collected the child. */
+	while (g_subprocess_get_identifier(process->child)) {
+		if (g_get_monotonic_time() > end_us)
+			return false;
+		g_usleep(HARNESS_POLL_US);
+	}
+	return true;
+}
+
+int harness_wait_exit(struct harness_process *process, int64_t limit_ms)
+{
+	int status = -1;
+
+	if (!ended_within(process, limit_ms))
+		g_error("%s did not end within %d ms", process->name, (int)limit_ms);
+	if (g_subprocess_get_if_exited(process->child))
+		status = g_subprocess_get_exit_status(process->child);
+	g_clear_object(&process->child);
+	return status;
+}
+
+void harness_kill(struct harness_process *process)
+{
+	if (!process->child)
+		return;
+	harness_signal(process, SIGKILL);
+	harness_wait_exit(process, STOP_MS);
+}
+
+/* Ends the child as far as it still runs; a frozen one cannot handle SIGTERM. */
+static void end_process(struct harness_process *process)
+{
+	if (!process->child)
+		return;
+	if (!ended_within(process, STOP_MS))
+		harness_signal(process, SIGKILL);
+	ended_within(process, STOP_MS);
+	g_clear_object(&process->child);
+}
+
+static void remove_directory(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		char *file = g_build_filename(path, name, NULL);
+
+		g_unlink(file);
+		g_free(file);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_rmdir(path);
+}
+
+void harness_free(struct harness *harness)
+{
+	for (guint i = 0; i < harness->processes->len; i++) {
+		struct harness_process *process = g_ptr_array_index(harness->processes, i);
+
+		/* A test that wants a graceful stop has waited for it; SIGKILL saves time here. */
+		harness_signal(process, SIGKILL);
+	}
+	for (guint i = 0; i < harness->processes->len; i++) {
+		struct harness_process *process = g_ptr_array_index(harness->processes, i);
+
+		end_process(process);
+		g_strfreev(process->argv);
+		g_free(process->name);
+		g_free(process->log_file);
+		g_free(process->out_file);
+		g_free(process);
+	}
+	log_count = 0;
+	g_ptr_array_free(harness->processes, TRUE);
+	remove_directory(harness->directory);
+	g_free(harness->directory);
+	g_free(harness);
+}
+
+int harness_free_port(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t length = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, length), ==, 0);
+	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &length), ==, 0);
+	close(fd);
+	return ntohs(address.sin_port);
+}
--- a/test/standin/server.c
+++ b/test/standin/server.c
@@ -30,6 +30,7 @@
 
 struct options {
 	int port;
+	int announced_port; /* where a proxy listens, or 0 */
 	int slots;
 	int connections;
 	int seed;
@@ -421,6 +422,8 @@
 {
 	const GOptionEntry entries[] = {
 		{"port", 0, 0, G_OPTION_ARG_INT, &options.port, "Port, 0 for any", "N"},
+		{"announce-port", 0, 0, G_OPTION_ARG_INT, &options.announced_port,
+		 "Port to announce, when a proxy stands in between", "N"},
 		{"id", 0, 0, G_OPTION_ARG_STRING, &options.id, "Name of the server", "ID"},
 		{"agent", 0, 0, G_OPTION_ARG_STRING, &options.agent, "Agent to announce to", "URL"},
 		{"slots", 0, 0, G_OPTION_ARG_INT, &options.slots, "Tasks at once", "N"},
@@ -477,7 +480,8 @@
 		return NULL;
 	}
 	options.port = port.port;
-	snprintf(own_url, sizeof(own_url), "http://127.0.0.1:%d/task", options.port);
+	snprintf(own_url, sizeof(own_url), "http://127.0.0.1:%d/task",
+		 options.announced_port ? options.announced_port : options.port);
 	mg_set_request_handler(http, "/task$", handle_task, NULL);
 	mg_set_request_handler(http, "/starts$", handle_starts, NULL);
 	mg_set_request_handler(http, "/control$", handle_control, NULL);
