--- a/test/functional/harness_cluster.c
+++ b/test/functional/harness_cluster.c
@@ -199,24 +199,17 @@
 	char connections[TEXT_BYTES];
 	char speed[TEXT_BYTES];
 	char announced[TEXT_BYTES];
-	const char *argv[] = {GG_BUILD_DIR "/test/standin/standin_server",
-			      "--port",
-			      port,
-			      "--id",
-			      name,
-			      "--agent",
-			      agent->url,
-			      "--slots",
-			      slots,
-			      "--connections",
-			      connections,
-			      "--speed",
-			      speed,
-			      "--announce-port",
-			      announced,
-			      shape->labels[index] ? "--labels" : NULL,
-			      shape->labels[index],
-			      NULL};
+	const char *labels = shape->labels[index];
+	const char *program = GG_BUILD_DIR "/test/standin/standin_server";
+	const char *argv[] = {program,	   "--port",
+			      port,	   "--id",
+			      name,	   "--agent",
+			      agent->url,  "--slots",
+			      slots,	   "--connections",
+			      connections, "--speed",
+			      speed,	   "--announce-port",
+			      announced,   labels ? "--labels" : NULL,
+			      labels,	   NULL};
 
 	g_snprintf(name, sizeof(name), "server%u", index);
 	g_snprintf(port, sizeof(port), "%d", agent->server_port);
