--- a/packages/base/include/status.h
+++ b/packages/base/include/status.h
@@ -30,6 +30,8 @@
 	X(SESSION_GONE, "session_gone", 410)                                                       \
 	X(OWNER_LOST, "owner_lost", 410)                                                           \
 	X(KEY_EXPIRED, "key_expired", 410)                                                         \
+	X(ANSWER_EXPIRED, "answer_expired", 410)                                                   \
+	X(REQUEST_TIMEOUT, "request_timeout", 408)                                                 \
 	X(BODY_TOO_LARGE, "body_too_large", 413)                                                   \
 	X(TOO_MANY_TASKS, "too_many_tasks", 413)                                                   \
 	X(HEADER_TOO_LARGE, "header_too_large", 431)                                               \
--- a/packages/greengaged/src/daemon_settings.c
+++ b/packages/greengaged/src/daemon_settings.c
@@ -90,6 +90,8 @@
 		  256 * MIB),
 	INT_FIELD("limits.jobs", max_jobs, 1, 10000000, 200000),
 	INT_FIELD("limits.result_bytes", max_result_bytes, 64, 64 * MIB, MIB),
+	INT_FIELD("limits.answer_bytes", max_answer_bytes, 1024, (int64_t)64 * 1024 * MIB,
+		  256 * MIB),
 	INT_FIELD("limits.sessions", max_sessions, 1, 10000000, 100000),
 	INT_FIELD("limits.keys", max_keys, 1, 100000000, 2000000),
 	INT_FIELD("limits.task_ms", task_limit_ms, 10, HOUR_MS, 60000),
@@ -99,6 +101,7 @@
 	INT_FIELD("session.answer_retain_s", answer_retain_s, 1, 30 * DAY_S, 600),
 
 	INT_FIELD("dispatch.zone_penalty_us", zone_penalty_us, 0, 10000000, 1000),
+	INT_FIELD("dispatch.ageing_divisor", ageing_divisor, 1, 1000000, 10),
 	INT_FIELD("dispatch.seed", seed, 0, INT64_MAX, 0),
 
 	MAP_FIELD("agent.labels", labels),
--- a/packages/greengaged/src/daemon_settings.h
+++ b/packages/greengaged/src/daemon_settings.h
@@ -50,6 +50,7 @@
 	int64_t max_queued_bytes;
 	int64_t max_jobs;
 	int64_t max_result_bytes;
+	int64_t max_answer_bytes; /* of all answers of ended jobs together */
 	int64_t session_lifetime_s;
 	int64_t session_retain_s;
 	int64_t max_sessions;
@@ -58,6 +59,7 @@
 	int64_t task_limit_ms;	 /* limit on one task at the backend server */
 	int64_t forward_limit_ms;
 	int64_t zone_penalty_us;
+	int64_t ageing_divisor;
 	int64_t seed; /* 0 takes a random one */
 
 	/* Agent. */
--- /dev/null
+++ b/packages/greengaged/src/entry_admission.c
@@ -0,0 +1,238 @@
+#include "entry_admission.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "entry_claims.h"
+#include "entry_config.h"
+#include "entry_forward.h"
+#include "entry_progress.h"
+#include "entry_report.h"
+
+enum {
+	EXPIRE_KEYS_PER_TICK = 10000,
+	RENEWALS_MAX = 100000
+};
+
+void admission_refuse(struct request *request, enum status status, enum outcome outcome,
+		      const char *message)
+{
+	struct error err;
+
+	error_set(&err, status, "%s", message);
+	err.outcome = outcome;
+	request_refuse(request, &err);
+}
+
+void admission_answer_expired(struct request *request)
+{
+	admission_refuse(request, STATUS_ANSWER_EXPIRED, OUTCOME_UNKNOWN,
+			 "the job ended and its answer is no longer kept");
+}
+
+struct ident admission_digest(const struct session_token *token, const char *key)
+{
+	char text[SESSION_TOKEN_BYTES + KEY_MAX_BYTES] = "";
+	char formatted[SESSION_TOKEN_BYTES];
+
+	g_snprintf(text, sizeof(text), "%s/%s", token ? session_format(token, formatted) : "", key);
+	return ident_digest(text, strlen(text));
+}
+
+static uint64_t random_serial(void)
+{
+	uint64_t serial;
+
+	randombytes_buf(&serial, sizeof(serial));
+	return serial;
+}
+
+static void open_session(struct board *board, struct request *request)
+{
+	char text[SESSION_TOKEN_BYTES];
+	struct session_token token;
+	struct error err;
+
+	if (board->draining) {
+		admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
+				 "this entry is shutting down");
+		return;
+	}
+	if (session_open(board->sessions, random_serial(), board->now_us, &token, &err) !=
+	    STATUS_OK) {
+		request_refuse(request, &err);
+		return;
+	}
+	request_finish_json(request, 201,
+			    json_pack("{s:s, s:I}", "session", session_format(&token, text),
+				      "expires_ms",
+				      (json_int_t)board->settings->session_lifetime_s * 1000));
+}
+
+static void close_session(struct board *board, struct request *request)
+{
+	struct error err;
+
+	if (session_close(board->sessions, request->route.session.serial, &err) != STATUS_OK)
+		request_refuse(request, &err);
+	else
+		request_finish_json(request, 200, json_pack("{s:b}", "closed", 1));
+}
+
+/*
+ * Offers a fresh token once the session has passed half its lifetime. All requests of one old
+ * session get the same fresh one.
+ */
+static void offer_renewal(struct board *board, struct request *request)
+{
+	uint64_t serial = request->route.session.serial;
+	struct session_token token;
+	const char *known;
+
+	if (board->draining || !session_needs_renewal(board->sessions, serial, board->now_us))
+		return;
+	known = g_hash_table_lookup(board->renewals, &serial);
+	if (!known) {
+		if (session_open(board->sessions, random_serial(), board->now_us, &token, NULL) !=
+		    STATUS_OK)
+			return;
+		if (g_hash_table_size(board->renewals) >= RENEWALS_MAX)
+			g_hash_table_remove_all(board->renewals);
+		known = session_format(&token, g_malloc(SESSION_TOKEN_BYTES));
+		g_hash_table_insert(board->renewals, g_memdup2(&serial, sizeof(serial)),
+				    (char *)known);
+	}
+	g_strlcpy(request->reply.session, known, sizeof(request->reply.session));
+}
+
+void admission_join(struct board *board, struct request *request, struct job *job)
+{
+	if (request->route.kind == ROUTE_JOB_CANCEL)
+		progress_cancel(board, job);
+	progress_wait(board, request, job);
+}
+
+static void join_or_expired(struct board *board, struct request *request, struct handle handle)
+{
+	struct job *job = job_get(&board->jobs, handle);
+
+	if (job)
+		admission_join(board, request, job);
+	else
+		admission_answer_expired(request);
+}
+
+static void submit_by_session(struct board *board, struct request *request)
+{
+	const struct route *route = &request->route;
+	struct ident digest = admission_digest(&route->session, route->key);
+	enum session_key_state state;
+	struct handle *slot;
+	struct error err;
+	struct job *job;
+
+	if (board->draining &&
+	    session_find_key(board->sessions, route->session.serial, route->key, board->now_us,
+			     &(struct handle){0}, &err) == STATUS_NOT_FOUND) {
+		admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
+				 "this entry is shutting down");
+		return;
+	}
+	if (session_claim_key(board->sessions, route->session.serial, route->key,
+			      &request->body->digest, board->now_us, &state, &slot,
+			      &err) != STATUS_OK) {
+		request_refuse(request, &err);
+		return;
+	}
+	if (state == SESSION_KEY_KNOWN) {
+		join_or_expired(board, request, *slot);
+		return;
+	}
+	job = progress_admit(board, request, &digest, &err);
+	if (!job) {
+		session_forget_key(board->sessions, route->session.serial, route->key);
+		request_refuse(request, &err);
+		return;
+	}
+	*slot = job->self;
+	progress_wait(board, request, job);
+}
+
+static void find_by_session(struct board *board, struct request *request)
+{
+	const struct route *route = &request->route;
+	struct handle handle;
+	struct error err;
+
+	if (session_find_key(board->sessions, route->session.serial, route->key, board->now_us,
+			     &handle, &err) != STATUS_OK)
+		request_refuse(request, &err);
+	else
+		join_or_expired(board, request, handle);
+}
+
+static void run_by_session(struct board *board, struct request *request)
+{
+	if (!ident_equal(&request->route.session.incarnation, &board->incarnation)) {
+		forward_to_owner(board, request, &request->route.session.incarnation);
+		return;
+	}
+	if (request->route.kind == ROUTE_SESSION_CLOSE) {
+		close_session(board, request);
+		return;
+	}
+	offer_renewal(board, request);
+	if (request->route.kind == ROUTE_JOB_SUBMIT)
+		submit_by_session(board, request);
+	else
+		find_by_session(board, request);
+}
+
+void admission_run(struct board *board, struct command *command)
+{
+	struct request *request = (struct request *)command;
+
+	request->board = board;
+	if (board->stopped) {
+		admission_refuse(request, STATUS_DRAINING, OUTCOME_UNKNOWN,
+				 "this entry has ended its shutdown");
+		return;
+	}
+	switch (request->route.kind) {
+	case ROUTE_SESSION_OPEN:
+		open_session(board, request);
+		break;
+	case ROUTE_SESSION_CLOSE:
+		run_by_session(board, request);
+		break;
+	case ROUTE_JOB_SUBMIT:
+	case ROUTE_JOB_GET:
+	case ROUTE_JOB_CANCEL:
+		if (request->route.by_session)
+			run_by_session(board, request);
+		else
+			claims_run(board, request);
+		break;
+	case ROUTE_CONFIG_PATCH:
+		config_run_patch(board, request);
+		break;
+	case ROUTE_CONFIG_HISTORY:
+		config_run_history(board, request);
+		break;
+	case ROUTE_MEMBERS:
+		report_run_members(board, request);
+		break;
+	case ROUTE_REPORT:
+		report_run_burn(board, request);
+		break;
+	default:
+		admission_refuse(request, STATUS_INTERNAL, OUTCOME_NOT_RUN, "not routed here");
+	}
+}
+
+void admission_expire(struct board *board)
+{
+	session_expire(board->sessions, board->now_us, EXPIRE_KEYS_PER_TICK);
+	job_store_expire(&board->jobs, board->now_us);
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_agent.c
@@ -0,0 +1,129 @@
+#include "entry_agent.h"
+
+#include <string.h>
+
+#include "entry_dispatch.h"
+
+struct agent *agent_find(const struct board *board, const struct ident *incarnation)
+{
+	return g_hash_table_lookup(board->agents_by_incarnation, incarnation);
+}
+
+struct agent *agent_add(struct board *board, const struct ident *incarnation,
+			const Gg__Hello *hello)
+{
+	struct handle self;
+	struct agent *agent = table_add(&board->agents, &self);
+
+	agent->board = board;
+	agent->self = self;
+	agent->incarnation = *incarnation;
+	agent->id = g_strdup("");
+	agent->zone = g_strdup(hello->zone);
+	agent->host = g_strdup(hello->host);
+	agent->labels = json_object();
+	agent->label_texts = g_new0(char *, 1);
+	agent->starts = g_ptr_array_new_with_free_func(g_free);
+	link_init(&agent->link);
+	g_hash_table_insert(board->agents_by_incarnation, &agent->incarnation, agent);
+	return agent;
+}
+
+static bool same_labels(const struct agent *agent, const Gg__ServerInfo *info)
+{
+	if (json_object_size(agent->labels) != info->n_labels)
+		return false;
+	for (size_t i = 0; i < info->n_labels; i++) {
+		const char *value =
+			json_string_value(json_object_get(agent->labels, info->labels[i]->key));
+
+		if (!value || strcmp(value, info->labels[i]->value) != 0)
+			return false;
+	}
+	return true;
+}
+
+static bool same_info(const struct agent *agent, const Gg__ServerInfo *info)
+{
+	return strcmp(agent->id, info->id) == 0 && agent->slots == info->slots &&
+	       agent->connections == info->connections && agent->open == info->open &&
+	       agent->quarantined == info->quarantined && same_labels(agent, info);
+}
+
+static void take_labels(struct agent *agent, const Gg__ServerInfo *info)
+{
+	json_object_clear(agent->labels);
+	g_strfreev(agent->label_texts);
+	agent->label_texts = g_new0(char *, info->n_labels + 1);
+	for (size_t i = 0; i < info->n_labels; i++) {
+		const Gg__ServerInfo__LabelsEntry *label = info->labels[i];
+
+		json_object_set_new(agent->labels, label->key, json_string(label->value));
+		agent->label_texts[i] = g_strconcat(label->key, "=", label->value, NULL);
+	}
+}
+
+static void tell_scheduler(struct board *board, struct agent *agent)
+{
+	struct sched_server_spec spec = {
+		.id = agent->id,
+		.zone = agent->zone,
+		.labels = (const char *const *)agent->label_texts,
+		.slots = agent->slots,
+		.open = agent->open,
+	};
+
+	if (!handle_is_none(agent->server))
+		sched_server_update(board->sched, agent->server, &spec);
+	else if (agent->id[0] != '\0')
+		agent->server = sched_server_add(board->sched, &spec, agent);
+	dispatch_credits(board, agent);
+}
+
+/* Names longer than the scheduler's are cut there; labels and slots come from our own agents. */
+void agent_update(struct board *board, struct agent *agent, const Gg__ServerInfo *info)
+{
+	if (!info || info->id[0] == '\0') {
+		agent->open = false;
+		if (!handle_is_none(agent->server))
+			tell_scheduler(board, agent);
+		return;
+	}
+	if (!handle_is_none(agent->server) && same_info(agent, info))
+		return;
+	g_free(agent->id);
+	agent->id = g_strdup(info->id);
+	agent->slots = info->slots;
+	agent->connections = info->connections;
+	agent->open = info->open;
+	agent->quarantined = info->quarantined;
+	take_labels(agent, info);
+	tell_scheduler(board, agent);
+}
+
+void agent_withdraw(struct board *board, struct agent *agent)
+{
+	if (!handle_is_none(agent->server))
+		sched_server_remove(board->sched, agent->server);
+	agent->server = (struct handle){0};
+	timer_cancel(&board->timers, agent->pause_timer);
+	agent->pause_timer = (struct handle){0};
+	agent->paused = false;
+	agent->refused_streak = 0;
+	agent->connected = false;
+	agent->reconciling = false;
+}
+
+void agent_remove(struct board *board, struct agent *agent)
+{
+	agent_withdraw(board, agent);
+	g_hash_table_remove(board->agents_by_incarnation, &agent->incarnation);
+	link_free(&agent->link);
+	g_free(agent->id);
+	g_free(agent->zone);
+	g_free(agent->host);
+	json_decref(agent->labels);
+	g_strfreev(agent->label_texts);
+	g_ptr_array_free(agent->starts, TRUE);
+	table_remove(&board->agents, agent->self);
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_board.h
@@ -0,0 +1,148 @@
+/* The entry's shared state. The dispatcher thread is its only writer; controllers read and write
+ * it. */
+#ifndef GG_ENTRY_BOARD_H
+#define GG_ENTRY_BOARD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <urcu.h>
+
+#include "burn.h"
+#include "channel.h"
+#include "claims.h"
+#include "config.h"
+#include "daemon_settings.h"
+#include "entry_jobs.h"
+#include "entry_metrics.h"
+#include "entry_request.h"
+#include "ident.h"
+#include "link.h"
+#include "logclient.h"
+#include "mailbox.h"
+#include "scheduler.h"
+#include "session.h"
+#include "timer.h"
+
+/* An agent incarnation. */
+struct agent {
+	struct board *board;
+	struct handle self;
+	struct handle server; /* in the scheduler */
+	struct ident incarnation;
+	uint64_t epoch;
+	struct channel_route route;
+	struct link link;
+	char *id;
+	char *zone;
+	char *host;
+	json_t *labels;
+	char **label_texts; /* "key=value", NULL-terminated */
+	uint32_t slots;
+	uint32_t connections;
+	bool open;
+	bool quarantined;
+	bool connected;	  /* heard from within channel.heartbeat_limit_ms on this epoch */
+	bool reconciling; /* starts wait for the answer to Reconcile */
+	bool lost;	  /* silent for channel.agent_lost_ms; only the link's counters are kept */
+	int64_t reconcile_us;
+	int64_t heard_us;
+	int64_t sent_us;
+	uint64_t config_version;
+	uint64_t demand_told;
+	uint32_t refused_streak; /* refusals in a row by the backend server */
+	struct handle pause_timer;
+	bool paused;	   /* no starts until pause_timer, after refusals */
+	GPtrArray *starts; /* Gg__Start of this loop iteration */
+};
+
+/* Another entry, and this entry's connection to it. */
+struct peer {
+	char *address;
+	struct channel channel;
+	uint64_t epoch;
+	bool known; /* its incarnation is known */
+	bool connected;
+	struct ident incarnation;
+	char *zone;
+	int64_t heard_us;   /* or when this connection was begun */
+	int64_t contact_us; /* last heard from on any connection, or when it was added */
+	int64_t sent_us;
+};
+
+/* A connection that another entry made to this one. */
+struct inbound {
+	struct ident incarnation;
+	struct channel_route route;
+	uint64_t epoch;
+	int64_t heard_us;
+	int64_t sent_us;
+};
+
+/* What HTTP threads read without the dispatcher, under RCU. */
+struct public_state {
+	struct rcu_head rcu;
+	bool ready;
+	GBytes *config_body; /* answer to GET /v1/config */
+};
+
+struct board {
+	const struct daemon_settings *settings;
+	struct ident incarnation;
+	struct mailbox mailbox;
+	void *zmq;
+	struct channel router;
+	struct timer_service timers;
+	int64_t now_us;
+	int64_t started_us;
+	bool stopped; /* the shutdown is finished; requests are refused */
+	bool closed;  /* the thread ends */
+
+	struct sched *sched;
+	struct session_store *sessions;
+	GHashTable *renewals; /* old serial to fresh token */
+	struct job_store jobs;
+
+	struct table agents;
+	GHashTable *agents_by_incarnation;
+	GPtrArray *batch; /* agents with starts in this loop iteration */
+	GPtrArray *peers;
+	GHashTable *inbounds; /* by incarnation */
+	GHashTable *gone;     /* incarnations of entries that ended */
+	bool entries_changed; /* agents must be told */
+
+	GHashTable *forwards; /* by number, forwarded requests without a reply */
+	uint64_t next_forward;
+	GThreadPool *parsers; /* of forwarded requests */
+
+	struct log_client *log;
+	bool log_available;
+	uint64_t next_append;
+
+	struct config_fold *config;
+	char *config_text;	  /* document in force, as JSON */
+	GHashTable *patches;	  /* by record id */
+	int64_t snapshot_time_ms; /* of the newest snapshot, or of the first record without one */
+	struct public_state *public_state;
+	bool ready;
+
+	struct claims *claims;
+	GHashTable *claim_keys; /* by key digest */
+	bool claims_synced;	/* the stream was read to its end once */
+	char *claims_batch;	/* record being appended */
+	uint64_t claims_append;
+	GArray *claims_settled; /* of the record being folded */
+
+	GPtrArray *rule_lists; /* strings that the rules in force point to */
+
+	struct burn *burn;
+	uint64_t wasted_reported;
+
+	bool draining;
+	int64_t drain_started_us;
+	int64_t last_ended_us;
+	bool forced;
+	int finished_fd; /* eventfd that tells the main thread */
+};
+
+#endif
--- /dev/null
+++ b/packages/greengaged/src/entry_body.c
@@ -0,0 +1,214 @@
+#include "entry_body.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <math.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	DURATION_MAX_MS = 86400000
+};
+
+/* Integers beyond 64 bits and zero characters are the backend server's business, not an error here.
+ */
+static const size_t decode_flags =
+	JSON_REJECT_DUPLICATES | JSON_DECODE_INT_AS_REAL | JSON_ALLOW_NUL;
+
+static const char *skip_space(const char *p)
+{
+	while (*p == ' ' || *p == '\t' || *p == '\n' || *p == '\r')
+		p++;
+	return p;
+}
+
+/* The functions below read text that is known to be valid JSON. P is at the opening quote. */
+static const char *skip_string(const char *p)
+{
+	for (p++; *p != '"'; p++) {
+		if (*p == '\\')
+			p++;
+	}
+	return p + 1;
+}
+
+static const char *skip_value(const char *p)
+{
+	int depth = 0;
+
+	do {
+		if (*p == '"') {
+			p = skip_string(p);
+			continue;
+		}
+		if (*p == '[' || *p == '{')
+			depth++;
+		else if (*p == ']' || *p == '}')
+			depth--;
+		p++;
+	} while (depth > 0);
+	/* A number or literal ends before the next delimiter. */
+	while (*p && !strchr(",]} \t\n\r", *p) && p[-1] != '"' && p[-1] != ']' && p[-1] != '}')
+		p++;
+	return p;
+}
+
+/* Returns the value of the member "tasks", or NULL when its name is written with escapes. */
+static const char *find_tasks(const char *text)
+{
+	const char *p = skip_space(skip_space(text) + 1);
+
+	while (*p == '"') {
+		bool found = strncmp(p, "\"tasks\"", strlen("\"tasks\"")) == 0;
+
+		p = skip_space(skip_string(p));
+		p = skip_space(p + 1);
+		if (found)
+			return p;
+		p = skip_space(skip_value(p));
+		if (*p != ',')
+			return NULL;
+		p = skip_space(p + 1);
+	}
+	return NULL;
+}
+
+static void slice_tasks(struct job_body *body, const char *array)
+{
+	const char *p = skip_space(array + 1);
+
+	for (uint32_t i = 0; i < body->task_count; i++) {
+		const char *end = skip_value(p);
+
+		body->tasks[i].begin = (uint32_t)(p - body->tasks_text);
+		body->tasks[i].length = (uint32_t)(end - p);
+		p = skip_space(end);
+		p = skip_space(p + 1);
+	}
+}
+
+static enum status take_name(const json_t *document, const char *name, char *out, struct error *err)
+{
+	const json_t *value = json_object_get(document, name);
+	size_t length = json_string_length(value);
+
+	if (!json_is_string(value) || length == 0 || length >= NAME_BYTES ||
+	    strlen(json_string_value(value)) != length)
+		return error_set(err, STATUS_INVALID_REQUEST,
+				 "%s: accepted: a string of 1 to %d bytes", name, NAME_BYTES - 1);
+	memcpy(out, json_string_value(value), length + 1);
+	return STATUS_OK;
+}
+
+static enum status take_duration(const json_t *document, const char *name, int64_t *out,
+				 struct error *err)
+{
+	const json_t *value = json_object_get(document, name);
+	double number = json_number_value(value);
+
+	*out = 0;
+	if (!value)
+		return STATUS_OK;
+	if (!json_is_number(value) || number < 1 || number > DURATION_MAX_MS ||
+	    floor(number) != number)
+		return error_set(err, STATUS_INVALID_REQUEST,
+				 "%s: accepted: a whole number from 1 to %d", name,
+				 DURATION_MAX_MS);
+	*out = (int64_t)number;
+	return STATUS_OK;
+}
+
+static enum status check_names(const json_t *document, struct error *err)
+{
+	static const char *const accepted[] = {"class",	      "team",  "run_ms",
+					       "deadline_ms", "tasks", NULL};
+	const char *name;
+	json_t *value;
+
+	if (!json_is_object(document))
+		return error_set(err, STATUS_INVALID_REQUEST, "body: accepted: an object");
+	json_object_foreach ((json_t *)document, name, value) {
+		if (!g_strv_contains(accepted, name))
+			return error_set(err, STATUS_INVALID_REQUEST,
+					 "%.40s: unknown field; accepted: class, team, run_ms, "
+					 "deadline_ms, tasks",
+					 name);
+	}
+	return STATUS_OK;
+}
+
+static enum status take_fields(const json_t *document, uint32_t max_tasks, struct job_body *body,
+			       struct error *err)
+{
+	const json_t *tasks;
+
+	if (check_names(document, err) != STATUS_OK ||
+	    take_name(document, "class", body->class_name, err) != STATUS_OK ||
+	    take_name(document, "team", body->team, err) != STATUS_OK ||
+	    take_duration(document, "run_ms", &body->run_ms, err) != STATUS_OK ||
+	    take_duration(document, "deadline_ms", &body->deadline_ms, err) != STATUS_OK)
+		return STATUS_INVALID_REQUEST;
+	tasks = json_object_get(document, "tasks");
+	if (!json_is_array(tasks) || json_array_size(tasks) == 0)
+		return error_set(err, STATUS_INVALID_REQUEST,
+				 "tasks: accepted: an array of at least one value");
+	if (json_array_size(tasks) > max_tasks)
+		return error_set(err, STATUS_TOO_MANY_TASKS, "%zu tasks; accepted: at most %u",
+				 json_array_size(tasks), max_tasks);
+	body->task_count = (uint32_t)json_array_size(tasks);
+	return STATUS_OK;
+}
+
+static void locate_tasks(struct job_body *body, const json_t *document)
+{
+	const char *array = find_tasks(body->text);
+
+	body->tasks = g_new(struct body_slice, body->task_count);
+	body->tasks_text = body->text;
+	if (!array) {
+		body->tasks_text = json_dumps(json_object_get(document, "tasks"), JSON_COMPACT);
+		array = body->tasks_text;
+	}
+	slice_tasks(body, array);
+}
+
+enum status job_body_parse(char *text, size_t length, uint32_t max_tasks, struct job_body **body,
+			   struct error *err)
+{
+	struct job_body *parsed = g_new0(struct job_body, 1);
+	json_error_t problem;
+	json_t *document;
+	enum status status;
+
+	/* A terminating zero lets the scan above stop without a length. */
+	parsed->text = realloc(text, length + 1);
+	parsed->text[length] = '\0';
+	parsed->length = length;
+	parsed->digest = ident_digest(parsed->text, length);
+	document = json_loadb(parsed->text, length, decode_flags, &problem);
+	if (!document)
+		status = error_set(err, STATUS_INVALID_JSON, "line %d, column %d: %.120s",
+				   problem.line, problem.column, problem.text);
+	else
+		status = take_fields(document, max_tasks, parsed, err);
+	if (status == STATUS_OK) {
+		locate_tasks(parsed, document);
+		*body = parsed;
+	} else {
+		job_body_free(parsed);
+	}
+	json_decref(document);
+	return status;
+}
+
+void job_body_free(struct job_body *body)
+{
+	if (!body)
+		return;
+	if (body->tasks_text != body->text)
+		free(body->tasks_text);
+	free(body->text);
+	g_free(body->tasks);
+	g_free(body);
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_claims.c
@@ -0,0 +1,385 @@
+#include "entry_claims.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_admission.h"
+#include "entry_forward.h"
+#include "entry_progress.h"
+#include "event.h"
+
+static const char stream_name[] = "claims";
+
+enum {
+	MS_PER_SECOND = 1000
+};
+
+/* A key that this entry claimed. */
+struct claim_key {
+	struct board *board;
+	struct ident digest;
+	struct ident body_digest;
+	struct handle job;
+	bool admitted; /* the job was admitted once */
+	struct request *waiting;
+	struct handle timer;
+};
+
+static void free_key(void *data)
+{
+	struct claim_key *key = data;
+
+	timer_cancel(&key->board->timers, key->timer);
+	g_free(key);
+}
+
+void claims_init(struct board *board)
+{
+	board->claims =
+		claims_new(&board->incarnation, board->settings->claim_window_s * MS_PER_SECOND);
+	board->claim_keys = g_hash_table_new_full(ident_hash, ident_equal_func, NULL, free_key);
+	board->claims_settled = g_array_new(FALSE, FALSE, sizeof(struct ident));
+}
+
+void claims_end(struct board *board)
+{
+	g_hash_table_destroy(board->claim_keys);
+	g_array_free(board->claims_settled, TRUE);
+	claims_free(board->claims);
+	free(board->claims_batch);
+}
+
+static struct claim_key *get_key(struct board *board, const struct ident *digest)
+{
+	struct claim_key *key = g_hash_table_lookup(board->claim_keys, digest);
+
+	if (key)
+		return key;
+	key = g_new0(struct claim_key, 1);
+	key->board = board;
+	key->digest = *digest;
+	g_hash_table_insert(board->claim_keys, &key->digest, key);
+	return key;
+}
+
+/* Takes the list of waiting requests, oldest last. */
+static struct request *take_waiting(struct claim_key *key)
+{
+	struct request *waiting = key->waiting;
+
+	key->waiting = NULL;
+	timer_cancel(&key->board->timers, key->timer);
+	key->timer = (struct handle){0};
+	return waiting;
+}
+
+static void refuse_waiting(struct claim_key *key, enum status status, const char *reason)
+{
+	struct request *request = take_waiting(key);
+
+	while (request) {
+		struct request *next = request->next;
+		bool submits = request->route.kind == ROUTE_JOB_SUBMIT;
+
+		admission_refuse(request, status, submits ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
+				 reason);
+		request = next;
+	}
+}
+
+/* The record may still appear; then the key is held here and starts on a resubmission only. */
+static void wait_ended(void *context, int64_t now_us)
+{
+	struct claim_key *key = context;
+
+	claims_abandon(key->board->claims, &key->digest);
+	event_log(EVENT_CLAIM_ABANDONED, EV_I("wait_ms", key->board->settings->claim_wait_ms));
+	refuse_waiting(key, STATUS_LOG_UNAVAILABLE, "the claim was not read back in time");
+}
+
+static void wait_for_claim(struct board *board, struct claim_key *key, struct request *request)
+{
+	if (!key->waiting)
+		key->timer = timer_subscribe(
+			&board->timers, board->now_us + board->settings->claim_wait_ms * US_PER_MS,
+			0, wait_ended, key);
+	request->next = key->waiting;
+	key->waiting = request;
+}
+
+static bool has_other_body(const struct claim_key *key, const struct request *request)
+{
+	return request->route.kind == ROUTE_JOB_SUBMIT &&
+	       !ident_equal(&key->body_digest, &request->body->digest);
+}
+
+static void refuse_conflict(struct request *request)
+{
+	admission_refuse(request, STATUS_KEY_CONFLICT, OUTCOME_NOT_RUN,
+			 "the key was used with another body");
+}
+
+static void join_claimed(struct board *board, struct request *request, struct claim_key *key)
+{
+	struct job *job = job_get(&board->jobs, key->job);
+
+	if (has_other_body(key, request))
+		refuse_conflict(request);
+	else if (!job)
+		admission_answer_expired(request);
+	else
+		admission_join(board, request, job);
+}
+
+/* The claim is held here and no job was admitted under it: nothing ran. */
+static void admit_claimed(struct board *board, struct request *request, struct claim_key *key)
+{
+	struct error err;
+	struct job *job;
+
+	if (request->route.kind != ROUTE_JOB_SUBMIT) {
+		admission_refuse(request, STATUS_NOT_FOUND, OUTCOME_NOT_RUN,
+				 "no job was admitted under this key");
+		return;
+	}
+	if (board->draining) {
+		admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
+				 "this entry is shutting down");
+		return;
+	}
+	key->body_digest = request->body->digest;
+	job = progress_admit(board, request, &key->digest, &err);
+	if (!job) {
+		claims_set_unstarted(board->claims, &key->digest);
+		request_refuse(request, &err);
+		return;
+	}
+	key->admitted = true;
+	key->job = job->self;
+	progress_wait(board, request, job);
+}
+
+static void run_own(struct board *board, struct request *request, const struct ident *digest)
+{
+	struct claim_key *key = get_key(board, digest);
+
+	if (key->admitted)
+		join_claimed(board, request, key);
+	else
+		admit_claimed(board, request, key);
+}
+
+static void run_pending(struct board *board, struct request *request, const struct ident *digest)
+{
+	struct claim_key *key = get_key(board, digest);
+
+	if (has_other_body(key, request))
+		refuse_conflict(request);
+	else
+		wait_for_claim(board, key, request);
+}
+
+/*
+ * Without the whole stream an earlier claim of the key may be unknown here, so the outcome is "not
+ * run" only once the stream was read.
+ */
+static bool refuse_without_log(struct board *board, struct request *request)
+{
+	bool submits = request->route.kind == ROUTE_JOB_SUBMIT;
+
+	if (board->log_available && board->claims_synced)
+		return false;
+	admission_refuse(request, STATUS_LOG_UNAVAILABLE,
+			 submits && (board->claims_synced || !board->log) ? OUTCOME_NOT_RUN
+									  : OUTCOME_UNKNOWN,
+			 "the log service, which holds the claims on keys, is not available");
+	return true;
+}
+
+static void run_new(struct board *board, struct request *request, const struct ident *digest)
+{
+	struct claim_key *key;
+
+	if (refuse_without_log(board, request))
+		return;
+	if (request->route.kind != ROUTE_JOB_SUBMIT) {
+		admission_refuse(request, STATUS_NOT_FOUND, OUTCOME_UNKNOWN,
+				 "nobody holds this key");
+		return;
+	}
+	if (board->draining) {
+		admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
+				 "this entry is shutting down");
+		return;
+	}
+	key = get_key(board, digest);
+	key->body_digest = request->body->digest;
+	claims_request(board->claims, digest);
+	wait_for_claim(board, key, request);
+}
+
+/* A claim of this entry under which nothing was started is taken up by a resubmission. */
+static void run_again(struct board *board, struct request *request, const struct ident *digest)
+{
+	struct claim_key *key = get_key(board, digest);
+	bool startable = false;
+
+	if (request->route.kind != ROUTE_JOB_SUBMIT || board->draining) {
+		admit_claimed(board, request, key);
+		return;
+	}
+	claims_take_up(board->claims, digest, &startable);
+	key->body_digest = request->body->digest;
+	if (startable)
+		admit_claimed(board, request, key);
+	else
+		wait_for_claim(board, key, request);
+}
+
+static void run_by_state(struct board *board, struct request *request, const struct ident *digest)
+{
+	struct ident owner;
+
+	switch (claims_find(board->claims, digest, &owner)) {
+	case CLAIM_NONE:
+		run_new(board, request, digest);
+		break;
+	case CLAIM_PENDING:
+		run_pending(board, request, digest);
+		break;
+	case CLAIM_OWN:
+		run_own(board, request, digest);
+		break;
+	case CLAIM_OTHER:
+		forward_to_owner(board, request, &owner);
+		break;
+	case CLAIM_ABANDONED:
+	case CLAIM_UNSTARTED:
+		run_again(board, request, digest);
+		break;
+	}
+}
+
+void claims_run(struct board *board, struct request *request)
+{
+	struct ident digest = claims_key_digest(request->route.key);
+	struct error err;
+
+	if (claims_check_key(request->route.key, timer_wall_ms(),
+			     board->settings->claim_window_s * MS_PER_SECOND, &err) != STATUS_OK) {
+		request_refuse(request, &err);
+		return;
+	}
+	run_by_state(board, request, &digest);
+}
+
+static void send_batch(struct board *board)
+{
+	board->claims_append = ++board->next_append;
+	logclient_append(board->log, stream_name, board->claims_batch, strlen(board->claims_batch),
+			 board->claims_append);
+}
+
+void claims_flush(struct board *board)
+{
+	if (board->claims_batch || !board->log)
+		return;
+	board->claims_batch = claims_take_batch(board->claims);
+	if (board->claims_batch)
+		send_batch(board);
+}
+
+static void retry_batch(void *context, int64_t now_us)
+{
+	send_batch(context);
+}
+
+/*
+ * A failed append is repeated until one succeeds. A record that then appears twice does no harm:
+ * the first one holds its keys, for the same entry.
+ */
+void claims_take_appended(struct board *board, uint64_t request, const struct error *err)
+{
+	if (!board->claims_batch || request != board->claims_append)
+		return;
+	if (err->status != STATUS_OK) {
+		timer_subscribe(&board->timers,
+				board->now_us + board->settings->log_retry_ms * US_PER_MS, 0,
+				retry_batch, board);
+		return;
+	}
+	free(board->claims_batch);
+	board->claims_batch = NULL;
+}
+
+static void note_settled(void *context, const struct ident *key_digest, bool won,
+			 const struct ident *owner)
+{
+	struct board *board = context;
+
+	g_array_append_val(board->claims_settled, *key_digest);
+}
+
+/* The waiting requests are handled as if they came in now, the oldest first. */
+static void rerun_waiting(struct board *board, const struct ident *digest)
+{
+	struct claim_key *key = g_hash_table_lookup(board->claim_keys, digest);
+	struct request *request = key ? take_waiting(key) : NULL;
+	struct request *oldest = NULL;
+
+	while (request) {
+		struct request *next = request->next;
+
+		request->next = oldest;
+		oldest = request;
+		request = next;
+	}
+	while (oldest) {
+		struct request *next = oldest->next;
+
+		run_by_state(board, oldest, digest);
+		oldest = next;
+	}
+}
+
+void claims_take_record(struct board *board, const struct log_record *record)
+{
+	struct error err;
+
+	g_array_set_size(board->claims_settled, 0);
+	if (claims_fold(board->claims, record->offset, record->data, record->length,
+			record->time_ms, note_settled, board, &err) != STATUS_OK)
+		event_log_error(EVENT_MESSAGE_INVALID, &err);
+	for (guint i = 0; i < board->claims_settled->len; i++)
+		rerun_waiting(board, &g_array_index(board->claims_settled, struct ident, i));
+}
+
+static gboolean is_forgotten(void *digest, void *value, void *context)
+{
+	const struct claim_key *key = value;
+	struct board *board = context;
+	struct ident owner;
+
+	return !key->waiting && !job_get(&board->jobs, key->job) &&
+	       claims_find(board->claims, digest, &owner) == CLAIM_NONE;
+}
+
+void claims_tick(struct board *board)
+{
+	claims_expire(board->claims, timer_wall_ms());
+	g_hash_table_foreach_remove(board->claim_keys, is_forgotten, board);
+}
+
+void claims_fail_all(struct board *board)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, board->claim_keys);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct claim_key *key = value;
+
+		claims_abandon(board->claims, &key->digest);
+		refuse_waiting(key, STATUS_DRAINING, "this entry was stopped");
+	}
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_config.c
@@ -0,0 +1,390 @@
+#include "entry_config.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_admission.h"
+#include "entry_members.h"
+#include "entry_rules.h"
+#include "event.h"
+
+static const char stream_name[] = "config";
+
+/* A patch whose record was not read back yet. */
+struct patch {
+	struct board *board;
+	struct ident id;
+	struct request *request;
+	uint64_t append;
+	struct handle timer;
+};
+
+static void free_patch(void *data)
+{
+	struct patch *patch = data;
+
+	timer_cancel(&patch->board->timers, patch->timer);
+	g_free(patch);
+}
+
+static void free_public(struct rcu_head *rcu)
+{
+	struct public_state *state = caa_container_of(rcu, struct public_state, rcu);
+
+	g_bytes_unref(state->config_body);
+	g_free(state);
+}
+
+void config_publish(struct board *board)
+{
+	struct public_state *old = board->public_state;
+	struct public_state *state = g_new0(struct public_state, 1);
+
+	state->ready = board->ready && !board->draining;
+	state->config_body = request_json_body(
+		json_pack("{s:I, s:O}", "version", (json_int_t)config_version(board->config),
+			  "document", config_document(board->config)));
+	rcu_assign_pointer(board->public_state, state);
+	if (old)
+		call_rcu(&old->rcu, free_public);
+}
+
+void config_fill_state(struct board *board, Gg__ConfigState *state)
+{
+	state->version = config_version(board->config);
+	state->document = board->config_text;
+}
+
+void config_send_to_agent(struct board *board, struct agent *agent)
+{
+	Gg__ConfigState state = GG__CONFIG_STATE__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	config_fill_state(board, &state);
+	envelope.body_case = GG__ENVELOPE__BODY_CONFIG_STATE;
+	envelope.config_state = &state;
+	members_send(board, agent, &envelope);
+}
+
+void config_ask_agent(struct board *board, struct agent *agent)
+{
+	Gg__ConfigRequest request = GG__CONFIG_REQUEST__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	request.have_version = config_version(board->config);
+	envelope.body_case = GG__ENVELOPE__BODY_CONFIG_REQUEST;
+	envelope.config_request = &request;
+	members_send(board, agent, &envelope);
+}
+
+/* Agents that have an older version get the new one now rather than with their next heartbeat. */
+static void send_to_agents(struct board *board)
+{
+	uint64_t version = config_version(board->config);
+	uint32_t cursor = 0;
+	struct agent *agent;
+
+	while ((agent = table_next(&board->agents, &cursor, NULL))) {
+		if (agent->connected && agent->config_version < version)
+			config_send_to_agent(board, agent);
+	}
+}
+
+static void apply_version(struct board *board)
+{
+	free(board->config_text);
+	board->config_text = json_dumps(config_document(board->config), JSON_COMPACT);
+	rules_apply(board, config_document(board->config));
+	metric_set(METRIC_CONFIG_VERSION, (int64_t)config_version(board->config));
+	config_publish(board);
+}
+
+static void take_new_version(struct board *board, const char *source)
+{
+	apply_version(board);
+	send_to_agents(board);
+	event_log(EVENT_CONFIG_APPLIED, EV_I("version", config_version(board->config)),
+		  EV_S("source", source));
+}
+
+void config_init(struct board *board)
+{
+	board->config = config_fold_new();
+	board->patches = g_hash_table_new_full(ident_hash, ident_equal_func, NULL, free_patch);
+	apply_version(board);
+}
+
+void config_free(struct board *board)
+{
+	g_hash_table_destroy(board->patches);
+	config_fold_free(board->config);
+	free(board->config_text);
+	if (board->rule_lists)
+		g_ptr_array_free(board->rule_lists, TRUE);
+	free_public(&board->public_state->rcu);
+}
+
+void config_adopt(struct board *board, const Gg__ConfigState *state)
+{
+	struct error err;
+
+	if (state->version <= config_version(board->config))
+		return;
+	if (config_fold_adopt(board->config, state->version, state->document, &err))
+		take_new_version(board, "peer");
+	else
+		event_log_error(EVENT_CONFIG_REJECTED, &err);
+}
+
+/* Refuses with the record's id, by which the history can be searched later. */
+static void refuse_with_id(struct request *request, const struct ident *id, const struct error *err)
+{
+	char hex[IDENT_HEX_BYTES];
+	json_t *error = request_error_json(err);
+
+	json_object_set_new(error, "id", json_string(ident_format(id, hex)));
+	request_finish_json(request, status_http_code(err->status),
+			    json_pack("{s:o}", "error", error));
+}
+
+/* Ends PATCH: refused for the reason in ERR, or accepted as VERSION when ERR is NULL. */
+static void settle(struct patch *patch, uint64_t version, const struct error *err)
+{
+	struct board *board = patch->board;
+	struct request *request = patch->request;
+	struct ident id = patch->id;
+	char hex[IDENT_HEX_BYTES];
+
+	g_hash_table_remove(board->patches, &patch->id);
+	if (err)
+		refuse_with_id(request, &id, err);
+	else
+		request_finish_json(request, 200,
+				    json_pack("{s:I, s:s}", "version", (json_int_t)version, "id",
+					      ident_format(&id, hex)));
+}
+
+static void limit_reached(void *context, int64_t now_us)
+{
+	struct error err;
+
+	error_set_unknown(&err, STATUS_LOG_UNAVAILABLE,
+			  "the record was not read back in time; look for its id in the history");
+	settle(context, 0, &err);
+}
+
+void config_fail_all(struct board *board)
+{
+	GHashTableIter iter;
+	struct error err;
+	void *value;
+
+	error_set_unknown(&err, STATUS_DRAINING, "this entry was stopped");
+	g_hash_table_iter_init(&iter, board->patches);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		settle(value, 0, &err);
+		g_hash_table_iter_init(&iter, board->patches);
+	}
+}
+
+static enum status check_shape(const json_t *body, struct error *err)
+{
+	const json_t *base = json_object_get(body, "base");
+	const json_t *author = json_object_get(body, "author");
+
+	if (!json_is_object(body) || !json_is_integer(base) || json_integer_value(base) < 0)
+		return error_set(err, STATUS_INVALID_REQUEST,
+				 "base: accepted: the version number that the patch is based on");
+	if (!json_is_object(json_object_get(body, "patch")))
+		return error_set(err, STATUS_INVALID_REQUEST, "patch: accepted: an object");
+	if (author && !json_is_string(author))
+		return error_set(err, STATUS_INVALID_REQUEST, "author: accepted: a string");
+	return STATUS_OK;
+}
+
+/* Refuses at once what every reader would reject, which spares the log a record. */
+static enum status check_patch(struct board *board, const json_t *body, struct error *err)
+{
+	uint64_t base = (uint64_t)json_integer_value(json_object_get(body, "base"));
+	uint64_t version = config_version(board->config);
+	json_t *merged;
+	enum status status;
+
+	if (base < version)
+		return error_set(err, STATUS_VERSION_CONFLICT,
+				 "base %llu is not the current version %llu",
+				 (unsigned long long)base, (unsigned long long)version);
+	if (base > version)
+		return STATUS_OK;
+	merged = config_merge(config_document(board->config), json_object_get(body, "patch"));
+	status = config_validate(merged, err);
+	if (status == STATUS_OK)
+		status = config_check_host(merged, err);
+	json_decref(merged);
+	return status;
+}
+
+static enum status check_log(struct board *board, struct error *err)
+{
+	if (!board->log)
+		return error_set(err, STATUS_LOG_UNAVAILABLE, "no log service is configured");
+	if (!board->log_available || !config_is_synced(board->config))
+		return error_set(err, STATUS_LOG_UNAVAILABLE, "the log service is not available");
+	return STATUS_OK;
+}
+
+static void append_patch(struct board *board, struct request *request)
+{
+	const json_t *body = request->patch;
+	struct patch *patch = g_new0(struct patch, 1);
+	char *record;
+
+	patch->board = board;
+	patch->id = ident_random();
+	patch->request = request;
+	patch->append = ++board->next_append;
+	patch->timer = timer_subscribe(&board->timers,
+				       board->now_us + board->settings->patch_wait_ms * US_PER_MS,
+				       0, limit_reached, patch);
+	g_hash_table_insert(board->patches, &patch->id, patch);
+	record = config_patch_record(
+		&patch->id, (uint64_t)json_integer_value(json_object_get(body, "base")),
+		json_object_get(body, "patch"), json_string_value(json_object_get(body, "author")),
+		timer_wall_ms());
+	logclient_append(board->log, stream_name, record, strlen(record), patch->append);
+	free(record);
+}
+
+void config_run_patch(struct board *board, struct request *request)
+{
+	struct error err;
+
+	if (check_shape(request->patch, &err) != STATUS_OK || check_log(board, &err) != STATUS_OK ||
+	    check_patch(board, request->patch, &err) != STATUS_OK) {
+		request_refuse(request, &err);
+		return;
+	}
+	append_patch(board, request);
+}
+
+void config_run_history(struct board *board, struct request *request)
+{
+	struct config_change *changes = g_new(struct config_change, CONFIG_HISTORY_LENGTH);
+	uint32_t count = config_history(board->config, changes, CONFIG_HISTORY_LENGTH);
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < count; i++) {
+		const struct config_change *change = &changes[i];
+
+		json_array_append_new(list, json_pack("{s:I, s:I, s:I, s:I, s:s, s:s, s:b, s:s}",
+						      "version", (json_int_t)change->version,
+						      "base", (json_int_t)change->base, "offset",
+						      (json_int_t)change->offset, "time_ms",
+						      (json_int_t)change->time_ms, "id", change->id,
+						      "author", change->author, "accepted",
+						      change->accepted, "status",
+						      status_name(change->status)));
+	}
+	g_free(changes);
+	request_finish_json(request, 200,
+			    json_pack("{s:I, s:o}", "version",
+				      (json_int_t)config_version(board->config), "history", list));
+}
+
+/* After a snapshot, records buffered before it may have been folded; the history tells. */
+static void settle_from_history(struct board *board)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, board->patches);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct patch *patch = value;
+		struct config_change change;
+		struct error err;
+
+		if (!config_find_change(board->config, &patch->id, &change))
+			continue;
+		error_set(&err, change.status, "the patch was rejected");
+		settle(patch, change.version, change.accepted ? NULL : &err);
+		g_hash_table_iter_init(&iter, board->patches);
+	}
+}
+
+static void settle_record(struct board *board, const struct ident *id, enum config_effect effect,
+			  const struct error *err)
+{
+	struct patch *patch = g_hash_table_lookup(board->patches, id);
+	struct config_change change = {0};
+
+	if (effect == CONFIG_EFFECT_REJECTED)
+		event_log_error(EVENT_CONFIG_REJECTED, err);
+	if (!patch)
+		return;
+	config_find_change(board->config, id, &change);
+	settle(patch, change.version, effect == CONFIG_EFFECT_REJECTED ? err : NULL);
+}
+
+void config_take_record(struct board *board, const struct log_record *record)
+{
+	uint64_t before = config_version(board->config);
+	enum config_effect effect;
+	struct error err;
+	struct ident id;
+
+	effect = config_fold_record(board->config, record->offset, record->data, record->length,
+				    &id, &err);
+	if (effect == CONFIG_EFFECT_SNAPSHOT || board->snapshot_time_ms == 0)
+		board->snapshot_time_ms = record->time_ms;
+	if (config_version(board->config) > before)
+		take_new_version(board, "log");
+	if (effect == CONFIG_EFFECT_SNAPSHOT)
+		settle_from_history(board);
+	else if (effect != CONFIG_EFFECT_NONE)
+		settle_record(board, &id, effect, &err);
+}
+
+void config_take_truncated(struct board *board, uint64_t first)
+{
+	config_fold_truncated(board->config, first);
+}
+
+bool config_take_appended(struct board *board, uint64_t request, const struct error *err)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, board->patches);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct patch *patch = value;
+
+		if (patch->append != request)
+			continue;
+		/* An append that may have been taken is settled by reading the stream. */
+		if (err->status != STATUS_OK && err->outcome == OUTCOME_NOT_RUN)
+			settle(patch, 0, err);
+		return true;
+	}
+	return false;
+}
+
+void config_tick(struct board *board)
+{
+	int64_t age_ms = timer_wall_ms() - board->snapshot_time_ms;
+	/* Entries differ in when they find a snapshot due, so that mostly one of them appends it.
+	 */
+	int64_t share = 80 + board->incarnation.bytes[0] % 20;
+	char *record;
+
+	if (!board->log || !board->log_available || board->snapshot_time_ms == 0 ||
+	    age_ms < board->settings->snapshot_interval_s * 10 * share)
+		return;
+	record = config_snapshot_record(board->config, timer_wall_ms());
+	if (!record)
+		return;
+	logclient_append(board->log, stream_name, record, strlen(record), ++board->next_append);
+	free(record);
+	/* The next attempt follows an interval later unless this one is read back. */
+	board->snapshot_time_ms = timer_wall_ms();
+	event_log(EVENT_SNAPSHOT_APPENDED, EV_I("version", config_version(board->config)));
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_dispatch.c
@@ -0,0 +1,251 @@
+#include "entry_dispatch.h"
+
+#include <string.h>
+
+#include "entry_members.h"
+#include "entry_progress.h"
+#include "event.h"
+
+enum {
+	BATCH_STARTS = 512,
+	BATCH_BYTES = 8 << 20, /* well below CHANNEL_MAX_MESSAGE_BYTES */
+	PAUSE_FIRST_MS = 10,
+	PAUSE_DOUBLINGS = 7, /* up to 1.28 s */
+};
+
+void dispatch_credits(struct board *board, struct agent *agent)
+{
+	bool usable = agent->connected && !agent->reconciling && !agent->paused;
+
+	if (!handle_is_none(agent->server))
+		sched_server_credits(board->sched, agent->server,
+				     usable ? link_credits(&agent->link) : 0);
+}
+
+static void finish_unsent(struct board *board, struct agent *agent, uint64_t seq)
+{
+	struct link_start start;
+
+	if (link_finish(&agent->link, seq, &start))
+		progress_task_refused(board, start.job, start.task, agent->server);
+}
+
+static void send_starts(struct board *board, struct agent *agent, Gg__Start **starts, size_t count)
+{
+	Gg__StartBatch batch = GG__START_BATCH__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	batch.starts = starts;
+	batch.n_starts = count;
+	envelope.body_case = GG__ENVELOPE__BODY_START_BATCH;
+	envelope.start_batch = &batch;
+	if (members_send(board, agent, &envelope) == STATUS_OK) {
+		metric_add(METRIC_TASKS_STARTED, (int64_t)count);
+		return;
+	}
+	/* Nothing was sent, so these starts surely did not run. */
+	for (size_t i = 0; i < count; i++)
+		finish_unsent(board, agent, starts[i]->seq);
+	agent->connected = false;
+	dispatch_credits(board, agent);
+}
+
+static void send_batches(struct board *board, struct agent *agent)
+{
+	Gg__Start **starts = (Gg__Start **)agent->starts->pdata;
+	size_t first = 0;
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < agent->starts->len; i++) {
+		bytes += starts[i]->body.len;
+		if (i > first && (i - first >= BATCH_STARTS || bytes > BATCH_BYTES)) {
+			send_starts(board, agent, starts + first, i - first);
+			first = i;
+			bytes = starts[i]->body.len;
+		}
+	}
+	send_starts(board, agent, starts + first, agent->starts->len - first);
+	g_ptr_array_set_size(agent->starts, 0);
+}
+
+static Gg__Start *new_start(struct board *board, struct job *job, uint32_t task, uint64_t seq)
+{
+	Gg__Start *start = g_new(Gg__Start, 1);
+	uint32_t length;
+
+	gg__start__init(start);
+	start->seq = seq;
+	start->job = channel_put_ident(&job->digest);
+	start->task = task;
+	start->body.data = (uint8_t *)job_task_value(job, task, &length);
+	start->body.len = length;
+	start->limit_ms = (uint32_t)board->settings->task_limit_ms;
+	start->class_name = job->body->class_name;
+	return start;
+}
+
+static void mark_started(struct board *board, struct job *job)
+{
+	if (job->started)
+		return;
+	job->started = true;
+	histogram_record(&metric_queue_wait_us, (uint64_t)(board->now_us - job->admitted_us));
+}
+
+static void take_start(struct board *board, const struct sched_start *next)
+{
+	struct agent *agent = next->server_context;
+	struct job *job = job_by_sched(&board->jobs, next->job);
+	uint64_t seq = link_start(&agent->link, next->job, next->task, board->now_us);
+
+	/* The scheduler's credits come from the link, so this only guards against a fault. */
+	if (seq == 0 || !job) {
+		agent->paused = true;
+		sched_task_refused(board->sched, next->job, next->task, next->server,
+				   board->now_us);
+		dispatch_credits(board, agent);
+		return;
+	}
+	mark_started(board, job);
+	if (agent->starts->len == 0)
+		g_ptr_array_add(board->batch, agent);
+	g_ptr_array_add(agent->starts, new_start(board, job, next->task, seq));
+}
+
+/*
+ * An agent without credits learns of demand from a message of its own only when it was told of none
+ * before; otherwise demand travels with starts and heartbeats.
+ */
+static void tell_demand(struct board *board)
+{
+	uint32_t cursor = 0;
+	struct agent *agent;
+
+	if (sched_queued(board->sched) == 0)
+		return;
+	while ((agent = table_next(&board->agents, &cursor, NULL))) {
+		if (!agent->connected || agent->demand_told > 0 || !agent->open ||
+		    handle_is_none(agent->server) || link_credits(&agent->link) > 0 ||
+		    sched_demand(board->sched, agent->server) == 0)
+			continue;
+		members_send_heartbeat(board, agent);
+	}
+}
+
+void dispatch_run(struct board *board)
+{
+	struct sched_start next;
+
+	while (sched_next(board->sched, board->now_us, &next))
+		take_start(board, &next);
+	for (guint i = 0; i < board->batch->len; i++)
+		send_batches(board, g_ptr_array_index(board->batch, i));
+	g_ptr_array_set_size(board->batch, 0);
+	tell_demand(board);
+}
+
+static void pause_ended(void *context, int64_t now_us)
+{
+	struct agent *agent = context;
+
+	agent->paused = false;
+	agent->pause_timer = (struct handle){0};
+	dispatch_credits(agent->board, agent);
+}
+
+/* A backend server that refuses every task would otherwise have them sent again in a tight loop. */
+static void pause_agent(struct board *board, struct agent *agent)
+{
+	int64_t pause_ms = (int64_t)PAUSE_FIRST_MS << MIN(agent->refused_streak, PAUSE_DOUBLINGS);
+
+	agent->refused_streak++;
+	if (agent->paused)
+		return;
+	agent->paused = true;
+	agent->pause_timer = timer_subscribe(&board->timers, board->now_us + pause_ms * US_PER_MS,
+					     0, pause_ended, agent);
+}
+
+static void take_refusal(struct board *board, struct agent *agent, const struct link_start *start,
+			 enum status status)
+{
+	event_log(EVENT_START_REFUSED, EV_S("agent", agent->id),
+		  EV_S("status", status_name(status)));
+	if (status != STATUS_STALE_CONFIG && status != STATUS_SERVER_LEAVING)
+		pause_agent(board, agent);
+	progress_task_refused(board, start->job, start->task, agent->server);
+}
+
+static void take_result(struct board *board, struct agent *agent, Gg__Result *result)
+{
+	enum status status = status_from_name(result->status);
+	struct link_start start;
+	uint8_t *data;
+
+	if (!link_accept_result(&agent->link, result->number) ||
+	    !link_finish(&agent->link, result->seq, &start)) {
+		metric_add(METRIC_RESULTS_REPEATED, 1);
+		metric_add(METRIC_MESSAGES_WASTED, 1);
+		return;
+	}
+	if (result->not_started) {
+		take_refusal(board, agent, &start, status);
+		return;
+	}
+	agent->refused_streak = 0;
+	if (status == STATUS_OK && result->body.len > (size_t)board->settings->max_result_bytes) {
+		progress_task_failed(board, start.job, start.task, agent->server,
+				     STATUS_RESULT_TOO_LARGE, "result above limits.result_bytes");
+	} else if (status == STATUS_OK && result->body.len > 0) {
+		data = result->body.data;
+		result->body.data = NULL;
+		progress_task_done(board, start.job, start.task, agent->server,
+				   (int64_t)result->run_us, data, (uint32_t)result->body.len);
+		result->body.len = 0;
+	} else {
+		progress_task_failed(board, start.job, start.task, agent->server,
+				     status == STATUS_OK ? STATUS_INVALID_RESULT : status,
+				     result->reason);
+	}
+}
+
+void dispatch_results(struct board *board, struct agent *agent, Gg__ResultBatch *batch)
+{
+	for (size_t i = 0; i < batch->n_results; i++)
+		take_result(board, agent, batch->results[i]);
+	dispatch_credits(board, agent);
+}
+
+void dispatch_reconciled(struct board *board, struct agent *agent, const Gg__Reconciled *answer)
+{
+	if (!agent->reconciling)
+		return;
+	for (size_t i = 0; i < answer->n_sealed; i++)
+		finish_unsent(board, agent, answer->sealed[i]);
+	agent->reconciling = false;
+	dispatch_credits(board, agent);
+	event_log(EVENT_CHANNEL_RECONCILED, EV_S("agent", agent->id),
+		  EV_I("running", answer->n_running), EV_I("sealed", answer->n_sealed));
+}
+
+void dispatch_fail_outstanding(struct board *board, struct agent *agent, const char *reason)
+{
+	struct link_start start;
+
+	while (link_abandon(&agent->link, &start))
+		progress_task_failed(board, start.job, start.task, agent->server, STATUS_AGENT_LOST,
+				     reason);
+}
+
+bool dispatch_has_older(const struct agent *agent, int64_t before_us)
+{
+	uint32_t count = link_outstanding(&agent->link, NULL, 0);
+	struct link_start *starts = g_new(struct link_start, count);
+	bool found = false;
+
+	link_outstanding(&agent->link, starts, count);
+	for (uint32_t i = 0; i < count && !found; i++)
+		found = starts[i].sent_us < before_us;
+	g_free(starts);
+	return found;
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_drain.c
@@ -0,0 +1,85 @@
+#include "entry_drain.h"
+
+#include <sys/eventfd.h>
+
+#include "entry_claims.h"
+#include "entry_config.h"
+#include "entry_forward.h"
+#include "entry_members.h"
+#include "entry_peers.h"
+#include "entry_progress.h"
+#include "event.h"
+
+struct drain_command {
+	struct command command;
+	bool forced;
+};
+
+static void stop(struct board *board)
+{
+	members_return_credits(board);
+	members_say_goodbye(board);
+	peers_say_goodbye(board);
+	board->stopped = true;
+	event_log(EVENT_DRAIN_FINISHED, EV_I("forced", board->forced));
+	eventfd_write(board->finished_fd, 1);
+}
+
+/* Everything that waits gets a clear failure. */
+static void force(struct board *board)
+{
+	event_log(EVENT_DRAIN_FORCED, EV_I("jobs", board->jobs.active));
+	board->forced = true;
+	claims_fail_all(board);
+	config_fail_all(board);
+	forward_fail_all(board);
+	progress_fail_all(board, STATUS_DRAINING, "this entry was stopped before the job ended");
+	stop(board);
+}
+
+static void run(struct board *board, struct command *command)
+{
+	struct drain_command *drain = (struct drain_command *)command;
+	bool forced = drain->forced;
+
+	g_free(drain);
+	if (board->stopped)
+		return;
+	if (!board->draining) {
+		board->draining = true;
+		board->drain_started_us = board->now_us;
+		config_publish(board);
+		event_log(EVENT_DRAIN_STARTED, EV_I("jobs", board->jobs.active));
+	}
+	if (forced)
+		force(board);
+}
+
+void drain_request(struct board *board, bool forced)
+{
+	struct drain_command *drain = g_new0(struct drain_command, 1);
+
+	drain->command.run = run;
+	drain->forced = forced;
+	mailbox_send(&board->mailbox, &drain->command.node);
+}
+
+/*
+ * Answers nobody asked for yet are kept for the grace period after the last job, since their
+ * clients may come for them; their loss would make an ended job unknown to its client.
+ */
+void drain_run(struct board *board)
+{
+	int64_t grace_us = board->settings->drain_grace_ms * US_PER_MS;
+
+	if (!board->draining || board->stopped)
+		return;
+	if (board->now_us - board->drain_started_us < grace_us || board->jobs.active > 0 ||
+	    g_hash_table_size(board->forwards) > 0 || g_hash_table_size(board->patches) > 0)
+		return;
+	if (counter_get(&entry_metrics[METRIC_HTTP_OPEN]) > 0)
+		return;
+	if (board->jobs.unfetched > 0 && board->now_us - board->last_ended_us < grace_us)
+		return;
+	stop(board);
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_drain.h
@@ -0,0 +1,13 @@
+/* Controller of the graceful shutdown. */
+#ifndef GG_ENTRY_DRAIN_H
+#define GG_ENTRY_DRAIN_H
+
+#include "entry_board.h"
+
+/* Asks the dispatcher to begin the shutdown, or with FORCED to cut it short. Any thread. */
+void drain_request(struct board *board, bool forced);
+
+/* Ends the shutdown once all admitted work is finished and answered. Called each loop iteration. */
+void drain_run(struct board *board);
+
+#endif
--- /dev/null
+++ b/packages/greengaged/src/entry_forward.c
@@ -0,0 +1,231 @@
+#include "entry_forward.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_admission.h"
+#include "entry_peers.h"
+
+enum {
+	PARSER_THREADS = 2
+};
+
+/* A request passed on, without a reply yet. */
+struct forward {
+	struct board *board;
+	uint64_t number;
+	struct request *request;
+	struct ident owner;
+	struct handle timer;
+};
+
+static void free_forward(void *data)
+{
+	struct forward *forward = data;
+
+	timer_cancel(&forward->board->timers, forward->timer);
+	g_free(forward);
+}
+
+/* Takes the request out of FORWARD and forgets FORWARD. */
+static struct request *take_request(struct forward *forward)
+{
+	struct request *request = forward->request;
+
+	g_hash_table_remove(forward->board->forwards, &forward->number);
+	return request;
+}
+
+static void limit_reached(void *context, int64_t now_us)
+{
+	admission_refuse(take_request(context), STATUS_OWNER_UNREACHABLE, OUTCOME_UNKNOWN,
+			 "the entry that owns the request did not reply in time");
+}
+
+static enum status send_forward(struct board *board, struct peer *peer,
+				const struct request *request, uint64_t number)
+{
+	Gg__Forward message = GG__FORWARD__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	message.request = number;
+	message.method = (char *)request->method;
+	message.path = request->path;
+	message.body.data = (uint8_t *)(request->body ? request->body->text : request->text);
+	message.body.len = request->body ? request->body->length : request->text_length;
+	message.wait_ms = (uint64_t)request->route.wait_ms;
+	envelope.body_case = GG__ENVELOPE__BODY_FORWARD;
+	envelope.forward = &message;
+	return peers_send(board, peer, &envelope);
+}
+
+static void pass_on(struct board *board, struct request *request, struct peer *peer)
+{
+	int64_t limit_ms = request->route.wait_ms + board->settings->forward_limit_ms;
+	struct forward *forward;
+
+	if (send_forward(board, peer, request, board->next_forward + 1) != STATUS_OK) {
+		admission_refuse(request, STATUS_OWNER_UNREACHABLE, OUTCOME_UNKNOWN,
+				 "the entry that owns the request cannot be reached");
+		return;
+	}
+	metric_add(METRIC_FORWARDS, 1);
+	forward = g_new0(struct forward, 1);
+	forward->board = board;
+	forward->number = ++board->next_forward;
+	forward->request = request;
+	forward->owner = peer->incarnation;
+	forward->timer = timer_subscribe(&board->timers, board->now_us + limit_ms * US_PER_MS, 0,
+					 limit_reached, forward);
+	g_hash_table_insert(board->forwards, &forward->number, forward);
+}
+
+void forward_to_owner(struct board *board, struct request *request, const struct ident *owner)
+{
+	struct peer *peer = NULL;
+
+	/* Another entry took this one for the owner, so the owner's incarnation ended. */
+	if (request->forwarded) {
+		admission_refuse(request, STATUS_OWNER_LOST, OUTCOME_UNKNOWN,
+				 "the entry that owned the request has ended");
+		return;
+	}
+	switch (peers_find_owner(board, owner, &peer)) {
+	case OWNER_REACHABLE:
+		pass_on(board, request, peer);
+		break;
+	case OWNER_SILENT:
+		admission_refuse(request, STATUS_OWNER_UNREACHABLE, OUTCOME_UNKNOWN,
+				 "the entry that owns the request does not answer");
+		break;
+	case OWNER_GONE:
+		admission_refuse(request, STATUS_OWNER_LOST, OUTCOME_UNKNOWN,
+				 "the entry that owned the request has ended");
+		break;
+	}
+}
+
+static void deliver_reply(struct request *request)
+{
+	Gg__ForwardReply message = GG__FORWARD_REPLY__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	gsize length;
+
+	message.request = request->origin_request;
+	message.http_status = (uint32_t)request->reply.http_status;
+	message.body.data = (uint8_t *)g_bytes_get_data(request->reply.body, &length);
+	message.body.len = length;
+	message.session = request->reply.session;
+	envelope.body_case = GG__ENVELOPE__BODY_FORWARD_REPLY;
+	envelope.forward_reply = &message;
+	/* When the connection is gone, the other entry reports owner_unreachable at its limit. */
+	peers_send_inbound(request->board, &request->origin, &envelope);
+}
+
+static void run_forwarded(struct board *board, struct command *command)
+{
+	struct request *request = (struct request *)command;
+
+	if (request->invalid)
+		request_refuse(request, &request->problem);
+	else
+		admission_run(board, command);
+}
+
+/* Parses on a thread of the pool, since a large body would hold up the dispatcher. */
+static void parse_forwarded(void *data, void *context)
+{
+	struct request *request = data;
+	struct board *board = context;
+	const struct daemon_settings *settings = board->settings;
+	int64_t wait_ms = request->route.wait_ms;
+
+	request->invalid =
+		route_parse(request->method, request->path, NULL, settings->http_wait_max_ms,
+			    &request->route, &request->problem) != STATUS_OK;
+	request->route.wait_ms = wait_ms;
+	if (!request->invalid && request->route.kind == ROUTE_JOB_SUBMIT) {
+		request->invalid = job_body_parse(request->text, request->text_length,
+						  (uint32_t)settings->max_tasks_per_job,
+						  &request->body, &request->problem) != STATUS_OK;
+		request->text = NULL;
+	}
+	mailbox_send(&board->mailbox, &request->command.node);
+}
+
+void forward_receive(struct board *board, const struct ident *origin, const Gg__Forward *forward)
+{
+	struct request *request = request_new();
+	int64_t wait_max_ms = board->settings->http_wait_max_ms;
+
+	request->command.run = run_forwarded;
+	request->board = board;
+	request->forwarded = true;
+	request->origin = *origin;
+	request->origin_request = forward->request;
+	request->deliver = deliver_reply;
+	g_strlcpy(request->method, forward->method, sizeof(request->method));
+	request->path = g_strdup(forward->path);
+	request->route.wait_ms = (int64_t)MIN(forward->wait_ms, (uint64_t)wait_max_ms);
+	request->text_length = forward->body.len;
+	request->text = malloc(forward->body.len + 1);
+	memcpy(request->text, forward->body.data, forward->body.len);
+	g_thread_pool_push(board->parsers, request, NULL);
+}
+
+void forward_receive_reply(struct board *board, const Gg__ForwardReply *reply)
+{
+	struct forward *forward = g_hash_table_lookup(board->forwards, &reply->request);
+	struct request *request;
+	GBytes *body;
+
+	if (!forward)
+		return;
+	request = take_request(forward);
+	g_strlcpy(request->reply.session, reply->session, sizeof(request->reply.session));
+	body = g_bytes_new(reply->body.data, reply->body.len);
+	request_finish(request, (int)reply->http_status, body);
+	g_bytes_unref(body);
+}
+
+/* Refuses every request passed on to OWNER, or to any entry when it is NULL. */
+static void fail_forwards(struct board *board, const struct ident *owner, enum status status,
+			  const char *reason)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, board->forwards);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct forward *forward = value;
+		struct request *request = forward->request;
+
+		if (owner && !ident_equal(&forward->owner, owner))
+			continue;
+		g_hash_table_iter_remove(&iter);
+		admission_refuse(request, status, OUTCOME_UNKNOWN, reason);
+	}
+}
+
+void forward_owner_gone(struct board *board, const struct ident *owner)
+{
+	fail_forwards(board, owner, STATUS_OWNER_LOST,
+		      "the entry that owned the request has ended");
+}
+
+void forward_fail_all(struct board *board)
+{
+	fail_forwards(board, NULL, STATUS_DRAINING, "this entry was stopped");
+}
+
+void forward_init(struct board *board)
+{
+	board->forwards = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_forward);
+	board->parsers = g_thread_pool_new(parse_forwarded, board, PARSER_THREADS, FALSE, NULL);
+}
+
+void forward_free(struct board *board)
+{
+	g_thread_pool_free(board->parsers, FALSE, TRUE);
+	g_hash_table_destroy(board->forwards);
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_http.c
@@ -0,0 +1,363 @@
+#include "entry_http.h"
+
+#include <civetweb.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_admission.h"
+#include "entry_receive.h"
+#include "event.h"
+
+enum {
+	REPLY_MARGIN_MS = 5000, /* beyond it the dispatcher is taken for stuck */
+	KEEP_ALIVE_MS = 60000,
+	ONE_WRITE_BYTES = 65536, /* up to this, header and body go out in one write */
+	OPTION_BYTES = 32,
+};
+
+struct http {
+	struct board *board;
+	struct mg_context *mg;
+};
+
+static const struct http *http_of(const struct mg_connection *conn)
+{
+	return mg_get_user_data(mg_get_context(conn));
+}
+
+static const char *reason_phrase(int code)
+{
+	switch (code) {
+	case 200:
+		return "OK";
+	case 201:
+		return "Created";
+	case 202:
+		return "Accepted";
+	default:
+		return code < 500 ? "Refused" : "Failed";
+	}
+}
+
+static void write_response(struct mg_connection *conn, int code, const char *type,
+			   const char *session, const void *body, size_t length, bool close)
+{
+	GString *out = g_string_sized_new(512 + (length <= ONE_WRITE_BYTES ? length : 0));
+
+	g_string_printf(out,
+			"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
+			"Cache-Control: no-store\r\nConnection: %s\r\n",
+			code, reason_phrase(code), type, length, close ? "close" : "keep-alive");
+	if (session && session[0] != '\0')
+		g_string_append_printf(out, "Greengage-Session: %s\r\n", session);
+	g_string_append(out, "\r\n");
+	if (length <= ONE_WRITE_BYTES)
+		g_string_append_len(out, body, (gssize)length);
+	/* A write that fails shows that the client hung up, which changes nothing here. */
+	mg_write(conn, out->str, out->len);
+	if (length > ONE_WRITE_BYTES)
+		mg_write(conn, body, length);
+	g_string_free(out, TRUE);
+}
+
+static void write_json(struct mg_connection *conn, int code, GBytes *body, const char *session,
+		       bool close)
+{
+	gsize length;
+	const void *data = g_bytes_get_data(body, &length);
+
+	write_response(conn, code, "application/json", session, data, length, close);
+}
+
+/* The rest of a refused request may be unread, so the connection is closed after it. */
+static void write_refusal(struct mg_connection *conn, const struct error *err)
+{
+	GBytes *body = request_error_body(err);
+
+	metric_add(METRIC_HTTP_REFUSED, 1);
+	event_log(EVENT_HTTP_REFUSED, EV_S("status", status_name(err->status)),
+		  EV_S("reason", err->message));
+	write_json(conn, status_http_code(err->status), body, NULL, true);
+	g_bytes_unref(body);
+}
+
+static void write_metrics(struct mg_connection *conn)
+{
+	GString *text = g_string_new(NULL);
+
+	counter_render(text);
+	write_response(conn, 200, "text/plain; version=0.0.4", NULL, text->str, text->len, false);
+	g_string_free(text, TRUE);
+}
+
+static void write_text(struct mg_connection *conn, int code, const char *text)
+{
+	write_response(conn, code, "application/json", NULL, text, strlen(text), false);
+}
+
+/* Answers what needs no dispatcher. Returns false for any other request. */
+static bool answer_directly(struct mg_connection *conn, struct board *board, enum route_kind kind)
+{
+	const struct public_state *state;
+	GBytes *body;
+	bool ready;
+
+	rcu_read_lock();
+	state = rcu_dereference(board->public_state);
+	ready = state->ready;
+	body = g_bytes_ref(state->config_body);
+	rcu_read_unlock();
+	switch (kind) {
+	case ROUTE_HEALTHZ:
+		write_text(conn, 200, "{\"healthy\":true}");
+		break;
+	case ROUTE_READYZ:
+		write_text(conn, ready ? 200 : 503,
+			   ready ? "{\"ready\":true}" : "{\"ready\":false}");
+		break;
+	case ROUTE_METRICS:
+		write_metrics(conn);
+		break;
+	case ROUTE_CONFIG_GET:
+		write_json(conn, 200, body, NULL, false);
+		break;
+	default:
+		g_bytes_unref(body);
+		return false;
+	}
+	g_bytes_unref(body);
+	return true;
+}
+
+/* Parses the body unless another entry owns the job and will do so. */
+static enum status parse_body(struct board *board, struct request *request, char *text,
+			      size_t length, struct error *err)
+{
+	bool foreign = request->route.by_session &&
+		       !ident_equal(&request->route.session.incarnation, &board->incarnation);
+	json_error_t problem;
+
+	if (request->route.kind == ROUTE_JOB_SUBMIT && !foreign)
+		return job_body_parse(text, length, (uint32_t)board->settings->max_tasks_per_job,
+				      &request->body, err);
+	request->text = text;
+	request->text_length = length;
+	if (request->route.kind != ROUTE_CONFIG_PATCH)
+		return STATUS_OK;
+	request->patch = json_loadb(text, length, JSON_REJECT_DUPLICATES, &problem);
+	if (!request->patch)
+		return error_set(err, STATUS_INVALID_JSON, "line %d, column %d: %.120s",
+				 problem.line, problem.column, problem.text);
+	return STATUS_OK;
+}
+
+static enum status fill_request(struct mg_connection *conn, struct board *board,
+				struct request *request, struct error *err)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	const struct receive_limits limits = {
+		.max_bytes = (size_t)board->settings->http_body_max_bytes,
+		.limit_ms = board->settings->http_body_limit_ms,
+	};
+	size_t length = 0;
+	char *text = NULL;
+	enum status status;
+
+	g_strlcpy(request->method, info->request_method, sizeof(request->method));
+	request->path = g_strdup(info->local_uri_raw);
+	request->command.run = admission_run;
+	if (!route_has_body(request->route.kind))
+		return STATUS_OK;
+	status = receive_body(conn, &limits, &text, &length, err);
+	if (status == STATUS_OK)
+		status = parse_body(board, request, text, length, err);
+	return status;
+}
+
+/* The dispatcher keeps the limits of each step; this one only guards against its failure. */
+static int64_t reply_limit_ms(const struct board *board, const struct route *route)
+{
+	const struct daemon_settings *settings = board->settings;
+
+	if (route->kind == ROUTE_CONFIG_PATCH)
+		return settings->patch_wait_ms + REPLY_MARGIN_MS;
+	return route->wait_ms + settings->forward_limit_ms + settings->claim_wait_ms +
+	       REPLY_MARGIN_MS;
+}
+
+static void pass_to_dispatcher(struct mg_connection *conn, struct board *board,
+			       struct request *request)
+{
+	struct error err;
+
+	request_ref(request);
+	mailbox_send(&board->mailbox, &request->command.node);
+	if (!request_wait(request, reply_limit_ms(board, &request->route))) {
+		error_set_unknown(&err, STATUS_TIMEOUT, "no reply from the dispatcher");
+		write_refusal(conn, &err);
+		return;
+	}
+	if (request->reply.http_status >= 300)
+		metric_add(METRIC_HTTP_REFUSED, 1);
+	write_json(conn, request->reply.http_status, request->reply.body, request->reply.session,
+		   false);
+}
+
+static void serve(struct mg_connection *conn, struct board *board, const struct route *route)
+{
+	struct request *request = request_new();
+	struct error err;
+
+	request->route = *route;
+	if (fill_request(conn, board, request, &err) == STATUS_OK)
+		pass_to_dispatcher(conn, board, request);
+	else
+		write_refusal(conn, &err);
+	request_unref(request);
+}
+
+static void serve_within_limit(struct mg_connection *conn, struct board *board,
+			       const struct route *route)
+{
+	struct counter *open = &entry_metrics[METRIC_HTTP_OPEN];
+	int64_t before = atomic_fetch_add(&open->value, 1);
+	struct error err;
+
+	if (before < board->settings->http_open_requests) {
+		serve(conn, board, route);
+	} else {
+		error_set(&err, STATUS_TOO_MANY_REQUESTS,
+			  "open requests accepted: at most %" PRId64,
+			  board->settings->http_open_requests);
+		write_refusal(conn, &err);
+	}
+	atomic_fetch_sub(&open->value, 1);
+}
+
+static int begin_request(struct mg_connection *conn)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	struct board *board = http_of(conn)->board;
+	struct route route;
+	struct error err;
+
+	metric_add(METRIC_HTTP_REQUESTS, 1);
+	if (!info->local_uri_raw) {
+		error_set(&err, STATUS_INVALID_REQUEST, "the request names no path on this server");
+		write_refusal(conn, &err);
+	} else if (route_parse(info->request_method, info->local_uri_raw, info->query_string,
+			       board->settings->http_wait_max_ms, &route, &err) != STATUS_OK) {
+		write_refusal(conn, &err);
+	} else if (!answer_directly(conn, board, route.kind)) {
+		serve_within_limit(conn, board, &route);
+	}
+	return 1;
+}
+
+/* Requests that CivetWeb itself refuses are answered in the same form as all others. */
+static int answer_error(struct mg_connection *conn, int code, const char *message)
+{
+	struct error err;
+
+	switch (code) {
+	case 413:
+	case 431:
+		error_set(&err, STATUS_HEADER_TOO_LARGE,
+			  "header accepted: at most %" PRId64 " bytes",
+			  http_of(conn)->board->settings->http_header_max_bytes);
+		break;
+	case 408:
+		error_set(&err, STATUS_REQUEST_TIMEOUT, "the request did not arrive in time");
+		break;
+	default:
+		error_set(&err, code < 500 ? STATUS_INVALID_REQUEST : STATUS_INTERNAL,
+			  "malformed request");
+	}
+	write_refusal(conn, &err);
+	return 0;
+}
+
+static int drop_message(const struct mg_connection *conn, const char *message)
+{
+	return 1;
+}
+
+static void *init_thread(const struct mg_context *context, int thread_type)
+{
+	rcu_register_thread();
+	return NULL;
+}
+
+static void exit_thread(const struct mg_context *context, int thread_type, void *thread_data)
+{
+	rcu_unregister_thread();
+}
+
+static const struct mg_callbacks callbacks = {
+	.begin_request = begin_request,
+	.http_error = answer_error,
+	.log_message = drop_message,
+	.log_access = drop_message,
+	.init_thread = init_thread,
+	.exit_thread = exit_thread,
+};
+
+static struct mg_context *start_server(struct http *http, const struct daemon_settings *settings)
+{
+	char threads[OPTION_BYTES];
+	char header[OPTION_BYTES];
+	char timeout[OPTION_BYTES];
+	char keep_alive[OPTION_BYTES];
+	const char *options[] = {
+		"listening_ports",
+		settings->http_address,
+		"num_threads",
+		threads,
+		"max_request_size",
+		header,
+		"request_timeout_ms",
+		timeout,
+		"enable_keep_alive",
+		"yes",
+		"keep_alive_timeout_ms",
+		keep_alive,
+		"tcp_nodelay",
+		"1",
+		NULL,
+	};
+
+	g_snprintf(threads, sizeof(threads), "%" PRId64, settings->http_threads);
+	g_snprintf(header, sizeof(header), "%" PRId64, settings->http_header_max_bytes);
+	g_snprintf(timeout, sizeof(timeout), "%" PRId64, settings->http_body_limit_ms);
+	g_snprintf(keep_alive, sizeof(keep_alive), "%d", KEEP_ALIVE_MS);
+	return mg_start(&callbacks, http, options);
+}
+
+enum status http_start(struct board *board, struct http **out, struct error *err)
+{
+	struct http *http = g_new0(struct http, 1);
+	struct mg_server_port port = {0};
+
+	http->board = board;
+	mg_init_library(0);
+	http->mg = start_server(http, board->settings);
+	if (!http->mg) {
+		mg_exit_library();
+		g_free(http);
+		return error_set(err, STATUS_NETWORK, "http.address: cannot listen on %s",
+				 board->settings->http_address);
+	}
+	mg_get_server_ports(http->mg, 1, &port);
+	event_log(EVENT_HTTP_LISTENING, EV_S("address", board->settings->http_address),
+		  EV_I("port", port.port));
+	*out = http;
+	return STATUS_OK;
+}
+
+void http_stop(struct http *http)
+{
+	mg_stop(http->mg);
+	mg_exit_library();
+	g_free(http);
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_jobs.h
@@ -0,0 +1,104 @@
+/* Job store: the tasks, results and answers of the jobs that this entry owns. */
+#ifndef GG_ENTRY_JOBS_H
+#define GG_ENTRY_JOBS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "entry_body.h"
+#include "entry_request.h"
+#include "session.h"
+#include "table.h"
+
+enum job_state {
+	JOB_ACTIVE,
+	JOB_DONE,
+	JOB_FAILED,
+	JOB_CANCELLED,
+};
+
+/* A task's result as JSON text, allocated with malloc. */
+struct job_result {
+	uint8_t *data;
+	uint32_t length;
+};
+
+struct job {
+	struct handle self;
+	struct handle sched; /* in the scheduler; released once the job has ended */
+	enum job_state state;
+	struct ident digest; /* of session and key */
+	struct ident body_digest;
+	struct job_body *body; /* NULL once ended */
+	char *key;
+	struct job_result *results; /* task order; allocated with the first result */
+	struct request *waiters;
+	GBytes *answer; /* once ended */
+	int64_t admitted_us;
+	int64_t ended_us;
+	bool started;
+	bool fetched; /* the answer was delivered at least once */
+	struct handle deadline_timer;
+	struct handle next_ended;
+};
+
+struct job_limits {
+	uint32_t max_jobs;
+	uint64_t max_answer_bytes;
+	int64_t retain_us;
+};
+
+struct job_store {
+	struct job_limits limits;
+	struct table jobs;
+	struct handle *by_sched; /* indexed by the index of the scheduler's handle */
+	uint32_t by_sched_capacity;
+	struct handle oldest_ended;
+	struct handle newest_ended;
+	uint32_t active;
+	uint32_t unfetched;
+	uint64_t answer_bytes;
+	uint64_t expired;
+};
+
+void job_store_init(struct job_store *store, const struct job_limits *limits);
+/* Frees all jobs. Waiters must have been answered. */
+void job_store_free(struct job_store *store);
+
+/* Returns whether there is room for one more job; drops the oldest ended ones to make room. */
+bool job_store_has_room(struct job_store *store);
+
+/* Adds an active job; BODY is taken over. */
+struct job *job_add(struct job_store *store, struct job_body *body, const char *key,
+		    const struct ident *digest);
+/* Removes a job that was not admitted. BODY is given back. */
+struct job_body *job_discard(struct job_store *store, struct job *job);
+
+/* Links the job to its handle in the scheduler. */
+void job_bind(struct job_store *store, struct job *job, struct handle sched);
+/* Returns the job with handle SCHED in the scheduler, or NULL. */
+struct job *job_by_sched(const struct job_store *store, struct handle sched);
+/* Returns the job, or NULL when it expired. */
+struct job *job_get(const struct job_store *store, struct handle handle);
+
+/* Stores a result, whose DATA (from malloc) is taken over. Returns false when the task has one or
+ * the job ended; then DATA is freed. */
+bool job_put_result(struct job *job, uint32_t task, uint8_t *data, uint32_t length);
+
+/* Ends the job with all its results in task order. Every task must have a result. */
+void job_end_done(struct job_store *store, struct job *job, int64_t now_us);
+/* Ends the job as failed or cancelled with the error of ERR. */
+void job_end_error(struct job_store *store, struct job *job, enum job_state state,
+		   const struct error *err, int64_t now_us);
+
+/* Marks the answer as delivered. */
+void job_mark_fetched(struct job_store *store, struct job *job);
+
+/* Drops ended jobs whose answers are retained for longer than the limit. */
+void job_store_expire(struct job_store *store, int64_t now_us);
+
+/* Returns the task's value in the body and stores its LENGTH. */
+const char *job_task_value(const struct job *job, uint32_t task, uint32_t *length);
+
+#endif
--- /dev/null
+++ b/packages/greengaged/src/entry_log.c
@@ -0,0 +1,171 @@
+#include "entry_log.h"
+
+#include <string.h>
+
+#include "entry_claims.h"
+#include "entry_config.h"
+#include "event.h"
+
+enum log_kind {
+	LOG_RECORD,
+	LOG_TRUNCATED,
+	LOG_APPENDED,
+	LOG_CAUGHT_UP,
+	LOG_AVAILABILITY,
+};
+
+enum log_stream {
+	STREAM_CONFIG,
+	STREAM_CLAIMS,
+};
+
+static const char *const stream_names[] = {"config", "claims"};
+
+/* What a callback told, with a copy of the record. */
+struct log_command {
+	struct command command;
+	enum log_kind kind;
+	enum log_stream stream;
+	struct log_record record;
+	uint64_t number; /* first kept offset, or the append */
+	bool available;
+	struct error err;
+	char data[];
+};
+
+static void take_availability(struct board *board, bool available)
+{
+	if (board->log_available == available)
+		return;
+	board->log_available = available;
+	event_log(available ? EVENT_LOG_AVAILABLE : EVENT_LOG_UNAVAILABLE,
+		  EV_S("url", board->settings->log_url));
+}
+
+static void take_truncated(struct board *board, const struct log_command *item)
+{
+	if (item->stream == STREAM_CONFIG)
+		config_take_truncated(board, item->number);
+	event_log(EVENT_LOG_TRUNCATED, EV_S("stream", stream_names[item->stream]),
+		  EV_I("first", item->number));
+}
+
+static void run(struct board *board, struct command *command)
+{
+	struct log_command *item = (struct log_command *)command;
+
+	switch (item->kind) {
+	case LOG_RECORD:
+		if (item->stream == STREAM_CONFIG)
+			config_take_record(board, &item->record);
+		else
+			claims_take_record(board, &item->record);
+		break;
+	case LOG_TRUNCATED:
+		take_truncated(board, item);
+		break;
+	case LOG_APPENDED:
+		if (!config_take_appended(board, item->number, &item->err))
+			claims_take_appended(board, item->number, &item->err);
+		break;
+	case LOG_CAUGHT_UP:
+		if (item->stream == STREAM_CLAIMS)
+			board->claims_synced = true;
+		break;
+	case LOG_AVAILABILITY:
+		take_availability(board, item->available);
+		break;
+	}
+	g_free(item);
+}
+
+static struct log_command *new_item(enum log_kind kind, const char *stream, size_t data_bytes)
+{
+	struct log_command *item = g_malloc0(sizeof(*item) + data_bytes);
+
+	item->command.run = run;
+	item->kind = kind;
+	item->stream = stream && strcmp(stream, stream_names[STREAM_CLAIMS]) == 0 ? STREAM_CLAIMS
+										  : STREAM_CONFIG;
+	return item;
+}
+
+static void post(struct board *board, struct log_command *item)
+{
+	mailbox_send(&board->mailbox, &item->command.node);
+}
+
+static void on_record(void *context, const char *stream, const struct log_record *record)
+{
+	struct log_command *item = new_item(LOG_RECORD, stream, record->length + 1);
+
+	item->record = *record;
+	memcpy(item->data, record->data, record->length);
+	item->record.data = item->data;
+	post(context, item);
+}
+
+static void on_truncated(void *context, const char *stream, uint64_t first)
+{
+	struct log_command *item = new_item(LOG_TRUNCATED, stream, 0);
+
+	item->number = first;
+	post(context, item);
+}
+
+static void on_appended(void *context, uint64_t request, uint64_t offset, const struct error *err)
+{
+	struct log_command *item = new_item(LOG_APPENDED, NULL, 0);
+
+	item->number = request;
+	if (err)
+		item->err = *err;
+	post(context, item);
+}
+
+static void on_caught_up(void *context, const char *stream, uint64_t next)
+{
+	post(context, new_item(LOG_CAUGHT_UP, stream, 0));
+}
+
+static void on_availability(void *context, bool available)
+{
+	struct log_command *item = new_item(LOG_AVAILABILITY, NULL, 0);
+
+	item->available = available;
+	post(context, item);
+}
+
+enum status log_start(struct board *board, struct error *err)
+{
+	const struct daemon_settings *settings = board->settings;
+	const struct log_limits limits = {
+		.connect_ms = settings->log_connect_ms,
+		.append_ms = settings->log_append_ms,
+		.poll_ms = settings->log_poll_ms,
+		.retry_ms = settings->log_retry_ms,
+	};
+	const struct log_callbacks callbacks = {
+		.context = board,
+		.record = on_record,
+		.truncated = on_truncated,
+		.appended = on_appended,
+		.caught_up = on_caught_up,
+		.availability = on_availability,
+	};
+
+	if (!settings->log_url)
+		return STATUS_OK;
+	if (logclient_new(settings->log_url, &limits, &callbacks, &board->log, err) != STATUS_OK)
+		return STATUS_RESOURCE;
+	for (size_t i = 0; i < G_N_ELEMENTS(stream_names); i++)
+		logclient_follow(board->log, stream_names[i]);
+	return STATUS_OK;
+}
+
+void log_stop(struct board *board)
+{
+	if (board->log)
+		logclient_free(board->log);
+	board->log = NULL;
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_loop.c
@@ -0,0 +1,315 @@
+#include "entry_loop.h"
+
+#include <sodium.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "entry_admission.h"
+#include "entry_claims.h"
+#include "entry_config.h"
+#include "entry_dispatch.h"
+#include "entry_drain.h"
+#include "entry_forward.h"
+#include "entry_members.h"
+#include "entry_peers.h"
+#include "entry_progress.h"
+#include "entry_report.h"
+#include "event.h"
+
+enum {
+	BATCH_COMMANDS = 1024, /* taken in one iteration, so that no source starves the others */
+	BATCH_MESSAGES = 1024,
+	EXPIRE_PERIOD_MS = 20,
+	REPORT_PERIOD_MS = 1000,
+	CLAIM_PERIOD_MS = 10000,
+	HEARTBEAT_CHECKS = 4, /* checks in each heartbeat period */
+	LONGEST_SLEEP_MS = 1000,
+};
+
+static void tick_members(void *context, int64_t now_us)
+{
+	members_tick(context);
+	peers_tick(context);
+}
+
+static void tick_expire(void *context, int64_t now_us)
+{
+	struct board *board = context;
+
+	if (board->jobs.active > 0)
+		progress_expire(board);
+}
+
+static void tick_report(void *context, int64_t now_us)
+{
+	admission_expire(context);
+	report_tick(context);
+	config_tick(context);
+}
+
+static void tick_claims(void *context, int64_t now_us)
+{
+	claims_tick(context);
+}
+
+static void every(struct board *board, int64_t period_ms, timer_callback callback)
+{
+	timer_subscribe(&board->timers, board->now_us + period_ms * US_PER_MS,
+			period_ms * US_PER_MS, callback, board);
+}
+
+static void subscribe(struct board *board)
+{
+	every(board, MAX(board->settings->heartbeat_ms / HEARTBEAT_CHECKS, 1), tick_members);
+	every(board, EXPIRE_PERIOD_MS, tick_expire);
+	every(board, REPORT_PERIOD_MS, tick_report);
+	every(board, CLAIM_PERIOD_MS, tick_claims);
+}
+
+static void init_sched(struct board *board)
+{
+	const struct daemon_settings *settings = board->settings;
+	const struct sched_limits limits = {
+		.max_queued_tasks = (uint64_t)settings->max_queued_tasks,
+		.max_queued_bytes = (uint64_t)settings->max_queued_bytes,
+		.ageing_divisor = settings->ageing_divisor,
+		.zone_penalty_us = settings->zone_penalty_us,
+	};
+	uint64_t seed = (uint64_t)settings->seed;
+
+	if (seed == 0)
+		randombytes_buf(&seed, sizeof(seed));
+	board->sched = sched_new(&limits, settings->zone, seed);
+}
+
+static void init_stores(struct board *board)
+{
+	const struct daemon_settings *settings = board->settings;
+	const struct session_limits session_limits = {
+		.lifetime_us = settings->session_lifetime_s * US_PER_SECOND,
+		.retain_us = settings->session_retain_s * US_PER_SECOND,
+		.max_sessions = (uint32_t)settings->max_sessions,
+		.max_keys = (uint32_t)settings->max_keys,
+	};
+	const struct job_limits job_limits = {
+		.max_jobs = (uint32_t)settings->max_jobs,
+		.max_answer_bytes = (uint64_t)settings->max_answer_bytes,
+		.retain_us = settings->answer_retain_s * US_PER_SECOND,
+	};
+	const struct burn_objectives objectives = {
+		.ratio_target = 2, .objective = 0.99, .waste_target = 0.1};
+
+	board->sessions = session_store_new(&session_limits, &board->incarnation);
+	board->renewals = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	job_store_init(&board->jobs, &job_limits);
+	table_init(&board->agents, sizeof(struct agent));
+	board->agents_by_incarnation = g_hash_table_new(ident_hash, ident_equal_func);
+	board->batch = g_ptr_array_new();
+	board->burn = burn_new(&objectives);
+}
+
+enum status loop_init(struct board *board, const struct daemon_settings *settings,
+		      struct error *err)
+{
+	memset(board, 0, sizeof(*board));
+	board->settings = settings;
+	board->incarnation = ident_random();
+	board->now_us = timer_clock_us();
+	board->started_us = board->now_us;
+	board->last_ended_us = board->now_us;
+	if (mailbox_init(&board->mailbox, err) != STATUS_OK)
+		return STATUS_RESOURCE;
+	board->finished_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	if (board->finished_fd < 0)
+		return error_set(err, STATUS_RESOURCE, "eventfd: no descriptor");
+	board->zmq = zmq_ctx_new();
+	timer_init(&board->timers);
+	if (channel_accept(board->zmq, settings->channel_address, &board->router, err) !=
+	    STATUS_OK) {
+		zmq_ctx_term(board->zmq);
+		return STATUS_NETWORK;
+	}
+	init_sched(board);
+	init_stores(board);
+	config_init(board);
+	claims_init(board);
+	forward_init(board);
+	peers_init(board);
+	subscribe(board);
+	return STATUS_OK;
+}
+
+void loop_free(struct board *board)
+{
+	members_free(board);
+	peers_free(board);
+	forward_free(board);
+	claims_end(board);
+	config_free(board);
+	job_store_free(&board->jobs);
+	session_store_free(board->sessions);
+	g_hash_table_destroy(board->renewals);
+	g_hash_table_destroy(board->agents_by_incarnation);
+	table_free(&board->agents);
+	g_ptr_array_free(board->batch, TRUE);
+	burn_free(board->burn);
+	sched_free(board->sched);
+	timer_free(&board->timers);
+	channel_close(&board->router);
+	zmq_ctx_term(board->zmq);
+	mailbox_free(&board->mailbox);
+	close(board->finished_fd);
+}
+
+static void run_close(struct board *board, struct command *command)
+{
+	g_free(command);
+	board->closed = true;
+}
+
+void loop_close(struct board *board)
+{
+	struct command *command = g_new0(struct command, 1);
+
+	command->run = run_close;
+	mailbox_send(&board->mailbox, &command->node);
+}
+
+static void take_commands(struct board *board)
+{
+	for (int i = 0; i < BATCH_COMMANDS; i++) {
+		struct command *command = (struct command *)mailbox_take(&board->mailbox);
+
+		if (!command)
+			return;
+		command->run(board, command);
+	}
+}
+
+static void invalid_message(const struct error *err)
+{
+	metric_add(METRIC_MESSAGES_INVALID, 1);
+	event_log_error(EVENT_MESSAGE_INVALID, err);
+}
+
+static void receive_accepted(struct board *board)
+{
+	for (int i = 0; i < BATCH_MESSAGES; i++) {
+		struct channel_route route;
+		Gg__Envelope *envelope;
+		struct error err;
+		enum status status = channel_receive(&board->router, &route, &envelope, &err);
+
+		if (status == STATUS_NOT_FOUND)
+			return;
+		if (status != STATUS_OK) {
+			invalid_message(&err);
+			continue;
+		}
+		members_receive(board, &route, envelope);
+		channel_free_envelope(envelope);
+	}
+}
+
+static void receive_from_peer(struct board *board, struct peer *peer)
+{
+	for (int i = 0; i < BATCH_MESSAGES && peer->channel.socket; i++) {
+		Gg__Envelope *envelope;
+		struct error err;
+		enum status status = channel_receive(&peer->channel, NULL, &envelope, &err);
+
+		if (status == STATUS_NOT_FOUND)
+			return;
+		if (status != STATUS_OK) {
+			invalid_message(&err);
+			continue;
+		}
+		peers_receive(board, peer, envelope);
+		channel_free_envelope(envelope);
+	}
+}
+
+static void check_ready(struct board *board)
+{
+	int64_t age_ms = (board->now_us - board->started_us) / US_PER_MS;
+
+	if (board->ready)
+		return;
+	/* A peer that does not answer must not keep this entry from serving. */
+	if (!peers_all_known(board) && age_ms < board->settings->heartbeat_limit_ms)
+		return;
+	board->ready = true;
+	config_publish(board);
+}
+
+static void run_once(struct board *board)
+{
+	board->now_us = timer_clock_us();
+	take_commands(board);
+	if (board->stopped)
+		return;
+	receive_accepted(board);
+	for (guint i = 0; i < board->peers->len; i++)
+		receive_from_peer(board, g_ptr_array_index(board->peers, i));
+	timer_run(&board->timers, board->now_us);
+	claims_flush(board);
+	dispatch_run(board);
+	if (board->entries_changed) {
+		board->entries_changed = false;
+		members_send_welcomes(board);
+	}
+	check_ready(board);
+	drain_run(board);
+}
+
+static int sleep_ms(const struct board *board)
+{
+	int64_t next_us = MIN(timer_next_us(&board->timers), sched_wake_us(board->sched));
+	int64_t due_us = next_us - timer_clock_us();
+
+	if (board->stopped)
+		return LONGEST_SLEEP_MS;
+	if (due_us <= 0)
+		return 0;
+	/* Rounded up, so that the loop does not spin in the last part of a millisecond. */
+	return (int)MIN((due_us + US_PER_MS - 1) / US_PER_MS, LONGEST_SLEEP_MS);
+}
+
+static void wait_for_work(struct board *board, GArray *items)
+{
+	zmq_pollitem_t mailbox = {.fd = mailbox_fd(&board->mailbox), .events = ZMQ_POLLIN};
+	zmq_pollitem_t router = {.socket = board->router.socket, .events = ZMQ_POLLIN};
+
+	g_array_set_size(items, 0);
+	g_array_append_val(items, mailbox);
+	g_array_append_val(items, router);
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct peer *peer = g_ptr_array_index(board->peers, i);
+		zmq_pollitem_t item = {.socket = peer->channel.socket, .events = ZMQ_POLLIN};
+
+		if (item.socket)
+			g_array_append_val(items, item);
+	}
+	if (mailbox_arm(&board->mailbox)) {
+		zmq_poll((zmq_pollitem_t *)items->data, (int)items->len, sleep_ms(board));
+		mailbox_disarm(&board->mailbox);
+	}
+}
+
+void *loop_run(void *context)
+{
+	struct board *board = context;
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(zmq_pollitem_t));
+
+	rcu_register_thread();
+	while (!board->closed) {
+		run_once(board);
+		if (!board->closed)
+			wait_for_work(board, items);
+	}
+	rcu_unregister_thread();
+	g_array_free(items, TRUE);
+	return NULL;
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_members.c
@@ -0,0 +1,368 @@
+#include "entry_members.h"
+
+#include <string.h>
+
+#include "entry_agent.h"
+#include "entry_config.h"
+#include "entry_dispatch.h"
+#include "entry_peers.h"
+#include "event.h"
+
+enum {
+	FORGET_AFTER_MS = 86400000 /* an agent that returns sooner finds its counters here */
+};
+
+void members_fill_header(struct board *board, Gg__Envelope *envelope, uint64_t epoch)
+{
+	envelope->sender = channel_put_ident(&board->incarnation);
+	envelope->epoch = epoch;
+	envelope->sent_us = timer_clock_us();
+	envelope->config_version = config_version(board->config);
+}
+
+enum status members_send(struct board *board, struct agent *agent, Gg__Envelope *envelope)
+{
+	struct error err;
+
+	members_fill_header(board, envelope, agent->epoch);
+	if (!handle_is_none(agent->server))
+		envelope->demand = sched_demand(board->sched, agent->server);
+	envelope->consumed = agent->link.consumed;
+	envelope->result_ack = agent->link.result_ack;
+	if (channel_send(&board->router, &agent->route, envelope, &err) != STATUS_OK) {
+		metric_add(METRIC_SEND_FAILED, 1);
+		return STATUS_NETWORK;
+	}
+	entry_metrics_sent((int)envelope->body_case);
+	agent->sent_us = board->now_us;
+	agent->demand_told = envelope->demand;
+	return STATUS_OK;
+}
+
+void members_send_heartbeat(struct board *board, struct agent *agent)
+{
+	Gg__Heartbeat heartbeat = GG__HEARTBEAT__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	envelope.body_case = GG__ENVELOPE__BODY_HEARTBEAT;
+	envelope.heartbeat = &heartbeat;
+	members_send(board, agent, &envelope);
+}
+
+static void add_entry_info(GPtrArray *infos, const struct ident *incarnation, const char *address,
+			   const char *zone)
+{
+	Gg__PeerInfo *info = g_new(Gg__PeerInfo, 1);
+
+	gg__peer_info__init(info);
+	info->incarnation = channel_put_ident(incarnation);
+	info->address = (char *)address;
+	info->zone = (char *)zone;
+	g_ptr_array_add(infos, info);
+}
+
+static void send_welcome(struct board *board, struct agent *agent)
+{
+	GPtrArray *infos = g_ptr_array_new_with_free_func(g_free);
+	Gg__Welcome welcome = GG__WELCOME__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	add_entry_info(infos, &board->incarnation, board->settings->channel_address,
+		       board->settings->zone);
+	for (guint i = 0; i < board->peers->len; i++) {
+		const struct peer *peer = g_ptr_array_index(board->peers, i);
+
+		if (peer->known)
+			add_entry_info(infos, &peer->incarnation, peer->address,
+				       peer->zone ? peer->zone : "");
+	}
+	welcome.zone = board->settings->zone;
+	welcome.entries = (Gg__PeerInfo **)infos->pdata;
+	welcome.n_entries = infos->len;
+	envelope.body_case = GG__ENVELOPE__BODY_WELCOME;
+	envelope.welcome = &welcome;
+	members_send(board, agent, &envelope);
+	g_ptr_array_free(infos, TRUE);
+}
+
+void members_send_welcomes(struct board *board)
+{
+	uint32_t cursor = 0;
+	struct agent *agent;
+
+	while ((agent = table_next(&board->agents, &cursor, NULL))) {
+		if (agent->connected)
+			send_welcome(board, agent);
+	}
+}
+
+/* Asks about all outstanding starts; until the answer no further one is sent. */
+static void begin_reconcile(struct board *board, struct agent *agent)
+{
+	uint32_t count = link_outstanding(&agent->link, NULL, 0);
+	Gg__Reconcile reconcile = GG__RECONCILE__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	struct link_start *starts;
+	uint64_t *seqs;
+
+	agent->reconciling = count > 0;
+	agent->reconcile_us = board->now_us;
+	dispatch_credits(board, agent);
+	if (count == 0)
+		return;
+	starts = g_new(struct link_start, count);
+	seqs = g_new(uint64_t, count);
+	link_outstanding(&agent->link, starts, count);
+	for (uint32_t i = 0; i < count; i++)
+		seqs[i] = starts[i].seq;
+	reconcile.next_seq = agent->link.next_seq;
+	reconcile.outstanding = seqs;
+	reconcile.n_outstanding = count;
+	envelope.body_case = GG__ENVELOPE__BODY_RECONCILE;
+	envelope.reconcile = &reconcile;
+	members_send(board, agent, &envelope);
+	g_free(starts);
+	g_free(seqs);
+}
+
+/* This entry may have forgotten the agent: its counters begin where the agent has them. */
+static void resume_link(struct agent *agent, const Gg__Envelope *envelope)
+{
+	agent->link.next_seq = MAX(envelope->hello->next_seq, 1);
+	agent->link.granted = envelope->granted;
+	agent->link.consumed = envelope->granted;
+}
+
+static void connect_agent(struct board *board, struct agent *agent,
+			  const struct channel_route *route, const Gg__Envelope *envelope)
+{
+	agent->route = *route;
+	agent->epoch = envelope->epoch;
+	agent->heard_us = board->now_us;
+	agent->connected = true;
+	agent->lost = false;
+	link_grant(&agent->link, envelope->granted);
+	agent_update(board, agent, envelope->hello->server);
+	send_welcome(board, agent);
+	begin_reconcile(board, agent);
+	event_log(EVENT_CHANNEL_OPENED, EV_S("agent", agent->id), EV_I("epoch", agent->epoch));
+}
+
+static void receive_hello(struct board *board, const struct channel_route *route,
+			  const struct ident *sender, const Gg__Envelope *envelope)
+{
+	struct agent *agent = agent_find(board, sender);
+	bool fresh = !agent;
+
+	if (agent && envelope->epoch <= agent->epoch && !agent->lost) {
+		metric_add(METRIC_MESSAGES_STALE, 1);
+		return;
+	}
+	if (fresh)
+		agent = agent_add(board, sender, envelope->hello);
+	if (fresh)
+		resume_link(agent, envelope);
+	connect_agent(board, agent, route, envelope);
+	if (fresh)
+		event_log(EVENT_MEMBER_JOINED, EV_S("agent", agent->id), EV_S("host", agent->host),
+			  EV_S("zone", agent->zone));
+}
+
+/*
+ * ZeroMQ reconnects a broken connection unseen, and messages in it are lost. The new connection
+ * has another route, which shows that outstanding starts must be asked about.
+ */
+static void follow_route(struct board *board, struct agent *agent,
+			 const struct channel_route *route)
+{
+	bool same = route->length == agent->route.length &&
+		    memcmp(route->bytes, agent->route.bytes, route->length) == 0;
+
+	if (same && agent->connected)
+		return;
+	agent->connected = true;
+	if (!same) {
+		agent->route = *route;
+		begin_reconcile(board, agent);
+	}
+	dispatch_credits(board, agent);
+}
+
+static void receive_reclaim(struct board *board, struct agent *agent, const Gg__Reclaim *reclaim)
+{
+	if (link_return(&agent->link, reclaim->count) == 0)
+		return;
+	dispatch_credits(board, agent);
+	members_send_heartbeat(board, agent);
+}
+
+static void receive_goodbye(struct board *board, struct agent *agent)
+{
+	event_log(EVENT_MEMBER_LEFT, EV_S("agent", agent->id), EV_S("host", agent->host));
+	dispatch_fail_outstanding(board, agent, "the agent ended");
+	agent_remove(board, agent);
+}
+
+static void receive_body(struct board *board, struct agent *agent, Gg__Envelope *envelope)
+{
+	switch (envelope->body_case) {
+	case GG__ENVELOPE__BODY_HEARTBEAT:
+		if (envelope->heartbeat->server)
+			agent_update(board, agent, envelope->heartbeat->server);
+		break;
+	case GG__ENVELOPE__BODY_RESULT_BATCH:
+		dispatch_results(board, agent, envelope->result_batch);
+		break;
+	case GG__ENVELOPE__BODY_RECLAIM:
+		receive_reclaim(board, agent, envelope->reclaim);
+		break;
+	case GG__ENVELOPE__BODY_RECONCILED:
+		dispatch_reconciled(board, agent, envelope->reconciled);
+		break;
+	case GG__ENVELOPE__BODY_CONFIG_REQUEST:
+		config_send_to_agent(board, agent);
+		break;
+	case GG__ENVELOPE__BODY_CONFIG_STATE:
+		config_adopt(board, envelope->config_state);
+		break;
+	case GG__ENVELOPE__BODY_GOODBYE:
+		receive_goodbye(board, agent);
+		break;
+	default:
+		metric_add(METRIC_MESSAGES_INVALID, 1);
+	}
+}
+
+static void receive_from_agent(struct board *board, struct agent *agent,
+			       const struct channel_route *route, Gg__Envelope *envelope)
+{
+	if (envelope->epoch != agent->epoch || agent->lost) {
+		metric_add(METRIC_MESSAGES_STALE, 1);
+		return;
+	}
+	agent->heard_us = board->now_us;
+	agent->config_version = envelope->config_version;
+	follow_route(board, agent, route);
+	if (envelope->granted > agent->link.granted) {
+		link_grant(&agent->link, envelope->granted);
+		dispatch_credits(board, agent);
+	}
+	if (envelope->config_version > config_version(board->config) &&
+	    envelope->body_case != GG__ENVELOPE__BODY_CONFIG_STATE)
+		config_ask_agent(board, agent);
+	receive_body(board, agent, envelope);
+}
+
+void members_receive(struct board *board, const struct channel_route *route, Gg__Envelope *envelope)
+{
+	struct agent *agent;
+	struct ident sender;
+
+	entry_metrics_received((int)envelope->body_case);
+	if (!channel_get_ident(&envelope->sender, &sender))
+		return;
+	if (envelope->body_case == GG__ENVELOPE__BODY_HELLO &&
+	    envelope->hello->role == GG__HELLO__ROLE__AGENT) {
+		receive_hello(board, route, &sender, envelope);
+		return;
+	}
+	agent = agent_find(board, &sender);
+	if (agent)
+		receive_from_agent(board, agent, route, envelope);
+	else
+		peers_receive_inbound(board, route, &sender, envelope);
+}
+
+static void lose_agent(struct board *board, struct agent *agent)
+{
+	event_log(EVENT_MEMBER_LOST, EV_S("agent", agent->id), EV_S("host", agent->host));
+	dispatch_fail_outstanding(board, agent, "the agent was not heard from");
+	agent_withdraw(board, agent);
+	agent->lost = true;
+}
+
+/* A start without an answer long after its limit shows a lost message or a fault at the agent. */
+static bool is_overdue(const struct board *board, const struct agent *agent)
+{
+	const struct daemon_settings *settings = board->settings;
+	int64_t limit_ms = settings->task_limit_ms + settings->heartbeat_limit_ms;
+
+	return dispatch_has_older(agent, board->now_us - limit_ms * US_PER_MS);
+}
+
+static void check_agent(struct board *board, struct agent *agent)
+{
+	const struct daemon_settings *settings = board->settings;
+	int64_t silent_ms = (board->now_us - agent->heard_us) / US_PER_MS;
+	int64_t asked_ms = (board->now_us - agent->reconcile_us) / US_PER_MS;
+
+	if (agent->lost) {
+		if (silent_ms > FORGET_AFTER_MS)
+			agent_remove(board, agent);
+		return;
+	}
+	if (silent_ms >= settings->agent_lost_ms) {
+		lose_agent(board, agent);
+		return;
+	}
+	if (agent->connected && silent_ms >= settings->heartbeat_limit_ms) {
+		event_log(EVENT_CHANNEL_SILENT, EV_S("agent", agent->id));
+		agent->connected = false;
+		dispatch_credits(board, agent);
+	}
+	if (!agent->connected)
+		return;
+	if (asked_ms >= settings->heartbeat_limit_ms &&
+	    (agent->reconciling || is_overdue(board, agent)))
+		begin_reconcile(board, agent);
+	if (board->now_us - agent->sent_us >= settings->heartbeat_ms * US_PER_MS)
+		members_send_heartbeat(board, agent);
+}
+
+void members_tick(struct board *board)
+{
+	uint32_t cursor = 0;
+	struct agent *agent;
+
+	while ((agent = table_next(&board->agents, &cursor, NULL)))
+		check_agent(board, agent);
+}
+
+void members_return_credits(struct board *board)
+{
+	uint32_t cursor = 0;
+	struct agent *agent;
+
+	while ((agent = table_next(&board->agents, &cursor, NULL))) {
+		if (agent->connected && link_return(&agent->link, UINT64_MAX) > 0) {
+			dispatch_credits(board, agent);
+			members_send_heartbeat(board, agent);
+		}
+	}
+}
+
+void members_say_goodbye(struct board *board)
+{
+	Gg__Goodbye goodbye = GG__GOODBYE__INIT;
+	uint32_t cursor = 0;
+	struct agent *agent;
+
+	goodbye.reason = "shutdown";
+	while ((agent = table_next(&board->agents, &cursor, NULL))) {
+		Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+		envelope.body_case = GG__ENVELOPE__BODY_GOODBYE;
+		envelope.goodbye = &goodbye;
+		if (agent->connected)
+			members_send(board, agent, &envelope);
+	}
+}
+
+void members_free(struct board *board)
+{
+	uint32_t cursor = 0;
+	struct agent *agent;
+
+	while ((agent = table_next(&board->agents, &cursor, NULL)))
+		agent_remove(board, agent);
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_peers.c
@@ -0,0 +1,443 @@
+#include "entry_peers.h"
+
+#include <string.h>
+
+#include "entry_config.h"
+#include "entry_forward.h"
+#include "entry_members.h"
+#include "event.h"
+
+enum {
+	GONE_MAX = 100000 /* beyond it all are dropped; their tokens then count as unknown */
+};
+
+static void send_hello(struct board *board, struct peer *peer)
+{
+	Gg__Hello hello = GG__HELLO__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	hello.role = GG__HELLO__ROLE__ENTRY;
+	hello.zone = board->settings->zone;
+	hello.host = board->settings->host;
+	hello.address = board->settings->channel_address;
+	envelope.body_case = GG__ENVELOPE__BODY_HELLO;
+	envelope.hello = &hello;
+	peers_send(board, peer, &envelope);
+}
+
+/* Replaces the connection: an old one may be silent for good while a new one works. */
+static void connect_peer(struct board *board, struct peer *peer)
+{
+	struct error err;
+
+	channel_close(&peer->channel);
+	peer->epoch++;
+	peer->connected = false;
+	peer->heard_us = board->now_us;
+	if (channel_connect(board->zmq, peer->address, &peer->channel, &err) != STATUS_OK) {
+		event_log_error(EVENT_CHANNEL_SILENT, &err);
+		return;
+	}
+	send_hello(board, peer);
+}
+
+static struct peer *add_peer(struct board *board, const char *address)
+{
+	struct peer *peer = g_new0(struct peer, 1);
+
+	peer->address = g_strdup(address);
+	peer->contact_us = board->now_us;
+	g_ptr_array_add(board->peers, peer);
+	connect_peer(board, peer);
+	return peer;
+}
+
+static struct peer *find_by_address(struct board *board, const char *address)
+{
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct peer *peer = g_ptr_array_index(board->peers, i);
+
+		if (strcmp(peer->address, address) == 0)
+			return peer;
+	}
+	return NULL;
+}
+
+static void free_peer(void *data)
+{
+	struct peer *peer = data;
+
+	channel_close(&peer->channel);
+	g_free(peer->address);
+	g_free(peer->zone);
+	g_free(peer);
+}
+
+void peers_init(struct board *board)
+{
+	board->peers = g_ptr_array_new_with_free_func(free_peer);
+	board->inbounds = g_hash_table_new_full(ident_hash, ident_equal_func, NULL, g_free);
+	board->gone = g_hash_table_new_full(ident_hash, ident_equal_func, g_free, NULL);
+	for (char **address = board->settings->peers; address && *address; address++) {
+		if (strcmp(*address, board->settings->channel_address) != 0 &&
+		    !find_by_address(board, *address))
+			add_peer(board, *address);
+	}
+}
+
+void peers_free(struct board *board)
+{
+	g_ptr_array_free(board->peers, TRUE);
+	g_hash_table_destroy(board->inbounds);
+	g_hash_table_destroy(board->gone);
+}
+
+static bool is_gone(const struct board *board, const struct ident *incarnation)
+{
+	return g_hash_table_contains(board->gone, incarnation);
+}
+
+/* Records that the entry INCARNATION ended: its sessions and claims have no owner any more. */
+static void mark_gone(struct board *board, const struct ident *incarnation)
+{
+	if (is_gone(board, incarnation))
+		return;
+	if (g_hash_table_size(board->gone) >= GONE_MAX)
+		g_hash_table_remove_all(board->gone);
+	g_hash_table_add(board->gone, g_memdup2(incarnation, sizeof(*incarnation)));
+	g_hash_table_remove(board->inbounds, incarnation);
+	forward_owner_gone(board, incarnation);
+	board->entries_changed = true;
+}
+
+/* Takes the incarnation that now answers at the peer's address; one known before has ended. */
+static void learn_incarnation(struct board *board, struct peer *peer,
+			      const struct ident *incarnation)
+{
+	struct ident old = peer->incarnation;
+	bool replaced = peer->known;
+
+	if (peer->known && ident_equal(&old, incarnation))
+		return;
+	peer->known = true;
+	peer->incarnation = *incarnation;
+	board->entries_changed = true;
+	if (replaced)
+		mark_gone(board, &old);
+	event_log(EVENT_MEMBER_JOINED, EV_S("entry", peer->address), EV_I("replaced", replaced));
+}
+
+static bool is_cut_off(const struct board *board, const struct peer *peer)
+{
+	int64_t silent_us = board->now_us - peer->contact_us;
+
+	return !(peer->known && peer->connected) &&
+	       silent_us < board->settings->entry_forget_ms * US_PER_MS;
+}
+
+/*
+ * An incarnation is gone when it said goodbye, when another one took its address, or when its
+ * address did not answer for channel.entry_forget_ms. One never heard of may live behind an address
+ * that does not answer this entry, for example after a restart that was not noticed yet.
+ */
+enum owner_state peers_find_owner(struct board *board, const struct ident *incarnation,
+				  struct peer **peer)
+{
+	bool some_cut_off = false;
+
+	if (is_gone(board, incarnation))
+		return OWNER_GONE;
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct peer *candidate = g_ptr_array_index(board->peers, i);
+		bool cut_off = is_cut_off(board, candidate);
+
+		if (candidate->known && ident_equal(&candidate->incarnation, incarnation)) {
+			*peer = candidate;
+			if (candidate->connected)
+				return OWNER_REACHABLE;
+			return cut_off ? OWNER_SILENT : OWNER_GONE;
+		}
+		some_cut_off = some_cut_off || cut_off;
+	}
+	return some_cut_off ? OWNER_SILENT : OWNER_GONE;
+}
+
+enum status peers_send(struct board *board, struct peer *peer, Gg__Envelope *envelope)
+{
+	if (!peer->channel.socket)
+		return STATUS_NETWORK;
+	members_fill_header(board, envelope, peer->epoch);
+	if (channel_send(&peer->channel, NULL, envelope, NULL) != STATUS_OK) {
+		metric_add(METRIC_SEND_FAILED, 1);
+		return STATUS_NETWORK;
+	}
+	entry_metrics_sent((int)envelope->body_case);
+	peer->sent_us = board->now_us;
+	return STATUS_OK;
+}
+
+static enum status send_inbound(struct board *board, struct inbound *inbound,
+				Gg__Envelope *envelope)
+{
+	members_fill_header(board, envelope, inbound->epoch);
+	if (channel_send(&board->router, &inbound->route, envelope, NULL) != STATUS_OK) {
+		metric_add(METRIC_SEND_FAILED, 1);
+		return STATUS_NETWORK;
+	}
+	entry_metrics_sent((int)envelope->body_case);
+	inbound->sent_us = board->now_us;
+	return STATUS_OK;
+}
+
+enum status peers_send_inbound(struct board *board, const struct ident *incarnation,
+			       Gg__Envelope *envelope)
+{
+	struct inbound *inbound = g_hash_table_lookup(board->inbounds, incarnation);
+
+	return inbound ? send_inbound(board, inbound, envelope) : STATUS_NETWORK;
+}
+
+static void send_config(struct board *board, struct peer *peer, struct inbound *inbound)
+{
+	Gg__ConfigState state = GG__CONFIG_STATE__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	envelope.body_case = GG__ENVELOPE__BODY_CONFIG_STATE;
+	envelope.config_state = &state;
+	config_fill_state(board, &state);
+	if (peer)
+		peers_send(board, peer, &envelope);
+	else
+		send_inbound(board, inbound, &envelope);
+}
+
+static void ask_config(struct board *board, struct peer *peer, const Gg__Envelope *received)
+{
+	Gg__ConfigRequest request = GG__CONFIG_REQUEST__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	if (received->config_version <= config_version(board->config) ||
+	    received->body_case == GG__ENVELOPE__BODY_CONFIG_STATE)
+		return;
+	request.have_version = config_version(board->config);
+	envelope.body_case = GG__ENVELOPE__BODY_CONFIG_REQUEST;
+	envelope.config_request = &request;
+	peers_send(board, peer, &envelope);
+}
+
+/* INCARNATION is a copy, since its row is removed here. */
+static void receive_goodbye(struct board *board, struct ident incarnation)
+{
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct peer *peer = g_ptr_array_index(board->peers, i);
+
+		if (!peer->known || !ident_equal(&peer->incarnation, &incarnation))
+			continue;
+		event_log(EVENT_MEMBER_LEFT, EV_S("entry", peer->address));
+		peer->known = false;
+		peer->connected = false;
+	}
+	mark_gone(board, &incarnation);
+}
+
+void peers_receive(struct board *board, struct peer *peer, Gg__Envelope *envelope)
+{
+	struct ident sender;
+
+	entry_metrics_received((int)envelope->body_case);
+	if (!channel_get_ident(&envelope->sender, &sender) || is_gone(board, &sender) ||
+	    envelope->epoch != peer->epoch) {
+		metric_add(METRIC_MESSAGES_STALE, 1);
+		return;
+	}
+	learn_incarnation(board, peer, &sender);
+	peer->connected = true;
+	peer->heard_us = board->now_us;
+	peer->contact_us = board->now_us;
+	ask_config(board, peer, envelope);
+	switch (envelope->body_case) {
+	case GG__ENVELOPE__BODY_WELCOME:
+		g_free(peer->zone);
+		peer->zone = g_strdup(envelope->welcome->zone);
+		board->entries_changed = true;
+		break;
+	case GG__ENVELOPE__BODY_FORWARD_REPLY:
+		forward_receive_reply(board, envelope->forward_reply);
+		break;
+	case GG__ENVELOPE__BODY_CONFIG_REQUEST:
+		send_config(board, peer, NULL);
+		break;
+	case GG__ENVELOPE__BODY_CONFIG_STATE:
+		config_adopt(board, envelope->config_state);
+		break;
+	case GG__ENVELOPE__BODY_GOODBYE:
+		receive_goodbye(board, sender);
+		break;
+	default:
+		break;
+	}
+}
+
+static void send_welcome(struct board *board, struct inbound *inbound)
+{
+	Gg__Welcome welcome = GG__WELCOME__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	welcome.zone = board->settings->zone;
+	envelope.body_case = GG__ENVELOPE__BODY_WELCOME;
+	envelope.welcome = &welcome;
+	send_inbound(board, inbound, &envelope);
+}
+
+/* An entry that is not in the settings is added as a peer by the address in its Hello. */
+static void learn_from_hello(struct board *board, const struct ident *sender,
+			     const Gg__Hello *hello)
+{
+	struct peer *peer;
+
+	if (hello->address[0] == '\0')
+		return;
+	peer = find_by_address(board, hello->address);
+	if (!peer)
+		peer = add_peer(board, hello->address);
+	else if (!peer->known || !ident_equal(&peer->incarnation, sender))
+		connect_peer(board, peer);
+	learn_incarnation(board, peer, sender);
+	peer->contact_us = board->now_us;
+}
+
+static void receive_hello(struct board *board, const struct channel_route *route,
+			  const struct ident *sender, const Gg__Envelope *envelope)
+{
+	struct inbound *inbound = g_hash_table_lookup(board->inbounds, sender);
+
+	if (inbound && envelope->epoch <= inbound->epoch) {
+		metric_add(METRIC_MESSAGES_STALE, 1);
+		return;
+	}
+	if (!inbound) {
+		inbound = g_new0(struct inbound, 1);
+		inbound->incarnation = *sender;
+		g_hash_table_insert(board->inbounds, &inbound->incarnation, inbound);
+	}
+	inbound->route = *route;
+	inbound->epoch = envelope->epoch;
+	inbound->heard_us = board->now_us;
+	learn_from_hello(board, sender, envelope->hello);
+	send_welcome(board, inbound);
+}
+
+static void receive_inbound_body(struct board *board, struct inbound *inbound,
+				 Gg__Envelope *envelope)
+{
+	switch (envelope->body_case) {
+	case GG__ENVELOPE__BODY_FORWARD:
+		forward_receive(board, &inbound->incarnation, envelope->forward);
+		break;
+	case GG__ENVELOPE__BODY_CONFIG_REQUEST:
+		send_config(board, NULL, inbound);
+		break;
+	case GG__ENVELOPE__BODY_CONFIG_STATE:
+		config_adopt(board, envelope->config_state);
+		break;
+	case GG__ENVELOPE__BODY_GOODBYE:
+		receive_goodbye(board, inbound->incarnation);
+		break;
+	default:
+		break;
+	}
+}
+
+void peers_receive_inbound(struct board *board, const struct channel_route *route,
+			   const struct ident *sender, Gg__Envelope *envelope)
+{
+	struct inbound *inbound;
+
+	if (is_gone(board, sender)) {
+		metric_add(METRIC_MESSAGES_STALE, 1);
+		return;
+	}
+	if (envelope->body_case == GG__ENVELOPE__BODY_HELLO) {
+		receive_hello(board, route, sender, envelope);
+		return;
+	}
+	inbound = g_hash_table_lookup(board->inbounds, sender);
+	if (!inbound || envelope->epoch != inbound->epoch) {
+		metric_add(METRIC_MESSAGES_STALE, 1);
+		return;
+	}
+	inbound->route = *route;
+	inbound->heard_us = board->now_us;
+	receive_inbound_body(board, inbound, envelope);
+}
+
+static void send_heartbeat(struct board *board, struct peer *peer, struct inbound *inbound)
+{
+	Gg__Heartbeat heartbeat = GG__HEARTBEAT__INIT;
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+	envelope.body_case = GG__ENVELOPE__BODY_HEARTBEAT;
+	envelope.heartbeat = &heartbeat;
+	if (peer)
+		peers_send(board, peer, &envelope);
+	else
+		send_inbound(board, inbound, &envelope);
+}
+
+static void check_peer(struct board *board, struct peer *peer)
+{
+	int64_t silent_us = board->now_us - peer->heard_us;
+
+	if (silent_us >= board->settings->heartbeat_limit_ms * US_PER_MS) {
+		if (peer->connected)
+			event_log(EVENT_CHANNEL_SILENT, EV_S("entry", peer->address));
+		connect_peer(board, peer);
+		return;
+	}
+	if (board->now_us - peer->sent_us >= board->settings->heartbeat_ms * US_PER_MS)
+		send_heartbeat(board, peer, NULL);
+}
+
+void peers_tick(struct board *board)
+{
+	const struct daemon_settings *settings = board->settings;
+	GHashTableIter iter;
+	void *value;
+
+	for (guint i = 0; i < board->peers->len; i++)
+		check_peer(board, g_ptr_array_index(board->peers, i));
+	g_hash_table_iter_init(&iter, board->inbounds);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct inbound *inbound = value;
+
+		if (board->now_us - inbound->heard_us >= settings->entry_forget_ms * US_PER_MS)
+			g_hash_table_iter_remove(&iter);
+		else if (board->now_us - inbound->sent_us >= settings->heartbeat_ms * US_PER_MS)
+			send_heartbeat(board, NULL, inbound);
+	}
+}
+
+bool peers_all_known(const struct board *board)
+{
+	for (guint i = 0; i < board->peers->len; i++) {
+		const struct peer *peer = g_ptr_array_index(board->peers, i);
+
+		if (!peer->known)
+			return false;
+	}
+	return true;
+}
+
+void peers_say_goodbye(struct board *board)
+{
+	Gg__Goodbye goodbye = GG__GOODBYE__INIT;
+
+	goodbye.reason = "shutdown";
+	for (guint i = 0; i < board->peers->len; i++) {
+		Gg__Envelope envelope = GG__ENVELOPE__INIT;
+
+		envelope.body_case = GG__ENVELOPE__BODY_GOODBYE;
+		envelope.goodbye = &goodbye;
+		peers_send(board, g_ptr_array_index(board->peers, i), &envelope);
+	}
+}
--- /dev/null
+++ b/packages/greengaged/src/entry_peers.h
@@ -0,0 +1,43 @@
+/* Controller of the other entries: connections to and from them, and which incarnations live. */
+#ifndef GG_ENTRY_PEERS_H
+#define GG_ENTRY_PEERS_H
+
+#include "entry_board.h"
+
+enum owner_state {
+	OWNER_REACHABLE,
+	OWNER_SILENT, /* it may live, but does not answer this entry */
+	OWNER_GONE,
+};
+
+/* Connects to the peers in the settings. */
+void peers_init(struct board *board);
+void peers_free(struct board *board);
+
+/* Finds where a request for the entry INCARNATION goes; PEER is set for OWNER_REACHABLE. */
+enum owner_state peers_find_owner(struct board *board, const struct ident *incarnation,
+				  struct peer **peer);
+
+/* Sends ENVELOPE on the connection to PEER. STATUS_NETWORK. */
+enum status peers_send(struct board *board, struct peer *peer, Gg__Envelope *envelope);
+
+/* Sends ENVELOPE on the connection that the entry INCARNATION made. STATUS_NETWORK. */
+enum status peers_send_inbound(struct board *board, const struct ident *incarnation,
+			       Gg__Envelope *envelope);
+
+/* Takes a message from the connection to PEER. */
+void peers_receive(struct board *board, struct peer *peer, Gg__Envelope *envelope);
+
+/* Takes a message of a sender that is no agent from the accepting socket. */
+void peers_receive_inbound(struct board *board, const struct channel_route *route,
+			   const struct ident *sender, Gg__Envelope *envelope);
+
+/* Sends heartbeats that are due and replaces silent connections. Called periodically. */
+void peers_tick(struct board *board);
+
+/* Returns whether every peer answered once, so that owners can be told apart from lost ones. */
+bool peers_all_known(const struct board *board);
+
+void peers_say_goodbye(struct board *board);
+
+#endif
