Measure the scheduler; ignore labels that no class asks for

bench/scheduler_bench prints one flat JSON object: starts per second, bytes per queued task, and time per start by servers, teams and queued tasks. A cycle includes the result and the job's share of submission and release.

--- /dev/null
+++ b/bench/scheduler_bench.c
@@ -0,0 +1,225 @@
+/* Cost of the scheduler's decisions: one cycle is a start, its result, and its share of submitting
+ * and releasing jobs, with a queue of constant depth. Prints one flat JSON object. */
+#include <glib.h>
+#include <malloc.h>
+#include <stdio.h>
+
+#include "scheduler.h"
+#include "timer.h"
+
+enum {
+	SEED = 42,
+	SLOTS = 8,
+	ZONES = 3,
+	CLASSES = 4,
+	CYCLES = 400000,
+	WARM_UP = 40000, /* cycles in which the speeds are learned, not counted */
+	TASKS_PER_JOB = 10,
+	NS_PER_US = 1000,
+	BASE_SERVERS = 100,
+	BASE_TEAMS = 630,
+	BASE_QUEUED = 100000
+};
+
+struct load {
+	int servers;
+	int teams;
+	uint32_t queued;
+	uint32_t job_tasks;
+	bool own_labels; /* every server has a label of its own */
+};
+
+struct bench {
+	struct sched *sched;
+	GRand *rand;
+	struct load load;
+	struct handle *servers;
+	uint64_t *credits;
+	struct sched_start *running; /* ring of starts in order */
+	uint32_t capacity;
+	uint32_t first;
+	uint32_t count;
+	int64_t now_us;
+};
+
+static void add_servers(struct bench *b)
+{
+	static const char *const zones[ZONES] = {"a", "b", "c"};
+
+	for (int i = 0; i < b->load.servers; i++) {
+		char label[32];
+		const char *labels[] = {label, NULL};
+		const struct sched_server_spec spec = {
+			.id = "s",
+			.zone = zones[i % ZONES],
+			.labels = b->load.own_labels ? labels : NULL,
+			.slots = SLOTS,
+			.open = true,
+		};
+
+		snprintf(label, sizeof(label), "host=%d", i);
+		b->servers[i] =
+			sched_server_add(b->sched, &spec, GUINT_TO_POINTER((unsigned int)i));
+		b->credits[i] = SLOTS;
+		sched_server_credits(b->sched, b->servers[i], SLOTS);
+	}
+}
+
+static void submit(struct bench *b)
+{
+	char class[16];
+	char team[16];
+	const struct sched_job_spec spec = {
+		.class_name = class,
+		.team = team,
+		.tasks = b->load.job_tasks,
+		.bytes = 1000,
+		.deadline_us = b->now_us + G_GINT64_CONSTANT(1000000000000),
+	};
+	struct handle job;
+
+	snprintf(class, sizeof(class), "c%d", g_rand_int_range(b->rand, 0, CLASSES));
+	snprintf(team, sizeof(team), "t%d", g_rand_int_range(b->rand, 0, b->load.teams));
+	if (sched_submit(b->sched, &spec, b->now_us, &job, NULL) != STATUS_OK)
+		g_error("a job was refused");
+}
+
+static void start(struct bench *b, const struct sched_start *start)
+{
+	b->running[(b->first + b->count) % b->capacity] = *start;
+	b->count++;
+	b->credits[GPOINTER_TO_UINT(start->server_context)]--;
+}
+
+/* Finishes the oldest start. Servers differ in speed by up to 4 times. */
+static void finish(struct bench *b)
+{
+	const struct sched_start *oldest = &b->running[b->first];
+	uint32_t server = GPOINTER_TO_UINT(oldest->server_context);
+	int64_t run_us = 100000 * (1 + server % 4) + g_rand_int_range(b->rand, 0, 50000);
+
+	b->first = (b->first + 1) % b->capacity;
+	b->count--;
+	b->now_us += 10;
+	if (sched_task_done(b->sched, oldest->job, oldest->task, oldest->server, run_us,
+			    b->now_us) == SCHED_JOB_DONE)
+		sched_release(b->sched, oldest->job);
+	b->credits[server]++;
+	sched_server_credits(b->sched, b->servers[server], b->credits[server]);
+}
+
+static void setup(struct bench *b, const struct load *load)
+{
+	const struct sched_limits limits = {
+		.max_queued_tasks = UINT64_MAX / 2,
+		.max_queued_bytes = UINT64_MAX / 2,
+		.ageing_divisor = 10,
+		.zone_penalty_us = 500,
+	};
+
+	*b = (struct bench){.load = *load, .capacity = (uint32_t)load->servers * SLOTS};
+	b->sched = sched_new(&limits, "a", SEED);
+	b->rand = g_rand_new_with_seed(SEED);
+	b->servers = g_new0(struct handle, load->servers);
+	b->credits = g_new0(uint64_t, load->servers);
+	b->running = g_new0(struct sched_start, b->capacity);
+	add_servers(b);
+}
+
+static void teardown(struct bench *b)
+{
+	sched_free(b->sched);
+	g_rand_free(b->rand);
+	g_free(b->servers);
+	g_free(b->credits);
+	g_free(b->running);
+}
+
+static void fill(struct bench *b)
+{
+	while (sched_queued(b->sched) < b->load.queued)
+		submit(b);
+}
+
+/* Returns the mean time of one cycle in nanoseconds. */
+static double cycle_ns(const struct load *load)
+{
+	struct bench b;
+	int64_t begin = 0;
+	double ns;
+
+	setup(&b, load);
+	fill(&b);
+	for (int i = 0; i < CYCLES;) {
+		struct sched_start next;
+
+		if (i == WARM_UP)
+			begin = timer_clock_us();
+		if (!sched_next(b.sched, b.now_us, &next)) {
+			finish(&b);
+			continue;
+		}
+		start(&b, &next);
+		fill(&b);
+		i++;
+	}
+	ns = (double)(timer_clock_us() - begin) * NS_PER_US / (CYCLES - WARM_UP);
+	teardown(&b);
+	return ns;
+}
+
+static size_t heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+static double bytes_per_task(uint32_t queued, uint32_t job_tasks)
+{
+	const struct load load = {BASE_SERVERS, BASE_TEAMS, queued, job_tasks, false};
+	size_t before = heap_bytes();
+	struct bench b;
+	size_t after;
+
+	setup(&b, &load);
+	fill(&b);
+	after = heap_bytes();
+	teardown(&b);
+	return (double)(after - before) / queued;
+}
+
+int main(void)
+{
+	static const int servers[] = {10, 100, 1000};
+	static const int teams[] = {10, 100, 630};
+	static const uint32_t queued[] = {1000, 10000, 100000, 1000000};
+	struct load load = {BASE_SERVERS, BASE_TEAMS, BASE_QUEUED, TASKS_PER_JOB, false};
+	double base = cycle_ns(&load);
+
+	printf("{\"starts_per_second\": %.0f, \"start_ns\": %.0f", 1e9 / base, base);
+	printf(", \"bytes_per_queued_task\": %.1f", bytes_per_task(1000000, TASKS_PER_JOB));
+	printf(", \"bytes_per_queued_one_task_job\": %.1f", bytes_per_task(1000000, 1));
+	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+		load.servers = servers[i];
+		printf(", \"start_ns_%d_servers\": %.0f", servers[i], cycle_ns(&load));
+	}
+	load.servers = BASE_SERVERS;
+	load.own_labels = true;
+	printf(", \"start_ns_100_servers_own_labels\": %.0f", cycle_ns(&load));
+	load.own_labels = false;
+	for (size_t i = 0; i < G_N_ELEMENTS(teams); i++) {
+		load.teams = teams[i];
+		printf(", \"start_ns_%d_teams\": %.0f", teams[i], cycle_ns(&load));
+	}
+	load.teams = BASE_TEAMS;
+	for (size_t i = 0; i < G_N_ELEMENTS(queued); i++) {
+		load.queued = queued[i];
+		load.job_tasks = TASKS_PER_JOB;
+		printf(", \"start_ns_%u_queued\": %.0f", queued[i], cycle_ns(&load));
+		load.job_tasks = 1;
+		printf(", \"start_ns_%u_queued_one_task_jobs\": %.0f", queued[i], cycle_ns(&load));
+	}
+	printf("}\n");
+	return 0;
+}
--- a/packages/core/src/scheduler_defs.h
+++ b/packages/core/src/scheduler_defs.h
@@ -117,7 +117,7 @@
 
 struct server_row;
 
-/* Servers of the same zone and labels, by group, each group a heap by placement factor. */
+/* Servers of the same zone and relevant labels, by group, each group a heap by placement factor. */
 struct pool {
 	struct handle handle;
 	char *key;
@@ -137,6 +137,7 @@
 struct server_row {
 	struct handle handle;
 	struct pool *pool;
+	char **labels;
 	void *context;
 	uint64_t serial;
 	uint64_t tie;
@@ -172,6 +173,7 @@
 	GHashTable *class_names;
 	GHashTable *team_names;
 	GHashTable *pool_keys;
+	GHashTable *label_set; /* labels that some class asks for */
 	GPtrArray *class_list;
 	struct bit_pool bit_pool;
 	struct learn_scale scale;
@@ -225,6 +227,7 @@
 void place_free(struct sched *sched);
 void place_refresh(struct sched *sched, struct server_row *server);
 void place_relink_class(struct sched *sched, struct class_row *class);
+void place_rules_changed(struct sched *sched);
 void place_unlink_class(struct sched *sched, struct class_row *class);
 double place_fastest_factor(const struct class_row *class);
 uint64_t place_demand(const struct pool *pool);
--- a/packages/core/src/scheduler_place.c
+++ b/packages/core/src/scheduler_place.c
@@ -3,9 +3,10 @@
 #include <string.h>
 
 /*
- * Servers of equal zone and labels form a pool. Within a pool the order of servers is the same for
- * every class, since run time is class mean x factor and the zone distance is equal; so each pool
- * keeps its servers in heaps by factor, and a class only compares the first of each pool.
+ * Servers of equal zone and labels form a pool; labels that no class asks for do not count, so that
+ * labels unique to a server do not split the pools. Within a pool the order of servers is the same
+ * for every class, since run time is class mean x factor and the zone distance is equal; so each
+ * pool keeps its servers in heaps by factor, and a class only compares the first of each pool.
  */
 
 enum {
@@ -23,6 +24,7 @@
 	table_init(&sched->servers, sizeof(struct server_row));
 	table_init(&sched->pools, sizeof(struct pool));
 	sched->pool_keys = g_hash_table_new(g_str_hash, g_str_equal);
+	sched->label_set = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 static void pool_clear(struct pool *pool)
@@ -38,10 +40,15 @@
 void place_free(struct sched *sched)
 {
 	uint32_t cursor = 0;
+	struct server_row *server;
 	struct pool *pool;
 
+	while ((server = table_next(&sched->servers, &cursor, NULL)))
+		g_strfreev(server->labels);
+	cursor = 0;
 	while ((pool = table_next(&sched->pools, &cursor, NULL)))
 		pool_clear(pool);
+	g_hash_table_unref(sched->label_set);
 	table_free(&sched->pools);
 	table_free(&sched->servers);
 	g_hash_table_unref(sched->pool_keys);
@@ -224,18 +231,27 @@
 	return key;
 }
 
-static struct pool *find_pool(struct sched *sched, const struct sched_server_spec *spec)
+/* Returns a sorted copy of the labels that some class asks for. */
+static char **relevant_labels(const struct sched *sched, char **labels)
 {
-	char *none[] = {NULL};
-	char **labels = g_strdupv(spec->labels ? (char **)spec->labels : none);
-	const char *zone = spec->zone ? spec->zone : "";
+	char **relevant = g_new0(char *, g_strv_length(labels) + 1);
+	uint32_t count = 0;
+
+	for (; *labels; labels++) {
+		if (g_hash_table_contains(sched->label_set, *labels))
+			relevant[count++] = g_strdup(*labels);
+	}
+	qsort(relevant, count, sizeof(*relevant), compare_labels);
+	return relevant;
+}
+
+static struct pool *find_pool(struct sched *sched, const char *zone, char **server_labels)
+{
+	char **labels = relevant_labels(sched, server_labels);
+	char *key = pool_key(zone, labels);
+	struct pool *pool = g_hash_table_lookup(sched->pool_keys, key);
 	struct handle handle;
-	struct pool *pool;
-	char *key;
 
-	qsort(labels, g_strv_length(labels), sizeof(*labels), compare_labels);
-	key = pool_key(zone, labels);
-	pool = g_hash_table_lookup(sched->pool_keys, key);
 	if (pool) {
 		g_free(key);
 		g_strfreev(labels);
@@ -277,13 +293,10 @@
 	table_remove(&sched->pools, pool->handle);
 }
 
-static void set_spec(struct sched *sched, struct server_row *server,
-		     const struct sched_server_spec *spec)
+static void set_pool(struct sched *sched, struct server_row *server, const char *zone)
 {
-	struct pool *pool = find_pool(sched, spec);
+	struct pool *pool = find_pool(sched, zone, server->labels);
 
-	server->slots = spec->slots;
-	server->open = spec->open;
 	if (pool != server->pool) {
 		pool->servers++;
 		if (server->pool)
@@ -293,6 +306,35 @@
 	place_refresh(sched, server);
 }
 
+static void set_spec(struct sched *sched, struct server_row *server,
+		     const struct sched_server_spec *spec)
+{
+	char *none[] = {NULL};
+
+	g_strfreev(server->labels);
+	server->labels = g_strdupv(spec->labels ? (char **)spec->labels : none);
+	server->slots = spec->slots;
+	server->open = spec->open;
+	set_pool(sched, server, spec->zone ? spec->zone : "");
+}
+
+/* Forms the pools anew by the labels that the classes ask for now. */
+void place_rules_changed(struct sched *sched)
+{
+	uint32_t cursor = 0;
+	struct server_row *server;
+
+	g_hash_table_remove_all(sched->label_set);
+	for (uint32_t i = 0; i < sched->class_list->len; i++) {
+		const struct class_row *class = sched->class_list->pdata[i];
+
+		for (char **label = class->labels; label && *label; label++)
+			g_hash_table_add(sched->label_set, g_strdup(*label));
+	}
+	while ((server = table_next(&sched->servers, &cursor, NULL)))
+		set_pool(sched, server, server->pool->zone);
+}
+
 /* Returns a number that orders equally fast servers, so that entries with different seeds prefer
  * different ones (the finalizer of splitmix64). */
 static uint64_t tie_break(uint64_t seed, uint64_t serial)
@@ -336,6 +378,7 @@
 	if (!server)
 		return;
 	leave_pool(sched, server);
+	g_strfreev(server->labels);
 	learn_server_end(&server->learned, &sched->scale);
 	table_remove(&sched->servers, handle);
 }
--- a/packages/core/src/scheduler_rules.c
+++ b/packages/core/src/scheduler_rules.c
@@ -209,6 +209,7 @@
 		if (!team->configured)
 			set_team_values(sched, team, 1, 0, 0);
 	}
+	place_rules_changed(sched);
 }
 
 /* Takes the run time that a client declared as the start value of a class without any other. */
