--- /dev/null
+++ b/test/unit/sequence.h
@@ -0,0 +1,112 @@
+/* Random event sequences against a model: generation from a fixed seed, and shrinking of a failing
+ * sequence to a short trace. */
+#ifndef GG_TEST_SEQUENCE_H
+#define GG_TEST_SEQUENCE_H
+
+#include <glib.h>
+#include <stdint.h>
+#include <string.h>
+
+enum {
+	SEQUENCE_MAX = 128
+};
+
+/* An event that makes no sense in the state that it meets does nothing, so that any part of a
+ * sequence is a sequence. */
+struct step {
+	uint8_t kind;
+	uint8_t a;
+	uint8_t b;
+	uint8_t c;
+};
+
+struct sequence_kind {
+	const char *name;
+	uint8_t weight;
+};
+
+struct sequence_test {
+	const struct sequence_kind *kinds;
+	size_t kind_count;
+	/* Runs the steps and returns what failed, or NULL. SALT is the same for all parts of a
+	 * sequence. */
+	const char *(*run)(const struct step *steps, size_t count, uint64_t salt);
+};
+
+static inline uint64_t sequence_random(uint64_t *state)
+{
+	uint64_t z = (*state += 0x9e3779b97f4a7c15u);
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+	return z ^ (z >> 31);
+}
+
+static inline uint8_t sequence_pick(const struct sequence_test *test, uint64_t random)
+{
+	uint32_t total = 0;
+	uint32_t place;
+
+	for (size_t i = 0; i < test->kind_count; i++)
+		total += test->kinds[i].weight;
+	place = (uint32_t)(random % total);
+	for (uint8_t i = 0;; i++) {
+		if (place < test->kinds[i].weight)
+			return i;
+		place -= test->kinds[i].weight;
+	}
+}
+
+/* Removes parts, halves first, as long as the rest still fails. Returns the length of the rest. */
+static inline size_t sequence_shrink(const struct sequence_test *test, struct step *steps,
+				     size_t count, uint64_t salt)
+{
+	struct step shorter[SEQUENCE_MAX];
+
+	for (size_t part = MAX(count / 2, 1); part > 0; part /= 2) {
+		for (size_t at = 0; at + part <= count;) {
+			memcpy(shorter, steps, at * sizeof(*steps));
+			memcpy(shorter + at, steps + at + part,
+			       (count - at - part) * sizeof(*steps));
+			if (!test->run(shorter, count - part, salt)) {
+				at += part;
+				continue;
+			}
+			count -= part;
+			memcpy(steps, shorter, count * sizeof(*steps));
+		}
+	}
+	return count;
+}
+
+/* Runs RUNS sequences. The first failing one is shrunk, printed and fails the test. */
+static inline void sequence_check(const struct sequence_test *test, uint64_t seed, uint32_t runs)
+{
+	uint64_t state = seed;
+
+	g_test_message("seed %" G_GUINT64_FORMAT ", %u sequences", seed, runs);
+	for (uint32_t run = 0; run < runs; run++) {
+		uint64_t salt = sequence_random(&state);
+		size_t count = 1 + salt % SEQUENCE_MAX;
+		struct step steps[SEQUENCE_MAX];
+		const char *failure;
+
+		for (size_t i = 0; i < count; i++) {
+			uint64_t random = sequence_random(&state);
+
+			steps[i] = (struct step){sequence_pick(test, random >> 32), random & 0xff,
+						 random >> 8 & 0xff, random >> 16 & 0xff};
+		}
+		if (!test->run(steps, count, salt))
+			continue;
+		count = sequence_shrink(test, steps, count, salt);
+		failure = test->run(steps, count, salt);
+		g_printerr("sequence %u of seed %" G_GUINT64_FORMAT ": %s\n", run, seed, failure);
+		for (size_t i = 0; i < count; i++)
+			g_printerr("  %s %u %u %u\n", test->kinds[steps[i].kind].name, steps[i].a,
+				   steps[i].b, steps[i].c);
+		g_error("%s", failure);
+	}
+}
+
+#endif
