--- /dev/null
+++ b/test/unit/claims_test.c
@@ -0,0 +1,155 @@
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "claims.h"
+
+enum {
+	WINDOW_MS = 3600000
+};
+
+/* 0x018f00000000 ms. */
+static const char key_text[] = "018f0000-0000-7abc-8def-0123456789ab";
+static const int64_t key_ms = 0x018f00000000;
+
+static const struct ident own = {{1}};
+static const struct ident other = {{2}};
+
+static void count_settled(void *context, const struct ident *key_digest, bool won,
+			  const struct ident *owner)
+{
+	(*(int *)context) += won ? 1 : 100;
+}
+
+/* Folds a record and returns 1 for each key won and 100 for each lost. */
+static int fold(struct claims *claims, uint64_t offset, const char *record)
+{
+	int settled = 0;
+
+	claims_fold(claims, offset, record, strlen(record), key_ms, count_settled, &settled, NULL);
+	return settled;
+}
+
+/* A key that is taken for valid outside its bounds may run again after its claim was forgotten. */
+static void test_key_bounds(void)
+{
+	static const char *const invalid[] = {
+		"",
+		"018f0000-0000-4abc-8def-0123456789ab",
+		"018f0000-0000-7abc-cdef-0123456789ab",
+		"018f0000-0000-7abc-8def-0123456789a",
+		"018f0000-0000-7abc-8def-0123456789abc",
+		"018f000000000-7abc-8def-0123456789ab",
+		"018f0000-0000-7abc-8def-0123456789ag",
+	};
+	struct error err;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++)
+		g_assert_cmpint(claims_check_key(invalid[i], key_ms, WINDOW_MS, NULL), ==,
+				STATUS_INVALID_KEY);
+	g_assert_cmpint(claims_check_key(key_text, key_ms - CLAIM_FUTURE_LIMIT_MS, WINDOW_MS, NULL),
+			==, STATUS_OK);
+	claims_check_key(key_text, key_ms - CLAIM_FUTURE_LIMIT_MS - 1, WINDOW_MS, &err);
+	g_assert_true(err.status == STATUS_INVALID_KEY && err.outcome == OUTCOME_NOT_RUN);
+	g_assert_cmpint(claims_check_key(key_text, key_ms + WINDOW_MS - 1, WINDOW_MS, NULL), ==,
+			STATUS_OK);
+	claims_check_key(key_text, key_ms + WINDOW_MS, WINDOW_MS, &err);
+	g_assert_true(err.status == STATUS_KEY_EXPIRED && err.outcome == OUTCOME_UNKNOWN);
+}
+
+/* The same UUID in capitals must not run a second time. */
+static void test_case_does_not_matter(void)
+{
+	char *upper = g_ascii_strup(key_text, -1);
+	struct ident a = claims_key_digest(key_text);
+	struct ident b = claims_key_digest(upper);
+
+	g_assert_true(ident_equal(&a, &b));
+	g_free(upper);
+}
+
+/* A reader that took part of a malformed record, or a record of another version, would disagree
+ * with the others about an owner. */
+static void test_unknown_records_are_ignored(void)
+{
+	static const char *const records[] = {
+		"",
+		"[]",
+		"{\"version\":2,\"owner\":\"02000000000000000000000000000000\","
+		"\"keys\":[\"03000000000000000000000000000000\"]}",
+		"{\"version\":\"1\",\"owner\":\"02000000000000000000000000000000\","
+		"\"keys\":[\"03000000000000000000000000000000\"]}",
+		"{\"version\":1,\"owner\":\"02000000000000000000000000000000\","
+		"\"keys\":[\"03000000000000000000000000000000\",\"03\"]}",
+		"{\"version\":1,\"owner\":\"0200\",\"keys\":[\"03000000000000000000000000000000\"]"
+		"}",
+	};
+	struct claims *claims = claims_new(&own, WINDOW_MS);
+	struct ident key = {{3}};
+
+	for (uint64_t i = 0; i < G_N_ELEMENTS(records); i++)
+		g_assert_cmpint(claims_fold(claims, i, records[i], strlen(records[i]), key_ms, NULL,
+					    NULL, NULL),
+				==, STATUS_INVALID_MESSAGE);
+	g_assert_cmpint(claims_find(claims, &key, NULL), ==, CLAIM_NONE);
+	claims_free(claims);
+}
+
+/* A record that appears twice, or is read twice, must settle its keys once. */
+static void test_repeated_record_changes_nothing(void)
+{
+	struct claims *claims = claims_new(&own, WINDOW_MS);
+	struct claims *rival = claims_new(&other, WINDOW_MS);
+	struct ident key = claims_key_digest(key_text);
+	struct ident owner;
+	char *record;
+
+	g_assert_true(claims_request(claims, &key));
+	g_assert_false(claims_request(claims, &key));
+	g_assert_true(claims_request(rival, &key));
+	record = claims_take_batch(claims);
+	g_assert_null(claims_take_batch(claims));
+	g_assert_cmpint(fold(claims, 4, record), ==, 1);
+	g_assert_cmpint(fold(claims, 4, record) + fold(claims, 5, record), ==, 0);
+	g_assert_cmpint(fold(rival, 4, record) + fold(rival, 5, record), ==, 100);
+	g_assert_cmpint(claims_find(rival, &key, &owner), ==, CLAIM_OTHER);
+	g_assert_true(ident_equal(&owner, &own));
+	g_assert_null(claims_take_batch(rival));
+	free(record);
+	claims_free(claims);
+	claims_free(rival);
+}
+
+/* One record must stay within the log's limit on its size, and every key of a burst must get into
+ * one. */
+static void test_batches_are_bounded(void)
+{
+	struct claims *claims = claims_new(&own, WINDOW_MS);
+	uint32_t records = 0;
+	char *record;
+
+	for (uint32_t i = 0; i < CLAIM_BATCH_KEYS * 2 + 1; i++) {
+		struct ident key = ident_digest(&i, sizeof(i));
+
+		claims_request(claims, &key);
+	}
+	while ((record = claims_take_batch(claims))) {
+		g_assert_cmpint(fold(claims, records++, record), <=, CLAIM_BATCH_KEYS);
+		free(record);
+	}
+	g_assert_cmpuint(records, ==, 3);
+	g_assert_cmpuint(claims_count(claims), ==, CLAIM_BATCH_KEYS * 2 + 1);
+	claims_free(claims);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/claims/key-bounds", test_key_bounds);
+	g_test_add_func("/claims/case-does-not-matter", test_case_does_not_matter);
+	g_test_add_func("/claims/unknown-records-are-ignored", test_unknown_records_are_ignored);
+	g_test_add_func("/claims/repeated-record-changes-nothing",
+			test_repeated_record_changes_nothing);
+	g_test_add_func("/claims/batches-are-bounded", test_batches_are_bounded);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/unit/gate_test.c
@@ -0,0 +1,249 @@
+#include <glib.h>
+
+#include "gate.h"
+
+enum {
+	SECOND_US = 1000000,
+	ENTRIES = 3
+};
+
+/* The entry's clock is ahead of the agent's by an arbitrary constant. */
+static const int64_t clock_us = (int64_t)1 << 62;
+
+struct fixture {
+	struct gate *gate;
+	struct handle channels[ENTRIES];
+	uint64_t consumed[ENTRIES];
+	struct gate_change changes[ENTRIES];
+	uint32_t change_count;
+};
+
+static void set_up(struct fixture *f, gconstpointer slots)
+{
+	const struct gate_limits limits = {.start_by_us = 2 * SECOND_US,
+					   .silent_us = 3 * SECOND_US};
+
+	f->gate = gate_new(&limits);
+	gate_set_slots(f->gate, GPOINTER_TO_UINT(slots));
+	for (int i = 0; i < ENTRIES; i++) {
+		struct ident entry = {{(uint8_t)(i + 1)}};
+
+		f->channels[i] = gate_open(f->gate, &entry, 1, 0);
+	}
+}
+
+static void tear_down(struct fixture *f, gconstpointer slots)
+{
+	gate_free(f->gate);
+}
+
+/* A message of an entry, sent at SENT_US by the agent's clock and received at NOW_US. */
+static void hear(struct fixture *f, int entry, uint64_t demand, int64_t sent_us, int64_t now_us)
+{
+	struct gate_news news = {
+		.sent_us = sent_us + clock_us, .demand = demand, .consumed = f->consumed[entry]};
+
+	gate_hear(f->gate, f->channels[entry], 9, &news, now_us);
+}
+
+static enum status admit(struct fixture *f, int entry, uint64_t seq, int64_t sent_us,
+			 int64_t now_us)
+{
+	struct gate_start start = {.seq = seq, .sent_us = sent_us + clock_us};
+
+	f->consumed[entry] = MAX(f->consumed[entry], seq);
+	return gate_admit(f->gate, f->channels[entry], &start, now_us);
+}
+
+static void finish(struct fixture *f, int entry, uint64_t seq)
+{
+	struct gate_result result = {.seq = seq};
+
+	gate_finish(f->gate, f->channels[entry], &result);
+}
+
+/* Distributes and returns the sum of what is asked back. */
+static uint64_t distribute(struct fixture *f)
+{
+	uint64_t reclaim = 0;
+
+	f->change_count = gate_distribute(f->gate, f->changes, ENTRIES);
+	for (uint32_t i = 0; i < f->change_count; i++)
+		reclaim += f->changes[i].reclaim;
+	return reclaim;
+}
+
+static uint64_t granted(const struct fixture *f, int entry)
+{
+	return gate_granted(f->gate, f->channels[entry]);
+}
+
+/* A first message that was held up must not make later starts acceptable when they are late, nor a
+ * slow drift of the clocks make starts late that are not, nor a pause of an entry hide its delay.
+ */
+static void test_start_by(struct fixture *f, gconstpointer slots)
+{
+	int64_t now_us = 10 * SECOND_US;
+
+	hear(f, 0, 0, now_us - 5 * SECOND_US, now_us);
+	distribute(f);
+	hear(f, 0, 0, now_us, now_us);
+	g_assert_cmpint(admit(f, 0, 1, now_us - 3 * SECOND_US, now_us), ==, STATUS_START_LATE);
+	for (int minute = 0; minute < 24 * 60; minute++) {
+		now_us += 60 * (int64_t)SECOND_US;
+		hear(f, 0, 0, now_us - minute * 6000, now_us);
+	}
+	g_assert_cmpint(admit(f, 0, 2, now_us - 8640000, now_us), ==, STATUS_OK);
+	now_us += 3600 * (int64_t)SECOND_US;
+	g_assert_cmpint(admit(f, 0, 3, now_us - 8640000 - 3 * SECOND_US, now_us), ==,
+			STATUS_START_LATE);
+}
+
+/* Starts lost within a connection, for which no reconcile comes, must be answered: their jobs would
+ * wait for ever. */
+static void test_skipped_starts_are_refused(struct fixture *f, gconstpointer slots)
+{
+	const struct gate_result *result;
+
+	hear(f, 0, 8, 0, 0);
+	distribute(f);
+	g_assert_cmpint(admit(f, 0, 3, 0, 0), ==, STATUS_OK);
+	for (uint64_t seq = 1; seq <= 2; seq++) {
+		result = gate_next_result(f->gate, f->channels[0], seq - 1);
+		g_assert_true(result && result->seq == seq && result->not_started);
+		g_assert_cmpint(admit(f, 0, seq, 0, 0), ==, STATUS_DUPLICATE_START);
+	}
+	g_assert_cmpint(admit(f, 0, (uint64_t)1 << 60, 0, 0), ==, STATUS_NO_SLOT);
+	g_assert_cmpuint(gate_unacknowledged(f->gate), ==, 2);
+}
+
+/* Slots that shrink below the starts that run must not turn into a huge number of free ones. */
+static void test_shrinking_slots(struct fixture *f, gconstpointer slots)
+{
+	hear(f, 0, 8, 0, 0);
+	distribute(f);
+	for (uint64_t seq = 1; seq <= 6; seq++)
+		g_assert_cmpint(admit(f, 0, seq, 0, 0), ==, STATUS_OK);
+	gate_set_slots(f->gate, 2);
+	g_assert_cmpuint(distribute(f), ==, 2);
+	g_assert_cmpuint(granted(f, 0) + granted(f, 1) + granted(f, 2), ==, 8);
+	g_assert_cmpint(admit(f, 0, 7, 0, 0), ==, STATUS_NO_SLOT);
+	for (uint64_t seq = 1; seq <= 6; seq++)
+		finish(f, 0, seq);
+	f->consumed[0] = 8;
+	hear(f, 0, 8, 1, 1);
+	distribute(f);
+	g_assert_cmpuint(granted(f, 0), ==, 10);
+}
+
+/* Runs one task after the other on each slot for entries with the given demands. */
+static void run_tasks(struct fixture *f, const uint64_t demands[ENTRIES], int rounds)
+{
+	for (int round = 0; round < rounds; round++) {
+		for (int i = 0; i < ENTRIES; i++) {
+			uint64_t first = f->consumed[i] + 1;
+
+			for (uint64_t seq = first; seq <= granted(f, i); seq++) {
+				g_assert_cmpint(admit(f, i, seq, round, round), ==, STATUS_OK);
+				finish(f, i, seq);
+			}
+			hear(f, i, demands[i], round, round);
+		}
+		distribute(f);
+	}
+}
+
+/* An entry with a long queue must not leave a short one without service, and the share follows the
+ * demand. */
+static void test_shares_follow_demand(struct fixture *f, gconstpointer slots)
+{
+	static const uint64_t demands[ENTRIES] = {600, 200, 0};
+	uint64_t before[ENTRIES];
+
+	run_tasks(f, demands, 10);
+	for (int i = 0; i < ENTRIES; i++)
+		before[i] = granted(f, i);
+	run_tasks(f, demands, 100);
+	g_assert_cmpuint(granted(f, 0) - before[0], >=, 595);
+	g_assert_cmpuint(granted(f, 0) - before[0], <=, 605);
+	g_assert_cmpuint(granted(f, 1) - before[1], >=, 195);
+	g_assert_cmpuint(granted(f, 2) - before[2], ==, 0);
+}
+
+/* Without demand every entry holds credits for its first task. Those of idle entries are asked back
+ * once for an entry that has none, and again only when the request seems lost. */
+static void test_idle_credits_are_reclaimed(struct fixture *f, gconstpointer slots)
+{
+	for (int i = 0; i < ENTRIES; i++)
+		hear(f, i, 0, 0, 0);
+	g_assert_cmpuint(distribute(f), ==, 0);
+	for (int i = 0; i < ENTRIES; i++)
+		g_assert_cmpuint(granted(f, i), ==, 3);
+	for (uint64_t seq = 1; seq <= 3; seq++)
+		admit(f, 0, seq, 1, 1);
+	hear(f, 0, 4, 1, 1);
+	g_assert_cmpuint(distribute(f), ==, 4);
+	g_assert_cmpuint(f->changes[0].reclaim, ==, 2);
+	g_assert_cmpuint(distribute(f), ==, 0);
+	f->consumed[1] = 2;
+	hear(f, 1, 0, 2, 2);
+	g_assert_cmpuint(distribute(f), ==, 0);
+	g_assert_cmpuint(granted(f, 0), ==, 5);
+	f->consumed[0] = 5;
+	hear(f, 0, 2, SECOND_US + 1, SECOND_US + 1);
+	g_assert_cmpuint(distribute(f), ==, 0);
+	g_assert_cmpuint(granted(f, 0), ==, 7);
+}
+
+/* A lost reclaim must be repeated while its entry stays idle. */
+static void test_lost_reclaim_is_repeated(struct fixture *f, gconstpointer slots)
+{
+	for (int i = 0; i < ENTRIES; i++)
+		hear(f, i, 0, 0, 0);
+	distribute(f);
+	f->consumed[0] = 3;
+	for (uint64_t seq = 1; seq <= 3; seq++)
+		admit(f, 0, seq, 1, 1);
+	hear(f, 0, 6, 1, 1);
+	g_assert_cmpuint(distribute(f), ==, 6);
+	hear(f, 0, 6, SECOND_US, SECOND_US);
+	g_assert_cmpuint(distribute(f), ==, 0);
+	hear(f, 0, 6, SECOND_US + 1, SECOND_US + 1);
+	g_assert_cmpuint(distribute(f), ==, 6);
+}
+
+/* The credits of an entry that died must not stay out of use until its channel is dropped, and when
+ * it comes back its old credits must not add to the slots. */
+static void test_silent_entry(struct fixture *f, gconstpointer slots)
+{
+	int64_t later_us = 4 * SECOND_US;
+
+	for (int i = 0; i < ENTRIES; i++)
+		hear(f, i, 0, 0, 0);
+	distribute(f);
+	hear(f, 1, 9, later_us, later_us);
+	hear(f, 2, 0, later_us, later_us);
+	distribute(f);
+	g_assert_cmpuint(granted(f, 1), ==, 6);
+	hear(f, 0, 0, later_us, later_us);
+	g_assert_cmpuint(distribute(f), ==, 3);
+	g_assert_cmpuint(granted(f, 0) + granted(f, 1) + granted(f, 2), ==, 12);
+}
+
+int main(int argc, char **argv)
+{
+	const void *eight = GUINT_TO_POINTER(8);
+	const void *nine = GUINT_TO_POINTER(9);
+
+	g_test_init(&argc, &argv, NULL);
+#define ADD(path, slots, test)                                                                     \
+	g_test_add("/gate/" path, struct fixture, slots, set_up, test, tear_down)
+	ADD("start-by", eight, test_start_by);
+	ADD("skipped-starts-are-refused", eight, test_skipped_starts_are_refused);
+	ADD("shrinking-slots", eight, test_shrinking_slots);
+	ADD("shares-follow-demand", eight, test_shares_follow_demand);
+	ADD("idle-credits-are-reclaimed", nine, test_idle_credits_are_reclaimed);
+	ADD("lost-reclaim-is-repeated", nine, test_lost_reclaim_is_repeated);
+	ADD("silent-entry", nine, test_silent_entry);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/unit/link_test.c
@@ -0,0 +1,92 @@
+#include <glib.h>
+
+#include "link.h"
+
+enum {
+	STARTS = 1000
+};
+
+static const struct handle job = {.index = 7, .generation = 1};
+
+/* Guards against starts that cannot be found any more after others of their probe run were removed
+ * or the table grew while old ones stayed. */
+static void test_table_keeps_stragglers(void)
+{
+	struct link link;
+	struct link_start ended;
+
+	link_init(&link);
+	link_grant(&link, STARTS);
+	for (uint32_t i = 0; i < STARTS; i++) {
+		g_assert_cmpuint(link_start(&link, job, i, 5), ==, i + 1);
+		if (i % 7 != 0)
+			g_assert_true(link_finish(&link, i + 1, &ended));
+	}
+	for (uint32_t i = 0; i < STARTS; i++) {
+		g_assert_true(link_finish(&link, i + 1, &ended) == (i % 7 == 0));
+		g_assert_true(i % 7 != 0 || (ended.task == i && ended.sent_us == 5));
+	}
+	g_assert_cmpuint(link_outstanding(&link, NULL, 0), ==, 0);
+	link_free(&link);
+}
+
+/* A late message with an old total must not take credits back, and no more may be returned than are
+ * left. */
+static void test_credits_never_go_back(void)
+{
+	struct link link;
+
+	link_init(&link);
+	g_assert_cmpuint(link_start(&link, job, 0, 0), ==, 0);
+	link_grant(&link, 5);
+	link_grant(&link, 3);
+	g_assert_cmpuint(link_start(&link, job, 0, 0), ==, 1);
+	g_assert_cmpuint(link_return(&link, 9), ==, 4);
+	g_assert_cmpuint(link_credits(&link), ==, 0);
+	g_assert_cmpuint(link_start(&link, job, 0, 0), ==, 0);
+	link_free(&link);
+}
+
+/* A result after a gap must not acknowledge the one that is missing: it would never be repeated. */
+static void test_gap_is_not_acknowledged(void)
+{
+	struct link link;
+
+	link_init(&link);
+	g_assert_true(link_accept_result(&link, 2));
+	g_assert_cmpuint(link.result_ack, ==, 0);
+	g_assert_true(link_accept_result(&link, 1));
+	g_assert_false(link_accept_result(&link, 1));
+	g_assert_true(link_accept_result(&link, 2));
+	g_assert_cmpuint(link.result_ack, ==, 2);
+	link_free(&link);
+}
+
+/* When an agent is taken for gone every start ends once, and the numbers go on: the agent keeps its
+ * high-water mark. */
+static void test_abandon_keeps_numbers(void)
+{
+	struct link link;
+	struct link_start ended;
+	uint64_t seqs = 0;
+
+	link_init(&link);
+	link_grant(&link, 4);
+	for (uint32_t i = 0; i < 3; i++)
+		link_start(&link, job, i, 0);
+	while (link_abandon(&link, &ended))
+		seqs += ended.seq;
+	g_assert_cmpuint(seqs, ==, 1 + 2 + 3);
+	g_assert_cmpuint(link_start(&link, job, 3, 0), ==, 4);
+	link_free(&link);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/link/table-keeps-stragglers", test_table_keeps_stragglers);
+	g_test_add_func("/link/credits-never-go-back", test_credits_never_go_back);
+	g_test_add_func("/link/gap-is-not-acknowledged", test_gap_is_not_acknowledged);
+	g_test_add_func("/link/abandon-keeps-numbers", test_abandon_keeps_numbers);
+	return g_test_run();
+}
