Add the commands of greengagectl

A request goes to the next entry only when libcurl's pre-request callback was never reached, that is when the entry could not be connected; anything else might have run. submit shows the session token and the key on standard error before it sends the job, since a resubmission needs both when the answer is lost; standard output holds the answer alone.

--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -149,7 +149,7 @@
 	return status;
 }
 
-/* Copies AUTHOR, cut between two characters when it is too long. */
+/* Copies AUTHOR, cut between two characters when it is too long and without control characters. */
 static void copy_author(struct config_change *change, const char *author)
 {
 	const char *end;
@@ -159,6 +159,10 @@
 	g_strlcpy(change->author, author, sizeof(change->author));
 	if (!g_utf8_validate(change->author, -1, &end))
 		change->author[end - change->author] = '\0';
+	for (char *c = change->author; *c; c++) {
+		if ((unsigned char)*c < ' ' || *c == '\x7f')
+			*c = '?';
+	}
 }
 
 static enum config_effect fold_patch(struct config_state *state, uint64_t offset,
--- /dev/null
+++ b/packages/greengagectl/src/cmd_job.c
@@ -0,0 +1,204 @@
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "ctl.h"
+#include "ident.h"
+
+enum {
+	WAIT_STEP_MS = 10000, /* asked for in one request; entries cap it */
+	CANCEL_WAIT_MS = 0,
+	UUID_TEXT_BYTES = 37
+};
+
+/* Writes a new UUIDv7: 48 bits of time in ms, version, random bits. */
+static void make_key(char text[UUID_TEXT_BYTES])
+{
+	struct ident id = ident_random();
+	uint64_t now_ms = (uint64_t)(g_get_real_time() / 1000);
+	char hex[IDENT_HEX_BYTES];
+
+	for (int i = 0; i < 6; i++)
+		id.bytes[i] = (uint8_t)(now_ms >> (8 * (5 - i)));
+	id.bytes[6] = (uint8_t)((id.bytes[6] & 0x0f) | 0x70);
+	id.bytes[8] = (uint8_t)((id.bytes[8] & 0x3f) | 0x80);
+	ident_format(&id, hex);
+	g_snprintf(text, UUID_TEXT_BYTES, "%.8s-%.4s-%.4s-%.4s-%.12s", hex, hex + 8, hex + 12,
+		   hex + 16, hex + 20);
+}
+
+/* Returns the path of a job: below its session, or by key alone when there is none. */
+static char *job_path(const char *session, const char *key, int64_t wait_ms)
+{
+	char *escaped_key = g_uri_escape_string(key, NULL, FALSE);
+	char *escaped = session ? g_uri_escape_string(session, NULL, FALSE) : NULL;
+	char *path;
+
+	if (escaped)
+		path = g_strdup_printf("/v1/sessions/%s/jobs/%s?wait_ms=%lld", escaped, escaped_key,
+				       (long long)wait_ms);
+	else
+		path = g_strdup_printf("/v1/jobs/%s?wait_ms=%lld", escaped_key, (long long)wait_ms);
+	g_free(escaped_key);
+	g_free(escaped);
+	return path;
+}
+
+enum ctl_exit cmd_session_open(const struct ctl *ctl, char **args)
+{
+	struct ctl_answer answer;
+	bool opened = ctl_fetch(ctl, "POST", "/v1/sessions", NULL, 0, &answer);
+
+	if (opened && ctl->json)
+		ctl_print_json(ctl, answer.body);
+	else if (opened)
+		printf("%s\n", ctl_text(answer.body, "session"));
+	ctl_answer_clear(&answer);
+	return opened ? CTL_EXIT_OK : CTL_EXIT_FAILED;
+}
+
+enum ctl_exit cmd_session_close(const struct ctl *ctl, char **args)
+{
+	char *escaped = g_uri_escape_string(args[0], NULL, FALSE);
+	char *path = g_strconcat("/v1/sessions/", escaped, NULL);
+	struct ctl_answer answer;
+	bool closed = ctl_fetch(ctl, "DELETE", path, NULL, 0, &answer);
+
+	ctl_answer_clear(&answer);
+	g_free(escaped);
+	g_free(path);
+	return closed ? CTL_EXIT_OK : CTL_EXIT_FAILED;
+}
+
+static bool is_state(const json_t *body, const char *state)
+{
+	return strcmp(ctl_text(body, "state"), state) == 0;
+}
+
+/* Prints the outcome of a job request and returns the exit code for it. */
+static enum ctl_exit finish(const struct ctl *ctl, const struct ctl_answer *answer)
+{
+	bool ended = is_state(answer->body, "failed") || is_state(answer->body, "cancelled");
+
+	if (answer->body && (ctl->json || is_state(answer->body, "done")))
+		ctl_print_json(ctl, answer->body);
+	if (is_state(answer->body, "done"))
+		return CTL_EXIT_OK;
+	if (ended) {
+		fprintf(stderr, "greengagectl: job %s\n", ctl_text(answer->body, "state"));
+		ctl_print_refusal(answer);
+		return CTL_EXIT_JOB_FAILED;
+	}
+	if (answer->http_code / 100 == 2)
+		fprintf(stderr, "greengagectl: job not finished: %s\n",
+			ctl_text(answer->body, "state"));
+	else
+		ctl_print_refusal(answer);
+	return CTL_EXIT_FAILED;
+}
+
+/*
+ * Sends METHOD for a job and, while it is queued or running, asks for it again until the wait is
+ * over. A fresh session token takes the place of SESSION.
+ */
+static enum ctl_exit run_job(const struct ctl *ctl, const char *method, char **session,
+			     const char *key, const json_t *job)
+{
+	int64_t end_us = g_get_monotonic_time() + ctl->wait_ms * 1000;
+	enum ctl_exit code;
+
+	for (;;) {
+		int64_t left_ms = MAX((end_us - g_get_monotonic_time()) / 1000, 0);
+		int64_t wait_ms = MIN(left_ms, WAIT_STEP_MS);
+		char *path = job_path(*session, key, wait_ms);
+		struct ctl_answer answer;
+		struct error err;
+		enum status status = ctl_request(ctl, method, path, job, wait_ms, &answer, &err);
+
+		g_free(path);
+		if (status != STATUS_OK) {
+			ctl_print_error(&err);
+			return CTL_EXIT_FAILED;
+		}
+		if (answer.session && *session) {
+			g_free(*session);
+			*session = g_steal_pointer(&answer.session);
+			fprintf(stderr, "session: %s\n", *session);
+		}
+		if (answer.http_code == 202 && left_ms > 0) {
+			ctl_answer_clear(&answer);
+			method = "GET";
+			job = NULL;
+			continue;
+		}
+		code = finish(ctl, &answer);
+		ctl_answer_clear(&answer);
+		return code;
+	}
+}
+
+static char *open_session(const struct ctl *ctl)
+{
+	struct ctl_answer answer;
+	char *session = NULL;
+
+	if (ctl_fetch(ctl, "POST", "/v1/sessions", NULL, 0, &answer))
+		session = g_strdup(json_string_value(json_object_get(answer.body, "session")));
+	ctl_answer_clear(&answer);
+	return session;
+}
+
+enum ctl_exit cmd_submit(const struct ctl *ctl, char **args)
+{
+	json_t *job = ctl_read_json(args[0] ? args[0] : "-");
+	char *session = g_strdup(ctl->session);
+	char made[UUID_TEXT_BYTES];
+	const char *key = ctl->key ? ctl->key : made;
+	enum ctl_exit code = CTL_EXIT_FAILED;
+
+	if (!job)
+		return CTL_EXIT_USAGE;
+	make_key(made);
+	if (!session && !ctl->claim)
+		session = open_session(ctl);
+	if (session || ctl->claim) {
+		/* Shown before the job is sent: a resubmission needs both if the answer is lost. */
+		if (session)
+			fprintf(stderr, "session: %s\n", session);
+		fprintf(stderr, "key: %s\n", key);
+		code = run_job(ctl, "PUT", &session, key, job);
+	}
+	json_decref(job);
+	g_free(session);
+	return code;
+}
+
+enum ctl_exit cmd_result(const struct ctl *ctl, char **args)
+{
+	char *session = g_strdup(ctl->session);
+	enum ctl_exit code = run_job(ctl, "GET", &session, args[0], NULL);
+
+	g_free(session);
+	return code;
+}
+
+enum ctl_exit cmd_cancel(const struct ctl *ctl, char **args)
+{
+	char *path = job_path(ctl->session, args[0], CANCEL_WAIT_MS);
+	struct ctl_answer answer;
+	struct error err;
+	enum ctl_exit code = CTL_EXIT_FAILED;
+
+	if (ctl_request(ctl, "DELETE", path, NULL, 0, &answer, &err) != STATUS_OK) {
+		ctl_print_error(&err);
+	} else if (answer.http_code / 100 == 2 || is_state(answer.body, "cancelled")) {
+		if (answer.body)
+			ctl_print_json(ctl, answer.body);
+		code = CTL_EXIT_OK;
+	} else {
+		ctl_print_refusal(&answer);
+	}
+	ctl_answer_clear(&answer);
+	g_free(path);
+	return code;
+}
--- /dev/null
+++ b/packages/greengagectl/src/cmd_view.c
@@ -0,0 +1,106 @@
+#include <stdio.h>
+
+#include "ctl.h"
+#include "daemon_settings.h"
+
+static void print_entries(const json_t *entries)
+{
+	struct ctl_table *table = ctl_table_new("ENTRY\tZONE\tADDRESS\tSTATE");
+	size_t index;
+	json_t *entry;
+
+	json_array_foreach ((json_t *)entries, index, entry)
+		ctl_table_add(table, "%s\t%s\t%s\t%s", ctl_text(entry, "id"),
+			      ctl_text(entry, "zone"), ctl_text(entry, "address"),
+			      ctl_text(entry, "state"));
+	ctl_table_print(table);
+}
+
+static const char *yes_no(const json_t *object, const char *key)
+{
+	return json_is_true(json_object_get(object, key)) ? "yes" : "no";
+}
+
+static void print_agents(const json_t *agents)
+{
+	struct ctl_table *table =
+		ctl_table_new("AGENT\tZONE\tHOST\tSLOTS\tRUNNING\tOPEN\tQUARANTINED\tSPEED\tSTATE");
+	size_t index;
+	json_t *agent;
+
+	json_array_foreach ((json_t *)agents, index, agent)
+		ctl_table_add(table, "%s\t%s\t%s\t%lld\t%lld\t%s\t%s\t%.2f\t%s",
+			      ctl_text(agent, "id"), ctl_text(agent, "zone"),
+			      ctl_text(agent, "host"), ctl_integer(agent, "slots"),
+			      ctl_integer(agent, "running"), yes_no(agent, "open"),
+			      yes_no(agent, "quarantined"),
+			      json_number_value(json_object_get(agent, "speed")),
+			      ctl_text(agent, "state"));
+	ctl_table_print(table);
+}
+
+enum ctl_exit cmd_members(const struct ctl *ctl, char **args)
+{
+	struct ctl_answer answer;
+	bool fetched = ctl_fetch(ctl, "GET", "/v1/members", NULL, 0, &answer);
+
+	if (fetched && ctl->json) {
+		ctl_print_json(ctl, answer.body);
+	} else if (fetched) {
+		print_entries(json_object_get(answer.body, "entries"));
+		putchar('\n');
+		print_agents(json_object_get(answer.body, "agents"));
+	}
+	ctl_answer_clear(&answer);
+	return fetched ? CTL_EXIT_OK : CTL_EXIT_FAILED;
+}
+
+static double number(const json_t *object, const char *key)
+{
+	return json_number_value(json_object_get(object, key));
+}
+
+static void print_report(const json_t *windows)
+{
+	struct ctl_table *table =
+		ctl_table_new("WINDOW S\tJOBS\tSLOW\tFAILED\tTASKS\tWASTED\tMEAN RATIO\t"
+			      "LATENCY BURN\tFAILURE BURN\tWASTE BURN");
+	size_t index;
+	json_t *window;
+
+	json_array_foreach ((json_t *)windows, index, window)
+		ctl_table_add(table, "%lld\t%lld\t%lld\t%lld\t%lld\t%lld\t%.2f\t%.2f\t%.2f\t%.2f",
+			      ctl_integer(window, "seconds"), ctl_integer(window, "jobs"),
+			      ctl_integer(window, "slow_jobs"), ctl_integer(window, "failed_jobs"),
+			      ctl_integer(window, "tasks"), ctl_integer(window, "wasted_messages"),
+			      number(window, "mean_ratio"), number(window, "latency_burn"),
+			      number(window, "failure_burn"), number(window, "waste_burn"));
+	ctl_table_print(table);
+}
+
+enum ctl_exit cmd_report(const struct ctl *ctl, char **args)
+{
+	struct ctl_answer answer;
+	bool fetched = ctl_fetch(ctl, "GET", "/v1/report", NULL, 0, &answer);
+
+	if (fetched && ctl->json)
+		ctl_print_json(ctl, answer.body);
+	else if (fetched)
+		print_report(json_object_get(answer.body, "windows"));
+	ctl_answer_clear(&answer);
+	return fetched ? CTL_EXIT_OK : CTL_EXIT_FAILED;
+}
+
+enum ctl_exit cmd_settings_check(const struct ctl *ctl, char **args)
+{
+	struct daemon_settings settings;
+	struct error err;
+
+	if (daemon_settings_load(args[0], &settings, &err) != STATUS_OK) {
+		fprintf(stderr, "greengagectl: %s\n", err.message);
+		return CTL_EXIT_USAGE;
+	}
+	printf("%s: settings are valid for the role %s\n", args[0], settings.role);
+	daemon_settings_free(&settings);
+	return CTL_EXIT_OK;
+}
--- a/packages/greengagectl/src/main.c
+++ b/packages/greengagectl/src/main.c
@@ -1,4 +1,248 @@
-int main(void)
+#include <curl/curl.h>
+#include <locale.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+
+enum {
+	TIMEOUT_MS = 10000,
+	WAIT_MS = 60000,
+	TIMEOUT_MAX_MS = 3600000,
+	ENTRIES_MAX = 20
+};
+
+static struct ctl ctl = {.timeout_ms = TIMEOUT_MS, .wait_ms = WAIT_MS, .base = -1};
+
+static const GOptionEntry common_options[] = {
+	{"entry", 'e', 0, G_OPTION_ARG_STRING_ARRAY, &ctl.entries,
+	 "Base URL of an entry; repeat it to name others, which are tried in order when one cannot "
+	 "be connected (default: $GREENGAGE_ENTRY, separated by spaces)",
+	 "URL"},
+	{"json", 'j', 0, G_OPTION_ARG_NONE, &ctl.json, "Print JSON for programs", NULL},
+	{"timeout-ms", 0, 0, G_OPTION_ARG_INT64, &ctl.timeout_ms,
+	 "Limit on one request, 100 to 3600000 (default: 10000)", "N"},
+	{0},
+};
+
+static const GOptionEntry no_options[] = {{0}};
+
+static const GOptionEntry submit_options[] = {
+	{"session", 's', 0, G_OPTION_ARG_STRING, &ctl.session,
+	 "Session token (default: a new session)", "TOKEN"},
+	{"key", 'k', 0, G_OPTION_ARG_STRING, &ctl.key, "Job key (default: a new UUIDv7)", "KEY"},
+	{"claim", 0, 0, G_OPTION_ARG_NONE, &ctl.claim,
+	 "Submit by key alone, without a session; the key must be a UUIDv7", NULL},
+	{"wait-ms", 'w', 0, G_OPTION_ARG_INT64, &ctl.wait_ms,
+	 "Time to wait for the answer, 0 to 3600000 (default: 60000)", "N"},
+	{0},
+};
+
+static const GOptionEntry job_options[] = {
+	{"session", 's', 0, G_OPTION_ARG_STRING, &ctl.session,
+	 "Session token (default: the job was submitted by key alone)", "TOKEN"},
+	{"wait-ms", 'w', 0, G_OPTION_ARG_INT64, &ctl.wait_ms,
+	 "Time to wait for the answer, 0 to 3600000 (default: 60000)", "N"},
+	{0},
+};
+
+static const GOptionEntry cancel_options[] = {
+	{"session", 's', 0, G_OPTION_ARG_STRING, &ctl.session,
+	 "Session token (default: the job was submitted by key alone)", "TOKEN"},
+	{0},
+};
+
+static const GOptionEntry patch_options[] = {
+	{"base", 'b', 0, G_OPTION_ARG_INT64, &ctl.base,
+	 "Version that the patch was made for (default: the current one)", "N"},
+	{"author", 'a', 0, G_OPTION_ARG_STRING, &ctl.author,
+	 "Name for the history (default: the user)", "NAME"},
+	{0},
+};
+
+static const GOptionEntry drain_options[] = {
+	{"server", 0, 0, G_OPTION_ARG_STRING_ARRAY, &ctl.servers, "Backend server; may be repeated",
+	 "ID"},
+	{"host", 0, 0, G_OPTION_ARG_STRING_ARRAY, &ctl.hosts, "Host; may be repeated", "NAME"},
+	{"zone", 0, 0, G_OPTION_ARG_STRING_ARRAY, &ctl.zones, "Availability zone; may be repeated",
+	 "NAME"},
+	{"author", 'a', 0, G_OPTION_ARG_STRING, &ctl.author,
+	 "Name for the history (default: the user)", "NAME"},
+	{0},
+};
+
+/* A command, named by one or two words, and what it takes. */
+struct command {
+	const char *name;
+	const char *args;
+	const char *summary;
+	guint args_min;
+	guint args_max;
+	bool is_local; /* needs no entry */
+	const GOptionEntry *options;
+	enum ctl_exit (*run)(const struct ctl *ctl, char **args);
+};
+
+static const struct command commands[] = {
+	{"session open", "", "Open a session and print its token", 0, 0, false, no_options,
+	 cmd_session_open},
+	{"session close", "TOKEN", "Close a session for good", 1, 1, false, no_options,
+	 cmd_session_close},
+	{"submit", "[FILE]", "Submit the job in FILE or on standard input and print its answer", 0,
+	 1, false, submit_options, cmd_submit},
+	{"result", "KEY", "Wait for and print the answer to a job", 1, 1, false, job_options,
+	 cmd_result},
+	{"cancel", "KEY", "Cancel a job", 1, 1, false, cancel_options, cmd_cancel},
+	{"config get", "", "Print the configuration and its version", 0, 0, false, no_options,
+	 cmd_config_get},
+	{"config patch", "[FILE]", "Apply the JSON merge patch in FILE or on standard input", 0, 1,
+	 false, patch_options, cmd_config_patch},
+	{"config history", "", "Print the recent changes", 0, 0, false, no_options,
+	 cmd_config_history},
+	{"members", "", "Print entries and agents", 0, 0, false, no_options, cmd_members},
+	{"drain", "", "Give no new work to servers, hosts or zones", 0, 0, false, drain_options,
+	 cmd_drain},
+	{"undrain", "", "Take servers, hosts or zones off the drain", 0, 0, false, drain_options,
+	 cmd_undrain},
+	{"report", "", "Print the service-level burn", 0, 0, false, no_options, cmd_report},
+	{"settings check", "FILE", "Check a settings file of greengaged", 1, 1, true, no_options,
+	 cmd_settings_check},
+};
+
+static const char exit_codes[] = "Exit codes: 0 success, 1 a request failed or was refused, 2 "
+				 "usage or invalid settings, 4 the job failed or was cancelled.";
+
+static char *describe_commands(void)
 {
-	return 0;
+	GString *text = g_string_new("Commands:\n");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		char *usage = g_strdup_printf("%s %s", commands[i].name, commands[i].args);
+
+		g_string_append_printf(text, "  %-22s %s\n", usage, commands[i].summary);
+		g_free(usage);
+	}
+	g_string_append_printf(text,
+			       "\n\"greengagectl COMMAND --help\" shows the options of a command.\n"
+			       "%s",
+			       exit_codes);
+	return g_string_free(text, FALSE);
+}
+
+static enum ctl_exit usage_error(const char *format, const char *value)
+{
+	fprintf(stderr, "greengagectl: ");
+	fprintf(stderr, format, value);
+	fprintf(stderr, "; see --help\n");
+	return CTL_EXIT_USAGE;
+}
+
+/* Parses options up to the first other word, or all of them for COMMAND. */
+static bool parse(int *argc, char ***argv, const struct command *command)
+{
+	char *usage = command ? g_strdup_printf("%s %s", command->name, command->args)
+			      : g_strdup("COMMAND");
+	char *description = command ? g_strdup(exit_codes) : describe_commands();
+	GOptionContext *context = g_option_context_new(usage);
+	GError *problem = NULL;
+	bool parsed;
+
+	g_option_context_set_strict_posix(context, command == NULL);
+	g_option_context_add_main_entries(context, common_options, NULL);
+	if (command) {
+		g_option_context_set_summary(context, command->summary);
+		g_option_context_add_main_entries(context, command->options, NULL);
+	}
+	g_option_context_set_description(context, description);
+	parsed = g_option_context_parse(context, argc, argv, &problem);
+	if (!parsed) {
+		usage_error("%s", problem->message);
+		g_error_free(problem);
+	}
+	g_option_context_free(context);
+	g_free(description);
+	g_free(usage);
+	return parsed;
+}
+
+/* Returns the command that WORDS begin with and the number of words in its name, or NULL. */
+static const struct command *find_command(char **words, int *length)
+{
+	char *pair = words[1] ? g_strdup_printf("%s %s", words[0], words[1]) : NULL;
+	const struct command *found = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(commands) && !found; i++) {
+		bool is_pair = g_strcmp0(commands[i].name, pair) == 0;
+
+		if (!is_pair && g_strcmp0(commands[i].name, words[0]) != 0)
+			continue;
+		found = &commands[i];
+		*length = is_pair ? 2 : 1;
+	}
+	g_free(pair);
+	return found;
+}
+
+static bool check_options(const struct command *command)
+{
+	const char *variable = g_getenv("GREENGAGE_ENTRY");
+
+	if (!ctl.entries && variable)
+		ctl.entries = g_strsplit_set(variable, " ", ENTRIES_MAX);
+	if (!command->is_local && (!ctl.entries || !*ctl.entries[0])) {
+		usage_error("%s: --entry URL or GREENGAGE_ENTRY is required", command->name);
+		return false;
+	}
+	if (ctl.timeout_ms < 100 || ctl.timeout_ms > TIMEOUT_MAX_MS) {
+		usage_error("%s", "--timeout-ms: accepted: 100 to 3600000");
+		return false;
+	}
+	if (ctl.wait_ms < 0 || ctl.wait_ms > TIMEOUT_MAX_MS) {
+		usage_error("%s", "--wait-ms: accepted: 0 to 3600000");
+		return false;
+	}
+	if (ctl.claim && ctl.session) {
+		usage_error("%s", "--claim and --session exclude each other");
+		return false;
+	}
+	return true;
+}
+
+static enum ctl_exit run(int argc, char **argv)
+{
+	const struct command *command;
+	guint given;
+	int words;
+
+	if (!parse(&argc, &argv, NULL))
+		return CTL_EXIT_USAGE;
+	if (argc < 2)
+		return usage_error("%s", "a command is required");
+	command = find_command(argv + 1, &words);
+	if (!command)
+		return usage_error("unknown command %s", argv[1]);
+	argc -= words;
+	argv += words;
+	argv[0] = "greengagectl";
+	if (!parse(&argc, &argv, command))
+		return CTL_EXIT_USAGE;
+	given = (guint)argc - 1;
+	if (given < command->args_min || given > command->args_max)
+		return usage_error("%s: wrong number of arguments", command->name);
+	if (!check_options(command))
+		return CTL_EXIT_USAGE;
+	return command->run(&ctl, argv + 1);
+}
+
+int main(int argc, char **argv)
+{
+	enum ctl_exit code;
+
+	setlocale(LC_ALL, "");
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK)
+		return CTL_EXIT_FAILED;
+	code = run(argc, argv);
+	curl_global_cleanup();
+	return code;
 }
--- /dev/null
+++ b/packages/greengagectl/src/request.c
@@ -0,0 +1,154 @@
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl.h"
+
+enum {
+	CONNECT_MS = 2000,
+	ANSWER_MAX_BYTES = 256 << 20
+};
+
+/* One request under way. */
+struct exchange {
+	GString *body;
+	char *session;
+	int sends;
+};
+
+static size_t take_body(char *data, size_t size, size_t count, void *context)
+{
+	struct exchange *exchange = context;
+
+	if (exchange->body->len + size * count > ANSWER_MAX_BYTES)
+		return 0;
+	g_string_append_len(exchange->body, data, (gssize)(size * count));
+	return size * count;
+}
+
+static size_t take_header(char *data, size_t size, size_t count, void *context)
+{
+	static const char name[] = "greengage-session:";
+	struct exchange *exchange = context;
+	size_t length = size * count;
+
+	if (length > strlen(name) && g_ascii_strncasecmp(data, name, strlen(name)) == 0) {
+		g_free(exchange->session);
+		exchange->session = g_strndup(data + strlen(name), length - strlen(name));
+		g_strstrip(exchange->session);
+	}
+	return length;
+}
+
+static int before_send(void *context, char *remote_ip, char *local_ip, int remote_port,
+		       int local_port)
+{
+	struct exchange *exchange = context;
+
+	exchange->sends++;
+	return exchange->sends > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+static CURLcode perform(CURL *easy, const char *url, const char *method, const char *text,
+			int64_t limit_ms, struct exchange *exchange)
+{
+	struct curl_slist *headers = NULL;
+	CURLcode code;
+
+	/* Without the empty header libcurl waits for "100 Continue" before it sends a long body. */
+	headers = curl_slist_append(headers, "Expect:");
+	headers = curl_slist_append(headers, "Content-Type: application/json");
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)limit_ms);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, exchange);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, exchange);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, exchange);
+	if (text || strcmp(method, "POST") == 0)
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, text ? text : "");
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+	code = curl_easy_perform(easy);
+	curl_slist_free_all(headers);
+	return code;
+}
+
+/* Sends the request to one entry. STATUS_NETWORK with outcome "not run" when it was not sent. */
+static enum status send_to(const char *entry, const char *method, const char *path,
+			   const char *text, int64_t limit_ms, struct ctl_answer *answer,
+			   struct error *err)
+{
+	size_t length = strlen(entry);
+	char *url = g_strdup_printf("%.*s%s", (int)(length - g_str_has_suffix(entry, "/")), entry,
+				    path);
+	struct exchange exchange = {.body = g_string_new(NULL)};
+	CURL *easy = curl_easy_init();
+	CURLcode code = perform(easy, url, method, text, limit_ms, &exchange);
+	enum status status = STATUS_OK;
+
+	if (code == CURLE_OK) {
+		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &answer->http_code);
+		answer->body = json_loadb(exchange.body->str, exchange.body->len,
+					  JSON_DECODE_ANY | JSON_ALLOW_NUL, NULL);
+		answer->session = g_steal_pointer(&exchange.session);
+	} else if (exchange.sends == 0) {
+		status = error_set(err, STATUS_NETWORK, "%s: not sent: %s", entry,
+				   curl_easy_strerror(code));
+	} else {
+		status = error_set_unknown(err, STATUS_NETWORK, "%s: no answer: %s", entry,
+					   curl_easy_strerror(code));
+	}
+	curl_easy_cleanup(easy);
+	g_string_free(exchange.body, TRUE);
+	g_free(exchange.session);
+	g_free(url);
+	return status;
+}
+
+enum status ctl_request(const struct ctl *ctl, const char *method, const char *path,
+			const json_t *body, int64_t wait_ms, struct ctl_answer *answer,
+			struct error *err)
+{
+	char *text = body ? json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
+	enum status status = error_set(err, STATUS_NETWORK, "no entry given");
+
+	*answer = (struct ctl_answer){0};
+	for (char **entry = ctl->entries; *entry; entry++) {
+		status =
+			send_to(*entry, method, path, text, ctl->timeout_ms + wait_ms, answer, err);
+		/* Only a request that was surely not sent goes to the next entry. */
+		if (status == STATUS_OK || err->outcome == OUTCOME_UNKNOWN)
+			break;
+	}
+	free(text);
+	return status;
+}
+
+void ctl_answer_clear(struct ctl_answer *answer)
+{
+	json_decref(answer->body);
+	g_free(answer->session);
+	*answer = (struct ctl_answer){0};
+}
+
+bool ctl_fetch(const struct ctl *ctl, const char *method, const char *path, const json_t *body,
+	       int64_t wait_ms, struct ctl_answer *answer)
+{
+	struct error err;
+
+	if (ctl_request(ctl, method, path, body, wait_ms, answer, &err) != STATUS_OK) {
+		ctl_print_error(&err);
+		return false;
+	}
+	if (answer->http_code / 100 == 2 && (answer->body || strcmp(method, "DELETE") == 0))
+		return true;
+	ctl_print_refusal(answer);
+	if (ctl->json && answer->body)
+		ctl_print_json(ctl, answer->body);
+	return false;
+}
