Test greengagectl against a played entry

Covers what a script or a resubmission relies on: token and key are shown before the job is sent, the exit codes, no second send of a request that may have been taken, and a drain that is made anew after a version conflict.

--- /dev/null
+++ b/test/unit/greengagectl_test.c
@@ -0,0 +1,216 @@
+#include <civetweb.h>
+#include <gio/gio.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <string.h>
+
+/* Plays an entry for greengagectl and notes the requests that it gets. */
+static struct {
+	pthread_mutex_t lock;
+	struct mg_context *server;
+	char *url;
+	GString *requests; /* "METHOD path body\n" each */
+	int version;	   /* of the configuration */
+	int conflicts;	   /* patches still to be refused, each by a version in between */
+	bool drop_submit;  /* take the job and close the connection without an answer */
+} entry = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static int answer(struct mg_connection *conn, int code, const char *body)
+{
+	mg_printf(conn,
+		  "HTTP/1.1 %d x\r\nContent-Type: application/json\r\nConnection: close\r\n"
+		  "Content-Length: %zu\r\n\r\n%s",
+		  code, strlen(body), body);
+	return code;
+}
+
+static int answer_config(struct mg_connection *conn, const char *method)
+{
+	char body[200];
+
+	if (strcmp(method, "PATCH") == 0) {
+		entry.version++;
+		if (entry.conflicts-- > 0)
+			return answer(conn, 409,
+				      "{\"error\":{\"type\":\"version_conflict\",\"outcome\":"
+				      "\"not_run\",\"message\":\"m\"}}");
+	}
+	g_snprintf(body, sizeof(body),
+		   "{\"version\":%d,\"id\":\"i\",\"document\":{\"drain\":{\"hosts\":[\"h%d\"]}}}",
+		   entry.version, entry.version);
+	return answer(conn, 200, body);
+}
+
+static int answer_job(struct mg_connection *conn, const char *method, const char *path)
+{
+	if (strstr(path, "/gone"))
+		return answer(conn, 410,
+			      "{\"error\":{\"type\":\"owner_lost\",\"outcome\":\"unknown\","
+			      "\"message\":\"m\"}}");
+	if (strstr(path, "/bad"))
+		return answer(conn, 200,
+			      "{\"job\":\"bad\",\"state\":\"failed\",\"error\":{\"type\":"
+			      "\"task_failed\",\"outcome\":\"unknown\",\"message\":\"m\"}}");
+	if (strcmp(method, "PUT") == 0)
+		return entry.drop_submit ? 200 : answer(conn, 202, "{\"state\":\"queued\"}");
+	return answer(conn, 200, "{\"job\":\"k\",\"state\":\"done\",\"results\":[7]}");
+}
+
+static int handle(struct mg_connection *conn, void *context)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	char body[1000];
+	int length = mg_read(conn, body, sizeof(body));
+	int code;
+
+	pthread_mutex_lock(&entry.lock);
+	g_string_append_printf(entry.requests, "%s %s %.*s\n", info->request_method,
+			       info->local_uri, MAX(length, 0), body);
+	if (strcmp(info->local_uri, "/v1/sessions") == 0)
+		code = answer(conn, 201, "{\"session\":\"s1\",\"expires_ms\":1}");
+	else if (strcmp(info->local_uri, "/v1/config") == 0)
+		code = answer_config(conn, info->request_method);
+	else
+		code = answer_job(conn, info->request_method, info->local_uri);
+	pthread_mutex_unlock(&entry.lock);
+	return code;
+}
+
+/* Runs greengagectl with ARGS, separated by spaces, and INPUT. Returns its exit status. */
+static int run(const char *args, const char *input, char **output, char **errors)
+{
+	char *line =
+		g_strdup_printf("%s/packages/greengagectl/greengagectl %s", GG_BUILD_DIR, args);
+	char **argv = g_strsplit(line, " ", -1);
+	GSubprocessLauncher *launcher = g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDIN_PIPE |
+								  G_SUBPROCESS_FLAGS_STDOUT_PIPE |
+								  G_SUBPROCESS_FLAGS_STDERR_PIPE);
+	GSubprocess *process;
+	int code;
+
+	g_string_truncate(entry.requests, 0);
+	g_subprocess_launcher_setenv(launcher, "GREENGAGE_ENTRY", entry.url, TRUE);
+	g_subprocess_launcher_setenv(launcher, "http_proxy", "http://127.0.0.1:1", TRUE);
+	process = g_subprocess_launcher_spawnv(launcher, (const char *const *)argv, NULL);
+	g_assert_nonnull(process);
+	g_assert_true(g_subprocess_communicate_utf8(process, input, NULL, output, errors, NULL));
+	code = g_subprocess_get_exit_status(process);
+	g_object_unref(process);
+	g_object_unref(launcher);
+	g_strfreev(argv);
+	g_free(line);
+	return code;
+}
+
+static void assert_code(int code, const char *args, const char *input)
+{
+	char *output;
+	char *errors;
+	int actual = run(args, input, &output, &errors);
+
+	if (actual != code)
+		g_error("%s: exit code %d, expected %d: %s%s", args, actual, code, output, errors);
+	g_free(output);
+	g_free(errors);
+}
+
+static void assert_requests(const char *wanted)
+{
+	g_assert_cmpstr(entry.requests->str, ==, wanted);
+}
+
+/* A client must be able to resubmit, so token and key are shown; the answer stands alone. */
+static void test_submit(void)
+{
+	char *output;
+	char *errors;
+
+	g_assert_cmpint(run("submit --key k --json", "{\"class\":\"c\"}", &output, &errors), ==, 0);
+	g_assert_cmpstr(errors, ==, "session: s1\nkey: k\n");
+	g_assert_cmpstr(output, ==, "{\"job\":\"k\",\"state\":\"done\",\"results\":[7]}\n");
+	assert_requests("POST /v1/sessions \n"
+			"PUT /v1/sessions/s1/jobs/k {\"class\":\"c\"}\n"
+			"GET /v1/sessions/s1/jobs/k \n");
+	g_free(output);
+	g_free(errors);
+}
+
+/* Scripts decide by the exit code whether to resubmit. */
+static void test_exit_codes(void)
+{
+	assert_code(4, "submit --session s1 --key bad", "{}");
+	assert_code(1, "submit --session s1 --key gone", "{}");
+	assert_code(1, "submit --session s1 --key k --wait-ms 0", "{}");
+	assert_code(2, "submit --session s1 --key k", "{");
+	assert_code(2, "submit --session s1 --claim", "{}");
+	assert_code(0, "result k --session s1", "");
+	assert_code(0, "config get", "");
+}
+
+/* A request that may have been taken must not be sent to another entry. */
+static void test_failover(void)
+{
+	char *args = g_strdup_printf("--entry http://127.0.0.1:1 --entry %s result k", entry.url);
+
+	assert_code(0, args, "");
+	g_free(args);
+	entry.drop_submit = true;
+	args = g_strdup_printf("--entry %s --entry %s submit --session s1 --key k", entry.url,
+			       entry.url);
+	assert_code(1, args, "{}");
+	assert_requests("PUT /v1/sessions/s1/jobs/k {}\n");
+	entry.drop_submit = false;
+	g_free(args);
+}
+
+/* A drain that loses against another operator's patch must be made anew from the newer version, or
+ * it would undo that patch's drains. */
+static void test_drain_retries(void)
+{
+	char *wanted = g_strdup_printf(
+		"GET /v1/config \nPATCH /v1/config "
+		"{\"base\":1,\"patch\":{\"drain\":{\"hosts\":[\"h1\",\"x\"]}},\"author\":\"a\"}\n"
+		"GET /v1/config \nPATCH /v1/config "
+		"{\"base\":2,\"patch\":{\"drain\":{\"hosts\":[\"h2\",\"x\"]}},\"author\":\"a\"}"
+		"\n");
+
+	entry.version = 1;
+	entry.conflicts = 1;
+	assert_code(0, "drain --host x --author a", "");
+	assert_requests(wanted);
+	entry.conflicts = 100;
+	assert_code(1,
+		    "undrain --host h1 --host h2 --host h3 --host h4 --host h5 --host h6 --host "
+		    "h7 --host h8",
+		    "");
+	g_assert_cmpint(entry.conflicts, ==, 95);
+	entry.conflicts = 0;
+	assert_code(0, "undrain --host x", "");
+	g_assert_null(strstr(entry.requests->str, "PATCH"));
+	g_free(wanted);
+}
+
+int main(int argc, char **argv)
+{
+	const char *options[] = {"listening_ports", "127.0.0.1:0", "num_threads", "4", NULL};
+	struct mg_server_port port;
+	int code;
+
+	g_test_init(&argc, &argv, NULL);
+	entry.requests = g_string_new(NULL);
+	entry.server = mg_start(NULL, NULL, options);
+	g_assert_nonnull(entry.server);
+	g_assert_cmpint(mg_get_server_ports(entry.server, 1, &port), ==, 1);
+	mg_set_request_handler(entry.server, "/v1", handle, NULL);
+	entry.url = g_strdup_printf("http://127.0.0.1:%d", port.port);
+	g_test_add_func("/greengagectl/submit", test_submit);
+	g_test_add_func("/greengagectl/exit-codes", test_exit_codes);
+	g_test_add_func("/greengagectl/failover", test_failover);
+	g_test_add_func("/greengagectl/drain-retries", test_drain_retries);
+	code = g_test_run();
+	mg_stop(entry.server);
+	g_string_free(entry.requests, TRUE);
+	g_free(entry.url);
+	return code;
+}
