Document every setting and name the range in type errors

Seen failing: settings_test /settings/refusals on http.threads as a string. zone, host and name are limited to 63 bytes, the longest name that the scheduler keeps. A test holds docs/settings.md and the declared fields together.

--- a/packages/base/src/settings.c
+++ b/packages/base/src/settings.c
@@ -86,7 +86,10 @@
 	int64_t number = field->default_number;
 
 	if (value && !json_is_integer(value))
-		return wrong_type(ctx, field, "integer", err);
+		return error_set(err, STATUS_INVALID_SETTINGS,
+				 "%s: %s: wrong type, accepted: integer from %lld to %lld",
+				 ctx->file, field->path, (long long)field->min,
+				 (long long)field->max);
 	if (value)
 		number = json_integer_value(value);
 	if (number < field->min || number > field->max)
--- a/packages/greengaged/src/daemon_settings.c
+++ b/packages/greengaged/src/daemon_settings.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "core_defs.h"
 #include "settings.h"
 
 enum {
@@ -27,6 +28,12 @@
 		.offset = offsetof(struct daemon_settings, field), .min = 1,                       \
 		.max = ADDRESS_MAX_BYTES, .default_text = (preset), .required = (is_required)      \
 	}
+#define NAME_FIELD(json_path, field)                                                               \
+	{                                                                                          \
+		.path = (json_path), .type = SETTINGS_STRING,                                      \
+		.offset = offsetof(struct daemon_settings, field), .min = 1,                       \
+		.max = NAME_BYTES - 1, .required = true                                            \
+	}
 #define ENUM_FIELD(json_path, field, accepted, preset, is_required)                                \
 	{                                                                                          \
 		.path = (json_path), .type = SETTINGS_ENUM,                                        \
@@ -46,9 +53,9 @@
 
 static const struct settings_field fields[] = {
 	ENUM_FIELD("role", role, role_choices, NULL, true),
-	STRING_FIELD("name", name, NULL, true),
-	STRING_FIELD("zone", zone, NULL, true),
-	STRING_FIELD("host", host, NULL, true),
+	NAME_FIELD("name", name),
+	NAME_FIELD("zone", zone),
+	NAME_FIELD("host", host),
 	ENUM_FIELD("log_level", log_level, level_choices, "info", false),
 
 	STRING_FIELD("http.address", http_address, NULL, true),
@@ -162,6 +169,65 @@
 	return status;
 }
 
+size_t daemon_settings_count(void)
+{
+	return G_N_ELEMENTS(fields);
+}
+
+static const char *type_name(enum settings_type type)
+{
+	static const char *const names[] = {
+		[SETTINGS_INT] = "integer",
+		[SETTINGS_BOOL] = "boolean",
+		[SETTINGS_STRING] = "string",
+		[SETTINGS_ENUM] = "choice",
+		[SETTINGS_STRING_LIST] = "list of strings",
+		[SETTINGS_MAP] = "object of strings",
+	};
+
+	return names[type];
+}
+
+static char *range_text(const struct settings_field *field)
+{
+	switch (field->type) {
+	case SETTINGS_INT:
+		return g_strdup_printf("%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT, field->min,
+				       field->max);
+	case SETTINGS_STRING:
+		return g_strdup_printf("%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT " bytes",
+				       field->min, field->max);
+	case SETTINGS_ENUM:
+		return g_strjoinv(", ", (char **)field->choices);
+	case SETTINGS_STRING_LIST:
+		return g_strdup_printf("up to %" G_GINT64_FORMAT " items", field->max);
+	default:
+		return g_strdup("any");
+	}
+}
+
+static char *default_text(const struct settings_field *field)
+{
+	if (field->required)
+		return g_strdup("required");
+	if (field->type == SETTINGS_INT)
+		return g_strdup_printf("%" G_GINT64_FORMAT, field->default_number);
+	return g_strdup(field->default_text ? field->default_text : "none");
+}
+
+char *daemon_settings_row(size_t index)
+{
+	const struct settings_field *field = &fields[index];
+	char *range = range_text(field);
+	char *preset = default_text(field);
+	char *row = g_strdup_printf("| `%s` | %s | %s | %s |", field->path, type_name(field->type),
+				    range, preset);
+
+	g_free(range);
+	g_free(preset);
+	return row;
+}
+
 void daemon_settings_free(struct daemon_settings *settings)
 {
 	settings_free(fields, G_N_ELEMENTS(fields), settings);
--- /dev/null
+++ b/test/unit/settings_test.c
@@ -0,0 +1,147 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "daemon_settings.h"
+
+#define ENTRY                                                                                      \
+	"\"role\":\"entry\",\"name\":\"e\",\"zone\":\"z\",\"host\":\"h\","                         \
+	"\"http\":{\"address\":\"127.0.0.1:1\"%s},\"channel\":{\"address\":\"tcp://"               \
+	"127.0.0.1:2\"%s}"
+
+static enum status load(const char *text, struct daemon_settings *settings, struct error *err)
+{
+	char *name = NULL;
+	int fd = g_file_open_tmp("settings_test_XXXXXX.json", &name, NULL);
+	enum status status;
+
+	g_assert_cmpint(fd, >=, 0);
+	close(fd);
+	g_assert_true(g_file_set_contents(name, text, -1, NULL));
+	status = daemon_settings_load(name, settings, err);
+	if (status != STATUS_OK)
+		g_assert_nonnull(strstr(err->message, name));
+	g_unlink(name);
+	g_free(name);
+	return status;
+}
+
+static enum status load_entry(const char *http, const char *channel, const char *rest,
+			      struct daemon_settings *settings, struct error *err)
+{
+	char *members = g_strdup_printf(ENTRY, http, channel);
+	char *text = g_strdup_printf("{%s%s}", members, rest);
+	enum status status = load(text, settings, err);
+
+	g_free(members);
+	g_free(text);
+	return status;
+}
+
+/* Defaults must be within their own ranges and agree with each other. */
+static void test_defaults_are_valid(void)
+{
+	struct daemon_settings settings;
+	struct error err;
+
+	g_assert_cmpint(load_entry("", "", "", &settings, &err), ==, STATUS_OK);
+	g_assert_cmpint(settings.heartbeat_limit_ms, ==, 3000);
+	g_assert_cmpint(settings.agent_lost_ms, ==, 10000);
+	g_assert_cmpint(settings.drain_limit_ms, ==, 30000);
+	daemon_settings_free(&settings);
+}
+
+static const struct {
+	const char *http;
+	const char *channel;
+	const char *rest;
+	const char *path;     /* named in the message */
+	const char *accepted; /* so is what is accepted */
+} refusals[] = {
+	{",\"threads\":1", "", "", "http.threads", "2"},
+	{",\"threads\":\"8\"", "", "", "http.threads", "4096"},
+	{",\"treads\":8", "", "", "http.treads", ""},
+	{",\"threads\":10,\"open_requests\":10", "", "", "http.open_requests", "10"},
+	{"", ",\"heartbeat_ms\":2000", "", "channel.heartbeat_limit_ms", "2000"},
+	{"", ",\"peers\":\"x\"", "", "channel.peers", ""},
+	{"", "",
+	 ",\"claims\":{\"window_s\":86400},\"log\":{\"retention_s\":90000,"
+	 "\"snapshot_interval_s\":100}",
+	 "claims.window_s", "half"},
+	{"", "", ",\"log\":{\"snapshot_interval_s\":604800}", "log.snapshot_interval_s", "third"},
+	{"", "", ",\"limits\":{\"tasks_per_job\":0}", "limits.tasks_per_job", "100000"},
+	{"", "", ",\"limits\":[]", "limits", ""},
+	{"", "", ",\"extra\":1", "extra", ""},
+};
+
+/* An operator must learn from the message alone which value is wrong and what is accepted. */
+static void test_refusals_name_path_and_range(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		struct daemon_settings settings;
+		struct error err;
+
+		g_assert_cmpint(load_entry(refusals[i].http, refusals[i].channel, refusals[i].rest,
+					   &settings, &err),
+				==, STATUS_INVALID_SETTINGS);
+		g_test_message("%s", err.message);
+		g_assert_nonnull(strstr(err.message, refusals[i].path));
+		g_assert_nonnull(strstr(err.message, refusals[i].accepted));
+	}
+}
+
+/* Each role needs settings that the other does not. */
+static void test_roles(void)
+{
+	struct daemon_settings settings;
+	struct error err;
+
+	g_assert_cmpint(load("{\"role\":\"agent\",\"name\":\"a\",\"zone\":\"z\",\"host\":\"h\","
+			     "\"http\":{\"address\":\"127.0.0.1:1\"}}",
+			     &settings, &err),
+			==, STATUS_INVALID_SETTINGS);
+	g_assert_nonnull(strstr(err.message, "channel.entries"));
+	g_assert_cmpint(load("{\"role\":\"entry\",\"name\":\"a\",\"zone\":\"z\",\"host\":\"h\","
+			     "\"http\":{\"address\":\"127.0.0.1:1\"}}",
+			     &settings, &err),
+			==, STATUS_INVALID_SETTINGS);
+	g_assert_nonnull(strstr(err.message, "channel.address"));
+	g_assert_cmpint(load("{\"role\":\"both\"}", &settings, &err), ==, STATUS_INVALID_SETTINGS);
+	g_assert_nonnull(strstr(err.message, "role"));
+	g_assert_cmpint(load("{", &settings, &err), ==, STATUS_INVALID_SETTINGS);
+}
+
+/* Every setting is documented with its type, range and default, and nothing else is. */
+static void test_documentation(void)
+{
+	size_t count = daemon_settings_count();
+	char **lines;
+	char *text;
+	size_t rows = 0;
+
+	g_assert_true(g_file_get_contents(GG_SOURCE_DIR "/docs/settings.md", &text, NULL, NULL));
+	for (size_t i = 0; i < count; i++) {
+		char *row = daemon_settings_row(i);
+
+		if (!strstr(text, row))
+			g_test_fail_printf("docs/settings.md lacks: %s", row);
+		g_free(row);
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (char **line = lines; *line; line++)
+		rows += g_str_has_prefix(*line, "| `");
+	g_assert_cmpuint(rows, ==, count);
+	g_strfreev(lines);
+	g_free(text);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/settings/defaults", test_defaults_are_valid);
+	g_test_add_func("/settings/refusals", test_refusals_name_path_and_range);
+	g_test_add_func("/settings/roles", test_roles);
+	g_test_add_func("/settings/documentation", test_documentation);
+	return g_test_run();
+}
