--- /dev/null
+++ b/test/unit/event_test.c
@@ -0,0 +1,66 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "event.h"
+
+/* Returns the row of the catalogue for EVENT as docs/events.md must hold it, up to the column with
+ * the description. */
+static char *row_of(enum event event)
+{
+	return g_strdup_printf("| %d | %s | %s | %s |", event_number(event), event_constant(event),
+			       event_level(event), event_message(event));
+}
+
+/* An event without a row in the catalogue, or with another text there, misleads operators. */
+static void test_catalogue_has_every_event(void)
+{
+	char *text;
+
+	g_assert_true(g_file_get_contents(GG_SOURCE_DIR "/docs/events.md", &text, NULL, NULL));
+	for (int i = 0; i < EVENT_COUNT; i++) {
+		char *row = row_of((enum event)i);
+
+		if (!strstr(text, row))
+			g_test_fail_printf("docs/events.md lacks: %s", row);
+		g_free(row);
+	}
+	g_free(text);
+}
+
+/* A row without an event in the code is left over from one that was removed. */
+static void test_catalogue_has_nothing_else(void)
+{
+	char **lines;
+	char *text;
+	int rows = 0;
+
+	g_assert_true(g_file_get_contents(GG_SOURCE_DIR "/docs/events.md", &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	for (char **line = lines; *line; line++) {
+		if ((*line)[0] == '|' && g_ascii_isdigit((*line)[2]))
+			rows++;
+	}
+	g_assert_cmpint(rows, ==, EVENT_COUNT);
+	g_strfreev(lines);
+	g_free(text);
+}
+
+/* Numbers identify events to programs that read the log. */
+static void test_numbers_are_unique(void)
+{
+	for (int i = 0; i < EVENT_COUNT; i++) {
+		for (int j = 0; j < i; j++)
+			g_assert_cmpint(event_number((enum event)i), !=,
+					event_number((enum event)j));
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/event/catalogue_complete", test_catalogue_has_every_event);
+	g_test_add_func("/event/catalogue_exact", test_catalogue_has_nothing_else);
+	g_test_add_func("/event/unique", test_numbers_are_unique);
+	return g_test_run();
+}
