--- a/packages/greengaged/src/entry.c
+++ b/packages/greengaged/src/entry.c
@@ -62,10 +62,10 @@
 			read_signal(signal_fd);
 			forced = deadline_us != 0;
 			deadline_us = timer_clock_us() + limit_us;
-			drain_request(board, forced);
+			entry_drain_request(board, forced);
 		} else if (ready == 0) {
 			forced = true;
-			drain_request(board, true);
+			entry_drain_request(board, true);
 		}
 	}
 }
@@ -76,22 +76,22 @@
 	pthread_t dispatcher;
 	struct error err;
 
-	if (http_start(board, &http, &err) != STATUS_OK) {
+	if (entry_http_start(board, &http, &err) != STATUS_OK) {
 		event_log_error(EVENT_PROCESS_FAILED, &err);
 		return EXIT_CODE_RUNTIME;
 	}
-	if (log_start(board, &err) != STATUS_OK ||
-	    pthread_create(&dispatcher, NULL, loop_run, board) != 0) {
+	if (entry_log_start(board, &err) != STATUS_OK ||
+	    pthread_create(&dispatcher, NULL, entry_loop_run, board) != 0) {
 		event_log_error(EVENT_PROCESS_FAILED, &err);
-		log_stop(board);
-		http_stop(http);
+		entry_log_stop(board);
+		entry_http_stop(http);
 		return EXIT_CODE_RUNTIME;
 	}
 	wait_for_end(board, signal_fd);
-	http_stop(http);
-	loop_close(board);
+	entry_http_stop(http);
+	entry_loop_close(board);
 	pthread_join(dispatcher, NULL);
-	log_stop(board);
+	entry_log_stop(board);
 	return board->forced ? EXIT_CODE_FORCED : EXIT_CODE_OK;
 }
 
@@ -104,12 +104,12 @@
 
 	entry_metrics_register();
 	rcu_register_thread();
-	if (loop_init(&board, settings, &err) != STATUS_OK) {
+	if (entry_loop_init(&board, settings, &err) != STATUS_OK) {
 		event_log_error(EVENT_PROCESS_FAILED, &err);
 		return EXIT_CODE_RUNTIME;
 	}
 	code = serve(&board, signal_fd);
-	loop_free(&board);
+	entry_loop_free(&board);
 	rcu_unregister_thread();
 	close(signal_fd);
 	return code;
--- a/packages/greengaged/src/entry_admission.c
+++ b/packages/greengaged/src/entry_admission.c
@@ -15,23 +15,23 @@
 	RENEWALS_MAX = 100000
 };
 
-void admission_refuse(struct request *request, enum status status, enum outcome outcome,
-		      const char *message)
+void entry_admission_refuse(struct request *request, enum status status, enum outcome outcome,
+			    const char *message)
 {
 	struct error err;
 
 	error_set(&err, status, "%s", message);
 	err.outcome = outcome;
-	request_refuse(request, &err);
+	entry_request_refuse(request, &err);
 }
 
-void admission_answer_expired(struct request *request)
+void entry_admission_answer_expired(struct request *request)
 {
-	admission_refuse(request, STATUS_ANSWER_EXPIRED, OUTCOME_UNKNOWN,
-			 "the job ended and its answer is no longer kept");
+	entry_admission_refuse(request, STATUS_ANSWER_EXPIRED, OUTCOME_UNKNOWN,
+			       "the job ended and its answer is no longer kept");
 }
 
-struct ident admission_digest(const struct session_token *token, const char *key)
+struct ident entry_admission_digest(const struct session_token *token, const char *key)
 {
 	char text[SESSION_TOKEN_BYTES + KEY_MAX_BYTES] = "";
 	char formatted[SESSION_TOKEN_BYTES];
@@ -55,19 +55,19 @@
 	struct error err;
 
 	if (board->draining) {
-		admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
-				 "this entry is shutting down");
+		entry_admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
+				       "this entry is shutting down");
 		return;
 	}
 	if (session_open(board->sessions, random_serial(), board->now_us, &token, &err) !=
 	    STATUS_OK) {
-		request_refuse(request, &err);
+		entry_request_refuse(request, &err);
 		return;
 	}
-	request_finish_json(request, 201,
-			    json_pack("{s:s, s:I}", "session", session_format(&token, text),
-				      "expires_ms",
-				      (json_int_t)board->settings->session_lifetime_s * 1000));
+	entry_request_finish_json(
+		request, 201,
+		json_pack("{s:s, s:I}", "session", session_format(&token, text), "expires_ms",
+			  (json_int_t)board->settings->session_lifetime_s * 1000));
 }
 
 static void close_session(struct board *board, struct request *request)
@@ -75,9 +75,9 @@
 	struct error err;
 
 	if (session_close(board->sessions, request->route.session.serial, &err) != STATUS_OK)
-		request_refuse(request, &err);
+		entry_request_refuse(request, &err);
 	else
-		request_finish_json(request, 200, json_pack("{s:b}", "closed", 1));
+		entry_request_finish_json(request, 200, json_pack("{s:b}", "closed", 1));
 }
 
 /*
@@ -106,27 +106,27 @@
 	g_strlcpy(request->reply.session, known, sizeof(request->reply.session));
 }
 
-void admission_join(struct board *board, struct request *request, struct job *job)
+void entry_admission_join(struct board *board, struct request *request, struct job *job)
 {
 	if (request->route.kind == ROUTE_JOB_CANCEL)
-		progress_cancel(board, job);
-	progress_wait(board, request, job);
+		entry_progress_cancel(board, job);
+	entry_progress_wait(board, request, job);
 }
 
 static void join_or_expired(struct board *board, struct request *request, struct handle handle)
 {
-	struct job *job = job_get(&board->jobs, handle);
+	struct job *job = entry_jobs_get(&board->jobs, handle);
 
 	if (job)
-		admission_join(board, request, job);
+		entry_admission_join(board, request, job);
 	else
-		admission_answer_expired(request);
+		entry_admission_answer_expired(request);
 }
 
 static void submit_by_session(struct board *board, struct request *request)
 {
 	const struct route *route = &request->route;
-	struct ident digest = admission_digest(&route->session, route->key);
+	struct ident digest = entry_admission_digest(&route->session, route->key);
 	enum session_key_state state;
 	struct handle *slot;
 	struct error err;
@@ -135,28 +135,28 @@
 	if (board->draining &&
 	    session_find_key(board->sessions, route->session.serial, route->key, board->now_us,
 			     &(struct handle){0}, &err) == STATUS_NOT_FOUND) {
-		admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
-				 "this entry is shutting down");
+		entry_admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
+				       "this entry is shutting down");
 		return;
 	}
 	if (session_claim_key(board->sessions, route->session.serial, route->key,
 			      &request->body->digest, board->now_us, &state, &slot,
 			      &err) != STATUS_OK) {
-		request_refuse(request, &err);
+		entry_request_refuse(request, &err);
 		return;
 	}
 	if (state == SESSION_KEY_KNOWN) {
 		join_or_expired(board, request, *slot);
 		return;
 	}
-	job = progress_admit(board, request, &digest, &err);
+	job = entry_progress_admit(board, request, &digest, &err);
 	if (!job) {
 		session_forget_key(board->sessions, route->session.serial, route->key);
-		request_refuse(request, &err);
+		entry_request_refuse(request, &err);
 		return;
 	}
 	*slot = job->self;
-	progress_wait(board, request, job);
+	entry_progress_wait(board, request, job);
 }
 
 static void find_by_session(struct board *board, struct request *request)
@@ -167,7 +167,7 @@
 
 	if (session_find_key(board->sessions, route->session.serial, route->key, board->now_us,
 			     &handle, &err) != STATUS_OK)
-		request_refuse(request, &err);
+		entry_request_refuse(request, &err);
 	else
 		join_or_expired(board, request, handle);
 }
@@ -175,7 +175,7 @@
 static void run_by_session(struct board *board, struct request *request)
 {
 	if (!ident_equal(&request->route.session.incarnation, &board->incarnation)) {
-		forward_to_owner(board, request, &request->route.session.incarnation);
+		entry_forward_to_owner(board, request, &request->route.session.incarnation);
 		return;
 	}
 	if (request->route.kind == ROUTE_SESSION_CLOSE) {
@@ -189,14 +189,14 @@
 		find_by_session(board, request);
 }
 
-void admission_run(struct board *board, struct command *command)
+void entry_admission_run(struct board *board, struct command *command)
 {
 	struct request *request = (struct request *)command;
 
 	request->board = board;
 	if (board->stopped) {
-		admission_refuse(request, STATUS_DRAINING, OUTCOME_UNKNOWN,
-				 "this entry has ended its shutdown");
+		entry_admission_refuse(request, STATUS_DRAINING, OUTCOME_UNKNOWN,
+				       "this entry has ended its shutdown");
 		return;
 	}
 	switch (request->route.kind) {
@@ -212,27 +212,28 @@
 		if (request->route.by_session)
 			run_by_session(board, request);
 		else
-			claims_run(board, request);
+			entry_claims_run(board, request);
 		break;
 	case ROUTE_CONFIG_PATCH:
-		config_run_patch(board, request);
+		entry_config_run_patch(board, request);
 		break;
 	case ROUTE_CONFIG_HISTORY:
-		config_run_history(board, request);
+		entry_config_run_history(board, request);
 		break;
 	case ROUTE_MEMBERS:
-		report_run_members(board, request);
+		entry_report_run_members(board, request);
 		break;
 	case ROUTE_REPORT:
-		report_run_burn(board, request);
+		entry_report_run_burn(board, request);
 		break;
 	default:
-		admission_refuse(request, STATUS_INTERNAL, OUTCOME_NOT_RUN, "not routed here");
+		entry_admission_refuse(request, STATUS_INTERNAL, OUTCOME_NOT_RUN,
+				       "not routed here");
 	}
 }
 
-void admission_expire(struct board *board)
+void entry_admission_expire(struct board *board)
 {
 	session_expire(board->sessions, board->now_us, EXPIRE_KEYS_PER_TICK);
-	job_store_expire(&board->jobs, board->now_us);
+	entry_jobs_expire(&board->jobs, board->now_us);
 }
--- a/packages/greengaged/src/entry_admission.h
+++ b/packages/greengaged/src/entry_admission.h
@@ -5,22 +5,22 @@
 #include "entry_board.h"
 
 /* Handles a request on the dispatcher thread; the run callback of its command. */
-void admission_run(struct board *board, struct command *command);
+void entry_admission_run(struct board *board, struct command *command);
 
 /* Refuses REQUEST with STATUS, OUTCOME and MESSAGE. */
-void admission_refuse(struct request *request, enum status status, enum outcome outcome,
-		      const char *message);
+void entry_admission_refuse(struct request *request, enum status status, enum outcome outcome,
+			    const char *message);
 
 /* Answers a request for a job that is held here: wait, fetch or cancel. */
-void admission_join(struct board *board, struct request *request, struct job *job);
+void entry_admission_join(struct board *board, struct request *request, struct job *job);
 
 /* Answers a request whose key is held while its answer has expired. */
-void admission_answer_expired(struct request *request);
+void entry_admission_answer_expired(struct request *request);
 
 /* Returns the digest of session token and key; TOKEN is NULL for a key alone. */
-struct ident admission_digest(const struct session_token *token, const char *key);
+struct ident entry_admission_digest(const struct session_token *token, const char *key);
 
 /* Drops sessions and keys past their retention. */
-void admission_expire(struct board *board);
+void entry_admission_expire(struct board *board);
 
 #endif
--- a/packages/greengaged/src/entry_agent.c
+++ b/packages/greengaged/src/entry_agent.c
@@ -4,13 +4,13 @@
 
 #include "entry_dispatch.h"
 
-struct agent *agent_find(const struct board *board, const struct ident *incarnation)
+struct agent *entry_agent_find(const struct board *board, const struct ident *incarnation)
 {
 	return g_hash_table_lookup(board->agents_by_incarnation, incarnation);
 }
 
-struct agent *agent_add(struct board *board, const struct ident *incarnation,
-			const Gg__Hello *hello)
+struct agent *entry_agent_add(struct board *board, const struct ident *incarnation,
+			      const Gg__Hello *hello)
 {
 	struct handle self;
 	struct agent *agent = table_add(&board->agents, &self);
@@ -77,11 +77,11 @@
 		sched_server_update(board->sched, agent->server, &spec);
 	else if (agent->id[0] != '\0')
 		agent->server = sched_server_add(board->sched, &spec, agent);
-	dispatch_credits(board, agent);
+	entry_dispatch_credits(board, agent);
 }
 
 /* Names longer than the scheduler's are cut there; labels and slots come from our own agents. */
-void agent_update(struct board *board, struct agent *agent, const Gg__ServerInfo *info)
+void entry_agent_update(struct board *board, struct agent *agent, const Gg__ServerInfo *info)
 {
 	if (!info || info->id[0] == '\0') {
 		agent->open = false;
@@ -101,7 +101,7 @@
 	tell_scheduler(board, agent);
 }
 
-void agent_withdraw(struct board *board, struct agent *agent)
+void entry_agent_withdraw(struct board *board, struct agent *agent)
 {
 	if (!handle_is_none(agent->server))
 		sched_server_remove(board->sched, agent->server);
@@ -114,9 +114,9 @@
 	agent->reconciling = false;
 }
 
-void agent_remove(struct board *board, struct agent *agent)
+void entry_agent_remove(struct board *board, struct agent *agent)
 {
-	agent_withdraw(board, agent);
+	entry_agent_withdraw(board, agent);
 	g_hash_table_remove(board->agents_by_incarnation, &agent->incarnation);
 	link_free(&agent->link);
 	g_free(agent->id);
--- a/packages/greengaged/src/entry_agent.h
+++ b/packages/greengaged/src/entry_agent.h
@@ -5,20 +5,20 @@
 #include "entry_board.h"
 
 /* Adds a row for the incarnation that sent HELLO. */
-struct agent *agent_add(struct board *board, const struct ident *incarnation,
-			const Gg__Hello *hello);
+struct agent *entry_agent_add(struct board *board, const struct ident *incarnation,
+			      const Gg__Hello *hello);
 
 /* Finds an agent by incarnation, or returns NULL. */
-struct agent *agent_find(const struct board *board, const struct ident *incarnation);
+struct agent *entry_agent_find(const struct board *board, const struct ident *incarnation);
 
 /* Takes what the agent says of its backend server; INFO may be NULL. Tells the scheduler of
  * changes. */
-void agent_update(struct board *board, struct agent *agent, const Gg__ServerInfo *info);
+void entry_agent_update(struct board *board, struct agent *agent, const Gg__ServerInfo *info);
 
 /* Takes the agent out of the scheduler; its outstanding starts must have been finished. */
-void agent_withdraw(struct board *board, struct agent *agent);
+void entry_agent_withdraw(struct board *board, struct agent *agent);
 
 /* Removes the row. */
-void agent_remove(struct board *board, struct agent *agent);
+void entry_agent_remove(struct board *board, struct agent *agent);
 
 #endif
--- a/packages/greengaged/src/entry_body.c
+++ b/packages/greengaged/src/entry_body.c
@@ -54,34 +54,42 @@
 	return p;
 }
 
-/* Returns the value of the member "tasks", or NULL when its name is written with escapes. */
+/* Returns whether the string at P, with its quotes and any escapes, up to END is NAME. */
+static bool is_string(const char *p, const char *end, const char *name)
+{
+	json_t *value = json_loadb(p, (size_t)(end - p), decode_flags | JSON_DECODE_ANY, NULL);
+	bool same = value && strcmp(json_string_value(value), name) == 0;
+
+	json_decref(value);
+	return same;
+}
+
+/* Returns the value of the member "tasks", which exists. */
 static const char *find_tasks(const char *text)
 {
 	const char *p = skip_space(skip_space(text) + 1);
 
-	while (*p == '"') {
-		bool found = strncmp(p, "\"tasks\"", strlen("\"tasks\"")) == 0;
+	for (;;) {
+		const char *end = skip_string(p);
+		bool found = is_string(p, end, "tasks");
 
-		p = skip_space(skip_string(p));
-		p = skip_space(p + 1);
+		p = skip_space(skip_space(end) + 1);
 		if (found)
 			return p;
 		p = skip_space(skip_value(p));
-		if (*p != ',')
-			return NULL;
 		p = skip_space(p + 1);
 	}
-	return NULL;
 }
 
-static void slice_tasks(struct job_body *body, const char *array)
+static void locate_tasks(struct job_body *body)
 {
-	const char *p = skip_space(array + 1);
+	const char *p = skip_space(find_tasks(body->text) + 1);
 
+	body->tasks = g_new(struct body_slice, body->task_count);
 	for (uint32_t i = 0; i < body->task_count; i++) {
 		const char *end = skip_value(p);
 
-		body->tasks[i].begin = (uint32_t)(p - body->tasks_text);
+		body->tasks[i].begin = (uint32_t)(p - body->text);
 		body->tasks[i].length = (uint32_t)(end - p);
 		p = skip_space(end);
 		p = skip_space(p + 1);
@@ -160,21 +168,8 @@
 	return STATUS_OK;
 }
 
-static void locate_tasks(struct job_body *body, const json_t *document)
-{
-	const char *array = find_tasks(body->text);
-
-	body->tasks = g_new(struct body_slice, body->task_count);
-	body->tasks_text = body->text;
-	if (!array) {
-		body->tasks_text = json_dumps(json_object_get(document, "tasks"), JSON_COMPACT);
-		array = body->tasks_text;
-	}
-	slice_tasks(body, array);
-}
-
-enum status job_body_parse(char *text, size_t length, uint32_t max_tasks, struct job_body **body,
-			   struct error *err)
+enum status entry_body_parse(char *text, size_t length, uint32_t max_tasks, struct job_body **body,
+			     struct error *err)
 {
 	struct job_body *parsed = g_new0(struct job_body, 1);
 	json_error_t problem;
@@ -193,21 +188,19 @@
 	else
 		status = take_fields(document, max_tasks, parsed, err);
 	if (status == STATUS_OK) {
-		locate_tasks(parsed, document);
+		locate_tasks(parsed);
 		*body = parsed;
 	} else {
-		job_body_free(parsed);
+		entry_body_free(parsed);
 	}
 	json_decref(document);
 	return status;
 }
 
-void job_body_free(struct job_body *body)
+void entry_body_free(struct job_body *body)
 {
 	if (!body)
 		return;
-	if (body->tasks_text != body->text)
-		free(body->tasks_text);
 	free(body->text);
 	g_free(body->tasks);
 	g_free(body);
--- a/packages/greengaged/src/entry_body.h
+++ b/packages/greengaged/src/entry_body.h
@@ -17,8 +17,6 @@
 struct job_body {
 	char *text; /* as received */
 	size_t length;
-	char *tasks_text;    /* holds the tasks: text, or their serialized form when the name of the
-				member is written with escapes */
 	struct ident digest; /* of the text as received */
 	char class_name[NAME_BYTES];
 	char team[NAME_BYTES];
@@ -33,10 +31,10 @@
  * stores the body at BODY. STATUS_INVALID_JSON, STATUS_INVALID_REQUEST (names the field),
  * STATUS_TOO_MANY_TASKS; all "not run".
  */
-enum status job_body_parse(char *text, size_t length, uint32_t max_tasks, struct job_body **body,
-			   struct error *err);
+enum status entry_body_parse(char *text, size_t length, uint32_t max_tasks, struct job_body **body,
+			     struct error *err);
 
 /* Frees BODY, which may be NULL. */
-void job_body_free(struct job_body *body);
+void entry_body_free(struct job_body *body);
 
 #endif
--- a/packages/greengaged/src/entry_claims.c
+++ b/packages/greengaged/src/entry_claims.c
@@ -33,7 +33,7 @@
 	g_free(key);
 }
 
-void claims_init(struct board *board)
+void entry_claims_init(struct board *board)
 {
 	board->claims =
 		claims_new(&board->incarnation, board->settings->claim_window_s * MS_PER_SECOND);
@@ -41,7 +41,7 @@
 	board->claims_settled = g_array_new(FALSE, FALSE, sizeof(struct ident));
 }
 
-void claims_end(struct board *board)
+void entry_claims_end(struct board *board)
 {
 	g_hash_table_destroy(board->claim_keys);
 	g_array_free(board->claims_settled, TRUE);
@@ -81,8 +81,8 @@
 		struct request *next = request->next;
 		bool submits = request->route.kind == ROUTE_JOB_SUBMIT;
 
-		admission_refuse(request, status, submits ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
-				 reason);
+		entry_admission_refuse(request, status, submits ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
+				       reason);
 		request = next;
 	}
 }
@@ -115,20 +115,20 @@
 
 static void refuse_conflict(struct request *request)
 {
-	admission_refuse(request, STATUS_KEY_CONFLICT, OUTCOME_NOT_RUN,
-			 "the key was used with another body");
+	entry_admission_refuse(request, STATUS_KEY_CONFLICT, OUTCOME_NOT_RUN,
+			       "the key was used with another body");
 }
 
 static void join_claimed(struct board *board, struct request *request, struct claim_key *key)
 {
-	struct job *job = job_get(&board->jobs, key->job);
+	struct job *job = entry_jobs_get(&board->jobs, key->job);
 
 	if (has_other_body(key, request))
 		refuse_conflict(request);
 	else if (!job)
-		admission_answer_expired(request);
+		entry_admission_answer_expired(request);
 	else
-		admission_join(board, request, job);
+		entry_admission_join(board, request, job);
 }
 
 /* The claim is held here and no job was admitted under it: nothing ran. */
@@ -138,25 +138,25 @@
 	struct job *job;
 
 	if (request->route.kind != ROUTE_JOB_SUBMIT) {
-		admission_refuse(request, STATUS_NOT_FOUND, OUTCOME_NOT_RUN,
-				 "no job was admitted under this key");
+		entry_admission_refuse(request, STATUS_NOT_FOUND, OUTCOME_NOT_RUN,
+				       "no job was admitted under this key");
 		return;
 	}
 	if (board->draining) {
-		admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
-				 "this entry is shutting down");
+		entry_admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
+				       "this entry is shutting down");
 		return;
 	}
 	key->body_digest = request->body->digest;
-	job = progress_admit(board, request, &key->digest, &err);
+	job = entry_progress_admit(board, request, &key->digest, &err);
 	if (!job) {
 		claims_set_unstarted(board->claims, &key->digest);
-		request_refuse(request, &err);
+		entry_request_refuse(request, &err);
 		return;
 	}
 	key->admitted = true;
 	key->job = job->self;
-	progress_wait(board, request, job);
+	entry_progress_wait(board, request, job);
 }
 
 static void run_own(struct board *board, struct request *request, const struct ident *digest)
@@ -189,10 +189,10 @@
 
 	if (board->log_available && board->claims_synced)
 		return false;
-	admission_refuse(request, STATUS_LOG_UNAVAILABLE,
-			 submits && (board->claims_synced || !board->log) ? OUTCOME_NOT_RUN
-									  : OUTCOME_UNKNOWN,
-			 "the log service, which holds the claims on keys, is not available");
+	entry_admission_refuse(request, STATUS_LOG_UNAVAILABLE,
+			       submits && (board->claims_synced || !board->log) ? OUTCOME_NOT_RUN
+										: OUTCOME_UNKNOWN,
+			       "the log service, which holds the claims on keys, is not available");
 	return true;
 }
 
@@ -203,13 +203,13 @@
 	if (refuse_without_log(board, request))
 		return;
 	if (request->route.kind != ROUTE_JOB_SUBMIT) {
-		admission_refuse(request, STATUS_NOT_FOUND, OUTCOME_UNKNOWN,
-				 "nobody holds this key");
+		entry_admission_refuse(request, STATUS_NOT_FOUND, OUTCOME_UNKNOWN,
+				       "nobody holds this key");
 		return;
 	}
 	if (board->draining) {
-		admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
-				 "this entry is shutting down");
+		entry_admission_refuse(request, STATUS_DRAINING, OUTCOME_NOT_RUN,
+				       "this entry is shutting down");
 		return;
 	}
 	key = get_key(board, digest);
@@ -251,7 +251,7 @@
 		run_own(board, request, digest);
 		break;
 	case CLAIM_OTHER:
-		forward_to_owner(board, request, &owner);
+		entry_forward_to_owner(board, request, &owner);
 		break;
 	case CLAIM_ABANDONED:
 	case CLAIM_UNSTARTED:
@@ -260,14 +260,14 @@
 	}
 }
 
-void claims_run(struct board *board, struct request *request)
+void entry_claims_run(struct board *board, struct request *request)
 {
 	struct ident digest = claims_key_digest(request->route.key);
 	struct error err;
 
 	if (claims_check_key(request->route.key, timer_wall_ms(),
 			     board->settings->claim_window_s * MS_PER_SECOND, &err) != STATUS_OK) {
-		request_refuse(request, &err);
+		entry_request_refuse(request, &err);
 		return;
 	}
 	run_by_state(board, request, &digest);
@@ -280,7 +280,7 @@
 			 board->claims_append);
 }
 
-void claims_flush(struct board *board)
+void entry_claims_flush(struct board *board)
 {
 	if (board->claims_batch || !board->log)
 		return;
@@ -298,7 +298,7 @@
  * A failed append is repeated until one succeeds. A record that then appears twice does no harm:
  * the first one holds its keys, for the same entry.
  */
-void claims_take_appended(struct board *board, uint64_t request, const struct error *err)
+void entry_claims_take_appended(struct board *board, uint64_t request, const struct error *err)
 {
 	if (!board->claims_batch || request != board->claims_append)
 		return;
@@ -342,7 +342,7 @@
 	}
 }
 
-void claims_take_record(struct board *board, const struct log_record *record)
+void entry_claims_take_record(struct board *board, const struct log_record *record)
 {
 	struct error err;
 
@@ -360,17 +360,17 @@
 	struct board *board = context;
 	struct ident owner;
 
-	return !key->waiting && !job_get(&board->jobs, key->job) &&
+	return !key->waiting && !entry_jobs_get(&board->jobs, key->job) &&
 	       claims_find(board->claims, digest, &owner) == CLAIM_NONE;
 }
 
-void claims_tick(struct board *board)
+void entry_claims_tick(struct board *board)
 {
 	claims_expire(board->claims, timer_wall_ms());
 	g_hash_table_foreach_remove(board->claim_keys, is_forgotten, board);
 }
 
-void claims_fail_all(struct board *board)
+void entry_claims_fail_all(struct board *board)
 {
 	GHashTableIter iter;
 	void *value;
--- a/packages/greengaged/src/entry_config.c
+++ b/packages/greengaged/src/entry_config.c
@@ -35,13 +35,13 @@
 	g_free(state);
 }
 
-void config_publish(struct board *board)
+void entry_config_publish(struct board *board)
 {
 	struct public_state *old = board->public_state;
 	struct public_state *state = g_new0(struct public_state, 1);
 
 	state->ready = board->ready && !board->draining;
-	state->config_body = request_json_body(
+	state->config_body = entry_request_json_body(
 		json_pack("{s:I, s:O}", "version", (json_int_t)config_version(board->config),
 			  "document", config_document(board->config)));
 	rcu_assign_pointer(board->public_state, state);
@@ -49,24 +49,24 @@
 		call_rcu(&old->rcu, free_public);
 }
 
-void config_fill_state(struct board *board, Gg__ConfigState *state)
+void entry_config_fill_state(struct board *board, Gg__ConfigState *state)
 {
 	state->version = config_version(board->config);
 	state->document = board->config_text;
 }
 
-void config_send_to_agent(struct board *board, struct agent *agent)
+void entry_config_send_to_agent(struct board *board, struct agent *agent)
 {
 	Gg__ConfigState state = GG__CONFIG_STATE__INIT;
 	Gg__Envelope envelope = GG__ENVELOPE__INIT;
 
-	config_fill_state(board, &state);
+	entry_config_fill_state(board, &state);
 	envelope.body_case = GG__ENVELOPE__BODY_CONFIG_STATE;
 	envelope.config_state = &state;
-	members_send(board, agent, &envelope);
+	entry_members_send(board, agent, &envelope);
 }
 
-void config_ask_agent(struct board *board, struct agent *agent)
+void entry_config_ask_agent(struct board *board, struct agent *agent)
 {
 	Gg__ConfigRequest request = GG__CONFIG_REQUEST__INIT;
 	Gg__Envelope envelope = GG__ENVELOPE__INIT;
@@ -74,7 +74,7 @@
 	request.have_version = config_version(board->config);
 	envelope.body_case = GG__ENVELOPE__BODY_CONFIG_REQUEST;
 	envelope.config_request = &request;
-	members_send(board, agent, &envelope);
+	entry_members_send(board, agent, &envelope);
 }
 
 /* Agents that have an older version get the new one now rather than with their next heartbeat. */
@@ -86,7 +86,7 @@
 
 	while ((agent = table_next(&board->agents, &cursor, NULL))) {
 		if (agent->connected && agent->config_version < version)
-			config_send_to_agent(board, agent);
+			entry_config_send_to_agent(board, agent);
 	}
 }
 
@@ -94,9 +94,9 @@
 {
 	free(board->config_text);
 	board->config_text = json_dumps(config_document(board->config), JSON_COMPACT);
-	rules_apply(board, config_document(board->config));
+	entry_rules_apply(board, config_document(board->config));
 	metric_set(METRIC_CONFIG_VERSION, (int64_t)config_version(board->config));
-	config_publish(board);
+	entry_config_publish(board);
 }
 
 static void take_new_version(struct board *board, const char *source)
@@ -107,14 +107,14 @@
 		  EV_S("source", source));
 }
 
-void config_init(struct board *board)
+void entry_config_init(struct board *board)
 {
 	board->config = config_fold_new();
 	board->patches = g_hash_table_new_full(ident_hash, ident_equal_func, NULL, free_patch);
 	apply_version(board);
 }
 
-void config_free(struct board *board)
+void entry_config_free(struct board *board)
 {
 	g_hash_table_destroy(board->patches);
 	config_fold_free(board->config);
@@ -124,7 +124,7 @@
 	free_public(&board->public_state->rcu);
 }
 
-void config_adopt(struct board *board, const Gg__ConfigState *state)
+void entry_config_adopt(struct board *board, const Gg__ConfigState *state)
 {
 	struct error err;
 
@@ -140,11 +140,11 @@
 static void refuse_with_id(struct request *request, const struct ident *id, const struct error *err)
 {
 	char hex[IDENT_HEX_BYTES];
-	json_t *error = request_error_json(err);
+	json_t *error = entry_request_error_json(err);
 
 	json_object_set_new(error, "id", json_string(ident_format(id, hex)));
-	request_finish_json(request, status_http_code(err->status),
-			    json_pack("{s:o}", "error", error));
+	entry_request_finish_json(request, status_http_code(err->status),
+				  json_pack("{s:o}", "error", error));
 }
 
 /* Ends PATCH: refused for the reason in ERR, or accepted as VERSION when ERR is NULL. */
@@ -159,9 +159,9 @@
 	if (err)
 		refuse_with_id(request, &id, err);
 	else
-		request_finish_json(request, 200,
-				    json_pack("{s:I, s:s}", "version", (json_int_t)version, "id",
-					      ident_format(&id, hex)));
+		entry_request_finish_json(request, 200,
+					  json_pack("{s:I, s:s}", "version", (json_int_t)version,
+						    "id", ident_format(&id, hex)));
 }
 
 static void limit_reached(void *context, int64_t now_us)
@@ -173,7 +173,7 @@
 	settle(context, 0, &err);
 }
 
-void config_fail_all(struct board *board)
+void entry_config_fail_all(struct board *board)
 {
 	GHashTableIter iter;
 	struct error err;
@@ -255,19 +255,19 @@
 	free(record);
 }
 
-void config_run_patch(struct board *board, struct request *request)
+void entry_config_run_patch(struct board *board, struct request *request)
 {
 	struct error err;
 
 	if (check_shape(request->patch, &err) != STATUS_OK || check_log(board, &err) != STATUS_OK ||
 	    check_patch(board, request->patch, &err) != STATUS_OK) {
-		request_refuse(request, &err);
+		entry_request_refuse(request, &err);
 		return;
 	}
 	append_patch(board, request);
 }
 
-void config_run_history(struct board *board, struct request *request)
+void entry_config_run_history(struct board *board, struct request *request)
 {
 	struct config_change *changes = g_new(struct config_change, CONFIG_HISTORY_LENGTH);
 	uint32_t count = config_history(board->config, changes, CONFIG_HISTORY_LENGTH);
@@ -286,9 +286,10 @@
 						      status_name(change->status)));
 	}
 	g_free(changes);
-	request_finish_json(request, 200,
-			    json_pack("{s:I, s:o}", "version",
-				      (json_int_t)config_version(board->config), "history", list));
+	entry_request_finish_json(request, 200,
+				  json_pack("{s:I, s:o}", "version",
+					    (json_int_t)config_version(board->config), "history",
+					    list));
 }
 
 /* After a snapshot, records buffered before it may have been folded; the history tells. */
@@ -325,7 +326,7 @@
 	settle(patch, change.version, effect == CONFIG_EFFECT_REJECTED ? err : NULL);
 }
 
-void config_take_record(struct board *board, const struct log_record *record)
+void entry_config_take_record(struct board *board, const struct log_record *record)
 {
 	uint64_t before = config_version(board->config);
 	enum config_effect effect;
@@ -344,12 +345,12 @@
 		settle_record(board, &id, effect, &err);
 }
 
-void config_take_truncated(struct board *board, uint64_t first)
+void entry_config_take_truncated(struct board *board, uint64_t first)
 {
 	config_fold_truncated(board->config, first);
 }
 
-bool config_take_appended(struct board *board, uint64_t request, const struct error *err)
+bool entry_config_take_appended(struct board *board, uint64_t request, const struct error *err)
 {
 	GHashTableIter iter;
 	void *value;
@@ -368,7 +369,7 @@
 	return false;
 }
 
-void config_tick(struct board *board)
+void entry_config_tick(struct board *board)
 {
 	int64_t age_ms = timer_wall_ms() - board->snapshot_time_ms;
 	/* Entries differ in when they find a snapshot due, so that mostly one of them appends it.
--- a/packages/greengaged/src/entry_dispatch.c
+++ b/packages/greengaged/src/entry_dispatch.c
@@ -13,7 +13,7 @@
 	PAUSE_DOUBLINGS = 7, /* up to 1.28 s */
 };
 
-void dispatch_credits(struct board *board, struct agent *agent)
+void entry_dispatch_credits(struct board *board, struct agent *agent)
 {
 	bool usable = agent->connected && !agent->reconciling && !agent->paused;
 
@@ -27,7 +27,7 @@
 	struct link_start start;
 
 	if (link_finish(&agent->link, seq, &start))
-		progress_task_refused(board, start.job, start.task, agent->server);
+		entry_progress_task_refused(board, start.job, start.task, agent->server);
 }
 
 static void send_starts(struct board *board, struct agent *agent, Gg__Start **starts, size_t count)
@@ -39,7 +39,7 @@
 	batch.n_starts = count;
 	envelope.body_case = GG__ENVELOPE__BODY_START_BATCH;
 	envelope.start_batch = &batch;
-	if (members_send(board, agent, &envelope) == STATUS_OK) {
+	if (entry_members_send(board, agent, &envelope) == STATUS_OK) {
 		metric_add(METRIC_TASKS_STARTED, (int64_t)count);
 		return;
 	}
@@ -47,7 +47,7 @@
 	for (size_t i = 0; i < count; i++)
 		finish_unsent(board, agent, starts[i]->seq);
 	agent->connected = false;
-	dispatch_credits(board, agent);
+	entry_dispatch_credits(board, agent);
 }
 
 static void send_batches(struct board *board, struct agent *agent)
@@ -77,7 +77,7 @@
 	start->seq = seq;
 	start->job = channel_put_ident(&job->digest);
 	start->task = task;
-	start->body.data = (uint8_t *)job_task_value(job, task, &length);
+	start->body.data = (uint8_t *)entry_jobs_task_value(job, task, &length);
 	start->body.len = length;
 	start->limit_ms = (uint32_t)board->settings->task_limit_ms;
 	start->class_name = job->body->class_name;
@@ -95,7 +95,7 @@
 static void take_start(struct board *board, const struct sched_start *next)
 {
 	struct agent *agent = next->server_context;
-	struct job *job = job_by_sched(&board->jobs, next->job);
+	struct job *job = entry_jobs_by_sched(&board->jobs, next->job);
 	uint64_t seq = link_start(&agent->link, next->job, next->task, board->now_us);
 
 	/* The scheduler's credits come from the link, so this only guards against a fault. */
@@ -103,7 +103,7 @@
 		agent->paused = true;
 		sched_task_refused(board->sched, next->job, next->task, next->server,
 				   board->now_us);
-		dispatch_credits(board, agent);
+		entry_dispatch_credits(board, agent);
 		return;
 	}
 	mark_started(board, job);
@@ -128,11 +128,11 @@
 		    handle_is_none(agent->server) || link_credits(&agent->link) > 0 ||
 		    sched_demand(board->sched, agent->server) == 0)
 			continue;
-		members_send_heartbeat(board, agent);
+		entry_members_send_heartbeat(board, agent);
 	}
 }
 
-void dispatch_run(struct board *board)
+void entry_dispatch_run(struct board *board)
 {
 	struct sched_start next;
 
@@ -150,7 +150,7 @@
 
 	agent->paused = false;
 	agent->pause_timer = (struct handle){0};
-	dispatch_credits(agent->board, agent);
+	entry_dispatch_credits(agent->board, agent);
 }
 
 /* A backend server that refuses every task would otherwise have them sent again in a tight loop. */
@@ -173,7 +173,7 @@
 		  EV_S("status", status_name(status)));
 	if (status != STATUS_STALE_CONFIG && status != STATUS_SERVER_LEAVING)
 		pause_agent(board, agent);
-	progress_task_refused(board, start->job, start->task, agent->server);
+	entry_progress_task_refused(board, start->job, start->task, agent->server);
 }
 
 static void take_result(struct board *board, struct agent *agent, Gg__Result *result)
@@ -194,50 +194,52 @@
 	}
 	agent->refused_streak = 0;
 	if (status == STATUS_OK && result->body.len > (size_t)board->settings->max_result_bytes) {
-		progress_task_failed(board, start.job, start.task, agent->server,
-				     STATUS_RESULT_TOO_LARGE, "result above limits.result_bytes");
+		entry_progress_task_failed(board, start.job, start.task, agent->server,
+					   STATUS_RESULT_TOO_LARGE,
+					   "result above limits.result_bytes");
 	} else if (status == STATUS_OK && result->body.len > 0) {
 		data = result->body.data;
 		result->body.data = NULL;
-		progress_task_done(board, start.job, start.task, agent->server,
-				   (int64_t)result->run_us, data, (uint32_t)result->body.len);
+		entry_progress_task_done(board, start.job, start.task, agent->server,
+					 (int64_t)result->run_us, data, (uint32_t)result->body.len);
 		result->body.len = 0;
 	} else {
-		progress_task_failed(board, start.job, start.task, agent->server,
-				     status == STATUS_OK ? STATUS_INVALID_RESULT : status,
-				     result->reason);
+		entry_progress_task_failed(board, start.job, start.task, agent->server,
+					   status == STATUS_OK ? STATUS_INVALID_RESULT : status,
+					   result->reason);
 	}
 }
 
-void dispatch_results(struct board *board, struct agent *agent, Gg__ResultBatch *batch)
+void entry_dispatch_results(struct board *board, struct agent *agent, Gg__ResultBatch *batch)
 {
 	for (size_t i = 0; i < batch->n_results; i++)
 		take_result(board, agent, batch->results[i]);
-	dispatch_credits(board, agent);
+	entry_dispatch_credits(board, agent);
 }
 
-void dispatch_reconciled(struct board *board, struct agent *agent, const Gg__Reconciled *answer)
+void entry_dispatch_reconciled(struct board *board, struct agent *agent,
+			       const Gg__Reconciled *answer)
 {
 	if (!agent->reconciling)
 		return;
 	for (size_t i = 0; i < answer->n_sealed; i++)
 		finish_unsent(board, agent, answer->sealed[i]);
 	agent->reconciling = false;
-	dispatch_credits(board, agent);
+	entry_dispatch_credits(board, agent);
 	event_log(EVENT_CHANNEL_RECONCILED, EV_S("agent", agent->id),
 		  EV_I("running", answer->n_running), EV_I("sealed", answer->n_sealed));
 }
 
-void dispatch_fail_outstanding(struct board *board, struct agent *agent, const char *reason)
+void entry_dispatch_fail_outstanding(struct board *board, struct agent *agent, const char *reason)
 {
 	struct link_start start;
 
 	while (link_abandon(&agent->link, &start))
-		progress_task_failed(board, start.job, start.task, agent->server, STATUS_AGENT_LOST,
-				     reason);
+		entry_progress_task_failed(board, start.job, start.task, agent->server,
+					   STATUS_AGENT_LOST, reason);
 }
 
-bool dispatch_has_older(const struct agent *agent, int64_t before_us)
+bool entry_dispatch_has_older(const struct agent *agent, int64_t before_us)
 {
 	uint32_t count = link_outstanding(&agent->link, NULL, 0);
 	struct link_start *starts = g_new(struct link_start, count);
--- a/packages/greengaged/src/entry_dispatch.h
+++ b/packages/greengaged/src/entry_dispatch.h
@@ -5,21 +5,22 @@
 #include "entry_board.h"
 
 /* Sends every start that can be sent now, one batch an agent, and tells agents of new demand. */
-void dispatch_run(struct board *board);
+void entry_dispatch_run(struct board *board);
 
 /* Takes results of AGENT. */
-void dispatch_results(struct board *board, struct agent *agent, Gg__ResultBatch *batch);
+void entry_dispatch_results(struct board *board, struct agent *agent, Gg__ResultBatch *batch);
 
 /* Takes the answer to Reconcile. */
-void dispatch_reconciled(struct board *board, struct agent *agent, const Gg__Reconciled *answer);
+void entry_dispatch_reconciled(struct board *board, struct agent *agent,
+			       const Gg__Reconciled *answer);
 
 /* Tells the scheduler how many starts AGENT may get now. */
-void dispatch_credits(struct board *board, struct agent *agent);
+void entry_dispatch_credits(struct board *board, struct agent *agent);
 
 /* Fails all outstanding starts of AGENT: they may have run. */
-void dispatch_fail_outstanding(struct board *board, struct agent *agent, const char *reason);
+void entry_dispatch_fail_outstanding(struct board *board, struct agent *agent, const char *reason);
 
 /* Returns whether AGENT has a start sent before BEFORE_US. */
-bool dispatch_has_older(const struct agent *agent, int64_t before_us);
+bool entry_dispatch_has_older(const struct agent *agent, int64_t before_us);
 
 #endif
--- a/packages/greengaged/src/entry_drain.c
+++ b/packages/greengaged/src/entry_drain.c
@@ -17,9 +17,9 @@
 
 static void stop(struct board *board)
 {
-	members_return_credits(board);
-	members_say_goodbye(board);
-	peers_say_goodbye(board);
+	entry_members_return_credits(board);
+	entry_members_say_goodbye(board);
+	entry_peers_say_goodbye(board);
 	board->stopped = true;
 	event_log(EVENT_DRAIN_FINISHED, EV_I("forced", board->forced));
 	eventfd_write(board->finished_fd, 1);
@@ -30,10 +30,11 @@
 {
 	event_log(EVENT_DRAIN_FORCED, EV_I("jobs", board->jobs.active));
 	board->forced = true;
-	claims_fail_all(board);
-	config_fail_all(board);
-	forward_fail_all(board);
-	progress_fail_all(board, STATUS_DRAINING, "this entry was stopped before the job ended");
+	entry_claims_fail_all(board);
+	entry_config_fail_all(board);
+	entry_forward_fail_all(board);
+	entry_progress_fail_all(board, STATUS_DRAINING,
+				"this entry was stopped before the job ended");
 	stop(board);
 }
 
@@ -48,14 +49,14 @@
 	if (!board->draining) {
 		board->draining = true;
 		board->drain_started_us = board->now_us;
-		config_publish(board);
+		entry_config_publish(board);
 		event_log(EVENT_DRAIN_STARTED, EV_I("jobs", board->jobs.active));
 	}
 	if (forced)
 		force(board);
 }
 
-void drain_request(struct board *board, bool forced)
+void entry_drain_request(struct board *board, bool forced)
 {
 	struct drain_command *drain = g_new0(struct drain_command, 1);
 
@@ -68,7 +69,7 @@
  * Answers nobody asked for yet are kept for the grace period after the last job, since their
  * clients may come for them; their loss would make an ended job unknown to its client.
  */
-void drain_run(struct board *board)
+void entry_drain_run(struct board *board)
 {
 	int64_t grace_us = board->settings->drain_grace_ms * US_PER_MS;
 
--- a/packages/greengaged/src/entry_drain.h
+++ b/packages/greengaged/src/entry_drain.h
@@ -5,9 +5,9 @@
 #include "entry_board.h"
 
 /* Asks the dispatcher to begin the shutdown, or with FORCED to cut it short. Any thread. */
-void drain_request(struct board *board, bool forced);
+void entry_drain_request(struct board *board, bool forced);
 
 /* Ends the shutdown once all admitted work is finished and answered. Called each loop iteration. */
-void drain_run(struct board *board);
+void entry_drain_run(struct board *board);
 
 #endif
--- a/packages/greengaged/src/entry_forward.c
+++ b/packages/greengaged/src/entry_forward.c
@@ -38,8 +38,8 @@
 
 static void limit_reached(void *context, int64_t now_us)
 {
-	admission_refuse(take_request(context), STATUS_OWNER_UNREACHABLE, OUTCOME_UNKNOWN,
-			 "the entry that owns the request did not reply in time");
+	entry_admission_refuse(take_request(context), STATUS_OWNER_UNREACHABLE, OUTCOME_UNKNOWN,
+			       "the entry that owns the request did not reply in time");
 }
 
 static enum status send_forward(struct board *board, struct peer *peer,
@@ -56,7 +56,7 @@
 	message.wait_ms = (uint64_t)request->route.wait_ms;
 	envelope.body_case = GG__ENVELOPE__BODY_FORWARD;
 	envelope.forward = &message;
-	return peers_send(board, peer, &envelope);
+	return entry_peers_send(board, peer, &envelope);
 }
 
 static void pass_on(struct board *board, struct request *request, struct peer *peer)
@@ -65,8 +65,8 @@
 	struct forward *forward;
 
 	if (send_forward(board, peer, request, board->next_forward + 1) != STATUS_OK) {
-		admission_refuse(request, STATUS_OWNER_UNREACHABLE, OUTCOME_UNKNOWN,
-				 "the entry that owns the request cannot be reached");
+		entry_admission_refuse(request, STATUS_OWNER_UNREACHABLE, OUTCOME_UNKNOWN,
+				       "the entry that owns the request cannot be reached");
 		return;
 	}
 	metric_add(METRIC_FORWARDS, 1);
@@ -80,27 +80,27 @@
 	g_hash_table_insert(board->forwards, &forward->number, forward);
 }
 
-void forward_to_owner(struct board *board, struct request *request, const struct ident *owner)
+void entry_forward_to_owner(struct board *board, struct request *request, const struct ident *owner)
 {
 	struct peer *peer = NULL;
 
 	/* Another entry took this one for the owner, so the owner's incarnation ended. */
 	if (request->forwarded) {
-		admission_refuse(request, STATUS_OWNER_LOST, OUTCOME_UNKNOWN,
-				 "the entry that owned the request has ended");
+		entry_admission_refuse(request, STATUS_OWNER_LOST, OUTCOME_UNKNOWN,
+				       "the entry that owned the request has ended");
 		return;
 	}
-	switch (peers_find_owner(board, owner, &peer)) {
+	switch (entry_peers_find_owner(board, owner, &peer)) {
 	case OWNER_REACHABLE:
 		pass_on(board, request, peer);
 		break;
 	case OWNER_SILENT:
-		admission_refuse(request, STATUS_OWNER_UNREACHABLE, OUTCOME_UNKNOWN,
-				 "the entry that owns the request does not answer");
+		entry_admission_refuse(request, STATUS_OWNER_UNREACHABLE, OUTCOME_UNKNOWN,
+				       "the entry that owns the request does not answer");
 		break;
 	case OWNER_GONE:
-		admission_refuse(request, STATUS_OWNER_LOST, OUTCOME_UNKNOWN,
-				 "the entry that owned the request has ended");
+		entry_admission_refuse(request, STATUS_OWNER_LOST, OUTCOME_UNKNOWN,
+				       "the entry that owned the request has ended");
 		break;
 	}
 }
@@ -119,7 +119,7 @@
 	envelope.body_case = GG__ENVELOPE__BODY_FORWARD_REPLY;
 	envelope.forward_reply = &message;
 	/* When the connection is gone, the other entry reports owner_unreachable at its limit. */
-	peers_send_inbound(request->board, &request->origin, &envelope);
+	entry_peers_send_inbound(request->board, &request->origin, &envelope);
 }
 
 static void run_forwarded(struct board *board, struct command *command)
@@ -127,9 +127,9 @@
 	struct request *request = (struct request *)command;
 
 	if (request->invalid)
-		request_refuse(request, &request->problem);
+		entry_request_refuse(request, &request->problem);
 	else
-		admission_run(board, command);
+		entry_admission_run(board, command);
 }
 
 /* Parses on a thread of the pool, since a large body would hold up the dispatcher. */
@@ -141,21 +141,22 @@
 	int64_t wait_ms = request->route.wait_ms;
 
 	request->invalid =
-		route_parse(request->method, request->path, NULL, settings->http_wait_max_ms,
-			    &request->route, &request->problem) != STATUS_OK;
+		entry_route_parse(request->method, request->path, NULL, settings->http_wait_max_ms,
+				  &request->route, &request->problem) != STATUS_OK;
 	request->route.wait_ms = wait_ms;
 	if (!request->invalid && request->route.kind == ROUTE_JOB_SUBMIT) {
-		request->invalid = job_body_parse(request->text, request->text_length,
-						  (uint32_t)settings->max_tasks_per_job,
-						  &request->body, &request->problem) != STATUS_OK;
+		request->invalid = entry_body_parse(request->text, request->text_length,
+						    (uint32_t)settings->max_tasks_per_job,
+						    &request->body, &request->problem) != STATUS_OK;
 		request->text = NULL;
 	}
 	mailbox_send(&board->mailbox, &request->command.node);
 }
 
-void forward_receive(struct board *board, const struct ident *origin, const Gg__Forward *forward)
+void entry_forward_receive(struct board *board, const struct ident *origin,
+			   const Gg__Forward *forward)
 {
-	struct request *request = request_new();
+	struct request *request = entry_request_new();
 	int64_t wait_max_ms = board->settings->http_wait_max_ms;
 
 	request->command.run = run_forwarded;
@@ -173,7 +174,7 @@
 	g_thread_pool_push(board->parsers, request, NULL);
 }
 
-void forward_receive_reply(struct board *board, const Gg__ForwardReply *reply)
+void entry_forward_receive_reply(struct board *board, const Gg__ForwardReply *reply)
 {
 	struct forward *forward = g_hash_table_lookup(board->forwards, &reply->request);
 	struct request *request;
@@ -184,7 +185,7 @@
 	request = take_request(forward);
 	g_strlcpy(request->reply.session, reply->session, sizeof(request->reply.session));
 	body = g_bytes_new(reply->body.data, reply->body.len);
-	request_finish(request, (int)reply->http_status, body);
+	entry_request_finish(request, (int)reply->http_status, body);
 	g_bytes_unref(body);
 }
 
@@ -203,28 +204,28 @@
 		if (owner && !ident_equal(&forward->owner, owner))
 			continue;
 		g_hash_table_iter_remove(&iter);
-		admission_refuse(request, status, OUTCOME_UNKNOWN, reason);
+		entry_admission_refuse(request, status, OUTCOME_UNKNOWN, reason);
 	}
 }
 
-void forward_owner_gone(struct board *board, const struct ident *owner)
+void entry_forward_owner_gone(struct board *board, const struct ident *owner)
 {
 	fail_forwards(board, owner, STATUS_OWNER_LOST,
 		      "the entry that owned the request has ended");
 }
 
-void forward_fail_all(struct board *board)
+void entry_forward_fail_all(struct board *board)
 {
 	fail_forwards(board, NULL, STATUS_DRAINING, "this entry was stopped");
 }
 
-void forward_init(struct board *board)
+void entry_forward_init(struct board *board)
 {
 	board->forwards = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_forward);
 	board->parsers = g_thread_pool_new(parse_forwarded, board, PARSER_THREADS, FALSE, NULL);
 }
 
-void forward_free(struct board *board)
+void entry_forward_free(struct board *board)
 {
 	g_thread_pool_free(board->parsers, FALSE, TRUE);
 	g_hash_table_destroy(board->forwards);
--- a/packages/greengaged/src/entry_http.c
+++ b/packages/greengaged/src/entry_http.c
@@ -73,7 +73,7 @@
 /* The rest of a refused request may be unread, so the connection is closed after it. */
 static void write_refusal(struct mg_connection *conn, const struct error *err)
 {
-	GBytes *body = request_error_body(err);
+	GBytes *body = entry_request_error_body(err);
 
 	metric_add(METRIC_HTTP_REFUSED, 1);
 	event_log(EVENT_HTTP_REFUSED, EV_S("status", status_name(err->status)),
@@ -139,8 +139,8 @@
 	json_error_t problem;
 
 	if (request->route.kind == ROUTE_JOB_SUBMIT && !foreign)
-		return job_body_parse(text, length, (uint32_t)board->settings->max_tasks_per_job,
-				      &request->body, err);
+		return entry_body_parse(text, length, (uint32_t)board->settings->max_tasks_per_job,
+					&request->body, err);
 	request->text = text;
 	request->text_length = length;
 	if (request->route.kind != ROUTE_CONFIG_PATCH)
@@ -166,10 +166,10 @@
 
 	g_strlcpy(request->method, info->request_method, sizeof(request->method));
 	request->path = g_strdup(info->local_uri_raw);
-	request->command.run = admission_run;
-	if (!route_has_body(request->route.kind))
+	request->command.run = entry_admission_run;
+	if (!entry_route_has_body(request->route.kind))
 		return STATUS_OK;
-	status = receive_body(conn, &limits, &text, &length, err);
+	status = entry_receive_body(conn, &limits, &text, &length, err);
 	if (status == STATUS_OK)
 		status = parse_body(board, request, text, length, err);
 	return status;
@@ -191,9 +191,9 @@
 {
 	struct error err;
 
-	request_ref(request);
+	entry_request_ref(request);
 	mailbox_send(&board->mailbox, &request->command.node);
-	if (!request_wait(request, reply_limit_ms(board, &request->route))) {
+	if (!entry_request_wait(request, reply_limit_ms(board, &request->route))) {
 		error_set_unknown(&err, STATUS_TIMEOUT, "no reply from the dispatcher");
 		write_refusal(conn, &err);
 		return;
@@ -206,7 +206,7 @@
 
 static void serve(struct mg_connection *conn, struct board *board, const struct route *route)
 {
-	struct request *request = request_new();
+	struct request *request = entry_request_new();
 	struct error err;
 
 	request->route = *route;
@@ -214,7 +214,7 @@
 		pass_to_dispatcher(conn, board, request);
 	else
 		write_refusal(conn, &err);
-	request_unref(request);
+	entry_request_unref(request);
 }
 
 static void serve_within_limit(struct mg_connection *conn, struct board *board,
@@ -246,8 +246,9 @@
 	if (!info->local_uri_raw) {
 		error_set(&err, STATUS_INVALID_REQUEST, "the request names no path on this server");
 		write_refusal(conn, &err);
-	} else if (route_parse(info->request_method, info->local_uri_raw, info->query_string,
-			       board->settings->http_wait_max_ms, &route, &err) != STATUS_OK) {
+	} else if (entry_route_parse(info->request_method, info->local_uri_raw, info->query_string,
+				     board->settings->http_wait_max_ms, &route,
+				     &err) != STATUS_OK) {
 		write_refusal(conn, &err);
 	} else if (!answer_directly(conn, board, route.kind)) {
 		serve_within_limit(conn, board, &route);
@@ -334,7 +335,7 @@
 	return mg_start(&callbacks, http, options);
 }
 
-enum status http_start(struct board *board, struct http **out, struct error *err)
+enum status entry_http_start(struct board *board, struct http **out, struct error *err)
 {
 	struct http *http = g_new0(struct http, 1);
 	struct mg_server_port port = {0};
@@ -355,7 +356,7 @@
 	return STATUS_OK;
 }
 
-void http_stop(struct http *http)
+void entry_http_stop(struct http *http)
 {
 	mg_stop(http->mg);
 	mg_exit_library();
--- a/packages/greengaged/src/entry_http.h
+++ b/packages/greengaged/src/entry_http.h
@@ -7,9 +7,9 @@
 struct http; /* opaque */
 
 /* Starts the listener; its threads post to BOARD. STATUS_NETWORK. */
-enum status http_start(struct board *board, struct http **http, struct error *err);
+enum status entry_http_start(struct board *board, struct http **http, struct error *err);
 
 /* Closes the listener and waits for its threads. Every request that waits must be answered. */
-void http_stop(struct http *http);
+void entry_http_stop(struct http *http);
 
 #endif
--- a/packages/greengaged/src/entry_jobs.c
+++ b/packages/greengaged/src/entry_jobs.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-void job_store_init(struct job_store *store, const struct job_limits *limits)
+void entry_jobs_init(struct job_store *store, const struct job_limits *limits)
 {
 	memset(store, 0, sizeof(*store));
 	store->limits = *limits;
@@ -23,7 +23,7 @@
 static void free_content(struct job *job)
 {
 	free_results(job);
-	job_body_free(job->body);
+	entry_body_free(job->body);
 	job->body = NULL;
 }
 
@@ -36,7 +36,7 @@
 	table_remove(&store->jobs, job->self);
 }
 
-void job_store_free(struct job_store *store)
+void entry_jobs_free(struct job_store *store)
 {
 	uint32_t cursor = 0;
 	struct job *job;
@@ -50,7 +50,7 @@
 /* Drops the job whose answer is the oldest. Returns false when no job has ended. */
 static bool drop_oldest(struct job_store *store)
 {
-	struct job *job = job_get(store, store->oldest_ended);
+	struct job *job = entry_jobs_get(store, store->oldest_ended);
 
 	if (!job)
 		return false;
@@ -65,7 +65,7 @@
 	return true;
 }
 
-bool job_store_has_room(struct job_store *store)
+bool entry_jobs_has_room(struct job_store *store)
 {
 	while (table_count(&store->jobs) >= store->limits.max_jobs) {
 		if (!drop_oldest(store))
@@ -74,8 +74,8 @@
 	return true;
 }
 
-struct job *job_add(struct job_store *store, struct job_body *body, const char *key,
-		    const struct ident *digest)
+struct job *entry_jobs_add(struct job_store *store, struct job_body *body, const char *key,
+			   const struct ident *digest)
 {
 	struct handle self;
 	struct job *job = table_add(&store->jobs, &self);
@@ -89,7 +89,7 @@
 	return job;
 }
 
-struct job_body *job_discard(struct job_store *store, struct job *job)
+struct job_body *entry_jobs_discard(struct job_store *store, struct job *job)
 {
 	struct job_body *body = job->body;
 
@@ -99,7 +99,7 @@
 	return body;
 }
 
-void job_bind(struct job_store *store, struct job *job, struct handle sched)
+void entry_jobs_bind(struct job_store *store, struct job *job, struct handle sched)
 {
 	uint32_t capacity = store->by_sched_capacity;
 
@@ -115,22 +115,22 @@
 	job->sched = sched;
 }
 
-struct job *job_by_sched(const struct job_store *store, struct handle sched)
+struct job *entry_jobs_by_sched(const struct job_store *store, struct handle sched)
 {
 	struct job *job;
 
 	if (sched.index >= store->by_sched_capacity)
 		return NULL;
-	job = job_get(store, store->by_sched[sched.index]);
+	job = entry_jobs_get(store, store->by_sched[sched.index]);
 	return job && handle_equal(job->sched, sched) ? job : NULL;
 }
 
-struct job *job_get(const struct job_store *store, struct handle handle)
+struct job *entry_jobs_get(const struct job_store *store, struct handle handle)
 {
 	return table_get(&store->jobs, handle);
 }
 
-bool job_put_result(struct job *job, uint32_t task, uint8_t *data, uint32_t length)
+bool entry_jobs_put_result(struct job *job, uint32_t task, uint8_t *data, uint32_t length)
 {
 	if (job->state != JOB_ACTIVE || task >= job->body->task_count ||
 	    (job->results && job->results[task].data)) {
@@ -147,7 +147,7 @@
 static void end_job(struct job_store *store, struct job *job, enum job_state state, GBytes *answer,
 		    int64_t now_us)
 {
-	struct job *newest = job_get(store, store->newest_ended);
+	struct job *newest = entry_jobs_get(store, store->newest_ended);
 
 	free_content(job);
 	job->state = state;
@@ -163,7 +163,7 @@
 	store->answer_bytes += g_bytes_get_size(answer);
 }
 
-/* The key holds no character that JSON escapes; route_parse sees to that. */
+/* The key holds no character that JSON escapes; entry_route_parse sees to that. */
 static GBytes *join_results(const struct job *job)
 {
 	uint32_t count = job->body->task_count;
@@ -184,22 +184,22 @@
 	return g_string_free_to_bytes(text);
 }
 
-void job_end_done(struct job_store *store, struct job *job, int64_t now_us)
+void entry_jobs_end_done(struct job_store *store, struct job *job, int64_t now_us)
 {
 	end_job(store, job, JOB_DONE, join_results(job), now_us);
 }
 
-void job_end_error(struct job_store *store, struct job *job, enum job_state state,
-		   const struct error *err, int64_t now_us)
+void entry_jobs_end_error(struct job_store *store, struct job *job, enum job_state state,
+			  const struct error *err, int64_t now_us)
 {
 	json_t *answer = json_pack("{s:s, s:s, s:o}", "job", job->key, "state",
 				   state == JOB_FAILED ? "failed" : "cancelled", "error",
-				   request_error_json(err));
+				   entry_request_error_json(err));
 
-	end_job(store, job, state, request_json_body(answer), now_us);
+	end_job(store, job, state, entry_request_json_body(answer), now_us);
 }
 
-void job_mark_fetched(struct job_store *store, struct job *job)
+void entry_jobs_mark_fetched(struct job_store *store, struct job *job)
 {
 	if (job->fetched || job->state == JOB_ACTIVE)
 		return;
@@ -207,11 +207,11 @@
 	store->unfetched--;
 }
 
-void job_store_expire(struct job_store *store, int64_t now_us)
+void entry_jobs_expire(struct job_store *store, int64_t now_us)
 {
 	struct job *oldest;
 
-	while ((oldest = job_get(store, store->oldest_ended))) {
+	while ((oldest = entry_jobs_get(store, store->oldest_ended))) {
 		if (now_us - oldest->ended_us < store->limits.retain_us &&
 		    store->answer_bytes <= store->limits.max_answer_bytes)
 			return;
@@ -219,8 +219,8 @@
 	}
 }
 
-const char *job_task_value(const struct job *job, uint32_t task, uint32_t *length)
+const char *entry_jobs_task_value(const struct job *job, uint32_t task, uint32_t *length)
 {
 	*length = job->body->tasks[task].length;
-	return job->body->tasks_text + job->body->tasks[task].begin;
+	return job->body->text + job->body->tasks[task].begin;
 }
--- a/packages/greengaged/src/entry_jobs.h
+++ b/packages/greengaged/src/entry_jobs.h
@@ -62,43 +62,43 @@
 	uint64_t expired;
 };
 
-void job_store_init(struct job_store *store, const struct job_limits *limits);
+void entry_jobs_init(struct job_store *store, const struct job_limits *limits);
 /* Frees all jobs. Waiters must have been answered. */
-void job_store_free(struct job_store *store);
+void entry_jobs_free(struct job_store *store);
 
 /* Returns whether there is room for one more job; drops the oldest ended ones to make room. */
-bool job_store_has_room(struct job_store *store);
+bool entry_jobs_has_room(struct job_store *store);
 
 /* Adds an active job; BODY is taken over. */
-struct job *job_add(struct job_store *store, struct job_body *body, const char *key,
-		    const struct ident *digest);
+struct job *entry_jobs_add(struct job_store *store, struct job_body *body, const char *key,
+			   const struct ident *digest);
 /* Removes a job that was not admitted. BODY is given back. */
-struct job_body *job_discard(struct job_store *store, struct job *job);
+struct job_body *entry_jobs_discard(struct job_store *store, struct job *job);
 
 /* Links the job to its handle in the scheduler. */
-void job_bind(struct job_store *store, struct job *job, struct handle sched);
+void entry_jobs_bind(struct job_store *store, struct job *job, struct handle sched);
 /* Returns the job with handle SCHED in the scheduler, or NULL. */
-struct job *job_by_sched(const struct job_store *store, struct handle sched);
+struct job *entry_jobs_by_sched(const struct job_store *store, struct handle sched);
 /* Returns the job, or NULL when it expired. */
-struct job *job_get(const struct job_store *store, struct handle handle);
+struct job *entry_jobs_get(const struct job_store *store, struct handle handle);
 
 /* Stores a result, whose DATA (from malloc) is taken over. Returns false when the task has one or
  * the job ended; then DATA is freed. */
-bool job_put_result(struct job *job, uint32_t task, uint8_t *data, uint32_t length);
+bool entry_jobs_put_result(struct job *job, uint32_t task, uint8_t *data, uint32_t length);
 
 /* Ends the job with all its results in task order. Every task must have a result. */
-void job_end_done(struct job_store *store, struct job *job, int64_t now_us);
+void entry_jobs_end_done(struct job_store *store, struct job *job, int64_t now_us);
 /* Ends the job as failed or cancelled with the error of ERR. */
-void job_end_error(struct job_store *store, struct job *job, enum job_state state,
-		   const struct error *err, int64_t now_us);
+void entry_jobs_end_error(struct job_store *store, struct job *job, enum job_state state,
+			  const struct error *err, int64_t now_us);
 
 /* Marks the answer as delivered. */
-void job_mark_fetched(struct job_store *store, struct job *job);
+void entry_jobs_mark_fetched(struct job_store *store, struct job *job);
 
 /* Drops ended jobs whose answers are retained for longer than the limit. */
-void job_store_expire(struct job_store *store, int64_t now_us);
+void entry_jobs_expire(struct job_store *store, int64_t now_us);
 
 /* Returns the task's value in the body and stores its LENGTH. */
-const char *job_task_value(const struct job *job, uint32_t task, uint32_t *length);
+const char *entry_jobs_task_value(const struct job *job, uint32_t task, uint32_t *length);
 
 #endif
--- a/packages/greengaged/src/entry_log.c
+++ b/packages/greengaged/src/entry_log.c
@@ -45,7 +45,7 @@
 static void take_truncated(struct board *board, const struct log_command *item)
 {
 	if (item->stream == STREAM_CONFIG)
-		config_take_truncated(board, item->number);
+		entry_config_take_truncated(board, item->number);
 	event_log(EVENT_LOG_TRUNCATED, EV_S("stream", stream_names[item->stream]),
 		  EV_I("first", item->number));
 }
@@ -57,16 +57,16 @@
 	switch (item->kind) {
 	case LOG_RECORD:
 		if (item->stream == STREAM_CONFIG)
-			config_take_record(board, &item->record);
+			entry_config_take_record(board, &item->record);
 		else
-			claims_take_record(board, &item->record);
+			entry_claims_take_record(board, &item->record);
 		break;
 	case LOG_TRUNCATED:
 		take_truncated(board, item);
 		break;
 	case LOG_APPENDED:
-		if (!config_take_appended(board, item->number, &item->err))
-			claims_take_appended(board, item->number, &item->err);
+		if (!entry_config_take_appended(board, item->number, &item->err))
+			entry_claims_take_appended(board, item->number, &item->err);
 		break;
 	case LOG_CAUGHT_UP:
 		if (item->stream == STREAM_CLAIMS)
@@ -136,7 +136,7 @@
 	post(context, item);
 }
 
-enum status log_start(struct board *board, struct error *err)
+enum status entry_log_start(struct board *board, struct error *err)
 {
 	const struct daemon_settings *settings = board->settings;
 	const struct log_limits limits = {
@@ -163,7 +163,7 @@
 	return STATUS_OK;
 }
 
-void log_stop(struct board *board)
+void entry_log_stop(struct board *board)
 {
 	if (board->log)
 		logclient_free(board->log);
--- a/packages/greengaged/src/entry_log.h
+++ b/packages/greengaged/src/entry_log.h
@@ -5,9 +5,9 @@
 #include "entry_board.h"
 
 /* Starts the client when the settings name a service. STATUS_RESOURCE. */
-enum status log_start(struct board *board, struct error *err);
+enum status entry_log_start(struct board *board, struct error *err);
 
 /* Stops the client. */
-void log_stop(struct board *board);
+void entry_log_stop(struct board *board);
 
 #endif
--- a/packages/greengaged/src/entry_loop.c
+++ b/packages/greengaged/src/entry_loop.c
@@ -30,8 +30,8 @@
 
 static void tick_members(void *context, int64_t now_us)
 {
-	members_tick(context);
-	peers_tick(context);
+	entry_members_tick(context);
+	entry_peers_tick(context);
 }
 
 static void tick_expire(void *context, int64_t now_us)
@@ -39,19 +39,19 @@
 	struct board *board = context;
 
 	if (board->jobs.active > 0)
-		progress_expire(board);
+		entry_progress_expire(board);
 }
 
 static void tick_report(void *context, int64_t now_us)
 {
-	admission_expire(context);
-	report_tick(context);
-	config_tick(context);
+	entry_admission_expire(context);
+	entry_report_tick(context);
+	entry_config_tick(context);
 }
 
 static void tick_claims(void *context, int64_t now_us)
 {
-	claims_tick(context);
+	entry_claims_tick(context);
 }
 
 static void every(struct board *board, int64_t period_ms, timer_callback callback)
@@ -103,15 +103,15 @@
 
 	board->sessions = session_store_new(&session_limits, &board->incarnation);
 	board->renewals = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-	job_store_init(&board->jobs, &job_limits);
+	entry_jobs_init(&board->jobs, &job_limits);
 	table_init(&board->agents, sizeof(struct agent));
 	board->agents_by_incarnation = g_hash_table_new(ident_hash, ident_equal_func);
 	board->batch = g_ptr_array_new();
 	board->burn = burn_new(&objectives);
 }
 
-enum status loop_init(struct board *board, const struct daemon_settings *settings,
-		      struct error *err)
+enum status entry_loop_init(struct board *board, const struct daemon_settings *settings,
+			    struct error *err)
 {
 	memset(board, 0, sizeof(*board));
 	board->settings = settings;
@@ -133,22 +133,22 @@
 	}
 	init_sched(board);
 	init_stores(board);
-	config_init(board);
-	claims_init(board);
-	forward_init(board);
-	peers_init(board);
+	entry_config_init(board);
+	entry_claims_init(board);
+	entry_forward_init(board);
+	entry_peers_init(board);
 	subscribe(board);
 	return STATUS_OK;
 }
 
-void loop_free(struct board *board)
+void entry_loop_free(struct board *board)
 {
-	members_free(board);
-	peers_free(board);
-	forward_free(board);
-	claims_end(board);
-	config_free(board);
-	job_store_free(&board->jobs);
+	entry_members_free(board);
+	entry_peers_free(board);
+	entry_forward_free(board);
+	entry_claims_end(board);
+	entry_config_free(board);
+	entry_jobs_free(&board->jobs);
 	session_store_free(board->sessions);
 	g_hash_table_destroy(board->renewals);
 	g_hash_table_destroy(board->agents_by_incarnation);
@@ -169,7 +169,7 @@
 	board->closed = true;
 }
 
-void loop_close(struct board *board)
+void entry_loop_close(struct board *board)
 {
 	struct command *command = g_new0(struct command, 1);
 
@@ -208,7 +208,7 @@
 			invalid_message(&err);
 			continue;
 		}
-		members_receive(board, &route, envelope);
+		entry_members_receive(board, &route, envelope);
 		channel_free_envelope(envelope);
 	}
 }
@@ -226,7 +226,7 @@
 			invalid_message(&err);
 			continue;
 		}
-		peers_receive(board, peer, envelope);
+		entry_peers_receive(board, peer, envelope);
 		channel_free_envelope(envelope);
 	}
 }
@@ -238,10 +238,10 @@
 	if (board->ready)
 		return;
 	/* A peer that does not answer must not keep this entry from serving. */
-	if (!peers_all_known(board) && age_ms < board->settings->heartbeat_limit_ms)
+	if (!entry_peers_all_known(board) && age_ms < board->settings->heartbeat_limit_ms)
 		return;
 	board->ready = true;
-	config_publish(board);
+	entry_config_publish(board);
 }
 
 static void run_once(struct board *board)
@@ -254,14 +254,14 @@
 	for (guint i = 0; i < board->peers->len; i++)
 		receive_from_peer(board, g_ptr_array_index(board->peers, i));
 	timer_run(&board->timers, board->now_us);
-	claims_flush(board);
-	dispatch_run(board);
+	entry_claims_flush(board);
+	entry_dispatch_run(board);
 	if (board->entries_changed) {
 		board->entries_changed = false;
-		members_send_welcomes(board);
+		entry_members_send_welcomes(board);
 	}
 	check_ready(board);
-	drain_run(board);
+	entry_drain_run(board);
 }
 
 static int sleep_ms(const struct board *board)
@@ -298,7 +298,7 @@
 	}
 }
 
-void *loop_run(void *context)
+void *entry_loop_run(void *context)
 {
 	struct board *board = context;
 	GArray *items = g_array_new(FALSE, FALSE, sizeof(zmq_pollitem_t));
--- a/packages/greengaged/src/entry_loop.h
+++ b/packages/greengaged/src/entry_loop.h
@@ -5,19 +5,19 @@
 #include "entry_board.h"
 
 /* Makes the board's tables and sockets. STATUS_NETWORK, STATUS_RESOURCE. */
-enum status loop_init(struct board *board, const struct daemon_settings *settings,
-		      struct error *err);
+enum status entry_loop_init(struct board *board, const struct daemon_settings *settings,
+			    struct error *err);
 
 /*
  * The thread's main function, with a struct board. After the shutdown is finished it goes on to
- * refuse requests until loop_close.
+ * refuse requests until entry_loop_close.
  */
-void *loop_run(void *board);
+void *entry_loop_run(void *board);
 
 /* Ends the thread once the shutdown is finished and no request can come any more. */
-void loop_close(struct board *board);
+void entry_loop_close(struct board *board);
 
 /* Frees the board. All threads that post to it must have ended. */
-void loop_free(struct board *board);
+void entry_loop_free(struct board *board);
 
 #endif
--- a/packages/greengaged/src/entry_members.c
+++ b/packages/greengaged/src/entry_members.c
@@ -12,7 +12,7 @@
 	FORGET_AFTER_MS = 86400000 /* an agent that returns sooner finds its counters here */
 };
 
-void members_fill_header(struct board *board, Gg__Envelope *envelope, uint64_t epoch)
+void entry_members_fill_header(struct board *board, Gg__Envelope *envelope, uint64_t epoch)
 {
 	envelope->sender = channel_put_ident(&board->incarnation);
 	envelope->epoch = epoch;
@@ -20,11 +20,11 @@
 	envelope->config_version = config_version(board->config);
 }
 
-enum status members_send(struct board *board, struct agent *agent, Gg__Envelope *envelope)
+enum status entry_members_send(struct board *board, struct agent *agent, Gg__Envelope *envelope)
 {
 	struct error err;
 
-	members_fill_header(board, envelope, agent->epoch);
+	entry_members_fill_header(board, envelope, agent->epoch);
 	if (!handle_is_none(agent->server))
 		envelope->demand = sched_demand(board->sched, agent->server);
 	envelope->consumed = agent->link.consumed;
@@ -39,14 +39,14 @@
 	return STATUS_OK;
 }
 
-void members_send_heartbeat(struct board *board, struct agent *agent)
+void entry_members_send_heartbeat(struct board *board, struct agent *agent)
 {
 	Gg__Heartbeat heartbeat = GG__HEARTBEAT__INIT;
 	Gg__Envelope envelope = GG__ENVELOPE__INIT;
 
 	envelope.body_case = GG__ENVELOPE__BODY_HEARTBEAT;
 	envelope.heartbeat = &heartbeat;
-	members_send(board, agent, &envelope);
+	entry_members_send(board, agent, &envelope);
 }
 
 static void add_entry_info(GPtrArray *infos, const struct ident *incarnation, const char *address,
@@ -81,11 +81,11 @@
 	welcome.n_entries = infos->len;
 	envelope.body_case = GG__ENVELOPE__BODY_WELCOME;
 	envelope.welcome = &welcome;
-	members_send(board, agent, &envelope);
+	entry_members_send(board, agent, &envelope);
 	g_ptr_array_free(infos, TRUE);
 }
 
-void members_send_welcomes(struct board *board)
+void entry_members_send_welcomes(struct board *board)
 {
 	uint32_t cursor = 0;
 	struct agent *agent;
@@ -107,7 +107,7 @@
 
 	agent->reconciling = count > 0;
 	agent->reconcile_us = board->now_us;
-	dispatch_credits(board, agent);
+	entry_dispatch_credits(board, agent);
 	if (count == 0)
 		return;
 	starts = g_new(struct link_start, count);
@@ -120,7 +120,7 @@
 	reconcile.n_outstanding = count;
 	envelope.body_case = GG__ENVELOPE__BODY_RECONCILE;
 	envelope.reconcile = &reconcile;
-	members_send(board, agent, &envelope);
+	entry_members_send(board, agent, &envelope);
 	g_free(starts);
 	g_free(seqs);
 }
@@ -142,7 +142,7 @@
 	agent->connected = true;
 	agent->lost = false;
 	link_grant(&agent->link, envelope->granted);
-	agent_update(board, agent, envelope->hello->server);
+	entry_agent_update(board, agent, envelope->hello->server);
 	send_welcome(board, agent);
 	begin_reconcile(board, agent);
 	event_log(EVENT_CHANNEL_OPENED, EV_S("agent", agent->id), EV_I("epoch", agent->epoch));
@@ -151,7 +151,7 @@
 static void receive_hello(struct board *board, const struct channel_route *route,
 			  const struct ident *sender, const Gg__Envelope *envelope)
 {
-	struct agent *agent = agent_find(board, sender);
+	struct agent *agent = entry_agent_find(board, sender);
 	bool fresh = !agent;
 
 	if (agent && envelope->epoch <= agent->epoch && !agent->lost) {
@@ -159,7 +159,7 @@
 		return;
 	}
 	if (fresh)
-		agent = agent_add(board, sender, envelope->hello);
+		agent = entry_agent_add(board, sender, envelope->hello);
 	if (fresh)
 		resume_link(agent, envelope);
 	connect_agent(board, agent, route, envelope);
@@ -185,45 +185,45 @@
 		agent->route = *route;
 		begin_reconcile(board, agent);
 	}
-	dispatch_credits(board, agent);
+	entry_dispatch_credits(board, agent);
 }
 
 static void receive_reclaim(struct board *board, struct agent *agent, const Gg__Reclaim *reclaim)
 {
 	if (link_return(&agent->link, reclaim->count) == 0)
 		return;
-	dispatch_credits(board, agent);
-	members_send_heartbeat(board, agent);
+	entry_dispatch_credits(board, agent);
+	entry_members_send_heartbeat(board, agent);
 }
 
 static void receive_goodbye(struct board *board, struct agent *agent)
 {
 	event_log(EVENT_MEMBER_LEFT, EV_S("agent", agent->id), EV_S("host", agent->host));
-	dispatch_fail_outstanding(board, agent, "the agent ended");
-	agent_remove(board, agent);
+	entry_dispatch_fail_outstanding(board, agent, "the agent ended");
+	entry_agent_remove(board, agent);
 }
 
-static void receive_body(struct board *board, struct agent *agent, Gg__Envelope *envelope)
+static void entry_receive_body(struct board *board, struct agent *agent, Gg__Envelope *envelope)
 {
 	switch (envelope->body_case) {
 	case GG__ENVELOPE__BODY_HEARTBEAT:
 		if (envelope->heartbeat->server)
-			agent_update(board, agent, envelope->heartbeat->server);
+			entry_agent_update(board, agent, envelope->heartbeat->server);
 		break;
 	case GG__ENVELOPE__BODY_RESULT_BATCH:
-		dispatch_results(board, agent, envelope->result_batch);
+		entry_dispatch_results(board, agent, envelope->result_batch);
 		break;
 	case GG__ENVELOPE__BODY_RECLAIM:
 		receive_reclaim(board, agent, envelope->reclaim);
 		break;
 	case GG__ENVELOPE__BODY_RECONCILED:
-		dispatch_reconciled(board, agent, envelope->reconciled);
+		entry_dispatch_reconciled(board, agent, envelope->reconciled);
 		break;
 	case GG__ENVELOPE__BODY_CONFIG_REQUEST:
-		config_send_to_agent(board, agent);
+		entry_config_send_to_agent(board, agent);
 		break;
 	case GG__ENVELOPE__BODY_CONFIG_STATE:
-		config_adopt(board, envelope->config_state);
+		entry_config_adopt(board, envelope->config_state);
 		break;
 	case GG__ENVELOPE__BODY_GOODBYE:
 		receive_goodbye(board, agent);
@@ -245,15 +245,16 @@
 	follow_route(board, agent, route);
 	if (envelope->granted > agent->link.granted) {
 		link_grant(&agent->link, envelope->granted);
-		dispatch_credits(board, agent);
+		entry_dispatch_credits(board, agent);
 	}
 	if (envelope->config_version > config_version(board->config) &&
 	    envelope->body_case != GG__ENVELOPE__BODY_CONFIG_STATE)
-		config_ask_agent(board, agent);
-	receive_body(board, agent, envelope);
+		entry_config_ask_agent(board, agent);
+	entry_receive_body(board, agent, envelope);
 }
 
-void members_receive(struct board *board, const struct channel_route *route, Gg__Envelope *envelope)
+void entry_members_receive(struct board *board, const struct channel_route *route,
+			   Gg__Envelope *envelope)
 {
 	struct agent *agent;
 	struct ident sender;
@@ -266,18 +267,18 @@
 		receive_hello(board, route, &sender, envelope);
 		return;
 	}
-	agent = agent_find(board, &sender);
+	agent = entry_agent_find(board, &sender);
 	if (agent)
 		receive_from_agent(board, agent, route, envelope);
 	else
-		peers_receive_inbound(board, route, &sender, envelope);
+		entry_peers_receive_inbound(board, route, &sender, envelope);
 }
 
 static void lose_agent(struct board *board, struct agent *agent)
 {
 	event_log(EVENT_MEMBER_LOST, EV_S("agent", agent->id), EV_S("host", agent->host));
-	dispatch_fail_outstanding(board, agent, "the agent was not heard from");
-	agent_withdraw(board, agent);
+	entry_dispatch_fail_outstanding(board, agent, "the agent was not heard from");
+	entry_agent_withdraw(board, agent);
 	agent->lost = true;
 }
 
@@ -287,7 +288,7 @@
 	const struct daemon_settings *settings = board->settings;
 	int64_t limit_ms = settings->task_limit_ms + settings->heartbeat_limit_ms;
 
-	return dispatch_has_older(agent, board->now_us - limit_ms * US_PER_MS);
+	return entry_dispatch_has_older(agent, board->now_us - limit_ms * US_PER_MS);
 }
 
 static void check_agent(struct board *board, struct agent *agent)
@@ -298,7 +299,7 @@
 
 	if (agent->lost) {
 		if (silent_ms > FORGET_AFTER_MS)
-			agent_remove(board, agent);
+			entry_agent_remove(board, agent);
 		return;
 	}
 	if (silent_ms >= settings->agent_lost_ms) {
@@ -308,7 +309,7 @@
 	if (agent->connected && silent_ms >= settings->heartbeat_limit_ms) {
 		event_log(EVENT_CHANNEL_SILENT, EV_S("agent", agent->id));
 		agent->connected = false;
-		dispatch_credits(board, agent);
+		entry_dispatch_credits(board, agent);
 	}
 	if (!agent->connected)
 		return;
@@ -316,10 +317,10 @@
 	    (agent->reconciling || is_overdue(board, agent)))
 		begin_reconcile(board, agent);
 	if (board->now_us - agent->sent_us >= settings->heartbeat_ms * US_PER_MS)
-		members_send_heartbeat(board, agent);
+		entry_members_send_heartbeat(board, agent);
 }
 
-void members_tick(struct board *board)
+void entry_members_tick(struct board *board)
 {
 	uint32_t cursor = 0;
 	struct agent *agent;
@@ -328,20 +329,20 @@
 		check_agent(board, agent);
 }
 
-void members_return_credits(struct board *board)
+void entry_members_return_credits(struct board *board)
 {
 	uint32_t cursor = 0;
 	struct agent *agent;
 
 	while ((agent = table_next(&board->agents, &cursor, NULL))) {
 		if (agent->connected && link_return(&agent->link, UINT64_MAX) > 0) {
-			dispatch_credits(board, agent);
-			members_send_heartbeat(board, agent);
+			entry_dispatch_credits(board, agent);
+			entry_members_send_heartbeat(board, agent);
 		}
 	}
 }
 
-void members_say_goodbye(struct board *board)
+void entry_members_say_goodbye(struct board *board)
 {
 	Gg__Goodbye goodbye = GG__GOODBYE__INIT;
 	uint32_t cursor = 0;
@@ -354,15 +355,15 @@
 		envelope.body_case = GG__ENVELOPE__BODY_GOODBYE;
 		envelope.goodbye = &goodbye;
 		if (agent->connected)
-			members_send(board, agent, &envelope);
+			entry_members_send(board, agent, &envelope);
 	}
 }
 
-void members_free(struct board *board)
+void entry_members_free(struct board *board)
 {
 	uint32_t cursor = 0;
 	struct agent *agent;
 
 	while ((agent = table_next(&board->agents, &cursor, NULL)))
-		agent_remove(board, agent);
+		entry_agent_remove(board, agent);
 }
--- a/packages/greengaged/src/entry_members.h
+++ b/packages/greengaged/src/entry_members.h
@@ -5,31 +5,31 @@
 #include "entry_board.h"
 
 /* Fills the common header of ENVELOPE but for what concerns one agent. */
-void members_fill_header(struct board *board, Gg__Envelope *envelope, uint64_t epoch);
+void entry_members_fill_header(struct board *board, Gg__Envelope *envelope, uint64_t epoch);
 
 /* Sends ENVELOPE to AGENT with the channel's counters. STATUS_NETWORK: nothing was sent. */
-enum status members_send(struct board *board, struct agent *agent, Gg__Envelope *envelope);
+enum status entry_members_send(struct board *board, struct agent *agent, Gg__Envelope *envelope);
 
 /* Sends a heartbeat, which carries demand, consumed credits and the acknowledgement. */
-void members_send_heartbeat(struct board *board, struct agent *agent);
+void entry_members_send_heartbeat(struct board *board, struct agent *agent);
 
 /* Sends the list of entries to every agent. */
-void members_send_welcomes(struct board *board);
+void entry_members_send_welcomes(struct board *board);
 
 /* Takes a message of the accepting socket. */
-void members_receive(struct board *board, const struct channel_route *route,
-		     Gg__Envelope *envelope);
+void entry_members_receive(struct board *board, const struct channel_route *route,
+			   Gg__Envelope *envelope);
 
 /* Sends heartbeats that are due and acts on silence. Called periodically. */
-void members_tick(struct board *board);
+void entry_members_tick(struct board *board);
 
 /* Returns all unused credits and says goodbye to every agent. */
-void members_say_goodbye(struct board *board);
+void entry_members_say_goodbye(struct board *board);
 
 /* Returns unused credits of every agent, so that others can use its slots. */
-void members_return_credits(struct board *board);
+void entry_members_return_credits(struct board *board);
 
 /* Frees all agents. */
-void members_free(struct board *board);
+void entry_members_free(struct board *board);
 
 #endif
--- a/packages/greengaged/src/entry_peers.c
+++ b/packages/greengaged/src/entry_peers.c
@@ -22,7 +22,7 @@
 	hello.address = board->settings->channel_address;
 	envelope.body_case = GG__ENVELOPE__BODY_HELLO;
 	envelope.hello = &hello;
-	peers_send(board, peer, &envelope);
+	entry_peers_send(board, peer, &envelope);
 }
 
 /* Replaces the connection: an old one may be silent for good while a new one works. */
@@ -73,7 +73,7 @@
 	g_free(peer);
 }
 
-void peers_init(struct board *board)
+void entry_peers_init(struct board *board)
 {
 	board->peers = g_ptr_array_new_with_free_func(free_peer);
 	board->inbounds = g_hash_table_new_full(ident_hash, ident_equal_func, NULL, g_free);
@@ -85,7 +85,7 @@
 	}
 }
 
-void peers_free(struct board *board)
+void entry_peers_free(struct board *board)
 {
 	g_ptr_array_free(board->peers, TRUE);
 	g_hash_table_destroy(board->inbounds);
@@ -106,7 +106,7 @@
 		g_hash_table_remove_all(board->gone);
 	g_hash_table_add(board->gone, g_memdup2(incarnation, sizeof(*incarnation)));
 	g_hash_table_remove(board->inbounds, incarnation);
-	forward_owner_gone(board, incarnation);
+	entry_forward_owner_gone(board, incarnation);
 	board->entries_changed = true;
 }
 
@@ -140,8 +140,8 @@
  * address did not answer for channel.entry_forget_ms. One never heard of may live behind an address
  * that does not answer this entry, for example after a restart that was not noticed yet.
  */
-enum owner_state peers_find_owner(struct board *board, const struct ident *incarnation,
-				  struct peer **peer)
+enum owner_state entry_peers_find_owner(struct board *board, const struct ident *incarnation,
+					struct peer **peer)
 {
 	bool some_cut_off = false;
 
@@ -162,11 +162,11 @@
 	return some_cut_off ? OWNER_SILENT : OWNER_GONE;
 }
 
-enum status peers_send(struct board *board, struct peer *peer, Gg__Envelope *envelope)
+enum status entry_peers_send(struct board *board, struct peer *peer, Gg__Envelope *envelope)
 {
 	if (!peer->channel.socket)
 		return STATUS_NETWORK;
-	members_fill_header(board, envelope, peer->epoch);
+	entry_members_fill_header(board, envelope, peer->epoch);
 	if (channel_send(&peer->channel, NULL, envelope, NULL) != STATUS_OK) {
 		metric_add(METRIC_SEND_FAILED, 1);
 		return STATUS_NETWORK;
@@ -179,7 +179,7 @@
 static enum status send_inbound(struct board *board, struct inbound *inbound,
 				Gg__Envelope *envelope)
 {
-	members_fill_header(board, envelope, inbound->epoch);
+	entry_members_fill_header(board, envelope, inbound->epoch);
 	if (channel_send(&board->router, &inbound->route, envelope, NULL) != STATUS_OK) {
 		metric_add(METRIC_SEND_FAILED, 1);
 		return STATUS_NETWORK;
@@ -189,8 +189,8 @@
 	return STATUS_OK;
 }
 
-enum status peers_send_inbound(struct board *board, const struct ident *incarnation,
-			       Gg__Envelope *envelope)
+enum status entry_peers_send_inbound(struct board *board, const struct ident *incarnation,
+				     Gg__Envelope *envelope)
 {
 	struct inbound *inbound = g_hash_table_lookup(board->inbounds, incarnation);
 
@@ -204,9 +204,9 @@
 
 	envelope.body_case = GG__ENVELOPE__BODY_CONFIG_STATE;
 	envelope.config_state = &state;
-	config_fill_state(board, &state);
+	entry_config_fill_state(board, &state);
 	if (peer)
-		peers_send(board, peer, &envelope);
+		entry_peers_send(board, peer, &envelope);
 	else
 		send_inbound(board, inbound, &envelope);
 }
@@ -222,7 +222,7 @@
 	request.have_version = config_version(board->config);
 	envelope.body_case = GG__ENVELOPE__BODY_CONFIG_REQUEST;
 	envelope.config_request = &request;
-	peers_send(board, peer, &envelope);
+	entry_peers_send(board, peer, &envelope);
 }
 
 /* INCARNATION is a copy, since its row is removed here. */
@@ -240,7 +240,7 @@
 	mark_gone(board, &incarnation);
 }
 
-void peers_receive(struct board *board, struct peer *peer, Gg__Envelope *envelope)
+void entry_peers_receive(struct board *board, struct peer *peer, Gg__Envelope *envelope)
 {
 	struct ident sender;
 
@@ -262,13 +262,13 @@
 		board->entries_changed = true;
 		break;
 	case GG__ENVELOPE__BODY_FORWARD_REPLY:
-		forward_receive_reply(board, envelope->forward_reply);
+		entry_forward_receive_reply(board, envelope->forward_reply);
 		break;
 	case GG__ENVELOPE__BODY_CONFIG_REQUEST:
 		send_config(board, peer, NULL);
 		break;
 	case GG__ENVELOPE__BODY_CONFIG_STATE:
-		config_adopt(board, envelope->config_state);
+		entry_config_adopt(board, envelope->config_state);
 		break;
 	case GG__ENVELOPE__BODY_GOODBYE:
 		receive_goodbye(board, sender);
@@ -332,13 +332,13 @@
 {
 	switch (envelope->body_case) {
 	case GG__ENVELOPE__BODY_FORWARD:
-		forward_receive(board, &inbound->incarnation, envelope->forward);
+		entry_forward_receive(board, &inbound->incarnation, envelope->forward);
 		break;
 	case GG__ENVELOPE__BODY_CONFIG_REQUEST:
 		send_config(board, NULL, inbound);
 		break;
 	case GG__ENVELOPE__BODY_CONFIG_STATE:
-		config_adopt(board, envelope->config_state);
+		entry_config_adopt(board, envelope->config_state);
 		break;
 	case GG__ENVELOPE__BODY_GOODBYE:
 		receive_goodbye(board, inbound->incarnation);
@@ -348,8 +348,8 @@
 	}
 }
 
-void peers_receive_inbound(struct board *board, const struct channel_route *route,
-			   const struct ident *sender, Gg__Envelope *envelope)
+void entry_peers_receive_inbound(struct board *board, const struct channel_route *route,
+				 const struct ident *sender, Gg__Envelope *envelope)
 {
 	struct inbound *inbound;
 
@@ -379,7 +379,7 @@
 	envelope.body_case = GG__ENVELOPE__BODY_HEARTBEAT;
 	envelope.heartbeat = &heartbeat;
 	if (peer)
-		peers_send(board, peer, &envelope);
+		entry_peers_send(board, peer, &envelope);
 	else
 		send_inbound(board, inbound, &envelope);
 }
@@ -398,7 +398,7 @@
 		send_heartbeat(board, peer, NULL);
 }
 
-void peers_tick(struct board *board)
+void entry_peers_tick(struct board *board)
 {
 	const struct daemon_settings *settings = board->settings;
 	GHashTableIter iter;
@@ -417,7 +417,7 @@
 	}
 }
 
-bool peers_all_known(const struct board *board)
+bool entry_peers_all_known(const struct board *board)
 {
 	for (guint i = 0; i < board->peers->len; i++) {
 		const struct peer *peer = g_ptr_array_index(board->peers, i);
@@ -428,7 +428,7 @@
 	return true;
 }
 
-void peers_say_goodbye(struct board *board)
+void entry_peers_say_goodbye(struct board *board)
 {
 	Gg__Goodbye goodbye = GG__GOODBYE__INIT;
 
@@ -438,6 +438,6 @@
 
 		envelope.body_case = GG__ENVELOPE__BODY_GOODBYE;
 		envelope.goodbye = &goodbye;
-		peers_send(board, g_ptr_array_index(board->peers, i), &envelope);
+		entry_peers_send(board, g_ptr_array_index(board->peers, i), &envelope);
 	}
 }
--- a/packages/greengaged/src/entry_peers.h
+++ b/packages/greengaged/src/entry_peers.h
@@ -11,33 +11,33 @@
 };
 
 /* Connects to the peers in the settings. */
-void peers_init(struct board *board);
-void peers_free(struct board *board);
+void entry_peers_init(struct board *board);
+void entry_peers_free(struct board *board);
 
 /* Finds where a request for the entry INCARNATION goes; PEER is set for OWNER_REACHABLE. */
-enum owner_state peers_find_owner(struct board *board, const struct ident *incarnation,
-				  struct peer **peer);
+enum owner_state entry_peers_find_owner(struct board *board, const struct ident *incarnation,
+					struct peer **peer);
 
 /* Sends ENVELOPE on the connection to PEER. STATUS_NETWORK. */
-enum status peers_send(struct board *board, struct peer *peer, Gg__Envelope *envelope);
+enum status entry_peers_send(struct board *board, struct peer *peer, Gg__Envelope *envelope);
 
 /* Sends ENVELOPE on the connection that the entry INCARNATION made. STATUS_NETWORK. */
-enum status peers_send_inbound(struct board *board, const struct ident *incarnation,
-			       Gg__Envelope *envelope);
+enum status entry_peers_send_inbound(struct board *board, const struct ident *incarnation,
+				     Gg__Envelope *envelope);
 
 /* Takes a message from the connection to PEER. */
-void peers_receive(struct board *board, struct peer *peer, Gg__Envelope *envelope);
+void entry_peers_receive(struct board *board, struct peer *peer, Gg__Envelope *envelope);
 
 /* Takes a message of a sender that is no agent from the accepting socket. */
-void peers_receive_inbound(struct board *board, const struct channel_route *route,
-			   const struct ident *sender, Gg__Envelope *envelope);
+void entry_peers_receive_inbound(struct board *board, const struct channel_route *route,
+				 const struct ident *sender, Gg__Envelope *envelope);
 
 /* Sends heartbeats that are due and replaces silent connections. Called periodically. */
-void peers_tick(struct board *board);
+void entry_peers_tick(struct board *board);
 
 /* Returns whether every peer answered once, so that owners can be told apart from lost ones. */
-bool peers_all_known(const struct board *board);
+bool entry_peers_all_known(const struct board *board);
 
-void peers_say_goodbye(struct board *board);
+void entry_peers_say_goodbye(struct board *board);
 
 #endif
--- a/packages/greengaged/src/entry_progress.c
+++ b/packages/greengaged/src/entry_progress.c
@@ -16,22 +16,22 @@
 
 static void reply_answer(struct board *board, struct request *request, struct job *job)
 {
-	job_mark_fetched(&board->jobs, job);
-	request_finish(request, 200, job->answer);
+	entry_jobs_mark_fetched(&board->jobs, job);
+	entry_request_finish(request, 200, job->answer);
 }
 
 static void reply_state(struct request *request, const struct job *job)
 {
-	request_finish_json(request, 202,
-			    json_pack("{s:s, s:s}", "job", job->key, "state",
-				      job->started ? "running" : "queued"));
+	entry_request_finish_json(request, 202,
+				  json_pack("{s:s, s:s}", "job", job->key, "state",
+					    job->started ? "running" : "queued"));
 }
 
 /* Called when a request has waited as long as its client asked for. */
 static void wait_ended(void *context, int64_t now_us)
 {
 	struct request *request = context;
-	struct job *job = job_get(&request->board->jobs, request->job);
+	struct job *job = entry_jobs_get(&request->board->jobs, request->job);
 	struct request **place = &job->waiters;
 
 	while (*place != request)
@@ -40,7 +40,7 @@
 	reply_state(request, job);
 }
 
-void progress_wait(struct board *board, struct request *request, struct job *job)
+void entry_progress_wait(struct board *board, struct request *request, struct job *job)
 {
 	if (job->state != JOB_ACTIVE) {
 		reply_answer(board, request, job);
@@ -94,11 +94,11 @@
 	bool known = sched_job_view(board->sched, job->sched, &view);
 
 	if (state == JOB_DONE) {
-		job_end_done(&board->jobs, job, board->now_us);
+		entry_jobs_end_done(&board->jobs, job, board->now_us);
 	} else {
 		err->outcome = known && view.started == 0 && view.running == 0 ? OUTCOME_NOT_RUN
 									       : OUTCOME_UNKNOWN;
-		job_end_error(&board->jobs, job, state, err, board->now_us);
+		entry_jobs_end_error(&board->jobs, job, state, err, board->now_us);
 	}
 	sched_release(board->sched, job->sched);
 	record_end(board, job, &view);
@@ -129,22 +129,22 @@
 	enum status status = sched_submit(board->sched, &spec, board->now_us, &sched, err);
 
 	if (status == STATUS_OK)
-		job_bind(&board->jobs, job, sched);
+		entry_jobs_bind(&board->jobs, job, sched);
 	return status;
 }
 
-struct job *progress_admit(struct board *board, struct request *request, const struct ident *digest,
-			   struct error *err)
+struct job *entry_progress_admit(struct board *board, struct request *request,
+				 const struct ident *digest, struct error *err)
 {
 	struct job *job;
 
-	if (!job_store_has_room(&board->jobs)) {
+	if (!entry_jobs_has_room(&board->jobs)) {
 		error_set(err, STATUS_QUEUE_FULL, "limits.jobs jobs are held and none has ended");
 		return NULL;
 	}
-	job = job_add(&board->jobs, request->body, request->route.key, digest);
+	job = entry_jobs_add(&board->jobs, request->body, request->route.key, digest);
 	if (submit(board, job, err) != STATUS_OK) {
-		job_discard(&board->jobs, job);
+		entry_jobs_discard(&board->jobs, job);
 		return NULL;
 	}
 	request->body = NULL;
@@ -153,14 +153,14 @@
 	return job;
 }
 
-void progress_task_done(struct board *board, struct handle sched, uint32_t task,
-			struct handle server, int64_t run_us, uint8_t *data, uint32_t length)
+void entry_progress_task_done(struct board *board, struct handle sched, uint32_t task,
+			      struct handle server, int64_t run_us, uint8_t *data, uint32_t length)
 {
-	struct job *job = job_by_sched(&board->jobs, sched);
+	struct job *job = entry_jobs_by_sched(&board->jobs, sched);
 	enum sched_job_state state;
 
 	if (job)
-		job_put_result(job, task, data, length);
+		entry_jobs_put_result(job, task, data, length);
 	else
 		free(data);
 	state = sched_task_done(board->sched, sched, task, server, run_us, board->now_us);
@@ -170,8 +170,8 @@
 		end_job(board, job, JOB_DONE, NULL);
 }
 
-void progress_task_refused(struct board *board, struct handle sched, uint32_t task,
-			   struct handle server)
+void entry_progress_task_refused(struct board *board, struct handle sched, uint32_t task,
+				 struct handle server)
 {
 	sched_task_refused(board->sched, sched, task, server, board->now_us);
 	metric_add(METRIC_TASKS_REFUSED, 1);
@@ -179,10 +179,10 @@
 	metric_add(METRIC_MESSAGES_WASTED, 2);
 }
 
-void progress_task_failed(struct board *board, struct handle sched, uint32_t task,
-			  struct handle server, enum status status, const char *reason)
+void entry_progress_task_failed(struct board *board, struct handle sched, uint32_t task,
+				struct handle server, enum status status, const char *reason)
 {
-	struct job *job = job_by_sched(&board->jobs, sched);
+	struct job *job = entry_jobs_by_sched(&board->jobs, sched);
 	struct error err;
 
 	sched_task_failed(board->sched, sched, task, server, board->now_us);
@@ -193,7 +193,7 @@
 	end_job(board, job, JOB_FAILED, &err);
 }
 
-void progress_cancel(struct board *board, struct job *job)
+void entry_progress_cancel(struct board *board, struct job *job)
 {
 	struct error err;
 
@@ -213,7 +213,7 @@
 	end_job(board, job, JOB_FAILED, &err);
 }
 
-void progress_fail_all(struct board *board, enum status status, const char *reason)
+void entry_progress_fail_all(struct board *board, enum status status, const char *reason)
 {
 	uint32_t cursor = 0;
 	struct job *job;
@@ -224,7 +224,7 @@
 	}
 }
 
-void progress_expire(struct board *board)
+void entry_progress_expire(struct board *board)
 {
 	struct handle expired[EXPIRED_BATCH];
 	uint32_t count;
@@ -232,7 +232,7 @@
 	do {
 		count = sched_expired(board->sched, board->now_us, expired, EXPIRED_BATCH);
 		for (uint32_t i = 0; i < count; i++) {
-			struct job *job = job_by_sched(&board->jobs, expired[i]);
+			struct job *job = entry_jobs_by_sched(&board->jobs, expired[i]);
 
 			if (job && job->state == JOB_ACTIVE)
 				fail_job(board, job, STATUS_DEADLINE_PASSED,
--- a/packages/greengaged/src/entry_progress.h
+++ b/packages/greengaged/src/entry_progress.h
@@ -9,29 +9,29 @@
  * Admits the job of REQUEST, whose body is taken over on success. Returns the job, or NULL with the
  * refusal in ERR.
  */
-struct job *progress_admit(struct board *board, struct request *request, const struct ident *digest,
-			   struct error *err);
+struct job *entry_progress_admit(struct board *board, struct request *request,
+				 const struct ident *digest, struct error *err);
 
 /* Answers REQUEST with the job's answer, at once or within its wait, or with the job's state. */
-void progress_wait(struct board *board, struct request *request, struct job *job);
+void entry_progress_wait(struct board *board, struct request *request, struct job *job);
 
 /* A task ended with a result. DATA, from malloc, is taken over. */
-void progress_task_done(struct board *board, struct handle sched, uint32_t task,
-			struct handle server, int64_t run_us, uint8_t *data, uint32_t length);
+void entry_progress_task_done(struct board *board, struct handle sched, uint32_t task,
+			      struct handle server, int64_t run_us, uint8_t *data, uint32_t length);
 /* A task did not start and is queued again. */
-void progress_task_refused(struct board *board, struct handle sched, uint32_t task,
-			   struct handle server);
+void entry_progress_task_refused(struct board *board, struct handle sched, uint32_t task,
+				 struct handle server);
 /* A started task failed; so does its job. */
-void progress_task_failed(struct board *board, struct handle sched, uint32_t task,
-			  struct handle server, enum status status, const char *reason);
+void entry_progress_task_failed(struct board *board, struct handle sched, uint32_t task,
+				struct handle server, enum status status, const char *reason);
 
 /* Cancels the job; one that ended already keeps its answer. */
-void progress_cancel(struct board *board, struct job *job);
+void entry_progress_cancel(struct board *board, struct job *job);
 
 /* Fails every job that has not ended, with STATUS. */
-void progress_fail_all(struct board *board, enum status status, const char *reason);
+void entry_progress_fail_all(struct board *board, enum status status, const char *reason);
 
 /* Fails the jobs whose deadline passed. */
-void progress_expire(struct board *board);
+void entry_progress_expire(struct board *board);
 
 #endif
--- a/packages/greengaged/src/entry_receive.c
+++ b/packages/greengaged/src/entry_receive.c
@@ -75,8 +75,8 @@
 			 reader->length, expected);
 }
 
-enum status receive_body(struct mg_connection *conn, const struct receive_limits *limits,
-			 char **body, size_t *length, struct error *err)
+enum status entry_receive_body(struct mg_connection *conn, const struct receive_limits *limits,
+			       char **body, size_t *length, struct error *err)
 {
 	long long expected = mg_get_request_info(conn)->content_length;
 	const char *expect = mg_get_header(conn, "Expect");
--- a/packages/greengaged/src/entry_receive.h
+++ b/packages/greengaged/src/entry_receive.h
@@ -18,7 +18,7 @@
  * at LENGTH. STATUS_BODY_TOO_LARGE; STATUS_REQUEST_TIMEOUT; STATUS_INVALID_REQUEST when the body
  * ends early. All "not run".
  */
-enum status receive_body(struct mg_connection *conn, const struct receive_limits *limits,
-			 char **body, size_t *length, struct error *err);
+enum status entry_receive_body(struct mg_connection *conn, const struct receive_limits *limits,
+			       char **body, size_t *length, struct error *err);
 
 #endif
--- a/packages/greengaged/src/entry_report.c
+++ b/packages/greengaged/src/entry_report.c
@@ -51,7 +51,7 @@
 			 (json_int_t)((board->now_us - peer->contact_us) / US_PER_MS));
 }
 
-void report_run_members(struct board *board, struct request *request)
+void entry_report_run_members(struct board *board, struct request *request)
 {
 	json_t *agents = json_array();
 	json_t *entries = json_array();
@@ -70,10 +70,10 @@
 				      peer_json(board, g_ptr_array_index(board->peers, i)));
 	while ((agent = table_next(&board->agents, &cursor, NULL)))
 		json_array_append_new(agents, agent_json(board, agent));
-	request_finish_json(request, 200,
-			    json_pack("{s:I, s:o, s:o}", "config_version",
-				      (json_int_t)config_version(board->config), "entries", entries,
-				      "agents", agents));
+	entry_request_finish_json(request, 200,
+				  json_pack("{s:I, s:o, s:o}", "config_version",
+					    (json_int_t)config_version(board->config), "entries",
+					    entries, "agents", agents));
 }
 
 static json_t *window_json(const struct burn_window *window)
@@ -96,9 +96,9 @@
 	board->wasted_reported = wasted;
 }
 
-void report_run_burn(struct board *board, struct request *request)
+void entry_report_run_burn(struct board *board, struct request *request)
 {
-	struct burn_objectives objectives = rules_objectives(config_document(board->config));
+	struct burn_objectives objectives = entry_rules_objectives(config_document(board->config));
 	struct burn_window windows[BURN_WINDOWS];
 	json_t *list = json_array();
 
@@ -106,13 +106,14 @@
 	burn_report(board->burn, board->now_us, windows);
 	for (int i = 0; i < BURN_WINDOWS; i++)
 		json_array_append_new(list, window_json(&windows[i]));
-	request_finish_json(request, 200,
-			    json_pack("{s:{s:f, s:f, s:f}, s:o}", "objectives", "ratio_target",
-				      objectives.ratio_target, "objective", objectives.objective,
-				      "waste_target", objectives.waste_target, "windows", list));
+	entry_request_finish_json(request, 200,
+				  json_pack("{s:{s:f, s:f, s:f}, s:o}", "objectives",
+					    "ratio_target", objectives.ratio_target, "objective",
+					    objectives.objective, "waste_target",
+					    objectives.waste_target, "windows", list));
 }
 
-void report_tick(struct board *board)
+void entry_report_tick(struct board *board)
 {
 	take_wasted(board);
 	metric_set(METRIC_QUEUED_TASKS, (int64_t)sched_queued(board->sched));
--- a/packages/greengaged/src/entry_report.h
+++ b/packages/greengaged/src/entry_report.h
@@ -5,10 +5,10 @@
 #include "entry_board.h"
 
 /* Handle GET /v1/members and GET /v1/report. */
-void report_run_members(struct board *board, struct request *request);
-void report_run_burn(struct board *board, struct request *request);
+void entry_report_run_members(struct board *board, struct request *request);
+void entry_report_run_burn(struct board *board, struct request *request);
 
 /* Sets the gauges and passes wasted messages on to the burn report. Called periodically. */
-void report_tick(struct board *board);
+void entry_report_tick(struct board *board);
 
 #endif
--- a/packages/greengaged/src/entry_request.c
+++ b/packages/greengaged/src/entry_request.c
@@ -10,7 +10,7 @@
 	NS_PER_S = 1000000000
 };
 
-struct request *request_new(void)
+struct request *entry_request_new(void)
 {
 	struct request *request = g_new0(struct request, 1);
 	pthread_condattr_t attributes;
@@ -21,21 +21,21 @@
 	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
 	pthread_cond_init(&request->ready, &attributes);
 	pthread_condattr_destroy(&attributes);
-	request->deliver = request_deliver_local;
+	request->deliver = entry_request_deliver_local;
 	return request;
 }
 
-struct request *request_ref(struct request *request)
+struct request *entry_request_ref(struct request *request)
 {
 	atomic_fetch_add(&request->references, 1);
 	return request;
 }
 
-void request_unref(struct request *request)
+void entry_request_unref(struct request *request)
 {
 	if (atomic_fetch_sub(&request->references, 1) != 1)
 		return;
-	job_body_free(request->body);
+	entry_body_free(request->body);
 	json_decref(request->patch);
 	free(request->text);
 	g_free(request->path);
@@ -46,7 +46,7 @@
 	g_free(request);
 }
 
-bool request_wait(struct request *request, int64_t limit_ms)
+bool entry_request_wait(struct request *request, int64_t limit_ms)
 {
 	struct timespec until;
 	bool delivered;
@@ -67,7 +67,7 @@
 	return delivered;
 }
 
-void request_deliver_local(struct request *request)
+void entry_request_deliver_local(struct request *request)
 {
 	pthread_mutex_lock(&request->lock);
 	request->delivered = true;
@@ -75,15 +75,15 @@
 	pthread_mutex_unlock(&request->lock);
 }
 
-void request_finish(struct request *request, int http_status, GBytes *body)
+void entry_request_finish(struct request *request, int http_status, GBytes *body)
 {
 	request->reply.http_status = http_status;
 	request->reply.body = g_bytes_ref(body);
 	request->deliver(request);
-	request_unref(request);
+	entry_request_unref(request);
 }
 
-GBytes *request_json_body(json_t *document)
+GBytes *entry_request_json_body(json_t *document)
 {
 	char *text = json_dumps(document, JSON_COMPACT);
 
@@ -91,15 +91,15 @@
 	return g_bytes_new_with_free_func(text, strlen(text), free, text);
 }
 
-void request_finish_json(struct request *request, int http_status, json_t *document)
+void entry_request_finish_json(struct request *request, int http_status, json_t *document)
 {
-	GBytes *body = request_json_body(document);
+	GBytes *body = entry_request_json_body(document);
 
-	request_finish(request, http_status, body);
+	entry_request_finish(request, http_status, body);
 	g_bytes_unref(body);
 }
 
-json_t *request_error_json(const struct error *err)
+json_t *entry_request_error_json(const struct error *err)
 {
 	/* A message cut in the middle of a character is no valid JSON string. */
 	char *message = g_utf8_make_valid(err->message, -1);
@@ -110,15 +110,15 @@
 	return error;
 }
 
-GBytes *request_error_body(const struct error *err)
+GBytes *entry_request_error_body(const struct error *err)
 {
-	return request_json_body(json_pack("{s:o}", "error", request_error_json(err)));
+	return entry_request_json_body(json_pack("{s:o}", "error", entry_request_error_json(err)));
 }
 
-void request_refuse(struct request *request, const struct error *err)
+void entry_request_refuse(struct request *request, const struct error *err)
 {
-	GBytes *body = request_error_body(err);
+	GBytes *body = entry_request_error_body(err);
 
-	request_finish(request, status_http_code(err->status), body);
+	entry_request_finish(request, status_http_code(err->status), body);
 	g_bytes_unref(body);
 }
--- a/packages/greengaged/src/entry_request.h
+++ b/packages/greengaged/src/entry_request.h
@@ -70,31 +70,31 @@
 };
 
 /* Returns a request with one reference, that of its creator. */
-struct request *request_new(void);
-struct request *request_ref(struct request *request);
-void request_unref(struct request *request);
+struct request *entry_request_new(void);
+struct request *entry_request_ref(struct request *request);
+void entry_request_unref(struct request *request);
 
 /* Waits up to LIMIT_MS for the reply. Returns false when there is none in time. */
-bool request_wait(struct request *request, int64_t limit_ms);
+bool entry_request_wait(struct request *request, int64_t limit_ms);
 
 /*
  * Finishes REQUEST with BODY, of which a reference is taken, and drops the dispatcher's reference:
  * REQUEST must not be used afterwards. Dispatcher only, as the two functions that follow.
  */
-void request_finish(struct request *request, int http_status, GBytes *body);
-/* As request_finish; DOCUMENT is released. */
-void request_finish_json(struct request *request, int http_status, json_t *document);
+void entry_request_finish(struct request *request, int http_status, GBytes *body);
+/* As entry_request_finish; DOCUMENT is released. */
+void entry_request_finish_json(struct request *request, int http_status, json_t *document);
 /* Finishes REQUEST with the error object of ERR. */
-void request_refuse(struct request *request, const struct error *err);
+void entry_request_refuse(struct request *request, const struct error *err);
 
 /* Returns {"error": {...}} for ERR as JSON text. */
-GBytes *request_error_body(const struct error *err);
+GBytes *entry_request_error_body(const struct error *err);
 /* Returns the error object itself. */
-json_t *request_error_json(const struct error *err);
+json_t *entry_request_error_json(const struct error *err);
 /* Returns DOCUMENT as JSON text and releases it. */
-GBytes *request_json_body(json_t *document);
+GBytes *entry_request_json_body(json_t *document);
 
-/* Delivers by waking request_wait. */
-void request_deliver_local(struct request *request);
+/* Delivers by waking entry_request_wait. */
+void entry_request_deliver_local(struct request *request);
 
 #endif
--- a/packages/greengaged/src/entry_route.c
+++ b/packages/greengaged/src/entry_route.c
@@ -134,8 +134,8 @@
 	return STATUS_OK;
 }
 
-enum status route_parse(const char *method, const char *path, const char *query,
-			int64_t wait_max_ms, struct route *route, struct error *err)
+enum status entry_route_parse(const char *method, const char *path, const char *query,
+			      int64_t wait_max_ms, struct route *route, struct error *err)
 {
 	enum path_kind kind = PATH_HEALTHZ;
 	enum status status;
@@ -153,7 +153,7 @@
 	return error_set(err, STATUS_METHOD_NOT_ALLOWED, "method not allowed on this path");
 }
 
-bool route_has_body(enum route_kind kind)
+bool entry_route_has_body(enum route_kind kind)
 {
 	return kind == ROUTE_JOB_SUBMIT || kind == ROUTE_CONFIG_PATCH;
 }
--- a/packages/greengaged/src/entry_route.h
+++ b/packages/greengaged/src/entry_route.h
@@ -37,10 +37,10 @@
  * STATUS_NOT_FOUND, STATUS_METHOD_NOT_ALLOWED, STATUS_INVALID_SESSION, STATUS_INVALID_KEY,
  * STATUS_INVALID_REQUEST (query).
  */
-enum status route_parse(const char *method, const char *path, const char *query,
-			int64_t wait_max_ms, struct route *route, struct error *err);
+enum status entry_route_parse(const char *method, const char *path, const char *query,
+			      int64_t wait_max_ms, struct route *route, struct error *err);
 
 /* Returns whether a request of this kind carries a body. */
-bool route_has_body(enum route_kind kind);
+bool entry_route_has_body(enum route_kind kind);
 
 #endif
--- a/packages/greengaged/src/entry_rules.c
+++ b/packages/greengaged/src/entry_rules.c
@@ -92,7 +92,7 @@
 	return value ? json_number_value(value) : preset;
 }
 
-struct burn_objectives rules_objectives(const json_t *document)
+struct burn_objectives entry_rules_objectives(const json_t *document)
 {
 	const json_t *slo = json_object_get(document, "slo");
 
@@ -108,9 +108,9 @@
 	g_strfreev(data);
 }
 
-void rules_apply(struct board *board, const json_t *document)
+void entry_rules_apply(struct board *board, const json_t *document)
 {
-	struct burn_objectives objectives = rules_objectives(document);
+	struct burn_objectives objectives = entry_rules_objectives(document);
 	struct rules rules = {
 		.classes = g_array_new(FALSE, FALSE, sizeof(struct sched_class_rules)),
 		.teams = g_array_new(FALSE, FALSE, sizeof(struct sched_team_rules)),
--- a/packages/greengaged/src/entry_rules.h
+++ b/packages/greengaged/src/entry_rules.h
@@ -7,9 +7,9 @@
 #include "entry_board.h"
 
 /* Applies classes, teams and objectives of DOCUMENT, which is valid. */
-void rules_apply(struct board *board, const json_t *document);
+void entry_rules_apply(struct board *board, const json_t *document);
 
 /* Returns the objectives that DOCUMENT states, with defaults for what it leaves out. */
-struct burn_objectives rules_objectives(const json_t *document);
+struct burn_objectives entry_rules_objectives(const json_t *document);
 
 #endif
