--- /dev/null
+++ b/test/functional/smoke_test.c
@@ -0,0 +1,55 @@
+#include <signal.h>
+
+#include "harness.h"
+
+enum {
+	TASKS = 20,
+	SEED = 7,
+	WAIT_MS = 20000,
+	EXIT_MS = 20000,
+};
+
+/* Guards against a job that runs twice, or gets another answer, when the client resubmits it
+ * through another entry; and against a planned stop that cuts or hangs. */
+static void test_job_and_stop(void)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){.entries = 2, .agents = 2});
+	char *session = harness_open_session(harness->entries[0].url);
+	char *job = harness_job(TASKS, 20, 60, SEED);
+	struct harness_reply first =
+		harness_submit(harness->entries[0].url, session, "job-1", job, WAIT_MS);
+	struct harness_reply second =
+		harness_submit(harness->entries[1].url, session, "job-1", job, WAIT_MS);
+	struct harness_starts starts = harness_starts(harness);
+
+	harness_check_answer(&first, TASKS);
+	harness_check_answer(&second, TASKS);
+	g_assert_cmpstr(first.text, ==, second.text);
+	g_assert_cmpuint(starts.total, ==, TASKS);
+	g_assert_cmpuint(starts.repeated, ==, 0);
+	g_assert_cmpuint(starts.most_running, <=, harness->shape.slots);
+
+	for (unsigned i = 0; i < harness->shape.entries; i++)
+		harness_signal(harness->entries[i].process, SIGTERM);
+	for (unsigned i = 0; i < harness->shape.entries; i++)
+		g_assert_cmpint(harness_wait_exit(harness->entries[i].process, EXIT_MS), ==, 0);
+	for (unsigned i = 0; i < harness->shape.agents; i++) {
+		harness_signal(harness->agents[i].server, SIGTERM);
+		g_assert_cmpint(harness_wait_exit(harness->agents[i].server, EXIT_MS), ==, 0);
+		harness_signal(harness->agents[i].process, SIGTERM);
+		g_assert_cmpint(harness_wait_exit(harness->agents[i].process, EXIT_MS), ==, 0);
+	}
+	harness_reply_clear(&first);
+	harness_reply_clear(&second);
+	g_free(job);
+	g_free(session);
+	harness_free(harness);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_message("seed %d", SEED);
+	g_test_add_func("/smoke/job_and_stop", test_job_and_stop);
+	return g_test_run();
+}
