--- /dev/null
+++ b/test/functional/demo.c
@@ -0,0 +1,167 @@
+/* Demonstration: a job of 200 tasks through two entries, three agents and their backend servers,
+ * its resubmission, and a graceful stop with work in flight. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness.h"
+
+enum {
+	TASKS = 200,
+	LATE_TASKS = 40, /* in flight when the stop begins */
+	LEAST_MS = 50,
+	MOST_MS = 300,
+	SEED = 11,
+	WAIT_MS = 20000,
+	LIMIT_S = 60,
+	US_PER_MS = 1000,
+};
+
+static const struct harness_shape shape = {
+	.entries = 2, .agents = 3, .slots = 8, .speeds = {1, 1.5, 3}};
+
+/* A submission on a thread of its own. */
+struct submission {
+	const char *url;
+	const char *session;
+	const char *job;
+	struct harness_reply reply;
+};
+
+static void *submit(void *context)
+{
+	struct submission *submission = context;
+
+	submission->reply = harness_submit(submission->url, submission->session, "late",
+					   submission->job, WAIT_MS);
+	return NULL;
+}
+
+static int64_t count_messages(struct harness *harness)
+{
+	int64_t total = 0;
+
+	for (unsigned i = 0; i < shape.agents; i++) {
+		total += harness_metric(harness->agents[i].url, "messages_sent_total");
+		total += harness_metric(harness->agents[i].url, "messages_received_total");
+	}
+	return total;
+}
+
+/* Returns the time that the work alone takes: all slots busy, or the longest task on the fastest
+ * server. */
+static double ideal_ms(const char *job)
+{
+	json_t *document = json_loads(job, 0, NULL);
+	double capacity = 0;
+	double work = 0;
+	double longest = 0;
+	json_t *task;
+	size_t i;
+
+	for (unsigned k = 0; k < shape.agents; k++)
+		capacity += shape.slots / shape.speeds[k];
+	json_array_foreach (json_object_get(document, "tasks"), i, task) {
+		double sleep_ms = json_number_value(json_object_get(task, "sleep_ms"));
+
+		work += sleep_ms;
+		longest = MAX(longest, sleep_ms);
+	}
+	json_decref(document);
+	return MAX(work / capacity, longest);
+}
+
+static void print_servers(const struct harness_reply *reply)
+{
+	unsigned counts[HARNESS_MAX_AGENTS] = {0};
+	json_t *result;
+	size_t i;
+
+	json_array_foreach (json_object_get(reply->body, "results"), i, result) {
+		const char *server = json_string_value(json_object_get(result, "server"));
+		unsigned index = server ? (unsigned)atoi(server + strlen("server")) : 0;
+
+		if (index < HARNESS_MAX_AGENTS)
+			counts[index]++;
+	}
+	for (unsigned k = 0; k < shape.agents; k++)
+		printf("  server%u (time factor %.1f): %u tasks\n", k, shape.speeds[k], counts[k]);
+}
+
+static void run_job(struct harness *harness, const char *session)
+{
+	char *job = harness_job(TASKS, LEAST_MS, MOST_MS, SEED);
+	int64_t before = count_messages(harness);
+	struct harness_reply first =
+		harness_submit(harness->entries[0].url, session, "demo", job, WAIT_MS);
+	int64_t messages = count_messages(harness) - before;
+	struct harness_reply second;
+	struct harness_starts starts;
+	double ideal = ideal_ms(job);
+	double took = (double)first.took_us / US_PER_MS;
+
+	harness_check_answer(&first, TASKS);
+	printf("job of %d tasks through entry0: state done, %d results in order\n", TASKS, TASKS);
+	print_servers(&first);
+	printf("  response time %.0f ms, ideal %.0f ms, ratio %.2f\n", took, ideal, took / ideal);
+	printf("  messages between entries and agents: %.2f per task\n", (double)messages / TASKS);
+
+	second = harness_submit(harness->entries[1].url, session, "demo", job, WAIT_MS);
+	harness_check_answer(&second, TASKS);
+	g_assert_cmpstr(first.text, ==, second.text);
+	starts = harness_starts(harness);
+	printf("resubmitted through entry1: the same answer after %.1f ms\n",
+	       (double)second.took_us / US_PER_MS);
+	printf("starts counted by the servers: %d, repeated: %d\n", (int)starts.total,
+	       (int)starts.repeated);
+	g_assert_cmpuint(starts.total, ==, TASKS);
+	g_assert_cmpuint(starts.repeated, ==, 0);
+	harness_reply_clear(&first);
+	harness_reply_clear(&second);
+	free(job);
+}
+
+/* Stops everything while a job runs; its answer must be complete all the same. */
+static void stop_under_load(struct harness *harness, const char *session)
+{
+	char *job = harness_job(LATE_TASKS, LEAST_MS, MOST_MS, SEED + 1);
+	struct submission late = {.url = harness->entries[0].url, .session = session, .job = job};
+	GThread *thread = g_thread_new("submit", submit, &late);
+	struct harness_starts starts;
+
+	HARNESS_WAIT(WAIT_MS, harness_starts(harness).total > TASKS);
+	for (unsigned i = 0; i < shape.entries; i++)
+		harness_signal(harness->entries[i].process, SIGTERM);
+	g_thread_join(thread);
+	harness_check_answer(&late.reply, LATE_TASKS);
+	starts = harness_starts(harness);
+	g_assert_cmpuint(starts.total, ==, TASKS + LATE_TASKS);
+	g_assert_cmpuint(starts.repeated, ==, 0);
+	printf("SIGTERM with a job of %d tasks in flight: answered in full\n", LATE_TASKS);
+	for (unsigned i = 0; i < shape.entries; i++)
+		g_assert_cmpint(harness_wait_exit(harness->entries[i].process, WAIT_MS), ==, 0);
+	harness_stop(harness);
+	printf("entries, agents and servers stopped by SIGTERM: all exited with 0\n");
+	harness_reply_clear(&late.reply);
+	free(job);
+}
+
+int main(void)
+{
+	int64_t begun_us = g_get_monotonic_time();
+	struct harness *harness;
+	char *session;
+	double took_s;
+
+	printf("seed %d\nstarting the log stand-in, 2 entries, 3 agents and their servers\n", SEED);
+	harness = harness_start(&shape);
+	session = harness_open_session(harness->entries[0].url);
+	run_job(harness, session);
+	stop_under_load(harness, session);
+	harness_free(harness);
+	g_free(session);
+	took_s = (double)(g_get_monotonic_time() - begun_us) / G_USEC_PER_SEC;
+	printf("demo finished in %.1f s\n", took_s);
+	return took_s < LIMIT_S ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -104,6 +104,10 @@
  * signal. Fails the test after LIMIT_MS. */
 int harness_wait_exit(struct harness_process *process, int64_t limit_ms);
 
+/* Stops entries, backend servers and agents by SIGTERM, in that order, as far as they run. Each
+ * must exit with 0. */
+void harness_stop(struct harness *harness);
+
 /* Starts a process that has ended again with the same arguments, so at the same address. */
 void harness_restart(struct harness *harness, struct harness_process *process);
 
--- a/test/functional/harness_cluster.c
+++ b/test/functional/harness_cluster.c
@@ -1,4 +1,5 @@
 #include <glib/gstdio.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,6 +12,7 @@
 	DEFAULT_AGENTS = 2,
 	NAME_BYTES = 48,
 	TEXT_BYTES = 64,
+	HARNESS_STOP_MS = 40000, /* above the daemon's limit on a graceful stop */
 };
 
 static char *write_settings(struct harness *harness, const char *name, json_t *settings,
@@ -287,6 +289,35 @@
 	return harness;
 }
 
+static void check_stopped(struct harness_process *process)
+{
+	int status;
+
+	if (!process->child)
+		return;
+	status = harness_wait_exit(process, HARNESS_STOP_MS);
+	if (status != 0)
+		g_error("%s ended with %d instead of 0", process->name, status);
+}
+
+void harness_stop(struct harness *harness)
+{
+	const struct harness_shape *shape = &harness->shape;
+
+	for (unsigned i = 0; i < shape->entries; i++)
+		harness_signal(harness->entries[i].process, SIGTERM);
+	for (unsigned i = 0; i < shape->entries; i++)
+		check_stopped(harness->entries[i].process);
+	for (unsigned i = 0; i < shape->agents; i++)
+		harness_signal(harness->agents[i].server, SIGTERM);
+	for (unsigned i = 0; i < shape->agents; i++)
+		check_stopped(harness->agents[i].server);
+	for (unsigned i = 0; i < shape->agents; i++)
+		harness_signal(harness->agents[i].process, SIGTERM);
+	for (unsigned i = 0; i < shape->agents; i++)
+		check_stopped(harness->agents[i].process);
+}
+
 char *harness_proxy(struct harness *harness, const char *line)
 {
 	GSocketClient *client = g_socket_client_new();
