Give slots of slow servers to large jobs

With a deep queue no free slot is left unused, so the head of the queue, often a job of one task, took the slot of a server 10 times slower than the one it would have had shortly after. Jobs are now kept in four size groups; when the head alone would rather wait, the first job of the highest group starts instead. A wait now needs a gain of half the faster server's time, since learned speeds of equal servers differ a little.

--- a/packages/core/src/scheduler.c
+++ b/packages/core/src/scheduler.c
@@ -47,7 +47,7 @@
 	job->handle = handle;
 	job->seq = ++sched->next_seq;
 	job->class = class;
-	job->bucket = queue_bucket(sched, class, team);
+	job->bucket = queue_bucket(sched, class, team, spec->tasks);
 	job->context = spec->context;
 	job->bytes = spec->bytes;
 	job->submitted_us = now_us;
@@ -102,13 +102,12 @@
 		struct class_row *class = sched->class_list->pdata[i];
 		const struct entry *entry;
 
-		if (class->heap_count == 0 || class->tried_pass == sched->pass)
+		if (class->queued == 0 || class->tried_pass == sched->pass)
 			continue;
 		if (class->max_running > 0 && class->running >= class->max_running)
 			continue;
-		entry = &class->heap[0]->heap[0];
-		if (best && (entry->key > first->key ||
-			     (entry->key == first->key && entry->seq > first->seq)))
+		entry = queue_head(class);
+		if (!entry || (best && queue_entry_before(first, entry)))
 			continue;
 		best = class;
 		first = entry;
@@ -116,10 +115,11 @@
 	return best;
 }
 
-static void start(struct sched *sched, struct class_row *class, struct server_row *server,
+/* Starts a task of JOB, which is first of its bucket. */
+static void start(struct sched *sched, struct job_row *job, struct server_row *server,
 		  struct sched_start *out)
 {
-	struct job_row *job = queue_head(class);
+	struct class_row *class = job->class;
 	struct team_row *team = job->bucket->team;
 
 	*out = (struct sched_start){
@@ -151,10 +151,11 @@
 	sched->wake_us = INT64_MAX;
 	sched->pass++;
 	while (sched->available > 0 && (class = next_class(sched))) {
-		struct server_row *server = place_choose(sched, class, now_us);
+		struct job_row *job;
+		struct server_row *server = place_choose(sched, class, now_us, &job);
 
 		if (server) {
-			start(sched, class, server, out);
+			start(sched, job, server, out);
 			return true;
 		}
 		class->tried_pass = sched->pass;
--- a/packages/core/src/scheduler_defs.h
+++ b/packages/core/src/scheduler_defs.h
@@ -10,7 +10,8 @@
 enum {
 	NO_POSITION = UINT32_MAX,
 	INLINE_TASKS = 64, /* jobs up to this size keep their task bits in the row */
-	SIZE_CLASSES = 32, /* powers of two */
+	SIZE_CLASSES = 32, /* job sizes by powers of two */
+	SIZE_GROUPS = 4,   /* job sizes by powers of four, the last without bound */
 	NO_TIME = -1	   /* no point in time */
 };
 
@@ -51,13 +52,14 @@
 	struct job_row *job;
 };
 
-/* The queued jobs of one class and team. */
+/* The queued jobs of one class, team and size group. */
 struct bucket {
 	struct class_row *class;
 	struct team_row *team;
 	struct bucket *next_of_class;
 	struct bucket *next_of_team;
 	struct handle handle;
+	uint32_t group;
 	struct entry *heap;
 	uint32_t count;
 	uint32_t capacity;
@@ -65,6 +67,13 @@
 	uint32_t position; /* in the class's heap */
 };
 
+/* Buckets of one class and size group, by their first job. */
+struct bucket_heap {
+	struct bucket **buckets;
+	uint32_t count;
+	uint32_t capacity;
+};
+
 struct class_row {
 	char name[NAME_BYTES];
 	struct handle handle;
@@ -83,10 +92,8 @@
 	uint32_t jobs;			       /* rows that refer to this class */
 	uint64_t queued_by_size[SIZE_CLASSES]; /* queued tasks by log2 of their job's size */
 	struct bucket *buckets;
-	struct bucket **heap; /* buckets with queued jobs of teams below their limit */
-	uint32_t heap_count;
-	uint32_t heap_capacity;
-	GPtrArray *pools; /* that may run the class */
+	struct bucket_heap groups[SIZE_GROUPS]; /* of teams below their running limit */
+	GPtrArray *pools;			/* that may run the class */
 	int64_t hold_since_us;
 	uint64_t tried_pass; /* last search that found no server */
 	uint32_t refusals;
@@ -210,9 +217,12 @@
 void queue_team_changed(struct sched *sched, struct team_row *team);
 void queue_class_learned(struct sched *sched, struct class_row *class);
 void queue_rekey(struct sched *sched, struct bucket *bucket);
-struct bucket *queue_bucket(struct sched *sched, struct class_row *class, struct team_row *team);
+struct bucket *queue_bucket(struct sched *sched, struct class_row *class, struct team_row *team,
+			    uint32_t tasks);
 void queue_bucket_free(struct sched *sched, struct bucket *bucket);
-struct job_row *queue_head(const struct class_row *class);
+const struct entry *queue_head(const struct class_row *class);
+struct job_row *queue_large(const struct class_row *class);
+bool queue_entry_before(const struct entry *a, const struct entry *b);
 
 /* scheduler_task.c: the tasks of one job. */
 void task_init(struct sched *sched, struct job_row *job);
@@ -231,7 +241,8 @@
 void place_unlink_class(struct sched *sched, struct class_row *class);
 double place_fastest_factor(const struct class_row *class);
 uint64_t place_demand(const struct pool *pool);
-struct server_row *place_choose(struct sched *sched, struct class_row *class, int64_t now_us);
+struct server_row *place_choose(struct sched *sched, struct class_row *class, int64_t now_us,
+				struct job_row **job);
 
 /* scheduler_deadline.c: jobs by deadline. */
 void deadline_add(struct sched *sched, struct job_row *job);
--- a/packages/core/src/scheduler_place.c
+++ b/packages/core/src/scheduler_place.c
@@ -19,6 +19,10 @@
 
 static const double us_per_rate = 1e9; /* finish rates count tasks in 1,000 s */
 
+/* Share of the faster server's cost that must be gained for a wait. Learned speeds of equal servers
+ * differ by less, and waiting among them would only cost time. */
+static const double least_gain = 0.5;
+
 void place_init(struct sched *sched)
 {
 	table_init(&sched->servers, sizeof(struct server_row));
@@ -460,35 +464,41 @@
 }
 
 /*
- * Returns whether a task of CLASS should wait for the busy server BUSY rather than start on FREE
+ * Decides whether the head of CLASS should wait for the busy server BUSY rather than start on FREE
  * now. It should when all queued tasks are expected to find places on servers like BUSY and to
  * finish there before FREE would finish one; so with a deep queue no free slot is left unused. A
  * wait ends after it has cost as much as it could gain, which bounds the loss when BUSY does not
- * answer.
+ * answer. Returns NULL to wait, else the job that should start: with a deep queue in which the head
+ * alone would rather wait, a large job, which ends late anyway.
  */
-static bool should_wait(struct sched *sched, struct class_row *class, const struct server_row *free,
-			const struct server_row *busy, int64_t now_us)
-{
-	double gain = cost_at(class, free) - cost_at(class, busy);
-	double wait;
+static struct job_row *weigh_wait(struct sched *sched, struct class_row *class,
+				  const struct server_row *free, const struct server_row *busy,
+				  int64_t now_us)
+{
+	struct job_row *head = queue_head(class)->job;
+	double least = cost_at(class, busy);
+	double gain = cost_at(class, free) - least;
+	double gap;
 	int64_t limit;
 
-	if (gain <= 0 || busy->pool->finish_rate == 0)
-		return false;
-	wait = (double)place_demand(busy->pool) * us_per_rate / (double)busy->pool->finish_rate;
-	if (wait >= gain)
-		return false;
+	if (gain <= least_gain * least || busy->pool->finish_rate == 0)
+		return head;
+	gap = us_per_rate / (double)busy->pool->finish_rate;
+	if ((double)place_demand(busy->pool) * gap >= gain)
+		return head->queued * gap < gain ? queue_large(class) : head;
 	if (class->hold_since_us == NO_TIME)
 		class->hold_since_us = now_us;
 	limit = class->hold_since_us + (int64_t)MIN(gain, (double)HOLD_LIMIT_US);
 	if (now_us >= limit)
-		return false;
+		return head;
 	sched->wake_us = MIN(sched->wake_us, limit);
-	return true;
+	return NULL;
 }
 
-/* Chooses the server for the next task of CLASS, or returns NULL when the task should wait. */
-struct server_row *place_choose(struct sched *sched, struct class_row *class, int64_t now_us)
+/* Chooses server and job for the next start of CLASS, or returns NULL when there is no server or it
+ * should wait for one. */
+struct server_row *place_choose(struct sched *sched, struct class_row *class, int64_t now_us,
+				struct job_row **job)
 {
 	struct server_row *free = best_of(class, GROUP_AVAILABLE);
 	const struct server_row *busy;
@@ -496,7 +506,6 @@
 	if (!free)
 		return NULL;
 	busy = best_of(class, GROUP_BUSY);
-	if (busy && should_wait(sched, class, free, busy, now_us))
-		return NULL;
-	return free;
+	*job = busy ? weigh_wait(sched, class, free, busy, now_us) : queue_head(class)->job;
+	return *job ? free : NULL;
 }
--- a/packages/core/src/scheduler_queue.c
+++ b/packages/core/src/scheduler_queue.c
@@ -6,7 +6,8 @@
  * every key alike, so that ageing needs no work. Ageing is not divided by the weight: the weight
  * would otherwise turn against a team once its jobs have aged below zero.
  *
- * Each class and team has a heap of jobs, each class a heap of these by their first job.
+ * Each class, team and size group has a heap of jobs, each class and size group a heap of these by
+ * their first job. The size groups allow a large job to be found for a slow server.
  */
 
 enum {
@@ -22,7 +23,7 @@
 /* Learned run time over the one in the keys, beyond which the keys are computed anew. */
 static const double rekey_ratio = 1.5;
 
-static bool entry_before(const struct entry *a, const struct entry *b)
+bool queue_entry_before(const struct entry *a, const struct entry *b)
 {
 	return a->key < b->key || (a->key == b->key && a->seq < b->seq);
 }
@@ -38,7 +39,7 @@
 {
 	struct entry moved = heap[i];
 
-	while (i > 0 && entry_before(&moved, &heap[(i - 1) / ARITY])) {
+	while (i > 0 && queue_entry_before(&moved, &heap[(i - 1) / ARITY])) {
 		heap[i] = heap[(i - 1) / ARITY];
 		i = (i - 1) / ARITY;
 	}
@@ -57,10 +58,10 @@
 		if (first >= count)
 			break;
 		for (uint32_t child = least + 1; child < end; child++) {
-			if (entry_before(&heap[child], &heap[least]))
+			if (queue_entry_before(&heap[child], &heap[least]))
 				least = child;
 		}
-		if (!entry_before(&heap[least], &moved))
+		if (!queue_entry_before(&heap[least], &moved))
 			break;
 		heap[i] = heap[least];
 		i = least;
@@ -109,74 +110,79 @@
 	}
 }
 
-/* The class's heap of buckets. */
+/* The heaps of buckets. */
 
 static bool bucket_before(const struct bucket *a, const struct bucket *b)
 {
-	return entry_before(&a->heap[0], &b->heap[0]);
+	return queue_entry_before(&a->heap[0], &b->heap[0]);
 }
 
-static void place_bucket(struct class_row *class, uint32_t i, struct bucket *bucket)
+static struct bucket_heap *heap_of(const struct bucket *bucket)
 {
-	class->heap[i] = bucket;
+	return &bucket->class->groups[bucket->group];
+}
+
+static void place_bucket(struct bucket_heap *heap, uint32_t i, struct bucket *bucket)
+{
+	heap->buckets[i] = bucket;
 	bucket->position = i;
 }
 
-static void bucket_up(struct class_row *class, uint32_t i)
+static void bucket_up(struct bucket_heap *heap, uint32_t i)
 {
-	struct bucket *moved = class->heap[i];
+	struct bucket *moved = heap->buckets[i];
 
-	while (i > 0 && bucket_before(moved, class->heap[(i - 1) / 2])) {
-		place_bucket(class, i, class->heap[(i - 1) / 2]);
+	while (i > 0 && bucket_before(moved, heap->buckets[(i - 1) / 2])) {
+		place_bucket(heap, i, heap->buckets[(i - 1) / 2]);
 		i = (i - 1) / 2;
 	}
-	place_bucket(class, i, moved);
+	place_bucket(heap, i, moved);
 }
 
-static void bucket_down(struct class_row *class, uint32_t i)
+static void bucket_down(struct bucket_heap *heap, uint32_t i)
 {
-	struct bucket *moved = class->heap[i];
+	struct bucket *moved = heap->buckets[i];
 
 	for (;;) {
 		uint32_t least = 2 * i + 1;
 
-		if (least >= class->heap_count)
+		if (least >= heap->count)
 			break;
-		if (least + 1 < class->heap_count &&
-		    bucket_before(class->heap[least + 1], class->heap[least]))
+		if (least + 1 < heap->count &&
+		    bucket_before(heap->buckets[least + 1], heap->buckets[least]))
 			least++;
-		if (!bucket_before(class->heap[least], moved))
+		if (!bucket_before(heap->buckets[least], moved))
 			break;
-		place_bucket(class, i, class->heap[least]);
+		place_bucket(heap, i, heap->buckets[least]);
 		i = least;
 	}
-	place_bucket(class, i, moved);
+	place_bucket(heap, i, moved);
 }
 
 static void bucket_leave(struct bucket *bucket)
 {
-	struct class_row *class = bucket->class;
+	struct bucket_heap *heap = heap_of(bucket);
+	struct bucket *last = heap->buckets[--heap->count];
 	uint32_t i = bucket->position;
 
 	bucket->position = NO_POSITION;
-	if (i == --class->heap_count)
+	if (last == bucket)
 		return;
-	place_bucket(class, i, class->heap[class->heap_count]);
-	bucket_up(class, i);
-	bucket_down(class, class->heap[i]->position);
+	place_bucket(heap, i, last);
+	bucket_up(heap, i);
+	bucket_down(heap, last->position);
 }
 
 static void bucket_enter(struct bucket *bucket)
 {
-	struct class_row *class = bucket->class;
+	struct bucket_heap *heap = heap_of(bucket);
 
-	if (class->heap_count == class->heap_capacity) {
-		class->heap_capacity =
-			class->heap_capacity > 0 ? 2 * class->heap_capacity : FIRST_CAPACITY;
-		class->heap = g_renew(struct bucket *, class->heap, class->heap_capacity);
+	if (heap->count == heap->capacity) {
+		heap->capacity = heap->capacity > 0 ? 2 * heap->capacity : FIRST_CAPACITY;
+		heap->buckets = g_renew(struct bucket *, heap->buckets, heap->capacity);
 	}
-	place_bucket(class, class->heap_count++, bucket);
-	bucket_up(class, bucket->position);
+	place_bucket(heap, heap->count++, bucket);
+	bucket_up(heap, bucket->position);
 }
 
 static bool team_may_start(const struct team_row *team)
@@ -184,7 +190,7 @@
 	return team->max_running == 0 || team->running < team->max_running;
 }
 
-/* Gives BUCKET its place in the class's heap after its first job or its team changed. */
+/* Gives BUCKET its place among the buckets after its first job or its team changed. */
 static void update_bucket(struct bucket *bucket)
 {
 	bool wanted;
@@ -197,8 +203,8 @@
 		bucket_enter(bucket);
 	if (bucket->position == NO_POSITION)
 		return;
-	bucket_up(bucket->class, bucket->position);
-	bucket_down(bucket->class, bucket->position);
+	bucket_up(heap_of(bucket), bucket->position);
+	bucket_down(heap_of(bucket), bucket->position);
 }
 
 static double job_key(const struct sched *sched, const struct job_row *job)
@@ -223,9 +229,9 @@
 	sift_up(bucket->heap, bucket->count++);
 }
 
-static unsigned int size_class(const struct job_row *job)
+static unsigned int size_class(uint32_t tasks)
 {
-	return SIZE_CLASSES - 1 - (unsigned int)__builtin_clz(job->tasks);
+	return SIZE_CLASSES - 1 - (unsigned int)__builtin_clz(tasks);
 }
 
 static void count_queued(struct sched *sched, struct job_row *job, int64_t change)
@@ -235,7 +241,7 @@
 	job->queued = (uint32_t)(job->queued + change);
 	sched->queued += (uint64_t)change;
 	class->queued += (uint64_t)change;
-	class->queued_by_size[size_class(job)] += (uint64_t)change;
+	class->queued_by_size[size_class(job->tasks)] += (uint64_t)change;
 	job->bucket->team->queued += (uint64_t)change;
 	if (class->queued == 0)
 		class->hold_since_us = NO_TIME;
@@ -334,25 +340,32 @@
 		queue_rekey(sched, bucket);
 }
 
-struct bucket *queue_bucket(struct sched *sched, struct class_row *class, struct team_row *team)
+/* Returns the bucket for a job of TASKS tasks, and moves it to the front of the team's list, where
+ * the next search begins. */
+struct bucket *queue_bucket(struct sched *sched, struct class_row *class, struct team_row *team,
+			    uint32_t tasks)
 {
+	uint32_t group = MIN(size_class(tasks) / 2, SIZE_GROUPS - 1);
+	struct bucket **link = &team->buckets;
 	struct bucket *bucket;
 	struct handle handle;
 
-	for (bucket = team->buckets; bucket; bucket = bucket->next_of_team) {
-		if (bucket->class == class)
-			return bucket;
+	while (*link && ((*link)->class != class || (*link)->group != group))
+		link = &(*link)->next_of_team;
+	bucket = *link;
+	if (bucket) {
+		*link = bucket->next_of_team;
+	} else {
+		bucket = table_add(&sched->buckets, &handle);
+		bucket->class = class;
+		bucket->team = team;
+		bucket->group = group;
+		bucket->handle = handle;
+		bucket->position = NO_POSITION;
+		bucket->next_of_class = class->buckets;
+		class->buckets = bucket;
 	}
-	bucket = table_add(&sched->buckets, &handle);
-	*bucket = (struct bucket){
-		.class = class,
-		.team = team,
-		.next_of_class = class->buckets,
-		.next_of_team = team->buckets,
-		.handle = handle,
-		.position = NO_POSITION,
-	};
-	class->buckets = bucket;
+	bucket->next_of_team = team->buckets;
 	team->buckets = bucket;
 	return bucket;
 }
@@ -375,8 +388,27 @@
 	table_remove(&sched->buckets, bucket->handle);
 }
 
-/* Returns the first job of a class among the teams below their limit, or NULL. */
-struct job_row *queue_head(const struct class_row *class)
+/* Returns the first entry of a class among the teams below their limit, or NULL. */
+const struct entry *queue_head(const struct class_row *class)
+{
+	const struct entry *head = NULL;
+
+	for (int i = 0; i < SIZE_GROUPS; i++) {
+		const struct bucket_heap *heap = &class->groups[i];
+
+		if (heap->count > 0 &&
+		    (!head || queue_entry_before(&heap->buckets[0]->heap[0], head)))
+			head = &heap->buckets[0]->heap[0];
+	}
+	return head;
+}
+
+/* Returns the first job of the highest size group that holds any. */
+struct job_row *queue_large(const struct class_row *class)
 {
-	return class->heap_count > 0 ? class->heap[0]->heap[0].job : NULL;
+	for (int i = SIZE_GROUPS; i-- > 0;) {
+		if (class->groups[i].count > 0)
+			return class->groups[i].buckets[0]->heap[0].job;
+	}
+	return NULL;
 }
--- a/packages/core/src/scheduler_rules.c
+++ b/packages/core/src/scheduler_rules.c
@@ -22,7 +22,8 @@
 {
 	g_strfreev(class->zones);
 	g_strfreev(class->labels);
-	g_free(class->heap);
+	for (int i = 0; i < SIZE_GROUPS; i++)
+		g_free(class->groups[i].buckets);
 	g_ptr_array_unref(class->pools);
 }
 
--- a/test/unit/scheduler_model.h
+++ b/test/unit/scheduler_model.h
@@ -217,21 +217,59 @@
 	return rate;
 }
 
-static bool waits(struct plain *p, struct class *class, int free, int busy)
+static bool may_start(const struct plain *p, const struct job *job)
 {
-	double gain = cost_at(p, class, &p->servers[free]) - cost_at(p, class, &p->servers[busy]);
+	const struct sched_team_rules *team = &p->teams[job->team];
+
+	return queued_of(job) > 0 &&
+	       (team->max_running == 0 || running(p, -1, job->team) < team->max_running);
+}
+
+static uint32_t size_group(const struct job *job)
+{
+	return job->count < 4 ? 0 : job->count < 16 ? 1 : job->count < 64 ? 2 : 3;
+}
+
+/* Returns the first job of a class in the highest size group. */
+static int large_job(const struct plain *p, int class)
+{
+	int best = -1;
+
+	for (int i = 0; i < p->job_count; i++) {
+		const struct job *job = &p->jobs[i];
+		const struct job *other = &p->jobs[best < 0 ? i : best];
+
+		if (job->class != class || !may_start(p, job))
+			continue;
+		if (best < 0 || size_group(job) > size_group(other) ||
+		    (size_group(job) == size_group(other) && key_of(p, job) < key_of(p, other)))
+			best = i;
+	}
+	return best;
+}
+
+/* Returns the job to start instead of waiting for BUSY, or -1 to wait. */
+static int weigh_wait(struct plain *p, int head, int free, int busy)
+{
+	struct class *class = &p->classes[p->jobs[head].class];
+	double least = cost_at(p, class, &p->servers[busy]);
+	double gain = cost_at(p, class, &p->servers[free]) - least;
 	uint64_t rate = pool_rate(p, busy);
 	int64_t limit;
 
-	if (gain <= 0 || rate == 0 || (double)demand(p, busy) * 1e9 / (double)rate >= gain)
-		return false;
+	if (gain <= 0.5 * least || rate == 0)
+		return head;
+	if ((double)demand(p, busy) * (1e9 / (double)rate) >= gain)
+		return p->jobs[head].queued * (1e9 / (double)rate) < gain
+			       ? large_job(p, p->jobs[head].class)
+			       : head;
 	if (class->hold_us < 0)
 		class->hold_us = p->now_us;
 	limit = class->hold_us + (int64_t)MIN(gain, (double)HOLD_LIMIT_US);
 	if (p->now_us >= limit)
-		return false;
+		return head;
 	p->wake_us = MIN(p->wake_us, limit);
-	return true;
+	return -1;
 }
 
 static int first_job(const struct plain *p, const bool *tried)
@@ -240,15 +278,12 @@
 
 	for (int i = 0; i < p->job_count; i++) {
 		const struct job *job = &p->jobs[i];
-		const struct sched_team_rules *team = &p->teams[job->team];
 		uint32_t limit = p->classes[job->class].max_running;
 
-		if (queued_of(job) == 0 || tried[job->class])
+		if (!may_start(p, job) || tried[job->class])
 			continue;
 		if (limit > 0 && running(p, job->class, -1) >= limit)
 			continue;
-		if (team->max_running > 0 && running(p, -1, job->team) >= team->max_running)
-			continue;
 		if (best < 0 || key_of(p, job) < key_of(p, &p->jobs[best]))
 			best = i;
 	}
@@ -268,7 +303,9 @@
 		int free = best_server(p, class, false);
 		int busy = best_server(p, class, true);
 
-		if (free < 0 || (busy >= 0 && waits(p, class, free, busy))) {
+		if (free >= 0 && busy >= 0)
+			*chosen_job = weigh_wait(p, *chosen_job, free, busy);
+		if (free < 0 || *chosen_job < 0) {
 			tried[job->class] = true;
 			continue;
 		}
