--- /dev/null
+++ b/bench/channel_bench.c
@@ -0,0 +1,195 @@
+/* Cost of the at-most-once and credit logic: admissions, results, memory of keys and claims,
+ * distribution of credits. Prints one flat JSON object. */
+#include <glib.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "claims.h"
+#include "gate.h"
+#include "link.h"
+#include "session.h"
+#include "timer.h"
+
+enum {
+	STARTS = 2000000,
+	BATCH = 64, /* slots, and starts in each message */
+	KEYS = 1000000,
+	DISTRIBUTIONS = 200000,
+	SECOND_US = 1000000,
+};
+
+static const struct gate_limits limits = {.start_by_us = 2 * SECOND_US};
+
+static struct gate *new_gate(uint32_t slots, uint32_t entries, struct handle *channels)
+{
+	struct gate *gate = gate_new(&limits);
+
+	gate_set_slots(gate, slots);
+	for (uint32_t i = 0; i < entries; i++) {
+		struct ident entry = ident_digest(&i, sizeof(i));
+
+		channels[i] = gate_open(gate, &entry, 1, 0);
+	}
+	return gate;
+}
+
+static void hear(struct gate *gate, struct handle channel, uint64_t demand, uint64_t consumed,
+		 uint64_t ack)
+{
+	struct gate_news news = {.demand = demand, .consumed = consumed, .result_ack = ack};
+
+	gate_hear(gate, channel, 1, &news, 0);
+}
+
+/* Moves starts through a link and a gate, a batch at a time, and adds the time of either direction.
+ */
+static void move_batch(struct gate *gate, struct handle channel, struct link *link,
+		       int64_t spent[2])
+{
+	const struct gate_result *kept = NULL;
+	struct gate_change change;
+	struct link_start ended;
+	int64_t begin_us = timer_clock_us();
+	uint64_t first = link->next_seq;
+
+	link_grant(link, gate_granted(gate, channel));
+	while (link_start(link, (struct handle){1, 1}, 0, 0) != 0)
+		;
+	hear(gate, channel, BATCH, link->consumed, link->result_ack);
+	for (uint64_t seq = first; seq < link->next_seq; seq++)
+		gate_admit(gate, channel, &(struct gate_start){.seq = seq}, 0);
+	spent[0] += timer_clock_us() - begin_us;
+	begin_us = timer_clock_us();
+	for (uint64_t seq = first; seq < link->next_seq; seq++)
+		gate_finish(gate, channel, &(struct gate_result){.seq = seq});
+	while ((kept = gate_next_result(gate, channel, link->result_ack))) {
+		if (link_accept_result(link, kept->number))
+			link_finish(link, kept->seq, &ended);
+	}
+	hear(gate, channel, BATCH, link->consumed, link->result_ack);
+	gate_distribute(gate, &change, 1);
+	spent[1] += timer_clock_us() - begin_us;
+}
+
+static void measure_starts(void)
+{
+	struct handle channel;
+	struct gate *gate = new_gate(BATCH, 1, &channel);
+	int64_t spent[2] = {0};
+	struct gate_change change;
+	struct link link;
+
+	link_init(&link);
+	gate_distribute(gate, &change, 1);
+	while (link.next_seq <= STARTS)
+		move_batch(gate, channel, &link, spent);
+	printf("\"admits_per_s\": %.0f, \"results_per_s\": %.0f",
+	       (double)STARTS * SECOND_US / (double)spent[0],
+	       (double)STARTS * SECOND_US / (double)spent[1]);
+	link_free(&link);
+	gate_free(gate);
+}
+
+static size_t used_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+static void measure_sessions(void)
+{
+	const struct session_limits session_limits = {SECOND_US, SECOND_US, 1, KEYS};
+	const struct ident body = {{1}};
+	size_t before = used_bytes();
+	struct session_store *store = session_store_new(&session_limits, &body);
+	struct session_token token;
+	int64_t begin_us;
+
+	session_open(store, 1, 0, &token, NULL);
+	begin_us = timer_clock_us();
+	for (uint32_t i = 0; i < KEYS; i++) {
+		enum session_key_state state;
+		struct handle *job;
+		char key[40];
+
+		g_snprintf(key, sizeof(key), "order-2026-12-%08u", i);
+		session_claim_key(store, 1, key, &body, 0, &state, &job, NULL);
+	}
+	printf(", \"session_bytes_per_key\": %.1f, \"session_claim_ns\": %.0f",
+	       (double)(used_bytes() - before) / KEYS,
+	       (double)(timer_clock_us() - begin_us) * 1000 / KEYS);
+	begin_us = timer_clock_us();
+	session_close(store, 1, NULL);
+	printf(", \"session_close_us\": %" G_GINT64_FORMAT, timer_clock_us() - begin_us);
+	session_store_free(store);
+}
+
+static void measure_claims(void)
+{
+	const struct ident own = {{1}};
+	struct claims *claims = claims_new(&own, SECOND_US);
+	size_t before = used_bytes();
+	int64_t fold_us = 0;
+
+	for (uint32_t i = 0; i < KEYS; i++) {
+		struct ident key = ident_digest(&i, sizeof(i));
+		int64_t begin_us;
+		char *record;
+
+		claims_request(claims, &key);
+		if ((i + 1) % CLAIM_BATCH_KEYS != 0)
+			continue;
+		begin_us = timer_clock_us();
+		record = claims_take_batch(claims);
+		claims_fold(claims, i, record, strlen(record), 0, NULL, NULL, NULL);
+		free(record);
+		fold_us += timer_clock_us() - begin_us;
+	}
+	printf(", \"claim_bytes\": %.1f, \"claim_append_and_fold_ns\": %.0f",
+	       (double)(used_bytes() - before) / KEYS, (double)fold_us * 1000 / KEYS);
+	claims_free(claims);
+}
+
+/* Time of a distribution with one slot free and every entry in need, the usual case under load. */
+static void measure_distribute(uint32_t entries)
+{
+	struct handle channels[100];
+	uint64_t consumed[100] = {0};
+	struct gate *gate = new_gate(1, entries, channels);
+	struct gate_change change;
+	int64_t spent_us = 0;
+
+	for (uint32_t i = 0; i < entries; i++)
+		hear(gate, channels[i], 1000 + i, 0, 0);
+	for (uint32_t i = 0; i < DISTRIBUTIONS; i += 64) {
+		for (uint32_t j = 0; j < 64; j++) {
+			int64_t begin_us = timer_clock_us();
+			uint32_t at = 0;
+
+			if (gate_distribute(gate, &change, 1) == 0)
+				g_error("no credit was granted");
+			spent_us += timer_clock_us() - begin_us;
+			while (!handle_equal(channels[at], change.channel))
+				at++;
+			hear(gate, channels[at], 1000 + at, ++consumed[at], 0);
+		}
+	}
+	printf(", \"distribute_ns_%u\": %.0f", entries, (double)spent_us * 1000 / DISTRIBUTIONS);
+	gate_free(gate);
+}
+
+int main(void)
+{
+	static const uint32_t entries[] = {1, 3, 10, 30, 100};
+
+	printf("{");
+	measure_starts();
+	measure_sessions();
+	measure_claims();
+	for (size_t i = 0; i < G_N_ELEMENTS(entries); i++)
+		measure_distribute(entries[i]);
+	printf("}\n");
+	return 0;
+}
