--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Thin front for CMake. The build itself is described in CMakeLists.txt.
 
-.PHONY: all proto packages demo test lint format bench bench-policy clean
+.PHONY: all proto packages demo test lint format bench bench-policy fuzz clean
 
 all: build/build.ninja
 	@cmake --build build
@@ -26,8 +26,11 @@
 proto:
 	@cd packages/wire/proto && protoc-c --c_out=../generated message.proto
 
+fuzz:
+	@tools/fuzz
+
 bench: all
 	@tools/bench
 
 clean:
-	@rm -rf build build-asan build-tsan
+	@rm -rf build build-asan build-tsan build-fuzz
--- /dev/null
+++ b/test/fuzz/config_fuzz.c
@@ -0,0 +1,82 @@
+#include <glib.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/* Aborts unless a reader that starts from a snapshot of FOLD reaches the same state. */
+static void check_snapshot(const struct config_fold *fold)
+{
+	char *snapshot = config_snapshot_record(fold, 0);
+	struct config_fold *late = config_fold_new();
+	struct ident id;
+
+	if (snapshot) {
+		uint64_t next = config_next_offset(fold);
+
+		config_fold_truncated(late, next);
+		if (config_fold_record(late, next, snapshot, strlen(snapshot), &id, NULL) !=
+			    CONFIG_EFFECT_SNAPSHOT ||
+		    config_version(late) > config_version(fold))
+			abort();
+		if (config_version(late) == config_version(fold) &&
+		    !json_equal(config_document(late), config_document(fold)))
+			abort();
+	}
+	config_fold_free(late);
+	free(snapshot);
+}
+
+/* Exercises what the dispatcher does with an accepted document. */
+static void use_document(const json_t *document)
+{
+	const struct config_subject subject = {.server = "s", .host = "h", .zone = "z"};
+
+	if (config_validate(document, NULL) != STATUS_OK)
+		abort();
+	config_capacity(document, &subject, 8, INT64_C(1796400000000), NULL);
+}
+
+/*
+ * Each line of the input is one record of the stream; a line that begins with '!' is a document
+ * offered by a peer, and one that begins with '?' truncates the stream. The fold must not crash,
+ * the version must not go down, and the document in force must stay valid.
+ */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct config_fold *fold = config_fold_new();
+	const char *at = (const char *)data;
+	const char *end = at + size;
+	uint64_t offset = 0;
+	uint64_t version = 0;
+
+	while (at < end) {
+		const char *stop = memchr(at, '\n', (size_t)(end - at));
+		size_t length = (size_t)((stop ? stop : end) - at);
+		struct ident id;
+		struct error err;
+
+		if (length > 0 && *at == '!') {
+			char *text = g_strndup(at + 1, length - 1);
+
+			config_fold_adopt(fold, version + 1, text, &err);
+			g_free(text);
+		} else if (length > 0 && *at == '?') {
+			config_fold_truncated(fold, offset += 2);
+		} else {
+			config_fold_record(fold, offset++, at, length, &id, &err);
+		}
+		if (config_version(fold) < version)
+			abort();
+		if (config_version(fold) > version)
+			use_document(config_document(fold));
+		version = config_version(fold);
+		at += length + 1;
+	}
+	check_snapshot(fold);
+	config_fold_free(fold);
+	return 0;
+}
