--- a/packages/greengaged/src/daemon_settings.h
+++ b/packages/greengaged/src/daemon_settings.h
@@ -50,6 +50,7 @@
 	int64_t max_queued_bytes;
 	int64_t max_jobs;
 	int64_t max_result_bytes;
+	int64_t max_answer_bytes; /* of all answers of ended jobs together */
 	int64_t session_lifetime_s;
 	int64_t session_retain_s;
 	int64_t max_sessions;
@@ -58,6 +59,7 @@
 	int64_t task_limit_ms;	 /* limit on one task at the backend server */
 	int64_t forward_limit_ms;
 	int64_t zone_penalty_us;
+	int64_t ageing_divisor;
 	int64_t seed; /* 0 takes a random one */
 
 	/* Agent. */
@@ -77,6 +79,13 @@
 enum status daemon_settings_load(const char *file, struct daemon_settings *settings,
 				 struct error *err);
 
+/* Returns the number of settings. */
+size_t daemon_settings_count(void);
+
+/* Returns the first columns of the row of setting INDEX in docs/settings.md: path, type, range and
+ * default. The caller frees it with g_free. */
+char *daemon_settings_row(size_t index);
+
 /* Frees what daemon_settings_load allocated. */
 void daemon_settings_free(struct daemon_settings *settings);
 
