--- a/packages/greengagectl/src/cmd_config.c
+++ b/packages/greengagectl/src/cmd_config.c
@@ -50,7 +50,7 @@
 		return CTL_EXIT_OK;
 	}
 	table = ctl_table_new("VERSION\tBASE\tSTATUS\tTIME\tAUTHOR\tID");
-	json_array_foreach (json_object_get(answer.body, "changes"), index, change) {
+	json_array_foreach (json_object_get(answer.body, "history"), index, change) {
 		char *time = format_time(change);
 
 		ctl_table_add(table, "%lld\t%lld\t%s\t%s\t%s\t%s", ctl_integer(change, "version"),
--- a/packages/greengagectl/src/cmd_view.c
+++ b/packages/greengagectl/src/cmd_view.c
@@ -5,37 +5,31 @@
 
 static void print_entries(const json_t *entries)
 {
-	struct ctl_table *table = ctl_table_new("ENTRY\tZONE\tADDRESS\tSTATE");
+	struct ctl_table *table = ctl_table_new("ENTRY\tZONE\tSTATE\tHEARD MS AGO");
 	size_t index;
 	json_t *entry;
 
 	json_array_foreach ((json_t *)entries, index, entry)
-		ctl_table_add(table, "%s\t%s\t%s\t%s", ctl_text(entry, "id"),
-			      ctl_text(entry, "zone"), ctl_text(entry, "address"),
-			      ctl_text(entry, "state"));
+		ctl_table_add(table, "%s\t%s\t%s\t%lld", ctl_text(entry, "address"),
+			      ctl_text(entry, "zone"), ctl_text(entry, "state"),
+			      ctl_integer(entry, "heard_ms_ago"));
 	ctl_table_print(table);
 }
 
-static const char *yes_no(const json_t *object, const char *key)
-{
-	return json_is_true(json_object_get(object, key)) ? "yes" : "no";
-}
-
 static void print_agents(const json_t *agents)
 {
 	struct ctl_table *table =
-		ctl_table_new("AGENT\tZONE\tHOST\tSLOTS\tRUNNING\tOPEN\tQUARANTINED\tSPEED\tSTATE");
+		ctl_table_new("SERVER\tZONE\tHOST\tSLOTS\tRUNNING\tCREDITS\tSPEED\tSTATE\tCONFIG");
 	size_t index;
 	json_t *agent;
 
 	json_array_foreach ((json_t *)agents, index, agent)
-		ctl_table_add(table, "%s\t%s\t%s\t%lld\t%lld\t%s\t%s\t%.2f\t%s",
-			      ctl_text(agent, "id"), ctl_text(agent, "zone"),
+		ctl_table_add(table, "%s\t%s\t%s\t%lld\t%lld\t%lld\t%.2f\t%s\t%lld",
+			      ctl_text(agent, "server"), ctl_text(agent, "zone"),
 			      ctl_text(agent, "host"), ctl_integer(agent, "slots"),
-			      ctl_integer(agent, "running"), yes_no(agent, "open"),
-			      yes_no(agent, "quarantined"),
-			      json_number_value(json_object_get(agent, "speed")),
-			      ctl_text(agent, "state"));
+			      ctl_integer(agent, "running"), ctl_integer(agent, "credits"),
+			      json_number_value(json_object_get(agent, "speed_factor")),
+			      ctl_text(agent, "state"), ctl_integer(agent, "config_version"));
 	ctl_table_print(table);
 }
 
