--- a/packages/greengagectl/src/cmd_job.c
+++ b/packages/greengagectl/src/cmd_job.c
@@ -151,14 +151,15 @@
 enum ctl_exit cmd_submit(const struct ctl *ctl, char **args)
 {
 	json_t *job = ctl_read_json(args[0] ? args[0] : "-");
-	char *session = g_strdup(ctl->session);
+	enum ctl_exit code = CTL_EXIT_FAILED;
 	char made[UUID_TEXT_BYTES];
 	const char *key = ctl->key ? ctl->key : made;
-	enum ctl_exit code = CTL_EXIT_FAILED;
+	char *session;
 
 	if (!job)
 		return CTL_EXIT_USAGE;
 	make_key(made);
+	session = g_strdup(ctl->session);
 	if (!session && !ctl->claim)
 		session = open_session(ctl);
 	if (session || ctl->claim) {
