--- /dev/null
+++ b/bench/daemon_bench.c
@@ -0,0 +1,357 @@
+/*
+ * Measures the daemon with real processes and prints one flat JSON object of numbers. Targets are
+ * in docs/design.md, section 1.10.
+ */
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "harness.h"
+
+enum {
+	WARM_UP_CALLS = 200,
+	LATENCY_CALLS = 3000,
+	LATENCY_BATCHES = 10, /* direct and dispatched calls alternate in batches */
+	THROUGHPUT_AGENTS = 10,
+	THROUGHPUT_SLOTS = 16,
+	THROUGHPUT_CLIENTS = 24,
+	THROUGHPUT_TASKS = 250, /* within the 290 tasks of the largest jobs */
+	THROUGHPUT_WARM_MS = 2000,
+	THROUGHPUT_MS = 6000,
+	QUEUE_JOBS = 400,
+	QUEUE_TASKS = 1000,
+	QUEUED = QUEUE_JOBS * QUEUE_TASKS,
+	IDLE_SETTLE_MS = 3000,
+	IDLE_MS = 10000,
+	WAIT_MS = 30000,
+	PATH_BYTES = 64,
+	KEY_BYTES = 32,
+	URL_BYTES = 256,
+	KIB = 1024,
+	US_PER_MS = 1000,
+};
+
+static const char null_job[] = "{\"class\":\"renewal\",\"team\":\"passes\",\"run_ms\":1,\"tasks\":"
+			       "[{\"sleep_ms\":0}]}";
+
+/* A client with a kept connection. */
+struct client {
+	CURL *easy;
+	struct curl_slist *headers;
+	GString *text;
+};
+
+static size_t keep_text(char *data, size_t size, size_t count, void *context)
+{
+	g_string_append_len(context, data, (gssize)(size * count));
+	return size * count;
+}
+
+static void client_init(struct client *client)
+{
+	client->easy = curl_easy_init();
+	client->text = g_string_new(NULL);
+	client->headers = curl_slist_append(NULL, "Content-Type: application/json");
+	client->headers = curl_slist_append(client->headers, "Expect:");
+	curl_easy_setopt(client->easy, CURLOPT_HTTPHEADER, client->headers);
+	curl_easy_setopt(client->easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(client->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(client->easy, CURLOPT_TIMEOUT_MS, (long)WAIT_MS);
+	curl_easy_setopt(client->easy, CURLOPT_WRITEFUNCTION, keep_text);
+	curl_easy_setopt(client->easy, CURLOPT_WRITEDATA, client->text);
+}
+
+static void client_clear(struct client *client)
+{
+	curl_easy_cleanup(client->easy);
+	curl_slist_free_all(client->headers);
+	g_string_free(client->text, TRUE);
+}
+
+/* Returns the time of one call in microseconds; any status but EXPECTED ends the run. */
+static int64_t client_call(struct client *client, const char *method, const char *url,
+			   const char *body, long expected)
+{
+	int64_t begun_us = g_get_monotonic_time();
+	long status = 0;
+	CURLcode code;
+
+	g_string_truncate(client->text, 0);
+	curl_easy_setopt(client->easy, CURLOPT_URL, url);
+	curl_easy_setopt(client->easy, CURLOPT_CUSTOMREQUEST, method);
+	curl_easy_setopt(client->easy, CURLOPT_POSTFIELDS, body);
+	code = curl_easy_perform(client->easy);
+	curl_easy_getinfo(client->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (code != CURLE_OK || status != expected)
+		g_error("%s %s: %s, status %ld: %s", method, url, curl_easy_strerror(code), status,
+			client->text->str);
+	return g_get_monotonic_time() - begun_us;
+}
+
+/* Submits BODY under a key made of NAME and NUMBER. */
+static int64_t submit(struct client *client, const char *entry, const char *session,
+		      const char *name, unsigned number, const char *body, int wait_ms)
+{
+	char url[URL_BYTES];
+
+	g_snprintf(url, sizeof(url), "%s/v1/sessions/%s/jobs/%s-%u?wait_ms=%d", entry, session,
+		   name, number, wait_ms);
+	return client_call(client, "PUT", url, body, wait_ms > 0 ? 200 : 202);
+}
+
+static int compare(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static int64_t quantile(int64_t *values, int count, double q)
+{
+	qsort(values, (size_t)count, sizeof(*values), compare);
+	return values[(int)(q * (count - 1))];
+}
+
+/* A one-task null job through client, entry, agent, server and back, against the same call sent to
+ * the server directly. */
+static void measure_latency(json_t *summary)
+{
+	struct harness *harness = harness_start(
+		&(struct harness_shape){.entries = 1, .agents = 1, .without_log = true});
+	char *session = harness_open_session(harness->entries[0].url);
+	char *direct_url = g_strconcat(harness->agents[0].server_url, "/task", NULL);
+	static int64_t through[LATENCY_CALLS];
+	static int64_t direct[LATENCY_CALLS];
+	struct client to_entry;
+	struct client to_server;
+	int64_t p50;
+	unsigned number = 0;
+	int batch = LATENCY_CALLS / LATENCY_BATCHES;
+
+	client_init(&to_entry);
+	client_init(&to_server);
+	for (int i = 0; i < WARM_UP_CALLS; i++)
+		submit(&to_entry, harness->entries[0].url, session, "warm", number++, null_job,
+		       WAIT_MS);
+	for (int k = 0; k < LATENCY_BATCHES; k++) {
+		for (int i = 0; i < batch; i++)
+			through[k * batch + i] = submit(&to_entry, harness->entries[0].url, session,
+							"job", number++, null_job, WAIT_MS);
+		for (int i = 0; i < batch; i++)
+			direct[k * batch + i] = client_call(&to_server, "POST", direct_url,
+							    "{\"sleep_ms\":0}", 200);
+	}
+	p50 = quantile(direct, LATENCY_CALLS, 0.5);
+	json_object_set_new(summary, "direct_latency_us_p50", json_integer(p50));
+	json_object_set_new(summary, "added_latency_us_p50",
+			    json_integer(quantile(through, LATENCY_CALLS, 0.5) - p50));
+	json_object_set_new(summary, "added_latency_us_p99",
+			    json_integer(quantile(through, LATENCY_CALLS, 0.99) -
+					 quantile(direct, LATENCY_CALLS, 0.99)));
+	client_clear(&to_entry);
+	client_clear(&to_server);
+	g_free(direct_url);
+	g_free(session);
+	harness_free(harness);
+}
+
+/* Submits jobs of null tasks one after the other until told to stop. */
+struct load {
+	const char *entry;
+	const char *job;
+	unsigned index;
+	gint *stop;
+};
+
+static void *run_load(void *context)
+{
+	struct load *load = context;
+	char *session = harness_open_session(load->entry);
+	struct client client;
+	char name[KEY_BYTES];
+	unsigned number = 0;
+
+	client_init(&client);
+	g_snprintf(name, sizeof(name), "load%u", load->index);
+	while (!g_atomic_int_get(load->stop))
+		submit(&client, load->entry, session, name, number++, load->job, WAIT_MS);
+	client_clear(&client);
+	g_free(session);
+	return NULL;
+}
+
+static uint64_t count_starts(const struct harness *harness)
+{
+	uint64_t total = 0;
+
+	for (unsigned i = 0; i < harness->shape.agents; i++)
+		total += (uint64_t)harness_metric(harness->agents[i].url, "agent_starts_total");
+	return total;
+}
+
+/* Null tasks through one entry and ten agents. Clients and servers share the machine with them. */
+static void measure_throughput(json_t *summary)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){
+		.entries = 1,
+		.agents = THROUGHPUT_AGENTS,
+		.slots = THROUGHPUT_SLOTS,
+		.without_log = true,
+	});
+	char *job = harness_job(THROUGHPUT_TASKS, 0, 0, 1);
+	struct load loads[THROUGHPUT_CLIENTS];
+	GThread *threads[THROUGHPUT_CLIENTS];
+	gint stop = 0;
+	int64_t begun_us;
+	double seconds;
+	uint64_t starts;
+
+	for (unsigned i = 0; i < THROUGHPUT_CLIENTS; i++) {
+		loads[i] = (struct load){
+			.entry = harness->entries[0].url, .job = job, .index = i, .stop = &stop};
+		threads[i] = g_thread_new("load", run_load, &loads[i]);
+	}
+	g_usleep(THROUGHPUT_WARM_MS * US_PER_MS);
+	begun_us = g_get_monotonic_time();
+	starts = count_starts(harness);
+	g_usleep(THROUGHPUT_MS * US_PER_MS);
+	starts = count_starts(harness) - starts;
+	seconds = (double)(g_get_monotonic_time() - begun_us) / G_USEC_PER_SEC;
+	g_atomic_int_set(&stop, 1);
+	for (unsigned i = 0; i < THROUGHPUT_CLIENTS; i++)
+		g_thread_join(threads[i]);
+	json_object_set_new(summary, "starts_per_s_entry",
+			    json_integer((json_int_t)((double)starts / seconds)));
+	free(job);
+	harness_free(harness);
+}
+
+/* Returns the value in KiB of FIELD ("VmRSS:") in the process's status. */
+static int64_t process_kib(const struct harness_process *process, const char *field)
+{
+	char path[PATH_BYTES];
+	char *text = NULL;
+	char *found;
+	int64_t value;
+
+	g_snprintf(path, sizeof(path), "/proc/%s/status",
+		   g_subprocess_get_identifier(process->child));
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	found = strstr(text, field);
+	g_assert_nonnull(found);
+	value = g_ascii_strtoll(found + strlen(field), NULL, 10);
+	g_free(text);
+	return value;
+}
+
+static int64_t process_cpu_ns(const struct harness_process *process)
+{
+	struct timespec used = {0};
+	clockid_t clock;
+
+	g_assert_cmpint(
+		clock_getcpuclockid(atoi(g_subprocess_get_identifier(process->child)), &clock), ==,
+		0);
+	clock_gettime(clock, &used);
+	return (int64_t)used.tv_sec * 1000000000 + used.tv_nsec;
+}
+
+/* Growth of the entry's memory with tasks that wait behind one task that never ends. */
+static void measure_queue(json_t *summary)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){
+		.entries = 1, .agents = 1, .slots = 1, .without_log = true});
+	const struct harness_process *entry = harness->entries[0].process;
+	char *session = harness_open_session(harness->entries[0].url);
+	char *job = harness_job(QUEUE_TASKS, 1, 1, 1);
+	struct client client;
+	int64_t before_kib;
+	int64_t after_kib;
+
+	client_init(&client);
+	submit(&client, harness->entries[0].url, session, "warm", 0, null_job, WAIT_MS);
+	harness_server_control(harness, 0, "{\"hang\": true}");
+	submit(&client, harness->entries[0].url, session, "first", 0, job, 0);
+	before_kib = process_kib(entry, "VmRSS:");
+	for (unsigned i = 0; i < QUEUE_JOBS; i++)
+		submit(&client, harness->entries[0].url, session, "queue", i, job, 0);
+	after_kib = process_kib(entry, "VmRSS:");
+	/* Every task of the jobs after the one that hangs waits. The gauge is set now and then. */
+	HARNESS_WAIT(WAIT_MS, harness_metric(harness->entries[0].url, "queued_tasks") >= QUEUED);
+	json_object_set_new(summary, "bytes_per_queued_task",
+			    json_real((double)(after_kib - before_kib) * KIB / QUEUED));
+	client_clear(&client);
+	free(job);
+	g_free(session);
+	harness_free(harness);
+}
+
+/* Returns the bytes that the agent sent so far, on its channels and in answers to its server. */
+static int64_t agent_sent_bytes(struct harness *harness)
+{
+	static const char *const routes[] = {"agent0-entry0", "agent0-entry1", "announce0"};
+	int64_t total = 0;
+
+	for (unsigned i = 0; i < G_N_ELEMENTS(routes); i++) {
+		char *line = g_strconcat(routes[i], " stats", NULL);
+		char *answer = harness_proxy(harness, line);
+		long long up = 0;
+		long long down = 0;
+
+		g_assert_cmpint(sscanf(answer, "%lld %lld", &up, &down), ==, 2);
+		total += strcmp(routes[i], "announce0") == 0 ? down : up;
+		g_free(answer);
+		g_free(line);
+	}
+	return total;
+}
+
+/* Memory of processes that have nothing to do, and what an idle agent costs. */
+static void measure_idle(json_t *summary)
+{
+	struct harness *harness = harness_start(
+		&(struct harness_shape){.entries = 2, .agents = 1, .with_proxy = true});
+	const struct harness_process *agent = harness->agents[0].process;
+	int64_t begun_us;
+	int64_t bytes;
+	int64_t cpu_ns;
+	double seconds;
+
+	g_usleep(IDLE_SETTLE_MS * US_PER_MS);
+	begun_us = g_get_monotonic_time();
+	bytes = agent_sent_bytes(harness);
+	cpu_ns = process_cpu_ns(agent);
+	g_usleep(IDLE_MS * US_PER_MS);
+	cpu_ns = process_cpu_ns(agent) - cpu_ns;
+	bytes = agent_sent_bytes(harness) - bytes;
+	seconds = (double)(g_get_monotonic_time() - begun_us) / G_USEC_PER_SEC;
+	json_object_set_new(
+		summary, "rss_mb_entry_idle",
+		json_real((double)process_kib(harness->entries[0].process, "VmRSS:") / KIB));
+	json_object_set_new(summary, "rss_mb_agent_idle",
+			    json_real((double)process_kib(agent, "VmRSS:") / KIB));
+	json_object_set_new(summary, "idle_bytes_per_s_agent", json_real((double)bytes / seconds));
+	json_object_set_new(summary, "idle_cpu_percent_agent",
+			    json_real((double)cpu_ns / seconds / 1e9 * 100));
+	harness_free(harness);
+}
+
+int main(void)
+{
+	json_t *summary = json_object();
+	char *text;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	measure_idle(summary);
+	measure_latency(summary);
+	measure_queue(summary);
+	measure_throughput(summary);
+	text = json_dumps(summary, JSON_INDENT(1) | JSON_REAL_PRECISION(6));
+	puts(text);
+	free(text);
+	json_decref(summary);
+	return 0;
+}
--- a/test/functional/harness_cluster.c
+++ b/test/functional/harness_cluster.c
@@ -88,7 +88,8 @@
 	g_ptr_array_add(argv, g_strdup_printf("%s:0:%d", name, target));
 }
 
-/* Routes: "log", "agentN-entryM" and "entryN-entryM" for the channels, "serverN" for the calls. */
+/* Routes: "log", "agentN-entryM" and "entryN-entryM" for the channels, "serverN" for the calls
+ * to backend server N, "announceN" for its announcements. */
 static void start_proxy(struct harness *harness)
 {
 	GPtrArray *argv = g_ptr_array_new_with_free_func(g_free);
@@ -110,6 +111,8 @@
 	for (unsigned i = 0; i < harness->shape.agents; i++) {
 		g_snprintf(name, sizeof(name), "server%u", i);
 		add_route(argv, name, harness->agents[i].server_port);
+		g_snprintf(name, sizeof(name), "announce%u", i);
+		add_route(argv, name, harness->agents[i].http_port);
 	}
 	g_ptr_array_add(argv, NULL);
 	harness->proxy = harness_spawn(harness, "proxy", (const char *const *)argv->pdata);
@@ -201,12 +204,14 @@
 	char connections[TEXT_BYTES];
 	char speed[TEXT_BYTES];
 	char announced[TEXT_BYTES];
+	char agent_url[TEXT_BYTES];
+	char route[NAME_BYTES];
 	const char *labels = shape->labels[index];
 	const char *program = GG_BUILD_DIR "/test/standin/standin_server";
 	const char *argv[] = {program,	   "--port",
 			      port,	   "--id",
 			      name,	   "--agent",
-			      agent->url,  "--slots",
+			      agent_url,   "--slots",
 			      slots,	   "--connections",
 			      connections, "--speed",
 			      speed,	   "--announce-port",
@@ -219,6 +224,9 @@
 	g_snprintf(connections, sizeof(connections), "%u", shape->connections);
 	g_ascii_formatd(speed, sizeof(speed), "%g",
 			shape->speeds[index] > 0 ? shape->speeds[index] : 1);
+	g_snprintf(route, sizeof(route), "announce%u", index);
+	g_snprintf(agent_url, sizeof(agent_url), "http://127.0.0.1:%d",
+		   route_port(harness, route, agent->http_port));
 	g_snprintf(announced, sizeof(announced), "%d",
 		   route_port(harness, name, agent->server_port));
 	agent->server = harness_spawn(harness, name, argv);
