--- a/packages/greengaged/src/daemon_settings.c
+++ b/packages/greengaged/src/daemon_settings.c
@@ -3,14 +3,14 @@
 #include <glib.h>
 #include <string.h>
 
-#include "core_defs.h"
 #include "settings.h"
 
 enum {
 	DAY_S = 86400,
 	HOUR_MS = 3600000,
 	MIB = 1 << 20,
-	ADDRESS_MAX_BYTES = 200
+	ADDRESS_MAX_BYTES = 200,
+	NAME_MAX_BYTES = 63 /* longest name that the decision logic keeps */
 };
 
 static const char *const role_choices[] = {"entry", "agent", NULL};
@@ -32,7 +32,7 @@
 	{                                                                                          \
 		.path = (json_path), .type = SETTINGS_STRING,                                      \
 		.offset = offsetof(struct daemon_settings, field), .min = 1,                       \
-		.max = NAME_BYTES - 1, .required = true                                            \
+		.max = NAME_MAX_BYTES, .required = true                                            \
 	}
 #define ENUM_FIELD(json_path, field, accepted, preset, is_required)                                \
 	{                                                                                          \
