Tell late and oversized request headers apart from malformed ones

CivetWeb reports all three as 400 "Malformed message", so a header of 40,000 bytes and one that stalled for http.body_limit_ms were both refused as invalid_request. The buffer is now four times the limit and the size is checked here; the time since the connection was ready tells a late header. Body reads are 64 bytes at most, since mg_read returns only when all that was asked for arrived.

--- a/packages/greengaged/src/entry_http.c
+++ b/packages/greengaged/src/entry_http.c
@@ -14,8 +14,15 @@
 	KEEP_ALIVE_MS = 60000,
 	ONE_WRITE_BYTES = 65536, /* up to this, header and body go out in one write */
 	OPTION_BYTES = 32,
+	/* CivetWeb reports a header beyond its buffer as malformed. With a larger buffer most are
+	 * read whole and refused with their own type. */
+	HEADER_BUFFER_FACTOR = 4,
 };
 
+/* When this thread began to wait for the request at hand. CivetWeb reports a header that did not
+ * arrive in time as malformed; the time tells the two apart. */
+static _Thread_local int64_t waiting_since_us;
+
 struct http {
 	struct board *board;
 	struct mg_context *mg;
@@ -235,6 +242,26 @@
 	atomic_fetch_sub(&open->value, 1);
 }
 
+static int64_t header_bytes(const struct mg_request_info *info)
+{
+	size_t bytes = strlen(info->request_method) + strlen(info->request_uri);
+
+	if (info->query_string)
+		bytes += strlen(info->query_string);
+	for (int i = 0; i < info->num_headers; i++)
+		bytes += strlen(info->http_headers[i].name) + strlen(info->http_headers[i].value);
+	return (int64_t)bytes;
+}
+
+static void refuse_header(struct mg_connection *conn, const struct board *board)
+{
+	struct error err;
+
+	error_set(&err, STATUS_HEADER_TOO_LARGE, "header accepted: at most %" PRId64 " bytes",
+		  board->settings->http_header_max_bytes);
+	write_refusal(conn, &err);
+}
+
 static int begin_request(struct mg_connection *conn)
 {
 	const struct mg_request_info *info = mg_get_request_info(conn);
@@ -243,7 +270,9 @@
 	struct error err;
 
 	metric_add(METRIC_HTTP_REQUESTS, 1);
-	if (!info->local_uri_raw) {
+	if (header_bytes(info) > board->settings->http_header_max_bytes) {
+		refuse_header(conn, board);
+	} else if (!info->local_uri_raw) {
 		error_set(&err, STATUS_INVALID_REQUEST, "the request names no path on this server");
 		write_refusal(conn, &err);
 	} else if (entry_route_parse(info->request_method, info->local_uri_raw, info->query_string,
@@ -259,26 +288,34 @@
 /* Requests that CivetWeb itself refuses are answered in the same form as all others. */
 static int answer_error(struct mg_connection *conn, int code, const char *message)
 {
+	const struct board *board = http_of(conn)->board;
+	int64_t waited_ms = (timer_clock_us() - waiting_since_us) / US_PER_MS;
 	struct error err;
 
-	switch (code) {
-	case 413:
-	case 431:
-		error_set(&err, STATUS_HEADER_TOO_LARGE,
-			  "header accepted: at most %" PRId64 " bytes",
-			  http_of(conn)->board->settings->http_header_max_bytes);
-		break;
-	case 408:
+	if (code == 413 || code == 431) {
+		refuse_header(conn, board);
+		return 0;
+	}
+	if (code == 408 || (code == 400 && waited_ms >= board->settings->http_body_limit_ms))
 		error_set(&err, STATUS_REQUEST_TIMEOUT, "the request did not arrive in time");
-		break;
-	default:
+	else
 		error_set(&err, code < 500 ? STATUS_INVALID_REQUEST : STATUS_INTERNAL,
 			  "malformed request");
-	}
 	write_refusal(conn, &err);
 	return 0;
 }
 
+static int init_connection(const struct mg_connection *conn, void **data)
+{
+	waiting_since_us = timer_clock_us();
+	return 0;
+}
+
+static void end_request(const struct mg_connection *conn, int code)
+{
+	waiting_since_us = timer_clock_us();
+}
+
 static int drop_message(const struct mg_connection *conn, const char *message)
 {
 	return 1;
@@ -297,6 +334,8 @@
 
 static const struct mg_callbacks callbacks = {
 	.begin_request = begin_request,
+	.end_request = end_request,
+	.init_connection = init_connection,
 	.http_error = answer_error,
 	.log_message = drop_message,
 	.log_access = drop_message,
@@ -329,7 +368,8 @@
 	};
 
 	g_snprintf(threads, sizeof(threads), "%" PRId64, settings->http_threads);
-	g_snprintf(header, sizeof(header), "%" PRId64, settings->http_header_max_bytes);
+	g_snprintf(header, sizeof(header), "%" PRId64,
+		   settings->http_header_max_bytes * HEADER_BUFFER_FACTOR);
 	g_snprintf(timeout, sizeof(timeout), "%" PRId64, settings->http_body_limit_ms);
 	g_snprintf(keep_alive, sizeof(keep_alive), "%d", KEEP_ALIVE_MS);
 	return mg_start(&callbacks, http, options);
--- a/packages/greengaged/src/entry_receive.c
+++ b/packages/greengaged/src/entry_receive.c
@@ -12,7 +12,7 @@
 	/* mg_read returns only when all that it was asked for has arrived, so a client that sends a
 	 * byte now and then holds it for long. Small reads bound that; after SLOW_AFTER_MS single
 	 * bytes are read, so that the time limit is kept. */
-	READ_BYTES = 256,
+	READ_BYTES = 64,
 	SLOW_AFTER_MS = 1000,
 };
 
