Do not take agents for lost after the entry itself was paused

An entry stopped for longer than channel.agent_lost_ms measured its own pause as silence of its agents: when it went on, the timers ran before ZeroMQ's thread had read the waiting messages, and all running jobs failed with agent_lost. The time by which an iteration is late now moves the time at which agents and entries were last heard.

Seen failing: entry_ftest /entry/paused ("agent_lost, task 0: the agent was not heard from") with a pause of 3 s and agent_lost_ms 1500. Added with it: owner lost after a restart, one key through two entries, and the limits on a request through owner and other entry.

--- a/packages/greengaged/src/entry_board.h
+++ b/packages/greengaged/src/entry_board.h
@@ -94,6 +94,7 @@
 	struct channel router;
 	struct timer_service timers;
 	int64_t now_us;
+	int64_t wake_us; /* end of the last sleep, at the latest */
 	int64_t started_us;
 	bool stopped; /* the shutdown is finished; requests are refused */
 	bool closed;  /* the thread ends */
--- a/packages/greengaged/src/entry_loop.c
+++ b/packages/greengaged/src/entry_loop.c
@@ -26,6 +26,9 @@
 	CLAIM_PERIOD_MS = 10000,
 	HEARTBEAT_CHECKS = 4, /* checks in each heartbeat period */
 	LONGEST_SLEEP_MS = 1000,
+	/* An iteration this much after the end of the sleep before shows that the process was
+	 * stopped, which is no silence of the others. */
+	PAUSE_MS = 200,
 };
 
 static void tick_members(void *context, int64_t now_us)
@@ -244,9 +247,21 @@
 	entry_config_publish(board);
 }
 
+static void take_time(struct board *board)
+{
+	int64_t now_us = timer_clock_us();
+	int64_t pause_us = now_us - MAX(board->now_us, board->wake_us);
+
+	board->now_us = now_us;
+	if (pause_us < PAUSE_MS * US_PER_MS)
+		return;
+	entry_members_allow_pause(board, pause_us);
+	entry_peers_allow_pause(board, pause_us);
+}
+
 static void run_once(struct board *board)
 {
-	board->now_us = timer_clock_us();
+	take_time(board);
 	take_commands(board);
 	if (board->stopped)
 		return;
@@ -282,6 +297,9 @@
 	zmq_pollitem_t mailbox = {.fd = mailbox_fd(&board->mailbox), .events = ZMQ_POLLIN};
 	zmq_pollitem_t router = {.socket = board->router.socket, .events = ZMQ_POLLIN};
 
+	int timeout_ms = sleep_ms(board);
+
+	board->wake_us = board->now_us + timeout_ms * US_PER_MS;
 	g_array_set_size(items, 0);
 	g_array_append_val(items, mailbox);
 	g_array_append_val(items, router);
@@ -293,7 +311,7 @@
 			g_array_append_val(items, item);
 	}
 	if (mailbox_arm(&board->mailbox)) {
-		zmq_poll((zmq_pollitem_t *)items->data, (int)items->len, sleep_ms(board));
+		zmq_poll((zmq_pollitem_t *)items->data, (int)items->len, timeout_ms);
 		mailbox_disarm(&board->mailbox);
 	}
 }
--- a/packages/greengaged/src/entry_members.c
+++ b/packages/greengaged/src/entry_members.c
@@ -329,6 +329,15 @@
 		check_agent(board, agent);
 }
 
+void entry_members_allow_pause(struct board *board, int64_t pause_us)
+{
+	uint32_t cursor = 0;
+	struct agent *agent;
+
+	while ((agent = table_next(&board->agents, &cursor, NULL)))
+		agent->heard_us += pause_us;
+}
+
 void entry_members_return_credits(struct board *board)
 {
 	uint32_t cursor = 0;
--- a/packages/greengaged/src/entry_members.h
+++ b/packages/greengaged/src/entry_members.h
@@ -23,6 +23,10 @@
 /* Sends heartbeats that are due and acts on silence. Called periodically. */
 void entry_members_tick(struct board *board);
 
+/* Moves the time at which each agent was last heard by PAUSE_US, for which this process was stopped
+ * and could not hear it. */
+void entry_members_allow_pause(struct board *board, int64_t pause_us);
+
 /* Returns all unused credits and says goodbye to every agent. */
 void entry_members_say_goodbye(struct board *board);
 
--- a/packages/greengaged/src/entry_peers.c
+++ b/packages/greengaged/src/entry_peers.c
@@ -417,6 +417,22 @@
 	}
 }
 
+void entry_peers_allow_pause(struct board *board, int64_t pause_us)
+{
+	GHashTableIter iter;
+	void *value;
+
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct peer *peer = g_ptr_array_index(board->peers, i);
+
+		peer->heard_us += pause_us;
+		peer->contact_us += pause_us;
+	}
+	g_hash_table_iter_init(&iter, board->inbounds);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct inbound *)value)->heard_us += pause_us;
+}
+
 bool entry_peers_all_known(const struct board *board)
 {
 	for (guint i = 0; i < board->peers->len; i++) {
--- a/packages/greengaged/src/entry_peers.h
+++ b/packages/greengaged/src/entry_peers.h
@@ -35,6 +35,9 @@
 /* Sends heartbeats that are due and replaces silent connections. Called periodically. */
 void entry_peers_tick(struct board *board);
 
+/* As entry_members_allow_pause, for the other entries. */
+void entry_peers_allow_pause(struct board *board, int64_t pause_us);
+
 /* Returns whether every peer answered once, so that owners can be told apart from lost ones. */
 bool entry_peers_all_known(const struct board *board);
 
--- /dev/null
+++ b/test/functional/entry_test.c
@@ -0,0 +1,206 @@
+#include <signal.h>
+#include <string.h>
+
+#include "harness.h"
+
+enum {
+	SEED = 11,
+	WAIT_MS = 20000,
+	TASKS = 40,
+	LOST_MS = 1500, /* channel.agent_lost_ms below */
+};
+
+static const char fast_settings[] = "{\"channel\": {\"heartbeat_ms\": 200, \"heartbeat_limit_ms\": "
+				    "700, \"agent_lost_ms\": 1500}}";
+
+static struct harness *start(void)
+{
+	return harness_start(&(struct harness_shape){.entries = 2,
+						     .agents = 2,
+						     .entry_settings = fast_settings,
+						     .agent_settings = fast_settings});
+}
+
+static void check_error(const struct harness_reply *reply, long status, const char *type,
+			const char *outcome)
+{
+	const char *found_type = NULL;
+	const char *found_outcome = NULL;
+
+	g_assert_cmpint(json_unpack(reply->body, "{s:{s:s, s:s}}", "error", "type", &found_type,
+				    "outcome", &found_outcome),
+			==, 0);
+	g_assert_cmpstr(found_type, ==, type);
+	g_assert_cmpstr(found_outcome, ==, outcome);
+	g_assert_cmpint(reply->status, ==, status);
+}
+
+static struct harness_reply fetch(const char *entry_url, const char *session, const char *key)
+{
+	char *url = g_strdup_printf("%s/v1/sessions/%s/jobs/%s?wait_ms=%d", entry_url, session, key,
+				    WAIT_MS);
+	struct harness_reply reply = harness_http("GET", url, NULL, HARNESS_CALL_MS);
+
+	g_free(url);
+	return reply;
+}
+
+/* An entry that was paused for longer than agent_lost_ms took its agents for lost when it went on,
+ * although their messages were waiting, and failed all running jobs. */
+static void test_paused_entry_keeps_its_jobs(void)
+{
+	struct harness *harness = start();
+	struct harness_entry *entry = &harness->entries[0];
+	char *session = harness_open_session(entry->url);
+	char *job = harness_job(TASKS, 200, 300, SEED);
+	struct harness_reply reply = harness_submit(entry->url, session, "k", job, 0);
+
+	g_assert_cmpint(reply.status, ==, 202);
+	harness_reply_clear(&reply);
+	HARNESS_WAIT(WAIT_MS, harness_metric(entry->url, "tasks_done_total") > 0);
+	harness_signal(entry->process, SIGSTOP);
+	/* The pause itself is what is tested, so it has a length of its own. */
+	g_usleep(2 * LOST_MS * 1000);
+	harness_signal(entry->process, SIGCONT);
+	reply = fetch(entry->url, session, "k");
+	harness_check_answer(&reply, TASKS);
+	g_assert_cmpuint(harness_starts(harness).repeated, ==, 0);
+	harness_reply_clear(&reply);
+	g_free(job);
+	g_free(session);
+	harness_stop(harness);
+	harness_free(harness);
+}
+
+/* A client that asks another entry after the owner's restart must not be told that nothing ran, and
+ * its job must not run again. */
+static void test_owner_lost_after_restart(void)
+{
+	struct harness *harness = start();
+	struct harness_entry *owner = &harness->entries[0];
+	const char *other = harness->entries[1].url;
+	char *session = harness_open_session(owner->url);
+	char *job = harness_job(4, 5, 10, SEED);
+	struct harness_reply reply = harness_submit(other, session, "k", job, WAIT_MS);
+
+	harness_check_answer(&reply, 4);
+	harness_reply_clear(&reply);
+	harness_kill(owner->process);
+	reply = harness_submit(other, session, "k", job, WAIT_MS);
+	check_error(&reply, 503, "owner_unreachable", "unknown");
+	harness_reply_clear(&reply);
+	harness_restart(harness, owner->process);
+	harness_wait_ready(owner->url);
+	for (int i = 0; i < 2; i++) {
+		reply = harness_submit(harness->entries[i].url, session, "k", job, WAIT_MS);
+		check_error(&reply, 410, "owner_lost", "unknown");
+		harness_reply_clear(&reply);
+	}
+	g_assert_cmpuint(harness_starts(harness).total, ==, 4);
+	g_free(job);
+	g_free(session);
+	harness_stop(harness);
+	harness_free(harness);
+}
+
+static struct harness_reply submit_by_key(const char *entry_url, const char *key, const char *job)
+{
+	char *url = g_strdup_printf("%s/v1/jobs/%s?wait_ms=%d", entry_url, key, WAIT_MS);
+	struct harness_reply reply = harness_http("PUT", url, job, HARNESS_CALL_MS);
+
+	g_free(url);
+	return reply;
+}
+
+struct claimant {
+	const char *url;
+	const char *key;
+	const char *job;
+	struct harness_reply reply;
+};
+
+static void *claim(void *data)
+{
+	struct claimant *claimant = data;
+
+	claimant->reply = submit_by_key(claimant->url, claimant->key, claimant->job);
+	return NULL;
+}
+
+/* One key submitted through two entries at the same time must run once, and both clients get its
+ * answer. */
+static void test_key_through_two_entries(void)
+{
+	struct harness *harness = start();
+	char *job = harness_job(6, 5, 10, SEED);
+
+	for (int round = 0; round < 10; round++) {
+		char *key = g_strdup_printf("%08" G_GINT64_MODIFIER "x-%04x-7000-8000-%012x",
+					    (guint64)(g_get_real_time() / 1000) >> 16,
+					    (unsigned)(g_get_real_time() / 1000 & 0xffff), round);
+		struct claimant first = {harness->entries[0].url, key, job, {0}};
+		struct claimant second = {harness->entries[1].url, key, job, {0}};
+		GThread *thread = g_thread_new("claim", claim, &first);
+
+		claim(&second);
+		g_thread_join(thread);
+		harness_check_answer(&first.reply, 6);
+		g_assert_cmpstr(first.reply.text, ==, second.reply.text);
+		harness_reply_clear(&first.reply);
+		harness_reply_clear(&second.reply);
+		g_free(key);
+	}
+	g_assert_cmpuint(harness_starts(harness).total, ==, 60);
+	g_free(job);
+	harness_stop(harness);
+	harness_free(harness);
+}
+
+/* Each limit on a request has its own refusal, also when another entry owns the session. */
+static void test_limits(void)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){
+		.entries = 2,
+		.agents = 1,
+		.entry_settings = "{\"http\": {\"body_max_bytes\": 4096, \"header_max_bytes\": "
+				  "2048}, \"limits\": {\"tasks_per_job\": 5}}"});
+	char *session = harness_open_session(harness->entries[0].url);
+	char *many = harness_job(6, 1, 1, SEED);
+	char *large = g_strnfill(5000, ' ');
+	char *query = g_strnfill(3000, 'x');
+	char *url = g_strdup_printf("%s/v1/config?%s", harness->entries[0].url, query);
+	struct harness_reply reply;
+
+	for (int i = 0; i < 2; i++) {
+		reply = harness_submit(harness->entries[i].url, session, "k", many, 0);
+		check_error(&reply, 413, "too_many_tasks", "not_run");
+		harness_reply_clear(&reply);
+		reply = harness_submit(harness->entries[i].url, session, "k", large, 0);
+		check_error(&reply, 413, "body_too_large", "not_run");
+		harness_reply_clear(&reply);
+		reply = harness_submit(harness->entries[i].url, session, "k", "{", 0);
+		check_error(&reply, 400, "invalid_json", "not_run");
+		harness_reply_clear(&reply);
+	}
+	reply = harness_http("GET", url, NULL, HARNESS_CALL_MS);
+	check_error(&reply, 431, "header_too_large", "not_run");
+	harness_reply_clear(&reply);
+	g_free(url);
+	g_free(query);
+	g_free(large);
+	g_free(many);
+	g_free(session);
+	harness_stop(harness);
+	harness_free(harness);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_message("seed %d", SEED);
+	g_test_add_func("/entry/paused", test_paused_entry_keeps_its_jobs);
+	g_test_add_func("/entry/owner_lost", test_owner_lost_after_restart);
+	g_test_add_func("/entry/key_race", test_key_through_two_entries);
+	g_test_add_func("/entry/limits", test_limits);
+	return g_test_run();
+}
