Say not_run of a refused request only when its job is unknown to the owner

Cause: a request refused before the key was looked up (open requests, body size, invalid JSON, key conflict) always said not_run, also when it repeated one whose job was running. Likewise a claim refused in a log outage said not_run although another entry may hold the key. Ruled out: refusing keys for good after a refusal, since a client may submit again under the same key; answering unknown always, since a refused first submission surely did not run. Change: such a refusal first asks the owner for the job, through the usual path of a GET; it says not_run only when the owner does not know the key. Requests whose header could not be parsed say unknown. Claims refused in an outage say unknown where other entries exist.

--- a/packages/core/src/session.c
+++ b/packages/core/src/session.c
@@ -279,7 +279,8 @@
 	}
 	row = digest_map_row(&store->keys, number);
 	if (!ident_equal(&row->body_digest, body_digest))
-		return error_set(err, STATUS_KEY_CONFLICT, "the key was used with another body");
+		return error_set_unknown(err, STATUS_KEY_CONFLICT,
+					 "the key was used with another body");
 	*job = &row->job;
 	return STATUS_OK;
 }
--- a/packages/greengaged/src/entry_claims.c
+++ b/packages/greengaged/src/entry_claims.c
@@ -73,6 +73,17 @@
 	return waiting;
 }
 
+/*
+ * While the stream cannot be read, another entry may hold the key and run its job, so "not run"
+ * may be said only where no other entry was ever known.
+ */
+static enum outcome outcome_unclaimed(const struct board *board)
+{
+	bool alone = board->peers->len == 0 && g_hash_table_size(board->gone) == 0;
+
+	return alone && (board->claims_synced || !board->log) ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN;
+}
+
 static void refuse_waiting(struct claim_key *key, enum status status, const char *reason)
 {
 	struct request *request = take_waiting(key);
@@ -81,7 +92,8 @@
 		struct request *next = request->next;
 		bool submits = request->route.kind == ROUTE_JOB_SUBMIT;
 
-		entry_admission_refuse(request, status, submits ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN,
+		entry_admission_refuse(request, status,
+				       submits ? outcome_unclaimed(key->board) : OUTCOME_UNKNOWN,
 				       reason);
 		request = next;
 	}
@@ -115,7 +127,7 @@
 
 static void refuse_conflict(struct request *request)
 {
-	entry_admission_refuse(request, STATUS_KEY_CONFLICT, OUTCOME_NOT_RUN,
+	entry_admission_refuse(request, STATUS_KEY_CONFLICT, OUTCOME_UNKNOWN,
 			       "the key was used with another body");
 }
 
@@ -179,10 +191,6 @@
 		wait_for_claim(board, key, request);
 }
 
-/*
- * Without the whole stream an earlier claim of the key may be unknown here, so the outcome is "not
- * run" only once the stream was read.
- */
 static bool refuse_without_log(struct board *board, struct request *request)
 {
 	bool submits = request->route.kind == ROUTE_JOB_SUBMIT;
@@ -190,8 +198,7 @@
 	if (board->log_available && board->claims_synced)
 		return false;
 	entry_admission_refuse(request, STATUS_LOG_UNAVAILABLE,
-			       submits && (board->claims_synced || !board->log) ? OUTCOME_NOT_RUN
-										: OUTCOME_UNKNOWN,
+			       submits ? outcome_unclaimed(board) : OUTCOME_UNKNOWN,
 			       "the log service, which holds the claims on keys, is not available");
 	return true;
 }
--- a/packages/greengaged/src/entry_forward.c
+++ b/packages/greengaged/src/entry_forward.c
@@ -122,14 +122,28 @@
 	entry_peers_send_inbound(request->board, &request->origin, &envelope);
 }
 
+/* A refused request may repeat one whose job runs. */
+static bool names_unknown_job(struct board *board, const struct request *request)
+{
+	const struct route *route = &request->route;
+	struct handle job;
+
+	return route->by_session && entry_route_names_job(route->kind) &&
+	       session_find_key(board->sessions, route->session.serial, route->key, board->now_us,
+				&job, NULL) == STATUS_NOT_FOUND;
+}
+
 static void run_forwarded(struct board *board, struct command *command)
 {
 	struct request *request = (struct request *)command;
 
-	if (request->invalid)
-		entry_request_refuse(request, &request->problem);
-	else
+	if (!request->invalid) {
 		entry_admission_run(board, command);
+		return;
+	}
+	if (!names_unknown_job(board, request))
+		request->problem.outcome = OUTCOME_UNKNOWN;
+	entry_request_refuse(request, &request->problem);
 }
 
 /* Parses on a thread of the pool, since a large body would hold up the dispatcher. */
--- a/packages/greengaged/src/entry_http.c
+++ b/packages/greengaged/src/entry_http.c
@@ -211,6 +211,53 @@
 		   false);
 }
 
+static bool says_not_run(const struct reply *reply)
+{
+	const char *outcome = NULL;
+	gsize length;
+	const char *text = g_bytes_get_data(reply->body, &length);
+	json_t *body = json_loadb(text, length, 0, NULL);
+	bool not_run = reply->http_status == status_http_code(STATUS_NOT_FOUND) &&
+		       json_unpack(body, "{s:{s:s}}", "error", "outcome", &outcome) == 0 &&
+		       strcmp(outcome, outcome_name(OUTCOME_NOT_RUN)) == 0;
+
+	json_decref(body);
+	return not_run;
+}
+
+/*
+ * Returns whether the job that CONN's request names is surely not known to its owner. A refused
+ * request may repeat one whose job runs, so "not run" may be said only after asking.
+ */
+static bool job_is_unknown(const struct mg_connection *conn, struct board *board,
+			   const struct route *route)
+{
+	struct request *request = entry_request_new();
+	bool unknown = false;
+
+	request->route = *route;
+	request->route.kind = ROUTE_JOB_GET;
+	request->route.wait_ms = 0;
+	g_strlcpy(request->method, "GET", sizeof(request->method));
+	request->path = g_strdup(mg_get_request_info(conn)->local_uri_raw);
+	request->command.run = entry_admission_run;
+	entry_request_ref(request);
+	mailbox_send(&board->mailbox, &request->command.node);
+	if (entry_request_wait(request, reply_limit_ms(board, &request->route)))
+		unknown = says_not_run(&request->reply);
+	entry_request_unref(request);
+	return unknown;
+}
+
+/* Refuses a request that was not handed to the dispatcher. */
+static void refuse_early(struct mg_connection *conn, struct board *board, const struct route *route,
+			 struct error *err)
+{
+	if (entry_route_names_job(route->kind) && !job_is_unknown(conn, board, route))
+		err->outcome = OUTCOME_UNKNOWN;
+	write_refusal(conn, err);
+}
+
 static void serve(struct mg_connection *conn, struct board *board, const struct route *route)
 {
 	struct request *request = entry_request_new();
@@ -220,7 +267,7 @@
 	if (fill_request(conn, board, request, &err) == STATUS_OK)
 		pass_to_dispatcher(conn, board, request);
 	else
-		write_refusal(conn, &err);
+		refuse_early(conn, board, route, &err);
 	entry_request_unref(request);
 }
 
@@ -237,7 +284,7 @@
 		error_set(&err, STATUS_TOO_MANY_REQUESTS,
 			  "open requests accepted: at most %" PRId64,
 			  board->settings->http_open_requests);
-		write_refusal(conn, &err);
+		refuse_early(conn, board, route, &err);
 	}
 	atomic_fetch_sub(&open->value, 1);
 }
@@ -257,8 +304,10 @@
 {
 	struct error err;
 
-	error_set(&err, STATUS_HEADER_TOO_LARGE, "header accepted: at most %" PRId64 " bytes",
-		  board->settings->http_header_max_bytes);
+	/* The job that such a request names is not looked up. */
+	error_set_unknown(&err, STATUS_HEADER_TOO_LARGE,
+			  "header accepted: at most %" PRId64 " bytes",
+			  board->settings->http_header_max_bytes);
 	write_refusal(conn, &err);
 }
 
@@ -297,10 +346,11 @@
 		return 0;
 	}
 	if (code == 408 || (code == 400 && waited_ms >= board->settings->http_body_limit_ms))
-		error_set(&err, STATUS_REQUEST_TIMEOUT, "the request did not arrive in time");
+		error_set_unknown(&err, STATUS_REQUEST_TIMEOUT,
+				  "the request did not arrive in time");
 	else
-		error_set(&err, code < 500 ? STATUS_INVALID_REQUEST : STATUS_INTERNAL,
-			  "malformed request");
+		error_set_unknown(&err, code < 500 ? STATUS_INVALID_REQUEST : STATUS_INTERNAL,
+				  "malformed request");
 	write_refusal(conn, &err);
 	return 0;
 }
--- a/packages/greengaged/src/entry_route.c
+++ b/packages/greengaged/src/entry_route.c
@@ -157,3 +157,8 @@
 {
 	return kind == ROUTE_JOB_SUBMIT || kind == ROUTE_CONFIG_PATCH;
 }
+
+bool entry_route_names_job(enum route_kind kind)
+{
+	return kind == ROUTE_JOB_SUBMIT || kind == ROUTE_JOB_GET || kind == ROUTE_JOB_CANCEL;
+}
--- a/packages/greengaged/src/entry_route.h
+++ b/packages/greengaged/src/entry_route.h
@@ -43,4 +43,7 @@
 /* Returns whether a request of this kind carries a body. */
 bool entry_route_has_body(enum route_kind kind);
 
+/* Returns whether a request of this kind names a job by its key. */
+bool entry_route_names_job(enum route_kind kind);
+
 #endif
