Do not wait for a stalled server; keep refusals out of estimates

A task waited for a fast server that had stopped answering as long as for one that answers, since its running tasks looked as if they would end soon; each later task did the same until the agent was removed. A busy server without a start or result for four of its mean run times is no longer waited for.

Refusals and failures double a server's placement factor, which also entered the expected response at admission: after five refusals (a change of configuration is enough) jobs with a reachable deadline were refused. The estimates use the learned factor alone.

Both tests were seen failing first.

--- a/packages/core/src/scheduler.c
+++ b/packages/core/src/scheduler.c
@@ -117,7 +117,7 @@
 
 /* Starts a task of JOB, which is first of its bucket. */
 static void start(struct sched *sched, struct job_row *job, struct server_row *server,
-		  struct sched_start *out)
+		  int64_t now_us, struct sched_start *out)
 {
 	struct class_row *class = job->class;
 	struct team_row *team = job->bucket->team;
@@ -141,6 +141,7 @@
 		queue_team_changed(sched, team);
 	server->credits--;
 	server->running++;
+	server->active_us = now_us;
 	place_refresh(sched, server);
 }
 
@@ -155,7 +156,7 @@
 		struct server_row *server = place_choose(sched, class, now_us, &job);
 
 		if (server) {
-			start(sched, job, server, out);
+			start(sched, job, server, now_us, out);
 			return true;
 		}
 		class->tried_pass = sched->pass;
@@ -230,6 +231,7 @@
 	job->finished++;
 	if (server) {
 		server->finished++;
+		server->active_us = now_us;
 		learn_result(&job->class->learned, &server->learned, &sched->scale, run_us);
 		job->longest_us = MAX(job->longest_us, (double)run_us / server->learned.factor);
 		place_refresh(sched, server);
--- a/packages/core/src/scheduler_defs.h
+++ b/packages/core/src/scheduler_defs.h
@@ -137,7 +137,8 @@
 	uint32_t servers;
 	uint64_t pass;		 /* last admission check that marked it */
 	uint64_t finish_rate;	 /* of busy servers, tasks in 1,000 s */
-	uint64_t parallel_milli; /* slots divided by factor, of open servers, in thousandths */
+	uint64_t parallel_milli; /* slots divided by learned factor, of open servers, in thousandths
+				  */
 	GPtrArray *classes;	 /* that may run here */
 };
 
@@ -154,6 +155,7 @@
 	uint32_t running;
 	uint64_t finished;
 	uint64_t failed;
+	int64_t active_us; /* last start or result */
 	struct learn_server learned;
 	double factor; /* placement factor that the heap is ordered by */
 	enum server_group group;
--- a/packages/core/src/scheduler_place.c
+++ b/packages/core/src/scheduler_place.c
@@ -12,6 +12,9 @@
 enum {
 	FIRST_CAPACITY = 4,
 	MILLI = 1000,
+	/* A busy server without a start or result for this many of its mean run times is taken for
+	 * stalled. Some stragglers do not stop the results of its other slots. */
+	STALL_RUNS = 4,
 	/* Longest wait for a faster server. An agent that does not answer for this long is removed
 	 * (agent_lost_ms), and until then its server may look busy. */
 	HOLD_LIMIT_US = 10000000
@@ -161,7 +164,8 @@
 
 static uint64_t parallel_milli(const struct server_row *server)
 {
-	return server->open ? (uint64_t)(server->slots * (double)MILLI / server->factor) : 0;
+	return server->open ? (uint64_t)(server->slots * (double)MILLI / server->learned.factor)
+			    : 0;
 }
 
 /* Brings the server's place in its pool and its share in the pool's sums up to date. */
@@ -416,7 +420,8 @@
 	return server ? place_demand(server->pool) : 0;
 }
 
-/* Returns the placement factor of the fastest open server of CLASS, or 0 when none is open. */
+/* Returns the learned factor of the open server of CLASS that is placed first, or 0 when none is
+ * open. Refusals and failures change the placement but not the expected run time. */
 double place_fastest_factor(const struct class_row *class)
 {
 	double fastest = 0;
@@ -425,10 +430,13 @@
 		const struct pool *pool = class->pools->pdata[i];
 
 		for (int group = 0; group < GROUP_COUNT; group++) {
+			double factor;
+
 			if (pool->count[group] == 0)
 				continue;
-			if (fastest == 0 || pool->heap[group][0]->factor < fastest)
-				fastest = pool->heap[group][0]->factor;
+			factor = pool->heap[group][0]->learned.factor;
+			if (fastest == 0 || factor < fastest)
+				fastest = factor;
 		}
 	}
 	return fastest;
@@ -478,17 +486,17 @@
 	struct job_row *head = queue_head(class)->job;
 	double least = cost_at(class, busy);
 	double gain = cost_at(class, free) - least;
+	int64_t limit = busy->active_us + (int64_t)(STALL_RUNS * busy->learned.mean_run_us);
 	double gap;
-	int64_t limit;
 
-	if (gain <= least_gain * least || busy->pool->finish_rate == 0)
+	if (gain <= least_gain * least || busy->pool->finish_rate == 0 || now_us >= limit)
 		return head;
 	gap = us_per_rate / (double)busy->pool->finish_rate;
 	if ((double)place_demand(busy->pool) * gap >= gain)
 		return head->queued * gap < gain ? queue_large(class) : head;
 	if (class->hold_since_us == NO_TIME)
 		class->hold_since_us = now_us;
-	limit = class->hold_since_us + (int64_t)MIN(gain, (double)HOLD_LIMIT_US);
+	limit = MIN(limit, class->hold_since_us + (int64_t)MIN(gain, (double)HOLD_LIMIT_US));
 	if (now_us >= limit)
 		return head;
 	sched->wake_us = MIN(sched->wake_us, limit);
--- a/test/unit/scheduler_diff_test.c
+++ b/test/unit/scheduler_diff_test.c
@@ -236,6 +236,7 @@
 	p->classes[job->class].hold_us = -1;
 	p->servers[s].credits--;
 	p->servers[s].running++;
+	p->servers[s].active_us = p->now_us;
 }
 
 static void do_end(struct plain *p, struct job *job, enum op op)
--- a/test/unit/scheduler_model.h
+++ b/test/unit/scheduler_model.h
@@ -59,6 +59,7 @@
 	uint32_t running;
 	uint64_t finished;
 	uint64_t failed;
+	int64_t active_us;
 	uint64_t tie;
 	struct learn_server learned;
 };
@@ -255,9 +256,10 @@
 	double least = cost_at(p, class, &p->servers[busy]);
 	double gain = cost_at(p, class, &p->servers[free]) - least;
 	uint64_t rate = pool_rate(p, busy);
-	int64_t limit;
+	int64_t limit =
+		p->servers[busy].active_us + (int64_t)(4 * p->servers[busy].learned.mean_run_us);
 
-	if (gain <= 0.5 * least || rate == 0)
+	if (gain <= 0.5 * least || rate == 0 || p->now_us >= limit)
 		return head;
 	if ((double)demand(p, busy) * (1e9 / (double)rate) >= gain)
 		return p->jobs[head].queued * (1e9 / (double)rate) < gain
@@ -265,7 +267,7 @@
 			       : head;
 	if (class->hold_us < 0)
 		class->hold_us = p->now_us;
-	limit = class->hold_us + (int64_t)MIN(gain, (double)HOLD_LIMIT_US);
+	limit = MIN(limit, class->hold_us + (int64_t)MIN(gain, (double)HOLD_LIMIT_US));
 	if (p->now_us >= limit)
 		return head;
 	p->wake_us = MIN(p->wake_us, limit);
@@ -414,6 +416,7 @@
 	if (event == EVENT_DONE) {
 		job->finished++;
 		server->finished++;
+		server->active_us = p->now_us;
 		learn(p, job, server, run_us);
 		if (!ended(job) && job->finished == job->count)
 			job->state = SCHED_JOB_DONE;
--- a/test/unit/scheduler_test.c
+++ b/test/unit/scheduler_test.c
@@ -440,6 +440,55 @@
 	sched_free(sched);
 }
 
+/* A fast server that does not answer must not keep later tasks waiting. */
+static void test_does_not_wait_for_a_stalled_server(void)
+{
+	struct sched *sched = new_sched();
+	struct handle slow = add_server(sched, "a", 0);
+	struct handle fast = add_server(sched, "a", 0);
+
+	teach(sched, slow, 1000000, 20);
+	sched_server_credits(sched, slow, 0);
+	teach(sched, fast, 100000, 20);
+	submit(sched, "t", 2, 0);
+	sched_server_credits(sched, fast, 1);
+	g_assert_true(handle_equal(next(sched, 0).server, fast));
+	sched_server_credits(sched, slow, 1);
+	assert_none(sched, 1000);
+	assert_none(sched, 200000);
+	g_assert_true(handle_equal(next(sched, 600000).server, slow));
+	sched_server_credits(sched, slow, 1);
+	submit(sched, "t", 1, 600000);
+	g_assert_true(handle_equal(next(sched, 600000).server, slow));
+	sched_free(sched);
+}
+
+/* Refusals by the only server say nothing about run times: they must not make the deadline of a job
+ * unreachable. */
+static void test_refusals_do_not_change_estimates(void)
+{
+	struct sched *sched = new_sched();
+	struct sched_job_spec spec = {
+		.class_name = "c", .team = "t", .tasks = 1, .deadline_us = 500000};
+	struct handle server;
+	struct handle job;
+
+	server = add_server(sched, "a", 0);
+	teach(sched, server, 100000, 10);
+	job = submit(sched, "t", 1, 0);
+	for (int i = 0; i < 5; i++) {
+		struct sched_start start;
+
+		sched_server_credits(sched, server, 1);
+		start = next(sched, 0);
+		refused(sched, &start);
+	}
+	sched_cancel(sched, job, 0);
+	g_assert_cmpint(sched_submit(sched, &spec, 0, &job, NULL), ==, STATUS_OK);
+	g_assert_cmpint(view_of(sched, job).ideal_us, <, 150000);
+	sched_free(sched);
+}
+
 /* Jobs of a class or team must follow new rules, and a class that is dropped from the rules must
  * finish what was admitted. */
 static void test_rules_change_for_queued_jobs(void)
@@ -525,6 +574,8 @@
 	g_test_add_func("/scheduler/learning", test_learning_corrects_declared_values);
 	g_test_add_func("/scheduler/choice-of-server", test_choice_of_server);
 	g_test_add_func("/scheduler/waits-for-faster", test_waits_for_a_much_faster_server);
+	g_test_add_func("/scheduler/stalled-server", test_does_not_wait_for_a_stalled_server);
+	g_test_add_func("/scheduler/refusals-and-estimates", test_refusals_do_not_change_estimates);
 	g_test_add_func("/scheduler/rules-change", test_rules_change_for_queued_jobs);
 	g_test_add_func("/scheduler/cancellations", test_wave_of_cancellations);
 	g_test_add_func("/scheduler/unknown-names", test_unknown_names_are_dropped);
