--- a/packages/greengaged/src/entry_receive.c
+++ b/packages/greengaged/src/entry_receive.c
@@ -12,7 +12,7 @@
 	/* mg_read returns only when all that it was asked for has arrived, so a client that sends a
 	 * byte now and then holds it for long. Small reads bound that; after SLOW_AFTER_MS single
 	 * bytes are read, so that the time limit is kept. */
-	READ_BYTES = 256,
+	READ_BYTES = 64,
 	SLOW_AFTER_MS = 1000,
 };
 
@@ -75,8 +75,8 @@
 			 reader->length, expected);
 }
 
-enum status receive_body(struct mg_connection *conn, const struct receive_limits *limits,
-			 char **body, size_t *length, struct error *err)
+enum status entry_receive_body(struct mg_connection *conn, const struct receive_limits *limits,
+			       char **body, size_t *length, struct error *err)
 {
 	long long expected = mg_get_request_info(conn)->content_length;
 	const char *expect = mg_get_header(conn, "Expect");
--- a/test/functional/harness_cluster.c
+++ b/test/functional/harness_cluster.c
@@ -1,4 +1,5 @@
 #include <glib/gstdio.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,6 +12,7 @@
 	DEFAULT_AGENTS = 2,
 	NAME_BYTES = 48,
 	TEXT_BYTES = 64,
+	HARNESS_STOP_MS = 40000, /* above the daemon's limit on a graceful stop */
 };
 
 static char *write_settings(struct harness *harness, const char *name, json_t *settings,
@@ -86,7 +88,8 @@
 	g_ptr_array_add(argv, g_strdup_printf("%s:0:%d", name, target));
 }
 
-/* Routes: "log", "agentN-entryM" and "entryN-entryM" for the channels, "serverN" for the calls. */
+/* Routes: "log", "agentN-entryM" and "entryN-entryM" for the channels, "serverN" for the calls
+ * to backend server N, "announceN" for its announcements. */
 static void start_proxy(struct harness *harness)
 {
 	GPtrArray *argv = g_ptr_array_new_with_free_func(g_free);
@@ -108,6 +111,8 @@
 	for (unsigned i = 0; i < harness->shape.agents; i++) {
 		g_snprintf(name, sizeof(name), "server%u", i);
 		add_route(argv, name, harness->agents[i].server_port);
+		g_snprintf(name, sizeof(name), "announce%u", i);
+		add_route(argv, name, harness->agents[i].http_port);
 	}
 	g_ptr_array_add(argv, NULL);
 	harness->proxy = harness_spawn(harness, "proxy", (const char *const *)argv->pdata);
@@ -199,12 +204,14 @@
 	char connections[TEXT_BYTES];
 	char speed[TEXT_BYTES];
 	char announced[TEXT_BYTES];
+	char agent_url[TEXT_BYTES];
+	char route[NAME_BYTES];
 	const char *labels = shape->labels[index];
 	const char *program = GG_BUILD_DIR "/test/standin/standin_server";
 	const char *argv[] = {program,	   "--port",
 			      port,	   "--id",
 			      name,	   "--agent",
-			      agent->url,  "--slots",
+			      agent_url,   "--slots",
 			      slots,	   "--connections",
 			      connections, "--speed",
 			      speed,	   "--announce-port",
@@ -217,6 +224,9 @@
 	g_snprintf(connections, sizeof(connections), "%u", shape->connections);
 	g_ascii_formatd(speed, sizeof(speed), "%g",
 			shape->speeds[index] > 0 ? shape->speeds[index] : 1);
+	g_snprintf(route, sizeof(route), "announce%u", index);
+	g_snprintf(agent_url, sizeof(agent_url), "http://127.0.0.1:%d",
+		   route_port(harness, route, agent->http_port));
 	g_snprintf(announced, sizeof(announced), "%d",
 		   route_port(harness, name, agent->server_port));
 	agent->server = harness_spawn(harness, name, argv);
@@ -287,6 +297,35 @@
 	return harness;
 }
 
+static void check_stopped(struct harness_process *process)
+{
+	int status;
+
+	if (!process->child)
+		return;
+	status = harness_wait_exit(process, HARNESS_STOP_MS);
+	if (status != 0)
+		g_error("%s ended with %d instead of 0", process->name, status);
+}
+
+void harness_stop(struct harness *harness)
+{
+	const struct harness_shape *shape = &harness->shape;
+
+	for (unsigned i = 0; i < shape->entries; i++)
+		harness_signal(harness->entries[i].process, SIGTERM);
+	for (unsigned i = 0; i < shape->entries; i++)
+		check_stopped(harness->entries[i].process);
+	for (unsigned i = 0; i < shape->agents; i++)
+		harness_signal(harness->agents[i].server, SIGTERM);
+	for (unsigned i = 0; i < shape->agents; i++)
+		check_stopped(harness->agents[i].server);
+	for (unsigned i = 0; i < shape->agents; i++)
+		harness_signal(harness->agents[i].process, SIGTERM);
+	for (unsigned i = 0; i < shape->agents; i++)
+		check_stopped(harness->agents[i].process);
+}
+
 char *harness_proxy(struct harness *harness, const char *line)
 {
 	GSocketClient *client = g_socket_client_new();
