--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -344,8 +344,43 @@
 	g_assert_cmpint(harness_wait_exit(entry->harness->agents[0].process, LIMIT_MS), ==, 0);
 }
 
+/* Guards against an agent that ignores entries that its settings do not name. */
+static void test_learned_entry(struct fake_entry *entry, const void *unused)
+{
+	struct fake_entry other = {.incarnation = ident_random()};
+	char *address = g_strdup_printf("tcp://127.0.0.1:%d", harness_free_port());
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__Welcome body = GG__WELCOME__INIT;
+	Gg__PeerInfo info = GG__PEER_INFO__INIT;
+	Gg__PeerInfo *list = &info;
+
+	g_assert_cmpint(channel_accept(entry->zmq, address, &other.channel, NULL), ==, STATUS_OK);
+	info.incarnation = channel_put_ident(&other.incarnation);
+	info.address = address;
+	body.n_entries = 1;
+	body.entries = &list;
+	envelope.body_case = GG__ENVELOPE__BODY_WELCOME;
+	envelope.welcome = &body;
+	fake_send(entry, &envelope);
+	welcome(&other);
+	g_assert_true(ident_equal(&entry->agent, &other.agent));
+	channel_close(&other.channel);
+	g_free(address);
+}
+
+/* Guards against a shutdown that waits without limit for a task that hangs. */
+static void test_forced_stop(struct fake_entry *entry, const void *unused)
+{
+	harness_server_control(entry->harness, 0, "{\"hang\": true}");
+	send_start(entry, 1, "{}");
+	HARNESS_WAIT(LIMIT_MS, harness_starts(entry->harness).total == 1);
+	harness_signal(entry->harness->agents[0].process, SIGTERM);
+	g_assert_cmpint(harness_wait_exit(entry->harness->agents[0].process, LIMIT_MS), ==, 3);
+}
+
 int main(int argc, char **argv)
 {
+	static const char short_drain[] = "{\"drain\": {\"limit_ms\": 300}}";
 	static const char fast[] = "{\"channel\": {\"heartbeat_ms\": 50, \"heartbeat_limit_ms\": "
 				   "300}}";
 
@@ -362,5 +397,7 @@
 	CASE("expire", NULL, test_expire);
 	CASE("quarantine", NULL, test_quarantine);
 	CASE("graceful_stop", NULL, test_graceful_stop);
+	CASE("learned_entry", NULL, test_learned_entry);
+	CASE("forced_stop", short_drain, test_forced_stop);
 	return g_test_run();
 }
