Lengthen the pause before an address that cannot be connected is tried again

The pause now doubles up to 1 s as for connections that break, and the event is CHANNEL_FAILED (1307) instead of PROCESS_FAILED, since the process goes on.

--- a/packages/base/include/event_defs.h
+++ b/packages/base/include/event_defs.h
@@ -23,6 +23,7 @@
 	X(1304, MEMBER_LOST, WARNING, "member lost")                                               \
 	X(1305, MEMBER_LEFT, INFO, "member left")                                                  \
 	X(1306, MESSAGE_INVALID, WARNING, "invalid message dropped")                               \
+	X(1307, CHANNEL_FAILED, WARNING, "channel cannot be opened")                               \
 	X(1400, SERVER_ANNOUNCED, INFO, "backend server announced")                                \
 	X(1401, SERVER_LEAVING, INFO, "backend server leaving")                                    \
 	X(1402, SERVER_EXPIRED, WARNING, "backend server announcement expired")                    \
--- a/packages/greengaged/src/agent_peer.c
+++ b/packages/greengaged/src/agent_peer.c
@@ -76,7 +76,8 @@
 	peer->broken =
 		channel_connect(board->zmq, peer->address, &peer->channel, &err) != STATUS_OK;
 	if (peer->broken) {
-		event_log_error(EVENT_PROCESS_FAILED, &err);
+		peer->pause_us = MIN(peer->pause_us * 2, PAUSE_LONGEST_US);
+		event_log_error(EVENT_CHANNEL_FAILED, &err);
 		return;
 	}
 	open_monitor(board, peer);
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -378,6 +378,37 @@
 	g_assert_cmpint(harness_wait_exit(entry->harness->agents[0].process, LIMIT_MS), ==, 3);
 }
 
+static unsigned count_lines(const char *file, const char *pattern)
+{
+	char *text = NULL;
+	unsigned count = 0;
+
+	g_assert_true(g_file_get_contents(file, &text, NULL, NULL));
+	for (const char *found = text; (found = strstr(found, pattern)); found++)
+		count++;
+	g_free(text);
+	return count;
+}
+
+/* Guards against a log that an address without meaning fills at full speed. */
+static void test_invalid_address(void)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){
+		.entries = 1,
+		.agents = 1,
+		.without_log = true,
+		.own_entries = true,
+		.agent_settings = "{\"channel\": {\"entries\": [\"nonsense\"]}}"});
+	const char *log = harness->agents[0].process->log_file;
+	int64_t begun_us;
+
+	HARNESS_WAIT(LIMIT_MS, count_lines(log, "\"event\":1307") >= 1);
+	begun_us = timer_clock_us();
+	HARNESS_WAIT(LIMIT_MS, count_lines(log, "\"event\":1307") >= 6);
+	g_assert_cmpint(timer_clock_us() - begun_us, >, 1000000);
+	harness_free(harness);
+}
+
 int main(int argc, char **argv)
 {
 	static const char short_drain[] = "{\"drain\": {\"limit_ms\": 300}}";
@@ -399,5 +430,6 @@
 	CASE("graceful_stop", NULL, test_graceful_stop);
 	CASE("learned_entry", NULL, test_learned_entry);
 	CASE("forced_stop", short_drain, test_forced_stop);
+	g_test_add_func("/agent/invalid_address", test_invalid_address);
 	return g_test_run();
 }
