Free the option strings and copy no empty forwarded body

AddressSanitizer and UBSan over smoke and entry functional tests named these two: 19 bytes of the option parser, and memcpy from a null pointer for a forwarded request without a body. Both are clean after it.

--- a/packages/greengaged/src/entry_forward.c
+++ b/packages/greengaged/src/entry_forward.c
@@ -170,7 +170,8 @@
 	request->route.wait_ms = (int64_t)MIN(forward->wait_ms, (uint64_t)wait_max_ms);
 	request->text_length = forward->body.len;
 	request->text = malloc(forward->body.len + 1);
-	memcpy(request->text, forward->body.data, forward->body.len);
+	if (forward->body.len > 0)
+		memcpy(request->text, forward->body.data, forward->body.len);
 	g_thread_pool_push(board->parsers, request, NULL);
 }
 
--- a/packages/greengaged/src/main.c
+++ b/packages/greengaged/src/main.c
@@ -77,24 +77,32 @@
 	return EXIT_CODE_OK;
 }
 
-int main(int argc, char **argv)
+static int act(const struct options *options)
 {
-	struct options options = {0};
-
-	setlocale(LC_ALL, "");
-	if (sodium_init() < 0)
-		return EXIT_CODE_RUNTIME;
-	if (!parse_options(argc, argv, &options))
-		return EXIT_CODE_USAGE;
-	if (options.version) {
+	if (options->version) {
 		printf("greengaged %s\n", GG_VERSION);
 		return EXIT_CODE_OK;
 	}
-	if (options.check_file)
-		return check(options.check_file);
-	if (!options.settings_file) {
+	if (options->check_file)
+		return check(options->check_file);
+	if (!options->settings_file) {
 		fprintf(stderr, "greengaged: --settings FILE is required; see --help\n");
 		return EXIT_CODE_USAGE;
 	}
-	return run(options.settings_file);
+	return run(options->settings_file);
+}
+
+int main(int argc, char **argv)
+{
+	struct options options = {0};
+	int code = EXIT_CODE_USAGE;
+
+	setlocale(LC_ALL, "");
+	if (sodium_init() < 0)
+		return EXIT_CODE_RUNTIME;
+	if (parse_options(argc, argv, &options))
+		code = act(&options);
+	g_free(options.settings_file);
+	g_free(options.check_file);
+	return code;
 }
