Let a link begin anew with an agent that knows the entry

An entry that forgot an agent and meets it again starts with an acknowledgement of 0, while the agent numbers its results from where it was. No result was ever next in order, so none was acknowledged: the agent kept all of them and repeated them with each connection.

The gate now continues its numbers after the acknowledgement on the first message of an epoch whenever that lies below the results it keeps. This covers closed channels too and replaces their flag. No result is handed out before that message, as its number could change. link_resume sets the counters of the new link.

--- a/packages/core/include/gate.h
+++ b/packages/core/include/gate.h
@@ -104,8 +104,9 @@
 enum gate_state gate_reconcile(struct gate *gate, struct handle channel, uint64_t next_seq,
 			       uint64_t seq);
 
-/* Returns the first kept result with a number above AFTER, or NULL. Valid until the next call that
- * changes the gate. */
+/* Returns the first kept result with a number above AFTER, or NULL; none before the first message
+ * of an epoch was heard, which may set the numbers anew. Valid until the next call that changes the
+ * gate. */
 const struct gate_result *gate_next_result(const struct gate *gate, struct handle channel,
 					   uint64_t after);
 
--- a/packages/core/include/link.h
+++ b/packages/core/include/link.h
@@ -33,6 +33,13 @@
 void link_init(struct link *link);
 void link_free(struct link *link);
 
+/*
+ * Sets a new link to an agent that knows this entry from before, as its Hello tells: the next
+ * number that it has not seen, and its grants, all of which count as consumed. The connections of
+ * the link before must be closed.
+ */
+void link_resume(struct link *link, uint64_t next_seq, uint64_t granted);
+
 /* Returns the number of starts that may be sent now. */
 uint64_t link_credits(const struct link *link);
 
--- a/packages/core/src/gate.c
+++ b/packages/core/src/gate.c
@@ -66,16 +66,20 @@
 	}
 }
 
-/* Continues the numbering after ACK, the entry's acknowledgement, when earlier results were
- * forgotten. */
+/*
+ * Continues the numbering after ACK, the entry's acknowledgement on the first message of an epoch,
+ * when it lies below the results still kept: those between were dropped by gate_close, or the entry
+ * forgot its link. Otherwise the entry would wait for ever for the numbers between.
+ */
 static void renumber(struct gate_channel *ch, uint64_t ack)
 {
 	struct gate_results *results = &ch->results;
 
+	if (ack >= results->last_number - results->count)
+		return;
 	for (uint32_t i = 0; i < results->count; i++)
 		result_at(results, i)->number = ack + 1 + i;
 	results->last_number = ack + results->count;
-	ch->renumber = false;
 }
 
 /* Returns a - b. Unsigned arithmetic, since the clocks differ by an arbitrary constant. */
@@ -145,6 +149,7 @@
 {
 	ch->epoch = epoch;
 	ch->reclaim_target = 0;
+	ch->unheard = true;
 }
 
 static struct gate_channel *add_channel(struct gate *gate, const struct ident *entry,
@@ -184,7 +189,6 @@
 		return;
 	ch->closed = true;
 	ch->lost_mark = ch->mark;
-	ch->renumber = true;
 	ch->demand = 0;
 	ch->share = 0;
 	ch->reclaim = 0;
@@ -210,8 +214,9 @@
 	}
 	note_delay(&ch->baseline, difference(now_us, news->sent_us), now_us);
 	ch->consumed = MAX(ch->consumed, MIN(news->consumed, ch->granted));
-	if (ch->renumber)
+	if (ch->unheard)
 		renumber(ch, news->result_ack);
+	ch->unheard = false;
 	acknowledge(gate, ch, news->result_ack);
 	return true;
 }
@@ -330,7 +335,8 @@
 	const struct gate_channel *ch = channel_of(gate, channel);
 	uint64_t before_first;
 
-	if (!ch)
+	/* The numbers may change with the entry's first message. */
+	if (!ch || ch->unheard)
 		return NULL;
 	before_first = ch->results.last_number - ch->results.count;
 	if (after < before_first)
--- a/packages/core/src/gate_state.h
+++ b/packages/core/src/gate_state.h
@@ -44,7 +44,7 @@
 	uint64_t reclaim;  /* to be told */
 	bool granted_news; /* to be told */
 	bool closed;
-	bool renumber; /* result numbers were forgotten; the entry's acknowledgement sets them */
+	bool unheard; /* no message of this epoch was heard */
 };
 
 struct gate {
--- a/packages/core/src/link.c
+++ b/packages/core/src/link.c
@@ -65,6 +65,13 @@
 	link_init(link);
 }
 
+void link_resume(struct link *link, uint64_t next_seq, uint64_t granted)
+{
+	link->next_seq = next_seq ? next_seq : 1;
+	link->granted = granted;
+	link->consumed = granted;
+}
+
 uint64_t link_credits(const struct link *link)
 {
 	return link->granted - link->consumed;
--- a/test/unit/channel_diff_test.c
+++ b/test/unit/channel_diff_test.c
@@ -35,31 +35,23 @@
 	SLOTS,
 	REPLACE,
 	CLOSE,
+	FORGET,
 	TIME,
 	CONFIG,
 	LEAVE,
 };
 
 static const struct sequence_kind kinds[] = {
-	[START] = {"start", 30},
-	[SEND] = {"send", 8},
-	[DEMAND] = {"demand", 6},
-	[RETURN] = {"return", 2},
-	[RECONCILE] = {"reconcile", 3},
-	[TO_AGENT] = {"to-agent", 40},
-	[TO_ENTRY] = {"to-entry", 40},
-	[LOSE] = {"lose", 5},
-	[REPEAT] = {"repeat", 5},
-	[FINISH] = {"finish", 20},
-	[DISTRIBUTE] = {"distribute", 20},
-	[AGENT_SEND] = {"agent-send", 20},
-	[RECONNECT] = {"reconnect", 6},
-	[SLOTS] = {"slots", 3},
-	[REPLACE] = {"replace", 2},
-	[CLOSE] = {"close", 2},
-	[TIME] = {"time", 8},
-	[CONFIG] = {"config", 2},
-	[LEAVE] = {"leave", 1},
+	[START] = {"start", 30},	   [SEND] = {"send", 8},
+	[DEMAND] = {"demand", 6},	   [RETURN] = {"return", 2},
+	[RECONCILE] = {"reconcile", 3},	   [TO_AGENT] = {"to-agent", 40},
+	[TO_ENTRY] = {"to-entry", 40},	   [LOSE] = {"lose", 5},
+	[REPEAT] = {"repeat", 5},	   [FINISH] = {"finish", 20},
+	[DISTRIBUTE] = {"distribute", 20}, [AGENT_SEND] = {"agent-send", 20},
+	[RECONNECT] = {"reconnect", 6},	   [SLOTS] = {"slots", 3},
+	[REPLACE] = {"replace", 2},	   [CLOSE] = {"close", 2},
+	[FORGET] = {"forget", 2},	   [TIME] = {"time", 8},
+	[CONFIG] = {"config", 2},	   [LEAVE] = {"leave", 1},
 };
 
 struct result {
@@ -79,7 +71,7 @@
 	uint64_t granted;
 	uint64_t reclaim;
 	uint64_t start;	   /* sequence number, or 0 */
-	uint64_t next_seq; /* of a reconcile, or 0 */
+	uint64_t next_seq; /* of a reconcile or hello, or 0 */
 	bool hello;
 	uint32_t count;
 	uint64_t seqs[LIST]; /* outstanding, or sealed */
@@ -98,7 +90,7 @@
 	bool seen; /* arrived, was skipped or sealed: never passes from now on */
 	bool passed;
 	bool running;
-	bool forgotten; /* its result was dropped by a close */
+	bool forgotten; /* its result was dropped by a close, or the entry gave it up */
 	bool not_run;	/* the entry was told so */
 	uint8_t accepted;
 	uint8_t lost; /* the entry was told that it may have run */
@@ -118,6 +110,7 @@
 	bool heard;
 	bool live;
 	bool closed;
+	bool forgot; /* the entry has no link until the next hello */
 	struct queue to_agent;
 	struct queue to_entry;
 	struct fate fates[STARTS];
@@ -201,6 +194,7 @@
 	peer->channel = gate_open(w->gate, &entry, peer->epoch, w->now_us);
 	peer->closed = false;
 	hello.granted = gate_granted(w->gate, peer->channel);
+	hello.next_seq = gate_next_seq(w->gate, peer->channel);
 	put(&peer->to_entry, &hello);
 }
 
@@ -236,7 +230,8 @@
 	message.start = link_start(&peer->link, job, 0, w->now_us);
 	if (message.start == 0)
 		return;
-	peer->fates[message.start].sent = true;
+	/* After the entry forgot the agent, a number that never arrived is used again. */
+	peer->fates[message.start] = (struct fate){.sent = true};
 	entry_send(w, peer, &message);
 }
 
@@ -392,6 +387,9 @@
 		return;
 	if (message->hello && message->epoch > peer->entry_epoch) {
 		peer->entry_epoch = message->epoch;
+		if (peer->forgot)
+			link_resume(&peer->link, message->next_seq, message->granted);
+		peer->forgot = false;
 		ask(w, peer);
 	}
 	if (message->epoch != peer->entry_epoch)
@@ -433,7 +431,7 @@
 		}
 		gate_finish(w->gate, peer->channel, &result);
 		fate->running = false;
-		fate->forgotten = peer->closed;
+		fate->forgotten |= peer->closed;
 		w->running--;
 		return;
 	}
@@ -448,7 +446,7 @@
 		const struct peer *peer = &w->peers[i];
 		uint64_t last = 0;
 
-		if (peer->closed)
+		if (peer->closed || peer->forgot)
 			continue;
 		possible += gate_granted(w->gate, peer->channel) - peer->link.consumed;
 		for (uint32_t j = 0; j < peer->to_agent.count; j++) {
@@ -501,6 +499,21 @@
 		peer->fates[i].forgotten |= peer->fates[i].passed && !peer->fates[i].running;
 }
 
+/* The entry has not heard of the agent for long: its connections are gone, and so is the link. */
+static void forget_agent(struct peer *peer)
+{
+	struct link_start ended;
+
+	while (link_abandon(&peer->link, &ended)) {
+		peer->fates[ended.seq].lost++;
+		peer->fates[ended.seq].forgotten = true;
+	}
+	link_free(&peer->link);
+	clear(&peer->to_entry);
+	peer->entry_epoch = 0;
+	peer->forgot = true;
+}
+
 static void lose_or_repeat(struct world *w, struct queue *queue, uint32_t index, bool repeat)
 {
 	struct message *copy;
@@ -564,6 +577,9 @@
 	case RETURN:
 		link_return(&peer->link, step->b % 4);
 		break;
+	case FORGET:
+		forget_agent(peer);
+		break;
 	case RECONCILE:
 		ask(w, peer);
 		break;
