Make link_resume safe for each Hello

An agent may learn only from the entry's first message which incarnation it talks to, and tell its numbers with a second Hello; an entry must then be able to take them for a link that exists.

--- a/packages/core/include/link.h
+++ b/packages/core/include/link.h
@@ -34,9 +34,10 @@
 void link_free(struct link *link);
 
 /*
- * Sets a new link to an agent that knows this entry from before, as its Hello tells: the next
- * number that it has not seen, and its grants, all of which count as consumed. The connections of
- * the link before must be closed.
+ * Takes what the agent's Hello tells: the next number that it has not seen, and its grants. When
+ * the link is new, or its numbers lie below, the agent knows this entry from a link that is
+ * forgotten here: the numbers go on from there and all grants count as consumed. Otherwise nothing
+ * changes, so it may be called for each Hello. The connections of the link before must be closed.
  */
 void link_resume(struct link *link, uint64_t next_seq, uint64_t granted);
 
--- a/packages/core/src/link.c
+++ b/packages/core/src/link.c
@@ -67,6 +67,10 @@
 
 void link_resume(struct link *link, uint64_t next_seq, uint64_t granted)
 {
+	bool is_new = link->next_seq == 1 && link->granted == 0;
+
+	if (!is_new && next_seq <= link->next_seq)
+		return;
 	link->next_seq = next_seq ? next_seq : 1;
 	link->granted = granted;
 	link->consumed = granted;
--- a/test/unit/channel_diff_test.c
+++ b/test/unit/channel_diff_test.c
@@ -387,8 +387,7 @@
 		return;
 	if (message->hello && message->epoch > peer->entry_epoch) {
 		peer->entry_epoch = message->epoch;
-		if (peer->forgot)
-			link_resume(&peer->link, message->next_seq, message->granted);
+		link_resume(&peer->link, message->next_seq, message->granted);
 		peer->forgot = false;
 		ask(w, peer);
 	}
--- a/test/unit/link_test.c
+++ b/test/unit/link_test.c
@@ -81,6 +81,23 @@
 	link_free(&link);
 }
 
+/* A new link to an agent that has seen numbers of this entry must not use them again, and one that
+ * was kept must not lose its credits to a Hello. */
+static void test_resume(void)
+{
+	struct link link;
+
+	link_init(&link);
+	link_resume(&link, 8, 9);
+	g_assert_cmpuint(link_credits(&link), ==, 0);
+	link_grant(&link, 11);
+	g_assert_cmpuint(link_start(&link, job, 0, 0), ==, 8);
+	link_resume(&link, 8, 11);
+	g_assert_cmpuint(link_credits(&link), ==, 1);
+	g_assert_cmpuint(link_start(&link, job, 0, 0), ==, 9);
+	link_free(&link);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -88,5 +105,6 @@
 	g_test_add_func("/link/credits-never-go-back", test_credits_never_go_back);
 	g_test_add_func("/link/gap-is-not-acknowledged", test_gap_is_not_acknowledged);
 	g_test_add_func("/link/abandon-keeps-numbers", test_abandon_keeps_numbers);
+	g_test_add_func("/link/resume", test_resume);
 	return g_test_run();
 }
