Give a credit back to the entry whose task ended

Under load the rotation gave the slot of an ended task to any of the entries, each time with a message of its own: with three equal entries two results of three were followed by one. The entry that holds the fewest slots in relation to its demand now comes first, which after a result is usually the one that gets it; the rotation decides between equals, so fewer slots than entries still go round. The new test fails with the rotation alone.

--- a/packages/core/src/gate_credit.c
+++ b/packages/core/src/gate_credit.c
@@ -8,6 +8,9 @@
 	DEMAND_LIMIT = 1 << 30,
 };
 
+/* An entry that is served less often than its demand is worth collects no more than this. */
+static const int64_t share_limit = (int64_t)DEMAND_LIMIT * 64;
+
 static uint64_t promised(const struct gate_channel *ch)
 {
 	return ch->granted - ch->consumed;
@@ -47,9 +50,27 @@
 	ch->granted_news = true;
 }
 
-/* Grants one credit by smooth weighted round robin over the entries whose demand is not covered:
- * each one's share grows by its demand and the largest is served. Returns false when there is none.
+static uint64_t weight(const struct gate_channel *ch)
+{
+	return MIN(ch->demand, DEMAND_LIMIT);
+}
+
+/*
+ * Returns whether A is to be served before B: its slots, in use or promised, are the fewer in
+ * relation to its demand, so that the credit of a task that ended usually goes back with its result
+ * and needs no message of its own. Equals, such as entries without a slot, take turns.
  */
+static bool is_before(const struct gate_channel *a, const struct gate_channel *b)
+{
+	uint64_t a_held = (promised(a) + a->running.count) * weight(b);
+	uint64_t b_held = (promised(b) + b->running.count) * weight(a);
+
+	return a_held != b_held ? a_held < b_held : a->share > b->share;
+}
+
+/* Grants one credit to the entry whose demand is covered least. Turns follow a smooth weighted
+ * round robin: each one's share grows by its demand and shrinks by all demand with each credit.
+ * Returns false when no demand is without a credit. */
 static bool grant_by_demand(struct gate *gate)
 {
 	struct gate_channel *best = NULL;
@@ -58,15 +79,13 @@
 	int64_t total = 0;
 
 	while ((ch = next_present(gate, &cursor))) {
-		int64_t weight = (int64_t)MIN(ch->demand, DEMAND_LIMIT);
-
 		if (wanted(ch) == 0) {
 			ch->share = 0;
 			continue;
 		}
-		total += weight;
-		ch->share += weight;
-		if (!best || ch->share > best->share)
+		total += (int64_t)weight(ch);
+		ch->share = MIN(ch->share + (int64_t)weight(ch), share_limit);
+		if (!best || is_before(ch, best))
 			best = ch;
 	}
 	if (!best)
--- a/test/unit/gate_test.c
+++ b/test/unit/gate_test.c
@@ -170,6 +170,37 @@
 	g_assert_cmpuint(granted(f, 2) - before[2], ==, 0);
 }
 
+/* Fewer slots than entries must rotate among them, again by demand. */
+static void test_single_slot_rotates(struct fixture *f, gconstpointer slots)
+{
+	static const uint64_t demands[ENTRIES] = {600, 200, 200};
+
+	run_tasks(f, demands, 1000);
+	g_assert_cmpuint(granted(f, 0), >=, 590);
+	g_assert_cmpuint(granted(f, 0), <=, 610);
+	g_assert_cmpuint(granted(f, 1), >=, 190);
+	g_assert_cmpuint(granted(f, 2), >=, 190);
+}
+
+/* Under load the credit of an ended task must go back with its result: a message to another entry
+ * for each task would double the traffic. */
+static void test_credit_goes_back(struct fixture *f, gconstpointer slots)
+{
+	for (int i = 0; i < ENTRIES; i++)
+		hear(f, i, 100, 0, 0);
+	distribute(f);
+	for (int i = 0; i < ENTRIES; i++) {
+		for (uint64_t seq = 1; seq <= 3; seq++)
+			g_assert_cmpint(admit(f, i, seq, 0, 0), ==, STATUS_OK);
+	}
+	for (int i = ENTRIES - 1; i >= 0; i--) {
+		finish(f, i, 2);
+		distribute(f);
+		g_assert_cmpuint(f->change_count, ==, 1);
+		g_assert_cmpuint(granted(f, i), ==, 4);
+	}
+}
+
 /* Without demand every entry holds credits for its first task. Those of idle entries are asked back
  * once for an entry that has none, and again only when the request seems lost. */
 static void test_idle_credits_are_reclaimed(struct fixture *f, gconstpointer slots)
@@ -242,6 +273,8 @@
 	ADD("skipped-starts-are-refused", eight, test_skipped_starts_are_refused);
 	ADD("shrinking-slots", eight, test_shrinking_slots);
 	ADD("shares-follow-demand", eight, test_shares_follow_demand);
+	ADD("single-slot-rotates", GUINT_TO_POINTER(1), test_single_slot_rotates);
+	ADD("credit-goes-back", nine, test_credit_goes_back);
 	ADD("idle-credits-are-reclaimed", nine, test_idle_credits_are_reclaimed);
 	ADD("lost-reclaim-is-repeated", nine, test_lost_reclaim_is_repeated);
 	ADD("silent-entry", nine, test_silent_entry);
