--- a/packages/core/include/link.h
+++ b/packages/core/include/link.h
@@ -33,6 +33,14 @@
 void link_init(struct link *link);
 void link_free(struct link *link);
 
+/*
+ * Takes what the agent's Hello tells: the next number that it has not seen, and its grants. When
+ * the link is new, or its numbers lie below, the agent knows this entry from a link that is
+ * forgotten here: the numbers go on from there and all grants count as consumed. Otherwise nothing
+ * changes, so it may be called for each Hello. The connections of the link before must be closed.
+ */
+void link_resume(struct link *link, uint64_t next_seq, uint64_t granted);
+
 /* Returns the number of starts that may be sent now. */
 uint64_t link_credits(const struct link *link);
 
