Leave no agent paused without a timer when credits disagree

The guard against a scheduler credit that the link does not have set the agent to paused, which only a timer ends; it now takes the scheduler's credits away until the agent's next message.

--- a/packages/greengaged/src/entry_dispatch.c
+++ b/packages/greengaged/src/entry_dispatch.c
@@ -100,10 +100,9 @@
 
 	/* The scheduler's credits come from the link, so this only guards against a fault. */
 	if (seq == 0 || !job) {
-		agent->paused = true;
 		sched_task_refused(board->sched, next->job, next->task, next->server,
 				   board->now_us);
-		entry_dispatch_credits(board, agent);
+		sched_server_credits(board->sched, next->server, 0);
 		return;
 	}
 	mark_started(board, job);
