Give a replaced entry fresh channel counters, and repeat kept results on every reconcile

Cause: an agent's Hello carried the sequence number and grants of the entry that had the address before, and the new entry took them over. Each lower number then came back as a refusal (19 after 40 tasks) and credits had to grow past the old total, which after a million starts would have kept the entry without work. Hello now names the incarnation that its counters stand for. Ruled out: a second Hello after the first answer, which costs a connection for each replaced entry. Also: a reconcile within one connection sent kept results again only if they had not been sent there, so the entry waited until the agent was lost; an agent that knows more numbers than its Hello named connects anew; an entry is ready only once agents have joined, since it refused jobs as no_capacity_match before. Tests seen failing first: /entry/replaced (no_capacity_match, then results_repeated_total 19 instead of 0), /agent/reconcile_again (no message of kind 24). /entry/owner_lost waits for the new incarnation to be known; only owner_unreachable is accepted before. agent, entry, network and smoke tests pass.

--- a/packages/greengaged/src/agent_board.h
+++ b/packages/greengaged/src/agent_board.h
@@ -66,6 +66,7 @@
 	int64_t opened_us;     /* this epoch */
 	int64_t last_heard_us; /* over all epochs */
 	int64_t sent_us;
+	uint64_t hello_next_seq; /* as told in this epoch's Hello */
 	struct ident incarnation;
 	struct handle gate;	/* channel of the incarnation */
 	uint64_t result_sent;	/* highest result number sent on this epoch */
--- a/packages/greengaged/src/agent_dispatch.c
+++ b/packages/greengaged/src/agent_dispatch.c
@@ -97,7 +97,12 @@
 			break;
 		}
 	}
-	/* The entry then has all results before it learns which numbers have none. */
+	/*
+	 * All kept results are sent again, also those sent before on this connection: the entry
+	 * asks because it may not have them. It then has them before it learns which numbers have
+	 * none.
+	 */
+	peer->result_sent = 0;
 	agent_dispatch_send_results(board, peer);
 	answer.running = running;
 	answer.sealed = sealed;
--- a/packages/greengaged/src/agent_peer.c
+++ b/packages/greengaged/src/agent_peer.c
@@ -127,7 +127,8 @@
 	envelope->epoch = peer->epoch;
 	envelope->sent_us = timer_clock_us();
 	envelope->config_version = config_version(board->config);
-	if (peer->known)
+	/* Until the entry is heard, another incarnation may have taken its address. */
+	if (peer->heard || (peer->known && envelope->body_case == GG__ENVELOPE__BODY_HELLO))
 		envelope->granted = gate_granted(board->gate, peer->gate);
 	if (channel_send(&peer->channel, NULL, envelope, NULL) != STATUS_OK) {
 		agent_metric_add(AGENT_METRIC_SEND_FAILED, 1);
@@ -195,8 +196,10 @@
 	hello.host = board->settings->host;
 	if (board->server.state != AGENT_SERVER_NONE)
 		hello.server = &server.info;
+	hello.next_seq = peer->known ? gate_next_seq(board->gate, peer->gate) : 1;
 	if (peer->known)
-		hello.next_seq = gate_next_seq(board->gate, peer->gate);
+		hello.entry = channel_put_ident(&peer->incarnation);
+	peer->hello_next_seq = hello.next_seq;
 	envelope.body_case = GG__ENVELOPE__BODY_HELLO;
 	envelope.hello = &hello;
 	if (agent_peer_send(board, peer, &envelope))
@@ -352,6 +355,14 @@
 	peer->pause_us = PAUSE_FIRST_US;
 	peer->gate = gate_open(board->gate, &incarnation, peer->epoch, board->now_us);
 	peer->tell = true;
+	/*
+	 * The Hello of this connection did not name the numbers that the gate still knows of this
+	 * entry. An entry that forgot this agent would begin at 1 again and get no answer.
+	 */
+	if (peer->hello_next_seq < gate_next_seq(board->gate, peer->gate)) {
+		mark_broken(board, peer);
+		return false;
+	}
 	event_log(EVENT_CHANNEL_OPENED, EV_S("address", peer->address),
 		  EV_I("epoch", (int64_t)peer->epoch));
 	count_connected(board);
--- a/packages/greengaged/src/entry_board.h
+++ b/packages/greengaged/src/entry_board.h
@@ -96,8 +96,9 @@
 	int64_t now_us;
 	int64_t wake_us; /* end of the last sleep, at the latest */
 	int64_t started_us;
-	bool stopped; /* the shutdown is finished; requests are refused */
-	bool closed;  /* the thread ends */
+	int64_t joined_us; /* when the newest agent came */
+	bool stopped;	   /* the shutdown is finished; requests are refused */
+	bool closed;	   /* the thread ends */
 
 	struct sched *sched;
 	struct session_store *sessions;
--- a/packages/greengaged/src/entry_loop.c
+++ b/packages/greengaged/src/entry_loop.c
@@ -26,6 +26,7 @@
 	CLAIM_PERIOD_MS = 10000,
 	HEARTBEAT_CHECKS = 4, /* checks in each heartbeat period */
 	LONGEST_SLEEP_MS = 1000,
+	SETTLE_MS = 250, /* agents reconnect within some tens of ms of each other */
 	/* An iteration this much after the end of the sleep before shows that the process was
 	 * stopped, which is no silence of the others. */
 	PAUSE_MS = 200,
@@ -234,14 +235,25 @@
 	}
 }
 
+/* Returns whether agents are known and none has joined lately. */
+static bool agents_settled(const struct board *board)
+{
+	return table_count(&board->agents) > 0 &&
+	       board->now_us - board->joined_us >= SETTLE_MS * US_PER_MS;
+}
+
 static void check_ready(struct board *board)
 {
 	int64_t age_ms = (board->now_us - board->started_us) / US_PER_MS;
 
 	if (board->ready)
 		return;
-	/* A peer that does not answer must not keep this entry from serving. */
-	if (!entry_peers_all_known(board) && age_ms < board->settings->heartbeat_limit_ms)
+	/*
+	 * A job that comes before the agents are known would be refused for want of a server. Peers
+	 * or agents that do not come must not keep this entry from serving.
+	 */
+	if (!(entry_peers_all_known(board) && agents_settled(board)) &&
+	    age_ms < board->settings->heartbeat_limit_ms)
 		return;
 	board->ready = true;
 	entry_config_publish(board);
--- a/packages/greengaged/src/entry_members.c
+++ b/packages/greengaged/src/entry_members.c
@@ -125,14 +125,6 @@
 	g_free(seqs);
 }
 
-/* This entry may have forgotten the agent: its counters begin where the agent has them. */
-static void resume_link(struct agent *agent, const Gg__Envelope *envelope)
-{
-	agent->link.next_seq = MAX(envelope->hello->next_seq, 1);
-	agent->link.granted = envelope->granted;
-	agent->link.consumed = envelope->granted;
-}
-
 static void connect_agent(struct board *board, struct agent *agent,
 			  const struct channel_route *route, const Gg__Envelope *envelope)
 {
@@ -141,7 +133,6 @@
 	agent->heard_us = board->now_us;
 	agent->connected = true;
 	agent->lost = false;
-	link_grant(&agent->link, envelope->granted);
 	entry_agent_update(board, agent, envelope->hello->server);
 	send_welcome(board, agent);
 	begin_reconcile(board, agent);
@@ -153,6 +144,7 @@
 {
 	struct agent *agent = entry_agent_find(board, sender);
 	bool fresh = !agent;
+	struct ident meant;
 
 	if (agent && envelope->epoch <= agent->epoch && !agent->lost) {
 		metric_add(METRIC_MESSAGES_STALE, 1);
@@ -160,12 +152,18 @@
 	}
 	if (fresh)
 		agent = entry_agent_add(board, sender, envelope->hello);
-	if (fresh)
-		resume_link(agent, envelope);
+	/* The agent may not know yet that another incarnation has taken this address. */
+	if (channel_get_ident(&envelope->hello->entry, &meant) &&
+	    ident_equal(&meant, &board->incarnation)) {
+		link_resume(&agent->link, envelope->hello->next_seq, envelope->granted);
+		link_grant(&agent->link, envelope->granted);
+	}
 	connect_agent(board, agent, route, envelope);
-	if (fresh)
-		event_log(EVENT_MEMBER_JOINED, EV_S("agent", agent->id), EV_S("host", agent->host),
-			  EV_S("zone", agent->zone));
+	if (!fresh)
+		return;
+	board->joined_us = board->now_us;
+	event_log(EVENT_MEMBER_JOINED, EV_S("agent", agent->id), EV_S("host", agent->host),
+		  EV_S("zone", agent->zone));
 }
 
 /*
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -247,6 +247,27 @@
 	g_assert_cmpuint(harness_starts(entry->harness).total, ==, 1);
 }
 
+/* An agent that was asked again on the same connection did not repeat a result that it had sent
+ * there, so the entry waited for it until the agent was lost. */
+static void test_reconcile_again(struct fake_entry *entry, const void *unused)
+{
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__Reconcile reconcile = GG__RECONCILE__INIT;
+	uint64_t outstanding[] = {1};
+
+	send_start(entry, 1, "{\"echo\": 5}");
+	expect_result(entry, 1, "ok", false, false);
+	reconcile.next_seq = 2;
+	reconcile.n_outstanding = G_N_ELEMENTS(outstanding);
+	reconcile.outstanding = outstanding;
+	envelope.body_case = GG__ENVELOPE__BODY_RECONCILE;
+	envelope.reconcile = &reconcile;
+	fake_send(entry, &envelope);
+	expect_result(entry, 1, "ok", false, false);
+	channel_free_envelope(receive(entry, GG__ENVELOPE__BODY_RECONCILED));
+	g_assert_cmpuint(harness_starts(entry->harness).total, ==, 1);
+}
+
 /* Guards against a connection that stays silent for ever. */
 static void test_silent_connection(struct fake_entry *entry, const void *unused)
 {
@@ -421,6 +442,7 @@
 	CASE("credits", NULL, test_credits);
 	CASE("repeated_start", NULL, test_repeated_start);
 	CASE("reconcile", NULL, test_reconcile);
+	CASE("reconcile_again", NULL, test_reconcile_again);
 	CASE("silent_connection", fast, test_silent_connection);
 	CASE("late_start", NULL, test_late_start);
 	CASE("config", NULL, test_config);
--- a/test/functional/entry_test.c
+++ b/test/functional/entry_test.c
@@ -72,6 +72,23 @@
 	harness_free(harness);
 }
 
+/*
+ * Submits again under a session whose owner was restarted. Until the new incarnation is known the
+ * owner counts as unreachable; any other answer fails the test.
+ */
+static bool owner_is_lost(const char *entry_url, const char *session, const char *job)
+{
+	struct harness_reply reply = harness_submit(entry_url, session, "k", job, WAIT_MS);
+	bool lost = reply.status == 410;
+
+	if (lost)
+		check_error(&reply, 410, "owner_lost", "unknown");
+	else
+		check_error(&reply, 503, "owner_unreachable", "unknown");
+	harness_reply_clear(&reply);
+	return lost;
+}
+
 /* A client that asks another entry after the owner's restart must not be told that nothing ran, and
  * its job must not run again. */
 static void test_owner_lost_after_restart(void)
@@ -91,11 +108,8 @@
 	harness_reply_clear(&reply);
 	harness_restart(harness, owner->process);
 	harness_wait_ready(owner->url);
-	for (int i = 0; i < 2; i++) {
-		reply = harness_submit(harness->entries[i].url, session, "k", job, WAIT_MS);
-		check_error(&reply, 410, "owner_lost", "unknown");
-		harness_reply_clear(&reply);
-	}
+	for (int i = 0; i < 2; i++)
+		HARNESS_WAIT(LOST_MS, owner_is_lost(harness->entries[i].url, session, job));
 	g_assert_cmpuint(harness_starts(harness).total, ==, 4);
 	g_free(job);
 	g_free(session);
@@ -103,6 +117,34 @@
 	harness_free(harness);
 }
 
+/*
+ * A new entry at the address of one that died took the counters of the old channel for its own:
+ * each number below them came back as a refusal, and credits had to grow past the old ones first.
+ */
+static void test_replaced_entry_serves(void)
+{
+	struct harness *harness = start();
+	struct harness_entry *entry = &harness->entries[0];
+	char *job = harness_job(TASKS, 5, 10, SEED);
+	struct harness_reply reply;
+	char *session;
+
+	for (int round = 0; round < 3; round++) {
+		session = harness_open_session(entry->url);
+		reply = harness_submit(entry->url, session, "k", job, WAIT_MS);
+		harness_check_answer(&reply, TASKS);
+		harness_reply_clear(&reply);
+		g_free(session);
+		g_assert_cmpfloat(harness_metric(entry->url, "results_repeated_total"), ==, 0);
+		harness_kill(entry->process);
+		harness_restart(harness, entry->process);
+		harness_wait_ready(entry->url);
+	}
+	g_free(job);
+	harness_stop(harness);
+	harness_free(harness);
+}
+
 static struct harness_reply submit_by_key(const char *entry_url, const char *key, const char *job)
 {
 	char *url = g_strdup_printf("%s/v1/jobs/%s?wait_ms=%d", entry_url, key, WAIT_MS);
@@ -262,6 +304,7 @@
 	g_test_message("seed %d", SEED);
 	g_test_add_func("/entry/paused", test_paused_entry_keeps_its_jobs);
 	g_test_add_func("/entry/owner_lost", test_owner_lost_after_restart);
+	g_test_add_func("/entry/replaced", test_replaced_entry_serves);
 	g_test_add_func("/entry/key_race", test_key_through_two_entries);
 	g_test_add_func("/entry/limits", test_limits);
 	g_test_add_func("/entry/refused_resubmission", test_refused_resubmission_of_running_job);
