Add an experiment that compares the dispatch policy with baselines

make bench-policy runs real entries, agents and backend server stand-ins under seeded open-loop load, and random, round robin and power of two choices on the same jobs and servers, one policy at a time. It prints a table of response over ideal, failures and wasted messages and writes build/bench/policy.json. tools/bench leaves it out, since it takes minutes and prints a table.

--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,9 @@
 bench: all
 	@tools/bench
 
+# POLICY_OPTIONS selects a part: make bench-policy POLICY_OPTIONS='--cases steady_80 --seconds 10'
+bench-policy: all
+	@build/bench/policy_bench $(POLICY_OPTIONS)
+
 clean:
 	@rm -rf build build-asan build-tsan build-fuzz
--- /dev/null
+++ b/bench/policy_bench.c
@@ -0,0 +1,330 @@
+/*
+ * Compares the dispatch policy with baselines on the same seeded jobs and the same backend server
+ * stand-ins, one policy at a time. Prints a Markdown table and writes a flat JSON object.
+ */
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy_defs.h"
+
+enum {
+	IDLE_LIMIT_MS = 60000,
+	KEY_BYTES = 96,
+	FAILING_SERVER = 3, /* of time factor 2 */
+	WARM_UP_LOAD = 60,
+	DEFAULT_SEED = 20261204,
+};
+
+static const double warm_up_seconds = 2;
+static const double drain_seconds = 6; /* after the last arrival; then a job counts as unfinished */
+
+static const char *const policy_names[POLICY_COUNT] = {"random", "round_robin", "two_choices",
+						       "greengagefront"};
+
+static const struct policy_case cases[] = {
+	{.name = "steady_60", .load_percent = 60},
+	{.name = "steady_80", .load_percent = 80},
+	{.name = "steady_130", .load_percent = 130, .deadlines = true},
+	{.name = "stragglers_80", .load_percent = 80, .stragglers = true},
+	{.name = "steady_30", .load_percent = 30},
+	{.name = "steady_95", .load_percent = 95},
+	{.name = "bursts_60", .load_percent = 60, .bursts = true},
+	{.name = "declared_off_80", .load_percent = 80, .wrong_declared = true},
+	{.name = "failing_server_60", .load_percent = 60, .failing_server = true},
+	{.name = "cancelled_80", .load_percent = 80, .cancel_half = true},
+};
+
+static double seconds = 4;
+static gint seed = DEFAULT_SEED;
+static char *selected;
+static char *json_file;
+
+/* Waits until no server runs a task, so that policies do not overlap. */
+static void wait_idle(struct harness *harness)
+{
+	for (unsigned i = 0; i < POLICY_SERVERS; i++) {
+		char *url = g_strconcat(harness->agents[i].server_url, "/starts?total", NULL);
+		struct harness_reply reply = {0};
+
+		HARNESS_WAIT(IDLE_LIMIT_MS,
+			     (harness_reply_clear(&reply),
+			      reply = harness_http("GET", url, NULL, HARNESS_CALL_MS),
+			      json_integer_value(json_object_get(reply.body, "running")) == 0));
+		harness_reply_clear(&reply);
+		g_free(url);
+	}
+}
+
+static int64_t sum_metric(const struct harness *harness, const char *name)
+{
+	int64_t sum = 0;
+
+	for (unsigned i = 0; i < POLICY_ENTRIES; i++)
+		sum += harness_metric(harness->entries[i].url, name);
+	return sum;
+}
+
+/* Lets the entries learn the speeds and the agents open all slots, on jobs that are not measured.
+ */
+static void warm_up(struct harness *harness)
+{
+	const struct policy_case warm = {.name = "warm-up", .load_percent = WARM_UP_LOAD};
+	struct policy_jobs jobs = policy_draw(&warm, warm_up_seconds, (uint32_t)seed + 1);
+	struct policy_result *results = g_new0(struct policy_result, jobs.count);
+
+	policy_run(harness, POLICY_FRONT, &jobs, results, drain_seconds, (uint32_t)seed);
+	wait_idle(harness);
+	g_free(results);
+	policy_jobs_clear(&jobs);
+}
+
+static void set_fault(struct harness *harness, const struct policy_case *which, bool failing)
+{
+	if (which->failing_server)
+		harness_server_control(harness, FAILING_SERVER,
+				       failing ? "{\"fail_all\": true}" : "{\"fail_all\": false}");
+}
+
+static void add_number(json_t *summary, const char *name, const char *policy, const char *field,
+		       double value)
+{
+	char key[KEY_BYTES];
+
+	g_snprintf(key, sizeof(key), "%s_%s_%s", name, policy, field);
+	json_object_set_new(summary, key, json_real(value));
+}
+
+/* Adds the number of jobs of each failure type and prints them into TEXT. */
+static void add_failures(json_t *summary, const char *name, const char *policy,
+			 const struct policy_jobs *jobs, const struct policy_result *results,
+			 GString *text)
+{
+	json_t *types = json_object();
+	const char *type;
+	json_t *number;
+
+	for (uint32_t i = 0; i < jobs->count; i++) {
+		const struct policy_result *result = &results[i];
+		char key[KEY_BYTES];
+
+		if (result->done)
+			continue;
+		g_snprintf(key, sizeof(key), "%s%s", result->ended ? result->type : "unfinished",
+			   result->not_run ? "_not_run" : "");
+		json_object_set_new(
+			types, key,
+			json_integer(json_integer_value(json_object_get(types, key)) + 1));
+	}
+	json_object_foreach (types, type, number) {
+		g_string_append_printf(text, "%s%s %d", text->len > 0 ? ", " : "", type,
+				       (int)json_integer_value(number));
+		add_number(summary, name, policy, type, (double)json_integer_value(number));
+	}
+	json_decref(types);
+}
+
+static void report(json_t *summary, const char *name, const char *policy,
+		   const struct policy_jobs *jobs, const struct policy_result *results,
+		   const struct policy_summary *sum)
+{
+	GString *failures = g_string_new(NULL);
+
+	add_number(summary, name, policy, "ratio_mean", sum->mean);
+	add_number(summary, name, policy, "ratio_p50", sum->p50);
+	add_number(summary, name, policy, "ratio_p90", sum->p90);
+	add_number(summary, name, policy, "ratio_p99", sum->p99);
+	add_number(summary, name, policy, "response_ms_mean", sum->mean_ms);
+	add_number(summary, name, policy, "over_bound", sum->over_bound);
+	add_number(summary, name, policy, "done", sum->done);
+	add_failures(summary, name, policy, jobs, results, failures);
+	if (sum->waste >= 0)
+		add_number(summary, name, policy, "wasted_per_task", sum->waste);
+	if (sum->refused > 0) {
+		add_number(summary, name, policy, "refused_share",
+			   (double)sum->refused / jobs->count);
+		add_number(summary, name, policy, "refusal_ms_p50", sum->refusal_p50);
+		add_number(summary, name, policy, "refusal_ms_p99", sum->refusal_p99);
+		g_string_append_printf(failures, "; not_run %.1f %% in p50 %.1f p99 %.1f ms",
+				       100.0 * sum->refused / jobs->count, sum->refusal_p50,
+				       sum->refusal_p99);
+	}
+	printf("| %s | %s | %u | %.2f | %.2f | %.2f | %.2f | %.2f | %s |", name, policy, sum->done,
+	       sum->mean, sum->p50, sum->p90, sum->p99, sum->over_bound,
+	       failures->len > 0 ? failures->str : "none");
+	if (sum->waste >= 0)
+		printf(" %.3f |\n", sum->waste);
+	else
+		printf(" - |\n");
+	fflush(stdout);
+	g_string_free(failures, TRUE);
+}
+
+/* Messages that entries and agents exchange without starts or results. */
+static const char *const message_kinds[] = {"hello",	      "welcome",      "heartbeat",
+					    "reclaim",	      "reconcile",    "reconciled",
+					    "config_request", "config_state", "goodbye"};
+
+/* Reads how many messages of each kind the entries have sent and received. */
+static void count_messages(const struct harness *harness, int64_t *counts)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(message_kinds); i++) {
+		char *sent = g_strdup_printf("messages_sent_%s_total", message_kinds[i]);
+		char *received = g_strdup_printf("messages_received_%s_total", message_kinds[i]);
+
+		counts[2 * i] = sum_metric(harness, sent);
+		counts[2 * i + 1] = sum_metric(harness, received);
+		g_free(sent);
+		g_free(received);
+	}
+}
+
+static void report_messages(json_t *summary, const char *name, const int64_t *before,
+			    const int64_t *after, int64_t started)
+{
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(message_kinds); i++) {
+		double share = (double)(after[i] - before[i]) / (double)MAX(started, 1);
+		char field[KEY_BYTES];
+
+		g_snprintf(field, sizeof(field), "%s_%s_per_task", message_kinds[i / 2],
+			   i % 2 == 0 ? "sent" : "received");
+		if (after[i] > before[i])
+			add_number(summary, name, policy_names[POLICY_FRONT], field, share);
+	}
+}
+
+static void run_policy(struct harness *harness, const struct policy_case *which, enum policy policy,
+		       const struct policy_jobs *jobs, json_t *summary)
+{
+	struct policy_result *results = g_new0(struct policy_result, jobs->count);
+	struct policy_summary sum;
+	int64_t wasted = 0;
+	int64_t started = 0;
+	int64_t before[2 * G_N_ELEMENTS(message_kinds)] = {0};
+	int64_t after[2 * G_N_ELEMENTS(message_kinds)] = {0};
+
+	if (policy == POLICY_FRONT) {
+		wasted = sum_metric(harness, "messages_wasted_total");
+		started = sum_metric(harness, "tasks_started_total");
+		count_messages(harness, before);
+	}
+	policy_run(harness, policy, jobs, results, drain_seconds, (uint32_t)seed);
+	sum = policy_summarise(jobs, results);
+	if (policy == POLICY_FRONT) {
+		wasted = sum_metric(harness, "messages_wasted_total") - wasted;
+		started = sum_metric(harness, "tasks_started_total") - started;
+		count_messages(harness, after);
+		report_messages(summary, which->name, before, after, started);
+		sum.waste = (double)wasted / (double)MAX(started, 1);
+	}
+	report(summary, which->name, policy_names[policy], jobs, results, &sum);
+	wait_idle(harness);
+	g_free(results);
+}
+
+static void run_offline(const struct policy_case *which, const struct policy_jobs *jobs,
+			json_t *summary)
+{
+	struct policy_result *results = g_new0(struct policy_result, jobs->count);
+	struct policy_summary sum;
+
+	if (!which->cancel_half && !which->failing_server) {
+		policy_run_offline(jobs, results);
+		sum = policy_summarise(jobs, results);
+		report(summary, which->name, "offline", jobs, results, &sum);
+	}
+	g_free(results);
+}
+
+/* Every case has fresh processes, so that it does not depend on the cases before it. */
+static void run_case(const struct policy_case *which, json_t *summary)
+{
+	struct harness_shape shape = {
+		.entries = POLICY_ENTRIES,
+		.agents = POLICY_SERVERS,
+		.slots = POLICY_SLOTS,
+		.without_log = true,
+		.entry_settings = "{\"http\": {\"threads\": 600, \"open_requests\": 500}}",
+	};
+	struct policy_jobs jobs = policy_draw(which, seconds, (uint32_t)seed);
+	struct harness *harness;
+
+	for (unsigned i = 0; i < POLICY_SERVERS; i++)
+		shape.speeds[i] = policy_factor(i);
+	run_offline(which, &jobs, summary);
+	harness = harness_start(&shape);
+	add_number(summary, which->name, "all", "jobs", jobs.count);
+	add_number(summary, which->name, "all", "tasks", jobs.tasks);
+	set_fault(harness, which, true);
+	for (enum policy policy = 0; policy < POLICY_FRONT; policy++)
+		run_policy(harness, which, policy, &jobs, summary);
+	set_fault(harness, which, false);
+	warm_up(harness);
+	set_fault(harness, which, true);
+	run_policy(harness, which, POLICY_FRONT, &jobs, summary);
+	harness_free(harness);
+	policy_jobs_clear(&jobs);
+}
+
+static bool is_selected(const char *name)
+{
+	char **names;
+	bool found;
+
+	if (!selected)
+		return true;
+	names = g_strsplit(selected, ",", -1);
+	found = g_strv_contains((const char *const *)names, name);
+	g_strfreev(names);
+	return found;
+}
+
+static bool parse_options(int argc, char **argv)
+{
+	const GOptionEntry entries[] = {
+		{"cases", 0, 0, G_OPTION_ARG_STRING, &selected, "Cases to run", "NAME,..."},
+		{"seconds", 0, 0, G_OPTION_ARG_DOUBLE, &seconds, "Time of arrivals", "S"},
+		{"seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of jobs and choices", "N"},
+		{"json", 0, 0, G_OPTION_ARG_FILENAME, &json_file, "File for the numbers", "FILE"},
+		{0},
+	};
+	GOptionContext *context = g_option_context_new("- policy experiment");
+	GError *problem = NULL;
+	bool parsed;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	parsed = g_option_context_parse(context, &argc, &argv, &problem);
+	if (!parsed)
+		fprintf(stderr, "%s\n", problem->message);
+	g_clear_error(&problem);
+	g_option_context_free(context);
+	return parsed && seconds > 0;
+}
+
+int main(int argc, char **argv)
+{
+	json_t *summary = json_object();
+	int status;
+
+	if (!parse_options(argc, argv))
+		return 2;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	printf("Seed %d, %g s of arrivals a case and policy, times 1/%d of service, capacity %.1f "
+	       "tasks at time factor 1. Ratios are response over ideal.\n\n"
+	       "| case | policy | done | mean | p50 | p90 | p99 | mean/bound | not done | "
+	       "wasted/task |\n|---|---|---|---|---|---|---|---|---|---|\n",
+	       seed, seconds, POLICY_TIME_SCALE, policy_capacity());
+	json_object_set_new(summary, "seed", json_integer(seed));
+	json_object_set_new(summary, "seconds", json_real(seconds));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		if (is_selected(cases[i].name))
+			run_case(&cases[i], summary);
+	}
+	status = json_dump_file(summary, json_file ? json_file : GG_BUILD_DIR "/bench/policy.json",
+				JSON_INDENT(1) | JSON_REAL_PRECISION(6));
+	json_decref(summary);
+	g_free(selected);
+	g_free(json_file);
+	return status == 0 ? 0 : 1;
+}
