--- a/test/functional/harness.c
+++ b/test/functional/harness.c
@@ -252,7 +252,8 @@
 	g_free(harness);
 }
 
-int harness_free_port(void)
+/* Returns a port that the kernel chose and that nothing holds now. */
+static int choose_port(void)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t length = sizeof(address);
@@ -264,3 +265,17 @@
 	close(fd);
 	return ntohs(address.sin_port);
 }
+
+int harness_free_port(void)
+{
+	static GHashTable *given;
+	int port;
+
+	if (!given)
+		given = g_hash_table_new(NULL, NULL);
+	/* The kernel may choose a port again before the process that it was given to listens. */
+	do
+		port = choose_port();
+	while (!g_hash_table_add(given, GINT_TO_POINTER(port)));
+	return port;
+}
--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -111,7 +111,7 @@
 /* Starts a process that has ended again with the same arguments, so at the same address. */
 void harness_restart(struct harness *harness, struct harness_process *process);
 
-/* Returns a port that is free now. */
+/* Returns a port that is free now and was not returned before. */
 int harness_free_port(void);
 
 /* Waits until /readyz of an entry or agent at URL answers 200. */
--- a/test/functional/smoke_test.c
+++ b/test/functional/smoke_test.c
@@ -4,6 +4,7 @@
 	TASKS = 20,
 	SEED = 7,
 	WAIT_MS = 20000,
+	PORTS = 2000, /* enough for the kernel to return some port twice */
 };
 
 /* Guards against a job that runs twice, or gets another answer, when the client resubmits it
@@ -34,10 +35,21 @@
 	harness_free(harness);
 }
 
+/* Guards against two processes of one harness that are given the same port. */
+static void test_free_ports_differ(void)
+{
+	GHashTable *seen = g_hash_table_new(NULL, NULL);
+
+	for (int i = 0; i < PORTS; i++)
+		g_assert_true(g_hash_table_add(seen, GINT_TO_POINTER(harness_free_port())));
+	g_hash_table_destroy(seen);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_message("seed %d", SEED);
+	g_test_add_func("/smoke/free_ports_differ", test_free_ports_differ);
 	g_test_add_func("/smoke/job_and_stop", test_job_and_stop);
 	return g_test_run();
 }
