--- a/bench/policy_bench.c
+++ b/bench/policy_bench.c
@@ -38,9 +38,25 @@
 
 static double seconds = 4;
 static gint seed = DEFAULT_SEED;
-static char *selected;
+static gint entry_count = 2;
+static char *selected_cases;
+static char *selected_policies;
 static char *json_file;
 
+/* Returns whether NAME is in LIST, separated by commas; without a list everything is. */
+static bool is_selected(const char *list, const char *name)
+{
+	char **names;
+	bool found;
+
+	if (!list)
+		return true;
+	names = g_strsplit(list, ",", -1);
+	found = g_strv_contains((const char *const *)names, name);
+	g_strfreev(names);
+	return found;
+}
+
 /* Waits until no server runs a task, so that policies do not overlap. */
 static void wait_idle(struct harness *harness)
 {
@@ -61,7 +77,7 @@
 {
 	int64_t sum = 0;
 
-	for (unsigned i = 0; i < POLICY_ENTRIES; i++)
+	for (unsigned i = 0; i < harness->shape.entries; i++)
 		sum += harness_metric(harness->entries[i].url, name);
 	return sum;
 }
@@ -241,7 +257,7 @@
 static void run_case(const struct policy_case *which, json_t *summary)
 {
 	struct harness_shape shape = {
-		.entries = POLICY_ENTRIES,
+		.entries = (unsigned)entry_count,
 		.agents = POLICY_SERVERS,
 		.slots = POLICY_SLOTS,
 		.without_log = true,
@@ -257,33 +273,27 @@
 	add_number(summary, which->name, "all", "jobs", jobs.count);
 	add_number(summary, which->name, "all", "tasks", jobs.tasks);
 	set_fault(harness, which, true);
-	for (enum policy policy = 0; policy < POLICY_FRONT; policy++)
-		run_policy(harness, which, policy, &jobs, summary);
-	set_fault(harness, which, false);
-	warm_up(harness);
-	set_fault(harness, which, true);
-	run_policy(harness, which, POLICY_FRONT, &jobs, summary);
+	for (enum policy policy = 0; policy < POLICY_FRONT; policy++) {
+		if (is_selected(selected_policies, policy_names[policy]))
+			run_policy(harness, which, policy, &jobs, summary);
+	}
+	if (is_selected(selected_policies, policy_names[POLICY_FRONT])) {
+		set_fault(harness, which, false);
+		warm_up(harness);
+		set_fault(harness, which, true);
+		run_policy(harness, which, POLICY_FRONT, &jobs, summary);
+	}
 	harness_free(harness);
 	policy_jobs_clear(&jobs);
 }
 
-static bool is_selected(const char *name)
-{
-	char **names;
-	bool found;
-
-	if (!selected)
-		return true;
-	names = g_strsplit(selected, ",", -1);
-	found = g_strv_contains((const char *const *)names, name);
-	g_strfreev(names);
-	return found;
-}
-
 static bool parse_options(int argc, char **argv)
 {
 	const GOptionEntry entries[] = {
-		{"cases", 0, 0, G_OPTION_ARG_STRING, &selected, "Cases to run", "NAME,..."},
+		{"cases", 0, 0, G_OPTION_ARG_STRING, &selected_cases, "Cases to run", "NAME,..."},
+		{"policies", 0, 0, G_OPTION_ARG_STRING, &selected_policies, "Policies to run",
+		 "NAME,..."},
+		{"entries", 0, 0, G_OPTION_ARG_INT, &entry_count, "Number of entries", "N"},
 		{"seconds", 0, 0, G_OPTION_ARG_DOUBLE, &seconds, "Time of arrivals", "S"},
 		{"seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of jobs and choices", "N"},
 		{"json", 0, 0, G_OPTION_ARG_FILENAME, &json_file, "File for the numbers", "FILE"},
@@ -299,7 +309,7 @@
 		fprintf(stderr, "%s\n", problem->message);
 	g_clear_error(&problem);
 	g_option_context_free(context);
-	return parsed && seconds > 0;
+	return parsed && seconds > 0 && entry_count > 0 && entry_count <= HARNESS_MAX_ENTRIES;
 }
 
 int main(int argc, char **argv)
@@ -310,21 +320,24 @@
 	if (!parse_options(argc, argv))
 		return 2;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	printf("Seed %d, %g s of arrivals a case and policy, times 1/%d of service, capacity %.1f "
+	printf("Seed %d, %d entries, %g s of arrivals a case and policy, times 1/%d of service, "
+	       "capacity %.1f "
 	       "tasks at time factor 1. Ratios are response over ideal.\n\n"
 	       "| case | policy | done | mean | p50 | p90 | p99 | mean/bound | not done | "
 	       "wasted/task |\n|---|---|---|---|---|---|---|---|---|---|\n",
-	       seed, seconds, POLICY_TIME_SCALE, policy_capacity());
+	       seed, entry_count, seconds, POLICY_TIME_SCALE, policy_capacity());
 	json_object_set_new(summary, "seed", json_integer(seed));
+	json_object_set_new(summary, "entries", json_integer(entry_count));
 	json_object_set_new(summary, "seconds", json_real(seconds));
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		if (is_selected(cases[i].name))
+		if (is_selected(selected_cases, cases[i].name))
 			run_case(&cases[i], summary);
 	}
 	status = json_dump_file(summary, json_file ? json_file : GG_BUILD_DIR "/bench/policy.json",
 				JSON_INDENT(1) | JSON_REAL_PRECISION(6));
 	json_decref(summary);
-	g_free(selected);
+	g_free(selected_cases);
+	g_free(selected_policies);
 	g_free(json_file);
 	return status == 0 ? 0 : 1;
 }
--- a/bench/policy_defs.h
+++ b/bench/policy_defs.h
@@ -11,7 +11,6 @@
 enum {
 	POLICY_SERVERS = 10,
 	POLICY_SLOTS = 8,
-	POLICY_ENTRIES = 2,
 	POLICY_TIME_SCALE = 5, /* all times are this many times shorter than in service */
 	POLICY_TYPE_BYTES = 32,
 };
