Wait for the first agent before an entry is ready

An entry that was restarted reported itself ready before any agent had found it, and refused jobs as no_capacity_match: a definite refusal for a state that lasts a moment. The wait is bounded by channel.heartbeat_limit_ms, as the wait for peers is, so an entry without agents still gets ready.

--- a/packages/greengaged/src/entry_loop.c
+++ b/packages/greengaged/src/entry_loop.c
@@ -240,8 +240,10 @@
 
 	if (board->ready)
 		return;
-	/* A peer that does not answer must not keep this entry from serving. */
-	if (!entry_peers_all_known(board) && age_ms < board->settings->heartbeat_limit_ms)
+	/* Before the first agent has found this entry it would refuse all jobs for lack of servers.
+	 * Peers or agents that do not answer must not keep it from serving. */
+	if ((!entry_peers_all_known(board) || table_count(&board->agents) == 0) &&
+	    age_ms < board->settings->heartbeat_limit_ms)
 		return;
 	board->ready = true;
 	entry_config_publish(board);
--- /dev/null
+++ b/test/functional/log_test.c
@@ -0,0 +1,597 @@
+/* Configuration and claims while the log service fails, entries die and operators race. */
+#include <signal.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness.h"
+
+enum {
+	SEED = 21,
+	WAIT_MS = 20000,
+	EVERYWHERE_MS = 11000, /* an accepted configuration is in force everywhere */
+	CLAIM_WAIT_MS = 3000,  /* claims.wait_ms */
+	SCHEDULING_MS = 1000,  /* allowed beyond a limit on a busy machine */
+	TASKS = 4,
+	RACE_ROUNDS = 25,
+	CLAIM_ROUNDS = 8,
+	KEY_BYTES = 40,
+	LEAST_VERSION_READS = 50,
+};
+
+static json_int_t get_int(const json_t *object, const char *name)
+{
+	return json_integer_value(json_object_get(object, name));
+}
+
+static const char *error_field(const struct harness_reply *reply, const char *field)
+{
+	return json_string_value(json_object_get(json_object_get(reply->body, "error"), field));
+}
+
+static void check_error(struct harness_reply *reply, const char *type, const char *outcome)
+{
+	if (g_strcmp0(error_field(reply, "type"), type) != 0 ||
+	    g_strcmp0(error_field(reply, "outcome"), outcome) != 0)
+		g_error("not %s/%s: status %ld: %s", type, outcome, reply->status, reply->text);
+	harness_reply_clear(reply);
+}
+
+static struct harness_reply call(const char *method, const char *base, const char *path,
+				 const char *body)
+{
+	char *url = g_strconcat(base, path, NULL);
+	struct harness_reply reply = harness_http(method, url, body, HARNESS_CALL_MS);
+
+	g_free(url);
+	return reply;
+}
+
+/* Returns a new UUIDv7. */
+static char *new_key(void)
+{
+	static atomic_uint count;
+	guint64 now_ms = (guint64)(g_get_real_time() / 1000);
+
+	return g_strdup_printf("%08x-%04x-7000-8000-%012x", (unsigned)(now_ms >> 16),
+			       (unsigned)(now_ms & 0xffff), atomic_fetch_add(&count, 1));
+}
+
+static struct harness_reply submit_by_key(const char *entry_url, const char *key, const char *job)
+{
+	char *path = g_strdup_printf("/v1/jobs/%s?wait_ms=%d", key, WAIT_MS);
+	struct harness_reply reply = call("PUT", entry_url, path, job);
+
+	g_free(path);
+	return reply;
+}
+
+/* One request on a thread of its own: a patch, or a submission when KEY is given. */
+struct request {
+	const char *url;
+	const char *key;
+	const char *body;
+	struct harness_reply reply;
+	GThread *thread;
+};
+
+static void *send_request(void *context)
+{
+	struct request *request = context;
+
+	request->reply = request->key ? submit_by_key(request->url, request->key, request->body)
+				      : call("PATCH", request->url, "/v1/config", request->body);
+	return NULL;
+}
+
+static void begin(struct request *request)
+{
+	request->thread = g_thread_new("request", send_request, request);
+}
+
+static struct harness_reply patch_config(const char *entry_url, int64_t base, const char *patch)
+{
+	char *body =
+		g_strdup_printf("{\"base\": %" G_GINT64_FORMAT ", \"patch\": %s}", base, patch);
+	struct harness_reply reply = call("PATCH", entry_url, "/v1/config", body);
+
+	g_free(body);
+	return reply;
+}
+
+static void expect_patched(const char *entry_url, int64_t base, const char *patch)
+{
+	struct harness_reply reply = patch_config(entry_url, base, patch);
+
+	if (reply.status != 200)
+		g_error("patch refused: status %ld: %s", reply.status, reply.text);
+	g_assert_cmpint(get_int(reply.body, "version"), ==, base + 1);
+	harness_reply_clear(&reply);
+}
+
+/* Returns the whole configuration as text, to be freed. */
+static char *config_text(const char *entry_url)
+{
+	struct harness_reply reply = call("GET", entry_url, "/v1/config", NULL);
+	char *text = json_dumps(reply.body, JSON_SORT_KEYS);
+
+	g_assert_cmpint(reply.status, ==, 200);
+	harness_reply_clear(&reply);
+	return text;
+}
+
+/* Waits until every entry and agent has VERSION, and checks that the entries' documents agree. */
+static void expect_everywhere(struct harness *harness, int64_t version)
+{
+	char *first;
+
+	for (unsigned i = 0; i < harness->shape.entries; i++)
+		HARNESS_WAIT(EVERYWHERE_MS,
+			     harness_metric(harness->entries[i].url, "config_version") == version);
+	for (unsigned i = 0; i < harness->shape.agents; i++)
+		HARNESS_WAIT(EVERYWHERE_MS,
+			     harness_metric(harness->agents[i].url, "config_version") == version);
+	first = config_text(harness->entries[0].url);
+	for (unsigned i = 1; i < harness->shape.entries; i++) {
+		char *other = config_text(harness->entries[i].url);
+
+		g_assert_cmpstr(first, ==, other);
+		free(other);
+	}
+	free(first);
+}
+
+static void end(struct harness *harness)
+{
+	g_assert_cmpuint(harness_starts(harness).repeated, ==, 0);
+	harness_stop(harness);
+	harness_free(harness);
+}
+
+/* Reads versions all the time and fails the test when one goes down. */
+struct watcher {
+	struct harness *harness;
+	atomic_bool stop;
+	int reads;
+	GThread *thread;
+};
+
+static void check_version(const char *url, int64_t *last)
+{
+	int64_t version = harness_metric(url, "config_version");
+
+	g_assert_cmpint(version, >=, *last);
+	*last = version;
+}
+
+static void *watch(void *context)
+{
+	struct watcher *watcher = context;
+	const struct harness *harness = watcher->harness;
+	int64_t last[HARNESS_MAX_ENTRIES + HARNESS_MAX_AGENTS] = {0};
+
+	while (!watcher->stop) {
+		for (unsigned i = 0; i < harness->shape.entries; i++)
+			check_version(harness->entries[i].url, &last[i]);
+		for (unsigned i = 0; i < harness->shape.agents; i++)
+			check_version(harness->agents[i].url, &last[HARNESS_MAX_ENTRIES + i]);
+		watcher->reads++;
+		g_usleep(HARNESS_POLL_US);
+	}
+	return NULL;
+}
+
+/* Patches the same VERSION through both entries at once. */
+static void race(struct harness *harness, int version)
+{
+	struct request requests[2];
+	char *bodies[2];
+	int accepted = 0;
+
+	for (int i = 0; i < 2; i++) {
+		bodies[i] = g_strdup_printf(
+			"{\"base\": %d, \"patch\": {\"teams\": {\"t%d\": {\"max_queued\": %d}}}}",
+			version, version % 5, 2 * version + i);
+		requests[i] = (struct request){.url = harness->entries[i].url, .body = bodies[i]};
+		begin(&requests[i]);
+	}
+	for (int i = 0; i < 2; i++) {
+		g_thread_join(requests[i].thread);
+		g_free(bodies[i]);
+		if (requests[i].reply.status == 200) {
+			g_assert_cmpint(get_int(requests[i].reply.body, "version"), ==,
+					version + 1);
+			harness_reply_clear(&requests[i].reply);
+			accepted++;
+		} else {
+			check_error(&requests[i].reply, "version_conflict", "not_run");
+		}
+	}
+	g_assert_cmpint(accepted, ==, 1);
+}
+
+/* Two operators whose patches of one version are both accepted would overwrite each other; entries
+ * that fold differently, or a version that goes down, would revert an accepted change. */
+static void test_patch_race(void)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){0});
+	struct watcher watcher = {.harness = harness};
+
+	watcher.thread = g_thread_new("watch", watch, &watcher);
+	for (int version = 0; version < RACE_ROUNDS; version++) {
+		race(harness, version);
+		expect_everywhere(harness, version + 1);
+	}
+	HARNESS_WAIT(WAIT_MS, watcher.reads >= LEAST_VERSION_READS);
+	watcher.stop = true;
+	g_thread_join(watcher.thread);
+	end(harness);
+}
+
+/* An append that took effect while its answer was lost must not be reported as failed, nor be
+ * folded twice. */
+static void test_lost_append_answer(void)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){0});
+	struct harness_reply reply;
+
+	for (int version = 0; version < 5; version++) {
+		harness_log_control(harness, "{\"streams\": \"config\", \"lose_answers\": 1}");
+		expect_patched(harness->entries[version % 2].url, version,
+			       version % 2 ? "{\"slo\": {\"objective\": 0.9}}"
+					   : "{\"slo\": {\"objective\": 0.8}}");
+		expect_everywhere(harness, version + 1);
+	}
+	for (int i = 0; i < 2; i++) {
+		reply = call("GET", harness->entries[i].url, "/v1/config/history", NULL);
+		g_assert_cmpuint(json_array_size(json_object_get(reply.body, "history")), ==, 5);
+		harness_reply_clear(&reply);
+	}
+	end(harness);
+}
+
+static void run_session_job(const char *entry_url, const char *job)
+{
+	char *session = harness_open_session(entry_url);
+	struct harness_reply reply = harness_submit(entry_url, session, "k", job, WAIT_MS);
+
+	harness_check_answer(&reply, TASKS);
+	harness_reply_clear(&reply);
+	g_free(session);
+}
+
+static void run_claimed_job(const char *entry_url, const char *key, const char *job)
+{
+	struct harness_reply reply = submit_by_key(entry_url, key, job);
+
+	harness_check_answer(&reply, TASKS);
+	harness_reply_clear(&reply);
+}
+
+/* Sends a claim in the outage. It must be refused in bounded time. */
+static void expect_no_claim(const char *entry_url, const char *key, const char *job)
+{
+	struct harness_reply reply = submit_by_key(entry_url, key, job);
+
+	g_assert_cmpint(reply.took_us, <, (CLAIM_WAIT_MS + SCHEDULING_MS) * INT64_C(1000));
+	/* The other entry might hold the key, so "not_run" is not proven. */
+	check_error(&reply, "log_unavailable", "unknown");
+}
+
+/* Waits until the log serves this entry again: a patch is accepted. */
+static void expect_patches_again(const char *entry_url, int64_t base)
+{
+	struct harness_reply reply = {0};
+
+	HARNESS_WAIT(EVERYWHERE_MS,
+		     (harness_reply_clear(&reply),
+		      reply = patch_config(entry_url, base, "{\"slo\": {\"objective\": 0.7}}"),
+		      reply.status == 200));
+	g_assert_cmpint(get_int(reply.body, "version"), ==, base + 1);
+	harness_reply_clear(&reply);
+}
+
+/* Claims, sessions and patches with the log down since just now. The first claim may have been
+ * appended for all that the entry knows. */
+static void check_outage(struct harness *harness, char **keys, const char *job)
+{
+	uint64_t before = harness_starts(harness).total;
+	struct harness_reply reply;
+
+	for (int i = 0; i < 2; i++)
+		expect_no_claim(harness->entries[i].url, keys[i], job);
+	g_assert_cmpuint(harness_starts(harness).total, ==, before);
+	for (int i = 0; i < 2; i++) {
+		run_session_job(harness->entries[i].url, job);
+		reply = patch_config(harness->entries[i].url, 1, "{\"slo\": null}");
+		g_assert_cmpstr(error_field(&reply, "type"), ==, "log_unavailable");
+		harness_reply_clear(&reply);
+	}
+	g_assert_cmpuint(harness_starts(harness).total, ==, before + 2 * TASKS);
+}
+
+static void restart_entry(struct harness *harness, unsigned index)
+{
+	harness_restart(harness, harness->entries[index].process);
+	harness_wait_ready(harness->entries[index].url);
+}
+
+/* In an outage of the log serving under sessions must go on, nothing may hang, and a refused claim
+ * must not start when its record appears late. CONTROL says how the log fails. */
+static void outage(const char *control)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){0});
+	char *job = harness_job(TASKS, 5, 10, SEED);
+	char *keys[] = {new_key(), new_key(), new_key(), new_key()};
+	uint64_t started;
+
+	expect_patched(harness->entries[0].url, 0, "{\"slo\": {\"objective\": 0.9}}");
+	expect_everywhere(harness, 1);
+	harness_log_control(harness, control);
+	check_outage(harness, keys, job);
+	harness_log_control(harness, "{\"down\": false, \"hang\": false}");
+	expect_patches_again(harness->entries[0].url, 1);
+	expect_everywhere(harness, 2);
+	started = harness_starts(harness).total;
+	/* An entry's records keep their order: once this one is read, so are the earlier ones. */
+	for (int i = 0; i < 2; i++)
+		run_claimed_job(harness->entries[i].url, keys[2 + i], job);
+	g_assert_cmpuint(harness_starts(harness).total, ==, started + 2 * TASKS);
+	for (int i = 0; i < 2; i++) {
+		run_claimed_job(harness->entries[i].url, keys[i], job);
+		run_claimed_job(harness->entries[1 - i].url, keys[i], job);
+	}
+	g_assert_cmpuint(harness_starts(harness).total, ==, started + 4 * TASKS);
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		g_free(keys[i]);
+	free(job);
+	end(harness);
+}
+
+static void test_log_down(void)
+{
+	outage("{\"down\": true}");
+}
+
+/* The same when requests to the log are held without an answer. */
+static void test_log_hangs(void)
+{
+	outage("{\"down\": true, \"hang\": true}");
+}
+
+/* An entry that starts in an outage with the empty configuration would revert an accepted one. It
+ * takes the version of its peers, or of the agents when all entries were replaced. */
+static void test_restart_in_outage(void)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){0});
+	char *job = harness_job(TASKS, 5, 10, SEED);
+
+	expect_patched(harness->entries[0].url, 0, "{\"slo\": {\"objective\": 0.9}}");
+	expect_everywhere(harness, 1);
+	harness_log_control(harness, "{\"down\": true}");
+	harness_kill(harness->entries[1].process);
+	restart_entry(harness, 1);
+	expect_everywhere(harness, 1);
+	for (int i = 0; i < 2; i++)
+		harness_kill(harness->entries[i].process);
+	for (unsigned i = 0; i < 2; i++)
+		restart_entry(harness, i);
+	expect_everywhere(harness, 1);
+	for (int i = 0; i < 2; i++)
+		run_session_job(harness->entries[i].url, job);
+	harness_log_control(harness, "{\"down\": false}");
+	expect_patches_again(harness->entries[1].url, 1);
+	expect_everywhere(harness, 2);
+	free(job);
+	end(harness);
+}
+
+/* Returns the offset of the first snapshot of VERSION in the log, or -1. */
+static int64_t find_snapshot(struct harness *harness, int64_t version)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%d/streams/config/records?from=0",
+				    harness->log_port);
+	struct harness_reply reply = harness_http("GET", url, NULL, HARNESS_CALL_MS);
+	int64_t offset = -1;
+	size_t index;
+	json_t *item;
+
+	json_array_foreach (json_object_get(reply.body, "records"), index, item) {
+		json_t *record =
+			json_loads(json_string_value(json_object_get(item, "data")), 0, NULL);
+		const char *type = json_string_value(json_object_get(record, "type"));
+
+		if (offset < 0 && g_strcmp0(type, "snapshot") == 0 &&
+		    get_int(record, "version") == version)
+			offset = get_int(item, "offset");
+		json_decref(record);
+	}
+	harness_reply_clear(&reply);
+	g_free(url);
+	return offset;
+}
+
+/* Once the first patches are past retention, a process without state must find the configuration
+ * in a snapshot. All processes are replaced, so nobody can hand it over. */
+static void test_retention(void)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){
+		.entry_settings = "{\"log\": {\"retention_s\": 10, \"snapshot_interval_s\": 1}, "
+				  "\"claims\": {\"window_s\": 5}}"});
+	int64_t offset;
+	char *control;
+	char *before;
+	char *after;
+
+	expect_patched(harness->entries[0].url, 0, "{\"slo\": {\"objective\": 0.9}}");
+	expect_patched(harness->entries[0].url, 1, "{\"teams\": {\"passes\": {\"weight\": 2}}}");
+	before = config_text(harness->entries[0].url);
+	HARNESS_WAIT(WAIT_MS, (offset = find_snapshot(harness, 2)) >= 0);
+	for (int i = 0; i < 2; i++) {
+		harness_kill(harness->entries[i].process);
+		harness_kill(harness->agents[i].process);
+	}
+	control = g_strdup_printf("{\"expire_before\": %" G_GINT64_FORMAT "}", offset);
+	harness_log_control(harness, control);
+	restart_entry(harness, 1);
+	HARNESS_WAIT(EVERYWHERE_MS, harness_metric(harness->entries[1].url, "config_version") == 2);
+	after = config_text(harness->entries[1].url);
+	g_assert_cmpstr(after, ==, before);
+	expect_patched(harness->entries[1].url, 2, "{\"slo\": null}");
+	restart_entry(harness, 0);
+	for (int i = 0; i < 2; i++)
+		harness_restart(harness, harness->agents[i].process);
+	expect_everywhere(harness, 3);
+	g_free(control);
+	free(before);
+	free(after);
+	harness_free(harness);
+}
+
+/* Submits one key through both entries at once; both must get the same complete answer. */
+static void claim_twice(struct harness *harness, const char *job)
+{
+	char *key = new_key();
+	struct request requests[2];
+
+	for (int i = 0; i < 2; i++) {
+		requests[i] =
+			(struct request){.url = harness->entries[i].url, .key = key, .body = job};
+		begin(&requests[i]);
+	}
+	for (int i = 0; i < 2; i++) {
+		g_thread_join(requests[i].thread);
+		harness_check_answer(&requests[i].reply, TASKS);
+	}
+	g_assert_cmpstr(requests[0].reply.text, ==, requests[1].reply.text);
+	for (int i = 0; i < 2; i++)
+		harness_reply_clear(&requests[i].reply);
+	g_free(key);
+}
+
+/* A repeated append of a claim, or one read late, must not let both entries start the job. */
+static void test_claims_with_lost_answers(void)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){0});
+	char *job = harness_job(TASKS, 5, 10, SEED);
+
+	harness_log_control(harness, "{\"streams\": \"claims\", \"lose_share\": 0.5}");
+	for (int i = 0; i < CLAIM_ROUNDS; i++)
+		claim_twice(harness, job);
+	harness_log_control(harness,
+			    "{\"streams\": \"claims\", \"lose_share\": 0.5, \"delay_ms\": 300}");
+	for (int i = 0; i < CLAIM_ROUNDS; i++)
+		claim_twice(harness, job);
+	g_assert_cmpuint(harness_starts(harness).total, ==, 2 * CLAIM_ROUNDS * TASKS);
+	free(job);
+	end(harness);
+}
+
+/* A log slower than the claim's wait takes the append after both clients were refused. The job
+ * must not start by itself, and resubmissions through both entries must run it once. */
+static void test_claims_with_slow_log(void)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){0});
+	char *job = harness_job(TASKS, 5, 10, SEED);
+	char *key = new_key();
+	struct request requests[2];
+
+	harness_log_control(harness, "{\"streams\": \"claims\", \"delay_ms\": 4000}");
+	for (int i = 0; i < 2; i++) {
+		requests[i] =
+			(struct request){.url = harness->entries[i].url, .key = key, .body = job};
+		begin(&requests[i]);
+	}
+	for (int i = 0; i < 2; i++) {
+		g_thread_join(requests[i].thread);
+		check_error(&requests[i].reply, "log_unavailable", "unknown");
+	}
+	harness_log_control(harness, "{\"streams\": \"claims\", \"delay_ms\": 0}");
+	HARNESS_WAIT(WAIT_MS, harness_metric(harness->entries[0].url, "claims") > 0 &&
+				      harness_metric(harness->entries[1].url, "claims") > 0);
+	g_assert_cmpuint(harness_starts(harness).total, ==, 0);
+	for (int i = 0; i < 2; i++)
+		run_claimed_job(harness->entries[i].url, key, job);
+	g_assert_cmpuint(harness_starts(harness).total, ==, TASKS);
+	g_free(key);
+	free(job);
+	end(harness);
+}
+
+static int64_t claim_appends(const struct harness *harness)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%d/control", harness->log_port);
+	struct harness_reply reply = harness_http("GET", url, NULL, HARNESS_CALL_MS);
+	const json_t *streams = json_object_get(reply.body, "streams");
+	int64_t count = get_int(json_object_get(streams, "claims"), "appends");
+
+	harness_reply_clear(&reply);
+	g_free(url);
+	return count;
+}
+
+/* The owner of a claim dies, and its job must not start a second time elsewhere. The owner's
+ * client must be told that the job may have run. */
+static void owner_dies(bool started)
+{
+	struct harness *harness = harness_start(&(struct harness_shape){0});
+	char *job = harness_job(TASKS, 500, 500, SEED);
+	char *key = new_key();
+	const char *other = harness->entries[1].url;
+	struct request owner = {.url = harness->entries[0].url, .key = key, .body = job};
+	uint64_t most = started ? TASKS : 0;
+	struct harness_reply reply;
+
+	if (!started) /* the record is read back only this long after its append */
+		harness_log_control(harness, "{\"streams\": \"claims\", \"delay_ms\": 2000}");
+	begin(&owner);
+	if (started)
+		HARNESS_WAIT(WAIT_MS, harness_starts(harness).total > 0);
+	else
+		HARNESS_WAIT(WAIT_MS, claim_appends(harness) > 0);
+	harness_kill(harness->entries[0].process);
+	g_thread_join(owner.thread);
+	g_assert_cmpint(owner.reply.status, ==, 0);
+	harness_reply_clear(&owner.reply);
+	harness_log_control(harness, "{\"streams\": \"claims\", \"delay_ms\": 0}");
+	reply = submit_by_key(other, key, job);
+	check_error(&reply, "owner_unreachable", "unknown");
+	restart_entry(harness, 0);
+	for (int i = 0; i < 2; i++) {
+		HARNESS_WAIT(WAIT_MS, (reply = submit_by_key(harness->entries[i].url, key, job),
+				       g_strcmp0(error_field(&reply, "type"), "owner_lost") == 0 ||
+					       (harness_reply_clear(&reply), false)));
+		check_error(&reply, "owner_lost", "unknown");
+	}
+	g_assert_cmpuint(harness_starts(harness).total, <=, most);
+	g_free(key);
+	free(job);
+	end(harness);
+}
+
+static void test_owner_dies_running(void)
+{
+	owner_dies(true);
+}
+
+static void test_owner_dies_before_start(void)
+{
+	owner_dies(false);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_message("seed %d", SEED);
+	g_test_add_func("/log/patch_race", test_patch_race);
+	g_test_add_func("/log/lost_append_answer", test_lost_append_answer);
+	g_test_add_func("/log/down", test_log_down);
+	g_test_add_func("/log/hangs", test_log_hangs);
+	g_test_add_func("/log/restart_in_outage", test_restart_in_outage);
+	g_test_add_func("/log/retention", test_retention);
+	g_test_add_func("/claims/lost_answers", test_claims_with_lost_answers);
+	g_test_add_func("/claims/slow_log", test_claims_with_slow_log);
+	g_test_add_func("/claims/owner_dies_running", test_owner_dies_running);
+	g_test_add_func("/claims/owner_dies_before_start", test_owner_dies_before_start);
+	return g_test_run();
+}
