Ask the other entries for a key that cannot be claimed

A claim refused because the log was unavailable had outcome unknown wherever another entry existed, since that one might hold the key. The client could not send the work elsewhere in an outage.

The entry now asks every other entry by a GET over Forward, within claims.wait_ms. One that holds the key gets the submission, so its answer is passed on and another body is a key conflict. not_run is told only when the claims stream was read to its end once, every peer is connected and says that it does not know the key, none joined meanwhile, and no entry has ended since the last good read. That read is dated back by the time limit of a read, as a hanging log is noticed that late. An entry with a claim waiting or abandoned counts as undecided. A claim that times out while the log still counts as available keeps outcome unknown: claims.wait_ms is used up then.

--- a/packages/greengaged/src/entry_board.h
+++ b/packages/greengaged/src/entry_board.h
@@ -110,9 +110,12 @@
 	GPtrArray *peers;
 	GHashTable *inbounds; /* by incarnation */
 	GHashTable *gone;     /* incarnations of entries that ended */
+	int64_t last_gone_us; /* when the last one was found to have ended, or 0 */
 	bool entries_changed; /* agents must be told */
 
-	GHashTable *forwards; /* by number, forwarded requests without a reply */
+	GHashTable *forwards;  /* by number, forwarded requests without a reply */
+	GHashTable *asks;      /* submissions whose key the other entries are asked for */
+	GHashTable *questions; /* by number, without a reply */
 	uint64_t next_forward;
 	GThreadPool *parsers; /* of forwarded requests */
 
@@ -128,9 +131,10 @@
 	bool ready;
 
 	struct claims *claims;
-	GHashTable *claim_keys; /* by key digest */
-	bool claims_synced;	/* the stream was read to its end once */
-	char *claims_batch;	/* record being appended */
+	GHashTable *claim_keys;	  /* by key digest */
+	bool claims_synced;	  /* the stream was read to its end once */
+	int64_t claims_behind_us; /* the stream was not read to its end since, or 0 */
+	char *claims_batch;	  /* record being appended */
 	uint64_t claims_append;
 	GArray *claims_settled; /* of the record being folded */
 
--- a/packages/greengaged/src/entry_claims.c
+++ b/packages/greengaged/src/entry_claims.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "entry_admission.h"
+#include "entry_ask.h"
 #include "entry_forward.h"
 #include "entry_progress.h"
 #include "event.h"
@@ -193,21 +194,26 @@
 
 static bool refuse_without_log(struct board *board, struct request *request)
 {
-	bool submits = request->route.kind == ROUTE_JOB_SUBMIT;
-
 	if (board->log_available && board->claims_synced)
 		return false;
-	entry_admission_refuse(request, STATUS_LOG_UNAVAILABLE,
-			       submits ? outcome_unclaimed(board) : OUTCOME_UNKNOWN,
-			       "the log service, which holds the claims on keys, is not available");
+	if (request->route.kind == ROUTE_JOB_SUBMIT && !request->forwarded && board->peers->len > 0)
+		entry_ask_others(board, request);
+	else
+		entry_admission_refuse(
+			request, STATUS_LOG_UNAVAILABLE,
+			request->route.kind == ROUTE_JOB_SUBMIT ? outcome_unclaimed(board)
+								: OUTCOME_UNKNOWN,
+			"the log service, which holds the claims on keys, is not available");
 	return true;
 }
 
 static void run_new(struct board *board, struct request *request, const struct ident *digest)
 {
 	struct claim_key *key;
+	bool asked = request->forwarded && request->route.kind == ROUTE_JOB_GET;
 
-	if (refuse_without_log(board, request))
+	/* Another entry asks whether this one holds the key; that needs no log. */
+	if (!asked && refuse_without_log(board, request))
 		return;
 	if (request->route.kind != ROUTE_JOB_SUBMIT) {
 		entry_admission_refuse(request, STATUS_NOT_FOUND, OUTCOME_UNKNOWN,
--- a/packages/greengaged/src/entry_drain.c
+++ b/packages/greengaged/src/entry_drain.c
@@ -2,6 +2,7 @@
 
 #include <sys/eventfd.h>
 
+#include "entry_ask.h"
 #include "entry_claims.h"
 #include "entry_config.h"
 #include "entry_forward.h"
@@ -32,6 +33,7 @@
 	board->forced = true;
 	entry_claims_fail_all(board);
 	entry_config_fail_all(board);
+	entry_ask_fail_all(board);
 	entry_forward_fail_all(board);
 	entry_progress_fail_all(board, STATUS_DRAINING,
 				"this entry was stopped before the job ended");
--- a/packages/greengaged/src/entry_forward.c
+++ b/packages/greengaged/src/entry_forward.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "entry_admission.h"
+#include "entry_ask.h"
 #include "entry_peers.h"
 
 enum {
@@ -195,8 +196,10 @@
 	struct request *request;
 	GBytes *body;
 
-	if (!forward)
+	if (!forward) {
+		entry_ask_receive_reply(board, reply);
 		return;
+	}
 	request = take_request(forward);
 	g_strlcpy(request->reply.session, reply->session, sizeof(request->reply.session));
 	body = g_bytes_new(reply->body.data, reply->body.len);
--- a/packages/greengaged/src/entry_log.c
+++ b/packages/greengaged/src/entry_log.c
@@ -38,6 +38,8 @@
 	if (board->log_available == available)
 		return;
 	board->log_available = available;
+	if (!available && !board->claims_behind_us)
+		board->claims_behind_us = board->now_us;
 	event_log(available ? EVENT_LOG_AVAILABLE : EVENT_LOG_UNAVAILABLE,
 		  EV_S("url", board->settings->log_url));
 }
@@ -69,8 +71,10 @@
 			entry_claims_take_appended(board, item->number, &item->err);
 		break;
 	case LOG_CAUGHT_UP:
-		if (item->stream == STREAM_CLAIMS)
+		if (item->stream == STREAM_CLAIMS) {
 			board->claims_synced = true;
+			board->claims_behind_us = 0;
+		}
 		break;
 	case LOG_AVAILABILITY:
 		take_availability(board, item->available);
--- a/packages/greengaged/src/entry_loop.c
+++ b/packages/greengaged/src/entry_loop.c
@@ -7,6 +7,7 @@
 #include <zmq.h>
 
 #include "entry_admission.h"
+#include "entry_ask.h"
 #include "entry_claims.h"
 #include "entry_config.h"
 #include "entry_dispatch.h"
@@ -139,6 +140,7 @@
 	entry_config_init(board);
 	entry_claims_init(board);
 	entry_forward_init(board);
+	entry_ask_init(board);
 	entry_peers_init(board);
 	subscribe(board);
 	return STATUS_OK;
@@ -148,6 +150,7 @@
 {
 	entry_members_free(board);
 	entry_peers_free(board);
+	entry_ask_free(board);
 	entry_forward_free(board);
 	entry_claims_end(board);
 	entry_config_free(board);
--- a/packages/greengaged/src/entry_peers.c
+++ b/packages/greengaged/src/entry_peers.c
@@ -105,6 +105,7 @@
 	if (g_hash_table_size(board->gone) >= GONE_MAX)
 		g_hash_table_remove_all(board->gone);
 	g_hash_table_add(board->gone, g_memdup2(incarnation, sizeof(*incarnation)));
+	board->last_gone_us = board->now_us;
 	g_hash_table_remove(board->inbounds, incarnation);
 	entry_forward_owner_gone(board, incarnation);
 	board->entries_changed = true;
