--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Thin front for CMake. The build itself is described in CMakeLists.txt.
 
-.PHONY: all proto packages demo test lint format bench bench-policy fuzz clean
+.PHONY: all proto packages demo test test-asan lint format bench bench-policy fuzz clean
 
 all: build/build.ninja
 	@cmake --build build
@@ -17,6 +17,11 @@
 test: packages all
 	@tools/run-tests build
 
+test-asan: packages
+	@cmake --preset asan >/dev/null
+	@cmake --build build-asan
+	@tools/run-tests build-asan
+
 lint: packages build/build.ninja
 	@tools/lint
 
