Reserve the ports that the test harness chooses

A cluster of 20 agents failed to start: "cannot listen on 127.0.0.1:43553". harness_free_port closed its socket again, so the kernel gave the same port to a route of the proxy or to an outgoing connection before the process it was chosen for had started. The larger the cluster, the longer that window. Ports outside the range for outgoing connections were ruled out, since two test programs that run at once would choose the same ones.

The harness now keeps a socket that is bound with SO_REUSEADDR and does not listen; the kernel gives the port to no other, and CivetWeb and ZeroMQ, which set SO_REUSEADDR, can still listen. The test smoke/ports_reserved failed before ("can_listen(port, 0) should be FALSE"). The limits of the harness rise to 8 entries and 40 agents for the capacity benchmark, and 128 log files.

--- a/test/functional/harness.c
+++ b/test/functional/harness.c
@@ -13,15 +13,19 @@
 
 enum {
 	STOP_MS = 3000, /* from SIGTERM to SIGKILL when a test ends */
-	LOG_FILES_MAX = 64,
+	LOG_FILES_MAX = 128,
 	PATH_BYTES = 256,
 	COPY_BYTES = 4096,
+	RESERVED_MAX = 256, /* ports of all harnesses at a time */
 };
 
 /* Read by the signal handler, so kept in plain arrays. */
 static char log_paths[LOG_FILES_MAX][PATH_BYTES];
 static volatile sig_atomic_t log_count;
 
+static int reserved_fds[RESERVED_MAX];
+static int reserved_count;
+
 static void write_all(const char *data, size_t length)
 {
 	while (length > 0) {
@@ -245,6 +249,8 @@
 		g_free(process->out_file);
 		g_free(process);
 	}
+	while (reserved_count > 0)
+		close(reserved_fds[--reserved_count]);
 	log_count = 0;
 	g_ptr_array_free(harness->processes, TRUE);
 	remove_directory(harness->directory);
@@ -252,15 +258,21 @@
 	g_free(harness);
 }
 
+/* A socket that is bound with SO_REUSEADDR and does not listen keeps its port from being chosen for
+ * another, while a listener with SO_REUSEADDR (CivetWeb, ZeroMQ) may still bind it. A cluster
+ * opens enough ports and connections that the kernel would else give a port to two processes. */
 int harness_free_port(void)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t length = sizeof(address);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int on = 1;
 
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)), ==, 0);
 	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, length), ==, 0);
 	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &length), ==, 0);
-	close(fd);
+	g_assert_cmpint(reserved_count, <, RESERVED_MAX);
+	reserved_fds[reserved_count++] = fd;
 	return ntohs(address.sin_port);
 }
--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -8,8 +8,8 @@
 #include <stdint.h>
 
 enum {
-	HARNESS_MAX_ENTRIES = 4,
-	HARNESS_MAX_AGENTS = 12,
+	HARNESS_MAX_ENTRIES = 8,
+	HARNESS_MAX_AGENTS = 40,
 	HARNESS_POLL_US = 5000,	  /* between two checks of a condition */
 	HARNESS_START_MS = 20000, /* for a process to be ready, also on a busy machine */
 	HARNESS_CALL_MS = 30000,  /* for one HTTP call */
@@ -111,7 +111,8 @@
 /* Starts a process that has ended again with the same arguments, so at the same address. */
 void harness_restart(struct harness *harness, struct harness_process *process);
 
-/* Returns a port that is free now. */
+/* Returns a port of 127.0.0.1 that stays reserved, for listeners with SO_REUSEADDR, until
+ * harness_free. */
 int harness_free_port(void);
 
 /* Waits until /readyz of an entry or agent at URL answers 200. */
--- a/test/functional/smoke_test.c
+++ b/test/functional/smoke_test.c
@@ -1,3 +1,7 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "harness.h"
 
 enum {
@@ -34,10 +38,37 @@
 	harness_free(harness);
 }
 
+/* Returns whether a socket can listen at PORT. */
+static bool can_listen(int port, int reuse)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool listens;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse)), ==, 0);
+	listens = bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 && listen(fd, 1) == 0;
+	close(fd);
+	return listens;
+}
+
+/* Guards against a port that the harness has chosen going to another process before its own
+ * listens: start-up then ends with "cannot listen". */
+static void test_ports_reserved(void)
+{
+	struct harness *harness = harness_new();
+	int port = harness_free_port();
+
+	g_assert_false(can_listen(port, 0));
+	g_assert_true(can_listen(port, 1));
+	harness_free(harness);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_message("seed %d", SEED);
+	g_test_add_func("/smoke/ports_reserved", test_ports_reserved);
 	g_test_add_func("/smoke/job_and_stop", test_job_and_stop);
 	return g_test_run();
 }
