Add a benchmark of how costs grow with the deployment

make bench-capacity measures real processes at four sizes each: agents per entry, entries per agent, queued tasks, teams, patches, open requests, claims and sessions, and fits slopes by least squares.

Entries run without peers where entries per agent are measured.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Thin front for CMake. The build itself is described in CMakeLists.txt.
 
-.PHONY: all proto packages demo test lint format bench bench-policy fuzz clean
+.PHONY: all proto packages demo test lint format bench bench-capacity bench-policy fuzz clean
 
 all: build/build.ninja
 	@cmake --build build
@@ -32,5 +32,8 @@
 bench: all
 	@tools/bench
 
+bench-capacity: all
+	@build/bench/capacity_bench
+
 clean:
 	@rm -rf build build-asan build-tsan build-fuzz
--- /dev/null
+++ b/bench/capacity.h
@@ -0,0 +1,101 @@
+/* Helpers of capacity_bench: readings of processes, clients that submit, and least-squares fits. */
+#ifndef GG_CAPACITY_H
+#define GG_CAPACITY_H
+
+#include <curl/curl.h>
+
+#include "harness.h"
+
+enum {
+	CAPACITY_SIZES = 4, /* sizes at which each figure is measured */
+	CAPACITY_WAIT_MS = 30000,
+	CAPACITY_URL_BYTES = 256,
+	CAPACITY_US_PER_MS = 1000,
+	CAPACITY_KIB = 1024,
+};
+
+/* A client with a kept connection. */
+struct client {
+	CURL *easy;
+	struct curl_slist *headers;
+	GString *text;
+};
+
+void client_init(struct client *client);
+void client_clear(struct client *client);
+
+/* Returns the time of one call in microseconds; any status but EXPECTED ends the run. */
+int64_t client_call(struct client *client, const char *method, const char *url, const char *body,
+		    long expected);
+
+/* Submits JOB under SESSION and a key made of NAME and NUMBER; waits for the answer when WAIT_MS
+ * is not 0. */
+void client_submit(struct client *client, const char *entry, const char *session, const char *name,
+		   unsigned number, const char *job, int wait_ms);
+
+/* What a process has used or sent so far. */
+struct reading {
+	int64_t at_us;
+	int64_t cpu_us;
+	int64_t messages_sent;
+	int64_t messages_received;
+	int64_t bytes_sent; /* over routes of the proxy */
+	int64_t bytes_received;
+};
+
+int64_t process_cpu_us(const struct harness_process *process);
+int64_t process_rss_bytes(const struct harness_process *process);
+
+/* Adds up the metrics of an entry or agent whose names begin with PREFIX. */
+int64_t metric_sum(const char *url, const char *prefix);
+
+/* Bytes that went over a route of the proxy towards its target and back are added to TO_TARGET and
+ * BACK. */
+void route_add(struct harness *harness, const char *route, int64_t *to_target, int64_t *back);
+
+/* Readings of an entry (its channels to agents and the log) and of an agent (its channels to
+ * entries and the announcements). The harness runs with a proxy. */
+struct reading read_entry(struct harness *harness, unsigned index);
+struct reading read_agent(struct harness *harness, unsigned index);
+
+/* Returns the appends to STREAM that the log stand-in has taken. */
+int64_t log_appends(struct harness *harness, const char *stream);
+
+/* One figure at each size. */
+struct series {
+	unsigned count;
+	double size[CAPACITY_SIZES];
+	double value[CAPACITY_SIZES];
+};
+
+void series_add(struct series *series, double size, double value);
+double series_slope(const struct series *series);
+/* Value at size 0 on the fitted line. */
+double series_base(const struct series *series);
+double series_mean(const struct series *series);
+
+/* Writes each value as NAME_UNIT_SIZE, for example entry_idle_rss_kib_at_10. */
+void series_report(json_t *summary, const char *name, const struct series *series);
+
+void report(json_t *summary, const char *name, double value);
+
+/* Starts CLIENTS threads that submit JOB one after the other until load_stop. */
+struct load;
+struct load *load_start(const char *entry, const char *job, unsigned clients);
+void load_stop(struct load *load);
+
+/* Runs COUNT calls of ITEM(context, client, number) in THREADS threads. */
+typedef void (*capacity_item)(void *context, struct client *client, unsigned number);
+void run_parallel(unsigned threads, unsigned first, unsigned count, capacity_item item,
+		  void *context);
+
+void measure_agents(json_t *summary);
+void measure_entries(json_t *summary);
+void measure_queue(json_t *summary);
+void measure_open_requests(json_t *summary);
+void measure_claims(json_t *summary);
+void measure_sessions(json_t *summary);
+void measure_teams(json_t *summary);
+void measure_patches(json_t *summary);
+
+#endif
--- /dev/null
+++ b/bench/capacity_bench.c
@@ -0,0 +1,250 @@
+/*
+ * Measures with real processes how the cost of a daemon grows with the size of the deployment, and
+ * prints one flat JSON object, also to build/bench/capacity.json. Slopes are least-squares fits;
+ * docs/design.md, section 1.9, has the budget of a daemon.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "capacity.h"
+
+enum {
+	SETTLE_MS = 2500,
+	IDLE_MS = 8000,
+	LOAD_WARM_MS = 700,
+	LOAD_MS = 2000,
+	LOAD_CLIENTS = 4,
+	LOAD_TASKS = 100,
+	LOAD_SEED = 1,
+};
+
+/* Budget of a daemon. */
+static const double budget_bytes_per_s = 6000;
+static const double budget_cpu_percent = 2.6;
+static const double budget_rss_bytes = 128e6;
+
+/* What an idle process uses at each size. */
+struct idle {
+	struct series cpu_percent;
+	struct series rss_kib;
+	struct series bytes_sent;
+	struct series bytes_received;
+	struct series messages_sent;
+	struct series messages_received;
+};
+
+static void idle_add(struct idle *idle, double size, const struct harness_process *process,
+		     const struct reading *from, const struct reading *to)
+{
+	double seconds = (double)(to->at_us - from->at_us) / G_USEC_PER_SEC;
+
+	series_add(&idle->cpu_percent, size,
+		   (double)(to->cpu_us - from->cpu_us) / G_USEC_PER_SEC / seconds * 100);
+	series_add(&idle->rss_kib, size, (double)process_rss_bytes(process) / CAPACITY_KIB);
+	series_add(&idle->bytes_sent, size, (double)(to->bytes_sent - from->bytes_sent) / seconds);
+	series_add(&idle->bytes_received, size,
+		   (double)(to->bytes_received - from->bytes_received) / seconds);
+	series_add(&idle->messages_sent, size,
+		   (double)(to->messages_sent - from->messages_sent) / seconds);
+	series_add(&idle->messages_received, size,
+		   (double)(to->messages_received - from->messages_received) / seconds);
+}
+
+static void report_fit(json_t *summary, const char *who, const char *what, const char *per,
+		       const struct series *series)
+{
+	char *name = g_strdup_printf("%s_idle_%s", who, what);
+	char *slope = g_strdup_printf("%s_per_%s", name, per);
+	char *base = g_strdup_printf("%s_base", name);
+
+	series_report(summary, name, series);
+	report(summary, slope, series_slope(series));
+	report(summary, base, series_base(series));
+	g_free(base);
+	g_free(slope);
+	g_free(name);
+}
+
+static void report_idle(json_t *summary, const char *who, const char *per, const struct idle *idle)
+{
+	report_fit(summary, who, "cpu_percent", per, &idle->cpu_percent);
+	report_fit(summary, who, "rss_kib", per, &idle->rss_kib);
+	report_fit(summary, who, "sent_bytes_per_s", per, &idle->bytes_sent);
+	report_fit(summary, who, "received_bytes_per_s", per, &idle->bytes_received);
+	report_fit(summary, who, "sent_messages_per_s", per, &idle->messages_sent);
+	report_fit(summary, who, "received_messages_per_s", per, &idle->messages_received);
+}
+
+/* Reports the size at which the fitted line reaches LIMIT. */
+static void report_limit(json_t *summary, const char *name, const struct series *series,
+			 double limit)
+{
+	report(summary, name, (limit - series_base(series)) / series_slope(series));
+}
+
+static void report_limits(json_t *summary, const char *who, const char *per,
+			  const struct idle *idle)
+{
+	struct series both = idle->bytes_sent;
+	struct series rss = idle->rss_kib;
+	char *prefix = g_strdup_printf("%s_%s_at", who, per);
+	char *name;
+
+	for (unsigned i = 0; i < both.count; i++) {
+		both.value[i] += idle->bytes_received.value[i];
+		rss.value[i] *= CAPACITY_KIB;
+	}
+	name = g_strconcat(prefix, "_sent_bytes_budget", NULL);
+	report_limit(summary, name, &idle->bytes_sent, budget_bytes_per_s);
+	g_free(name);
+	name = g_strconcat(prefix, "_sent_and_received_bytes_budget", NULL);
+	report_limit(summary, name, &both, budget_bytes_per_s);
+	g_free(name);
+	name = g_strconcat(prefix, "_cpu_budget", NULL);
+	report_limit(summary, name, &idle->cpu_percent, budget_cpu_percent);
+	g_free(name);
+	name = g_strconcat(prefix, "_rss_budget", NULL);
+	report_limit(summary, name, &rss, budget_rss_bytes);
+	g_free(name);
+	g_free(prefix);
+}
+
+/* CPU per start under a steady load. */
+struct starts {
+	struct series entry_us;
+	struct series agent_us; /* mean over the agents */
+	struct series per_s;
+};
+
+static int64_t agents_cpu_us(const struct harness *harness)
+{
+	int64_t total = 0;
+
+	for (unsigned i = 0; i < harness->shape.agents; i++)
+		total += process_cpu_us(harness->agents[i].process);
+	return total;
+}
+
+static void measure_starts(struct harness *harness, struct starts *starts)
+{
+	const struct harness_entry *entry = &harness->entries[0];
+	char *job = harness_job(LOAD_TASKS, 0, 0, LOAD_SEED);
+	struct load *load = load_start(entry->url, job, LOAD_CLIENTS);
+	double size = harness->shape.agents;
+	int64_t begun_us;
+	int64_t entry_us;
+	int64_t agents_us;
+	double count;
+
+	g_usleep(LOAD_WARM_MS * CAPACITY_US_PER_MS);
+	count = (double)harness_metric(entry->url, "tasks_started_total");
+	begun_us = g_get_monotonic_time();
+	entry_us = process_cpu_us(entry->process);
+	agents_us = agents_cpu_us(harness);
+	g_usleep(LOAD_MS * CAPACITY_US_PER_MS);
+	entry_us = process_cpu_us(entry->process) - entry_us;
+	agents_us = agents_cpu_us(harness) - agents_us;
+	begun_us = g_get_monotonic_time() - begun_us;
+	count = (double)harness_metric(entry->url, "tasks_started_total") - count;
+	load_stop(load);
+	series_add(&starts->entry_us, size, (double)entry_us / count);
+	series_add(&starts->agent_us, size, (double)agents_us / count);
+	series_add(&starts->per_s, size, count * G_USEC_PER_SEC / (double)begun_us);
+	free(job);
+}
+
+void measure_agents(json_t *summary)
+{
+	static const unsigned sizes[CAPACITY_SIZES] = {5, 10, 20, 40};
+	struct idle idle = {0};
+	struct starts starts = {0};
+
+	for (unsigned i = 0; i < CAPACITY_SIZES; i++) {
+		struct harness *harness = harness_start(&(struct harness_shape){
+			.entries = 1, .agents = sizes[i], .with_proxy = true});
+		struct reading from;
+		struct reading to;
+
+		g_usleep(SETTLE_MS * CAPACITY_US_PER_MS);
+		from = read_entry(harness, 0);
+		g_usleep(IDLE_MS * CAPACITY_US_PER_MS);
+		to = read_entry(harness, 0);
+		idle_add(&idle, sizes[i], harness->entries[0].process, &from, &to);
+		measure_starts(harness, &starts);
+		harness_free(harness);
+	}
+	report_idle(summary, "entry", "agent", &idle);
+	report_limits(summary, "entry", "agents", &idle);
+	series_report(summary, "entry_us_per_start", &starts.entry_us);
+	report(summary, "entry_us_per_start", series_mean(&starts.entry_us));
+	report(summary, "entry_us_per_start_per_agent", series_slope(&starts.entry_us));
+	series_report(summary, "agent_us_per_start", &starts.agent_us);
+	report(summary, "agent_us_per_start", series_mean(&starts.agent_us));
+	report(summary, "agent_us_per_start_per_agent", series_slope(&starts.agent_us));
+	series_report(summary, "load_starts_per_s", &starts.per_s);
+}
+
+/* Behind the proxy two entries know each other under two addresses, the proxy's and the announced
+ * one, keep replacing one of the two connections and send the agent a Welcome each time. */
+static const char without_peers[] = "{\"channel\": {\"peers\": []}}";
+
+void measure_entries(json_t *summary)
+{
+	static const unsigned sizes[CAPACITY_SIZES] = {1, 2, 4, 8};
+	struct idle idle = {0};
+
+	for (unsigned i = 0; i < CAPACITY_SIZES; i++) {
+		struct harness *harness =
+			harness_start(&(struct harness_shape){.entries = sizes[i],
+							      .agents = 1,
+							      .with_proxy = true,
+							      .entry_settings = without_peers});
+		struct reading from;
+		struct reading to;
+
+		g_usleep(SETTLE_MS * CAPACITY_US_PER_MS);
+		from = read_agent(harness, 0);
+		g_usleep(IDLE_MS * CAPACITY_US_PER_MS);
+		to = read_agent(harness, 0);
+		idle_add(&idle, sizes[i], harness->agents[0].process, &from, &to);
+		harness_free(harness);
+	}
+	report_idle(summary, "agent", "entry", &idle);
+	report_limits(summary, "agent", "entries", &idle);
+}
+
+typedef void (*measurement)(json_t *summary);
+
+int main(int argc, char **argv)
+{
+	static const struct {
+		const char *name;
+		measurement run;
+	} parts[] = {
+		{"agents", measure_agents},   {"entries", measure_entries},
+		{"queue", measure_queue},     {"teams", measure_teams},
+		{"patches", measure_patches}, {"open_requests", measure_open_requests},
+		{"claims", measure_claims},   {"sessions", measure_sessions},
+	};
+	json_t *summary = json_object();
+	char *text;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	for (unsigned i = 0; i < G_N_ELEMENTS(parts); i++) {
+		int64_t begun_us = g_get_monotonic_time();
+
+		/* Arguments name the parts to run; without any, all run. */
+		if (argc > 1 && !g_strv_contains((const char *const *)argv + 1, parts[i].name))
+			continue;
+		parts[i].run(summary);
+		g_printerr("%s: %.1f s\n", parts[i].name,
+			   (double)(g_get_monotonic_time() - begun_us) / G_USEC_PER_SEC);
+	}
+	text = json_dumps(summary, JSON_INDENT(1) | JSON_REAL_PRECISION(6));
+	puts(text);
+	if (argc == 1 && !g_file_set_contents(GG_BUILD_DIR "/bench/capacity.json", text, -1, NULL))
+		g_error("%s is not written", GG_BUILD_DIR "/bench/capacity.json");
+	free(text);
+	json_decref(summary);
+	return 0;
+}
--- /dev/null
+++ b/bench/capacity_config.c
@@ -0,0 +1,240 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "capacity.h"
+
+enum {
+	TEAM_AGENTS = 4,
+	TEAM_PATCHES = 20,
+	PATCH_PAUSE_MS = 30, /* so that agents do not skip versions */
+	IDLE_MS = 2000,
+	PATCHES_IN_A_ROW = 100,
+	SAMPLES_MAX = CAPACITY_SIZES * TEAM_PATCHES,
+	NAME_BYTES = 32,
+	POLL_US = 300,
+};
+
+static int compare(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static double quantile_ms(int64_t *values, unsigned count, double q)
+{
+	qsort(values, count, sizeof(*values), compare);
+	return (double)values[(unsigned)(q * (count - 1))] / CAPACITY_US_PER_MS;
+}
+
+/* Sends PATCH (a reference is taken over) on version BASE and returns the latency. */
+static int64_t send_patch(struct client *client, const struct harness_entry *entry, int64_t base,
+			  json_t *patch)
+{
+	char *url = g_strconcat(entry->url, "/v1/config", NULL);
+	json_t *body = json_pack("{s:I, s:o}", "base", (json_int_t)base, "patch", patch);
+	char *text = json_dumps(body, JSON_COMPACT);
+	int64_t took_us = client_call(client, "PATCH", url, text, 200);
+
+	free(text);
+	json_decref(body);
+	g_free(url);
+	return took_us;
+}
+
+static json_t *teams_patch(unsigned count)
+{
+	json_t *teams = json_object();
+	char name[NAME_BYTES];
+
+	for (unsigned i = 0; i < count; i++) {
+		g_snprintf(name, sizeof(name), "team-%04u", i);
+		json_object_set_new(teams, name,
+				    json_pack("{s:i, s:i, s:i}", "weight", 1 + (int)i % 7,
+					      "max_running", 100 + (int)i, "max_queued",
+					      100000 + (int)i));
+	}
+	return json_pack("{s:o}", "teams", teams);
+}
+
+/* A patch of one member of one team. */
+static json_t *small_patch(unsigned number)
+{
+	return json_pack("{s:{s:{s:i}}}", "teams", "team-0001", "max_running", 1000 + (int)number);
+}
+
+static double document_bytes(const struct harness_entry *entry)
+{
+	char *url = g_strconcat(entry->url, "/v1/config", NULL);
+	struct harness_reply reply = harness_http("GET", url, NULL, HARNESS_CALL_MS);
+	char *text = json_dumps(json_object_get(reply.body, "document"), JSON_COMPACT);
+	double bytes = (double)strlen(text);
+
+	free(text);
+	harness_reply_clear(&reply);
+	g_free(url);
+	return bytes;
+}
+
+/* Waits until VERSION is in force at every agent. */
+static void wait_version(struct harness *harness, int64_t version)
+{
+	int64_t end_us = g_get_monotonic_time() + CAPACITY_WAIT_MS * CAPACITY_US_PER_MS;
+
+	for (unsigned i = 0; i < harness->shape.agents; i++) {
+		while (harness_metric(harness->agents[i].url, "config_version") < version) {
+			if (g_get_monotonic_time() > end_us)
+				g_error("agent %u has no version %d", i, (int)version);
+			g_usleep(POLL_US);
+		}
+	}
+}
+
+struct teams {
+	struct series bytes;
+	struct series entry_us;
+	struct series agent_us;
+	struct series agent_bytes;
+	struct series propagation_ms;
+	int64_t samples[SAMPLES_MAX];
+	unsigned sample_count;
+};
+
+static double per_patch(int64_t used, int64_t idle, double idle_share)
+{
+	return ((double)used - (double)idle * idle_share) / TEAM_PATCHES;
+}
+
+/* CPU time and bytes of TEAM_PATCHES patches, less what the processes use while idle. */
+static void measure_cost(struct harness *harness, struct client *client, int64_t *version,
+			 double size, struct teams *teams)
+{
+	struct reading entry[3];
+	struct reading agent[3];
+	double share;
+
+	entry[0] = read_entry(harness, 0);
+	agent[0] = read_agent(harness, 0);
+	g_usleep(IDLE_MS * CAPACITY_US_PER_MS);
+	entry[1] = read_entry(harness, 0);
+	agent[1] = read_agent(harness, 0);
+	for (unsigned i = 0; i < TEAM_PATCHES; i++) {
+		send_patch(client, &harness->entries[0], (*version)++, small_patch(i));
+		g_usleep(PATCH_PAUSE_MS * CAPACITY_US_PER_MS);
+	}
+	wait_version(harness, *version);
+	entry[2] = read_entry(harness, 0);
+	agent[2] = read_agent(harness, 0);
+	share = (double)(entry[2].at_us - entry[1].at_us) /
+		(double)(entry[1].at_us - entry[0].at_us);
+	series_add(&teams->entry_us, size,
+		   per_patch(entry[2].cpu_us - entry[1].cpu_us, entry[1].cpu_us - entry[0].cpu_us,
+			     share));
+	series_add(&teams->agent_us, size,
+		   per_patch(agent[2].cpu_us - agent[1].cpu_us, agent[1].cpu_us - agent[0].cpu_us,
+			     share));
+	series_add(&teams->agent_bytes, size,
+		   per_patch(agent[2].bytes_received - agent[1].bytes_received,
+			     agent[1].bytes_received - agent[0].bytes_received, share));
+}
+
+static void measure_propagation(struct harness *harness, struct client *client, int64_t *version,
+				double size, struct teams *teams)
+{
+	int64_t *samples = &teams->samples[teams->sample_count];
+
+	for (unsigned i = 0; i < TEAM_PATCHES; i++) {
+		int64_t begun_us;
+
+		send_patch(client, &harness->entries[0], (*version)++,
+			   small_patch(TEAM_PATCHES + i));
+		begun_us = g_get_monotonic_time();
+		wait_version(harness, *version);
+		samples[i] = g_get_monotonic_time() - begun_us;
+	}
+	teams->sample_count += TEAM_PATCHES;
+	series_add(&teams->propagation_ms, size, quantile_ms(samples, TEAM_PATCHES, 0.5));
+}
+
+static void report_teams(json_t *summary, struct teams *teams)
+{
+	series_report(summary, "config_bytes_with_teams", &teams->bytes);
+	report(summary, "config_bytes_per_team", series_slope(&teams->bytes));
+	series_report(summary, "config_entry_us_per_patch_with_teams", &teams->entry_us);
+	report(summary, "config_entry_us_per_patch_per_team", series_slope(&teams->entry_us));
+	report(summary, "config_entry_us_per_patch_base", series_base(&teams->entry_us));
+	series_report(summary, "config_agent_us_per_patch_with_teams", &teams->agent_us);
+	report(summary, "config_agent_us_per_patch_per_team", series_slope(&teams->agent_us));
+	report(summary, "config_agent_us_per_patch_base", series_base(&teams->agent_us));
+	series_report(summary, "config_agent_bytes_per_patch_with_teams", &teams->agent_bytes);
+	report(summary, "config_agent_bytes_per_patch_per_team", series_slope(&teams->agent_bytes));
+	report(summary, "config_agent_bytes_per_patch_base", series_base(&teams->agent_bytes));
+	series_report(summary, "config_propagation_ms_p50_with_teams", &teams->propagation_ms);
+	report(summary, "config_propagation_ms_p50",
+	       quantile_ms(teams->samples, teams->sample_count, 0.5));
+	report(summary, "config_propagation_ms_p99",
+	       quantile_ms(teams->samples, teams->sample_count, 0.99));
+}
+
+void measure_teams(json_t *summary)
+{
+	static const unsigned sizes[CAPACITY_SIZES] = {10, 100, 300, 630};
+	struct teams teams = {0};
+
+	for (unsigned i = 0; i < CAPACITY_SIZES; i++) {
+		struct harness *harness = harness_start(&(struct harness_shape){
+			.entries = 1, .agents = TEAM_AGENTS, .with_proxy = true});
+		struct client client;
+		int64_t version = harness_metric(harness->entries[0].url, "config_version");
+
+		client_init(&client);
+		send_patch(&client, &harness->entries[0], version++, teams_patch(sizes[i]));
+		wait_version(harness, version);
+		series_add(&teams.bytes, sizes[i], document_bytes(&harness->entries[0]));
+		measure_cost(harness, &client, &version, sizes[i], &teams);
+		measure_propagation(harness, &client, &version, sizes[i], &teams);
+		client_clear(&client);
+		harness_free(harness);
+	}
+	report_teams(summary, &teams);
+}
+
+/* Patches one after the other, with as many teams in the document as above. */
+void measure_patches(json_t *summary)
+{
+	static const unsigned sizes[CAPACITY_SIZES] = {10, 100, 300, 630};
+	struct series per_s = {0};
+	struct series latency = {0};
+	struct series appends = {0};
+
+	for (unsigned i = 0; i < CAPACITY_SIZES; i++) {
+		struct harness *harness =
+			harness_start(&(struct harness_shape){.entries = 1, .agents = 1});
+		const struct harness_entry *entry = &harness->entries[0];
+		int64_t version = harness_metric(entry->url, "config_version");
+		int64_t samples[PATCHES_IN_A_ROW];
+		struct client client;
+		int64_t begun_us;
+		int64_t before;
+
+		client_init(&client);
+		send_patch(&client, entry, version++, teams_patch(sizes[i]));
+		before = log_appends(harness, "config");
+		begun_us = g_get_monotonic_time();
+		for (unsigned k = 0; k < PATCHES_IN_A_ROW; k++)
+			samples[k] = send_patch(&client, entry, version++, small_patch(k));
+		series_add(&per_s, sizes[i],
+			   (double)PATCHES_IN_A_ROW * G_USEC_PER_SEC /
+				   (double)(g_get_monotonic_time() - begun_us));
+		series_add(&latency, sizes[i], quantile_ms(samples, PATCHES_IN_A_ROW, 0.5));
+		series_add(&appends, sizes[i],
+			   (double)(log_appends(harness, "config") - before) / PATCHES_IN_A_ROW);
+		client_clear(&client);
+		harness_free(harness);
+	}
+	series_report(summary, "patches_per_s_with_teams", &per_s);
+	series_report(summary, "patch_latency_ms_p50_with_teams", &latency);
+	report(summary, "patch_latency_ms_p50_per_team", series_slope(&latency));
+	report(summary, "patch_log_appends", series_mean(&appends));
+}
--- /dev/null
+++ b/bench/capacity_measure.c
@@ -0,0 +1,323 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "capacity.h"
+
+enum {
+	PATH_BYTES = 64,
+	NAME_BYTES = 96,
+	THREADS_MAX = 64,
+};
+
+static size_t keep_text(char *data, size_t size, size_t count, void *context)
+{
+	g_string_append_len(context, data, (gssize)(size * count));
+	return size * count;
+}
+
+void client_init(struct client *client)
+{
+	client->easy = curl_easy_init();
+	client->text = g_string_new(NULL);
+	client->headers = curl_slist_append(NULL, "Content-Type: application/json");
+	client->headers = curl_slist_append(client->headers, "Expect:");
+	curl_easy_setopt(client->easy, CURLOPT_HTTPHEADER, client->headers);
+	curl_easy_setopt(client->easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(client->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(client->easy, CURLOPT_TIMEOUT_MS, (long)CAPACITY_WAIT_MS);
+	curl_easy_setopt(client->easy, CURLOPT_WRITEFUNCTION, keep_text);
+	curl_easy_setopt(client->easy, CURLOPT_WRITEDATA, client->text);
+}
+
+void client_clear(struct client *client)
+{
+	curl_easy_cleanup(client->easy);
+	curl_slist_free_all(client->headers);
+	g_string_free(client->text, TRUE);
+}
+
+int64_t client_call(struct client *client, const char *method, const char *url, const char *body,
+		    long expected)
+{
+	int64_t begun_us = g_get_monotonic_time();
+	long status = 0;
+	CURLcode code;
+
+	g_string_truncate(client->text, 0);
+	curl_easy_setopt(client->easy, CURLOPT_URL, url);
+	curl_easy_setopt(client->easy, CURLOPT_CUSTOMREQUEST, method);
+	curl_easy_setopt(client->easy, CURLOPT_POSTFIELDS, body);
+	code = curl_easy_perform(client->easy);
+	curl_easy_getinfo(client->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (code != CURLE_OK || status != expected)
+		g_error("%s %s: %s, status %ld: %s", method, url, curl_easy_strerror(code), status,
+			client->text->str);
+	return g_get_monotonic_time() - begun_us;
+}
+
+void client_submit(struct client *client, const char *entry, const char *session, const char *name,
+		   unsigned number, const char *job, int wait_ms)
+{
+	char url[CAPACITY_URL_BYTES];
+
+	g_snprintf(url, sizeof(url), "%s/v1/sessions/%s/jobs/%s-%u?wait_ms=%d", entry, session,
+		   name, number, wait_ms);
+	client_call(client, "PUT", url, job, wait_ms > 0 ? 200 : 202);
+}
+
+int64_t process_cpu_us(const struct harness_process *process)
+{
+	struct timespec used = {0};
+	clockid_t clock;
+
+	g_assert_cmpint(
+		clock_getcpuclockid(atoi(g_subprocess_get_identifier(process->child)), &clock), ==,
+		0);
+	clock_gettime(clock, &used);
+	return (int64_t)used.tv_sec * G_USEC_PER_SEC + used.tv_nsec / 1000;
+}
+
+int64_t process_rss_bytes(const struct harness_process *process)
+{
+	static const char field[] = "VmRSS:";
+	char path[PATH_BYTES];
+	char *text = NULL;
+	char *found;
+	int64_t value;
+
+	g_snprintf(path, sizeof(path), "/proc/%s/status",
+		   g_subprocess_get_identifier(process->child));
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	found = strstr(text, field);
+	g_assert_nonnull(found);
+	value = g_ascii_strtoll(found + strlen(field), NULL, 10) * CAPACITY_KIB;
+	g_free(text);
+	return value;
+}
+
+int64_t metric_sum(const char *url, const char *prefix)
+{
+	char *full = g_strconcat(url, "/metrics", NULL);
+	char *needle = g_strconcat("\ngreengage_", prefix, NULL);
+	struct harness_reply reply = harness_http("GET", full, NULL, HARNESS_CALL_MS);
+	int64_t total = 0;
+
+	for (const char *at = reply.text; at && (at = strstr(at, needle)) != NULL;) {
+		at += strlen(needle);
+		total += g_ascii_strtoll(strchr(at, ' '), NULL, 10);
+	}
+	harness_reply_clear(&reply);
+	g_free(needle);
+	g_free(full);
+	return total;
+}
+
+void route_add(struct harness *harness, const char *route, int64_t *to_target, int64_t *back)
+{
+	char *line = g_strconcat(route, " stats", NULL);
+	char *answer = harness_proxy(harness, line);
+	long long up = 0;
+	long long down = 0;
+
+	if (sscanf(answer, "%lld %lld", &up, &down) != 2)
+		g_error("%s: %s", line, answer);
+	*to_target += up;
+	*back += down;
+	g_free(answer);
+	g_free(line);
+}
+
+/* Reads CPU time last: rendering the metrics uses some. */
+static struct reading read_process(const struct harness_process *process, const char *url)
+{
+	struct reading reading = {
+		.messages_sent = metric_sum(url, "messages_sent_"),
+		.messages_received = metric_sum(url, "messages_received_"),
+	};
+
+	reading.at_us = g_get_monotonic_time();
+	reading.cpu_us = process_cpu_us(process);
+	return reading;
+}
+
+struct reading read_entry(struct harness *harness, unsigned index)
+{
+	const struct harness_entry *entry = &harness->entries[index];
+	struct reading reading = read_process(entry->process, entry->url);
+	char route[PATH_BYTES];
+
+	for (unsigned i = 0; i < harness->shape.agents; i++) {
+		g_snprintf(route, sizeof(route), "agent%u-entry%u", i, index);
+		route_add(harness, route, &reading.bytes_received, &reading.bytes_sent);
+	}
+	if (harness->log && harness->shape.entries == 1)
+		route_add(harness, "log", &reading.bytes_sent, &reading.bytes_received);
+	return reading;
+}
+
+struct reading read_agent(struct harness *harness, unsigned index)
+{
+	const struct harness_agent *agent = &harness->agents[index];
+	struct reading reading = read_process(agent->process, agent->url);
+	char route[PATH_BYTES];
+
+	for (unsigned i = 0; i < harness->shape.entries; i++) {
+		g_snprintf(route, sizeof(route), "agent%u-entry%u", index, i);
+		route_add(harness, route, &reading.bytes_sent, &reading.bytes_received);
+	}
+	g_snprintf(route, sizeof(route), "announce%u", index);
+	route_add(harness, route, &reading.bytes_received, &reading.bytes_sent);
+	return reading;
+}
+
+int64_t log_appends(struct harness *harness, const char *stream)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%d/control", harness->log_port);
+	struct harness_reply reply = harness_http("GET", url, NULL, HARNESS_CALL_MS);
+	json_t *item = json_object_get(json_object_get(reply.body, "streams"), stream);
+	int64_t appends = json_integer_value(json_object_get(item, "appends"));
+
+	harness_reply_clear(&reply);
+	g_free(url);
+	return appends;
+}
+
+void series_add(struct series *series, double size, double value)
+{
+	g_assert_cmpuint(series->count, <, CAPACITY_SIZES);
+	series->size[series->count] = size;
+	series->value[series->count++] = value;
+}
+
+static double mean(const double *values, unsigned count)
+{
+	double sum = 0;
+
+	for (unsigned i = 0; i < count; i++)
+		sum += values[i];
+	return sum / count;
+}
+
+double series_mean(const struct series *series)
+{
+	return mean(series->value, series->count);
+}
+
+double series_slope(const struct series *series)
+{
+	double size_mean = mean(series->size, series->count);
+	double value_mean = series_mean(series);
+	double products = 0;
+	double squares = 0;
+
+	for (unsigned i = 0; i < series->count; i++) {
+		double distance = series->size[i] - size_mean;
+
+		products += distance * (series->value[i] - value_mean);
+		squares += distance * distance;
+	}
+	return products / squares;
+}
+
+double series_base(const struct series *series)
+{
+	return series_mean(series) - series_slope(series) * mean(series->size, series->count);
+}
+
+void report(json_t *summary, const char *name, double value)
+{
+	json_object_set_new(summary, name, json_real(value));
+}
+
+void series_report(json_t *summary, const char *name, const struct series *series)
+{
+	char full[NAME_BYTES];
+
+	for (unsigned i = 0; i < series->count; i++) {
+		g_snprintf(full, sizeof(full), "%s_at_%.0f", name, series->size[i]);
+		report(summary, full, series->value[i]);
+	}
+}
+
+struct load {
+	const char *entry;
+	const char *job;
+	gint stop;
+	gint next;
+	unsigned count;
+	GThread *threads[THREADS_MAX];
+};
+
+static void *run_load(void *context)
+{
+	struct load *load = context;
+	char *session = harness_open_session(load->entry);
+	struct client client;
+
+	client_init(&client);
+	for (unsigned number = 0; !g_atomic_int_get(&load->stop); number++)
+		client_submit(&client, load->entry, session, "load", number, load->job,
+			      CAPACITY_WAIT_MS);
+	client_clear(&client);
+	g_free(session);
+	return NULL;
+}
+
+struct load *load_start(const char *entry, const char *job, unsigned clients)
+{
+	struct load *load = g_new0(struct load, 1);
+
+	g_assert_cmpuint(clients, <=, THREADS_MAX);
+	load->entry = entry;
+	load->job = job;
+	load->count = clients;
+	for (unsigned i = 0; i < clients; i++)
+		load->threads[i] = g_thread_new("load", run_load, load);
+	return load;
+}
+
+void load_stop(struct load *load)
+{
+	g_atomic_int_set(&load->stop, 1);
+	for (unsigned i = 0; i < load->count; i++)
+		g_thread_join(load->threads[i]);
+	g_free(load);
+}
+
+struct parallel {
+	capacity_item item;
+	void *context;
+	gint next;
+	gint end;
+};
+
+static void *run_items(void *context)
+{
+	struct parallel *parallel = context;
+	struct client client;
+	gint number;
+
+	client_init(&client);
+	while ((number = g_atomic_int_add(&parallel->next, 1)) < parallel->end)
+		parallel->item(parallel->context, &client, (unsigned)number);
+	client_clear(&client);
+	return NULL;
+}
+
+void run_parallel(unsigned threads, unsigned first, unsigned count, capacity_item item,
+		  void *context)
+{
+	struct parallel parallel = {.item = item,
+				    .context = context,
+				    .next = (gint)first,
+				    .end = (gint)(first + count)};
+	GThread *started[THREADS_MAX];
+
+	g_assert_cmpuint(threads, <=, THREADS_MAX);
+	for (unsigned i = 0; i < threads; i++)
+		started[i] = g_thread_new("client", run_items, &parallel);
+	for (unsigned i = 0; i < threads; i++)
+		g_thread_join(started[i]);
+}
