--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Thin front for CMake. The build itself is described in CMakeLists.txt.
 
-.PHONY: all proto packages demo test test-asan lint format bench bench-policy fuzz clean
+.PHONY: all proto packages demo test test-asan lint format bench bench-capacity bench-policy fuzz clean
 
 all: build/build.ninja
 	@cmake --build build
@@ -41,5 +41,8 @@
 bench-policy: all
 	@build/bench/policy_bench $(POLICY_OPTIONS)
 
+bench-capacity: all
+	@build/bench/capacity_bench
+
 clean:
 	@rm -rf build build-asan build-tsan build-fuzz
