Lock the fake entry's state in greengagectl_test

The main thread wrote the faults to inject and read the recorded requests without the lock that the server threads hold. ThreadSanitizer reported it at test_failover and test_drain_retries (the program ended with status 66). With the lock taken on both sides the program passes without a report. No check changed.

--- a/test/unit/greengagectl_test.c
+++ b/test/unit/greengagectl_test.c
@@ -89,7 +89,9 @@
 	GSubprocess *process;
 	int code;
 
+	pthread_mutex_lock(&entry.lock);
 	g_string_truncate(entry.requests, 0);
+	pthread_mutex_unlock(&entry.lock);
 	g_subprocess_launcher_setenv(launcher, "GREENGAGE_ENTRY", entry.url, TRUE);
 	g_subprocess_launcher_setenv(launcher, "http_proxy", "http://127.0.0.1:1", TRUE);
 	process = g_subprocess_launcher_spawnv(launcher, (const char *const *)argv, NULL);
@@ -115,9 +117,46 @@
 	g_free(errors);
 }
 
+static char *copy_requests(void)
+{
+	char *requests;
+
+	pthread_mutex_lock(&entry.lock);
+	requests = g_strdup(entry.requests->str);
+	pthread_mutex_unlock(&entry.lock);
+	return requests;
+}
+
 static void assert_requests(const char *wanted)
 {
-	g_assert_cmpstr(entry.requests->str, ==, wanted);
+	char *requests = copy_requests();
+
+	g_assert_cmpstr(requests, ==, wanted);
+	g_free(requests);
+}
+
+static void set_drop_submit(bool drop)
+{
+	pthread_mutex_lock(&entry.lock);
+	entry.drop_submit = drop;
+	pthread_mutex_unlock(&entry.lock);
+}
+
+static void set_conflicts(int conflicts)
+{
+	pthread_mutex_lock(&entry.lock);
+	entry.conflicts = conflicts;
+	pthread_mutex_unlock(&entry.lock);
+}
+
+static int get_conflicts(void)
+{
+	int conflicts;
+
+	pthread_mutex_lock(&entry.lock);
+	conflicts = entry.conflicts;
+	pthread_mutex_unlock(&entry.lock);
+	return conflicts;
 }
 
 /* A client must be able to resubmit, so token and key are shown; the answer stands alone. */
@@ -155,12 +194,12 @@
 
 	assert_code(0, args, "");
 	g_free(args);
-	entry.drop_submit = true;
+	set_drop_submit(true);
 	args = g_strdup_printf("--entry %s --entry %s submit --session s1 --key k", entry.url,
 			       entry.url);
 	assert_code(1, args, "{}");
 	assert_requests("PUT /v1/sessions/s1/jobs/k {}\n");
-	entry.drop_submit = false;
+	set_drop_submit(false);
 	g_free(args);
 }
 
@@ -174,20 +213,25 @@
 		"GET /v1/config \nPATCH /v1/config "
 		"{\"base\":2,\"patch\":{\"drain\":{\"hosts\":[\"h2\",\"x\"]}},\"author\":\"a\"}"
 		"\n");
+	char *requests;
 
+	pthread_mutex_lock(&entry.lock);
 	entry.version = 1;
-	entry.conflicts = 1;
+	pthread_mutex_unlock(&entry.lock);
+	set_conflicts(1);
 	assert_code(0, "drain --host x --author a", "");
 	assert_requests(wanted);
-	entry.conflicts = 100;
+	set_conflicts(100);
 	assert_code(1,
 		    "undrain --host h1 --host h2 --host h3 --host h4 --host h5 --host h6 --host "
 		    "h7 --host h8",
 		    "");
-	g_assert_cmpint(entry.conflicts, ==, 95);
-	entry.conflicts = 0;
+	g_assert_cmpint(get_conflicts(), ==, 95);
+	set_conflicts(0);
 	assert_code(0, "undrain --host x", "");
-	g_assert_null(strstr(entry.requests->str, "PATCH"));
+	requests = copy_requests();
+	g_assert_null(strstr(requests, "PATCH"));
+	g_free(requests);
 	g_free(wanted);
 }
 
