Send each configuration to an agent once

An agent that received a ConfigState asked for the version in its header before it read the body, so every patch was sent twice: 40 documents for 5 patches and 4 agents. The agent now does not ask on that body, as an entry already does not. One that it cannot adopt is asked for with the next message.

The test budget/config_once failed before (40 == 20).

--- a/packages/greengaged/src/agent_peer.c
+++ b/packages/greengaged/src/agent_peer.c
@@ -376,7 +376,10 @@
 		return;
 	}
 	peer->last_heard_us = board->now_us;
-	agent_dispatch_see_version(board, peer, envelope->config_version);
+	/* This body is the document itself. One that is not valid is asked for again with the next
+	 * message. */
+	if (envelope->body_case != GG__ENVELOPE__BODY_CONFIG_STATE)
+		agent_dispatch_see_version(board, peer, envelope->config_version);
 	agent_dispatch_message(board, peer, envelope);
 }
 
--- a/test/functional/budget_test.c
+++ b/test/functional/budget_test.c
@@ -15,6 +15,8 @@
 	CHANNELS_PER_PEER = 2, /* each of two entries connects to the other */
 	SETTLED_MS = 20000,
 	WINDOW_LIMIT_MS = 30000,
+	PATCHED_AGENTS = 4,
+	PATCHES = 5,
 	NAME_BYTES = 48,
 	US_PER_MS = 1000,
 };
@@ -130,9 +132,49 @@
 	harness_free(harness);
 }
 
+static void patch_config(const char *entry, int base)
+{
+	char *url = g_strconcat(entry, "/v1/config", NULL);
+	char *body = g_strdup_printf(
+		"{\"base\": %d, \"patch\": {\"teams\": {\"passes\": {\"weight\": %d}}}}", base,
+		base + 1);
+	struct harness_reply reply = harness_http("PATCH", url, body, HARNESS_CALL_MS);
+
+	g_assert_cmpint(reply.status, ==, 200);
+	harness_reply_clear(&reply);
+	g_free(body);
+	g_free(url);
+}
+
+/* Guards against an agent that asks for the document which it is just receiving, so that each patch
+ * is sent twice. */
+static void test_config_once(void)
+{
+	struct harness *harness =
+		harness_start(&(struct harness_shape){.entries = 1, .agents = PATCHED_AGENTS});
+	const char *entry = harness->entries[0].url;
+	int64_t before = harness_metric(entry, "messages_sent_config_state_total");
+	int64_t heartbeats;
+
+	for (int i = 0; i < PATCHES; i++) {
+		patch_config(entry, i);
+		for (unsigned k = 0; k < PATCHED_AGENTS; k++)
+			HARNESS_WAIT(SETTLED_MS, harness_metric(harness->agents[k].url,
+								"config_version") >= i + 1);
+	}
+	/* Answers to requests for the document precede the next heartbeats. */
+	heartbeats = harness_metric(entry, "messages_sent_heartbeat_total");
+	HARNESS_WAIT(SETTLED_MS, harness_metric(entry, "messages_sent_heartbeat_total") >=
+					 heartbeats + 2 * PATCHED_AGENTS);
+	g_assert_cmpint(harness_metric(entry, "messages_sent_config_state_total") - before, ==,
+			PATCHES * PATCHED_AGENTS);
+	harness_free(harness);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/budget/config_once", test_config_once);
 	g_test_add_func("/budget/idle", test_idle);
 	return g_test_run();
 }
