Tell an entry without waiting tasks of new credits with its next message

Ruled out: delaying all such messages by some ms, which joins few of them at the tasks' real length. What is left goes to entries that have tasks waiting when a slot changes hands.

--- a/packages/core/include/gate.h
+++ b/packages/core/include/gate.h
@@ -137,6 +137,9 @@
  */
 uint32_t gate_distribute(struct gate *gate, struct gate_change *out, uint32_t capacity);
 
+/* Returns whether the entry told of tasks that wait, so that new credits are worth a message. */
+bool gate_has_demand(const struct gate *gate, struct handle channel);
+
 /* Returns the total granted on a channel, for the header of each message. */
 uint64_t gate_granted(const struct gate *gate, struct handle channel);
 
--- a/packages/core/src/gate.c
+++ b/packages/core/src/gate.c
@@ -361,6 +361,13 @@
 	gate->leaving = leaving;
 }
 
+bool gate_has_demand(const struct gate *gate, struct handle channel)
+{
+	const struct gate_channel *ch = channel_of(gate, channel);
+
+	return ch && ch->demand > 0;
+}
+
 uint64_t gate_granted(const struct gate *gate, struct handle channel)
 {
 	const struct gate_channel *ch = channel_of(gate, channel);
--- a/packages/greengaged/src/agent_board.h
+++ b/packages/greengaged/src/agent_board.h
@@ -71,7 +71,8 @@
 	struct handle gate;	/* channel of the incarnation */
 	uint64_t result_sent;	/* highest result number sent on this epoch */
 	uint64_t reclaim;	/* credits to ask back */
-	bool tell;		/* something in the header changed */
+	bool tell;		/* credits changed; told at once only to an entry with demand */
+	bool tell_now;		/* the entry knows nothing of this channel's credits yet */
 	bool tell_server;	/* the server's state changed */
 	uint64_t asked_version; /* of the configuration */
 	int64_t asked_us;
--- a/packages/greengaged/src/agent_peer.c
+++ b/packages/greengaged/src/agent_peer.c
@@ -136,6 +136,7 @@
 	}
 	peer->sent_us = board->now_us;
 	peer->tell = false;
+	peer->tell_now = false;
 	agent_metric_add(AGENT_METRIC_MESSAGES_SENT, 1);
 	if (envelope->body_case != GG__ENVELOPE__BODY_RESULT_BATCH)
 		agent_metric_add(AGENT_METRIC_MESSAGES_CONTROL, 1);
@@ -236,6 +237,17 @@
 		peer->reclaim = 0;
 }
 
+/*
+ * New credits of an entry without waiting tasks travel with its next result or heartbeat. A message
+ * of their own for each slot that changes hands was the larger part of all wasted messages.
+ */
+static bool must_tell(const struct agent_board *board, const struct agent_peer *peer)
+{
+	if (peer->tell_now || peer->tell_server)
+		return true;
+	return peer->tell && gate_has_demand(board->gate, peer->gate);
+}
+
 void agent_peer_flush(struct agent_board *board)
 {
 	int64_t heartbeat_us = board->settings->heartbeat_ms * US_PER_MS;
@@ -251,7 +263,7 @@
 			agent_dispatch_send_results(board, peer);
 			if (peer->reclaim > 0)
 				send_reclaim(board, peer);
-			if (peer->tell || peer->tell_server)
+			if (must_tell(board, peer))
 				send_heartbeat(board, peer);
 		}
 		if (board->now_us - peer->sent_us >= heartbeat_us)
@@ -354,7 +366,7 @@
 	peer->forgotten = false;
 	peer->pause_us = PAUSE_FIRST_US;
 	peer->gate = gate_open(board->gate, &incarnation, peer->epoch, board->now_us);
-	peer->tell = true;
+	peer->tell_now = true;
 	/*
 	 * The Hello of this connection did not name the numbers that the gate still knows of this
 	 * entry. An entry that forgot this agent would begin at 1 again and get no answer.
