Refuse a wildcard as an entry's channel address

Cause: an entry tells others the address that it binds; with a wildcard they would connect nowhere or to themselves, and an entry known under two addresses has its channels replaced again and again. Ruled out: guessing an address from the interfaces, since a process learns its addresses from its settings. /settings/wildcard-address failed first and passes now.

--- a/packages/greengaged/src/daemon_settings.c
+++ b/packages/greengaged/src/daemon_settings.c
@@ -119,6 +119,12 @@
 	INT_FIELD("agent.server_connect_ms", server_connect_ms, 10, 60000, 1000),
 };
 
+static bool is_wildcard(const char *address)
+{
+	return strstr(address, "//*:") || strstr(address, "//0.0.0.0:") ||
+	       strstr(address, "//[::]:");
+}
+
 /* Checks that hold between several fields. */
 static enum status check_together(const char *file, const struct daemon_settings *settings,
 				  struct error *err)
@@ -128,6 +134,11 @@
 	if (is_entry && !settings->channel_address)
 		return error_set(err, STATUS_INVALID_SETTINGS,
 				 "%s: channel.address: required for the role entry", file);
+	if (is_entry && is_wildcard(settings->channel_address))
+		return error_set(err, STATUS_INVALID_SETTINGS,
+				 "%s: channel.address: accepted: the address that other processes "
+				 "connect to, not a wildcard",
+				 file);
 	if (!is_entry && settings->entries[0] == NULL)
 		return error_set(
 			err, STATUS_INVALID_SETTINGS,
--- a/test/unit/settings_test.c
+++ b/test/unit/settings_test.c
@@ -112,6 +112,26 @@
 	g_assert_cmpint(load("{", &settings, &err), ==, STATUS_INVALID_SETTINGS);
 }
 
+/* Other processes connect to the address that an entry tells them; a wildcard leads nowhere, or to
+ * the wrong host. */
+static void test_wildcard_address(void)
+{
+	static const char *const wildcards[] = {"tcp://0.0.0.0:2", "tcp://*:2", "tcp://[::]:2"};
+	struct daemon_settings settings;
+	struct error err;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(wildcards); i++) {
+		char *text = g_strdup_printf(
+			"{\"role\":\"entry\",\"name\":\"e\",\"zone\":\"z\",\"host\":\"h\",\"http\":"
+			"{\"address\":\"127.0.0.1:1\"},\"channel\":{\"address\":\"%s\"}}",
+			wildcards[i]);
+
+		g_assert_cmpint(load(text, &settings, &err), ==, STATUS_INVALID_SETTINGS);
+		g_assert_nonnull(strstr(err.message, "channel.address"));
+		g_free(text);
+	}
+}
+
 /* Every setting is documented with its type, range and default, and nothing else is. */
 static void test_documentation(void)
 {
@@ -143,5 +163,6 @@
 	g_test_add_func("/settings/refusals", test_refusals_name_path_and_range);
 	g_test_add_func("/settings/roles", test_roles);
 	g_test_add_func("/settings/documentation", test_documentation);
+	g_test_add_func("/settings/wildcard-address", test_wildcard_address);
 	return g_test_run();
 }
