Use the field's usual terms in the gate and the agent's connections

gate_news and gate_hear become gate_header and gate_receive_header; meet, twin and tell become identify_entry, duplicate and credits_changed or server_changed. Behaviour is unchanged: gate_test, channel_diff_test and agent_ftest pass.

--- a/bench/channel_bench.c
+++ b/bench/channel_bench.c
@@ -37,9 +37,9 @@
 static void hear(struct gate *gate, struct handle channel, uint64_t demand, uint64_t consumed,
 		 uint64_t ack)
 {
-	struct gate_news news = {.demand = demand, .consumed = consumed, .result_ack = ack};
+	struct gate_header header = {.demand = demand, .consumed = consumed, .result_ack = ack};
 
-	gate_hear(gate, channel, 1, &news, 0);
+	gate_receive_header(gate, channel, 1, &header, 0);
 }
 
 /* Moves starts through a link and a gate, a batch at a time, and adds the time of either direction.
--- a/packages/core/include/gate.h
+++ b/packages/core/include/gate.h
@@ -26,7 +26,7 @@
 };
 
 /* What an entry's message says about its channel. */
-struct gate_news {
+struct gate_header {
 	int64_t sent_us;
 	uint64_t demand;
 	uint64_t consumed;
@@ -75,8 +75,8 @@
 
 /* Takes what a message of EPOCH says. Returns false when the epoch is lower than the channel's: the
  * message is ignored. */
-bool gate_hear(struct gate *gate, struct handle channel, uint64_t epoch,
-	       const struct gate_news *news, int64_t now_us);
+bool gate_receive_header(struct gate *gate, struct handle channel, uint64_t epoch,
+			 const struct gate_header *header, int64_t now_us);
 
 /*
  * Decides on a start. STATUS_OK: it passed the gate, holds a slot and must be run. Otherwise it did
@@ -133,7 +133,7 @@
  * proportion to demand, in rotation; what exceeds the demand is spread evenly. When an entry has
  * demand and no credit, or the slots shrank below what is promised, unused credits are asked back,
  * once until they are returned. Call it after all starts of a message were admitted, since
- * gate_hear already counts them as consumed.
+ * gate_receive_header already counts them as consumed.
  */
 uint32_t gate_distribute(struct gate *gate, struct gate_change *out, uint32_t capacity);
 
--- a/packages/core/src/gate.c
+++ b/packages/core/src/gate.c
@@ -192,12 +192,12 @@
 	ch->demand = 0;
 	ch->share = 0;
 	ch->reclaim = 0;
-	ch->granted_news = false;
+	ch->granted_changed = false;
 	acknowledge(gate, ch, UINT64_MAX);
 }
 
-bool gate_hear(struct gate *gate, struct handle channel, uint64_t epoch,
-	       const struct gate_news *news, int64_t now_us)
+bool gate_receive_header(struct gate *gate, struct handle channel, uint64_t epoch,
+			 const struct gate_header *header, int64_t now_us)
 {
 	struct gate_channel *ch = channel_of(gate, channel);
 
@@ -208,16 +208,16 @@
 	gate->now_us = MAX(gate->now_us, now_us);
 	ch->heard_us = now_us;
 	/* A message that was overtaken says nothing about the present demand. */
-	if (!ch->baseline.known || difference(news->sent_us, ch->demand_sent_us) >= 0) {
-		ch->demand = news->demand;
-		ch->demand_sent_us = news->sent_us;
+	if (!ch->baseline.known || difference(header->sent_us, ch->demand_sent_us) >= 0) {
+		ch->demand = header->demand;
+		ch->demand_sent_us = header->sent_us;
 	}
-	note_delay(&ch->baseline, difference(now_us, news->sent_us), now_us);
-	ch->consumed = MAX(ch->consumed, MIN(news->consumed, ch->granted));
+	note_delay(&ch->baseline, difference(now_us, header->sent_us), now_us);
+	ch->consumed = MAX(ch->consumed, MIN(header->consumed, ch->granted));
 	if (ch->unheard)
-		renumber(ch, news->result_ack);
+		renumber(ch, header->result_ack);
 	ch->unheard = false;
-	acknowledge(gate, ch, news->result_ack);
+	acknowledge(gate, ch, header->result_ack);
 	return true;
 }
 
--- a/packages/core/src/gate_credit.c
+++ b/packages/core/src/gate_credit.c
@@ -47,7 +47,7 @@
 static void grant_one(struct gate_channel *ch)
 {
 	ch->granted++;
-	ch->granted_news = true;
+	ch->granted_changed = true;
 }
 
 static uint64_t weight(const struct gate_channel *ch)
@@ -237,11 +237,11 @@
 	uint32_t count = 0;
 
 	while (count < capacity && (ch = table_next(&gate->channels, &cursor, NULL))) {
-		if (!ch->granted_news && ch->reclaim == 0)
+		if (!ch->granted_changed && ch->reclaim == 0)
 			continue;
 		out[count++] = (struct gate_change){
 			.channel = ch->self, .granted = ch->granted, .reclaim = ch->reclaim};
-		ch->granted_news = false;
+		ch->granted_changed = false;
 		ch->reclaim = 0;
 	}
 	return count;
--- a/packages/core/src/gate_state.h
+++ b/packages/core/src/gate_state.h
@@ -41,8 +41,8 @@
 	struct gate_baseline baseline;
 	struct gate_results results;
 	struct seqset running;
-	uint64_t reclaim;  /* to be told */
-	bool granted_news; /* to be told */
+	uint64_t reclaim;     /* to be told */
+	bool granted_changed; /* to be told */
 	bool closed;
 	bool unheard; /* no message of this epoch was heard */
 };
--- a/packages/greengaged/src/agent_board.h
+++ b/packages/greengaged/src/agent_board.h
@@ -46,9 +46,9 @@
 	struct handle health_due; /* timer */
 	uint32_t usable;	  /* slots that the configuration leaves */
 	/* As last told to the entries. */
-	uint32_t told_slots;
-	bool told_open;
-	bool told_quarantined;
+	uint32_t sent_slots;
+	bool sent_open;
+	bool sent_quarantined;
 };
 
 /* A known entry and the connection to it. */
@@ -71,9 +71,9 @@
 	struct handle gate;	/* channel of the incarnation */
 	uint64_t result_sent;	/* highest result number sent on this epoch */
 	uint64_t reclaim;	/* credits to ask back */
-	bool tell;		/* credits changed; told at once only to an entry with demand */
-	bool tell_now;		/* the entry knows nothing of this channel's credits yet */
-	bool tell_server;	/* the server's state changed */
+	bool credits_changed;	/* credits changed; told at once only to an entry with demand */
+	bool announce_credits;	/* the entry knows nothing of this channel's credits yet */
+	bool server_changed;	/* the server's state changed */
 	uint64_t asked_version; /* of the configuration */
 	int64_t asked_us;
 };
--- a/packages/greengaged/src/agent_dispatch.c
+++ b/packages/greengaged/src/agent_dispatch.c
@@ -261,7 +261,7 @@
 
 			if (!peer)
 				continue;
-			peer->tell = true;
+			peer->credits_changed = true;
 			peer->reclaim += changes[i].reclaim;
 		}
 	} while (count == CHANGES_MAX);
--- a/packages/greengaged/src/agent_peer.c
+++ b/packages/greengaged/src/agent_peer.c
@@ -135,8 +135,8 @@
 		return false;
 	}
 	peer->sent_us = board->now_us;
-	peer->tell = false;
-	peer->tell_now = false;
+	peer->credits_changed = false;
+	peer->announce_credits = false;
 	agent_metric_add(AGENT_METRIC_MESSAGES_SENT, 1);
 	if (envelope->body_case != GG__ENVELOPE__BODY_RESULT_BATCH)
 		agent_metric_add(AGENT_METRIC_MESSAGES_CONTROL, 1);
@@ -204,7 +204,7 @@
 	envelope.body_case = GG__ENVELOPE__BODY_HELLO;
 	envelope.hello = &hello;
 	if (agent_peer_send(board, peer, &envelope))
-		peer->tell_server = false;
+		peer->server_changed = false;
 	clear_server_info(&server);
 }
 
@@ -214,14 +214,14 @@
 	Gg__Heartbeat heartbeat = GG__HEARTBEAT__INIT;
 	struct server_info server = {0};
 
-	if (peer->tell_server && board->server.state != AGENT_SERVER_NONE) {
+	if (peer->server_changed && board->server.state != AGENT_SERVER_NONE) {
 		fill_server_info(board, &server);
 		heartbeat.server = &server.info;
 	}
 	envelope.body_case = GG__ENVELOPE__BODY_HEARTBEAT;
 	envelope.heartbeat = &heartbeat;
 	if (agent_peer_send(board, peer, &envelope))
-		peer->tell_server = false;
+		peer->server_changed = false;
 	clear_server_info(&server);
 }
 
@@ -241,11 +241,11 @@
  * New credits of an entry without waiting tasks travel with its next result or heartbeat. A message
  * of their own for each slot that changes hands was the larger part of all wasted messages.
  */
-static bool must_tell(const struct agent_board *board, const struct agent_peer *peer)
+static bool needs_heartbeat(const struct agent_board *board, const struct agent_peer *peer)
 {
-	if (peer->tell_now || peer->tell_server)
+	if (peer->announce_credits || peer->server_changed)
 		return true;
-	return peer->tell && gate_has_demand(board->gate, peer->gate);
+	return peer->credits_changed && gate_has_demand(board->gate, peer->gate);
 }
 
 void agent_peer_flush(struct agent_board *board)
@@ -263,7 +263,7 @@
 			agent_dispatch_send_results(board, peer);
 			if (peer->reclaim > 0)
 				send_reclaim(board, peer);
-			if (must_tell(board, peer))
+			if (needs_heartbeat(board, peer))
 				send_heartbeat(board, peer);
 		}
 		if (board->now_us - peer->sent_us >= heartbeat_us)
@@ -314,8 +314,9 @@
 }
 
 /* Returns another peer that reached the same entry incarnation by another address, or NULL. */
-static struct agent_peer *find_twin(const struct agent_board *board, const struct agent_peer *peer,
-				    const struct ident *incarnation)
+static struct agent_peer *find_duplicate(const struct agent_board *board,
+					 const struct agent_peer *peer,
+					 const struct ident *incarnation)
 {
 	for (guint i = 0; i < board->peers->len; i++) {
 		struct agent_peer *other = peer_at(board, i);
@@ -330,8 +331,8 @@
  * One entry was reached by two addresses: keeps the configured one. The entry follows the higher
  * epoch, so the one kept is connected anew. Returns false when PEER is the one to go.
  */
-static bool resolve_twin(struct agent_board *board, struct agent_peer *peer,
-			 struct agent_peer *other)
+static bool resolve_duplicate(struct agent_board *board, struct agent_peer *peer,
+			      struct agent_peer *other)
 {
 	struct agent_peer *kept = peer->configured ? peer : other;
 	struct agent_peer *dropped = kept == peer ? other : peer;
@@ -345,18 +346,19 @@
 
 /* Takes note of the entry's identity on the first message of a connection. Returns false when the
  * message must not be handled. */
-static bool meet(struct agent_board *board, struct agent_peer *peer, const Gg__Envelope *envelope)
+static bool identify_entry(struct agent_board *board, struct agent_peer *peer,
+			   const Gg__Envelope *envelope)
 {
-	struct agent_peer *twin;
+	struct agent_peer *duplicate;
 	struct ident incarnation;
 
 	if (!channel_get_ident(&envelope->sender, &incarnation))
 		return false;
 	if (peer->heard)
 		return ident_equal(&peer->incarnation, &incarnation);
-	twin = find_twin(board, peer, &incarnation);
-	if (twin)
-		return resolve_twin(board, peer, twin);
+	duplicate = find_duplicate(board, peer, &incarnation);
+	if (duplicate)
+		return resolve_duplicate(board, peer, duplicate);
 	/* The process before is gone for good, since its address belongs to this one. */
 	if (peer->known && !ident_equal(&peer->incarnation, &incarnation))
 		gate_close(board->gate, peer->gate);
@@ -366,7 +368,7 @@
 	peer->forgotten = false;
 	peer->pause_us = PAUSE_FIRST_US;
 	peer->gate = gate_open(board->gate, &incarnation, peer->epoch, board->now_us);
-	peer->tell_now = true;
+	peer->announce_credits = true;
 	/*
 	 * The Hello of this connection did not name the numbers that the gate still knows of this
 	 * entry. An entry that forgot this agent would begin at 1 again and get no answer.
@@ -383,7 +385,7 @@
 
 static void handle(struct agent_board *board, struct agent_peer *peer, Gg__Envelope *envelope)
 {
-	const struct gate_news news = {
+	const struct gate_header header = {
 		.sent_us = envelope->sent_us,
 		.demand = envelope->demand,
 		.consumed = envelope->consumed,
@@ -393,8 +395,9 @@
 	agent_metric_add(AGENT_METRIC_MESSAGES_RECEIVED, 1);
 	if (envelope->body_case != GG__ENVELOPE__BODY_START_BATCH)
 		agent_metric_add(AGENT_METRIC_MESSAGES_CONTROL, 1);
-	if (envelope->epoch != peer->epoch || !meet(board, peer, envelope) ||
-	    !gate_hear(board->gate, peer->gate, envelope->epoch, &news, board->now_us)) {
+	if (envelope->epoch != peer->epoch || !identify_entry(board, peer, envelope) ||
+	    !gate_receive_header(board->gate, peer->gate, envelope->epoch, &header,
+				 board->now_us)) {
 		agent_metric_add(AGENT_METRIC_MESSAGES_STALE, 1);
 		return;
 	}
--- a/packages/greengaged/src/agent_server.c
+++ b/packages/greengaged/src/agent_server.c
@@ -149,12 +149,12 @@
 					 announced_slots(server), timer_wall_ms(), NULL);
 }
 
-static void tell_entries(struct agent_board *board)
+static void mark_server_changed(struct agent_board *board)
 {
 	for (guint i = 0; i < board->peers->len; i++) {
 		struct agent_peer *peer = g_ptr_array_index(board->peers, i);
 
-		peer->tell_server = true;
+		peer->server_changed = true;
 	}
 }
 
@@ -174,12 +174,12 @@
 	agent_metric_set(AGENT_METRIC_SLOTS, slots);
 
 	accepting = accepting && server->usable > 0;
-	if (accepting != server->told_open || quarantined != server->told_quarantined ||
-	    server->usable != server->told_slots)
-		tell_entries(board);
-	server->told_open = accepting;
-	server->told_quarantined = quarantined;
-	server->told_slots = server->usable;
+	if (accepting != server->sent_open || quarantined != server->sent_quarantined ||
+	    server->usable != server->sent_slots)
+		mark_server_changed(board);
+	server->sent_open = accepting;
+	server->sent_quarantined = quarantined;
+	server->sent_slots = server->usable;
 }
 
 static void on_expiry(void *context, int64_t now_us)
@@ -247,7 +247,7 @@
 						  .connections = announcement->connections,
 						  .keep_alive_ms = announcement->keep_alive_ms});
 	merge_labels(board);
-	tell_entries(board);
+	mark_server_changed(board);
 }
 
 void agent_server_announce(struct agent_board *board, struct agent_announcement *announcement)
--- a/packages/greengaged/src/entry_agent.c
+++ b/packages/greengaged/src/entry_agent.c
@@ -63,7 +63,7 @@
 	}
 }
 
-static void tell_scheduler(struct board *board, struct agent *agent)
+static void update_scheduler(struct board *board, struct agent *agent)
 {
 	struct sched_server_spec spec = {
 		.id = agent->id,
@@ -86,7 +86,7 @@
 	if (!info || info->id[0] == '\0') {
 		agent->open = false;
 		if (!handle_is_none(agent->server))
-			tell_scheduler(board, agent);
+			update_scheduler(board, agent);
 		return;
 	}
 	if (!handle_is_none(agent->server) && same_info(agent, info))
@@ -98,7 +98,7 @@
 	agent->open = info->open;
 	agent->quarantined = info->quarantined;
 	take_labels(agent, info);
-	tell_scheduler(board, agent);
+	update_scheduler(board, agent);
 }
 
 void entry_agent_withdraw(struct board *board, struct agent *agent)
--- a/packages/greengaged/src/entry_board.h
+++ b/packages/greengaged/src/entry_board.h
@@ -49,7 +49,7 @@
 	int64_t heard_us;
 	int64_t sent_us;
 	uint64_t config_version;
-	uint64_t demand_told;
+	uint64_t demand_sent;
 	uint32_t refused_streak; /* refusals in a row by the backend server */
 	struct handle pause_timer;
 	bool paused;	   /* no starts until pause_timer, after refusals */
--- a/packages/greengaged/src/entry_config.h
+++ b/packages/greengaged/src/entry_config.h
@@ -11,7 +11,7 @@
 void entry_config_run_patch(struct board *board, struct request *request);
 void entry_config_run_history(struct board *board, struct request *request);
 
-/* Takes a record of the stream, and the news that records were dropped. */
+/* Takes a record of the stream, and the notice that records were dropped. */
 void entry_config_take_record(struct board *board, const struct log_record *record);
 void entry_config_take_truncated(struct board *board, uint64_t first);
 
--- a/packages/greengaged/src/entry_dispatch.c
+++ b/packages/greengaged/src/entry_dispatch.c
@@ -115,7 +115,7 @@
  * An agent without credits learns of demand from a message of its own only when it was told of none
  * before; otherwise demand travels with starts and heartbeats.
  */
-static void tell_demand(struct board *board)
+static void send_demand(struct board *board)
 {
 	uint32_t cursor = 0;
 	struct agent *agent;
@@ -123,7 +123,7 @@
 	if (sched_queued(board->sched) == 0)
 		return;
 	while ((agent = table_next(&board->agents, &cursor, NULL))) {
-		if (!agent->connected || agent->demand_told > 0 || !agent->open ||
+		if (!agent->connected || agent->demand_sent > 0 || !agent->open ||
 		    handle_is_none(agent->server) || link_credits(&agent->link) > 0 ||
 		    sched_demand(board->sched, agent->server) == 0)
 			continue;
@@ -140,7 +140,7 @@
 	for (guint i = 0; i < board->batch->len; i++)
 		send_batches(board, g_ptr_array_index(board->batch, i));
 	g_ptr_array_set_size(board->batch, 0);
-	tell_demand(board);
+	send_demand(board);
 }
 
 static void pause_ended(void *context, int64_t now_us)
--- a/packages/greengaged/src/entry_members.c
+++ b/packages/greengaged/src/entry_members.c
@@ -35,7 +35,7 @@
 	}
 	entry_metrics_sent((int)envelope->body_case);
 	agent->sent_us = board->now_us;
-	agent->demand_told = envelope->demand;
+	agent->demand_sent = envelope->demand;
 	return STATUS_OK;
 }
 
--- a/test/unit/channel_diff_test.c
+++ b/test/unit/channel_diff_test.c
@@ -315,12 +315,14 @@
 
 static void agent_receive(struct world *w, struct peer *peer, const struct message *message)
 {
-	struct gate_news news = {message->sent_us, message->demand, message->consumed,
-				 message->ack};
+	struct gate_header header = {message->sent_us, message->demand, message->consumed,
+				     message->ack};
 	int64_t delay_us = (int64_t)((uint64_t)w->now_us - (uint64_t)message->sent_us);
 	bool current = !peer->closed && message->epoch >= peer->epoch;
 
-	expect(w, gate_hear(w->gate, peer->channel, message->epoch, &news, w->now_us) == current,
+	expect(w,
+	       gate_receive_header(w->gate, peer->channel, message->epoch, &header, w->now_us) ==
+		       current,
 	       "a message of an old connection counts");
 	if (!current)
 		return;
--- a/test/unit/gate_test.c
+++ b/test/unit/gate_test.c
@@ -40,10 +40,10 @@
 /* A message of an entry, sent at SENT_US by the agent's clock and received at NOW_US. */
 static void hear(struct fixture *f, int entry, uint64_t demand, int64_t sent_us, int64_t now_us)
 {
-	struct gate_news news = {
+	struct gate_header header = {
 		.sent_us = sent_us + clock_us, .demand = demand, .consumed = f->consumed[entry]};
 
-	gate_hear(f->gate, f->channels[entry], 9, &news, now_us);
+	gate_receive_header(f->gate, f->channels[entry], 9, &header, now_us);
 }
 
 static enum status admit(struct fixture *f, int entry, uint64_t seq, int64_t sent_us,
