--- a/bench/capacity.h
+++ b/bench/capacity.h
@@ -2,37 +2,14 @@
 #ifndef GG_CAPACITY_H
 #define GG_CAPACITY_H
 
-#include <curl/curl.h>
-
-#include "harness.h"
+#include "bench_client.h"
 
 enum {
 	CAPACITY_SIZES = 4, /* sizes at which each figure is measured */
-	CAPACITY_WAIT_MS = 30000,
-	CAPACITY_URL_BYTES = 256,
 	CAPACITY_US_PER_MS = 1000,
 	CAPACITY_KIB = 1024,
 };
 
-/* A client with a kept connection. */
-struct client {
-	CURL *easy;
-	struct curl_slist *headers;
-	GString *text;
-};
-
-void client_init(struct client *client);
-void client_clear(struct client *client);
-
-/* Returns the time of one call in microseconds; any status but EXPECTED ends the run. */
-int64_t client_call(struct client *client, const char *method, const char *url, const char *body,
-		    long expected);
-
-/* Submits JOB under SESSION and a key made of NAME and NUMBER; waits for the answer when WAIT_MS
- * is not 0. */
-void client_submit(struct client *client, const char *entry, const char *session, const char *name,
-		   unsigned number, const char *job, int wait_ms);
-
 /* What a process has used or sent so far. */
 struct reading {
 	int64_t at_us;
@@ -43,9 +20,6 @@
 	int64_t bytes_received;
 };
 
-int64_t process_cpu_us(const struct harness_process *process);
-int64_t process_rss_bytes(const struct harness_process *process);
-
 /* Adds up the metrics of an entry or agent whose names begin with PREFIX. */
 int64_t metric_sum(const char *url, const char *prefix);
 
--- a/bench/capacity_config.c
+++ b/bench/capacity_config.c
@@ -80,7 +80,7 @@
 /* Waits until VERSION is in force at every agent. */
 static void wait_version(struct harness *harness, int64_t version)
 {
-	int64_t end_us = g_get_monotonic_time() + CAPACITY_WAIT_MS * CAPACITY_US_PER_MS;
+	int64_t end_us = g_get_monotonic_time() + BENCH_WAIT_MS * CAPACITY_US_PER_MS;
 
 	for (unsigned i = 0; i < harness->shape.agents; i++) {
 		while (harness_metric(harness->agents[i].url, "config_version") < version) {
--- a/bench/capacity_measure.c
+++ b/bench/capacity_measure.c
@@ -1,7 +1,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "capacity.h"
 
@@ -11,92 +10,6 @@
 	THREADS_MAX = 64,
 };
 
-static size_t keep_text(char *data, size_t size, size_t count, void *context)
-{
-	g_string_append_len(context, data, (gssize)(size * count));
-	return size * count;
-}
-
-void client_init(struct client *client)
-{
-	client->easy = curl_easy_init();
-	client->text = g_string_new(NULL);
-	client->headers = curl_slist_append(NULL, "Content-Type: application/json");
-	client->headers = curl_slist_append(client->headers, "Expect:");
-	curl_easy_setopt(client->easy, CURLOPT_HTTPHEADER, client->headers);
-	curl_easy_setopt(client->easy, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(client->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(client->easy, CURLOPT_TIMEOUT_MS, (long)CAPACITY_WAIT_MS);
-	curl_easy_setopt(client->easy, CURLOPT_WRITEFUNCTION, keep_text);
-	curl_easy_setopt(client->easy, CURLOPT_WRITEDATA, client->text);
-}
-
-void client_clear(struct client *client)
-{
-	curl_easy_cleanup(client->easy);
-	curl_slist_free_all(client->headers);
-	g_string_free(client->text, TRUE);
-}
-
-int64_t client_call(struct client *client, const char *method, const char *url, const char *body,
-		    long expected)
-{
-	int64_t begun_us = g_get_monotonic_time();
-	long status = 0;
-	CURLcode code;
-
-	g_string_truncate(client->text, 0);
-	curl_easy_setopt(client->easy, CURLOPT_URL, url);
-	curl_easy_setopt(client->easy, CURLOPT_CUSTOMREQUEST, method);
-	curl_easy_setopt(client->easy, CURLOPT_POSTFIELDS, body);
-	code = curl_easy_perform(client->easy);
-	curl_easy_getinfo(client->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (code != CURLE_OK || status != expected)
-		g_error("%s %s: %s, status %ld: %s", method, url, curl_easy_strerror(code), status,
-			client->text->str);
-	return g_get_monotonic_time() - begun_us;
-}
-
-void client_submit(struct client *client, const char *entry, const char *session, const char *name,
-		   unsigned number, const char *job, int wait_ms)
-{
-	char url[CAPACITY_URL_BYTES];
-
-	g_snprintf(url, sizeof(url), "%s/v1/sessions/%s/jobs/%s-%u?wait_ms=%d", entry, session,
-		   name, number, wait_ms);
-	client_call(client, "PUT", url, job, wait_ms > 0 ? 200 : 202);
-}
-
-int64_t process_cpu_us(const struct harness_process *process)
-{
-	struct timespec used = {0};
-	clockid_t clock;
-
-	g_assert_cmpint(
-		clock_getcpuclockid(atoi(g_subprocess_get_identifier(process->child)), &clock), ==,
-		0);
-	clock_gettime(clock, &used);
-	return (int64_t)used.tv_sec * G_USEC_PER_SEC + used.tv_nsec / 1000;
-}
-
-int64_t process_rss_bytes(const struct harness_process *process)
-{
-	static const char field[] = "VmRSS:";
-	char path[PATH_BYTES];
-	char *text = NULL;
-	char *found;
-	int64_t value;
-
-	g_snprintf(path, sizeof(path), "/proc/%s/status",
-		   g_subprocess_get_identifier(process->child));
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	found = strstr(text, field);
-	g_assert_nonnull(found);
-	value = g_ascii_strtoll(found + strlen(field), NULL, 10) * CAPACITY_KIB;
-	g_free(text);
-	return value;
-}
-
 int64_t metric_sum(const char *url, const char *prefix)
 {
 	char *full = g_strconcat(url, "/metrics", NULL);
@@ -259,7 +172,7 @@
 	client_init(&client);
 	for (unsigned number = 0; !g_atomic_int_get(&load->stop); number++)
 		client_submit(&client, load->entry, session, "load", number, load->job,
-			      CAPACITY_WAIT_MS);
+			      BENCH_WAIT_MS);
 	client_clear(&client);
 	g_free(session);
 	return NULL;
--- a/bench/capacity_memory.c
+++ b/bench/capacity_memory.c
@@ -37,13 +37,13 @@
 	int64_t end_us;
 
 	client_init(&client);
-	client_submit(&client, entry->url, session, "warm", 0, job, CAPACITY_WAIT_MS);
+	client_submit(&client, entry->url, session, "warm", 0, job, BENCH_WAIT_MS);
 	harness_server_control(harness, 0, "{\"hang\": true}");
 	client_submit(&client, entry->url, session, "first", 0, job, 0);
 	before = process_rss_bytes(entry->process);
 	for (unsigned i = 0; i < tasks / QUEUE_TASKS; i++)
 		client_submit(&client, entry->url, session, "queue", i, job, 0);
-	HARNESS_WAIT(CAPACITY_WAIT_MS, harness_metric(entry->url, "queued_tasks") >= tasks);
+	HARNESS_WAIT(BENCH_WAIT_MS, harness_metric(entry->url, "queued_tasks") >= tasks);
 	series_add(rss, tasks, (double)(process_rss_bytes(entry->process) - before));
 	starts = harness_metric(harness->agents[0].url, "agent_starts_total");
 	cpu_us = process_cpu_us(entry->process);
@@ -83,7 +83,7 @@
 	char *text = g_strdup_printf("PUT /v1/sessions/%s/jobs/open-%u?wait_ms=%d HTTP/1.1\r\n"
 				     "Host: entry\r\nContent-Type: application/json\r\n"
 				     "Content-Length: %zu\r\n\r\n%s",
-				     session, number, CAPACITY_WAIT_MS, strlen(null_job), null_job);
+				     session, number, BENCH_WAIT_MS, strlen(null_job), null_job);
 
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	address.sin_port = htons((uint16_t)entry->http_port);
@@ -110,9 +110,9 @@
 			open_fds[open] = open_request(entry, session, open);
 			open++;
 		}
-		HARNESS_WAIT(CAPACITY_WAIT_MS,
+		HARNESS_WAIT(BENCH_WAIT_MS,
 			     harness_metric(entry->url, "http_open_requests") >= open);
-		HARNESS_WAIT(CAPACITY_WAIT_MS, harness_metric(entry->url, "jobs_held") >= open);
+		HARNESS_WAIT(BENCH_WAIT_MS, harness_metric(entry->url, "jobs_held") >= open);
 		series_add(&rss, open, (double)process_rss_bytes(entry->process));
 	}
 	series_report(summary, "open_requests_entry_rss_bytes", &rss);
@@ -143,12 +143,12 @@
 {
 	struct claims *claims = context;
 	char key[KEY_BYTES];
-	char url[CAPACITY_URL_BYTES];
+	char url[BENCH_URL_BYTES];
 
 	while (g_get_monotonic_time() < claims->end_us) {
 		format_key((unsigned)g_atomic_int_add(&claims->next, 1), key, sizeof(key));
 		g_snprintf(url, sizeof(url), "%s/v1/jobs/%s?wait_ms=%d", claims->entry, key,
-			   CAPACITY_WAIT_MS);
+			   BENCH_WAIT_MS);
 		client_call(client, "PUT", url, null_job, 200);
 	}
 }
@@ -191,7 +191,7 @@
 	const char *entry = context;
 	char *session = harness_open_session(entry);
 
-	client_submit(client, entry, session, "job", number, null_job, CAPACITY_WAIT_MS);
+	client_submit(client, entry, session, "job", number, null_job, BENCH_WAIT_MS);
 	g_free(session);
 }
 
@@ -208,7 +208,7 @@
 		run_parallel(SESSION_CLIENTS, open, sizes[i] - open, open_session_with_key,
 			     (void *)entry->url);
 		open = sizes[i];
-		HARNESS_WAIT(CAPACITY_WAIT_MS, harness_metric(entry->url, "sessions") >= open);
+		HARNESS_WAIT(BENCH_WAIT_MS, harness_metric(entry->url, "sessions") >= open);
 		series_add(&rss, open, (double)process_rss_bytes(entry->process));
 	}
 	series_report(summary, "sessions_entry_rss_bytes", &rss);
--- a/bench/daemon_bench.c
+++ b/bench/daemon_bench.c
@@ -2,13 +2,11 @@
  * Measures the daemon with real processes and prints one flat JSON object of numbers. Targets are
  * in docs/design.md, section 1.10.
  */
-#include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
-#include "harness.h"
+#include "bench_client.h"
 
 enum {
 	WARM_UP_CALLS = 200,
@@ -26,81 +24,14 @@
 	IDLE_SETTLE_MS = 3000,
 	IDLE_MS = 10000,
 	WAIT_MS = 30000,
-	PATH_BYTES = 64,
 	KEY_BYTES = 32,
-	URL_BYTES = 256,
-	KIB = 1024,
+	MIB = 1 << 20,
 	US_PER_MS = 1000,
 };
 
 static const char null_job[] = "{\"class\":\"renewal\",\"team\":\"passes\",\"run_ms\":1,\"tasks\":"
 			       "[{\"sleep_ms\":0}]}";
 
-/* A client with a kept connection. */
-struct client {
-	CURL *easy;
-	struct curl_slist *headers;
-	GString *text;
-};
-
-static size_t keep_text(char *data, size_t size, size_t count, void *context)
-{
-	g_string_append_len(context, data, (gssize)(size * count));
-	return size * count;
-}
-
-static void client_init(struct client *client)
-{
-	client->easy = curl_easy_init();
-	client->text = g_string_new(NULL);
-	client->headers = curl_slist_append(NULL, "Content-Type: application/json");
-	client->headers = curl_slist_append(client->headers, "Expect:");
-	curl_easy_setopt(client->easy, CURLOPT_HTTPHEADER, client->headers);
-	curl_easy_setopt(client->easy, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(client->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(client->easy, CURLOPT_TIMEOUT_MS, (long)WAIT_MS);
-	curl_easy_setopt(client->easy, CURLOPT_WRITEFUNCTION, keep_text);
-	curl_easy_setopt(client->easy, CURLOPT_WRITEDATA, client->text);
-}
-
-static void client_clear(struct client *client)
-{
-	curl_easy_cleanup(client->easy);
-	curl_slist_free_all(client->headers);
-	g_string_free(client->text, TRUE);
-}
-
-/* Returns the time of one call in microseconds; any status but EXPECTED ends the run. */
-static int64_t client_call(struct client *client, const char *method, const char *url,
-			   const char *body, long expected)
-{
-	int64_t begun_us = g_get_monotonic_time();
-	long status = 0;
-	CURLcode code;
-
-	g_string_truncate(client->text, 0);
-	curl_easy_setopt(client->easy, CURLOPT_URL, url);
-	curl_easy_setopt(client->easy, CURLOPT_CUSTOMREQUEST, method);
-	curl_easy_setopt(client->easy, CURLOPT_POSTFIELDS, body);
-	code = curl_easy_perform(client->easy);
-	curl_easy_getinfo(client->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (code != CURLE_OK || status != expected)
-		g_error("%s %s: %s, status %ld: %s", method, url, curl_easy_strerror(code), status,
-			client->text->str);
-	return g_get_monotonic_time() - begun_us;
-}
-
-/* Submits BODY under a key made of NAME and NUMBER. */
-static int64_t submit(struct client *client, const char *entry, const char *session,
-		      const char *name, unsigned number, const char *body, int wait_ms)
-{
-	char url[URL_BYTES];
-
-	g_snprintf(url, sizeof(url), "%s/v1/sessions/%s/jobs/%s-%u?wait_ms=%d", entry, session,
-		   name, number, wait_ms);
-	return client_call(client, "PUT", url, body, wait_ms > 0 ? 200 : 202);
-}
-
 static int compare(const void *a, const void *b)
 {
 	int64_t x = *(const int64_t *)a;
@@ -134,12 +65,13 @@
 	client_init(&to_entry);
 	client_init(&to_server);
 	for (int i = 0; i < WARM_UP_CALLS; i++)
-		submit(&to_entry, harness->entries[0].url, session, "warm", number++, null_job,
-		       WAIT_MS);
+		client_submit(&to_entry, harness->entries[0].url, session, "warm", number++,
+			      null_job, WAIT_MS);
 	for (int k = 0; k < LATENCY_BATCHES; k++) {
 		for (int i = 0; i < batch; i++)
-			through[k * batch + i] = submit(&to_entry, harness->entries[0].url, session,
-							"job", number++, null_job, WAIT_MS);
+			through[k * batch + i] =
+				client_submit(&to_entry, harness->entries[0].url, session, "job",
+					      number++, null_job, WAIT_MS);
 		for (int i = 0; i < batch; i++)
 			direct[k * batch + i] = client_call(&to_server, "POST", direct_url,
 							    "{\"sleep_ms\":0}", 200);
@@ -177,7 +109,7 @@
 	client_init(&client);
 	g_snprintf(name, sizeof(name), "load%u", load->index);
 	while (!g_atomic_int_get(load->stop))
-		submit(&client, load->entry, session, name, number++, load->job, WAIT_MS);
+		client_submit(&client, load->entry, session, name, number++, load->job, WAIT_MS);
 	client_clear(&client);
 	g_free(session);
 	return NULL;
@@ -229,36 +161,6 @@
 	harness_free(harness);
 }
 
-/* Returns the value in KiB of FIELD ("VmRSS:") in the process's status. */
-static int64_t process_kib(const struct harness_process *process, const char *field)
-{
-	char path[PATH_BYTES];
-	char *text = NULL;
-	char *found;
-	int64_t value;
-
-	g_snprintf(path, sizeof(path), "/proc/%s/status",
-		   g_subprocess_get_identifier(process->child));
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	found = strstr(text, field);
-	g_assert_nonnull(found);
-	value = g_ascii_strtoll(found + strlen(field), NULL, 10);
-	g_free(text);
-	return value;
-}
-
-static int64_t process_cpu_ns(const struct harness_process *process)
-{
-	struct timespec used = {0};
-	clockid_t clock;
-
-	g_assert_cmpint(
-		clock_getcpuclockid(atoi(g_subprocess_get_identifier(process->child)), &clock), ==,
-		0);
-	clock_gettime(clock, &used);
-	return (int64_t)used.tv_sec * 1000000000 + used.tv_nsec;
-}
-
 /* Growth of the entry's memory with tasks that wait behind one task that never ends. */
 static void measure_queue(json_t *summary)
 {
@@ -268,21 +170,21 @@
 	char *session = harness_open_session(harness->entries[0].url);
 	char *job = harness_job(QUEUE_TASKS, 1, 1, 1);
 	struct client client;
-	int64_t before_kib;
-	int64_t after_kib;
+	int64_t before_bytes;
+	int64_t after_bytes;
 
 	client_init(&client);
-	submit(&client, harness->entries[0].url, session, "warm", 0, null_job, WAIT_MS);
+	client_submit(&client, harness->entries[0].url, session, "warm", 0, null_job, WAIT_MS);
 	harness_server_control(harness, 0, "{\"hang\": true}");
-	submit(&client, harness->entries[0].url, session, "first", 0, job, 0);
-	before_kib = process_kib(entry, "VmRSS:");
+	client_submit(&client, harness->entries[0].url, session, "first", 0, job, 0);
+	before_bytes = process_rss_bytes(entry);
 	for (unsigned i = 0; i < QUEUE_JOBS; i++)
-		submit(&client, harness->entries[0].url, session, "queue", i, job, 0);
-	after_kib = process_kib(entry, "VmRSS:");
+		client_submit(&client, harness->entries[0].url, session, "queue", i, job, 0);
+	after_bytes = process_rss_bytes(entry);
 	/* Every task of the jobs after the one that hangs waits. The gauge is set now and then. */
 	HARNESS_WAIT(WAIT_MS, harness_metric(harness->entries[0].url, "queued_tasks") >= QUEUED);
 	json_object_set_new(summary, "bytes_per_queued_task",
-			    json_real((double)(after_kib - before_kib) * KIB / QUEUED));
+			    json_real((double)(after_bytes - before_bytes) / QUEUED));
 	client_clear(&client);
 	free(job);
 	g_free(session);
@@ -317,25 +219,25 @@
 	const struct harness_process *agent = harness->agents[0].process;
 	int64_t begun_us;
 	int64_t bytes;
-	int64_t cpu_ns;
+	int64_t cpu_us;
 	double seconds;
 
 	g_usleep(IDLE_SETTLE_MS * US_PER_MS);
 	begun_us = g_get_monotonic_time();
 	bytes = agent_sent_bytes(harness);
-	cpu_ns = process_cpu_ns(agent);
+	cpu_us = process_cpu_us(agent);
 	g_usleep(IDLE_MS * US_PER_MS);
-	cpu_ns = process_cpu_ns(agent) - cpu_ns;
+	cpu_us = process_cpu_us(agent) - cpu_us;
 	bytes = agent_sent_bytes(harness) - bytes;
 	seconds = (double)(g_get_monotonic_time() - begun_us) / G_USEC_PER_SEC;
 	json_object_set_new(
 		summary, "rss_mb_entry_idle",
-		json_real((double)process_kib(harness->entries[0].process, "VmRSS:") / KIB));
+		json_real((double)process_rss_bytes(harness->entries[0].process) / MIB));
 	json_object_set_new(summary, "rss_mb_agent_idle",
-			    json_real((double)process_kib(agent, "VmRSS:") / KIB));
+			    json_real((double)process_rss_bytes(agent) / MIB));
 	json_object_set_new(summary, "idle_bytes_per_s_agent", json_real((double)bytes / seconds));
 	json_object_set_new(summary, "idle_cpu_percent_agent",
-			    json_real((double)cpu_ns / seconds / 1e9 * 100));
+			    json_real((double)cpu_us / seconds / 1e6 * 100));
 	harness_free(harness);
 }
 
