Wait in the outage test until each entry has found the log again

The trace shows entry1 with the new configuration from its peer and without event 1503: it was still in its back-off (up to 16 x log.retry_ms), and refused the claim truthfully as log_unavailable, not_run. Ruled out: a claim lost, since nothing had been appended. The case is allowed; the test took entry0's recovery for both.

--- a/test/functional/log_test.c
+++ b/test/functional/log_test.c
@@ -275,6 +275,22 @@
 	harness_reply_clear(&reply);
 }
 
+/*
+ * Waits until the log serves this entry again: the claim is taken and its job runs. The entries
+ * find the log again one after the other; until then a claim may only be refused as
+ * log_unavailable.
+ */
+static void expect_claims_again(const char *entry_url, const char *key, const char *job)
+{
+	struct harness_reply reply = {0};
+
+	HARNESS_WAIT(EVERYWHERE_MS,
+		     (harness_reply_clear(&reply), reply = submit_by_key(entry_url, key, job),
+		      g_strcmp0(error_field(&reply, "type"), "log_unavailable") != 0));
+	harness_check_answer(&reply, TASKS);
+	harness_reply_clear(&reply);
+}
+
 /* Sends a claim in the outage. It must be refused in bounded time. */
 static void expect_no_claim(const char *entry_url, const char *key, const char *job,
 			    const char *outcome)
@@ -358,7 +374,7 @@
 	started = harness_starts(harness).total;
 	/* An entry's records keep their order: once this one is read, so are the earlier ones. */
 	for (int i = 0; i < 2; i++)
-		run_claimed_job(harness->entries[i].url, keys[2 + i], job);
+		expect_claims_again(harness->entries[i].url, keys[2 + i], job);
 	g_assert_cmpuint(harness_starts(harness).total, ==, started + 2 * TASKS);
 	for (int i = 0; i < 2; i++) {
 		run_claimed_job(harness->entries[i].url, keys[i], job);
