--- a/packages/base/include/ident.h
+++ b/packages/base/include/ident.h
@@ -32,9 +32,6 @@
 /* Returns whether the two are the same. */
 bool ident_equal(const struct ident *a, const struct ident *b);
 
-/* Returns whether all bytes are zero, which stands for "none". */
-bool ident_is_zero(const struct ident *id);
-
 /* Hash and equality over pointers to struct ident, in the form that GHashTable takes. */
 unsigned int ident_hash(const void *id);
 int ident_equal_func(const void *a, const void *b);
--- a/packages/base/src/ident.c
+++ b/packages/base/src/ident.c
@@ -44,11 +44,6 @@
 	return memcmp(a->bytes, b->bytes, sizeof(a->bytes)) == 0;
 }
 
-bool ident_is_zero(const struct ident *id)
-{
-	return sodium_is_zero(id->bytes, sizeof(id->bytes)) == 1;
-}
-
 unsigned int ident_hash(const void *id)
 {
 	return (unsigned int)XXH3_64bits(id, IDENT_BYTES);
--- a/packages/core/include/health.h
+++ b/packages/core/include/health.h
@@ -45,7 +45,4 @@
 /* Returns when health_tick must be called next, or INT64_MAX. */
 int64_t health_next_us(const struct health *health);
 
-/* Returns the state's name. */
-const char *health_state_name(enum health_state state);
-
 #endif
--- a/packages/core/src/health.c
+++ b/packages/core/src/health.c
@@ -79,18 +79,3 @@
 {
 	return health->state == HEALTH_QUARANTINED ? health->until_us : INT64_MAX;
 }
-
-const char *health_state_name(enum health_state state)
-{
-	switch (state) {
-	case HEALTH_SLOW_START:
-		return "slow_start";
-	case HEALTH_OPEN:
-		return "open";
-	case HEALTH_QUARANTINED:
-		return "quarantined";
-	case HEALTH_TRIAL:
-		return "trial";
-	}
-	return "unknown";
-}
