--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	@tools/lint --fix
 
 proto:
-	@cd packages/wire/proto && protoc-c --c_out=../generated message.proto
+	@cd packages/wire/proto && protoc-c --c_out=../generated message.proto dispatch.proto
 
 fuzz:
 	@tools/fuzz
--- a/packages/base/include/event_defs.h
+++ b/packages/base/include/event_defs.h
@@ -12,10 +12,17 @@
 	X(1000, PROCESS_STARTED, INFO, "process started")                                          \
 	X(1001, PROCESS_STOPPED, INFO, "process stopped")                                          \
 	X(1002, PROCESS_FAILED, ERROR, "process failed")                                           \
+	X(1003, PROCESS_FROZEN, WARNING, "process did not run for a while")                        \
+	X(1004, SETTINGS_RELOADED, INFO, "settings reloaded")                                      \
+	X(1005, READINESS, INFO, "readiness changed")                                              \
 	X(1100, HTTP_LISTENING, INFO, "HTTP listener started")                                     \
 	X(1101, HTTP_REFUSED, DEBUG, "HTTP request refused")                                       \
 	X(1200, JOB_FAILED, INFO, "job failed")                                                    \
 	X(1201, JOB_CANCELLED, DEBUG, "job cancelled")                                             \
+	X(1202, REQUEST_REFUSED, INFO, "request refused")                                          \
+	X(1203, JOB_PLACED, INFO, "tasks ordered to start")                                        \
+	X(1204, JOB_ENDED, INFO, "job ended")                                                      \
+	X(1205, RUN_NOT_DONE, INFO, "run ended otherwise than done")                               \
 	X(1300, CHANNEL_OPENED, INFO, "channel opened")                                            \
 	X(1301, CHANNEL_SILENT, WARNING, "channel silent, replaced")                               \
 	X(1302, CHANNEL_RECONCILED, INFO, "channel reconciled")                                    \
@@ -24,6 +31,8 @@
 	X(1305, MEMBER_LEFT, INFO, "member left")                                                  \
 	X(1306, MESSAGE_INVALID, WARNING, "invalid message dropped")                               \
 	X(1307, CHANNEL_FAILED, WARNING, "channel cannot be opened")                               \
+	X(1308, CHANNEL_LOST, WARNING, "channel lost")                                             \
+	X(1309, OWNER_LOST, WARNING, "entry out of reach, its runs are stopped")                   \
 	X(1400, SERVER_ANNOUNCED, INFO, "backend server announced")                                \
 	X(1401, SERVER_LEAVING, INFO, "backend server leaving")                                    \
 	X(1402, SERVER_EXPIRED, WARNING, "backend server announcement expired")                    \
@@ -31,6 +40,12 @@
 	X(1404, SERVER_RECOVERED, INFO, "backend server left quarantine")                          \
 	X(1405, TASK_FAILED, INFO, "task failed")                                                  \
 	X(1406, START_REFUSED, DEBUG, "start refused")                                             \
+	X(1407, SERVER_RESTARTED, WARNING, "backend server restarted")                             \
+	X(1408, SERVER_REACHABLE, INFO, "backend server answers")                                  \
+	X(1409, SERVER_UNREACHABLE, WARNING, "backend server does not answer")                     \
+	X(1410, SERVER_STATE, INFO, "backend server's readiness changed")                          \
+	X(1411, HEARTBEAT_INVALID, WARNING, "heartbeat refused")                                   \
+	X(1412, EPOCH_RAISED, WARNING, "epoch of orders raised")                                   \
 	X(1500, CONFIG_APPLIED, INFO, "configuration applied")                                     \
 	X(1501, CONFIG_REJECTED, WARNING, "configuration patch rejected")                          \
 	X(1502, LOG_UNAVAILABLE, WARNING, "log service unavailable")                               \
--- a/packages/base/include/settings.h
+++ b/packages/base/include/settings.h
@@ -10,6 +10,7 @@
 
 enum settings_type {
 	SETTINGS_INT,	      /* int64_t, between min and max */
+	SETTINGS_NUMBER,      /* double, between min and max */
 	SETTINGS_BOOL,	      /* bool */
 	SETTINGS_STRING,      /* char *, at most max bytes, at least min */
 	SETTINGS_ENUM,	      /* char *, one of choices */
--- a/packages/base/src/settings.c
+++ b/packages/base/src/settings.c
@@ -101,6 +101,22 @@
 	return STATUS_OK;
 }
 
+static enum status apply_number(const struct context *ctx, const struct settings_field *field,
+				const json_t *value, struct error *err)
+{
+	double number = value ? json_number_value(value) : (double)field->default_number;
+
+	if (value && !json_is_number(value))
+		return wrong_type(ctx, field, "number", err);
+	if (number < (double)field->min || number > (double)field->max)
+		return error_set(err, STATUS_INVALID_SETTINGS,
+				 "%s: %s: value %g out of range, accepted: %lld to %lld",
+				 ctx->file, field->path, number, (long long)field->min,
+				 (long long)field->max);
+	*(double *)(ctx->target + field->offset) = number;
+	return STATUS_OK;
+}
+
 static enum status apply_bool(const struct context *ctx, const struct settings_field *field,
 			      const json_t *value, struct error *err)
 {
@@ -200,6 +216,8 @@
 	switch (field->type) {
 	case SETTINGS_INT:
 		return apply_int(ctx, field, value, err);
+	case SETTINGS_NUMBER:
+		return apply_number(ctx, field, value, err);
 	case SETTINGS_BOOL:
 		return apply_bool(ctx, field, value, err);
 	case SETTINGS_STRING:
@@ -265,6 +283,7 @@
 			g_clear_pointer((json_t **)slot, json_decref);
 			break;
 		case SETTINGS_INT:
+		case SETTINGS_NUMBER:
 		case SETTINGS_BOOL:
 			break;
 		}
--- /dev/null
+++ b/packages/core/include/fleet.h
@@ -0,0 +1,71 @@
+/* Backend servers as one entry sees them: room with its age, learned speed, and what this entry has
+ * ordered since the last report. */
+#ifndef GG_FLEET_H
+#define GG_FLEET_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "runs.h"
+#include "table.h"
+
+struct fleet_server {
+	char id[NAME_BYTES];
+	char service[NAME_BYTES];
+	char zone[NAME_BYTES];
+	void *link; /* the agent's connection, for the callbacks of the dispatcher */
+	bool ready;
+	bool on_trial; /* at most one run of this entry at a time */
+	struct room total;
+	struct room reported; /* free room in the last report */
+	struct room free;     /* the same less what was ordered since */
+	double speed;	      /* estimated work done a second */
+	bool speed_known;
+	uint32_t runs; /* of this entry */
+	int64_t reported_us;
+	GQueue orders; /* struct fleet_order *, sent and not yet counted in a report */
+};
+
+struct fleet {
+	struct table servers;
+};
+
+/* What an agent reports of its backend server. */
+struct fleet_report {
+	bool ready;
+	bool on_trial;
+	struct room free;
+	double speed;
+	bool speed_known;
+	uint64_t orders_counted; /* highest number of an order that `free` includes */
+};
+
+void fleet_init(struct fleet *fleet);
+void fleet_free(struct fleet *fleet);
+
+/* Adds a server reached over LINK; it is not ready before its first report. */
+struct handle fleet_add(struct fleet *fleet, void *link);
+
+void fleet_remove(struct fleet *fleet, struct handle server);
+
+struct fleet_server *fleet_get(const struct fleet *fleet, struct handle server);
+
+void fleet_apply_report(struct fleet_server *server, const struct fleet_report *report,
+			int64_t now_us);
+
+/* Notes that order NUMBER starts a run that takes NEED. */
+void fleet_note_order(struct fleet_server *server, const struct room *need, uint64_t number);
+
+/* Sums over the ready servers of SERVICE. */
+struct fleet_sum {
+	uint32_t servers;
+	uint64_t cpu;	   /* thousandths of a core */
+	uint64_t free_cpu;
+	double fastest;	   /* speed of the fastest server in use, 0 when there is none */
+	double speed_cpu;  /* cpu weighted by speed */
+	bool fits;	   /* one of the servers has room for NEED when it is empty */
+};
+
+struct fleet_sum fleet_sum(const struct fleet *fleet, const char *service, const struct room *need);
+
+#endif
--- /dev/null
+++ b/packages/core/include/runs.h
@@ -0,0 +1,209 @@
+/*
+ * Runs of tasks at one backend server, as its agent keeps them: room, orders whose answer was lost,
+ * runs whose owner is gone, and what the server's lists say.
+ *
+ * A run leaves this table only when it certainly is not running any more: the server listed its end,
+ * the server restarted, every lease that was ever sent has expired, or the server acknowledged a
+ * stop and a later list holds no trace of it.
+ */
+#ifndef GG_RUNS_H
+#define GG_RUNS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core_defs.h"
+#include "health.h"
+#include "table.h"
+
+/* How a run ended, or why it was not started. Numbers go over the wire. */
+enum run_outcome {
+	RUN_DONE = 1,
+	RUN_FAILED = 2,	   /* through its own fault or the server's */
+	RUN_STOPPED = 3,   /* as its owner asked */
+	RUN_EXPIRED = 4,   /* its lease ran out */
+	RUN_LOST = 5,	   /* the server restarted or went away */
+	RUN_NO_ROOM = 6,   /* refused by the agent or by the server */
+	RUN_LEAVING = 7,   /* the server is absent or takes no new work */
+	RUN_SUPERSEDED = 8, /* the server has seen an attempt at least as high */
+	RUN_UNHEALTHY = 9, /* the server refused for its own reasons */
+	RUN_LATE = 10,	   /* the order reached the server after its time limit */
+	RUN_INVALID = 11,  /* the server does not accept the order as such */
+	RUN_UNANSWERED = 12, /* the order got no answer; it was settled that it did not run */
+	RUN_BUSY = 13,	   /* an earlier run of the same task is not settled yet */
+	RUN_OUTCOME_COUNT
+};
+
+/* Returns a stable name for logs. */
+const char *run_outcome_name(enum run_outcome outcome);
+
+/* What a task takes of its backend server, and what a server has. */
+struct room {
+	uint32_t cpu; /* thousandths of a core */
+	uint32_t memory_mb;
+	uint32_t gpus;
+};
+
+static inline bool room_fits(const struct room *need, const struct room *room)
+{
+	return need->cpu <= room->cpu && need->memory_mb <= room->memory_mb &&
+	       need->gpus <= room->gpus;
+}
+
+enum run_phase {
+	RUN_ORDERED,  /* the start has been sent */
+	RUN_ACTIVE,   /* the server has confirmed it */
+	RUN_UNSURE,   /* the start got no answer; a list is awaited */
+	RUN_STOPPING, /* a stop has been sent */
+	RUN_SETTLING, /* the stop was acknowledged; a later list is awaited */
+};
+
+enum {
+	RUN_NO_OWNER = 0
+};
+
+struct run {
+	char *task;
+	uint32_t attempt;
+	uint32_t owner;	 /* number of the entry, or RUN_NO_OWNER: its end concerns nobody */
+	uint64_t number; /* of the run, given by its owner */
+	struct room need;
+	int64_t estimate_us;
+	GBytes *spec; /* NULL once the server has answered the start */
+	enum run_phase phase;
+	bool stop_requested; /* by its owner */
+	bool health_counted; /* its slowness has been recorded as a failure */
+	int64_t ordered_us;
+	int64_t phase_us; /* since when it is in its phase */
+	int64_t stop_sent_us;
+	int64_t progress_sent_us;
+	uint32_t percent;
+};
+
+enum start_answer {
+	START_STARTED,
+	START_NO_ROOM,
+	START_SUPERSEDED,
+	START_LATE,
+	START_UNHEALTHY,
+	START_INVALID,
+	START_NOT_SENT,	  /* no connection could be had; the order was not sent */
+	START_UNANSWERED, /* it may have been carried out, or may be later */
+};
+
+/* The lists of a backend server, at one moment. */
+struct run_list_row {
+	const char *task;
+	uint32_t attempt;
+	uint32_t percent; /* of the work done; of running rows */
+	uint32_t cpu;	  /* thousandths of a core in use; of running rows */
+	uint64_t number;  /* of the end; of finished rows */
+	enum run_outcome outcome; /* of finished rows */
+};
+
+struct run_list {
+	const struct run_list_row *running;
+	size_t running_count;
+	const struct run_list_row *finished;
+	size_t finished_count;
+};
+
+struct runs_limits {
+	int64_t stop_retry_us; /* an unanswered stop is sent again after this */
+	int64_t lease_us;
+	uint32_t clock_drift_permille; /* by which the server's steady clock may be slow */
+	struct health_limits health;
+	int64_t trial_us; /* a slow server without samples for this long gets a trial run */
+};
+
+struct runs_callbacks {
+	void *context;
+	void (*order_start)(void *context, struct handle run);
+	void (*order_stop)(void *context, const char *task, uint32_t attempt, struct handle run);
+	void (*look)(void *context); /* asks for the lists without waiting for an end */
+	void (*ended)(void *context, const struct run *run, enum run_outcome outcome,
+		      int64_t elapsed_us);
+	void (*behind)(void *context, const struct run *run, int64_t elapsed_us);
+};
+
+struct runs {
+	struct runs_limits limits;
+	struct runs_callbacks callbacks;
+	struct table table;
+	GHashTable *by_task; /* char * -> handle in a pointer */
+	struct room total;
+	struct room used;
+	bool present; /* the server has announced itself and answers */
+	bool leaving;
+	uint64_t seen_end; /* highest number of an end that was handled */
+	int64_t lease_bound_us; /* no run outlives this without a further lease */
+	uint32_t unsettled; /* runs without an owner */
+	struct health health;
+	char *last_failed_task; /* whose job counted last against the server's health */
+	double speed;		/* estimated work done a second, EWMA; 1 while unknown */
+	double usual_speed;	/* speed outside slow spells */
+	uint32_t samples;
+	int64_t sampled_us;
+};
+
+void runs_init(struct runs *runs, const struct runs_limits *limits,
+	       const struct runs_callbacks *callbacks);
+void runs_free(struct runs *runs);
+
+/* The server has announced itself with this room, or has changed its state. */
+void runs_server_present(struct runs *runs, const struct room *total, bool leaving);
+
+/* The server restarted, or certainly runs nothing any more: every run is reported as lost. */
+void runs_server_lost(struct runs *runs, int64_t now_us);
+
+struct run_request {
+	const char *task;
+	uint32_t attempt;
+	uint32_t owner;
+	uint64_t number;
+	struct room need;
+	int64_t estimate_us;
+	GBytes *spec; /* a reference is taken */
+};
+
+/* Orders a start, or reports at once why it is not ordered. */
+void runs_start(struct runs *runs, const struct run_request *request, int64_t now_us);
+
+/* The owner wants the run gone. Unknown numbers are ignored: their end was reported. */
+void runs_stop(struct runs *runs, uint32_t owner, uint64_t number, int64_t now_us);
+
+/* Stops all runs of an owner that is gone; their ends are not reported. */
+void runs_owner_gone(struct runs *runs, uint32_t owner, int64_t now_us);
+
+/* Results of the orders. */
+void runs_start_answered(struct runs *runs, struct handle run, enum start_answer answer,
+			 int64_t now_us);
+void runs_stop_answered(struct runs *runs, struct handle run, bool acknowledged, int64_t now_us);
+
+/* The server's lists, in answer to a call made at ASKED_US. */
+void runs_listed(struct runs *runs, const struct run_list *list, int64_t asked_us, int64_t now_us);
+
+/* A lease was sent at NOW_US, whether or not it is answered. */
+void runs_lease_sent(struct runs *runs, int64_t now_us);
+
+/* Repeats unanswered stops; reports all runs as lost once the last lease has certainly expired. */
+void runs_tick(struct runs *runs, int64_t now_us);
+
+/* Free room; none while the server is absent, leaving or quarantined. */
+struct room runs_free_room(const struct runs *runs);
+
+/* Whether new starts are taken. */
+bool runs_ready(const struct runs *runs);
+
+/* Whether at most one start at a time should be sent: the server failed, or is slow, and is tried. */
+bool runs_on_trial(const struct runs *runs, int64_t now_us);
+
+/* Estimated work done a second. */
+double runs_speed(const struct runs *runs, int64_t now_us);
+
+/* Calls VISIT for each run. */
+void runs_foreach(struct runs *runs, void (*visit)(void *context, const struct run *run),
+		  void *context);
+
+#endif
--- /dev/null
+++ b/packages/core/src/admission.c
@@ -0,0 +1,28 @@
+#include "admission.h"
+
+#include <glib.h>
+
+enum {
+	RETRY_MIN_S = 1,
+	RETRY_MAX_S = 30,
+	RETRY_SPREAD_S = 3 /* clients refused at one moment come back over this time */
+};
+
+static const double CAPACITY_MIN = 0.001;
+
+int64_t admission_wait_us(const struct admission_load *load)
+{
+	if (load->ahead_core_us <= 0 && load->free_cores >= load->job_cores)
+		return 0;
+	return (int64_t)MIN(load->ahead_core_us / MAX(load->capacity, CAPACITY_MIN),
+			    (double)RETRY_MAX_S * US_PER_SECOND);
+}
+
+uint32_t admission_retry_after_s(const struct admission_load *load, uint64_t seed)
+{
+	int64_t drain_us = admission_wait_us(load);
+	int64_t base_s = (drain_us + US_PER_SECOND - 1) / US_PER_SECOND;
+	int64_t spread_s = (int64_t)(seed % RETRY_SPREAD_S);
+
+	return (uint32_t)CLAMP(base_s + spread_s, RETRY_MIN_S, RETRY_MAX_S);
+}
--- /dev/null
+++ b/packages/core/src/dispatch.c
@@ -0,0 +1,508 @@
+#include "dispatch.h"
+
+#include <string.h>
+
+#include "dispatch_state.h"
+
+enum {
+	LATE_FACTOR = 3, /* an answer after this many times the objective is worthless */
+	RESTART_US = 60 * US_PER_MS, /* to stop a run and start it elsewhere */
+	MAX_MOVES = 2,
+	LEARNED_SAMPLES = 20 /* afterwards a sample weighs 1/20 */
+};
+
+static const double RATIO_MIN = 0.1;
+static const double RATIO_MAX = 10.0;
+static const double MOVE_GAIN = 1.3; /* a move must be expected to save this factor */
+
+struct queue_learning *dispatch_learning(struct dispatch *dispatch, const char *queue)
+{
+	struct queue_learning *learning = g_hash_table_lookup(dispatch->queues, queue);
+
+	if (!learning) {
+		learning = g_new0(struct queue_learning, 1);
+		learning->ratio = 1.0;
+		g_hash_table_insert(dispatch->queues, g_strdup(queue), learning);
+	}
+	return learning;
+}
+
+void dispatch_init(struct dispatch *dispatch, const struct dispatch_limits *limits,
+		   const struct dispatch_callbacks *callbacks, uint64_t seed)
+{
+	*dispatch = (struct dispatch){
+		.limits = *limits,
+		.callbacks = *callbacks,
+		.by_id = g_hash_table_new(g_str_hash, g_str_equal),
+		.queue = g_ptr_array_new(),
+		.queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
+		.seed = seed,
+	};
+	fleet_init(&dispatch->fleet);
+	table_init(&dispatch->jobs, sizeof(struct job *));
+	table_init(&dispatch->runs, sizeof(struct run_row));
+}
+
+static void free_job(struct job *job)
+{
+	g_free(job->id);
+	g_free(job->queue);
+	g_free(job->service);
+	g_bytes_unref(job->spec);
+	g_free(job);
+}
+
+void dispatch_free(struct dispatch *dispatch)
+{
+	uint32_t cursor = 0;
+	struct job **row;
+
+	while ((row = table_next(&dispatch->jobs, &cursor, NULL)))
+		free_job(*row);
+	table_free(&dispatch->jobs);
+	table_free(&dispatch->runs);
+	fleet_free(&dispatch->fleet);
+	g_hash_table_destroy(dispatch->by_id);
+	g_hash_table_destroy(dispatch->queues);
+	g_ptr_array_free(dispatch->queue, TRUE);
+}
+
+struct job *dispatch_find(const struct dispatch *dispatch, struct handle handle)
+{
+	struct job **row = table_get(&dispatch->jobs, handle);
+
+	return row ? *row : NULL;
+}
+
+static struct job *find_id(const struct dispatch *dispatch, const char *id)
+{
+	gpointer value;
+
+	if (!g_hash_table_lookup_extended(dispatch->by_id, id, NULL, &value))
+		return NULL;
+	return dispatch_find(dispatch, dispatch_unpack(value));
+}
+
+void dispatch_enqueue(struct dispatch *dispatch, struct job *job)
+{
+	if (!job->in_queue)
+		g_ptr_array_add(dispatch->queue, dispatch_pack(job->handle));
+	job->in_queue = true;
+	dispatch->dirty = true;
+}
+
+void dispatch_dequeue(struct dispatch *dispatch, struct job *job)
+{
+	if (job->in_queue)
+		g_ptr_array_remove_fast(dispatch->queue, dispatch_pack(job->handle));
+	job->in_queue = false;
+}
+
+/* Frees the row of a finished job without unsettled runs. */
+static void release(struct dispatch *dispatch, struct job *job)
+{
+	gpointer value;
+
+	if (!job->finished || job->outstanding > 0)
+		return;
+	if (g_hash_table_lookup_extended(dispatch->by_id, job->id, NULL, &value) &&
+	    value == dispatch_pack(job->handle))
+		g_hash_table_remove(dispatch->by_id, job->id);
+	table_remove(&dispatch->jobs, job->handle);
+	free_job(job);
+	dispatch->dirty = true;
+}
+
+static void stop_run(struct dispatch *dispatch, struct handle handle, struct run_row *run)
+{
+	struct fleet_server *server = fleet_get(&dispatch->fleet, run->server);
+
+	if (run->stopping)
+		return;
+	run->stopping = true;
+	if (server && server->link)
+		dispatch->callbacks.stop(dispatch->callbacks.context, server->link,
+					 dispatch_run_number(handle));
+}
+
+static void stop_runs(struct dispatch *dispatch, struct job *job)
+{
+	for (uint32_t i = 0; i < job->task_count; i++) {
+		struct run_row *run;
+
+		if (job->tasks[i].phase != TASK_SENT)
+			continue;
+		run = table_get(&dispatch->runs, job->tasks[i].run);
+		if (run)
+			stop_run(dispatch, job->tasks[i].run, run);
+	}
+}
+
+void dispatch_finish(struct dispatch *dispatch, struct job *job, struct job_end *end,
+		     int64_t now_us)
+{
+	void *context = job->context;
+
+	job->finished = true;
+	dispatch_dequeue(dispatch, job);
+	stop_runs(dispatch, job);
+	end->elapsed_us = now_us - job->arrived_us;
+	end->tasks = job->task_count;
+	end->runs = job->orders;
+	/* A run that is not settled may have started. */
+	if (job->may_have_run || job->outstanding > 0)
+		end->outcome = OUTCOME_UNKNOWN;
+	dispatch->callbacks.finished(dispatch->callbacks.context, job->id, context, end);
+	release(dispatch, job);
+}
+
+static void end_job(struct dispatch *dispatch, struct job *job, enum status status,
+		    const char *reason, int64_t now_us)
+{
+	struct job_end end = {.status = status, .reason = reason, .retry_after_s = 1};
+
+	dispatch_finish(dispatch, job, &end, now_us);
+}
+
+static struct job *new_job(struct dispatch *dispatch, const struct job_request *request)
+{
+	struct job *job =
+		g_malloc0(sizeof(*job) + (size_t)request->tasks * sizeof(struct job_task));
+	struct queue_learning *learning = dispatch_learning(dispatch, request->queue);
+	int64_t objective_us;
+	struct job **row;
+
+	job->work_us = (int64_t)((double)request->estimate_us * learning->ratio);
+	objective_us = (int64_t)(request->stretch * (double)job->work_us) + request->slack_us;
+	job->id = g_strdup(request->id);
+	job->queue = g_strdup(request->queue);
+	job->service = g_strdup(request->service);
+	job->spec = g_bytes_ref(request->spec);
+	job->step = request->step;
+	job->need = request->need;
+	job->estimate_us = request->estimate_us;
+	job->arrived_us = request->arrived_us;
+	job->deadline_us = request->deadline_us;
+	job->target_us = MIN(request->arrived_us + objective_us, request->deadline_us);
+	job->late_us = MIN(request->arrived_us + LATE_FACTOR * objective_us, request->deadline_us);
+	job->priority = request->priority;
+	job->max_attempts = MAX(request->max_attempts, 1);
+	job->task_count = request->tasks;
+	job->queued = request->tasks;
+	job->context = request->context;
+	row = table_add(&dispatch->jobs, &job->handle);
+	*row = job;
+	return job;
+}
+
+void dispatch_submit(struct dispatch *dispatch, const struct job_request *request, int64_t now_us)
+{
+	struct job *earlier = find_id(dispatch, request->id);
+	struct job *job;
+
+	if (earlier && !earlier->finished) {
+		end_job(dispatch, earlier, STATUS_CANCELLED, "sent again by its client", now_us);
+		earlier = find_id(dispatch, request->id);
+	}
+	job = new_job(dispatch, request);
+	if (earlier)
+		job->blocker = earlier->handle;
+	g_hash_table_replace(dispatch->by_id, job->id, dispatch_pack(job->handle));
+	if (table_count(&dispatch->jobs) > dispatch->limits.max_jobs)
+		end_job(dispatch, job, STATUS_QUEUE_FULL, "too many unfinished jobs", now_us);
+	else if (dispatch->leaving)
+		end_job(dispatch, job, STATUS_DRAINING, "the entry is shutting down", now_us);
+	else
+		dispatch_enqueue(dispatch, job);
+}
+
+bool dispatch_end_job(struct dispatch *dispatch, const char *id, enum status status,
+		      const char *reason, int64_t now_us)
+{
+	struct job *job = find_id(dispatch, id);
+
+	if (!job || job->finished)
+		return false;
+	end_job(dispatch, job, status, reason, now_us);
+	return true;
+}
+
+struct handle dispatch_server_add(struct dispatch *dispatch, void *link)
+{
+	return fleet_add(&dispatch->fleet, link);
+}
+
+void dispatch_server_report(struct dispatch *dispatch, struct handle handle,
+			    const struct fleet_report *report, int64_t now_us)
+{
+	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
+
+	if (!server)
+		return;
+	fleet_apply_report(server, report, now_us);
+	dispatch->dirty = true;
+}
+
+void dispatch_server_unlinked(struct dispatch *dispatch, struct handle handle, int64_t now_us)
+{
+	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
+
+	if (!server)
+		return;
+	server->link = NULL;
+	server->ready = false;
+	server->reported_us = now_us;
+	if (server->runs == 0)
+		fleet_remove(&dispatch->fleet, handle);
+}
+
+static void end_runs_at(struct dispatch *dispatch, struct handle server, GHashTable *known,
+			enum run_outcome outcome, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run_row *run;
+
+	while ((run = table_next(&dispatch->runs, &cursor, &handle))) {
+		uint64_t number = dispatch_run_number(handle);
+
+		if (!handle_equal(run->server, server))
+			continue;
+		if (known && g_hash_table_contains(known, &number))
+			continue;
+		dispatch_run_ended(dispatch, number, outcome, 0, now_us);
+	}
+}
+
+void dispatch_server_relinked(struct dispatch *dispatch, struct handle handle, void *link,
+			      const uint64_t *runs, size_t count, int64_t now_us)
+{
+	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
+	GHashTable *known = g_hash_table_new(g_int64_hash, g_int64_equal);
+	uint32_t cursor = 0;
+	struct handle run_handle;
+	struct run_row *run;
+
+	server->link = link;
+	/* The agent counts the orders of a connection from 1. */
+	g_queue_clear_full(&server->orders, g_free);
+	for (size_t i = 0; i < count; i++)
+		g_hash_table_add(known, (gpointer)&runs[i]);
+	/* An order that the agent does not know was lost with the connection. */
+	end_runs_at(dispatch, handle, known, RUN_UNANSWERED, now_us);
+	/* A stop may have been lost with it. */
+	while ((run = table_next(&dispatch->runs, &cursor, &run_handle))) {
+		if (handle_equal(run->server, handle) && run->stopping)
+			dispatch->callbacks.stop(dispatch->callbacks.context, link,
+						 dispatch_run_number(run_handle));
+	}
+	g_hash_table_destroy(known);
+}
+
+void dispatch_server_settled(struct dispatch *dispatch, struct handle handle, int64_t now_us)
+{
+	end_runs_at(dispatch, handle, NULL, RUN_LOST, now_us);
+	fleet_remove(&dispatch->fleet, handle);
+}
+
+static bool certainly_not_run(enum run_outcome outcome)
+{
+	return outcome >= RUN_NO_ROOM;
+}
+
+static void learn(struct dispatch *dispatch, const struct job *job,
+		  const struct fleet_server *server, int64_t elapsed_us)
+{
+	struct queue_learning *learning = dispatch_learning(dispatch, job->queue);
+	double sample;
+
+	if (!server || !server->speed_known || elapsed_us <= 0 || job->estimate_us <= 0)
+		return;
+	sample = (double)elapsed_us * server->speed / (double)job->estimate_us;
+	sample = CLAMP(sample, RATIO_MIN, RATIO_MAX);
+	learning->samples = MIN(learning->samples + 1, LEARNED_SAMPLES);
+	learning->ratio += (sample - learning->ratio) / learning->samples;
+}
+
+static void requeue(struct dispatch *dispatch, struct job *job, struct job_task *task)
+{
+	task->phase = TASK_QUEUED;
+	job->queued++;
+	dispatch_enqueue(dispatch, job);
+}
+
+static void task_ended(struct dispatch *dispatch, struct job *job, struct job_task *task,
+		       enum run_outcome outcome, int64_t now_us)
+{
+	if (outcome == RUN_DONE) {
+		task->phase = TASK_DONE;
+		if (++job->done == job->task_count)
+			end_job(dispatch, job, STATUS_OK, "all tasks are done", now_us);
+		return;
+	}
+	if (outcome == RUN_FAILED && ++task->failures >= job->max_attempts) {
+		end_job(dispatch, job, STATUS_TASK_FAILED, "a task has failed too often", now_us);
+		return;
+	}
+	if (outcome == RUN_INVALID) {
+		end_job(dispatch, job, STATUS_SERVER_REFUSED,
+			"the backend server does not accept the task", now_us);
+		return;
+	}
+	requeue(dispatch, job, task);
+}
+
+void dispatch_run_ended(struct dispatch *dispatch, uint64_t number, enum run_outcome outcome,
+			int64_t elapsed_us, int64_t now_us)
+{
+	struct handle handle = dispatch_run_handle(number);
+	struct run_row *row = table_get(&dispatch->runs, handle);
+	struct fleet_server *server;
+	struct run_row run;
+	struct job *job;
+	struct job_task *task;
+
+	if (!row)
+		return; /* reported before, over an earlier connection */
+	run = *row;
+	table_remove(&dispatch->runs, handle);
+	server = fleet_get(&dispatch->fleet, run.server);
+	if (server) {
+		server->runs--;
+		if (!server->link && server->runs == 0)
+			fleet_remove(&dispatch->fleet, run.server);
+	}
+	dispatch->dirty = true;
+	job = dispatch_find(dispatch, run.job);
+	task = &job->tasks[run.index];
+	job->outstanding--;
+	if (!certainly_not_run(outcome))
+		job->may_have_run = true;
+	server = fleet_get(&dispatch->fleet, run.server);
+	dispatch->callbacks.run_ended(dispatch->callbacks.context, job->id, run.index,
+				      task->attempt, server ? server->id : "", outcome,
+				      elapsed_us);
+	if (outcome == RUN_DONE)
+		learn(dispatch, job, server, elapsed_us);
+	else if (outcome == RUN_FAILED || outcome == RUN_UNHEALTHY || run.moving)
+		job->avoid = run.server;
+	if (job->finished)
+		release(dispatch, job);
+	else
+		task_ended(dispatch, job, task, outcome, now_us);
+}
+
+void dispatch_run_behind(struct dispatch *dispatch, uint64_t number, uint32_t percent,
+			 int64_t elapsed_us, int64_t now_us)
+{
+	struct handle handle = dispatch_run_handle(number);
+	struct run_row *run = table_get(&dispatch->runs, handle);
+	struct job *job = run ? dispatch_find(dispatch, run->job) : NULL;
+	struct fleet_sum sum;
+	int64_t here_us, elsewhere_us;
+
+	if (!job || job->finished || run->stopping || job->tasks[run->index].moves >= MAX_MOVES)
+		return;
+	sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
+	if (sum.fastest <= 0 || sum.free_cpu < job->need.cpu)
+		return;
+	here_us = percent > 0 ? elapsed_us * (100 - percent) / percent : INT64_MAX / 4;
+	elsewhere_us = RESTART_US + (int64_t)((double)job->work_us / sum.fastest);
+	if (now_us + elsewhere_us > job->late_us ||
+	    (double)elsewhere_us * MOVE_GAIN > (double)here_us)
+		return;
+	/* Lost time only matters when the job would miss its objective here. */
+	if (now_us + here_us <= job->target_us)
+		return;
+	run->moving = true;
+	job->tasks[run->index].moves++;
+	stop_run(dispatch, handle, run);
+}
+
+void dispatch_set_peers(struct dispatch *dispatch, double core_us)
+{
+	dispatch->peers_core_us = core_us;
+}
+
+void dispatch_tick(struct dispatch *dispatch, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct fleet_server *server;
+	struct job **row;
+
+	while ((row = table_next(&dispatch->jobs, &cursor, NULL))) {
+		if (!(*row)->finished && now_us >= (*row)->deadline_us)
+			end_job(dispatch, *row, STATUS_DEADLINE_PASSED, "the deadline has passed",
+				now_us);
+	}
+	cursor = 0;
+	while ((server = table_next(&dispatch->fleet.servers, &cursor, &handle))) {
+		if (!server->link && now_us - server->reported_us > dispatch->limits.settle_us)
+			dispatch_server_settled(dispatch, handle, now_us);
+	}
+}
+
+void dispatch_abandon(struct dispatch *dispatch, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct job **row;
+
+	while ((row = table_next(&dispatch->jobs, &cursor, NULL))) {
+		if (!(*row)->finished) {
+			/* A run may have been started and settled by others meanwhile. */
+			(*row)->may_have_run = true;
+			end_job(dispatch, *row, STATUS_INTERNAL, "the entry was frozen", now_us);
+		}
+	}
+}
+
+uint32_t dispatch_pending(const struct dispatch *dispatch, const char *queue)
+{
+	uint32_t cursor = 0;
+	uint32_t pending = 0;
+	struct job **row;
+
+	while ((row = table_next(&dispatch->jobs, &cursor, NULL))) {
+		const struct job *job = *row;
+
+		if (!job->finished && !job->may_have_run && job->outstanding == 0 &&
+		    strcmp(job->queue, queue) == 0)
+			pending++;
+	}
+	return pending;
+}
+
+bool dispatch_job_state(const struct dispatch *dispatch, const char *id, bool *started)
+{
+	const struct job *job = find_id(dispatch, id);
+
+	if (!job || job->finished)
+		return false;
+	*started = job->may_have_run || job->outstanding > 0;
+	return true;
+}
+
+double dispatch_backlog(const struct dispatch *dispatch)
+{
+	double core_us = 0;
+
+	for (guint i = 0; i < dispatch->queue->len; i++) {
+		const struct job *job =
+			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
+
+		core_us += (double)job->queued * job->need.cpu / 1000 * (double)job->work_us;
+	}
+	return core_us;
+}
+
+uint32_t dispatch_jobs(const struct dispatch *dispatch)
+{
+	uint32_t cursor = 0;
+	uint32_t count = 0;
+	struct job **row;
+
+	while ((row = table_next(&dispatch->jobs, &cursor, NULL)))
+		count += !(*row)->finished;
+	return count;
+}
--- /dev/null
+++ b/packages/core/src/dispatch_pump.c
@@ -0,0 +1,186 @@
+#include <string.h>
+
+#include "dispatch.h"
+#include "dispatch_state.h"
+#include "placement.h"
+
+enum {
+	MILLICORES = 1000
+};
+
+int64_t dispatch_start_by(const struct job *job, double fastest)
+{
+	if (fastest <= 0)
+		fastest = 1.0;
+	return job->target_us - (int64_t)((double)job->work_us / fastest);
+}
+
+/* One queued job with what its order depends on. */
+struct waiting {
+	struct job *job;
+	int64_t start_by_us;
+};
+
+static int by_urgency(const void *a, const void *b)
+{
+	const struct waiting *left = a;
+	const struct waiting *right = b;
+
+	if (left->start_by_us != right->start_by_us)
+		return left->start_by_us < right->start_by_us ? -1 : 1;
+	return left->job->arrived_us < right->job->arrived_us ? -1 : 1;
+}
+
+static void order(struct dispatch *dispatch, struct job *job, uint32_t index,
+		  struct handle server_handle)
+{
+	struct fleet_server *server = fleet_get(&dispatch->fleet, server_handle);
+	struct job_task *task = &job->tasks[index];
+	struct run_row *run = table_add(&dispatch->runs, &task->run);
+	struct run_order sent;
+	uint64_t number;
+
+	*run = (struct run_row){.job = job->handle, .index = index, .server = server_handle};
+	task->phase = TASK_SENT;
+	task->attempt++;
+	job->queued--;
+	job->outstanding++;
+	job->orders++;
+	server->runs++;
+	sent = (struct run_order){
+		.job = job->id,
+		.spec = job->spec,
+		.step = job->step,
+		.index = index,
+		.attempt = task->attempt,
+		.run = dispatch_run_number(task->run),
+		.need = job->need,
+		.estimate_us = job->work_us,
+	};
+	number = dispatch->callbacks.start(dispatch->callbacks.context, server->link, &sent);
+	fleet_note_order(server, &job->need, number);
+}
+
+/* Starts the tasks of JOB for which there is room. */
+static void place(struct dispatch *dispatch, struct job *job, bool late, int64_t now_us)
+{
+	struct handle *servers = g_new(struct handle, job->queued);
+	const struct placement_request request = {
+		.service = job->service,
+		.need = job->need,
+		.tasks = job->queued,
+		.work_us = job->work_us,
+		.target_us = job->target_us,
+		.late = late,
+		.avoid = job->avoid,
+	};
+	uint32_t placed = placement_choose(&dispatch->fleet, &request, now_us, servers);
+	int64_t oldest_us = now_us;
+	uint32_t next = 0;
+
+	for (uint32_t i = 0; i < job->task_count && next < placed; i++) {
+		if (job->tasks[i].phase != TASK_QUEUED)
+			continue;
+		oldest_us = MIN(oldest_us,
+				fleet_get(&dispatch->fleet, servers[next])->reported_us);
+		order(dispatch, job, i, servers[next++]);
+	}
+	g_free(servers);
+	if (placed > 0)
+		dispatch->callbacks.placed(dispatch->callbacks.context, job->id, placed,
+					   job->queued, now_us - oldest_us);
+}
+
+static void refuse(struct dispatch *dispatch, struct job *job, enum status status,
+		   const char *reason, const struct admission_load *load, int64_t now_us)
+{
+	struct job_end end = {
+		.status = status,
+		.reason = reason,
+		.expected_wait_us = admission_wait_us(load),
+	};
+
+	dispatch->seed = dispatch->seed * 6364136223846793005ULL + 1442695040888963407ULL;
+	end.retry_after_s = admission_retry_after_s(load, dispatch->seed >> 33);
+	dispatch_finish(dispatch, job, &end, now_us);
+}
+
+/* Decides on what is left of a job after its turn. AHEAD_CORE_US is the work that waits before it. */
+static void consider(struct dispatch *dispatch, struct job *job, const struct fleet_sum *sum,
+		     double ahead_core_us, int64_t now_us)
+{
+	const struct admission_load load = {
+		.capacity = sum->speed_cpu / MILLICORES,
+		.ahead_core_us = ahead_core_us + dispatch->peers_core_us,
+		.free_cores = (double)sum->free_cpu / MILLICORES,
+		.job_cores = (double)job->queued * job->need.cpu / MILLICORES,
+	};
+	int64_t start_by_us = dispatch_start_by(job, sum->fastest);
+
+	if (job->may_have_run || job->outstanding > 0)
+		return; /* some of it runs: it goes on until its deadline */
+	if (sum->servers == 0)
+		refuse(dispatch, job, STATUS_NO_CAPACITY_MATCH, "no backend server is ready", &load,
+		       now_us);
+	else if (!sum->fits)
+		refuse(dispatch, job, STATUS_NO_CAPACITY_MATCH,
+		       "no backend server is large enough for a task", &load, now_us);
+	else if (now_us + admission_wait_us(&load) > start_by_us)
+		refuse(dispatch, job, STATUS_DEADLINE_UNREACHABLE,
+		       "the job cannot start in time for its objective", &load, now_us);
+}
+
+static bool is_blocked(const struct dispatch *dispatch, const struct job *job)
+{
+	return dispatch_find(dispatch, job->blocker) != NULL;
+}
+
+static GArray *sort_queue(struct dispatch *dispatch)
+{
+	GArray *sorted = g_array_new(FALSE, FALSE, sizeof(struct waiting));
+
+	for (guint i = 0; i < dispatch->queue->len; i++) {
+		struct job *job =
+			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
+		struct fleet_sum sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
+		struct waiting item = {
+			.job = job,
+			.start_by_us = dispatch_start_by(job, sum.fastest),
+		};
+
+		g_array_append_val(sorted, item);
+	}
+	g_array_sort(sorted, by_urgency);
+	return sorted;
+}
+
+void dispatch_pump(struct dispatch *dispatch, int64_t now_us)
+{
+	double ahead_core_us = 0;
+	GArray *sorted;
+
+	if (!dispatch->dirty || dispatch->queue->len == 0)
+		return;
+	dispatch->dirty = false;
+	sorted = sort_queue(dispatch);
+	for (guint i = 0; i < sorted->len; i++) {
+		struct job *job = g_array_index(sorted, struct waiting, i).job;
+		struct fleet_sum sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
+		double left_core_us;
+
+		if (is_blocked(dispatch, job))
+			continue;
+		place(dispatch, job, now_us > dispatch_start_by(job, sum.fastest), now_us);
+		if (job->queued == 0) {
+			dispatch_dequeue(dispatch, job);
+			continue;
+		}
+		sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
+		left_core_us = (double)job->queued * job->need.cpu / MILLICORES *
+			       (double)job->work_us;
+		consider(dispatch, job, &sum, ahead_core_us, now_us);
+		ahead_core_us += left_core_us;
+	}
+	g_array_free(sorted, TRUE);
+	dispatch->dirty = false;
+}
--- /dev/null
+++ b/packages/core/src/dispatch_state.h
@@ -0,0 +1,102 @@
+/* Rows of the dispatcher's tables, shared by its modules. */
+#ifndef GG_DISPATCH_STATE_H
+#define GG_DISPATCH_STATE_H
+
+#include "dispatch.h"
+
+enum task_phase {
+	TASK_QUEUED,
+	TASK_SENT,
+	TASK_DONE,
+};
+
+struct job_task {
+	enum task_phase phase;
+	uint32_t attempt; /* of the last order */
+	uint32_t failures;
+	uint32_t moves; /* away from slow servers */
+	struct handle run;
+};
+
+struct job {
+	struct handle handle;
+	char *id;
+	char *queue;
+	char *service;
+	GBytes *spec;
+	uint32_t step;
+	struct room need;
+	int64_t estimate_us;
+	int64_t work_us; /* expected at speed 1, with what was learned of the queue */
+	int64_t target_us; /* when the job should have ended */
+	int64_t late_us;   /* when an answer has become worthless */
+	int64_t arrived_us;
+	int64_t deadline_us;
+	uint32_t priority;
+	uint32_t max_attempts;
+	uint32_t task_count;
+	uint32_t queued;
+	uint32_t done;
+	uint32_t outstanding; /* runs not settled */
+	uint32_t orders;
+	bool may_have_run;
+	bool finished; /* answered; the row stays until its runs are settled */
+	bool in_queue;
+	struct handle avoid; /* server of the last failed run */
+	struct handle blocker; /* earlier job of the same id with unsettled runs */
+	void *context;
+	struct job_task tasks[];
+};
+
+struct run_row {
+	struct handle job;
+	uint32_t index;
+	struct handle server;
+	bool stopping;
+	bool moving; /* stopped to run elsewhere */
+};
+
+/* Learned ratio of run time to estimate. */
+struct queue_learning {
+	double ratio;
+	uint32_t samples;
+};
+
+/* Run times are learned for each queue. */
+struct queue_learning *dispatch_learning(struct dispatch *dispatch, const char *queue);
+
+struct job *dispatch_find(const struct dispatch *dispatch, struct handle job);
+
+/* Returns when the job must have started to be in time on the fastest server. */
+int64_t dispatch_start_by(const struct job *job, double fastest);
+
+static inline gpointer dispatch_pack(struct handle handle)
+{
+	return GSIZE_TO_POINTER(((gsize)handle.generation << 32) | handle.index);
+}
+
+static inline struct handle dispatch_unpack(gpointer value)
+{
+	gsize bits = GPOINTER_TO_SIZE(value);
+
+	return (struct handle){.index = (uint32_t)bits, .generation = (uint32_t)(bits >> 32)};
+}
+
+static inline uint64_t dispatch_run_number(struct handle run)
+{
+	return ((uint64_t)run.generation << 32) | run.index;
+}
+
+static inline struct handle dispatch_run_handle(uint64_t number)
+{
+	return (struct handle){.index = (uint32_t)number, .generation = (uint32_t)(number >> 32)};
+}
+
+void dispatch_enqueue(struct dispatch *dispatch, struct job *job);
+void dispatch_dequeue(struct dispatch *dispatch, struct job *job);
+
+/* Answers JOB and stops its runs. The row goes once they are settled. */
+void dispatch_finish(struct dispatch *dispatch, struct job *job, struct job_end *end,
+		     int64_t now_us);
+
+#endif
--- /dev/null
+++ b/packages/core/src/runs.c
@@ -0,0 +1,494 @@
+#include "runs.h"
+
+#include <string.h>
+
+enum {
+	PERMILLE = 1000,
+	PERCENT = 100,
+	LEASE_MARGIN_US = 50 * US_PER_MS, /* a stop at the end of a lease takes this long */
+	BEHIND_PERIOD_US = 100 * US_PER_MS, /* a run that is behind is reported this often */
+	BEHIND_MIN_US = 120 * US_PER_MS,  /* younger runs say little of the server's speed */
+};
+
+static const double SPEED_WEIGHT = 0.15; /* of one ended run in the average speed */
+static const double BEHIND_FACTOR = 0.5; /* below this share of the usual speed a run is behind */
+static const double SLOW_FACTOR = 0.5;	 /* below this share a server is on trial */
+static const double SPEED_MIN = 0.02;
+static const double SPEED_MAX = 20.0;
+
+const char *run_outcome_name(enum run_outcome outcome)
+{
+	static const char *const names[RUN_OUTCOME_COUNT] = {
+		[RUN_DONE] = "done",
+		[RUN_FAILED] = "failed",
+		[RUN_STOPPED] = "stopped",
+		[RUN_EXPIRED] = "lease_expired",
+		[RUN_LOST] = "server_lost",
+		[RUN_NO_ROOM] = "no_room",
+		[RUN_LEAVING] = "server_leaving",
+		[RUN_SUPERSEDED] = "superseded",
+		[RUN_UNHEALTHY] = "server_unhealthy",
+		[RUN_LATE] = "order_late",
+		[RUN_INVALID] = "order_invalid",
+		[RUN_UNANSWERED] = "order_unanswered",
+		[RUN_BUSY] = "earlier_run_unsettled",
+	};
+
+	return outcome > 0 && outcome < RUN_OUTCOME_COUNT ? names[outcome] : "unknown";
+}
+
+static gpointer pack(struct handle handle)
+{
+	return GSIZE_TO_POINTER(((gsize)handle.generation << 32) | handle.index);
+}
+
+static struct handle unpack(gpointer value)
+{
+	gsize bits = GPOINTER_TO_SIZE(value);
+
+	return (struct handle){.index = (uint32_t)bits, .generation = (uint32_t)(bits >> 32)};
+}
+
+void runs_init(struct runs *runs, const struct runs_limits *limits,
+	       const struct runs_callbacks *callbacks)
+{
+	*runs = (struct runs){
+		.limits = *limits,
+		.callbacks = *callbacks,
+		.by_task = g_hash_table_new(g_str_hash, g_str_equal),
+		.speed = 1.0,
+		.usual_speed = 1.0,
+	};
+	table_init(&runs->table, sizeof(struct run));
+	health_init(&runs->health, &limits->health);
+	runs->health.state = HEALTH_OPEN;
+}
+
+static void release(struct run *run)
+{
+	g_free(run->task);
+	g_clear_pointer(&run->spec, g_bytes_unref);
+}
+
+void runs_free(struct runs *runs)
+{
+	uint32_t cursor = 0;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, NULL)))
+		release(run);
+	table_free(&runs->table);
+	g_hash_table_destroy(runs->by_task);
+	g_free(runs->last_failed_task);
+}
+
+void runs_server_present(struct runs *runs, const struct room *total, bool leaving)
+{
+	runs->present = true;
+	runs->total = *total;
+	runs->leaving = leaving;
+}
+
+static bool same_job(const char *a, const char *b)
+{
+	size_t length = strcspn(a, ".");
+
+	return strncmp(a, b, length) == 0 && b[length] == '.';
+}
+
+/* Failures of one job count once, as a job that can never be done fails wherever it runs. */
+static void count_failure(struct runs *runs, const struct run *run, int64_t now_us)
+{
+	if (runs->last_failed_task && same_job(run->task, runs->last_failed_task))
+		return;
+	g_free(runs->last_failed_task);
+	runs->last_failed_task = g_strdup(run->task);
+	health_result(&runs->health, false, UINT32_MAX, now_us);
+}
+
+static void learn_speed(struct runs *runs, double sample, int64_t now_us)
+{
+	sample = CLAMP(sample, SPEED_MIN, SPEED_MAX);
+	runs->speed += (runs->samples == 0 ? 1.0 : SPEED_WEIGHT) * (sample - runs->speed);
+	if (sample > SLOW_FACTOR * runs->usual_speed || runs->samples == 0)
+		runs->usual_speed +=
+			(runs->samples == 0 ? 1.0 : SPEED_WEIGHT) * (sample - runs->usual_speed);
+	runs->samples++;
+	runs->sampled_us = now_us;
+}
+
+static void learn(struct runs *runs, const struct run *run, enum run_outcome outcome,
+		  int64_t elapsed_us, int64_t now_us)
+{
+	if (outcome == RUN_FAILED) {
+		count_failure(runs, run, now_us);
+	} else if (outcome == RUN_DONE) {
+		health_result(&runs->health, true, UINT32_MAX, now_us);
+		if (elapsed_us > 0 && run->estimate_us > 0)
+			learn_speed(runs, (double)run->estimate_us / (double)elapsed_us, now_us);
+	}
+}
+
+static void end(struct runs *runs, struct handle handle, enum run_outcome outcome, int64_t now_us)
+{
+	struct run *run = table_get(&runs->table, handle);
+	int64_t elapsed_us = now_us - run->ordered_us;
+	struct run copy;
+
+	learn(runs, run, outcome, elapsed_us, now_us);
+	runs->used.cpu -= run->need.cpu;
+	runs->used.memory_mb -= run->need.memory_mb;
+	runs->used.gpus -= run->need.gpus;
+	if (run->owner == RUN_NO_OWNER)
+		runs->unsettled--;
+	g_hash_table_remove(runs->by_task, run->task);
+	copy = *run;
+	table_remove(&runs->table, handle);
+	if (copy.owner != RUN_NO_OWNER)
+		runs->callbacks.ended(runs->callbacks.context, &copy, outcome, elapsed_us);
+	release(&copy);
+}
+
+void runs_server_lost(struct runs *runs, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+
+	runs->present = false;
+	runs->seen_end = 0;
+	while (table_next(&runs->table, &cursor, &handle))
+		end(runs, handle, RUN_LOST, now_us);
+}
+
+static struct run *add(struct runs *runs, const struct run_request *request, struct handle *handle,
+		       int64_t now_us)
+{
+	struct run *run = table_add(&runs->table, handle);
+
+	*run = (struct run){
+		.task = g_strdup(request->task),
+		.attempt = request->attempt,
+		.owner = request->owner,
+		.number = request->number,
+		.need = request->need,
+		.estimate_us = request->estimate_us,
+		.spec = request->spec ? g_bytes_ref(request->spec) : NULL,
+		.ordered_us = now_us,
+		.phase_us = now_us,
+	};
+	runs->used.cpu += run->need.cpu;
+	runs->used.memory_mb += run->need.memory_mb;
+	runs->used.gpus += run->need.gpus;
+	g_hash_table_insert(runs->by_task, run->task, pack(*handle));
+	return run;
+}
+
+static void refuse(struct runs *runs, const struct run_request *request, enum run_outcome outcome)
+{
+	const struct run run = {
+		.task = (char *)request->task,
+		.attempt = request->attempt,
+		.owner = request->owner,
+		.number = request->number,
+	};
+
+	runs->callbacks.ended(runs->callbacks.context, &run, outcome, 0);
+}
+
+void runs_start(struct runs *runs, const struct run_request *request, int64_t now_us)
+{
+	struct room room = runs_free_room(runs);
+	struct handle handle;
+
+	if (!runs_ready(runs)) {
+		refuse(runs, request, RUN_LEAVING);
+	} else if (g_hash_table_contains(runs->by_task, request->task)) {
+		refuse(runs, request, RUN_BUSY);
+	} else if (!room_fits(&request->need, &room)) {
+		refuse(runs, request, RUN_NO_ROOM);
+	} else {
+		add(runs, request, &handle, now_us);
+		runs->callbacks.order_start(runs->callbacks.context, handle);
+	}
+}
+
+static void enter(struct run *run, enum run_phase phase, int64_t now_us)
+{
+	run->phase = phase;
+	run->phase_us = now_us;
+}
+
+static void send_stop(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
+{
+	enter(run, RUN_STOPPING, now_us);
+	run->stop_sent_us = now_us;
+	runs->callbacks.order_stop(runs->callbacks.context, run->task, run->attempt, handle);
+}
+
+/* Stops a run whose start has been answered; other phases come to their stop by themselves. */
+static void stop(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
+{
+	run->stop_requested = true;
+	if (run->phase == RUN_ACTIVE || run->phase == RUN_ORDERED)
+		send_stop(runs, run, handle, now_us);
+}
+
+void runs_stop(struct runs *runs, uint32_t owner, uint64_t number, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, &handle))) {
+		if (run->owner == owner && run->number == number) {
+			stop(runs, run, handle, now_us);
+			return;
+		}
+	}
+}
+
+void runs_owner_gone(struct runs *runs, uint32_t owner, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, &handle))) {
+		if (run->owner != owner)
+			continue;
+		run->owner = RUN_NO_OWNER;
+		runs->unsettled++;
+		stop(runs, run, handle, now_us);
+	}
+}
+
+void runs_start_answered(struct runs *runs, struct handle handle, enum start_answer answer,
+			 int64_t now_us)
+{
+	static const enum run_outcome refusals[] = {
+		[START_NO_ROOM] = RUN_NO_ROOM,	   [START_SUPERSEDED] = RUN_SUPERSEDED,
+		[START_LATE] = RUN_LATE,	   [START_UNHEALTHY] = RUN_UNHEALTHY,
+		[START_INVALID] = RUN_INVALID,	   [START_NOT_SENT] = RUN_UNANSWERED,
+	};
+	struct run *run = table_get(&runs->table, handle);
+
+	if (!run)
+		return; /* a list has shown its end before */
+	g_clear_pointer(&run->spec, g_bytes_unref);
+	if (answer == START_UNANSWERED) {
+		if (run->phase != RUN_ORDERED)
+			return;
+		enter(run, RUN_UNSURE, now_us);
+		runs->callbacks.look(runs->callbacks.context);
+	} else if (answer != START_STARTED) {
+		if (answer == START_UNHEALTHY)
+			count_failure(runs, run, now_us);
+		end(runs, handle, refusals[answer], now_us);
+	} else if (run->phase == RUN_ORDERED || run->phase == RUN_UNSURE) {
+		enter(run, RUN_ACTIVE, now_us);
+	}
+}
+
+void runs_stop_answered(struct runs *runs, struct handle handle, bool acknowledged, int64_t now_us)
+{
+	struct run *run = table_get(&runs->table, handle);
+
+	if (!run || run->phase != RUN_STOPPING || !acknowledged)
+		return; /* runs_tick repeats an unanswered stop */
+	enter(run, RUN_SETTLING, now_us);
+	runs->callbacks.look(runs->callbacks.context);
+}
+
+static struct run *find(struct runs *runs, const struct run_list_row *row, struct handle *handle)
+{
+	gpointer value;
+	struct run *run;
+
+	if (!g_hash_table_lookup_extended(runs->by_task, row->task, NULL, &value))
+		return NULL;
+	*handle = unpack(value);
+	run = table_get(&runs->table, *handle);
+	return run && run->attempt == row->attempt ? run : NULL;
+}
+
+static void take_ends(struct runs *runs, const struct run_list *list, int64_t now_us)
+{
+	for (size_t i = 0; i < list->finished_count; i++) {
+		const struct run_list_row *row = &list->finished[i];
+		struct handle handle;
+
+		if (row->number <= runs->seen_end)
+			continue;
+		runs->seen_end = row->number;
+		if (find(runs, row, &handle))
+			end(runs, handle, row->outcome, now_us);
+	}
+}
+
+/* A run that nobody here ordered, such as one of an earlier life of this agent, is stopped. */
+static void adopt_stranger(struct runs *runs, const struct run_list_row *row, int64_t now_us)
+{
+	const struct run_request request = {
+		.task = row->task,
+		.attempt = row->attempt,
+		.owner = RUN_NO_OWNER,
+		.need = {.cpu = row->cpu},
+	};
+	struct handle handle;
+	struct run *run;
+
+	if (g_hash_table_contains(runs->by_task, row->task)) {
+		runs->callbacks.order_stop(runs->callbacks.context, row->task, row->attempt,
+					   (struct handle){0});
+		return;
+	}
+	run = add(runs, &request, &handle, now_us);
+	runs->unsettled++;
+	send_stop(runs, run, handle, now_us);
+}
+
+/* Compares a run with its estimate. A run far behind tells of a slow or stalled server long before
+ * it ends. */
+static void note_progress(struct runs *runs, struct run *run, int64_t now_us)
+{
+	int64_t elapsed_us = now_us - run->ordered_us;
+	double rate;
+
+	if (elapsed_us < BEHIND_MIN_US || run->estimate_us <= 0)
+		return;
+	rate = (double)run->percent / PERCENT * (double)run->estimate_us / (double)elapsed_us;
+	if (rate >= BEHIND_FACTOR * runs->usual_speed)
+		return;
+	if (now_us - run->progress_sent_us < BEHIND_PERIOD_US)
+		return;
+	run->progress_sent_us = now_us;
+	learn_speed(runs, rate, now_us);
+	if (run->owner != RUN_NO_OWNER)
+		runs->callbacks.behind(runs->callbacks.context, run, elapsed_us);
+}
+
+static void take_running(struct runs *runs, const struct run_list *list, GHashTable *listed,
+			 int64_t now_us)
+{
+	for (size_t i = 0; i < list->running_count; i++) {
+		const struct run_list_row *row = &list->running[i];
+		struct handle handle;
+		struct run *run = find(runs, row, &handle);
+
+		if (!run) {
+			adopt_stranger(runs, row, now_us);
+			continue;
+		}
+		g_hash_table_add(listed, run);
+		run->percent = row->percent;
+		if (run->phase == RUN_UNSURE) {
+			enter(run, RUN_ACTIVE, now_us);
+			if (run->stop_requested)
+				send_stop(runs, run, handle, now_us);
+		}
+		if (run->phase == RUN_ACTIVE)
+			note_progress(runs, run, now_us);
+	}
+}
+
+/* Handles what a list asked for at ASKED_US does not hold. */
+static void take_absent(struct runs *runs, GHashTable *listed, int64_t asked_us, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, &handle))) {
+		if (run->phase_us > asked_us || g_hash_table_contains(listed, run))
+			continue;
+		if (run->phase == RUN_UNSURE)
+			send_stop(runs, run, handle, now_us); /* the order may still be on its way */
+		else if (run->phase == RUN_SETTLING)
+			end(runs, handle, run->stop_requested ? RUN_STOPPED : RUN_UNANSWERED,
+			    now_us);
+		else if (run->phase == RUN_ACTIVE)
+			end(runs, handle, RUN_LOST, now_us);
+	}
+}
+
+void runs_listed(struct runs *runs, const struct run_list *list, int64_t asked_us, int64_t now_us)
+{
+	GHashTable *listed = g_hash_table_new(NULL, NULL);
+
+	take_ends(runs, list, now_us);
+	take_running(runs, list, listed, now_us);
+	take_absent(runs, listed, asked_us, now_us);
+	g_hash_table_destroy(listed);
+}
+
+void runs_lease_sent(struct runs *runs, int64_t now_us)
+{
+	int64_t slack = runs->limits.lease_us * runs->limits.clock_drift_permille / PERMILLE;
+
+	runs->lease_bound_us = now_us + runs->limits.lease_us + slack + LEASE_MARGIN_US;
+}
+
+void runs_tick(struct runs *runs, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	health_tick(&runs->health, now_us);
+	if (table_count(&runs->table) > 0 && now_us > runs->lease_bound_us) {
+		while (table_next(&runs->table, &cursor, &handle))
+			end(runs, handle, RUN_LOST, now_us);
+		return;
+	}
+	while ((run = table_next(&runs->table, &cursor, &handle))) {
+		if (run->phase == RUN_STOPPING &&
+		    now_us - run->stop_sent_us >= runs->limits.stop_retry_us)
+			send_stop(runs, run, handle, now_us);
+	}
+}
+
+bool runs_ready(const struct runs *runs)
+{
+	return runs->present && !runs->leaving && runs->health.state != HEALTH_QUARANTINED;
+}
+
+struct room runs_free_room(const struct runs *runs)
+{
+	struct room room = {0};
+
+	if (!runs_ready(runs))
+		return room;
+	room.cpu = runs->total.cpu - MIN(runs->total.cpu, runs->used.cpu);
+	room.memory_mb = runs->total.memory_mb - MIN(runs->total.memory_mb, runs->used.memory_mb);
+	room.gpus = runs->total.gpus - MIN(runs->total.gpus, runs->used.gpus);
+	return room;
+}
+
+static bool is_slow(const struct runs *runs)
+{
+	return runs->samples > 0 && runs->speed < SLOW_FACTOR * runs->usual_speed;
+}
+
+bool runs_on_trial(const struct runs *runs, int64_t now_us)
+{
+	if (runs->health.state == HEALTH_TRIAL)
+		return true;
+	return is_slow(runs) && now_us - runs->sampled_us > runs->limits.trial_us;
+}
+
+double runs_speed(const struct runs *runs, int64_t now_us)
+{
+	if (runs_on_trial(runs, now_us) && runs->health.state != HEALTH_TRIAL)
+		return runs->usual_speed;
+	return runs->speed;
+}
+
+void runs_foreach(struct runs *runs, void (*visit)(void *context, const struct run *run),
+		  void *context)
+{
+	uint32_t cursor = 0;
+	const struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, NULL)))
+		visit(context, run);
+}
--- /dev/null
+++ b/packages/greengaged/src/agent_backend.c
@@ -0,0 +1,487 @@
+#include "agent_backend.h"
+
+#include <string.h>
+
+#include "event.h"
+
+enum {
+	TICK_MS = 50,
+	ORDER_CONNECTIONS = 4,
+	LIST_CONNECTIONS = 2,
+	IDLE_LIMIT_MS = 10000,
+	ANSWER_MAX_BYTES = 4 << 20,
+	ORDER_TIMEOUT_MS = 120, /* an answer usually takes 1 to 5 ms */
+	LIST_MARGIN_MS = 150,	/* beyond the time for which a list waits */
+	BUSY_WAIT_MS = 250,	/* for an end, while something runs */
+	IDLE_WAIT_MS = 1000,
+	RENEW_MS = 350, /* the lease is renewed at least this often while something runs */
+	RETRY_MS = 100,
+	EPOCH_STEP = 60000, /* by which a refused epoch is raised, at first */
+	CLOCK_DRIFT_PERMILLE = 20, /* a server's steady clock may be 2 % slow */
+	TRIAL_MS = 1500,
+	FAIL_STREAK = 4,
+	QUARANTINE_FIRST_MS = 500,
+	QUARANTINE_LONGEST_MS = 4000,
+	HEADER_MAX_BYTES = 16384,
+	BODY_MAX_BYTES = 4 << 20, /* a heartbeat may be this large */
+	REQUEST_LIMIT_MS = 3000,
+	KEEP_MS = 60000
+};
+
+static void changed(struct backend *backend)
+{
+	backend->callbacks.changed(backend->callbacks.context);
+}
+
+/* A start expires well before the lease, so that one carried out late is refused by the server. */
+static int64_t start_lease_ms(const struct backend *backend)
+{
+	return (int64_t)(backend->settings->lease_ms * 8 / 10);
+}
+
+static int64_t clock_now_ms(const struct backend *backend)
+{
+	return backend->clock_ms + (backend->loop->now_us - backend->clock_us) / US_PER_MS;
+}
+
+static void begin_life(struct backend *backend, int64_t started_ms)
+{
+	if (backend->started_ms != 0)
+		event_log(EVENT_SERVER_RESTARTED, EV_S("server", backend->id),
+			  EV_I("started_ms", started_ms),
+			  EV_I("runs_lost", table_count(&backend->runs.table)));
+	backend->started_ms = started_ms;
+	backend->sequence = 0;
+	backend->announced = false;
+	backend->clock_ms = 0;
+	backend->listed = false;
+	runs_server_lost(&backend->runs, backend->loop->now_us);
+}
+
+/* Returns whether what a server says concerns its current life; a later one begins here. */
+static bool is_current_life(struct backend *backend, int64_t started_ms)
+{
+	if (started_ms == 0 || started_ms == backend->started_ms)
+		return true;
+	if (started_ms < backend->started_ms)
+		return false;
+	begin_life(backend, started_ms);
+	return true;
+}
+
+static void note_reachable(struct backend *backend, bool reachable, const char *reason)
+{
+	if (backend->reachable == reachable)
+		return;
+	backend->reachable = reachable;
+	if (reachable)
+		event_log(EVENT_SERVER_REACHABLE, EV_S("server", backend->id));
+	else
+		event_log(EVENT_SERVER_UNREACHABLE, EV_S("server", backend->id),
+			  EV_S("reason", reason), EV_I("runs", table_count(&backend->runs.table)));
+	changed(backend);
+}
+
+/* Handles what every answer carries. Returns false when the answer is of an earlier life. */
+static bool note_reply(struct backend *backend, const struct server_reply *reply, int64_t epoch)
+{
+	if (!is_current_life(backend, reply->started_ms))
+		return false;
+	if (reply->clock_ms > 0) {
+		backend->clock_ms = reply->clock_ms;
+		backend->clock_us = backend->loop->now_us;
+	}
+	if (reply->refused_epoch && epoch == backend->epoch) {
+		backend->epoch += EPOCH_STEP + (backend->epoch - epoch);
+		event_log(EVENT_EPOCH_RAISED, EV_I("epoch", backend->epoch));
+	}
+	return true;
+}
+
+/* An order in progress. */
+struct order {
+	struct backend *backend;
+	struct handle run;
+	int64_t epoch;
+};
+
+static void order_start(void *context, struct handle handle);
+
+static struct order *new_order(struct backend *backend, struct handle run)
+{
+	struct order *order = g_new(struct order, 1);
+
+	*order = (struct order){.backend = backend, .run = run, .epoch = backend->epoch};
+	return order;
+}
+
+static char *instance_header(const struct backend *backend)
+{
+	if (!backend->id[0])
+		return NULL;
+	return g_strdup_printf("X-Greengagefront-Expect-Instance: %s\r\n", backend->id);
+}
+
+static void call(struct http_client *client, const char *path, const char *body,
+		 int64_t timeout_ms, http_reply_callback callback, void *context, char *extra)
+{
+	http_client_call(client, &(struct http_call){
+					 .method = "POST",
+					 .path = path,
+					 .extra = extra,
+					 .body = body,
+					 .length = strlen(body),
+					 .timeout_ms = timeout_ms,
+					 .callback = callback,
+					 .context = context,
+				 });
+	g_free(extra);
+}
+
+static void on_started(void *context, const struct http_reply *reply)
+{
+	struct order *order = context;
+	struct backend *backend = order->backend;
+	struct server_reply read;
+
+	server_reply_read(reply, &read);
+	if (!read.answered && reply->refused)
+		read.start = START_NOT_SENT;
+	if (!note_reply(backend, &read, order->epoch)) {
+		g_free(order);
+		return;
+	}
+	if (read.refused_epoch && table_get(&backend->runs.table, order->run)) {
+		order_start(backend, order->run);
+	} else {
+		runs_start_answered(&backend->runs, order->run, read.start, backend->loop->now_us);
+		changed(backend);
+	}
+	g_free(order);
+}
+
+static void order_start(void *context, struct handle handle)
+{
+	struct backend *backend = context;
+	struct run *run = table_get(&backend->runs.table, handle);
+	struct server_start start = {
+		.task = run->task,
+		.attempt = run->attempt,
+		.expires_clock_ms = clock_now_ms(backend) + start_lease_ms(backend),
+		.epoch = backend->epoch,
+	};
+	char *body;
+
+	start.spec = g_bytes_get_data(run->spec, &start.spec_length);
+	body = server_start_body(&start);
+	runs_lease_sent(&backend->runs, backend->loop->now_us);
+	call(backend->orders, SERVER_START_PATH, body, ORDER_TIMEOUT_MS, on_started,
+	     new_order(backend, handle), instance_header(backend));
+	g_free(body);
+}
+
+static void on_stopped(void *context, const struct http_reply *reply)
+{
+	struct order *order = context;
+	struct backend *backend = order->backend;
+	struct server_reply read;
+
+	server_reply_read(reply, &read);
+	if (note_reply(backend, &read, order->epoch))
+		runs_stop_answered(&backend->runs, order->run,
+				   read.answered && read.start == START_STARTED,
+				   backend->loop->now_us);
+	g_free(order);
+}
+
+static void order_stop(void *context, const char *task, uint32_t attempt, struct handle run)
+{
+	struct backend *backend = context;
+	char *body = server_stop_body(task, attempt, backend->epoch);
+
+	call(backend->orders, SERVER_STOP_PATH, body, ORDER_TIMEOUT_MS, on_stopped,
+	     new_order(backend, run), instance_header(backend));
+	g_free(body);
+}
+
+/* A request for the lists in progress. */
+struct listing {
+	struct backend *backend;
+	int64_t asked_us;
+	int64_t epoch;
+	bool waits;
+};
+
+static void hold(struct backend *backend, bool waits);
+
+static void hold_again(void *context, int64_t now_us)
+{
+	struct backend *backend = context;
+
+	if (!backend->holding)
+		hold(backend, true);
+}
+
+static void list_failed(struct backend *backend, const struct http_reply *reply,
+			const struct error *err)
+{
+	/* After a crash nothing runs. A server that does not answer keeps its runs until their leases
+	 * have expired. */
+	if (reply->refused)
+		runs_server_lost(&backend->runs, backend->loop->now_us);
+	note_reachable(backend, false, err->message);
+}
+
+static void on_lists(void *context, const struct http_reply *reply)
+{
+	struct listing *listing = context;
+	struct backend *backend = listing->backend;
+	struct server_lists lists;
+	struct server_reply read;
+	struct error err;
+	bool good;
+
+	if (listing->waits)
+		backend->holding = false;
+	else
+		backend->looking = false;
+	good = server_lists_read(reply, &read, &lists, &err) == STATUS_OK;
+	if (read.answered && !note_reply(backend, &read, listing->epoch))
+		good = false;
+	if (good) {
+		note_reachable(backend, true, NULL);
+		runs_listed(&backend->runs, &lists.list, listing->asked_us, backend->loop->now_us);
+		backend->listed = true;
+		changed(backend);
+	} else if (!read.answered) {
+		list_failed(backend, reply, &err);
+	}
+	server_lists_clear(&lists);
+	if (good && listing->waits)
+		hold(backend, true);
+	else if (listing->waits)
+		timer_subscribe(&backend->loop->timers,
+				backend->loop->now_us +
+					(read.refused_epoch ? 0 : RETRY_MS * US_PER_MS),
+				0, hold_again, backend);
+	g_free(listing);
+}
+
+static void hold(struct backend *backend, bool waits)
+{
+	struct listing *listing = g_new(struct listing, 1);
+	int64_t wait_ms = !waits ? 0
+			  : table_count(&backend->runs.table) > 0 ? BUSY_WAIT_MS
+								   : IDLE_WAIT_MS;
+	int64_t expires_ms = 0;
+	char *body;
+
+	*listing = (struct listing){
+		.backend = backend,
+		.asked_us = backend->loop->now_us,
+		.epoch = backend->epoch,
+		.waits = waits,
+	};
+	if (backend->clock_ms > 0) {
+		expires_ms = clock_now_ms(backend) + (int64_t)backend->settings->lease_ms;
+		runs_lease_sent(&backend->runs, backend->loop->now_us);
+		backend->lease_sent_us = backend->loop->now_us;
+	}
+	if (waits)
+		backend->holding = true;
+	else
+		backend->looking = true;
+	body = server_hold_body(expires_ms, backend->epoch, backend->runs.seen_end, wait_ms);
+	call(backend->lists, SERVER_HOLD_PATH, body, wait_ms + LIST_MARGIN_MS, on_lists, listing,
+	     NULL);
+	g_free(body);
+}
+
+static void look(void *context)
+{
+	struct backend *backend = context;
+
+	backend->look_wanted = true;
+}
+
+static void tick(void *context, int64_t now_us)
+{
+	struct backend *backend = context;
+	bool busy = table_count(&backend->runs.table) > 0;
+
+	runs_tick(&backend->runs, now_us);
+	if (busy && now_us - backend->lease_sent_us > RENEW_MS * US_PER_MS)
+		backend->look_wanted = true;
+	if (backend->look_wanted && !backend->looking) {
+		backend->look_wanted = false;
+		hold(backend, false);
+	}
+}
+
+static void copy_identity(struct backend *backend, const struct server_heartbeat *heartbeat)
+{
+	g_strlcpy(backend->id, heartbeat->id, sizeof(backend->id));
+	g_strlcpy(backend->service, heartbeat->service, sizeof(backend->service));
+	g_strlcpy(backend->zone, heartbeat->zone, sizeof(backend->zone));
+	backend->label_count = heartbeat->label_count;
+	for (size_t i = 0; i < heartbeat->label_count; i++)
+		g_strlcpy(backend->labels[i], heartbeat->labels[i], NAME_BYTES);
+	backend->version++;
+}
+
+static void take_heartbeat(struct backend *backend, const struct server_heartbeat *heartbeat)
+{
+	bool was_leaving = backend->runs.leaving;
+
+	if (!is_current_life(backend, heartbeat->started_ms))
+		return;
+	if (heartbeat->sequence <= backend->sequence && backend->announced)
+		return; /* overtaken by a later one */
+	if (!backend->announced || strcmp(backend->id, heartbeat->id) != 0) {
+		copy_identity(backend, heartbeat);
+		event_log(EVENT_SERVER_ANNOUNCED, EV_S("server", heartbeat->id),
+			  EV_S("service", heartbeat->service), EV_I("cpu", heartbeat->total.cpu),
+			  EV_I("started_ms", heartbeat->started_ms));
+	}
+	backend->announced = true;
+	backend->sequence = heartbeat->sequence;
+	runs_server_present(&backend->runs, &heartbeat->total, heartbeat->leaving);
+	if (heartbeat->leaving && !was_leaving)
+		event_log(EVENT_SERVER_LEAVING, EV_S("server", heartbeat->id),
+			  EV_I("remaining_ms", heartbeat->remaining_ms),
+			  EV_I("runs", table_count(&backend->runs.table)));
+	changed(backend);
+}
+
+static void on_control(void *context, struct http_request *request)
+{
+	struct backend *backend = context;
+	struct server_heartbeat heartbeat;
+	char id[NAME_BYTES];
+	struct error err;
+	const char *body;
+	size_t length;
+
+	body = http_request_body(request, &length);
+	switch (server_message_read(request, id)) {
+	case SERVER_HEARTBEAT:
+		if (server_heartbeat_read(id, body, length, &heartbeat, &err) != STATUS_OK) {
+			event_log(EVENT_HEARTBEAT_INVALID, EV_S("server", id),
+				  EV_S("reason", err.message));
+			server_answer_error(request, &err);
+			return;
+		}
+		take_heartbeat(backend, &heartbeat);
+		server_heartbeat_clear(&heartbeat);
+		server_answer_acknowledged(request);
+		return;
+	case SERVER_DEREGISTER:
+		if (strcmp(id, backend->id) == 0) {
+			backend->runs.leaving = true;
+			changed(backend);
+		}
+		server_answer_acknowledged(request);
+		return;
+	case SERVER_UNKNOWN:
+		break;
+	}
+	error_set(&err, STATUS_NOT_FOUND, "no such call");
+	server_answer_error(request, &err);
+}
+
+static void on_control_gone(void *context, struct http_request *request)
+{
+}
+
+static const struct http_server_callbacks control_callbacks = {
+	.request = on_control,
+	.gone = on_control_gone,
+};
+
+static void on_ended(void *context, const struct run *run, enum run_outcome outcome,
+		     int64_t elapsed_us)
+{
+	struct backend *backend = context;
+
+	backend->callbacks.ended(backend->callbacks.context, run, outcome, elapsed_us);
+}
+
+static void on_behind(void *context, const struct run *run, int64_t elapsed_us)
+{
+	struct backend *backend = context;
+
+	backend->callbacks.behind(backend->callbacks.context, run, elapsed_us);
+}
+
+static void init_runs(struct backend *backend)
+{
+	const struct runs_limits limits = {
+		.stop_retry_us = ORDER_TIMEOUT_MS * US_PER_MS,
+		.lease_us = (int64_t)(backend->settings->lease_ms * US_PER_MS),
+		.clock_drift_permille = CLOCK_DRIFT_PERMILLE,
+		.health = {.fail_streak = FAIL_STREAK,
+			   .first_backoff_us = QUARANTINE_FIRST_MS * US_PER_MS,
+			   .longest_backoff_us = QUARANTINE_LONGEST_MS * US_PER_MS},
+		.trial_us = TRIAL_MS * US_PER_MS,
+	};
+	const struct runs_callbacks callbacks = {
+		.context = backend,
+		.order_start = order_start,
+		.order_stop = order_stop,
+		.look = look,
+		.ended = on_ended,
+		.behind = on_behind,
+	};
+
+	runs_init(&backend->runs, &limits, &callbacks);
+}
+
+enum status backend_start(struct backend *backend, struct error *err)
+{
+	const struct http_server_options control = {
+		.header_max_bytes = HEADER_MAX_BYTES,
+		.body_max_bytes = BODY_MAX_BYTES,
+		.header_limit_ms = REQUEST_LIMIT_MS,
+		.idle_limit_ms = KEEP_MS,
+	};
+	struct http_client_options client = {
+		.address = backend->settings->server_address,
+		.connections = ORDER_CONNECTIONS,
+		.idle_limit_ms = IDLE_LIMIT_MS,
+		.answer_max_bytes = ANSWER_MAX_BYTES,
+	};
+	enum status status;
+
+	init_runs(backend);
+	/* The epoch must rise from one life of this process to the next. Time does, but for a clock
+	 * that is set back; then the server refuses, and the epoch is raised. */
+	backend->epoch = timer_wall_ms();
+	backend->orders = http_client_new(backend->loop, &client);
+	client.connections = LIST_CONNECTIONS;
+	backend->lists = http_client_new(backend->loop, &client);
+	status = http_server_listen(backend->loop, backend->settings->control_address, &control,
+				    &control_callbacks, backend, &backend->control, err);
+	if (status != STATUS_OK)
+		return status;
+	timer_subscribe(&backend->loop->timers, backend->loop->now_us, TICK_MS * US_PER_MS, tick,
+			backend);
+	hold(backend, true);
+	return STATUS_OK;
+}
+
+bool backend_ready(const struct backend *backend)
+{
+	return backend->announced && backend->reachable && backend->clock_ms > 0 &&
+	       !backend->leaving && runs_ready(&backend->runs);
+}
+
+uint32_t backend_unsettled(const struct backend *backend)
+{
+	return backend->runs.unsettled + (backend->listed ? 0 : 1);
+}
+
+void backend_reset(struct backend *backend)
+{
+	http_client_reset(backend->orders);
+	http_client_reset(backend->lists);
+}
--- a/packages/greengaged/src/main.c
+++ b/packages/greengaged/src/main.c
@@ -7,6 +7,8 @@
 #include "agent.h"
 #include "entry.h"
 #include "event.h"
+#include "node_agent.h"
+#include "node_entry.h"
 
 struct options {
 	gboolean version;
@@ -45,12 +47,33 @@
 	return parsed;
 }
 
+static enum exit_code run_node(const char *settings_file)
+{
+	struct node_settings settings;
+	struct error err;
+	enum exit_code code;
+
+	if (node_settings_load(settings_file, &settings, &err) != STATUS_OK) {
+		fprintf(stderr, "greengaged: %s\n", err.message);
+		return EXIT_CODE_USAGE;
+	}
+	event_init(settings.name, settings.log_level);
+	event_log(EVENT_PROCESS_STARTED, EV_S("role", settings.role), EV_S("version", GG_VERSION));
+	code = strcmp(settings.role, "entry") == 0 ? node_entry_run(&settings)
+						   : node_agent_run(&settings);
+	event_log(EVENT_PROCESS_STOPPED, EV_I("exit_code", code));
+	node_settings_free(&settings);
+	return code;
+}
+
 static enum exit_code run(const char *settings_file)
 {
 	struct daemon_settings settings;
 	struct error err;
 	enum exit_code code;
 
+	if (node_settings_is_platform(settings_file))
+		return run_node(settings_file);
 	if (daemon_settings_load(settings_file, &settings, &err) != STATUS_OK) {
 		fprintf(stderr, "greengaged: %s\n", err.message);
 		return EXIT_CODE_USAGE;
@@ -63,11 +86,28 @@
 	return code;
 }
 
+static enum exit_code check_node(const char *settings_file)
+{
+	struct node_settings settings;
+	struct error err;
+
+	if (node_settings_load(settings_file, &settings, &err) != STATUS_OK) {
+		fprintf(stderr, "greengaged: %s\n", err.message);
+		return EXIT_CODE_USAGE;
+	}
+	printf("%s: settings are valid for the role %s on a platform\n", settings_file,
+	       settings.role);
+	node_settings_free(&settings);
+	return EXIT_CODE_OK;
+}
+
 static enum exit_code check(const char *settings_file)
 {
 	struct daemon_settings settings;
 	struct error err;
 
+	if (node_settings_is_platform(settings_file))
+		return check_node(settings_file);
 	if (daemon_settings_load(settings_file, &settings, &err) != STATUS_OK) {
 		fprintf(stderr, "greengaged: %s\n", err.message);
 		return EXIT_CODE_USAGE;
--- /dev/null
+++ b/packages/greengaged/src/node_agent.c
@@ -0,0 +1,620 @@
+#include "node_agent.h"
+
+#include <string.h>
+
+#include "agent_backend.h"
+#include "client_api.h"
+#include "event.h"
+#include "node_link.h"
+#include "node_members.h"
+#include "node_signals.h"
+
+enum {
+	TICK_MS = 50,
+	DIAL_RETRY_MS = 250,
+	DIAL_RETRY_LONG_MS = 2000, /* for an address that has not answered for a while */
+	DIAL_PATIENCE_MS = 10000,
+	ROOM_INTERVAL_MS = 5,	/* between two reports that only change the free room */
+	LOST_ENTRIES_MS = 1500, /* without any entry for so long, the store is asked */
+	PERMILLE = 1000,
+	STOP_MARGIN_MS = 300 /* kept free at the end of the grace period */
+};
+
+/* One process of an entry, which owns runs here. */
+struct owner {
+	uint32_t number; /* in the table of runs */
+	struct ident incarnation;
+	struct node_link *link; /* NULL while it is out of reach */
+	int64_t heard_us;	/* last, before the link went down */
+	uint64_t orders_ack;
+	uint64_t next_report;
+	GQueue unacknowledged; /* struct kept_report * */
+	GArray *ends;	 /* struct kept_end, not sent yet */
+	GArray *behind;	 /* struct kept_progress, not sent yet */
+	bool room_dirty;
+	bool inventory_sent;
+	int64_t room_sent_us;
+	uint32_t identity_version; /* of the backend server, as last sent */
+};
+
+struct kept_end {
+	uint64_t run;
+	uint32_t outcome;
+	uint32_t elapsed_ms;
+};
+
+struct kept_progress {
+	uint64_t run;
+	uint32_t percent;
+	uint32_t elapsed_ms;
+};
+
+struct kept_report {
+	uint64_t number;
+	GArray *ends;
+};
+
+/* An address at which an entry listens, or did. */
+struct dial {
+	struct node_agent *agent;
+	char *address;
+	struct node_link *link;
+	struct owner *owner; /* last one met there */
+	int64_t next_us;
+	int64_t answered_us; /* last greeting */
+};
+
+struct node_agent {
+	struct net_loop loop;
+	const struct node_settings *settings;
+	struct node_links links;
+	struct node_members members;
+	struct store *store;
+	struct node_signals signals;
+	struct backend backend;
+	GPtrArray *dials;
+	GPtrArray *owners;
+	uint32_t next_owner;
+	int64_t connected_us; /* when an entry was last connected */
+	int64_t stop_by_us;   /* 0 unless shutting down */
+	bool flush_planned;
+};
+
+static struct owner *find_owner(const struct node_agent *agent, uint32_t number)
+{
+	for (guint i = 0; i < agent->owners->len; i++) {
+		struct owner *owner = agent->owners->pdata[i];
+
+		if (owner->number == number)
+			return owner;
+	}
+	return NULL;
+}
+
+static void free_report(gpointer data)
+{
+	struct kept_report *report = data;
+
+	g_array_free(report->ends, TRUE);
+	g_free(report);
+}
+
+static void forget_owner(struct node_agent *agent, struct owner *owner)
+{
+	char text[IDENT_HEX_BYTES];
+
+	event_log(EVENT_OWNER_LOST, EV_S("entry", ident_format(&owner->incarnation, text)),
+		  EV_I("silent_ms", (agent->loop.now_us - owner->heard_us) / US_PER_MS));
+	for (guint i = 0; i < agent->dials->len; i++) {
+		struct dial *dial = agent->dials->pdata[i];
+
+		if (dial->owner == owner)
+			dial->owner = NULL;
+	}
+	runs_owner_gone(&agent->backend.runs, owner->number, agent->loop.now_us);
+	g_ptr_array_remove_fast(agent->owners, owner);
+	g_queue_clear_full(&owner->unacknowledged, free_report);
+	g_array_free(owner->ends, TRUE);
+	g_array_free(owner->behind, TRUE);
+	g_free(owner);
+}
+
+static struct owner *meet_owner(struct node_agent *agent, const struct ident *incarnation)
+{
+	struct owner *owner;
+
+	for (guint i = 0; i < agent->owners->len; i++) {
+		owner = agent->owners->pdata[i];
+		if (ident_equal(&owner->incarnation, incarnation))
+			return owner;
+	}
+	owner = g_new0(struct owner, 1);
+	owner->number = ++agent->next_owner;
+	owner->incarnation = *incarnation;
+	owner->next_report = 1;
+	g_queue_init(&owner->unacknowledged);
+	owner->ends = g_array_new(FALSE, FALSE, sizeof(struct kept_end));
+	owner->behind = g_array_new(FALSE, FALSE, sizeof(struct kept_progress));
+	g_ptr_array_add(agent->owners, owner);
+	return owner;
+}
+
+static void fill_room(const struct node_agent *agent, Ggd__Room *room)
+{
+	const struct backend *backend = &agent->backend;
+	struct room free_room = runs_free_room(&backend->runs);
+	int64_t now_us = agent->loop.now_us;
+
+	room->ready = backend_ready(backend);
+	room->cpu = free_room.cpu;
+	room->memory_mb = free_room.memory_mb;
+	room->gpus = free_room.gpus;
+	room->speed = (uint32_t)(runs_speed(&backend->runs, now_us) * PERMILLE);
+	room->samples = backend->runs.samples;
+	room->unsettled = backend_unsettled(backend);
+	room->suspect = runs_on_trial(&backend->runs, now_us);
+}
+
+static void fill_server(const struct backend *backend, Ggd__Server *server, char **labels)
+{
+	server->id = (char *)backend->id;
+	server->service = (char *)backend->service;
+	server->zone = (char *)backend->zone;
+	server->cpu = backend->runs.total.cpu;
+	server->memory_mb = backend->runs.total.memory_mb;
+	server->gpus = backend->runs.total.gpus;
+	server->n_labels = backend->label_count;
+	server->labels = labels;
+	for (size_t i = 0; i < backend->label_count; i++)
+		labels[i] = (char *)backend->labels[i];
+}
+
+/* Sends one report with ENDS, which may be NULL. */
+static void send_report(struct node_agent *agent, struct owner *owner, uint64_t number,
+			const GArray *ends, Ggd__Inventory *inventory)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__Report report = GGD__REPORT__INIT;
+	Ggd__Room room = GGD__ROOM__INIT;
+	Ggd__Server server = GGD__SERVER__INIT;
+	char *labels[SERVER_LABELS_MAX];
+	guint end_count = ends ? ends->len : 0;
+	Ggd__RunEnd *rows = g_new(Ggd__RunEnd, end_count + 1);
+	Ggd__RunEnd **row_pointers = g_new(Ggd__RunEnd *, end_count + 1);
+	Ggd__Progress *late = g_new(Ggd__Progress, owner->behind->len + 1);
+	Ggd__Progress **late_pointers = g_new(Ggd__Progress *, owner->behind->len + 1);
+
+	for (guint i = 0; i < end_count; i++) {
+		const struct kept_end *end = &g_array_index(ends, struct kept_end, i);
+
+		ggd__run_end__init(&rows[i]);
+		rows[i].run = end->run;
+		rows[i].outcome = end->outcome;
+		rows[i].elapsed_ms = end->elapsed_ms;
+		row_pointers[i] = &rows[i];
+	}
+	for (guint i = 0; i < owner->behind->len; i++) {
+		const struct kept_progress *behind =
+			&g_array_index(owner->behind, struct kept_progress, i);
+
+		ggd__progress__init(&late[i]);
+		late[i].run = behind->run;
+		late[i].percent = behind->percent;
+		late[i].elapsed_ms = behind->elapsed_ms;
+		late_pointers[i] = &late[i];
+	}
+	fill_room(agent, &room);
+	report.number = number;
+	report.orders_ack = owner->orders_ack;
+	report.room = &room;
+	report.n_ends = end_count;
+	report.ends = row_pointers;
+	report.n_late = owner->behind->len;
+	report.late = late_pointers;
+	report.inventory = inventory;
+	if (owner->identity_version != agent->backend.version) {
+		fill_server(&agent->backend, &server, labels);
+		report.server = &server;
+		owner->identity_version = agent->backend.version;
+	}
+	frame.body_case = GGD__FRAME__BODY_REPORT;
+	frame.report = &report;
+	node_link_send(owner->link, &frame);
+	owner->room_dirty = false;
+	owner->room_sent_us = agent->loop.now_us;
+	g_array_set_size(owner->behind, 0);
+	g_free(rows);
+	g_free(row_pointers);
+	g_free(late);
+	g_free(late_pointers);
+}
+
+/* Ends are kept until the owner acknowledges them, as a report may be lost with its connection. */
+static void send_ends(struct node_agent *agent, struct owner *owner)
+{
+	struct kept_report *kept = g_new(struct kept_report, 1);
+
+	kept->number = owner->next_report++;
+	kept->ends = owner->ends;
+	owner->ends = g_array_new(FALSE, FALSE, sizeof(struct kept_end));
+	g_queue_push_tail(&owner->unacknowledged, kept);
+	send_report(agent, owner, kept->number, kept->ends, NULL);
+}
+
+struct run_numbers {
+	uint32_t owner;
+	GArray *numbers;
+};
+
+static void collect_run(void *context, const struct run *run)
+{
+	struct run_numbers *collected = context;
+
+	if (run->owner == collected->owner)
+		g_array_append_val(collected->numbers, run->number);
+}
+
+/* The first reports of a connection: ends that may have been lost, then the runs still known. */
+static void send_inventory(struct node_agent *agent, struct owner *owner)
+{
+	struct run_numbers collected = {
+		.owner = owner->number,
+		.numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+	};
+	Ggd__Inventory inventory = GGD__INVENTORY__INIT;
+
+	for (GList *item = owner->unacknowledged.head; item; item = item->next) {
+		const struct kept_report *kept = item->data;
+
+		send_report(agent, owner, kept->number, kept->ends, NULL);
+	}
+	if (owner->ends->len > 0)
+		send_ends(agent, owner);
+	runs_foreach(&agent->backend.runs, collect_run, &collected);
+	inventory.n_runs = collected.numbers->len;
+	inventory.runs = (uint64_t *)(void *)collected.numbers->data;
+	send_report(agent, owner, 0, NULL, &inventory);
+	owner->inventory_sent = true;
+	g_array_free(collected.numbers, TRUE);
+}
+
+static void take_starts(struct node_agent *agent, struct owner *owner, const Ggd__StartBatch *batch)
+{
+	size_t count = MIN(batch->n_runs, MIN(batch->n_indexes, batch->n_attempts));
+	GBytes *spec = g_bytes_new(batch->spec.data, batch->spec.len);
+
+	for (size_t i = 0; i < count; i++) {
+		char *task = client_task_name(batch->job, batch->step, batch->indexes[i]);
+		const struct run_request request = {
+			.task = task,
+			.attempt = batch->attempts[i],
+			.owner = owner->number,
+			.number = batch->runs[i],
+			.need = {.cpu = batch->cpu,
+				 .memory_mb = batch->memory_mb,
+				 .gpus = batch->gpus},
+			.estimate_us = (int64_t)batch->estimate_ms * US_PER_MS,
+			.spec = spec,
+		};
+
+		runs_start(&agent->backend.runs, &request, agent->loop.now_us);
+		g_free(task);
+	}
+	g_bytes_unref(spec);
+}
+
+static void acknowledge(struct owner *owner, uint64_t number)
+{
+	struct kept_report *kept;
+
+	while ((kept = g_queue_peek_head(&owner->unacknowledged)) && kept->number <= number) {
+		g_queue_pop_head(&owner->unacknowledged);
+		free_report(kept);
+	}
+}
+
+static void mark_room_dirty(void *context)
+{
+	struct node_agent *agent = context;
+
+	for (guint i = 0; i < agent->owners->len; i++)
+		((struct owner *)agent->owners->pdata[i])->room_dirty = true;
+}
+
+static void take_orders(struct node_agent *agent, struct owner *owner, const Ggd__Orders *orders)
+{
+	acknowledge(owner, orders->report_ack);
+	for (size_t i = 0; i < orders->n_stops; i++)
+		runs_stop(&agent->backend.runs, owner->number, orders->stops[i],
+			  agent->loop.now_us);
+	for (size_t i = 0; i < orders->n_starts; i++)
+		take_starts(agent, owner, orders->starts[i]);
+	for (size_t i = 0; i < orders->n_entries; i++)
+		node_members_add(&agent->members, orders->entries[i]);
+	if (orders->number > owner->orders_ack) {
+		owner->orders_ack = orders->number;
+		mark_room_dirty(agent);
+	}
+}
+
+static void on_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
+{
+	struct dial *dial = context;
+
+	if (frame->body_case == GGD__FRAME__BODY_ORDERS && dial->owner)
+		take_orders(dial->agent, dial->owner, frame->orders);
+}
+
+static bool on_up(void *context, struct node_link *link, const Ggd__Hello *hello)
+{
+	struct dial *dial = context;
+	struct node_agent *agent = dial->agent;
+	struct ident incarnation;
+	struct owner *owner;
+
+	memcpy(incarnation.bytes, hello->incarnation.data, IDENT_BYTES);
+	owner = meet_owner(agent, &incarnation);
+	/* Another process at the same address has replaced the one met there before. */
+	if (dial->owner && dial->owner != owner && !dial->owner->link)
+		forget_owner(agent, dial->owner);
+	if (owner->link)
+		return false; /* the same process under two addresses */
+	dial->owner = owner;
+	dial->answered_us = agent->loop.now_us;
+	owner->link = link;
+	owner->orders_ack = 0;
+	owner->identity_version = 0;
+	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name),
+		  EV_S("address", dial->address));
+	send_inventory(agent, owner);
+	return true;
+}
+
+static void on_heartbeat(void *context, struct node_link *link)
+{
+	struct dial *dial = context;
+
+	if (dial->owner)
+		send_report(dial->agent, dial->owner, 0, NULL, NULL);
+}
+
+static void on_down(void *context, struct node_link *link, const char *reason)
+{
+	struct dial *dial = context;
+	struct owner *owner = dial->owner;
+
+	if (owner && owner->link == link) {
+		event_log(EVENT_CHANNEL_LOST, EV_S("address", dial->address),
+			  EV_S("reason", reason));
+		owner->link = NULL;
+		owner->heard_us = node_link_heard_us(link);
+	}
+	dial->link = NULL;
+	dial->next_us = dial->agent->loop.now_us +
+			(dial->agent->loop.now_us - dial->answered_us <
+					 DIAL_PATIENCE_MS * US_PER_MS
+				 ? DIAL_RETRY_MS
+				 : DIAL_RETRY_LONG_MS) *
+				US_PER_MS;
+}
+
+static const struct node_link_callbacks link_callbacks = {
+	.up = on_up,
+	.frame = on_frame,
+	.heartbeat = on_heartbeat,
+	.down = on_down,
+};
+
+static void on_member(void *context, const char *address)
+{
+	struct node_agent *agent = context;
+	struct dial *dial = g_new0(struct dial, 1);
+
+	dial->agent = agent;
+	dial->address = g_strdup(address);
+	dial->answered_us = agent->loop.now_us;
+	g_ptr_array_add(agent->dials, dial);
+}
+
+static void dial_entries(struct node_agent *agent, int64_t now_us)
+{
+	struct error err;
+	bool connected = false;
+
+	for (guint i = 0; i < agent->dials->len; i++) {
+		struct dial *dial = agent->dials->pdata[i];
+
+		connected = connected || (dial->owner && dial->owner->link);
+		if (dial->link || now_us < dial->next_us)
+			continue;
+		dial->link = node_link_dial(&agent->links, dial->address, &link_callbacks, dial,
+					    &err);
+		if (!dial->link)
+			dial->next_us = now_us + DIAL_RETRY_LONG_MS * US_PER_MS;
+	}
+	if (connected) {
+		agent->connected_us = now_us;
+	} else if (now_us - agent->connected_us > LOST_ENTRIES_MS * US_PER_MS) {
+		agent->connected_us = now_us;
+		node_members_refresh(&agent->members);
+	}
+}
+
+/* An owner that is out of reach loses its runs before its client may send the job again. */
+static void forget_silent_owners(struct node_agent *agent, int64_t now_us)
+{
+	for (guint i = agent->owners->len; i-- > 0;) {
+		struct owner *owner = agent->owners->pdata[i];
+
+		if (!owner->link && now_us - owner->heard_us > NODE_SILENCE_MS * US_PER_MS)
+			forget_owner(agent, owner);
+	}
+}
+
+static void stop_when_idle(struct node_agent *agent, int64_t now_us)
+{
+	if (agent->stop_by_us == 0)
+		return;
+	if (table_count(&agent->backend.runs.table) == 0 || now_us >= agent->stop_by_us)
+		net_loop_stop(&agent->loop);
+}
+
+static void tick(void *context, int64_t now_us)
+{
+	struct node_agent *agent = context;
+
+	dial_entries(agent, now_us);
+	forget_silent_owners(agent, now_us);
+	stop_when_idle(agent, now_us);
+}
+
+static void on_ended(void *context, const struct run *run, enum run_outcome outcome,
+		     int64_t elapsed_us)
+{
+	struct node_agent *agent = context;
+	struct owner *owner = find_owner(agent, run->owner);
+	const struct kept_end end = {
+		.run = run->number,
+		.outcome = outcome,
+		.elapsed_ms = (uint32_t)(elapsed_us / US_PER_MS),
+	};
+
+	if (owner)
+		g_array_append_val(owner->ends, end);
+}
+
+static void on_behind(void *context, const struct run *run, int64_t elapsed_us)
+{
+	struct node_agent *agent = context;
+	struct owner *owner = find_owner(agent, run->owner);
+	const struct kept_progress progress = {
+		.run = run->number,
+		.percent = run->percent,
+		.elapsed_ms = (uint32_t)(elapsed_us / US_PER_MS),
+	};
+
+	if (owner)
+		g_array_append_val(owner->behind, progress);
+}
+
+static void on_turn(void *context, int64_t now_us);
+
+static void on_flush(void *context, int64_t now_us)
+{
+	struct node_agent *agent = context;
+
+	agent->flush_planned = false;
+}
+
+/* Ends go out at once; a mere change of the free room waits for its interval. */
+static void on_turn(void *context, int64_t now_us)
+{
+	struct node_agent *agent = context;
+	int64_t next_us = INT64_MAX;
+
+	for (guint i = 0; i < agent->owners->len; i++) {
+		struct owner *owner = agent->owners->pdata[i];
+		int64_t due_us = owner->room_sent_us + ROOM_INTERVAL_MS * US_PER_MS;
+
+		if (!owner->link)
+			continue;
+		if (owner->ends->len > 0)
+			send_ends(agent, owner);
+		else if (owner->behind->len > 0 || (owner->room_dirty && now_us >= due_us))
+			send_report(agent, owner, 0, NULL, NULL);
+		else if (owner->room_dirty)
+			next_us = MIN(next_us, due_us);
+	}
+	if (next_us != INT64_MAX && !agent->flush_planned) {
+		agent->flush_planned = true;
+		timer_subscribe(&agent->loop.timers, next_us, 0, on_flush, agent);
+	}
+}
+
+static void on_freeze(void *context, int64_t gap_us)
+{
+	struct node_agent *agent = context;
+
+	event_log(EVENT_PROCESS_FROZEN, EV_I("gap_ms", gap_us / US_PER_MS));
+	/* Orders that waited in the connections may be of owners that others have replaced. */
+	for (guint i = 0; i < agent->dials->len; i++) {
+		struct dial *dial = agent->dials->pdata[i];
+
+		if (!dial->link)
+			continue;
+		node_link_close(dial->link);
+		on_down(dial, dial->link, "this process was frozen");
+		dial->next_us = 0;
+	}
+	backend_reset(&agent->backend);
+}
+
+static void on_terminate(void *context)
+{
+	struct node_agent *agent = context;
+
+	if (agent->stop_by_us != 0)
+		return;
+	event_log(EVENT_DRAIN_STARTED, EV_I("runs", table_count(&agent->backend.runs.table)));
+	agent->backend.leaving = true;
+	agent->stop_by_us =
+		agent->loop.now_us +
+		((int64_t)(agent->settings->grace_s * PERMILLE) - STOP_MARGIN_MS) * US_PER_MS;
+	mark_room_dirty(agent);
+}
+
+static void on_reload(void *context)
+{
+	event_log(EVENT_SETTINGS_RELOADED, EV_S("result", "unchanged"));
+}
+
+enum exit_code node_agent_run(const struct node_settings *settings)
+{
+	struct node_agent *agent = g_new0(struct node_agent, 1);
+	const struct node_identity identity = {
+		.incarnation = ident_random(),
+		.name = settings->name,
+		.zone = settings->zone,
+		.address = "",
+	};
+	struct error err;
+
+	agent->settings = settings;
+	net_loop_init(&agent->loop);
+	agent->loop.turn = on_turn;
+	agent->loop.turn_context = agent;
+	agent->loop.freeze = on_freeze;
+	agent->loop.freeze_context = agent;
+	agent->dials = g_ptr_array_new();
+	agent->owners = g_ptr_array_new();
+	agent->connected_us = agent->loop.now_us;
+	agent->store = store_new(&agent->loop, settings->store_address);
+	node_links_init(&agent->links, &agent->loop, &identity);
+	node_members_init(&agent->members, &(struct node_members_options){
+						   .loop = &agent->loop,
+						   .store = agent->store,
+						   .seeds = settings->seeds,
+						   .peer_port = settings->peer_port,
+						   .own = "",
+						   .name = settings->name,
+						   .found = on_member,
+						   .context = agent,
+					   });
+	node_signals_start(&agent->signals, &agent->loop, on_terminate, on_reload, agent);
+	agent->backend = (struct backend){
+		.loop = &agent->loop,
+		.settings = settings,
+		.callbacks = {.context = agent,
+			      .changed = mark_room_dirty,
+			      .ended = on_ended,
+			      .behind = on_behind},
+	};
+	if (backend_start(&agent->backend, &err) != STATUS_OK) {
+		event_log_error(EVENT_PROCESS_FAILED, &err);
+		return EXIT_CODE_RUNTIME;
+	}
+	timer_subscribe(&agent->loop.timers, agent->loop.now_us, TICK_MS * US_PER_MS, tick, agent);
+	net_loop_run(&agent->loop);
+	event_log(EVENT_DRAIN_FINISHED, EV_I("runs", table_count(&agent->backend.runs.table)));
+	return EXIT_CODE_OK;
+}
--- /dev/null
+++ b/packages/greengaged/src/node_agents.c
@@ -0,0 +1,357 @@
+#include "node_agents.h"
+
+#include <string.h>
+
+#include "event.h"
+
+enum {
+	PERMILLE = 1000
+};
+
+/* One process of an agent. */
+struct agent_peer {
+	struct node_entry *entry;
+	struct ident incarnation;
+	char name[NAME_BYTES];
+	struct node_link *link; /* NULL while it is out of reach */
+	struct handle server;
+	bool server_known;   /* the handle has been used */
+	bool inventory_due;  /* the first report of a connection is awaited */
+	uint64_t orders;     /* number of the last orders sent on this connection */
+	uint64_t report;     /* highest handled */
+	uint32_t members_version; /* last sent */
+	GPtrArray *starts;   /* struct run_order copies of this turn */
+	GArray *stops;	     /* uint64_t, of this turn */
+	struct agent_peer *replaced; /* earlier process of the same agent with unsettled runs */
+};
+
+static void free_order(gpointer data)
+{
+	struct run_order *order = data;
+
+	g_bytes_unref(order->spec);
+	g_free((char *)order->job);
+	g_free(order);
+}
+
+static void forget(struct node_entry *entry, struct agent_peer *agent)
+{
+	for (guint i = 0; i < entry->agents->len; i++) {
+		struct agent_peer *other = entry->agents->pdata[i];
+
+		if (other->replaced == agent)
+			other->replaced = NULL;
+	}
+	g_ptr_array_remove_fast(entry->agents, agent);
+	g_ptr_array_free(agent->starts, TRUE);
+	g_array_free(agent->stops, TRUE);
+	g_free(agent);
+}
+
+static struct agent_peer *meet(struct node_entry *entry, const Ggd__Hello *hello)
+{
+	struct agent_peer *agent = NULL;
+	struct agent_peer *earlier = NULL;
+
+	for (guint i = 0; i < entry->agents->len; i++) {
+		struct agent_peer *other = entry->agents->pdata[i];
+
+		if (memcmp(other->incarnation.bytes, hello->incarnation.data, IDENT_BYTES) == 0)
+			agent = other;
+		else if (strcmp(other->name, hello->name) == 0 && !other->link)
+			earlier = other;
+	}
+	if (agent)
+		return agent;
+	agent = g_new0(struct agent_peer, 1);
+	agent->entry = entry;
+	memcpy(agent->incarnation.bytes, hello->incarnation.data, IDENT_BYTES);
+	g_strlcpy(agent->name, hello->name, sizeof(agent->name));
+	agent->starts = g_ptr_array_new_with_free_func(free_order);
+	agent->stops = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	agent->replaced = earlier;
+	g_ptr_array_add(entry->agents, agent);
+	return agent;
+}
+
+static void take_server(struct agent_peer *agent, const Ggd__Server *server)
+{
+	struct fleet_server *row = fleet_get(&agent->entry->dispatch.fleet, agent->server);
+
+	g_strlcpy(row->id, server->id, sizeof(row->id));
+	g_strlcpy(row->service, server->service, sizeof(row->service));
+	g_strlcpy(row->zone, server->zone, sizeof(row->zone));
+	row->total = (struct room){
+		.cpu = server->cpu, .memory_mb = server->memory_mb, .gpus = server->gpus};
+}
+
+static void settle_replaced(struct agent_peer *agent, const Ggd__Room *room, int64_t now_us)
+{
+	struct agent_peer *earlier = agent->replaced;
+
+	if (!earlier || room->unsettled > 0)
+		return;
+	agent->replaced = NULL;
+	if (earlier->server_known)
+		dispatch_server_settled(&agent->entry->dispatch, earlier->server, now_us);
+	if (!earlier->link)
+		forget(agent->entry, earlier);
+}
+
+static void take_inventory(struct agent_peer *agent, const Ggd__Inventory *inventory,
+			   int64_t now_us)
+{
+	struct dispatch *dispatch = &agent->entry->dispatch;
+
+	agent->inventory_due = false;
+	if (agent->server_known && fleet_get(&dispatch->fleet, agent->server)) {
+		dispatch_server_relinked(dispatch, agent->server, agent, inventory->runs,
+					 inventory->n_runs, now_us);
+		return;
+	}
+	agent->server = dispatch_server_add(dispatch, agent);
+	agent->server_known = true;
+}
+
+static void take_room(struct agent_peer *agent, const Ggd__Report *report, int64_t now_us)
+{
+	struct node_entry *entry = agent->entry;
+	const Ggd__Room *room = report->room;
+	struct fleet_server *row = fleet_get(&entry->dispatch.fleet, agent->server);
+	bool was_ready = row->ready;
+
+	dispatch_server_report(
+		&entry->dispatch, agent->server,
+		&(struct fleet_report){
+			.ready = room->ready && row->service[0] != '\0',
+			.on_trial = room->suspect,
+			.free = {.cpu = room->cpu,
+				 .memory_mb = room->memory_mb,
+				 .gpus = room->gpus},
+			.speed = (double)room->speed / PERMILLE,
+			.speed_known = room->samples > 0,
+			.orders_counted = report->orders_ack,
+		},
+		now_us);
+	if (was_ready != row->ready)
+		event_log(EVENT_SERVER_STATE, EV_S("server", row->id), EV_S("agent", agent->name),
+			  EV_S("state", row->ready ? "ready" : "not_ready"),
+			  EV_I("free_cpu", room->cpu), EV_I("speed_permille", room->speed));
+}
+
+static void take_report(struct agent_peer *agent, const Ggd__Report *report, int64_t now_us)
+{
+	struct dispatch *dispatch = &agent->entry->dispatch;
+
+	/* A report that was sent again after a lost connection is handled once. */
+	if (report->number == 0 || report->number > agent->report) {
+		for (size_t i = 0; i < report->n_ends; i++)
+			dispatch_run_ended(dispatch, report->ends[i]->run,
+					   (enum run_outcome)report->ends[i]->outcome,
+					   (int64_t)report->ends[i]->elapsed_ms * US_PER_MS,
+					   now_us);
+	}
+	agent->report = MAX(agent->report, report->number);
+	if (report->inventory)
+		take_inventory(agent, report->inventory, now_us);
+	if (agent->inventory_due || !report->room)
+		return;
+	if (report->server)
+		take_server(agent, report->server);
+	take_room(agent, report, now_us);
+	for (size_t i = 0; i < report->n_late; i++)
+		dispatch_run_behind(dispatch, report->late[i]->run, report->late[i]->percent,
+				    (int64_t)report->late[i]->elapsed_ms * US_PER_MS, now_us);
+	settle_replaced(agent, report->room, now_us);
+}
+
+static void on_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
+{
+	struct agent_peer *agent = context;
+
+	if (frame->body_case == GGD__FRAME__BODY_REPORT)
+		take_report(agent, frame->report, agent->entry->loop.now_us);
+}
+
+/* Fills BATCH, initialised, from the orders that begin at FIRST and belong together. Returns the number
+ * of orders taken. */
+static guint fill_batch(const GPtrArray *starts, guint first, Ggd__StartBatch *batch)
+{
+	const struct run_order *order = starts->pdata[first];
+	guint count = 0;
+	gsize length;
+
+	batch->job = (char *)order->job;
+	batch->step = order->step;
+	batch->spec.data = (uint8_t *)g_bytes_get_data(order->spec, &length);
+	batch->spec.len = length;
+	batch->cpu = order->need.cpu;
+	batch->memory_mb = order->need.memory_mb;
+	batch->gpus = order->need.gpus;
+	batch->estimate_ms = (uint32_t)(order->estimate_us / US_PER_MS);
+	batch->runs = g_new(uint64_t, starts->len);
+	batch->indexes = g_new(uint32_t, starts->len);
+	batch->attempts = g_new(uint32_t, starts->len);
+	while (first + count < starts->len) {
+		const struct run_order *next = starts->pdata[first + count];
+
+		if (strcmp(next->job, order->job) != 0)
+			break;
+		batch->runs[count] = next->run;
+		batch->indexes[count] = next->index;
+		batch->attempts[count] = next->attempt;
+		count++;
+	}
+	batch->n_runs = batch->n_indexes = batch->n_attempts = count;
+	return count;
+}
+
+static void send_orders(struct agent_peer *agent)
+{
+	struct node_entry *entry = agent->entry;
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__Orders orders = GGD__ORDERS__INIT;
+	Ggd__StartBatch *batches = g_new(Ggd__StartBatch, agent->starts->len + 1);
+	Ggd__StartBatch **pointers = g_new(Ggd__StartBatch *, agent->starts->len + 1);
+	guint first = 0;
+
+	while (first < agent->starts->len) {
+		Ggd__StartBatch *batch = &batches[orders.n_starts];
+
+		ggd__start_batch__init(batch);
+		pointers[orders.n_starts++] = batch;
+		first += fill_batch(agent->starts, first, batch);
+	}
+	if (agent->starts->len > 0)
+		orders.number = ++agent->orders;
+	orders.starts = pointers;
+	orders.stops = (uint64_t *)(void *)agent->stops->data;
+	orders.n_stops = agent->stops->len;
+	orders.report_ack = agent->report;
+	if (agent->members_version != entry->members.version) {
+		agent->members_version = entry->members.version;
+		orders.entries = (char **)entry->members.addresses->pdata;
+		orders.n_entries = entry->members.addresses->len;
+	}
+	frame.body_case = GGD__FRAME__BODY_ORDERS;
+	frame.orders = &orders;
+	node_link_send(agent->link, &frame);
+	for (size_t i = 0; i < orders.n_starts; i++) {
+		g_free(batches[i].runs);
+		g_free(batches[i].indexes);
+		g_free(batches[i].attempts);
+	}
+	g_free(batches);
+	g_free(pointers);
+	g_ptr_array_set_size(agent->starts, 0);
+	g_array_set_size(agent->stops, 0);
+}
+
+static void on_heartbeat(void *context, struct node_link *link)
+{
+	send_orders(context);
+}
+
+static void unlink_agent(struct agent_peer *agent, const char *reason)
+{
+	struct node_entry *entry = agent->entry;
+
+	event_log(EVENT_CHANNEL_LOST, EV_S("agent", agent->name), EV_S("reason", reason),
+		  EV_I("silent_ms",
+		       (entry->loop.now_us - node_link_heard_us(agent->link)) / US_PER_MS));
+	agent->link = NULL;
+	g_ptr_array_set_size(agent->starts, 0);
+	g_array_set_size(agent->stops, 0);
+	if (agent->server_known)
+		dispatch_server_unlinked(&entry->dispatch, agent->server, entry->loop.now_us);
+}
+
+static void on_down(void *context, struct node_link *link, const char *reason)
+{
+	struct agent_peer *agent = context;
+
+	if (agent->link == link)
+		unlink_agent(agent, reason);
+}
+
+static const struct node_link_callbacks link_callbacks = {
+	.frame = on_frame,
+	.heartbeat = on_heartbeat,
+	.down = on_down,
+};
+
+bool node_agents_up(struct node_entry *entry, struct node_link *link, const Ggd__Hello *hello)
+{
+	struct agent_peer *agent = meet(entry, hello);
+
+	if (agent->link) {
+		struct node_link *old = agent->link;
+
+		unlink_agent(agent, "replaced by a new connection");
+		node_link_close(old);
+	}
+	event_log(EVENT_CHANNEL_OPENED, EV_S("agent", agent->name));
+	agent->link = link;
+	agent->orders = 0;
+	agent->inventory_due = true;
+	agent->members_version = 0;
+	node_link_set(link, &link_callbacks, agent);
+	return true;
+}
+
+uint64_t node_agents_start(void *context, void *link, const struct run_order *order)
+{
+	struct agent_peer *agent = link;
+	struct run_order *copy = g_new(struct run_order, 1);
+
+	*copy = *order;
+	copy->job = g_strdup(order->job);
+	copy->spec = g_bytes_ref(order->spec);
+	g_ptr_array_add(agent->starts, copy);
+	return agent->orders + 1;
+}
+
+void node_agents_stop(void *context, void *link, uint64_t run)
+{
+	struct agent_peer *agent = link;
+
+	g_array_append_val(agent->stops, run);
+}
+
+void node_agents_flush(struct node_entry *entry)
+{
+	for (guint i = 0; i < entry->agents->len; i++) {
+		struct agent_peer *agent = entry->agents->pdata[i];
+
+		if (agent->link && (agent->starts->len > 0 || agent->stops->len > 0))
+			send_orders(agent);
+	}
+}
+
+void node_agents_reset(struct node_entry *entry)
+{
+	for (guint i = 0; i < entry->agents->len; i++) {
+		struct agent_peer *agent = entry->agents->pdata[i];
+		struct node_link *link = agent->link;
+
+		if (!link)
+			continue;
+		unlink_agent(agent, "this process was frozen");
+		node_link_close(link);
+	}
+}
+
+uint32_t node_agents_ready(const struct node_entry *entry)
+{
+	uint32_t ready = 0;
+
+	for (guint i = 0; i < entry->agents->len; i++) {
+		const struct agent_peer *agent = entry->agents->pdata[i];
+		const struct fleet_server *row =
+			agent->server_known ? fleet_get(&entry->dispatch.fleet, agent->server)
+					    : NULL;
+
+		ready += agent->link && row && row->ready;
+	}
+	return ready;
+}
--- /dev/null
+++ b/packages/greengaged/src/node_config.c
@@ -0,0 +1,104 @@
+#include "node_config.h"
+
+#include <string.h>
+
+#include "config_document.h"
+#include "event.h"
+
+enum {
+	US_PER_MS = 1000,
+	/* A read that waits is given up 0.6 s after this, so that a configuration is still in
+	 * force in time when the connection has gone silent. */
+	READ_WAIT_MS = 3500,
+	RETRY_MS = 200
+};
+
+uint64_t node_config_version(const struct node_config *config)
+{
+	return config->table ? config->table->version : 0;
+}
+
+void node_config_offer(struct node_config *config, const char *text, size_t length,
+		       const char *source)
+{
+	struct error err;
+	struct route_table *table;
+
+	if (config_document_read(text, length, &table, &err) != STATUS_OK) {
+		event_log(EVENT_CONFIG_REJECTED, EV_S("source", source),
+			  EV_S("reason", err.message));
+		return;
+	}
+	if (config->table && table->version <= config->table->version) {
+		route_table_free(table);
+		return;
+	}
+	route_table_free(config->table);
+	if (config->document)
+		g_bytes_unref(config->document);
+	config->table = table;
+	config->document = g_bytes_new(text, length);
+	event_log(EVENT_CONFIG_APPLIED, EV_I("version", table->version),
+		  EV_I("routes", table->count), EV_S("source", source));
+	config->applied(config->context, table);
+}
+
+static void take_records(struct node_config *config, const struct store_result *result)
+{
+	for (size_t i = 0; i < result->count; i++) {
+		const struct store_record *record = &result->records[i];
+
+		if (record->value && record->key_length == strlen(STORE_KEY_CONFIG) &&
+		    memcmp(record->key, STORE_KEY_CONFIG, record->key_length) == 0)
+			node_config_offer(config, record->value, record->value_length, "store");
+	}
+	config->next = result->next;
+}
+
+static void follow(void *context, int64_t now_us);
+
+static void note_store(struct node_config *config, const struct store_result *result)
+{
+	bool lost = result->status == STATUS_LOG_UNAVAILABLE;
+
+	if (lost && !config->store_lost)
+		event_log(EVENT_LOG_UNAVAILABLE, EV_S("topic", STORE_TOPIC_OPERATOR),
+			  EV_S("reason", result->reason));
+	if (!lost && config->store_lost) {
+		event_log(EVENT_LOG_AVAILABLE, EV_S("topic", STORE_TOPIC_OPERATOR));
+		config->store_returned(config->context);
+	}
+	config->store_lost = lost;
+}
+
+static void on_records(void *context, const struct store_result *result)
+{
+	struct node_config *config = context;
+
+	note_store(config, result);
+	if (result->status == STATUS_OK) {
+		take_records(config, result);
+		config->following = true;
+		follow(config, config->loop->now_us);
+		return;
+	}
+	config->following = false;
+	timer_subscribe(&config->loop->timers, config->loop->now_us + RETRY_MS * US_PER_MS, 0,
+			follow, config);
+}
+
+static void follow(void *context, int64_t now_us)
+{
+	struct node_config *config = context;
+
+	if (config->following)
+		store_read(config->store, STORE_TOPIC_OPERATOR, config->next, READ_WAIT_MS,
+			   on_records, config);
+	else
+		store_read_newest(config->store, STORE_TOPIC_OPERATOR, on_records, config);
+}
+
+void node_config_start(struct node_config *config)
+{
+	follow(config, config->loop->now_us);
+}
--- /dev/null
+++ b/packages/greengaged/src/node_entry.c
@@ -0,0 +1,294 @@
+#include "node_entry.h"
+
+#include <string.h>
+
+#include "event.h"
+#include "node_agents.h"
+#include "node_front.h"
+#include "node_metrics.h"
+#include "node_peers.h"
+
+enum {
+	TICK_MS = 10,
+	PEERS_TICK_MS = 50,
+	MAX_JOBS = 20000, /* unfinished, of one entry */
+	PROBE_BYTES = 4096,
+	PROBE_LIMIT_MS = 2000,
+	PROBE_KEEP_MS = 60000,
+	MS_PER_S = 1000,
+	/* The balancer notices a host that is not ready after two probes, a second apart. */
+	BALANCER_DELAY_MS = 2500,
+	STOP_MARGIN_MS = 300,
+	/* Time for a backend server's lease and for the agent's notice of a silent owner. */
+	SETTLE_MARGIN_MS = 200,
+	CLOCK_DRIFT_PERCENT = 2
+};
+
+static const char ready_path[] = "/greengagefront/readyz";
+
+static bool is_ready(const struct node_entry *entry)
+{
+	return !entry->stopping && entry->config.table && node_agents_ready(entry) > 0;
+}
+
+static void on_probe(void *context, struct http_request *request)
+{
+	struct node_entry *entry = context;
+	bool ready = is_ready(entry);
+
+	if (strcmp(http_request_path(request), "/metrics") == 0) {
+		node_metrics_answer(request);
+		return;
+	}
+	if (strcmp(http_request_path(request), ready_path) != 0) {
+		http_answer(request, 404, NULL, "{}");
+		return;
+	}
+	if (ready != entry->was_ready)
+		event_log(EVENT_READINESS, EV_S("state", ready ? "ready" : "not_ready"),
+			  EV_I("config_version", node_config_version(&entry->config)),
+			  EV_I("servers", node_agents_ready(entry)));
+	entry->was_ready = ready;
+	http_answer(request, ready ? 200 : 503, NULL, "{}");
+}
+
+static void on_probe_gone(void *context, struct http_request *request)
+{
+}
+
+static const struct http_server_callbacks probe_callbacks = {
+	.request = on_probe,
+	.gone = on_probe_gone,
+};
+
+static bool on_link_up(void *context, struct node_link *link, const Ggd__Hello *hello)
+{
+	struct node_entry *entry = context;
+
+	if (hello->address[0] == '\0')
+		return node_agents_up(entry, link, hello);
+	return node_peers_up(entry, link, hello);
+}
+
+static void on_link_down(void *context, struct node_link *link, const char *reason)
+{
+}
+
+/* Of a link before its peer has greeted. */
+static const struct node_link_callbacks accepted_callbacks = {
+	.up = on_link_up,
+	.down = on_link_down,
+};
+
+static void on_accept(void *context, struct net_conn *conn)
+{
+	struct node_entry *entry = context;
+
+	node_link_accept(&entry->links, conn, &accepted_callbacks, entry);
+}
+
+static void on_config(void *context, const struct route_table *table)
+{
+	node_front_configure(context, table);
+}
+
+static void on_store_returned(void *context)
+{
+	struct node_entry *entry = context;
+
+	node_members_refresh(&entry->members);
+}
+
+static void on_placed(void *context, const char *id, uint32_t tasks, uint32_t waiting,
+		      int64_t report_age_us)
+{
+	event_log(EVENT_JOB_PLACED, EV_S("job", id), EV_I("tasks", tasks),
+		  EV_I("waiting", waiting), EV_I("report_age_ms", report_age_us / US_PER_MS));
+}
+
+static void on_run_ended(void *context, const char *id, uint32_t index, uint32_t attempt,
+			 const char *server, enum run_outcome outcome, int64_t elapsed_us)
+{
+	node_metrics_run_ended(outcome, elapsed_us);
+	if (outcome == RUN_DONE)
+		return;
+	event_log(EVENT_RUN_NOT_DONE, EV_S("job", id), EV_I("task", index),
+		  EV_I("attempt", attempt), EV_S("server", server),
+		  EV_S("outcome", run_outcome_name(outcome)),
+		  EV_I("elapsed_ms", elapsed_us / US_PER_MS));
+}
+
+static void on_turn(void *context, int64_t now_us)
+{
+	struct node_entry *entry = context;
+
+	dispatch_pump(&entry->dispatch, now_us);
+	node_agents_flush(entry);
+}
+
+/* Stops once the balancer has moved on and nothing is unanswered, or at the end of the grace period. */
+static void stop_when_idle(struct node_entry *entry, int64_t now_us)
+{
+	int64_t since_ms = (now_us - entry->stopped_us) / US_PER_MS;
+	int64_t grace_ms = (int64_t)(entry->settings->grace_s * MS_PER_S);
+
+	if (!entry->stopping)
+		return;
+	if ((since_ms >= BALANCER_DELAY_MS && entry->requests == 0) ||
+	    since_ms >= grace_ms - STOP_MARGIN_MS)
+		net_loop_stop(&entry->loop);
+}
+
+static void tick(void *context, int64_t now_us)
+{
+	struct node_entry *entry = context;
+
+	if (entry->dispatch.queue->len > 0)
+		entry->dispatch.dirty = true;
+	dispatch_tick(&entry->dispatch, now_us);
+	stop_when_idle(entry, now_us);
+}
+
+static void tick_peers(void *context, int64_t now_us)
+{
+	node_peers_tick(context, now_us);
+}
+
+static void on_freeze(void *context, int64_t gap_us)
+{
+	struct node_entry *entry = context;
+
+	event_log(EVENT_PROCESS_FROZEN, EV_I("gap_ms", gap_us / US_PER_MS),
+		  EV_I("jobs", dispatch_jobs(&entry->dispatch)));
+	dispatch_abandon(&entry->dispatch, entry->loop.now_us);
+	node_agents_flush(entry);
+	node_agents_reset(entry);
+	node_peers_reset(entry);
+}
+
+static void on_terminate(void *context)
+{
+	struct node_entry *entry = context;
+
+	if (entry->stopping)
+		return;
+	entry->stopping = true;
+	entry->stopped_us = entry->loop.now_us;
+	http_server_end_connections(entry->clients);
+	event_log(EVENT_DRAIN_STARTED, EV_I("requests", entry->requests));
+}
+
+static void on_reload(void *context)
+{
+	event_log(EVENT_SETTINGS_RELOADED, EV_S("result", "unchanged"));
+}
+
+static void start_dispatch(struct node_entry *entry)
+{
+	const struct node_settings *settings = entry->settings;
+	double lease_ms = settings->lease_ms * (100 + CLOCK_DRIFT_PERCENT) / 100;
+	const struct dispatch_limits limits = {
+		.max_jobs = MAX_JOBS,
+		.settle_us = (int64_t)((NODE_SILENCE_MS + lease_ms + settings->stop_ms +
+					SETTLE_MARGIN_MS) *
+				       US_PER_MS),
+	};
+	const struct dispatch_callbacks callbacks = {
+		.context = entry,
+		.start = node_agents_start,
+		.stop = node_agents_stop,
+		.finished = node_front_finished,
+		.placed = on_placed,
+		.run_ended = on_run_ended,
+	};
+	const struct ident *incarnation = &entry->links.identity.incarnation;
+	uint64_t seed;
+
+	memcpy(&seed, incarnation->bytes, sizeof(seed));
+	dispatch_init(&entry->dispatch, &limits, &callbacks, seed);
+}
+
+static enum status listen_all(struct node_entry *entry, struct error *err)
+{
+	const struct http_server_options probe = {
+		.header_max_bytes = PROBE_BYTES,
+		.body_max_bytes = PROBE_BYTES,
+		.header_limit_ms = PROBE_LIMIT_MS,
+		.idle_limit_ms = PROBE_KEEP_MS,
+	};
+	enum status status;
+
+	status = net_listen(&entry->loop, entry->own_address, on_accept, entry, &entry->listener,
+			    err);
+	if (status == STATUS_OK)
+		status = node_front_start(entry, err);
+	if (status == STATUS_OK)
+		status = http_server_listen(&entry->loop, entry->settings->readiness_address,
+					    &probe, &probe_callbacks, entry, &entry->readiness,
+					    err);
+	return status;
+}
+
+static void start_following(struct node_entry *entry)
+{
+	const struct node_settings *settings = entry->settings;
+
+	entry->store = store_new(&entry->loop, settings->store_address);
+	node_members_init(&entry->members, &(struct node_members_options){
+						   .loop = &entry->loop,
+						   .store = entry->store,
+						   .seeds = settings->seeds,
+						   .peer_port = settings->peer_port,
+						   .own = entry->own_address,
+						   .name = settings->name,
+						   .found = node_peers_found,
+						   .context = entry,
+					   });
+	node_members_refresh(&entry->members);
+	entry->config = (struct node_config){
+		.loop = &entry->loop,
+		.store = entry->store,
+		.applied = on_config,
+		.store_returned = on_store_returned,
+		.context = entry,
+	};
+	node_config_start(&entry->config);
+}
+
+enum exit_code node_entry_run(const struct node_settings *settings)
+{
+	struct node_entry *entry = g_new0(struct node_entry, 1);
+	struct error err;
+
+	entry->settings = settings;
+	entry->own_address = g_strdup_printf("%s:%" G_GINT64_FORMAT, settings->host_ip,
+					     settings->peer_port);
+	entry->agents = g_ptr_array_new();
+	entry->peers = g_ptr_array_new();
+	node_metrics_register();
+	net_loop_init(&entry->loop);
+	entry->loop.turn = on_turn;
+	entry->loop.turn_context = entry;
+	entry->loop.freeze = on_freeze;
+	entry->loop.freeze_context = entry;
+	node_links_init(&entry->links, &entry->loop,
+			&(struct node_identity){
+				.incarnation = ident_random(),
+				.name = settings->name,
+				.zone = settings->zone,
+				.address = entry->own_address,
+			});
+	start_dispatch(entry);
+	node_signals_start(&entry->signals, &entry->loop, on_terminate, on_reload, entry);
+	if (listen_all(entry, &err) != STATUS_OK) {
+		event_log_error(EVENT_PROCESS_FAILED, &err);
+		return EXIT_CODE_RUNTIME;
+	}
+	start_following(entry);
+	timer_subscribe(&entry->loop.timers, entry->loop.now_us, TICK_MS * US_PER_MS, tick, entry);
+	timer_subscribe(&entry->loop.timers, entry->loop.now_us, PEERS_TICK_MS * US_PER_MS,
+			tick_peers, entry);
+	net_loop_run(&entry->loop);
+	event_log(EVENT_DRAIN_FINISHED, EV_I("requests", entry->requests));
+	return EXIT_CODE_OK;
+}
--- /dev/null
+++ b/packages/greengaged/src/node_entry.h
@@ -0,0 +1,40 @@
+/* The entry: between the clients and the agents. Its parts share one board; the order of the calls is
+ * front, dispatch (packages/core), agents; answers come back by callbacks. */
+#ifndef GG_NODE_ENTRY_H
+#define GG_NODE_ENTRY_H
+
+#include "daemon_defs.h"
+#include "dispatch.h"
+#include "http_server.h"
+#include "node_config.h"
+#include "node_link.h"
+#include "node_members.h"
+#include "node_settings.h"
+#include "node_signals.h"
+
+struct node_entry {
+	struct net_loop loop;
+	const struct node_settings *settings;
+	char *own_address; /* where links are accepted */
+	struct store *store;
+	struct node_signals signals;
+	struct node_config config;
+	struct node_members members;
+	struct node_links links;
+	struct net_listener *listener;
+	struct dispatch dispatch;
+	struct http_server *clients;
+	struct http_server *readiness;
+	GPtrArray *agents; /* struct agent_peer * */
+	GPtrArray *peers;  /* struct entry_peer *, dialled here */
+	GPtrArray *incoming; /* struct incoming *, entries that dialled here */
+	uint32_t requests; /* unanswered submissions */
+	bool stopping;	   /* after SIGTERM */
+	int64_t stopped_us;
+	bool was_ready;
+};
+
+/* Runs until SIGTERM. */
+enum exit_code node_entry_run(const struct node_settings *settings);
+
+#endif
--- /dev/null
+++ b/packages/greengaged/src/node_front.c
@@ -0,0 +1,213 @@
+#include "node_front.h"
+
+#include <string.h>
+
+#include "client_api.h"
+#include "event.h"
+#include "node_metrics.h"
+#include "node_peers.h"
+
+enum {
+	HEADER_MAX_BYTES = 16384, /* until a configuration says otherwise */
+	BODY_MAX_BYTES = 262144,
+	HEADER_LIMIT_MS = 3000,
+	IDLE_LIMIT_MS = 15000,
+	MIN_ESTIMATE_MS = 1,
+	/* The answer needs a moment to reach the client before its deadline. */
+	ANSWER_MARGIN_MS = 15,
+	NO_NEW_JOBS_MS = 1800 /* before the end of the grace period, jobs are not accepted */
+};
+
+/* One unanswered submission. */
+struct submission {
+	struct node_entry *entry;
+	struct http_request *request; /* NULL once the client has left */
+	char id[CLIENT_JOB_ID_BYTES];
+	bool over; /* finished within the call that submitted it */
+};
+
+static void answer_error(struct http_request *request, const struct error *err, const char *id)
+{
+	event_log(EVENT_REQUEST_REFUSED, EV_S("job", id), EV_S("status", status_name(err->status)),
+		  EV_S("reason", err->message));
+	counter_add(&node_metrics[NODE_METRIC_REFUSED_REQUESTS], 1);
+	client_answer_error(request, err);
+}
+
+static bool too_late_to_start(const struct node_entry *entry)
+{
+	int64_t grace_ms = (int64_t)(entry->settings->grace_s * 1000);
+
+	return entry->stopping && entry->loop.now_us - entry->stopped_us >
+					  (grace_ms - NO_NEW_JOBS_MS) * US_PER_MS;
+}
+
+static void submit(struct node_entry *entry, const struct route *route,
+		   struct http_request *request, const struct client_request *read)
+{
+	struct submission *submission;
+	struct client_job job;
+	struct error err;
+	size_t length;
+	const char *body = http_request_body(request, &length);
+	int64_t now_us = entry->loop.now_us;
+	int64_t wait_us = read->wait_ms > 0
+				  ? (read->wait_ms - ANSWER_MARGIN_MS) * US_PER_MS
+				  : route->timeout_us;
+
+	if (client_job_read(body, length, &job, &err) != STATUS_OK) {
+		answer_error(request, &err, read->id);
+		return;
+	}
+	if (too_late_to_start(entry)) {
+		error_set(&err, STATUS_DRAINING, "the entry is shutting down");
+		answer_error(request, &err, read->id);
+		client_job_clear(&job);
+		return;
+	}
+	submission = g_new0(struct submission, 1);
+	submission->entry = entry;
+	submission->request = request;
+	g_strlcpy(submission->id, read->id, sizeof(submission->id));
+	http_request_set_context(request, submission);
+	entry->requests++;
+	counter_add(&node_metrics[NODE_METRIC_JOBS], 1);
+	dispatch_submit(&entry->dispatch,
+			&(struct job_request){
+				.id = read->id,
+				.queue = route->name,
+				.service = route->service,
+				.spec = job.spec,
+				.tasks = job.tasks,
+				.need = job.need,
+				.estimate_us = MAX(job.estimate_ms, MIN_ESTIMATE_MS) * US_PER_MS,
+				.priority = route->priority,
+				.max_attempts = route->max_attempts,
+				.stretch = route->stretch,
+				.slack_us = route->slack_us,
+				.arrived_us = now_us,
+				.deadline_us = now_us + wait_us,
+				.context = submission,
+			},
+			now_us);
+	client_job_clear(&job);
+}
+
+void node_front_finished(void *context, const char *id, void *job_context,
+			 const struct job_end *end)
+{
+	struct submission *submission = job_context;
+	struct node_entry *entry = submission->entry;
+
+	event_log(EVENT_JOB_ENDED, EV_S("job", id), EV_S("status", status_name(end->status)),
+		  EV_S("outcome", end->status == STATUS_OK ? "" : outcome_name(end->outcome)),
+		  EV_S("reason", end->reason), EV_I("tasks", end->tasks), EV_I("runs", end->runs),
+		  EV_I("expected_wait_ms", end->expected_wait_us / US_PER_MS),
+		  EV_I("elapsed_ms", end->elapsed_us / US_PER_MS));
+	node_metrics_job_ended(end);
+	if (submission->request)
+		client_answer_end(submission->request, end);
+	entry->requests--;
+	g_free(submission);
+}
+
+static void answer_state(struct node_entry *entry, struct http_request *request, const char *id)
+{
+	bool started;
+
+	if (dispatch_job_state(&entry->dispatch, id, &started))
+		client_answer_state(request, started);
+	else
+		client_answer_gone(request);
+}
+
+static void cancel(struct node_entry *entry, struct http_request *request, const char *id)
+{
+	if (dispatch_end_job(&entry->dispatch, id, STATUS_CANCELLED, "cancelled by its client",
+			     entry->loop.now_us))
+		client_answer_done(request);
+	else
+		client_answer_gone(request);
+}
+
+static void on_request(void *context, struct http_request *request)
+{
+	struct node_entry *entry = context;
+	const char *host = http_request_header(request, "Host");
+	const struct route *route;
+	struct client_request read;
+	struct error err;
+
+	if (!entry->config.table) {
+		error_set(&err, STATUS_LOG_UNAVAILABLE, "no configuration is known yet");
+		answer_error(request, &err, "");
+		return;
+	}
+	route = route_find(entry->config.table, host ? host : "", http_request_path(request));
+	if (!route) {
+		error_set(&err, STATUS_NOT_FOUND, "no route for %s%s in version %llu",
+			  host ? host : "", http_request_path(request),
+			  (unsigned long long)entry->config.table->version);
+		answer_error(request, &err, "");
+		return;
+	}
+	if (client_request_read(request, strlen(route->path_prefix), &read, &err) != STATUS_OK) {
+		answer_error(request, &err, read.id);
+		return;
+	}
+	switch (read.action) {
+	case CLIENT_SUBMIT:
+		submit(entry, route, request, &read);
+		break;
+	case CLIENT_STATE:
+		answer_state(entry, request, read.id);
+		break;
+	case CLIENT_CANCEL:
+		cancel(entry, request, read.id);
+		break;
+	case CLIENT_PENDING:
+		client_answer_pending(request, dispatch_pending(&entry->dispatch, route->name) +
+						       node_peers_pending(entry, route->name));
+		break;
+	}
+}
+
+static void on_gone(void *context, struct http_request *request)
+{
+	struct node_entry *entry = context;
+	struct submission *submission = http_request_context(request);
+
+	if (!submission)
+		return;
+	submission->request = NULL;
+	dispatch_end_job(&entry->dispatch, submission->id, STATUS_CANCELLED,
+			 "its client has left", entry->loop.now_us);
+}
+
+static const struct http_server_callbacks callbacks = {
+	.request = on_request,
+	.gone = on_gone,
+};
+
+void node_front_configure(struct node_entry *entry, const struct route_table *table)
+{
+	http_server_set_options(entry->clients, &(struct http_server_options){
+							.header_max_bytes = table->header_max_bytes,
+							.body_max_bytes = table->body_max_bytes,
+							.header_limit_ms = table->header_limit_ms,
+							.idle_limit_ms = table->idle_limit_ms,
+						});
+}
+
+enum status node_front_start(struct node_entry *entry, struct error *err)
+{
+	const struct http_server_options options = {
+		.header_max_bytes = HEADER_MAX_BYTES,
+		.body_max_bytes = BODY_MAX_BYTES,
+		.header_limit_ms = HEADER_LIMIT_MS,
+		.idle_limit_ms = IDLE_LIMIT_MS,
+	};
+
+	return http_server_listen(&entry->loop, entry->settings->client_address, &options,
+				  &callbacks, entry, &entry->clients, err);
+}
--- /dev/null
+++ b/packages/greengaged/src/node_link.c
@@ -0,0 +1,227 @@
+#include "node_link.h"
+
+#include "event.h"
+#include "frame.h"
+
+enum {
+	US_PER_MS = 1000,
+	CHECK_MS = 50,
+	UNSENT_MAX_BYTES = 4 << 20 /* a peer that takes in no more is out of reach */
+};
+
+struct node_link {
+	struct node_links *links;
+	struct net_conn *conn;
+	struct frame_reader reader;
+	const struct node_link_callbacks *callbacks;
+	void *context;
+	int64_t heard_us;
+	int64_t sent_us;
+	bool up;
+	bool gone; /* freed at the next check */
+};
+
+static void release(struct node_link *link)
+{
+	frame_reader_free(&link->reader);
+	g_free(link);
+}
+
+void node_link_close(struct node_link *link)
+{
+	if (link->gone)
+		return;
+	link->gone = true;
+	net_conn_close(link->conn);
+}
+
+static void drop(struct node_link *link, const char *reason)
+{
+	if (link->gone)
+		return;
+	node_link_close(link);
+	link->callbacks->down(link->context, link, reason);
+}
+
+static void send_hello(struct node_link *link)
+{
+	const struct node_identity *identity = &link->links->identity;
+	Ggd__Hello hello = GGD__HELLO__INIT;
+	Ggd__Frame frame = GGD__FRAME__INIT;
+
+	hello.incarnation.data = (uint8_t *)identity->incarnation.bytes;
+	hello.incarnation.len = IDENT_BYTES;
+	hello.name = (char *)identity->name;
+	hello.zone = (char *)identity->zone;
+	hello.address = (char *)identity->address;
+	hello.protocol = NODE_PROTOCOL;
+	frame.body_case = GGD__FRAME__BODY_HELLO;
+	frame.hello = &hello;
+	node_link_send(link, &frame);
+}
+
+static bool greet(struct node_link *link, const Ggd__Frame *frame)
+{
+	if (frame->body_case != GGD__FRAME__BODY_HELLO ||
+	    frame->hello->protocol != NODE_PROTOCOL ||
+	    frame->hello->incarnation.len != IDENT_BYTES) {
+		drop(link, "the peer does not greet as expected");
+		return false;
+	}
+	link->up = true;
+	if (!link->callbacks->up(link->context, link, frame->hello)) {
+		node_link_close(link);
+		return false;
+	}
+	return !link->gone;
+}
+
+static bool on_frame(void *context, const uint8_t *content, size_t length)
+{
+	struct node_link *link = context;
+	Ggd__Frame *frame = ggd__frame__unpack(NULL, length, content);
+	bool go_on = true;
+
+	if (!frame) {
+		event_log(EVENT_MESSAGE_INVALID, EV_I("bytes", length));
+		drop(link, "the peer sent bytes that are no frame");
+		return false;
+	}
+	if (!link->up)
+		go_on = greet(link, frame);
+	else
+		link->callbacks->frame(link->context, link, frame);
+	ggd__frame__free_unpacked(frame, NULL);
+	return go_on && !link->gone;
+}
+
+static void on_data(void *context, const char *bytes, size_t length)
+{
+	struct node_link *link = context;
+
+	link->heard_us = link->links->loop->now_us;
+	if (frame_read(&link->reader, bytes, length, on_frame, link) != STATUS_OK)
+		drop(link, "the peer sent an oversized frame");
+}
+
+static void on_closed(void *context, const char *reason)
+{
+	struct node_link *link = context;
+
+	/* The connection is gone already. */
+	if (link->gone)
+		return;
+	link->gone = true;
+	link->callbacks->down(link->context, link, reason);
+}
+
+static const struct net_conn_callbacks conn_callbacks = {
+	.data = on_data,
+	.closed = on_closed,
+};
+
+static void check(void *context, int64_t now_us)
+{
+	struct node_links *links = context;
+
+	for (guint i = links->links->len; i-- > 0;) {
+		struct node_link *link = links->links->pdata[i];
+
+		if (!link->gone && (now_us - link->heard_us > NODE_SILENCE_MS * US_PER_MS))
+			drop(link, "silent");
+		else if (!link->gone && net_conn_unsent(link->conn) > UNSENT_MAX_BYTES)
+			drop(link, "the peer does not read");
+		else if (link->up && !link->gone &&
+			 now_us - link->sent_us >= NODE_HEARTBEAT_MS * US_PER_MS)
+			link->callbacks->heartbeat(link->context, link);
+	}
+	for (guint i = links->links->len; i-- > 0;) {
+		struct node_link *link = links->links->pdata[i];
+
+		if (!link->gone)
+			continue;
+		g_ptr_array_remove_index_fast(links->links, i);
+		release(link);
+	}
+}
+
+void node_links_init(struct node_links *links, struct net_loop *loop,
+		     const struct node_identity *identity)
+{
+	*links = (struct node_links){
+		.loop = loop,
+		.identity = *identity,
+		.links = g_ptr_array_new(),
+	};
+	timer_subscribe(&loop->timers, loop->now_us, CHECK_MS * US_PER_MS, check, links);
+}
+
+static struct node_link *new_link(struct node_links *links,
+				  const struct node_link_callbacks *callbacks, void *context)
+{
+	struct node_link *link = g_new0(struct node_link, 1);
+
+	link->links = links;
+	link->callbacks = callbacks;
+	link->context = context;
+	link->heard_us = links->loop->now_us;
+	link->sent_us = links->loop->now_us;
+	frame_reader_init(&link->reader);
+	return link;
+}
+
+struct node_link *node_link_dial(struct node_links *links, const char *address,
+				 const struct node_link_callbacks *callbacks, void *context,
+				 struct error *err)
+{
+	struct node_link *link = new_link(links, callbacks, context);
+
+	link->conn = net_connect(links->loop, address, &conn_callbacks, link, err);
+	if (!link->conn) {
+		release(link);
+		return NULL;
+	}
+	g_ptr_array_add(links->links, link);
+	send_hello(link);
+	return link;
+}
+
+struct node_link *node_link_accept(struct node_links *links, struct net_conn *conn,
+				   const struct node_link_callbacks *callbacks, void *context)
+{
+	struct node_link *link = new_link(links, callbacks, context);
+
+	link->conn = conn;
+	net_conn_set(conn, &conn_callbacks, link);
+	g_ptr_array_add(links->links, link);
+	send_hello(link);
+	return link;
+}
+
+void node_link_set(struct node_link *link, const struct node_link_callbacks *callbacks,
+		   void *context)
+{
+	link->callbacks = callbacks;
+	link->context = context;
+}
+
+void node_link_send(struct node_link *link, const Ggd__Frame *frame)
+{
+	size_t length = ggd__frame__get_packed_size(frame);
+	uint8_t *bytes = g_malloc(length);
+
+	ggd__frame__pack(frame, bytes);
+	frame_send(link->conn, bytes, length);
+	g_free(bytes);
+	link->sent_us = link->links->loop->now_us;
+}
+
+bool node_link_is_up(const struct node_link *link)
+{
+	return link->up;
+}
+
+int64_t node_link_heard_us(const struct node_link *link)
+{
+	return link->heard_us;
+}
--- /dev/null
+++ b/packages/greengaged/src/node_members.c
@@ -0,0 +1,109 @@
+#include "node_members.h"
+
+#include <string.h>
+
+#include "event.h"
+
+enum {
+	US_PER_MS = 1000,
+	RETRY_MS = 500 /* between calls while the store does not answer */
+};
+
+static bool is_known(const struct node_members *members, const char *address)
+{
+	for (guint i = 0; i < members->addresses->len; i++) {
+		if (strcmp(members->addresses->pdata[i], address) == 0)
+			return true;
+	}
+	return false;
+}
+
+void node_members_add(struct node_members *members, const char *address)
+{
+	if (strchr(address, ':') == NULL || strcmp(address, members->own) == 0 ||
+	    is_known(members, address))
+		return;
+	g_ptr_array_add(members->addresses, g_strdup(address));
+	members->version++;
+	members->found(members->context, address);
+}
+
+static void on_published(void *context, const struct store_result *result)
+{
+	struct node_members *members = context;
+
+	members->reading = false;
+	if (result->status != STATUS_OK)
+		members->read_wanted = true;
+}
+
+static void on_newest(void *context, const struct store_result *result)
+{
+	struct node_members *members = context;
+	bool published = *members->own == '\0';
+
+	members->reading = false;
+	if (result->status != STATUS_OK) {
+		if (!members->store_lost)
+			event_log(EVENT_LOG_UNAVAILABLE, EV_S("topic", STORE_TOPIC_MEMBERS),
+				  EV_S("reason", result->reason));
+		members->store_lost = true;
+		members->read_wanted = true;
+		return;
+	}
+	if (members->store_lost)
+		event_log(EVENT_LOG_AVAILABLE, EV_S("topic", STORE_TOPIC_MEMBERS));
+	members->store_lost = false;
+	for (size_t i = 0; i < result->count; i++) {
+		char *address = g_strndup(result->records[i].key, result->records[i].key_length);
+
+		published = published || strcmp(address, members->own) == 0;
+		node_members_add(members, address);
+		g_free(address);
+	}
+	if (!published) {
+		members->reading = true;
+		store_append(members->store, STORE_TOPIC_MEMBERS, members->own,
+			     members->own_record, on_published, members);
+	}
+}
+
+static void check(void *context, int64_t now_us)
+{
+	struct node_members *members = context;
+
+	if (!members->read_wanted || members->reading)
+		return;
+	members->read_wanted = false;
+	members->reading = true;
+	store_read_newest(members->store, STORE_TOPIC_MEMBERS, on_newest, members);
+}
+
+void node_members_refresh(struct node_members *members)
+{
+	members->read_wanted = true;
+}
+
+void node_members_init(struct node_members *members, const struct node_members_options *options)
+{
+	*members = (struct node_members){
+		.loop = options->loop,
+		.store = options->store,
+		.addresses = g_ptr_array_new_with_free_func(g_free),
+		.own = options->own,
+		.own_record = g_strdup_printf("{\"name\":\"%s\"}", options->name),
+		.found = options->found,
+		.context = options->context,
+	};
+	/* A seed names a host; its entry listens at the port that is the same on all hosts. */
+	for (char **seed = options->seeds; seed && *seed; seed++) {
+		char *host = g_strndup(*seed, strcspn(*seed, ":"));
+		char *address = g_strdup_printf("%s:%" G_GINT64_FORMAT, host, options->peer_port);
+
+		node_members_add(members, address);
+		g_free(host);
+		g_free(address);
+	}
+	timer_subscribe(&options->loop->timers, options->loop->now_us, RETRY_MS * US_PER_MS, check,
+			members);
+}
--- /dev/null
+++ b/packages/greengaged/src/node_members.h
@@ -0,0 +1,46 @@
+/* Addresses of entries: from the settings, from other daemons and from the store. */
+#ifndef GG_NODE_MEMBERS_H
+#define GG_NODE_MEMBERS_H
+
+#include "node_link.h"
+#include "store.h"
+
+/* Called for each address that becomes known. */
+typedef void (*node_member_callback)(void *context, const char *address);
+
+struct node_members {
+	struct net_loop *loop;
+	struct store *store;
+	GPtrArray *addresses; /* char * */
+	const char *own;      /* this process's address, empty for an agent */
+	char *own_record;
+	node_member_callback found;
+	void *context;
+	bool reading;
+	bool read_wanted;
+	bool publish_wanted;
+	bool store_lost;
+	uint32_t version; /* rises with each new address */
+};
+
+struct node_members_options {
+	struct net_loop *loop;
+	struct store *store;
+	char **seeds;
+	int64_t peer_port;
+	const char *own;
+	const char *name;
+	node_member_callback found;
+	void *context;
+};
+
+void node_members_init(struct node_members *members, const struct node_members_options *options);
+
+/* Adds an address heard from another daemon. */
+void node_members_add(struct node_members *members, const char *address);
+
+/* Reads the addresses that the store holds, and writes this process's own if it is missing there.
+ * Repeated until it succeeds. */
+void node_members_refresh(struct node_members *members);
+
+#endif
--- /dev/null
+++ b/packages/greengaged/src/node_peers.c
@@ -0,0 +1,283 @@
+#include "node_peers.h"
+
+#include <string.h>
+
+#include "event.h"
+
+enum {
+	DIAL_RETRY_MS = 250,
+	DIAL_RETRY_LONG_MS = 2000,
+	DIAL_PATIENCE_MS = 10000,
+	STATE_INTERVAL_MS = 50, /* while work is queued */
+	STATE_FRESH_MS = 400,	/* older figures of a peer do not count */
+	PUSH_INTERVAL_MS = 500	/* between two sendings of the configuration to one peer */
+};
+
+/* Another entry, at one address. */
+struct entry_peer {
+	struct node_entry *entry;
+	char *address;
+	struct node_link *link; /* dialled here */
+	int64_t next_us;
+	int64_t answered_us;
+	int64_t sent_us;
+	uint32_t members_version;
+	double sent_backlog;
+};
+
+/* What another entry has told over a link that it dialled. */
+struct incoming {
+	struct node_entry *entry;
+	char name[NAME_BYTES];
+	struct node_link *link;
+	double backlog_core_us;
+	int64_t heard_us;
+	int64_t pushed_us;
+	GHashTable *queued; /* queue -> count in a pointer */
+};
+
+static GPtrArray *incoming_list(struct node_entry *entry)
+{
+	if (!entry->incoming)
+		entry->incoming = g_ptr_array_new();
+	return entry->incoming;
+}
+
+static void send_state(struct entry_peer *peer, int64_t now_us)
+{
+	struct node_entry *entry = peer->entry;
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__PeerState state = GGD__PEER_STATE__INIT;
+	const struct route_table *table = entry->config.table;
+	size_t route_count = table ? table->count : 0;
+	char **queues = g_new(char *, route_count + 1);
+	uint32_t *queued = g_new(uint32_t, route_count + 1);
+
+	state.config_version = node_config_version(&entry->config);
+	state.backlog_core_ms = (uint64_t)(dispatch_backlog(&entry->dispatch) / US_PER_MS);
+	state.leaving = entry->stopping;
+	for (size_t i = 0; i < route_count && entry->dispatch.queue->len > 0; i++) {
+		uint32_t pending = dispatch_pending(&entry->dispatch, table->routes[i].name);
+
+		if (pending == 0)
+			continue;
+		queues[state.n_queues++] = table->routes[i].name;
+		queued[state.n_queued++] = pending;
+	}
+	state.queues = queues;
+	state.queued = queued;
+	if (peer->members_version != entry->members.version) {
+		peer->members_version = entry->members.version;
+		state.entries = (char **)entry->members.addresses->pdata;
+		state.n_entries = entry->members.addresses->len;
+	}
+	frame.body_case = GGD__FRAME__BODY_PEER;
+	frame.peer = &state;
+	node_link_send(peer->link, &frame);
+	peer->sent_us = now_us;
+	peer->sent_backlog = (double)state.backlog_core_ms;
+	g_free(queues);
+	g_free(queued);
+}
+
+static bool on_dialled_up(void *context, struct node_link *link, const Ggd__Hello *hello)
+{
+	struct entry_peer *peer = context;
+
+	peer->answered_us = peer->entry->loop.now_us;
+	peer->members_version = 0;
+	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name),
+		  EV_S("address", peer->address));
+	send_state(peer, peer->entry->loop.now_us);
+	return true;
+}
+
+static void on_dialled_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
+{
+	struct entry_peer *peer = context;
+
+	if (frame->body_case == GGD__FRAME__BODY_CONFIG)
+		node_config_offer(&peer->entry->config, (const char *)frame->config->document.data,
+				  frame->config->document.len, peer->address);
+}
+
+static void on_dialled_heartbeat(void *context, struct node_link *link)
+{
+	struct entry_peer *peer = context;
+
+	send_state(peer, peer->entry->loop.now_us);
+}
+
+static void on_dialled_down(void *context, struct node_link *link, const char *reason)
+{
+	struct entry_peer *peer = context;
+	int64_t now_us = peer->entry->loop.now_us;
+	bool recent = now_us - peer->answered_us < DIAL_PATIENCE_MS * US_PER_MS;
+
+	if (node_link_is_up(link))
+		event_log(EVENT_CHANNEL_LOST, EV_S("address", peer->address),
+			  EV_S("reason", reason));
+	peer->link = NULL;
+	peer->next_us = now_us + (recent ? DIAL_RETRY_MS : DIAL_RETRY_LONG_MS) * US_PER_MS;
+}
+
+static const struct node_link_callbacks dialled_callbacks = {
+	.up = on_dialled_up,
+	.frame = on_dialled_frame,
+	.heartbeat = on_dialled_heartbeat,
+	.down = on_dialled_down,
+};
+
+void node_peers_found(void *context, const char *address)
+{
+	struct node_entry *entry = context;
+	struct entry_peer *peer = g_new0(struct entry_peer, 1);
+
+	peer->entry = entry;
+	peer->address = g_strdup(address);
+	peer->answered_us = entry->loop.now_us;
+	g_ptr_array_add(entry->peers, peer);
+}
+
+/* Sends the configuration to a peer that has an older one. */
+static void push_config(struct incoming *peer, uint64_t version)
+{
+	const struct node_config *config = &peer->entry->config;
+	int64_t now_us = peer->entry->loop.now_us;
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__ConfigDocument document = GGD__CONFIG_DOCUMENT__INIT;
+	gsize length;
+
+	if (version >= node_config_version(config) ||
+	    now_us - peer->pushed_us < PUSH_INTERVAL_MS * US_PER_MS)
+		return;
+	peer->pushed_us = now_us;
+	document.version = node_config_version(config);
+	document.document.data = (uint8_t *)g_bytes_get_data(config->document, &length);
+	document.document.len = length;
+	frame.body_case = GGD__FRAME__BODY_CONFIG;
+	frame.config = &document;
+	node_link_send(peer->link, &frame);
+}
+
+static void on_incoming_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
+{
+	struct incoming *peer = context;
+	const Ggd__PeerState *state = frame->peer;
+
+	if (frame->body_case != GGD__FRAME__BODY_PEER)
+		return;
+	peer->heard_us = peer->entry->loop.now_us;
+	peer->backlog_core_us = (double)state->backlog_core_ms * US_PER_MS;
+	g_hash_table_remove_all(peer->queued);
+	for (size_t i = 0; i < state->n_queues && i < state->n_queued; i++)
+		g_hash_table_insert(peer->queued, g_strdup(state->queues[i]),
+				    GUINT_TO_POINTER(state->queued[i]));
+	for (size_t i = 0; i < state->n_entries; i++)
+		node_members_add(&peer->entry->members, state->entries[i]);
+	push_config(peer, state->config_version);
+}
+
+static void on_incoming_heartbeat(void *context, struct node_link *link)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+
+	node_link_send(link, &frame);
+}
+
+static void forget_incoming(struct incoming *peer)
+{
+	g_ptr_array_remove_fast(incoming_list(peer->entry), peer);
+	g_hash_table_destroy(peer->queued);
+	g_free(peer);
+}
+
+static void on_incoming_down(void *context, struct node_link *link, const char *reason)
+{
+	forget_incoming(context);
+}
+
+static const struct node_link_callbacks incoming_callbacks = {
+	.frame = on_incoming_frame,
+	.heartbeat = on_incoming_heartbeat,
+	.down = on_incoming_down,
+};
+
+bool node_peers_up(struct node_entry *entry, struct node_link *link, const Ggd__Hello *hello)
+{
+	struct incoming *peer = g_new0(struct incoming, 1);
+
+	peer->entry = entry;
+	peer->link = link;
+	g_strlcpy(peer->name, hello->name, sizeof(peer->name));
+	peer->queued = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_ptr_array_add(incoming_list(entry), peer);
+	node_link_set(link, &incoming_callbacks, peer);
+	node_members_add(&entry->members, hello->address);
+	return true;
+}
+
+static void sum_backlog(struct node_entry *entry, int64_t now_us)
+{
+	double sum = 0;
+
+	for (guint i = 0; i < incoming_list(entry)->len; i++) {
+		const struct incoming *peer = entry->incoming->pdata[i];
+
+		if (now_us - peer->heard_us < STATE_FRESH_MS * US_PER_MS)
+			sum += peer->backlog_core_us;
+	}
+	dispatch_set_peers(&entry->dispatch, sum);
+}
+
+void node_peers_tick(struct node_entry *entry, int64_t now_us)
+{
+	struct error err;
+
+	for (guint i = 0; i < entry->peers->len; i++) {
+		struct entry_peer *peer = entry->peers->pdata[i];
+
+		if (!peer->link && now_us >= peer->next_us) {
+			peer->link = node_link_dial(&entry->links, peer->address,
+						    &dialled_callbacks, peer, &err);
+			if (!peer->link)
+				peer->next_us = now_us + DIAL_RETRY_LONG_MS * US_PER_MS;
+		} else if (peer->link && node_link_is_up(peer->link) &&
+			   now_us - peer->sent_us >= STATE_INTERVAL_MS * US_PER_MS &&
+			   (entry->dispatch.queue->len > 0 || peer->sent_backlog > 0)) {
+			send_state(peer, now_us);
+		}
+	}
+	sum_backlog(entry, now_us);
+}
+
+uint32_t node_peers_pending(const struct node_entry *entry, const char *queue)
+{
+	uint32_t pending = 0;
+
+	for (guint i = 0; entry->incoming && i < entry->incoming->len; i++) {
+		const struct incoming *peer = entry->incoming->pdata[i];
+
+		pending += GPOINTER_TO_UINT(g_hash_table_lookup(peer->queued, queue));
+	}
+	return pending;
+}
+
+void node_peers_reset(struct node_entry *entry)
+{
+	for (guint i = 0; i < entry->peers->len; i++) {
+		struct entry_peer *peer = entry->peers->pdata[i];
+
+		if (!peer->link)
+			continue;
+		node_link_close(peer->link);
+		peer->link = NULL;
+		peer->next_us = 0;
+	}
+	while (incoming_list(entry)->len > 0) {
+		struct incoming *peer = entry->incoming->pdata[0];
+
+		node_link_close(peer->link);
+		forget_incoming(peer);
+	}
+}
--- /dev/null
+++ b/packages/greengaged/src/node_settings.c
@@ -0,0 +1,119 @@
+#include "node_settings.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "settings.h"
+
+enum {
+	ADDRESS_MAX_BYTES = 64,
+	NAME_MAX_BYTES = 63, /* longest name that the decision logic keeps */
+	MAX_SEEDS = 64,
+	PORT_MAX = 65535,
+	HOUR_MS = 3600000,
+	HOUR_S = 3600
+};
+
+static const char *const mode_choices[] = {"platform", NULL};
+static const char *const role_choices[] = {"entry", "agent", NULL};
+static const char *const level_choices[] = {"debug", "info", "warning", "error", NULL};
+
+#define TEXT(json_path, field, most, is_required)                                                  \
+	{                                                                                          \
+		.path = (json_path), .type = SETTINGS_STRING,                                      \
+		.offset = offsetof(struct node_settings, field), .min = 1, .max = (most),          \
+		.required = (is_required)                                                          \
+	}
+#define CHOICE(json_path, field, accepted, preset, is_required)                                    \
+	{                                                                                          \
+		.path = (json_path), .type = SETTINGS_ENUM,                                        \
+		.offset = offsetof(struct node_settings, field), .choices = (accepted),            \
+		.default_text = (preset), .required = (is_required)                                \
+	}
+#define NUMBER(json_path, field, least, most, preset)                                              \
+	{                                                                                          \
+		.path = (json_path), .type = SETTINGS_NUMBER,                                      \
+		.offset = offsetof(struct node_settings, field), .min = (least), .max = (most),    \
+		.default_number = (preset)                                                         \
+	}
+
+static const struct settings_field fields[] = {
+	CHOICE("mode", mode, mode_choices, NULL, true),
+	CHOICE("role", role, role_choices, NULL, true),
+	TEXT("name", name, NAME_MAX_BYTES, true),
+	TEXT("zone", zone, NAME_MAX_BYTES, true),
+	CHOICE("log_level", log_level, level_choices, "info", false),
+	TEXT("listen.clients", client_address, ADDRESS_MAX_BYTES, false),
+	TEXT("listen.readiness", readiness_address, ADDRESS_MAX_BYTES, false),
+	TEXT("listen.control", control_address, ADDRESS_MAX_BYTES, false),
+	TEXT("peers.ip", host_ip, ADDRESS_MAX_BYTES, true),
+	{.path = "peers.port",
+	 .type = SETTINGS_INT,
+	 .offset = offsetof(struct node_settings, peer_port),
+	 .min = 1,
+	 .max = PORT_MAX,
+	 .required = true},
+	{.path = "peers.seeds",
+	 .type = SETTINGS_STRING_LIST,
+	 .offset = offsetof(struct node_settings, seeds),
+	 .max = MAX_SEEDS},
+	TEXT("store.address", store_address, ADDRESS_MAX_BYTES, true),
+	NUMBER("store.retention_s", store_retention_s, 1, INT32_MAX, 20),
+	TEXT("server.address", server_address, ADDRESS_MAX_BYTES, false),
+	TEXT("server.service", server_service, NAME_MAX_BYTES, false),
+	NUMBER("limits.lease_ms", lease_ms, 50, HOUR_MS, 1000),
+	NUMBER("limits.stop_ms", stop_ms, 0, HOUR_MS, 50),
+	NUMBER("limits.resend_ms", resend_ms, 1, HOUR_MS, 1300),
+	NUMBER("limits.grace_s", grace_s, 1, HOUR_S, 6),
+	NUMBER("limits.config_apply_ms", config_apply_ms, 1, HOUR_MS, 2000),
+	NUMBER("limits.drain_ms", drain_ms, 1, HOUR_MS, 2000),
+};
+
+bool node_settings_is_platform(const char *file)
+{
+	json_t *document = json_load_file(file, 0, NULL);
+	const char *mode = json_string_value(json_object_get(document, "mode"));
+	bool platform = mode && strcmp(mode, "platform") == 0;
+
+	json_decref(document);
+	return platform;
+}
+
+static enum status check_role(const char *file, const struct node_settings *settings,
+			      struct error *err)
+{
+	bool entry = strcmp(settings->role, "entry") == 0;
+
+	if (entry && !settings->client_address)
+		return error_set(err, STATUS_INVALID_SETTINGS,
+				 "%s: listen.clients: required for the role entry", file);
+	if (entry && !settings->readiness_address)
+		return error_set(err, STATUS_INVALID_SETTINGS,
+				 "%s: listen.readiness: required for the role entry", file);
+	if (!entry && !settings->control_address)
+		return error_set(err, STATUS_INVALID_SETTINGS,
+				 "%s: listen.control: required for the role agent", file);
+	if (!entry && !settings->server_address)
+		return error_set(err, STATUS_INVALID_SETTINGS,
+				 "%s: server.address: required for the role agent", file);
+	return STATUS_OK;
+}
+
+enum status node_settings_load(const char *file, struct node_settings *settings, struct error *err)
+{
+	enum status status;
+
+	memset(settings, 0, sizeof(*settings));
+	status = settings_load(file, fields, G_N_ELEMENTS(fields), settings, err);
+	if (status == STATUS_OK)
+		status = check_role(file, settings, err);
+	if (status != STATUS_OK)
+		node_settings_free(settings);
+	return status;
+}
+
+void node_settings_free(struct node_settings *settings)
+{
+	settings_free(fields, G_N_ELEMENTS(fields), settings);
+}
--- /dev/null
+++ b/packages/net/src/http_server.c
@@ -0,0 +1,414 @@
+#include "http_server.h"
+
+#include <http_parser.h>
+#include <string.h>
+
+enum {
+	US_PER_MS = 1000,
+	CHECK_PERIOD_US = 250000, /* how often the time limits of connections are looked at */
+	HTTP_OK = 200,
+	HTTP_BAD_REQUEST = 400,
+	HTTP_REQUEST_TIMEOUT = 408,
+	HTTP_BODY_TOO_LARGE = 413,
+	HTTP_HEADER_TOO_LARGE = 431
+};
+
+struct http_server {
+	struct net_loop *loop;
+	struct net_listener *listener;
+	struct http_server_options options;
+	const struct http_server_callbacks *callbacks;
+	void *context;
+	GHashTable *connections; /* struct http_request *, as a set */
+	bool ending;
+};
+
+/* A connection with its current request. */
+struct http_request {
+	struct http_server *server;
+	struct net_conn *conn;
+	http_parser parser;
+	GString *path;
+	GString *headers; /* name, zero, value, zero, and so on */
+	GString *body;
+	GByteArray *early; /* bytes of the next request */
+	void *context;
+	int64_t started_us; /* first byte of the request, or end of the last answer */
+	bool in_value;	    /* of a header */
+	bool started;
+	bool complete; /* handed to the callback and not answered yet */
+	bool keep;
+	int problem; /* HTTP code of a malformed request */
+};
+
+static void drop(struct http_request *request)
+{
+	g_hash_table_remove(request->server->connections, request);
+	g_string_free(request->path, TRUE);
+	g_string_free(request->headers, TRUE);
+	g_string_free(request->body, TRUE);
+	g_byte_array_free(request->early, TRUE);
+	g_free(request);
+}
+
+static void drop_reporting(struct http_request *request)
+{
+	if (request->complete)
+		request->server->callbacks->gone(request->server->context, request);
+	drop(request);
+}
+
+static int on_begin(http_parser *parser)
+{
+	struct http_request *request = parser->data;
+
+	request->started = true;
+	request->started_us = request->server->loop->now_us;
+	return 0;
+}
+
+static int refuse(struct http_request *request, int code)
+{
+	request->problem = code;
+	return 1;
+}
+
+static size_t header_bytes(const struct http_request *request)
+{
+	return request->path->len + request->headers->len;
+}
+
+static int on_url(http_parser *parser, const char *at, size_t length)
+{
+	struct http_request *request = parser->data;
+
+	g_string_append_len(request->path, at, (gssize)length);
+	if (header_bytes(request) > request->server->options.header_max_bytes)
+		return refuse(request, HTTP_HEADER_TOO_LARGE);
+	return 0;
+}
+
+static int append_header(struct http_request *request, const char *at, size_t length, bool value)
+{
+	if (request->in_value != value)
+		g_string_append_c(request->headers, '\0');
+	request->in_value = value;
+	if (memchr(at, '\0', length))
+		return refuse(request, HTTP_BAD_REQUEST);
+	g_string_append_len(request->headers, at, (gssize)length);
+	if (header_bytes(request) > request->server->options.header_max_bytes)
+		return refuse(request, HTTP_HEADER_TOO_LARGE);
+	return 0;
+}
+
+static int on_field(http_parser *parser, const char *at, size_t length)
+{
+	return append_header(parser->data, at, length, false);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t length)
+{
+	return append_header(parser->data, at, length, true);
+}
+
+static int on_headers(http_parser *parser)
+{
+	struct http_request *request = parser->data;
+
+	if (request->in_value)
+		g_string_append_c(request->headers, '\0');
+	if (parser->content_length != ULLONG_MAX &&
+	    parser->content_length > request->server->options.body_max_bytes)
+		return refuse(request, HTTP_BODY_TOO_LARGE);
+	return 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t length)
+{
+	struct http_request *request = parser->data;
+
+	g_string_append_len(request->body, at, (gssize)length);
+	if (request->body->len > request->server->options.body_max_bytes)
+		return refuse(request, HTTP_BODY_TOO_LARGE);
+	return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	struct http_request *request = parser->data;
+	char *query = strchr(request->path->str, '?');
+
+	if (query)
+		g_string_truncate(request->path, (gsize)(query - request->path->str));
+	request->keep = http_should_keep_alive(parser);
+	request->complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static void reset(struct http_request *request)
+{
+	http_parser_init(&request->parser, HTTP_REQUEST);
+	request->parser.data = request;
+	g_string_truncate(request->path, 0);
+	g_string_truncate(request->headers, 0);
+	g_string_truncate(request->body, 0);
+	request->context = NULL;
+	request->in_value = false;
+	request->started = false;
+	request->complete = false;
+	request->problem = 0;
+	request->started_us = request->server->loop->now_us;
+}
+
+static const char *reason_phrase(int code)
+{
+	switch (code) {
+#define REASON(number, name, text)                                                                 \
+	case number:                                                                               \
+		return #text;
+		HTTP_STATUS_MAP(REASON)
+#undef REASON
+	default:
+		return "Unknown";
+	}
+}
+
+static void send_answer(struct http_request *request, int code, const char *extra,
+			const char *body, bool keep)
+{
+	GString *text = g_string_sized_new(256);
+
+	g_string_printf(text,
+			"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+			"Content-Length: %zu\r\n%s%s\r\n%s",
+			code, reason_phrase(code), strlen(body), extra ? extra : "",
+			keep ? "" : "Connection: close\r\n", body);
+	net_conn_send(request->conn, text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+/* Answers a request that could not be read and ends its connection. */
+static void reject(struct http_request *request, int code)
+{
+	char body[64];
+
+	g_snprintf(body, sizeof(body), "{\"error\":\"%s\"}", reason_phrase(code));
+	send_answer(request, code, NULL, body, false);
+	net_conn_finish(request->conn);
+	drop(request);
+}
+
+static void parse(struct http_request *request, const char *bytes, size_t length)
+{
+	size_t used = http_parser_execute(&request->parser, &parser_settings, bytes, length);
+	enum http_errno problem = HTTP_PARSER_ERRNO(&request->parser);
+
+	if (request->complete) {
+		g_byte_array_append(request->early, (const guint8 *)bytes + used,
+				    (guint)(length - used));
+		request->server->callbacks->request(request->server->context, request);
+		return;
+	}
+	if (problem != HPE_OK || request->parser.upgrade)
+		reject(request, request->problem ? request->problem : HTTP_BAD_REQUEST);
+}
+
+static void on_data(void *context, const char *bytes, size_t length)
+{
+	struct http_request *request = context;
+
+	if (!request->complete) {
+		parse(request, bytes, length);
+		return;
+	}
+	/* A client that sends ahead of its answers may do so up to the limit of one request. */
+	g_byte_array_append(request->early, (const guint8 *)bytes, (guint)length);
+	if (request->early->len >
+	    request->server->options.body_max_bytes + request->server->options.header_max_bytes) {
+		net_conn_close(request->conn);
+		drop_reporting(request);
+	}
+}
+
+static void on_closed(void *context, const char *reason)
+{
+	drop_reporting(context);
+}
+
+static const struct net_conn_callbacks conn_callbacks = {
+	.data = on_data,
+	.closed = on_closed,
+};
+
+static void on_accept(void *context, struct net_conn *conn)
+{
+	struct http_server *server = context;
+	struct http_request *request = g_new0(struct http_request, 1);
+
+	request->server = server;
+	request->conn = conn;
+	request->path = g_string_new(NULL);
+	request->headers = g_string_new(NULL);
+	request->body = g_string_new(NULL);
+	request->early = g_byte_array_new();
+	reset(request);
+	net_conn_set(conn, &conn_callbacks, request);
+	g_hash_table_add(server->connections, request);
+}
+
+static void check_limits(void *context, int64_t now_us)
+{
+	struct http_server *server = context;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, server->connections);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct http_request *request = key;
+		int64_t limit_ms = request->started ? server->options.header_limit_ms
+						    : server->options.idle_limit_ms;
+
+		if (request->complete || now_us - request->started_us < limit_ms * US_PER_MS)
+			continue;
+		g_hash_table_iter_steal(&iter);
+		if (request->started) {
+			reject(request, HTTP_REQUEST_TIMEOUT);
+		} else {
+			net_conn_close(request->conn);
+			drop(request);
+		}
+	}
+}
+
+enum status http_server_listen(struct net_loop *loop, const char *address,
+			       const struct http_server_options *options,
+			       const struct http_server_callbacks *callbacks, void *context,
+			       struct http_server **server, struct error *err)
+{
+	struct http_server *made = g_new0(struct http_server, 1);
+	enum status status;
+
+	made->loop = loop;
+	made->options = *options;
+	made->callbacks = callbacks;
+	made->context = context;
+	made->connections = g_hash_table_new(NULL, NULL);
+	status = net_listen(loop, address, on_accept, made, &made->listener, err);
+	if (status != STATUS_OK) {
+		g_hash_table_destroy(made->connections);
+		g_free(made);
+		return status;
+	}
+	timer_subscribe(&loop->timers, loop->now_us + CHECK_PERIOD_US, CHECK_PERIOD_US,
+			check_limits, made);
+	*server = made;
+	return STATUS_OK;
+}
+
+void http_server_set_options(struct http_server *server, const struct http_server_options *options)
+{
+	server->options = *options;
+}
+
+void http_server_end_connections(struct http_server *server)
+{
+	server->ending = true;
+}
+
+void http_server_reset(struct http_server *server)
+{
+	GList *requests = g_hash_table_get_keys(server->connections);
+
+	for (GList *item = requests; item; item = item->next) {
+		struct http_request *request = item->data;
+
+		net_conn_close(request->conn);
+		drop_reporting(request);
+	}
+	g_list_free(requests);
+}
+
+size_t http_server_connections(const struct http_server *server)
+{
+	return g_hash_table_size(server->connections);
+}
+
+enum http_verb http_request_method(const struct http_request *request)
+{
+	switch (request->parser.method) {
+	case HTTP_GET:
+		return HTTP_METHOD_GET;
+	case HTTP_POST:
+		return HTTP_METHOD_POST;
+	case HTTP_DELETE:
+		return HTTP_METHOD_DELETE;
+	default:
+		return HTTP_METHOD_OTHER;
+	}
+}
+
+const char *http_request_path(const struct http_request *request)
+{
+	return request->path->str;
+}
+
+const char *http_request_header(const struct http_request *request, const char *name)
+{
+	const char *at = request->headers->str;
+	const char *end = at + request->headers->len;
+
+	while (at < end) {
+		const char *value = at + strlen(at) + 1;
+
+		if (g_ascii_strcasecmp(at, name) == 0)
+			return value < end ? value : NULL;
+		at = value + strlen(value) + 1;
+	}
+	return NULL;
+}
+
+const char *http_request_body(const struct http_request *request, size_t *length)
+{
+	*length = request->body->len;
+	return request->body->str;
+}
+
+void http_request_set_context(struct http_request *request, void *context)
+{
+	request->context = context;
+}
+
+void *http_request_context(const struct http_request *request)
+{
+	return request->context;
+}
+
+void http_answer(struct http_request *request, int code, const char *extra, const char *body)
+{
+	bool keep = request->keep && !request->server->ending;
+	GByteArray *early;
+
+	send_answer(request, code, extra, body, keep);
+	if (!keep) {
+		net_conn_finish(request->conn);
+		drop(request);
+		return;
+	}
+	early = request->early;
+	request->early = g_byte_array_new();
+	reset(request);
+	if (early->len > 0)
+		parse(request, (const char *)early->data, early->len);
+	g_byte_array_free(early, TRUE);
+}
--- /dev/null
+++ b/packages/net/src/net.c
@@ -0,0 +1,415 @@
+#include "net.h"
+
+#include <string.h>
+#include <time.h>
+
+enum {
+	LISTEN_BACKLOG = 511,
+	READ_BYTES = 65536,
+	US_PER_S = 1000000,
+	NS_PER_US = 1000,
+	US_PER_MS = 1000,
+	LONGEST_POLL_MS = 1000 /* an idle loop looks at the clocks this often */
+};
+
+struct net_listener {
+	uv_tcp_t tcp;
+	struct net_loop *loop;
+	net_accept_callback accept;
+	void *context;
+};
+
+struct net_conn {
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_write_t write;
+	struct net_loop *loop;
+	const struct net_conn_callbacks *callbacks;
+	void *context;
+	GByteArray *out;     /* not yet handed to the kernel */
+	GByteArray *writing; /* in the hands of uv_write */
+	bool open;
+	bool listed; /* in loop->unsent */
+	bool finishing;
+	bool closing;
+};
+
+/* One buffer serves all reads, as a read is handled before the next one starts. */
+static char read_buffer[READ_BYTES];
+
+static int64_t suspended_us(int64_t now_us)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (int64_t)ts.tv_sec * US_PER_S + ts.tv_nsec / NS_PER_US - now_us;
+}
+
+static void note_time(struct net_loop *loop);
+
+static void on_timer(uv_timer_t *timer)
+{
+	note_time(timer->data);
+}
+
+static void send_now(struct net_conn *conn);
+
+static void before_poll(uv_prepare_t *prepare)
+{
+	struct net_loop *loop = prepare->data;
+	int64_t next_us, wait_ms;
+
+	if (loop->turn)
+		loop->turn(loop->turn_context, loop->now_us);
+	for (guint i = 0; i < loop->unsent->len; i++) {
+		struct net_conn *conn = loop->unsent->pdata[i];
+
+		if (!conn)
+			continue; /* closed meanwhile */
+		conn->listed = false;
+		send_now(conn);
+	}
+	g_ptr_array_set_size(loop->unsent, 0);
+
+	next_us = timer_next_us(&loop->timers);
+	wait_ms = LONGEST_POLL_MS;
+	if (next_us != INT64_MAX)
+		wait_ms = CLAMP((next_us - timer_clock_us() + US_PER_MS - 1) / US_PER_MS, 0,
+				LONGEST_POLL_MS);
+	loop->expected_us = timer_clock_us() + wait_ms * US_PER_MS;
+	loop->turn_noted = false;
+	uv_update_time(&loop->uv);
+	uv_timer_start(&loop->timer, on_timer, (uint64_t)wait_ms, 0);
+}
+
+/* Looks at the clocks before the first input of a turn is handled. A suspended host shows as boot time that the monotonic clock
+ * has not counted, a stopped process as a poll that returns long after its time-out. */
+static void note_time(struct net_loop *loop)
+{
+	int64_t gap_us, asleep_us;
+
+	if (loop->turn_noted)
+		return;
+	loop->turn_noted = true;
+	loop->now_us = timer_clock_us();
+	asleep_us = suspended_us(loop->now_us);
+	gap_us = MAX(asleep_us - loop->suspended_us, loop->now_us - loop->expected_us);
+	loop->suspended_us = asleep_us;
+	if (gap_us > NET_CLOCK_GAP_US && loop->freeze)
+		loop->freeze(loop->freeze_context, gap_us);
+}
+
+static void after_poll(uv_check_t *check)
+{
+	struct net_loop *loop = check->data;
+
+	note_time(loop);
+	timer_run(&loop->timers, loop->now_us);
+}
+
+void net_loop_init(struct net_loop *loop)
+{
+	*loop = (struct net_loop){.unsent = g_ptr_array_new()};
+	uv_loop_init(&loop->uv);
+	timer_init(&loop->timers);
+	uv_timer_init(&loop->uv, &loop->timer);
+	uv_prepare_init(&loop->uv, &loop->prepare);
+	uv_check_init(&loop->uv, &loop->check);
+	loop->timer.data = loop;
+	loop->prepare.data = loop;
+	loop->check.data = loop;
+	uv_prepare_start(&loop->prepare, before_poll);
+	uv_check_start(&loop->check, after_poll);
+	loop->now_us = timer_clock_us();
+	loop->expected_us = loop->now_us + US_PER_S;
+	loop->suspended_us = suspended_us(loop->now_us);
+}
+
+void net_loop_run(struct net_loop *loop)
+{
+	uv_run(&loop->uv, UV_RUN_DEFAULT);
+}
+
+void net_loop_stop(struct net_loop *loop)
+{
+	uv_stop(&loop->uv);
+}
+
+void net_loop_free(struct net_loop *loop)
+{
+	timer_free(&loop->timers);
+	g_ptr_array_free(loop->unsent, TRUE);
+}
+
+static bool parse_address(const char *address, struct sockaddr_in *parsed)
+{
+	const char *colon = strrchr(address, ':');
+	char host[NET_ADDRESS_BYTES];
+	gint64 port;
+
+	if (!colon || (size_t)(colon - address) >= sizeof(host))
+		return false;
+	memcpy(host, address, (size_t)(colon - address));
+	host[colon - address] = '\0';
+	if (!g_ascii_string_to_signed(colon + 1, 10, 0, UINT16_MAX, &port, NULL))
+		return false;
+	return uv_ip4_addr(host, (int)port, parsed) == 0;
+}
+
+static void free_conn(uv_handle_t *handle)
+{
+	struct net_conn *conn = handle->data;
+
+	g_byte_array_free(conn->out, TRUE);
+	g_byte_array_free(conn->writing, TRUE);
+	g_free(conn);
+}
+
+void net_conn_close(struct net_conn *conn)
+{
+	if (conn->closing)
+		return;
+	conn->closing = true;
+	for (guint i = 0; conn->listed && i < conn->loop->unsent->len; i++) {
+		if (conn->loop->unsent->pdata[i] != conn)
+			continue;
+		conn->loop->unsent->pdata[i] = NULL;
+		conn->listed = false;
+	}
+	uv_close((uv_handle_t *)&conn->tcp, free_conn);
+}
+
+static void fail(struct net_conn *conn, const char *reason)
+{
+	const struct net_conn_callbacks *callbacks = conn->callbacks;
+	void *context = conn->context;
+
+	if (conn->closing)
+		return;
+	net_conn_close(conn);
+	if (callbacks && !conn->finishing)
+		callbacks->closed(context, reason);
+}
+
+static struct net_conn *new_conn(struct net_loop *loop)
+{
+	struct net_conn *conn = g_new0(struct net_conn, 1);
+
+	conn->loop = loop;
+	conn->out = g_byte_array_new();
+	conn->writing = g_byte_array_new();
+	uv_tcp_init(&loop->uv, &conn->tcp);
+	conn->tcp.data = conn;
+	conn->connect.data = conn;
+	conn->write.data = conn;
+	return conn;
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+	*buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+	struct net_conn *conn = stream->data;
+
+	note_time(conn->loop);
+	if (conn->closing)
+		return;
+	if (length < 0)
+		fail(conn, length == UV_EOF ? "closed by the peer" : uv_strerror((int)length));
+	else if (length > 0 && conn->callbacks && !conn->finishing)
+		conn->callbacks->data(conn->context, buffer->base, (size_t)length);
+}
+
+static void start(struct net_conn *conn)
+{
+	conn->open = true;
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+static void on_accept(uv_stream_t *stream, int problem)
+{
+	struct net_listener *listener = stream->data;
+	struct net_conn *conn;
+
+	if (problem < 0)
+		return;
+	note_time(listener->loop);
+	conn = new_conn(listener->loop);
+	if (uv_accept(stream, (uv_stream_t *)&conn->tcp) != 0) {
+		net_conn_close(conn);
+		return;
+	}
+	listener->accept(listener->context, conn);
+	if (!conn->callbacks)
+		net_conn_close(conn);
+	else
+		start(conn);
+}
+
+enum status net_listen(struct net_loop *loop, const char *address, net_accept_callback accept,
+		       void *context, struct net_listener **listener, struct error *err)
+{
+	struct sockaddr_in parsed;
+	struct net_listener *made;
+	int problem;
+
+	if (!parse_address(address, &parsed))
+		return error_set(err, STATUS_INVALID_REQUEST, "%s is no IPv4 address with a port",
+				 address);
+	made = g_new0(struct net_listener, 1);
+	made->loop = loop;
+	made->accept = accept;
+	made->context = context;
+	uv_tcp_init(&loop->uv, &made->tcp);
+	made->tcp.data = made;
+	problem = uv_tcp_bind(&made->tcp, (const struct sockaddr *)&parsed, 0);
+	if (problem == 0)
+		problem = uv_listen((uv_stream_t *)&made->tcp, LISTEN_BACKLOG, on_accept);
+	if (problem != 0) {
+		net_listener_close(made);
+		return error_set(err, STATUS_NETWORK, "cannot listen at %s: %s", address,
+				 uv_strerror(problem));
+	}
+	*listener = made;
+	return STATUS_OK;
+}
+
+static void free_listener(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+void net_listener_close(struct net_listener *listener)
+{
+	uv_close((uv_handle_t *)&listener->tcp, free_listener);
+}
+
+static void on_connect(uv_connect_t *request, int problem)
+{
+	struct net_conn *conn = request->data;
+
+	note_time(conn->loop);
+	if (conn->closing)
+		return;
+	if (problem < 0) {
+		fail(conn, uv_strerror(problem));
+		return;
+	}
+	start(conn);
+	if (conn->callbacks->opened)
+		conn->callbacks->opened(conn->context);
+	if (!conn->closing)
+		send_now(conn);
+}
+
+struct net_conn *net_connect(struct net_loop *loop, const char *address,
+			     const struct net_conn_callbacks *callbacks, void *context,
+			     struct error *err)
+{
+	struct sockaddr_in parsed;
+	struct net_conn *conn;
+	int problem;
+
+	if (!parse_address(address, &parsed)) {
+		error_set(err, STATUS_INVALID_REQUEST, "%s is no IPv4 address with a port",
+			  address);
+		return NULL;
+	}
+	conn = new_conn(loop);
+	net_conn_set(conn, callbacks, context);
+	problem = uv_tcp_connect(&conn->connect, &conn->tcp, (const struct sockaddr *)&parsed,
+				 on_connect);
+	if (problem < 0) {
+		net_conn_close(conn);
+		error_set(err, STATUS_NETWORK, "cannot connect to %s: %s", address,
+			  uv_strerror(problem));
+		return NULL;
+	}
+	return conn;
+}
+
+void net_conn_set(struct net_conn *conn, const struct net_conn_callbacks *callbacks, void *context)
+{
+	conn->callbacks = callbacks;
+	conn->context = context;
+}
+
+static void on_written(uv_write_t *request, int problem)
+{
+	struct net_conn *conn = request->data;
+
+	g_byte_array_set_size(conn->writing, 0);
+	if (conn->closing)
+		return;
+	if (problem < 0)
+		fail(conn, uv_strerror(problem));
+	else
+		send_now(conn);
+}
+
+/* Hands the queued bytes to the kernel; what it does not take at once goes to uv_write. */
+static void send_now(struct net_conn *conn)
+{
+	uv_stream_t *stream = (uv_stream_t *)&conn->tcp;
+	uv_buf_t buffer;
+	GByteArray *swapped;
+	int sent;
+
+	if (conn->closing || !conn->open || conn->writing->len > 0)
+		return;
+	if (conn->out->len > 0) {
+		buffer = uv_buf_init((char *)conn->out->data, conn->out->len);
+		sent = uv_try_write(stream, &buffer, 1);
+		if (sent < 0 && sent != UV_EAGAIN) {
+			fail(conn, uv_strerror(sent));
+			return;
+		}
+		if (sent > 0)
+			g_byte_array_remove_range(conn->out, 0, (guint)sent);
+	}
+	if (conn->out->len > 0) {
+		swapped = conn->out;
+		conn->out = conn->writing;
+		conn->writing = swapped;
+		buffer = uv_buf_init((char *)conn->writing->data, conn->writing->len);
+		uv_write(&conn->write, stream, &buffer, 1, on_written);
+	} else if (conn->finishing) {
+		net_conn_close(conn);
+	}
+}
+
+void net_conn_send(struct net_conn *conn, const void *bytes, size_t length)
+{
+	if (conn->closing)
+		return;
+	g_byte_array_append(conn->out, bytes, (guint)length);
+	if (!conn->listed) {
+		conn->listed = true;
+		g_ptr_array_add(conn->loop->unsent, conn);
+	}
+}
+
+size_t net_conn_unsent(const struct net_conn *conn)
+{
+	return conn->out->len + conn->writing->len;
+}
+
+void net_conn_finish(struct net_conn *conn)
+{
+	conn->finishing = true;
+	net_conn_send(conn, "", 0);
+}
+
+void net_conn_peer_ip(const struct net_conn *conn, char text[NET_ADDRESS_BYTES])
+{
+	struct sockaddr_in peer;
+	int length = sizeof(peer);
+
+	text[0] = '\0';
+	if (uv_tcp_getpeername(&conn->tcp, (struct sockaddr *)&peer, &length) == 0)
+		uv_ip4_name(&peer, text, NET_ADDRESS_BYTES);
+}
