Send what is queued before an event loop stops

Ruled out: the grace period (3.8 s of 6 had passed) and an agent's late end. The loop now stops after the flush, or after 0.2 s.

--- a/packages/net/include/net.h
+++ b/packages/net/include/net.h
@@ -40,6 +40,9 @@
 	net_freeze_callback freeze;
 	void *freeze_context;
 	GPtrArray *unsent; /* connections with bytes to send at the end of the turn */
+	uint32_t in_flight; /* connections whose bytes the kernel has not taken yet */
+	bool stopping;
+	int64_t stopping_us;
 };
 
 void net_loop_init(struct net_loop *loop);
@@ -47,6 +50,7 @@
 /* Runs until net_loop_stop. */
 void net_loop_run(struct net_loop *loop);
 
+/* Ends net_loop_run once the bytes queued so far have been handed to the kernel, or after 0.2 s. */
 void net_loop_stop(struct net_loop *loop);
 
 /* Closes what is left and frees the loop's memory. */
--- a/packages/net/src/net.c
+++ b/packages/net/src/net.c
@@ -9,6 +9,7 @@
 	US_PER_S = 1000000,
 	NS_PER_US = 1000,
 	US_PER_MS = 1000,
+	FLUSH_LIMIT_US = 200000, /* at a stop, for bytes that the kernel has not taken */
 	LONGEST_POLL_MS = 1000 /* an idle loop looks at the clocks this often */
 };
 
@@ -70,6 +71,11 @@
 		send_now(conn);
 	}
 	g_ptr_array_set_size(loop->unsent, 0);
+	if (loop->stopping &&
+	    (loop->in_flight == 0 || timer_clock_us() - loop->stopping_us > FLUSH_LIMIT_US)) {
+		uv_stop(&loop->uv);
+		return;
+	}
 
 	next_us = timer_next_us(&loop->timers);
 	wait_ms = LONGEST_POLL_MS;
@@ -132,7 +138,10 @@
 
 void net_loop_stop(struct net_loop *loop)
 {
-	uv_stop(&loop->uv);
+	if (loop->stopping)
+		return;
+	loop->stopping = true;
+	loop->stopping_us = timer_clock_us();
 }
 
 void net_loop_free(struct net_loop *loop)
@@ -342,6 +351,7 @@
 {
 	struct net_conn *conn = request->data;
 
+	conn->loop->in_flight--;
 	g_byte_array_set_size(conn->writing, 0);
 	if (conn->closing)
 		return;
@@ -376,6 +386,7 @@
 		conn->out = conn->writing;
 		conn->writing = swapped;
 		buffer = uv_buf_init((char *)conn->writing->data, conn->writing->len);
+		conn->loop->in_flight++;
 		uv_write(&conn->write, stream, &buffer, 1, on_written);
 	} else if (conn->finishing) {
 		net_conn_close(conn);
