--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -7,14 +7,21 @@
 enum {
 	TICK_MS = 50,
 	ORDER_CONNECTIONS = 4,
-	LIST_CONNECTIONS = 2,
+	LIST_CONNECTIONS = 4,
 	IDLE_LIMIT_MS = 10000,
 	ANSWER_MAX_BYTES = 4 << 20,
-	ORDER_TIMEOUT_MS = 120, /* an answer usually takes 1 to 5 ms */
-	LIST_MARGIN_MS = 150,	/* beyond the time for which a list waits */
-	BUSY_WAIT_MS = 250,	/* for an end, while something runs */
+	ANSWER_FACTOR = 8, /* an order unanswered for this many usual times is taken as lost */
+	ORDER_TIMEOUT_MIN_MS = 30,
+	ORDER_TIMEOUT_MAX_MS = 150,
+	LIST_MARGIN_MS = 60, /* beyond the time for which a list waits */
+	BUSY_WAIT_MS = 150,  /* for an end, while something runs */
 	IDLE_WAIT_MS = 1000,
+	UNREACHABLE_MS = 400, /* without any answer, while something is asked */
+	/* While something runs, two calls wait for an end, as an answer that is lost would else hide the
+	 * ends of all runs until the time-out. */
+	BUSY_HOLDS = 2,
 	RENEW_MS = 350, /* the lease is renewed at least this often while something runs */
+	ANSWER_WEIGHT = 16, /* of one answer in the usual time: 1 in 16 */
 	RETRY_MS = 100,
 	EPOCH_STEP = 60000, /* by which a refused epoch is raised, at first */
 	CLOCK_DRIFT_PERMILLE = 20, /* a server's steady clock may be 2 % slow */
@@ -69,6 +76,19 @@
 	return true;
 }
 
+/* The time after which an order counts as unanswered. */
+static int64_t order_timeout_ms(const struct backend *backend)
+{
+	return CLAMP(ANSWER_FACTOR * backend->answer_us / US_PER_MS, ORDER_TIMEOUT_MIN_MS,
+		     ORDER_TIMEOUT_MAX_MS);
+}
+
+static void note_answer_time(struct backend *backend, const struct http_reply *reply)
+{
+	if (reply->status == STATUS_OK)
+		backend->answer_us += (reply->elapsed_us - backend->answer_us) / ANSWER_WEIGHT;
+}
+
 static void note_reachable(struct backend *backend, bool reachable, const char *reason)
 {
 	if (backend->reachable == reachable)
@@ -144,6 +164,7 @@
 	struct backend *backend = order->backend;
 	struct server_reply read;
 
+	note_answer_time(backend, reply);
 	server_reply_read(reply, &read);
 	if (!read.answered && reply->refused)
 		read.start = START_NOT_SENT;
@@ -175,7 +196,7 @@
 	start.spec = g_bytes_get_data(run->spec, &start.spec_length);
 	body = server_start_body(&start);
 	runs_lease_sent(&backend->runs, backend->loop->now_us);
-	call(backend->orders, SERVER_START_PATH, body, ORDER_TIMEOUT_MS, on_started,
+	call(backend->orders, SERVER_START_PATH, body, order_timeout_ms(backend), on_started,
 	     new_order(backend, handle), instance_header(backend));
 	g_free(body);
 }
@@ -199,7 +220,7 @@
 	struct backend *backend = context;
 	char *body = server_stop_body(task, attempt, backend->epoch);
 
-	call(backend->orders, SERVER_STOP_PATH, body, ORDER_TIMEOUT_MS, on_stopped,
+	call(backend->orders, SERVER_STOP_PATH, body, order_timeout_ms(backend), on_stopped,
 	     new_order(backend, run), instance_header(backend));
 	g_free(body);
 }
@@ -214,14 +235,20 @@
 
 static void hold(struct backend *backend, bool waits);
 
-static void hold_again(void *context, int64_t now_us)
+/* Keeps as many calls waiting for an end as the server's state asks for. */
+static void hold_enough(struct backend *backend)
 {
-	struct backend *backend = context;
+	uint32_t wanted = table_count(&backend->runs.table) > 0 ? BUSY_HOLDS : 1;
 
-	if (!backend->holding)
+	while (backend->holding < wanted)
 		hold(backend, true);
 }
 
+static void hold_again(void *context, int64_t now_us)
+{
+	hold_enough(context);
+}
+
 static void list_failed(struct backend *backend, const struct http_reply *reply,
 			const struct error *err)
 {
@@ -229,7 +256,9 @@
 	 * have expired. */
 	if (reply->refused)
 		runs_server_lost(&backend->runs, backend->loop->now_us);
-	note_reachable(backend, false, err->message);
+	if (reply->refused ||
+	    backend->loop->now_us - backend->answered_us > UNREACHABLE_MS * US_PER_MS)
+		note_reachable(backend, false, err->message);
 }
 
 static void on_lists(void *context, const struct http_reply *reply)
@@ -242,13 +271,14 @@
 	bool good;
 
 	if (listing->waits)
-		backend->holding = false;
+		backend->holding--;
 	else
 		backend->looking = false;
 	good = server_lists_read(reply, &read, &lists, &err) == STATUS_OK;
 	if (read.answered && !note_reply(backend, &read, listing->epoch))
 		good = false;
 	if (good) {
+		backend->answered_us = backend->loop->now_us;
 		note_reachable(backend, true, NULL);
 		runs_listed(&backend->runs, &lists.list, listing->asked_us, backend->loop->now_us);
 		backend->listed = true;
@@ -257,20 +287,22 @@
 		list_failed(backend, reply, &err);
 	}
 	server_lists_clear(&lists);
-	if (good && listing->waits)
-		hold(backend, true);
+	/* A time-out has waited long enough; a refusal comes at once. */
+	if (good || read.refused_epoch || reply->status == STATUS_TIMEOUT)
+		hold_enough(backend);
 	else if (listing->waits)
 		timer_subscribe(&backend->loop->timers,
-				backend->loop->now_us +
-					(read.refused_epoch ? 0 : RETRY_MS * US_PER_MS),
-				0, hold_again, backend);
+				backend->loop->now_us + RETRY_MS * US_PER_MS, 0, hold_again,
+				backend);
 	g_free(listing);
 }
 
 static void hold(struct backend *backend, bool waits)
 {
 	struct listing *listing = g_new(struct listing, 1);
-	int64_t wait_ms = !waits ? 0
+	/* The first call of a life learns the server's clock and what runs there, and does not wait. */
+	bool known = backend->listed && backend->reachable && backend->clock_ms > 0;
+	int64_t wait_ms = !waits || !known ? 0
 			  : table_count(&backend->runs.table) > 0 ? BUSY_WAIT_MS
 								   : IDLE_WAIT_MS;
 	int64_t expires_ms = 0;
@@ -288,7 +320,7 @@
 		backend->lease_sent_us = backend->loop->now_us;
 	}
 	if (waits)
-		backend->holding = true;
+		backend->holding++;
 	else
 		backend->looking = true;
 	body = server_hold_body(expires_ms, backend->epoch, backend->runs.seen_end, wait_ms);
@@ -310,6 +342,8 @@
 	bool busy = table_count(&backend->runs.table) > 0;
 
 	runs_tick(&backend->runs, now_us);
+	if (busy && backend->holding < BUSY_HOLDS && backend->reachable)
+		hold_enough(backend);
 	if (busy && now_us - backend->lease_sent_us > RENEW_MS * US_PER_MS)
 		backend->look_wanted = true;
 	if (backend->look_wanted && !backend->looking) {
@@ -416,7 +450,7 @@
 static void init_runs(struct backend *backend)
 {
 	const struct runs_limits limits = {
-		.stop_retry_us = ORDER_TIMEOUT_MS * US_PER_MS,
+		.stop_retry_us = ORDER_TIMEOUT_MIN_MS * US_PER_MS,
 		.lease_us = (int64_t)(backend->settings->lease_ms * US_PER_MS),
 		.clock_drift_permille = CLOCK_DRIFT_PERMILLE,
 		.health = {.fail_streak = FAIL_STREAK,
@@ -463,6 +497,7 @@
 				    &control_callbacks, backend, &backend->control, err);
 	if (status != STATUS_OK)
 		return status;
+	backend->answer_us = ORDER_TIMEOUT_MIN_MS * US_PER_MS / ANSWER_FACTOR;
 	timer_subscribe(&backend->loop->timers, backend->loop->now_us, TICK_MS * US_PER_MS, tick,
 			backend);
 	hold(backend, true);
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -41,7 +41,9 @@
 	int64_t clock_ms; /* its steady clock, when it was last told */
 	int64_t clock_us; /* when that was */
 	int64_t lease_sent_us;
-	bool holding; /* a call that waits for an end is in progress */
+	int64_t answered_us; /* last list */
+	int64_t answer_us;   /* usual time of an answer to an order, EWMA */
+	uint32_t holding;    /* calls in progress that wait for an end */
 	bool looking; /* a call that does not wait is in progress */
 	bool look_wanted;
 	bool leaving; /* this process shuts down and takes no starts */
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -6,6 +6,7 @@
 enum {
 	US_PER_MS = 1000,
 	CHECK_MS = 50,
+	GREETING_MS = 350, /* a peer that has not greeted by then is dialled again */
 	UNSENT_MAX_BYTES = 4 << 20 /* a peer that takes in no more is out of reach */
 };
 
@@ -126,8 +127,9 @@
 
 	for (guint i = links->links->len; i-- > 0;) {
 		struct node_link *link = links->links->pdata[i];
+		int64_t limit_ms = link->up ? NODE_SILENCE_MS : GREETING_MS;
 
-		if (!link->gone && (now_us - link->heard_us > NODE_SILENCE_MS * US_PER_MS))
+		if (!link->gone && now_us - link->heard_us > limit_ms * US_PER_MS)
 			drop(link, "silent");
 		else if (!link->gone && net_conn_unsent(link->conn) > UNSENT_MAX_BYTES)
 			drop(link, "the peer does not read");
