--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -44,6 +44,9 @@
 	const char *reason;
 	int64_t expected_wait_us; /* of refusals */
 	int64_t elapsed_us;
+	int64_t objective_us;
+	int64_t first_order_us; /* from arrival to the first and the last order; 0 without orders */
+	int64_t last_order_us;
 	uint32_t tasks;
 	uint32_t runs; /* ordered in all */
 };
@@ -88,7 +91,7 @@
 	struct table runs;
 	GHashTable *by_id; /* char * -> handle in a pointer */
 	GPtrArray *queue;  /* handles of jobs with tasks to start, packed */
-	GHashTable *queues; /* name -> struct queue_learning */
+	GHashTable *queues; /* name -> struct runtime */
 	double peers_core_us; /* queued work at the other entries */
 	uint64_t seed;
 	bool dirty; /* something changed that may let a queued task start */
--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -19,7 +19,8 @@
 	struct room total;
 	struct room reported; /* free room in the last report */
 	struct room free;     /* the same less what was ordered since */
-	double speed;	      /* estimated work done a second */
+	double reported_speed; /* expected work done a second, on the agent's scale */
+	double speed;	      /* the same against the typical server, which has 1 */
 	bool speed_known;
 	uint32_t runs; /* of this entry */
 	int64_t reported_us;
@@ -28,6 +29,7 @@
 
 struct fleet {
 	struct table servers;
+	GArray *speeds; /* scratch for the median */
 };
 
 /* What an agent reports of its backend server. */
@@ -35,7 +37,7 @@
 	bool ready;
 	bool on_trial;
 	struct room free;
-	double speed;
+	double speed; /* expected work done a second; only ratios between servers count */
 	bool speed_known;
 	uint64_t orders_counted; /* highest number of an order that `free` includes */
 };
@@ -50,8 +52,8 @@
 
 struct fleet_server *fleet_get(const struct fleet *fleet, struct handle server);
 
-void fleet_apply_report(struct fleet_server *server, const struct fleet_report *report,
-			int64_t now_us);
+void fleet_apply_report(struct fleet *fleet, struct fleet_server *server,
+			const struct fleet_report *report, int64_t now_us);
 
 /* Notes that order NUMBER starts a run that takes NEED. */
 void fleet_note_order(struct fleet_server *server, const struct room *need, uint64_t number);
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -7,24 +7,21 @@
 enum {
 	LATE_FACTOR = 3, /* an answer after this many times the objective is worthless */
 	RESTART_US = 60 * US_PER_MS, /* to stop a run and start it elsewhere */
-	MAX_MOVES = 2,
-	LEARNED_SAMPLES = 20 /* afterwards a sample weighs 1/20 */
+	MAX_MOVES = 2
 };
 
-static const double RATIO_MIN = 0.1;
-static const double RATIO_MAX = 10.0;
 static const double MOVE_GAIN = 1.3; /* a move must be expected to save this factor */
 
-struct queue_learning *dispatch_learning(struct dispatch *dispatch, const char *queue)
+struct runtime *dispatch_runtime(struct dispatch *dispatch, const char *queue)
 {
-	struct queue_learning *learning = g_hash_table_lookup(dispatch->queues, queue);
+	struct runtime *runtime = g_hash_table_lookup(dispatch->queues, queue);
 
-	if (!learning) {
-		learning = g_new0(struct queue_learning, 1);
-		learning->ratio = 1.0;
-		g_hash_table_insert(dispatch->queues, g_strdup(queue), learning);
+	if (!runtime) {
+		runtime = g_new(struct runtime, 1);
+		runtime_init(runtime);
+		g_hash_table_insert(dispatch->queues, g_strdup(queue), runtime);
 	}
-	return learning;
+	return runtime;
 }
 
 void dispatch_init(struct dispatch *dispatch, const struct dispatch_limits *limits,
@@ -147,6 +144,11 @@
 	dispatch_dequeue(dispatch, job);
 	stop_runs(dispatch, job);
 	end->elapsed_us = now_us - job->arrived_us;
+	end->objective_us = job->target_us - job->arrived_us;
+	if (job->orders > 0) {
+		end->first_order_us = job->first_order_us - job->arrived_us;
+		end->last_order_us = job->last_order_us - job->arrived_us;
+	}
 	end->tasks = job->task_count;
 	end->runs = job->orders;
 	/* A run that is not settled may have started. */
@@ -168,11 +170,12 @@
 {
 	struct job *job =
 		g_malloc0(sizeof(*job) + (size_t)request->tasks * sizeof(struct job_task));
-	struct queue_learning *learning = dispatch_learning(dispatch, request->queue);
 	int64_t objective_us;
 	struct job **row;
 
-	job->work_us = (int64_t)((double)request->estimate_us * learning->ratio);
+	job->task_us = runtime_predict(dispatch_runtime(dispatch, request->queue),
+				       request->estimate_us);
+	job->work_us = runtime_longest(job->task_us, request->tasks);
 	objective_us = (int64_t)(request->stretch * (double)job->work_us) + request->slack_us;
 	job->id = g_strdup(request->id);
 	job->queue = g_strdup(request->queue);
@@ -239,7 +242,7 @@
 
 	if (!server)
 		return;
-	fleet_apply_report(server, report, now_us);
+	fleet_apply_report(&dispatch->fleet, server, report, now_us);
 	dispatch->dirty = true;
 }
 
@@ -313,15 +316,9 @@
 static void learn(struct dispatch *dispatch, const struct job *job,
 		  const struct fleet_server *server, int64_t elapsed_us)
 {
-	struct queue_learning *learning = dispatch_learning(dispatch, job->queue);
-	double sample;
-
-	if (!server || !server->speed_known || elapsed_us <= 0 || job->estimate_us <= 0)
-		return;
-	sample = (double)elapsed_us * server->speed / (double)job->estimate_us;
-	sample = CLAMP(sample, RATIO_MIN, RATIO_MAX);
-	learning->samples = MIN(learning->samples + 1, LEARNED_SAMPLES);
-	learning->ratio += (sample - learning->ratio) / learning->samples;
+	if (server && server->speed_known && elapsed_us > 0)
+		runtime_learn(dispatch_runtime(dispatch, job->queue), job->estimate_us,
+			      (int64_t)((double)elapsed_us * server->speed));
 }
 
 static void requeue(struct dispatch *dispatch, struct job *job, struct job_task *task)
@@ -407,7 +404,7 @@
 	if (sum.fastest <= 0 || sum.free_cpu < job->need.cpu)
 		return;
 	here_us = percent > 0 ? elapsed_us * (100 - percent) / percent : INT64_MAX / 4;
-	elsewhere_us = RESTART_US + (int64_t)((double)job->work_us / sum.fastest);
+	elsewhere_us = RESTART_US + (int64_t)((double)job->task_us / sum.fastest);
 	if (now_us + elsewhere_us > job->late_us ||
 	    (double)elsewhere_us * MOVE_GAIN > (double)here_us)
 		return;
@@ -491,7 +488,7 @@
 		const struct job *job =
 			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
 
-		core_us += (double)job->queued * job->need.cpu / 1000 * (double)job->work_us;
+		core_us += (double)job->queued * job->need.cpu / 1000 * (double)job->task_us;
 	}
 	return core_us;
 }
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -32,7 +32,7 @@
 }
 
 static void order(struct dispatch *dispatch, struct job *job, uint32_t index,
-		  struct handle server_handle)
+		  struct handle server_handle, int64_t now_us)
 {
 	struct fleet_server *server = fleet_get(&dispatch->fleet, server_handle);
 	struct job_task *task = &job->tasks[index];
@@ -45,7 +45,9 @@
 	task->attempt++;
 	job->queued--;
 	job->outstanding++;
-	job->orders++;
+	if (job->orders++ == 0)
+		job->first_order_us = now_us;
+	job->last_order_us = now_us;
 	server->runs++;
 	sent = (struct run_order){
 		.job = job->id,
@@ -55,7 +57,7 @@
 		.attempt = task->attempt,
 		.run = dispatch_run_number(task->run),
 		.need = job->need,
-		.estimate_us = job->work_us,
+		.estimate_us = job->task_us,
 	};
 	number = dispatch->callbacks.start(dispatch->callbacks.context, server->link, &sent);
 	fleet_note_order(server, &job->need, number);
@@ -83,7 +85,7 @@
 			continue;
 		oldest_us = MIN(oldest_us,
 				fleet_get(&dispatch->fleet, servers[next])->reported_us);
-		order(dispatch, job, i, servers[next++]);
+		order(dispatch, job, i, servers[next++], now_us);
 	}
 	g_free(servers);
 	if (placed > 0)
@@ -177,7 +179,7 @@
 		}
 		sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
 		left_core_us = (double)job->queued * job->need.cpu / MILLICORES *
-			       (double)job->work_us;
+			       (double)job->task_us;
 		consider(dispatch, job, &sum, ahead_core_us, now_us);
 		ahead_core_us += left_core_us;
 	}
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -3,6 +3,7 @@
 #define GG_DISPATCH_STATE_H
 
 #include "dispatch.h"
+#include "runtime.h"
 
 enum task_phase {
 	TASK_QUEUED,
@@ -27,7 +28,8 @@
 	uint32_t step;
 	struct room need;
 	int64_t estimate_us;
-	int64_t work_us; /* expected at speed 1, with what was learned of the queue */
+	int64_t task_us; /* expected run time of a task on a typical server */
+	int64_t work_us; /* of the longest task */
 	int64_t target_us; /* when the job should have ended */
 	int64_t late_us;   /* when an answer has become worthless */
 	int64_t arrived_us;
@@ -39,6 +41,8 @@
 	uint32_t done;
 	uint32_t outstanding; /* runs not settled */
 	uint32_t orders;
+	int64_t first_order_us; /* time of it; 0 before */
+	int64_t last_order_us;
 	bool may_have_run;
 	bool finished; /* answered; the row stays until its runs are settled */
 	bool in_queue;
@@ -56,14 +60,8 @@
 	bool moving; /* stopped to run elsewhere */
 };
 
-/* Learned ratio of run time to estimate. */
-struct queue_learning {
-	double ratio;
-	uint32_t samples;
-};
-
 /* Run times are learned for each queue. */
-struct queue_learning *dispatch_learning(struct dispatch *dispatch, const char *queue);
+struct runtime *dispatch_runtime(struct dispatch *dispatch, const char *queue);
 
 struct job *dispatch_find(const struct dispatch *dispatch, struct handle job);
 
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -10,6 +10,7 @@
 void fleet_init(struct fleet *fleet)
 {
 	table_init(&fleet->servers, sizeof(struct fleet_server));
+	fleet->speeds = g_array_new(FALSE, FALSE, sizeof(double));
 }
 
 static void clear_orders(struct fleet_server *server)
@@ -25,6 +26,7 @@
 	while ((server = table_next(&fleet->servers, &cursor, NULL)))
 		clear_orders(server);
 	table_free(&fleet->servers);
+	g_array_free(fleet->speeds, TRUE);
 }
 
 struct handle fleet_add(struct fleet *fleet, void *link)
@@ -34,6 +36,7 @@
 
 	server->link = link;
 	server->speed = 1.0;
+	server->reported_speed = 1.0;
 	g_queue_init(&server->orders);
 	return handle;
 }
@@ -60,16 +63,50 @@
 	room->gpus -= MIN(room->gpus, need->gpus);
 }
 
-void fleet_apply_report(struct fleet_server *server, const struct fleet_report *report,
-			int64_t now_us)
+static int by_value(const void *a, const void *b)
+{
+	double left = *(const double *)a;
+	double right = *(const double *)b;
+
+	return (left > right) - (left < right);
+}
+
+/* Run times are predicted from speeds, and speeds learned from predicted run times: both could drift
+ * together, so speeds are kept relative to the median server. */
+static void scale_speeds(struct fleet *fleet)
+{
+	uint32_t cursor = 0;
+	struct fleet_server *server;
+	double median;
+
+	g_array_set_size(fleet->speeds, 0);
+	while ((server = table_next(&fleet->servers, &cursor, NULL))) {
+		if (server->ready && server->speed_known)
+			g_array_append_val(fleet->speeds, server->reported_speed);
+	}
+	if (fleet->speeds->len == 0)
+		return;
+	g_array_sort(fleet->speeds, by_value);
+	median = g_array_index(fleet->speeds, double, fleet->speeds->len / 2);
+	cursor = 0;
+	while ((server = table_next(&fleet->servers, &cursor, NULL)))
+		server->speed = server->speed_known ? server->reported_speed / median : 1.0;
+}
+
+void fleet_apply_report(struct fleet *fleet, struct fleet_server *server,
+			const struct fleet_report *report, int64_t now_us)
 {
 	struct fleet_order *order;
 
-	server->ready = report->ready;
 	server->on_trial = report->on_trial;
 	server->reported = report->free;
-	server->speed = report->speed;
-	server->speed_known = report->speed_known;
+	if (report->speed != server->reported_speed || server->ready != report->ready ||
+	    server->speed_known != report->speed_known) {
+		server->reported_speed = report->speed;
+		server->speed_known = report->speed_known;
+		server->ready = report->ready;
+		scale_speeds(fleet);
+	}
 	server->reported_us = now_us;
 	while ((order = g_queue_peek_head(&server->orders)) &&
 	       order->number <= report->orders_counted) {
--- /dev/null
+++ b/packages/core/src/runtime.c
@@ -0,0 +1,60 @@
+#include "runtime.h"
+
+#include <glib.h>
+#include <math.h>
+
+static const double RUNTIME_MEMORY = 300; /* samples; older ones fade */
+static const double PRIOR_SLOPE = 0.5;	  /* of measured over declared, in logarithms */
+static const double PRIOR_VARIANCE = 0.3; /* of ln(declared), behind the prior slope */
+static const double PRIOR_WEIGHT = 30;	  /* samples that the prior slope is worth */
+static const double SLOPE_MAX = 1.2;
+static const double FIRST_SAMPLES = 4;	  /* before these the declared time is taken as it is */
+static const double TASK_SPREAD = 0.15;	  /* of ln(run time) between tasks of one job */
+
+void runtime_init(struct runtime *runtime)
+{
+	*runtime = (struct runtime){0};
+}
+
+void runtime_learn(struct runtime *runtime, int64_t declared_us, int64_t measured_us)
+{
+	double x = log((double)MAX(declared_us, 1));
+	double y = log((double)MAX(measured_us, 1));
+	double weight, dx, dy;
+
+	runtime->samples = MIN(runtime->samples + 1, RUNTIME_MEMORY);
+	weight = 1 / runtime->samples;
+	dx = x - runtime->mean_declared;
+	dy = y - runtime->mean_measured;
+	runtime->mean_declared += weight * dx;
+	runtime->mean_measured += weight * dy;
+	runtime->var_declared = (1 - weight) * (runtime->var_declared + weight * dx * dx);
+	runtime->covariance = (1 - weight) * (runtime->covariance + weight * dx * dy);
+}
+
+int64_t runtime_predict(const struct runtime *runtime, int64_t declared_us)
+{
+	double x = log((double)MAX(declared_us, 1));
+	double slope;
+
+	if (runtime->samples < FIRST_SAMPLES)
+		return declared_us;
+	slope = (runtime->covariance * runtime->samples +
+		 PRIOR_SLOPE * PRIOR_VARIANCE * PRIOR_WEIGHT) /
+		(runtime->var_declared * runtime->samples + PRIOR_VARIANCE * PRIOR_WEIGHT);
+	slope = CLAMP(slope, 0, SLOPE_MAX);
+	return (int64_t)exp(runtime->mean_measured + slope * (x - runtime->mean_declared));
+}
+
+int64_t runtime_longest(int64_t task_us, uint32_t tasks)
+{
+	/* Expected maximum of n normal variables, by Blom's approximation for the median rank. */
+	double rank = tasks > 1 ? (tasks - 0.375) / (tasks + 0.25) : 0.5;
+	double z = rank > 0.5 ? sqrt(-2 * log(1 - rank)) : 0;
+
+	/* The leading terms of the normal quantile; exact to 0.003 in this range. */
+	if (z > 0)
+		z -= (2.515517 + 0.802853 * z + 0.010328 * z * z) /
+		     (1 + 1.432788 * z + 0.189269 * z * z + 0.001308 * z * z * z);
+	return (int64_t)((double)task_us * exp(TASK_SPREAD * z));
+}
--- a/packages/greengaged/src/node_front.c
+++ b/packages/greengaged/src/node_front.c
@@ -102,6 +102,9 @@
 	event_log(EVENT_JOB_ENDED, EV_S("job", id), EV_S("status", status_name(end->status)),
 		  EV_S("outcome", end->status == STATUS_OK ? "" : outcome_name(end->outcome)),
 		  EV_S("reason", end->reason), EV_I("tasks", end->tasks), EV_I("runs", end->runs),
+		  EV_I("objective_ms", end->objective_us / US_PER_MS),
+		  EV_I("first_order_ms", end->first_order_us / US_PER_MS),
+		  EV_I("last_order_ms", end->last_order_us / US_PER_MS),
 		  EV_I("expected_wait_ms", end->expected_wait_us / US_PER_MS),
 		  EV_I("elapsed_ms", end->elapsed_us / US_PER_MS));
 	node_metrics_job_ended(end);
