Let urgent runs wait for room at the agent, in order of limit and priority

A queue of a tenth of a server's cpu, ordered by limit with a lead of 60 ms a priority level, fills the room at once; the queue at the entry and the agents' use the same order, and jobs are planned to end at 0.85 of the objective.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -61,6 +61,8 @@
 	uint64_t run;
 	struct room need;
 	int64_t estimate_us;
+	uint32_t priority;
+	int64_t start_within_us; /* for which it may wait for room at the server */
 };
 
 struct dispatch_callbacks {
@@ -92,7 +94,7 @@
 	GHashTable *by_id; /* char * -> handle in a pointer */
 	GPtrArray *queue;  /* handles of jobs with tasks to start, packed */
 	GHashTable *queues; /* name -> struct runtime */
-	double peers_core_us; /* queued work at the other entries */
+	double peers_core_us[PRIORITIES]; /* queued work at the other entries */
 	uint64_t seed;
 	bool dirty; /* something changed that may let a queued task start */
 	bool leaving;
@@ -137,8 +139,8 @@
 void dispatch_run_behind(struct dispatch *dispatch, uint64_t run, uint32_t percent,
 			 int64_t elapsed_us, int64_t now_us);
 
-/* Queued work at the other entries, in core-microseconds. */
-void dispatch_set_peers(struct dispatch *dispatch, double core_us);
+/* Queued work at the other entries by priority, in core-microseconds. */
+void dispatch_set_peers(struct dispatch *dispatch, const double core_us[PRIORITIES]);
 
 /* Starts what can start and refuses what cannot be in time any more. Call once a turn. */
 void dispatch_pump(struct dispatch *dispatch, int64_t now_us);
@@ -157,8 +159,8 @@
  * started. */
 bool dispatch_job_state(const struct dispatch *dispatch, const char *id, bool *started);
 
-/* Returns the work that is queued and not started, in core-microseconds. */
-double dispatch_backlog(const struct dispatch *dispatch);
+/* Sums the work that is queued and not started by priority, in core-microseconds. */
+void dispatch_backlog(const struct dispatch *dispatch, double core_us[PRIORITIES]);
 
 /* Returns the number of unfinished jobs. */
 uint32_t dispatch_jobs(const struct dispatch *dispatch);
--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -19,6 +19,9 @@
 	struct room total;
 	struct room reported; /* free room in the last report */
 	struct room free;     /* the same less what was ordered since */
+	uint32_t reported_waiting[PRIORITIES]; /* cpu of runs that wait there for room */
+	uint32_t waiting[PRIORITIES];	       /* the same with what was ordered since */
+	int64_t run_us;		   /* mean time of a run there; 0 while unknown */
 	double reported_speed; /* expected work done a second, on the agent's scale */
 	double speed;	      /* the same against the typical server, which has 1 */
 	bool speed_known;
@@ -39,6 +42,8 @@
 	struct room free;
 	double speed; /* expected work done a second; only ratios between servers count */
 	bool speed_known;
+	uint32_t waiting_cpu[PRIORITIES];
+	int64_t run_us;
 	uint64_t orders_counted; /* highest number of an order that `free` includes */
 };
 
@@ -56,7 +61,11 @@
 			const struct fleet_report *report, int64_t now_us);
 
 /* Notes that order NUMBER starts a run that takes NEED. */
-void fleet_note_order(struct fleet_server *server, const struct room *need, uint64_t number);
+void fleet_note_order(struct fleet_server *server, const struct room *need, uint32_t priority,
+		      uint64_t number);
+
+/* Returns the cpu of the runs that wait at SERVER and go before one of PRIORITY. */
+uint32_t fleet_waiting_before(const struct fleet_server *server, uint32_t priority);
 
 /* Sums over the ready servers of SERVICE. */
 struct fleet_sum {
--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -14,14 +14,19 @@
 	const char *service;
 	struct room need; /* of each task */
 	uint32_t tasks;
+	uint32_t priority;
 	int64_t work_us;   /* expected time of one task at speed 1 */
 	int64_t target_us; /* when the job should have ended */
 	bool late;	   /* the target is out of reach: take the soonest end */
 	struct handle avoid; /* where a task of this job failed, or none */
 };
 
-/* Returns when a task started at NOW_US is expected to end on SERVER. */
-int64_t placement_end_us(const struct fleet_server *server, int64_t work_us, int64_t now_us);
+/* Returns how long a task that takes WORK_US on a typical server is expected to run on SERVER. */
+int64_t placement_run_us(const struct fleet_server *server, int64_t work_us);
+
+/* Returns when a task of REQUEST is expected to end on SERVER, with its wait for room there. */
+int64_t placement_end_us(const struct fleet_server *server,
+			 const struct placement_request *request, int64_t now_us);
 
 /*
  * Fills SERVERS, of REQUEST->tasks entries, with a server for each task that can start now and returns
--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -32,6 +32,7 @@
 	RUN_INVALID = 11,  /* the server does not accept the order as such */
 	RUN_UNANSWERED = 12, /* the order got no answer; it was settled that it did not run */
 	RUN_BUSY = 13,	   /* an earlier run of the same task is not settled yet */
+	RUN_WITHDRAWN = 14, /* stopped by its owner while it waited for room */
 	RUN_OUTCOME_COUNT
 };
 
@@ -52,6 +53,7 @@
 }
 
 enum run_phase {
+	RUN_WAITING,  /* for room; nothing has been sent */
 	RUN_ORDERED,  /* the start has been sent */
 	RUN_ACTIVE,   /* the server has confirmed it */
 	RUN_UNSURE,   /* the start got no answer; a list is awaited */
@@ -74,6 +76,8 @@
 	enum run_phase phase;
 	bool stop_requested; /* by its owner */
 	bool health_counted; /* its slowness has been recorded as a failure */
+	uint32_t priority; /* 0 first */
+	int64_t start_by_us; /* of a waiting run: refused when it cannot start by then */
 	int64_t ordered_us;
 	int64_t phase_us; /* since when it is in its phase */
 	int64_t stop_sent_us;
@@ -114,6 +118,7 @@
 	int64_t lease_us;
 	uint32_t clock_drift_permille; /* by which the server's steady clock may be slow */
 	struct health_limits health;
+	uint32_t waiting_permille; /* of the server's cpu that runs may wait for */
 	int64_t trial_us; /* a slow server without samples for this long gets a trial run */
 };
 
@@ -134,6 +139,7 @@
 	GHashTable *by_task; /* char * -> handle in a pointer */
 	struct room total;
 	struct room used;
+	uint32_t waiting_cpu[PRIORITIES]; /* of waiting runs, by priority */
 	bool present; /* the server has announced itself and answers */
 	bool leaving;
 	uint64_t seen_end; /* highest number of an end that was handled */
@@ -145,6 +151,7 @@
 	double usual_speed;	/* speed outside slow spells */
 	uint32_t samples;
 	int64_t sampled_us;
+	double run_us; /* mean time of a run, EWMA; 0 while unknown */
 };
 
 void runs_init(struct runs *runs, const struct runs_limits *limits,
@@ -164,12 +171,25 @@
 	uint64_t number;
 	struct room need;
 	int64_t estimate_us;
+	uint32_t priority;
+	int64_t start_by_us;
 	GBytes *spec; /* a reference is taken */
 };
 
-/* Orders a start, or reports at once why it is not ordered. */
+/*
+ * Orders a start, lets it wait for room, or reports at once why neither is done.
+ *
+ * Load pattern: all servers full, and several entries with work. Every entry that hears of freed room
+ * sends for it, and all but one are turned away, while the room stays empty for a round trip. A short
+ * queue here fills the room at once, and gives it to the most urgent run of any entry: a higher priority
+ * goes first, then the earlier limit, and a full queue turns away its least urgent run. Most work still
+ * waits at the entries, where the server is not chosen yet.
+ */
 void runs_start(struct runs *runs, const struct run_request *request, int64_t now_us);
 
+/* Orders the starts of waiting runs for which there is room. Call once a turn. */
+void runs_serve_waiting(struct runs *runs, int64_t now_us);
+
 /* The owner wants the run gone. Unknown numbers are ignored: their end was reported. */
 void runs_stop(struct runs *runs, uint32_t owner, uint64_t number, int64_t now_us);
 
@@ -193,6 +213,9 @@
 /* Free room; none while the server is absent, leaving or quarantined. */
 struct room runs_free_room(const struct runs *runs);
 
+/* Returns the cpu of all waiting runs. */
+uint32_t runs_waiting_cpu(const struct runs *runs);
+
 /* Whether new starts are taken. */
 bool runs_ready(const struct runs *runs);
 
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -7,9 +7,11 @@
 enum {
 	LATE_FACTOR = 3, /* an answer after this many times the objective is worthless */
 	RESTART_US = 60 * US_PER_MS, /* to stop a run and start it elsewhere */
-	MAX_MOVES = 2
+	MAX_MOVES = 2,
+	MILLICORES = 1000
 };
 
+static const double AIM_SHARE = 0.85; /* of the objective: predictions err, and a late start is lost */
 static const double MOVE_GAIN = 1.3; /* a move must be expected to save this factor */
 
 struct runtime *dispatch_runtime(struct dispatch *dispatch, const char *queue)
@@ -187,8 +189,10 @@
 	job->arrived_us = request->arrived_us;
 	job->deadline_us = request->deadline_us;
 	job->target_us = MIN(request->arrived_us + objective_us, request->deadline_us);
+	job->aim_us = MIN(request->arrived_us + (int64_t)(AIM_SHARE * (double)objective_us),
+			  request->deadline_us);
 	job->late_us = MIN(request->arrived_us + LATE_FACTOR * objective_us, request->deadline_us);
-	job->priority = request->priority;
+	job->priority = MIN(request->priority, PRIORITIES - 1);
 	job->max_attempts = MAX(request->max_attempts, 1);
 	job->task_count = request->tasks;
 	job->queued = request->tasks;
@@ -416,9 +420,9 @@
 	stop_run(dispatch, handle, run);
 }
 
-void dispatch_set_peers(struct dispatch *dispatch, double core_us)
+void dispatch_set_peers(struct dispatch *dispatch, const double core_us[PRIORITIES])
 {
-	dispatch->peers_core_us = core_us;
+	memcpy(dispatch->peers_core_us, core_us, sizeof(dispatch->peers_core_us));
 }
 
 void dispatch_tick(struct dispatch *dispatch, int64_t now_us)
@@ -480,17 +484,16 @@
 	return true;
 }
 
-double dispatch_backlog(const struct dispatch *dispatch)
+void dispatch_backlog(const struct dispatch *dispatch, double core_us[PRIORITIES])
 {
-	double core_us = 0;
-
+	memset(core_us, 0, PRIORITIES * sizeof(double));
 	for (guint i = 0; i < dispatch->queue->len; i++) {
 		const struct job *job =
 			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
 
-		core_us += (double)job->queued * job->need.cpu / 1000 * (double)job->task_us;
+		core_us[job->priority] +=
+			(double)job->queued * job->need.cpu / MILLICORES * (double)job->task_us;
 	}
-	return core_us;
 }
 
 uint32_t dispatch_jobs(const struct dispatch *dispatch)
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -12,7 +12,7 @@
 {
 	if (fastest <= 0)
 		fastest = 1.0;
-	return job->target_us - (int64_t)((double)job->work_us / fastest);
+	return job->aim_us - (int64_t)((double)job->work_us / fastest);
 }
 
 /* One queued job with what its order depends on. */
@@ -26,11 +26,25 @@
 	const struct waiting *left = a;
 	const struct waiting *right = b;
 
-	if (left->start_by_us != right->start_by_us)
-		return left->start_by_us < right->start_by_us ? -1 : 1;
+	int64_t left_us = left->start_by_us + PRIORITY_LEAD_US * left->job->priority;
+	int64_t right_us = right->start_by_us + PRIORITY_LEAD_US * right->job->priority;
+
+	if (left_us != right_us)
+		return left_us < right_us ? -1 : 1;
 	return left->job->arrived_us < right->job->arrived_us ? -1 : 1;
 }
 
+/* A run waits at its server as long as it can still end by the job's objective, or, when that is out of
+ * reach, while its answer is worth anything. */
+static int64_t start_within_us(const struct job *job, const struct fleet_server *server,
+			       int64_t now_us)
+{
+	int64_t run_us = placement_run_us(server, job->work_us);
+	int64_t within_us = job->aim_us - run_us - now_us;
+
+	return within_us > 0 ? within_us : job->late_us - run_us - now_us;
+}
+
 static void order(struct dispatch *dispatch, struct job *job, uint32_t index,
 		  struct handle server_handle, int64_t now_us)
 {
@@ -58,9 +72,11 @@
 		.run = dispatch_run_number(task->run),
 		.need = job->need,
 		.estimate_us = job->task_us,
+		.priority = job->priority,
+		.start_within_us = start_within_us(job, server, now_us),
 	};
 	number = dispatch->callbacks.start(dispatch->callbacks.context, server->link, &sent);
-	fleet_note_order(server, &job->need, number);
+	fleet_note_order(server, &job->need, job->priority, number);
 }
 
 /* Starts the tasks of JOB for which there is room. */
@@ -72,7 +88,8 @@
 		.need = job->need,
 		.tasks = job->queued,
 		.work_us = job->work_us,
-		.target_us = job->target_us,
+		.target_us = job->aim_us,
+		.priority = job->priority,
 		.late = late,
 		.avoid = job->avoid,
 	};
@@ -107,13 +124,22 @@
 	dispatch_finish(dispatch, job, &end, now_us);
 }
 
+static double peers_before(const struct dispatch *dispatch, uint32_t priority)
+{
+	double core_us = 0;
+
+	for (uint32_t i = 0; i <= priority; i++)
+		core_us += dispatch->peers_core_us[i];
+	return core_us;
+}
+
 /* Decides on what is left of a job after its turn. AHEAD_CORE_US is the work that waits before it. */
 static void consider(struct dispatch *dispatch, struct job *job, const struct fleet_sum *sum,
 		     double ahead_core_us, int64_t now_us)
 {
 	const struct admission_load load = {
 		.capacity = sum->speed_cpu / MILLICORES,
-		.ahead_core_us = ahead_core_us + dispatch->peers_core_us,
+		.ahead_core_us = ahead_core_us + peers_before(dispatch, job->priority),
 		.free_cores = (double)sum->free_cpu / MILLICORES,
 		.job_cores = (double)job->queued * job->need.cpu / MILLICORES,
 	};
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -31,6 +31,7 @@
 	int64_t task_us; /* expected run time of a task on a typical server */
 	int64_t work_us; /* of the longest task */
 	int64_t target_us; /* when the job should have ended */
+	int64_t aim_us; /* when it is planned to end, before the target */
 	int64_t late_us;   /* when an answer has become worthless */
 	int64_t arrived_us;
 	int64_t deadline_us;
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -5,6 +5,7 @@
 struct fleet_order {
 	uint64_t number;
 	struct room need;
+	uint32_t priority;
 };
 
 void fleet_init(struct fleet *fleet)
@@ -56,11 +57,25 @@
 	return table_get(&fleet->servers, server);
 }
 
-static void take(struct room *room, const struct room *need)
+uint32_t fleet_waiting_before(const struct fleet_server *server, uint32_t priority)
 {
-	room->cpu -= MIN(room->cpu, need->cpu);
-	room->memory_mb -= MIN(room->memory_mb, need->memory_mb);
-	room->gpus -= MIN(room->gpus, need->gpus);
+	uint32_t cpu = 0;
+
+	for (uint32_t i = 0; i < PRIORITIES && i <= priority; i++)
+		cpu += server->waiting[i];
+	return cpu;
+}
+
+/* Counts an order: it takes room, or waits for some. */
+static void take(struct fleet_server *server, const struct room *need, uint32_t priority)
+{
+	if (fleet_waiting_before(server, PRIORITIES) > 0 || !room_fits(need, &server->free)) {
+		server->waiting[MIN(priority, PRIORITIES - 1)] += need->cpu;
+		return;
+	}
+	server->free.cpu -= need->cpu;
+	server->free.memory_mb -= need->memory_mb;
+	server->free.gpus -= need->gpus;
 }
 
 static int by_value(const void *a, const void *b)
@@ -113,20 +128,24 @@
 		g_queue_pop_head(&server->orders);
 		g_free(order);
 	}
+	memcpy(server->reported_waiting, report->waiting_cpu, sizeof(server->reported_waiting));
+	server->run_us = report->run_us;
 	server->free = server->reported;
+	memcpy(server->waiting, server->reported_waiting, sizeof(server->waiting));
 	for (GList *item = server->orders.head; item; item = item->next) {
 		order = item->data;
-		take(&server->free, &order->need);
+		take(server, &order->need, order->priority);
 	}
 }
 
-void fleet_note_order(struct fleet_server *server, const struct room *need, uint64_t number)
+void fleet_note_order(struct fleet_server *server, const struct room *need, uint32_t priority,
+		      uint64_t number)
 {
 	struct fleet_order *order = g_new(struct fleet_order, 1);
 
-	*order = (struct fleet_order){.number = number, .need = *need};
+	*order = (struct fleet_order){.number = number, .need = *need, .priority = priority};
 	g_queue_push_tail(&server->orders, order);
-	take(&server->free, need);
+	take(server, need, priority);
 }
 
 struct fleet_sum fleet_sum(const struct fleet *fleet, const char *service, const struct room *need)
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -13,6 +13,7 @@
 static const double SPEED_WEIGHT = 0.15; /* of one ended run in the average speed */
 static const double BEHIND_FACTOR = 0.5; /* below this share of the usual speed a run is behind */
 static const double SLOW_FACTOR = 0.5;	 /* below this share a server is on trial */
+static const double RUN_TIME_WEIGHT = 0.05; /* of one ended run in the mean run time */
 static const double SPEED_MIN = 0.02;
 static const double SPEED_MAX = 20.0;
 
@@ -32,6 +33,7 @@
 		[RUN_INVALID] = "order_invalid",
 		[RUN_UNANSWERED] = "order_unanswered",
 		[RUN_BUSY] = "earlier_run_unsettled",
+		[RUN_WITHDRAWN] = "withdrawn",
 	};
 
 	return outcome > 0 && outcome < RUN_OUTCOME_COUNT ? names[outcome] : "unknown";
@@ -124,11 +126,27 @@
 		count_failure(runs, run, now_us);
 	} else if (outcome == RUN_DONE) {
 		health_result(&runs->health, true, UINT32_MAX, now_us);
+		runs->run_us += (runs->run_us > 0 ? RUN_TIME_WEIGHT : 1.0) *
+				((double)elapsed_us - runs->run_us);
 		if (elapsed_us > 0 && run->estimate_us > 0)
 			learn_speed(runs, (double)run->estimate_us / (double)elapsed_us, now_us);
 	}
 }
 
+static void release_room(struct runs *runs, const struct room *need)
+{
+	runs->used.cpu -= need->cpu;
+	runs->used.memory_mb -= need->memory_mb;
+	runs->used.gpus -= need->gpus;
+}
+
+static void take_room(struct runs *runs, const struct room *need)
+{
+	runs->used.cpu += need->cpu;
+	runs->used.memory_mb += need->memory_mb;
+	runs->used.gpus += need->gpus;
+}
+
 static void end(struct runs *runs, struct handle handle, enum run_outcome outcome, int64_t now_us)
 {
 	struct run *run = table_get(&runs->table, handle);
@@ -136,9 +154,10 @@
 	struct run copy;
 
 	learn(runs, run, outcome, elapsed_us, now_us);
-	runs->used.cpu -= run->need.cpu;
-	runs->used.memory_mb -= run->need.memory_mb;
-	runs->used.gpus -= run->need.gpus;
+	if (run->phase == RUN_WAITING)
+		runs->waiting_cpu[run->priority] -= run->need.cpu;
+	else
+		release_room(runs, &run->need);
 	if (run->owner == RUN_NO_OWNER)
 		runs->unsettled--;
 	g_hash_table_remove(runs->by_task, run->task);
@@ -173,12 +192,11 @@
 		.need = request->need,
 		.estimate_us = request->estimate_us,
 		.spec = request->spec ? g_bytes_ref(request->spec) : NULL,
+		.priority = MIN(request->priority, PRIORITIES - 1),
+		.start_by_us = request->start_by_us,
 		.ordered_us = now_us,
 		.phase_us = now_us,
 	};
-	runs->used.cpu += run->need.cpu;
-	runs->used.memory_mb += run->need.memory_mb;
-	runs->used.gpus += run->need.gpus;
 	g_hash_table_insert(runs->by_task, run->task, pack(*handle));
 	return run;
 }
@@ -195,27 +213,138 @@
 	runs->callbacks.ended(runs->callbacks.context, &run, outcome, 0);
 }
 
+static void enter(struct run *run, enum run_phase phase, int64_t now_us)
+{
+	run->phase = phase;
+	run->phase_us = now_us;
+}
+
+static void send_start(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
+{
+	take_room(runs, &run->need);
+	enter(run, RUN_ORDERED, now_us);
+	run->ordered_us = now_us;
+	runs->callbacks.order_start(runs->callbacks.context, handle);
+}
+
+uint32_t runs_waiting_cpu(const struct runs *runs)
+{
+	uint32_t cpu = 0;
+
+	for (int i = 0; i < PRIORITIES; i++)
+		cpu += runs->waiting_cpu[i];
+	return cpu;
+}
+
+static bool is_more_urgent(const struct run *run, uint32_t priority, int64_t start_by_us)
+{
+	return run->start_by_us + PRIORITY_LEAD_US * run->priority <=
+	       start_by_us + PRIORITY_LEAD_US * priority;
+}
+
+static struct run *least_urgent(struct runs *runs, struct handle *handle)
+{
+	uint32_t cursor = 0;
+	struct run *worst = NULL;
+	struct handle at;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, &at))) {
+		if (run->phase != RUN_WAITING ||
+		    (worst && is_more_urgent(run, worst->priority, worst->start_by_us)))
+			continue;
+		worst = run;
+		*handle = at;
+	}
+	return worst;
+}
+
+/* Makes room in the queue for REQUEST by turning away less urgent runs. Returns whether it may wait. */
+static bool may_wait(struct runs *runs, const struct run_request *request, int64_t now_us)
+{
+	uint64_t allowance = (uint64_t)runs->total.cpu * runs->limits.waiting_permille / PERMILLE;
+	struct handle handle;
+	struct run *run;
+
+	if (!room_fits(&request->need, &runs->total) || request->need.cpu > allowance)
+		return false;
+	while (runs_waiting_cpu(runs) + request->need.cpu > allowance) {
+		run = least_urgent(runs, &handle);
+		if (!run || is_more_urgent(run, request->priority, request->start_by_us))
+			return false;
+		end(runs, handle, RUN_NO_ROOM, now_us);
+	}
+	return true;
+}
+
 void runs_start(struct runs *runs, const struct run_request *request, int64_t now_us)
 {
 	struct room room = runs_free_room(runs);
 	struct handle handle;
+	struct run *run;
 
 	if (!runs_ready(runs)) {
 		refuse(runs, request, RUN_LEAVING);
 	} else if (g_hash_table_contains(runs->by_task, request->task)) {
 		refuse(runs, request, RUN_BUSY);
-	} else if (!room_fits(&request->need, &room)) {
-		refuse(runs, request, RUN_NO_ROOM);
+	} else if (runs_waiting_cpu(runs) == 0 && room_fits(&request->need, &room)) {
+		run = add(runs, request, &handle, now_us);
+		send_start(runs, run, handle, now_us);
+	} else if (may_wait(runs, request, now_us)) {
+		run = add(runs, request, &handle, now_us);
+		enter(run, RUN_WAITING, now_us);
+		runs->waiting_cpu[run->priority] += run->need.cpu;
 	} else {
-		add(runs, request, &handle, now_us);
-		runs->callbacks.order_start(runs->callbacks.context, handle);
+		refuse(runs, request, RUN_NO_ROOM);
 	}
 }
 
-static void enter(struct run *run, enum run_phase phase, int64_t now_us)
+/* Returns the most urgent waiting run that fits into the free room. */
+static struct run *next_waiting(struct runs *runs, struct handle *handle)
 {
-	run->phase = phase;
-	run->phase_us = now_us;
+	struct room room = runs_free_room(runs);
+	uint32_t cursor = 0;
+	struct run *best = NULL;
+	struct handle at;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, &at))) {
+		if (run->phase != RUN_WAITING || !room_fits(&run->need, &room))
+			continue;
+		if (best && is_more_urgent(best, run->priority, run->start_by_us))
+			continue;
+		best = run;
+		*handle = at;
+	}
+	return best;
+}
+
+void runs_serve_waiting(struct runs *runs, int64_t now_us)
+{
+	struct handle handle;
+	struct run *run;
+
+	while (runs_waiting_cpu(runs) > 0 && runs_ready(runs) && (run = next_waiting(runs, &handle))) {
+		runs->waiting_cpu[run->priority] -= run->need.cpu;
+		send_start(runs, run, handle, now_us);
+	}
+}
+
+/* Refuses waiting runs that have waited too long, or for a server that takes no starts any more. */
+static void refuse_waiting(struct runs *runs, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	while (runs_waiting_cpu(runs) > 0 && (run = table_next(&runs->table, &cursor, &handle))) {
+		if (run->phase != RUN_WAITING)
+			continue;
+		if (!runs_ready(runs))
+			end(runs, handle, RUN_LEAVING, now_us);
+		else if (now_us > run->start_by_us)
+			end(runs, handle, RUN_LATE, now_us);
+	}
 }
 
 static void send_stop(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
@@ -229,7 +358,9 @@
 static void stop(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
 {
 	run->stop_requested = true;
-	if (run->phase == RUN_ACTIVE || run->phase == RUN_ORDERED)
+	if (run->phase == RUN_WAITING)
+		end(runs, handle, RUN_WITHDRAWN, now_us);
+	else if (run->phase == RUN_ACTIVE || run->phase == RUN_ORDERED)
 		send_stop(runs, run, handle, now_us);
 }
 
@@ -343,6 +474,7 @@
 		return;
 	}
 	run = add(runs, &request, &handle, now_us);
+	take_room(runs, &run->need);
 	runs->unsettled++;
 	send_stop(runs, run, handle, now_us);
 }
@@ -399,7 +531,7 @@
 	struct run *run;
 
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
-		if (run->phase_us > asked_us || g_hash_table_contains(listed, run))
+		if (run->phase == RUN_WAITING || run->phase_us > asked_us || g_hash_table_contains(listed, run))
 			continue;
 		if (run->phase == RUN_UNSURE)
 			send_stop(runs, run, handle, now_us); /* the order may still be on its way */
@@ -435,6 +567,7 @@
 	struct run *run;
 
 	health_tick(&runs->health, now_us);
+	refuse_waiting(runs, now_us);
 	if (table_count(&runs->table) > 0 && now_us > runs->lease_bound_us) {
 		while (table_next(&runs->table, &cursor, &handle))
 			end(runs, handle, RUN_LOST, now_us);
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -24,6 +24,7 @@
 	ANSWER_WEIGHT = 16, /* of one answer in the usual time: 1 in 16 */
 	RETRY_MS = 100,
 	EPOCH_STEP = 60000, /* by which a refused epoch is raised, at first */
+	WAITING_PERMILLE = 100, /* of the server's cpu that runs may wait for; some 15 ms */
 	CLOCK_DRIFT_PERMILLE = 20, /* a server's steady clock may be 2 % slow */
 	TRIAL_MS = 1500,
 	FAIL_STREAK = 4,
@@ -456,6 +457,7 @@
 		.health = {.fail_streak = FAIL_STREAK,
 			   .first_backoff_us = QUARANTINE_FIRST_MS * US_PER_MS,
 			   .longest_backoff_us = QUARANTINE_LONGEST_MS * US_PER_MS},
+		.waiting_permille = WAITING_PERMILLE,
 		.trial_us = TRIAL_MS * US_PER_MS,
 	};
 	const struct runs_callbacks callbacks = {
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -152,6 +152,9 @@
 	room->speed = (uint32_t)(runs_speed(&backend->runs, now_us) * PERMILLE);
 	room->samples = backend->runs.samples;
 	room->unsettled = backend_unsettled(backend);
+	room->n_waiting_cpu = PRIORITIES;
+	room->waiting_cpu = (uint32_t *)backend->runs.waiting_cpu;
+	room->run_ms = (uint32_t)(backend->runs.run_us / US_PER_MS);
 	room->suspect = runs_on_trial(&backend->runs, now_us);
 }
 
@@ -294,6 +297,9 @@
 				 .memory_mb = batch->memory_mb,
 				 .gpus = batch->gpus},
 			.estimate_us = (int64_t)batch->estimate_ms * US_PER_MS,
+			.priority = batch->priority,
+			.start_by_us = agent->loop.now_us +
+				       (int64_t)batch->start_within_ms * US_PER_MS,
 			.spec = spec,
 		};
 
@@ -512,6 +518,7 @@
 	struct node_agent *agent = context;
 	int64_t next_us = INT64_MAX;
 
+	runs_serve_waiting(&agent->backend.runs, now_us);
 	for (guint i = 0; i < agent->owners->len; i++) {
 		struct owner *owner = agent->owners->pdata[i];
 		int64_t due_us = owner->room_sent_us + ROOM_INTERVAL_MS * US_PER_MS;
--- a/packages/greengaged/src/node_agents.c
+++ b/packages/greengaged/src/node_agents.c
@@ -119,20 +119,19 @@
 	const Ggd__Room *room = report->room;
 	struct fleet_server *row = fleet_get(&entry->dispatch.fleet, agent->server);
 	bool was_ready = row->ready;
-
-	dispatch_server_report(
-		&entry->dispatch, agent->server,
-		&(struct fleet_report){
-			.ready = room->ready && row->service[0] != '\0',
-			.on_trial = room->suspect,
-			.free = {.cpu = room->cpu,
-				 .memory_mb = room->memory_mb,
-				 .gpus = room->gpus},
-			.speed = (double)room->speed / PERMILLE,
-			.speed_known = room->samples > 0,
-			.orders_counted = report->orders_ack,
-		},
-		now_us);
+	struct fleet_report read = {
+		.ready = room->ready && row->service[0] != '\0',
+		.on_trial = room->suspect,
+		.free = {.cpu = room->cpu, .memory_mb = room->memory_mb, .gpus = room->gpus},
+		.speed = (double)room->speed / PERMILLE,
+		.speed_known = room->samples > 0,
+		.run_us = (int64_t)room->run_ms * US_PER_MS,
+		.orders_counted = report->orders_ack,
+	};
+
+	for (size_t i = 0; i < room->n_waiting_cpu && i < PRIORITIES; i++)
+		read.waiting_cpu[i] = room->waiting_cpu[i];
+	dispatch_server_report(&entry->dispatch, agent->server, &read, now_us);
 	if (was_ready != row->ready)
 		event_log(EVENT_SERVER_STATE, EV_S("server", row->id), EV_S("agent", agent->name),
 			  EV_S("state", row->ready ? "ready" : "not_ready"),
@@ -188,6 +187,8 @@
 	batch->cpu = order->need.cpu;
 	batch->memory_mb = order->need.memory_mb;
 	batch->gpus = order->need.gpus;
+	batch->start_within_ms = (uint32_t)(MAX(order->start_within_us, 0) / US_PER_MS);
+	batch->priority = order->priority;
 	batch->estimate_ms = (uint32_t)(order->estimate_us / US_PER_MS);
 	batch->runs = g_new(uint64_t, starts->len);
 	batch->indexes = g_new(uint32_t, starts->len);
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -22,7 +22,7 @@
 	int64_t answered_us;
 	int64_t sent_us;
 	uint32_t members_version;
-	double sent_backlog;
+	uint64_t sent_backlog; /* of all priorities */
 };
 
 /* What another entry has told over a link that it dialled. */
@@ -30,7 +30,7 @@
 	struct node_entry *entry;
 	char name[NAME_BYTES];
 	struct node_link *link;
-	double backlog_core_us;
+	double backlog_core_us[PRIORITIES];
 	int64_t heard_us;
 	int64_t pushed_us;
 	GHashTable *queued; /* queue -> count in a pointer */
@@ -52,9 +52,18 @@
 	size_t route_count = table ? table->count : 0;
 	char **queues = g_new(char *, route_count + 1);
 	uint32_t *queued = g_new(uint32_t, route_count + 1);
+	double core_us[PRIORITIES];
+	uint64_t backlog[PRIORITIES];
+	uint64_t sum = 0;
 
 	state.config_version = node_config_version(&entry->config);
-	state.backlog_core_ms = (uint64_t)(dispatch_backlog(&entry->dispatch) / US_PER_MS);
+	dispatch_backlog(&entry->dispatch, core_us);
+	for (int i = 0; i < PRIORITIES; i++) {
+		backlog[i] = (uint64_t)(core_us[i] / US_PER_MS);
+		sum += backlog[i];
+	}
+	state.backlog_core_ms = backlog;
+	state.n_backlog_core_ms = PRIORITIES;
 	state.leaving = entry->stopping;
 	for (size_t i = 0; i < route_count && entry->dispatch.queue->len > 0; i++) {
 		uint32_t pending = dispatch_pending(&entry->dispatch, table->routes[i].name);
@@ -75,7 +84,7 @@
 	frame.peer = &state;
 	node_link_send(peer->link, &frame);
 	peer->sent_us = now_us;
-	peer->sent_backlog = (double)state.backlog_core_ms;
+	peer->sent_backlog = sum;
 	g_free(queues);
 	g_free(queued);
 }
@@ -168,7 +177,11 @@
 	if (frame->body_case != GGD__FRAME__BODY_PEER)
 		return;
 	peer->heard_us = peer->entry->loop.now_us;
-	peer->backlog_core_us = (double)state->backlog_core_ms * US_PER_MS;
+	for (size_t i = 0; i < PRIORITIES; i++)
+		peer->backlog_core_us[i] =
+			i < state->n_backlog_core_ms
+				? (double)state->backlog_core_ms[i] * US_PER_MS
+				: 0;
 	g_hash_table_remove_all(peer->queued);
 	for (size_t i = 0; i < state->n_queues && i < state->n_queued; i++)
 		g_hash_table_insert(peer->queued, g_strdup(state->queues[i]),
@@ -219,13 +232,15 @@
 
 static void sum_backlog(struct node_entry *entry, int64_t now_us)
 {
-	double sum = 0;
+	double sum[PRIORITIES] = {0};
 
 	for (guint i = 0; i < incoming_list(entry)->len; i++) {
 		const struct incoming *peer = entry->incoming->pdata[i];
 
-		if (now_us - peer->heard_us < STATE_FRESH_MS * US_PER_MS)
-			sum += peer->backlog_core_us;
+		if (now_us - peer->heard_us > STATE_FRESH_MS * US_PER_MS)
+			continue;
+		for (int j = 0; j < PRIORITIES; j++)
+			sum[j] += peer->backlog_core_us[j];
 	}
 	dispatch_set_peers(&entry->dispatch, sum);
 }
