--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -110,6 +110,10 @@
  */
 void dispatch_submit(struct dispatch *dispatch, const struct job_request *request, int64_t now_us);
 
+/* Returns how long the longest task of a job is expected to run on a typical server. */
+int64_t dispatch_expected_us(struct dispatch *dispatch, const char *queue, int64_t estimate_us,
+			     uint32_t tasks);
+
 /* Ends the job because of STATUS (STATUS_CANCELLED when its client has left). The callback
  * `finished` is called. Returns false when the job is not known. */
 bool dispatch_end_job(struct dispatch *dispatch, const char *id, enum status status,
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -168,6 +168,13 @@
 	dispatch_finish(dispatch, job, &end, now_us);
 }
 
+int64_t dispatch_expected_us(struct dispatch *dispatch, const char *queue, int64_t estimate_us,
+			     uint32_t tasks)
+{
+	return runtime_longest(runtime_predict(dispatch_runtime(dispatch, queue), estimate_us),
+			       tasks);
+}
+
 static struct job *new_job(struct dispatch *dispatch, const struct job_request *request)
 {
 	struct job *job =
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -10,8 +10,8 @@
 #include "node_signals.h"
 
 enum {
-	TICK_MS = 50,
-	DIAL_RETRY_MS = 100,
+	TICK_MS = 25,
+	DIAL_RETRY_MS = 50,
 	DIAL_RETRY_LONG_MS = 2000, /* for an address that has not answered for a while */
 	DIAL_PATIENCE_MS = 10000,
 	ROOM_INTERVAL_MS = 5,	/* between two reports that only change the free room */
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -28,6 +28,7 @@
 	GPtrArray *agents; /* struct agent_peer * */
 	GPtrArray *peers;  /* struct entry_peer *, dialled here */
 	GPtrArray *incoming; /* struct incoming *, entries that dialled here */
+	GArray *early; /* requests that wait for the first configuration */
 	uint32_t requests; /* unanswered submissions */
 	bool stopping;	   /* after SIGTERM */
 	int64_t stopped_us;
--- a/packages/greengaged/src/node_front.c
+++ b/packages/greengaged/src/node_front.c
@@ -15,7 +15,11 @@
 	MIN_ESTIMATE_MS = 1,
 	/* The answer needs a moment to reach the client before its deadline. */
 	ANSWER_MARGIN_MS = 15,
-	NO_NEW_JOBS_MS = 1800 /* before the end of the grace period, jobs are not accepted */
+	/* A request that arrives before the first configuration waits for it this long. */
+	CONFIG_WAIT_MS = 400,
+	/* Kept free at the end of the grace period, for a run that takes longer than expected. */
+	GRACE_MARGIN_MS = 500,
+	MS_PER_S = 1000
 };
 
 /* One unanswered submission. */
@@ -34,16 +38,22 @@
 	client_answer_error(request, err);
 }
 
-static bool too_late_to_start(const struct node_entry *entry)
+/* During a shutdown, jobs are taken as long as they are expected to end within the grace period. */
+static bool too_late_to_start(struct node_entry *entry, const struct route *route,
+			      const struct client_job *job)
 {
-	int64_t grace_ms = (int64_t)(entry->settings->grace_s * 1000);
+	int64_t grace_ms = (int64_t)(entry->settings->grace_s * MS_PER_S);
+	int64_t end_us = entry->stopped_us + (grace_ms - GRACE_MARGIN_MS) * US_PER_MS;
+	int64_t work_us = dispatch_expected_us(&entry->dispatch, route->name,
+					       job->estimate_ms * US_PER_MS, job->tasks);
 
-	return entry->stopping && entry->loop.now_us - entry->stopped_us >
-					  (grace_ms - NO_NEW_JOBS_MS) * US_PER_MS;
+	return entry->stopping &&
+	       entry->loop.now_us + (int64_t)(route->stretch * (double)work_us) > end_us;
 }
 
 static void submit(struct node_entry *entry, const struct route *route,
-		   struct http_request *request, const struct client_request *read)
+		   struct http_request *request, const struct client_request *read,
+		   int64_t arrived_us)
 {
 	struct submission *submission;
 	struct client_job job;
@@ -59,7 +69,7 @@
 		answer_error(request, &err, read->id);
 		return;
 	}
-	if (too_late_to_start(entry)) {
+	if (too_late_to_start(entry, route, &job)) {
 		error_set(&err, STATUS_DRAINING, "the entry is shutting down");
 		answer_error(request, &err, read->id);
 		client_job_clear(&job);
@@ -85,8 +95,8 @@
 				.max_attempts = route->max_attempts,
 				.stretch = route->stretch,
 				.slack_us = route->slack_us,
-				.arrived_us = now_us,
-				.deadline_us = now_us + wait_us,
+				.arrived_us = arrived_us,
+				.deadline_us = arrived_us + wait_us,
 				.context = submission,
 			},
 			now_us);
@@ -133,19 +143,54 @@
 		client_answer_gone(request);
 }
 
-static void on_request(void *context, struct http_request *request)
+/* A request that waits for the first configuration. */
+struct early_request {
+	struct node_entry *entry;
+	struct http_request *request;
+	int64_t arrived_us;
+};
+
+static void refuse_without_config(struct http_request *request)
+{
+	struct error err;
+
+	error_set(&err, STATUS_LOG_UNAVAILABLE, "no configuration is known yet");
+	answer_error(request, &err, "");
+}
+
+static void refuse_early(void *context, int64_t now_us)
 {
 	struct node_entry *entry = context;
+
+	while (entry->early->len > 0) {
+		struct early_request *early = &g_array_index(entry->early, struct early_request, 0);
+		struct http_request *request = early->request;
+
+		if (now_us - early->arrived_us < CONFIG_WAIT_MS * US_PER_MS)
+			return;
+		g_array_remove_index(entry->early, 0);
+		refuse_without_config(request);
+	}
+}
+
+static void wait_for_config(struct node_entry *entry, struct http_request *request)
+{
+	const struct early_request early = {
+		.entry = entry, .request = request, .arrived_us = entry->loop.now_us};
+
+	g_array_append_val(entry->early, early);
+	timer_subscribe(&entry->loop.timers, entry->loop.now_us + CONFIG_WAIT_MS * US_PER_MS, 0,
+			refuse_early, entry);
+}
+
+static void route_request(struct node_entry *entry, struct http_request *request,
+			  int64_t arrived_us)
+{
 	const char *host = http_request_header(request, "Host");
 	const struct route *route;
 	struct client_request read;
 	struct error err;
 
-	if (!entry->config.table) {
-		error_set(&err, STATUS_LOG_UNAVAILABLE, "no configuration is known yet");
-		answer_error(request, &err, "");
-		return;
-	}
 	route = route_find(entry->config.table, host ? host : "", http_request_path(request));
 	if (!route) {
 		error_set(&err, STATUS_NOT_FOUND, "no route for %s%s in version %llu",
@@ -160,7 +205,7 @@
 	}
 	switch (read.action) {
 	case CLIENT_SUBMIT:
-		submit(entry, route, request, &read);
+		submit(entry, route, request, &read, arrived_us);
 		break;
 	case CLIENT_STATE:
 		answer_state(entry, request, read.id);
@@ -175,13 +220,35 @@
 	}
 }
 
+static void on_request(void *context, struct http_request *request)
+{
+	struct node_entry *entry = context;
+
+	if (entry->config.table)
+		route_request(entry, request, entry->loop.now_us);
+	else
+		wait_for_config(entry, request);
+}
+
+static void forget_early(struct node_entry *entry, const struct http_request *request)
+{
+	for (guint i = 0; i < entry->early->len; i++) {
+		if (g_array_index(entry->early, struct early_request, i).request == request) {
+			g_array_remove_index(entry->early, i);
+			return;
+		}
+	}
+}
+
 static void on_gone(void *context, struct http_request *request)
 {
 	struct node_entry *entry = context;
 	struct submission *submission = http_request_context(request);
 
-	if (!submission)
+	if (!submission) {
+		forget_early(entry, request);
 		return;
+	}
 	submission->request = NULL;
 	dispatch_end_job(&entry->dispatch, submission->id, STATUS_CANCELLED,
 			 "its client has left", entry->loop.now_us);
@@ -200,6 +267,13 @@
 							.header_limit_ms = table->header_limit_ms,
 							.idle_limit_ms = table->idle_limit_ms,
 						});
+	while (entry->early->len > 0) {
+		const struct early_request early =
+			g_array_index(entry->early, struct early_request, 0);
+
+		g_array_remove_index(entry->early, 0);
+		route_request(entry, early.request, early.arrived_us);
+	}
 }
 
 enum status node_front_start(struct node_entry *entry, struct error *err)
@@ -211,6 +285,7 @@
 		.idle_limit_ms = IDLE_LIMIT_MS,
 	};
 
+	entry->early = g_array_new(FALSE, FALSE, sizeof(struct early_request));
 	return http_server_listen(&entry->loop, entry->settings->client_address, &options,
 				  &callbacks, entry, &entry->clients, err);
 }
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -5,8 +5,8 @@
 
 enum {
 	US_PER_MS = 1000,
-	CHECK_MS = 50,
-	GREETING_MS = 350, /* a peer that has not greeted by then is dialled again */
+	CHECK_MS = 25,
+	GREETING_MS = 200, /* a peer that has not greeted by then is dialled again */
 	UNSENT_MAX_BYTES = 4 << 20 /* a peer that takes in no more is out of reach */
 };
 
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -5,7 +5,7 @@
 #include "event.h"
 
 enum {
-	DIAL_RETRY_MS = 100,
+	DIAL_RETRY_MS = 50,
 	DIAL_RETRY_LONG_MS = 2000,
 	DIAL_PATIENCE_MS = 10000,
 	STATE_INTERVAL_MS = 50, /* while work is queued */
