--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -61,7 +61,7 @@
 	struct node_link *link;
 	struct owner *owner; /* last one met there */
 	int64_t next_us;
-	int64_t answered_us; /* last greeting */
+	int64_t answered_us; /* when it was last connected */
 };
 
 struct node_agent {
@@ -396,6 +396,8 @@
 		owner->heard_us = node_link_heard_us(link);
 	}
 	dial->link = NULL;
+	if (node_link_is_up(link))
+		dial->answered_us = dial->agent->loop.now_us;
 	dial->next_us = dial->agent->loop.now_us +
 			(dial->agent->loop.now_us - dial->answered_us <
 					 DIAL_PATIENCE_MS * US_PER_MS
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -121,11 +121,14 @@
 {
 	struct entry_peer *peer = context;
 	int64_t now_us = peer->entry->loop.now_us;
-	bool recent = now_us - peer->answered_us < DIAL_PATIENCE_MS * US_PER_MS;
+	bool recent;
 
-	if (node_link_is_up(link))
+	if (node_link_is_up(link)) {
+		peer->answered_us = now_us;
 		event_log(EVENT_CHANNEL_LOST, EV_S("address", peer->address),
 			  EV_S("reason", reason));
+	}
+	recent = now_us - peer->answered_us < DIAL_PATIENCE_MS * US_PER_MS;
 	peer->link = NULL;
 	peer->next_us = now_us + (recent ? DIAL_RETRY_MS : DIAL_RETRY_LONG_MS) * US_PER_MS;
 }
