--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -97,7 +97,7 @@
 	double peers_core_us[PRIORITIES]; /* queued work at the other entries */
 	uint64_t seed;
 	bool dirty; /* something changed that may let a queued task start */
-	bool leaving;
+	int64_t gathering_until_us; /* before this, agents are still expected to connect */
 };
 
 void dispatch_init(struct dispatch *dispatch, const struct dispatch_limits *limits,
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -224,8 +224,6 @@
 	g_hash_table_replace(dispatch->by_id, job->id, dispatch_pack(job->handle));
 	if (table_count(&dispatch->jobs) > dispatch->limits.max_jobs)
 		end_job(dispatch, job, STATUS_QUEUE_FULL, "too many unfinished jobs", now_us);
-	else if (dispatch->leaving)
-		end_job(dispatch, job, STATUS_DRAINING, "the entry is shutting down", now_us);
 	else
 		dispatch_enqueue(dispatch, job);
 }
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -133,8 +133,9 @@
 	return core_us;
 }
 
-/* Decides on what is left of a job after its turn. AHEAD_CORE_US is the work that waits before it. */
-static void consider(struct dispatch *dispatch, struct job *job, const struct fleet_sum *sum,
+/* Refuses a job that cannot be in time. AHEAD_CORE_US is the work that waits before it. Returns whether
+ * the job goes on waiting. */
+static bool consider(struct dispatch *dispatch, struct job *job, const struct fleet_sum *sum,
 		     double ahead_core_us, int64_t now_us)
 {
 	const struct admission_load load = {
@@ -146,7 +147,9 @@
 	int64_t start_by_us = dispatch_start_by(job, sum->fastest);
 
 	if (job->may_have_run || job->outstanding > 0)
-		return; /* some of it runs: it goes on until its deadline */
+		return true; /* some of it runs: it goes on until its deadline */
+	if (now_us < dispatch->gathering_until_us && now_us <= start_by_us)
+		return true; /* the room that is known is not all there is */
 	if (sum->servers == 0)
 		refuse(dispatch, job, STATUS_NO_CAPACITY_MATCH, "no backend server is ready", &load,
 		       now_us);
@@ -156,6 +159,9 @@
 	else if (now_us + admission_wait_us(&load) > start_by_us)
 		refuse(dispatch, job, STATUS_DEADLINE_UNREACHABLE,
 		       "the job cannot start in time for its objective", &load, now_us);
+	else
+		return true;
+	return false;
 }
 
 static bool is_blocked(const struct dispatch *dispatch, const struct job *job)
@@ -206,8 +212,8 @@
 		sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
 		left_core_us = (double)job->queued * job->need.cpu / MILLICORES *
 			       (double)job->task_us;
-		consider(dispatch, job, &sum, ahead_core_us, now_us);
-		ahead_core_us += left_core_us;
+		if (consider(dispatch, job, &sum, ahead_core_us, now_us))
+			ahead_core_us += left_core_us;
 	}
 	g_array_free(sorted, TRUE);
 	dispatch->dirty = false;
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -16,6 +16,7 @@
 	PROBE_LIMIT_MS = 2000,
 	PROBE_KEEP_MS = 60000,
 	MS_PER_S = 1000,
+	GATHERING_MS = 1000, /* after the start, in which the agents connect */
 	/* The balancer notices a host that is not ready after two probes, a second apart. */
 	BALANCER_DELAY_MS = 2500,
 	STOP_MARGIN_MS = 300,
@@ -206,6 +207,7 @@
 
 	memcpy(&seed, incarnation->bytes, sizeof(seed));
 	dispatch_init(&entry->dispatch, &limits, &callbacks, seed);
+	entry->dispatch.gathering_until_us = entry->loop.now_us + GATHERING_MS * US_PER_MS;
 }
 
 static enum status listen_all(struct node_entry *entry, struct error *err)
