--- a/packages/base/include/event.h
+++ b/packages/base/include/event.h
@@ -44,12 +44,20 @@
 void event_log_error(enum event event, const struct error *err);
 
 /*
- * Installs the writer: human-readable lines when standard error is a terminal, JSON lines
- * otherwise. PROCESS is named in each line. Events below LEVEL ("debug", "info", "warning",
- * "error") are dropped.
+ * Installs the writer: human-readable lines when standard output is a terminal, JSON lines
+ * otherwise. Writing never blocks: above 600 lines a second, or while the reader does not keep up,
+ * lines are dropped, and a later line tells how many; warnings and errors are dropped last. PROCESS
+ * is named in each line. Events below LEVEL ("debug", "info", "warning", "error") are dropped.
  */
 void event_init(const char *process, const char *level);
 
+/* Returns the number of lines dropped so far. */
+int64_t event_dropped(void);
+
+/* Writes lines still in memory, waiting a tenth of a second at most. Call before the process ends.
+ */
+void event_flush(void);
+
 /* Return the number, the constant's name, the level's name and the message of EVENT. */
 int event_number(enum event event);
 const char *event_constant(enum event event);
--- a/packages/base/include/event_defs.h
+++ b/packages/base/include/event_defs.h
@@ -14,6 +14,7 @@
 	X(1002, PROCESS_FAILED, ERROR, "process failed")                                           \
 	X(1003, PROCESS_FROZEN, WARNING, "process did not run for a while")                        \
 	X(1004, SETTINGS_RELOADED, INFO, "settings reloaded")                                      \
+	X(1006, LOG_DROPPED, WARNING, "log lines dropped")                                         \
 	X(1005, READINESS, INFO, "readiness changed")                                              \
 	X(1100, HTTP_LISTENING, INFO, "HTTP listener started")                                     \
 	X(1101, HTTP_REFUSED, DEBUG, "HTTP request refused")                                       \
--- a/packages/base/src/event.c
+++ b/packages/base/src/event.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "event_writer.h"
 #include "timer.h"
 
 enum level {
@@ -16,6 +17,10 @@
 	LEVEL_COUNT,
 };
 
+enum {
+	FLUSH_WAIT_MS = 100 /* for a reader of the log at the end of the process */
+};
+
 static const char *const level_names[LEVEL_COUNT] = {"debug", "info", "warning", "error"};
 
 static const struct {
@@ -111,20 +116,48 @@
 	return g_string_free(line, FALSE);
 }
 
+/* Lines that were dropped are told of in the log itself, once there is room again. */
+static void put_line(const char *line, bool urgent)
+{
+	int64_t now_us = timer_clock_us();
+	int64_t dropped = event_writer_put(line, urgent, now_us);
+	const struct event_field fields[] = {EV_I("lines", dropped)};
+	char *note;
+
+	if (dropped <= 0)
+		return;
+	note = human_readable ? format_human(EVENT_LOG_DROPPED, fields, G_N_ELEMENTS(fields))
+			      : format_json(EVENT_LOG_DROPPED, fields, G_N_ELEMENTS(fields));
+	event_writer_put(note, true, now_us);
+	g_free(note);
+}
+
 static GLogWriterOutput write_line(GLogLevelFlags flags, const GLogField *fields, gsize count,
 				   gpointer data)
 {
+	bool urgent = (flags & (G_LOG_LEVEL_WARNING | G_LOG_LEVEL_CRITICAL)) != 0;
+
 	for (gsize i = 0; i < count; i++) {
 		if (strcmp(fields[i].key, "MESSAGE") == 0)
-			fprintf(stderr, "%s\n", (const char *)fields[i].value);
+			put_line(fields[i].value, urgent);
 	}
 	return G_LOG_WRITER_HANDLED;
 }
 
+int64_t event_dropped(void)
+{
+	return event_writer_dropped();
+}
+
+void event_flush(void)
+{
+	event_writer_flush(FLUSH_WAIT_MS);
+}
+
 void event_init(const char *process, const char *level)
 {
 	process_name = process;
-	human_readable = isatty(STDERR_FILENO);
+	human_readable = isatty(STDOUT_FILENO);
 	for (int i = 0; i < LEVEL_COUNT; i++) {
 		if (strcmp(level, level_names[i]) == 0)
 			minimum_level = (enum level)i;
--- a/packages/base/src/settings.c
+++ b/packages/base/src/settings.c
@@ -110,9 +110,8 @@
 		return wrong_type(ctx, field, "number", err);
 	if (number < (double)field->min || number > (double)field->max)
 		return error_set(err, STATUS_INVALID_SETTINGS,
-				 "%s: %s: value %g out of range, accepted: %lld to %lld",
-				 ctx->file, field->path, number, (long long)field->min,
-				 (long long)field->max);
+				 "%s: %s: value %g out of range, accepted: %lld to %lld", ctx->file,
+				 field->path, number, (long long)field->min, (long long)field->max);
 	*(double *)(ctx->target + field->offset) = number;
 	return STATUS_OK;
 }
--- a/packages/core/include/core_defs.h
+++ b/packages/core/include/core_defs.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 enum {
-	PRIORITIES = 4, /* levels told apart; lower ones count as the last */
+	PRIORITIES = 4,		  /* levels told apart; lower ones count as the last */
 	PRIORITY_LEAD_US = 60000, /* of a job over one that is a level lower and equally urgent */
 	US_PER_MS = 1000,
 	US_PER_SECOND = 1000000,
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -3,8 +3,8 @@
  * backend servers, retries and refusals.
  *
  * A task has at most one run that is not settled. A further run is ordered only after the agent has
- * reported the end of the earlier one, or the time has passed after which none can exist. All state is
- * in memory: a job ends with its owner, and the agents stop its runs.
+ * reported the end of the earlier one, or the time has passed after which none can exist. All state
+ * is in memory: a job ends with its owner, and the agents stop its runs.
  */
 #ifndef GG_DISPATCH_H
 #define GG_DISPATCH_H
@@ -28,7 +28,7 @@
 	int64_t estimate_us;
 	uint32_t priority; /* 0 first */
 	uint32_t max_attempts;
-	double stretch;	   /* the objective is stretch times the run time, and slack_us */
+	double stretch; /* the objective is stretch times the run time, and slack_us */
 	int64_t slack_us;
 	int64_t arrived_us;
 	int64_t deadline_us;
@@ -62,7 +62,7 @@
 	struct room need;
 	int64_t estimate_us;
 	uint32_t priority;
-	int64_t start_within_us; /* for which it may wait for room at the server */
+	int64_t start_within_us;  /* for which it may wait for room at the server */
 	int64_t urgent_within_us; /* its place among those that wait: the least first */
 };
 
@@ -92,12 +92,12 @@
 	struct fleet fleet;
 	struct table jobs;
 	struct table runs;
-	GHashTable *by_id; /* char * -> handle in a pointer */
-	GPtrArray *queue;  /* handles of jobs with tasks to start, packed */
-	GHashTable *queues; /* name -> struct runtime */
+	GHashTable *by_id;		  /* char * -> handle in a pointer */
+	GPtrArray *queue;		  /* handles of jobs with tasks to start, packed */
+	GHashTable *queues;		  /* name -> struct runtime */
 	double peers_core_us[PRIORITIES]; /* queued work at the other entries */
 	uint64_t seed;
-	bool dirty; /* something changed that may let a queued task start */
+	bool dirty;		    /* something changed that may let a queued task start */
 	int64_t gathering_until_us; /* before this, agents are still expected to connect */
 };
 
@@ -106,8 +106,8 @@
 void dispatch_free(struct dispatch *dispatch);
 
 /*
- * Takes a job. It may be refused or finished within the call. An unfinished job of the same id loses
- * its client to this one, and is stopped before any task of the new one starts.
+ * Takes a job. It may be refused or finished within the call. An unfinished job of the same id
+ * loses its client to this one, and is stopped before any task of the new one starts.
  */
 void dispatch_submit(struct dispatch *dispatch, const struct job_request *request, int64_t now_us);
 
@@ -129,15 +129,16 @@
 void dispatch_server_unlinked(struct dispatch *dispatch, struct handle server, int64_t now_us);
 
 /*
- * The same agent process is back, and has kept this entry's runs and ends all the while: RUNS, COUNT of
- * them, are those it still knows. Ends that it kept are reported before. An agent that has given the
- * entry up meanwhile is added as a new server; the former one is settled once it has stopped its runs.
+ * The same agent process is back, and has kept this entry's runs and ends all the while: RUNS,
+ * COUNT of them, are those it still knows. Ends that it kept are reported before. An agent that has
+ * given the entry up meanwhile is added as a new server; the former one is settled once it has
+ * stopped its runs.
  */
 void dispatch_server_relinked(struct dispatch *dispatch, struct handle server, void *link,
 			      const uint64_t *runs, size_t count, int64_t now_us);
 
-/* No run of this entry at this server exists any more: its agent has settled what it had given up, or a
- * new agent process what it found. */
+/* No run of this entry at this server exists any more: its agent has settled what it had given up,
+ * or a new agent process what it found. */
 void dispatch_server_settled(struct dispatch *dispatch, struct handle server, int64_t now_us);
 
 /* A run has ended, or was not started. */
@@ -157,8 +158,8 @@
 /* Enforces deadlines and settles servers out of reach. Call every few milliseconds. */
 void dispatch_tick(struct dispatch *dispatch, int64_t now_us);
 
-/* After a freeze of this process: its runs are being stopped by the agents, and its clients may have
- * gone elsewhere. Ends all jobs with outcome unknown. */
+/* After a freeze of this process: its runs are being stopped by the agents, and its clients may
+ * have gone elsewhere. Ends all jobs with outcome unknown. */
 void dispatch_abandon(struct dispatch *dispatch, int64_t now_us);
 
 /* Returns the number of queued jobs of QUEUE of which no task has started. */
--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -17,13 +17,13 @@
 	bool ready;
 	bool on_trial; /* at most one run of this entry at a time */
 	struct room total;
-	struct room reported; /* free room in the last report */
-	struct room free;     /* the same less what was ordered since */
+	struct room reported;		       /* free room in the last report */
+	struct room free;		       /* the same less what was ordered since */
 	uint32_t reported_waiting[PRIORITIES]; /* cpu of runs that wait there for room */
 	uint32_t waiting[PRIORITIES];	       /* the same with what was ordered since */
-	int64_t run_us;		   /* mean time of a run there; 0 while unknown */
+	int64_t run_us;			       /* mean time of a run there; 0 while unknown */
 	double reported_speed; /* expected work done a second, on the agent's scale */
-	double speed;	      /* the same against the typical server, which has 1 */
+	double speed;	       /* the same against the typical server, which has 1 */
 	bool speed_known;
 	uint32_t runs; /* of this entry */
 	int64_t reported_us;
@@ -73,12 +73,12 @@
 /* Sums over the ready servers of SERVICE. */
 struct fleet_sum {
 	uint32_t servers;
-	uint64_t cpu;	   /* thousandths of a core */
+	uint64_t cpu; /* thousandths of a core */
 	uint64_t free_cpu;
-	double fastest;	   /* speed of the fastest server in use, 0 when there is none */
-	double speed_cpu;  /* cpu weighted by speed */
-	double drain;	   /* cpu that full servers free a microsecond */
-	bool fits;	   /* one of the servers has room for NEED when it is empty */
+	double fastest;	  /* speed of the fastest server in use, 0 when there is none */
+	double speed_cpu; /* cpu weighted by speed */
+	double drain;	  /* cpu that full servers free a microsecond */
+	bool fits;	  /* one of the servers has room for NEED when it is empty */
 };
 
 struct fleet_sum fleet_sum(const struct fleet *fleet, const char *service, const struct room *need);
--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -2,8 +2,8 @@
  * Choice of backend servers for the tasks of a job.
  *
  * Load pattern: servers of unequal speed, close to full. A task on a slow server can miss the job's
- * objective by itself, and a short job that takes the room of fast servers leaves only slow ones for
- * the long jobs that need them.
+ * objective by itself, and a short job that takes the room of fast servers leaves only slow ones
+ * for the long jobs that need them.
  */
 #ifndef GG_PLACEMENT_H
 #define GG_PLACEMENT_H
@@ -15,9 +15,9 @@
 	struct room need; /* of each task */
 	uint32_t tasks;
 	uint32_t priority;
-	int64_t work_us;   /* expected time of one task at speed 1 */
-	int64_t target_us; /* when the job should have ended */
-	bool late;	   /* the target is out of reach: take the soonest end */
+	int64_t work_us;     /* expected time of one task at speed 1 */
+	int64_t target_us;   /* when the job should have ended */
+	bool late;	     /* the target is out of reach: take the soonest end */
 	struct handle avoid; /* where a task of this job failed, or none */
 };
 
@@ -25,13 +25,13 @@
 int64_t placement_run_us(const struct fleet_server *server, int64_t work_us);
 
 /* Returns when a task of REQUEST is expected to end on SERVER, with its wait for room there. */
-int64_t placement_end_us(const struct fleet_server *server,
-			 const struct placement_request *request, int64_t now_us);
+int64_t placement_end_us(const struct fleet_server *server, const struct placement_request *request,
+			 int64_t now_us);
 
 /*
- * Fills SERVERS, of REQUEST->tasks entries, with a server for each task that can start now and returns
- * their number. Unless REQUEST->late, only servers on which the task ends by the target are taken.
- * Room is looked up, not taken.
+ * Fills SERVERS, of REQUEST->tasks entries, with a server for each task that can start now and
+ * returns their number. Unless REQUEST->late, only servers on which the task ends by the target are
+ * taken. Room is looked up, not taken.
  */
 uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *request,
 			  int64_t now_us, struct handle *servers);
--- a/packages/core/include/routes.h
+++ b/packages/core/include/routes.h
@@ -13,7 +13,7 @@
 	char *service;
 	uint32_t priority; /* 0 first */
 	uint32_t max_attempts;
-	double stretch;	   /* the objective of a job is stretch times its run time, and slack_us */
+	double stretch; /* the objective of a job is stretch times its run time, and slack_us */
 	int64_t slack_us;
 	int64_t timeout_us; /* for clients that name no deadline */
 };
@@ -30,8 +30,7 @@
 
 /* Returns the route for a request: its host matches, and it has the longest prefix of PATH. NULL
  * when there is none. A port in HOST is ignored. */
-const struct route *route_find(const struct route_table *table, const char *host,
-			       const char *path);
+const struct route *route_find(const struct route_table *table, const char *host, const char *path);
 
 void route_table_free(struct route_table *table);
 
--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -2,9 +2,9 @@
  * Runs of tasks at one backend server, as its agent keeps them: room, orders whose answer was lost,
  * runs whose owner is gone, and what the server's lists say.
  *
- * A run leaves this table only when it certainly is not running any more: the server listed its end,
- * the server restarted, every lease that was ever sent has expired, or the server acknowledged a
- * stop and a later list holds no trace of it.
+ * A run leaves this table only when it certainly is not running any more: the server listed its
+ * end, the server restarted, every lease that was ever sent has expired, or the server acknowledged
+ * a stop and a later list holds no trace of it.
  */
 #ifndef GG_RUNS_H
 #define GG_RUNS_H
@@ -20,19 +20,19 @@
 /* How a run ended, or why it was not started. Numbers go over the wire. */
 enum run_outcome {
 	RUN_DONE = 1,
-	RUN_FAILED = 2,	   /* through its own fault or the server's */
-	RUN_STOPPED = 3,   /* as its owner asked */
-	RUN_EXPIRED = 4,   /* its lease ran out */
-	RUN_LOST = 5,	   /* the server restarted or went away */
-	RUN_NO_ROOM = 6,   /* refused by the agent or by the server */
-	RUN_LEAVING = 7,   /* the server is absent or takes no new work */
-	RUN_SUPERSEDED = 8, /* the server has seen an attempt at least as high */
-	RUN_UNHEALTHY = 9, /* the server refused for its own reasons */
-	RUN_LATE = 10,	   /* the order reached the server after its time limit */
-	RUN_INVALID = 11,  /* the server does not accept the order as such */
+	RUN_FAILED = 2,	     /* through its own fault or the server's */
+	RUN_STOPPED = 3,     /* as its owner asked */
+	RUN_EXPIRED = 4,     /* its lease ran out */
+	RUN_LOST = 5,	     /* the server restarted or went away */
+	RUN_NO_ROOM = 6,     /* refused by the agent or by the server */
+	RUN_LEAVING = 7,     /* the server is absent or takes no new work */
+	RUN_SUPERSEDED = 8,  /* the server has seen an attempt at least as high */
+	RUN_UNHEALTHY = 9,   /* the server refused for its own reasons */
+	RUN_LATE = 10,	     /* the order reached the server after its time limit */
+	RUN_INVALID = 11,    /* the server does not accept the order as such */
 	RUN_UNANSWERED = 12, /* the order got no answer; it was settled that it did not run */
-	RUN_BUSY = 13,	   /* an earlier run of the same task is not settled yet */
-	RUN_WITHDRAWN = 14, /* stopped by its owner while it waited for room */
+	RUN_BUSY = 13,	     /* an earlier run of the same task is not settled yet */
+	RUN_WITHDRAWN = 14,  /* stopped by its owner while it waited for room */
 	RUN_OUTCOME_COUNT
 };
 
@@ -76,8 +76,8 @@
 	enum run_phase phase;
 	bool stop_requested; /* by its owner */
 	bool health_counted; /* its slowness has been recorded as a failure */
-	uint32_t priority; /* 0 first */
-	int64_t urgent_us; /* of waiting runs, the earliest goes first */
+	uint32_t priority;   /* 0 first */
+	int64_t urgent_us;   /* of waiting runs, the earliest goes first */
 	int64_t start_by_us; /* of a waiting run: refused when it cannot start by then */
 	int64_t ordered_us;
 	int64_t phase_us; /* since when it is in its phase */
@@ -101,9 +101,9 @@
 struct run_list_row {
 	const char *task;
 	uint32_t attempt;
-	uint32_t percent; /* of the work done; of running rows */
-	uint32_t cpu;	  /* thousandths of a core in use; of running rows */
-	uint64_t number;  /* of the end; of finished rows */
+	uint32_t percent;	  /* of the work done; of running rows */
+	uint32_t cpu;		  /* thousandths of a core in use; of running rows */
+	uint64_t number;	  /* of the end; of finished rows */
 	enum run_outcome outcome; /* of finished rows */
 };
 
@@ -141,11 +141,11 @@
 	struct room total;
 	struct room used;
 	uint32_t waiting_cpu[PRIORITIES]; /* of waiting runs, by priority */
-	bool present; /* the server has announced itself and answers */
+	bool present;			  /* the server has announced itself and answers */
 	bool leaving;
-	uint64_t seen_end; /* highest number of an end that was handled */
+	uint64_t seen_end;	/* highest number of an end that was handled */
 	int64_t lease_bound_us; /* no run outlives this without a further lease */
-	uint32_t unsettled; /* runs without an owner */
+	uint32_t unsettled;	/* runs without an owner */
 	struct health health;
 	char *last_failed_task; /* whose job counted last against the server's health */
 	double speed;		/* estimated work done a second, EWMA; 1 while unknown */
@@ -181,10 +181,11 @@
 /*
  * Orders a start, lets it wait for room, or reports at once why neither is done.
  *
- * Load pattern: all servers full, and several entries with work. Every entry that hears of freed room
- * sends for it, and all but one are turned away, while the room stays empty for a round trip. A short
- * queue here fills the room at once, and gives it to the most urgent run of any entry; a full queue turns
- * away its least urgent run. Most work still waits at the entries, where the server is not chosen yet.
+ * Load pattern: all servers full, and several entries with work. Every entry that hears of freed
+ * room sends for it, and all but one are turned away, while the room stays empty for a round trip.
+ * A short queue here fills the room at once, and gives it to the most urgent run of any entry; a
+ * full queue turns away its least urgent run. Most work still waits at the entries, where the
+ * server is not chosen yet.
  */
 void runs_start(struct runs *runs, const struct run_request *request, int64_t now_us);
 
@@ -220,7 +221,8 @@
 /* Whether new starts are taken. */
 bool runs_ready(const struct runs *runs);
 
-/* Whether at most one start at a time should be sent: the server failed, or is slow, and is tried. */
+/* Whether at most one start at a time should be sent: the server failed, or is slow, and is tried.
+ */
 bool runs_on_trial(const struct runs *runs, int64_t now_us);
 
 /* Estimated work done a second. */
--- a/packages/core/src/admission.c
+++ b/packages/core/src/admission.c
@@ -8,13 +8,13 @@
 	RETRY_SPREAD_S = 3 /* clients refused at one moment come back over this time */
 };
 
-static const double CAPACITY_MIN = 0.001;
+static const double capacity_min = 0.001;
 
 int64_t admission_wait_us(const struct admission_load *load)
 {
 	if (load->ahead_core_us <= 0 && load->free_cores >= load->job_cores)
 		return 0;
-	return (int64_t)MIN(load->ahead_core_us / MAX(load->capacity, CAPACITY_MIN),
+	return (int64_t)MIN(load->ahead_core_us / MAX(load->capacity, capacity_min),
 			    (double)RETRY_MAX_S * US_PER_SECOND);
 }
 
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -11,8 +11,9 @@
 	MILLICORES = 1000
 };
 
-static const double AIM_SHARE = 0.85; /* of the objective: predictions err, and a late start is lost */
-static const double MOVE_GAIN = 1.3; /* a move must be expected to save this factor */
+static const double aim_share =
+	0.85; /* of the objective: predictions err, and a late start is lost */
+static const double move_gain = 1.3; /* a move must be expected to save this factor */
 
 struct runtime *dispatch_runtime(struct dispatch *dispatch, const char *queue)
 {
@@ -182,8 +183,8 @@
 	int64_t objective_us;
 	struct job **row;
 
-	job->task_us = runtime_predict(dispatch_runtime(dispatch, request->queue),
-				       request->estimate_us);
+	job->task_us =
+		runtime_predict(dispatch_runtime(dispatch, request->queue), request->estimate_us);
 	job->work_us = runtime_longest(job->task_us, request->tasks);
 	objective_us = (int64_t)(request->stretch * (double)job->work_us) + request->slack_us;
 	job->id = g_strdup(request->id);
@@ -196,7 +197,7 @@
 	job->arrived_us = request->arrived_us;
 	job->deadline_us = request->deadline_us;
 	job->target_us = MIN(request->arrived_us + objective_us, request->deadline_us);
-	job->aim_us = MIN(request->arrived_us + (int64_t)(AIM_SHARE * (double)objective_us),
+	job->aim_us = MIN(request->arrived_us + (int64_t)(aim_share * (double)objective_us),
 			  request->deadline_us);
 	job->late_us = MIN(request->arrived_us + LATE_FACTOR * objective_us, request->deadline_us);
 	job->priority = MIN(request->priority, PRIORITIES - 1);
@@ -386,8 +387,7 @@
 		job->may_have_run = true;
 	server = fleet_get(&dispatch->fleet, run.server);
 	dispatch->callbacks.run_ended(dispatch->callbacks.context, job->id, run.index,
-				      task->attempt, server ? server->id : "", outcome,
-				      elapsed_us);
+				      task->attempt, server ? server->id : "", outcome, elapsed_us);
 	if (outcome == RUN_DONE)
 		learn(dispatch, job, server, elapsed_us);
 	else if (outcome == RUN_FAILED || outcome == RUN_UNHEALTHY || run.moving)
@@ -415,7 +415,7 @@
 	here_us = percent > 0 ? elapsed_us * (100 - percent) / percent : INT64_MAX / 4;
 	elsewhere_us = RESTART_US + (int64_t)((double)job->task_us / sum.fastest);
 	if (now_us + elsewhere_us > job->late_us ||
-	    (double)elsewhere_us * MOVE_GAIN > (double)here_us)
+	    (double)elsewhere_us * move_gain > (double)here_us)
 		return;
 	/* Lost time only matters when the job would miss its objective here. */
 	if (now_us + here_us <= job->target_us)
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -22,16 +22,16 @@
 };
 
 /*
- * Load pattern: jobs that need a third of all room at once, among small ones, with all servers full. The
- * room for all their tasks comes free over some time, so they must begin to take it that much earlier.
+ * Load pattern: jobs that need a third of all room at once, among small ones, with all servers
+ * full. The room for all their tasks comes free over some time, so they must begin to take it that
+ * much earlier.
  */
 static int64_t urgency_us(const struct job *job, const struct fleet_sum *sum)
 {
 	double cpu = (double)job->task_count * job->need.cpu;
 	int64_t gather_us = sum->drain > 0 ? (int64_t)(cpu / sum->drain) : 0;
 
-	return dispatch_start_by(job, sum->fastest) - gather_us +
-	       PRIORITY_LEAD_US * job->priority;
+	return dispatch_start_by(job, sum->fastest) - gather_us + PRIORITY_LEAD_US * job->priority;
 }
 
 static int by_urgency(const void *a, const void *b)
@@ -44,8 +44,8 @@
 	return left->job->arrived_us < right->job->arrived_us ? -1 : 1;
 }
 
-/* A run waits at its server as long as it can still end by the job's objective, or, when that is out of
- * reach, while its answer is worth anything. */
+/* A run waits at its server as long as it can still end by the job's objective, or, when that is
+ * out of reach, while its answer is worth anything. */
 static int64_t start_within_us(const struct job *job, const struct fleet_server *server,
 			       int64_t now_us)
 {
@@ -112,8 +112,7 @@
 	for (uint32_t i = 0; i < job->task_count && next < placed; i++) {
 		if (job->tasks[i].phase != TASK_QUEUED)
 			continue;
-		oldest_us = MIN(oldest_us,
-				fleet_get(&dispatch->fleet, servers[next])->reported_us);
+		oldest_us = MIN(oldest_us, fleet_get(&dispatch->fleet, servers[next])->reported_us);
 		order(dispatch, job, i, servers[next++], urgent_us, now_us);
 	}
 	g_free(servers);
@@ -145,8 +144,8 @@
 	return core_us;
 }
 
-/* Refuses a job that cannot be in time. AHEAD_CORE_US is the work that waits before it. Returns whether
- * the job goes on waiting. */
+/* Refuses a job that cannot be in time. AHEAD_CORE_US is the work that waits before it. Returns
+ * whether the job goes on waiting. */
 static bool consider(struct dispatch *dispatch, struct job *job, const struct fleet_sum *sum,
 		     double ahead_core_us, int64_t now_us)
 {
@@ -217,15 +216,15 @@
 
 		if (is_blocked(dispatch, job))
 			continue;
-		place(dispatch, job, item->urgent_us,
-		      now_us > dispatch_start_by(job, sum.fastest), now_us);
+		place(dispatch, job, item->urgent_us, now_us > dispatch_start_by(job, sum.fastest),
+		      now_us);
 		if (job->queued == 0) {
 			dispatch_dequeue(dispatch, job);
 			continue;
 		}
 		sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
-		left_core_us = (double)job->queued * job->need.cpu / MILLICORES *
-			       (double)job->task_us;
+		left_core_us =
+			(double)job->queued * job->need.cpu / MILLICORES * (double)job->task_us;
 		if (consider(dispatch, job, &sum, ahead_core_us, now_us))
 			ahead_core_us += left_core_us;
 	}
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -28,10 +28,10 @@
 	uint32_t step;
 	struct room need;
 	int64_t estimate_us;
-	int64_t task_us; /* expected run time of a task on a typical server */
-	int64_t work_us; /* of the longest task */
+	int64_t task_us;   /* expected run time of a task on a typical server */
+	int64_t work_us;   /* of the longest task */
 	int64_t target_us; /* when the job should have ended */
-	int64_t aim_us; /* when it is planned to end, before the target */
+	int64_t aim_us;	   /* when it is planned to end, before the target */
 	int64_t late_us;   /* when an answer has become worthless */
 	int64_t arrived_us;
 	int64_t deadline_us;
@@ -47,7 +47,7 @@
 	bool may_have_run;
 	bool finished; /* answered; the row stays until its runs are settled */
 	bool in_queue;
-	struct handle avoid; /* server of the last failed run */
+	struct handle avoid;   /* server of the last failed run */
 	struct handle blocker; /* earlier job of the same id with unsettled runs */
 	void *context;
 	struct job_task tasks[];
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -90,8 +90,8 @@
 	return (left > right) - (left < right);
 }
 
-/* Run times are predicted from speeds, and speeds learned from predicted run times: both could drift
- * together, so speeds are kept relative to the median server. */
+/* Run times are predicted from speeds, and speeds learned from predicted run times: both could
+ * drift together, so speeds are kept relative to the median server. */
 static void scale_speeds(struct fleet *fleet)
 {
 	uint32_t cursor = 0;
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -9,8 +9,8 @@
 };
 
 /* Below this share of free room, jobs that can do with a slow server leave the fast ones. */
-static const double SCARCE_SHARE = 0.35;
-static const double SPEED_FLOOR = 0.01;
+static const double scarce_share = 0.35;
+static const double speed_floor = 0.01;
 
 struct candidate {
 	struct handle handle;
@@ -24,7 +24,7 @@
 
 int64_t placement_run_us(const struct fleet_server *server, int64_t work_us)
 {
-	return (int64_t)((double)work_us / MAX(server->speed, SPEED_FLOOR));
+	return (int64_t)((double)work_us / MAX(server->speed, speed_floor));
 }
 
 /* A full server frees its room at the rate at which its runs end. */
@@ -41,11 +41,10 @@
 	return fleet_waiting_before(server, PRIORITIES) > 0 || !room_fits(need, &server->free);
 }
 
-int64_t placement_end_us(const struct fleet_server *server,
-			 const struct placement_request *request, int64_t now_us)
+int64_t placement_end_us(const struct fleet_server *server, const struct placement_request *request,
+			 int64_t now_us)
 {
-	int64_t end_us =
-		now_us + ORDER_DELAY_US + placement_run_us(server, request->work_us);
+	int64_t end_us = now_us + ORDER_DELAY_US + placement_run_us(server, request->work_us);
 
 	if (is_full(server, &request->need))
 		end_us += wait_us(server, fleet_waiting_before(server, request->priority) +
@@ -134,7 +133,7 @@
 			  int64_t now_us, struct handle *servers)
 {
 	struct fleet_sum sum = fleet_sum(fleet, request->service, &request->need);
-	bool scarce = (double)sum.free_cpu < SCARCE_SHARE * (double)sum.cpu;
+	bool scarce = (double)sum.free_cpu < scarce_share * (double)sum.cpu;
 	GArray *found = find_candidates(fleet, request, now_us);
 	uint32_t placed = 0;
 
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -5,17 +5,17 @@
 enum {
 	PERMILLE = 1000,
 	PERCENT = 100,
-	LEASE_MARGIN_US = 50 * US_PER_MS, /* a stop at the end of a lease takes this long */
+	LEASE_MARGIN_US = 50 * US_PER_MS,   /* a stop at the end of a lease takes this long */
 	BEHIND_PERIOD_US = 100 * US_PER_MS, /* a run that is behind is reported this often */
-	BEHIND_MIN_US = 120 * US_PER_MS,  /* younger runs say little of the server's speed */
+	BEHIND_MIN_US = 120 * US_PER_MS,    /* younger runs say little of the server's speed */
 };
 
-static const double SPEED_WEIGHT = 0.15; /* of one ended run in the average speed */
-static const double BEHIND_FACTOR = 0.5; /* below this share of the usual speed a run is behind */
-static const double SLOW_FACTOR = 0.5;	 /* below this share a server is on trial */
-static const double RUN_TIME_WEIGHT = 0.05; /* of one ended run in the mean run time */
-static const double SPEED_MIN = 0.02;
-static const double SPEED_MAX = 20.0;
+static const double speed_weight = 0.15; /* of one ended run in the average speed */
+static const double behind_factor = 0.5; /* below this share of the usual speed a run is behind */
+static const double slow_factor = 0.5;	 /* below this share a server is on trial */
+static const double run_time_weight = 0.05; /* of one ended run in the mean run time */
+static const double speed_min = 0.02;
+static const double speed_max = 20.0;
 
 const char *run_outcome_name(enum run_outcome outcome)
 {
@@ -110,11 +110,11 @@
 
 static void learn_speed(struct runs *runs, double sample, int64_t now_us)
 {
-	sample = CLAMP(sample, SPEED_MIN, SPEED_MAX);
-	runs->speed += (runs->samples == 0 ? 1.0 : SPEED_WEIGHT) * (sample - runs->speed);
-	if (sample > SLOW_FACTOR * runs->usual_speed || runs->samples == 0)
+	sample = CLAMP(sample, speed_min, speed_max);
+	runs->speed += (runs->samples == 0 ? 1.0 : speed_weight) * (sample - runs->speed);
+	if (sample > slow_factor * runs->usual_speed || runs->samples == 0)
 		runs->usual_speed +=
-			(runs->samples == 0 ? 1.0 : SPEED_WEIGHT) * (sample - runs->usual_speed);
+			(runs->samples == 0 ? 1.0 : speed_weight) * (sample - runs->usual_speed);
 	runs->samples++;
 	runs->sampled_us = now_us;
 }
@@ -126,7 +126,7 @@
 		count_failure(runs, run, now_us);
 	} else if (outcome == RUN_DONE) {
 		health_result(&runs->health, true, UINT32_MAX, now_us);
-		runs->run_us += (runs->run_us > 0 ? RUN_TIME_WEIGHT : 1.0) *
+		runs->run_us += (runs->run_us > 0 ? run_time_weight : 1.0) *
 				((double)elapsed_us - runs->run_us);
 		if (elapsed_us > 0 && run->estimate_us > 0)
 			learn_speed(runs, (double)run->estimate_us / (double)elapsed_us, now_us);
@@ -245,8 +245,7 @@
 	struct run *run;
 
 	while ((run = table_next(&runs->table, &cursor, &at))) {
-		if (run->phase != RUN_WAITING ||
-		    (worst && run->urgent_us <= worst->urgent_us))
+		if (run->phase != RUN_WAITING || (worst && run->urgent_us <= worst->urgent_us))
 			continue;
 		worst = run;
 		*handle = at;
@@ -254,7 +253,8 @@
 	return worst;
 }
 
-/* Makes room in the queue for REQUEST by turning away less urgent runs. Returns whether it may wait. */
+/* Makes room in the queue for REQUEST by turning away less urgent runs. Returns whether it may
+ * wait. */
 static bool may_wait(struct runs *runs, const struct run_request *request, int64_t now_us)
 {
 	uint64_t allowance = (uint64_t)runs->total.cpu * runs->limits.waiting_permille / PERMILLE;
@@ -319,7 +319,8 @@
 	struct handle handle;
 	struct run *run;
 
-	while (runs_waiting_cpu(runs) > 0 && runs_ready(runs) && (run = next_waiting(runs, &handle))) {
+	while (runs_waiting_cpu(runs) > 0 && runs_ready(runs) &&
+	       (run = next_waiting(runs, &handle))) {
 		runs->waiting_cpu[run->priority] -= run->need.cpu;
 		send_start(runs, run, handle, now_us);
 	}
@@ -392,9 +393,9 @@
 			 int64_t now_us)
 {
 	static const enum run_outcome refusals[] = {
-		[START_NO_ROOM] = RUN_NO_ROOM,	   [START_SUPERSEDED] = RUN_SUPERSEDED,
-		[START_LATE] = RUN_LATE,	   [START_UNHEALTHY] = RUN_UNHEALTHY,
-		[START_INVALID] = RUN_INVALID,	   [START_NOT_SENT] = RUN_UNANSWERED,
+		[START_NO_ROOM] = RUN_NO_ROOM, [START_SUPERSEDED] = RUN_SUPERSEDED,
+		[START_LATE] = RUN_LATE,       [START_UNHEALTHY] = RUN_UNHEALTHY,
+		[START_INVALID] = RUN_INVALID, [START_NOT_SENT] = RUN_UNANSWERED,
 	};
 	struct run *run = table_get(&runs->table, handle);
 
@@ -484,7 +485,7 @@
 	if (elapsed_us < BEHIND_MIN_US || run->estimate_us <= 0)
 		return;
 	rate = (double)run->percent / PERCENT * (double)run->estimate_us / (double)elapsed_us;
-	if (rate >= BEHIND_FACTOR * runs->usual_speed)
+	if (rate >= behind_factor * runs->usual_speed)
 		return;
 	if (now_us - run->progress_sent_us < BEHIND_PERIOD_US)
 		return;
@@ -526,10 +527,12 @@
 	struct run *run;
 
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
-		if (run->phase == RUN_WAITING || run->phase_us > asked_us || g_hash_table_contains(listed, run))
+		if (run->phase == RUN_WAITING || run->phase_us > asked_us ||
+		    g_hash_table_contains(listed, run))
 			continue;
 		if (run->phase == RUN_UNSURE)
-			send_stop(runs, run, handle, now_us); /* the order may still be on its way */
+			send_stop(runs, run, handle,
+				  now_us); /* the order may still be on its way */
 		else if (run->phase == RUN_SETTLING)
 			end(runs, handle, run->stop_requested ? RUN_STOPPED : RUN_UNANSWERED,
 			    now_us);
@@ -594,7 +597,7 @@
 
 static bool is_slow(const struct runs *runs)
 {
-	return runs->samples > 0 && runs->speed < SLOW_FACTOR * runs->usual_speed;
+	return runs->samples > 0 && runs->speed < slow_factor * runs->usual_speed;
 }
 
 bool runs_on_trial(const struct runs *runs, int64_t now_us)
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -17,14 +17,14 @@
 	BUSY_WAIT_MS = 150,  /* for an end, while something runs */
 	IDLE_WAIT_MS = 1000,
 	UNREACHABLE_MS = 400, /* without any answer, while something is asked */
-	/* While something runs, two calls wait for an end, as an answer that is lost would else hide the
-	 * ends of all runs until the time-out. */
+	/* While something runs, two calls wait for an end, as an answer that is lost would else
+	 * hide the ends of all runs until the time-out. */
 	BUSY_HOLDS = 2,
-	RENEW_MS = 200, /* the lease is renewed at least this often while something runs */
+	RENEW_MS = 200,	    /* the lease is renewed at least this often while something runs */
 	ANSWER_WEIGHT = 16, /* of one answer in the usual time: 1 in 16 */
 	RETRY_MS = 100,
-	EPOCH_STEP = 60000, /* by which a refused epoch is raised, at first */
-	WAITING_PERMILLE = 100, /* of the server's cpu that runs may wait for; some 15 ms */
+	EPOCH_STEP = 60000,	   /* by which a refused epoch is raised, at first */
+	WAITING_PERMILLE = 100,	   /* of the server's cpu that runs may wait for; some 15 ms */
 	CLOCK_DRIFT_PERMILLE = 20, /* a server's steady clock may be 2 % slow */
 	TRIAL_MS = 1500,
 	FAIL_STREAK = 4,
@@ -143,8 +143,8 @@
 	return g_strdup_printf("X-Greengagefront-Expect-Instance: %s\r\n", backend->id);
 }
 
-static void call(struct http_client *client, const char *path, const char *body,
-		 int64_t timeout_ms, http_reply_callback callback, void *context, char *extra)
+static void call(struct http_client *client, const char *path, const char *body, int64_t timeout_ms,
+		 http_reply_callback callback, void *context, char *extra)
 {
 	http_client_call(client, &(struct http_call){
 					 .method = "POST",
@@ -253,8 +253,8 @@
 static void list_failed(struct backend *backend, const struct http_reply *reply,
 			const struct error *err)
 {
-	/* After a crash nothing runs. A server that does not answer keeps its runs until their leases
-	 * have expired. */
+	/* After a crash nothing runs. A server that does not answer keeps its runs until their
+	 * leases have expired. */
 	if (reply->refused)
 		runs_server_lost(&backend->runs, backend->loop->now_us);
 	if (reply->refused ||
@@ -301,11 +301,12 @@
 static void hold(struct backend *backend, bool waits)
 {
 	struct listing *listing = g_new(struct listing, 1);
-	/* The first call of a life learns the server's clock and what runs there, and does not wait. */
+	/* The first call of a life learns the server's clock and what runs there, and does not
+	 * wait. */
 	bool known = backend->listed && backend->reachable && backend->clock_ms > 0;
-	int64_t wait_ms = !waits || !known ? 0
+	int64_t wait_ms = !waits || !known			  ? 0
 			  : table_count(&backend->runs.table) > 0 ? BUSY_WAIT_MS
-								   : IDLE_WAIT_MS;
+								  : IDLE_WAIT_MS;
 	int64_t expires_ms = 0;
 	char *body;
 
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -35,9 +35,9 @@
 	uint64_t sequence;
 	uint32_t version; /* rises when the above change */
 	bool announced;
-	bool reachable; /* answers calls */
-	bool listed; /* a list of this life has been handled */
-	int64_t epoch; /* of orders: a server ignores orders of a lower one than it has seen */
+	bool reachable;	  /* answers calls */
+	bool listed;	  /* a list of this life has been handled */
+	int64_t epoch;	  /* of orders: a server ignores orders of a lower one than it has seen */
 	int64_t clock_ms; /* its steady clock, when it was last told */
 	int64_t clock_us; /* when that was */
 	int64_t lease_ms;
@@ -45,7 +45,7 @@
 	int64_t answered_us; /* last list */
 	int64_t answer_us;   /* usual time of an answer to an order, EWMA */
 	uint32_t holding;    /* calls in progress that wait for an end */
-	bool looking; /* a call that does not wait is in progress */
+	bool looking;	     /* a call that does not wait is in progress */
 	bool look_wanted;
 	bool leaving; /* this process shuts down and takes no starts */
 };
@@ -56,8 +56,8 @@
 /* Returns whether starts are taken. */
 bool backend_ready(const struct backend *backend);
 
-/* Returns the number of runs of earlier owners that may still exist; at least 1 before the server has
- * been looked at. */
+/* Returns the number of runs of earlier owners that may still exist; at least 1 before the server
+ * has been looked at. */
 uint32_t backend_unsettled(const struct backend *backend);
 
 /* Closes all connections to the server, which may have gone silent. */
--- a/packages/greengaged/src/main.c
+++ b/packages/greengaged/src/main.c
@@ -62,6 +62,7 @@
 	code = strcmp(settings.role, "entry") == 0 ? node_entry_run(&settings)
 						   : node_agent_run(&settings);
 	event_log(EVENT_PROCESS_STOPPED, EV_I("exit_code", code));
+	event_flush();
 	node_settings_free(&settings);
 	return code;
 }
@@ -82,6 +83,7 @@
 	event_log(EVENT_PROCESS_STARTED, EV_S("role", settings.role), EV_S("version", GG_VERSION));
 	code = strcmp(settings.role, "entry") == 0 ? entry_run(&settings) : agent_run(&settings);
 	event_log(EVENT_PROCESS_STOPPED, EV_I("exit_code", code));
+	event_flush();
 	daemon_settings_free(&settings);
 	return code;
 }
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -29,8 +29,8 @@
 	uint64_t orders_ack;
 	uint64_t next_report;
 	GQueue unacknowledged; /* struct kept_report * */
-	GArray *ends;	 /* struct kept_end, not sent yet */
-	GArray *behind;	 /* struct kept_progress, not sent yet */
+	GArray *ends;	       /* struct kept_end, not sent yet */
+	GArray *behind;	       /* struct kept_progress, not sent yet */
 	bool room_dirty;
 	bool is_new; /* met for the first time, or forgotten meanwhile */
 	int64_t room_sent_us;
@@ -300,10 +300,10 @@
 				 .gpus = batch->gpus},
 			.estimate_us = (int64_t)batch->estimate_ms * US_PER_MS,
 			.priority = batch->priority,
-			.urgent_us = agent->loop.now_us +
-				     (int64_t)batch->urgent_within_ms * US_PER_MS,
-			.start_by_us = agent->loop.now_us +
-				       (int64_t)batch->start_within_ms * US_PER_MS,
+			.urgent_us =
+				agent->loop.now_us + (int64_t)batch->urgent_within_ms * US_PER_MS,
+			.start_by_us =
+				agent->loop.now_us + (int64_t)batch->start_within_ms * US_PER_MS,
 			.spec = spec,
 		};
 
@@ -374,8 +374,7 @@
 	owner->link = link;
 	owner->orders_ack = 0;
 	owner->identity_version = 0;
-	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name),
-		  EV_S("address", dial->address));
+	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", dial->address));
 	send_inventory(agent, owner);
 	return true;
 }
@@ -403,8 +402,7 @@
 	if (node_link_is_up(link))
 		dial->answered_us = dial->agent->loop.now_us;
 	dial->next_us = dial->agent->loop.now_us +
-			(dial->agent->loop.now_us - dial->answered_us <
-					 DIAL_PATIENCE_MS * US_PER_MS
+			(dial->agent->loop.now_us - dial->answered_us < DIAL_PATIENCE_MS * US_PER_MS
 				 ? DIAL_RETRY_MS
 				 : DIAL_RETRY_LONG_MS) *
 				US_PER_MS;
@@ -439,8 +437,8 @@
 		connected = connected || (dial->owner && dial->owner->link);
 		if (dial->link || now_us < dial->next_us)
 			continue;
-		dial->link = node_link_dial(&agent->links, dial->address, &link_callbacks, dial,
-					    &err);
+		dial->link =
+			node_link_dial(&agent->links, dial->address, &link_callbacks, dial, &err);
 		if (!dial->link)
 			dial->next_us = now_us + DIAL_RETRY_LONG_MS * US_PER_MS;
 	}
@@ -602,8 +600,7 @@
 	agent->owners = g_ptr_array_new();
 	agent->connected_us = agent->loop.now_us;
 	agent->store = store_new(&agent->loop, settings->store_address);
-	node_links_init(&agent->links, &agent->loop, &identity,
-			node_settings_silence_ms(settings));
+	node_links_init(&agent->links, &agent->loop, &identity, node_settings_silence_ms(settings));
 	node_members_init(&agent->members, &(struct node_members_options){
 						   .loop = &agent->loop,
 						   .store = agent->store,
--- a/packages/greengaged/src/node_agents.c
+++ b/packages/greengaged/src/node_agents.c
@@ -16,14 +16,14 @@
 	char name[NAME_BYTES];
 	struct node_link *link; /* NULL while it is out of reach */
 	struct handle server;
-	bool server_known;   /* the handle has been used */
-	bool inventory_due;  /* the first report of a connection is awaited */
-	uint64_t orders;     /* number of the last orders sent on this connection */
-	uint64_t report;     /* highest handled */
+	bool server_known;	  /* the handle has been used */
+	bool inventory_due;	  /* the first report of a connection is awaited */
+	uint64_t orders;	  /* number of the last orders sent on this connection */
+	uint64_t report;	  /* highest handled */
 	uint32_t members_version; /* last sent */
-	GPtrArray *starts;   /* struct run_order copies of this turn */
-	GArray *stops;	     /* uint64_t, of this turn */
-	struct handle former; /* the same server before the agent gave this entry up, or none */
+	GPtrArray *starts;	  /* struct run_order copies of this turn */
+	GArray *stops;		  /* uint64_t, of this turn */
+	struct handle former;	  /* the same server before the agent gave this entry up, or none */
 	struct agent_peer *replaced; /* earlier process of the same agent with unsettled runs */
 };
 
@@ -182,8 +182,8 @@
 		take_report(agent, frame->report, agent->entry->loop.now_us);
 }
 
-/* Fills BATCH, initialised, from the orders that begin at FIRST and belong together. Returns the number
- * of orders taken. */
+/* Fills BATCH, initialised, from the orders that begin at FIRST and belong together. Returns the
+ * number of orders taken. */
 static guint fill_batch(const GPtrArray *starts, guint first, Ggd__StartBatch *batch)
 {
 	const struct run_order *order = starts->pdata[first];
@@ -226,7 +226,7 @@
 	struct node_entry *entry = agent->entry;
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	Ggd__Orders orders = GGD__ORDERS__INIT;
-	Ggd__StartBatch *batches = g_new(Ggd__StartBatch, agent->starts->len + 1);
+	Ggd__StartBatch *batches = g_new0(Ggd__StartBatch, agent->starts->len + 1);
 	Ggd__StartBatch **pointers = g_new(Ggd__StartBatch *, agent->starts->len + 1);
 	guint first = 0;
 
--- a/packages/greengaged/src/node_config.h
+++ b/packages/greengaged/src/node_config.h
@@ -1,5 +1,5 @@
-/* The configuration in force: followed in the store, and taken from other entries while the store is
- * away. */
+/* The configuration in force: followed in the store, and taken from other entries while the store
+ * is away. */
 #ifndef GG_NODE_CONFIG_H
 #define GG_NODE_CONFIG_H
 
@@ -23,8 +23,8 @@
 /* Starts to follow the store. */
 void node_config_start(struct node_config *config);
 
-/* Takes a document from SOURCE ("store" or a daemon's name). A version at or below the one in force is
- * ignored. */
+/* Takes a document from SOURCE ("store" or a daemon's name). A version at or below the one in force
+ * is ignored. */
 void node_config_offer(struct node_config *config, const char *text, size_t length,
 		       const char *source);
 
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -103,8 +103,8 @@
 static void on_placed(void *context, const char *id, uint32_t tasks, uint32_t waiting,
 		      int64_t report_age_us)
 {
-	event_log(EVENT_JOB_PLACED, EV_S("job", id), EV_I("tasks", tasks),
-		  EV_I("waiting", waiting), EV_I("report_age_ms", report_age_us / US_PER_MS));
+	event_log(EVENT_JOB_PLACED, EV_S("job", id), EV_I("tasks", tasks), EV_I("waiting", waiting),
+		  EV_I("report_age_ms", report_age_us / US_PER_MS));
 }
 
 static void on_run_ended(void *context, const char *id, uint32_t index, uint32_t attempt,
@@ -127,7 +127,8 @@
 	node_agents_flush(entry);
 }
 
-/* Stops once the balancer has moved on and nothing is unanswered, or at the end of the grace period. */
+/* Stops once the balancer has moved on and nothing is unanswered, or at the end of the grace
+ * period. */
 static void stop_when_idle(struct node_entry *entry, int64_t now_us)
 {
 	int64_t since_ms = (now_us - entry->stopped_us) / US_PER_MS;
@@ -187,8 +188,7 @@
 static void start_dispatch(struct node_entry *entry)
 {
 	const struct node_settings *settings = entry->settings;
-	int64_t lease_ms =
-		node_settings_run_lease_ms(settings) * (100 + CLOCK_DRIFT_PERCENT) / 100;
+	int64_t lease_ms = node_settings_run_lease_ms(settings) * (100 + CLOCK_DRIFT_PERCENT) / 100;
 	const struct dispatch_limits limits = {
 		.max_jobs = MAX_JOBS,
 		.settle_us = (node_settings_silence_ms(settings) + lease_ms +
@@ -226,9 +226,9 @@
 	if (status == STATUS_OK)
 		status = node_front_start(entry, err);
 	if (status == STATUS_OK)
-		status = http_server_listen(&entry->loop, entry->settings->readiness_address,
-					    &probe, &probe_callbacks, entry, &entry->readiness,
-					    err);
+		status =
+			http_server_listen(&entry->loop, entry->settings->readiness_address, &probe,
+					   &probe_callbacks, entry, &entry->readiness, err);
 	return status;
 }
 
@@ -264,8 +264,8 @@
 	struct error err;
 
 	entry->settings = settings;
-	entry->own_address = g_strdup_printf("%s:%" G_GINT64_FORMAT, settings->host_ip,
-					     settings->peer_port);
+	entry->own_address =
+		g_strdup_printf("%s:%" G_GINT64_FORMAT, settings->host_ip, settings->peer_port);
 	entry->agents = g_ptr_array_new();
 	entry->peers = g_ptr_array_new();
 	node_metrics_register();
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -1,5 +1,5 @@
-/* The entry: between the clients and the agents. Its parts share one board; the order of the calls is
- * front, dispatch (packages/core), agents; answers come back by callbacks. */
+/* The entry: between the clients and the agents. Its parts share one board; the order of the calls
+ * is front, dispatch (packages/core), agents; answers come back by callbacks. */
 #ifndef GG_NODE_ENTRY_H
 #define GG_NODE_ENTRY_H
 
@@ -25,12 +25,12 @@
 	struct dispatch dispatch;
 	struct http_server *clients;
 	struct http_server *readiness;
-	GPtrArray *agents; /* struct agent_peer * */
-	GPtrArray *peers;  /* struct entry_peer *, dialled here */
+	GPtrArray *agents;   /* struct agent_peer * */
+	GPtrArray *peers;    /* struct entry_peer *, dialled here */
 	GPtrArray *incoming; /* struct incoming *, entries that dialled here */
-	GArray *early; /* requests that wait for the first configuration */
-	uint32_t requests; /* unanswered submissions */
-	bool stopping;	   /* after SIGTERM */
+	GArray *early;	     /* requests that wait for the first configuration */
+	uint32_t requests;   /* unanswered submissions */
+	bool stopping;	     /* after SIGTERM */
 	int64_t stopped_us;
 	bool was_ready;
 };
--- a/packages/greengaged/src/node_front.c
+++ b/packages/greengaged/src/node_front.c
@@ -61,9 +61,8 @@
 	size_t length;
 	const char *body = http_request_body(request, &length);
 	int64_t now_us = entry->loop.now_us;
-	int64_t wait_us = read->wait_ms > 0
-				  ? (read->wait_ms - ANSWER_MARGIN_MS) * US_PER_MS
-				  : route->timeout_us;
+	int64_t wait_us = read->wait_ms > 0 ? (read->wait_ms - ANSWER_MARGIN_MS) * US_PER_MS
+					    : route->timeout_us;
 
 	if (client_job_read(body, length, &job, &err) != STATUS_OK) {
 		answer_error(request, &err, read->id);
@@ -250,8 +249,8 @@
 		return;
 	}
 	submission->request = NULL;
-	dispatch_end_job(&entry->dispatch, submission->id, STATUS_CANCELLED,
-			 "its client has left", entry->loop.now_us);
+	dispatch_end_job(&entry->dispatch, submission->id, STATUS_CANCELLED, "its client has left",
+			 entry->loop.now_us);
 }
 
 static const struct http_server_callbacks callbacks = {
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -6,7 +6,7 @@
 enum {
 	US_PER_MS = 1000,
 	CHECK_MS = 25,
-	GREETING_MS = 200, /* a peer that has not greeted by then is dialled again */
+	GREETING_MS = 200,	   /* a peer that has not greeted by then is dialled again */
 	UNSENT_MAX_BYTES = 4 << 20 /* a peer that takes in no more is out of reach */
 };
 
@@ -63,8 +63,7 @@
 
 static bool greet(struct node_link *link, const Ggd__Frame *frame)
 {
-	if (frame->body_case != GGD__FRAME__BODY_HELLO ||
-	    frame->hello->protocol != NODE_PROTOCOL ||
+	if (frame->body_case != GGD__FRAME__BODY_HELLO || frame->hello->protocol != NODE_PROTOCOL ||
 	    frame->hello->incarnation.len != IDENT_BYTES) {
 		drop(link, "the peer does not greet as expected");
 		return false;
--- a/packages/greengaged/src/node_members.c
+++ b/packages/greengaged/src/node_members.c
@@ -63,8 +63,8 @@
 	}
 	if (!published) {
 		members->reading = true;
-		store_append(members->store, STORE_TOPIC_MEMBERS, members->own,
-			     members->own_record, on_published, members);
+		store_append(members->store, STORE_TOPIC_MEMBERS, members->own, members->own_record,
+			     on_published, members);
 	}
 }
 
--- a/packages/greengaged/src/node_metrics.c
+++ b/packages/greengaged/src/node_metrics.c
@@ -1,9 +1,10 @@
 #include "node_metrics.h"
 
+#include "event.h"
+
 struct counter node_metrics[NODE_METRIC_COUNT] = {
 #define NODE_METRIC_ROW(constant, text, type, description)                                         \
-	[NODE_METRIC_##constant] = {                                                               \
-		.name = (text), .help = (description), .kind = COUNTER_##type},
+	[NODE_METRIC_##constant] = {.name = (text), .help = (description), .kind = COUNTER_##type},
 	NODE_METRIC_LIST(NODE_METRIC_ROW)
 #undef NODE_METRIC_ROW
 };
@@ -55,6 +56,7 @@
 {
 	GString *text = g_string_new(NULL);
 
+	counter_set(&node_metrics[NODE_METRIC_LOG_DROPPED], event_dropped());
 	counter_render(text);
 	http_answer(request, 200, NULL, text->str);
 	g_string_free(text, TRUE);
--- a/packages/greengaged/src/node_metrics.h
+++ b/packages/greengaged/src/node_metrics.h
@@ -17,7 +17,7 @@
 	X(REFUSED_REQUESTS, "requests_refused_total", TOTAL, "Requests that reached no job")       \
 	X(RUNS, "runs_total", TOTAL, "Runs that ended or were not started")                        \
 	X(RUNS_NOT_DONE, "runs_not_done_total", TOTAL, "Runs that did not end as done")            \
-	X(LOG_DROPPED, "log_lines_dropped_total", TOTAL, "Log lines dropped at the rate limit")
+	X(LOG_DROPPED, "log_lines_dropped_total", TOTAL, "Log lines dropped at their bounds")
 
 enum node_metric {
 #define NODE_METRIC_ENUM(constant, name, kind, help) NODE_METRIC_##constant,
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -95,8 +95,7 @@
 
 	peer->answered_us = peer->entry->loop.now_us;
 	peer->members_version = 0;
-	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name),
-		  EV_S("address", peer->address));
+	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", peer->address));
 	send_state(peer, peer->entry->loop.now_us);
 	return true;
 }
@@ -181,10 +180,9 @@
 		return;
 	peer->heard_us = peer->entry->loop.now_us;
 	for (size_t i = 0; i < PRIORITIES; i++)
-		peer->backlog_core_us[i] =
-			i < state->n_backlog_core_ms
-				? (double)state->backlog_core_ms[i] * US_PER_MS
-				: 0;
+		peer->backlog_core_us[i] = i < state->n_backlog_core_ms
+						   ? (double)state->backlog_core_ms[i] * US_PER_MS
+						   : 0;
 	g_hash_table_remove_all(peer->queued);
 	for (size_t i = 0; i < state->n_queues && i < state->n_queued; i++)
 		g_hash_table_insert(peer->queued, g_strdup(state->queues[i]),
@@ -292,8 +290,8 @@
 		peer->link = NULL;
 		peer->next_us = 0;
 	}
-	while (incoming_list(entry)->len > 0) {
-		struct incoming *peer = entry->incoming->pdata[0];
+	for (guint i = incoming_list(entry)->len; i-- > 0;) {
+		struct incoming *peer = entry->incoming->pdata[i];
 
 		node_link_close(peer->link);
 		forget_incoming(peer);
--- a/packages/greengaged/src/node_settings.h
+++ b/packages/greengaged/src/node_settings.h
@@ -29,25 +29,26 @@
 	char *server_address; /* agent: where the backend server takes orders */
 	char *server_service;
 
-	double lease_ms;  /* longest lease that a backend server grants */
-	double stop_ms;	  /* in which a backend server ends a stopped run */
-	double resend_ms; /* after which a client sends an unanswered job again */
-	double grace_s;	  /* between SIGTERM and SIGKILL */
+	double lease_ms;	/* longest lease that a backend server grants */
+	double stop_ms;		/* in which a backend server ends a stopped run */
+	double resend_ms;	/* after which a client sends an unanswered job again */
+	double grace_s;		/* between SIGTERM and SIGKILL */
 	double config_apply_ms; /* in which a configuration must be in force */
-	double drain_ms;  /* in which a leaving server must see its last start */
+	double drain_ms;	/* in which a leaving server must see its last start */
 };
 
-/* Returns whether the settings in FILE are of mode "platform"; false also when FILE cannot be read. */
+/* Returns whether the settings in FILE are of mode "platform"; false also when FILE cannot be read.
+ */
 bool node_settings_is_platform(const char *file);
 
-/* Reads and checks FILE. Errors as settings_load; the message names the path and what is accepted. */
-enum status node_settings_load(const char *file, struct node_settings *settings,
-			       struct error *err);
+/* Reads and checks FILE. Errors as settings_load; the message names the path and what is accepted.
+ */
+enum status node_settings_load(const char *file, struct node_settings *settings, struct error *err);
 
 /*
- * A client sends an unanswered job again after resend_ms, and by then no run of a lost owner may exist,
- * even when its agent dies just before it gives the owner up. So the time after which a silent peer is
- * given up and the lease that runs on without an agent share what resend_ms leaves.
+ * A client sends an unanswered job again after resend_ms, and by then no run of a lost owner may
+ * exist, even when its agent dies just before it gives the owner up. So the time after which a
+ * silent peer is given up and the lease that runs on without an agent share what resend_ms leaves.
  */
 int64_t node_settings_silence_ms(const struct node_settings *settings);
 int64_t node_settings_run_lease_ms(const struct node_settings *settings);
--- a/packages/net/include/http_client.h
+++ b/packages/net/include/http_client.h
@@ -1,4 +1,5 @@
-/* HTTP/1.1 client for one event loop: kept connections to one address, each call with a time-out. */
+/* HTTP/1.1 client for one event loop: kept connections to one address, each call with a time-out.
+ */
 #ifndef GG_HTTP_CLIENT_H
 #define GG_HTTP_CLIENT_H
 
@@ -33,11 +34,11 @@
 
 struct http_call {
 	const char *method;
-	const char *path;   /* with its query */
-	const char *extra;  /* NULL or further header lines, each ended by "\r\n" */
-	const void *body;   /* NULL for none */
+	const char *path;  /* with its query */
+	const char *extra; /* NULL or further header lines, each ended by "\r\n" */
+	const void *body;  /* NULL for none */
 	size_t length;
-	int64_t timeout_ms; /* from the call, also while it waits for a connection */
+	int64_t timeout_ms;	      /* from the call, also while it waits for a connection */
 	http_reply_callback callback; /* called exactly once, unless the client is freed */
 	void *context;
 };
--- a/packages/net/include/http_server.h
+++ b/packages/net/include/http_server.h
@@ -1,5 +1,5 @@
-/* HTTP/1.1 server for one event loop. Requests are answered at any later time; a request whose client
- * is gone is reported. */
+/* HTTP/1.1 server for one event loop. Requests are answered at any later time; a request whose
+ * client is gone is reported. */
 #ifndef GG_HTTP_SERVER_H
 #define GG_HTTP_SERVER_H
 
@@ -37,8 +37,7 @@
 			       struct http_server **server, struct error *err);
 
 /* Replaces the limits; they hold from the next request. */
-void http_server_set_options(struct http_server *server,
-			     const struct http_server_options *options);
+void http_server_set_options(struct http_server *server, const struct http_server_options *options);
 
 /* Each later answer ends its connection, so that clients move to another host. */
 void http_server_end_connections(struct http_server *server);
@@ -54,6 +53,9 @@
 /* Path without the query; never NULL. */
 const char *http_request_path(const struct http_request *request);
 
+/* What follows the question mark of the path, or NULL. */
+const char *http_request_query(const struct http_request *request);
+
 /* Value of the header NAME (any case), or NULL. */
 const char *http_request_header(const struct http_request *request, const char *name);
 
@@ -70,4 +72,8 @@
  */
 void http_answer(struct http_request *request, int code, const char *extra, const char *body);
 
+/* As http_answer, with a body of LENGTH bytes that may hold zeros. */
+void http_answer_bytes(struct http_request *request, int code, const char *extra, const void *body,
+		       size_t length);
+
 #endif
--- a/packages/net/include/net.h
+++ b/packages/net/include/net.h
@@ -12,7 +12,7 @@
 #include "timer.h"
 
 enum {
-	NET_ADDRESS_BYTES = 32, /* "255.255.255.255:65535" and its terminating zero */
+	NET_ADDRESS_BYTES = 32,	  /* "255.255.255.255:65535" and its terminating zero */
 	NET_CLOCK_GAP_US = 300000 /* a longer pause of the process counts as a freeze */
 };
 
@@ -31,15 +31,15 @@
 	uv_prepare_t prepare;
 	uv_check_t check;
 	struct timer_service timers;
-	int64_t now_us; /* monotonic, of this turn */
-	bool turn_noted;	  /* now_us is of this turn */
-	int64_t expected_us; /* latest time at which the poll should have returned */
+	int64_t now_us;	      /* monotonic, of this turn */
+	bool turn_noted;      /* now_us is of this turn */
+	int64_t expected_us;  /* latest time at which the poll should have returned */
 	int64_t suspended_us; /* boot time less monotonic time */
 	net_turn_callback turn;
 	void *turn_context;
 	net_freeze_callback freeze;
 	void *freeze_context;
-	GPtrArray *unsent; /* connections with bytes to send at the end of the turn */
+	GPtrArray *unsent;  /* connections with bytes to send at the end of the turn */
 	uint32_t in_flight; /* connections whose bytes the kernel has not taken yet */
 	bool stopping;
 	int64_t stopping_us;
--- a/packages/net/src/http_client.c
+++ b/packages/net/src/http_client.c
@@ -44,13 +44,18 @@
 
 static void serve_waiting(struct http_client *client);
 
-static void drop_connection(struct connection *connection)
+static void free_connection(struct connection *connection)
 {
-	g_ptr_array_remove_fast(connection->client->connections, connection);
 	g_string_free(connection->body, TRUE);
 	g_free(connection);
 }
 
+static void drop_connection(struct connection *connection)
+{
+	g_ptr_array_remove_fast(connection->client->connections, connection);
+	free_connection(connection);
+}
+
 static void free_call(struct call *call)
 {
 	timer_cancel(&call->client->loop->timers, call->timer);
@@ -207,8 +212,8 @@
 
 	connection->client = client;
 	connection->body = g_string_new(NULL);
-	connection->conn = net_connect(client->loop, client->address, &conn_callbacks, connection,
-				       err);
+	connection->conn =
+		net_connect(client->loop, client->address, &conn_callbacks, connection, err);
 	if (!connection->conn) {
 		g_string_free(connection->body, TRUE);
 		g_free(connection);
@@ -322,27 +327,32 @@
 
 void http_client_reset(struct http_client *client)
 {
-	while (client->connections->len > 0) {
-		struct connection *connection = client->connections->pdata[0];
+	GPtrArray *closed = client->connections;
+
+	/* A callback may make a call, which opens a connection of the new array. */
+	client->connections = g_ptr_array_new();
+	for (guint i = 0; i < closed->len; i++) {
+		struct connection *connection = closed->pdata[i];
 		struct call *call = connection->call;
 
 		net_conn_close(connection->conn);
-		drop_connection(connection);
+		free_connection(connection);
 		if (call)
 			fail(call, STATUS_NETWORK, "connections were closed");
 	}
+	g_ptr_array_free(closed, TRUE);
 }
 
 void http_client_free(struct http_client *client)
 {
 	client->freeing = true;
-	while (client->connections->len > 0) {
-		struct connection *connection = client->connections->pdata[0];
+	for (guint i = 0; i < client->connections->len; i++) {
+		struct connection *connection = client->connections->pdata[i];
 
 		net_conn_close(connection->conn);
 		if (connection->call)
 			free_call(connection->call);
-		drop_connection(connection);
+		free_connection(connection);
 	}
 	for (struct call *call = g_queue_pop_head(&client->waiting); call;
 	     call = g_queue_pop_head(&client->waiting))
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -28,7 +28,8 @@
 	struct http_server *server;
 	struct net_conn *conn;
 	http_parser parser;
-	GString *path;
+	GString *path; /* cut at the question mark, with the query behind the zero */
+	bool has_query;
 	GString *headers; /* name, zero, value, zero, and so on */
 	GString *body;
 	GByteArray *early; /* bytes of the next request */
@@ -70,7 +71,7 @@
 static int refuse(struct http_request *request, int code)
 {
 	request->problem = code;
-	return 1;
+	return -1; /* after the headers, 1 and 2 have other meanings to the parser */
 }
 
 static size_t header_bytes(const struct http_request *request)
@@ -138,8 +139,9 @@
 	struct http_request *request = parser->data;
 	char *query = strchr(request->path->str, '?');
 
+	request->has_query = query != NULL;
 	if (query)
-		g_string_truncate(request->path, (gsize)(query - request->path->str));
+		*query = '\0';
 	request->keep = http_should_keep_alive(parser);
 	request->complete = true;
 	http_parser_pause(parser, 1);
@@ -184,17 +186,18 @@
 	}
 }
 
-static void send_answer(struct http_request *request, int code, const char *extra,
-			const char *body, bool keep)
+static void send_answer(struct http_request *request, int code, const char *extra, const void *body,
+			size_t length, bool keep)
 {
 	GString *text = g_string_sized_new(256);
 
 	g_string_printf(text,
 			"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-			"Content-Length: %zu\r\n%s%s\r\n%s",
-			code, reason_phrase(code), strlen(body), extra ? extra : "",
-			keep ? "" : "Connection: close\r\n", body);
+			"Content-Length: %zu\r\n%s%s\r\n",
+			code, reason_phrase(code), length, extra ? extra : "",
+			keep ? "" : "Connection: close\r\n");
 	net_conn_send(request->conn, text->str, text->len);
+	net_conn_send(request->conn, body, length);
 	g_string_free(text, TRUE);
 }
 
@@ -204,7 +207,7 @@
 	char body[64];
 
 	g_snprintf(body, sizeof(body), "{\"error\":\"%s\"}", reason_phrase(code));
-	send_answer(request, code, NULL, body, false);
+	send_answer(request, code, NULL, body, strlen(body), false);
 	net_conn_finish(request->conn);
 	drop(request);
 }
@@ -363,6 +366,11 @@
 	return request->path->str;
 }
 
+const char *http_request_query(const struct http_request *request)
+{
+	return request->has_query ? request->path->str + strlen(request->path->str) + 1 : NULL;
+}
+
 const char *http_request_header(const struct http_request *request, const char *name)
 {
 	const char *at = request->headers->str;
@@ -395,11 +403,17 @@
 }
 
 void http_answer(struct http_request *request, int code, const char *extra, const char *body)
+{
+	http_answer_bytes(request, code, extra, body, strlen(body));
+}
+
+void http_answer_bytes(struct http_request *request, int code, const char *extra, const void *body,
+		       size_t length)
 {
 	bool keep = request->keep && !request->server->ending;
 	GByteArray *early;
 
-	send_answer(request, code, extra, body, keep);
+	send_answer(request, code, extra, body, length, keep);
 	if (!keep) {
 		net_conn_finish(request->conn);
 		drop(request);
--- a/packages/net/src/net.c
+++ b/packages/net/src/net.c
@@ -10,7 +10,7 @@
 	NS_PER_US = 1000,
 	US_PER_MS = 1000,
 	FLUSH_LIMIT_US = 200000, /* at a stop, for bytes that the kernel has not taken */
-	LONGEST_POLL_MS = 1000 /* an idle loop looks at the clocks this often */
+	LONGEST_POLL_MS = 1000	 /* an idle loop looks at the clocks this often */
 };
 
 struct net_listener {
@@ -88,8 +88,9 @@
 	uv_timer_start(&loop->timer, on_timer, (uint64_t)wait_ms, 0);
 }
 
-/* Looks at the clocks before the first input of a turn is handled. A suspended host shows as boot time that the monotonic clock
- * has not counted, a stopped process as a poll that returns long after its time-out. */
+/* Looks at the clocks before the first input of a turn is handled. A suspended host shows as boot
+ * time that the monotonic clock has not counted, a stopped process as a poll that returns long
+ * after its time-out. */
 static void note_time(struct net_loop *loop)
 {
 	int64_t gap_us, asleep_us;
--- a/packages/platform/include/client_api.h
+++ b/packages/platform/include/client_api.h
@@ -24,7 +24,7 @@
 struct client_request {
 	enum client_action action;
 	char id[CLIENT_JOB_ID_BYTES]; /* empty for CLIENT_PENDING */
-	int64_t wait_ms; /* for which the client waits; 0 when it does not say */
+	int64_t wait_ms;	      /* for which the client waits; 0 when it does not say */
 };
 
 /* A submitted job of one step. */
--- a/packages/platform/include/server_api.h
+++ b/packages/platform/include/server_api.h
@@ -23,9 +23,9 @@
 	size_t label_count;
 	struct room total;
 	bool leaving;
-	int64_t started_ms;  /* since 1970, differs from one life to the next; 0 when not said */
-	int64_t clock_ms;    /* its steady clock */
-	uint64_t sequence;   /* rises with each heartbeat of one life */
+	int64_t started_ms;   /* since 1970, differs from one life to the next; 0 when not said */
+	int64_t clock_ms;     /* its steady clock */
+	uint64_t sequence;    /* rises with each heartbeat of one life */
 	int64_t remaining_ms; /* least time left to a leaving server; 0 when not said */
 	json_t *document;
 };
@@ -64,8 +64,7 @@
 /* Write the body of a call. The caller frees it with g_free. */
 char *server_start_body(const struct server_start *start);
 char *server_stop_body(const char *task, uint32_t attempt, int64_t epoch);
-char *server_hold_body(int64_t expires_clock_ms, int64_t epoch, uint64_t seen_end,
-		       int64_t wait_ms);
+char *server_hold_body(int64_t expires_clock_ms, int64_t epoch, uint64_t seen_end, int64_t wait_ms);
 
 #define SERVER_START_PATH "/greengagefront/run-start"
 #define SERVER_STOP_PATH "/greengagefront/run-stop"
@@ -73,7 +72,7 @@
 
 /* An answer of a backend server. */
 struct server_reply {
-	bool answered; /* else the call may have been carried out, or may be later */
+	bool answered;	    /* else the call may have been carried out, or may be later */
 	bool refused_epoch; /* a higher epoch was seen */
 	bool other_life;    /* another backend server, or another life of it, answered */
 	int64_t clock_ms;   /* the server's clock; 0 when not said */
--- a/packages/platform/include/store.h
+++ b/packages/platform/include/store.h
@@ -9,7 +9,7 @@
 #include "status.h"
 
 /* Topics of one partition that keep the newest record of each key. */
-#define STORE_TOPIC_OPERATOR "keyed.op"	   /* written by the operator only */
+#define STORE_TOPIC_OPERATOR "keyed.op"	    /* written by the operator only */
 #define STORE_TOPIC_MEMBERS "keyed.members" /* the addresses of entries */
 
 /* The operator's record that holds the whole configuration. */
@@ -24,8 +24,8 @@
 
 /*
  * What a read brings. With STATUS_OK, RECORDS and the offset to go on from. STATUS_LOG_TRUNCATED:
- * the records asked for are gone; read the newest ones again. STATUS_LOG_UNAVAILABLE: no usable answer;
- * an append may have been carried out, or may be later.
+ * the records asked for are gone; read the newest ones again. STATUS_LOG_UNAVAILABLE: no usable
+ * answer; an append may have been carried out, or may be later.
  */
 struct store_result {
 	enum status status;
--- a/packages/platform/src/client_api.c
+++ b/packages/platform/src/client_api.c
@@ -71,9 +71,8 @@
 static const char *const unsupported_job_fields[] = {"repeats", "longRunning", "startMs",
 						     "periodMs"};
 static const char *const unsupported_step_fields[] = {
-	"dependsOn", "gang",	    "sameRack",	      "requires", "affinity",
-	"maxPerServer", "longRunning", "savesProgress", "fills",    "targetMs",
-	"maxUnavailable"};
+	"dependsOn",   "gang",		"sameRack", "requires", "affinity",	 "maxPerServer",
+	"longRunning", "savesProgress", "fills",    "targetMs", "maxUnavailable"};
 
 static bool is_set(const json_t *value)
 {
--- a/packages/platform/src/server_api.c
+++ b/packages/platform/src/server_api.c
@@ -90,8 +90,7 @@
 		return error_set(err, STATUS_INVALID_REQUEST,
 				 "service and zone: accepted: up to %d bytes", NAME_BYTES - 1);
 	if (!read_state(document, &heartbeat->leaving))
-		return error_set(err, STATUS_INVALID_REQUEST,
-				 "state: accepted: ready, draining");
+		return error_set(err, STATUS_INVALID_REQUEST, "state: accepted: ready, draining");
 	if (!read_u32(capacity, "cpu", &heartbeat->total.cpu) ||
 	    !read_u32(capacity, "memMb", &heartbeat->total.memory_mb))
 		return error_set(err, STATUS_INVALID_REQUEST,
@@ -251,8 +250,10 @@
 		const char *how;
 		enum run_outcome outcome;
 	} outcomes[] = {
-		{"done", RUN_DONE},	{"failed", RUN_FAILED},
-		{"stopped", RUN_STOPPED}, {"lapsed", RUN_EXPIRED},
+		{"done", RUN_DONE},
+		{"failed", RUN_FAILED},
+		{"stopped", RUN_STOPPED},
+		{"lapsed", RUN_EXPIRED},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(outcomes); i++) {
@@ -262,8 +263,8 @@
 	return RUN_LOST;
 }
 
-/* Rows are lists without names. Running: task, attempt, checkpoint, percent of the work done, and cpu in
- * use. Finished: number, task, attempt, how, checkpoint. */
+/* Rows are lists without names. Running: task, attempt, checkpoint, percent of the work done, and
+ * cpu in use. Finished: number, task, attempt, how, checkpoint. */
 static bool read_running(const json_t *row, struct run_list_row *read)
 {
 	read->task = json_string_value(json_array_get(row, 0));
@@ -282,9 +283,8 @@
 	return read->task != NULL && read->number > 0;
 }
 
-static struct run_list_row *read_rows(const json_t *list,
-				      bool (*read)(const json_t *, struct run_list_row *),
-				      size_t *count)
+static struct run_list_row *
+read_rows(const json_t *list, bool (*read)(const json_t *, struct run_list_row *), size_t *count)
 {
 	struct run_list_row *rows = g_new0(struct run_list_row, json_array_size(list) + 1);
 	const json_t *row;
--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -13,8 +13,8 @@
 	CALL_TIMEOUT_MS = 1000, /* an answer usually takes 4 ms */
 	READ_MARGIN_MS = 600,	/* beyond the time for which a read waits */
 	KEY_MAX_BYTES = 255,
-	LENGTH_BYTES = 4,	/* before each record, big-endian */
-	OFFSET_BYTES = 8	/* each of the two before the records of a read */
+	LENGTH_BYTES = 4, /* before each record, big-endian */
+	OFFSET_BYTES = 8  /* each of the two before the records of a read */
 };
 
 struct store {
@@ -28,7 +28,7 @@
 	uint64_t from;
 	store_callback callback;
 	void *context;
-	GPtrArray *texts;  /* keys and values of the pages read so far */
+	GPtrArray *texts; /* keys and values of the pages read so far */
 	GArray *records;
 };
 
@@ -159,14 +159,14 @@
 	json_decref(document);
 }
 
-/* Further pages are asked for with the key that ended the last one, in a parameter that has the name of
- * a step's dependencies. */
+/* Further pages are asked for with the key that ended the last one, in a parameter that has the
+ * name of a step's dependencies. */
 static void ask_page(struct operation *operation, const char *after)
 {
 	char *escaped = after ? g_uri_escape_string(after, NULL, FALSE) : NULL;
-	char *path = g_strdup_printf("/greengagefront/log-newest?topic=%s&part=0%s%s",
-				     operation->topic, escaped ? "&dependsOn=" : "",
-				     escaped ? escaped : "");
+	char *path =
+		g_strdup_printf("/greengagefront/log-newest?topic=%s&part=0%s%s", operation->topic,
+				escaped ? "&dependsOn=" : "", escaped ? escaped : "");
 
 	http_client_call(operation->store->client, &(struct http_call){
 							   .method = "GET",
@@ -223,7 +223,8 @@
 
 	if (!succeeded(reply))
 		fail(operation, reply);
-	else if (reply->length < head || !split(operation, reply->body + head, reply->length - head))
+	else if (reply->length < head ||
+		 !split(operation, reply->body + head, reply->length - head))
 		finish(operation, STATUS_LOG_UNAVAILABLE, "malformed records", 0);
 	else
 		finish(operation, STATUS_OK, NULL, operation->from + operation->records->len);
@@ -233,9 +234,10 @@
 		store_callback callback, void *context)
 {
 	struct operation *operation = begin(store, topic, callback, context);
-	char *path = g_strdup_printf("/greengagefront/log-read?topic=%s&part=0&from=%" G_GUINT64_FORMAT
-				     "&waitMs=%" G_GINT64_FORMAT,
-				     topic, from, wait_ms);
+	char *path =
+		g_strdup_printf("/greengagefront/log-read?topic=%s&part=0&from=%" G_GUINT64_FORMAT
+				"&waitMs=%" G_GINT64_FORMAT,
+				topic, from, wait_ms);
 
 	operation->from = from;
 	http_client_call(store->client, &(struct http_call){
@@ -269,16 +271,15 @@
 	g_byte_array_append(body, &key_byte, 1);
 	g_byte_array_append(body, (const guint8 *)key, (guint)key_length);
 	g_byte_array_append(body, (const guint8 *)value, (guint)strlen(value));
-	http_client_call(store->client,
-			 &(struct http_call){
-				 .method = "POST",
-				 .path = path,
-				 .body = body->data,
-				 .length = body->len,
-				 .timeout_ms = CALL_TIMEOUT_MS,
-				 .callback = on_appended,
-				 .context = begin(store, topic, callback, context),
-			 });
+	http_client_call(store->client, &(struct http_call){
+						.method = "POST",
+						.path = path,
+						.body = body->data,
+						.length = body->len,
+						.timeout_ms = CALL_TIMEOUT_MS,
+						.callback = on_appended,
+						.context = begin(store, topic, callback, context),
+					});
 	g_byte_array_free(body, TRUE);
 	g_free(path);
 }
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -420,7 +420,7 @@
 		.without_log = true,
 		.own_entries = true,
 		.agent_settings = "{\"channel\": {\"entries\": [\"nonsense\"]}}"});
-	const char *log = harness->agents[0].process->log_file;
+	const char *log = harness->agents[0].process->out_file;
 	int64_t begun_us;
 
 	HARNESS_WAIT(LIMIT_MS, count_lines(log, "\"event\":1307") >= 1);
--- a/test/functional/harness.c
+++ b/test/functional/harness.c
@@ -114,10 +114,11 @@
 		g_strdup_printf("%s/%d-%s.log", harness->directory, number, process->name);
 	process->out_file =
 		g_strdup_printf("%s/%d-%s.out", harness->directory, number, process->name);
-	if (number >= LOG_FILES_MAX)
+	if (number + 1 >= LOG_FILES_MAX)
 		return;
 	g_strlcpy(log_paths[number], process->log_file, PATH_BYTES);
-	log_count = number + 1;
+	g_strlcpy(log_paths[number + 1], process->out_file, PATH_BYTES);
+	log_count = number + 2;
 }
 
 struct harness_process *harness_spawn(struct harness *harness, const char *name,
--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -21,7 +21,7 @@
 	char **argv;
 	GSubprocess *child; /* NULL while it does not run */
 	char *log_file;	    /* standard error */
-	char *out_file;	    /* standard output */
+	char *out_file;	    /* standard output, with the daemons' logs */
 };
 
 struct harness_entry {
--- /dev/null
+++ b/test/functional/platform_test.c
@@ -0,0 +1,494 @@
+/* Entries and agents as processes on the stand-in platform: the whole path, and what each fault
+ * must not break. Entries listen at 127.0.0.2 and on; their peer port is the same on all, as on the
+ * platform. */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "harness.h"
+
+enum {
+	ENTRIES = 2,
+	AGENTS = 2,
+	CALL_MS = 4000,
+	READY_MS = 10000,
+	STOP_MS = 9000,
+	CONFIG_MS = 2000, /* in which a configuration must be in force */
+	OLD_CONNECTION_MS = 10300,
+	RETURN_MS = 1000, /* half of the 2 s for a lost entry to be back */
+	US_PER_MS = 1000
+};
+
+struct site {
+	struct harness *harness;
+	struct harness_process *platform;
+	struct harness_process *entries[ENTRIES];
+	struct harness_process *agents[AGENTS];
+	char *store_url;
+	char *client_urls[ENTRIES];
+	char *ready_urls[ENTRIES];
+};
+
+static void write_settings(struct site *site, const char *name, const char *text)
+{
+	char *file = g_strdup_printf("%s/%s.json", site->harness->directory, name);
+
+	g_assert_true(g_file_set_contents(file, text, -1, NULL));
+	g_free(file);
+}
+
+static struct harness_process *spawn_daemon(struct site *site, const char *name)
+{
+	char *file = g_strdup_printf("%s/%s.json", site->harness->directory, name);
+	const char *argv[] = {GG_BUILD_DIR "/packages/greengaged/greengaged", "--settings", file,
+			      NULL};
+	struct harness_process *process = harness_spawn(site->harness, name, argv);
+
+	g_free(file);
+	return process;
+}
+
+static struct harness_reply call(const char *method, const char *base, const char *path,
+				 const char *body)
+{
+	char *url = g_strdup_printf("%s%s", base, path);
+	struct harness_reply reply = harness_http(method, url, body, CALL_MS);
+
+	g_free(url);
+	return reply;
+}
+
+static long status_of(const char *method, const char *base, const char *path, const char *body)
+{
+	struct harness_reply reply = call(method, base, path, body);
+	long status = reply.status;
+
+	harness_reply_clear(&reply);
+	return status;
+}
+
+static void publish(struct site *site, int version, const char *prefix)
+{
+	char *document = g_strdup_printf(
+		"{\"version\":%d,\"routes\":["
+		"{\"name\":\"r2\",\"host\":\"127.0.0.2\",\"pathPrefix\":\"%s\",\"service\":\"svc\","
+		"\"priority\":0,\"maxAttempts\":2,\"stretchFactor\":1.6,\"targetRuntimeMs\":2000,"
+		"\"timeoutMs\":3000},"
+		"{\"name\":\"r3\",\"host\":\"127.0.0.3\",\"pathPrefix\":\"%s\",\"service\":\"svc\","
+		"\"priority\":0,\"maxAttempts\":2,\"stretchFactor\":1.6,\"targetRuntimeMs\":2000,"
+		"\"timeoutMs\":3000}],\"services\":[],\"limits\":{\"maxBodyBytes\":8192}}",
+		version, prefix, prefix);
+
+	g_assert_cmpint(status_of("POST", site->store_url, "/control/config", document), ==, 200);
+	g_free(document);
+}
+
+static void control(struct site *site, const char *faults)
+{
+	g_assert_cmpint(status_of("POST", site->store_url, "/control", faults), ==, 200);
+}
+
+static int64_t seen(struct site *site, const char *name)
+{
+	struct harness_reply reply = call("GET", site->store_url, "/control", NULL);
+	int64_t value = json_integer_value(json_object_get(reply.body, name));
+
+	harness_reply_clear(&reply);
+	return value;
+}
+
+static bool is_ready(struct site *site, unsigned entry)
+{
+	return status_of("GET", site->ready_urls[entry], "/greengagefront/readyz", NULL) == 200;
+}
+
+static void prepare(struct site *site, int store_port, int peer_port, const int *controls,
+		    const int *servers)
+{
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		char *name = g_strdup_printf("entry%u", i);
+		int clients = harness_free_port();
+		int readiness = harness_free_port();
+		char *text = g_strdup_printf(
+			"{\"mode\":\"platform\",\"role\":\"entry\",\"name\":\"%s\",\"zone\":\"a\","
+			"\"listen\":{\"clients\":\"127.0.0.%u:%d\",\"readiness\":\"127.0.0.%u:%d\"}"
+			","
+			"\"peers\":{\"ip\":\"127.0.0.%u\",\"port\":%d,\"seeds\":[\"127.0.0.2:1\"]},"
+			"\"store\":{\"address\":\"127.0.0.1:%d\"},\"limits\":{\"grace_s\":6.0}}",
+			name, i + 2, clients, i + 2, readiness, i + 2, peer_port, store_port);
+
+		write_settings(site, name, text);
+		site->client_urls[i] = g_strdup_printf("http://127.0.0.%u:%d", i + 2, clients);
+		site->ready_urls[i] = g_strdup_printf("http://127.0.0.%u:%d", i + 2, readiness);
+		g_free(text);
+		g_free(name);
+	}
+	for (unsigned i = 0; i < AGENTS; i++) {
+		char *name = g_strdup_printf("agent%u", i);
+		char *text = g_strdup_printf(
+			"{\"mode\":\"platform\",\"role\":\"agent\",\"name\":\"%s\",\"zone\":\"a\","
+			"\"listen\":{\"control\":\"127.0.0.1:%d\"},"
+			"\"peers\":{\"ip\":\"127.0.0.1\",\"port\":%d,\"seeds\":[\"127.0.0.2:1\"]},"
+			"\"server\":{\"address\":\"127.0.0.1:%d\",\"service\":\"svc\"},"
+			"\"store\":{\"address\":\"127.0.0.1:%d\"}}",
+			name, controls[i], peer_port, servers[i], store_port);
+
+		write_settings(site, name, text);
+		g_free(text);
+		g_free(name);
+	}
+}
+
+static void start_site(struct site *site)
+{
+	int store_port, peer_port, controls[AGENTS], servers[AGENTS];
+	char *argv[AGENTS + 3] = {GG_BUILD_DIR "/test/standin/standin_platform"};
+
+	*site = (struct site){.harness = harness_new()};
+	store_port = harness_free_port();
+	peer_port = harness_free_port();
+	argv[1] = g_strdup_printf("127.0.0.1:%d", store_port);
+	for (unsigned i = 0; i < AGENTS; i++) {
+		controls[i] = harness_free_port();
+		servers[i] = harness_free_port();
+		argv[i + 2] = g_strdup_printf("127.0.0.1:%d=127.0.0.1:%d", servers[i], controls[i]);
+	}
+	site->store_url = g_strdup_printf("http://127.0.0.1:%d", store_port);
+	prepare(site, store_port, peer_port, controls, servers);
+	site->platform = harness_spawn(site->harness, "platform", (const char *const *)argv);
+	for (unsigned i = 1; argv[i]; i++)
+		g_free(argv[i]);
+	HARNESS_WAIT(READY_MS, status_of("GET", site->store_url, "/control", NULL) == 200);
+	publish(site, 5, "/q/");
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		char *name = g_strdup_printf("entry%u", i);
+
+		site->entries[i] = spawn_daemon(site, name);
+		g_free(name);
+	}
+	for (unsigned i = 0; i < AGENTS; i++) {
+		char *name = g_strdup_printf("agent%u", i);
+
+		site->agents[i] = spawn_daemon(site, name);
+		g_free(name);
+	}
+	for (unsigned i = 0; i < ENTRIES; i++)
+		HARNESS_WAIT(READY_MS, is_ready(site, i));
+}
+
+static void stop_site(struct site *site)
+{
+	g_assert_cmpint(seen(site, "overlaps"), ==, 0);
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		g_free(site->client_urls[i]);
+		g_free(site->ready_urls[i]);
+	}
+	g_free(site->store_url);
+	harness_free(site->harness);
+}
+
+static char *job_body(unsigned tasks, int estimate_ms)
+{
+	return g_strdup_printf("{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{\"count\":%u,"
+			       "\"cpu\":1000,\"memMb\":64,\"estMs\":%d}]}",
+			       tasks, estimate_ms);
+}
+
+static struct harness_reply submit(struct site *site, unsigned entry, unsigned number,
+				   unsigned tasks)
+{
+	char *path = g_strdup_printf("/q/%016x", number);
+	char *body = job_body(tasks, 100);
+	struct harness_reply reply = call("POST", site->client_urls[entry], path, body);
+
+	g_free(path);
+	g_free(body);
+	return reply;
+}
+
+static bool completes(struct site *site, unsigned entry, unsigned number, unsigned tasks)
+{
+	struct harness_reply reply = submit(site, entry, number, tasks);
+	const char *state = json_string_value(json_object_get(reply.body, "state"));
+	bool completed = reply.status == 200 && state && strcmp(state, "completed") == 0;
+
+	harness_reply_clear(&reply);
+	return completed;
+}
+
+/* A submission on a thread of its own. */
+struct background {
+	struct site *site;
+	unsigned entry;
+	unsigned number;
+	unsigned tasks;
+	struct harness_reply reply;
+};
+
+static void *run_background(void *context)
+{
+	struct background *background = context;
+
+	background->reply =
+		submit(background->site, background->entry, background->number, background->tasks);
+	return NULL;
+}
+
+/* Guards the whole path: each task of each job starts once, and the answer comes with the job's
+ * end. */
+static void test_jobs_complete(void)
+{
+	struct site site;
+
+	start_site(&site);
+	for (unsigned i = 0; i < 20; i++)
+		g_assert_true(completes(&site, i % ENTRIES, i + 1, 3));
+	g_assert_cmpint(seen(&site, "starts"), ==, 60);
+	stop_site(&site);
+}
+
+/* Bad input gets a typed answer and starts nothing. */
+static void test_bad_requests(void)
+{
+	static const struct {
+		const char *method;
+		const char *path;
+		const char *body;
+		long status;
+	} cases[] = {
+		{"POST", "/q/0000000000000001", "{", 400},
+		{"POST", "/q/0000000000000001", "[]", 400},
+		{"POST", "/q/0000000000000001", "{\"bestEffort\":true,\"phases\":[]}", 400},
+		{"POST", "/q/0000000000000001",
+		 "{\"bestEffort\":true,\"phases\":[{\"count\":-1,\"cpu\":1}]}", 400},
+		{"POST", "/q/0000000000000001",
+		 "{\"bestEffort\":true,\"phases\":[{\"count\":1,\"cpu\":\"x\"}]}", 400},
+		{"POST", "/q/0000000000000001", "{\"phases\":[{\"count\":1,\"cpu\":1}]}", 503},
+		{"POST", "/q/0000000000000001",
+		 "{\"bestEffort\":true,\"phases\":[{\"count\":1,\"cpu\":1,\"gang\":true}]}", 503},
+		{"POST", "/q/0000000000000001",
+		 "{\"bestEffort\":true,\"phases\":[{\"count\":1,\"cpu\":99999999}]}", 503},
+		{"POST", "/q/12", "{}", 404},
+		{"POST", "/unknown/0000000000000001", "{}", 404},
+		{"PUT", "/q/0000000000000001", "{}", 405},
+		{"GET", "/q/0000000000000001", NULL, 410},
+		{"DELETE", "/q/0000000000000001", NULL, 410},
+		{"GET", "/q/", NULL, 200},
+	};
+	struct site site;
+	char *large = g_strnfill(9000, ' ');
+
+	start_site(&site);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		g_assert_cmpint(status_of(cases[i].method, site.client_urls[0], cases[i].path,
+					  cases[i].body),
+				==, cases[i].status);
+	g_assert_cmpint(status_of("POST", site.client_urls[0], "/q/0000000000000001", large), ==,
+			413);
+	g_assert_cmpint(seen(&site, "starts"), ==, 0);
+	g_assert_true(completes(&site, 0, 1, 1));
+	g_free(large);
+	stop_site(&site);
+}
+
+/* A configuration is in force within its bound, and a lower version never comes back. */
+static void test_configuration(void)
+{
+	struct site site;
+
+	start_site(&site);
+	publish(&site, 9, "/new/");
+	HARNESS_WAIT(CONFIG_MS,
+		     status_of("GET", site.client_urls[0], "/new/", NULL) == 200 &&
+			     status_of("GET", site.client_urls[1], "/new/", NULL) == 200);
+	publish(&site, 7, "/old/");
+	g_usleep(300 * US_PER_MS);
+	g_assert_cmpint(status_of("GET", site.client_urls[0], "/new/", NULL), ==, 200);
+	g_assert_cmpint(status_of("GET", site.client_urls[0], "/old/", NULL), ==, 404);
+	stop_site(&site);
+}
+
+/* An entry that starts while the store is away takes the configuration from another one. */
+static void test_start_without_store(void)
+{
+	struct site site;
+
+	start_site(&site);
+	harness_kill(site.entries[1]);
+	control(&site, "{\"store_down\":true}");
+	harness_restart(site.harness, site.entries[1]);
+	HARNESS_WAIT(READY_MS, is_ready(&site, 1));
+	g_assert_true(completes(&site, 1, 1, 2));
+	stop_site(&site);
+}
+
+/* Agents find an entry that was restarted at once: it once took them 2 s. */
+static void test_entry_returns(void)
+{
+	struct site site;
+	int64_t returned_us;
+
+	start_site(&site);
+	/* The fault showed on connections older than the dialler's patience of 10 s. */
+	g_usleep(OLD_CONNECTION_MS * US_PER_MS);
+	harness_kill(site.entries[0]);
+	harness_restart(site.harness, site.entries[0]);
+	returned_us = g_get_monotonic_time();
+	HARNESS_WAIT(RETURN_MS, is_ready(&site, 0));
+	g_test_message("ready after %d ms",
+		       (int)((g_get_monotonic_time() - returned_us) / US_PER_MS));
+	g_assert_true(completes(&site, 0, 1, 2));
+	stop_site(&site);
+}
+
+/* A client whose entry dies sends the job again elsewhere: it completes, and no two runs of a task
+ * overlap. */
+static void test_entry_killed_with_work(void)
+{
+	struct site site;
+	struct background background = {.number = 1, .tasks = 4};
+	GThread *thread;
+
+	start_site(&site);
+	control(&site, "{\"run_ms\":3000}");
+	background.site = &site;
+	thread = g_thread_new("client", run_background, &background);
+	HARNESS_WAIT(CALL_MS, seen(&site, "running") == 4);
+	harness_kill(site.entries[0]);
+	g_thread_join(thread);
+	g_assert_cmpint(background.reply.status, ==, 0);
+	harness_reply_clear(&background.reply);
+	control(&site, "{\"run_ms\":100}");
+	/* The client sends again after 1.3 s; by then the runs of the dead entry are gone. */
+	HARNESS_WAIT(1300, seen(&site, "running") == 0);
+	g_assert_true(completes(&site, 1, 1, 4));
+	stop_site(&site);
+}
+
+/* A quarter of the orders and of the lists unanswered: jobs complete, without overlap. */
+static void test_lost_answers(void)
+{
+	struct site site;
+	unsigned completed = 0;
+
+	start_site(&site);
+	control(&site, "{\"lists_lost\":0.25,\"starts_lost\":0.25,\"run_ms\":50}");
+	for (unsigned i = 0; i < 20; i++)
+		completed += completes(&site, i % ENTRIES, i + 1, 3);
+	control(&site, "{\"lists_lost\":0,\"starts_lost\":0}");
+	g_assert_cmpuint(completed, >=, 19);
+	stop_site(&site);
+}
+
+/* Lists that cannot be read say nothing: no run is taken for ended, and the jobs complete
+ * afterwards. */
+static void test_garbled_lists(void)
+{
+	struct site site;
+	struct background background = {.number = 1, .tasks = 2};
+	GThread *thread;
+
+	start_site(&site);
+	control(&site, "{\"run_ms\":600}");
+	background.site = &site;
+	thread = g_thread_new("client", run_background, &background);
+	HARNESS_WAIT(CALL_MS, seen(&site, "running") == 2);
+	control(&site, "{\"lists_garbled\":true}");
+	g_usleep(200 * US_PER_MS);
+	control(&site, "{\"lists_garbled\":false}");
+	g_thread_join(thread);
+	g_assert_cmpint(background.reply.status, ==, 200);
+	g_assert_cmpint(seen(&site, "starts"), ==, 2);
+	harness_reply_clear(&background.reply);
+	stop_site(&site);
+}
+
+/* A leaving backend server gets no starts, and its heartbeats are acknowledged. */
+static void test_leaving_server(void)
+{
+	struct site site;
+
+	start_site(&site);
+	control(&site, "{\"drain\":0}");
+	g_usleep(1000 * US_PER_MS); /* half of the bound in which it must see its last start */
+	for (unsigned i = 0; i < 10; i++)
+		g_assert_true(completes(&site, i % ENTRIES, i + 1, 3));
+	g_assert_cmpint(seen(&site, "starts_after_drain"), <=, 3);
+	g_assert_cmpint(seen(&site, "heartbeats_refused"), ==, 0);
+	stop_site(&site);
+}
+
+/* A planned stop answers what it has taken, turns the balancer away, and exits with 0. */
+static void test_graceful_stop(void)
+{
+	struct site site;
+	struct background background = {.number = 1, .tasks = 2};
+	GThread *thread;
+
+	start_site(&site);
+	control(&site, "{\"run_ms\":700}");
+	background.site = &site;
+	thread = g_thread_new("client", run_background, &background);
+	HARNESS_WAIT(CALL_MS, seen(&site, "running") == 2);
+	harness_signal(site.entries[0], SIGTERM);
+	HARNESS_WAIT(CALL_MS, !is_ready(&site, 0));
+	g_thread_join(thread);
+	g_assert_cmpint(background.reply.status, ==, 200);
+	harness_reply_clear(&background.reply);
+	g_assert_cmpint(harness_wait_exit(site.entries[0], STOP_MS), ==, 0);
+	stop_site(&site);
+}
+
+/* An agent that is killed and comes back stops what its former life had started. */
+static void test_agent_restarts(void)
+{
+	struct site site;
+	struct background background = {.number = 1, .tasks = 4};
+	GThread *thread;
+
+	start_site(&site);
+	control(&site, "{\"run_ms\":1500}");
+	background.site = &site;
+	thread = g_thread_new("client", run_background, &background);
+	HARNESS_WAIT(CALL_MS, seen(&site, "running") == 4);
+	harness_kill(site.agents[0]);
+	harness_restart(site.harness, site.agents[0]);
+	g_thread_join(thread);
+	harness_reply_clear(&background.reply);
+	control(&site, "{\"run_ms\":50}");
+	HARNESS_WAIT(CALL_MS, completes(&site, 0, 2, 8));
+	stop_site(&site);
+}
+
+static void test_metrics(void)
+{
+	struct site site;
+	struct harness_reply reply;
+
+	start_site(&site);
+	g_assert_true(completes(&site, 0, 1, 2));
+	reply = call("GET", site.ready_urls[0], "/metrics", NULL);
+	g_assert_cmpint(reply.status, ==, 200);
+	g_assert_nonnull(strstr(reply.text, "greengage_jobs_completed_total 1"));
+	g_assert_nonnull(strstr(reply.text, "greengage_job_us"));
+	harness_reply_clear(&reply);
+	stop_site(&site);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform/jobs_complete", test_jobs_complete);
+	g_test_add_func("/platform/bad_requests", test_bad_requests);
+	g_test_add_func("/platform/configuration", test_configuration);
+	g_test_add_func("/platform/start_without_store", test_start_without_store);
+	g_test_add_func("/platform/entry_returns", test_entry_returns);
+	g_test_add_func("/platform/entry_killed_with_work", test_entry_killed_with_work);
+	g_test_add_func("/platform/lost_answers", test_lost_answers);
+	g_test_add_func("/platform/garbled_lists", test_garbled_lists);
+	g_test_add_func("/platform/leaving_server", test_leaving_server);
+	g_test_add_func("/platform/graceful_stop", test_graceful_stop);
+	g_test_add_func("/platform/agent_restarts", test_agent_restarts);
+	g_test_add_func("/platform/metrics", test_metrics);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/standin/platform.c
@@ -0,0 +1,728 @@
+/*
+ * Stand-in for the users' platform: the store's log with its keyed topics, and backend servers that
+ * announce themselves to their agents and take orders under leases.
+ *
+ * usage: standin_platform STORE_ADDRESS [SERVER_ADDRESS=AGENT_CONTROL_ADDRESS ...]
+ *
+ * POST /control at the store's address sets faults, POST /control/config publishes a configuration,
+ * and GET /control tells what has been seen.
+ */
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "http_client.h"
+#include "http_server.h"
+
+enum {
+	US_PER_MS = 1000,
+	MAX_SERVERS = 8,
+	HEARTBEAT_MS = 200,
+	HEARTBEAT_TIMEOUT_MS = 500,
+	LEASE_MAX_MS = 1000,
+	TICK_MS = 5,
+	SERVER_CPU = 16000,
+	BODY_MAX_BYTES = 4 << 20,
+	HEADER_MAX_BYTES = 16384,
+	LIMIT_MS = 60000
+};
+
+struct standin;
+
+struct run {
+	char *task;
+	int64_t attempt;
+	int64_t cpu;
+	int64_t ends_us;
+	int64_t started_us;
+};
+
+/* A call that waits for an end. */
+struct waiting {
+	struct http_request *request;
+	int64_t until_us;
+};
+
+struct server {
+	struct standin *standin;
+	unsigned index;
+	char *address;
+	char *control;
+	char id[32];
+	struct http_server *http;
+	struct http_client *agent;
+	GPtrArray *runs;
+	GHashTable *highest; /* task -> attempt stopped or ended */
+	json_t *ends;
+	int64_t next_end;
+	GArray *waiting;
+	int64_t epoch;
+	int64_t lease_until_us;
+	int64_t started_ms;
+	int64_t sequence;
+	bool draining;
+	bool silent; /* sends no heartbeats */
+	int64_t drained_us;
+	uint32_t starts_after_drain;
+};
+
+struct topic {
+	GPtrArray *keys;   /* char * */
+	GPtrArray *values; /* GBytes * */
+};
+
+struct read_wait {
+	struct http_request *request;
+	char *topic;
+	size_t from;
+	int64_t until_us;
+};
+
+struct standin {
+	struct net_loop loop;
+	struct http_server *store;
+	GHashTable *topics; /* name -> struct topic * */
+	GArray *readers;    /* struct read_wait */
+	struct server servers[MAX_SERVERS];
+	unsigned server_count;
+	GRand *rand;
+	GHashTable *running; /* task -> number of runs now */
+	double lists_lost;
+	double starts_lost;
+	int64_t run_ms; /* of every task */
+	bool store_down;
+	bool lists_garbled;
+	uint32_t starts;
+	uint32_t overlaps;
+	uint32_t heartbeats_refused;
+};
+
+static bool chance(struct standin *standin, double share)
+{
+	return share > 0 && g_rand_double(standin->rand) < share;
+}
+
+/* A call without an answer: its connection stays open and silent. */
+static void leave_unanswered(struct http_request *request)
+{
+}
+
+static void answer_json(struct http_request *request, int code, json_t *document)
+{
+	char *text = json_dumps(document, JSON_COMPACT);
+
+	http_answer(request, code, NULL, text);
+	free(text);
+	json_decref(document);
+}
+
+static json_t *read_json(const struct http_request *request)
+{
+	size_t length;
+	const char *body = http_request_body(request, &length);
+
+	return json_loadb(body, length, 0, NULL);
+}
+
+/* ---- backend servers ---- */
+
+static int64_t clock_ms(const struct server *server)
+{
+	return server->standin->loop.now_us / US_PER_MS;
+}
+
+static void count_running(struct standin *standin, const char *task, int change)
+{
+	int now = GPOINTER_TO_INT(g_hash_table_lookup(standin->running, task)) + change;
+
+	g_hash_table_replace(standin->running, g_strdup(task), GINT_TO_POINTER(now));
+	standin->overlaps += now > 1;
+}
+
+static struct run *find_run(const struct server *server, const char *task)
+{
+	for (guint i = 0; i < server->runs->len; i++) {
+		struct run *run = server->runs->pdata[i];
+
+		if (strcmp(run->task, task) == 0)
+			return run;
+	}
+	return NULL;
+}
+
+static void end_run(struct server *server, struct run *run, const char *how)
+{
+	json_array_append_new(server->ends,
+			      json_pack("[I,s,I,s,s]", (json_int_t)++server->next_end, run->task,
+					(json_int_t)run->attempt, how, ""));
+	count_running(server->standin, run->task, -1);
+	g_hash_table_replace(server->highest, g_strdup(run->task),
+			     GINT_TO_POINTER((int)run->attempt));
+	g_ptr_array_remove_fast(server->runs, run);
+	g_free(run->task);
+	g_free(run);
+}
+
+static void advance(struct server *server)
+{
+	int64_t now_us = server->standin->loop.now_us;
+
+	for (guint i = server->runs->len; i-- > 0;) {
+		struct run *run = server->runs->pdata[i];
+
+		if (run->ends_us <= now_us)
+			end_run(server, run, "done");
+		else if (server->lease_until_us < now_us)
+			end_run(server, run, "lapsed");
+	}
+}
+
+static json_t *clock_document(const struct server *server)
+{
+	return json_pack("{s:I, s:I}", "clockMs", (json_int_t)clock_ms(server), "born",
+			 (json_int_t)server->started_ms);
+}
+
+static void refuse(struct http_request *request, const struct server *server, const char *reason)
+{
+	json_t *document = clock_document(server);
+
+	json_object_set_new(document, "reason", json_string(reason));
+	answer_json(request, 409, document);
+}
+
+static void extend(struct server *server, const json_t *document)
+{
+	int64_t expires_ms = json_integer_value(json_object_get(document, "expiresMs"));
+	int64_t until_us = MIN(expires_ms, clock_ms(server) + LEASE_MAX_MS) * US_PER_MS;
+
+	server->lease_until_us = MAX(server->lease_until_us, until_us);
+}
+
+static int64_t used_cpu(const struct server *server)
+{
+	return (int64_t)server->runs->len * 1000;
+}
+
+/* Returns NULL when the start is carried out, else the reason of the refusal. */
+static const char *start(struct server *server, const json_t *document)
+{
+	const char *task = json_string_value(json_object_get(document, "task"));
+	int64_t attempt = json_integer_value(json_object_get(document, "attempt"));
+	struct standin *standin = server->standin;
+	gpointer highest = NULL;
+	struct run *run = find_run(server, task);
+
+	if (run)
+		return run->attempt == attempt ? NULL : "old";
+	if (g_hash_table_lookup_extended(server->highest, task, NULL, &highest) &&
+	    GPOINTER_TO_INT(highest) >= attempt)
+		return "old";
+	if (json_integer_value(json_object_get(document, "expiresMs")) < clock_ms(server))
+		return "late";
+	extend(server, document);
+	if (used_cpu(server) + 1000 > SERVER_CPU)
+		return "room";
+	run = g_new0(struct run, 1);
+	run->task = g_strdup(task);
+	run->attempt = attempt;
+	run->started_us = standin->loop.now_us;
+	run->ends_us = standin->loop.now_us + standin->run_ms * US_PER_MS;
+	g_ptr_array_add(server->runs, run);
+	standin->starts++;
+	server->starts_after_drain += server->draining;
+	count_running(standin, task, 1);
+	return NULL;
+}
+
+static void on_start(struct server *server, struct http_request *request, const json_t *document)
+{
+	const char *reason;
+
+	if (chance(server->standin, server->standin->starts_lost)) {
+		leave_unanswered(request);
+		return;
+	}
+	reason = start(server, document);
+	if (reason)
+		refuse(request, server, reason);
+	else
+		answer_json(request, 200, clock_document(server));
+}
+
+static void on_stop(struct server *server, struct http_request *request, const json_t *document)
+{
+	const char *task = json_string_value(json_object_get(document, "task"));
+	int64_t attempt = json_integer_value(json_object_get(document, "attempt"));
+	struct run *run = find_run(server, task);
+
+	if (run && run->attempt <= attempt)
+		end_run(server, run, "stopped");
+	if (GPOINTER_TO_INT(g_hash_table_lookup(server->highest, task)) < attempt)
+		g_hash_table_replace(server->highest, g_strdup(task),
+				     GINT_TO_POINTER((int)attempt));
+	answer_json(request, 200, clock_document(server));
+}
+
+static void answer_lists(struct server *server, struct http_request *request)
+{
+	json_t *document = clock_document(server);
+	json_t *running = json_array();
+
+	if (chance(server->standin, server->standin->lists_lost)) {
+		json_decref(document);
+		json_decref(running);
+		leave_unanswered(request);
+		return;
+	}
+	for (guint i = 0; i < server->runs->len; i++) {
+		const struct run *run = server->runs->pdata[i];
+		int64_t percent = 100 * (server->standin->loop.now_us - run->started_us) /
+				  MAX(run->ends_us - run->started_us, 1);
+
+		json_array_append_new(running,
+				      json_pack("[s,I,s,I,i]", run->task, (json_int_t)run->attempt,
+						"", (json_int_t)percent, 1000));
+	}
+	json_object_set_new(document, "running", running);
+	json_object_set(document, "finished", server->ends);
+	if (server->standin->lists_garbled) {
+		http_answer(request, 200, NULL, "{\"running\":");
+		json_decref(document);
+		return;
+	}
+	answer_json(request, 200, document);
+}
+
+static void on_hold(struct server *server, struct http_request *request, const json_t *document)
+{
+	int64_t wait_ms = json_integer_value(json_object_get(document, "waitMs"));
+	int64_t seen = json_integer_value(json_object_get(document, "ackCursor"));
+	struct waiting waiting = {.request = request,
+				  .until_us = server->standin->loop.now_us + wait_ms * US_PER_MS};
+
+	extend(server, document);
+	while (json_array_size(server->ends) > 0 &&
+	       json_integer_value(json_array_get(json_array_get(server->ends, 0), 0)) <= seen)
+		json_array_remove(server->ends, 0);
+	if (wait_ms > 0 && json_array_size(server->ends) == 0)
+		g_array_append_val(server->waiting, waiting);
+	else
+		answer_lists(server, request);
+}
+
+static void on_order(void *context, struct http_request *request)
+{
+	struct server *server = context;
+	const char *path = http_request_path(request);
+	json_t *document = read_json(request);
+	int64_t epoch = json_integer_value(json_object_get(document, "fence"));
+
+	advance(server);
+	if (!document) {
+		http_answer(request, 400, NULL, "{}");
+	} else if (epoch < server->epoch) {
+		refuse(request, server, "fence");
+	} else {
+		server->epoch = epoch;
+		if (g_str_has_suffix(path, "/run-start"))
+			on_start(server, request, document);
+		else if (g_str_has_suffix(path, "/run-stop"))
+			on_stop(server, request, document);
+		else if (g_str_has_suffix(path, "/hold"))
+			on_hold(server, request, document);
+		else
+			http_answer(request, 404, NULL, "{}");
+	}
+	json_decref(document);
+}
+
+static void on_order_gone(void *context, struct http_request *request)
+{
+	struct server *server = context;
+
+	for (guint i = server->waiting->len; i-- > 0;) {
+		if (g_array_index(server->waiting, struct waiting, i).request == request)
+			g_array_remove_index_fast(server->waiting, i);
+	}
+}
+
+static const struct http_server_callbacks order_callbacks = {
+	.request = on_order,
+	.gone = on_order_gone,
+};
+
+static void serve_waiting(struct server *server)
+{
+	int64_t now_us = server->standin->loop.now_us;
+
+	for (guint i = server->waiting->len; i-- > 0;) {
+		struct waiting waiting = g_array_index(server->waiting, struct waiting, i);
+
+		if (json_array_size(server->ends) == 0 && now_us < waiting.until_us)
+			continue;
+		g_array_remove_index_fast(server->waiting, i);
+		answer_lists(server, waiting.request);
+	}
+}
+
+static void on_heartbeat_answered(void *context, const struct http_reply *reply)
+{
+	struct server *server = context;
+
+	if (reply->status == STATUS_OK && reply->code != 200)
+		server->standin->heartbeats_refused++;
+}
+
+static void send_heartbeat(void *context, int64_t now_us)
+{
+	struct server *server = context;
+	char *path = g_strdup_printf("/greengagefront/instances/%s/heartbeat", server->id);
+	char *body = g_strdup_printf(
+		"{\"service\":\"svc\",\"addr\":\"%s\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":"
+		"8,"
+		"\"state\":\"%s\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":%d,\"memMb\":65536,"
+		"\"gpu\":0},\"labels\":[\"a\",\"r1\"],\"clockMs\":%lld,\"seq\":%lld,\"born\":%lld}",
+		server->address, server->draining ? "draining" : "ready", SERVER_CPU,
+		(long long)clock_ms(server), (long long)++server->sequence,
+		(long long)server->started_ms);
+
+	if (!server->silent)
+		http_client_call(server->agent, &(struct http_call){
+							.method = "POST",
+							.path = path,
+							.body = body,
+							.length = strlen(body),
+							.timeout_ms = HEARTBEAT_TIMEOUT_MS,
+							.callback = on_heartbeat_answered,
+							.context = server,
+						});
+	g_free(path);
+	g_free(body);
+}
+
+/* ---- store ---- */
+
+static struct topic *find_topic(struct standin *standin, const char *name)
+{
+	struct topic *topic = g_hash_table_lookup(standin->topics, name);
+
+	if (!topic) {
+		topic = g_new0(struct topic, 1);
+		topic->keys = g_ptr_array_new_with_free_func(g_free);
+		topic->values = g_ptr_array_new();
+		g_hash_table_insert(standin->topics, g_strdup(name), topic);
+	}
+	return topic;
+}
+
+static void put_record(struct standin *standin, const char *name, const char *key,
+		       const char *value, size_t length)
+{
+	struct topic *topic = find_topic(standin, name);
+
+	g_ptr_array_add(topic->keys, g_strdup(key));
+	g_ptr_array_add(topic->values, g_bytes_new(value, length));
+}
+
+static void answer_newest(struct standin *standin, struct http_request *request, const char *name)
+{
+	struct topic *topic = find_topic(standin, name);
+	json_t *items = json_array();
+
+	for (guint i = 0; i < topic->keys->len; i++) {
+		bool newest = true;
+		gsize length;
+		const guchar *value = g_bytes_get_data(topic->values->pdata[i], &length);
+		char *encoded;
+
+		for (guint j = i + 1; j < topic->keys->len; j++)
+			newest =
+				newest && strcmp(topic->keys->pdata[i], topic->keys->pdata[j]) != 0;
+		if (!newest)
+			continue;
+		encoded = g_base64_encode(value, length);
+		json_array_append_new(items,
+				      json_pack("{s:s, s:s, s:i}", "key", topic->keys->pdata[i],
+						"value", encoded, "offset", (int)i));
+		g_free(encoded);
+	}
+	answer_json(request, 200,
+		    json_pack("{s:o, s:b, s:i}", "items", items, "hasMore", 0, "endOffset",
+			      (int)topic->keys->len));
+}
+
+static void answer_records(struct standin *standin, const struct read_wait *read)
+{
+	struct topic *topic = find_topic(standin, read->topic);
+	GByteArray *body = g_byte_array_new();
+	guint8 zero[8] = {0};
+
+	g_byte_array_append(body, zero, sizeof(zero));
+	g_byte_array_append(body, zero, sizeof(zero));
+	for (size_t i = read->from; i < topic->keys->len; i++) {
+		const char *key = topic->keys->pdata[i];
+		gsize length;
+		const guint8 *value = g_bytes_get_data(topic->values->pdata[i], &length);
+		uint32_t size = htonl((uint32_t)(1 + strlen(key) + length));
+		guint8 key_length = (guint8)strlen(key);
+
+		g_byte_array_append(body, (const guint8 *)&size, sizeof(size));
+		g_byte_array_append(body, &key_length, 1);
+		g_byte_array_append(body, (const guint8 *)key, key_length);
+		g_byte_array_append(body, value, (guint)length);
+	}
+	http_answer_bytes(read->request, 200, NULL, body->data, body->len);
+	g_byte_array_free(body, TRUE);
+}
+
+static void on_append(struct standin *standin, struct http_request *request, const char *name)
+{
+	size_t length;
+	const char *body = http_request_body(request, &length);
+	size_t key_length = length > 5 ? (uint8_t)body[4] : 0;
+	char *key;
+
+	if (length < 5 + key_length) {
+		http_answer(request, 400, NULL, "{}");
+		return;
+	}
+	key = g_strndup(body + 5, key_length);
+	put_record(standin, name, key, body + 5 + key_length, length - 5 - key_length);
+	g_free(key);
+	answer_json(request, 200, json_pack("{s:i, s:i}", "offset", 0, "endOffset", 1));
+}
+
+static char *query_value(const char *query, const char *name)
+{
+	GHashTable *values =
+		query ? g_uri_parse_params(query, -1, "&", G_URI_PARAMS_NONE, NULL) : NULL;
+	char *value = values ? g_strdup(g_hash_table_lookup(values, name)) : NULL;
+
+	if (values)
+		g_hash_table_destroy(values);
+	return value;
+}
+
+static void on_store_call(struct standin *standin, struct http_request *request)
+{
+	const char *path = http_request_path(request);
+	char *topic = query_value(http_request_query(request), "topic");
+	char *from = query_value(http_request_query(request), "from");
+	char *wait = query_value(http_request_query(request), "waitMs");
+
+	if (standin->store_down) {
+		http_answer(request, 503, NULL, "{}");
+	} else if (!topic) {
+		http_answer(request, 400, NULL, "{}");
+	} else if (g_str_has_suffix(path, "/log-newest")) {
+		answer_newest(standin, request, topic);
+	} else if (g_str_has_suffix(path, "/log-append")) {
+		on_append(standin, request, topic);
+	} else if (g_str_has_suffix(path, "/log-read")) {
+		const struct read_wait read = {
+			.request = request,
+			.topic = g_strdup(topic),
+			.from = from ? (size_t)atoll(from) : 0,
+			.until_us = standin->loop.now_us + (wait ? atoll(wait) : 0) * US_PER_MS,
+		};
+
+		g_array_append_val(standin->readers, read);
+	} else {
+		http_answer(request, 404, NULL, "{}");
+	}
+	g_free(topic);
+	g_free(from);
+	g_free(wait);
+}
+
+static void serve_readers(struct standin *standin)
+{
+	for (guint i = standin->readers->len; i-- > 0;) {
+		struct read_wait read = g_array_index(standin->readers, struct read_wait, i);
+
+		if (find_topic(standin, read.topic)->keys->len <= read.from &&
+		    standin->loop.now_us < read.until_us && !standin->store_down)
+			continue;
+		g_array_remove_index_fast(standin->readers, i);
+		if (standin->store_down)
+			http_answer(read.request, 503, NULL, "{}");
+		else
+			answer_records(standin, &read);
+		g_free(read.topic);
+	}
+}
+
+/* ---- control ---- */
+
+static void apply_server_faults(struct standin *standin, const json_t *document)
+{
+	json_t *drain = json_object_get(document, "drain");
+	json_t *silent = json_object_get(document, "silent");
+
+	if (drain)
+		standin->servers[json_integer_value(drain) % MAX_SERVERS].draining = true;
+	if (silent)
+		standin->servers[json_integer_value(silent) % MAX_SERVERS].silent = true;
+}
+
+static void on_control_post(struct standin *standin, struct http_request *request)
+{
+	json_t *document = read_json(request);
+	json_t *field;
+
+	if ((field = json_object_get(document, "lists_lost")))
+		standin->lists_lost = json_number_value(field);
+	if ((field = json_object_get(document, "starts_lost")))
+		standin->starts_lost = json_number_value(field);
+	if ((field = json_object_get(document, "run_ms")))
+		standin->run_ms = json_integer_value(field);
+	if ((field = json_object_get(document, "store_down")))
+		standin->store_down = json_is_true(field);
+	if ((field = json_object_get(document, "lists_garbled")))
+		standin->lists_garbled = json_is_true(field);
+	apply_server_faults(standin, document);
+	json_decref(document);
+	http_answer(request, 200, NULL, "{}");
+}
+
+static void on_control_get(struct standin *standin, struct http_request *request)
+{
+	uint32_t running = 0;
+	uint32_t after_drain = 0;
+
+	for (unsigned i = 0; i < standin->server_count; i++) {
+		running += standin->servers[i].runs->len;
+		after_drain += standin->servers[i].starts_after_drain;
+	}
+	answer_json(request, 200,
+		    json_pack("{s:i, s:i, s:i, s:i, s:i}", "starts", (int)standin->starts,
+			      "overlaps", (int)standin->overlaps, "running", (int)running,
+			      "starts_after_drain", (int)after_drain, "heartbeats_refused",
+			      (int)standin->heartbeats_refused));
+}
+
+static void on_store(void *context, struct http_request *request)
+{
+	struct standin *standin = context;
+	const char *path = http_request_path(request);
+	size_t length;
+	const char *body = http_request_body(request, &length);
+
+	if (strcmp(path, "/control/config") == 0) {
+		put_record(standin, "keyed.op", "config", body, length);
+		http_answer(request, 200, NULL, "{}");
+	} else if (strcmp(path, "/control") == 0) {
+		if (http_request_method(request) == HTTP_METHOD_POST)
+			on_control_post(standin, request);
+		else
+			on_control_get(standin, request);
+	} else {
+		on_store_call(standin, request);
+	}
+}
+
+static void on_store_gone(void *context, struct http_request *request)
+{
+	struct standin *standin = context;
+
+	for (guint i = standin->readers->len; i-- > 0;) {
+		struct read_wait *read = &g_array_index(standin->readers, struct read_wait, i);
+
+		if (read->request != request)
+			continue;
+		g_free(read->topic);
+		g_array_remove_index_fast(standin->readers, i);
+	}
+}
+
+static const struct http_server_callbacks store_callbacks = {
+	.request = on_store,
+	.gone = on_store_gone,
+};
+
+static const struct http_server_options server_options = {
+	.header_max_bytes = HEADER_MAX_BYTES,
+	.body_max_bytes = BODY_MAX_BYTES,
+	.header_limit_ms = LIMIT_MS,
+	.idle_limit_ms = LIMIT_MS,
+};
+
+static void tick(void *context, int64_t now_us)
+{
+	struct standin *standin = context;
+
+	for (unsigned i = 0; i < standin->server_count; i++) {
+		advance(&standin->servers[i]);
+		serve_waiting(&standin->servers[i]);
+	}
+	serve_readers(standin);
+}
+
+static bool add_server(struct standin *standin, const char *text)
+{
+	struct server *server = &standin->servers[standin->server_count];
+	char **parts = g_strsplit(text, "=", 2);
+	struct error err;
+
+	if (!parts[0] || !parts[1] || standin->server_count == MAX_SERVERS)
+		return false;
+	server->standin = standin;
+	server->index = standin->server_count++;
+	server->address = g_strdup(parts[0]);
+	server->control = g_strdup(parts[1]);
+	g_snprintf(server->id, sizeof(server->id), "i-%08x", server->index + 1);
+	server->runs = g_ptr_array_new();
+	server->highest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	server->ends = json_array();
+	server->waiting = g_array_new(FALSE, FALSE, sizeof(struct waiting));
+	server->started_ms = timer_wall_ms();
+	g_strfreev(parts);
+	server->agent = http_client_new(
+		&standin->loop,
+		&(struct http_client_options){.address = server->control,
+					      .connections = 1,
+					      .idle_limit_ms = LIMIT_MS,
+					      .answer_max_bytes = HEADER_MAX_BYTES});
+	if (http_server_listen(&standin->loop, server->address, &server_options, &order_callbacks,
+			       server, &server->http, &err) != STATUS_OK) {
+		fprintf(stderr, "standin_platform: %s\n", err.message);
+		return false;
+	}
+	timer_subscribe(&standin->loop.timers, standin->loop.now_us, HEARTBEAT_MS * US_PER_MS,
+			send_heartbeat, server);
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	static struct standin standin;
+	struct error err;
+
+	if (argc < 2) {
+		fprintf(stderr, "usage: standin_platform STORE_ADDRESS [SERVER=CONTROL ...]\n");
+		return 2;
+	}
+	net_loop_init(&standin.loop);
+	standin.topics = g_hash_table_new(g_str_hash, g_str_equal);
+	standin.readers = g_array_new(FALSE, FALSE, sizeof(struct read_wait));
+	standin.running = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	standin.rand = g_rand_new_with_seed(1);
+	standin.run_ms = 100;
+	if (http_server_listen(&standin.loop, argv[1], &server_options, &store_callbacks, &standin,
+			       &standin.store, &err) != STATUS_OK) {
+		fprintf(stderr, "standin_platform: %s\n", err.message);
+		return 1;
+	}
+	for (int i = 2; i < argc; i++) {
+		if (!add_server(&standin, argv[i]))
+			return 1;
+	}
+	timer_subscribe(&standin.loop.timers, standin.loop.now_us, TICK_MS * US_PER_MS, tick,
+			&standin);
+	printf("ready\n");
+	fflush(stdout);
+	net_loop_run(&standin.loop);
+	return 0;
+}
--- a/test/unit/dispatch_diff_test.c
+++ b/test/unit/dispatch_diff_test.c
@@ -1,7 +1,7 @@
 /*
- * Random sequences of faults against entries, agents and backend servers, watched by an observer that
- * knows what runs where. Guards against two runs of one task at a time, and against a start of a job
- * whose clients were all told that it had not run.
+ * Random sequences of faults against entries, agents and backend servers, watched by an observer
+ * that knows what runs where. Guards against two runs of one task at a time, and against a start of
+ * a job whose clients were all told that it had not run.
  *
  * DISPATCH_DIFF_SEED replays one sequence, DISPATCH_DIFF_COUNT changes how many are drawn.
  */
@@ -95,8 +95,8 @@
 	struct world_job *job = data;
 
 	job->first_sent_us = world->now_us;
-	world_send_job(world, job, (uint32_t)g_rand_int_range(world->rand, 0,
-							      (gint32)world->entry_count));
+	world_send_job(world, job,
+		       (uint32_t)g_rand_int_range(world->rand, 0, (gint32)world->entry_count));
 }
 
 static void draw_fault(struct world *world)
@@ -129,10 +129,10 @@
 static void draw_jobs(struct world *world)
 {
 	for (uint32_t i = 0; i < JOBS; i++) {
-		struct world_job *job = world_add_job(
-			world, i + 1, (uint32_t)g_rand_int_range(world->rand, 1, 5),
-			(uint32_t)g_rand_int_range(world->rand, 1000, 9000),
-			g_rand_int_range(world->rand, 20000, 1500000));
+		struct world_job *job =
+			world_add_job(world, i + 1, (uint32_t)g_rand_int_range(world->rand, 1, 5),
+				      (uint32_t)g_rand_int_range(world->rand, 1000, 9000),
+				      g_rand_int_range(world->rand, 20000, 1500000));
 		int64_t at_us = g_rand_int_range(world->rand, 0, SUBMIT_US);
 
 		job->priority = (uint32_t)g_rand_int_range(world->rand, 0, 3);
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -32,12 +32,27 @@
 };
 
 static const struct kind kinds[] = {
-	{.queue = "short", .per_s = 17, .tasks = 8, .cpu = 6200, .work_us = SHORT_US,
-	 .priority = 0, .declared = 1.0},
-	{.queue = "long", .per_s = 3, .tasks = 4, .cpu = 6200, .work_us = LONG_US,
-	 .priority = 2, .declared = 1.0},
-	{.queue = "medium", .per_s = 50, .tasks = 2, .cpu = 6200, .work_us = MEDIUM_US,
-	 .priority = 1, .declared = 1.0},
+	{.queue = "short",
+	 .per_s = 17,
+	 .tasks = 8,
+	 .cpu = 6200,
+	 .work_us = SHORT_US,
+	 .priority = 0,
+	 .declared = 1.0},
+	{.queue = "long",
+	 .per_s = 3,
+	 .tasks = 4,
+	 .cpu = 6200,
+	 .work_us = LONG_US,
+	 .priority = 2,
+	 .declared = 1.0},
+	{.queue = "medium",
+	 .per_s = 50,
+	 .tasks = 2,
+	 .cpu = 6200,
+	 .work_us = MEDIUM_US,
+	 .priority = 1,
+	 .declared = 1.0},
 };
 
 static void submit(struct world *world, void *data)
@@ -46,8 +61,8 @@
 
 	job->first_sent_us = world->now_us;
 	job->deadline_us = world->now_us + DEADLINE_US;
-	world_send_job(world, job, (uint32_t)g_rand_int_range(world->rand, 0,
-							      (gint32)world->entry_count));
+	world_send_job(world, job,
+		       (uint32_t)g_rand_int_range(world->rand, 0, (gint32)world->entry_count));
 }
 
 /* Normal variable by the sum of twelve uniform ones. */
@@ -69,13 +84,12 @@
 	while (true) {
 		struct world_job *job;
 
-		at_us += (int64_t)(-log(1 - g_rand_double(world->rand)) /
-				   (kind->per_s * factor) * 1000000);
+		at_us += (int64_t)(-log(1 - g_rand_double(world->rand)) / (kind->per_s * factor) *
+				   1000000);
 		if (at_us >= until_us)
 			return;
 		job = world_add_job(world, ++number, kind->tasks, kind->cpu,
-				    (int64_t)((double)kind->work_us *
-					      exp(0.3 * normal(world))));
+				    (int64_t)((double)kind->work_us * exp(0.3 * normal(world))));
 		job->queue = kind->queue;
 		job->priority = kind->priority;
 		job->estimate_us = (int64_t)((double)job->work_us * kind->declared *
@@ -172,8 +186,8 @@
 	world_free(&world);
 }
 
-/* A burst to one and a half times the capacity: the urgent short jobs go on being served (0.9), and no kind
- * is starved (a third of it is served in time). */
+/* A burst to one and a half times the capacity: the urgent short jobs go on being served (0.9), and
+ * no kind is starved (a third of it is served in time). */
 static void test_burst_keeps_urgent_jobs(void)
 {
 	struct world world;
@@ -186,8 +200,9 @@
 	world_free(&world);
 }
 
-/* In the same burst the room goes to jobs that are still in time: at most a tenth of the answers is late, and
- * a refused client hears of it within a quarter of its objective (95 ms for the medium jobs). */
+/* In the same burst the room goes to jobs that are still in time: at most a tenth of the answers is
+ * late, and a refused client hears of it within a quarter of its objective (95 ms for the medium
+ * jobs). */
 static void test_burst_refuses_early(void)
 {
 	struct world world;
@@ -201,8 +216,8 @@
 	world_free(&world);
 }
 
-/* Declared run times three times too long, and off by a factor of two either way: the load of a usual day is
- * still served in time (0.95) once the first second has taught the run times. */
+/* Declared run times three times too long, and off by a factor of two either way: the load of a
+ * usual day is still served in time (0.95) once the first second has taught the run times. */
 static void test_wrong_declarations(void)
 {
 	struct world world;
@@ -220,8 +235,8 @@
 	world_free(&world);
 }
 
-/* Two thirds of the servers at half the speed of the others, at a load that they bear: long jobs end in time
- * because short ones leave the fast servers to them (0.95 of the long jobs). */
+/* Two thirds of the servers at half the speed of the others, at a load that they bear: long jobs
+ * end in time because short ones leave the fast servers to them (0.95 of the long jobs). */
 static void test_unequal_speeds(void)
 {
 	struct world world;
@@ -241,8 +256,8 @@
 	world->servers[0].speed = 0.15;
 }
 
-/* One server of six turns seven times slower: it gets no work that would be late there, and the load of a
- * light day is served in time (0.95) from one second after the change on. */
+/* One server of six turns seven times slower: it gets no work that would be late there, and the
+ * load of a light day is served in time (0.95) from one second after the change on. */
 static void test_slow_server(void)
 {
 	struct world world;
@@ -259,8 +274,8 @@
 	world->servers[0].always_fails = true;
 }
 
-/* One server of six fails all that it starts, at once, and so looks idle: few jobs fail (under 1 in 100), and
- * the rest is served in time (0.95). */
+/* One server of six fails all that it starts, at once, and so looks idle: few jobs fail (under 1 in
+ * 100), and the rest is served in time (0.95). */
 static void test_failing_server(void)
 {
 	struct world world;
@@ -281,11 +296,17 @@
 	world_free(&world);
 }
 
-/* Jobs of 24 tasks among jobs of 2, above capacity: the large ones are served at least half as often. */
+/* Jobs of 24 tasks among jobs of 2, above capacity: the large ones are served at least half as
+ * often. */
 static void test_large_jobs_do_not_starve(void)
 {
-	const struct kind large = {.queue = "medium", .per_s = 2, .tasks = 24, .cpu = 6200,
-				   .work_us = MEDIUM_US, .priority = 1, .declared = 1.0};
+	const struct kind large = {.queue = "medium",
+				   .per_s = 2,
+				   .tasks = 24,
+				   .cpu = 6200,
+				   .work_us = MEDIUM_US,
+				   .priority = 1,
+				   .declared = 1.0};
 	struct world world;
 	double all, largest;
 
@@ -313,7 +334,8 @@
 	world_free(&world);
 }
 
-/* A task larger than any server can never run: it is refused at once also while all servers are free. */
+/* A task larger than any server can never run: it is refused at once also while all servers are
+ * free. */
 static void test_task_larger_than_servers(void)
 {
 	struct world world;
--- a/test/unit/net_test.c
+++ b/test/unit/net_test.c
@@ -101,8 +101,8 @@
 	close(ready[1]);
 }
 
-/* A shutdown must not lose an answer that was queued in its last turn (seen as a request that was taken
- * after SIGTERM and whose connection was closed without an answer). */
+/* A shutdown must not lose an answer that was queued in its last turn (seen as a request that was
+ * taken after SIGTERM and whose connection was closed without an answer). */
 static void test_stop_sends_what_is_queued(void)
 {
 	stop_after(100);
--- a/test/unit/world.h
+++ b/test/unit/world.h
@@ -15,8 +15,8 @@
 enum {
 	WORLD_MAX_ENTRIES = 3,
 	WORLD_MAX_SERVERS = 16,
-	WORLD_HOP_US = 500,	   /* between an entry and an agent */
-	WORLD_LOCAL_US = 500,	   /* between an agent and its server */
+	WORLD_HOP_US = 500,   /* between an entry and an agent */
+	WORLD_LOCAL_US = 500, /* between an agent and its server */
 	WORLD_TICK_US = 10000,
 	WORLD_LEASE_US = 575000,
 	WORLD_START_LEASE_US = 460000,
@@ -40,9 +40,9 @@
 	double speed;
 	struct room total;
 	uint32_t life;
-	GPtrArray *runs;      /* struct world_run * */
-	GHashTable *highest;  /* task -> attempt stopped or ended */
-	GArray *ends;	      /* struct world_end */
+	GPtrArray *runs;     /* struct world_run * */
+	GHashTable *highest; /* task -> attempt stopped or ended */
+	GArray *ends;	     /* struct world_end */
 	uint64_t next_end;
 	int64_t lease_until_us;
 	bool always_fails;
@@ -109,8 +109,8 @@
 };
 
 struct world_faults {
-	double start_lost;    /* share of starts without an answer, carried out late or not at all */
-	double answer_lost;   /* share of starts whose answer is lost */
+	double start_lost;  /* share of starts without an answer, carried out late or not at all */
+	double answer_lost; /* share of starts whose answer is lost */
 	double stop_lost;
 	double list_lost;
 	double task_fails;
@@ -137,7 +137,7 @@
 	struct world_server servers[WORLD_MAX_SERVERS];
 	GHashTable *jobs; /* id -> struct world_job * */
 	struct world_faults faults;
-	uint32_t overlaps;	   /* two runs of one task at a time */
+	uint32_t overlaps; /* two runs of one task at a time */
 	uint32_t starts;
 	uint32_t started_when_refused;
 	uint32_t over_room;
@@ -158,9 +158,10 @@
 {
 	struct world_event *event = g_new(struct world_event, 1);
 
-	*event = (struct world_event){
-		.at_us = MAX(at_us, world->now_us), .order = world->next_order++,
-		.action = action, .data = data};
+	*event = (struct world_event){.at_us = MAX(at_us, world->now_us),
+				      .order = world->next_order++,
+				      .action = action,
+				      .data = data};
 	g_sequence_insert_sorted(world->events, event, world_event_order, NULL);
 }
 
@@ -215,8 +216,7 @@
 			job = g_hash_table_lookup(world->jobs, id);
 			g_free(id);
 			if (!run->fails)
-				world->done_core_us +=
-					(double)job->work_us * job->need.cpu / 1000;
+				world->done_core_us += (double)job->work_us * job->need.cpu / 1000;
 			world_record_end(world, index, run, run->fails ? RUN_FAILED : RUN_DONE);
 		} else if (server->lease_until_us < world->now_us) {
 			world_record_end(world, index, run, RUN_EXPIRED);
@@ -392,8 +392,8 @@
 	if (world_chance(world, world->faults.answer_lost))
 		order->answer = START_UNANSWERED;
 	world_at(world,
-		 world->now_us + (order->answer == START_UNANSWERED ? WORLD_ANSWER_US
-								     : WORLD_LOCAL_US),
+		 world->now_us +
+			 (order->answer == START_UNANSWERED ? WORLD_ANSWER_US : WORLD_LOCAL_US),
 		 world_start_answered, order);
 }
 
@@ -420,8 +420,7 @@
 		struct world_order *late = world_new_order(agent, handle, run->task, run->attempt);
 
 		late->expires_us = order->expires_us;
-		world_at(world,
-			 world->now_us + g_rand_int_range(world->rand, 20000, 12000000),
+		world_at(world, world->now_us + g_rand_int_range(world->rand, 20000, 12000000),
 			 world_start_arrives_late, late);
 		order->answer = START_UNANSWERED;
 		world_at(world, world->now_us + WORLD_ANSWER_US, world_start_answered, order);
@@ -719,8 +718,7 @@
 static inline void world_send_stop(void *context, void *link, uint64_t run)
 {
 	struct world_entry *entry = context;
-	struct world_message *message =
-		world_new_message(entry, GPOINTER_TO_UINT(link) - 1, run);
+	struct world_message *message = world_new_message(entry, GPOINTER_TO_UINT(link) - 1, run);
 
 	message->is_stop = true;
 	world_at(entry->world, entry->world->now_us + WORLD_HOP_US, world_order_arrives, message);
@@ -757,9 +755,9 @@
 
 	job->resending = false;
 	if (!job->answered && world->now_us < job->deadline_us)
-		world_send_job(world, job,
-			       (uint32_t)g_rand_int_range(world->rand, 0,
-							  (gint32)world->entry_count));
+		world_send_job(
+			world, job,
+			(uint32_t)g_rand_int_range(world->rand, 0, (gint32)world->entry_count));
 }
 
 /* The client's attempt got no answer: it sends the job again later. */
@@ -845,7 +843,8 @@
 	struct world_entry *entry = &world->entries[entry_index];
 	struct world_agent *agent = &world->agents[server];
 
-	entry->servers[server] = dispatch_server_add(&entry->dispatch, GUINT_TO_POINTER(server + 1));
+	entry->servers[server] =
+		dispatch_server_add(&entry->dispatch, GUINT_TO_POINTER(server + 1));
 	g_strlcpy(fleet_get(&entry->dispatch.fleet, entry->servers[server])->service, "s",
 		  NAME_BYTES);
 	fleet_get(&entry->dispatch.fleet, entry->servers[server])->total =
@@ -1045,10 +1044,9 @@
 		entry->cuts[server]++;
 		entry->orders[server] = 0;
 		agent->orders_ack[entry_index] = 0;
-		dispatch_server_relinked(&entry->dispatch, entry->servers[server],
-					 GUINT_TO_POINTER(server + 1),
-					 (uint64_t *)(void *)numbers->data, numbers->len,
-					 world->now_us);
+		dispatch_server_relinked(
+			&entry->dispatch, entry->servers[server], GUINT_TO_POINTER(server + 1),
+			(uint64_t *)(void *)numbers->data, numbers->len, world->now_us);
 	} else {
 		entry->former[server] = entry->servers[server];
 		world_link(world, entry_index, server);
@@ -1214,8 +1212,8 @@
 }
 
 /* Adds a job that its client sends at AT_US; the caller fills what it wants to differ. */
-static inline struct world_job *world_add_job(struct world *world, uint32_t number,
-					      uint32_t tasks, uint32_t cpu, int64_t work_us)
+static inline struct world_job *world_add_job(struct world *world, uint32_t number, uint32_t tasks,
+					      uint32_t cpu, int64_t work_us)
 {
 	struct world_job *job = g_new0(struct world_job, 1);
 
