--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -338,12 +338,27 @@
 	backend->look_wanted = true;
 }
 
+/* Logs when the server's health has changed, by a result or by time. */
+static void note_health(struct backend *backend)
+{
+	bool quarantined = backend->runs.health.state == HEALTH_QUARANTINED;
+
+	if (quarantined == backend->quarantined)
+		return;
+	backend->quarantined = quarantined;
+	event_log(quarantined ? EVENT_SERVER_QUARANTINED : EVENT_SERVER_RECOVERED,
+		  EV_S("server", backend->id), EV_I("streak", backend->runs.health.streak),
+		  EV_I("backoff_ms", backend->runs.health.backoff_us / US_PER_MS));
+	changed(backend);
+}
+
 static void tick(void *context, int64_t now_us)
 {
 	struct backend *backend = context;
 	bool busy = table_count(&backend->runs.table) > 0;
 
 	runs_tick(&backend->runs, now_us);
+	note_health(backend);
 	if (busy && backend->holding < BUSY_HOLDS && backend->reachable)
 		hold_enough(backend);
 	if (busy && now_us - backend->lease_sent_us > RENEW_MS * US_PER_MS)
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -47,7 +47,8 @@
 	uint32_t holding;    /* calls in progress that wait for an end */
 	bool looking;	     /* a call that does not wait is in progress */
 	bool look_wanted;
-	bool leaving; /* this process shuts down and takes no starts */
+	bool quarantined; /* as last logged */
+	bool leaving;	  /* this process shuts down and takes no starts */
 };
 
 /* Listens for announcements and begins to look at the server. Errors as net_listen. */
--- /dev/null
+++ b/test/unit/http_test.c
@@ -0,0 +1,402 @@
+/* The HTTP server and client of the event loop, against each other and against raw bytes. */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "http_client.h"
+#include "http_server.h"
+#include "store.h"
+
+enum {
+	BODY_MAX = 100,
+	HEADER_MAX = 400,
+	LIMIT_MS = 300,
+	PATIENCE_US = 3000000
+};
+
+struct fixture {
+	struct net_loop loop;
+	struct http_server *server;
+	char address[32];
+	GPtrArray *held; /* struct http_request *, unanswered */
+	bool hold;
+	uint32_t requests;
+	uint32_t gone;
+	char path[64];
+	char query[64];
+	char body[BODY_MAX + 1];
+	int codes[8];
+	enum status statuses[8];
+	uint32_t replies;
+	bool sent;
+};
+
+static void on_request(void *context, struct http_request *request)
+{
+	struct fixture *fixture = context;
+	size_t length;
+	const char *body = http_request_body(request, &length);
+	const char *query = http_request_query(request);
+
+	fixture->requests++;
+	g_strlcpy(fixture->path, http_request_path(request), sizeof(fixture->path));
+	g_strlcpy(fixture->query, query ? query : "", sizeof(fixture->query));
+	g_strlcpy(fixture->body, body, sizeof(fixture->body));
+	if (fixture->hold)
+		g_ptr_array_add(fixture->held, request);
+	else
+		http_answer(request, 200, NULL, "{\"ok\":1}");
+}
+
+static void on_gone(void *context, struct http_request *request)
+{
+	struct fixture *fixture = context;
+
+	fixture->gone++;
+	g_ptr_array_remove(fixture->held, request);
+}
+
+static const struct http_server_callbacks callbacks = {
+	.request = on_request,
+	.gone = on_gone,
+};
+
+static int free_port(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t length = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, length), ==, 0);
+	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &length), ==, 0);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+static void set_up(struct fixture *fixture)
+{
+	const struct http_server_options options = {
+		.header_max_bytes = HEADER_MAX,
+		.body_max_bytes = BODY_MAX,
+		.header_limit_ms = LIMIT_MS,
+		.idle_limit_ms = LIMIT_MS,
+	};
+	struct error err;
+
+	*fixture = (struct fixture){.held = g_ptr_array_new()};
+	net_loop_init(&fixture->loop);
+	g_snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d", free_port());
+	g_assert_cmpint(http_server_listen(&fixture->loop, fixture->address, &options, &callbacks,
+					   fixture, &fixture->server, &err),
+			==, STATUS_OK);
+}
+
+static void tear_down(struct fixture *fixture)
+{
+	http_server_reset(fixture->server);
+	uv_run(&fixture->loop.uv, UV_RUN_NOWAIT);
+	g_ptr_array_free(fixture->held, TRUE);
+}
+
+/* Runs the loop until *VALUE reaches TARGET. */
+static void run_until(struct fixture *fixture, const uint32_t *value, uint32_t target)
+{
+	int64_t end_us = g_get_monotonic_time() + PATIENCE_US;
+
+	while (*value < target) {
+		g_assert_cmpint(g_get_monotonic_time(), <, end_us);
+		uv_run(&fixture->loop.uv, UV_RUN_ONCE);
+	}
+}
+
+static void on_reply(void *context, const struct http_reply *reply)
+{
+	struct fixture *fixture = context;
+
+	fixture->codes[fixture->replies % 8] = reply->code;
+	fixture->statuses[fixture->replies % 8] = reply->status;
+	fixture->sent = reply->sent;
+	fixture->replies++;
+}
+
+static struct http_client *new_client(struct fixture *fixture)
+{
+	return http_client_new(&fixture->loop,
+			       &(struct http_client_options){.address = fixture->address,
+							     .connections = 1,
+							     .idle_limit_ms = 1000,
+							     .answer_max_bytes = 1000});
+}
+
+static void call(struct http_client *client, struct fixture *fixture, const char *body,
+		 int64_t timeout_ms)
+{
+	http_client_call(client, &(struct http_call){.method = "POST",
+						     .path = "/a?b=c",
+						     .body = body,
+						     .length = strlen(body),
+						     .timeout_ms = timeout_ms,
+						     .callback = on_reply,
+						     .context = fixture});
+}
+
+/* Calls share a kept connection, one after the other. */
+static void test_kept_connection(void)
+{
+	struct fixture fixture;
+	struct http_client *client;
+
+	set_up(&fixture);
+	client = new_client(&fixture);
+	for (int i = 0; i < 3; i++)
+		call(client, &fixture, "xyz", 1000);
+	run_until(&fixture, &fixture.replies, 3);
+	g_assert_cmpint(fixture.codes[2], ==, 200);
+	g_assert_cmpstr(fixture.path, ==, "/a");
+	g_assert_cmpstr(fixture.query, ==, "b=c");
+	g_assert_cmpstr(fixture.body, ==, "xyz");
+	g_assert_cmpuint(http_server_connections(fixture.server), ==, 1);
+	http_client_free(client);
+	tear_down(&fixture);
+}
+
+/* A call without an answer ends with a time-out, and is known to have been sent; the next one uses
+ * a new connection, as the old one may be silent for good. */
+static void test_timeout(void)
+{
+	struct fixture fixture;
+	struct http_client *client;
+
+	set_up(&fixture);
+	client = new_client(&fixture);
+	fixture.hold = true;
+	call(client, &fixture, "x", 50);
+	run_until(&fixture, &fixture.replies, 1);
+	g_assert_cmpint(fixture.statuses[0], ==, STATUS_TIMEOUT);
+	g_assert_true(fixture.sent);
+	fixture.hold = false;
+	call(client, &fixture, "y", 1000);
+	run_until(&fixture, &fixture.replies, 2);
+	g_assert_cmpint(fixture.codes[1], ==, 200);
+	g_assert_cmpuint(fixture.gone, ==, 1);
+	http_client_free(client);
+	tear_down(&fixture);
+}
+
+/* Nobody listens: the call fails at once. */
+static void test_refused(void)
+{
+	struct fixture fixture;
+	struct http_client *client;
+
+	set_up(&fixture);
+	g_snprintf(fixture.address, sizeof(fixture.address), "127.0.0.1:%d", free_port());
+	client = new_client(&fixture);
+	call(client, &fixture, "x", 1000);
+	run_until(&fixture, &fixture.replies, 1);
+	g_assert_cmpint(fixture.statuses[0], ==, STATUS_NETWORK);
+	http_client_free(client);
+	tear_down(&fixture);
+}
+
+/* A raw connection, for what no client library sends. */
+struct raw {
+	struct net_conn *conn;
+	GString *received;
+	uint32_t closed;
+	uint32_t answers;
+};
+
+static void on_raw_data(void *context, const char *bytes, size_t length)
+{
+	struct raw *raw = context;
+	const char *at;
+
+	g_string_append_len(raw->received, bytes, (gssize)length);
+	raw->answers = 0;
+	for (at = raw->received->str; (at = strstr(at, "HTTP/1.1 ")); at++)
+		raw->answers++;
+}
+
+static void on_raw_closed(void *context, const char *reason)
+{
+	((struct raw *)context)->closed++;
+}
+
+static const struct net_conn_callbacks raw_callbacks = {
+	.data = on_raw_data,
+	.closed = on_raw_closed,
+};
+
+static void open_raw(struct fixture *fixture, struct raw *raw, const char *bytes)
+{
+	struct error err;
+
+	*raw = (struct raw){.received = g_string_new(NULL)};
+	raw->conn = net_connect(&fixture->loop, fixture->address, &raw_callbacks, raw, &err);
+	net_conn_send(raw->conn, bytes, strlen(bytes));
+}
+
+static void expect(const char *bytes, const char *answer)
+{
+	struct fixture fixture;
+	struct raw raw;
+
+	set_up(&fixture);
+	open_raw(&fixture, &raw, bytes);
+	run_until(&fixture, &raw.answers, 1);
+	g_assert_true(g_str_has_prefix(raw.received->str, answer));
+	run_until(&fixture, &raw.closed, 1);
+	g_assert_cmpuint(fixture.requests, ==, 0);
+	g_string_free(raw.received, TRUE);
+	tear_down(&fixture);
+}
+
+/* Malformed, oversized and slow requests get a typed answer, reach no callback, and end their
+ * connection. */
+static void test_bad_requests(void)
+{
+	char *header = g_strnfill(HEADER_MAX + 1, 'a');
+	char *long_header = g_strdup_printf("GET / HTTP/1.1\r\nX: %s\r\n\r\n", header);
+
+	expect("nonsense\r\n\r\n", "HTTP/1.1 400 ");
+	expect("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 400 ");
+	expect("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", "HTTP/1.1 413 ");
+	expect("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n", "HTTP/1.1 408 ");
+	expect("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", "HTTP/1.1 408 ");
+	expect(long_header, "HTTP/1.1 431 ");
+	g_free(header);
+	g_free(long_header);
+}
+
+/* Requests sent ahead are answered in order. */
+static void test_pipelined(void)
+{
+	struct fixture fixture;
+	struct raw raw;
+
+	set_up(&fixture);
+	open_raw(&fixture, &raw,
+		 "GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\nContent-Length: 2\r\n\r\nab"
+		 "GET /3 HTTP/1.1\r\n\r\n");
+	run_until(&fixture, &raw.answers, 3);
+	g_assert_cmpuint(fixture.requests, ==, 3);
+	g_assert_cmpstr(fixture.path, ==, "/3");
+	net_conn_close(raw.conn);
+	g_string_free(raw.received, TRUE);
+	tear_down(&fixture);
+}
+
+/* A client that leaves is noticed while its request is unanswered: its work can be stopped. */
+static void test_client_leaves(void)
+{
+	struct fixture fixture;
+	struct raw raw;
+
+	set_up(&fixture);
+	fixture.hold = true;
+	open_raw(&fixture, &raw, "GET / HTTP/1.1\r\n\r\n");
+	run_until(&fixture, &fixture.requests, 1);
+	net_conn_close(raw.conn);
+	run_until(&fixture, &fixture.gone, 1);
+	g_string_free(raw.received, TRUE);
+	tear_down(&fixture);
+}
+
+/* During a shutdown each answer ends its connection, so that clients move on. */
+static void test_end_connections(void)
+{
+	struct fixture fixture;
+	struct raw raw;
+
+	set_up(&fixture);
+	http_server_end_connections(fixture.server);
+	open_raw(&fixture, &raw, "GET / HTTP/1.1\r\n\r\n");
+	run_until(&fixture, &raw.closed, 1);
+	g_assert_nonnull(strstr(raw.received->str, "Connection: close"));
+	g_string_free(raw.received, TRUE);
+	tear_down(&fixture);
+}
+
+/* What the store's client makes of an answer. */
+struct read_result {
+	uint32_t calls;
+	enum status status;
+	size_t count;
+	char key[16];
+	char value[16];
+	uint64_t next;
+};
+
+static void on_store_result(void *context, const struct store_result *result)
+{
+	struct read_result *read = context;
+
+	read->calls++;
+	read->status = result->status;
+	read->count = result->count;
+	read->next = result->next;
+	if (result->count > 0) {
+		g_strlcpy(read->key, result->records[0].key,
+			  MIN(sizeof(read->key), result->records[0].key_length + 1));
+		g_strlcpy(read->value, result->records[0].value,
+			  MIN(sizeof(read->value), result->records[0].value_length + 1));
+	}
+}
+
+static struct read_result read_store(const void *bytes, size_t length, int code)
+{
+	struct fixture fixture;
+	struct read_result read = {0};
+	struct store *store;
+
+	set_up(&fixture);
+	fixture.hold = true;
+	store = store_new(&fixture.loop, fixture.address);
+	store_read(store, "keyed.op", 7, 10, on_store_result, &read);
+	run_until(&fixture, &fixture.requests, 1);
+	g_assert_cmpstr(fixture.query, ==, "topic=keyed.op&part=0&from=7&waitMs=10");
+	http_answer_bytes(fixture.held->pdata[0], code, NULL, bytes, length);
+	g_ptr_array_set_size(fixture.held, 0);
+	run_until(&fixture, &read.calls, 1);
+	store_free(store);
+	tear_down(&fixture);
+	return read;
+}
+
+/* Records, an expired history, and bytes that are no records. */
+static void test_store_read(void)
+{
+	static const char records[] = "\0\0\0\0\0\0\0\11\0\0\0\0\0\0\0\0"
+				      "\0\0\0\5\2kkvv"
+				      "\0\0\0\3\2kk";
+	struct read_result read = read_store(records, sizeof(records) - 1, 200);
+
+	g_assert_cmpint(read.status, ==, STATUS_OK);
+	g_assert_cmpuint(read.count, ==, 2);
+	g_assert_cmpuint(read.next, ==, 9);
+	g_assert_cmpstr(read.key, ==, "kk");
+	g_assert_cmpstr(read.value, ==, "vv");
+	g_assert_cmpint(read_store("{}", 2, 410).status, ==, STATUS_LOG_TRUNCATED);
+	g_assert_cmpint(read_store("{}", 2, 503).status, ==, STATUS_LOG_UNAVAILABLE);
+	g_assert_cmpint(read_store("short", 5, 200).status, ==, STATUS_LOG_UNAVAILABLE);
+	/* A record that claims more bytes than there are. */
+	g_assert_cmpint(read_store(records, sizeof(records) - 3, 200).status, ==,
+			STATUS_LOG_UNAVAILABLE);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/http/kept_connection", test_kept_connection);
+	g_test_add_func("/http/timeout", test_timeout);
+	g_test_add_func("/http/refused", test_refused);
+	g_test_add_func("/http/bad_requests", test_bad_requests);
+	g_test_add_func("/http/pipelined", test_pipelined);
+	g_test_add_func("/http/client_leaves", test_client_leaves);
+	g_test_add_func("/http/end_connections", test_end_connections);
+	g_test_add_func("/http/store_read", test_store_read);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/unit/node_settings_test.c
@@ -0,0 +1,163 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "node_settings.h"
+
+#define HEAD                                                                                       \
+	"\"mode\":\"platform\",\"name\":\"n\",\"zone\":\"z\",\"store\":{\"address\":\"10.0.0.9:"   \
+	"1\"}"
+#define PEERS ",\"peers\":{\"ip\":\"10.0.0.1\",\"port\":7720,\"seeds\":[\"10.0.0.2:1\"]}"
+#define ENTRY                                                                                      \
+	"{" HEAD PEERS ",\"role\":\"entry\",\"listen\":{\"clients\":\"10.0.0.1:1\","               \
+	"\"readiness\":\"10.0.0.1:2\"}"
+#define AGENT                                                                                      \
+	"{" HEAD PEERS ",\"role\":\"agent\",\"listen\":{\"control\":\"10.0.0.1:1\"},"              \
+	"\"server\":{\"address\":\"10.0.0.1:3\"}"
+
+static enum status load(const char *text, struct node_settings *settings, struct error *err)
+{
+	char *name = NULL;
+	int fd = g_file_open_tmp("node_settings_XXXXXX.json", &name, NULL);
+	enum status status;
+
+	g_assert_cmpint(fd, >=, 0);
+	close(fd);
+	g_assert_true(g_file_set_contents(name, text, -1, NULL));
+	status = node_settings_load(name, settings, err);
+	g_unlink(name);
+	g_free(name);
+	return status;
+}
+
+static void test_roles(void)
+{
+	struct node_settings settings;
+	struct error err;
+
+	g_assert_cmpint(load(ENTRY "}", &settings, &err), ==, STATUS_OK);
+	g_assert_cmpint(settings.peer_port, ==, 7720);
+	node_settings_free(&settings);
+	g_assert_cmpint(load(AGENT "}", &settings, &err), ==, STATUS_OK);
+	node_settings_free(&settings);
+}
+
+/* The time after which a silent owner is given up and the lease that runs on without an agent must
+ * together end before a client sends an unanswered job again. */
+static void test_lease_ends_before_resend(void)
+{
+	static const char *const limits[] = {
+		"}",
+		",\"limits\":{\"resend_ms\":1300,\"lease_ms\":1000,\"stop_ms\":50}}",
+		",\"limits\":{\"resend_ms\":2600.5,\"lease_ms\":4000,\"stop_ms\":100}}",
+	};
+	struct node_settings settings;
+	struct error err;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(limits); i++) {
+		char *text = g_strdup_printf(ENTRY "%s", limits[i]);
+
+		g_assert_cmpint(load(text, &settings, &err), ==, STATUS_OK);
+		g_assert_cmpfloat((double)node_settings_silence_ms(&settings) +
+					  1.02 * (double)node_settings_run_lease_ms(&settings) +
+					  settings.stop_ms,
+				  <, settings.resend_ms);
+		g_assert_cmpfloat((double)node_settings_run_lease_ms(&settings), <=,
+				  settings.lease_ms);
+		node_settings_free(&settings);
+		g_free(text);
+	}
+}
+
+static const struct {
+	const char *text;
+	const char *named; /* in the message */
+} bad[] = {
+	{"{", "line 1"},
+	{ENTRY ",\"surprise\":1}", "surprise"},
+	{"{" HEAD PEERS ",\"role\":\"entry\"}", "listen.clients"},
+	{"{" HEAD PEERS ",\"role\":\"entry\",\"listen\":{\"clients\":\"10.0.0.1:1\"}}",
+	 "listen.readiness"},
+	{"{" HEAD PEERS ",\"role\":\"agent\"}", "listen.control"},
+	{"{" HEAD PEERS ",\"role\":\"agent\",\"listen\":{\"control\":\"10.0.0.1:1\"}}",
+	 "server.address"},
+	{"{" HEAD ",\"role\":\"entry\"}", "peers.ip"},
+	{ENTRY ",\"limits\":{\"grace_s\":\"6\"}}", "limits.grace_s"},
+	{ENTRY ",\"limits\":{\"resend_ms\":500}}", "limits.resend_ms"},
+	{ENTRY ",\"limits\":{\"lease_ms\":-1}}", "limits.lease_ms"},
+};
+
+/* Each bad file is refused with a message that names the setting. */
+static void test_bad(void)
+{
+	struct node_settings settings;
+	struct error err;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_assert_cmpint(load(bad[i].text, &settings, &err), ==, STATUS_INVALID_SETTINGS);
+		g_test_message("%s", err.message);
+		g_assert_nonnull(strstr(err.message, bad[i].named));
+	}
+}
+
+/* Every path that the deploy template writes is one that the daemon reads: the template holds no
+ * key that the checks would refuse. */
+static void test_template_keys(void)
+{
+	static const char *const keys[] = {"mode",
+					   "role",
+					   "name",
+					   "zone",
+					   "listen",
+					   "clients",
+					   "readiness",
+					   "control",
+					   "peers",
+					   "ip",
+					   "port",
+					   "seeds",
+					   "store",
+					   "address",
+					   "retention_s",
+					   "server",
+					   "service",
+					   "limits",
+					   "lease_ms",
+					   "stop_ms",
+					   "resend_ms",
+					   "grace_s",
+					   "config_apply_ms",
+					   "drain_ms"};
+	GRegex *regex = g_regex_new("\"([a-z_]+)\":", 0, 0, NULL);
+	GMatchInfo *match;
+	char *text;
+
+	g_assert_true(
+		g_file_get_contents(GG_SOURCE_DIR "/deploy/settings.json.tmpl", &text, NULL, NULL));
+	g_regex_match(regex, text, 0, &match);
+	while (g_match_info_matches(match)) {
+		char *key = g_match_info_fetch(match, 1);
+		bool known = false;
+
+		for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+			known = known || strcmp(keys[i], key) == 0;
+		if (!known)
+			g_test_fail_printf("the template writes %s", key);
+		g_free(key);
+		g_match_info_next(match, NULL);
+	}
+	g_match_info_free(match);
+	g_regex_unref(regex);
+	g_free(text);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/node_settings/roles", test_roles);
+	g_test_add_func("/node_settings/lease_ends_before_resend", test_lease_ends_before_resend);
+	g_test_add_func("/node_settings/bad", test_bad);
+	g_test_add_func("/node_settings/template_keys", test_template_keys);
+	return g_test_run();
+}
--- /dev/null
+++ b/test/unit/runs_test.c
@@ -0,0 +1,368 @@
+/* Runs at one backend server: each case is a sequence of orders, answers and lists. */
+#include <glib.h>
+#include <string.h>
+
+#include "runs.h"
+
+enum {
+	CPU = 10000,
+	LEASE_US = 575000,
+	RETRY_US = 30000,
+	OWNER = 1,
+	OTHER_OWNER = 2
+};
+
+struct fixture {
+	struct runs runs;
+	uint32_t starts;
+	uint32_t stops;
+	uint32_t looks;
+	uint32_t behind;
+	struct handle last; /* run of the last order */
+	GArray *outcomes;   /* enum run_outcome, in order */
+};
+
+static void on_order_start(void *context, struct handle run)
+{
+	struct fixture *fixture = context;
+
+	fixture->starts++;
+	fixture->last = run;
+}
+
+static void on_order_stop(void *context, const char *task, uint32_t attempt, struct handle run)
+{
+	struct fixture *fixture = context;
+
+	fixture->stops++;
+	fixture->last = run;
+}
+
+static void on_look(void *context)
+{
+	((struct fixture *)context)->looks++;
+}
+
+static void on_ended(void *context, const struct run *run, enum run_outcome outcome,
+		     int64_t elapsed_us)
+{
+	struct fixture *fixture = context;
+	int value = outcome;
+
+	g_array_append_val(fixture->outcomes, value);
+}
+
+static void on_behind(void *context, const struct run *run, int64_t elapsed_us)
+{
+	((struct fixture *)context)->behind++;
+}
+
+static void set_up(struct fixture *fixture)
+{
+	const struct runs_limits limits = {
+		.stop_retry_us = RETRY_US,
+		.lease_us = LEASE_US,
+		.clock_drift_permille = 20,
+		.health = {.fail_streak = 4,
+			   .first_backoff_us = 500000,
+			   .longest_backoff_us = 4000000},
+		.waiting_permille = 200,
+		.trial_us = 1500000,
+	};
+	const struct room total = {.cpu = CPU, .memory_mb = 1000};
+
+	*fixture = (struct fixture){.outcomes = g_array_new(FALSE, FALSE, sizeof(int))};
+	runs_init(&fixture->runs, &limits,
+		  &(struct runs_callbacks){.context = fixture,
+					   .order_start = on_order_start,
+					   .order_stop = on_order_stop,
+					   .look = on_look,
+					   .ended = on_ended,
+					   .behind = on_behind});
+	runs_server_present(&fixture->runs, &total, false);
+	runs_lease_sent(&fixture->runs, 0);
+}
+
+static void tear_down(struct fixture *fixture)
+{
+	runs_free(&fixture->runs);
+	g_array_free(fixture->outcomes, TRUE);
+}
+
+static void start(struct fixture *fixture, const char *task, uint32_t cpu, uint32_t owner,
+		  int64_t urgent_us, int64_t now_us)
+{
+	GBytes *spec = g_bytes_new("x", 1);
+
+	runs_start(&fixture->runs,
+		   &(struct run_request){.task = task,
+					 .attempt = 1,
+					 .owner = owner,
+					 .number = g_str_hash(task),
+					 .need = {.cpu = cpu, .memory_mb = 10},
+					 .estimate_us = 100000,
+					 .urgent_us = urgent_us,
+					 .start_by_us = now_us + 50000,
+					 .spec = spec},
+		   now_us);
+	g_bytes_unref(spec);
+}
+
+static void check_outcomes(struct fixture *fixture, guint count, enum run_outcome last)
+{
+	g_assert_cmpuint(fixture->outcomes->len, ==, count);
+	if (count > 0)
+		g_assert_cmpint(g_array_index(fixture->outcomes, int, count - 1), ==, last);
+}
+
+static void list(struct fixture *fixture, const char *running, const char *finished,
+		 enum run_outcome outcome, int64_t asked_us)
+{
+	const struct run_list_row row = {.task = running, .attempt = 1};
+	const struct run_list_row end = {.task = finished,
+					 .attempt = 1,
+					 .number = fixture->runs.seen_end + 1,
+					 .outcome = outcome};
+	const struct run_list lists = {
+		.running = &row,
+		.running_count = running != NULL,
+		.finished = &end,
+		.finished_count = finished != NULL,
+	};
+
+	runs_listed(&fixture->runs, &lists, asked_us, asked_us + 1000);
+}
+
+/* The usual path. */
+static void test_done(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	g_assert_cmpuint(fixture.starts, ==, 1);
+	g_assert_cmpuint(runs_free_room(&fixture.runs).cpu, ==, CPU - 4000);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	list(&fixture, NULL, "a.0.0.0", RUN_DONE, 100000);
+	check_outcomes(&fixture, 1, RUN_DONE);
+	g_assert_cmpuint(runs_free_room(&fixture.runs).cpu, ==, CPU);
+	tear_down(&fixture);
+}
+
+/* A start without an answer that a list shows running is kept, not stopped: its work is not lost.
+ */
+static void test_answer_lost(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 30000);
+	g_assert_cmpuint(fixture.looks, ==, 1);
+	list(&fixture, "a.0.0.0", NULL, 0, 31000);
+	g_assert_cmpuint(fixture.stops, ==, 0);
+	list(&fixture, NULL, "a.0.0.0", RUN_DONE, 100000);
+	check_outcomes(&fixture, 1, RUN_DONE);
+	tear_down(&fixture);
+}
+
+/* A start without an answer that no list shows may still be carried out: only after an acknowledged
+ * stop and a later list is it told to have not run. */
+static void test_order_lost(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 30000);
+	list(&fixture, NULL, NULL, 0, 31000);
+	g_assert_cmpuint(fixture.stops, ==, 1);
+	list(&fixture, NULL, NULL, 0, 32000);
+	check_outcomes(&fixture, 0, 0);
+	runs_stop_answered(&fixture.runs, fixture.last, true, 33000);
+	/* Asked before the stop was acknowledged: it says nothing yet. */
+	list(&fixture, NULL, NULL, 0, 32500);
+	check_outcomes(&fixture, 0, 0);
+	list(&fixture, NULL, NULL, 0, 34000);
+	check_outcomes(&fixture, 1, RUN_UNANSWERED);
+	tear_down(&fixture);
+}
+
+/* An unanswered stop is repeated until it is acknowledged. */
+static void test_stop_lost(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	runs_stop(&fixture.runs, OWNER, g_str_hash("a.0.0.0"), 2000);
+	runs_stop_answered(&fixture.runs, fixture.last, false, 2000 + RETRY_US);
+	runs_tick(&fixture.runs, 3000 + RETRY_US);
+	g_assert_cmpuint(fixture.stops, ==, 2);
+	list(&fixture, NULL, "a.0.0.0", RUN_STOPPED, 40000);
+	check_outcomes(&fixture, 1, RUN_STOPPED);
+	tear_down(&fixture);
+}
+
+/* The runs of a lost owner are stopped, counted until they are settled, and reported to nobody. */
+static void test_owner_gone(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	runs_owner_gone(&fixture.runs, OWNER, 2000);
+	g_assert_cmpuint(fixture.stops, ==, 1);
+	g_assert_cmpuint(fixture.runs.unsettled, ==, 1);
+	/* The client has sent the job to another entry: its task must not start beside the old run.
+	 */
+	start(&fixture, "a.0.0.0", 4000, OTHER_OWNER, 0, 3000);
+	check_outcomes(&fixture, 1, RUN_BUSY);
+	list(&fixture, NULL, "a.0.0.0", RUN_STOPPED, 4000);
+	g_assert_cmpuint(fixture.runs.unsettled, ==, 0);
+	check_outcomes(&fixture, 1, RUN_BUSY);
+	tear_down(&fixture);
+}
+
+/* A run that nobody here ordered, of an earlier life of the agent, is stopped. */
+static void test_stranger(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	list(&fixture, "z.0.0.0", NULL, 0, 1000);
+	g_assert_cmpuint(fixture.stops, ==, 1);
+	g_assert_cmpuint(fixture.runs.unsettled, ==, 1);
+	tear_down(&fixture);
+}
+
+/* A server that does not answer keeps its runs until the last lease has run out on a slow clock. */
+static void test_lease(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	runs_lease_sent(&fixture.runs, 1000);
+	runs_tick(&fixture.runs, 1000 + LEASE_US + LEASE_US / 50);
+	check_outcomes(&fixture, 0, 0);
+	runs_tick(&fixture.runs, 1000 + LEASE_US + LEASE_US / 50 + 60000);
+	check_outcomes(&fixture, 1, RUN_LOST);
+	tear_down(&fixture);
+}
+
+/* Full: a run waits for room, the most urgent goes first, and a full queue turns the least urgent
+ * away. */
+static void test_waiting(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 9500, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	start(&fixture, "b.0.0.0", 1500, OWNER, 200, 2000);
+	check_outcomes(&fixture, 0, 0);
+	start(&fixture, "c.0.0.0", 1500, OTHER_OWNER, 100, 2000);
+	check_outcomes(&fixture, 1, RUN_NO_ROOM);
+	list(&fixture, NULL, "a.0.0.0", RUN_DONE, 3000);
+	runs_serve_waiting(&fixture.runs, 4000);
+	g_assert_cmpuint(fixture.starts, ==, 2);
+	g_assert_cmpstr(((struct run *)table_get(&fixture.runs.table, fixture.last))->task, ==,
+			"c.0.0.0");
+	tear_down(&fixture);
+}
+
+/* A waiting run that cannot start in time is given back. */
+static void test_waited_too_long(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 9500, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	start(&fixture, "b.0.0.0", 1500, OWNER, 200, 2000);
+	runs_lease_sent(&fixture.runs, 50000);
+	runs_tick(&fixture.runs, 60000);
+	check_outcomes(&fixture, 1, RUN_LATE);
+	tear_down(&fixture);
+}
+
+/* A leaving server takes nothing, and gives back what waits. */
+static void test_leaving(void)
+{
+	struct fixture fixture;
+	const struct room total = {.cpu = CPU, .memory_mb = 1000};
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 9500, OWNER, 0, 0);
+	start(&fixture, "b.0.0.0", 1500, OWNER, 200, 1000);
+	runs_server_present(&fixture.runs, &total, true);
+	runs_tick(&fixture.runs, 2000);
+	check_outcomes(&fixture, 1, RUN_LEAVING);
+	start(&fixture, "c.0.0.0", 100, OWNER, 0, 3000);
+	check_outcomes(&fixture, 2, RUN_LEAVING);
+	g_assert_cmpuint(fixture.starts, ==, 1);
+	tear_down(&fixture);
+}
+
+/* A server that fails the tasks of different jobs is quarantined; failures of one job alone say
+ * nothing. */
+static void test_quarantine(void)
+{
+	struct fixture fixture;
+	char task[16];
+
+	set_up(&fixture);
+	for (int i = 0; i < 8; i++) {
+		g_snprintf(task, sizeof(task), "a.0.0.%d", i);
+		start(&fixture, task, 100, OWNER, 0, i);
+		runs_start_answered(&fixture.runs, fixture.last, START_STARTED, i);
+		list(&fixture, NULL, task, RUN_FAILED, 1000 * (i + 1));
+	}
+	g_assert_true(runs_ready(&fixture.runs));
+	for (int i = 0; i < 4; i++) {
+		g_snprintf(task, sizeof(task), "%c.0.0.0", 'b' + i);
+		start(&fixture, task, 100, OWNER, 0, i);
+		runs_start_answered(&fixture.runs, fixture.last, START_STARTED, i);
+		list(&fixture, NULL, task, RUN_FAILED, 10000 + 1000 * i);
+	}
+	g_assert_false(runs_ready(&fixture.runs));
+	tear_down(&fixture);
+}
+
+/* A run whose percent stands still tells of a stalled server long before its lease or deadline. */
+static void test_behind(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 100, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	list(&fixture, "a.0.0.0", NULL, 0, 100000);
+	g_assert_cmpuint(fixture.behind, ==, 0);
+	list(&fixture, "a.0.0.0", NULL, 0, 200000);
+	g_assert_cmpuint(fixture.behind, ==, 1);
+	g_assert_cmpfloat(runs_speed(&fixture.runs, 201000), <, 0.5);
+	tear_down(&fixture);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/runs/done", test_done);
+	g_test_add_func("/runs/answer_lost", test_answer_lost);
+	g_test_add_func("/runs/order_lost", test_order_lost);
+	g_test_add_func("/runs/stop_lost", test_stop_lost);
+	g_test_add_func("/runs/owner_gone", test_owner_gone);
+	g_test_add_func("/runs/stranger", test_stranger);
+	g_test_add_func("/runs/lease", test_lease);
+	g_test_add_func("/runs/waiting", test_waiting);
+	g_test_add_func("/runs/waited_too_long", test_waited_too_long);
+	g_test_add_func("/runs/leaving", test_leaving);
+	g_test_add_func("/runs/quarantine", test_quarantine);
+	g_test_add_func("/runs/behind", test_behind);
+	return g_test_run();
+}
