--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -136,13 +136,6 @@
 	return order;
 }
 
-static char *instance_header(const struct backend *backend)
-{
-	if (!backend->id[0])
-		return NULL;
-	return g_strdup_printf("X-Greengagefront-Expect-Instance: %s\r\n", backend->id);
-}
-
 static void call(struct http_client *client, const char *path, const char *body, int64_t timeout_ms,
 		 http_reply_callback callback, void *context, char *extra)
 {
@@ -198,7 +191,7 @@
 	body = server_start_body(&start);
 	runs_lease_sent(&backend->runs, backend->loop->now_us);
 	call(backend->orders, SERVER_START_PATH, body, order_timeout_ms(backend), on_started,
-	     new_order(backend, handle), instance_header(backend));
+	     new_order(backend, handle), server_id_header(backend->id));
 	g_free(body);
 }
 
@@ -222,7 +215,7 @@
 	char *body = server_stop_body(task, attempt, backend->epoch);
 
 	call(backend->orders, SERVER_STOP_PATH, body, order_timeout_ms(backend), on_stopped,
-	     new_order(backend, run), instance_header(backend));
+	     new_order(backend, run), server_id_header(backend->id));
 	g_free(body);
 }
 
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "client_api.h"
 #include "event.h"
 #include "node_agents.h"
 #include "node_front.h"
@@ -25,8 +26,6 @@
 	CLOCK_DRIFT_PERCENT = 2
 };
 
-static const char ready_path[] = "/greengagefront/readyz";
-
 static bool is_ready(const struct node_entry *entry)
 {
 	return !entry->stopping && entry->config.table && node_agents_ready(entry) > 0;
@@ -41,7 +40,7 @@
 		node_metrics_answer(request);
 		return;
 	}
-	if (strcmp(http_request_path(request), ready_path) != 0) {
+	if (!client_is_readiness_probe(request)) {
 		http_answer(request, 404, NULL, "{}");
 		return;
 	}
--- a/packages/platform/include/client_api.h
+++ b/packages/platform/include/client_api.h
@@ -52,6 +52,9 @@
 
 void client_job_clear(struct client_job *job);
 
+/* Whether REQUEST is the balancer's probe of this host's readiness. */
+bool client_is_readiness_probe(const struct http_request *request);
+
 /* Answers a submission whose job is over. */
 void client_answer_end(struct http_request *request, const struct job_end *end);
 
--- a/packages/platform/include/server_api.h
+++ b/packages/platform/include/server_api.h
@@ -66,6 +66,10 @@
 char *server_stop_body(const char *task, uint32_t attempt, int64_t epoch);
 char *server_hold_body(int64_t expires_clock_ms, int64_t epoch, uint64_t seen_end, int64_t wait_ms);
 
+/* Writes the header line that names the server an order is meant for; another one refuses it. NULL
+ * when ID is empty. The caller frees it with g_free. */
+char *server_id_header(const char *id);
+
 #define SERVER_START_PATH "/greengagefront/run-start"
 #define SERVER_STOP_PATH "/greengagefront/run-stop"
 #define SERVER_HOLD_PATH "/greengagefront/hold"
--- a/packages/platform/src/client_api.c
+++ b/packages/platform/src/client_api.c
@@ -67,6 +67,11 @@
 	}
 }
 
+bool client_is_readiness_probe(const struct http_request *request)
+{
+	return strcmp(http_request_path(request), "/greengagefront/readyz") == 0;
+}
+
 /* Fields that ask for what is not built; their absence, 0, false and "" are all the same. */
 static const char *const unsupported_job_fields[] = {"repeats", "longRunning", "startMs",
 						     "periodMs"};
--- a/packages/platform/src/server_api.c
+++ b/packages/platform/src/server_api.c
@@ -190,6 +190,11 @@
 	return dump(document);
 }
 
+char *server_id_header(const char *id)
+{
+	return *id ? g_strdup_printf("X-Greengagefront-Expect-Instance: %s\r\n", id) : NULL;
+}
+
 static enum start_answer read_reason(const char *reason, struct server_reply *read)
 {
 	if (reason && strcmp(reason, "room") == 0)
