Count an agent's reports from 1 when it has forgotten the entry; add the fault soak

soak_test runs entries, agents, proxy and stand-ins as processes and draws faults from a seed: connections delayed, cut, silenced or half open, processes frozen, killed, stopped and reloaded, store and backend servers that misbehave, configurations published. Test: platform_test agent_frozen, seen failing. The log of placed tasks names the servers.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -76,7 +76,7 @@
 			 const struct job_end *end);
 	/* A decision for the log. */
 	void (*placed)(void *context, const char *id, uint32_t tasks, uint32_t waiting,
-		       int64_t report_age_us);
+		       const char *servers, int64_t report_age_us);
 	void (*run_ended)(void *context, const char *id, uint32_t index, uint32_t attempt,
 			  const char *server, enum run_outcome outcome, int64_t elapsed_us);
 };
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -90,6 +90,17 @@
 	fleet_note_order(server, &job->need, job->priority, number);
 }
 
+/* Adds SERVER to the list for the log, unless the list ends with it. */
+static void note_server(GString *names, const struct fleet_server *server, int64_t *oldest_us)
+{
+	*oldest_us = MIN(*oldest_us, server->reported_us);
+	if (g_str_has_suffix(names->str, server->id))
+		return;
+	if (names->len > 0)
+		g_string_append_c(names, ' ');
+	g_string_append(names, server->id);
+}
+
 /* Starts the tasks of JOB for which there is room. */
 static void place(struct dispatch *dispatch, struct job *job, int64_t urgent_us, bool late,
 		  int64_t now_us)
@@ -106,19 +117,21 @@
 		.avoid = job->avoid,
 	};
 	uint32_t placed = placement_choose(&dispatch->fleet, &request, now_us, servers);
+	GString *names = g_string_new(NULL);
 	int64_t oldest_us = now_us;
 	uint32_t next = 0;
 
 	for (uint32_t i = 0; i < job->task_count && next < placed; i++) {
 		if (job->tasks[i].phase != TASK_QUEUED)
 			continue;
-		oldest_us = MIN(oldest_us, fleet_get(&dispatch->fleet, servers[next])->reported_us);
+		note_server(names, fleet_get(&dispatch->fleet, servers[next]), &oldest_us);
 		order(dispatch, job, i, servers[next++], urgent_us, now_us);
 	}
 	g_free(servers);
 	if (placed > 0)
 		dispatch->callbacks.placed(dispatch->callbacks.context, job->id, placed,
-					   job->queued, now_us - oldest_us);
+					   job->queued, names->str, now_us - oldest_us);
+	g_string_free(names, TRUE);
 }
 
 static void refuse(struct dispatch *dispatch, struct job *job, enum status status,
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -162,10 +162,8 @@
 	server_reply_read(reply, &read);
 	if (!read.answered && reply->refused)
 		read.start = START_NOT_SENT;
-	if (!note_reply(backend, &read, order->epoch)) {
-		g_free(order);
-		return;
-	}
+	if (!note_reply(backend, &read, order->epoch))
+		read = (struct server_reply){.start = START_UNANSWERED};
 	if (read.refused_epoch && table_get(&backend->runs.table, order->run)) {
 		order_start(backend, order->run);
 	} else {
--- a/packages/greengaged/src/node_agents.c
+++ b/packages/greengaged/src/node_agents.c
@@ -119,6 +119,8 @@
 	}
 	if (agent->server_known)
 		agent->former = agent->server;
+	/* An agent that has forgotten this entry counts its reports from 1 again. */
+	agent->report = 0;
 	agent->server = dispatch_server_add(dispatch, agent);
 	agent->server_known = true;
 }
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -100,10 +100,10 @@
 }
 
 static void on_placed(void *context, const char *id, uint32_t tasks, uint32_t waiting,
-		      int64_t report_age_us)
+		      const char *servers, int64_t report_age_us)
 {
 	event_log(EVENT_JOB_PLACED, EV_S("job", id), EV_I("tasks", tasks), EV_I("waiting", waiting),
-		  EV_I("report_age_ms", report_age_us / US_PER_MS));
+		  EV_S("servers", servers), EV_I("report_age_ms", report_age_us / US_PER_MS));
 }
 
 static void on_run_ended(void *context, const char *id, uint32_t index, uint32_t attempt,
@@ -220,8 +220,11 @@
 	};
 	enum status status;
 
-	status = net_listen(&entry->loop, entry->own_address, on_accept, entry, &entry->listener,
-			    err);
+	char *address = g_strdup_printf("%s:%" G_GINT64_FORMAT, entry->settings->host_ip,
+					entry->settings->peer_port);
+
+	status = net_listen(&entry->loop, address, on_accept, entry, &entry->listener, err);
+	g_free(address);
 	if (status == STATUS_OK)
 		status = node_front_start(entry, err);
 	if (status == STATUS_OK)
@@ -263,8 +266,10 @@
 	struct error err;
 
 	entry->settings = settings;
-	entry->own_address =
-		g_strdup_printf("%s:%" G_GINT64_FORMAT, settings->host_ip, settings->peer_port);
+	entry->own_address = g_strdup_printf("%s:%" G_GINT64_FORMAT,
+					     settings->advertised_ip ? settings->advertised_ip
+								     : settings->host_ip,
+					     settings->peer_port);
 	entry->agents = g_ptr_array_new();
 	entry->peers = g_ptr_array_new();
 	node_metrics_register();
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -15,7 +15,7 @@
 struct node_entry {
 	struct net_loop loop;
 	const struct node_settings *settings;
-	char *own_address; /* where links are accepted */
+	char *own_address; /* where other daemons reach this entry */
 	struct store *store;
 	struct node_signals signals;
 	struct node_config config;
--- a/packages/greengaged/src/node_settings.c
+++ b/packages/greengaged/src/node_settings.c
@@ -50,6 +50,7 @@
 	TEXT("listen.readiness", readiness_address, ADDRESS_MAX_BYTES, false),
 	TEXT("listen.control", control_address, ADDRESS_MAX_BYTES, false),
 	TEXT("peers.ip", host_ip, ADDRESS_MAX_BYTES, true),
+	TEXT("peers.advertised_ip", advertised_ip, ADDRESS_MAX_BYTES, false),
 	{.path = "peers.port",
 	 .type = SETTINGS_INT,
 	 .offset = offsetof(struct node_settings, peer_port),
--- a/packages/greengaged/src/node_settings.h
+++ b/packages/greengaged/src/node_settings.h
@@ -20,8 +20,10 @@
 	char *readiness_address; /* entry: probes of the balancer, and metrics */
 	char *control_address;	 /* agent: heartbeats of the backend server, and metrics */
 	char *host_ip;
-	int64_t peer_port; /* of every entry, for agents and other entries */
-	char **seeds;	   /* addresses whose hosts run an entry, or ran one */
+	char *advertised_ip; /* entry: where others reach it, if not at host_ip; NULL when the same
+			      */
+	int64_t peer_port;   /* of every entry, for agents and other entries */
+	char **seeds;	     /* addresses whose hosts run an entry, or ran one */
 
 	char *store_address;
 	double store_retention_s;
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -14,6 +14,8 @@
 	READY_MS = 10000,
 	STOP_MS = 9000,
 	CONFIG_MS = 2000, /* in which a configuration must be in force */
+	WIDE_TASKS = 20,  /* more than one server has room for */
+	FREEZE_MS = 1500, /* longer than the time after which a peer is given up */
 	OLD_CONNECTION_MS = 10300,
 	RETURN_MS = 1000, /* half of the 2 s for a lost entry to be back */
 	US_PER_MS = 1000
@@ -460,6 +462,26 @@
 	stop_site(&site);
 }
 
+/* An agent that was frozen has given its entries up, and counts its reports from 1 again: the
+ * entries once took them for repetitions, and jobs hung until their deadline. */
+static void test_agent_frozen(void)
+{
+	struct site site;
+
+	start_site(&site);
+	for (unsigned i = 0; i < 10; i++)
+		g_assert_true(completes(&site, i % ENTRIES, i + 1, WIDE_TASKS));
+	for (unsigned i = 0; i < AGENTS; i++)
+		harness_signal(site.agents[i], SIGSTOP);
+	g_usleep(FREEZE_MS * US_PER_MS);
+	for (unsigned i = 0; i < AGENTS; i++)
+		harness_signal(site.agents[i], SIGCONT);
+	g_usleep(RETURN_MS * US_PER_MS);
+	for (unsigned i = 0; i < 10; i++)
+		g_assert_true(completes(&site, i % ENTRIES, i + 100, WIDE_TASKS));
+	stop_site(&site);
+}
+
 static void test_metrics(void)
 {
 	struct site site;
@@ -489,6 +511,7 @@
 	g_test_add_func("/platform/leaving_server", test_leaving_server);
 	g_test_add_func("/platform/graceful_stop", test_graceful_stop);
 	g_test_add_func("/platform/agent_restarts", test_agent_restarts);
+	g_test_add_func("/platform/agent_frozen", test_agent_frozen);
 	g_test_add_func("/platform/metrics", test_metrics);
 	return g_test_run();
 }
--- /dev/null
+++ b/test/functional/soak_test.c
@@ -0,0 +1,547 @@
+/*
+ * Randomized soak of entries and agents as processes: faults from outside them, drawn from a seed,
+ * while clients submit jobs. It checks the promises from what clients and backend servers see.
+ *
+ * SOAK_SEED plays one seed, SOAK_COUNT that many from it on, SOAK_MS sets how long faults strike.
+ * The tests run the seeds of `regressions` and a few more for some seconds.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "harness.h"
+
+enum {
+	ENTRIES = 3,
+	AGENTS = 4,
+	CLIENTS = 12,
+	FAULTS_MS = 6000,
+	SEEDS = 2,
+	CALL_MS = 5000,	  /* above the time for which a route lets a job take */
+	RESEND_MS = 1300, /* a client sends an unanswered job again after this */
+	SENDS = 3,
+	READY_MS = 15000,
+	RECOVER_MS = 8000, /* after the last fault, jobs complete again */
+	STEP_MS = 400,	   /* mean time between two faults */
+	FAULT_MS = 1500,   /* mean time that a fault lasts */
+	US_PER_MS = 1000
+};
+
+/* Seeds that once failed, with the cause in a comment. */
+static const guint32 regressions[] = {0};
+
+struct soak {
+	struct harness *harness;
+	GRand *rand;
+	struct harness_process *platform;
+	struct harness_process *daemons[ENTRIES + AGENTS];
+	int64_t stopped_until_us[ENTRIES +
+				 AGENTS]; /* of a frozen or stopped process; 0 when it runs */
+	bool frozen[ENTRIES + AGENTS];
+	char *store_url;
+	char *client_urls[ENTRIES];
+	char *ready_urls[ENTRIES];
+	gint stopping;
+	gint config_version;
+	guint32 seed;
+};
+
+struct job {
+	char id[20];
+	bool completed;
+	bool refused; /* every send was told not run */
+	bool failed;
+};
+
+struct client {
+	struct soak *soak;
+	GRand *rand;
+	unsigned index;
+	unsigned jobs;
+	unsigned completed;
+	unsigned refused;
+	GArray *refused_ids; /* struct job */
+	GThread *thread;
+};
+
+static struct harness_reply call(const char *method, const char *base, const char *path,
+				 const char *body)
+{
+	char *url = g_strdup_printf("%s%s", base, path);
+	struct harness_reply reply = harness_http(method, url, body, CALL_MS);
+
+	g_free(url);
+	return reply;
+}
+
+static long status_of(const char *method, const char *base, const char *path, const char *body)
+{
+	struct harness_reply reply = call(method, base, path, body);
+	long status = reply.status;
+
+	harness_reply_clear(&reply);
+	return status;
+}
+
+static void control(struct soak *soak, const char *text)
+{
+	g_assert_cmpint(status_of("POST", soak->store_url, "/control", text), ==, 200);
+}
+
+static int64_t seen(struct soak *soak, const char *name)
+{
+	struct harness_reply reply = call("GET", soak->store_url, "/control", NULL);
+	int64_t value = json_integer_value(json_object_get(reply.body, name));
+
+	harness_reply_clear(&reply);
+	return value;
+}
+
+static void publish(struct soak *soak, int version)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text, "{\"version\":%d,\"routes\":[", version);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"name\":\"r%u\",\"host\":\"127.0.0.%u\",\"pathPrefix\":\"/q/\","
+			"\"service\":\"svc\",\"priority\":0,\"maxAttempts\":2,"
+			"\"stretchFactor\":1.6,\"targetRuntimeMs\":1500,\"timeoutMs\":3000}",
+			i ? "," : "", i, i + 2);
+	g_string_append(text, "],\"services\":[],\"limits\":{}}");
+	g_assert_cmpint(status_of("POST", soak->store_url, "/control/config", text->str), ==, 200);
+	g_string_free(text, TRUE);
+}
+
+/* ---- processes ---- */
+
+static void write_settings(struct soak *soak, const char *name, const char *text)
+{
+	char *file = g_strdup_printf("%s/%s.json", soak->harness->directory, name);
+
+	g_assert_true(g_file_set_contents(file, text, -1, NULL));
+	g_free(file);
+}
+
+static struct harness_process *spawn_daemon(struct soak *soak, const char *name)
+{
+	char *file = g_strdup_printf("%s/%s.json", soak->harness->directory, name);
+	const char *argv[] = {GG_BUILD_DIR "/packages/greengaged/greengaged", "--settings", file,
+			      NULL};
+	struct harness_process *process = harness_spawn(soak->harness, name, argv);
+
+	g_free(file);
+	return process;
+}
+
+static void write_entry(struct soak *soak, unsigned i, int peer_port, int store_port)
+{
+	int clients = harness_free_port();
+	int readiness = harness_free_port();
+	char *name = g_strdup_printf("entry%u", i);
+	char *text = g_strdup_printf(
+		"{\"mode\":\"platform\",\"role\":\"entry\",\"name\":\"%s\",\"zone\":\"a\","
+		"\"listen\":{\"clients\":\"127.0.0.%u:%d\",\"readiness\":\"127.0.0.%u:%d\"},"
+		"\"peers\":{\"ip\":\"127.0.0.%u\",\"advertised_ip\":\"127.0.1.%u\",\"port\":%d,"
+		"\"seeds\":[\"127.0.1.2:1\"]},\"store\":{\"address\":\"127.0.0.1:%d\"}}",
+		name, i + 2, clients, i + 2, readiness, i + 2, i + 2, peer_port, store_port);
+
+	write_settings(soak, name, text);
+	soak->client_urls[i] = g_strdup_printf("http://127.0.0.%u:%d", i + 2, clients);
+	soak->ready_urls[i] = g_strdup_printf("http://127.0.0.%u:%d", i + 2, readiness);
+	g_free(text);
+	g_free(name);
+}
+
+static void write_agent(struct soak *soak, unsigned i, int peer_port, int store_port, int control,
+			int server)
+{
+	char *name = g_strdup_printf("agent%u", i);
+	char *text = g_strdup_printf(
+		"{\"mode\":\"platform\",\"role\":\"agent\",\"name\":\"%s\",\"zone\":\"a\","
+		"\"listen\":{\"control\":\"127.0.0.1:%d\"},\"peers\":{\"ip\":\"127.0.0.1\","
+		"\"port\":%d,\"seeds\":[\"127.0.1.2:1\"]},\"server\":{\"address\":\"127.0.0.1:%d\","
+		"\"service\":\"svc\"},\"store\":{\"address\":\"127.0.0.1:%d\"}}",
+		name, control, peer_port, server, store_port);
+
+	write_settings(soak, name, text);
+	g_free(text);
+	g_free(name);
+}
+
+/* Everything but the clients goes through the proxy: links to each entry, calls to each backend
+ * server, and calls to the store. */
+static void start(struct soak *soak)
+{
+	GPtrArray *platform = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *proxy = g_ptr_array_new_with_free_func(g_free);
+	int store = harness_free_port();
+	int store_proxy = harness_free_port();
+	int peer_port = harness_free_port();
+
+	g_ptr_array_add(platform, g_strdup(GG_BUILD_DIR "/test/standin/standin_platform"));
+	g_ptr_array_add(platform, g_strdup_printf("127.0.0.1:%d", store));
+	g_ptr_array_add(proxy, g_strdup(GG_BUILD_DIR "/test/standin/standin_proxy"));
+	g_ptr_array_add(proxy, g_strdup_printf("--route=store:%d:%d", store_proxy, store));
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		write_entry(soak, i, peer_port, store_proxy);
+		g_ptr_array_add(proxy,
+				g_strdup_printf("--route=entry%u:127.0.1.%u:%d:127.0.0.%u:%d", i,
+						i + 2, peer_port, i + 2, peer_port));
+	}
+	for (unsigned i = 0; i < AGENTS; i++) {
+		int control = harness_free_port();
+		int server = harness_free_port();
+		int server_proxy = harness_free_port();
+
+		write_agent(soak, i, peer_port, store_proxy, control, server_proxy);
+		g_ptr_array_add(platform,
+				g_strdup_printf("127.0.0.1:%d=127.0.0.1:%d", server, control));
+		g_ptr_array_add(proxy,
+				g_strdup_printf("--route=server%u:%d:%d", i, server_proxy, server));
+	}
+	g_ptr_array_add(platform, NULL);
+	g_ptr_array_add(proxy, NULL);
+	soak->store_url = g_strdup_printf("http://127.0.0.1:%d", store);
+	soak->platform =
+		harness_spawn(soak->harness, "platform", (const char *const *)platform->pdata);
+	soak->harness->proxy =
+		harness_spawn(soak->harness, "proxy", (const char *const *)proxy->pdata);
+	soak->harness->proxy_control = harness_wait_listening(soak->harness->proxy);
+	HARNESS_WAIT(READY_MS, status_of("GET", soak->store_url, "/control", NULL) == 200);
+	publish(soak, ++soak->config_version);
+	for (unsigned i = 0; i < ENTRIES + AGENTS; i++) {
+		char *name = i < ENTRIES ? g_strdup_printf("entry%u", i)
+					 : g_strdup_printf("agent%u", i - ENTRIES);
+
+		soak->daemons[i] = spawn_daemon(soak, name);
+		g_free(name);
+	}
+	for (unsigned i = 0; i < ENTRIES; i++)
+		HARNESS_WAIT(READY_MS, status_of("GET", soak->ready_urls[i],
+						 "/greengagefront/readyz", NULL) == 200);
+	g_ptr_array_free(platform, TRUE);
+	g_ptr_array_free(proxy, TRUE);
+}
+
+/* ---- clients ---- */
+
+/* One send. Returns whether it was answered in a way that the client takes for final. */
+static bool send_job(struct client *client, struct job *job, const char *body, bool *not_run)
+{
+	unsigned entry = (unsigned)g_rand_int_range(client->rand, 0, ENTRIES);
+	char *path = g_strdup_printf("/q/%s", job->id);
+	struct harness_reply reply = call("POST", client->soak->client_urls[entry], path, body);
+	const char *state = json_string_value(json_object_get(reply.body, "state"));
+	long status = reply.status;
+
+	if (status == 200 && state)
+		job->completed = strcmp(state, "completed") == 0;
+	job->failed = status == 200 && !job->completed;
+	*not_run = status == 429 || status == 503;
+	g_free(path);
+	harness_reply_clear(&reply);
+	return status == 200 || *not_run;
+}
+
+static void *run_client(void *context)
+{
+	struct client *client = context;
+
+	while (!g_atomic_int_get(&client->soak->stopping)) {
+		struct job job = {0};
+		char *body = g_strdup_printf("{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{"
+					     "\"count\":%d,\"cpu\":1000,\"memMb\":64,"
+					     "\"estMs\":100}]}",
+					     g_rand_int_range(client->rand, 1, 5));
+		bool all_refused = true;
+		bool answered = false;
+
+		g_snprintf(job.id, sizeof(job.id), "%08x%08x", client->index + 1, ++client->jobs);
+		for (int i = 0; i < SENDS && !answered; i++) {
+			bool not_run;
+
+			if (i > 0)
+				g_usleep(RESEND_MS * US_PER_MS);
+			answered = send_job(client, &job, body, &not_run);
+			all_refused = all_refused && not_run;
+		}
+		job.refused = answered && all_refused;
+		client->completed += job.completed;
+		client->refused += job.refused;
+		if (job.refused)
+			g_array_append_val(client->refused_ids, job);
+		g_free(body);
+		g_usleep((gulong)g_rand_int_range(client->rand, 1, 60) * US_PER_MS);
+	}
+	return NULL;
+}
+
+/* ---- faults ---- */
+
+static void proxy(struct soak *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static void proxy(struct soak *soak, const char *format, ...)
+{
+	va_list args;
+	char *line;
+	char *answer;
+
+	va_start(args, format);
+	line = g_strdup_vprintf(format, args);
+	va_end(args);
+	answer = harness_proxy(soak->harness, line);
+	g_free(answer);
+	g_free(line);
+}
+
+static void draw_route(struct soak *soak, char *name, size_t bytes)
+{
+	switch (g_rand_int_range(soak->rand, 0, 5)) {
+	case 0:
+		g_strlcpy(name, "store", bytes);
+		break;
+	case 1:
+	case 2:
+		g_snprintf(name, bytes, "server%d", g_rand_int_range(soak->rand, 0, AGENTS));
+		break;
+	default:
+		g_snprintf(name, bytes, "entry%d", g_rand_int_range(soak->rand, 0, ENTRIES));
+		break;
+	}
+}
+
+static void break_route(struct soak *soak)
+{
+	static const char *const faults[] = {"delay_ms 300", "cut 1",	       "silence 1",
+					     "half_open up", "half_open down", "refuse 1",
+					     "drop 1"};
+	const char *fault = faults[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(faults))];
+	char name[16];
+
+	draw_route(soak, name, sizeof(name));
+	g_test_message("%s %s", name, fault);
+	proxy(soak, "%s %s", name, fault);
+}
+
+static void heal_routes(struct soak *soak)
+{
+	for (int i = -1; i < ENTRIES + AGENTS; i++) {
+		char name[16];
+
+		if (i < 0)
+			g_strlcpy(name, "store", sizeof(name));
+		else if (i < ENTRIES)
+			g_snprintf(name, sizeof(name), "entry%d", i);
+		else
+			g_snprintf(name, sizeof(name), "server%d", i - ENTRIES);
+		proxy(soak, "%s delay_ms 0", name);
+		proxy(soak, "%s half_open none", name);
+		proxy(soak, "%s refuse 0", name);
+		proxy(soak, "%s drop 0", name);
+	}
+}
+
+static int64_t draw_end(struct soak *soak)
+{
+	return g_get_monotonic_time() +
+	       (int64_t)g_rand_int_range(soak->rand, 100, 2 * FAULT_MS) * US_PER_MS;
+}
+
+static void break_process(struct soak *soak)
+{
+	unsigned i = (unsigned)g_rand_int_range(soak->rand, 0, ENTRIES + AGENTS);
+	int kind = g_rand_int_range(soak->rand, 0, 4);
+
+	if (soak->stopped_until_us[i] != 0)
+		return;
+	if (kind == 3) {
+		harness_signal(soak->daemons[i], SIGHUP);
+		return;
+	}
+	soak->stopped_until_us[i] = draw_end(soak);
+	soak->frozen[i] = kind == 0;
+	g_test_message("%s %s", soak->daemons[i]->name,
+		       kind == 0 ? "frozen" : (kind == 1 ? "killed" : "told to stop"));
+	harness_signal(soak->daemons[i], kind == 0 ? SIGSTOP : (kind == 1 ? SIGKILL : SIGTERM));
+}
+
+/* Lets frozen processes go on and starts stopped ones again, as far as it is time. */
+static void revive(struct soak *soak, bool all)
+{
+	for (unsigned i = 0; i < ENTRIES + AGENTS; i++) {
+		if (soak->stopped_until_us[i] == 0 ||
+		    (!all && g_get_monotonic_time() < soak->stopped_until_us[i]))
+			continue;
+		soak->stopped_until_us[i] = 0;
+		if (soak->frozen[i]) {
+			harness_signal(soak->daemons[i], SIGCONT);
+		} else {
+			/* A graceful stop may still be under way; the platform kills it in the end.
+			 */
+			harness_kill(soak->daemons[i]);
+			harness_restart(soak->harness, soak->daemons[i]);
+		}
+	}
+}
+
+static void break_platform(struct soak *soak)
+{
+	static const char *const faults[] = {
+		"{\"store_down\":true}", "{\"lists_lost\":0.2}",   "{\"starts_lost\":0.2}",
+		"{\"drain\":1}",	 "{\"run_ms\":600}",	   "{\"run_ms\":20}",
+		"{\"stay\":1}",		 "{\"store_down\":false}", "{\"lists_lost\":0}"};
+	const char *fault = faults[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(faults))];
+
+	g_test_message("platform %s", fault);
+	control(soak, fault);
+}
+
+static void strike(struct soak *soak)
+{
+	switch (g_rand_int_range(soak->rand, 0, 7)) {
+	case 0:
+	case 1:
+		break_route(soak);
+		break;
+	case 2:
+		heal_routes(soak);
+		break;
+	case 3:
+	case 4:
+		break_process(soak);
+		break;
+	case 5:
+		break_platform(soak);
+		break;
+	default:
+		publish(soak, ++soak->config_version);
+		break;
+	}
+}
+
+static void heal_all(struct soak *soak)
+{
+	heal_routes(soak);
+	revive(soak, true);
+	control(soak, "{\"store_down\":false,\"lists_lost\":0,\"starts_lost\":0,\"run_ms\":50,"
+		      "\"stay\":1}");
+}
+
+/* ---- checks ---- */
+
+static void check_refusals(struct soak *soak, struct client *clients)
+{
+	struct harness_reply reply = call("GET", soak->store_url, "/control/started", NULL);
+	GHashTable *started = g_hash_table_new(g_str_hash, g_str_equal);
+	json_t *id;
+	size_t i;
+
+	json_array_foreach (json_object_get(reply.body, "jobs"), i, id)
+		g_hash_table_add(started, (gpointer)json_string_value(id));
+	for (unsigned c = 0; c < CLIENTS; c++) {
+		for (guint k = 0; k < clients[c].refused_ids->len; k++) {
+			struct job *job = &g_array_index(clients[c].refused_ids, struct job, k);
+
+			if (g_hash_table_contains(started, job->id))
+				g_error("seed %u: job %s was refused and has started", soak->seed,
+					job->id);
+		}
+	}
+	g_hash_table_destroy(started);
+	harness_reply_clear(&reply);
+}
+
+static bool completes(struct soak *soak, unsigned entry, unsigned number)
+{
+	char *path = g_strdup_printf("/q/ffffffff%08x", number);
+	struct harness_reply reply =
+		call("POST", soak->client_urls[entry], path,
+		     "{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{\"count\":2,\"cpu\":1000,"
+		     "\"memMb\":64,\"estMs\":50}]}");
+	const char *state = json_string_value(json_object_get(reply.body, "state"));
+	bool completed = reply.status == 200 && state && strcmp(state, "completed") == 0;
+
+	g_free(path);
+	harness_reply_clear(&reply);
+	return completed;
+}
+
+static void play(guint32 seed, int64_t faults_ms)
+{
+	struct soak soak = {.harness = harness_new(), .seed = seed};
+	struct client clients[CLIENTS];
+	unsigned number = 0;
+	unsigned jobs = 0, completed = 0, refused = 0;
+	int64_t end_us;
+
+	g_test_message("seed %u", seed);
+	soak.rand = g_rand_new_with_seed(seed);
+	start(&soak);
+	for (unsigned i = 0; i < CLIENTS; i++) {
+		clients[i] = (struct client){
+			.soak = &soak, .rand = g_rand_new_with_seed(seed + i + 1), .index = i};
+		clients[i].refused_ids = g_array_new(FALSE, FALSE, sizeof(struct job));
+		clients[i].thread = g_thread_new("client", run_client, &clients[i]);
+	}
+	end_us = g_get_monotonic_time() + faults_ms * US_PER_MS;
+	while (g_get_monotonic_time() < end_us) {
+		strike(&soak);
+		revive(&soak, false);
+		g_usleep((gulong)g_rand_int_range(soak.rand, 1, 2 * STEP_MS) * US_PER_MS);
+	}
+	heal_all(&soak);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		HARNESS_WAIT(RECOVER_MS, completes(&soak, i, ++number));
+	g_atomic_int_set(&soak.stopping, 1);
+	for (unsigned i = 0; i < CLIENTS; i++) {
+		g_thread_join(clients[i].thread);
+		jobs += clients[i].jobs;
+		completed += clients[i].completed;
+		refused += clients[i].refused;
+	}
+	g_test_message("seed %u: %u jobs, %u completed, %u refused, %d starts, %d overlaps", seed,
+		       jobs, completed, refused, (int)seen(&soak, "starts"),
+		       (int)seen(&soak, "overlaps"));
+	if (seen(&soak, "overlaps") != 0)
+		g_error("seed %u: two runs of a task at one time", seed);
+	check_refusals(&soak, clients);
+	g_assert_cmpuint(completed, >, 0);
+	for (unsigned i = 0; i < CLIENTS; i++) {
+		g_array_free(clients[i].refused_ids, TRUE);
+		g_rand_free(clients[i].rand);
+	}
+	for (unsigned i = 0; i < ENTRIES; i++) {
+		g_free(soak.client_urls[i]);
+		g_free(soak.ready_urls[i]);
+	}
+	g_free(soak.store_url);
+	g_rand_free(soak.rand);
+	harness_free(soak.harness);
+}
+
+static void test_soak(void)
+{
+	const char *seed = g_getenv("SOAK_SEED");
+	const char *count = g_getenv("SOAK_COUNT");
+	const char *duration = g_getenv("SOAK_MS");
+	int64_t faults_ms = duration ? atoll(duration) : FAULTS_MS;
+	guint32 first = seed ? (guint32)strtoul(seed, NULL, 10) : 1;
+	guint32 seeds = count ? (guint32)strtoul(count, NULL, 10) : (seed ? 1 : SEEDS);
+
+	for (size_t i = 0; !seed && i < G_N_ELEMENTS(regressions); i++) {
+		if (regressions[i] != 0)
+			play(regressions[i], faults_ms);
+	}
+	for (guint32 i = 0; i < seeds; i++)
+		play(first + i, faults_ms);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/soak/random_faults", test_soak);
+	return g_test_run();
+}
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -88,6 +88,7 @@
 	unsigned server_count;
 	GRand *rand;
 	GHashTable *running; /* task -> number of runs now */
+	GHashTable *started; /* ids of jobs of which a task has started, as a set */
 	double lists_lost;
 	double starts_lost;
 	int64_t run_ms; /* of every task */
@@ -231,6 +232,7 @@
 	run->ends_us = standin->loop.now_us + standin->run_ms * US_PER_MS;
 	g_ptr_array_add(server->runs, run);
 	standin->starts++;
+	g_hash_table_add(standin->started, g_strndup(task, strcspn(task, ".")));
 	server->starts_after_drain += server->draining;
 	count_running(standin, task, 1);
 	return NULL;
@@ -561,8 +563,12 @@
 	json_t *drain = json_object_get(document, "drain");
 	json_t *silent = json_object_get(document, "silent");
 
+	json_t *stay = json_object_get(document, "stay");
+
 	if (drain)
 		standin->servers[json_integer_value(drain) % MAX_SERVERS].draining = true;
+	if (stay)
+		standin->servers[json_integer_value(stay) % MAX_SERVERS].draining = false;
 	if (silent)
 		standin->servers[json_integer_value(silent) % MAX_SERVERS].silent = true;
 }
@@ -603,6 +609,18 @@
 			      (int)standin->heartbeats_refused));
 }
 
+static void answer_started(struct standin *standin, struct http_request *request)
+{
+	json_t *ids = json_array();
+	GHashTableIter iter;
+	gpointer id;
+
+	g_hash_table_iter_init(&iter, standin->started);
+	while (g_hash_table_iter_next(&iter, &id, NULL))
+		json_array_append_new(ids, json_string(id));
+	answer_json(request, 200, json_pack("{s:o}", "jobs", ids));
+}
+
 static void on_store(void *context, struct http_request *request)
 {
 	struct standin *standin = context;
@@ -613,6 +631,8 @@
 	if (strcmp(path, "/control/config") == 0) {
 		put_record(standin, "keyed.op", "config", body, length);
 		http_answer(request, 200, NULL, "{}");
+	} else if (strcmp(path, "/control/started") == 0) {
+		answer_started(standin, request);
 	} else if (strcmp(path, "/control") == 0) {
 		if (http_request_method(request) == HTTP_METHOD_POST)
 			on_control_post(standin, request);
@@ -708,6 +728,7 @@
 	standin.topics = g_hash_table_new(g_str_hash, g_str_equal);
 	standin.readers = g_array_new(FALSE, FALSE, sizeof(struct read_wait));
 	standin.running = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	standin.started = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	standin.rand = g_rand_new_with_seed(1);
 	standin.run_ms = 100;
 	if (http_server_listen(&standin.loop, argv[1], &server_options, &store_callbacks, &standin,
--- a/test/standin/proxy.c
+++ b/test/standin/proxy.c
@@ -23,7 +23,9 @@
 
 struct route {
 	char *name;
+	char *listen_host;
 	guint16 listen_port;
+	char *target_host;
 	guint16 target_port;
 	GSocket *listener;
 	GSource *source;
@@ -285,8 +287,8 @@
 	client = g_socket_client_new();
 	g_socket_client_set_enable_proxy(client, FALSE);
 	link->pending++;
-	g_socket_client_connect_to_host_async(client, "127.0.0.1", route->target_port, link->cancel,
-					      on_target, link);
+	g_socket_client_connect_to_host_async(client, route->target_host, route->target_port,
+					      link->cancel, on_target, link);
 	g_object_unref(client);
 }
 
@@ -301,12 +303,11 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static GSocket *listen_on(guint16 *port)
+static GSocket *listen_on(const char *host, guint16 *port)
 {
 	GSocket *socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
 				       G_SOCKET_PROTOCOL_TCP, NULL);
-	GInetAddress *loopback = g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
-	GSocketAddress *address = g_inet_socket_address_new(loopback, *port);
+	GSocketAddress *address = g_inet_socket_address_new_from_string(host, *port);
 	GError *problem = NULL;
 
 	g_socket_set_listen_backlog(socket, BACKLOG);
@@ -315,7 +316,6 @@
 		exit(1);
 	}
 	g_object_unref(address);
-	g_object_unref(loopback);
 	address = g_socket_get_local_address(socket, NULL);
 	*port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address));
 	g_object_unref(address);
@@ -324,7 +324,7 @@
 
 static void route_open(struct route *route)
 {
-	route->listener = listen_on(&route->listen_port);
+	route->listener = listen_on(route->listen_host, &route->listen_port);
 	route->source = g_socket_create_source(route->listener, G_IO_IN, NULL);
 	g_source_set_callback(route->source, G_SOURCE_FUNC(on_incoming), route, NULL);
 	g_source_attach(route->source, NULL);
@@ -455,16 +455,22 @@
 
 static void add_route(const char *text)
 {
-	char **parts = g_strsplit(text, ":", 3);
+	char **parts = g_strsplit(text, ":", 5);
+	guint count = g_strv_length(parts);
 	struct route *route = g_new0(struct route, 1);
 
-	if (g_strv_length(parts) != 3) {
-		fprintf(stderr, "route %s: accepted: NAME:LISTENPORT:TARGETPORT\n", text);
+	if (count != 3 && count != 5) {
+		fprintf(stderr,
+			"route %s: accepted: NAME:LISTENPORT:TARGETPORT or "
+			"NAME:LISTENHOST:LISTENPORT:TARGETHOST:TARGETPORT\n",
+			text);
 		exit(2);
 	}
 	route->name = g_strdup(parts[0]);
-	route->listen_port = (guint16)atoi(parts[1]);
-	route->target_port = (guint16)atoi(parts[2]);
+	route->listen_host = g_strdup(count == 5 ? parts[1] : "127.0.0.1");
+	route->target_host = g_strdup(count == 5 ? parts[3] : "127.0.0.1");
+	route->listen_port = (guint16)atoi(parts[count == 5 ? 2 : 1]);
+	route->target_port = (guint16)atoi(parts[count == 5 ? 4 : 2]);
 	route->links = g_ptr_array_new();
 	g_strfreev(parts);
 	route_open(route);
@@ -508,7 +514,7 @@
 	for (int i = 0; names && names[i]; i++)
 		add_route(names[i]);
 	port = (guint16)control_port;
-	source = g_socket_create_source(listen_on(&port), G_IO_IN, NULL);
+	source = g_socket_create_source(listen_on("127.0.0.1", &port), G_IO_IN, NULL);
 	g_source_set_callback(source, G_SOURCE_FUNC(on_control), NULL, NULL);
 	g_source_attach(source, NULL);
 	g_unix_signal_add(SIGTERM, on_stop, loop);
--- a/test/unit/world.h
+++ b/test/unit/world.h
@@ -794,7 +794,7 @@
 }
 
 static inline void world_placed(void *context, const char *id, uint32_t tasks, uint32_t waiting,
-				int64_t report_age_us)
+				const char *servers, int64_t report_age_us)
 {
 }
 
