--- a/packages/greengaged/src/main.c
+++ b/packages/greengaged/src/main.c
@@ -59,8 +59,8 @@
 	}
 	event_init(settings.name, settings.log_level);
 	event_log(EVENT_PROCESS_STARTED, EV_S("role", settings.role), EV_S("version", GG_VERSION));
-	code = strcmp(settings.role, "entry") == 0 ? node_entry_run(&settings)
-						   : node_agent_run(&settings);
+	code = strcmp(settings.role, "entry") == 0 ? node_entry_run(settings_file, &settings)
+						   : node_agent_run(settings_file, &settings);
 	event_log(EVENT_PROCESS_STOPPED, EV_I("exit_code", code));
 	event_flush();
 	node_settings_free(&settings);
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -7,6 +7,7 @@
 #include "event.h"
 #include "node_link.h"
 #include "node_members.h"
+#include "node_reload.h"
 #include "node_signals.h"
 
 enum {
@@ -71,6 +72,7 @@
 	struct node_members members;
 	struct store *store;
 	struct node_signals signals;
+	struct node_reload reload;
 	struct backend backend;
 	GPtrArray *dials;
 	GPtrArray *owners;
@@ -576,10 +578,12 @@
 
 static void on_reload(void *context)
 {
-	event_log(EVENT_SETTINGS_RELOADED, EV_S("result", "unchanged"));
+	struct node_agent *agent = context;
+
+	node_reload_now(&agent->reload);
 }
 
-enum exit_code node_agent_run(const struct node_settings *settings)
+enum exit_code node_agent_run(const char *settings_file, const struct node_settings *settings)
 {
 	struct node_agent *agent = g_new0(struct node_agent, 1);
 	const struct node_identity identity = {
@@ -611,6 +615,7 @@
 						   .found = on_member,
 						   .context = agent,
 					   });
+	node_reload_start(&agent->reload, &agent->loop, settings_file, &agent->members);
 	node_signals_start(&agent->signals, &agent->loop, on_terminate, on_reload, agent);
 	agent->backend = (struct backend){
 		.loop = &agent->loop,
--- a/packages/greengaged/src/node_agent.h
+++ b/packages/greengaged/src/node_agent.h
@@ -5,7 +5,7 @@
 #include "daemon_defs.h"
 #include "node_settings.h"
 
-/* Runs until SIGTERM. */
-enum exit_code node_agent_run(const struct node_settings *settings);
+/* Runs until SIGTERM with SETTINGS, which were read from SETTINGS_FILE. */
+enum exit_code node_agent_run(const char *settings_file, const struct node_settings *settings);
 
 #endif
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -181,7 +181,9 @@
 
 static void on_reload(void *context)
 {
-	event_log(EVENT_SETTINGS_RELOADED, EV_S("result", "unchanged"));
+	struct node_entry *entry = context;
+
+	node_reload_now(&entry->reload);
 }
 
 static void start_dispatch(struct node_entry *entry)
@@ -260,7 +262,7 @@
 	node_config_start(&entry->config);
 }
 
-enum exit_code node_entry_run(const struct node_settings *settings)
+enum exit_code node_entry_run(const char *settings_file, const struct node_settings *settings)
 {
 	struct node_entry *entry = g_new0(struct node_entry, 1);
 	struct error err;
@@ -293,6 +295,7 @@
 		return EXIT_CODE_RUNTIME;
 	}
 	start_following(entry);
+	node_reload_start(&entry->reload, &entry->loop, settings_file, &entry->members);
 	timer_subscribe(&entry->loop.timers, entry->loop.now_us, TICK_MS * US_PER_MS, tick, entry);
 	timer_subscribe(&entry->loop.timers, entry->loop.now_us, PEERS_TICK_MS * US_PER_MS,
 			tick_peers, entry);
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -9,6 +9,7 @@
 #include "node_config.h"
 #include "node_link.h"
 #include "node_members.h"
+#include "node_reload.h"
 #include "node_settings.h"
 #include "node_signals.h"
 
@@ -20,6 +21,7 @@
 	struct node_signals signals;
 	struct node_config config;
 	struct node_members members;
+	struct node_reload reload;
 	struct node_links links;
 	struct net_listener *listener;
 	struct dispatch dispatch;
@@ -35,7 +37,7 @@
 	bool was_ready;
 };
 
-/* Runs until SIGTERM. */
-enum exit_code node_entry_run(const struct node_settings *settings);
+/* Runs until SIGTERM with SETTINGS, which were read from SETTINGS_FILE. */
+enum exit_code node_entry_run(const char *settings_file, const struct node_settings *settings);
 
 #endif
--- a/packages/greengaged/src/node_members.c
+++ b/packages/greengaged/src/node_members.c
@@ -28,6 +28,19 @@
 	members->found(members->context, address);
 }
 
+/* A seed names a host; its entry listens at the port that is the same on all hosts. */
+void node_members_add_seeds(struct node_members *members, char **seeds, int64_t peer_port)
+{
+	for (char **seed = seeds; seed && *seed; seed++) {
+		char *host = g_strndup(*seed, strcspn(*seed, ":"));
+		char *address = g_strdup_printf("%s:%" G_GINT64_FORMAT, host, peer_port);
+
+		node_members_add(members, address);
+		g_free(host);
+		g_free(address);
+	}
+}
+
 static void on_published(void *context, const struct store_result *result)
 {
 	struct node_members *members = context;
@@ -95,15 +108,7 @@
 		.found = options->found,
 		.context = options->context,
 	};
-	/* A seed names a host; its entry listens at the port that is the same on all hosts. */
-	for (char **seed = options->seeds; seed && *seed; seed++) {
-		char *host = g_strndup(*seed, strcspn(*seed, ":"));
-		char *address = g_strdup_printf("%s:%" G_GINT64_FORMAT, host, options->peer_port);
-
-		node_members_add(members, address);
-		g_free(host);
-		g_free(address);
-	}
+	node_members_add_seeds(members, options->seeds, options->peer_port);
 	timer_subscribe(&options->loop->timers, options->loop->now_us, RETRY_MS * US_PER_MS, check,
 			members);
 }
--- a/packages/greengaged/src/node_members.h
+++ b/packages/greengaged/src/node_members.h
@@ -36,6 +36,9 @@
 
 void node_members_init(struct node_members *members, const struct node_members_options *options);
 
+/* Adds the entries on the hosts of SEEDS, a list that ends in NULL or NULL itself. */
+void node_members_add_seeds(struct node_members *members, char **seeds, int64_t peer_port);
+
 /* Adds an address heard from another daemon. */
 void node_members_add(struct node_members *members, const char *address);
 
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -236,6 +236,15 @@
 	return NULL;
 }
 
+static bool log_holds(const struct harness_process *process, const char *text)
+{
+	char *log = NULL;
+	bool found = g_file_get_contents(process->out_file, &log, NULL, NULL) && strstr(log, text);
+
+	g_free(log);
+	return found;
+}
+
 /* Guards the whole path: each task of each job starts once, and the answer comes with the job's
  * end. */
 static void test_jobs_complete(void)
@@ -462,6 +471,28 @@
 	stop_site(&site);
 }
 
+/* New settings are read after SIGHUP and without one; a file that is not valid changes nothing. */
+static void test_settings_change(void)
+{
+	struct site site;
+	char *file;
+	char *text;
+
+	start_site(&site);
+	file = g_strdup_printf("%s/entry0.json", site.harness->directory);
+	g_assert_true(g_file_get_contents(file, &text, NULL, NULL));
+	g_assert_true(g_file_set_contents(file, "{\"mode\":", -1, NULL));
+	harness_signal(site.entries[0], SIGHUP);
+	HARNESS_WAIT(CALL_MS, log_holds(site.entries[0], "\"result\":\"invalid\""));
+	g_assert_true(completes(&site, 0, 1, 1));
+	g_assert_true(g_file_set_contents(file, text, -1, NULL));
+	HARNESS_WAIT(CALL_MS, log_holds(site.entries[0], "\"result\":\"valid\""));
+	g_assert_true(completes(&site, 0, 2, 1));
+	g_free(text);
+	g_free(file);
+	stop_site(&site);
+}
+
 /* An agent that was frozen has given its entries up, and counts its reports from 1 again: the
  * entries once took them for repetitions, and jobs hung until their deadline. */
 static void test_agent_frozen(void)
@@ -511,6 +542,7 @@
 	g_test_add_func("/platform/leaving_server", test_leaving_server);
 	g_test_add_func("/platform/graceful_stop", test_graceful_stop);
 	g_test_add_func("/platform/agent_restarts", test_agent_restarts);
+	g_test_add_func("/platform/settings_change", test_settings_change);
 	g_test_add_func("/platform/agent_frozen", test_agent_frozen);
 	g_test_add_func("/platform/metrics", test_metrics);
 	return g_test_run();
