--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -244,12 +244,16 @@
 static void list_failed(struct backend *backend, const struct http_reply *reply,
 			const struct error *err)
 {
-	/* After a crash nothing runs. A server that does not answer keeps its runs until their
-	 * leases have expired. */
-	if (reply->refused)
-		runs_server_lost(&backend->runs, backend->loop->now_us);
-	if (reply->refused ||
-	    backend->loop->now_us - backend->answered_us > UNREACHABLE_MS * US_PER_MS)
+	int64_t now_us = backend->loop->now_us;
+	/* After a crash nothing runs, nobody listens and all connections are gone. A server that
+	 * does not answer, or only takes no new connection, keeps its runs until their leases have
+	 * expired. */
+	bool crashed = reply->refused && !http_client_connected(backend->lists) &&
+		       !http_client_connected(backend->orders);
+
+	if (crashed)
+		runs_server_lost(&backend->runs, now_us);
+	if (crashed || now_us - backend->answered_us > UNREACHABLE_MS * US_PER_MS)
 		note_reachable(backend, false, err->message);
 }
 
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -12,9 +12,6 @@
 
 enum {
 	TICK_MS = 25,
-	DIAL_RETRY_MS = 50,
-	DIAL_RETRY_LONG_MS = 2000, /* for an address that has not answered for a while */
-	DIAL_PATIENCE_MS = 10000,
 	ROOM_INTERVAL_MS = 5,	/* between two reports that only change the free room */
 	LOST_ENTRIES_MS = 1500, /* without any entry for so long, the store is asked */
 	PERMILLE = 1000,
@@ -61,8 +58,7 @@
 	char *address;
 	struct node_link *link;
 	struct owner *owner; /* last one met there */
-	int64_t next_us;
-	int64_t answered_us; /* when it was last connected */
+	struct node_retry retry;
 };
 
 struct node_agent {
@@ -372,7 +368,6 @@
 	if (owner->link)
 		return false; /* the same process under two addresses */
 	dial->owner = owner;
-	dial->answered_us = agent->loop.now_us;
 	owner->link = link;
 	owner->orders_ack = 0;
 	owner->identity_version = 0;
@@ -401,13 +396,7 @@
 		owner->heard_us = node_link_heard_us(link);
 	}
 	dial->link = NULL;
-	if (node_link_is_up(link))
-		dial->answered_us = dial->agent->loop.now_us;
-	dial->next_us = dial->agent->loop.now_us +
-			(dial->agent->loop.now_us - dial->answered_us < DIAL_PATIENCE_MS * US_PER_MS
-				 ? DIAL_RETRY_MS
-				 : DIAL_RETRY_LONG_MS) *
-				US_PER_MS;
+	node_retry_lost(&dial->retry, node_link_is_up(link), dial->agent->loop.now_us);
 }
 
 static const struct node_link_callbacks link_callbacks = {
@@ -424,7 +413,7 @@
 
 	dial->agent = agent;
 	dial->address = g_strdup(address);
-	dial->answered_us = agent->loop.now_us;
+	node_retry_init(&dial->retry, agent->loop.now_us);
 	g_ptr_array_add(agent->dials, dial);
 }
 
@@ -437,12 +426,12 @@
 		struct dial *dial = agent->dials->pdata[i];
 
 		connected = connected || (dial->owner && dial->owner->link);
-		if (dial->link || now_us < dial->next_us)
+		if (dial->link || now_us < dial->retry.next_us)
 			continue;
 		dial->link =
 			node_link_dial(&agent->links, dial->address, &link_callbacks, dial, &err);
 		if (!dial->link)
-			dial->next_us = now_us + DIAL_RETRY_LONG_MS * US_PER_MS;
+			node_retry_lost(&dial->retry, false, now_us);
 	}
 	if (connected) {
 		agent->connected_us = now_us;
@@ -557,7 +546,7 @@
 			continue;
 		node_link_close(dial->link);
 		on_down(dial, dial->link, "this process was frozen");
-		dial->next_us = 0;
+		dial->retry.next_us = 0;
 	}
 	backend_reset(&agent->backend);
 }
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -6,7 +6,10 @@
 enum {
 	US_PER_MS = 1000,
 	CHECK_MS = 25,
-	GREETING_MS = 200,	   /* a peer that has not greeted by then is dialled again */
+	GREETING_MS = 200, /* a peer that has not greeted by then is dialled again */
+	RETRY_MS = 50,
+	RETRY_LONG_MS = 2000,
+	RETRY_PATIENCE_MS = 10000, /* for which an address without an answer is dialled often */
 	UNSENT_MAX_BYTES = 4 << 20 /* a peer that takes in no more is out of reach */
 };
 
@@ -227,3 +230,18 @@
 {
 	return link->heard_us;
 }
+
+void node_retry_init(struct node_retry *retry, int64_t now_us)
+{
+	*retry = (struct node_retry){.next_us = now_us, .answered_us = now_us};
+}
+
+void node_retry_lost(struct node_retry *retry, bool was_up, int64_t now_us)
+{
+	bool recent;
+
+	if (was_up)
+		retry->answered_us = now_us;
+	recent = now_us - retry->answered_us < RETRY_PATIENCE_MS * US_PER_MS;
+	retry->next_us = now_us + (recent ? RETRY_MS : RETRY_LONG_MS) * US_PER_MS;
+}
--- a/packages/greengaged/src/node_link.h
+++ b/packages/greengaged/src/node_link.h
@@ -65,4 +65,15 @@
 
 void node_link_close(struct node_link *link);
 
+/* When to dial an address again: often at first, seldom when it has not answered for a while. */
+struct node_retry {
+	int64_t next_us;
+	int64_t answered_us; /* when it was last connected */
+};
+
+void node_retry_init(struct node_retry *retry, int64_t now_us);
+
+/* A connection could not be made, or was lost. WAS_UP: the peer had greeted. */
+void node_retry_lost(struct node_retry *retry, bool was_up, int64_t now_us);
+
 #endif
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -5,9 +5,6 @@
 #include "event.h"
 
 enum {
-	DIAL_RETRY_MS = 50,
-	DIAL_RETRY_LONG_MS = 2000,
-	DIAL_PATIENCE_MS = 10000,
 	STATE_INTERVAL_MS = 50, /* while work is queued */
 	STATE_FRESH_MS = 400,	/* older figures of a peer do not count */
 	PUSH_INTERVAL_MS = 500	/* between two sendings of the configuration to one peer */
@@ -18,8 +15,7 @@
 	struct node_entry *entry;
 	char *address;
 	struct node_link *link; /* dialled here */
-	int64_t next_us;
-	int64_t answered_us;
+	struct node_retry retry;
 	int64_t sent_us;
 	uint32_t members_version;
 	uint64_t sent_backlog; /* of all priorities */
@@ -93,7 +89,6 @@
 {
 	struct entry_peer *peer = context;
 
-	peer->answered_us = peer->entry->loop.now_us;
 	peer->members_version = 0;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", peer->address));
 	send_state(peer, peer->entry->loop.now_us);
@@ -119,17 +114,12 @@
 static void on_dialled_down(void *context, struct node_link *link, const char *reason)
 {
 	struct entry_peer *peer = context;
-	int64_t now_us = peer->entry->loop.now_us;
-	bool recent;
 
-	if (node_link_is_up(link)) {
-		peer->answered_us = now_us;
+	if (node_link_is_up(link))
 		event_log(EVENT_CHANNEL_LOST, EV_S("address", peer->address),
 			  EV_S("reason", reason));
-	}
-	recent = now_us - peer->answered_us < DIAL_PATIENCE_MS * US_PER_MS;
 	peer->link = NULL;
-	peer->next_us = now_us + (recent ? DIAL_RETRY_MS : DIAL_RETRY_LONG_MS) * US_PER_MS;
+	node_retry_lost(&peer->retry, node_link_is_up(link), peer->entry->loop.now_us);
 }
 
 static const struct node_link_callbacks dialled_callbacks = {
@@ -146,7 +136,7 @@
 
 	peer->entry = entry;
 	peer->address = g_strdup(address);
-	peer->answered_us = entry->loop.now_us;
+	node_retry_init(&peer->retry, entry->loop.now_us);
 	g_ptr_array_add(entry->peers, peer);
 }
 
@@ -253,11 +243,11 @@
 	for (guint i = 0; i < entry->peers->len; i++) {
 		struct entry_peer *peer = entry->peers->pdata[i];
 
-		if (!peer->link && now_us >= peer->next_us) {
+		if (!peer->link && now_us >= peer->retry.next_us) {
 			peer->link = node_link_dial(&entry->links, peer->address,
 						    &dialled_callbacks, peer, &err);
 			if (!peer->link)
-				peer->next_us = now_us + DIAL_RETRY_LONG_MS * US_PER_MS;
+				node_retry_lost(&peer->retry, false, now_us);
 		} else if (peer->link && node_link_is_up(peer->link) &&
 			   now_us - peer->sent_us >= STATE_INTERVAL_MS * US_PER_MS &&
 			   (entry->dispatch.queue->len > 0 || peer->sent_backlog > 0)) {
@@ -288,7 +278,7 @@
 			continue;
 		node_link_close(peer->link);
 		peer->link = NULL;
-		peer->next_us = 0;
+		peer->retry.next_us = 0;
 	}
 	for (guint i = incoming_list(entry)->len; i-- > 0;) {
 		struct incoming *peer = entry->incoming->pdata[i];
--- a/packages/net/include/http_client.h
+++ b/packages/net/include/http_client.h
@@ -51,6 +51,9 @@
 /* Makes CALL; its texts are copied. */
 void http_client_call(struct http_client *client, const struct http_call *call);
 
+/* Returns whether a connection to the address is open. */
+bool http_client_connected(const struct http_client *client);
+
 /* Closes all connections; calls in progress fail with STATUS_NETWORK. */
 void http_client_reset(struct http_client *client);
 
--- a/packages/net/src/http_client.c
+++ b/packages/net/src/http_client.c
@@ -16,6 +16,7 @@
 	http_parser parser;
 	GString *body;
 	int64_t idle_since_us;
+	bool open;
 	bool complete;
 	bool too_large;
 };
@@ -188,7 +189,13 @@
 	serve_waiting(client);
 }
 
+static void on_opened(void *context)
+{
+	((struct connection *)context)->open = true;
+}
+
 static const struct net_conn_callbacks conn_callbacks = {
+	.opened = on_opened,
 	.data = on_data,
 	.closed = on_closed,
 };
@@ -325,6 +332,15 @@
 	serve_waiting(client);
 }
 
+bool http_client_connected(const struct http_client *client)
+{
+	for (guint i = 0; i < client->connections->len; i++) {
+		if (((const struct connection *)client->connections->pdata[i])->open)
+			return true;
+	}
+	return false;
+}
+
 void http_client_reset(struct http_client *client)
 {
 	GPtrArray *closed = client->connections;
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -158,6 +158,10 @@
 	g_assert_cmpstr(fixture.query, ==, "b=c");
 	g_assert_cmpstr(fixture.body, ==, "xyz");
 	g_assert_cmpuint(http_server_connections(fixture.server), ==, 1);
+	/* A refused connection says that a server has crashed only when no other one is open. */
+	g_assert_true(http_client_connected(client));
+	http_client_reset(client);
+	g_assert_false(http_client_connected(client));
 	http_client_free(client);
 	tear_down(&fixture);
 }
