--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -41,7 +41,8 @@
 
 	if (left->urgent_us != right->urgent_us)
 		return left->urgent_us < right->urgent_us ? -1 : 1;
-	return left->job->arrived_us < right->job->arrived_us ? -1 : 1;
+	return (left->job->arrived_us > right->job->arrived_us) -
+	       (left->job->arrived_us < right->job->arrived_us);
 }
 
 /* A run waits at its server as long as it can still end by the job's objective, or, when that is
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "runs_state.h"
+
 enum {
 	PERMILLE = 1000,
 	PERCENT = 100,
@@ -147,7 +149,7 @@
 	runs->used.gpus += need->gpus;
 }
 
-static void end(struct runs *runs, struct handle handle, enum run_outcome outcome, int64_t now_us)
+void runs_end(struct runs *runs, struct handle handle, enum run_outcome outcome, int64_t now_us)
 {
 	struct run *run = table_get(&runs->table, handle);
 	int64_t elapsed_us = now_us - run->ordered_us;
@@ -176,7 +178,7 @@
 	runs->present = false;
 	runs->seen_end = 0;
 	while (table_next(&runs->table, &cursor, &handle))
-		end(runs, handle, RUN_LOST, now_us);
+		runs_end(runs, handle, RUN_LOST, now_us);
 }
 
 static struct run *add(struct runs *runs, const struct run_request *request, struct handle *handle,
@@ -214,64 +216,20 @@
 	runs->callbacks.ended(runs->callbacks.context, &run, outcome, 0);
 }
 
-static void enter(struct run *run, enum run_phase phase, int64_t now_us)
+void runs_enter(struct run *run, enum run_phase phase, int64_t now_us)
 {
 	run->phase = phase;
 	run->phase_us = now_us;
 }
 
-static void send_start(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
+void runs_send_start(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
 {
 	take_room(runs, &run->need);
-	enter(run, RUN_ORDERED, now_us);
+	runs_enter(run, RUN_ORDERED, now_us);
 	run->ordered_us = now_us;
 	runs->callbacks.order_start(runs->callbacks.context, handle);
 }
 
-uint32_t runs_waiting_cpu(const struct runs *runs)
-{
-	uint32_t cpu = 0;
-
-	for (int i = 0; i < PRIORITIES; i++)
-		cpu += runs->waiting_cpu[i];
-	return cpu;
-}
-
-static struct run *least_urgent(struct runs *runs, struct handle *handle)
-{
-	uint32_t cursor = 0;
-	struct run *worst = NULL;
-	struct handle at;
-	struct run *run;
-
-	while ((run = table_next(&runs->table, &cursor, &at))) {
-		if (run->phase != RUN_WAITING || (worst && run->urgent_us <= worst->urgent_us))
-			continue;
-		worst = run;
-		*handle = at;
-	}
-	return worst;
-}
-
-/* Makes room in the queue for REQUEST by turning away less urgent runs. Returns whether it may
- * wait. */
-static bool may_wait(struct runs *runs, const struct run_request *request, int64_t now_us)
-{
-	uint64_t allowance = (uint64_t)runs->total.cpu * runs->limits.waiting_permille / PERMILLE;
-	struct handle handle;
-	struct run *run;
-
-	if (!room_fits(&request->need, &runs->total) || request->need.cpu > allowance)
-		return false;
-	while (runs_waiting_cpu(runs) + request->need.cpu > allowance) {
-		run = least_urgent(runs, &handle);
-		if (!run || run->urgent_us <= request->urgent_us)
-			return false;
-		end(runs, handle, RUN_NO_ROOM, now_us);
-	}
-	return true;
-}
-
 void runs_start(struct runs *runs, const struct run_request *request, int64_t now_us)
 {
 	struct room room = runs_free_room(runs);
@@ -284,68 +242,19 @@
 		refuse(runs, request, RUN_BUSY);
 	} else if (runs_waiting_cpu(runs) == 0 && room_fits(&request->need, &room)) {
 		run = add(runs, request, &handle, now_us);
-		send_start(runs, run, handle, now_us);
-	} else if (may_wait(runs, request, now_us)) {
+		runs_send_start(runs, run, handle, now_us);
+	} else if (runs_may_wait(runs, request, now_us)) {
 		run = add(runs, request, &handle, now_us);
-		enter(run, RUN_WAITING, now_us);
+		runs_enter(run, RUN_WAITING, now_us);
 		runs->waiting_cpu[run->priority] += run->need.cpu;
 	} else {
 		refuse(runs, request, RUN_NO_ROOM);
 	}
 }
 
-/* Returns the most urgent waiting run that fits into the free room. */
-static struct run *next_waiting(struct runs *runs, struct handle *handle)
-{
-	struct room room = runs_free_room(runs);
-	uint32_t cursor = 0;
-	struct run *best = NULL;
-	struct handle at;
-	struct run *run;
-
-	while ((run = table_next(&runs->table, &cursor, &at))) {
-		if (run->phase != RUN_WAITING || !room_fits(&run->need, &room))
-			continue;
-		if (best && best->urgent_us <= run->urgent_us)
-			continue;
-		best = run;
-		*handle = at;
-	}
-	return best;
-}
-
-void runs_serve_waiting(struct runs *runs, int64_t now_us)
-{
-	struct handle handle;
-	struct run *run;
-
-	while (runs_waiting_cpu(runs) > 0 && runs_ready(runs) &&
-	       (run = next_waiting(runs, &handle))) {
-		runs->waiting_cpu[run->priority] -= run->need.cpu;
-		send_start(runs, run, handle, now_us);
-	}
-}
-
-/* Refuses waiting runs that have waited too long, or for a server that takes no starts any more. */
-static void refuse_waiting(struct runs *runs, int64_t now_us)
-{
-	uint32_t cursor = 0;
-	struct handle handle;
-	struct run *run;
-
-	while (runs_waiting_cpu(runs) > 0 && (run = table_next(&runs->table, &cursor, &handle))) {
-		if (run->phase != RUN_WAITING)
-			continue;
-		if (!runs_ready(runs))
-			end(runs, handle, RUN_LEAVING, now_us);
-		else if (now_us > run->start_by_us)
-			end(runs, handle, RUN_LATE, now_us);
-	}
-}
-
 static void send_stop(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
 {
-	enter(run, RUN_STOPPING, now_us);
+	runs_enter(run, RUN_STOPPING, now_us);
 	run->stop_sent_us = now_us;
 	runs->callbacks.order_stop(runs->callbacks.context, run->task, run->attempt, handle);
 }
@@ -355,7 +264,7 @@
 {
 	run->stop_requested = true;
 	if (run->phase == RUN_WAITING)
-		end(runs, handle, RUN_WITHDRAWN, now_us);
+		runs_end(runs, handle, RUN_WITHDRAWN, now_us);
 	else if (run->phase == RUN_ACTIVE || run->phase == RUN_ORDERED)
 		send_stop(runs, run, handle, now_us);
 }
@@ -405,14 +314,14 @@
 	if (answer == START_UNANSWERED) {
 		if (run->phase != RUN_ORDERED)
 			return;
-		enter(run, RUN_UNSURE, now_us);
+		runs_enter(run, RUN_UNSURE, now_us);
 		runs->callbacks.look(runs->callbacks.context);
 	} else if (answer != START_STARTED) {
 		if (answer == START_UNHEALTHY)
 			count_failure(runs, run, now_us);
-		end(runs, handle, refusals[answer], now_us);
+		runs_end(runs, handle, refusals[answer], now_us);
 	} else if (run->phase == RUN_ORDERED || run->phase == RUN_UNSURE) {
-		enter(run, RUN_ACTIVE, now_us);
+		runs_enter(run, RUN_ACTIVE, now_us);
 	}
 }
 
@@ -422,7 +331,7 @@
 
 	if (!run || run->phase != RUN_STOPPING || !acknowledged)
 		return; /* runs_tick repeats an unanswered stop */
-	enter(run, RUN_SETTLING, now_us);
+	runs_enter(run, RUN_SETTLING, now_us);
 	runs->callbacks.look(runs->callbacks.context);
 }
 
@@ -448,7 +357,7 @@
 			continue;
 		runs->seen_end = row->number;
 		if (find(runs, row, &handle))
-			end(runs, handle, row->outcome, now_us);
+			runs_end(runs, handle, row->outcome, now_us);
 	}
 }
 
@@ -510,7 +419,7 @@
 		g_hash_table_add(listed, run);
 		run->percent = row->percent;
 		if (run->phase == RUN_UNSURE) {
-			enter(run, RUN_ACTIVE, now_us);
+			runs_enter(run, RUN_ACTIVE, now_us);
 			if (run->stop_requested)
 				send_stop(runs, run, handle, now_us);
 		}
@@ -534,10 +443,10 @@
 			send_stop(runs, run, handle,
 				  now_us); /* the order may still be on its way */
 		else if (run->phase == RUN_SETTLING)
-			end(runs, handle, run->stop_requested ? RUN_STOPPED : RUN_UNANSWERED,
-			    now_us);
+			runs_end(runs, handle, run->stop_requested ? RUN_STOPPED : RUN_UNANSWERED,
+				 now_us);
 		else if (run->phase == RUN_ACTIVE)
-			end(runs, handle, RUN_LOST, now_us);
+			runs_end(runs, handle, RUN_LOST, now_us);
 	}
 }
 
@@ -565,10 +474,10 @@
 	struct run *run;
 
 	health_tick(&runs->health, now_us);
-	refuse_waiting(runs, now_us);
+	runs_refuse_waiting(runs, now_us);
 	if (table_count(&runs->table) > 0 && now_us > runs->lease_bound_us) {
 		while (table_next(&runs->table, &cursor, &handle))
-			end(runs, handle, RUN_LOST, now_us);
+			runs_end(runs, handle, RUN_LOST, now_us);
 		return;
 	}
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
--- /dev/null
+++ b/packages/core/src/runs_waiting.c
@@ -0,0 +1,96 @@
+/* The queue of runs that wait for room at a backend server. */
+#include "runs_state.h"
+
+enum {
+	PERMILLE = 1000
+};
+
+uint32_t runs_waiting_cpu(const struct runs *runs)
+{
+	uint32_t cpu = 0;
+
+	for (int i = 0; i < PRIORITIES; i++)
+		cpu += runs->waiting_cpu[i];
+	return cpu;
+}
+
+static struct run *least_urgent(struct runs *runs, struct handle *handle)
+{
+	uint32_t cursor = 0;
+	struct run *worst = NULL;
+	struct handle at;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, &at))) {
+		if (run->phase != RUN_WAITING || (worst && run->urgent_us <= worst->urgent_us))
+			continue;
+		worst = run;
+		*handle = at;
+	}
+	return worst;
+}
+
+bool runs_may_wait(struct runs *runs, const struct run_request *request, int64_t now_us)
+{
+	uint64_t allowance = (uint64_t)runs->total.cpu * runs->limits.waiting_permille / PERMILLE;
+	struct handle handle;
+	struct run *run;
+
+	if (!room_fits(&request->need, &runs->total) || request->need.cpu > allowance)
+		return false;
+	while (runs_waiting_cpu(runs) + request->need.cpu > allowance) {
+		run = least_urgent(runs, &handle);
+		if (!run || run->urgent_us <= request->urgent_us)
+			return false;
+		runs_end(runs, handle, RUN_NO_ROOM, now_us);
+	}
+	return true;
+}
+
+/* Returns the most urgent waiting run that fits into the free room. */
+static struct run *next_waiting(struct runs *runs, struct handle *handle)
+{
+	struct room room = runs_free_room(runs);
+	uint32_t cursor = 0;
+	struct run *best = NULL;
+	struct handle at;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, &at))) {
+		if (run->phase != RUN_WAITING || !room_fits(&run->need, &room))
+			continue;
+		if (best && best->urgent_us <= run->urgent_us)
+			continue;
+		best = run;
+		*handle = at;
+	}
+	return best;
+}
+
+void runs_serve_waiting(struct runs *runs, int64_t now_us)
+{
+	struct handle handle;
+	struct run *run;
+
+	while (runs_waiting_cpu(runs) > 0 && runs_ready(runs) &&
+	       (run = next_waiting(runs, &handle))) {
+		runs->waiting_cpu[run->priority] -= run->need.cpu;
+		runs_send_start(runs, run, handle, now_us);
+	}
+}
+
+void runs_refuse_waiting(struct runs *runs, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	while (runs_waiting_cpu(runs) > 0 && (run = table_next(&runs->table, &cursor, &handle))) {
+		if (run->phase != RUN_WAITING)
+			continue;
+		if (!runs_ready(runs))
+			runs_end(runs, handle, RUN_LEAVING, now_us);
+		else if (now_us > run->start_by_us)
+			runs_end(runs, handle, RUN_LATE, now_us);
+	}
+}
--- /dev/null
+++ b/packages/greengaged/src/agent_owner.c
@@ -0,0 +1,234 @@
+#include "agent_owner.h"
+
+#include "event.h"
+
+enum {
+	PERMILLE = 1000
+};
+
+struct kept_end {
+	uint64_t run;
+	uint32_t outcome;
+	uint32_t elapsed_ms;
+};
+
+struct kept_progress {
+	uint64_t run;
+	uint32_t percent;
+	uint32_t elapsed_ms;
+};
+
+struct kept_report {
+	uint64_t number;
+	GArray *ends;
+};
+
+static void free_report(gpointer data)
+{
+	struct kept_report *report = data;
+
+	g_array_free(report->ends, TRUE);
+	g_free(report);
+}
+
+struct owner *owner_new(uint32_t number, const struct ident *incarnation)
+{
+	struct owner *owner = g_new0(struct owner, 1);
+
+	owner->number = number;
+	owner->incarnation = *incarnation;
+	owner->next_report = 1;
+	owner->is_new = true;
+	g_queue_init(&owner->unacknowledged);
+	owner->ends = g_array_new(FALSE, FALSE, sizeof(struct kept_end));
+	owner->behind = g_array_new(FALSE, FALSE, sizeof(struct kept_progress));
+	return owner;
+}
+
+void owner_free(struct owner *owner)
+{
+	g_queue_clear_full(&owner->unacknowledged, free_report);
+	g_array_free(owner->ends, TRUE);
+	g_array_free(owner->behind, TRUE);
+	g_free(owner);
+}
+
+void owner_note_end(struct owner *owner, const struct run *run, enum run_outcome outcome,
+		    int64_t elapsed_us)
+{
+	const struct kept_end end = {
+		.run = run->number,
+		.outcome = outcome,
+		.elapsed_ms = (uint32_t)(elapsed_us / US_PER_MS),
+	};
+
+	g_array_append_val(owner->ends, end);
+}
+
+void owner_note_behind(struct owner *owner, const struct run *run, int64_t elapsed_us)
+{
+	const struct kept_progress progress = {
+		.run = run->number,
+		.percent = run->percent,
+		.elapsed_ms = (uint32_t)(elapsed_us / US_PER_MS),
+	};
+
+	g_array_append_val(owner->behind, progress);
+}
+
+static void fill_room(const struct backend *backend, Ggd__Room *room)
+{
+	struct room free_room = runs_free_room(&backend->runs);
+	int64_t now_us = backend->loop->now_us;
+
+	room->ready = backend_ready(backend);
+	room->cpu = free_room.cpu;
+	room->memory_mb = free_room.memory_mb;
+	room->gpus = free_room.gpus;
+	room->speed = (uint32_t)(runs_speed(&backend->runs, now_us) * PERMILLE);
+	room->samples = backend->runs.samples;
+	room->unsettled = backend_unsettled(backend);
+	room->n_waiting_cpu = PRIORITIES;
+	room->waiting_cpu = (uint32_t *)backend->runs.waiting_cpu;
+	room->run_ms = (uint32_t)(backend->runs.run_us / US_PER_MS);
+	room->suspect = runs_on_trial(&backend->runs, now_us);
+}
+
+static void fill_server(const struct backend *backend, Ggd__Server *server, char **labels)
+{
+	server->id = (char *)backend->id;
+	server->service = (char *)backend->service;
+	server->zone = (char *)backend->zone;
+	server->cpu = backend->runs.total.cpu;
+	server->memory_mb = backend->runs.total.memory_mb;
+	server->gpus = backend->runs.total.gpus;
+	server->n_labels = backend->label_count;
+	server->labels = labels;
+	for (size_t i = 0; i < backend->label_count; i++)
+		labels[i] = (char *)backend->labels[i];
+}
+
+/* Sends one report with ENDS, which may be NULL. */
+static void send_report(struct owner *owner, struct backend *backend, uint64_t number,
+			const GArray *ends, Ggd__Inventory *inventory)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__Report report = GGD__REPORT__INIT;
+	Ggd__Room room = GGD__ROOM__INIT;
+	Ggd__Server server = GGD__SERVER__INIT;
+	char *labels[SERVER_LABELS_MAX];
+	guint end_count = ends ? ends->len : 0;
+	Ggd__RunEnd *rows = g_new(Ggd__RunEnd, end_count + 1);
+	Ggd__RunEnd **row_pointers = g_new(Ggd__RunEnd *, end_count + 1);
+	Ggd__Progress *late = g_new(Ggd__Progress, owner->behind->len + 1);
+	Ggd__Progress **late_pointers = g_new(Ggd__Progress *, owner->behind->len + 1);
+
+	for (guint i = 0; i < end_count; i++) {
+		const struct kept_end *end = &g_array_index(ends, struct kept_end, i);
+
+		ggd__run_end__init(&rows[i]);
+		rows[i].run = end->run;
+		rows[i].outcome = end->outcome;
+		rows[i].elapsed_ms = end->elapsed_ms;
+		row_pointers[i] = &rows[i];
+	}
+	for (guint i = 0; i < owner->behind->len; i++) {
+		const struct kept_progress *behind =
+			&g_array_index(owner->behind, struct kept_progress, i);
+
+		ggd__progress__init(&late[i]);
+		late[i].run = behind->run;
+		late[i].percent = behind->percent;
+		late[i].elapsed_ms = behind->elapsed_ms;
+		late_pointers[i] = &late[i];
+	}
+	fill_room(backend, &room);
+	report.number = number;
+	report.orders_ack = owner->orders_ack;
+	report.room = &room;
+	report.n_ends = end_count;
+	report.ends = row_pointers;
+	report.n_late = owner->behind->len;
+	report.late = late_pointers;
+	report.inventory = inventory;
+	if (owner->identity_version != backend->version) {
+		fill_server(backend, &server, labels);
+		report.server = &server;
+		owner->identity_version = backend->version;
+	}
+	frame.body_case = GGD__FRAME__BODY_REPORT;
+	frame.report = &report;
+	node_link_send(owner->link, &frame);
+	owner->room_dirty = false;
+	owner->room_sent_us = backend->loop->now_us;
+	g_array_set_size(owner->behind, 0);
+	g_free(rows);
+	g_free(row_pointers);
+	g_free(late);
+	g_free(late_pointers);
+}
+
+/* Ends are kept until the owner acknowledges them, as a report may be lost with its connection. */
+void owner_send_ends(struct owner *owner, struct backend *backend)
+{
+	struct kept_report *kept = g_new(struct kept_report, 1);
+
+	kept->number = owner->next_report++;
+	kept->ends = owner->ends;
+	owner->ends = g_array_new(FALSE, FALSE, sizeof(struct kept_end));
+	g_queue_push_tail(&owner->unacknowledged, kept);
+	send_report(owner, backend, kept->number, kept->ends, NULL);
+}
+
+struct run_numbers {
+	uint32_t owner;
+	GArray *numbers;
+};
+
+static void collect_run(void *context, const struct run *run)
+{
+	struct run_numbers *collected = context;
+
+	if (run->owner == collected->owner)
+		g_array_append_val(collected->numbers, run->number);
+}
+
+/* The first reports of a connection: ends that may have been lost, then the runs still known. */
+void owner_send_inventory(struct owner *owner, struct backend *backend)
+{
+	struct run_numbers collected = {
+		.owner = owner->number,
+		.numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+	};
+	Ggd__Inventory inventory = GGD__INVENTORY__INIT;
+
+	for (GList *item = owner->unacknowledged.head; item; item = item->next) {
+		const struct kept_report *kept = item->data;
+
+		send_report(owner, backend, kept->number, kept->ends, NULL);
+	}
+	if (owner->ends->len > 0)
+		owner_send_ends(owner, backend);
+	runs_foreach(&backend->runs, collect_run, &collected);
+	inventory.remembered = !owner->is_new;
+	inventory.n_runs = collected.numbers->len;
+	inventory.runs = (uint64_t *)(void *)collected.numbers->data;
+	send_report(owner, backend, 0, NULL, &inventory);
+	owner->is_new = false;
+	g_array_free(collected.numbers, TRUE);
+}
+
+void owner_send_room(struct owner *owner, struct backend *backend)
+{
+	send_report(owner, backend, 0, NULL, NULL);
+}
+
+void owner_acknowledge(struct owner *owner, uint64_t number)
+{
+	struct kept_report *kept;
+
+	while ((kept = g_queue_peek_head(&owner->unacknowledged)) && kept->number <= number) {
+		g_queue_pop_head(&owner->unacknowledged);
+		free_report(kept);
+	}
+}
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "agent_backend.h"
+#include "agent_owner.h"
 #include "client_api.h"
 #include "event.h"
 #include "node_link.h"
@@ -18,40 +19,6 @@
 	STOP_MARGIN_MS = 300 /* kept free at the end of the grace period */
 };
 
-/* One process of an entry, which owns runs here. */
-struct owner {
-	uint32_t number; /* in the table of runs */
-	struct ident incarnation;
-	struct node_link *link; /* NULL while it is out of reach */
-	int64_t heard_us;	/* last, before the link went down */
-	uint64_t orders_ack;
-	uint64_t next_report;
-	GQueue unacknowledged; /* struct kept_report * */
-	GArray *ends;	       /* struct kept_end, not sent yet */
-	GArray *behind;	       /* struct kept_progress, not sent yet */
-	bool room_dirty;
-	bool is_new; /* met for the first time, or forgotten meanwhile */
-	int64_t room_sent_us;
-	uint32_t identity_version; /* of the backend server, as last sent */
-};
-
-struct kept_end {
-	uint64_t run;
-	uint32_t outcome;
-	uint32_t elapsed_ms;
-};
-
-struct kept_progress {
-	uint64_t run;
-	uint32_t percent;
-	uint32_t elapsed_ms;
-};
-
-struct kept_report {
-	uint64_t number;
-	GArray *ends;
-};
-
 /* An address at which an entry listens, or did. */
 struct dial {
 	struct node_agent *agent;
@@ -89,14 +56,6 @@
 	return NULL;
 }
 
-static void free_report(gpointer data)
-{
-	struct kept_report *report = data;
-
-	g_array_free(report->ends, TRUE);
-	g_free(report);
-}
-
 static void forget_owner(struct node_agent *agent, struct owner *owner)
 {
 	char text[IDENT_HEX_BYTES];
@@ -111,10 +70,7 @@
 	}
 	runs_owner_gone(&agent->backend.runs, owner->number, agent->loop.now_us);
 	g_ptr_array_remove_fast(agent->owners, owner);
-	g_queue_clear_full(&owner->unacknowledged, free_report);
-	g_array_free(owner->ends, TRUE);
-	g_array_free(owner->behind, TRUE);
-	g_free(owner);
+	owner_free(owner);
 }
 
 static struct owner *meet_owner(struct node_agent *agent, const struct ident *incarnation)
@@ -126,161 +82,11 @@
 		if (ident_equal(&owner->incarnation, incarnation))
 			return owner;
 	}
-	owner = g_new0(struct owner, 1);
-	owner->number = ++agent->next_owner;
-	owner->incarnation = *incarnation;
-	owner->next_report = 1;
-	owner->is_new = true;
-	g_queue_init(&owner->unacknowledged);
-	owner->ends = g_array_new(FALSE, FALSE, sizeof(struct kept_end));
-	owner->behind = g_array_new(FALSE, FALSE, sizeof(struct kept_progress));
+	owner = owner_new(++agent->next_owner, incarnation);
 	g_ptr_array_add(agent->owners, owner);
 	return owner;
 }
 
-static void fill_room(const struct node_agent *agent, Ggd__Room *room)
-{
-	const struct backend *backend = &agent->backend;
-	struct room free_room = runs_free_room(&backend->runs);
-	int64_t now_us = agent->loop.now_us;
-
-	room->ready = backend_ready(backend);
-	room->cpu = free_room.cpu;
-	room->memory_mb = free_room.memory_mb;
-	room->gpus = free_room.gpus;
-	room->speed = (uint32_t)(runs_speed(&backend->runs, now_us) * PERMILLE);
-	room->samples = backend->runs.samples;
-	room->unsettled = backend_unsettled(backend);
-	room->n_waiting_cpu = PRIORITIES;
-	room->waiting_cpu = (uint32_t *)backend->runs.waiting_cpu;
-	room->run_ms = (uint32_t)(backend->runs.run_us / US_PER_MS);
-	room->suspect = runs_on_trial(&backend->runs, now_us);
-}
-
-static void fill_server(const struct backend *backend, Ggd__Server *server, char **labels)
-{
-	server->id = (char *)backend->id;
-	server->service = (char *)backend->service;
-	server->zone = (char *)backend->zone;
-	server->cpu = backend->runs.total.cpu;
-	server->memory_mb = backend->runs.total.memory_mb;
-	server->gpus = backend->runs.total.gpus;
-	server->n_labels = backend->label_count;
-	server->labels = labels;
-	for (size_t i = 0; i < backend->label_count; i++)
-		labels[i] = (char *)backend->labels[i];
-}
-
-/* Sends one report with ENDS, which may be NULL. */
-static void send_report(struct node_agent *agent, struct owner *owner, uint64_t number,
-			const GArray *ends, Ggd__Inventory *inventory)
-{
-	Ggd__Frame frame = GGD__FRAME__INIT;
-	Ggd__Report report = GGD__REPORT__INIT;
-	Ggd__Room room = GGD__ROOM__INIT;
-	Ggd__Server server = GGD__SERVER__INIT;
-	char *labels[SERVER_LABELS_MAX];
-	guint end_count = ends ? ends->len : 0;
-	Ggd__RunEnd *rows = g_new(Ggd__RunEnd, end_count + 1);
-	Ggd__RunEnd **row_pointers = g_new(Ggd__RunEnd *, end_count + 1);
-	Ggd__Progress *late = g_new(Ggd__Progress, owner->behind->len + 1);
-	Ggd__Progress **late_pointers = g_new(Ggd__Progress *, owner->behind->len + 1);
-
-	for (guint i = 0; i < end_count; i++) {
-		const struct kept_end *end = &g_array_index(ends, struct kept_end, i);
-
-		ggd__run_end__init(&rows[i]);
-		rows[i].run = end->run;
-		rows[i].outcome = end->outcome;
-		rows[i].elapsed_ms = end->elapsed_ms;
-		row_pointers[i] = &rows[i];
-	}
-	for (guint i = 0; i < owner->behind->len; i++) {
-		const struct kept_progress *behind =
-			&g_array_index(owner->behind, struct kept_progress, i);
-
-		ggd__progress__init(&late[i]);
-		late[i].run = behind->run;
-		late[i].percent = behind->percent;
-		late[i].elapsed_ms = behind->elapsed_ms;
-		late_pointers[i] = &late[i];
-	}
-	fill_room(agent, &room);
-	report.number = number;
-	report.orders_ack = owner->orders_ack;
-	report.room = &room;
-	report.n_ends = end_count;
-	report.ends = row_pointers;
-	report.n_late = owner->behind->len;
-	report.late = late_pointers;
-	report.inventory = inventory;
-	if (owner->identity_version != agent->backend.version) {
-		fill_server(&agent->backend, &server, labels);
-		report.server = &server;
-		owner->identity_version = agent->backend.version;
-	}
-	frame.body_case = GGD__FRAME__BODY_REPORT;
-	frame.report = &report;
-	node_link_send(owner->link, &frame);
-	owner->room_dirty = false;
-	owner->room_sent_us = agent->loop.now_us;
-	g_array_set_size(owner->behind, 0);
-	g_free(rows);
-	g_free(row_pointers);
-	g_free(late);
-	g_free(late_pointers);
-}
-
-/* Ends are kept until the owner acknowledges them, as a report may be lost with its connection. */
-static void send_ends(struct node_agent *agent, struct owner *owner)
-{
-	struct kept_report *kept = g_new(struct kept_report, 1);
-
-	kept->number = owner->next_report++;
-	kept->ends = owner->ends;
-	owner->ends = g_array_new(FALSE, FALSE, sizeof(struct kept_end));
-	g_queue_push_tail(&owner->unacknowledged, kept);
-	send_report(agent, owner, kept->number, kept->ends, NULL);
-}
-
-struct run_numbers {
-	uint32_t owner;
-	GArray *numbers;
-};
-
-static void collect_run(void *context, const struct run *run)
-{
-	struct run_numbers *collected = context;
-
-	if (run->owner == collected->owner)
-		g_array_append_val(collected->numbers, run->number);
-}
-
-/* The first reports of a connection: ends that may have been lost, then the runs still known. */
-static void send_inventory(struct node_agent *agent, struct owner *owner)
-{
-	struct run_numbers collected = {
-		.owner = owner->number,
-		.numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
-	};
-	Ggd__Inventory inventory = GGD__INVENTORY__INIT;
-
-	for (GList *item = owner->unacknowledged.head; item; item = item->next) {
-		const struct kept_report *kept = item->data;
-
-		send_report(agent, owner, kept->number, kept->ends, NULL);
-	}
-	if (owner->ends->len > 0)
-		send_ends(agent, owner);
-	runs_foreach(&agent->backend.runs, collect_run, &collected);
-	inventory.remembered = !owner->is_new;
-	inventory.n_runs = collected.numbers->len;
-	inventory.runs = (uint64_t *)(void *)collected.numbers->data;
-	send_report(agent, owner, 0, NULL, &inventory);
-	owner->is_new = false;
-	g_array_free(collected.numbers, TRUE);
-}
-
 static void take_starts(struct node_agent *agent, struct owner *owner, const Ggd__StartBatch *batch)
 {
 	size_t count = MIN(batch->n_runs, MIN(batch->n_indexes, batch->n_attempts));
@@ -311,16 +117,6 @@
 	g_bytes_unref(spec);
 }
 
-static void acknowledge(struct owner *owner, uint64_t number)
-{
-	struct kept_report *kept;
-
-	while ((kept = g_queue_peek_head(&owner->unacknowledged)) && kept->number <= number) {
-		g_queue_pop_head(&owner->unacknowledged);
-		free_report(kept);
-	}
-}
-
 static void mark_room_dirty(void *context)
 {
 	struct node_agent *agent = context;
@@ -331,7 +127,7 @@
 
 static void take_orders(struct node_agent *agent, struct owner *owner, const Ggd__Orders *orders)
 {
-	acknowledge(owner, orders->report_ack);
+	owner_acknowledge(owner, orders->report_ack);
 	for (size_t i = 0; i < orders->n_stops; i++)
 		runs_stop(&agent->backend.runs, owner->number, orders->stops[i],
 			  agent->loop.now_us);
@@ -372,7 +168,7 @@
 	owner->orders_ack = 0;
 	owner->identity_version = 0;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", dial->address));
-	send_inventory(agent, owner);
+	owner_send_inventory(owner, &agent->backend);
 	return true;
 }
 
@@ -381,7 +177,7 @@
 	struct dial *dial = context;
 
 	if (dial->owner)
-		send_report(dial->agent, dial->owner, 0, NULL, NULL);
+		owner_send_room(dial->owner, &dial->agent->backend);
 }
 
 static void on_down(void *context, struct node_link *link, const char *reason)
@@ -474,32 +270,20 @@
 {
 	struct node_agent *agent = context;
 	struct owner *owner = find_owner(agent, run->owner);
-	const struct kept_end end = {
-		.run = run->number,
-		.outcome = outcome,
-		.elapsed_ms = (uint32_t)(elapsed_us / US_PER_MS),
-	};
 
 	if (owner)
-		g_array_append_val(owner->ends, end);
+		owner_note_end(owner, run, outcome, elapsed_us);
 }
 
 static void on_behind(void *context, const struct run *run, int64_t elapsed_us)
 {
 	struct node_agent *agent = context;
 	struct owner *owner = find_owner(agent, run->owner);
-	const struct kept_progress progress = {
-		.run = run->number,
-		.percent = run->percent,
-		.elapsed_ms = (uint32_t)(elapsed_us / US_PER_MS),
-	};
 
 	if (owner)
-		g_array_append_val(owner->behind, progress);
+		owner_note_behind(owner, run, elapsed_us);
 }
 
-static void on_turn(void *context, int64_t now_us);
-
 static void on_flush(void *context, int64_t now_us)
 {
 	struct node_agent *agent = context;
@@ -521,9 +305,9 @@
 		if (!owner->link)
 			continue;
 		if (owner->ends->len > 0)
-			send_ends(agent, owner);
+			owner_send_ends(owner, &agent->backend);
 		else if (owner->behind->len > 0 || (owner->room_dirty && now_us >= due_us))
-			send_report(agent, owner, 0, NULL, NULL);
+			owner_send_room(owner, &agent->backend);
 		else if (owner->room_dirty)
 			next_us = MIN(next_us, due_us);
 	}
--- a/packages/greengaged/src/node_reload.h
+++ b/packages/greengaged/src/node_reload.h
@@ -1,4 +1,5 @@
-/* Follows the settings file of a running process: after SIGHUP, and when the file changes without one. */
+/* Follows the settings file of a running process: after SIGHUP, and when the file changes without
+ * one. */
 #ifndef GG_NODE_RELOAD_H
 #define GG_NODE_RELOAD_H
 
@@ -16,8 +17,8 @@
 		       struct node_members *members);
 
 /*
- * Reads the file again. New seeds are used at once; other settings hold until the next start. A file
- * that is not valid changes nothing. Each outcome is logged.
+ * Reads the file again. New seeds are used at once; other settings hold until the next start. A
+ * file that is not valid changes nothing. Each outcome is logged.
  */
 void node_reload_now(struct node_reload *reload);
 
