Draw servers by free room and speed; let one run of any size wait at a server

Cause: all entries ranked the servers alike, by expected end and with scarce room the slowest first. Tasks of 7 cores could not wait at a server of 64, as the allowance is a tenth, so each was sent again and again; its job lost 1.5 to 3 ms and two messages each time. Ruled out: stale room (reports were 0 to 5 ms old), the agents (they turned away what had no room).

Each entry now draws among the servers on which the task is in time, with a chance by the square of the free places and by speed; one run may wait at a server whatever its size; a task turned away waits 5 ms before it is sent to a full server again. load_test many_entries (12 entries, room known 5 ms late) failed before: 1,246 of 3,646 starts turned away, now 110 (target 182), and in overload 332 of 411 urgent jobs in time, now 404.

--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -4,6 +4,10 @@
  * Load pattern: servers of unequal speed, close to full. A task on a slow server can miss the job's
  * objective by itself, and a short job that takes the room of fast servers leaves only slow ones
  * for the long jobs that need them.
+ *
+ * Load pattern: many entries that hear of free room some milliseconds late. If all rank the servers
+ * alike, they send for the same room and turn each other away; so each draws among servers of about
+ * equal run time, with a chance in proportion to their free room.
  */
 #ifndef GG_PLACEMENT_H
 #define GG_PLACEMENT_H
@@ -17,6 +21,7 @@
 	uint32_t priority;
 	int64_t work_us;     /* expected time of one task at speed 1 */
 	int64_t target_us;   /* when the job should have ended */
+	bool may_wait;	     /* tasks may be sent to full servers, to wait there for room */
 	bool late;	     /* the target is out of reach: take the soonest end */
 	struct handle avoid; /* where a task of this job failed, or none */
 };
@@ -31,9 +36,9 @@
 /*
  * Fills SERVERS, of REQUEST->tasks entries, with a server for each task that can start now and
  * returns their number. Unless REQUEST->late, only servers on which the task ends by the target are
- * taken. Room is looked up, not taken.
+ * taken. Room is looked up, not taken. SEED is the state of the draws.
  */
 uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *request,
-			  int64_t now_us, struct handle *servers);
+			  int64_t now_us, uint64_t *seed, struct handle *servers);
 
 #endif
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -8,6 +8,9 @@
 	LATE_FACTOR = 3, /* an answer after this many times the objective is worthless */
 	RESTART_US = 60 * US_PER_MS, /* to stop a run and start it elsewhere */
 	MAX_MOVES = 2,
+	/* Tasks turned away for want of room are sent to full servers again after this. It is half
+	 * of the time in which a full server of ten runs of 200 ms ends one. */
+	TURNED_AWAY_US = 5 * US_PER_MS,
 	MILLICORES = 1000
 };
 
@@ -356,6 +359,8 @@
 			"the backend server does not accept the task", now_us);
 		return;
 	}
+	if (outcome == RUN_NO_ROOM)
+		job->wait_from_us = now_us + TURNED_AWAY_US;
 	requeue(dispatch, job, task);
 }
 
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -114,10 +114,11 @@
 		.work_us = job->work_us,
 		.target_us = job->aim_us,
 		.priority = job->priority,
+		.may_wait = now_us >= job->wait_from_us,
 		.late = late,
 		.avoid = job->avoid,
 	};
-	uint32_t placed = placement_choose(&dispatch->fleet, &request, now_us, servers);
+	uint32_t placed = placement_choose(&dispatch->fleet, &request, now_us, &dispatch->seed, servers);
 	GString *names = g_string_new(NULL);
 	int64_t oldest_us = now_us;
 	uint32_t next = 0;
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -44,6 +44,7 @@
 	uint32_t orders;
 	int64_t first_order_us; /* time of it; 0 before */
 	int64_t last_order_us;
+	int64_t wait_from_us; /* from then on its tasks may wait at full servers */
 	bool may_have_run;
 	bool finished; /* answered; the row stays until its runs are settled */
 	bool in_queue;
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -1,5 +1,6 @@
 #include "placement.h"
 
+#include <math.h>
 #include <string.h>
 
 enum {
@@ -12,6 +13,11 @@
 static const double scarce_share = 0.35;
 static const double speed_floor = 0.01;
 
+/* Powers by which free places and the run time weigh in the draw of a server. */
+static const double places_power = 2;
+static const double slow_power = 2;  /* with scarce room, towards slow servers */
+static const double fast_power = -4; /* else towards fast ones */
+
 struct candidate {
 	struct handle handle;
 	const struct fleet_server *server;
@@ -19,6 +25,7 @@
 	uint32_t may_wait; /* cpu of tasks that may be sent there to wait for room */
 	bool waits;	   /* it has no room now */
 	int64_t end_us;
+	double draw; /* order of those with room, the least first */
 	uint32_t limit; /* tasks that may still be put there */
 };
 
@@ -52,30 +59,52 @@
 	return end_us;
 }
 
-/* Servers with room come before those where the task would wait. */
-static int by_preference(const void *a, const void *b, void *slow_first)
+/* Returns a number from 0 to 1, without 0, and moves SEED on. */
+static double draw_uniform(uint64_t *seed)
+{
+	*seed = *seed * 6364136223846793005ULL + 1442695040888963407ULL;
+	return ((double)(*seed >> 11) + 1) / (double)(1ULL << 53);
+}
+
+/* The least of such draws falls on a server with a chance in proportion to its weight. */
+static double draw(const struct candidate *candidate, const struct placement_request *request,
+		   double run_power, uint64_t *seed)
+{
+	double places = (double)candidate->free.cpu / MAX(request->need.cpu, 1);
+	double slowness = 1 / MAX(candidate->server->speed, speed_floor);
+	double weight = pow(places, places_power) * pow(slowness, run_power);
+
+	return -log(draw_uniform(seed)) / MAX(weight, speed_floor);
+}
+
+/* Servers with room come before those where the task would wait, which are ranked by their end. */
+static int by_preference(const void *a, const void *b)
 {
 	const struct candidate *left = a;
 	const struct candidate *right = b;
-	int sooner = slow_first && !left->waits ? 1 : -1;
 
 	if (left->waits != right->waits)
 		return left->waits ? 1 : -1;
-	if (left->end_us != right->end_us)
-		return left->end_us < right->end_us ? sooner : -sooner;
-	/* Equal speeds: the emptier server, so that load spreads. */
-	return (right->free.cpu > left->free.cpu) - (right->free.cpu < left->free.cpu);
+	if (left->waits)
+		return (left->end_us > right->end_us) - (left->end_us < right->end_us);
+	return (left->draw > right->draw) - (left->draw < right->draw);
 }
 
-static uint32_t waiting_allowance(const struct fleet_server *server, uint32_t priority)
+/* Returns the cpu of tasks like REQUEST's that may be sent to wait for room. As at the agent, one
+ * run may wait whatever its size. */
+static uint32_t waiting_allowance(const struct fleet_server *server,
+				  const struct placement_request *request)
 {
 	uint64_t most = (uint64_t)server->total.cpu * WAITING_PERMILLE / PERMILLE;
+	uint32_t before = fleet_waiting_before(server, request->priority);
 
-	return (uint32_t)(most - MIN(most, fleet_waiting_before(server, priority)));
+	if (before == 0)
+		return (uint32_t)MAX(most, request->need.cpu);
+	return (uint32_t)(most - MIN(most, before));
 }
 
 static GArray *find_candidates(const struct fleet *fleet, const struct placement_request *request,
-			       int64_t now_us)
+			       double run_power, int64_t now_us, uint64_t *seed)
 {
 	GArray *found = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 	uint32_t cursor = 0;
@@ -97,13 +126,14 @@
 			continue;
 		if (server->on_trial && server->runs > 0)
 			continue;
-		candidate.may_wait = waiting_allowance(server, request->priority);
+		candidate.may_wait = request->may_wait ? waiting_allowance(server, request) : 0;
 		if (candidate.waits && candidate.may_wait < request->need.cpu)
 			continue;
 		if (!room_fits(&request->need, &server->total))
 			continue;
 		if (!request->late && candidate.end_us > request->target_us)
 			continue;
+		candidate.draw = draw(&candidate, request, run_power, seed);
 		g_array_append_val(found, candidate);
 	}
 	return found;
@@ -130,16 +160,15 @@
 }
 
 uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *request,
-			  int64_t now_us, struct handle *servers)
+			  int64_t now_us, uint64_t *seed, struct handle *servers)
 {
 	struct fleet_sum sum = fleet_sum(fleet, request->service, &request->need);
 	bool scarce = (double)sum.free_cpu < scarce_share * (double)sum.cpu;
-	GArray *found = find_candidates(fleet, request, now_us);
+	double run_power = scarce && !request->late ? slow_power : fast_power;
+	GArray *found = find_candidates(fleet, request, run_power, now_us, seed);
 	uint32_t placed = 0;
 
-	/* With scarce room the slowest server that is still in time goes first. */
-	g_array_sort_with_data(found, by_preference,
-			       scarce && !request->late ? (void *)request : NULL);
+	g_array_sort(found, by_preference);
 	for (guint i = 0; i < found->len && placed < request->tasks; i++) {
 		struct candidate *candidate = &g_array_index(found, struct candidate, i);
 
--- a/packages/core/src/runs_waiting.c
+++ b/packages/core/src/runs_waiting.c
@@ -30,15 +30,23 @@
 	return worst;
 }
 
-bool runs_may_wait(struct runs *runs, const struct run_request *request, int64_t now_us)
+/* One run may wait whatever its size. */
+static bool fits_queue(const struct runs *runs, const struct run_request *request)
 {
 	uint64_t allowance = (uint64_t)runs->total.cpu * runs->limits.waiting_permille / PERMILLE;
+	uint32_t waiting = runs_waiting_cpu(runs);
+
+	return waiting == 0 || waiting + request->need.cpu <= allowance;
+}
+
+bool runs_may_wait(struct runs *runs, const struct run_request *request, int64_t now_us)
+{
 	struct handle handle;
 	struct run *run;
 
-	if (!room_fits(&request->need, &runs->total) || request->need.cpu > allowance)
+	if (!room_fits(&request->need, &runs->total))
 		return false;
-	while (runs_waiting_cpu(runs) + request->need.cpu > allowance) {
+	while (!fits_queue(runs, request)) {
 		run = least_urgent(runs, &handle);
 		if (!run || run->urgent_us <= request->urgent_us)
 			return false;
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -14,6 +14,9 @@
 	LOAD_US = 6000000, /* jobs are sent for this long */
 	END_US = 10000000,
 	SHORT_US = 60000,
+	MANY_ENTRIES = 12,
+	MANY_SERVERS = 16,
+	REPORT_US = 5000, /* between two reports of an agent */
 	MEDIUM_US = 200000,
 	LONG_US = 900000,
 	DEADLINE_US = 2500000
@@ -186,6 +189,49 @@
 	world_free(&world);
 }
 
+/* Twelve entries that hear of free room 5 ms late, and tasks that are larger than the allowance of
+ * runs that wait at a server: entries that all send for the same room turn each other away. */
+static void start_many_entries(struct world *world, double factor)
+{
+	world_init(world, SEED, MANY_ENTRIES, MANY_SERVERS, SERVER_CPU);
+	world_delay_reports(world, REPORT_US);
+	for (uint32_t i = 0; i < MANY_SERVERS; i++)
+		world->servers[i].speed = i % 4 == 0 ? 0.8 : 1.05;
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		struct kind kind = kinds[i];
+
+		kind.cpu = 7000;
+		add_load(world, &kind, factor * MANY_SERVERS / SERVERS, LOAD_US);
+	}
+}
+
+/* The target at a usual load is 0.1 wasted messages a task; an order that is turned away is two. */
+static void test_many_entries_share_room(void)
+{
+	struct world world;
+
+	start_many_entries(&world, 0.9);
+	world_run_until(&world, END_US);
+	g_test_message("%u starts, %u orders turned away", world.starts, world.turned_away);
+	g_assert_cmpuint(world.turned_away * 20, <=, world.starts);
+	g_assert_cmpfloat(share(count(&world, NULL, 1, 0)), >=, 0.99);
+	world_free(&world);
+}
+
+/* Above capacity the same entries still serve the urgent short jobs (0.9). */
+static void test_many_entries_keep_urgent_jobs(void)
+{
+	struct world world;
+
+	start_many_entries(&world, 1.5);
+	world_run_until(&world, END_US);
+	g_test_message("%u starts, %u orders turned away", world.starts, world.turned_away);
+	g_assert_cmpfloat(share(count(&world, "short", 1, 0)), >=, 0.9);
+	count(&world, "medium", 1, 0);
+	count(&world, "long", 1, 0);
+	world_free(&world);
+}
+
 /* A burst to one and a half times the capacity: the urgent short jobs go on being served (0.9), and
  * no kind is starved (a third of it is served in time). */
 static void test_burst_keeps_urgent_jobs(void)
@@ -356,6 +402,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/load/usual", test_usual_load);
 	g_test_add_func("/load/full/turns_nothing_away", test_full_servers_turn_nothing_away);
+	g_test_add_func("/load/many_entries/share_room", test_many_entries_share_room);
+	g_test_add_func("/load/many_entries/keep_urgent_jobs", test_many_entries_keep_urgent_jobs);
 	g_test_add_func("/load/burst/keeps_urgent_jobs", test_burst_keeps_urgent_jobs);
 	g_test_add_func("/load/burst/refuses_early", test_burst_refuses_early);
 	g_test_add_func("/load/wrong_declarations", test_wrong_declarations);
--- a/test/unit/world.h
+++ b/test/unit/world.h
@@ -13,7 +13,7 @@
 #include "runs.h"
 
 enum {
-	WORLD_MAX_ENTRIES = 3,
+	WORLD_MAX_ENTRIES = 12,
 	WORLD_MAX_SERVERS = 16,
 	WORLD_HOP_US = 500,   /* between an entry and an agent */
 	WORLD_LOCAL_US = 500, /* between an agent and its server */
@@ -141,6 +141,8 @@
 	uint32_t starts;
 	uint32_t started_when_refused;
 	uint32_t over_room;
+	uint32_t turned_away; /* orders that an agent refused for want of room */
+	int64_t report_interval_us; /* between reports of free room; 0: entries see it at once */
 	double done_core_us;
 };
 
@@ -599,6 +601,9 @@
 	       agent->life == message->agent_life && entry->linked[message->server];
 }
 
+static inline void world_report(struct world *world, struct world_entry *entry, uint32_t server);
+
+/* An end comes with the room that is free after it. */
 static inline void world_end_arrives(struct world *world, void *data)
 {
 	struct world_message *message = data;
@@ -608,6 +613,8 @@
 	if (world_is_delivered(world, message)) {
 		dispatch_run_ended(&entry->dispatch, message->run, message->outcome,
 				   message->elapsed_us, world->now_us);
+		if (world->report_interval_us > 0)
+			world_report(world, entry, message->server);
 	} else if (entry->up && entry->life == message->entry_life && agent->up &&
 		   agent->life == message->agent_life) {
 		/* The agent keeps what was not acknowledged. */
@@ -724,25 +731,92 @@
 	world_at(entry->world, entry->world->now_us + WORLD_HOP_US, world_order_arrives, message);
 }
 
-static inline void world_report(struct world *world, struct world_entry *entry, uint32_t server)
+/* A report of an agent on its way to an entry. */
+struct world_room {
+	uint32_t entry;
+	uint32_t server;
+	uint32_t cut; /* of the connection that it was sent over */
+	uint32_t agent_life;
+	bool settled;
+	struct fleet_report report;
+};
+
+static inline struct world_room world_read_room(struct world *world, uint32_t entry,
+						uint32_t server)
 {
 	struct world_agent *agent = &world->agents[server];
-	struct fleet_report report = {
-		.ready = world->servers[server].up && runs_ready(&agent->runs),
-		.on_trial = runs_on_trial(&agent->runs, world->now_us),
-		.free = runs_free_room(&agent->runs),
-		.speed = runs_speed(&agent->runs, world->now_us),
-		.speed_known = agent->runs.samples > 0,
-		.run_us = (int64_t)agent->runs.run_us,
-		.orders_counted = agent->orders_ack[entry->index],
+	struct world_room room = {
+		.entry = entry,
+		.server = server,
+		.cut = world->entries[entry].cuts[server],
+		.agent_life = agent->life,
+		.settled = agent->runs.unsettled == 0,
+		.report = {.ready = world->servers[server].up && runs_ready(&agent->runs),
+			   .on_trial = runs_on_trial(&agent->runs, world->now_us),
+			   .free = runs_free_room(&agent->runs),
+			   .speed = runs_speed(&agent->runs, world->now_us),
+			   .speed_known = agent->runs.samples > 0,
+			   .run_us = (int64_t)agent->runs.run_us,
+			   .orders_counted = agent->orders_ack[entry]},
 	};
 
-	if (agent->runs.unsettled == 0) {
+	memcpy(room.report.waiting_cpu, agent->runs.waiting_cpu, sizeof(room.report.waiting_cpu));
+	return room;
+}
+
+static inline void world_take_room(struct world *world, const struct world_room *room)
+{
+	struct world_entry *entry = &world->entries[room->entry];
+	uint32_t server = room->server;
+
+	if (room->settled) {
 		dispatch_server_settled(&entry->dispatch, entry->former[server], world->now_us);
 		entry->former[server] = (struct handle){0};
 	}
-	memcpy(report.waiting_cpu, agent->runs.waiting_cpu, sizeof(report.waiting_cpu));
-	dispatch_server_report(&entry->dispatch, entry->servers[server], &report, world->now_us);
+	dispatch_server_report(&entry->dispatch, entry->servers[server], &room->report,
+			       world->now_us);
+}
+
+static inline void world_report(struct world *world, struct world_entry *entry, uint32_t server)
+{
+	const struct world_room room = world_read_room(world, entry->index, server);
+
+	world_take_room(world, &room);
+}
+
+static inline void world_room_arrives(struct world *world, void *data)
+{
+	struct world_room *room = data;
+	const struct world_entry *entry = &world->entries[room->entry];
+
+	if (entry->up && entry->linked[room->server] && entry->cuts[room->server] == room->cut &&
+	    world->agents[room->server].life == room->agent_life)
+		world_take_room(world, room);
+	g_free(room);
+}
+
+/* Sends the room of each server to each entry, as agents do at their interval. */
+static inline void world_send_rooms(struct world *world, void *data)
+{
+	for (uint32_t i = 0; i < world->server_count; i++) {
+		for (uint32_t j = 0; j < world->entry_count && world->agents[i].up; j++) {
+			struct world_room *room;
+
+			if (!world->entries[j].up || !world->entries[j].linked[i])
+				continue;
+			room = g_new(struct world_room, 1);
+			*room = world_read_room(world, j, i);
+			world_at(world, world->now_us + WORLD_HOP_US, world_room_arrives, room);
+		}
+	}
+	world_at(world, world->now_us + world->report_interval_us, world_send_rooms, NULL);
+}
+
+/* Lets entries learn of free room by reports at this interval instead of at once. */
+static inline void world_delay_reports(struct world *world, int64_t interval_us)
+{
+	world->report_interval_us = interval_us;
+	world_at(world, world->now_us, world_send_rooms, NULL);
 }
 
 /* ---- clients ---- */
@@ -801,6 +875,9 @@
 static inline void world_noted(void *context, const char *id, uint32_t index, uint32_t attempt,
 			       const char *server, enum run_outcome outcome, int64_t elapsed_us)
 {
+	struct world_entry *entry = context;
+
+	entry->world->turned_away += outcome == RUN_NO_ROOM;
 }
 
 static inline void world_send_job(struct world *world, struct world_job *job, uint32_t index)
@@ -1119,7 +1196,8 @@
 			world_list(world, i, true);
 		if (world->agents[i].up) {
 			runs_serve_waiting(&world->agents[i].runs, world->now_us);
-			for (uint32_t j = 0; j < world->entry_count; j++) {
+			for (uint32_t j = 0;
+			     j < world->entry_count && world->report_interval_us == 0; j++) {
 				if (world->entries[j].up && world->entries[j].linked[i])
 					world_report(world, &world->entries[j], i);
 			}
