--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -5,7 +5,10 @@
 #include "placement.h"
 
 enum {
-	MILLICORES = 1000
+	MILLICORES = 1000,
+	/* Of a job that has begun over one that has not: about the objective of the shortest jobs,
+	 * so that it stays behind what is far more urgent. */
+	BEGUN_LEAD_US = 200 * US_PER_MS
 };
 
 int64_t dispatch_start_by(const struct job *job, double fastest)
@@ -25,12 +28,18 @@
  * Load pattern: jobs that need a third of all room at once, among small ones, with all servers
  * full. The room for all their tasks comes free over some time, so they must begin to take it that
  * much earlier.
+ *
+ * Load pattern: more work than room, for seconds. If every job takes some of the freed room, many
+ * have begun and few end in time; what has been run of the others is lost. So jobs that have begun
+ * take the room for their last tasks first.
  */
 static int64_t urgency_us(const struct job *job, const struct fleet_sum *sum)
 {
 	double cpu = (double)job->task_count * job->need.cpu;
 	int64_t gather_us = sum->drain > 0 ? (int64_t)(cpu / sum->drain) : 0;
 
+	if (job->done + job->outstanding > 0)
+		gather_us += BEGUN_LEAD_US;
 	return dispatch_start_by(job, sum->fastest) - gather_us + PRIORITY_LEAD_US * job->priority;
 }
 
