Let entries ask for a configuration instead of sending it to all that lag

Cause: an entry sent its whole configuration to each peer that had reported a lower version, and read each copy in full before it compared versions. For each peer the state also counted the waiting jobs once for each of the 1,500 routes. Ruled out: the store (its answers came), the network (no fault was on).

An entry now asks one peer after it has been behind for 300 ms, at once without any configuration (config_pull); versions are compared before a document is read; of several versions in one answer of the store only the last is read; waiting jobs are counted in one pass. config_pull_test replays the thirteen entries; there was no decision to test before.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -165,6 +165,9 @@
 /* Returns the number of queued jobs of QUEUE of which no task has started. */
 uint32_t dispatch_pending(const struct dispatch *dispatch, const char *queue);
 
+/* Adds to COUNTS the number of such jobs of each queue: name (borrowed) -> count in a pointer. */
+void dispatch_count_pending(const struct dispatch *dispatch, GHashTable *counts);
+
 /* Returns whether a job of this ID is known and unfinished; *STARTED tells whether a task has been
  * started. */
 bool dispatch_job_state(const struct dispatch *dispatch, const char *id, bool *started);
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -468,22 +468,36 @@
 	}
 }
 
+static bool is_pending(const struct job *job)
+{
+	return !job->finished && !job->may_have_run && job->outstanding == 0;
+}
+
 uint32_t dispatch_pending(const struct dispatch *dispatch, const char *queue)
 {
-	uint32_t cursor = 0;
 	uint32_t pending = 0;
-	struct job **row;
 
-	while ((row = table_next(&dispatch->jobs, &cursor, NULL))) {
-		const struct job *job = *row;
+	for (guint i = 0; i < dispatch->queue->len; i++) {
+		const struct job *job =
+			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
 
-		if (!job->finished && !job->may_have_run && job->outstanding == 0 &&
-		    strcmp(job->queue, queue) == 0)
-			pending++;
+		pending += is_pending(job) && strcmp(job->queue, queue) == 0;
 	}
 	return pending;
 }
 
+void dispatch_count_pending(const struct dispatch *dispatch, GHashTable *counts)
+{
+	for (guint i = 0; i < dispatch->queue->len; i++) {
+		const struct job *job =
+			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
+		guint count = GPOINTER_TO_UINT(g_hash_table_lookup(counts, job->queue));
+
+		if (is_pending(job))
+			g_hash_table_insert(counts, job->queue, GUINT_TO_POINTER(count + 1));
+	}
+}
+
 bool dispatch_job_state(const struct dispatch *dispatch, const char *id, bool *started)
 {
 	const struct job *job = find_id(dispatch, id);
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -127,7 +127,8 @@
 		.late = late,
 		.avoid = job->avoid,
 	};
-	uint32_t placed = placement_choose(&dispatch->fleet, &request, now_us, &dispatch->seed, servers);
+	uint32_t placed =
+		placement_choose(&dispatch->fleet, &request, now_us, &dispatch->seed, servers);
 	GString *names = g_string_new(NULL);
 	int64_t oldest_us = now_us;
 	uint32_t next = 0;
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -25,7 +25,7 @@
 	uint32_t may_wait; /* cpu of tasks that may be sent there to wait for room */
 	bool waits;	   /* it has no room now */
 	int64_t end_us;
-	double draw; /* order of those with room, the least first */
+	double draw;	/* order of those with room, the least first */
 	uint32_t limit; /* tasks that may still be put there */
 };
 
--- a/packages/greengaged/src/node_config.c
+++ b/packages/greengaged/src/node_config.c
@@ -18,7 +18,7 @@
 	return config->table ? config->table->version : 0;
 }
 
-void node_config_offer(struct node_config *config, const char *text, size_t length,
+bool node_config_offer(struct node_config *config, const char *text, size_t length,
 		       const char *source)
 {
 	struct error err;
@@ -27,11 +27,11 @@
 	if (config_document_read(text, length, &table, &err) != STATUS_OK) {
 		event_log(EVENT_CONFIG_REJECTED, EV_S("source", source),
 			  EV_S("reason", err.message));
-		return;
+		return false;
 	}
 	if (config->table && table->version <= config->table->version) {
 		route_table_free(table);
-		return;
+		return true;
 	}
 	route_table_free(config->table);
 	if (config->document)
@@ -41,18 +41,26 @@
 	event_log(EVENT_CONFIG_APPLIED, EV_I("version", table->version),
 		  EV_I("routes", table->count), EV_S("source", source));
 	config->applied(config->context, table);
+	return true;
 }
 
+static bool is_configuration(const struct store_record *record)
+{
+	return record->value && record->key_length == strlen(STORE_KEY_CONFIG) &&
+	       memcmp(record->key, STORE_KEY_CONFIG, record->key_length) == 0;
+}
+
+/* The last valid document of a batch holds all that the ones before it say. */
 static void take_records(struct node_config *config, const struct store_result *result)
 {
-	for (size_t i = 0; i < result->count; i++) {
+	config->next = result->next;
+	for (size_t i = result->count; i-- > 0;) {
 		const struct store_record *record = &result->records[i];
 
-		if (record->value && record->key_length == strlen(STORE_KEY_CONFIG) &&
-		    memcmp(record->key, STORE_KEY_CONFIG, record->key_length) == 0)
-			node_config_offer(config, record->value, record->value_length, "store");
+		if (is_configuration(record) &&
+		    node_config_offer(config, record->value, record->value_length, "store"))
+			return;
 	}
-	config->next = result->next;
 }
 
 static void follow(void *context, int64_t now_us);
--- a/packages/greengaged/src/node_config.h
+++ b/packages/greengaged/src/node_config.h
@@ -24,8 +24,8 @@
 void node_config_start(struct node_config *config);
 
 /* Takes a document from SOURCE ("store" or a daemon's name). A version at or below the one in force
- * is ignored. */
-void node_config_offer(struct node_config *config, const char *text, size_t length,
+ * is ignored. Returns whether a configuration at least as new as the document is in force. */
+bool node_config_offer(struct node_config *config, const char *text, size_t length,
 		       const char *source);
 
 /* Returns the version in force, 0 when there is none. */
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -3,6 +3,7 @@
 #ifndef GG_NODE_ENTRY_H
 #define GG_NODE_ENTRY_H
 
+#include "config_pull.h"
 #include "daemon_defs.h"
 #include "dispatch.h"
 #include "http_server.h"
@@ -20,6 +21,7 @@
 	struct store *store;
 	struct node_signals signals;
 	struct node_config config;
+	struct config_pull config_pull;
 	struct node_members members;
 	struct node_reload reload;
 	struct node_links links;
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -6,8 +6,7 @@
 
 enum {
 	STATE_INTERVAL_MS = 50, /* while work is queued */
-	STATE_FRESH_MS = 400,	/* older figures of a peer do not count */
-	PUSH_INTERVAL_MS = 500	/* between two sendings of the configuration to one peer */
+	STATE_FRESH_MS = 400	/* older figures of a peer do not count */
 };
 
 /* Another entry, at one address. */
@@ -28,8 +27,9 @@
 	struct node_link *link;
 	double backlog_core_us[PRIORITIES];
 	int64_t heard_us;
-	int64_t pushed_us;
-	GHashTable *queued; /* queue -> count in a pointer */
+	uint64_t config_version;
+	int64_t config_asked_us; /* when it was last asked for its configuration */
+	GHashTable *queued;	 /* queue -> count in a pointer */
 };
 
 static GPtrArray *incoming_list(struct node_entry *entry)
@@ -39,20 +39,34 @@
 	return entry->incoming;
 }
 
-static void send_state(struct entry_peer *peer, int64_t now_us)
+/* Fills the queues with jobs that wait here. COUNTS comes from dispatch_count_pending. */
+static void fill_queues(Ggd__PeerState *state, GHashTable *counts)
+{
+	guint size = g_hash_table_size(counts);
+	GHashTableIter iter;
+	gpointer name, count;
+
+	state->queues = g_new(char *, size + 1);
+	state->queued = g_new(uint32_t, size + 1);
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &name, &count)) {
+		state->queues[state->n_queues++] = name;
+		state->queued[state->n_queued++] = GPOINTER_TO_UINT(count);
+	}
+}
+
+static void send_state(struct entry_peer *peer, bool config_wanted, int64_t now_us)
 {
 	struct node_entry *entry = peer->entry;
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	Ggd__PeerState state = GGD__PEER_STATE__INIT;
-	const struct route_table *table = entry->config.table;
-	size_t route_count = table ? table->count : 0;
-	char **queues = g_new(char *, route_count + 1);
-	uint32_t *queued = g_new(uint32_t, route_count + 1);
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
 	double core_us[PRIORITIES];
 	uint64_t backlog[PRIORITIES];
 	uint64_t sum = 0;
 
 	state.config_version = node_config_version(&entry->config);
+	state.config_wanted = config_wanted;
 	dispatch_backlog(&entry->dispatch, core_us);
 	for (int i = 0; i < PRIORITIES; i++) {
 		backlog[i] = (uint64_t)(core_us[i] / US_PER_MS);
@@ -61,16 +75,8 @@
 	state.backlog_core_ms = backlog;
 	state.n_backlog_core_ms = PRIORITIES;
 	state.leaving = entry->stopping;
-	for (size_t i = 0; i < route_count && entry->dispatch.queue->len > 0; i++) {
-		uint32_t pending = dispatch_pending(&entry->dispatch, table->routes[i].name);
-
-		if (pending == 0)
-			continue;
-		queues[state.n_queues++] = table->routes[i].name;
-		queued[state.n_queued++] = pending;
-	}
-	state.queues = queues;
-	state.queued = queued;
+	dispatch_count_pending(&entry->dispatch, counts);
+	fill_queues(&state, counts);
 	if (peer->members_version != entry->members.version) {
 		peer->members_version = entry->members.version;
 		state.entries = (char **)entry->members.addresses->pdata;
@@ -81,8 +87,48 @@
 	node_link_send(peer->link, &frame);
 	peer->sent_us = now_us;
 	peer->sent_backlog = sum;
-	g_free(queues);
-	g_free(queued);
+	g_free(state.queues);
+	g_free(state.queued);
+	g_hash_table_destroy(counts);
+}
+
+/* Sends the configuration to an entry that asked for it and has VERSION. */
+static void send_config(struct node_entry *entry, struct node_link *link, uint64_t version)
+{
+	const struct node_config *config = &entry->config;
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__ConfigDocument document = GGD__CONFIG_DOCUMENT__INIT;
+	gsize length;
+
+	if (version >= node_config_version(config))
+		return;
+	document.version = node_config_version(config);
+	document.document.data = (uint8_t *)g_bytes_get_data(config->document, &length);
+	document.document.len = length;
+	frame.body_case = GGD__FRAME__BODY_CONFIG;
+	frame.config = &document;
+	node_link_send(link, &frame);
+}
+
+/* What either side of a link may send about the configuration. */
+static void take_config_frame(struct node_entry *entry, struct node_link *link,
+			      const Ggd__Frame *frame, const char *source)
+{
+	if (frame->body_case == GGD__FRAME__BODY_PEER && frame->peer->config_wanted)
+		send_config(entry, link, frame->peer->config_version);
+	else if (frame->body_case == GGD__FRAME__BODY_CONFIG &&
+		 frame->config->version > node_config_version(&entry->config))
+		node_config_offer(&entry->config, (const char *)frame->config->document.data,
+				  frame->config->document.len, source);
+}
+
+/* A starting entry asks the first peer that it reaches. */
+static bool wants_first_config(struct node_entry *entry)
+{
+	uint64_t version = node_config_version(&entry->config);
+
+	return version == 0 &&
+	       config_pull_due(&entry->config_pull, version, version + 1, entry->loop.now_us);
 }
 
 static bool on_dialled_up(void *context, struct node_link *link, const Ggd__Hello *hello)
@@ -91,7 +137,7 @@
 
 	peer->members_version = 0;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", peer->address));
-	send_state(peer, peer->entry->loop.now_us);
+	send_state(peer, wants_first_config(peer->entry), peer->entry->loop.now_us);
 	return true;
 }
 
@@ -99,16 +145,14 @@
 {
 	struct entry_peer *peer = context;
 
-	if (frame->body_case == GGD__FRAME__BODY_CONFIG)
-		node_config_offer(&peer->entry->config, (const char *)frame->config->document.data,
-				  frame->config->document.len, peer->address);
+	take_config_frame(peer->entry, link, frame, peer->address);
 }
 
 static void on_dialled_heartbeat(void *context, struct node_link *link)
 {
 	struct entry_peer *peer = context;
 
-	send_state(peer, peer->entry->loop.now_us);
+	send_state(peer, false, peer->entry->loop.now_us);
 }
 
 static void on_dialled_down(void *context, struct node_link *link, const char *reason)
@@ -140,34 +184,15 @@
 	g_ptr_array_add(entry->peers, peer);
 }
 
-/* Sends the configuration to a peer that has an older one. */
-static void push_config(struct incoming *peer, uint64_t version)
-{
-	const struct node_config *config = &peer->entry->config;
-	int64_t now_us = peer->entry->loop.now_us;
-	Ggd__Frame frame = GGD__FRAME__INIT;
-	Ggd__ConfigDocument document = GGD__CONFIG_DOCUMENT__INIT;
-	gsize length;
-
-	if (version >= node_config_version(config) ||
-	    now_us - peer->pushed_us < PUSH_INTERVAL_MS * US_PER_MS)
-		return;
-	peer->pushed_us = now_us;
-	document.version = node_config_version(config);
-	document.document.data = (uint8_t *)g_bytes_get_data(config->document, &length);
-	document.document.len = length;
-	frame.body_case = GGD__FRAME__BODY_CONFIG;
-	frame.config = &document;
-	node_link_send(peer->link, &frame);
-}
-
 static void on_incoming_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
 {
 	struct incoming *peer = context;
 	const Ggd__PeerState *state = frame->peer;
 
+	take_config_frame(peer->entry, link, frame, peer->name);
 	if (frame->body_case != GGD__FRAME__BODY_PEER)
 		return;
+	peer->config_version = state->config_version;
 	peer->heard_us = peer->entry->loop.now_us;
 	for (size_t i = 0; i < PRIORITIES; i++)
 		peer->backlog_core_us[i] = i < state->n_backlog_core_ms
@@ -179,7 +204,6 @@
 				    GUINT_TO_POINTER(state->queued[i]));
 	for (size_t i = 0; i < state->n_entries; i++)
 		node_members_add(&peer->entry->members, state->entries[i]);
-	push_config(peer, state->config_version);
 }
 
 static void on_incoming_heartbeat(void *context, struct node_link *link)
@@ -236,6 +260,38 @@
 	dispatch_set_peers(&entry->dispatch, sum);
 }
 
+static void ask_for_config(struct incoming *peer, int64_t now_us)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__PeerState state = GGD__PEER_STATE__INIT;
+
+	peer->config_asked_us = now_us;
+	state.config_version = node_config_version(&peer->entry->config);
+	state.config_wanted = true;
+	frame.body_case = GGD__FRAME__BODY_PEER;
+	frame.peer = &state;
+	node_link_send(peer->link, &frame);
+}
+
+/* Asks one of the entries with a higher version, by turns. */
+static void pull_config(struct node_entry *entry, int64_t now_us)
+{
+	uint64_t own = node_config_version(&entry->config);
+	uint64_t highest = 0;
+	struct incoming *chosen = NULL;
+
+	for (guint i = 0; i < incoming_list(entry)->len; i++) {
+		struct incoming *peer = entry->incoming->pdata[i];
+
+		highest = MAX(highest, peer->config_version);
+		if (peer->config_version > own &&
+		    (!chosen || peer->config_asked_us < chosen->config_asked_us))
+			chosen = peer;
+	}
+	if (config_pull_due(&entry->config_pull, own, highest, now_us) && chosen)
+		ask_for_config(chosen, now_us);
+}
+
 void node_peers_tick(struct node_entry *entry, int64_t now_us)
 {
 	struct error err;
@@ -251,9 +307,10 @@
 		} else if (peer->link && node_link_is_up(peer->link) &&
 			   now_us - peer->sent_us >= STATE_INTERVAL_MS * US_PER_MS &&
 			   (entry->dispatch.queue->len > 0 || peer->sent_backlog > 0)) {
-			send_state(peer, now_us);
+			send_state(peer, false, now_us);
 		}
 	}
+	pull_config(entry, now_us);
 	sum_backlog(entry, now_us);
 }
 
--- /dev/null
+++ b/test/unit/config_pull_test.c
@@ -0,0 +1,68 @@
+/* When an entry asks others for a configuration: guards against a large one being sent a dozen
+ * times to each small host, and against an entry that is cut off from the store falling behind. */
+#include <glib.h>
+
+#include "config_pull.h"
+#include "core_defs.h"
+
+enum {
+	ENTRIES = 13,
+	TICK_US = 50 * US_PER_MS,
+	BOUND_US = 2000 * US_PER_MS /* in which a configuration must be in force */
+};
+
+/* Thirteen entries hear of version 2 from the store at different moments, and of each other's
+ * versions at once: nobody asks. */
+static void test_store_brings_it(void)
+{
+	struct config_pull pulls[ENTRIES] = {0};
+
+	for (int64_t now_us = TICK_US; now_us <= BOUND_US; now_us += TICK_US) {
+		for (int i = 0; i < ENTRIES; i++) {
+			uint64_t own = now_us >= (i + 1) * 15 * US_PER_MS ? 2 : 1;
+
+			g_assert_false(config_pull_due(&pulls[i], own, 2, now_us));
+		}
+	}
+}
+
+/* An entry that the store does not serve asks soon enough to have the version in time, with time
+ * for a second entry should the first not answer. */
+static void test_cut_off(void)
+{
+	struct config_pull pull = {0};
+	uint32_t asked = 0;
+
+	for (int64_t now_us = TICK_US; now_us <= BOUND_US / 2; now_us += TICK_US)
+		asked += config_pull_due(&pull, 1, 2, now_us);
+	g_assert_cmpuint(asked, ==, 2);
+}
+
+/* An entry without any configuration can serve nothing: it asks at once, but one at a time. */
+static void test_start(void)
+{
+	struct config_pull pull = {0};
+
+	g_assert_true(config_pull_due(&pull, 0, 7, TICK_US));
+	g_assert_false(config_pull_due(&pull, 0, 7, TICK_US + 1));
+}
+
+/* After it has caught up, the next version gets the whole lag again. */
+static void test_next_version(void)
+{
+	struct config_pull pull = {0};
+
+	g_assert_false(config_pull_due(&pull, 1, 2, TICK_US));
+	g_assert_false(config_pull_due(&pull, 2, 2, 2 * TICK_US));
+	g_assert_false(config_pull_due(&pull, 2, 3, BOUND_US));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/config_pull/store_brings_it", test_store_brings_it);
+	g_test_add_func("/config_pull/cut_off", test_cut_off);
+	g_test_add_func("/config_pull/start", test_start);
+	g_test_add_func("/config_pull/next_version", test_next_version);
+	return g_test_run();
+}
--- a/test/unit/world.h
+++ b/test/unit/world.h
@@ -141,7 +141,7 @@
 	uint32_t starts;
 	uint32_t started_when_refused;
 	uint32_t over_room;
-	uint32_t turned_away; /* orders that an agent refused for want of room */
+	uint32_t turned_away;	    /* orders that an agent refused for want of room */
 	int64_t report_interval_us; /* between reports of free room; 0: entries see it at once */
 	double done_core_us;
 };
