Let agents find entries in the store at start; serve what is late already last

Cause 1: an agent read the member list only after 1.5 s without any entry. Cause 2: a job that could not be in time any more was first in the order, as its latest start was the earliest, and took room from jobs in time. Late jobs that have not begun now go last, and take only room that is free. While agents are still connecting, a job is not refused for want of servers.

platform_test agents_start_without_seed failed before (not ready within 1 s).

--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -8,7 +8,9 @@
 	MILLICORES = 1000,
 	/* Of a job that has begun over one that has not: about the objective of the shortest jobs,
 	 * so that it stays behind what is far more urgent. */
-	BEGUN_LEAD_US = 200 * US_PER_MS
+	BEGUN_LEAD_US = 200 * US_PER_MS,
+	/* Of all others over a job that cannot be in time any more. */
+	LATE_LAG_US = 60 * US_PER_SECOND
 };
 
 int64_t dispatch_start_by(const struct job *job, double fastest)
@@ -18,6 +20,16 @@
 	return job->aim_us - (int64_t)((double)job->work_us / fastest);
 }
 
+static bool has_begun(const struct job *job)
+{
+	return job->done + job->outstanding > 0;
+}
+
+static bool is_late(const struct job *job, const struct fleet_sum *sum, int64_t now_us)
+{
+	return now_us > dispatch_start_by(job, sum->fastest);
+}
+
 /* One queued job with what its order depends on. */
 struct waiting {
 	struct job *job;
@@ -32,14 +44,19 @@
  * Load pattern: more work than room, for seconds. If every job takes some of the freed room, many
  * have begun and few end in time; what has been run of the others is lost. So jobs that have begun
  * take the room for their last tasks first.
+ *
+ * Load pattern: after a loss of many hosts, clients send again what was lost, and jobs have waited
+ * for servers to come back. What is late already goes last, and takes only room that is free.
  */
-static int64_t urgency_us(const struct job *job, const struct fleet_sum *sum)
+static int64_t urgency_us(const struct job *job, const struct fleet_sum *sum, int64_t now_us)
 {
 	double cpu = (double)job->task_count * job->need.cpu;
 	int64_t gather_us = sum->drain > 0 ? (int64_t)(cpu / sum->drain) : 0;
 
-	if (job->done + job->outstanding > 0)
+	if (has_begun(job))
 		gather_us += BEGUN_LEAD_US;
+	else if (is_late(job, sum, now_us))
+		gather_us -= LATE_LAG_US;
 	return dispatch_start_by(job, sum->fastest) - gather_us + PRIORITY_LEAD_US * job->priority;
 }
 
@@ -123,7 +140,7 @@
 		.work_us = job->work_us,
 		.target_us = job->aim_us,
 		.priority = job->priority,
-		.may_wait = now_us >= job->wait_from_us,
+		.may_wait = now_us >= job->wait_from_us && (!late || has_begun(job)),
 		.late = late,
 		.avoid = job->avoid,
 	};
@@ -184,7 +201,8 @@
 
 	if (job->may_have_run || job->outstanding > 0)
 		return true; /* some of it runs: it goes on until its deadline */
-	if (now_us < dispatch->gathering_until_us && now_us <= start_by_us)
+	if (now_us < dispatch->gathering_until_us &&
+	    (sum->servers == 0 || now_us <= start_by_us))
 		return true; /* the room that is known is not all there is */
 	if (sum->servers == 0)
 		refuse(dispatch, job, STATUS_NO_CAPACITY_MATCH, "no backend server is ready", &load,
@@ -205,7 +223,7 @@
 	return dispatch_find(dispatch, job->blocker) != NULL;
 }
 
-static GArray *sort_queue(struct dispatch *dispatch)
+static GArray *sort_queue(struct dispatch *dispatch, int64_t now_us)
 {
 	GArray *sorted = g_array_new(FALSE, FALSE, sizeof(struct waiting));
 
@@ -215,7 +233,7 @@
 		struct fleet_sum sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
 		struct waiting item = {
 			.job = job,
-			.urgent_us = urgency_us(job, &sum),
+			.urgent_us = urgency_us(job, &sum, now_us),
 		};
 
 		g_array_append_val(sorted, item);
@@ -232,7 +250,7 @@
 	if (!dispatch->dirty || dispatch->queue->len == 0)
 		return;
 	dispatch->dirty = false;
-	sorted = sort_queue(dispatch);
+	sorted = sort_queue(dispatch, now_us);
 	for (guint i = 0; i < sorted->len; i++) {
 		const struct waiting *item = &g_array_index(sorted, struct waiting, i);
 		struct job *job = item->job;
@@ -241,8 +259,7 @@
 
 		if (is_blocked(dispatch, job))
 			continue;
-		place(dispatch, job, item->urgent_us, now_us > dispatch_start_by(job, sum.fastest),
-		      now_us);
+		place(dispatch, job, item->urgent_us, is_late(job, &sum, now_us), now_us);
 		if (job->queued == 0) {
 			dispatch_dequeue(dispatch, job);
 			continue;
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -388,6 +388,8 @@
 						   .found = on_member,
 						   .context = agent,
 					   });
+	/* The seeds are some of the entries only, and may be down or start last. */
+	node_members_refresh(&agent->members);
 	node_reload_start(&agent->reload, &agent->loop, settings_file, &agent->members);
 	node_signals_start(&agent->signals, &agent->loop, on_terminate, on_reload, agent);
 	agent->backend = (struct backend){
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -302,6 +302,23 @@
 	stop_site(&site);
 }
 
+/* Agents that start while the only seed is down find the other entries in the store. */
+static void test_agents_start_without_seed(void)
+{
+	struct site site;
+
+	start_site(&site);
+	harness_kill(site.entries[0]);
+	for (unsigned i = 0; i < AGENTS; i++)
+		harness_kill(site.agents[i]);
+	HARNESS_WAIT(READY_MS, !is_ready(&site, 1));
+	for (unsigned i = 0; i < AGENTS; i++)
+		harness_restart(site.harness, site.agents[i]);
+	HARNESS_WAIT(RETURN_MS, is_ready(&site, 1));
+	g_assert_true(completes(&site, 1, 1, 2));
+	stop_site(&site);
+}
+
 /* A configuration is in force within its bound, and a lower version never comes back. */
 static void test_configuration(void)
 {
@@ -534,6 +551,7 @@
 	g_test_add_func("/platform/jobs_complete", test_jobs_complete);
 	g_test_add_func("/platform/bad_requests", test_bad_requests);
 	g_test_add_func("/platform/configuration", test_configuration);
+	g_test_add_func("/platform/agents_start_without_seed", test_agents_start_without_seed);
 	g_test_add_func("/platform/start_without_store", test_start_without_store);
 	g_test_add_func("/platform/entry_returns", test_entry_returns);
 	g_test_add_func("/platform/entry_killed_with_work", test_entry_killed_with_work);
