Spend less of an entry's time on reports of room and on its queue

Each of 74 agents reported every change of room to each of 13 entries, every 5 ms at most, and each report made the entry sort its queue and sum over all servers twice a waiting job.

--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -57,7 +57,8 @@
 
 struct fleet_server *fleet_get(const struct fleet *fleet, struct handle server);
 
-void fleet_apply_report(struct fleet *fleet, struct fleet_server *server,
+/* Returns whether tasks may start or wait there that could not before. */
+bool fleet_apply_report(struct fleet *fleet, struct fleet_server *server,
 			const struct fleet_report *report, int64_t now_us);
 
 /* Notes that order NUMBER starts a run that takes NEED. */
@@ -78,9 +79,11 @@
 	double fastest;	  /* speed of the fastest server in use, 0 when there is none */
 	double speed_cpu; /* cpu weighted by speed */
 	double drain;	  /* cpu that full servers free a microsecond */
-	bool fits;	  /* one of the servers has room for NEED when it is empty */
 };
 
-struct fleet_sum fleet_sum(const struct fleet *fleet, const char *service, const struct room *need);
+struct fleet_sum fleet_sum(const struct fleet *fleet, const char *service);
+
+/* Returns whether one of the ready servers of SERVICE has room for NEED when it is empty. */
+bool fleet_fits(const struct fleet *fleet, const char *service, const struct room *need);
 
 #endif
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -255,8 +255,8 @@
 
 	if (!server)
 		return;
-	fleet_apply_report(&dispatch->fleet, server, report, now_us);
-	dispatch->dirty = true;
+	if (fleet_apply_report(&dispatch->fleet, server, report, now_us))
+		dispatch->dirty = true;
 }
 
 void dispatch_server_unlinked(struct dispatch *dispatch, struct handle handle, int64_t now_us)
@@ -414,7 +414,7 @@
 
 	if (!job || job->finished || run->stopping || job->tasks[run->index].moves >= MAX_MOVES)
 		return;
-	sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
+	sum = fleet_sum(&dispatch->fleet, job->service);
 	if (sum.fastest <= 0 || sum.free_cpu < job->need.cpu)
 		return;
 	here_us = percent > 0 ? elapsed_us * (100 - percent) / percent : INT64_MAX / 4;
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -186,6 +186,24 @@
 	return core_us;
 }
 
+/* The sums over the servers of each service, taken once a pump. */
+struct sums {
+	const struct fleet *fleet;
+	GHashTable *by_service; /* name -> struct fleet_sum * */
+};
+
+static struct fleet_sum *sum_of(struct sums *sums, const char *service)
+{
+	struct fleet_sum *sum = g_hash_table_lookup(sums->by_service, service);
+
+	if (!sum) {
+		sum = g_new(struct fleet_sum, 1);
+		*sum = fleet_sum(sums->fleet, service);
+		g_hash_table_insert(sums->by_service, g_strdup(service), sum);
+	}
+	return sum;
+}
+
 /* Refuses a job that cannot be in time. AHEAD_CORE_US is the work that waits before it. Returns
  * whether the job goes on waiting. */
 static bool consider(struct dispatch *dispatch, struct job *job, const struct fleet_sum *sum,
@@ -207,7 +225,7 @@
 	if (sum->servers == 0)
 		refuse(dispatch, job, STATUS_NO_CAPACITY_MATCH, "no backend server is ready", &load,
 		       now_us);
-	else if (!sum->fits)
+	else if (!fleet_fits(&dispatch->fleet, job->service, &job->need))
 		refuse(dispatch, job, STATUS_NO_CAPACITY_MATCH,
 		       "no backend server is large enough for a task", &load, now_us);
 	else if (now_us + admission_wait_us(&load) > start_by_us)
@@ -223,17 +241,16 @@
 	return dispatch_find(dispatch, job->blocker) != NULL;
 }
 
-static GArray *sort_queue(struct dispatch *dispatch, int64_t now_us)
+static GArray *sort_queue(struct dispatch *dispatch, struct sums *sums, int64_t now_us)
 {
 	GArray *sorted = g_array_new(FALSE, FALSE, sizeof(struct waiting));
 
 	for (guint i = 0; i < dispatch->queue->len; i++) {
 		struct job *job =
 			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
-		struct fleet_sum sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
 		struct waiting item = {
 			.job = job,
-			.urgent_us = urgency_us(job, &sum, now_us),
+			.urgent_us = urgency_us(job, sum_of(sums, job->service), now_us),
 		};
 
 		g_array_append_val(sorted, item);
@@ -242,34 +259,45 @@
 	return sorted;
 }
 
+/* Starts what can start of one job, and refuses it when the rest cannot be in time. Returns the
+ * core-microseconds of it that wait. */
+static double pump_job(struct dispatch *dispatch, const struct waiting *item,
+		       struct fleet_sum *sum, double ahead_core_us, int64_t now_us)
+{
+	struct job *job = item->job;
+	uint32_t queued = job->queued;
+	double left_core_us;
+
+	place(dispatch, job, item->urgent_us, is_late(job, sum, now_us), now_us);
+	sum->free_cpu -= MIN(sum->free_cpu, (uint64_t)(queued - job->queued) * job->need.cpu);
+	if (job->queued == 0) {
+		dispatch_dequeue(dispatch, job);
+		return 0;
+	}
+	left_core_us = (double)job->queued * job->need.cpu / MILLICORES * (double)job->task_us;
+	return consider(dispatch, job, sum, ahead_core_us, now_us) ? left_core_us : 0;
+}
+
 void dispatch_pump(struct dispatch *dispatch, int64_t now_us)
 {
+	struct sums sums = {.fleet = &dispatch->fleet};
 	double ahead_core_us = 0;
 	GArray *sorted;
 
 	if (!dispatch->dirty || dispatch->queue->len == 0)
 		return;
 	dispatch->dirty = false;
-	sorted = sort_queue(dispatch, now_us);
+	sums.by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sorted = sort_queue(dispatch, &sums, now_us);
 	for (guint i = 0; i < sorted->len; i++) {
 		const struct waiting *item = &g_array_index(sorted, struct waiting, i);
-		struct job *job = item->job;
-		struct fleet_sum sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
-		double left_core_us;
 
-		if (is_blocked(dispatch, job))
-			continue;
-		place(dispatch, job, item->urgent_us, is_late(job, &sum, now_us), now_us);
-		if (job->queued == 0) {
-			dispatch_dequeue(dispatch, job);
+		if (is_blocked(dispatch, item->job))
 			continue;
-		}
-		sum = fleet_sum(&dispatch->fleet, job->service, &job->need);
-		left_core_us =
-			(double)job->queued * job->need.cpu / MILLICORES * (double)job->task_us;
-		if (consider(dispatch, job, &sum, ahead_core_us, now_us))
-			ahead_core_us += left_core_us;
+		ahead_core_us += pump_job(dispatch, item, sum_of(&sums, item->job->service),
+					  ahead_core_us, now_us);
 	}
 	g_array_free(sorted, TRUE);
+	g_hash_table_destroy(sums.by_service);
 	dispatch->dirty = false;
 }
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -112,9 +112,12 @@
 		server->speed = server->speed_known ? server->reported_speed / median : 1.0;
 }
 
-void fleet_apply_report(struct fleet *fleet, struct fleet_server *server,
+bool fleet_apply_report(struct fleet *fleet, struct fleet_server *server,
 			const struct fleet_report *report, int64_t now_us)
 {
+	uint32_t free_before = server->free.cpu;
+	uint32_t waiting_before = fleet_waiting_before(server, PRIORITIES);
+	bool was_ready = server->ready;
 	struct fleet_order *order;
 
 	server->on_trial = report->on_trial;
@@ -140,6 +143,8 @@
 		order = item->data;
 		take(server, &order->need, order->priority);
 	}
+	return server->ready != was_ready || server->free.cpu > free_before ||
+	       fleet_waiting_before(server, PRIORITIES) < waiting_before;
 }
 
 void fleet_note_order(struct fleet_server *server, const struct room *need, uint32_t priority,
@@ -157,7 +162,7 @@
 	return server->run_us > 0 ? server->run_us : DEFAULT_RUN_US;
 }
 
-struct fleet_sum fleet_sum(const struct fleet *fleet, const char *service, const struct room *need)
+struct fleet_sum fleet_sum(const struct fleet *fleet, const char *service)
 {
 	struct fleet_sum sum = {0};
 	uint32_t cursor = 0;
@@ -172,7 +177,19 @@
 		sum.speed_cpu += server->speed * server->total.cpu;
 		sum.drain += (double)server->total.cpu / (double)fleet_run_us(server);
 		sum.fastest = MAX(sum.fastest, server->speed);
-		sum.fits = sum.fits || room_fits(need, &server->total);
 	}
 	return sum;
 }
+
+bool fleet_fits(const struct fleet *fleet, const char *service, const struct room *need)
+{
+	uint32_t cursor = 0;
+	const struct fleet_server *server;
+
+	while ((server = table_next(&fleet->servers, &cursor, NULL))) {
+		if (server->ready && room_fits(need, &server->total) &&
+		    strcmp(server->service, service) == 0)
+			return true;
+	}
+	return false;
+}
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -162,7 +162,7 @@
 uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *request,
 			  int64_t now_us, uint64_t *seed, struct handle *servers)
 {
-	struct fleet_sum sum = fleet_sum(fleet, request->service, &request->need);
+	struct fleet_sum sum = fleet_sum(fleet, request->service);
 	bool scarce = (double)sum.free_cpu < scarce_share * (double)sum.cpu;
 	double run_power = scarce && !request->late ? slow_power : fast_power;
 	GArray *found = find_candidates(fleet, request, run_power, now_us, seed);
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -13,7 +13,11 @@
 
 enum {
 	TICK_MS = 25,
-	ROOM_INTERVAL_MS = 5,	/* between two reports that only change the free room */
+	/* Between two reports that only change the free room, for each entry, and at least. Many
+	 * entries share the room, so each can do with rarer news; the reports of all servers would
+	 * else take most of the time of a small entry host. */
+	ROOM_INTERVAL_MS = 1,
+	ROOM_INTERVAL_MIN_MS = 5,
 	LOST_ENTRIES_MS = 1500, /* without any entry for so long, the store is asked */
 	PERMILLE = 1000,
 	STOP_MARGIN_MS = 300 /* kept free at the end of the grace period */
@@ -291,6 +295,11 @@
 	agent->flush_planned = false;
 }
 
+static int64_t room_interval_us(const struct node_agent *agent)
+{
+	return MAX(agent->owners->len * ROOM_INTERVAL_MS, ROOM_INTERVAL_MIN_MS) * US_PER_MS;
+}
+
 /* Ends go out at once; a mere change of the free room waits for its interval. */
 static void on_turn(void *context, int64_t now_us)
 {
@@ -300,7 +309,7 @@
 	runs_serve_waiting(&agent->backend.runs, now_us);
 	for (guint i = 0; i < agent->owners->len; i++) {
 		struct owner *owner = agent->owners->pdata[i];
-		int64_t due_us = owner->room_sent_us + ROOM_INTERVAL_MS * US_PER_MS;
+		int64_t due_us = owner->room_sent_us + room_interval_us(agent);
 
 		if (!owner->link)
 			continue;
