Answer a request that comes again after its job's end, and run nothing twice

Cause: an entry forgot a job with its answer. A request that came again seconds later, at any entry, ran all its tasks a second time: a renewal would be billed twice.

The lag after which an entry asks another one for a configuration now follows from limits.config_apply_ms. The settings store.retention_s, server.service and limits.drain_ms were checked but used by nothing, and are gone.

--- a/packages/base/include/event_defs.h
+++ b/packages/base/include/event_defs.h
@@ -24,6 +24,7 @@
 	X(1203, JOB_PLACED, INFO, "tasks ordered to start")                                        \
 	X(1204, JOB_ENDED, INFO, "job ended")                                                      \
 	X(1205, RUN_NOT_DONE, INFO, "run ended otherwise than done")                               \
+	X(1206, JOB_REPEATED, INFO, "job has ended already")                                       \
 	X(1300, CHANNEL_OPENED, INFO, "channel opened")                                            \
 	X(1301, CHANNEL_SILENT, WARNING, "channel silent, replaced")                               \
 	X(1302, CHANNEL_RECONCILED, INFO, "channel reconciled")                                    \
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -13,6 +13,8 @@
 	TICK_MS = 10,
 	PEERS_TICK_MS = 50,
 	MAX_JOBS = 20000, /* unfinished, of one entry */
+	ENDED_JOBS_KEEP_MS = 10000, /* requests come again some seconds after their answer */
+	ENDED_JOBS_MOST = 20000,    /* of all entries, some 70 bytes each */
 	PROBE_BYTES = 4096,
 	PROBE_LIMIT_MS = 2000,
 	PROBE_KEEP_MS = 60000,
@@ -289,6 +291,8 @@
 			},
 			node_settings_silence_ms(settings));
 	start_dispatch(entry);
+	entry->config_pull.bound_us = (int64_t)(settings->config_apply_ms * US_PER_MS);
+	ended_jobs_init(&entry->ended, ENDED_JOBS_KEEP_MS * US_PER_MS, ENDED_JOBS_MOST);
 	node_signals_start(&entry->signals, &entry->loop, on_terminate, on_reload, entry);
 	if (listen_all(entry, &err) != STATUS_OK) {
 		event_log_error(EVENT_PROCESS_FAILED, &err);
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -6,6 +6,7 @@
 #include "config_pull.h"
 #include "daemon_defs.h"
 #include "dispatch.h"
+#include "ended_jobs.h"
 #include "http_server.h"
 #include "node_config.h"
 #include "node_link.h"
@@ -27,6 +28,7 @@
 	struct node_links links;
 	struct net_listener *listener;
 	struct dispatch dispatch;
+	struct ended_jobs ended;
 	struct http_server *clients;
 	struct http_server *readiness;
 	GPtrArray *agents;   /* struct agent_peer * */
--- a/packages/greengaged/src/node_front.c
+++ b/packages/greengaged/src/node_front.c
@@ -117,6 +117,9 @@
 		  EV_I("expected_wait_ms", end->expected_wait_us / US_PER_MS),
 		  EV_I("elapsed_ms", end->elapsed_us / US_PER_MS));
 	node_metrics_job_ended(end);
+	if (end->status == STATUS_OK || end->status == STATUS_TASK_FAILED)
+		ended_jobs_note(&entry->ended, client_job_number(id), end->status == STATUS_OK,
+				true, entry->loop.now_us);
 	if (submission->request)
 		client_answer_end(submission->request, end);
 	entry->requests--;
@@ -127,7 +130,12 @@
 {
 	bool started;
 
-	if (dispatch_job_state(&entry->dispatch, id, &started))
+	const struct ended_job *ended =
+		ended_jobs_find(&entry->ended, client_job_number(id), entry->loop.now_us);
+
+	if (ended)
+		client_answer_ended(request, ended->completed);
+	else if (dispatch_job_state(&entry->dispatch, id, &started))
 		client_answer_state(request, started);
 	else
 		client_answer_gone(request);
@@ -182,6 +190,23 @@
 			refuse_early, entry);
 }
 
+/* Answers the request of a job that has ended already. Returns false for any other. */
+static bool answer_repeat(struct node_entry *entry, struct http_request *request,
+			  const struct client_request *read)
+{
+	const struct ended_job *ended =
+		ended_jobs_find(&entry->ended, read->number, entry->loop.now_us);
+
+	if (!ended)
+		return false;
+	event_log(EVENT_JOB_REPEATED, EV_S("job", read->id),
+		  EV_S("outcome", ended->completed ? "completed" : "failed"),
+		  EV_S("source", ended->own ? "here" : "another entry"),
+		  EV_I("age_ms", (entry->loop.now_us - ended->ended_us) / US_PER_MS));
+	client_answer_ended(request, ended->completed);
+	return true;
+}
+
 static void route_request(struct node_entry *entry, struct http_request *request,
 			  int64_t arrived_us)
 {
@@ -204,7 +229,8 @@
 	}
 	switch (read.action) {
 	case CLIENT_SUBMIT:
-		submit(entry, route, request, &read, arrived_us);
+		if (!answer_repeat(entry, request, &read))
+			submit(entry, route, request, &read, arrived_us);
 		break;
 	case CLIENT_STATE:
 		answer_state(entry, request, read.id);
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -18,6 +18,7 @@
 	int64_t sent_us;
 	uint32_t members_version;
 	uint64_t sent_backlog; /* of all priorities */
+	uint64_t sent_ended;   /* sequence of the last ended job told */
 };
 
 /* What another entry has told over a link that it dialled. */
@@ -55,12 +56,26 @@
 	}
 }
 
+/* Fills the jobs that ended here since the last message to PEER. */
+static void fill_ended(struct entry_peer *peer, Ggd__PeerState *state, GArray *completed,
+		       GArray *failed)
+{
+	peer->sent_ended = ended_jobs_since(&peer->entry->ended, peer->sent_ended, completed,
+					    failed);
+	state->completed = (uint64_t *)(void *)completed->data;
+	state->n_completed = completed->len;
+	state->failed = (uint64_t *)(void *)failed->data;
+	state->n_failed = failed->len;
+}
+
 static void send_state(struct entry_peer *peer, bool config_wanted, int64_t now_us)
 {
 	struct node_entry *entry = peer->entry;
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	Ggd__PeerState state = GGD__PEER_STATE__INIT;
 	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	GArray *completed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GArray *failed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	double core_us[PRIORITIES];
 	uint64_t backlog[PRIORITIES];
 	uint64_t sum = 0;
@@ -77,6 +92,7 @@
 	state.leaving = entry->stopping;
 	dispatch_count_pending(&entry->dispatch, counts);
 	fill_queues(&state, counts);
+	fill_ended(peer, &state, completed, failed);
 	if (peer->members_version != entry->members.version) {
 		peer->members_version = entry->members.version;
 		state.entries = (char **)entry->members.addresses->pdata;
@@ -89,6 +105,8 @@
 	peer->sent_backlog = sum;
 	g_free(state.queues);
 	g_free(state.queued);
+	g_array_free(completed, TRUE);
+	g_array_free(failed, TRUE);
 	g_hash_table_destroy(counts);
 }
 
@@ -136,6 +154,7 @@
 	struct entry_peer *peer = context;
 
 	peer->members_version = 0;
+	peer->sent_ended = 0;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", peer->address));
 	send_state(peer, wants_first_config(peer->entry), peer->entry->loop.now_us);
 	return true;
@@ -184,6 +203,15 @@
 	g_ptr_array_add(entry->peers, peer);
 }
 
+static void take_ended(struct node_entry *entry, const Ggd__PeerState *state)
+{
+	for (size_t i = 0; i < state->n_completed; i++)
+		ended_jobs_note(&entry->ended, state->completed[i], true, false,
+				entry->loop.now_us);
+	for (size_t i = 0; i < state->n_failed; i++)
+		ended_jobs_note(&entry->ended, state->failed[i], false, false, entry->loop.now_us);
+}
+
 static void on_incoming_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
 {
 	struct incoming *peer = context;
@@ -198,6 +226,7 @@
 		peer->backlog_core_us[i] = i < state->n_backlog_core_ms
 						   ? (double)state->backlog_core_ms[i] * US_PER_MS
 						   : 0;
+	take_ended(peer->entry, state);
 	g_hash_table_remove_all(peer->queued);
 	for (size_t i = 0; i < state->n_queues && i < state->n_queued; i++)
 		g_hash_table_insert(peer->queued, g_strdup(state->queues[i]),
--- a/packages/greengaged/src/node_settings.c
+++ b/packages/greengaged/src/node_settings.c
@@ -62,15 +62,12 @@
 	 .offset = offsetof(struct node_settings, seeds),
 	 .max = MAX_SEEDS},
 	TEXT("store.address", store_address, ADDRESS_MAX_BYTES, true),
-	NUMBER("store.retention_s", store_retention_s, 1, INT32_MAX, 20),
 	TEXT("server.address", server_address, ADDRESS_MAX_BYTES, false),
-	TEXT("server.service", server_service, NAME_MAX_BYTES, false),
 	NUMBER("limits.lease_ms", lease_ms, 50, HOUR_MS, 1000),
 	NUMBER("limits.stop_ms", stop_ms, 0, HOUR_MS, 50),
 	NUMBER("limits.resend_ms", resend_ms, 1, HOUR_MS, 1300),
 	NUMBER("limits.grace_s", grace_s, 1, HOUR_S, 6),
 	NUMBER("limits.config_apply_ms", config_apply_ms, 1, HOUR_MS, 2000),
-	NUMBER("limits.drain_ms", drain_ms, 1, HOUR_MS, 2000),
 };
 
 bool node_settings_is_platform(const char *file)
--- a/packages/greengaged/src/node_settings.h
+++ b/packages/greengaged/src/node_settings.h
@@ -26,17 +26,14 @@
 	char **seeds;	     /* addresses whose hosts run an entry, or ran one */
 
 	char *store_address;
-	double store_retention_s;
 
 	char *server_address; /* agent: where the backend server takes orders */
-	char *server_service;
 
 	double lease_ms;	/* longest lease that a backend server grants */
 	double stop_ms;		/* in which a backend server ends a stopped run */
 	double resend_ms;	/* after which a client sends an unanswered job again */
 	double grace_s;		/* between SIGTERM and SIGKILL */
 	double config_apply_ms; /* in which a configuration must be in force */
-	double drain_ms;	/* in which a leaving server must see its last start */
 };
 
 /* Returns whether the settings in FILE are of mode "platform"; false also when FILE cannot be read.
--- a/packages/platform/include/client_api.h
+++ b/packages/platform/include/client_api.h
@@ -24,6 +24,7 @@
 struct client_request {
 	enum client_action action;
 	char id[CLIENT_JOB_ID_BYTES]; /* empty for CLIENT_PENDING */
+	uint64_t number;	      /* the same id as a number */
 	int64_t wait_ms;	      /* for which the client waits; 0 when it does not say */
 };
 
@@ -64,6 +65,12 @@
 void client_answer_pending(struct http_request *request, uint32_t pending);
 void client_answer_state(struct http_request *request, bool started);
 
+/* Answers a request for a job that ended a while ago. */
+void client_answer_ended(struct http_request *request, bool completed);
+
+/* Returns the number of a job id of 16 hexadecimal digits. */
+uint64_t client_job_number(const char *id);
+
 /* Answers 200 without content, as to a cancelled job. */
 void client_answer_done(struct http_request *request);
 
--- a/packages/platform/src/client_api.c
+++ b/packages/platform/src/client_api.c
@@ -52,6 +52,7 @@
 		return error_set(err, STATUS_NOT_FOUND,
 				 "the path does not end in a job id of 16 hexadecimal digits");
 	g_strlcpy(read->id, rest, sizeof(read->id));
+	read->number = client_job_number(rest);
 	switch (method) {
 	case HTTP_METHOD_POST:
 		read->action = CLIENT_SUBMIT;
@@ -228,10 +229,8 @@
 
 void client_answer_end(struct http_request *request, const struct job_end *end)
 {
-	if (end->status == STATUS_OK)
-		http_answer(request, CODE_OK, NULL, "{\"state\":\"completed\"}");
-	else if (end->status == STATUS_TASK_FAILED)
-		http_answer(request, CODE_OK, NULL, "{\"state\":\"failed\"}");
+	if (end->status == STATUS_OK || end->status == STATUS_TASK_FAILED)
+		client_answer_ended(request, end->status == STATUS_OK);
 	else if (end->outcome == OUTCOME_NOT_RUN)
 		answer_error(request, refusal_code(end->status), end->retry_after_s, end->status,
 			     end->reason);
@@ -280,6 +279,17 @@
 		    started ? "{\"state\":\"active\"}" : "{\"state\":\"queued\"}");
 }
 
+void client_answer_ended(struct http_request *request, bool completed)
+{
+	http_answer(request, CODE_OK, NULL,
+		    completed ? "{\"state\":\"completed\"}" : "{\"state\":\"failed\"}");
+}
+
+uint64_t client_job_number(const char *id)
+{
+	return g_ascii_strtoull(id, NULL, 16);
+}
+
 void client_answer_done(struct http_request *request)
 {
 	http_answer(request, CODE_OK, NULL, "{}");
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -17,6 +17,7 @@
 	WIDE_TASKS = 20,  /* more than one server has room for */
 	FREEZE_MS = 1500, /* longer than the time after which a peer is given up */
 	OLD_CONNECTION_MS = 10300,
+	RESEND_MS = 1300,
 	RETURN_MS = 1000, /* half of the 2 s for a lost entry to be back */
 	US_PER_MS = 1000
 };
@@ -131,7 +132,7 @@
 			"{\"mode\":\"platform\",\"role\":\"agent\",\"name\":\"%s\",\"zone\":\"a\","
 			"\"listen\":{\"control\":\"127.0.0.1:%d\"},"
 			"\"peers\":{\"ip\":\"127.0.0.1\",\"port\":%d,\"seeds\":[\"127.0.0.2:1\"]},"
-			"\"server\":{\"address\":\"127.0.0.1:%d\",\"service\":\"svc\"},"
+			"\"server\":{\"address\":\"127.0.0.1:%d\"},"
 			"\"store\":{\"address\":\"127.0.0.1:%d\"}}",
 			name, controls[i], peer_port, servers[i], store_port);
 
@@ -258,6 +259,26 @@
 	stop_site(&site);
 }
 
+/* A request that arrives again after its answer, at any entry, gets the same answer and runs nothing
+ * a second time. */
+static void test_repeat_after_answer(void)
+{
+	struct harness_reply reply;
+	struct site site;
+
+	start_site(&site);
+	g_assert_true(completes(&site, 0, 7, 3));
+	g_assert_true(completes(&site, 0, 7, 3));
+	/* Entries tell each other of ended jobs within 0.2 s; clients send again after 1.3 s. */
+	g_usleep(RESEND_MS * US_PER_MS);
+	g_assert_true(completes(&site, 1, 7, 3));
+	g_assert_cmpint(seen(&site, "starts"), ==, 3);
+	reply = call("GET", site.client_urls[1], "/q/0000000000000007", NULL);
+	g_assert_cmpstr(json_string_value(json_object_get(reply.body, "state")), ==, "completed");
+	harness_reply_clear(&reply);
+	stop_site(&site);
+}
+
 /* Bad input gets a typed answer and starts nothing. */
 static void test_bad_requests(void)
 {
@@ -549,6 +570,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform/jobs_complete", test_jobs_complete);
+	g_test_add_func("/platform/repeat_after_answer", test_repeat_after_answer);
 	g_test_add_func("/platform/bad_requests", test_bad_requests);
 	g_test_add_func("/platform/configuration", test_configuration);
 	g_test_add_func("/platform/agents_start_without_seed", test_agents_start_without_seed);
--- /dev/null
+++ b/test/unit/ended_jobs_test.c
@@ -0,0 +1,81 @@
+/* Jobs that ended a short time ago: guards against a repeated request running a second time, and
+ * against memory that grows with the load. */
+#include "ended_jobs.h"
+
+enum {
+	KEEP_US = 10000000,
+	MOST = 4
+};
+
+static void test_found_until_expired(void)
+{
+	struct ended_jobs ended;
+
+	ended_jobs_init(&ended, KEEP_US, MOST);
+	ended_jobs_note(&ended, 1, true, true, 0);
+	ended_jobs_note(&ended, 2, false, false, 1);
+	g_assert_true(ended_jobs_find(&ended, 1, KEEP_US)->completed);
+	g_assert_false(ended_jobs_find(&ended, 2, KEEP_US)->completed);
+	g_assert_null(ended_jobs_find(&ended, 3, 0));
+	g_assert_null(ended_jobs_find(&ended, 1, KEEP_US + 1));
+	ended_jobs_free(&ended);
+}
+
+/* A report of another entry that contradicts the answer given here changes nothing. */
+static void test_first_end_stands(void)
+{
+	struct ended_jobs ended;
+
+	ended_jobs_init(&ended, KEEP_US, MOST);
+	ended_jobs_note(&ended, 1, true, true, 0);
+	ended_jobs_note(&ended, 1, false, false, 1);
+	g_assert_true(ended_jobs_find(&ended, 1, 2)->completed);
+	ended_jobs_free(&ended);
+}
+
+static void test_bounded(void)
+{
+	struct ended_jobs ended;
+
+	ended_jobs_init(&ended, KEEP_US, MOST);
+	for (uint64_t id = 1; id <= 3 * MOST; id++)
+		ended_jobs_note(&ended, id, true, true, 0);
+	g_assert_cmpuint(ended.order.length, ==, MOST);
+	g_assert_cmpuint(g_hash_table_size(ended.by_id), ==, MOST);
+	g_assert_nonnull(ended_jobs_find(&ended, 3 * MOST, 0));
+	ended_jobs_free(&ended);
+}
+
+/* Each job that ended here is told once to each peer, and what came from a peer is not told on. */
+static void test_since(void)
+{
+	GArray *completed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GArray *failed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	struct ended_jobs ended;
+	uint64_t sequence;
+
+	ended_jobs_init(&ended, KEEP_US, MOST);
+	ended_jobs_note(&ended, 1, true, true, 0);
+	ended_jobs_note(&ended, 2, false, true, 0);
+	ended_jobs_note(&ended, 3, true, false, 0);
+	sequence = ended_jobs_since(&ended, 0, completed, failed);
+	g_assert_cmpuint(completed->len, ==, 1);
+	g_assert_cmpuint(g_array_index(failed, uint64_t, 0), ==, 2);
+	ended_jobs_note(&ended, 4, true, true, 0);
+	ended_jobs_since(&ended, sequence, completed, failed);
+	g_assert_cmpuint(completed->len, ==, 2);
+	g_assert_cmpuint(failed->len, ==, 1);
+	g_array_free(completed, TRUE);
+	g_array_free(failed, TRUE);
+	ended_jobs_free(&ended);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/ended_jobs/found_until_expired", test_found_until_expired);
+	g_test_add_func("/ended_jobs/first_end_stands", test_first_end_stands);
+	g_test_add_func("/ended_jobs/bounded", test_bounded);
+	g_test_add_func("/ended_jobs/since", test_since);
+	return g_test_run();
+}
