Refuse at once what cannot end before its client leaves

Late jobs were placed without a look at the deadline. Tasks now go only where they end before the client leaves, and a job for which no server can is refused at once. load_test client_leaves_too_soon failed before (not answered, tasks started).

--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -20,9 +20,9 @@
 	uint32_t tasks;
 	uint32_t priority;
 	int64_t work_us;     /* expected time of one task at speed 1 */
-	int64_t target_us;   /* when the job should have ended */
+	int64_t target_us;   /* tasks go only where they end by then */
 	bool may_wait;	     /* tasks may be sent to full servers, to wait there for room */
-	bool late;	     /* the target is out of reach: take the soonest end */
+	bool late;	     /* the job's objective is out of reach: fast servers first */
 	struct handle avoid; /* where a task of this job failed, or none */
 };
 
@@ -35,7 +35,7 @@
 
 /*
  * Fills SERVERS, of REQUEST->tasks entries, with a server for each task that can start now and
- * returns their number. Unless REQUEST->late, only servers on which the task ends by the target are
+ * returns their number. Only servers on which the task ends by the target are
  * taken. Room is looked up, not taken. SEED is the state of the draws.
  */
 uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *request,
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -30,6 +30,16 @@
 	return now_us > dispatch_start_by(job, sum->fastest);
 }
 
+/* Whether the client will have left before any server could answer. */
+static bool is_hopeless(const struct job *job, const struct fleet_sum *sum, int64_t now_us)
+{
+	/* The longest task of a job that has begun may be running already. */
+	int64_t run_us = has_begun(job) ? job->task_us : job->work_us;
+
+	return sum->fastest > 0 &&
+	       now_us + (int64_t)((double)run_us / sum->fastest) > job->deadline_us;
+}
+
 /* One queued job with what its order depends on. */
 struct waiting {
 	struct job *job;
@@ -138,7 +148,7 @@
 		.need = job->need,
 		.tasks = job->queued,
 		.work_us = job->work_us,
-		.target_us = job->aim_us,
+		.target_us = late ? job->deadline_us : job->aim_us,
 		.priority = job->priority,
 		.may_wait = now_us >= job->wait_from_us && (!late || has_begun(job)),
 		.late = late,
@@ -217,6 +227,11 @@
 	};
 	int64_t start_by_us = dispatch_start_by(job, sum->fastest);
 
+	if (is_hopeless(job, sum, now_us)) {
+		refuse(dispatch, job, STATUS_DEADLINE_UNREACHABLE,
+		       "its client will have left before the job can end", &load, now_us);
+		return false;
+	}
 	if (job->may_have_run || job->outstanding > 0)
 		return true; /* some of it runs: it goes on until its deadline */
 	if (now_us < dispatch->gathering_until_us &&
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -131,7 +131,7 @@
 			continue;
 		if (!room_fits(&request->need, &server->total))
 			continue;
-		if (!request->late && candidate.end_us > request->target_us)
+		if (candidate.end_us > request->target_us)
 			continue;
 		candidate.draw = draw(&candidate, request, run_power, seed);
 		g_array_append_val(found, candidate);
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -397,6 +397,26 @@
 	world_free(&world);
 }
 
+/* A client that has used up most of its patience elsewhere, as after a loss of all hosts, leaves
+ * before any server could answer: it is refused at once and nothing is started for it. */
+static void test_client_leaves_too_soon(void)
+{
+	struct world world;
+	struct world_job *job;
+
+	world_init(&world, SEED, 1, 2, SERVER_CPU);
+	job = world_add_job(&world, 1, 2, 1000, MEDIUM_US);
+	world_run_until(&world, 20000);
+	job->first_sent_us = world.now_us;
+	job->deadline_us = world.now_us + MEDIUM_US / 2;
+	world_send_job(&world, job, 0);
+	world_run_until(&world, 50000);
+	g_assert_true(job->answered && job->refused);
+	g_assert_cmpint(job->status, ==, STATUS_DEADLINE_UNREACHABLE);
+	g_assert_cmpuint(world.starts, ==, 0);
+	world_free(&world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -413,5 +433,6 @@
 	g_test_add_func("/load/large_jobs", test_large_jobs_do_not_starve);
 	g_test_add_func("/load/no_server", test_no_server);
 	g_test_add_func("/load/task_larger_than_servers", test_task_larger_than_servers);
+	g_test_add_func("/load/client_leaves_too_soon", test_client_leaves_too_soon);
 	return g_test_run();
 }
