Remove what nothing uses, and pack handles in one place

net_conn_peer_ip, run.health_counted and fleet_server.reported had no reader; handles were packed into pointers twice and into run numbers once more (handle_pack, table.h). adopt_stranger, meet_owner and meet are named for what they do. No change of behaviour.

--- a/packages/base/include/table.h
+++ b/packages/base/include/table.h
@@ -50,6 +50,17 @@
 /* Returns the number of live rows. */
 uint32_t table_count(const struct table *table);
 
+/* A handle as one number, and back, for messages and hash tables. */
+static inline uint64_t handle_pack(struct handle handle)
+{
+	return ((uint64_t)handle.generation << 32) | handle.index;
+}
+
+static inline struct handle handle_unpack(uint64_t number)
+{
+	return (struct handle){.index = (uint32_t)number, .generation = (uint32_t)(number >> 32)};
+}
+
 /* Returns whether both handles name the same row. */
 static inline bool handle_equal(struct handle a, struct handle b)
 {
--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -17,13 +17,11 @@
 	bool ready;
 	bool on_trial; /* at most one run of this entry at a time */
 	struct room total;
-	struct room reported;		       /* free room in the last report */
-	struct room free;		       /* the same less what was ordered since */
-	uint32_t reported_waiting[PRIORITIES]; /* cpu of runs that wait there for room */
-	uint32_t waiting[PRIORITIES];	       /* the same with what was ordered since */
-	int64_t run_us;			       /* mean time of a run there; 0 while unknown */
-	double reported_speed; /* expected work done a second, on the agent's scale */
-	double speed;	       /* the same against the typical server, which has 1 */
+	struct room free;	      /* in the last report, less what was ordered since */
+	uint32_t waiting[PRIORITIES]; /* cpu of runs that wait there for room, with those since */
+	int64_t run_us;		      /* mean time of a run there; 0 while unknown */
+	double reported_speed;	      /* expected work done a second, on the agent's scale */
+	double speed;		      /* the same against the typical server, which has 1 */
 	bool speed_known;
 	uint32_t runs; /* of this entry */
 	int64_t reported_us;
--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -75,7 +75,6 @@
 	GBytes *spec; /* NULL once the server has answered the start */
 	enum run_phase phase;
 	bool stop_requested; /* by its owner */
-	bool health_counted; /* its slowness has been recorded as a failure */
 	uint32_t priority;   /* 0 first */
 	int64_t urgent_us;   /* of waiting runs, the earliest goes first */
 	int64_t start_by_us; /* of a waiting run: refused when it cannot start by then */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -125,7 +125,7 @@
 	run->stopping = true;
 	if (server && server->link)
 		dispatch->callbacks.stop(dispatch->callbacks.context, server->link,
-					 dispatch_run_number(handle));
+					 handle_pack(handle));
 }
 
 static void stop_runs(struct dispatch *dispatch, struct job *job)
@@ -280,7 +280,7 @@
 	struct run_row *run;
 
 	while ((run = table_next(&dispatch->runs, &cursor, &handle))) {
-		uint64_t number = dispatch_run_number(handle);
+		uint64_t number = handle_pack(handle);
 
 		if (!handle_equal(run->server, server))
 			continue;
@@ -310,7 +310,7 @@
 	while ((run = table_next(&dispatch->runs, &cursor, &run_handle))) {
 		if (handle_equal(run->server, handle) && run->stopping)
 			dispatch->callbacks.stop(dispatch->callbacks.context, link,
-						 dispatch_run_number(run_handle));
+						 handle_pack(run_handle));
 	}
 	g_hash_table_destroy(known);
 }
@@ -367,7 +367,7 @@
 void dispatch_run_ended(struct dispatch *dispatch, uint64_t number, enum run_outcome outcome,
 			int64_t elapsed_us, int64_t now_us)
 {
-	struct handle handle = dispatch_run_handle(number);
+	struct handle handle = handle_unpack(number);
 	struct run_row *row = table_get(&dispatch->runs, handle);
 	struct fleet_server *server;
 	struct run_row run;
@@ -406,7 +406,7 @@
 void dispatch_run_behind(struct dispatch *dispatch, uint64_t number, uint32_t percent,
 			 int64_t elapsed_us, int64_t now_us)
 {
-	struct handle handle = dispatch_run_handle(number);
+	struct handle handle = handle_unpack(number);
 	struct run_row *run = table_get(&dispatch->runs, handle);
 	struct job *job = run ? dispatch_find(dispatch, run->job) : NULL;
 	struct fleet_sum sum;
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -116,7 +116,7 @@
 		.step = job->step,
 		.index = index,
 		.attempt = task->attempt,
-		.run = dispatch_run_number(task->run),
+		.run = handle_pack(task->run),
 		.need = job->need,
 		.estimate_us = job->task_us,
 		.priority = job->priority,
@@ -234,8 +234,7 @@
 	}
 	if (job->may_have_run || job->outstanding > 0)
 		return true; /* some of it runs: it goes on until its deadline */
-	if (now_us < dispatch->gathering_until_us &&
-	    (sum->servers == 0 || now_us <= start_by_us))
+	if (now_us < dispatch->gathering_until_us && (sum->servers == 0 || now_us <= start_by_us))
 		return true; /* the room that is known is not all there is */
 	if (sum->servers == 0)
 		refuse(dispatch, job, STATUS_NO_CAPACITY_MATCH, "no backend server is ready", &load,
@@ -276,8 +275,8 @@
 
 /* Starts what can start of one job, and refuses it when the rest cannot be in time. Returns the
  * core-microseconds of it that wait. */
-static double pump_job(struct dispatch *dispatch, const struct waiting *item,
-		       struct fleet_sum *sum, double ahead_core_us, int64_t now_us)
+static double pump_job(struct dispatch *dispatch, const struct waiting *item, struct fleet_sum *sum,
+		       double ahead_core_us, int64_t now_us)
 {
 	struct job *job = item->job;
 	uint32_t queued = job->queued;
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -72,24 +72,12 @@
 
 static inline gpointer dispatch_pack(struct handle handle)
 {
-	return GSIZE_TO_POINTER(((gsize)handle.generation << 32) | handle.index);
+	return GSIZE_TO_POINTER((gsize)handle_pack(handle));
 }
 
 static inline struct handle dispatch_unpack(gpointer value)
 {
-	gsize bits = GPOINTER_TO_SIZE(value);
-
-	return (struct handle){.index = (uint32_t)bits, .generation = (uint32_t)(bits >> 32)};
-}
-
-static inline uint64_t dispatch_run_number(struct handle run)
-{
-	return ((uint64_t)run.generation << 32) | run.index;
-}
-
-static inline struct handle dispatch_run_handle(uint64_t number)
-{
-	return (struct handle){.index = (uint32_t)number, .generation = (uint32_t)(number >> 32)};
+	return handle_unpack(GPOINTER_TO_SIZE(value));
 }
 
 void dispatch_enqueue(struct dispatch *dispatch, struct job *job);
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -121,7 +121,6 @@
 	struct fleet_order *order;
 
 	server->on_trial = report->on_trial;
-	server->reported = report->free;
 	if (report->speed != server->reported_speed || server->ready != report->ready ||
 	    server->speed_known != report->speed_known) {
 		server->reported_speed = report->speed;
@@ -135,10 +134,9 @@
 		g_queue_pop_head(&server->orders);
 		g_free(order);
 	}
-	memcpy(server->reported_waiting, report->waiting_cpu, sizeof(server->reported_waiting));
 	server->run_us = report->run_us;
-	server->free = server->reported;
-	memcpy(server->waiting, server->reported_waiting, sizeof(server->waiting));
+	server->free = report->free;
+	memcpy(server->waiting, report->waiting_cpu, sizeof(server->waiting));
 	for (GList *item = server->orders.head; item; item = item->next) {
 		order = item->data;
 		take(server, &order->need, order->priority);
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -41,18 +41,6 @@
 	return outcome > 0 && outcome < RUN_OUTCOME_COUNT ? names[outcome] : "unknown";
 }
 
-static gpointer pack(struct handle handle)
-{
-	return GSIZE_TO_POINTER(((gsize)handle.generation << 32) | handle.index);
-}
-
-static struct handle unpack(gpointer value)
-{
-	gsize bits = GPOINTER_TO_SIZE(value);
-
-	return (struct handle){.index = (uint32_t)bits, .generation = (uint32_t)(bits >> 32)};
-}
-
 void runs_init(struct runs *runs, const struct runs_limits *limits,
 	       const struct runs_callbacks *callbacks)
 {
@@ -200,7 +188,8 @@
 		.ordered_us = now_us,
 		.phase_us = now_us,
 	};
-	g_hash_table_insert(runs->by_task, run->task, pack(*handle));
+	g_hash_table_insert(runs->by_task, run->task,
+			    GSIZE_TO_POINTER((gsize)handle_pack(*handle)));
 	return run;
 }
 
@@ -342,7 +331,7 @@
 
 	if (!g_hash_table_lookup_extended(runs->by_task, row->task, NULL, &value))
 		return NULL;
-	*handle = unpack(value);
+	*handle = handle_unpack(GPOINTER_TO_SIZE(value));
 	run = table_get(&runs->table, *handle);
 	return run && run->attempt == row->attempt ? run : NULL;
 }
@@ -362,7 +351,7 @@
 }
 
 /* A run that nobody here ordered, such as one of an earlier life of this agent, is stopped. */
-static void adopt_stranger(struct runs *runs, const struct run_list_row *row, int64_t now_us)
+static void stop_unknown_run(struct runs *runs, const struct run_list_row *row, int64_t now_us)
 {
 	const struct run_request request = {
 		.task = row->task,
@@ -413,7 +402,7 @@
 		struct run *run = find(runs, row, &handle);
 
 		if (!run) {
-			adopt_stranger(runs, row, now_us);
+			stop_unknown_run(runs, row, now_us);
 			continue;
 		}
 		g_hash_table_add(listed, run);
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -77,7 +77,7 @@
 	owner_free(owner);
 }
 
-static struct owner *meet_owner(struct node_agent *agent, const struct ident *incarnation)
+static struct owner *find_or_add_owner(struct node_agent *agent, const struct ident *incarnation)
 {
 	struct owner *owner;
 
@@ -161,7 +161,7 @@
 	struct owner *owner;
 
 	memcpy(incarnation.bytes, hello->incarnation.data, IDENT_BYTES);
-	owner = meet_owner(agent, &incarnation);
+	owner = find_or_add_owner(agent, &incarnation);
 	/* Another process at the same address has replaced the one met there before. */
 	if (dial->owner && dial->owner != owner && !dial->owner->link)
 		forget_owner(agent, dial->owner);
--- a/packages/greengaged/src/node_agents.c
+++ b/packages/greengaged/src/node_agents.c
@@ -50,7 +50,7 @@
 	g_free(agent);
 }
 
-static struct agent_peer *meet(struct node_entry *entry, const Ggd__Hello *hello)
+static struct agent_peer *find_or_add_agent(struct node_entry *entry, const Ggd__Hello *hello)
 {
 	struct agent_peer *agent = NULL;
 	struct agent_peer *earlier = NULL;
@@ -299,7 +299,7 @@
 
 bool node_agents_up(struct node_entry *entry, struct node_link *link, const Ggd__Hello *hello)
 {
-	struct agent_peer *agent = meet(entry, hello);
+	struct agent_peer *agent = find_or_add_agent(entry, hello);
 
 	if (agent->link) {
 		struct node_link *old = agent->link;
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -12,7 +12,7 @@
 enum {
 	TICK_MS = 10,
 	PEERS_TICK_MS = 50,
-	MAX_JOBS = 20000, /* unfinished, of one entry */
+	MAX_JOBS = 20000,	    /* unfinished, of one entry */
 	ENDED_JOBS_KEEP_MS = 10000, /* requests come again some seconds after their answer */
 	ENDED_JOBS_MOST = 20000,    /* of all entries, some 70 bytes each */
 	PROBE_BYTES = 4096,
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -60,8 +60,8 @@
 static void fill_ended(struct entry_peer *peer, Ggd__PeerState *state, GArray *completed,
 		       GArray *failed)
 {
-	peer->sent_ended = ended_jobs_since(&peer->entry->ended, peer->sent_ended, completed,
-					    failed);
+	peer->sent_ended =
+		ended_jobs_since(&peer->entry->ended, peer->sent_ended, completed, failed);
 	state->completed = (uint64_t *)(void *)completed->data;
 	state->n_completed = completed->len;
 	state->failed = (uint64_t *)(void *)failed->data;
--- a/packages/net/include/net.h
+++ b/packages/net/include/net.h
@@ -101,7 +101,4 @@
 /* Closes once all queued bytes have been sent. The callbacks are not called any more. */
 void net_conn_finish(struct net_conn *conn);
 
-/* Writes the peer's address without its port to TEXT. */
-void net_conn_peer_ip(const struct net_conn *conn, char text[NET_ADDRESS_BYTES]);
-
 #endif
--- a/packages/net/src/net.c
+++ b/packages/net/src/net.c
@@ -415,13 +415,3 @@
 	conn->finishing = true;
 	net_conn_send(conn, "", 0);
 }
-
-void net_conn_peer_ip(const struct net_conn *conn, char text[NET_ADDRESS_BYTES])
-{
-	struct sockaddr_in peer;
-	int length = sizeof(peer);
-
-	text[0] = '\0';
-	if (uv_tcp_getpeername(&conn->tcp, (struct sockaddr *)&peer, &length) == 0)
-		uv_ip4_name(&peer, text, NET_ADDRESS_BYTES);
-}
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -259,8 +259,8 @@
 	stop_site(&site);
 }
 
-/* A request that arrives again after its answer, at any entry, gets the same answer and runs nothing
- * a second time. */
+/* A request that arrives again after its answer, at any entry, gets the same answer and runs
+ * nothing a second time. */
 static void test_repeat_after_answer(void)
 {
 	struct harness_reply reply;
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -189,8 +189,9 @@
 	world_free(&world);
 }
 
-/* Twelve entries that hear of free room up to 12 ms late, and tasks that are larger than the allowance of
- * runs that wait at a server: entries that all send for the same room turn each other away. */
+/* Twelve entries that hear of free room up to 12 ms late, and tasks that are larger than the
+ * allowance of runs that wait at a server: entries that all send for the same room turn each other
+ * away. */
 static void start_many_entries(struct world *world, double factor)
 {
 	world_init(world, SEED, MANY_ENTRIES, MANY_SERVERS, SERVER_CPU);
