--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -14,7 +14,7 @@
 	PEERS_TICK_MS = 50,
 	MAX_JOBS = 20000,	    /* unfinished, of one entry */
 	ENDED_JOBS_KEEP_MS = 10000, /* requests come again some seconds after their answer */
-	ENDED_JOBS_MOST = 20000,    /* of all entries, some 70 bytes each */
+	ENDED_JOBS_MOST = 20000,    /* of all entries, some 110 bytes each */
 	PROBE_BYTES = 4096,
 	PROBE_LIMIT_MS = 2000,
 	PROBE_KEEP_MS = 60000,
