--- a/test/functional/soak_test.c
+++ b/test/functional/soak_test.c
@@ -165,7 +165,8 @@
 	char *text = g_strdup_printf(
 		"{\"mode\":\"platform\",\"role\":\"agent\",\"name\":\"%s\",\"zone\":\"a\","
 		"\"listen\":{\"control\":\"127.0.0.1:%d\"},\"peers\":{\"ip\":\"127.0.0.1\","
-		"\"port\":%d,\"seeds\":[\"127.0.1.2:1\"]},\"server\":{\"address\":\"127.0.0.1:%d\"},"
+		"\"port\":%d,\"seeds\":[\"127.0.1.2:1\"]},\"server\":{\"address\":\"127.0.0.1:%d\"}"
+		","
 		"\"store\":{\"address\":\"127.0.0.1:%d\"}}",
 		name, control, peer_port, server, store_port);
 
