Keep one connection to an entry that is known under several addresses

Cause: an agent that learned two addresses of one entry before it had heard that entry connected to both. An entry answers on its newest connection only, so the others looked silent and were replaced after heartbeat_limit_ms, which made them the newest and silenced the connection in use, again and again. budget_ftest /budget/idle sees the Hellos of it when start-up is slow enough for the addresses to be learned first; the trace had three addresses of entry1 (its proxy, the proxy of the other entry, its own) and two Hellos every 3 s.

Ruled out: messages of the start that reach into the window (the extra ones went on through it), credits and reclaims (none was sent).

Learned addresses keep the incarnation that they were named for, and are dropped once it is heard elsewhere; a connection that is the newest already is not replaced then.

agent_ftest entry_of_two_addresses failed first (2 Hellos in 1.2 s, now 0).

--- a/packages/greengaged/src/agent.c
+++ b/packages/greengaged/src/agent.c
@@ -226,7 +226,7 @@
 	if (status != STATUS_OK)
 		return status;
 	for (int i = 0; board->settings->entries[i]; i++)
-		agent_peer_add(board, board->settings->entries[i], true);
+		agent_peer_add(board, board->settings->entries[i], NULL);
 	return STATUS_OK;
 }
 
--- a/packages/greengaged/src/agent_board.h
+++ b/packages/greengaged/src/agent_board.h
@@ -55,6 +55,8 @@
 struct agent_peer {
 	char *address;
 	bool configured; /* from the settings, never forgotten */
+	/* Of a learned address: the incarnation that another entry named for it. */
+	struct ident advertised;
 	struct channel channel;
 	void *monitor; /* reports that the connection ended */
 	uint64_t epoch;
--- a/packages/greengaged/src/agent_dispatch.c
+++ b/packages/greengaged/src/agent_dispatch.c
@@ -71,7 +71,7 @@
 			known = peer->known && ident_equal(&peer->incarnation, &incarnation);
 		}
 		if (!known)
-			agent_peer_add(board, info->address, false);
+			agent_peer_add(board, info->address, &incarnation);
 	}
 }
 
--- a/packages/greengaged/src/agent_peer.c
+++ b/packages/greengaged/src/agent_peer.c
@@ -93,7 +93,7 @@
 	g_free(peer);
 }
 
-void agent_peer_add(struct agent_board *board, const char *address, bool configured)
+void agent_peer_add(struct agent_board *board, const char *address, const struct ident *advertised)
 {
 	struct agent_peer *peer;
 
@@ -105,7 +105,9 @@
 		return;
 	peer = g_new0(struct agent_peer, 1);
 	peer->address = g_strdup(address);
-	peer->configured = configured;
+	peer->configured = !advertised;
+	if (advertised)
+		peer->advertised = *advertised;
 	peer->pause_us = PAUSE_FIRST_US;
 	peer->last_heard_us = board->now_us;
 	g_ptr_array_add(board->peers, peer);
@@ -327,21 +329,41 @@
 	return NULL;
 }
 
-/*
- * One entry was reached by two addresses: keeps the configured one. The entry follows the higher
- * epoch, so the one kept is connected anew. Returns false when PEER is the one to go.
- */
-static bool resolve_duplicate(struct agent_board *board, struct agent_peer *peer,
-			      struct agent_peer *other)
+/* Gives up DROPPED, another address of the entry that KEPT reaches. The entry follows the newest
+ * connection, so KEPT is connected anew when it is not that. */
+static void drop_alias(struct agent_board *board, struct agent_peer *dropped,
+		       struct agent_peer *kept)
 {
-	struct agent_peer *kept = peer->configured ? peer : other;
-	struct agent_peer *dropped = kept == peer ? other : peer;
-
 	dropped->known = false;
 	dropped->forgotten = true;
 	mark_broken(board, dropped);
-	mark_broken(board, kept);
-	return false;
+	if (dropped->epoch > kept->epoch && !kept->broken)
+		mark_broken(board, kept);
+}
+
+/* One entry was reached by two addresses: keeps the configured one. */
+static void resolve_duplicate(struct agent_board *board, struct agent_peer *peer,
+			      struct agent_peer *other)
+{
+	if (peer->configured)
+		drop_alias(board, other, peer);
+	else
+		drop_alias(board, peer, other);
+}
+
+/*
+ * Drops the learned addresses of the entry that PEER reaches. As the entry answers on its newest
+ * connection only, they would look silent, and each attempt to replace them would silence PEER.
+ */
+static void drop_unheard_aliases(struct agent_board *board, struct agent_peer *peer)
+{
+	for (guint i = 0; i < board->peers->len; i++) {
+		struct agent_peer *other = peer_at(board, i);
+
+		if (other != peer && !other->configured && !other->forgotten &&
+		    ident_equal(&other->advertised, &peer->incarnation))
+			drop_alias(board, other, peer);
+	}
 }
 
 /* Takes note of the entry's identity on the first message of a connection. Returns false when the
@@ -357,8 +379,11 @@
 	if (peer->heard)
 		return ident_equal(&peer->incarnation, &incarnation);
 	duplicate = find_duplicate(board, peer, &incarnation);
-	if (duplicate)
-		return resolve_duplicate(board, peer, duplicate);
+	if (duplicate) {
+		resolve_duplicate(board, peer, duplicate);
+		if (peer->broken || peer->forgotten)
+			return false;
+	}
 	/* The process before is gone for good, since its address belongs to this one. */
 	if (peer->known && !ident_equal(&peer->incarnation, &incarnation))
 		gate_close(board->gate, peer->gate);
@@ -377,6 +402,9 @@
 		mark_broken(board, peer);
 		return false;
 	}
+	drop_unheard_aliases(board, peer);
+	if (peer->broken)
+		return false;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("address", peer->address),
 		  EV_I("epoch", (int64_t)peer->epoch));
 	count_connected(board);
--- a/packages/greengaged/src/agent_peer.h
+++ b/packages/greengaged/src/agent_peer.h
@@ -4,8 +4,10 @@
 
 #include "agent_board.h"
 
-/* Adds the entry at ADDRESS and connects, unless it is known. */
-void agent_peer_add(struct agent_board *board, const char *address, bool configured);
+/* Adds the entry at ADDRESS and connects, unless the address is known. ADVERTISED is the
+ * incarnation that another entry named for it; NULL for an address from the settings, which is
+ * never forgotten. */
+void agent_peer_add(struct agent_board *board, const char *address, const struct ident *advertised);
 
 /* Closes all connections and frees the peers. */
 void agent_peer_free_all(struct agent_board *board);
--- a/test/functional/agent_test.c
+++ b/test/functional/agent_test.c
@@ -389,6 +389,66 @@
 	g_free(address);
 }
 
+/* Receives what the agent sends to ENTRY for LIMIT_US and answers its heartbeats, as an entry does:
+ * on the newest connection only. Returns the number of Hellos. */
+static unsigned count_hellos(struct fake_entry *entry, int64_t limit_us)
+{
+	int64_t end_us = timer_clock_us() + limit_us;
+	unsigned hellos = 0;
+
+	while (timer_clock_us() < end_us) {
+		uint64_t newest = entry->epoch;
+		struct channel_route route = entry->route;
+		Gg__Envelope *envelope = receive_any(entry, end_us - timer_clock_us());
+
+		if (!envelope)
+			break;
+		if (envelope->epoch < newest)
+			entry->route = route;
+		else
+			send_heartbeat(entry);
+		hellos += envelope->body_case == GG__ENVELOPE__BODY_HELLO;
+		channel_free_envelope(envelope);
+	}
+	return hellos;
+}
+
+/* Guards against the addresses of one entry that replace each other's connection again and again:
+ * an entry answers on its newest connection, so that the others look silent. */
+static void test_entry_of_two_addresses(struct fake_entry *entry, const void *unused)
+{
+	struct fake_entry other = {.incarnation = ident_random()};
+	int port = harness_free_port();
+	char *addresses[] = {g_strdup_printf("tcp://127.0.0.1:%d", port),
+			     g_strdup_printf("tcp://localhost:%d", port)};
+	Gg__Envelope envelope = GG__ENVELOPE__INIT;
+	Gg__Welcome body = GG__WELCOME__INIT;
+	Gg__PeerInfo infos[] = {GG__PEER_INFO__INIT, GG__PEER_INFO__INIT};
+	Gg__PeerInfo *list[] = {&infos[0], &infos[1]};
+
+	g_assert_cmpint(channel_accept(entry->zmq, addresses[0], &other.channel, NULL), ==,
+			STATUS_OK);
+	for (size_t i = 0; i < G_N_ELEMENTS(infos); i++) {
+		infos[i].incarnation = channel_put_ident(&other.incarnation);
+		infos[i].address = addresses[i];
+	}
+	body.n_entries = G_N_ELEMENTS(infos);
+	body.entries = list;
+	envelope.body_case = GG__ENVELOPE__BODY_WELCOME;
+	envelope.welcome = &body;
+	fake_send(entry, &envelope);
+	/* The entry has seen both connections before it answers. */
+	for (size_t i = 0; i < G_N_ELEMENTS(infos); i++)
+		channel_free_envelope(receive(&other, GG__ENVELOPE__BODY_HELLO));
+	send_heartbeat(&other);
+	count_hellos(&other, SHORT_US);
+	/* Several times the limit of silence of these settings. */
+	g_assert_cmpuint(count_hellos(&other, 4 * SHORT_US), ==, 0);
+	channel_close(&other.channel);
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
+		g_free(addresses[i]);
+}
+
 /* Guards against a shutdown that waits without limit for a task that hangs. */
 static void test_forced_stop(struct fake_entry *entry, const void *unused)
 {
@@ -451,6 +511,7 @@
 	CASE("quarantine", NULL, test_quarantine);
 	CASE("graceful_stop", NULL, test_graceful_stop);
 	CASE("learned_entry", NULL, test_learned_entry);
+	CASE("entry_of_two_addresses", fast, test_entry_of_two_addresses);
 	CASE("forced_stop", short_drain, test_forced_stop);
 	g_test_add_func("/agent/invalid_address", test_invalid_address);
 	return g_test_run();
