Leave half of a server's places to the orders of other entries

Cause: an entry put the tasks of a job on the drawn server up to its last place. The orders of other entries that were on their way found none.

A first pass now takes half of the places of each server in the order of the draw, a second the rest.

load_test many_entries/leave_room failed first: the mean of ten seeds in place of the one that happened to pass.

--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -159,6 +159,31 @@
 	return true;
 }
 
+/* Puts up to MOST of WANTED tasks on CANDIDATE and returns how many. */
+static uint32_t fill(struct candidate *candidate, const struct placement_request *request,
+		     uint32_t most, struct handle *servers, uint32_t wanted)
+{
+	uint32_t placed = 0;
+
+	while (placed < MIN(most, wanted) && put(candidate, &request->need))
+		servers[placed++] = candidate->handle;
+	return placed;
+}
+
+/*
+ * Returns the tasks that CANDIDATE gets before the other servers are asked: half of its places.
+ *
+ * Load pattern: many entries at a usual load, each with jobs of several tasks. An entry that fills
+ * a server to its last place leaves none for the orders of others that are on their way.
+ */
+static uint32_t first_share(const struct candidate *candidate,
+			    const struct placement_request *request)
+{
+	uint32_t places = candidate->free.cpu / MAX(request->need.cpu, 1);
+
+	return (places + 1) / 2;
+}
+
 uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *request,
 			  int64_t now_us, uint64_t *seed, struct handle *servers)
 {
@@ -172,9 +197,13 @@
 	for (guint i = 0; i < found->len && placed < request->tasks; i++) {
 		struct candidate *candidate = &g_array_index(found, struct candidate, i);
 
-		while (placed < request->tasks && put(candidate, &request->need))
-			servers[placed++] = candidate->handle;
+		if (!candidate->waits)
+			placed += fill(candidate, request, first_share(candidate, request),
+				       servers + placed, request->tasks - placed);
 	}
+	for (guint i = 0; i < found->len && placed < request->tasks; i++)
+		placed += fill(&g_array_index(found, struct candidate, i), request, UINT32_MAX,
+			       servers + placed, request->tasks - placed);
 	g_array_free(found, TRUE);
 	return placed;
 }
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -16,6 +16,7 @@
 	SHORT_US = 60000,
 	MANY_ENTRIES = 12,
 	MANY_SERVERS = 16,
+	MANY_SEEDS = 10,
 	REPORT_US = 12000, /* between two reports of an agent to one of so many entries */
 	MEDIUM_US = 200000,
 	LONG_US = 900000,
@@ -192,9 +193,9 @@
 /* Twelve entries that hear of free room up to 12 ms late, and tasks that are larger than the
  * allowance of runs that wait at a server: entries that all send for the same room turn each other
  * away. */
-static void start_many_entries(struct world *world, double factor)
+static void start_many_entries(struct world *world, uint32_t seed, double factor)
 {
-	world_init(world, SEED, MANY_ENTRIES, MANY_SERVERS, SERVER_CPU);
+	world_init(world, seed, MANY_ENTRIES, MANY_SERVERS, SERVER_CPU);
 	world_delay_reports(world, REPORT_US);
 	for (uint32_t i = 0; i < MANY_SERVERS; i++)
 		world->servers[i].speed = i % 4 == 0 ? 0.8 : 1.05;
@@ -211,7 +212,7 @@
 {
 	struct world world;
 
-	start_many_entries(&world, 0.9);
+	start_many_entries(&world, SEED, 0.9);
 	world_run_until(&world, END_US);
 	g_test_message("%u starts, %u orders turned away", world.starts, world.turned_away);
 	g_assert_cmpuint(world.turned_away * 20, <=, world.starts);
@@ -219,12 +220,32 @@
 	world_free(&world);
 }
 
+/* The same target in the mean of several seeds, as one is no measure of a share of 1 in 20: entries
+ * that filled a server to its last place had 1 in 13 of their orders turned away. */
+static void test_many_entries_leave_room(void)
+{
+	uint32_t turned_away = 0;
+	uint32_t starts = 0;
+
+	for (uint32_t seed = 1; seed <= MANY_SEEDS; seed++) {
+		struct world world;
+
+		start_many_entries(&world, seed, 0.9);
+		world_run_until(&world, END_US);
+		turned_away += world.turned_away;
+		starts += world.starts;
+		world_free(&world);
+	}
+	g_test_message("%u starts, %u orders turned away", starts, turned_away);
+	g_assert_cmpuint(turned_away * 20, <=, starts);
+}
+
 /* Above capacity the same entries still serve the urgent short jobs (0.9). */
 static void test_many_entries_keep_urgent_jobs(void)
 {
 	struct world world;
 
-	start_many_entries(&world, 1.5);
+	start_many_entries(&world, SEED, 1.5);
 	world_run_until(&world, END_US);
 	g_test_message("%u starts, %u orders turned away", world.starts, world.turned_away);
 	g_assert_cmpfloat(share(count(&world, "short", 1, 0)), >=, 0.9);
@@ -424,6 +445,7 @@
 	g_test_add_func("/load/usual", test_usual_load);
 	g_test_add_func("/load/full/turns_nothing_away", test_full_servers_turn_nothing_away);
 	g_test_add_func("/load/many_entries/share_room", test_many_entries_share_room);
+	g_test_add_func("/load/many_entries/leave_room", test_many_entries_leave_room);
 	g_test_add_func("/load/many_entries/keep_urgent_jobs", test_many_entries_keep_urgent_jobs);
 	g_test_add_func("/load/burst/keeps_urgent_jobs", test_burst_keeps_urgent_jobs);
 	g_test_add_func("/load/burst/refuses_early", test_burst_refuses_early);
