Look up whether any server has room before ranking servers for a job

Cause: each pump ranked all servers of the service for each queued job, with two powers and a logarithm a server, and looked through the servers again to see whether the task fits any of them; each report of a changed speed sorted the speeds of all servers.

Ruled out: the sort of the queue and the checks of each job (31 us for 300 jobs).

A pump now takes the largest free room and waiting space of the service once, and again after it has placed something; a job for which neither is enough is passed over. Speeds are scaled once before a choice. A task that fits the smallest server needs no look through the others.

--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -30,7 +30,8 @@
 
 struct fleet {
 	struct table servers;
-	GArray *speeds; /* scratch for the median */
+	GArray *speeds;	   /* scratch for the median */
+	bool speeds_stale; /* a report has changed a speed; see fleet_scale_speeds */
 };
 
 /* What an agent reports of its backend server. */
@@ -59,6 +60,10 @@
 bool fleet_apply_report(struct fleet *fleet, struct fleet_server *server,
 			const struct fleet_report *report, int64_t now_us);
 
+/* Brings the speeds relative to the typical server up to date with the reports. Call before a
+ * choice of servers: at hundreds of servers it costs more than a report. */
+void fleet_scale_speeds(struct fleet *fleet);
+
 /* Notes that order NUMBER starts a run that takes NEED. */
 void fleet_note_order(struct fleet_server *server, const struct room *need, uint32_t priority,
 		      uint64_t number);
@@ -74,9 +79,10 @@
 	uint32_t servers;
 	uint64_t cpu; /* thousandths of a core */
 	uint64_t free_cpu;
-	double fastest;	  /* speed of the fastest server in use, 0 when there is none */
-	double speed_cpu; /* cpu weighted by speed */
-	double drain;	  /* cpu that full servers free a microsecond */
+	double fastest;		 /* speed of the fastest server in use, 0 when there is none */
+	double speed_cpu;	 /* cpu weighted by speed */
+	double drain;		 /* cpu that full servers free a microsecond */
+	struct room least_total; /* what each of them has at least when it is empty */
 };
 
 struct fleet_sum fleet_sum(const struct fleet *fleet, const char *service);
--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -26,6 +26,26 @@
 	struct handle avoid; /* where a task of this job failed, or none */
 };
 
+/* The most that any one server has room for, to leave out jobs for which there is none. */
+struct placement_room {
+	uint32_t free_cpu;
+	uint32_t waiting_cpu[PRIORITIES]; /* of tasks that may still be sent to wait there */
+	bool one_may_wait[PRIORITIES];	  /* a task of any size, as nothing waits there */
+};
+
+/*
+ * Fills ROOM for the ready servers of SERVICE.
+ *
+ * Load pattern: hundreds of jobs queued at a small entry host while all servers are full, and news
+ * of room many times a millisecond. Without it, each turn ranks all servers for each queued job.
+ */
+void placement_find_room(const struct fleet *fleet, const char *service,
+			 struct placement_room *room);
+
+/* Returns whether a task of REQUEST may find a place. True says nothing of the target. */
+bool placement_may_place(const struct placement_room *room,
+			 const struct placement_request *request);
+
 /* Returns how long a task that takes WORK_US on a typical server is expected to run on SERVER. */
 int64_t placement_run_us(const struct fleet_server *server, int64_t work_us);
 
@@ -36,9 +56,11 @@
 /*
  * Fills SERVERS, of REQUEST->tasks entries, with a server for each task that can start now and
  * returns their number. Only servers on which the task ends by the target are
- * taken. Room is looked up, not taken. SEED is the state of the draws.
+ * taken. Room is looked up, not taken. SUM is that of the request's service. SEED is the state of
+ * the draws.
  */
 uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *request,
-			  int64_t now_us, uint64_t *seed, struct handle *servers);
+			  const struct fleet_sum *sum, int64_t now_us, uint64_t *seed,
+			  struct handle *servers);
 
 #endif
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -414,6 +414,7 @@
 
 	if (!job || job->finished || run->stopping || job->tasks[run->index].moves >= MAX_MOVES)
 		return;
+	fleet_scale_speeds(&dispatch->fleet);
 	sum = fleet_sum(&dispatch->fleet, job->service);
 	if (sum.fastest <= 0 || sum.free_cpu < job->need.cpu)
 		return;
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -2,6 +2,7 @@
 
 #include "dispatch.h"
 #include "dispatch_state.h"
+#include "draw.h"
 #include "placement.h"
 
 enum {
@@ -138,11 +139,17 @@
 	g_string_append(names, server->id);
 }
 
+/* What is known of the servers of one service, once a pump. */
+struct service_view {
+	struct fleet_sum sum;
+	struct placement_room room;
+};
+
 /* Starts the tasks of JOB for which there is room. */
-static void place(struct dispatch *dispatch, struct job *job, int64_t urgent_us, bool late,
-		  int64_t now_us)
+static void place(struct dispatch *dispatch, struct job *job, struct service_view *view,
+		  int64_t urgent_us, bool late, int64_t now_us)
 {
-	struct handle *servers = g_new(struct handle, job->queued);
+	struct handle *servers;
 	const struct placement_request request = {
 		.service = job->service,
 		.need = job->need,
@@ -154,12 +161,17 @@
 		.late = late,
 		.avoid = job->avoid,
 	};
-	uint32_t placed =
-		placement_choose(&dispatch->fleet, &request, now_us, &dispatch->seed, servers);
-	GString *names = g_string_new(NULL);
 	int64_t oldest_us = now_us;
 	uint32_t next = 0;
+	uint32_t placed;
+	GString *names;
 
+	if (!placement_may_place(&view->room, &request))
+		return;
+	servers = g_new(struct handle, job->queued);
+	placed = placement_choose(&dispatch->fleet, &request, &view->sum, now_us, &dispatch->seed,
+				  servers);
+	names = g_string_new(NULL);
 	for (uint32_t i = 0; i < job->task_count && next < placed; i++) {
 		if (job->tasks[i].phase != TASK_QUEUED)
 			continue;
@@ -167,9 +179,11 @@
 		order(dispatch, job, i, servers[next++], urgent_us, now_us);
 	}
 	g_free(servers);
-	if (placed > 0)
+	if (placed > 0) {
 		dispatch->callbacks.placed(dispatch->callbacks.context, job->id, placed,
 					   job->queued, names->str, now_us - oldest_us);
+		placement_find_room(&dispatch->fleet, job->service, &view->room);
+	}
 	g_string_free(names, TRUE);
 }
 
@@ -182,8 +196,7 @@
 		.expected_wait_us = admission_wait_us(load),
 	};
 
-	dispatch->seed = dispatch->seed * 6364136223846793005ULL + 1442695040888963407ULL;
-	end.retry_after_s = admission_retry_after_s(load, dispatch->seed >> 33);
+	end.retry_after_s = admission_retry_after_s(load, draw_next(&dispatch->seed) >> 33);
 	dispatch_finish(dispatch, job, &end, now_us);
 }
 
@@ -196,22 +209,22 @@
 	return core_us;
 }
 
-/* The sums over the servers of each service, taken once a pump. */
-struct sums {
+struct views {
 	const struct fleet *fleet;
-	GHashTable *by_service; /* name -> struct fleet_sum * */
+	GHashTable *by_service; /* name -> struct service_view * */
 };
 
-static struct fleet_sum *sum_of(struct sums *sums, const char *service)
+static struct service_view *view_of(struct views *views, const char *service)
 {
-	struct fleet_sum *sum = g_hash_table_lookup(sums->by_service, service);
+	struct service_view *view = g_hash_table_lookup(views->by_service, service);
 
-	if (!sum) {
-		sum = g_new(struct fleet_sum, 1);
-		*sum = fleet_sum(sums->fleet, service);
-		g_hash_table_insert(sums->by_service, g_strdup(service), sum);
+	if (!view) {
+		view = g_new(struct service_view, 1);
+		view->sum = fleet_sum(views->fleet, service);
+		placement_find_room(views->fleet, service, &view->room);
+		g_hash_table_insert(views->by_service, g_strdup(service), view);
 	}
-	return sum;
+	return view;
 }
 
 /* Refuses a job that cannot be in time. AHEAD_CORE_US is the work that waits before it. Returns
@@ -239,7 +252,8 @@
 	if (sum->servers == 0)
 		refuse(dispatch, job, STATUS_NO_CAPACITY_MATCH, "no backend server is ready", &load,
 		       now_us);
-	else if (!fleet_fits(&dispatch->fleet, job->service, &job->need))
+	else if (!room_fits(&job->need, &sum->least_total) &&
+		 !fleet_fits(&dispatch->fleet, job->service, &job->need))
 		refuse(dispatch, job, STATUS_NO_CAPACITY_MATCH,
 		       "no backend server is large enough for a task", &load, now_us);
 	else if (now_us + admission_wait_us(&load) > start_by_us)
@@ -255,7 +269,7 @@
 	return dispatch_find(dispatch, job->blocker) != NULL;
 }
 
-static GArray *sort_queue(struct dispatch *dispatch, struct sums *sums, int64_t now_us)
+static GArray *sort_queue(struct dispatch *dispatch, struct views *views, int64_t now_us)
 {
 	GArray *sorted = g_array_new(FALSE, FALSE, sizeof(struct waiting));
 
@@ -264,7 +278,7 @@
 			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
 		struct waiting item = {
 			.job = job,
-			.urgent_us = urgency_us(job, sum_of(sums, job->service), now_us),
+			.urgent_us = urgency_us(job, &view_of(views, job->service)->sum, now_us),
 		};
 
 		g_array_append_val(sorted, item);
@@ -275,14 +289,15 @@
 
 /* Starts what can start of one job, and refuses it when the rest cannot be in time. Returns the
  * core-microseconds of it that wait. */
-static double pump_job(struct dispatch *dispatch, const struct waiting *item, struct fleet_sum *sum,
-		       double ahead_core_us, int64_t now_us)
+static double pump_job(struct dispatch *dispatch, const struct waiting *item,
+		       struct service_view *view, double ahead_core_us, int64_t now_us)
 {
+	struct fleet_sum *sum = &view->sum;
 	struct job *job = item->job;
 	uint32_t queued = job->queued;
 	double left_core_us;
 
-	place(dispatch, job, item->urgent_us, is_late(job, sum, now_us), now_us);
+	place(dispatch, job, view, item->urgent_us, is_late(job, sum, now_us), now_us);
 	sum->free_cpu -= MIN(sum->free_cpu, (uint64_t)(queued - job->queued) * job->need.cpu);
 	if (job->queued == 0) {
 		dispatch_dequeue(dispatch, job);
@@ -294,24 +309,25 @@
 
 void dispatch_pump(struct dispatch *dispatch, int64_t now_us)
 {
-	struct sums sums = {.fleet = &dispatch->fleet};
+	struct views views = {.fleet = &dispatch->fleet};
 	double ahead_core_us = 0;
 	GArray *sorted;
 
 	if (!dispatch->dirty || dispatch->queue->len == 0)
 		return;
 	dispatch->dirty = false;
-	sums.by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	sorted = sort_queue(dispatch, &sums, now_us);
+	fleet_scale_speeds(&dispatch->fleet);
+	views.by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sorted = sort_queue(dispatch, &views, now_us);
 	for (guint i = 0; i < sorted->len; i++) {
 		const struct waiting *item = &g_array_index(sorted, struct waiting, i);
 
 		if (is_blocked(dispatch, item->job))
 			continue;
-		ahead_core_us += pump_job(dispatch, item, sum_of(&sums, item->job->service),
+		ahead_core_us += pump_job(dispatch, item, view_of(&views, item->job->service),
 					  ahead_core_us, now_us);
 	}
 	g_array_free(sorted, TRUE);
-	g_hash_table_destroy(sums.by_service);
+	g_hash_table_destroy(views.by_service);
 	dispatch->dirty = false;
 }
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -92,12 +92,15 @@
 
 /* Run times are predicted from speeds, and speeds learned from predicted run times: both could
  * drift together, so speeds are kept relative to the median server. */
-static void scale_speeds(struct fleet *fleet)
+void fleet_scale_speeds(struct fleet *fleet)
 {
 	uint32_t cursor = 0;
 	struct fleet_server *server;
 	double median;
 
+	if (!fleet->speeds_stale)
+		return;
+	fleet->speeds_stale = false;
 	g_array_set_size(fleet->speeds, 0);
 	while ((server = table_next(&fleet->servers, &cursor, NULL))) {
 		if (server->ready && server->speed_known)
@@ -126,7 +129,7 @@
 		server->reported_speed = report->speed;
 		server->speed_known = report->speed_known;
 		server->ready = report->ready;
-		scale_speeds(fleet);
+		fleet->speeds_stale = true;
 	}
 	server->reported_us = now_us;
 	while ((order = g_queue_peek_head(&server->orders)) &&
@@ -160,6 +163,15 @@
 	return server->run_us > 0 ? server->run_us : DEFAULT_RUN_US;
 }
 
+static void note_total(struct fleet_sum *sum, const struct room *total)
+{
+	if (sum->servers++ == 0)
+		sum->least_total = *total;
+	sum->least_total.cpu = MIN(sum->least_total.cpu, total->cpu);
+	sum->least_total.memory_mb = MIN(sum->least_total.memory_mb, total->memory_mb);
+	sum->least_total.gpus = MIN(sum->least_total.gpus, total->gpus);
+}
+
 struct fleet_sum fleet_sum(const struct fleet *fleet, const char *service)
 {
 	struct fleet_sum sum = {0};
@@ -169,7 +181,7 @@
 	while ((server = table_next(&fleet->servers, &cursor, NULL))) {
 		if (!server->ready || strcmp(server->service, service) != 0)
 			continue;
-		sum.servers++;
+		note_total(&sum, &server->total);
 		sum.cpu += server->total.cpu;
 		sum.free_cpu += server->free.cpu;
 		sum.speed_cpu += server->speed * server->total.cpu;
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "draw.h"
+
 enum {
 	WAITING_PERMILLE = 100, /* of a server's cpu; agents turn away more than this */
 	PERMILLE = 1000,
@@ -59,13 +61,6 @@
 	return end_us;
 }
 
-/* Returns a number from 0 to 1, without 0, and moves SEED on. */
-static double draw_uniform(uint64_t *seed)
-{
-	*seed = *seed * 6364136223846793005ULL + 1442695040888963407ULL;
-	return ((double)(*seed >> 11) + 1) / (double)(1ULL << 53);
-}
-
 /* The least of such draws falls on a server with a chance in proportion to its weight. */
 static double draw(const struct candidate *candidate, const struct placement_request *request,
 		   double run_power, uint64_t *seed)
@@ -90,17 +85,23 @@
 	return (left->draw > right->draw) - (left->draw < right->draw);
 }
 
+/* Returns the cpu of all tasks that may wait at SERVER. */
+static uint32_t waiting_most(const struct fleet_server *server)
+{
+	return (uint32_t)((uint64_t)server->total.cpu * WAITING_PERMILLE / PERMILLE);
+}
+
 /* Returns the cpu of tasks like REQUEST's that may be sent to wait for room. As at the agent, one
  * run may wait whatever its size. */
 static uint32_t waiting_allowance(const struct fleet_server *server,
 				  const struct placement_request *request)
 {
-	uint64_t most = (uint64_t)server->total.cpu * WAITING_PERMILLE / PERMILLE;
+	uint32_t most = waiting_most(server);
 	uint32_t before = fleet_waiting_before(server, request->priority);
 
 	if (before == 0)
-		return (uint32_t)MAX(most, request->need.cpu);
-	return (uint32_t)(most - MIN(most, before));
+		return MAX(most, request->need.cpu);
+	return most - MIN(most, before);
 }
 
 static GArray *find_candidates(const struct fleet *fleet, const struct placement_request *request,
@@ -159,6 +160,38 @@
 	return true;
 }
 
+void placement_find_room(const struct fleet *fleet, const char *service,
+			 struct placement_room *room)
+{
+	uint32_t cursor = 0;
+	const struct fleet_server *server;
+
+	*room = (struct placement_room){0};
+	while ((server = table_next(&fleet->servers, &cursor, NULL))) {
+		uint32_t most = waiting_most(server);
+
+		if (!server->ready || strcmp(server->service, service) != 0)
+			continue;
+		room->free_cpu = MAX(room->free_cpu, server->free.cpu);
+		for (uint32_t i = 0; i < PRIORITIES; i++) {
+			uint32_t before = fleet_waiting_before(server, i);
+
+			room->waiting_cpu[i] = MAX(room->waiting_cpu[i], most - MIN(most, before));
+			room->one_may_wait[i] = room->one_may_wait[i] || before == 0;
+		}
+	}
+}
+
+bool placement_may_place(const struct placement_room *room, const struct placement_request *request)
+{
+	uint32_t priority = MIN(request->priority, PRIORITIES - 1);
+
+	if (room->free_cpu >= request->need.cpu)
+		return true;
+	return request->may_wait &&
+	       (room->one_may_wait[priority] || room->waiting_cpu[priority] >= request->need.cpu);
+}
+
 /* Puts up to MOST of WANTED tasks on CANDIDATE and returns how many. */
 static uint32_t fill(struct candidate *candidate, const struct placement_request *request,
 		     uint32_t most, struct handle *servers, uint32_t wanted)
@@ -185,10 +218,10 @@
 }
 
 uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *request,
-			  int64_t now_us, uint64_t *seed, struct handle *servers)
+			  const struct fleet_sum *sum, int64_t now_us, uint64_t *seed,
+			  struct handle *servers)
 {
-	struct fleet_sum sum = fleet_sum(fleet, request->service);
-	bool scarce = (double)sum.free_cpu < scarce_share * (double)sum.cpu;
+	bool scarce = (double)sum->free_cpu < scarce_share * (double)sum->cpu;
 	double run_power = scarce && !request->late ? slow_power : fast_power;
 	GArray *found = find_candidates(fleet, request, run_power, now_us, seed);
 	uint32_t placed = 0;
