Let each agent serve a part of the entries, chosen by rendezvous hashing

Cause: each of 240 agents kept a link to each of 55 entries, 13,200 in all. An entry exchanged a heartbeat with each agent every 150 ms and with each entry twice as often, some 4,600 messages a second without any work, and up to 4,360 reports of room a second beside them; 28 of the 55 hosts have 0.09 of a core.

The last needs no agreement and no message: the rank of an entry is a hash of both names. Each entry gets about 70 agents. An entry out of reach for 2 s is made up for by the next rank; a surplus link ends once its owner has been told to send no more work and has no run there. Where an entry reaches fewer than 24 servers of a service, the agents of that service serve more entries. Up to 16 entries all stay linked, as on the earlier deployments.

Periods of heartbeats and states between entries grow with their number, other entries' queued work counts as far as the servers are shared, and addresses of entries are told once a connection instead of as a whole list. An agent that met one entry under two addresses kept a pointer to the closed link; it is cleared.

subset_test: balance, small deployments, a lost zone, a joining entry, scarce services.

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -227,6 +227,9 @@
 /* Estimated work done a second. */
 double runs_speed(const struct runs *runs, int64_t now_us);
 
+/* Returns the number of runs of OWNER. */
+uint32_t runs_owned(const struct runs *runs, uint32_t owner);
+
 /* Calls VISIT for each run. */
 void runs_foreach(struct runs *runs, void (*visit)(void *context, const struct run *run),
 		  void *context);
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -512,6 +512,17 @@
 	return runs->speed;
 }
 
+uint32_t runs_owned(const struct runs *runs, uint32_t owner)
+{
+	uint32_t cursor = 0;
+	uint32_t count = 0;
+	const struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, NULL)))
+		count += run->owner == owner;
+	return count;
+}
+
 void runs_foreach(struct runs *runs, void (*visit)(void *context, const struct run *run),
 		  void *context)
 {
--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -76,12 +76,12 @@
 	g_array_append_val(owner->behind, progress);
 }
 
-static void fill_room(const struct backend *backend, Ggd__Room *room)
+static void fill_room(const struct owner *owner, const struct backend *backend, Ggd__Room *room)
 {
 	struct room free_room = runs_free_room(&backend->runs);
 	int64_t now_us = backend->loop->now_us;
 
-	room->ready = backend_ready(backend);
+	room->ready = backend_ready(backend) && owner->retiring_us == 0;
 	room->cpu = free_room.cpu;
 	room->memory_mb = free_room.memory_mb;
 	room->gpus = free_room.gpus;
@@ -142,7 +142,7 @@
 		late[i].elapsed_ms = behind->elapsed_ms;
 		late_pointers[i] = &late[i];
 	}
-	fill_room(backend, &room);
+	fill_room(owner, backend, &room);
 	report.number = number;
 	report.orders_ack = owner->orders_ack;
 	report.room = &room;
@@ -223,6 +223,11 @@
 	send_report(owner, backend, 0, NULL, NULL);
 }
 
+bool owner_has_unread_ends(const struct owner *owner)
+{
+	return owner->ends->len > 0 || owner->unacknowledged.length > 0;
+}
+
 void owner_acknowledge(struct owner *owner, uint64_t number)
 {
 	struct kept_report *kept;
--- a/packages/greengaged/src/agent_owner.h
+++ b/packages/greengaged/src/agent_owner.h
@@ -21,6 +21,8 @@
 	bool is_new; /* met for the first time, or forgotten meanwhile */
 	int64_t room_sent_us;
 	uint32_t identity_version; /* of the backend server, as last sent */
+	uint32_t service_servers;  /* servers of this service that the entry reaches; 0: unknown */
+	int64_t retiring_us;	   /* since when it is told to send no more work; 0 unless so */
 };
 
 struct owner *owner_new(uint32_t number, const struct ident *incarnation);
@@ -41,6 +43,9 @@
  */
 void owner_send_inventory(struct owner *owner, struct backend *backend);
 
+/* Returns whether ends of its runs may be unknown to the owner. */
+bool owner_has_unread_ends(const struct owner *owner);
+
 /* The owner has handled all reports up to NUMBER. */
 void owner_acknowledge(struct owner *owner, uint64_t number);
 
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -10,6 +10,7 @@
 #include "node_members.h"
 #include "node_reload.h"
 #include "node_signals.h"
+#include "subset.h"
 
 enum {
 	TICK_MS = 25,
@@ -19,6 +20,10 @@
 	ROOM_INTERVAL_MS = 1,
 	ROOM_INTERVAL_MIN_MS = 5,
 	LOST_ENTRIES_MS = 1500, /* without any entry for so long, the store is asked */
+	ABSENT_MS = 2000, /* an entry out of reach for so long is made up for by another one */
+	RETIRE_MS = 1000, /* between the last order of a surplus entry and the end of its link */
+	SIZE_INTERVAL_MS = 1000,
+	ALIAS_RETRY_MS = 10000, /* another address of an entry that is linked already */
 	PERMILLE = 1000,
 	STOP_MARGIN_MS = 300 /* kept free at the end of the grace period */
 };
@@ -30,6 +35,9 @@
 	struct node_link *link;
 	struct owner *owner; /* last one met there */
 	struct node_retry retry;
+	uint64_t rank;
+	bool wanted;	    /* one of the entries that this agent serves */
+	int64_t reached_us; /* when it was last linked, or became wanted */
 };
 
 struct node_agent {
@@ -41,7 +49,8 @@
 	struct node_signals signals;
 	struct node_reload reload;
 	struct backend backend;
-	GPtrArray *dials;
+	GPtrArray *dials;     /* by falling rank */
+	uint32_t subset_size; /* entries to serve */
 	GPtrArray *owners;
 	uint32_t next_owner;
 	int64_t connected_us; /* when an entry was last connected */
@@ -139,6 +148,8 @@
 		take_starts(agent, owner, orders->starts[i]);
 	for (size_t i = 0; i < orders->n_entries; i++)
 		node_members_add(&agent->members, orders->entries[i]);
+	if (orders->service_servers > 0)
+		owner->service_servers = orders->service_servers;
 	if (orders->number > owner->orders_ack) {
 		owner->orders_ack = orders->number;
 		mark_room_dirty(agent);
@@ -165,9 +176,15 @@
 	/* Another process at the same address has replaced the one met there before. */
 	if (dial->owner && dial->owner != owner && !dial->owner->link)
 		forget_owner(agent, dial->owner);
-	if (owner->link)
-		return false; /* the same process under two addresses */
+	if (owner->link) {
+		/* The same process under two addresses; the link is closed without a call of down.
+		 */
+		dial->link = NULL;
+		dial->retry.next_us = agent->loop.now_us + ALIAS_RETRY_MS * US_PER_MS;
+		return false;
+	}
 	dial->owner = owner;
+	owner->retiring_us = 0;
 	owner->link = link;
 	owner->orders_ack = 0;
 	owner->identity_version = 0;
@@ -196,6 +213,8 @@
 		owner->heard_us = node_link_heard_us(link);
 	}
 	dial->link = NULL;
+	if (node_link_is_up(link))
+		dial->reached_us = dial->agent->loop.now_us;
 	node_retry_lost(&dial->retry, node_link_is_up(link), dial->agent->loop.now_us);
 }
 
@@ -210,11 +229,114 @@
 {
 	struct node_agent *agent = context;
 	struct dial *dial = g_new0(struct dial, 1);
+	guint at = 0;
 
 	dial->agent = agent;
 	dial->address = g_strdup(address);
+	dial->rank = subset_rank(agent->settings->name, address);
 	node_retry_init(&dial->retry, agent->loop.now_us);
-	g_ptr_array_add(agent->dials, dial);
+	while (at < agent->dials->len &&
+	       ((struct dial *)agent->dials->pdata[at])->rank > dial->rank)
+		at++;
+	g_ptr_array_insert(agent->dials, (gint)at, dial);
+}
+
+static bool is_linked(const struct dial *dial)
+{
+	return dial->link && dial->owner && dial->owner->link == dial->link;
+}
+
+/* An entry that is not wanted has not been tried, and counts as reachable. */
+static bool is_reachable(const struct dial *dial, int64_t now_us)
+{
+	return is_linked(dial) || !dial->wanted ||
+	       now_us - dial->reached_us < ABSENT_MS * US_PER_MS;
+}
+
+static void choose_entries(struct node_agent *agent, int64_t now_us)
+{
+	struct subset_entry *rows = g_new(struct subset_entry, agent->dials->len);
+
+	for (guint i = 0; i < agent->dials->len; i++) {
+		const struct dial *dial = agent->dials->pdata[i];
+
+		rows[i] = (struct subset_entry){.rank = dial->rank,
+						.reachable = is_reachable(dial, now_us)};
+	}
+	subset_choose(rows, agent->dials->len, agent->subset_size);
+	for (guint i = 0; i < agent->dials->len; i++) {
+		struct dial *dial = agent->dials->pdata[i];
+
+		if (rows[i].wanted && !dial->wanted)
+			dial->reached_us = now_us;
+		dial->wanted = rows[i].wanted;
+	}
+	g_free(rows);
+}
+
+/* Ends the link to an entry that serves elsewhere, once it has no run here. */
+static void retire(struct node_agent *agent, struct dial *dial, int64_t now_us)
+{
+	struct owner *owner = dial->owner;
+	struct node_link *link = dial->link;
+
+	if (owner->retiring_us == 0) {
+		owner->retiring_us = now_us;
+		owner->room_dirty = true;
+		return;
+	}
+	if (now_us - owner->retiring_us < RETIRE_MS * US_PER_MS || owner_has_unread_ends(owner) ||
+	    runs_owned(&agent->backend.runs, owner->number) > 0)
+		return;
+	event_log(EVENT_CHANNEL_LOST, EV_S("address", dial->address),
+		  EV_S("reason", "this agent serves other entries"));
+	dial->link = NULL;
+	owner->link = NULL;
+	owner->heard_us = now_us;
+	node_link_close(link);
+	forget_owner(agent, owner);
+}
+
+/* Ends links to entries that are not wanted, while as many as wanted are linked. */
+static void retire_surplus(struct node_agent *agent, int64_t now_us)
+{
+	uint32_t linked = 0;
+
+	for (guint i = 0; i < agent->dials->len; i++) {
+		const struct dial *dial = agent->dials->pdata[i];
+
+		linked += dial->wanted && is_linked(dial);
+	}
+	for (guint i = 0; i < agent->dials->len; i++) {
+		struct dial *dial = agent->dials->pdata[i];
+
+		if (!is_linked(dial))
+			continue;
+		if (!dial->wanted && linked >= agent->subset_size) {
+			retire(agent, dial, now_us);
+		} else if (dial->owner->retiring_us != 0) {
+			dial->owner->retiring_us = 0;
+			dial->owner->room_dirty = true;
+		}
+	}
+}
+
+static void adapt_subset(void *context, int64_t now_us)
+{
+	struct node_agent *agent = context;
+	double servers = 0;
+	uint32_t known = 0;
+
+	for (guint i = 0; i < agent->owners->len; i++) {
+		const struct owner *owner = agent->owners->pdata[i];
+
+		if (!owner->link || owner->service_servers == 0)
+			continue;
+		servers += owner->service_servers;
+		known++;
+	}
+	agent->subset_size =
+		subset_size(agent->subset_size, known > 0 ? servers / known : 0, agent->dials->len);
 }
 
 static void dial_entries(struct node_agent *agent, int64_t now_us)
@@ -226,7 +348,8 @@
 		struct dial *dial = agent->dials->pdata[i];
 
 		connected = connected || (dial->owner && dial->owner->link);
-		if (dial->link || now_us < dial->retry.next_us)
+		/* An entry that has runs here is dialled again to hear of their ends. */
+		if (dial->link || now_us < dial->retry.next_us || !(dial->wanted || dial->owner))
 			continue;
 		dial->link =
 			node_link_dial(&agent->links, dial->address, &link_callbacks, dial, &err);
@@ -264,7 +387,9 @@
 {
 	struct node_agent *agent = context;
 
+	choose_entries(agent, now_us);
 	dial_entries(agent, now_us);
+	retire_surplus(agent, now_us);
 	forget_silent_owners(agent, now_us);
 	stop_when_idle(agent, now_us);
 }
@@ -384,6 +509,7 @@
 	agent->loop.freeze_context = agent;
 	agent->dials = g_ptr_array_new();
 	agent->owners = g_ptr_array_new();
+	agent->subset_size = SUBSET_ENTRIES;
 	agent->connected_us = agent->loop.now_us;
 	agent->store = store_new(&agent->loop, settings->store_address);
 	node_links_init(&agent->links, &agent->loop, &identity, node_settings_silence_ms(settings));
@@ -414,6 +540,8 @@
 		return EXIT_CODE_RUNTIME;
 	}
 	timer_subscribe(&agent->loop.timers, agent->loop.now_us, TICK_MS * US_PER_MS, tick, agent);
+	timer_subscribe(&agent->loop.timers, agent->loop.now_us, SIZE_INTERVAL_MS * US_PER_MS,
+			adapt_subset, agent);
 	net_loop_run(&agent->loop);
 	event_log(EVENT_DRAIN_FINISHED, EV_I("runs", table_count(&agent->backend.runs.table)));
 	return EXIT_CODE_OK;
--- a/packages/greengaged/src/node_agents.c
+++ b/packages/greengaged/src/node_agents.c
@@ -16,14 +16,17 @@
 	char name[NAME_BYTES];
 	struct node_link *link; /* NULL while it is out of reach */
 	struct handle server;
-	bool server_known;	  /* the handle has been used */
-	bool inventory_due;	  /* the first report of a connection is awaited */
-	uint64_t orders;	  /* number of the last orders sent on this connection */
-	uint64_t report;	  /* highest handled */
-	uint32_t members_version; /* last sent */
-	GPtrArray *starts;	  /* struct run_order copies of this turn */
-	GArray *stops;		  /* uint64_t, of this turn */
-	struct handle former;	  /* the same server before the agent gave this entry up, or none */
+	bool server_known;  /* the handle has been used */
+	bool inventory_due; /* the first report of a connection is awaited */
+	uint64_t orders;    /* number of the last orders sent on this connection */
+	uint64_t report;    /* highest handled */
+	guint members_told; /* addresses of entries sent on this connection */
+	uint32_t
+		service_servers; /* linked servers of the same service; 0 before they are counted */
+	uint32_t service_servers_told;
+	GPtrArray *starts;    /* struct run_order copies of this turn */
+	GArray *stops;	      /* uint64_t, of this turn */
+	struct handle former; /* the same server before the agent gave this entry up, or none */
 	struct agent_peer *replaced; /* earlier process of the same agent with unsettled runs */
 };
 
@@ -245,11 +248,12 @@
 	orders.stops = (uint64_t *)(void *)agent->stops->data;
 	orders.n_stops = agent->stops->len;
 	orders.report_ack = agent->report;
-	if (agent->members_version != entry->members.version) {
-		agent->members_version = entry->members.version;
-		orders.entries = (char **)entry->members.addresses->pdata;
-		orders.n_entries = entry->members.addresses->len;
-	}
+	orders.entries = (char **)entry->members.addresses->pdata + agent->members_told;
+	orders.n_entries = entry->members.addresses->len - agent->members_told;
+	agent->members_told = entry->members.addresses->len;
+	if (agent->service_servers != agent->service_servers_told)
+		orders.service_servers = agent->service_servers;
+	agent->service_servers_told = agent->service_servers;
 	frame.body_case = GGD__FRAME__BODY_ORDERS;
 	frame.orders = &orders;
 	node_link_send(agent->link, &frame);
@@ -311,7 +315,8 @@
 	agent->link = link;
 	agent->orders = 0;
 	agent->inventory_due = true;
-	agent->members_version = 0;
+	agent->members_told = 0;
+	agent->service_servers_told = 0;
 	node_link_set(link, &link_callbacks, agent);
 	return true;
 }
@@ -358,17 +363,45 @@
 	}
 }
 
+static const struct fleet_server *linked_server(const struct agent_peer *agent)
+{
+	if (!agent->link || !agent->server_known)
+		return NULL;
+	return fleet_get(&agent->entry->dispatch.fleet, agent->server);
+}
+
+void node_agents_count_servers(struct node_entry *entry)
+{
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	const struct fleet_server *server;
+	struct agent_peer *agent;
+	guint count;
+
+	for (guint i = 0; i < entry->agents->len; i++) {
+		server = linked_server(entry->agents->pdata[i]);
+		if (!server)
+			continue;
+		count = GPOINTER_TO_UINT(g_hash_table_lookup(counts, server->service));
+		g_hash_table_insert(counts, (gpointer)server->service, GUINT_TO_POINTER(count + 1));
+	}
+	for (guint i = 0; i < entry->agents->len; i++) {
+		agent = entry->agents->pdata[i];
+		server = linked_server(agent);
+		if (server)
+			agent->service_servers =
+				GPOINTER_TO_UINT(g_hash_table_lookup(counts, server->service));
+	}
+	g_hash_table_destroy(counts);
+}
+
 uint32_t node_agents_ready(const struct node_entry *entry)
 {
 	uint32_t ready = 0;
 
 	for (guint i = 0; i < entry->agents->len; i++) {
-		const struct agent_peer *agent = entry->agents->pdata[i];
-		const struct fleet_server *row =
-			agent->server_known ? fleet_get(&entry->dispatch.fleet, agent->server)
-					    : NULL;
+		const struct fleet_server *server = linked_server(entry->agents->pdata[i]);
 
-		ready += agent->link && row && row->ready;
+		ready += server && server->ready;
 	}
 	return ready;
 }
--- a/packages/greengaged/src/node_agents.h
+++ b/packages/greengaged/src/node_agents.h
@@ -17,6 +17,9 @@
 /* Closes all links, as after a freeze. */
 void node_agents_reset(struct node_entry *entry);
 
+/* Counts the servers of each service, which agents are told with their next orders. */
+void node_agents_count_servers(struct node_entry *entry);
+
 /* Returns the number of agents whose backend server takes starts. */
 uint32_t node_agents_ready(const struct node_entry *entry);
 
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -20,6 +20,9 @@
 	PROBE_KEEP_MS = 60000,
 	MS_PER_S = 1000,
 	GATHERING_MS = 1000, /* after the start, in which the agents connect */
+	/* Agents hear how many servers an entry reaches after the start of all hosts is over. */
+	COUNT_SERVERS_AFTER_MS = 5000,
+	COUNT_SERVERS_MS = 500,
 	/* The balancer notices a host that is not ready after two probes, a second apart. */
 	BALANCER_DELAY_MS = 2500,
 	STOP_MARGIN_MS = 300,
@@ -157,6 +160,11 @@
 	node_peers_tick(context, now_us);
 }
 
+static void count_servers(void *context, int64_t now_us)
+{
+	node_agents_count_servers(context);
+}
+
 static void on_freeze(void *context, int64_t gap_us)
 {
 	struct node_entry *entry = context;
@@ -303,6 +311,9 @@
 	timer_subscribe(&entry->loop.timers, entry->loop.now_us, TICK_MS * US_PER_MS, tick, entry);
 	timer_subscribe(&entry->loop.timers, entry->loop.now_us, PEERS_TICK_MS * US_PER_MS,
 			tick_peers, entry);
+	timer_subscribe(&entry->loop.timers,
+			entry->loop.now_us + COUNT_SERVERS_AFTER_MS * US_PER_MS,
+			COUNT_SERVERS_MS * US_PER_MS, count_servers, entry);
 	net_loop_run(&entry->loop);
 	event_log(EVENT_DRAIN_FINISHED, EV_I("requests", entry->requests));
 	return EXIT_CODE_OK;
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -10,6 +10,7 @@
 	RETRY_MS = 50,
 	RETRY_LONG_MS = 2000,
 	RETRY_PATIENCE_MS = 10000, /* for which an address without an answer is dialled often */
+	SILENT_HEARTBEATS = 3,	   /* missing ones after which a peer is out of reach */
 	UNSENT_MAX_BYTES = 4 << 20 /* a peer that takes in no more is out of reach */
 };
 
@@ -21,6 +22,8 @@
 	void *context;
 	int64_t heard_us;
 	int64_t sent_us;
+	int64_t heartbeat_ms;
+	int64_t silence_ms;
 	bool up;
 	bool gone; /* freed at the next check */
 };
@@ -129,14 +132,14 @@
 
 	for (guint i = links->links->len; i-- > 0;) {
 		struct node_link *link = links->links->pdata[i];
-		int64_t limit_ms = link->up ? links->silence_ms : GREETING_MS;
+		int64_t limit_ms = link->up ? link->silence_ms : GREETING_MS;
 
 		if (!link->gone && now_us - link->heard_us > limit_ms * US_PER_MS)
 			drop(link, "silent");
 		else if (!link->gone && net_conn_unsent(link->conn) > UNSENT_MAX_BYTES)
 			drop(link, "the peer does not read");
 		else if (link->up && !link->gone &&
-			 now_us - link->sent_us >= NODE_HEARTBEAT_MS * US_PER_MS)
+			 now_us - link->sent_us >= link->heartbeat_ms * US_PER_MS)
 			link->callbacks->heartbeat(link->context, link);
 	}
 	for (guint i = links->links->len; i-- > 0;) {
@@ -171,6 +174,8 @@
 	link->context = context;
 	link->heard_us = links->loop->now_us;
 	link->sent_us = links->loop->now_us;
+	link->heartbeat_ms = NODE_HEARTBEAT_MS;
+	link->silence_ms = links->silence_ms;
 	frame_reader_init(&link->reader);
 	return link;
 }
@@ -210,6 +215,12 @@
 	link->context = context;
 }
 
+void node_link_set_heartbeat(struct node_link *link, int64_t heartbeat_ms)
+{
+	link->heartbeat_ms = heartbeat_ms;
+	link->silence_ms = MAX(link->links->silence_ms, SILENT_HEARTBEATS * heartbeat_ms);
+}
+
 void node_link_send(struct node_link *link, const Ggd__Frame *frame)
 {
 	size_t length = ggd__frame__get_packed_size(frame);
--- a/packages/greengaged/src/node_link.h
+++ b/packages/greengaged/src/node_link.h
@@ -25,7 +25,7 @@
 	/* The peer has greeted. Returns false to close the link. */
 	bool (*up)(void *context, struct node_link *link, const Ggd__Hello *hello);
 	void (*frame)(void *context, struct node_link *link, const Ggd__Frame *frame);
-	/* Nothing was sent for NODE_HEARTBEAT_MS. */
+	/* Nothing was sent for a heartbeat period. */
 	void (*heartbeat)(void *context, struct node_link *link);
 	/* The link is gone and must not be used any more. Not called after node_link_close. */
 	void (*down)(void *context, struct node_link *link, const char *reason);
@@ -47,6 +47,10 @@
 				 const struct node_link_callbacks *callbacks, void *context,
 				 struct error *err);
 
+/* Sets the period of heartbeats, NODE_HEARTBEAT_MS at first. Longer ones let the peer be silent for
+ * longer. */
+void node_link_set_heartbeat(struct node_link *link, int64_t heartbeat_ms);
+
 /* Takes an accepted connection. */
 struct node_link *node_link_accept(struct node_links *links, struct net_conn *conn,
 				   const struct node_link_callbacks *callbacks, void *context);
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -3,10 +3,20 @@
 #include <string.h>
 
 #include "event.h"
+#include "subset.h"
 
+/*
+ * Load pattern: dozens of entries, each linked to all others. At the periods of a small deployment,
+ * heartbeats and states alone would take a third of a small host's processor, so the periods grow
+ * with the number of entries.
+ */
 enum {
-	STATE_INTERVAL_MS = 50, /* while work is queued */
-	STATE_FRESH_MS = 400	/* older figures of a peer do not count */
+	STATE_INTERVAL_MS = 50, /* while work is queued, at least */
+	STATE_PER_PEER_MS = 5,
+	STATE_FRESH_MS = 400, /* older figures of a peer do not count, or after two intervals */
+	HEARTBEAT_PER_PEER_MS = 10,
+	/* Below the least limit of silence, for peers that know fewer entries yet. */
+	HEARTBEAT_MAX_MS = 500
 };
 
 /* Another entry, at one address. */
@@ -16,7 +26,7 @@
 	struct node_link *link; /* dialled here */
 	struct node_retry retry;
 	int64_t sent_us;
-	uint32_t members_version;
+	guint members_told;    /* addresses of entries sent on this connection */
 	uint64_t sent_backlog; /* of all priorities */
 	uint64_t sent_ended;   /* sequence of the last ended job told */
 };
@@ -33,6 +43,17 @@
 	GHashTable *queued;	 /* queue -> count in a pointer */
 };
 
+static int64_t state_interval_us(const struct node_entry *entry)
+{
+	return MAX(STATE_INTERVAL_MS, entry->peers->len * STATE_PER_PEER_MS) * US_PER_MS;
+}
+
+static int64_t heartbeat_ms(const struct node_entry *entry)
+{
+	return CLAMP((int64_t)entry->peers->len * HEARTBEAT_PER_PEER_MS, NODE_HEARTBEAT_MS,
+		     HEARTBEAT_MAX_MS);
+}
+
 static GPtrArray *incoming_list(struct node_entry *entry)
 {
 	if (!entry->incoming)
@@ -93,11 +114,9 @@
 	dispatch_count_pending(&entry->dispatch, counts);
 	fill_queues(&state, counts);
 	fill_ended(peer, &state, completed, failed);
-	if (peer->members_version != entry->members.version) {
-		peer->members_version = entry->members.version;
-		state.entries = (char **)entry->members.addresses->pdata;
-		state.n_entries = entry->members.addresses->len;
-	}
+	state.entries = (char **)entry->members.addresses->pdata + peer->members_told;
+	state.n_entries = entry->members.addresses->len - peer->members_told;
+	peer->members_told = entry->members.addresses->len;
 	frame.body_case = GGD__FRAME__BODY_PEER;
 	frame.peer = &state;
 	node_link_send(peer->link, &frame);
@@ -153,9 +172,10 @@
 {
 	struct entry_peer *peer = context;
 
-	peer->members_version = 0;
+	peer->members_told = 0;
 	peer->sent_ended = 0;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", peer->address));
+	node_link_set_heartbeat(link, heartbeat_ms(peer->entry));
 	send_state(peer, wants_first_config(peer->entry), peer->entry->loop.now_us);
 	return true;
 }
@@ -270,21 +290,25 @@
 	peer->queued = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_ptr_array_add(incoming_list(entry), peer);
 	node_link_set(link, &incoming_callbacks, peer);
+	node_link_set_heartbeat(link, heartbeat_ms(entry));
 	node_members_add(&entry->members, hello->address);
 	return true;
 }
 
+/* Sums the work queued at other entries that competes for the same servers as this entry's. */
 static void sum_backlog(struct node_entry *entry, int64_t now_us)
 {
+	int64_t fresh_us = MAX(STATE_FRESH_MS * US_PER_MS, 2 * state_interval_us(entry));
+	double overlap = subset_overlap(incoming_list(entry)->len + 1);
 	double sum[PRIORITIES] = {0};
 
 	for (guint i = 0; i < incoming_list(entry)->len; i++) {
 		const struct incoming *peer = entry->incoming->pdata[i];
 
-		if (now_us - peer->heard_us > STATE_FRESH_MS * US_PER_MS)
+		if (now_us - peer->heard_us > fresh_us)
 			continue;
 		for (int j = 0; j < PRIORITIES; j++)
-			sum[j] += peer->backlog_core_us[j];
+			sum[j] += overlap * peer->backlog_core_us[j];
 	}
 	dispatch_set_peers(&entry->dispatch, sum);
 }
@@ -321,10 +345,27 @@
 		ask_for_config(chosen, now_us);
 }
 
+/* The number of entries may have changed. */
+static void adapt_heartbeats(struct node_entry *entry)
+{
+	for (guint i = 0; i < entry->peers->len; i++) {
+		struct entry_peer *peer = entry->peers->pdata[i];
+
+		if (peer->link)
+			node_link_set_heartbeat(peer->link, heartbeat_ms(entry));
+	}
+	for (guint i = 0; i < incoming_list(entry)->len; i++) {
+		struct incoming *peer = entry->incoming->pdata[i];
+
+		node_link_set_heartbeat(peer->link, heartbeat_ms(entry));
+	}
+}
+
 void node_peers_tick(struct node_entry *entry, int64_t now_us)
 {
 	struct error err;
 
+	adapt_heartbeats(entry);
 	for (guint i = 0; i < entry->peers->len; i++) {
 		struct entry_peer *peer = entry->peers->pdata[i];
 
@@ -334,7 +375,7 @@
 			if (!peer->link)
 				node_retry_lost(&peer->retry, false, now_us);
 		} else if (peer->link && node_link_is_up(peer->link) &&
-			   now_us - peer->sent_us >= STATE_INTERVAL_MS * US_PER_MS &&
+			   now_us - peer->sent_us >= state_interval_us(entry) &&
 			   (entry->dispatch.queue->len > 0 || peer->sent_backlog > 0)) {
 			send_state(peer, false, now_us);
 		}
--- /dev/null
+++ b/test/unit/subset_test.c
@@ -0,0 +1,164 @@
+/* Which entries an agent serves: guards against a full mesh at hundreds of hosts, entries without
+ * agents, agents without entries after a loss, and services that an entry does not reach. */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "subset.h"
+
+enum {
+	ENTRIES = 55,
+	AGENTS = 240,
+	ZONES = 5,
+	NAME_LENGTH = 32
+};
+
+struct choice {
+	struct subset_entry rows[ENTRIES + 1];
+	uint32_t entries[ENTRIES + 1]; /* of each row */
+	bool wanted[ENTRIES + 1];      /* by entry */
+};
+
+struct row {
+	struct subset_entry entry;
+	uint32_t index;
+};
+
+static int by_rank(const void *a, const void *b)
+{
+	const struct row *left = a;
+	const struct row *right = b;
+
+	return (left->entry.rank < right->entry.rank) - (left->entry.rank > right->entry.rank);
+}
+
+/* Lets AGENT choose among COUNT entries; those of LOST_ZONE are out of reach. */
+static void choose(uint32_t agent, uint32_t count, int lost_zone, uint32_t size,
+		   struct choice *choice)
+{
+	struct row rows[ENTRIES + 1];
+	char address[NAME_LENGTH];
+	char name[NAME_LENGTH];
+
+	g_snprintf(name, sizeof(name), "side-%u", agent);
+	for (uint32_t i = 0; i < count; i++) {
+		g_snprintf(address, sizeof(address), "10.%u.0.%u:7720", i % ZONES, i / ZONES);
+		rows[i].index = i;
+		rows[i].entry.rank = subset_rank(name, address);
+		rows[i].entry.reachable = (int)(i % ZONES) != lost_zone;
+	}
+	qsort(rows, count, sizeof(*rows), by_rank);
+	for (uint32_t i = 0; i < count; i++) {
+		choice->rows[i] = rows[i].entry;
+		choice->entries[i] = rows[i].index;
+	}
+	subset_choose(choice->rows, count, size);
+	for (uint32_t i = 0; i < count; i++)
+		choice->wanted[choice->entries[i]] = choice->rows[i].wanted;
+}
+
+/* At 55 entries and 240 agents an agent serves 16 entries, and each entry has between half and
+ * twice the mean of 70 agents. */
+static void test_balance(void)
+{
+	uint32_t agents_of[ENTRIES] = {0};
+	struct choice choice;
+
+	for (uint32_t agent = 0; agent < AGENTS; agent++) {
+		uint32_t wanted = 0;
+
+		choose(agent, ENTRIES, -1, SUBSET_ENTRIES, &choice);
+		for (uint32_t i = 0; i < ENTRIES; i++) {
+			wanted += choice.wanted[i];
+			agents_of[i] += choice.wanted[i];
+		}
+		g_assert_cmpuint(wanted, ==, SUBSET_ENTRIES);
+	}
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		g_assert_cmpuint(agents_of[i], >=, AGENTS * SUBSET_ENTRIES / ENTRIES / 2);
+		g_assert_cmpuint(agents_of[i], <=, AGENTS * SUBSET_ENTRIES / ENTRIES * 2);
+	}
+}
+
+/* A small deployment keeps a link between each two. */
+static void test_small(void)
+{
+	struct choice choice;
+
+	choose(0, SUBSET_ENTRIES, -1, SUBSET_ENTRIES, &choice);
+	for (uint32_t i = 0; i < SUBSET_ENTRIES; i++)
+		g_assert_true(choice.wanted[i]);
+}
+
+/* Without one zone, an agent serves as many entries of the others, and goes on trying the lost ones
+ * of its choice. */
+static void test_lost_zone(void)
+{
+	struct choice before;
+	struct choice after;
+
+	for (uint32_t agent = 0; agent < AGENTS; agent++) {
+		uint32_t reached = 0;
+
+		choose(agent, ENTRIES, -1, SUBSET_ENTRIES, &before);
+		choose(agent, ENTRIES, 2, SUBSET_ENTRIES, &after);
+		for (uint32_t i = 0; i < ENTRIES; i++) {
+			reached += after.wanted[i] && i % ZONES != 2;
+			g_assert_true(!before.wanted[i] || after.wanted[i]);
+		}
+		g_assert_cmpuint(reached, ==, SUBSET_ENTRIES);
+	}
+}
+
+/* A further entry takes the place of at most one entry at each agent. */
+static void test_joining_entry(void)
+{
+	struct choice before;
+	struct choice after;
+
+	for (uint32_t agent = 0; agent < AGENTS; agent++) {
+		uint32_t dropped = 0;
+
+		choose(agent, ENTRIES, -1, SUBSET_ENTRIES, &before);
+		choose(agent, ENTRIES + 1, -1, SUBSET_ENTRIES, &after);
+		for (uint32_t i = 0; i < ENTRIES; i++)
+			dropped += before.wanted[i] && !after.wanted[i];
+		g_assert_cmpuint(dropped, ==, after.wanted[ENTRIES] ? 1 : 0);
+	}
+}
+
+/* Eight servers of a service among 55 entries: their agents serve all entries; of 240 they serve 16
+ * again. */
+static void test_scarce_service(void)
+{
+	uint32_t size = SUBSET_ENTRIES;
+
+	for (int i = 0; i < 4; i++)
+		size = subset_size(size, 8.0 * size / ENTRIES, ENTRIES);
+	g_assert_cmpuint(size, ==, ENTRIES);
+	for (int i = 0; i < 4; i++)
+		size = subset_size(size, 240.0 * size / ENTRIES, ENTRIES);
+	g_assert_cmpuint(size, ==, SUBSET_ENTRIES);
+	g_assert_cmpuint(subset_size(size, 0, ENTRIES), ==, SUBSET_ENTRIES);
+	g_assert_cmpuint(subset_size(size, 1, 3), ==, SUBSET_ENTRIES);
+}
+
+/* The work of another entry counts as far as both use the same servers. */
+static void test_overlap(void)
+{
+	g_assert_cmpfloat(subset_overlap(3), ==, 1);
+	g_assert_cmpfloat(subset_overlap(SUBSET_ENTRIES), ==, 1);
+	g_assert_cmpfloat(subset_overlap(2 * SUBSET_ENTRIES), ==, 0.5);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/subset/balance", test_balance);
+	g_test_add_func("/subset/small", test_small);
+	g_test_add_func("/subset/lost_zone", test_lost_zone);
+	g_test_add_func("/subset/joining_entry", test_joining_entry);
+	g_test_add_func("/subset/scarce_service", test_scarce_service);
+	g_test_add_func("/subset/overlap", test_overlap);
+	return g_test_run();
+}
