Count on no room at servers that stand still, and free what runs there

Ruled out: idle sound servers (all were full from 0.7 s after the fault on), speeds scaled by a median that the hanging servers move (within 10 %).

A server on trial or at under a fifth of the usual speed counts in no sum and gets a trial run only, one for all entries and of a job that can bear 200 ms. A task that cannot end in time goes back into the queue also when all is full, and its job ends at once when no other run could end before its client leaves. The percentage of a run is rounded down, and the first one of a long task is no sign that it stands still.

--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -68,13 +68,23 @@
 void fleet_note_order(struct fleet_server *server, const struct room *need, uint32_t priority,
 		      uint64_t number);
 
+/* Returns whether work may count on SERVER: one on trial, or one that hardly works, only gets a run
+ * now and then. */
+bool fleet_is_useful(const struct fleet_server *server);
+
 /* Returns the cpu of the runs that wait at SERVER and go before one of PRIORITY. */
 uint32_t fleet_waiting_before(const struct fleet_server *server, uint32_t priority);
 
 /* Returns the mean time of a run at SERVER. */
 int64_t fleet_run_us(const struct fleet_server *server);
 
-/* Sums over the ready servers of SERVICE. */
+/*
+ * Sums over the ready servers of SERVICE; all but their number and least_total leave out those that
+ * hardly work.
+ *
+ * Load pattern: a third of the servers stands still, so that they look empty. Their room would let
+ * jobs wait for it that cannot be served, and hide that the rest is full.
+ */
 struct fleet_sum {
 	uint32_t servers;
 	uint64_t cpu; /* thousandths of a core */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -416,16 +416,26 @@
 		return;
 	fleet_scale_speeds(&dispatch->fleet);
 	sum = fleet_sum(&dispatch->fleet, job->service);
-	if (sum.fastest <= 0 || sum.free_cpu < job->need.cpu)
-		return;
-	here_us = percent > 0 ? elapsed_us * (100 - percent) / percent : INT64_MAX / 4;
-	elsewhere_us = RESTART_US + (int64_t)((double)job->task_us / sum.fastest);
-	if (now_us + elsewhere_us > job->late_us ||
-	    (double)elsewhere_us * move_gain > (double)here_us)
+	if (sum.fastest <= 0)
 		return;
+	/* The percentage is rounded down. */
+	here_us = elapsed_us * (100 - MIN(percent, 99)) / (MIN(percent, 99) + 1);
 	/* Lost time only matters when the job would miss its objective here. */
 	if (now_us + here_us <= job->target_us)
 		return;
+	elsewhere_us = RESTART_US + (int64_t)((double)job->task_us / sum.fastest);
+	if (now_us + MIN(here_us, elsewhere_us) > job->deadline_us) {
+		end_job(dispatch, job, STATUS_DEADLINE_UNREACHABLE,
+			"a task stands still, and its client will have left before another run "
+			"ends",
+			now_us);
+		return;
+	}
+	if ((double)elsewhere_us * move_gain > (double)here_us)
+		return;
+	/* Without free room it moves into the queue, if it cannot end in time here. */
+	if (sum.free_cpu < job->need.cpu && now_us + here_us <= job->late_us)
+		return;
 	run->moving = true;
 	job->tasks[run->index].moves++;
 	stop_run(dispatch, handle, run);
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -12,6 +12,8 @@
 	uint32_t priority;
 };
 
+static const double useful_speed = 0.2; /* against the typical server */
+
 void fleet_init(struct fleet *fleet)
 {
 	table_init(&fleet->servers, sizeof(struct fleet_server));
@@ -163,6 +165,11 @@
 	return server->run_us > 0 ? server->run_us : DEFAULT_RUN_US;
 }
 
+bool fleet_is_useful(const struct fleet_server *server)
+{
+	return !server->on_trial && server->speed >= useful_speed;
+}
+
 static void note_total(struct fleet_sum *sum, const struct room *total)
 {
 	if (sum->servers++ == 0)
@@ -182,6 +189,8 @@
 		if (!server->ready || strcmp(server->service, service) != 0)
 			continue;
 		note_total(&sum, &server->total);
+		if (!fleet_is_useful(server))
+			continue;
 		sum.cpu += server->total.cpu;
 		sum.free_cpu += server->free.cpu;
 		sum.speed_cpu += server->speed * server->total.cpu;
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -9,6 +9,8 @@
 	WAITING_PERMILLE = 100, /* of a server's cpu; agents turn away more than this */
 	PERMILLE = 1000,
 	ORDER_DELAY_US = 6 * US_PER_MS, /* from the entry's order to the answer, beside the run */
+	/* Until a run on trial that stands still is noticed, stopped and started elsewhere. */
+	TRIAL_RISK_US = 200 * US_PER_MS,
 };
 
 /* Below this share of free room, jobs that can do with a slow server leave the fast ones. */
@@ -55,6 +57,8 @@
 {
 	int64_t end_us = now_us + ORDER_DELAY_US + placement_run_us(server, request->work_us);
 
+	if (server->on_trial)
+		end_us += TRIAL_RISK_US;
 	if (is_full(server, &request->need))
 		end_us += wait_us(server, fleet_waiting_before(server, request->priority) +
 						  request->need.cpu);
@@ -125,7 +129,7 @@
 		if (!server->ready || handle_equal(handle, request->avoid) ||
 		    strcmp(server->service, request->service) != 0)
 			continue;
-		if (server->on_trial && server->runs > 0)
+		if (server->on_trial ? server->runs > 0 : !fleet_is_useful(server))
 			continue;
 		candidate.may_wait = request->may_wait ? waiting_allowance(server, request) : 0;
 		if (candidate.waits && candidate.may_wait < request->need.cpu)
@@ -170,7 +174,8 @@
 	while ((server = table_next(&fleet->servers, &cursor, NULL))) {
 		uint32_t most = waiting_most(server);
 
-		if (!server->ready || strcmp(server->service, service) != 0)
+		if (!server->ready || strcmp(server->service, service) != 0 ||
+		    !(server->on_trial || fleet_is_useful(server)))
 			continue;
 		room->free_cpu = MAX(room->free_cpu, server->free.cpu);
 		for (uint32_t i = 0; i < PRIORITIES; i++) {
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -228,6 +228,8 @@
 
 	if (!runs_ready(runs)) {
 		refuse(runs, request, RUN_LEAVING);
+	} else if (runs_on_trial(runs, now_us) && table_count(&runs->table) > 0) {
+		refuse(runs, request, RUN_NO_ROOM); /* of all owners, one run at a time */
 	} else if (g_hash_table_contains(runs->by_task, request->task)) {
 		refuse(runs, request, RUN_BUSY);
 	} else if (runs_waiting_cpu(runs) == 0 && room_fits(&request->need, &room)) {
@@ -400,7 +402,8 @@
 
 	if (elapsed_us < BEHIND_MIN_US || run->estimate_us <= 0)
 		return;
-	rate = (double)run->percent / PERCENT * (double)run->estimate_us / (double)elapsed_us;
+	/* The percentage is rounded down: of a long task the first one takes a while. */
+	rate = (double)(run->percent + 1) / PERCENT * (double)run->estimate_us / (double)elapsed_us;
 	if (rate >= behind_factor * runs->usual_speed)
 		return;
 	if (now_us - run->progress_sent_us < BEHIND_PERIOD_US)
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -17,12 +17,16 @@
 	MANY_ENTRIES = 12,
 	MANY_SERVERS = 16,
 	MANY_SEEDS = 10,
+	STALL_SEEDS = 5,
+	MANY_STALLED = 5,
 	REPORT_US = 12000, /* between two reports of an agent to one of so many entries */
 	MEDIUM_US = 200000,
 	LONG_US = 900000,
 	DEADLINE_US = 2500000
 };
 
+static const double stalled = 0.0001; /* speed of a server that stands still */
+
 /* A kind of job, as one queue sees it. */
 struct kind {
 	const char *queue;
@@ -337,6 +341,37 @@
 	world_free(&world);
 }
 
+/* The first servers stand still, also with what they run already. */
+static void stall_servers(struct world *world, void *data)
+{
+	for (uint32_t i = 0; i < MANY_STALLED; i++) {
+		struct world_server *server = &world->servers[i];
+
+		server->speed = stalled;
+		for (guint k = 0; k < server->runs->len; k++)
+			((struct world_run *)server->runs->pdata[k])->ends_us = INT64_MAX;
+	}
+}
+
+/* Five servers of sixteen stand still with all that they run, at a load that the others bear (nine
+ * tenths of their capacity): nine tenths are served in time from a second after it on. In the mean
+ * of several seeds, as it matters which jobs are caught. */
+static void test_stalled_servers(void)
+{
+	double in_time = 0;
+
+	for (uint32_t seed = 1; seed <= STALL_SEEDS; seed++) {
+		struct world world;
+
+		start_many_entries(&world, seed, 0.93);
+		world_at(&world, 2000000, stall_servers, NULL);
+		world_run_until(&world, END_US);
+		in_time += share(count(&world, NULL, 1, 3000000));
+		world_free(&world);
+	}
+	g_assert_cmpfloat(in_time / STALL_SEEDS, >=, 0.9);
+}
+
 static void break_server(struct world *world, void *data)
 {
 	world->servers[0].always_fails = true;
@@ -452,6 +487,7 @@
 	g_test_add_func("/load/wrong_declarations", test_wrong_declarations);
 	g_test_add_func("/load/unequal_speeds", test_unequal_speeds);
 	g_test_add_func("/load/slow_server", test_slow_server);
+	g_test_add_func("/load/stalled_servers", test_stalled_servers);
 	g_test_add_func("/load/failing_server", test_failing_server);
 	g_test_add_func("/load/large_jobs", test_large_jobs_do_not_starve);
 	g_test_add_func("/load/no_server", test_no_server);
--- /dev/null
+++ b/test/unit/stall_test.c
@@ -0,0 +1,184 @@
+/* Servers that stand still with what they run: guards against work that is sent there because they
+ * look empty, and against tasks that stay there until their client leaves. */
+#include <glib.h>
+
+#include "dispatch.h"
+
+enum {
+	SERVER_CPU = 64000,
+	TASK_CPU = 15000,
+	TASK_US = 200 * US_PER_MS,
+	SLACK_US = 60 * US_PER_MS,
+	NOW_US = 100 * US_PER_SECOND
+};
+
+struct fixture {
+	struct dispatch dispatch;
+	struct handle servers[2];
+	uint32_t starts;
+	uint32_t stops;
+	uint64_t run; /* last started */
+	enum status ended;
+};
+
+static uint64_t on_start(void *context, void *link, const struct run_order *order)
+{
+	struct fixture *fixture = context;
+
+	fixture->starts++;
+	fixture->run = order->run;
+	return fixture->starts;
+}
+
+static void on_stop(void *context, void *link, uint64_t run)
+{
+	((struct fixture *)context)->stops++;
+}
+
+static void on_finished(void *context, const char *id, void *job_context, const struct job_end *end)
+{
+	((struct fixture *)context)->ended = end->status;
+}
+
+static void on_placed(void *context, const char *id, uint32_t tasks, uint32_t waiting,
+		      const char *servers, int64_t report_age_us)
+{
+}
+
+static void on_run_ended(void *context, const char *id, uint32_t index, uint32_t attempt,
+			 const char *server, enum run_outcome outcome, int64_t elapsed_us)
+{
+}
+
+static void report(struct fixture *fixture, int server, uint32_t free_cpu, double speed)
+{
+	const struct fleet_report read = {
+		.ready = true,
+		.free = {.cpu = free_cpu, .memory_mb = 1024},
+		.speed = speed,
+		.speed_known = true,
+		.waiting_cpu = {free_cpu > 0 ? 0 : SERVER_CPU},
+		.run_us = TASK_US,
+		.orders_counted = fixture->starts,
+	};
+
+	dispatch_server_report(&fixture->dispatch, fixture->servers[server], &read, NOW_US);
+}
+
+/* A sound server and one that stands still. */
+static void set_up(struct fixture *fixture)
+{
+	const struct dispatch_limits limits = {.max_jobs = 10};
+	const struct dispatch_callbacks callbacks = {
+		.context = fixture,
+		.start = on_start,
+		.stop = on_stop,
+		.finished = on_finished,
+		.placed = on_placed,
+		.run_ended = on_run_ended,
+	};
+	static int link;
+
+	*fixture = (struct fixture){.ended = STATUS_OK};
+	dispatch_init(&fixture->dispatch, &limits, &callbacks, 1);
+	for (int i = 0; i < 2; i++) {
+		struct fleet_server *server;
+
+		fixture->servers[i] = dispatch_server_add(&fixture->dispatch, &link);
+		server = fleet_get(&fixture->dispatch.fleet, fixture->servers[i]);
+		g_strlcpy(server->service, "service", sizeof(server->service));
+		server->total = (struct room){.cpu = SERVER_CPU, .memory_mb = 1024};
+	}
+	report(fixture, 0, SERVER_CPU, 1.0);
+	report(fixture, 1, SERVER_CPU, 1.0);
+}
+
+/* Submits a job of one task that arrived AGE_US ago and has DEADLINE_US left. */
+static void submit(struct fixture *fixture, int64_t age_us, int64_t deadline_us)
+{
+	GBytes *spec = g_bytes_new_static("s", 1);
+
+	dispatch_submit(&fixture->dispatch,
+			&(struct job_request){
+				.id = "0123456789abcdef",
+				.queue = "queue",
+				.service = "service",
+				.spec = spec,
+				.tasks = 1,
+				.need = {.cpu = TASK_CPU, .memory_mb = 1},
+				.estimate_us = TASK_US,
+				.max_attempts = 2,
+				.stretch = 1,
+				.slack_us = SLACK_US,
+				.arrived_us = NOW_US - age_us,
+				.deadline_us = NOW_US + deadline_us,
+			},
+			NOW_US);
+	g_bytes_unref(spec);
+	dispatch_pump(&fixture->dispatch, NOW_US);
+}
+
+/* A job that is late already waits rather than start where nothing ends. */
+static void test_late_job(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	report(&fixture, 0, 0, 1.0);
+	report(&fixture, 1, SERVER_CPU, 0.02);
+	submit(&fixture, 2 * TASK_US, 100 * TASK_US);
+	g_assert_cmpuint(fixture.starts, ==, 0);
+	dispatch_free(&fixture.dispatch);
+}
+
+/* A task that stands still goes back into the queue although all other servers are full. */
+static void test_full_servers(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	submit(&fixture, 0, 20 * TASK_US);
+	g_assert_cmpuint(fixture.starts, ==, 1);
+	report(&fixture, 0, 0, 1.0);
+	report(&fixture, 1, 0, 1.0);
+	dispatch_run_behind(&fixture.dispatch, fixture.run, 0, TASK_US, NOW_US + TASK_US);
+	g_assert_cmpuint(fixture.stops, ==, 1);
+	dispatch_free(&fixture.dispatch);
+}
+
+/* A job whose client will have left before a further run could end is answered at once. */
+static void test_no_time_left(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	submit(&fixture, 0, 3 * TASK_US / 2);
+	dispatch_run_behind(&fixture.dispatch, fixture.run, 0, TASK_US, NOW_US + TASK_US);
+	g_assert_cmpint(fixture.ended, ==, STATUS_DEADLINE_UNREACHABLE);
+	g_assert_cmpuint(fixture.stops, ==, 1);
+	dispatch_free(&fixture.dispatch);
+}
+
+/* A task whose first percent of work has not been counted yet is not taken for one that stands
+ * still. */
+static void test_first_percent(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	submit(&fixture, 0, 20 * TASK_US);
+	dispatch_run_behind(&fixture.dispatch, fixture.run, 0, TASK_US / 100,
+			    NOW_US + TASK_US / 100);
+	g_assert_cmpuint(fixture.stops, ==, 0);
+	dispatch_free(&fixture.dispatch);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stall/late_job", test_late_job);
+	g_test_add_func("/stall/full_servers", test_full_servers);
+	g_test_add_func("/stall/no_time_left", test_no_time_left);
+	g_test_add_func("/stall/first_percent", test_first_percent);
+	return g_test_run();
+}
