Bound what a broken peer between processes can do to an entry

Ruled out: backlog told by such a peer (dropped with its link), learned run times.

A list of runs counts once a connection; ends and progress count for the sender's own server and known outcomes only; speeds are at least 0.001 and are scaled again when a server goes.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -141,6 +141,9 @@
  * or a new agent process what it found. */
 void dispatch_server_settled(struct dispatch *dispatch, struct handle server, int64_t now_us);
 
+/* Returns whether run NUMBER is known and was ordered at SERVER. */
+bool dispatch_run_is_at(const struct dispatch *dispatch, uint64_t number, struct handle server);
+
 /* A run has ended, or was not started. */
 void dispatch_run_ended(struct dispatch *dispatch, uint64_t run, enum run_outcome outcome,
 			int64_t elapsed_us, int64_t now_us);
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -267,6 +267,7 @@
 		return;
 	server->link = NULL;
 	server->ready = false;
+	dispatch->fleet.speeds_stale = true;
 	server->reported_us = now_us;
 	if (server->runs == 0)
 		fleet_remove(&dispatch->fleet, handle);
@@ -364,6 +365,13 @@
 	requeue(dispatch, job, task);
 }
 
+bool dispatch_run_is_at(const struct dispatch *dispatch, uint64_t number, struct handle server)
+{
+	const struct run_row *run = table_get(&dispatch->runs, handle_unpack(number));
+
+	return run && handle_equal(run->server, server);
+}
+
 void dispatch_run_ended(struct dispatch *dispatch, uint64_t number, enum run_outcome outcome,
 			int64_t elapsed_us, int64_t now_us)
 {
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -56,6 +56,7 @@
 		return;
 	clear_orders(server);
 	table_remove(&fleet->servers, handle);
+	fleet->speeds_stale = true;
 }
 
 struct fleet_server *fleet_get(const struct fleet *fleet, struct handle server)
--- a/packages/greengaged/src/node_agents.c
+++ b/packages/greengaged/src/node_agents.c
@@ -9,6 +9,8 @@
 	URGENT_OFFSET_MS = 60000 /* keeps the number on the wire positive; only the order counts */
 };
 
+static const double speed_min = 0.001; /* speeds are divided by */
+
 /* One process of an agent. */
 struct agent_peer {
 	struct node_entry *entry;
@@ -138,7 +140,7 @@
 		.ready = room->ready && row->service[0] != '\0',
 		.on_trial = room->suspect,
 		.free = {.cpu = room->cpu, .memory_mb = room->memory_mb, .gpus = room->gpus},
-		.speed = (double)room->speed / PERMILLE,
+		.speed = MAX((double)room->speed / PERMILLE, speed_min),
 		.speed_known = room->samples > 0,
 		.run_us = (int64_t)room->run_ms * US_PER_MS,
 		.orders_counted = report->orders_ack,
@@ -153,6 +155,18 @@
 			  EV_I("free_cpu", room->cpu), EV_I("speed_permille", room->speed));
 }
 
+/* A peer tells of runs at its own server only; others are none of its business. */
+static void take_end(struct agent_peer *agent, const Ggd__RunEnd *end, int64_t now_us)
+{
+	struct dispatch *dispatch = &agent->entry->dispatch;
+
+	if (end->outcome == 0 || end->outcome >= RUN_OUTCOME_COUNT ||
+	    !dispatch_run_is_at(dispatch, end->run, agent->server))
+		return;
+	dispatch_run_ended(dispatch, end->run, (enum run_outcome)end->outcome,
+			   (int64_t)end->elapsed_ms * US_PER_MS, now_us);
+}
+
 static void take_report(struct agent_peer *agent, const Ggd__Report *report, int64_t now_us)
 {
 	struct dispatch *dispatch = &agent->entry->dispatch;
@@ -160,22 +174,23 @@
 	/* A report that was sent again after a lost connection is handled once. */
 	if (report->number == 0 || report->number > agent->report) {
 		for (size_t i = 0; i < report->n_ends; i++)
-			dispatch_run_ended(dispatch, report->ends[i]->run,
-					   (enum run_outcome)report->ends[i]->outcome,
-					   (int64_t)report->ends[i]->elapsed_ms * US_PER_MS,
-					   now_us);
+			take_end(agent, report->ends[i], now_us);
 	}
 	agent->report = MAX(agent->report, report->number);
-	if (report->inventory)
+	/* A second one would leave the server of the first behind. */
+	if (report->inventory && agent->inventory_due)
 		take_inventory(agent, report->inventory, now_us);
 	if (agent->inventory_due || !report->room)
 		return;
 	if (report->server)
 		take_server(agent, report->server);
 	take_room(agent, report, now_us);
-	for (size_t i = 0; i < report->n_late; i++)
-		dispatch_run_behind(dispatch, report->late[i]->run, report->late[i]->percent,
-				    (int64_t)report->late[i]->elapsed_ms * US_PER_MS, now_us);
+	for (size_t i = 0; i < report->n_late; i++) {
+		if (dispatch_run_is_at(dispatch, report->late[i]->run, agent->server))
+			dispatch_run_behind(
+				dispatch, report->late[i]->run, report->late[i]->percent,
+				(int64_t)report->late[i]->elapsed_ms * US_PER_MS, now_us);
+	}
 	settle_former(agent, report->room, now_us);
 }
 
--- /dev/null
+++ b/test/functional/hostile_peer_test.c
@@ -0,0 +1,386 @@
+/* A hostile or broken peer on the port between processes of a platform deployment: guards against
+ * one message that takes a whole process down, or that touches what belongs to another peer. */
+#include <arpa/inet.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "dispatch.pb-c.h"
+#include "harness.h"
+
+enum {
+	CONNECTIONS = 300,
+	FRAMES = 20,	 /* on each */
+	PAUSE_US = 3000, /* between two */
+	CALL_MS = 4000,
+	READY_MS = 10000,
+	IDENT_BYTES = 16,
+	HEADER_BYTES = 4,
+	PROTOCOL = 1,
+	NUMBERS_MAX = 6
+};
+
+static const char config[] =
+	"{\"version\":5,\"routes\":[{\"name\":\"r\",\"host\":\"127.0.0.2\",\"pathPrefix\":\"/q/\","
+	"\"service\":\"svc\",\"priority\":0,\"maxAttempts\":2,\"stretchFactor\":1.6,"
+	"\"targetRuntimeMs\":2000,\"timeoutMs\":3000}],\"services\":[],\"limits\":{}}";
+
+struct site {
+	struct harness *harness;
+	struct harness_process *entry;
+	int peer_port;
+	char *store_url;
+	char *client_url;
+	char *ready_url;
+};
+
+static struct harness_reply call(const char *method, const char *base, const char *path,
+				 const char *body)
+{
+	char *url = g_strconcat(base, path, NULL);
+	struct harness_reply reply = harness_http(method, url, body, CALL_MS);
+
+	g_free(url);
+	return reply;
+}
+
+static long status_of(const char *method, const char *base, const char *path, const char *body)
+{
+	struct harness_reply reply = call(method, base, path, body);
+	long status = reply.status;
+
+	harness_reply_clear(&reply);
+	return status;
+}
+
+static struct harness_process *spawn_daemon(struct site *site, const char *name, const char *text)
+{
+	char *file = g_strdup_printf("%s/%s.json", site->harness->directory, name);
+	const char *argv[] = {GG_BUILD_DIR "/packages/greengaged/greengaged", "--settings", file,
+			      NULL};
+	struct harness_process *process;
+
+	g_assert_true(g_file_set_contents(file, text, -1, NULL));
+	process = harness_spawn(site->harness, name, argv);
+	g_free(file);
+	return process;
+}
+
+/* One entry, one agent and its backend server. */
+static void start_site(struct site *site)
+{
+	int store_port = harness_free_port();
+	int server_port = harness_free_port();
+	int control_port = harness_free_port();
+	int client_port = harness_free_port();
+	int ready_port = harness_free_port();
+	char *store = g_strdup_printf("127.0.0.1:%d", store_port);
+	char *pair = g_strdup_printf("127.0.0.1:%d=127.0.0.1:%d", server_port, control_port);
+	const char *platform[] = {GG_BUILD_DIR "/test/standin/standin_platform", store, pair, NULL};
+	char *text;
+
+	*site = (struct site){.harness = harness_new(), .peer_port = harness_free_port()};
+	site->store_url = g_strdup_printf("http://%s", store);
+	site->client_url = g_strdup_printf("http://127.0.0.2:%d", client_port);
+	site->ready_url = g_strdup_printf("http://127.0.0.2:%d", ready_port);
+	harness_spawn(site->harness, "platform", platform);
+	HARNESS_WAIT(READY_MS, status_of("GET", site->store_url, "/control", NULL) == 200);
+	g_assert_cmpint(status_of("POST", site->store_url, "/control/config", config), ==, 200);
+	text = g_strdup_printf(
+		"{\"mode\":\"platform\",\"role\":\"entry\",\"name\":\"entry0\",\"zone\":\"a\","
+		"\"listen\":{\"clients\":\"127.0.0.2:%d\",\"readiness\":\"127.0.0.2:%d\"},"
+		"\"peers\":{\"ip\":\"127.0.0.2\",\"port\":%d,\"seeds\":[]},"
+		"\"store\":{\"address\":\"%s\"},\"limits\":{\"grace_s\":6.0}}",
+		client_port, ready_port, site->peer_port, store);
+	site->entry = spawn_daemon(site, "entry0", text);
+	g_free(text);
+	text = g_strdup_printf(
+		"{\"mode\":\"platform\",\"role\":\"agent\",\"name\":\"agent0\",\"zone\":\"a\","
+		"\"listen\":{\"control\":\"127.0.0.1:%d\"},"
+		"\"peers\":{\"ip\":\"127.0.0.1\",\"port\":%d,\"seeds\":[\"127.0.0.2:1\"]},"
+		"\"server\":{\"address\":\"127.0.0.1:%d\"},\"store\":{\"address\":\"%s\"}}",
+		control_port, site->peer_port, server_port, store);
+	spawn_daemon(site, "agent0", text);
+	g_free(text);
+	g_free(pair);
+	g_free(store);
+	HARNESS_WAIT(READY_MS,
+		     status_of("GET", site->ready_url, "/greengagefront/readyz", NULL) == 200);
+}
+
+static void stop_site(struct site *site)
+{
+	g_free(site->store_url);
+	g_free(site->client_url);
+	g_free(site->ready_url);
+	harness_free(site->harness);
+}
+
+static int dial(const struct site *site)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_port = htons((uint16_t)site->peer_port)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	inet_pton(AF_INET, "127.0.0.2", &address.sin_addr);
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
+	return fd;
+}
+
+/* Sends a frame. The entry may have closed the connection. */
+static void send_frame(int fd, const uint8_t *content, size_t length)
+{
+	uint32_t header = htonl((uint32_t)length);
+
+	if (send(fd, &header, HEADER_BYTES, MSG_NOSIGNAL) == HEADER_BYTES)
+		(void)!send(fd, content, length, MSG_NOSIGNAL);
+}
+
+static void send_message(int fd, const Ggd__Frame *frame)
+{
+	size_t length = ggd__frame__get_packed_size(frame);
+	uint8_t *bytes = g_malloc(length + 1);
+
+	ggd__frame__pack(frame, bytes);
+	send_frame(fd, bytes, length);
+	g_free(bytes);
+}
+
+static void greet(int fd, GRand *rand, bool as_entry)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__Hello hello = GGD__HELLO__INIT;
+	uint8_t incarnation[IDENT_BYTES];
+
+	for (int i = 0; i < IDENT_BYTES; i++)
+		incarnation[i] = (uint8_t)g_rand_int_range(rand, 0, 256);
+	hello.incarnation.data = incarnation;
+	hello.incarnation.len = IDENT_BYTES;
+	hello.name = (char *)(g_rand_boolean(rand) ? "agent0" : "stranger");
+	hello.zone = (char *)"a";
+	hello.address = (char *)(as_entry ? "127.0.0.9:1" : "");
+	hello.protocol = PROTOCOL;
+	frame.body_case = GGD__FRAME__BODY_HELLO;
+	frame.hello = &hello;
+	send_message(fd, &frame);
+}
+
+/* Numbers at the limits and small ones, which name real runs. */
+static uint64_t draw_number(GRand *rand)
+{
+	switch (g_rand_int_range(rand, 0, 4)) {
+	case 0:
+		return UINT64_MAX - (uint64_t)g_rand_int_range(rand, 0, 3);
+	case 1:
+		return (uint64_t)g_rand_int(rand) << 32 | g_rand_int(rand);
+	case 2:
+		return (uint64_t)g_rand_int_range(rand, 0, 4) << 32 |
+		       (uint64_t)g_rand_int_range(rand, 0, 40);
+	default:
+		return (uint64_t)g_rand_int_range(rand, 0, 4);
+	}
+}
+
+static uint32_t draw_u32(GRand *rand)
+{
+	return (uint32_t)draw_number(rand);
+}
+
+/* A report of any content, about real runs too. */
+static void send_report(int fd, GRand *rand)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__Report report = GGD__REPORT__INIT;
+	Ggd__Room room = GGD__ROOM__INIT;
+	Ggd__Server server = GGD__SERVER__INIT;
+	Ggd__Inventory inventory = GGD__INVENTORY__INIT;
+	Ggd__RunEnd end = GGD__RUN_END__INIT;
+	Ggd__RunEnd *ends[] = {&end};
+	Ggd__Progress late = GGD__PROGRESS__INIT;
+	Ggd__Progress *lates[] = {&late};
+	uint64_t runs[NUMBERS_MAX];
+	uint32_t waiting[NUMBERS_MAX];
+
+	for (int i = 0; i < NUMBERS_MAX; i++) {
+		runs[i] = draw_number(rand);
+		waiting[i] = draw_u32(rand);
+	}
+	report.number = draw_number(rand);
+	report.orders_ack = draw_number(rand);
+	end.run = draw_number(rand);
+	end.outcome = draw_u32(rand);
+	end.elapsed_ms = draw_u32(rand);
+	report.ends = ends;
+	report.n_ends = (size_t)g_rand_int_range(rand, 0, 2);
+	late.run = draw_number(rand);
+	late.percent = draw_u32(rand);
+	late.elapsed_ms = draw_u32(rand);
+	report.late = lates;
+	report.n_late = (size_t)g_rand_int_range(rand, 0, 2);
+	room.ready = g_rand_boolean(rand);
+	room.cpu = draw_u32(rand);
+	room.memory_mb = draw_u32(rand);
+	room.speed = draw_u32(rand);
+	room.samples = draw_u32(rand);
+	room.unsettled = draw_u32(rand);
+	room.suspect = g_rand_boolean(rand);
+	room.run_ms = draw_u32(rand);
+	room.waiting_cpu = waiting;
+	room.n_waiting_cpu = (size_t)g_rand_int_range(rand, 0, NUMBERS_MAX);
+	report.room = g_rand_boolean(rand) ? &room : NULL;
+	server.id = (char *)"s";
+	server.service = (char *)(g_rand_boolean(rand) ? "svc" : "other");
+	server.zone = (char *)"a";
+	server.cpu = draw_u32(rand);
+	report.server = g_rand_boolean(rand) ? &server : NULL;
+	inventory.runs = runs;
+	inventory.n_runs = (size_t)g_rand_int_range(rand, 0, NUMBERS_MAX);
+	inventory.remembered = g_rand_boolean(rand);
+	report.inventory = g_rand_boolean(rand) ? &inventory : NULL;
+	frame.body_case = GGD__FRAME__BODY_REPORT;
+	frame.report = &report;
+	send_message(fd, &frame);
+}
+
+static void send_state(int fd, GRand *rand)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__PeerState state = GGD__PEER_STATE__INIT;
+	uint64_t numbers[NUMBERS_MAX];
+	uint32_t counts[NUMBERS_MAX];
+	char *names[] = {(char *)"r", (char *)"", (char *)"127.0.0.8:99999"};
+
+	for (int i = 0; i < NUMBERS_MAX; i++) {
+		numbers[i] = draw_number(rand);
+		counts[i] = draw_u32(rand);
+	}
+	state.config_version = draw_number(rand);
+	state.config_wanted = g_rand_boolean(rand);
+	state.backlog_core_ms = numbers;
+	state.n_backlog_core_ms = (size_t)g_rand_int_range(rand, 0, NUMBERS_MAX);
+	state.entries = names;
+	state.n_entries = (size_t)g_rand_int_range(rand, 0, 4);
+	state.queues = names;
+	state.n_queues = (size_t)g_rand_int_range(rand, 0, 4);
+	state.queued = counts;
+	state.n_queued = (size_t)g_rand_int_range(rand, 0, NUMBERS_MAX);
+	frame.body_case = GGD__FRAME__BODY_PEER;
+	frame.peer = &state;
+	send_message(fd, &frame);
+}
+
+static void send_config(int fd, GRand *rand)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__ConfigDocument document = GGD__CONFIG_DOCUMENT__INIT;
+	static const char text[] = "{\"version\":";
+
+	document.version = draw_number(rand);
+	document.document.data = (uint8_t *)text;
+	document.document.len = (size_t)g_rand_int_range(rand, 0, sizeof(text));
+	frame.body_case = GGD__FRAME__BODY_CONFIG;
+	frame.config = &document;
+	send_message(fd, &frame);
+}
+
+static void send_garbage(int fd, GRand *rand)
+{
+	uint8_t bytes[64];
+
+	for (size_t i = 0; i < sizeof(bytes); i++)
+		bytes[i] = (uint8_t)g_rand_int_range(rand, 0, 256);
+	send_frame(fd, bytes, (size_t)g_rand_int_range(rand, 0, sizeof(bytes)));
+}
+
+static void attack(const struct site *site, GRand *rand)
+{
+	int fd = dial(site);
+
+	if (g_rand_int_range(rand, 0, 10) > 0)
+		greet(fd, rand, g_rand_boolean(rand));
+	for (int i = 0; i < FRAMES; i++) {
+		switch (g_rand_int_range(rand, 0, 20)) {
+		case 0:
+			send_garbage(fd, rand);
+			break;
+		case 1:
+			send_config(fd, rand);
+			break;
+		case 2:
+		case 3:
+		case 4:
+		case 5:
+			send_state(fd, rand);
+			break;
+		default:
+			send_report(fd, rand);
+			break;
+		}
+	}
+	close(fd);
+}
+
+struct background {
+	struct site *site;
+	unsigned completed;
+	gint stop; /* atomic */
+};
+
+/* Sends jobs, so that there are runs to name. */
+static void *send_jobs(void *context)
+{
+	struct background *background = context;
+	char path[32];
+
+	for (unsigned number = 1; !g_atomic_int_get(&background->stop); number++) {
+		struct harness_reply reply;
+		const char *state;
+
+		g_snprintf(path, sizeof(path), "/q/%016x", number);
+		reply = call("POST", background->site->client_url, path,
+			     "{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{\"count\":3,"
+			     "\"cpu\":1000,\"memMb\":64,\"estMs\":100}]}");
+		state = json_string_value(json_object_get(reply.body, "state"));
+		g_assert_true(reply.status != 200 || g_strcmp0(state, "completed") == 0);
+		background->completed += reply.status == 200;
+		harness_reply_clear(&reply);
+	}
+	return NULL;
+}
+
+/* The entry lives, and once the hostile peer is gone it serves as before. */
+static void test_entry_survives(void)
+{
+	GRand *rand = g_rand_new_with_seed(g_test_rand_int_range(0, INT32_MAX));
+	struct background background = {0};
+	struct site site;
+	GThread *thread;
+
+	start_site(&site);
+	background.site = &site;
+	thread = g_thread_new("client", send_jobs, &background);
+	for (int i = 0; i < CONNECTIONS; i++) {
+		attack(&site, rand);
+		g_usleep(PAUSE_US); /* some jobs begin and end meanwhile */
+	}
+	g_atomic_int_set(&background.stop, 1);
+	g_thread_join(thread);
+	g_test_message("%u jobs completed meanwhile", background.completed);
+	HARNESS_WAIT(READY_MS,
+		     status_of("POST", site.client_url, "/q/00000000ffffffff",
+			       "{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{\"count\":1,"
+			       "\"cpu\":1000,\"memMb\":64,\"estMs\":100}]}") == 200);
+	/* The same process answered: it ends with status 0 when it is asked to. */
+	harness_signal(site.entry, SIGTERM);
+	g_assert_cmpint(harness_wait_exit(site.entry, READY_MS), ==, 0);
+	g_rand_free(rand);
+	stop_site(&site);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/hostile_peer/entry_survives", test_entry_survives);
+	return g_test_run();
+}
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -341,6 +341,29 @@
 	tear_down(&fixture);
 }
 
+/* On trial, a server takes one run of all owners together: each may be lost there. */
+static void test_trial(void)
+{
+	struct fixture fixture;
+	char task[16];
+
+	set_up(&fixture);
+	for (int i = 0; i < 4; i++) {
+		g_snprintf(task, sizeof(task), "%c.0.0.0", 'a' + i);
+		start(&fixture, task, 100, OWNER, 0, i);
+		runs_start_answered(&fixture.runs, fixture.last, START_STARTED, i);
+		list(&fixture, NULL, task, RUN_FAILED, 1000 * (i + 1));
+	}
+	g_assert_false(runs_ready(&fixture.runs));
+	runs_tick(&fixture.runs, 10 * US_PER_SECOND);
+	g_assert_true(runs_on_trial(&fixture.runs, 10 * US_PER_SECOND));
+	g_array_set_size(fixture.outcomes, 0);
+	start(&fixture, "x.0.0.0", 100, OWNER, 0, 10 * US_PER_SECOND);
+	start(&fixture, "y.0.0.0", 100, OWNER + 1, 0, 10 * US_PER_SECOND);
+	check_outcomes(&fixture, 1, RUN_NO_ROOM);
+	tear_down(&fixture);
+}
+
 /* A run whose percent stands still tells of a stalled server long before its lease or deadline. */
 static void test_behind(void)
 {
@@ -371,6 +394,7 @@
 	g_test_add_func("/runs/waited_too_long", test_waited_too_long);
 	g_test_add_func("/runs/leaving", test_leaving);
 	g_test_add_func("/runs/quarantine", test_quarantine);
+	g_test_add_func("/runs/trial", test_trial);
 	g_test_add_func("/runs/behind", test_behind);
 	return g_test_run();
 }
