Test an entry that wakes after its job was sent again elsewhere

Guards against a process that acts on a permission that ran out while it was paused.

An id that an entry told nobody before it died may run again.

--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -14,7 +14,7 @@
 	STATE_INTERVAL_MS = 50, /* while work is queued, at least */
 	STATE_PER_PEER_MS = 5,
 	STATE_FRESH_MS = 400, /* older figures of a peer do not count, or after two intervals */
-	HEARTBEAT_PER_PEER_MS = 10,
+	HEARTBEAT_PER_PEER_MS = 5,
 	/* Below the least limit of silence, for peers that know fewer entries yet. */
 	HEARTBEAT_MAX_MS = 500
 };
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -558,6 +558,42 @@
 
 /* An agent that was frozen has given its entries up, and counts its reports from 1 again: the
  * entries once took them for repetitions, and jobs hung until their deadline. */
+/* An entry that stands still with a job that runs and one that waits; meanwhile the client sends
+ * the first again elsewhere. Guards against an entry that goes on, once it wakes, with jobs that
+ * are no longer its own: nothing is ordered twice, and its client gets no claim that nothing ran.
+ */
+static void test_entry_frozen(void)
+{
+	struct site site;
+	struct background first = {.number = 1, .tasks = WIDE_TASKS};
+	struct background again = {.entry = 1, .number = 1, .tasks = WIDE_TASKS};
+	GThread *thread;
+	GThread *second;
+	int64_t before;
+
+	start_site(&site);
+	control(&site, "{\"run_ms\":500}");
+	first.site = again.site = &site;
+	thread = g_thread_new("client", run_background, &first);
+	HARNESS_WAIT(CALL_MS, seen(&site, "running") > 0);
+	harness_signal(site.entries[0], SIGSTOP);
+	g_usleep(RESEND_MS * US_PER_MS);
+	g_assert_cmpint(seen(&site, "running"), ==, 0);
+	before = seen(&site, "starts");
+	second = g_thread_new("client", run_background, &again);
+	HARNESS_WAIT(CALL_MS, seen(&site, "running") > 0);
+	harness_signal(site.entries[0], SIGCONT);
+	g_thread_join(second);
+	g_thread_join(thread);
+	g_assert_cmpint(again.reply.status, ==, 200);
+	g_assert_cmpint(first.reply.status, !=, 503);
+	g_assert_cmpint(first.reply.status, !=, 429);
+	g_assert_cmpint(seen(&site, "starts") - before, ==, WIDE_TASKS);
+	harness_reply_clear(&first.reply);
+	harness_reply_clear(&again.reply);
+	stop_site(&site);
+}
+
 static void test_agent_frozen(void)
 {
 	struct site site;
@@ -610,6 +646,7 @@
 	g_test_add_func("/platform/agent_restarts", test_agent_restarts);
 	g_test_add_func("/platform/settings_change", test_settings_change);
 	g_test_add_func("/platform/agent_frozen", test_agent_frozen);
+	g_test_add_func("/platform/entry_frozen", test_entry_frozen);
 	g_test_add_func("/platform/metrics", test_metrics);
 	return g_test_run();
 }
