--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -556,12 +556,9 @@
 	stop_site(&site);
 }
 
-/* An agent that was frozen has given its entries up, and counts its reports from 1 again: the
- * entries once took them for repetitions, and jobs hung until their deadline. */
 /* An entry that stands still with a job that runs and one that waits; meanwhile the client sends
  * the first again elsewhere. Guards against an entry that goes on, once it wakes, with jobs that
- * are no longer its own: nothing is ordered twice, and its client gets no claim that nothing ran.
- */
+ * are no longer its own: nothing is ordered twice, and its client is not told that nothing ran. */
 static void test_entry_frozen(void)
 {
 	struct site site;
@@ -594,6 +591,8 @@
 	stop_site(&site);
 }
 
+/* An agent that was frozen has given its entries up, and counts its reports from 1 again: the
+ * entries once took them for repetitions, and jobs hung until their deadline. */
 static void test_agent_frozen(void)
 {
 	struct site site;
