Take a heartbeat from long before for no sign that a server is ready

Cause: a new process of an agent does not know the heartbeats that came before. One that was delayed until then ("ready", from before the server told that it leaves) made it use the server again until the next heartbeat, 1.5 s later.

Ruled out: the same within one process (heartbeats are numbered), and an earlier life of the server (its start time is compared).

A heartbeat names the server's clock, as the answers to lists do: one over 1 s behind does not make the server ready.

--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -30,6 +30,7 @@
 	RENEW_MS = 200,	    /* the lease is renewed at least this often while something runs */
 	ANSWER_WEIGHT = 16, /* of one answer in the usual time: 1 in 16 */
 	RETRY_MS = 100,
+	HEARTBEAT_LATE_MS = 1000,  /* the server takes one unanswered for so long for lost */
 	EPOCH_STEP = 60000,	   /* by which a refused epoch is raised, at first */
 	WAITING_PERMILLE = 100,	   /* of the server's cpu that runs may wait for; some 15 ms */
 	CLOCK_DRIFT_PERMILLE = 20, /* a server's steady clock may be 2 % slow */
@@ -435,6 +436,8 @@
 	}
 	backend->announced = true;
 	backend->sequence = heartbeat->sequence;
+	backend->heartbeat_clock_ms = heartbeat->clock_ms;
+	backend->heartbeat_us = backend->loop->now_us;
 	runs_server_present(&backend->runs, &heartbeat->total, heartbeat->leaving);
 	if (heartbeat->leaving && !was_leaving)
 		event_log(EVENT_SERVER_LEAVING, EV_S("server", heartbeat->id),
@@ -562,10 +565,21 @@
 	return STATUS_OK;
 }
 
+/* A new process of the agent does not know which heartbeats came before, so one that was delayed
+ * could bring back a server that has left meanwhile. */
+static bool is_heartbeat_late(const struct backend *backend)
+{
+	int64_t arrived_ms =
+		backend->clock_ms + (backend->heartbeat_us - backend->clock_us) / US_PER_MS;
+
+	return backend->heartbeat_clock_ms > 0 &&
+	       arrived_ms - backend->heartbeat_clock_ms > HEARTBEAT_LATE_MS;
+}
+
 bool backend_ready(const struct backend *backend)
 {
-	return backend->announced && backend->reachable && backend->clock_ms > 0 &&
-	       !backend->leaving && runs_ready(&backend->runs);
+	return backend->announced && !is_heartbeat_late(backend) && backend->reachable &&
+	       backend->clock_ms > 0 && !backend->leaving && runs_ready(&backend->runs);
 }
 
 uint32_t backend_unsettled(const struct backend *backend)
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -33,6 +33,8 @@
 	size_t label_count;
 	int64_t started_ms; /* of its current life; 0 while unknown */
 	uint64_t sequence;
+	int64_t heartbeat_clock_ms; /* the server's clock in its last heartbeat; 0 if not told */
+	int64_t heartbeat_us;	    /* when that arrived */
 	uint32_t version; /* rises when the above change */
 	bool announced;
 	bool reachable;	  /* answers calls */
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -28,6 +28,7 @@
 	struct harness_process *platform;
 	struct harness_process *entries[ENTRIES];
 	struct harness_process *agents[AGENTS];
+	int control_ports[AGENTS];
 	char *store_url;
 	char *client_urls[ENTRIES];
 	char *ready_urls[ENTRIES];
@@ -154,6 +155,7 @@
 	argv[1] = g_strdup_printf("127.0.0.1:%d", store_port);
 	for (unsigned i = 0; i < AGENTS; i++) {
 		controls[i] = harness_free_port();
+		site->control_ports[i] = controls[i];
 		servers[i] = harness_free_port();
 		argv[i + 2] = g_strdup_printf("127.0.0.1:%d=127.0.0.1:%d", servers[i], controls[i]);
 	}
@@ -492,6 +494,34 @@
 	stop_site(&site);
 }
 
+/* A server that leaves, its agent's restart, and then a heartbeat from before that was delayed: the
+ * server is not used again. */
+static void test_late_heartbeat(void)
+{
+	static const char heartbeat[] =
+		"{\"service\":\"svc\",\"addr\":\"127.0.0.1:1\",\"zone\":\"a\",\"version\":\"v1\","
+		"\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":64000,"
+		"\"memMb\":65536,\"gpu\":0},\"labels\":[],\"clockMs\":1,\"seq\":1}";
+	struct site site;
+	char *url;
+
+	start_site(&site);
+	control(&site, "{\"drain\":0,\"silent\":0}");
+	g_usleep(RETURN_MS * US_PER_MS);
+	harness_kill(site.agents[0]);
+	harness_restart(site.harness, site.agents[0]);
+	url = g_strdup_printf("http://127.0.0.1:%d", site.control_ports[0]);
+	HARNESS_WAIT(CALL_MS,
+		     status_of("POST", url, "/greengagefront/instances/i-00000001/heartbeat",
+			       heartbeat) == 200);
+	g_usleep(RETURN_MS * US_PER_MS);
+	for (unsigned i = 0; i < 10; i++)
+		completes(&site, i % ENTRIES, i + 1, 3);
+	g_assert_cmpint(seen(&site, "starts_after_drain"), ==, 0);
+	g_free(url);
+	stop_site(&site);
+}
+
 /* A planned stop answers what it has taken, turns the balancer away, and exits with 0. */
 static void test_graceful_stop(void)
 {
@@ -641,6 +671,7 @@
 	g_test_add_func("/platform/losses_cost_little", test_losses_cost_little);
 	g_test_add_func("/platform/garbled_lists", test_garbled_lists);
 	g_test_add_func("/platform/leaving_server", test_leaving_server);
+	g_test_add_func("/platform/late_heartbeat", test_late_heartbeat);
 	g_test_add_func("/platform/graceful_stop", test_graceful_stop);
 	g_test_add_func("/platform/agent_restarts", test_agent_restarts);
 	g_test_add_func("/platform/settings_change", test_settings_change);
