Overlap the first reads of the configuration

An entry without a configuration refuses; its first read, swallowed by the silence, held up the next one for the time-out of 1 s and a pause of 0.2 s.

Ruled out: taking the configuration from another process (all have restarted, agents too, and no host has a disk); a shorter time-out (the store may take 60 times its usual 4 ms).

--- a/packages/greengaged/src/node_config.c
+++ b/packages/greengaged/src/node_config.c
@@ -10,7 +10,13 @@
 	/* A read that waits is given up 0.6 s after this, so that a configuration is still in
 	 * force in time when the connection has gone silent. */
 	READ_WAIT_MS = 3500,
-	RETRY_MS = 200
+	RETRY_MS = 200,
+	/*
+	 * Load pattern: all processes start while the store is silent, and none can serve before it
+	 * has read the configuration. A call that the silence swallowed holds up the next one for
+	 * its time-out of a second, so the first reads overlap.
+	 */
+	FIRST_READ_MS = 250
 };
 
 uint64_t node_config_version(const struct node_config *config)
@@ -106,7 +112,30 @@
 		store_read_newest(config->store, STORE_TOPIC_OPERATOR, on_records, config);
 }
 
-void node_config_start(struct node_config *config)
+static void on_first_records(void *context, const struct store_result *result)
 {
+	struct node_config *config = context;
+
+	if (config->following)
+		return;
+	note_store(config, result);
+	if (result->status != STATUS_OK)
+		return;
+	timer_cancel(&config->loop->timers, config->first_reads);
+	take_records(config, result);
+	config->following = true;
 	follow(config, config->loop->now_us);
 }
+
+static void read_first(void *context, int64_t now_us)
+{
+	struct node_config *config = context;
+
+	store_read_newest(config->store, STORE_TOPIC_OPERATOR, on_first_records, config);
+}
+
+void node_config_start(struct node_config *config)
+{
+	config->first_reads = timer_subscribe(&config->loop->timers, config->loop->now_us,
+					      FIRST_READ_MS * US_PER_MS, read_first, config);
+}
--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -7,7 +7,7 @@
 enum {
 	CODE_OK = 200,
 	CODE_GONE = 410,
-	CONNECTIONS = 4,
+	CONNECTIONS = 6,
 	IDLE_LIMIT_MS = 10000,
 	ANSWER_MAX_BYTES = 8 << 20,
 	CALL_TIMEOUT_MS = 1000, /* an answer usually takes 4 ms */
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -17,6 +17,7 @@
 	WIDE_TASKS = 20,  /* more than one server has room for */
 	FREEZE_MS = 1500, /* longer than the time after which a peer is given up */
 	LOSSY_JOBS = 40,
+	SILENCE_OVER_MS = 600, /* half of the time-out and the pause after it */
 	OLD_CONNECTION_MS = 10300,
 	RESEND_MS = 1300,
 	RETURN_MS = 1000, /* half of the 2 s for a lost entry to be back */
@@ -374,6 +375,27 @@
 	stop_site(&site);
 }
 
+/* All entries start while the store is silent: each serves soon after the store's return, and not
+ * only after the time-out of the call that the silence swallowed (1.2 s). */
+static void test_start_in_silence(void)
+{
+	struct site site;
+
+	start_site(&site);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		harness_kill(site.entries[i]);
+	control(&site, "{\"store_silent\":true}");
+	for (unsigned i = 0; i < ENTRIES; i++)
+		harness_restart(site.harness, site.entries[i]);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		HARNESS_WAIT(READY_MS,
+			     status_of("GET", site.ready_urls[i], "/metrics", NULL) == 200);
+	control(&site, "{\"store_silent\":false}");
+	for (unsigned i = 0; i < ENTRIES; i++)
+		HARNESS_WAIT(SILENCE_OVER_MS, is_ready(&site, i));
+	stop_site(&site);
+}
+
 /* Agents find an entry that was restarted at once: it once took them 2 s. */
 static void test_entry_returns(void)
 {
@@ -665,6 +687,7 @@
 	g_test_add_func("/platform/configuration", test_configuration);
 	g_test_add_func("/platform/agents_start_without_seed", test_agents_start_without_seed);
 	g_test_add_func("/platform/start_without_store", test_start_without_store);
+	g_test_add_func("/platform/start_in_silence", test_start_in_silence);
 	g_test_add_func("/platform/entry_returns", test_entry_returns);
 	g_test_add_func("/platform/entry_killed_with_work", test_entry_killed_with_work);
 	g_test_add_func("/platform/lost_answers", test_lost_answers);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -93,6 +93,7 @@
 	double starts_lost;
 	int64_t run_ms; /* of every task */
 	bool store_down;
+	bool store_silent; /* leaves calls unanswered */
 	bool lists_garbled;
 	uint32_t starts;
 	uint32_t overlaps;
@@ -514,7 +515,9 @@
 	char *from = query_value(http_request_query(request), "from");
 	char *wait = query_value(http_request_query(request), "waitMs");
 
-	if (standin->store_down) {
+	if (standin->store_silent) {
+		leave_unanswered(request);
+	} else if (standin->store_down) {
 		http_answer(request, 503, NULL, "{}");
 	} else if (!topic) {
 		http_answer(request, 400, NULL, "{}");
@@ -586,6 +589,8 @@
 		standin->run_ms = json_integer_value(field);
 	if ((field = json_object_get(document, "store_down")))
 		standin->store_down = json_is_true(field);
+	if ((field = json_object_get(document, "store_silent")))
+		standin->store_silent = json_is_true(field);
 	if ((field = json_object_get(document, "lists_garbled")))
 		standin->lists_garbled = json_is_true(field);
 	apply_server_faults(standin, document);
