--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -222,20 +222,20 @@
 
 void runs_start(struct runs *runs, const struct run_request *request, int64_t now_us)
 {
+	/* On trial, one run of all owners at a time. */
+	bool open = !runs_on_trial(runs, now_us) || table_count(&runs->table) == 0;
 	struct room room = runs_free_room(runs);
 	struct handle handle;
 	struct run *run;
 
 	if (!runs_ready(runs)) {
 		refuse(runs, request, RUN_LEAVING);
-	} else if (runs_on_trial(runs, now_us) && table_count(&runs->table) > 0) {
-		refuse(runs, request, RUN_NO_ROOM); /* of all owners, one run at a time */
 	} else if (g_hash_table_contains(runs->by_task, request->task)) {
 		refuse(runs, request, RUN_BUSY);
-	} else if (runs_waiting_cpu(runs) == 0 && room_fits(&request->need, &room)) {
+	} else if (open && runs_waiting_cpu(runs) == 0 && room_fits(&request->need, &room)) {
 		run = add(runs, request, &handle, now_us);
 		runs_send_start(runs, run, handle, now_us);
-	} else if (runs_may_wait(runs, request, now_us)) {
+	} else if (open && runs_may_wait(runs, request, now_us)) {
 		run = add(runs, request, &handle, now_us);
 		runs_enter(run, RUN_WAITING, now_us);
 		runs->waiting_cpu[run->priority] += run->need.cpu;
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -35,7 +35,7 @@
 	uint64_t sequence;
 	int64_t heartbeat_clock_ms; /* the server's clock in its last heartbeat; 0 if not told */
 	int64_t heartbeat_us;	    /* when that arrived */
-	uint32_t version; /* rises when the above change */
+	uint32_t version;	    /* rises when the above change */
 	bool announced;
 	bool reachable;	  /* answers calls */
 	bool listed;	  /* a list of this life has been handled */
@@ -50,9 +50,9 @@
 	bool looking;	     /* a call that does not wait is in progress */
 	bool look_wanted;
 	uint32_t failed_looks; /* in a row */
-	int64_t lost_us;  /* when a call last got no answer in time */
-	bool quarantined; /* as last logged */
-	bool leaving;	  /* this process shuts down and takes no starts */
+	int64_t lost_us;       /* when a call last got no answer in time */
+	bool quarantined;      /* as last logged */
+	bool leaving;	       /* this process shuts down and takes no starts */
 };
 
 /* Listens for announcements and begins to look at the server. Errors as net_listen. */
