Keep the ids of ended jobs for 10 s also in a burst of the large site

The oldest were dropped after some 6 s, and a request that came again later than that could run again. 40,000 ids need 4.4 MB at an entry of 120 MB or more.

--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -14,7 +14,9 @@
 	PEERS_TICK_MS = 50,
 	MAX_JOBS = 20000,	    /* unfinished, of one entry */
 	ENDED_JOBS_KEEP_MS = 10000, /* requests come again some seconds after their answer */
-	ENDED_JOBS_MOST = 20000,    /* of all entries, some 110 bytes each */
+	/* Of all entries, some 110 bytes each: 4,000 jobs a second, three times the usual load of
+	 * 55 entries. */
+	ENDED_JOBS_MOST = 40000,
 	PROBE_BYTES = 4096,
 	PROBE_LIMIT_MS = 2000,
 	PROBE_KEEP_MS = 60000,
