--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -10,9 +10,10 @@
 enum {
 	HARNESS_MAX_ENTRIES = 8,
 	HARNESS_MAX_AGENTS = 40,
-	HARNESS_POLL_US = 5000,	  /* between two checks of a condition */
-	HARNESS_START_MS = 20000, /* for a process to be ready, also on a busy machine */
-	HARNESS_CALL_MS = 30000,  /* for one HTTP call */
+	HARNESS_POLL_US = 5000,	      /* between two checks of a condition */
+	HARNESS_START_MS = 20000,     /* for a process to be ready, also on a busy machine */
+	HARNESS_CALL_MS = 30000,      /* for one HTTP call */
+	HARNESS_SHORT_CALL_MS = 5000, /* above the time for which a route lets a job take */
 };
 
 /* A child process. Its output goes to files in the harness's directory. */
@@ -136,6 +137,13 @@
 				  int64_t limit_ms);
 void harness_reply_clear(struct harness_reply *reply);
 
+/* The same for PATH below the address BASE, with a limit of HARNESS_SHORT_CALL_MS. */
+struct harness_reply harness_call(const char *method, const char *base, const char *path,
+				  const char *body);
+
+/* Returns the status of such a request. */
+long harness_status(const char *method, const char *base, const char *path, const char *body);
+
 /* Opens a session at an entry and returns its token, to be freed. */
 char *harness_open_session(const char *entry_url);
 
--- a/test/functional/harness_http.c
+++ b/test/functional/harness_http.c
@@ -206,3 +206,22 @@
 	g_hash_table_destroy(seen);
 	return starts;
 }
+
+struct harness_reply harness_call(const char *method, const char *base, const char *path,
+				  const char *body)
+{
+	char *url = g_strconcat(base, path, NULL);
+	struct harness_reply reply = harness_http(method, url, body, HARNESS_SHORT_CALL_MS);
+
+	g_free(url);
+	return reply;
+}
+
+long harness_status(const char *method, const char *base, const char *path, const char *body)
+{
+	struct harness_reply reply = harness_call(method, base, path, body);
+	long status = reply.status;
+
+	harness_reply_clear(&reply);
+	return status;
+}
