Tell an entry the server's identity with each list of runs

On the new connection an agent sent the ends that were not acknowledged first, with the server's identity; the entry reads those for their ends only, so the list of runs after them brought a server without a service, which was never ready there ("no backend server is ready" until the server restarts).

Ruled out: the links (open on both sides since 9.7 s before the end), late heartbeats (the other entries used the same servers).

The list of runs names the server anew.

--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -210,6 +210,9 @@
 	if (owner->ends->len > 0)
 		owner_send_ends(owner, backend);
 	runs_foreach(&backend->runs, collect_run, &collected);
+	/* The owner may have dropped what it knew of the server, and reads the reports before this
+	 * one for their ends only. */
+	owner->identity_version = 0;
 	inventory.remembered = !owner->is_new;
 	inventory.n_runs = collected.numbers->len;
 	inventory.runs = (uint64_t *)(void *)collected.numbers->data;
--- a/test/functional/soak_test.c
+++ b/test/functional/soak_test.c
@@ -29,8 +29,9 @@
 
 /* Seeds that once failed, with the cause in a comment. */
 static const guint32 regressions[] = {
-	2, /* reports of an agent that had forgotten the entry were taken for repetitions */
-	5, /* a refused connection was taken for a crash while the server ran on */
+	2,    /* reports of an agent that had forgotten the entry were taken for repetitions */
+	5,    /* a refused connection was taken for a crash while the server ran on */
+	9011, /* an entry that had dropped a server was not told its service again */
 };
 
 struct soak {
