Follow the configuration once when first reads are answered late

Cause, found by reading: the first reads overlap, and an answer counted unless the store was being followed. After the first answer a failed read stops the following for 0.2 s; a first read answered in that time began to follow as well, and two chains of reads went on side by side.

The first answer now ends the first reads for good.

--- a/packages/greengaged/src/node_config.c
+++ b/packages/greengaged/src/node_config.c
@@ -85,15 +85,20 @@
 	config->store_lost = lost;
 }
 
+static void take_and_follow(struct node_config *config, const struct store_result *result)
+{
+	take_records(config, result);
+	config->following = true;
+	follow(config, config->loop->now_us);
+}
+
 static void on_records(void *context, const struct store_result *result)
 {
 	struct node_config *config = context;
 
 	note_store(config, result);
 	if (result->status == STATUS_OK) {
-		take_records(config, result);
-		config->following = true;
-		follow(config, config->loop->now_us);
+		take_and_follow(config, result);
 		return;
 	}
 	config->following = false;
@@ -116,15 +121,15 @@
 {
 	struct node_config *config = context;
 
-	if (config->following)
+	/* One of these reads has been answered before, and a second would be followed beside it. */
+	if (config->first_reads.generation == 0)
 		return;
 	note_store(config, result);
 	if (result->status != STATUS_OK)
 		return;
 	timer_cancel(&config->loop->timers, config->first_reads);
-	take_records(config, result);
-	config->following = true;
-	follow(config, config->loop->now_us);
+	config->first_reads = (struct handle){0};
+	take_and_follow(config, result);
 }
 
 static void read_first(void *context, int64_t now_us)
--- a/packages/greengaged/src/node_config.h
+++ b/packages/greengaged/src/node_config.h
@@ -14,7 +14,7 @@
 	GBytes *document;	   /* as it lies in the store */
 	uint64_t next;		   /* offset from which to read on */
 	bool following;		   /* the newest records have been read */
-	struct handle first_reads; /* timer of the reads until then */
+	struct handle first_reads; /* timer of the reads until the first answer; none afterwards */
 	bool store_lost;
 	void (*applied)(void *context, const struct route_table *table);
 	void (*store_returned)(void *context);
