--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -55,9 +55,8 @@
 
 /*
  * Fills SERVERS, of REQUEST->tasks entries, with a server for each task that can start now and
- * returns their number. Only servers on which the task ends by the target are
- * taken. Room is looked up, not taken. SUM is that of the request's service. SEED is the state of
- * the draws.
+ * returns their number. Only servers on which the task ends by the target are taken. Room is looked
+ * up, not taken. SUM is that of the request's service. SEED is the state of the draws.
  */
 uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *request,
 			  const struct fleet_sum *sum, int64_t now_us, uint64_t *seed,
--- a/packages/core/include/subset.h
+++ b/packages/core/include/subset.h
@@ -24,7 +24,6 @@
 };
 
 struct subset_entry {
-	uint64_t rank;
 	bool reachable; /* answers, or has not been tried long enough to tell */
 	bool wanted;	/* chosen */
 };
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -209,6 +209,7 @@
 	return core_us;
 }
 
+/* One view for each service with queued jobs. */
 struct views {
 	const struct fleet *fleet;
 	GHashTable *by_service; /* name -> struct service_view * */
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -89,10 +89,12 @@
 	return (left->draw > right->draw) - (left->draw < right->draw);
 }
 
-/* Returns the cpu of all tasks that may wait at SERVER. */
-static uint32_t waiting_most(const struct fleet_server *server)
+/* Returns the cpu of further tasks of PRIORITY that may wait at SERVER. */
+static uint32_t waiting_left(const struct fleet_server *server, uint32_t priority)
 {
-	return (uint32_t)((uint64_t)server->total.cpu * WAITING_PERMILLE / PERMILLE);
+	uint32_t most = (uint32_t)((uint64_t)server->total.cpu * WAITING_PERMILLE / PERMILLE);
+
+	return most - MIN(most, fleet_waiting_before(server, priority));
 }
 
 /* Returns the cpu of tasks like REQUEST's that may be sent to wait for room. As at the agent, one
@@ -100,12 +102,11 @@
 static uint32_t waiting_allowance(const struct fleet_server *server,
 				  const struct placement_request *request)
 {
-	uint32_t most = waiting_most(server);
-	uint32_t before = fleet_waiting_before(server, request->priority);
+	uint32_t left = waiting_left(server, request->priority);
 
-	if (before == 0)
-		return MAX(most, request->need.cpu);
-	return most - MIN(most, before);
+	if (fleet_waiting_before(server, request->priority) == 0)
+		return MAX(left, request->need.cpu);
+	return left;
 }
 
 static GArray *find_candidates(const struct fleet *fleet, const struct placement_request *request,
@@ -172,17 +173,14 @@
 
 	*room = (struct placement_room){0};
 	while ((server = table_next(&fleet->servers, &cursor, NULL))) {
-		uint32_t most = waiting_most(server);
-
 		if (!server->ready || strcmp(server->service, service) != 0 ||
 		    !(server->on_trial || fleet_is_useful(server)))
 			continue;
 		room->free_cpu = MAX(room->free_cpu, server->free.cpu);
 		for (uint32_t i = 0; i < PRIORITIES; i++) {
-			uint32_t before = fleet_waiting_before(server, i);
-
-			room->waiting_cpu[i] = MAX(room->waiting_cpu[i], most - MIN(most, before));
-			room->one_may_wait[i] = room->one_may_wait[i] || before == 0;
+			room->waiting_cpu[i] = MAX(room->waiting_cpu[i], waiting_left(server, i));
+			room->one_may_wait[i] =
+				room->one_may_wait[i] || fleet_waiting_before(server, i) == 0;
 		}
 	}
 }
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -331,6 +331,14 @@
 	g_free(listing);
 }
 
+/* Returns how long a list waits for an end. */
+static int64_t end_wait_ms(const struct backend *backend, bool lossy)
+{
+	if (table_count(&backend->runs.table) == 0)
+		return IDLE_WAIT_MS;
+	return lossy ? LOSSY_WAIT_MS : BUSY_WAIT_MS;
+}
+
 static void hold(struct backend *backend, bool waits)
 {
 	struct listing *listing = g_new(struct listing, 1);
@@ -338,10 +346,7 @@
 	 * wait. */
 	bool known = backend->listed && backend->reachable && backend->clock_ms > 0;
 	bool lossy = is_lossy(backend);
-	int64_t wait_ms = !waits || !known			   ? 0
-			  : table_count(&backend->runs.table) == 0 ? IDLE_WAIT_MS
-			  : lossy				   ? LOSSY_WAIT_MS
-								   : BUSY_WAIT_MS;
+	int64_t wait_ms = waits && known ? end_wait_ms(backend, lossy) : 0;
 	int64_t margin_ms = lossy ? order_timeout_ms(backend) : LIST_MARGIN_MS;
 	int64_t expires_ms = 0;
 	char *body;
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -260,8 +260,7 @@
 	for (guint i = 0; i < agent->dials->len; i++) {
 		const struct dial *dial = agent->dials->pdata[i];
 
-		rows[i] = (struct subset_entry){.rank = dial->rank,
-						.reachable = is_reachable(dial, now_us)};
+		rows[i] = (struct subset_entry){.reachable = is_reachable(dial, now_us)};
 	}
 	subset_choose(rows, agent->dials->len, agent->subset_size);
 	for (guint i = 0; i < agent->dials->len; i++) {
--- a/packages/greengaged/src/node_agents.c
+++ b/packages/greengaged/src/node_agents.c
@@ -263,9 +263,8 @@
 	orders.stops = (uint64_t *)(void *)agent->stops->data;
 	orders.n_stops = agent->stops->len;
 	orders.report_ack = agent->report;
-	orders.entries = (char **)entry->members.addresses->pdata + agent->members_told;
-	orders.n_entries = entry->members.addresses->len - agent->members_told;
-	agent->members_told = entry->members.addresses->len;
+	orders.entries =
+		node_members_untold(&entry->members, &agent->members_told, &orders.n_entries);
 	if (agent->service_servers != agent->service_servers_told)
 		orders.service_servers = agent->service_servers;
 	agent->service_servers_told = agent->service_servers;
--- a/packages/greengaged/src/node_members.c
+++ b/packages/greengaged/src/node_members.c
@@ -24,10 +24,18 @@
 	    is_known(members, address))
 		return;
 	g_ptr_array_add(members->addresses, g_strdup(address));
-	members->version++;
 	members->found(members->context, address);
 }
 
+char **node_members_untold(const struct node_members *members, guint *told, size_t *count)
+{
+	char **untold = (char **)members->addresses->pdata + *told;
+
+	*count = members->addresses->len - *told;
+	*told = members->addresses->len;
+	return untold;
+}
+
 /* A seed names a host; its entry listens at the port that is the same on all hosts. */
 void node_members_add_seeds(struct node_members *members, char **seeds, int64_t peer_port)
 {
--- a/packages/greengaged/src/node_members.h
+++ b/packages/greengaged/src/node_members.h
@@ -20,7 +20,6 @@
 	bool read_wanted;
 	bool publish_wanted;
 	bool store_lost;
-	uint32_t version; /* rises with each new address */
 };
 
 struct node_members_options {
@@ -42,6 +41,10 @@
 /* Adds an address heard from another daemon. */
 void node_members_add(struct node_members *members, const char *address);
 
+/* Returns the addresses after the first *TOLD, *COUNT of them, and counts them as told. They stay
+ * the property of MEMBERS. */
+char **node_members_untold(const struct node_members *members, guint *told, size_t *count);
+
 /* Reads the addresses that the store holds, and writes this process's own if it is missing there.
  * Repeated until it succeeds. */
 void node_members_refresh(struct node_members *members);
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -114,9 +114,7 @@
 	dispatch_count_pending(&entry->dispatch, counts);
 	fill_queues(&state, counts);
 	fill_ended(peer, &state, completed, failed);
-	state.entries = (char **)entry->members.addresses->pdata + peer->members_told;
-	state.n_entries = entry->members.addresses->len - peer->members_told;
-	peer->members_told = entry->members.addresses->len;
+	state.entries = node_members_untold(&entry->members, &peer->members_told, &state.n_entries);
 	frame.body_case = GGD__FRAME__BODY_PEER;
 	frame.peer = &state;
 	node_link_send(peer->link, &frame);
--- a/packages/greengaged/src/node_reload.c
+++ b/packages/greengaged/src/node_reload.c
@@ -24,7 +24,7 @@
 {
 	struct node_settings settings;
 	struct error err;
-	uint32_t before = reload->members->version;
+	guint before = reload->members->addresses->len;
 
 	reload->changed_ns = modified_ns(reload->file);
 	if (node_settings_load(reload->file, &settings, &err) != STATUS_OK) {
@@ -34,7 +34,7 @@
 	}
 	node_members_add_seeds(reload->members, settings.seeds, settings.peer_port);
 	event_log(EVENT_SETTINGS_RELOADED, EV_S("result", "valid"),
-		  EV_I("new_seeds", reload->members->version - before));
+		  EV_I("new_seeds", reload->members->addresses->len - before));
 	node_settings_free(&settings);
 }
 
--- a/test/unit/subset_test.c
+++ b/test/unit/subset_test.c
@@ -20,6 +20,7 @@
 };
 
 struct row {
+	uint64_t rank;
 	struct subset_entry entry;
 	uint32_t index;
 };
@@ -29,7 +30,7 @@
 	const struct row *left = a;
 	const struct row *right = b;
 
-	return (left->entry.rank < right->entry.rank) - (left->entry.rank > right->entry.rank);
+	return (left->rank < right->rank) - (left->rank > right->rank);
 }
 
 /* Lets AGENT choose among COUNT entries; those of LOST_ZONE are out of reach. */
@@ -44,7 +45,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		g_snprintf(address, sizeof(address), "10.%u.0.%u:7720", i % ZONES, i / ZONES);
 		rows[i].index = i;
-		rows[i].entry.rank = subset_rank(name, address);
+		rows[i].rank = subset_rank(name, address);
 		rows[i].entry.reachable = (int)(i % ZONES) != lost_zone;
 	}
 	qsort(rows, count, sizeof(*rows), by_rank);
