--- /dev/null
+++ b/test/unit/node_config_test.c
@@ -0,0 +1,149 @@
+/* Following the configuration in the store: guards against two chains of reads side by side, which
+ * an overlapping first read began when it was answered late. */
+#include <arpa/inet.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "http_server.h"
+#include "node_config.h"
+
+enum {
+	LIMIT_MS = 5000,
+	HEADER_MAX = 4096,
+	PATIENCE_US = 5000 * 1000,
+	PAUSE_US = 600 * 1000, /* three times the pause after a failed read */
+};
+
+struct fixture {
+	struct net_loop loop;
+	struct http_server *server;
+	char address[32];
+	GPtrArray *newest; /* struct http_request *, unanswered reads of the newest records */
+	GPtrArray *reads;  /* struct http_request *, unanswered reads that wait for records */
+	struct node_config config;
+};
+
+static void on_request(void *context, struct http_request *request)
+{
+	struct fixture *fixture = context;
+	bool newest = g_str_has_suffix(http_request_path(request), "newest");
+
+	g_ptr_array_add(newest ? fixture->newest : fixture->reads, request);
+}
+
+static void on_gone(void *context, struct http_request *request)
+{
+	struct fixture *fixture = context;
+
+	g_ptr_array_remove(fixture->newest, request);
+	g_ptr_array_remove(fixture->reads, request);
+}
+
+static const struct http_server_callbacks callbacks = {
+	.request = on_request,
+	.gone = on_gone,
+};
+
+static void on_applied(void *context, const struct route_table *table)
+{
+}
+
+static void on_returned(void *context)
+{
+}
+
+static int free_port(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t length = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, length), ==, 0);
+	g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &length), ==, 0);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+static void set_up(struct fixture *fixture)
+{
+	const struct http_server_options options = {
+		.header_max_bytes = HEADER_MAX,
+		.body_max_bytes = HEADER_MAX,
+		.header_limit_ms = LIMIT_MS,
+		.idle_limit_ms = LIMIT_MS,
+	};
+	struct error err;
+
+	*fixture = (struct fixture){.newest = g_ptr_array_new(), .reads = g_ptr_array_new()};
+	net_loop_init(&fixture->loop);
+	g_snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d", free_port());
+	g_assert_cmpint(http_server_listen(&fixture->loop, fixture->address, &options, &callbacks,
+					   fixture, &fixture->server, &err),
+			==, STATUS_OK);
+	fixture->config = (struct node_config){
+		.loop = &fixture->loop,
+		.store = store_new(&fixture->loop, fixture->address),
+		.applied = on_applied,
+		.store_returned = on_returned,
+	};
+	node_config_start(&fixture->config);
+}
+
+/* Runs the loop until COUNT requests of LIST wait for an answer. */
+static void run_until(struct fixture *fixture, const GPtrArray *list, guint count)
+{
+	int64_t end_us = g_get_monotonic_time() + PATIENCE_US;
+
+	while (list->len < count) {
+		g_assert_cmpint(g_get_monotonic_time(), <, end_us);
+		uv_run(&fixture->loop.uv, UV_RUN_ONCE);
+	}
+}
+
+static void run_for(struct fixture *fixture, int64_t time_us)
+{
+	int64_t end_us = g_get_monotonic_time() + time_us;
+
+	while (g_get_monotonic_time() < end_us)
+		uv_run(&fixture->loop.uv, UV_RUN_ONCE);
+}
+
+static void answer(GPtrArray *list, int code)
+{
+	struct http_request *request = g_ptr_array_steal_index(list, 0);
+
+	http_answer(request, code, NULL, "{\"items\":[],\"hasMore\":false,\"endOffset\":1}");
+}
+
+/* Two first reads; one is answered and followed, the following fails, and only then the other is
+ * answered: the store is read by one chain. */
+static void test_late_first_read(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	run_until(&fixture, fixture.newest, 2);
+	answer(fixture.newest, 200);
+	run_until(&fixture, fixture.reads, 1);
+	answer(fixture.reads, 503);
+	answer(fixture.newest, 200);
+	run_until(&fixture, fixture.newest, 1);
+	answer(fixture.newest, 200);
+	run_for(&fixture, PAUSE_US);
+	g_assert_cmpuint(fixture.newest->len + fixture.reads->len, ==, 1);
+	store_free(fixture.config.store);
+	http_server_reset(fixture.server);
+	uv_run(&fixture.loop.uv, UV_RUN_NOWAIT);
+	g_ptr_array_free(fixture.newest, TRUE);
+	g_ptr_array_free(fixture.reads, TRUE);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	/* The store's failure is logged as a warning, which GLib's tests take for fatal. */
+	g_log_set_always_fatal(G_LOG_FATAL_MASK);
+	g_test_add_func("/node_config/late_first_read", test_late_first_read);
+	return g_test_run();
+}
