Order queued jobs by their latest start at the mean speed of the servers

Cause: the sort key was the latest start on the fastest server. With a few fast servers among many slow ones a long job became urgent only when no other server could end it in time any more, so in overload most long jobs waited out their slack and were refused. Change: the key uses the mean speed, weighted by cpu.

--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -48,6 +48,12 @@
 	       now_us + (int64_t)((double)run_us / sum->max_speed) > job->deadline_us;
 }
 
+/* Returns the mean speed of the servers, weighted by their cpu. */
+static double typical_speed(const struct fleet_totals *sum)
+{
+	return sum->cpu > 0 ? sum->speed_weighted_cpu / (double)sum->cpu : 0;
+}
+
 /* A queued job with its sort key. */
 struct queued_job {
 	struct job *job;
@@ -81,7 +87,7 @@
 		lead_us += PROGRESS_LEAD_US;
 	else if (cannot_meet_plan(job, sum, now_us))
 		lead_us -= LATE_LAG_US;
-	return dispatch_latest_start_us(job, sum->max_speed) - lead_us +
+	return dispatch_latest_start_us(job, typical_speed(sum)) - lead_us +
 	       PRIORITY_OFFSET_US * job->priority;
 }
 
