Measure very slow servers again, and end the backoff of a recovered server

After a first quarantine, slow start compared its limit with UINT32_MAX slots and never ended, so each later quarantine was twice as long as the one before. Change: an entry sends a very slow server that has not been measured for 1.5 s one run; the first measurement after a pause replaces the old speed; slow start ends with as many slots as runs of that size fit the server.

--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -25,7 +25,8 @@
 	double reported_speed;		       /* expected work per second, on the agent's scale */
 	double speed;			       /* relative to the median server, whose speed is 1 */
 	bool speed_known;
-	uint32_t runs; /* number of runs of this entry */
+	int64_t speed_changed_us; /* when reported_speed last changed */
+	uint32_t runs;		  /* number of runs of this entry */
 	int64_t reported_us;
 	GQueue orders; /* struct fleet_order *, sent but not yet included in a report */
 };
@@ -78,6 +79,16 @@
  * a time, nor does a very slow one, which gets none unless it is on trial. */
 bool fleet_is_useful(const struct fleet_server *server);
 
+/*
+ * Returns whether SERVER, which its agent did not put on trial, is to get a single run all the
+ * same: it counts as very slow and therefore gets no runs, so its speed has not been measured for a
+ * while.
+ *
+ * Load pattern: an agent starts while its server is slow. The agent knows no better speed of the
+ * server and does not put it on trial, and only the entry can compare it with the others.
+ */
+bool fleet_is_retried(const struct fleet_server *server, int64_t now_us);
+
 /* Returns the cpu of the runs queued at SERVER that have PRIORITY or a higher one and are thus
  * expected to start before a new run of PRIORITY. Pass PRIORITY_LEVELS for the total. */
 uint32_t fleet_waiting_cpu_ahead(const struct fleet_server *server, uint32_t priority);
--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -46,7 +46,7 @@
  * of their room many times a millisecond. Without this check, every call of dispatch_pump would
  * rank all servers for every queued job.
  */
-void placement_find_headroom(const struct fleet *fleet, const char *service,
+void placement_find_headroom(const struct fleet *fleet, const char *service, int64_t now_us,
 			     struct placement_headroom *headroom);
 
 /* Returns whether a task of REQUEST may find a server, judged by cpu alone. False is certain. True
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -205,7 +205,7 @@
 	if (placed > 0) {
 		dispatch->callbacks.tasks_placed(dispatch->callbacks.context, job->id, placed,
 						 job->queued_tasks, names->str, now_us - oldest_us);
-		placement_find_headroom(&dispatch->fleet, job->service, &view->headroom);
+		placement_find_headroom(&dispatch->fleet, job->service, now_us, &view->headroom);
 	}
 	g_string_free(names, TRUE);
 }
@@ -238,6 +238,7 @@
 struct views {
 	const struct fleet *fleet;
 	GHashTable *by_service; /* name -> struct service_view * */
+	int64_t now_us;
 };
 
 static struct service_view *get_view(struct views *views, const char *service)
@@ -247,7 +248,7 @@
 	if (!view) {
 		view = g_new(struct service_view, 1);
 		view->sum = fleet_compute_totals(views->fleet, service);
-		placement_find_headroom(views->fleet, service, &view->headroom);
+		placement_find_headroom(views->fleet, service, views->now_us, &view->headroom);
 		g_hash_table_insert(views->by_service, g_strdup(service), view);
 	}
 	return view;
@@ -373,7 +374,7 @@
 
 void dispatch_pump(struct dispatch *dispatch, int64_t now_us)
 {
-	struct views views = {.fleet = &dispatch->fleet};
+	struct views views = {.fleet = &dispatch->fleet, .now_us = now_us};
 	double ahead_core_us = 0;
 	GArray *sorted;
 
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -3,7 +3,8 @@
 #include <string.h>
 
 enum {
-	DEFAULT_RUN_US = 200 * US_PER_MS /* used until a server reports its mean run time */
+	DEFAULT_RUN_US = 200 * US_PER_MS,    /* used until a server reports its mean run time */
+	RETRY_INTERVAL_US = 1500 * US_PER_MS /* between single runs at a very slow server */
 };
 
 struct fleet_order {
@@ -132,6 +133,8 @@
 	server->on_trial = report->on_trial;
 	if (report->speed != server->reported_speed || server->ready != report->ready ||
 	    server->speed_known != report->speed_known) {
+		if (report->speed != server->reported_speed)
+			server->speed_changed_us = now_us;
 		server->reported_speed = report->speed;
 		server->speed_known = report->speed_known;
 		server->ready = report->ready;
@@ -174,6 +177,12 @@
 	return !server->on_trial && server->speed >= min_useful_speed;
 }
 
+bool fleet_is_retried(const struct fleet_server *server, int64_t now_us)
+{
+	return !server->on_trial && !fleet_is_useful(server) &&
+	       now_us - server->speed_changed_us > RETRY_INTERVAL_US;
+}
+
 static void add_server_total(struct fleet_totals *sum, const struct resources *total)
 {
 	if (sum->servers++ == 0)
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -38,9 +38,18 @@
 	uint32_t tasks_left; /* tasks that may still be placed there */
 };
 
+/* Returns whether SERVER may get only one run at a time, to test whether it has recovered. */
+static bool is_tested(const struct fleet_server *server, int64_t now_us)
+{
+	return server->on_trial || fleet_is_retried(server, now_us);
+}
+
 int64_t placement_run_us(const struct fleet_server *server, int64_t work_us)
 {
-	return (int64_t)((double)work_us / MAX(server->speed, divisor_floor));
+	/* A very slow server gets a run only on the assumption that it has recovered. */
+	bool measured = server->on_trial || fleet_is_useful(server);
+
+	return (int64_t)((double)work_us / (measured ? MAX(server->speed, divisor_floor) : 1.0));
 }
 
 /* Returns the time in which SERVER, when full, is expected to free NEEDED_CPU. It frees its cpu at
@@ -65,7 +74,7 @@
 {
 	int64_t end_us = now_us + ORDER_DELAY_US + placement_run_us(server, request->work_us);
 
-	if (server->on_trial)
+	if (is_tested(server, now_us))
 		end_us += TRIAL_DELAY_US;
 	if (would_wait(server, &request->need))
 		end_us += expected_wait_us(server,
@@ -137,13 +146,13 @@
 			.free = server->free,
 			.end_us = placement_end_us(server, request, now_us),
 			.must_wait = would_wait(server, &request->need),
-			.tasks_left = server->on_trial ? 1 : UINT32_MAX,
+			.tasks_left = is_tested(server, now_us) ? 1 : UINT32_MAX,
 		};
 
 		if (!server->ready || handle_equal(handle, request->avoid_server) ||
 		    strcmp(server->service, request->service) != 0)
 			continue;
-		if (server->on_trial ? server->runs > 0 : !fleet_is_useful(server))
+		if (is_tested(server, now_us) ? server->runs > 0 : !fleet_is_useful(server))
 			continue;
 		candidate.wait_allowance_cpu =
 			request->may_wait ? waiting_allowance(server, request) : 0;
@@ -181,7 +190,7 @@
 	return true;
 }
 
-void placement_find_headroom(const struct fleet *fleet, const char *service,
+void placement_find_headroom(const struct fleet *fleet, const char *service, int64_t now_us,
 			     struct placement_headroom *headroom)
 {
 	uint32_t cursor = 0;
@@ -190,7 +199,7 @@
 	*headroom = (struct placement_headroom){0};
 	while ((server = table_next(&fleet->servers, &cursor, NULL))) {
 		if (!server->ready || strcmp(server->service, service) != 0 ||
-		    !(server->on_trial || fleet_is_useful(server)))
+		    !(is_tested(server, now_us) || fleet_is_useful(server)))
 			continue;
 		headroom->free_cpu = MAX(headroom->free_cpu, server->free.cpu);
 		for (uint32_t i = 0; i < PRIORITY_LEVELS; i++) {
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -91,6 +91,12 @@
 	return strncmp(a, b, length) == 0 && b[length] == '.';
 }
 
+/* Returns the number of runs like RUN that the server can run at once. */
+static uint32_t slot_count(const struct runs *runs, const struct run *run)
+{
+	return MAX(runs->total_resources.cpu / MAX(run->need.cpu, 1), 1);
+}
+
 /* Counts consecutive failures of one job once, because a job that can never succeed fails on any
  * server. */
 static void record_failure(struct runs *runs, const struct run *run, int64_t now_us)
@@ -99,13 +105,16 @@
 		return;
 	g_free(runs->last_failed_task);
 	runs->last_failed_task = g_strdup(run->task);
-	health_record_result(&runs->health, false, UINT32_MAX, now_us);
+	health_record_result(&runs->health, false, slot_count(runs, run), now_us);
 }
 
 static void update_speed(struct runs *runs, double sample, int64_t now_us)
 {
+	/* After a pause, earlier samples say little about the present speed. */
+	bool stale = runs->samples == 0 || now_us - runs->sampled_us > runs->limits.trial_us;
+
 	sample = CLAMP(sample, speed_min, speed_max);
-	runs->speed += (runs->samples == 0 ? 1.0 : speed_ewma_weight) * (sample - runs->speed);
+	runs->speed += (stale ? 1.0 : speed_ewma_weight) * (sample - runs->speed);
 	if (sample > slow_factor * runs->baseline_speed || runs->samples == 0)
 		runs->baseline_speed += (runs->samples == 0 ? 1.0 : speed_ewma_weight) *
 					(sample - runs->baseline_speed);
@@ -119,7 +128,7 @@
 	if (outcome == RUN_FAILED) {
 		record_failure(runs, run, now_us);
 	} else if (outcome == RUN_DONE) {
-		health_record_result(&runs->health, true, UINT32_MAX, now_us);
+		health_record_result(&runs->health, true, slot_count(runs, run), now_us);
 		runs->run_us += (runs->run_us > 0 ? run_time_ewma_weight : 1.0) *
 				((double)elapsed_us - runs->run_us);
 		if (elapsed_us > 0 && run->estimate_us > 0)
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -380,6 +380,40 @@
 	simulation_free(&sim);
 }
 
+static void restore_server_speed(struct simulation *sim, void *data)
+{
+	sim->servers[0].speed = 1.0;
+}
+
+static void store_end_number(struct simulation *sim, void *data)
+{
+	*(uint64_t *)data = sim->servers[0].last_end_number;
+}
+
+/* A server that is ten times too slow from its first run on gets its share of the load again once
+ * it is as fast as the others. Guards against a speed learned once that keeps all further runs, and
+ * thus all further measurements, away from a server. It must run at least half as much as a server
+ * does in the mean, from three seconds after its recovery on. */
+static void test_server_slow_from_start(void)
+{
+	struct simulation sim;
+	uint64_t ends_before = 0;
+	uint32_t starts;
+
+	start_loaded_simulation(&sim, 1.0);
+	sim.servers[0].speed = 0.1;
+	simulation_schedule(&sim, 1000000, restore_server_speed, NULL);
+	simulation_schedule(&sim, 4000000, store_end_number, &ends_before);
+	simulation_run_until(&sim, 4000000);
+	starts = sim.starts;
+	simulation_run_until(&sim, SIMULATION_END_US);
+	g_test_message("%" G_GUINT64_FORMAT " of %u runs at the recovered server",
+		       sim.servers[0].last_end_number - ends_before, sim.starts - starts);
+	g_assert_cmpuint((sim.servers[0].last_end_number - ends_before) * SERVERS * 2, >=,
+			 sim.starts - starts);
+	simulation_free(&sim);
+}
+
 /* Stalls the first servers: their current and later runs make no progress. */
 static void stall_servers(struct simulation *sim, void *data)
 {
@@ -530,6 +564,7 @@
 	g_test_add_func("/load/wrong_declarations", test_wrong_declarations);
 	g_test_add_func("/load/unequal_speeds", test_unequal_speeds);
 	g_test_add_func("/load/slow_server", test_slow_server);
+	g_test_add_func("/load/server_slow_from_start", test_server_slow_from_start);
 	g_test_add_func("/load/stalled_servers", test_stalled_servers);
 	g_test_add_func("/load/failing_server", test_failing_server);
 	g_test_add_func("/load/large_jobs", test_large_jobs_do_not_starve);
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -346,6 +346,41 @@
 	tear_down(&fixture);
 }
 
+/* Guards against a backoff that only grows: after a quarantine and enough successful runs, the next
+ * quarantine is as short as the first. */
+static void test_quarantine_backoff_ends(void)
+{
+	struct fixture fixture;
+	int64_t now_us = 0;
+	int64_t first_us = 0;
+	char task[16];
+
+	set_up(&fixture);
+	for (int round = 0; round < 2; round++) {
+		for (int i = 0; i < 4; i++, now_us += 1000) {
+			g_snprintf(task, sizeof(task), "%c%d.0.0.0", 'b' + i, round);
+			start(&fixture, task, 100, OWNER, 0, now_us);
+			runs_start_answered(&fixture.runs, fixture.last, START_STARTED, now_us);
+			deliver_lists(&fixture, NULL, task, RUN_FAILED, now_us + 500);
+		}
+		g_assert_false(runs_ready(&fixture.runs));
+		if (round == 0)
+			first_us = fixture.runs.health.quarantine_end_us - now_us;
+		else
+			g_assert_cmpint(fixture.runs.health.quarantine_end_us - now_us, ==,
+					first_us);
+		now_us = fixture.runs.health.quarantine_end_us + 1;
+		runs_tick(&fixture.runs, now_us);
+		for (int i = 0; i < 12; i++, now_us += 1000) {
+			g_snprintf(task, sizeof(task), "%c%d.0.0.0", 'n' + i, round);
+			start(&fixture, task, 100, OWNER, 0, now_us);
+			runs_start_answered(&fixture.runs, fixture.last, START_STARTED, now_us);
+			deliver_lists(&fixture, NULL, task, RUN_DONE, now_us + 500);
+		}
+	}
+	tear_down(&fixture);
+}
+
 /* Guards against more than one run, of all owners together, at a server on trial, which may fail
  * every run. */
 static void test_trial(void)
@@ -401,6 +436,7 @@
 	g_test_add_func("/runs/waited_too_long", test_waited_too_long);
 	g_test_add_func("/runs/leaving", test_leaving);
 	g_test_add_func("/runs/quarantine", test_quarantine);
+	g_test_add_func("/runs/quarantine_backoff_ends", test_quarantine_backoff_ends);
 	g_test_add_func("/runs/trial", test_trial);
 	g_test_add_func("/runs/behind", test_run_behind);
 	return g_test_run();
