Switches for the mechanisms of the dispatch policy, for experiments

Cause: nothing could tell what a single mechanism is worth. Change: struct policy with all mechanisms on; the setting policy.off of an entry names those to switch off, unknown names are rejected. No switch touches ownership or the truth of a refusal.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -15,6 +15,7 @@
 
 #include "admission.h"
 #include "fleet.h"
+#include "policy.h"
 #include "runs.h"
 #include "status.h"
 #include "timer.h"
@@ -100,6 +101,7 @@
 struct dispatch {
 	struct dispatch_limits limits;
 	struct dispatch_callbacks callbacks;
+	struct policy policy; /* dispatch_init switches all mechanisms on */
 	struct fleet fleet;
 	struct table jobs;
 	struct table runs;
--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -13,9 +13,11 @@
 #define GG_PLACEMENT_H
 
 #include "fleet.h"
+#include "policy.h"
 
 /* Tasks of one job to be placed. */
 struct placement_request {
+	const struct policy *policy;
 	const char *service;
 	struct resources need; /* of each task */
 	uint32_t tasks;
--- /dev/null
+++ b/packages/core/include/policy.h
@@ -0,0 +1,52 @@
+/*
+ * Switches of the mechanisms that decide how jobs wait, are refused and are placed, for experiments
+ * that measure what each of them is worth. All are on in service. No switch affects whether a task
+ * may run twice or whether a refusal is true.
+ */
+#ifndef GG_POLICY_H
+#define GG_POLICY_H
+
+#include <stdbool.h>
+
+/* X(member, name in the settings) */
+#define POLICY_LIST(X)                                                                             \
+	/* refuse new jobs while the oldest job of their queue waits too long */                   \
+	X(refuse_new, "refuse_new")                                                                \
+	/* refuse jobs whose expected wait exceeds their slack */                                  \
+	X(refuse_by_wait, "refuse_by_wait")                                                        \
+	/* order by the latest start at the mean speed, not the highest */                         \
+	X(mean_speed_order, "mean_speed_order")                                                    \
+	/* order jobs of a higher priority earlier */                                              \
+	X(priority_order, "priority_order")                                                        \
+	/* order started jobs earlier */                                                           \
+	X(progress_lead, "progress_lead")                                                          \
+	/* order jobs that can only be late last */                                                \
+	X(late_last, "late_last")                                                                  \
+	/* order jobs that need much room earlier */                                               \
+	X(room_lead, "room_lead")                                                                  \
+	/* let runs queue at full servers */                                                       \
+	X(wait_at_servers, "wait_at_servers")                                                      \
+	/* prefer slow servers when room is scarce */                                              \
+	X(prefer_slow, "prefer_slow")                                                              \
+	/* leave half of the slots of a server to other entries */                                 \
+	X(leave_room, "leave_room")                                                                \
+	/* draw servers at random by weight instead of taking the best */                          \
+	X(random_choice, "random_choice")                                                          \
+	/* restart slow runs elsewhere */                                                          \
+	X(move_runs, "move_runs")                                                                  \
+	/* learn run times from measured ones */                                                   \
+	X(predict_run_times, "predict_run_times")
+
+struct policy {
+#define POLICY_MEMBER(member, name) bool member;
+	POLICY_LIST(POLICY_MEMBER)
+#undef POLICY_MEMBER
+};
+
+/* Switches all mechanisms on. */
+void policy_init(struct policy *policy);
+
+/* Switches the mechanism NAME off. Returns false if there is none of that name. */
+bool policy_switch_off(struct policy *policy, const char *name);
+
+#endif
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -44,6 +44,7 @@
 		.queue_stats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
 		.random_state = seed,
 	};
+	policy_init(&dispatch->policy);
 	fleet_init(&dispatch->fleet);
 	table_init(&dispatch->jobs, sizeof(struct job *));
 	table_init(&dispatch->runs, sizeof(struct run_row));
@@ -342,10 +343,10 @@
 	return outcome >= RUN_NO_RESOURCES;
 }
 
-static void learn_run_time(const struct job *job, const struct fleet_server *server,
-			   int64_t elapsed_us)
+static void learn_run_time(const struct dispatch *dispatch, const struct job *job,
+			   const struct fleet_server *server, int64_t elapsed_us)
 {
-	if (server && server->speed_known && elapsed_us > 0)
+	if (dispatch->policy.predict_run_times && server && server->speed_known && elapsed_us > 0)
 		run_time_model_record(&job->stats->run_times, job->estimate_us,
 				      (int64_t)((double)elapsed_us * server->speed));
 }
@@ -418,7 +419,7 @@
 	dispatch->callbacks.run_ended(dispatch->callbacks.context, job->id, run.index,
 				      task->attempt, server ? server->id : "", outcome, elapsed_us);
 	if (outcome == RUN_DONE)
-		learn_run_time(job, server, elapsed_us);
+		learn_run_time(dispatch, job, server, elapsed_us);
 	else if (outcome == RUN_FAILED || outcome == RUN_UNHEALTHY || run.restart_elsewhere)
 		job->avoid_server = run.server;
 	if (job->finished)
@@ -436,7 +437,7 @@
 	struct fleet_totals sum;
 	int64_t here_us, elsewhere_us;
 
-	if (!job || job->finished || run->stop_requested ||
+	if (!dispatch->policy.move_runs || !job || job->finished || run->stop_requested ||
 	    job->tasks[run->index].moves >= MAX_MOVES)
 		return;
 	fleet_normalize_speeds(&dispatch->fleet);
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -49,7 +49,7 @@
 }
 
 /* Returns the mean speed of the servers, weighted by their cpu. */
-static double typical_speed(const struct fleet_totals *sum)
+static double mean_speed(const struct fleet_totals *sum)
 {
 	return sum->cpu > 0 ? sum->speed_weighted_cpu / (double)sum->cpu : 0;
 }
@@ -78,17 +78,22 @@
  * Each lower priority level makes the key later by PRIORITY_OFFSET_US, so a job of a lower priority
  * still comes first if it is more urgent by more than that.
  */
-static int64_t urgency_us(const struct job *job, const struct fleet_totals *sum, int64_t now_us)
+static int64_t urgency_us(const struct policy *policy, const struct job *job,
+			  const struct fleet_totals *sum, int64_t now_us)
 {
+	double speed = policy->mean_speed_order ? mean_speed(sum) : sum->max_speed;
 	double cpu = (double)job->task_count * job->need.cpu;
-	int64_t lead_us = sum->cpu_release_rate > 0 ? (int64_t)(cpu / sum->cpu_release_rate) : 0;
+	int64_t lead_us = 0;
 
-	if (has_progress(job))
+	if (policy->room_lead && sum->cpu_release_rate > 0)
+		lead_us = (int64_t)(cpu / sum->cpu_release_rate);
+	if (policy->progress_lead && has_progress(job))
 		lead_us += PROGRESS_LEAD_US;
-	else if (cannot_meet_plan(job, sum, now_us))
+	else if (policy->late_last && !has_progress(job) && cannot_meet_plan(job, sum, now_us))
 		lead_us -= LATE_LAG_US;
-	return dispatch_latest_start_us(job, typical_speed(sum)) - lead_us +
-	       PRIORITY_OFFSET_US * job->priority;
+	if (policy->priority_order)
+		lead_us -= PRIORITY_OFFSET_US * job->priority;
+	return dispatch_latest_start_us(job, speed) - lead_us;
 }
 
 static int by_urgency(const void *a, const void *b)
@@ -174,13 +179,15 @@
 {
 	struct handle *servers;
 	const struct placement_request request = {
+		.policy = &dispatch->policy,
 		.service = job->service,
 		.need = job->need,
 		.tasks = job->queued_tasks,
 		.work_us = job->longest_task_us,
 		.target_us = behind_plan ? job->deadline_us : job->planned_end_us,
 		.priority = job->priority,
-		.may_wait = now_us >= job->may_wait_from_us && (!behind_plan || has_progress(job)),
+		.may_wait = dispatch->policy.wait_at_servers && now_us >= job->may_wait_from_us &&
+			    (!behind_plan || has_progress(job)),
 		.prefer_fast = behind_plan,
 		.avoid_server = job->avoid_server,
 	};
@@ -283,10 +290,12 @@
 		 !fleet_any_server_fits(&dispatch->fleet, job->service, &job->need))
 		refuse_job(dispatch, job, STATUS_NO_CAPACITY_MATCH,
 			   "no backend server is large enough for a task", &load, now_us);
-	else if (now_us + admission_wait_us(&load) > latest_start_us)
+	else if (dispatch->policy.refuse_by_wait &&
+		 now_us + admission_wait_us(&load) > latest_start_us)
 		refuse_job(dispatch, job, STATUS_DEADLINE_UNREACHABLE,
 			   "the job cannot start in time to meet its objective", &load, now_us);
-	else if (!job->admitted && admission_must_shed(job->stats->oldest_wait_share))
+	else if (dispatch->policy.refuse_new && !job->admitted &&
+		 admission_must_shed(job->stats->oldest_wait_share))
 		refuse_job(dispatch, job, STATUS_DEADLINE_UNREACHABLE,
 			   "earlier jobs of the queue have been waiting too long", &load, now_us);
 	else
@@ -338,7 +347,8 @@
 			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
 		struct queued_job item = {
 			.job = job,
-			.urgent_us = urgency_us(job, &get_view(views, job->service)->sum, now_us),
+			.urgent_us = urgency_us(&dispatch->policy, job,
+						&get_view(views, job->service)->sum, now_us),
 		};
 
 		g_array_append_val(sorted, item);
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -93,6 +93,8 @@
 	double slowness = 1 / MAX(candidate->server->speed, divisor_floor);
 	double weight = pow(slots, slots_exponent) * pow(slowness, slowness_exponent);
 
+	if (!request->policy->random_choice)
+		return 1 / MAX(weight, divisor_floor);
 	return -log(prng_uniform(random_state)) / MAX(weight, divisor_floor);
 }
 
@@ -255,8 +257,9 @@
 			  struct handle *servers)
 {
 	bool scarce = (double)sum->free_cpu < scarce_free_share * (double)sum->cpu;
-	double slowness_exponent =
-		scarce && !request->prefer_fast ? prefer_slow_exponent : prefer_fast_exponent;
+	double slowness_exponent = scarce && !request->prefer_fast && request->policy->prefer_slow
+					   ? prefer_slow_exponent
+					   : prefer_fast_exponent;
 	GArray *found = find_candidates(fleet, request, slowness_exponent, now_us, random_state);
 	uint32_t placed = 0;
 
@@ -264,7 +267,7 @@
 	for (guint i = 0; i < found->len && placed < request->tasks; i++) {
 		struct candidate *candidate = &g_array_index(found, struct candidate, i);
 
-		if (!candidate->must_wait)
+		if (!candidate->must_wait && request->policy->leave_room)
 			placed += assign_tasks(candidate, request, first_share(candidate, request),
 					       servers + placed, request->tasks - placed);
 	}
--- /dev/null
+++ b/packages/core/src/policy.c
@@ -0,0 +1,39 @@
+#include "policy.h"
+
+#include <stddef.h>
+#include <string.h>
+
+static const struct {
+	const char *name;
+	size_t offset;
+} mechanisms[] = {
+#define POLICY_ROW(member, name) {name, offsetof(struct policy, member)},
+	POLICY_LIST(POLICY_ROW)
+#undef POLICY_ROW
+};
+
+enum {
+	MECHANISM_COUNT = sizeof(mechanisms) / sizeof(mechanisms[0])
+};
+
+static bool *switch_at(struct policy *policy, size_t index)
+{
+	return (bool *)((char *)policy + mechanisms[index].offset);
+}
+
+void policy_init(struct policy *policy)
+{
+	for (size_t i = 0; i < MECHANISM_COUNT; i++)
+		*switch_at(policy, i) = true;
+}
+
+bool policy_switch_off(struct policy *policy, const char *name)
+{
+	for (size_t i = 0; i < MECHANISM_COUNT; i++) {
+		if (strcmp(mechanisms[i].name, name) == 0) {
+			*switch_at(policy, i) = false;
+			return true;
+		}
+	}
+	return false;
+}
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -236,6 +236,8 @@
 
 	memcpy(&seed, incarnation->bytes, sizeof(seed));
 	dispatch_init(&entry->dispatch, &limits, &callbacks, seed);
+	for (char **name = settings->policy_off; name && *name; name++)
+		policy_switch_off(&entry->dispatch.policy, *name);
 	entry->dispatch.startup_until_us = entry->loop.now_us + AGENT_CONNECT_MS * US_PER_MS;
 }
 
--- a/packages/greengaged/src/node_settings.c
+++ b/packages/greengaged/src/node_settings.c
@@ -4,12 +4,14 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "policy.h"
 #include "settings.h"
 
 enum {
 	MAX_ADDRESS_BYTES = 64,
 	MAX_NAME_BYTES = 63, /* longest name that packages/core stores */
 	MAX_SEEDS = 64,
+	MAX_POLICY_OFF = 32,
 	MAX_PORT = 65535,
 	HOUR_MS = 3600000,
 	HOUR_S = 3600,
@@ -63,6 +65,10 @@
 	 .max = MAX_SEEDS},
 	STRING("store.address", store_address, MAX_ADDRESS_BYTES, true),
 	STRING("server.address", server_address, MAX_ADDRESS_BYTES, false),
+	{.path = "policy.off",
+	 .type = SETTINGS_STRING_LIST,
+	 .offset = offsetof(struct node_settings, policy_off),
+	 .max = MAX_POLICY_OFF},
 	NUMBER("limits.lease_ms", lease_ms, 50, HOUR_MS, 1000),
 	NUMBER("limits.stop_ms", stop_ms, 0, HOUR_MS, 50),
 	NUMBER("limits.resend_ms", resend_ms, 1, HOUR_MS, 1300),
@@ -80,6 +86,20 @@
 	return platform;
 }
 
+static enum status check_policy(const char *file, char *const *names, struct error *err)
+{
+	struct policy policy;
+
+	policy_init(&policy);
+	for (; names && *names; names++) {
+		if (!policy_switch_off(&policy, *names))
+			return error_set(err, STATUS_INVALID_SETTINGS,
+					 "%s: policy.off: there is no mechanism \"%s\"", file,
+					 *names);
+	}
+	return STATUS_OK;
+}
+
 static enum status check_settings(const char *file, const struct node_settings *settings,
 				  struct error *err)
 {
@@ -102,7 +122,7 @@
 				 "%s: limits.resend_ms: accepted: at least %d ms more than "
 				 "limits.stop_ms",
 				 file, 2 * MIN_SILENCE_TIMEOUT_MS + RESEND_MARGIN_MS);
-	return STATUS_OK;
+	return check_policy(file, settings->policy_off, err);
 }
 
 enum status node_settings_load(const char *file, struct node_settings *settings, struct error *err)
--- a/packages/greengaged/src/node_settings.h
+++ b/packages/greengaged/src/node_settings.h
@@ -33,6 +33,8 @@
 
 	char *server_address; /* agent: address at which the backend server accepts orders */
 
+	char **policy_off; /* entry: mechanisms switched off for experiments; see policy.h */
+
 	double lease_ms;	/* longest lease that a backend server grants */
 	double stop_ms;		/* time within which a backend server ends a stopped run */
 	double resend_ms;	/* time after which a client sends an unanswered job again */
--- a/test/unit/node_settings_test.c
+++ b/test/unit/node_settings_test.c
@@ -78,6 +78,7 @@
 } invalid_files[] = {
 	{"{", "line 1"},
 	{ENTRY_JSON ",\"surprise\":1}", "surprise"},
+	{ENTRY_JSON ",\"policy\":{\"off\":[\"late_last\",\"luck\"]}}", "luck"},
 	{"{" COMMON_JSON PEERS_JSON ",\"role\":\"entry\"}", "listen.clients"},
 	{"{" COMMON_JSON PEERS_JSON ",\"role\":\"entry\",\"listen\":{\"clients\":\"10.0.0.1:1\"}}",
 	 "listen.readiness"},
