--- a/packages/core/include/policy.h
+++ b/packages/core/include/policy.h
@@ -14,8 +14,6 @@
 	X(refuse_new, "refuse_new")                                                                \
 	/* refuse jobs whose expected wait exceeds their slack */                                  \
 	X(refuse_by_wait, "refuse_by_wait")                                                        \
-	/* order by the latest start at the mean speed, not the highest */                         \
-	X(mean_speed_order, "mean_speed_order")                                                    \
 	/* order jobs of a higher priority earlier */                                              \
 	X(priority_order, "priority_order")                                                        \
 	/* order started jobs earlier */                                                           \
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -48,12 +48,6 @@
 	       now_us + (int64_t)((double)run_us / sum->max_speed) > job->deadline_us;
 }
 
-/* Returns the mean speed of the servers, weighted by their cpu. */
-static double mean_speed(const struct fleet_totals *sum)
-{
-	return sum->cpu > 0 ? sum->speed_weighted_cpu / (double)sum->cpu : 0;
-}
-
 /* A queued job with its sort key. */
 struct queued_job {
 	struct job *job;
@@ -81,7 +75,6 @@
 static int64_t urgency_us(const struct policy *policy, const struct job *job,
 			  const struct fleet_totals *sum, int64_t now_us)
 {
-	double speed = policy->mean_speed_order ? mean_speed(sum) : sum->max_speed;
 	double cpu = (double)job->task_count * job->need.cpu;
 	int64_t lead_us = 0;
 
@@ -93,7 +86,7 @@
 		lead_us -= LATE_LAG_US;
 	if (policy->priority_order)
 		lead_us -= PRIORITY_OFFSET_US * job->priority;
-	return dispatch_latest_start_us(job, speed) - lead_us;
+	return dispatch_latest_start_us(job, sum->max_speed) - lead_us;
 }
 
 static int by_urgency(const void *a, const void *b)
