Let requests wait for agents after a freeze of an entry

Change: they wait for at most the time that they may wait after a start. Also removed: inputs of the expected wait that had no effect (free and needed cores).

--- a/packages/core/include/admission.h
+++ b/packages/core/include/admission.h
@@ -22,8 +22,6 @@
 	/* Queued work ahead of the job: more urgent work at this entry, and work of the same or a
 	 * higher priority at the other entries. */
 	double ahead_core_us;
-	double free_cores; /* cores of these servers that no run occupies */
-	double job_cores;  /* cores that the queued tasks of the job need together */
 };
 
 /* Returns the time in which the work ahead of the job is expected to drain, in microseconds, at
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -96,6 +96,9 @@
 	/* When the agent of a server has been disconnected for this long, the server certainly has
 	 * no run of this entry any more. */
 	int64_t settle_timeout_us;
+	/* After a start or a freeze of this process, jobs may wait this long for agents to connect.
+	 */
+	int64_t connect_time_us;
 };
 
 struct dispatch {
@@ -111,7 +114,7 @@
 	double peer_backlog_core_us[PRIORITY_LEVELS]; /* queued work of the other entries */
 	uint64_t random_state;			      /* state of the random number generator */
 	bool pump_needed;			      /* a queued task may now be able to start */
-	int64_t startup_until_us; /* agents may still be connecting before this time */
+	int64_t connecting_until_us; /* agents may still be connecting before this time */
 };
 
 void dispatch_init(struct dispatch *dispatch, const struct dispatch_limits *limits,
@@ -185,6 +188,10 @@
  * few milliseconds. */
 void dispatch_tick(struct dispatch *dispatch, int64_t now_us);
 
+/* Lets jobs wait for agents that are about to connect. Call after the start of this process, and
+ * after it has closed the links to all agents. */
+void dispatch_await_agents(struct dispatch *dispatch, int64_t now_us);
+
 /* Ends all jobs with outcome unknown. Call after this process was frozen: the agents are stopping
  * its runs, and its clients may have sent their jobs to other entries. */
 void dispatch_abort_all(struct dispatch *dispatch, int64_t now_us);
--- a/packages/core/src/admission.c
+++ b/packages/core/src/admission.c
@@ -15,8 +15,6 @@
 
 int64_t admission_wait_us(const struct admission_load *load)
 {
-	if (load->ahead_core_us <= 0 && load->free_cores >= load->job_cores)
-		return 0;
 	return (int64_t)MIN(load->ahead_core_us / MAX(load->capacity, capacity_min),
 			    (double)RETRY_MAX_S * US_PER_SECOND);
 }
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -495,6 +495,11 @@
 	}
 }
 
+void dispatch_await_agents(struct dispatch *dispatch, int64_t now_us)
+{
+	dispatch->connecting_until_us = now_us + dispatch->limits.connect_time_us;
+}
+
 void dispatch_abort_all(struct dispatch *dispatch, int64_t now_us)
 {
 	uint32_t cursor = 0;
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -262,8 +262,6 @@
 	const struct admission_load load = {
 		.capacity = sum->speed_weighted_cpu / MILLICORES,
 		.ahead_core_us = ahead_core_us + peer_backlog_ahead(dispatch, job->priority),
-		.free_cores = (double)sum->free_cpu / MILLICORES,
-		.job_cores = (double)job->queued_tasks * job->need.cpu / MILLICORES,
 	};
 	int64_t latest_start_us = dispatch_latest_start_us(job, sum->max_speed);
 
@@ -274,7 +272,8 @@
 	}
 	if (job->may_have_run || job->unsettled_runs > 0)
 		return true; /* a task may have run, so the job continues until its deadline */
-	if (now_us < dispatch->startup_until_us && (sum->servers == 0 || now_us <= latest_start_us))
+	if (now_us < dispatch->connecting_until_us &&
+	    (sum->servers == 0 || now_us <= latest_start_us))
 		return true; /* not all servers are known yet */
 	if (sum->servers == 0)
 		refuse_job(dispatch, job, STATUS_NO_CAPACITY_MATCH, "no backend server is ready",
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -24,7 +24,9 @@
 	PROBE_HEADER_LIMIT_MS = 2000,
 	PROBE_IDLE_LIMIT_MS = 60000,
 	MS_PER_S = 1000,
-	/* Time after the start of this process in which jobs may wait for agents to connect. */
+	/* Time after a start or freeze of this process in which jobs may wait for agents to
+	 * connect.
+	 */
 	AGENT_CONNECT_MS = 1000,
 	/* Delay after the start before the connected servers are first counted for the agents. All
 	 * hosts should have started by then. */
@@ -192,6 +194,8 @@
 	node_agent_links_send_queued(entry);
 	node_agent_links_close_all(entry);
 	node_peers_close_links(entry);
+	/* The agents connect again within milliseconds, so new requests wait for them. */
+	dispatch_await_agents(&entry->dispatch, entry->loop.now_us);
 }
 
 static void on_terminate(void *context)
@@ -222,6 +226,7 @@
 		.settle_timeout_us = (node_settings_silence_timeout_ms(settings) + lease_ms +
 				      (int64_t)settings->stop_ms + SETTLE_MARGIN_MS) *
 				     US_PER_MS,
+		.connect_time_us = AGENT_CONNECT_MS * US_PER_MS,
 	};
 	const struct dispatch_callbacks callbacks = {
 		.context = entry,
@@ -238,7 +243,7 @@
 	dispatch_init(&entry->dispatch, &limits, &callbacks, seed);
 	for (char **name = settings->policy_off; name && *name; name++)
 		policy_switch_off(&entry->dispatch.policy, *name);
-	entry->dispatch.startup_until_us = entry->loop.now_us + AGENT_CONNECT_MS * US_PER_MS;
+	dispatch_await_agents(&entry->dispatch, entry->loop.now_us);
 }
 
 static enum status start_listeners(struct node_entry *entry, struct error *err)
--- a/test/unit/stall_test.c
+++ b/test/unit/stall_test.c
@@ -118,6 +118,28 @@
 	dispatch_pump(&fixture->dispatch, NOW_US);
 }
 
+/* After a freeze of the entry all links are closed and the agents connect again within
+ * milliseconds. A request that arrives meanwhile waits for them instead of being refused for want
+ * of servers, but not for longer than the connections may take. */
+static void test_agents_connecting(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	fixture.dispatch.limits.connect_time_us = US_PER_SECOND;
+	for (int i = 0; i < 2; i++)
+		dispatch_server_disconnected(&fixture.dispatch, fixture.servers[i], NOW_US);
+	dispatch_abort_all(&fixture.dispatch, NOW_US);
+	dispatch_await_agents(&fixture.dispatch, NOW_US);
+	submit(&fixture, 0, 100 * TASK_US);
+	g_assert_cmpuint(dispatch_job_count(&fixture.dispatch), ==, 1);
+	fixture.dispatch.pump_needed = true;
+	dispatch_pump(&fixture.dispatch, NOW_US + 2 * US_PER_SECOND);
+	g_assert_cmpuint(dispatch_job_count(&fixture.dispatch), ==, 0);
+	g_assert_cmpint(fixture.final_status, ==, STATUS_NO_CAPACITY_MATCH);
+	dispatch_free(&fixture.dispatch);
+}
+
 /* A job that is already late waits instead of starting on a stalled server while the other
  * server is full. */
 static void test_late_job(void)
@@ -179,6 +201,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stall/agents_connecting", test_agents_connecting);
 	g_test_add_func("/stall/late_job", test_late_job);
 	g_test_add_func("/stall/full_servers", test_full_servers);
 	g_test_add_func("/stall/no_time_left", test_no_time_left);
