Tests: wait until a process that was sent SIGSTOP has stopped

Cause of the known red case log_ftest /claims/ask_others: the kernel stops the threads of a process one by one, so the entry could still answer that it does not hold the key, and not_run was then true. Change: harness_signal() returns after SIGSTOP once all threads are in state T. The check of the case is as it was.

--- a/test/functional/harness.c
+++ b/test/functional/harness.c
@@ -13,6 +13,7 @@
 
 enum {
 	KILL_WAIT_MS = 3000, /* limit for a killed process to terminate */
+	STOP_WAIT_MS = 3000, /* limit for a process that was sent SIGSTOP to stop */
 	MAX_LOG_FILES = 128,
 	PATH_BYTES = 256,
 	COPY_BUFFER_BYTES = 4096,
@@ -165,10 +166,54 @@
 	return port;
 }
 
+/* Returns whether the thread whose state is in the file NAME of /proc has been stopped or ended. */
+static bool is_thread_stopped(const char *name)
+{
+	char *text = NULL;
+	const char *state;
+	bool stopped;
+
+	if (!g_file_get_contents(name, &text, NULL, NULL))
+		return true;
+	/* The state follows the name of the program, which is in parentheses. */
+	state = strrchr(text, ')');
+	stopped = state && strchr("TtZX", state[2]);
+	g_free(text);
+	return stopped;
+}
+
+static bool are_threads_stopped(const char *pid)
+{
+	char *path = g_strdup_printf("/proc/%s/task", pid);
+	GDir *dir = g_dir_open(path, 0, NULL);
+	bool stopped = true;
+	const char *thread;
+
+	while (dir && stopped && (thread = g_dir_read_name(dir))) {
+		char *name = g_build_filename(path, thread, "stat", NULL);
+
+		stopped = is_thread_stopped(name);
+		g_free(name);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_free(path);
+	return stopped;
+}
+
 void harness_signal(struct harness_process *process, int signal_number)
 {
-	if (process->child)
-		g_subprocess_send_signal(process->child, signal_number);
+	int64_t end_us = g_get_monotonic_time() + STOP_WAIT_MS * 1000;
+
+	if (!process->child)
+		return;
+	g_subprocess_send_signal(process->child, signal_number);
+	/* The kernel stops the threads one by one; until then they may still answer a request. */
+	while (signal_number == SIGSTOP && g_subprocess_get_identifier(process->child) &&
+	       !are_threads_stopped(g_subprocess_get_identifier(process->child))) {
+		g_assert_cmpint(g_get_monotonic_time(), <, end_us);
+		g_usleep(HARNESS_POLL_US);
+	}
 }
 
 /* Returns whether the process terminated within LIMIT_MS. Polls, because g_subprocess_wait has no
--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -102,7 +102,8 @@
 /* Waits for the line "listening PORT" in the process's standard output and returns PORT. */
 int harness_wait_listening(const struct harness_process *process);
 
-/* Sends a signal to the process if it is running. */
+/* Sends a signal to the process if it is running. After SIGSTOP, returns once all its threads have
+ * stopped. */
 void harness_signal(struct harness_process *process, int signal_number);
 
 /* Kills the process and waits until it has terminated. */
