--- a/packages/core/include/core_defs.h
+++ b/packages/core/include/core_defs.h
@@ -13,6 +13,7 @@
 	PRIORITY_OFFSET_US = 60000,
 	US_PER_MS = 1000,
 	US_PER_SECOND = 1000000,
+	CPU_PER_CORE = 1000, /* cpu is counted in thousandths of a core */
 	/* Maximum size in bytes of the name of a class, team, zone, host or server, including the
 	 * terminating NUL. */
 	NAME_BYTES = 64,
--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -66,11 +66,14 @@
 bool fleet_apply_report(struct fleet *fleet, struct fleet_server *server,
 			const struct fleet_report *report, int64_t now_us);
 
-/* Recomputes the speeds relative to the median server if reports have changed them. The median is
- * that of the sound servers: where most servers stall or are very slow, a job could otherwise not
- * tell a slow server from a normal one. Call before
- * choosing servers and not for each report: with hundreds of servers it costs more than applying a
- * report. */
+/*
+ * Recomputes the speeds relative to the median sound server if reports have changed them. Call
+ * before choosing servers and not for each report: with hundreds of servers it costs more than
+ * applying a report.
+ *
+ * Load pattern: most servers stall or are very slow. The median of all servers is then a slow one,
+ * so slow servers would count as normal and get most of the tasks.
+ */
 void fleet_normalize_speeds(struct fleet *fleet);
 
 /* Records that order NUMBER, which starts a run that requires NEED, was sent to SERVER. */
--- a/packages/core/include/policy.h
+++ b/packages/core/include/policy.h
@@ -8,35 +8,35 @@
 
 #include <stdbool.h>
 
-/* X(member, name in the settings) */
+/* X(member); the name in the settings is that of the member */
 #define POLICY_LIST(X)                                                                             \
 	/* refuse new jobs while the oldest job of their queue waits too long */                   \
-	X(refuse_new, "refuse_new")                                                                \
+	X(refuse_new)                                                                              \
 	/* refuse jobs whose expected wait exceeds their slack */                                  \
-	X(refuse_by_wait, "refuse_by_wait")                                                        \
+	X(refuse_by_wait)                                                                          \
 	/* order jobs of a higher priority earlier */                                              \
-	X(priority_order, "priority_order")                                                        \
+	X(priority_order)                                                                          \
 	/* order started jobs earlier */                                                           \
-	X(progress_lead, "progress_lead")                                                          \
+	X(progress_lead)                                                                           \
 	/* order jobs that can only be late last */                                                \
-	X(late_last, "late_last")                                                                  \
+	X(late_last)                                                                               \
 	/* order jobs that need much room earlier */                                               \
-	X(room_lead, "room_lead")                                                                  \
+	X(room_lead)                                                                               \
 	/* let runs queue at full servers */                                                       \
-	X(wait_at_servers, "wait_at_servers")                                                      \
+	X(wait_at_servers)                                                                         \
 	/* prefer slow servers when room is scarce */                                              \
-	X(prefer_slow, "prefer_slow")                                                              \
+	X(prefer_slow)                                                                             \
 	/* leave half of the slots of a server to other entries */                                 \
-	X(leave_room, "leave_room")                                                                \
+	X(leave_room)                                                                              \
 	/* draw servers at random by weight instead of taking the best */                          \
-	X(random_choice, "random_choice")                                                          \
+	X(random_choice)                                                                           \
 	/* restart slow runs elsewhere */                                                          \
-	X(move_runs, "move_runs")                                                                  \
+	X(move_runs)                                                                               \
 	/* learn run times from measured ones */                                                   \
-	X(predict_run_times, "predict_run_times")
+	X(predict_run_times)
 
 struct policy {
-#define POLICY_MEMBER(member, name) bool member;
+#define POLICY_MEMBER(member) bool member;
 	POLICY_LIST(POLICY_MEMBER)
 #undef POLICY_MEMBER
 };
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -6,7 +6,6 @@
 #include "prng.h"
 
 enum {
-	MILLICORES = 1000,
 	/* A job that has progress is sorted as if it were more urgent by this much. The lead is
 	 * about the objective of the shortest jobs, so that far more urgent jobs still come first.
 	 */
@@ -260,7 +259,7 @@
 			    const struct fleet_totals *sum, double ahead_core_us, int64_t now_us)
 {
 	const struct admission_load load = {
-		.capacity = sum->speed_weighted_cpu / MILLICORES,
+		.capacity = sum->speed_weighted_cpu / CPU_PER_CORE,
 		.ahead_core_us = ahead_core_us + peer_backlog_ahead(dispatch, job->priority),
 	};
 	int64_t latest_start_us = dispatch_latest_start_us(job, sum->max_speed);
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -2,6 +2,7 @@
 #ifndef GG_DISPATCH_STATE_H
 #define GG_DISPATCH_STATE_H
 
+#include "core_defs.h"
 #include "dispatch.h"
 #include "run_time_model.h"
 
@@ -86,7 +87,7 @@
 /* Returns the expected work of a task of JOB, in core-microseconds. */
 static inline double dispatch_task_core_us(const struct job *job)
 {
-	return (double)job->need.cpu / 1000 * (double)job->task_us;
+	return (double)job->need.cpu / CPU_PER_CORE * (double)job->task_us;
 }
 
 /* Packs a handle into a pointer for GLib containers. */
--- a/packages/core/src/policy.c
+++ b/packages/core/src/policy.c
@@ -7,7 +7,7 @@
 	const char *name;
 	size_t offset;
 } mechanisms[] = {
-#define POLICY_ROW(member, name) {name, offsetof(struct policy, member)},
+#define POLICY_ROW(member) {#member, offsetof(struct policy, member)},
 	POLICY_LIST(POLICY_ROW)
 #undef POLICY_ROW
 };
