--- a/test/standin/server.c
+++ b/test/standin/server.c
@@ -215,8 +215,9 @@
 		g_usleep((gulong)(sleep_ms * 1000));
 	while (is_hanging())
 		g_usleep(HANG_POLL_MS * 1000);
-	respond_task(conn, task, fault);
+	/* Before the answer: its receiver may ask at once for the number of running tasks. */
 	end_task();
+	respond_task(conn, task, fault);
 	json_decref(task);
 	return 200;
 }
