--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -85,14 +85,14 @@
 bool fleet_is_useful(const struct fleet_server *server);
 
 /*
- * Returns whether SERVER, which its agent did not put on trial, is to get a single run all the
- * same: it counts as very slow and therefore gets no runs, so its speed has not been measured for a
+ * Returns whether SERVER gets one run at a time, to test whether it has recovered: its agent has
+ * put it on trial, or it counts as very slow and, as it gets no runs, has not been measured for a
  * while.
  *
  * Load pattern: an agent starts while its server is slow. The agent knows no better speed of the
  * server and does not put it on trial, and only the entry can compare it with the others.
  */
-bool fleet_is_retried(const struct fleet_server *server, int64_t now_us);
+bool fleet_is_tested(const struct fleet_server *server, int64_t now_us);
 
 /* Returns the cpu of the runs queued at SERVER that have PRIORITY or a higher one and are thus
  * expected to start before a new run of PRIORITY. Pass PRIORITY_LEVELS for the total. */
--- a/packages/core/include/policy.h
+++ b/packages/core/include/policy.h
@@ -44,7 +44,8 @@
 /* Switches all mechanisms on. */
 void policy_init(struct policy *policy);
 
-/* Switches the mechanism NAME off. Returns false if there is none of that name. */
-bool policy_switch_off(struct policy *policy, const char *name);
+/* Switches the mechanisms NAMES off, a list that ends with NULL. Stops at the first name that no
+ * mechanism has and returns it; returns NULL when all are known. */
+const char *policy_switch_off(struct policy *policy, char *const *names);
 
 #endif
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -312,36 +312,25 @@
 	return (double)(now_us - job->arrived_us) / (double)slack_us;
 }
 
-/* Finds the longest wait in each queue. */
-static void find_oldest_waits(struct dispatch *dispatch, struct views *views, int64_t now_us)
-{
-	for (guint i = 0; i < dispatch->queue->len; i++)
-		dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]))
-			->stats->oldest_wait_share = 0;
-	for (guint i = 0; i < dispatch->queue->len; i++) {
-		struct job *job =
-			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
-		double share =
-			wait_share(dispatch, job, &get_view(views, job->service)->sum, now_us);
-
-		job->stats->oldest_wait_share = MAX(job->stats->oldest_wait_share, share);
-	}
-}
-
-/* Returns the queued jobs, the most urgent first. */
+/* Returns the queued jobs, the most urgent first, and finds the longest wait in each queue. */
 static GArray *sort_queue(struct dispatch *dispatch, struct views *views, int64_t now_us)
 {
 	GArray *sorted = g_array_new(FALSE, FALSE, sizeof(struct queued_job));
 
+	for (guint i = 0; i < dispatch->queue->len; i++)
+		dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]))
+			->stats->oldest_wait_share = 0;
 	for (guint i = 0; i < dispatch->queue->len; i++) {
 		struct job *job =
 			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
+		const struct fleet_totals *sum = &get_view(views, job->service)->sum;
 		struct queued_job item = {
 			.job = job,
-			.urgent_us = urgency_us(&dispatch->policy, job,
-						&get_view(views, job->service)->sum, now_us),
+			.urgent_us = urgency_us(&dispatch->policy, job, sum, now_us),
 		};
+		double share = wait_share(dispatch, job, sum, now_us);
 
+		job->stats->oldest_wait_share = MAX(job->stats->oldest_wait_share, share);
 		g_array_append_val(sorted, item);
 	}
 	g_array_sort(sorted, by_urgency);
@@ -384,7 +373,6 @@
 	dispatch->pump_needed = false;
 	fleet_normalize_speeds(&dispatch->fleet);
 	views.by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	find_oldest_waits(dispatch, &views, now_us);
 	sorted = sort_queue(dispatch, &views, now_us);
 	for (guint i = 0; i < sorted->len; i++) {
 		const struct queued_job *item = &g_array_index(sorted, struct queued_job, i);
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -191,10 +191,10 @@
 	return !server->on_trial && server->speed >= min_useful_speed;
 }
 
-bool fleet_is_retried(const struct fleet_server *server, int64_t now_us)
+bool fleet_is_tested(const struct fleet_server *server, int64_t now_us)
 {
-	return !server->on_trial && !fleet_is_useful(server) &&
-	       now_us - server->speed_changed_us > RETRY_INTERVAL_US;
+	return server->on_trial ||
+	       (!fleet_is_useful(server) && now_us - server->speed_changed_us > RETRY_INTERVAL_US);
 }
 
 static void add_server_total(struct fleet_totals *sum, const struct resources *total)
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -38,12 +38,6 @@
 	uint32_t tasks_left; /* tasks that may still be placed there */
 };
 
-/* Returns whether SERVER may get only one run at a time, to test whether it has recovered. */
-static bool is_tested(const struct fleet_server *server, int64_t now_us)
-{
-	return server->on_trial || fleet_is_retried(server, now_us);
-}
-
 int64_t placement_run_us(const struct fleet_server *server, int64_t work_us)
 {
 	/* A very slow server gets a run only on the assumption that it has recovered. */
@@ -74,7 +68,7 @@
 {
 	int64_t end_us = now_us + ORDER_DELAY_US + placement_run_us(server, request->work_us);
 
-	if (is_tested(server, now_us))
+	if (fleet_is_tested(server, now_us))
 		end_us += TRIAL_DELAY_US;
 	if (would_wait(server, &request->need))
 		end_us += expected_wait_us(server,
@@ -142,19 +136,20 @@
 	const struct fleet_server *server;
 
 	while ((server = table_next(&fleet->servers, &cursor, &handle))) {
+		bool tested = fleet_is_tested(server, now_us);
 		struct candidate candidate = {
 			.handle = handle,
 			.server = server,
 			.free = server->free,
 			.end_us = placement_end_us(server, request, now_us),
 			.must_wait = would_wait(server, &request->need),
-			.tasks_left = is_tested(server, now_us) ? 1 : UINT32_MAX,
+			.tasks_left = tested ? 1 : UINT32_MAX,
 		};
 
 		if (!server->ready || handle_equal(handle, request->avoid_server) ||
 		    strcmp(server->service, request->service) != 0)
 			continue;
-		if (is_tested(server, now_us) ? server->runs > 0 : !fleet_is_useful(server))
+		if (tested ? server->runs > 0 : !fleet_is_useful(server))
 			continue;
 		candidate.wait_allowance_cpu =
 			request->may_wait ? waiting_allowance(server, request) : 0;
@@ -201,7 +196,7 @@
 	*headroom = (struct placement_headroom){0};
 	while ((server = table_next(&fleet->servers, &cursor, NULL))) {
 		if (!server->ready || strcmp(server->service, service) != 0 ||
-		    !(is_tested(server, now_us) || fleet_is_useful(server)))
+		    !(fleet_is_tested(server, now_us) || fleet_is_useful(server)))
 			continue;
 		headroom->free_cpu = MAX(headroom->free_cpu, server->free.cpu);
 		for (uint32_t i = 0; i < PRIORITY_LEVELS; i++) {
--- a/packages/core/src/policy.c
+++ b/packages/core/src/policy.c
@@ -1,6 +1,6 @@
 #include "policy.h"
 
-#include <stddef.h>
+#include <glib.h>
 #include <string.h>
 
 static const struct {
@@ -12,10 +12,6 @@
 #undef POLICY_ROW
 };
 
-enum {
-	MECHANISM_COUNT = sizeof(mechanisms) / sizeof(mechanisms[0])
-};
-
 static bool *switch_at(struct policy *policy, size_t index)
 {
 	return (bool *)((char *)policy + mechanisms[index].offset);
@@ -23,13 +19,13 @@
 
 void policy_init(struct policy *policy)
 {
-	for (size_t i = 0; i < MECHANISM_COUNT; i++)
+	for (size_t i = 0; i < G_N_ELEMENTS(mechanisms); i++)
 		*switch_at(policy, i) = true;
 }
 
-bool policy_switch_off(struct policy *policy, const char *name)
+static bool switch_off(struct policy *policy, const char *name)
 {
-	for (size_t i = 0; i < MECHANISM_COUNT; i++) {
+	for (size_t i = 0; i < G_N_ELEMENTS(mechanisms); i++) {
 		if (strcmp(mechanisms[i].name, name) == 0) {
 			*switch_at(policy, i) = false;
 			return true;
@@ -37,3 +33,10 @@
 	}
 	return false;
 }
+
+const char *policy_switch_off(struct policy *policy, char *const *names)
+{
+	while (*names && switch_off(policy, *names))
+		names++;
+	return *names;
+}
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -24,9 +24,7 @@
 	PROBE_HEADER_LIMIT_MS = 2000,
 	PROBE_IDLE_LIMIT_MS = 60000,
 	MS_PER_S = 1000,
-	/* Time after a start or freeze of this process in which jobs may wait for agents to
-	 * connect.
-	 */
+	/* Time after a start or freeze of this process in which jobs may wait for agents. */
 	AGENT_CONNECT_MS = 1000,
 	/* Delay after the start before the connected servers are first counted for the agents. All
 	 * hosts should have started by then. */
@@ -241,8 +239,7 @@
 
 	memcpy(&seed, incarnation->bytes, sizeof(seed));
 	dispatch_init(&entry->dispatch, &limits, &callbacks, seed);
-	for (char **name = settings->policy_off; name && *name; name++)
-		policy_switch_off(&entry->dispatch.policy, *name);
+	policy_switch_off(&entry->dispatch.policy, settings->policy_off);
 	dispatch_await_agents(&entry->dispatch, entry->loop.now_us);
 }
 
--- a/packages/greengaged/src/node_settings.c
+++ b/packages/greengaged/src/node_settings.c
@@ -88,16 +88,13 @@
 
 static enum status check_policy(const char *file, char *const *names, struct error *err)
 {
-	struct policy policy;
-
-	policy_init(&policy);
-	for (; names && *names; names++) {
-		if (!policy_switch_off(&policy, *names))
-			return error_set(err, STATUS_INVALID_SETTINGS,
-					 "%s: policy.off: there is no mechanism \"%s\"", file,
-					 *names);
-	}
-	return STATUS_OK;
+	struct policy policy = {0};
+	const char *unknown = policy_switch_off(&policy, names);
+
+	if (!unknown)
+		return STATUS_OK;
+	return error_set(err, STATUS_INVALID_SETTINGS,
+			 "%s: policy.off: there is no mechanism \"%s\"", file, unknown);
 }
 
 static enum status check_settings(const char *file, const struct node_settings *settings,
--- a/test/functional/harness.c
+++ b/test/functional/harness.c
@@ -201,19 +201,22 @@
 	return stopped;
 }
 
-void harness_signal(struct harness_process *process, int signal_number)
+/* Returns whether all threads of the process have stopped, or it has ended. */
+static bool is_stopped(const struct harness_process *process)
 {
-	int64_t end_us = g_get_monotonic_time() + STOP_WAIT_MS * 1000;
+	const char *pid = g_subprocess_get_identifier(process->child);
+
+	return !pid || are_threads_stopped(pid);
+}
 
+void harness_signal(struct harness_process *process, int signal_number)
+{
 	if (!process->child)
 		return;
 	g_subprocess_send_signal(process->child, signal_number);
 	/* The kernel stops the threads one by one; until then they may still answer a request. */
-	while (signal_number == SIGSTOP && g_subprocess_get_identifier(process->child) &&
-	       !are_threads_stopped(g_subprocess_get_identifier(process->child))) {
-		g_assert_cmpint(g_get_monotonic_time(), <, end_us);
-		g_usleep(HARNESS_POLL_US);
-	}
+	if (signal_number == SIGSTOP)
+		HARNESS_WAIT(STOP_WAIT_MS, is_stopped(process));
 }
 
 /* Returns whether the process terminated within LIMIT_MS. Polls, because g_subprocess_wait has no
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -415,10 +415,10 @@
 	simulation_free(&sim);
 }
 
-/* Stalls the first servers: their current and later runs make no progress. */
-static void stall_servers(struct simulation *sim, void *data)
+/* Stalls the first COUNT servers: their current and later runs make no progress. */
+static void stall_first_servers(struct simulation *sim, uint32_t count)
 {
-	for (uint32_t i = 0; i < STALLED_SERVERS; i++) {
+	for (uint32_t i = 0; i < count; i++) {
 		struct simulation_server *server = &sim->servers[i];
 
 		server->speed = stalled_speed;
@@ -427,6 +427,11 @@
 	}
 }
 
+static void stall_servers(struct simulation *sim, void *data)
+{
+	stall_first_servers(sim, STALLED_SERVERS);
+}
+
 /* Five of sixteen servers stall, and so do all runs on them, at a load about equal to the
  * capacity of the others. At least 90 % of the jobs sent one second after the stall or later end
  * in time. The bound is for the mean over several seeds, as the share depends on which jobs run on
@@ -450,13 +455,9 @@
 /* Stalls the first four servers and makes the next three eight times slower. */
 static void degrade_most_servers(struct simulation *sim, void *data)
 {
-	for (uint32_t i = 0; i < 7; i++) {
-		struct simulation_server *server = &sim->servers[i];
-
-		server->speed = i < 4 ? stalled_speed : 0.125;
-		for (guint k = 0; i < 4 && k < server->runs->len; k++)
-			((struct simulation_run *)server->runs->pdata[k])->ends_us = INT64_MAX;
-	}
+	stall_first_servers(sim, 4);
+	for (uint32_t i = 4; i < 7; i++)
+		sim->servers[i].speed = 0.125;
 }
 
 /* Seven of eleven servers stall or become very slow, and the others have room for the whole demand:
