Log since when the store has not confirmed an entry's configuration

The log could not tell a read that never returned from a record that was read and not taken. 1500, 1502 and a refusal with 404 now say for how long the store has not answered a read of the configuration, 1506 names a record that is older than the version in force, and the metrics address serves the version and that time.

--- a/packages/greengaged/src/node_clients.c
+++ b/packages/greengaged/src/node_clients.c
@@ -224,9 +224,11 @@
 
 	route = route_find(entry->config.table, host ? host : "", http_request_path(request));
 	if (!route) {
-		error_set(&err, STATUS_NOT_FOUND, "no route for %s%s in version %llu",
+		error_set(&err, STATUS_NOT_FOUND,
+			  "no route for %s%s in version %llu, unconfirmed for %lld ms",
 			  host ? host : "", http_request_path(request),
-			  (unsigned long long)entry->config.table->version);
+			  (unsigned long long)entry->config.table->version,
+			  (long long)node_config_unconfirmed_ms(&entry->config));
 		answer_error(request, &err, "");
 		return;
 	}
--- a/packages/greengaged/src/node_config.c
+++ b/packages/greengaged/src/node_config.c
@@ -25,6 +25,13 @@
 	return config->table ? config->table->version : 0;
 }
 
+int64_t node_config_unconfirmed_ms(const struct node_config *config)
+{
+	return config->confirmed_us == 0
+		       ? -1
+		       : (config->loop->now_us - config->confirmed_us) / US_PER_MS;
+}
+
 bool node_config_apply(struct node_config *config, const char *text, size_t length,
 		       const char *source)
 {
@@ -37,6 +44,10 @@
 		return false;
 	}
 	if (config->table && table->version <= config->table->version) {
+		if (table->version < config->table->version)
+			event_log(EVENT_CONFIG_OLDER, EV_I("version", table->version),
+				  EV_I("version_in_force", config->table->version),
+				  EV_S("source", source));
 		route_table_free(table);
 		return true;
 	}
@@ -46,7 +57,8 @@
 	config->table = table;
 	config->document = g_bytes_new(text, length);
 	event_log(EVENT_CONFIG_APPLIED, EV_I("version", table->version),
-		  EV_I("routes", table->count), EV_S("source", source));
+		  EV_I("routes", table->count), EV_S("source", source),
+		  EV_I("unconfirmed_ms", node_config_unconfirmed_ms(config)));
 	config->applied(config->context, table);
 	return true;
 }
@@ -79,7 +91,8 @@
 
 	if (unavailable && !config->store_unavailable)
 		event_log(EVENT_LOG_UNAVAILABLE, EV_S("topic", STORE_TOPIC_OPERATOR),
-			  EV_S("reason", result->reason));
+			  EV_S("reason", result->reason),
+			  EV_I("unconfirmed_ms", node_config_unconfirmed_ms(config)));
 	if (!unavailable && config->store_unavailable) {
 		event_log(EVENT_LOG_AVAILABLE, EV_S("topic", STORE_TOPIC_OPERATOR));
 		config->store_recovered(config->context);
@@ -90,6 +103,7 @@
 static void apply_and_continue(struct node_config *config, const struct store_result *result)
 {
 	apply_records(config, result);
+	config->confirmed_us = config->loop->now_us;
 	config->next_offset_valid = true;
 	start_read(config, config->loop->now_us);
 }
--- a/packages/greengaged/src/node_config.h
+++ b/packages/greengaged/src/node_config.h
@@ -17,6 +17,7 @@
 	/* Timer that repeats the first read; a zero handle once a first read has succeeded. */
 	struct handle first_read_timer;
 	bool store_unavailable; /* the last read ended with STATUS_LOG_UNAVAILABLE */
+	int64_t confirmed_us;	/* when the store last answered a read; 0 before the first answer */
 	/* Called when a new configuration has come into force. */
 	void (*applied)(void *context, const struct route_table *table);
 	/* Called when the store answers again after a read that ended with STATUS_LOG_UNAVAILABLE.
@@ -38,4 +39,8 @@
 /* Returns the version of the configuration in force, 0 when there is none. */
 uint64_t node_config_version(const struct node_config *config);
 
+/* Returns the time in milliseconds since the store last answered a read, -1 if it never has. Until
+ * that answer, the version in force was the newest one; a change since then may be unknown here. */
+int64_t node_config_unconfirmed_ms(const struct node_config *config);
+
 #endif
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -56,6 +56,10 @@
 	bool ready = is_ready(entry);
 
 	if (strcmp(http_request_path(request), "/metrics") == 0) {
+		counter_set(&node_metrics[NODE_METRIC_CONFIG_VERSION],
+			    (int64_t)node_config_version(&entry->config));
+		counter_set(&node_metrics[NODE_METRIC_CONFIG_UNCONFIRMED],
+			    node_config_unconfirmed_ms(&entry->config));
 		node_metrics_answer(request);
 		return;
 	}
--- a/packages/greengaged/src/node_metrics.h
+++ b/packages/greengaged/src/node_metrics.h
@@ -17,7 +17,10 @@
 	X(REFUSED_REQUESTS, "requests_refused_total", TOTAL, "Requests that reached no job")       \
 	X(RUNS, "runs_total", TOTAL, "Runs that ended or were not started")                        \
 	X(RUNS_NOT_DONE, "runs_not_done_total", TOTAL, "Runs that did not end as done")            \
-	X(LOG_DROPPED, "log_lines_dropped_total", TOTAL, "Log lines dropped at their bounds")
+	X(LOG_DROPPED, "log_lines_dropped_total", TOTAL, "Log lines dropped at their bounds")      \
+	X(CONFIG_VERSION, "config_version", GAUGE, "Version of the configuration in force")        \
+	X(CONFIG_UNCONFIRMED, "config_unconfirmed_ms", GAUGE,                                      \
+	  "Time since the store last answered a read of the configuration, -1 before the first")
 
 enum node_metric {
 #define NODE_METRIC_ENUM(constant, name, kind, help) NODE_METRIC_##constant,
