Bound the read that waits for a new configuration by the apply limit

Callers saw: a route added by a confirmed change was refused with 404 for four seconds ("refused with 404 as an older version says; version 8 was acked more than 2000 ms before").

Cause: an entry waits for changes in a read that the store may hold open for 3.5 s, and the read failed only 4.1 s after its start. When its connection goes silent without being closed, nothing else brings the change; the entries' reads begin together, so no other entry has it either. 200 ms of retry delay came on top. Class of fault: a timeout chosen by itself, beside the limit that it must keep.

Change: the wait and the time for the answer are parts of configApplyMs, 70 % together. A read that fails is followed at once by overlapping reads of the newest version, as at the start of a process, so that one more lost answer costs 250 ms.

Evidence: node_config_test silent_connection fails on the code before (5,502,661 us, limit 2,000,000) and passes now.

--- a/packages/greengaged/src/node_config.c
+++ b/packages/greengaged/src/node_config.c
@@ -7,17 +7,27 @@
 
 enum {
 	US_PER_MS = 1000,
-	/* Time for which the store may hold a read open until there is a new record. The read times
-	 * out 0.6 s later, early enough for a new configuration to be in force in time even when a
-	 * connection stops delivering data without being closed. */
-	LONG_POLL_MS = 3500,
-	RETRY_DELAY_MS = 200,
+	/*
+	 * Parts of the time limit for a new version: how long the store may hold a read open until
+	 * there is a new record, and how long its answer may take after that. An open connection
+	 * may deliver nothing for good, which only the timeout shows. The rest of the limit is left
+	 * for the reads that follow, of which one may be lost as well.
+	 */
+	POLL_WAIT_PERCENT = 40,
+	POLL_ANSWER_PERCENT = 30,
+	PERCENT = 100,
 	/*
 	 * Load pattern: all processes start while the store does not answer, and none can serve
 	 * requests before it has read the configuration. An unanswered read fails only after its
-	 * timeout of one second. The first reads therefore overlap: another one is started at this
-	 * interval until one succeeds. */
-	FIRST_READ_INTERVAL_MS = 250
+	 * timeout of one second. The reads of the newest version therefore overlap: another one is
+	 * started at this interval until one succeeds. */
+	NEWEST_READ_INTERVAL_MS = 250
+};
+
+/* A read in progress. */
+struct config_read {
+	struct node_config *config;
+	uint32_t sequence; /* of reads that it belongs to */
 };
 
 uint64_t node_config_version(const struct node_config *config)
@@ -73,7 +83,6 @@
  * replaces the earlier ones. */
 static void apply_records(struct node_config *config, const struct store_result *result)
 {
-	config->next_offset = result->next;
 	for (size_t i = result->count; i-- > 0;) {
 		const struct store_record *record = &result->records[i];
 
@@ -83,8 +92,6 @@
 	}
 }
 
-static void start_read(void *context, int64_t now_us);
-
 static void update_store_state(struct node_config *config, const struct store_result *result)
 {
 	bool unavailable = result->status == STATUS_LOG_UNAVAILABLE;
@@ -100,65 +107,80 @@
 	config->store_unavailable = unavailable;
 }
 
-static void apply_and_continue(struct node_config *config, const struct store_result *result)
+static struct config_read *read_new(struct node_config *config)
 {
-	apply_records(config, result);
-	config->confirmed_us = config->loop->now_us;
-	config->next_offset_valid = true;
-	start_read(config, config->loop->now_us);
+	struct config_read *read = g_new(struct config_read, 1);
+
+	*read = (struct config_read){.config = config, .sequence = config->read_sequence};
+	return read;
 }
 
-static void on_read_done(void *context, const struct store_result *result)
+/* Ends READ and applies its records. Returns whether reading has not continued in another way since
+ * READ began, so that the caller must continue it. */
+static bool finish_read(struct config_read *read, const struct store_result *result)
 {
-	struct node_config *config = context;
+	struct node_config *config = read->config;
+	bool is_current = read->sequence == config->read_sequence;
 
-	update_store_state(config, result);
+	g_free(read);
+	if (is_current)
+		update_store_state(config, result);
 	if (result->status == STATUS_OK) {
-		apply_and_continue(config, result);
-		return;
+		apply_records(config, result);
+		config->confirmed_us = config->loop->now_us;
 	}
-	config->next_offset_valid = false;
-	timer_subscribe(&config->loop->timers, config->loop->now_us + RETRY_DELAY_MS * US_PER_MS, 0,
-			start_read, config);
+	return is_current;
 }
 
-static void start_read(void *context, int64_t now_us)
+static void poll_records(struct node_config *config, uint64_t offset);
+
+static void on_poll_done(void *context, const struct store_result *result)
 {
-	struct node_config *config = context;
+	struct config_read *read = context;
+	struct node_config *config = read->config;
 
-	if (config->next_offset_valid)
-		store_read(config->store, STORE_TOPIC_OPERATOR, config->next_offset, LONG_POLL_MS,
-			   on_read_done, config);
+	if (!finish_read(read, result))
+		return;
+	if (result->status == STATUS_OK)
+		poll_records(config, result->next);
 	else
-		store_read_newest(config->store, STORE_TOPIC_OPERATOR, on_read_done, config);
+		node_config_read_newest(config);
 }
 
-static void on_first_read_done(void *context, const struct store_result *result)
+/* Waits at the store for the records from OFFSET on. */
+static void poll_records(struct node_config *config, uint64_t offset)
 {
-	struct node_config *config = context;
+	store_read(config->store, STORE_TOPIC_OPERATOR, offset,
+		   config->apply_limit_ms * POLL_WAIT_PERCENT / PERCENT,
+		   config->apply_limit_ms * POLL_ANSWER_PERCENT / PERCENT, on_poll_done,
+		   read_new(config));
+}
 
-	/* Another first read has succeeded already. Continuing from this one too would start a
-	 * second chain of reads. */
-	if (config->first_read_timer.generation == 0)
-		return;
-	update_store_state(config, result);
-	if (result->status != STATUS_OK)
+static void on_newest_read(void *context, const struct store_result *result)
+{
+	struct config_read *read = context;
+	struct node_config *config = read->config;
+
+	if (!finish_read(read, result) || result->status != STATUS_OK)
 		return;
-	timer_cancel(&config->loop->timers, config->first_read_timer);
-	config->first_read_timer = (struct handle){0};
-	apply_and_continue(config, result);
+	timer_cancel(&config->loop->timers, config->newest_read_timer);
+	/* The answers to overlapping reads must not start further polls. */
+	config->read_sequence++;
+	poll_records(config, result->next);
 }
 
-static void start_first_read(void *context, int64_t now_us)
+static void start_newest_read(void *context, int64_t now_us)
 {
 	struct node_config *config = context;
 
-	store_read_newest(config->store, STORE_TOPIC_OPERATOR, on_first_read_done, config);
+	store_read_newest(config->store, STORE_TOPIC_OPERATOR, on_newest_read, read_new(config));
 }
 
-void node_config_start(struct node_config *config)
+void node_config_read_newest(struct node_config *config)
 {
-	config->first_read_timer =
+	timer_cancel(&config->loop->timers, config->newest_read_timer);
+	config->read_sequence++;
+	config->newest_read_timer =
 		timer_subscribe(&config->loop->timers, config->loop->now_us,
-				FIRST_READ_INTERVAL_MS * US_PER_MS, start_first_read, config);
+				NEWEST_READ_INTERVAL_MS * US_PER_MS, start_newest_read, config);
 }
--- a/packages/greengaged/src/node_config.h
+++ b/packages/greengaged/src/node_config.h
@@ -12,10 +12,11 @@
 	struct store *store;
 	struct route_table *table; /* NULL before the first configuration */
 	GBytes *document;	   /* the configuration in force, as stored */
-	uint64_t next_offset;	   /* offset of the next record to read */
-	bool next_offset_valid; /* the last read succeeded, so reading continues at next_offset */
-	/* Timer that repeats the first read; a zero handle once a first read has succeeded. */
-	struct handle first_read_timer;
+	int64_t apply_limit_ms;	   /* time limit for a new version to be in force */
+	/* Starts reads of the newest version until one succeeds; of no effect after that. */
+	struct handle newest_read_timer;
+	/* Number of the present sequence of reads. A read of an earlier one does not continue. */
+	uint32_t read_sequence;
 	bool store_unavailable; /* the last read ended with STATUS_LOG_UNAVAILABLE */
 	int64_t confirmed_us;	/* when the store last answered a read; 0 before the first answer */
 	/* Called when a new configuration has come into force. */
@@ -26,9 +27,10 @@
 	void *context;
 };
 
-/* Starts to read the configuration from the store, and then to wait there for new versions. The
- * caller must set `loop`, `store`, the callbacks and their context first. */
-void node_config_start(struct node_config *config);
+/* Reads the newest version from the store, repeatedly until the store answers, and then waits there
+ * for further versions. Replaces reads that are in progress. The caller must set `loop`, `store`,
+ * `apply_limit_ms`, the callbacks and their context before the first call. */
+void node_config_read_newest(struct node_config *config);
 
 /* Applies the document TEXT if its version is higher than the one in force. SOURCE names its origin
  * in the log: "store", or the name or address of an entry. Returns false when the document is
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -290,11 +290,12 @@
 	entry->config = (struct node_config){
 		.loop = &entry->loop,
 		.store = entry->store,
+		.apply_limit_ms = (int64_t)settings->config_apply_ms,
 		.applied = on_config,
 		.store_recovered = on_store_recovered,
 		.context = entry,
 	};
-	node_config_start(&entry->config);
+	node_config_read_newest(&entry->config);
 }
 
 enum exit_code node_entry_run(const char *settings_file, const struct node_settings *settings)
--- a/packages/platform/include/store.h
+++ b/packages/platform/include/store.h
@@ -51,9 +51,9 @@
 		       void *context);
 
 /* Reads the records from offset FROM on. If there are none, the store waits up to WAIT_MS
- * for one. */
+ * for one. The read fails if there is no answer within ANSWER_MS after that. */
 void store_read(struct store *store, const char *topic, uint64_t from, int64_t wait_ms,
-		store_callback callback, void *context);
+		int64_t answer_ms, store_callback callback, void *context);
 
 /* Appends one record to TOPIC. */
 void store_append(struct store *store, const char *topic, const char *key, const char *value,
--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -11,7 +11,6 @@
 	IDLE_LIMIT_MS = 10000,
 	ANSWER_MAX_BYTES = 8 << 20,
 	CALL_TIMEOUT_MS = 1000, /* an answer usually takes 4 ms */
-	READ_MARGIN_MS = 600,	/* time for the answer to a read, beyond its waiting time */
 	KEY_MAX_BYTES = 255,
 	RECORD_LENGTH_BYTES = 4, /* length before each record, big-endian */
 	/* Size of one offset. A read's answer begins with two, which are ignored. */
@@ -240,7 +239,7 @@
 }
 
 void store_read(struct store *store, const char *topic, uint64_t from, int64_t wait_ms,
-		store_callback callback, void *context)
+		int64_t answer_ms, store_callback callback, void *context)
 {
 	struct operation *operation = operation_new(store, topic, callback, context);
 	char *path =
@@ -252,7 +251,7 @@
 	http_client_call(store->client, &(struct http_call){
 						.method = "GET",
 						.path = path,
-						.timeout_ms = wait_ms + READ_MARGIN_MS,
+						.timeout_ms = wait_ms + answer_ms,
 						.callback = on_read,
 						.context = operation,
 					});
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -388,7 +388,7 @@
 	set_up(&fixture);
 	fixture.leave_unanswered = true;
 	store = store_new(&fixture.loop, fixture.address);
-	store_read(store, "keyed.op", 7, 10, on_store_result, &read);
+	store_read(store, "keyed.op", 7, 10, 600, on_store_result, &read);
 	run_until(&fixture, &fixture.request_count, 1);
 	g_assert_cmpstr(fixture.query, ==, "topic=keyed.op&part=0&from=7&waitMs=10");
 	http_respond_bytes(fixture.unanswered->pdata[0], code, NULL, bytes, length);
--- a/test/unit/node_config_test.c
+++ b/test/unit/node_config_test.c
@@ -10,9 +10,11 @@
 	HTTP_LIMIT_MS = 5000,
 	HTTP_MAX_BYTES = 4096,
 	TIMEOUT_US = 5000 * 1000,
-	/* Three times the delay after a failed read, so that a second chain of reads would be
-	 * noticed. */
+	/* More than twice the interval between reads of the newest version, so that a second chain
+	 * of reads would be noticed. */
 	SETTLE_US = 600 * 1000,
+	APPLY_LIMIT_MS = 2000, /* time limit for a new version to be in force */
+	US_PER_MS = 1000
 };
 
 struct fixture {
@@ -88,10 +90,11 @@
 	fixture->config = (struct node_config){
 		.loop = &fixture->loop,
 		.store = store_new(&fixture->loop, fixture->address),
+		.apply_limit_ms = APPLY_LIMIT_MS,
 		.applied = on_applied,
 		.store_recovered = on_recovered,
 	};
-	node_config_start(&fixture->config);
+	node_config_read_newest(&fixture->config);
 }
 
 /* Runs the event loop until LIST holds COUNT unanswered requests. */
@@ -120,6 +123,42 @@
 	http_respond(request, code, NULL, "{\"items\":[],\"hasMore\":false,\"endOffset\":1}");
 }
 
+/* Answers the read of the newest records that has waited longest with a configuration. */
+static void answer_version(struct fixture *fixture, int version)
+{
+	struct http_request *request = g_ptr_array_steal_index(fixture->newest_reads, 0);
+	char *document = g_strdup_printf("{\"version\":%d,\"routes\":[]}", version);
+	char *value = g_base64_encode((const guchar *)document, strlen(document));
+	char *body = g_strdup_printf("{\"items\":[{\"key\":\"config\",\"value\":\"%s\","
+				     "\"offset\":%d}],\"hasMore\":false,\"endOffset\":%d}",
+				     value, version, version + 1);
+
+	http_respond(request, 200, NULL, body);
+	g_free(body);
+	g_free(value);
+	g_free(document);
+}
+
+/* Runs the event loop until VERSION is in force. */
+static void run_until_version(struct fixture *fixture, uint64_t version)
+{
+	int64_t end_us = g_get_monotonic_time() + TIMEOUT_US;
+
+	while (node_config_version(&fixture->config) != version) {
+		g_assert_cmpint(g_get_monotonic_time(), <, end_us);
+		uv_run(&fixture->loop.uv, UV_RUN_ONCE);
+	}
+}
+
+static void tear_down(struct fixture *fixture)
+{
+	store_free(fixture->config.store);
+	http_server_reset(fixture->server);
+	uv_run(&fixture->loop.uv, UV_RUN_NOWAIT);
+	g_ptr_array_free(fixture->newest_reads, TRUE);
+	g_ptr_array_free(fixture->waiting_reads, TRUE);
+}
+
 /* The first two reads overlap. Reading must not continue from the answers to both, or two chains of
  * reads would run side by side. Here the second answer arrives
  * just after the read that continued from the first one has failed. */
@@ -137,11 +176,28 @@
 	answer(fixture.newest_reads, 200);
 	run_for(&fixture, SETTLE_US);
 	g_assert_cmpuint(fixture.newest_reads->len + fixture.waiting_reads->len, ==, 1);
-	store_free(fixture.config.store);
-	http_server_reset(fixture.server);
-	uv_run(&fixture.loop.uv, UV_RUN_NOWAIT);
-	g_ptr_array_free(fixture.newest_reads, TRUE);
-	g_ptr_array_free(fixture.waiting_reads, TRUE);
+	tear_down(&fixture);
+}
+
+/* Guards against a confirmed change that is late because the connection on which the entry waits
+ * for it delivers nothing any more. The answer to the next read is lost as well. */
+static void test_silent_connection(void)
+{
+	struct fixture fixture;
+	int64_t changed_us;
+
+	set_up(&fixture);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_version(&fixture, 5);
+	run_until(&fixture, fixture.waiting_reads, 1);
+	changed_us = g_get_monotonic_time();
+	run_until(&fixture, fixture.newest_reads, 1);
+	g_ptr_array_remove_index(fixture.newest_reads, 0);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_version(&fixture, 8);
+	run_until_version(&fixture, 8);
+	g_assert_cmpint(g_get_monotonic_time() - changed_us, <, APPLY_LIMIT_MS * US_PER_MS);
+	tear_down(&fixture);
 }
 
 int main(int argc, char **argv)
@@ -151,5 +207,6 @@
 	 */
 	g_log_set_always_fatal(G_LOG_FATAL_MASK);
 	g_test_add_func("/node_config/late_first_read", test_late_first_read);
+	g_test_add_func("/node_config/silent_connection", test_silent_connection);
 	return g_test_run();
 }
