Apply the highest version of an answer, not the last record

Callers would see: a confirmed change is not in force until the next one.

Cause, found by reading: of several records in one answer an entry took the last valid one and did not look at the others. If the store carries out a write without an answer late, the last record is an older version, which is higher than the one in force but lower than the confirmed one. The entry then reads on behind both.

Evidence: node_config_test older_version_last fails on the code before (7 in force instead of 9) and passes now.

--- a/packages/greengaged/src/node_config.c
+++ b/packages/greengaged/src/node_config.c
@@ -42,35 +42,41 @@
 		       : (config->loop->now_us - config->confirmed_us) / US_PER_MS;
 }
 
-bool node_config_apply(struct node_config *config, const char *text, size_t length,
-		       const char *source)
+/* Applies the document TEXT if its version is higher than the one in force. Returns its version, or
+ * 0 when it is invalid. */
+static uint64_t apply_document(struct node_config *config, const char *text, size_t length,
+			       const char *source)
 {
 	struct error err;
 	struct route_table *table;
+	uint64_t version;
 
 	if (config_document_parse(text, length, &table, &err) != STATUS_OK) {
 		event_log(EVENT_CONFIG_REJECTED, EV_S("source", source),
 			  EV_S("reason", err.message));
-		return false;
+		return 0;
 	}
-	if (config->table && table->version <= config->table->version) {
-		if (table->version < config->table->version)
-			event_log(EVENT_CONFIG_OLDER, EV_I("version", table->version),
-				  EV_I("version_in_force", config->table->version),
-				  EV_S("source", source));
+	version = table->version;
+	if (version <= node_config_version(config)) {
 		route_table_free(table);
-		return true;
+		return version;
 	}
 	route_table_free(config->table);
 	if (config->document)
 		g_bytes_unref(config->document);
 	config->table = table;
 	config->document = g_bytes_new(text, length);
-	event_log(EVENT_CONFIG_APPLIED, EV_I("version", table->version),
-		  EV_I("routes", table->count), EV_S("source", source),
+	event_log(EVENT_CONFIG_APPLIED, EV_I("version", version), EV_I("routes", table->count),
+		  EV_S("source", source),
 		  EV_I("unconfirmed_ms", node_config_unconfirmed_ms(config)));
 	config->applied(config->context, table);
-	return true;
+	return version;
+}
+
+bool node_config_apply(struct node_config *config, const char *text, size_t length,
+		       const char *source)
+{
+	return apply_document(config, text, length, source) != 0;
 }
 
 static bool is_config_record(const struct store_record *record)
@@ -79,17 +85,27 @@
 	       memcmp(record->key, STORE_KEY_CONFIG, record->key_length) == 0;
 }
 
-/* Applies the last valid document in RESULT only: each one holds the whole configuration and
- * replaces the earlier ones. */
+/* Applies the document with the highest version in RESULT. That is usually the last one, so the
+ * others are read after it; a write that the store has carried out late puts an older one behind.
+ */
 static void apply_records(struct node_config *config, const struct store_result *result)
 {
+	uint64_t newest_record = 0;
+
 	for (size_t i = result->count; i-- > 0;) {
 		const struct store_record *record = &result->records[i];
+		uint64_t version;
 
-		if (is_config_record(record) &&
-		    node_config_apply(config, record->value, record->value_length, "store"))
-			return;
+		if (!is_config_record(record))
+			continue;
+		version = apply_document(config, record->value, record->value_length, "store");
+		if (newest_record == 0)
+			newest_record = version;
 	}
+	if (newest_record != 0 && newest_record < node_config_version(config))
+		event_log(EVENT_CONFIG_OLDER, EV_I("version", newest_record),
+			  EV_I("version_in_force", node_config_version(config)),
+			  EV_S("source", "store"));
 }
 
 static void update_store_state(struct node_config *config, const struct store_result *result)
--- a/test/unit/node_config_test.c
+++ b/test/unit/node_config_test.c
@@ -123,11 +123,36 @@
 	http_respond(request, code, NULL, "{\"items\":[],\"hasMore\":false,\"endOffset\":1}");
 }
 
+static char *make_document(int version)
+{
+	return g_strdup_printf("{\"version\":%d,\"routes\":[]}", version);
+}
+
+/* Answers the poll that has waited longest with the configurations DOCUMENTS, a list that ends with
+ * NULL. */
+static void answer_poll(struct fixture *fixture, char *const *documents)
+{
+	static const char key[] = "config";
+	GString *body = g_string_new_len("\0\0\0\0\0\0\0\100\0\0\0\0\0\0\0\0", 16);
+
+	for (size_t i = 0; documents[i]; i++) {
+		guint32 size = htonl((guint32)(sizeof(key) + strlen(documents[i])));
+
+		g_string_append_len(body, (const char *)&size, sizeof(size));
+		g_string_append_c(body, (char)strlen(key));
+		g_string_append(body, key);
+		g_string_append(body, documents[i]);
+	}
+	http_respond_bytes(g_ptr_array_steal_index(fixture->waiting_reads, 0), 200, NULL, body->str,
+			   body->len);
+	g_string_free(body, TRUE);
+}
+
 /* Answers the read of the newest records that has waited longest with a configuration. */
 static void answer_version(struct fixture *fixture, int version)
 {
 	struct http_request *request = g_ptr_array_steal_index(fixture->newest_reads, 0);
-	char *document = g_strdup_printf("{\"version\":%d,\"routes\":[]}", version);
+	char *document = make_document(version);
 	char *value = g_base64_encode((const guchar *)document, strlen(document));
 	char *body = g_strdup_printf("{\"items\":[{\"key\":\"config\",\"value\":\"%s\","
 				     "\"offset\":%d}],\"hasMore\":false,\"endOffset\":%d}",
@@ -200,6 +225,25 @@
 	tear_down(&fixture);
 }
 
+/* Guards against a confirmed change that is skipped because the store has carried out the write of
+ * an older version after it, and both come in one answer. */
+static void test_older_version_last(void)
+{
+	struct fixture fixture;
+	char *documents[] = {make_document(9), make_document(7), NULL};
+
+	set_up(&fixture);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_version(&fixture, 5);
+	run_until(&fixture, fixture.waiting_reads, 1);
+	answer_poll(&fixture, documents);
+	run_until(&fixture, fixture.waiting_reads, 1);
+	g_assert_cmpuint(node_config_version(&fixture.config), ==, 9);
+	g_free(documents[0]);
+	g_free(documents[1]);
+	tear_down(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -208,5 +252,6 @@
 	g_log_set_always_fatal(G_LOG_FATAL_MASK);
 	g_test_add_func("/node_config/late_first_read", test_late_first_read);
 	g_test_add_func("/node_config/silent_connection", test_silent_connection);
+	g_test_add_func("/node_config/older_version_last", test_older_version_last);
 	return g_test_run();
 }
