Refuse a configuration whose numbers are out of range

Callers would see: no change of the configuration takes effect any more.

Cause, found by reading: a version of -1 became the highest version that there is, and each later one was ignored as older. Negative attempts, priorities, times and sizes became huge ones in the same way, and a number of another type was taken as its default.

Evidence: adapter_test config/bad fails on the code before at version -1 and passes now.

--- a/packages/platform/src/config_document.c
+++ b/packages/platform/src/config_document.c
@@ -15,11 +15,77 @@
 	DEFAULT_MAX_ATTEMPTS = 1
 };
 
-static json_int_t get_integer(const json_t *object, const char *name, json_int_t default_value)
+/* A number in the document. */
+struct number_field {
+	const char *name;
+	json_int_t min;
+	json_int_t default_value;
+};
+
+/* Reads FIELD of OBJECT into VALUE; a field that is missing or null has its default value. Returns
+ * STATUS_INVALID_CONFIG when it is no number, below its minimum or above INT32_MAX. */
+static enum status read_number(const json_t *object, const struct number_field *field,
+			       json_int_t *value, struct error *err)
+{
+	const json_t *json = json_object_get(object, field->name);
+	double number = json_number_value(json);
+
+	*value = field->default_value;
+	if (!json || json_is_null(json))
+		return STATUS_OK;
+	if (!json_is_number(json) || number < (double)field->min || number > INT32_MAX)
+		return error_set(err, STATUS_INVALID_CONFIG, "%s must be a number from %lld on",
+				 field->name, (long long)field->min);
+	*value = (json_int_t)number;
+	return STATUS_OK;
+}
+
+/* Reads COUNT fields of OBJECT into the array VALUES. */
+static enum status read_numbers(const json_t *object, const struct number_field *fields,
+				size_t count, json_int_t *values, struct error *err)
+{
+	for (size_t i = 0; i < count; i++) {
+		enum status status = read_number(object, &fields[i], &values[i], err);
+
+		if (status != STATUS_OK)
+			return status;
+	}
+	return STATUS_OK;
+}
+
+static enum status parse_route_numbers(const json_t *object, struct route *route, struct error *err)
 {
-	const json_t *field = json_object_get(object, name);
+	enum {
+		PRIORITY,
+		MAX_ATTEMPTS,
+		TARGET_RUNTIME,
+		TIMEOUT,
+		FIELD_COUNT
+	};
+	static const struct number_field fields[FIELD_COUNT] = {
+		[PRIORITY] = {.name = "priority"},
+		[MAX_ATTEMPTS] = {.name = "maxAttempts", .default_value = DEFAULT_MAX_ATTEMPTS},
+		[TARGET_RUNTIME] = {.name = "targetRuntimeMs"},
+		[TIMEOUT] = {.name = "timeoutMs", .default_value = DEFAULT_TIMEOUT_MS},
+	};
+	const json_t *field = json_object_get(object, "stretchFactor");
+	const json_t *stretch = json_is_null(field) ? NULL : field;
+	json_int_t values[FIELD_COUNT];
+	enum status status = read_numbers(object, fields, FIELD_COUNT, values, err);
 
-	return json_is_number(field) ? (json_int_t)json_number_value(field) : default_value;
+	if (status != STATUS_OK)
+		return status;
+	if (stretch && (!json_is_number(stretch) || json_number_value(stretch) < 0))
+		return error_set(err, STATUS_INVALID_CONFIG,
+				 "stretchFactor must be a number from 0 on");
+	route->stretch = stretch ? json_number_value(stretch) : 1.0;
+	route->priority = (uint32_t)values[PRIORITY];
+	route->max_attempts = (uint32_t)values[MAX_ATTEMPTS];
+	/* Despite its name, targetRuntimeMs is not a run time: it is the time allowed to a job in
+	 * addition to its run time multiplied by the stretch factor. */
+	route->slack_us = values[TARGET_RUNTIME] * US_PER_MS;
+	route->timeout_us = values[TIMEOUT] * US_PER_MS;
+	return STATUS_OK;
 }
 
 static enum status parse_route(const json_t *object, struct route *route, struct error *err)
@@ -28,50 +94,81 @@
 	const char *host = json_string_value(json_object_get(object, "host"));
 	const char *prefix = json_string_value(json_object_get(object, "pathPrefix"));
 	const char *service = json_string_value(json_object_get(object, "service"));
-	const json_t *stretch = json_object_get(object, "stretchFactor");
 
 	if (!name || !host || !prefix || !service)
 		return error_set(err, STATUS_INVALID_CONFIG,
 				 "route %s: name, host, pathPrefix and service must be strings",
 				 name ? name : "without a name");
+	if (prefix[0] != '/')
+		return error_set(err, STATUS_INVALID_CONFIG,
+				 "route %s: pathPrefix must begin with a slash", name);
 	route->name = g_strdup(name);
 	route->host = g_strdup(host);
 	route->path_prefix = g_strdup(prefix);
 	route->service = g_strdup(service);
-	route->priority = (uint32_t)get_integer(object, "priority", 0);
-	route->max_attempts = (uint32_t)get_integer(object, "maxAttempts", DEFAULT_MAX_ATTEMPTS);
-	route->stretch = json_is_number(stretch) ? json_number_value(stretch) : 1.0;
-	/* Despite its name, targetRuntimeMs is not a run time: it is the time allowed to a job in
-	 * addition to its run time multiplied by the stretch factor. */
-	route->slack_us = get_integer(object, "targetRuntimeMs", 0) * US_PER_MS;
-	route->timeout_us = get_integer(object, "timeoutMs", DEFAULT_TIMEOUT_MS) * US_PER_MS;
+	return parse_route_numbers(object, route, err);
+}
+
+static enum status parse_limits(const json_t *limits, struct route_table *table, struct error *err)
+{
+	enum {
+		HEADER_MAX_BYTES,
+		BODY_MAX_BYTES,
+		HEADER_TIMEOUT,
+		IDLE_TIMEOUT,
+		FIELD_COUNT
+	};
+	static const struct number_field fields[FIELD_COUNT] = {
+		[HEADER_MAX_BYTES] = {.name = "maxHeaderBytes",
+				      .min = 1,
+				      .default_value = DEFAULT_HEADER_MAX_BYTES},
+		[BODY_MAX_BYTES] = {.name = "maxBodyBytes",
+				    .min = 1,
+				    .default_value = DEFAULT_BODY_MAX_BYTES},
+		[HEADER_TIMEOUT] = {.name = "headerTimeoutMs",
+				    .min = 1,
+				    .default_value = DEFAULT_HEADER_TIMEOUT_MS},
+		[IDLE_TIMEOUT] = {.name = "idleTimeoutMs",
+				  .min = 1,
+				  .default_value = DEFAULT_IDLE_TIMEOUT_MS},
+	};
+	json_int_t values[FIELD_COUNT];
+	enum status status = read_numbers(limits, fields, FIELD_COUNT, values, err);
+
+	if (status != STATUS_OK)
+		return status;
+	table->header_max_bytes = (size_t)values[HEADER_MAX_BYTES];
+	table->body_max_bytes = (size_t)values[BODY_MAX_BYTES];
+	table->header_limit_ms = values[HEADER_TIMEOUT];
+	table->idle_limit_ms = values[IDLE_TIMEOUT];
 	return STATUS_OK;
 }
 
 static enum status parse_table(const json_t *document, struct route_table *table, struct error *err)
 {
+	const json_t *version = json_object_get(document, "version");
 	const json_t *routes = json_object_get(document, "routes");
-	const json_t *limits = json_object_get(document, "limits");
 	const json_t *route;
+	enum status status;
 	size_t i;
 
-	if (!json_is_integer(json_object_get(document, "version")))
-		return error_set(err, STATUS_INVALID_CONFIG, "version must be a whole number");
+	/* 0 stands for no version. A negative one would rank above all others once unsigned. */
+	if (!json_is_integer(version) || json_integer_value(version) < 1)
+		return error_set(err, STATUS_INVALID_CONFIG,
+				 "version must be a whole number "
+				 "above 0");
 	if (!json_is_array(routes))
 		return error_set(err, STATUS_INVALID_CONFIG, "routes must be a list");
-	table->version = (uint64_t)get_integer(document, "version", 0);
-	table->header_max_bytes =
-		(size_t)get_integer(limits, "maxHeaderBytes", DEFAULT_HEADER_MAX_BYTES);
-	table->body_max_bytes = (size_t)get_integer(limits, "maxBodyBytes", DEFAULT_BODY_MAX_BYTES);
-	table->header_limit_ms = get_integer(limits, "headerTimeoutMs", DEFAULT_HEADER_TIMEOUT_MS);
-	table->idle_limit_ms = get_integer(limits, "idleTimeoutMs", DEFAULT_IDLE_TIMEOUT_MS);
+	table->version = (uint64_t)json_integer_value(version);
+	status = parse_limits(json_object_get(document, "limits"), table, err);
+	if (status != STATUS_OK)
+		return status;
 	table->routes = g_new0(struct route, json_array_size(routes) + 1);
 	json_array_foreach (routes, i, route) {
-		enum status status = parse_route(route, &table->routes[table->count], err);
-
+		/* Counted first: a route that is invalid is freed with the table. */
+		status = parse_route(route, &table->routes[table->count++], err);
 		if (status != STATUS_OK)
 			return status;
-		table->count++;
 	}
 	return STATUS_OK;
 }
--- a/test/unit/adapter_test.c
+++ b/test/unit/adapter_test.c
@@ -278,18 +278,40 @@
 	route_table_free(table);
 }
 
-/* An invalid configuration must be rejected. */
+#define ROUTE_WITH(field)                                                                          \
+	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"service\":\"s\","             \
+	"\"pathPrefix\":\"/a/\"," field "}]}"
+
+/* An invalid configuration must be rejected. With a negative version it would replace every other
+ * one and never be replaced itself. */
 static void test_bad_config(void)
 {
-	static const char *const bad[] = {"", "{}", "{\"version\":\"7\",\"routes\":[]}",
-					  "{\"version\":7,\"routes\":{}}",
-					  "{\"version\":7,\"routes\":[{\"name\":\"r\"}]}"};
+	static const char *const bad[] = {
+		"",
+		"{}",
+		"{\"version\":\"7\",\"routes\":[]}",
+		"{\"version\":-1,\"routes\":[]}",
+		"{\"version\":0,\"routes\":[]}",
+		"{\"version\":7.5,\"routes\":[]}",
+		"{\"version\":7,\"routes\":{}}",
+		"{\"version\":7,\"routes\":[{\"name\":\"r\"}]}",
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"service\":\"s\","
+		"\"pathPrefix\":\"\"}]}",
+		ROUTE_WITH("\"maxAttempts\":-1"),
+		ROUTE_WITH("\"priority\":\"high\""),
+		ROUTE_WITH("\"timeoutMs\":-1500"),
+		ROUTE_WITH("\"targetRuntimeMs\":1e30"),
+		ROUTE_WITH("\"stretchFactor\":\"1.6\""),
+		"{\"version\":7,\"routes\":[],\"limits\":{\"maxBodyBytes\":-1}}",
+	};
 	struct route_table *table;
 	struct error err;
 
-	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		g_test_message("%s", bad[i]);
 		g_assert_cmpint(config_document_parse(bad[i], strlen(bad[i]), &table, &err), !=,
 				STATUS_OK);
+	}
 }
 
 int main(int argc, char **argv)
