Read the newest configuration when the log ends before the read

Callers would see: no confirmed change takes effect any more until the process starts again.

Cause, found by reading: an entry waits for records from an offset on and did not look at the end of the log that each answer states. Where the log ends before that offset, because history was lost, the store delivers nothing, and the changes that take the place of the lost records are never read.

Change: an answer whose end lies before the offset counts as truncated, and the newest version is read.

Evidence: node_config_test log_ends_earlier fails on the code before (another wait at the same offset) and passes now. platform_ftest store_without_history passes on both, because the restart of the store closes the connections.

--- a/packages/platform/include/store.h
+++ b/packages/platform/include/store.h
@@ -25,8 +25,9 @@
 /*
  * The result of a read or an append, valid during the callback. RECORDS and NEXT are meaningful
  * only after a read with STATUS_OK. STATUS_LOG_TRUNCATED: the requested records have been dropped,
- * and the caller must read the newest ones again. STATUS_LOG_UNAVAILABLE: there was no usable
- * answer; an append may have taken effect, or may still do so.
+ * or the log ends before them, and the caller must read the newest ones again.
+ * STATUS_LOG_UNAVAILABLE: there was no usable answer; an append may have taken effect, or may still
+ * do so.
  */
 struct store_result {
 	enum status status;
--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -13,7 +13,8 @@
 	CALL_TIMEOUT_MS = 1000, /* an answer usually takes 4 ms */
 	KEY_MAX_BYTES = 255,
 	RECORD_LENGTH_BYTES = 4, /* length before each record, big-endian */
-	/* Size of one offset. A read's answer begins with two, which are ignored. */
+	/* Size of one offset, big-endian. A read's answer begins with two: the end of the log and
+	 * its first record. */
 	READ_OFFSET_BYTES = 8
 };
 
@@ -222,6 +223,14 @@
 	return true;
 }
 
+static uint64_t parse_offset(const char *bytes)
+{
+	uint64_t offset;
+
+	memcpy(&offset, bytes, sizeof(offset));
+	return GUINT64_FROM_BE(offset);
+}
+
 static void on_read(void *context, const struct http_response *reply)
 {
 	struct operation *operation = context;
@@ -233,6 +242,9 @@
 		 !parse_records(operation, reply->body + header_bytes,
 				reply->length - header_bytes))
 		complete_operation(operation, STATUS_LOG_UNAVAILABLE, "malformed records", 0);
+	else if (parse_offset(reply->body) < operation->next_offset)
+		complete_operation(operation, STATUS_LOG_TRUNCATED, "the log ends before the read",
+				   0);
 	else
 		complete_operation(operation, STATUS_OK, NULL,
 				   operation->next_offset + operation->records->len);
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -352,6 +352,30 @@
 	stop_cluster(&cluster);
 }
 
+/* Guards against entries that miss changes once the store has restarted without its history. */
+static void test_store_without_history(void)
+{
+	struct cluster cluster;
+
+	start_cluster(&cluster);
+	publish_config(&cluster, 7, "/mid/");
+	HARNESS_WAIT(CONFIG_TIMEOUT_MS,
+		     harness_status("GET", cluster.client_urls[1], "/mid/", NULL) == 200);
+	harness_kill(cluster.platform);
+	harness_restart(cluster.harness, cluster.platform);
+	HARNESS_WAIT(READY_TIMEOUT_MS,
+		     harness_status("GET", cluster.platform_url, "/control", NULL) == 200);
+	publish_config(&cluster, 9, "/new/");
+	HARNESS_WAIT(CONFIG_TIMEOUT_MS,
+		     harness_status("GET", cluster.client_urls[0], "/new/", NULL) == 200 &&
+			     harness_status("GET", cluster.client_urls[1], "/new/", NULL) == 200);
+	publish_config(&cluster, 11, "/last/");
+	HARNESS_WAIT(CONFIG_TIMEOUT_MS,
+		     harness_status("GET", cluster.client_urls[0], "/last/", NULL) == 200 &&
+			     harness_status("GET", cluster.client_urls[1], "/last/", NULL) == 200);
+	stop_cluster(&cluster);
+}
+
 /* Guards against an entry that does not become ready because the store is down when it starts. It
  * must fetch the configuration from another entry. */
 static void test_start_without_store(void)
@@ -693,6 +717,7 @@
 	g_test_add_func("/platform/repeat_after_answer", test_resubmit_after_response);
 	g_test_add_func("/platform/bad_requests", test_bad_requests);
 	g_test_add_func("/platform/configuration", test_configuration);
+	g_test_add_func("/platform/store_without_history", test_store_without_history);
 	g_test_add_func("/platform/agents_start_without_seed", test_agents_start_without_seed);
 	g_test_add_func("/platform/start_without_store", test_start_without_store);
 	g_test_add_func("/platform/start_in_silence", test_start_with_silent_store);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -473,11 +473,11 @@
 {
 	struct topic *topic = find_or_create_topic(standin, read->topic);
 	GByteArray *body = g_byte_array_new();
-	guint8 zero[8] = {0};
+	guint64 end = GUINT64_TO_BE((guint64)topic->keys->len);
+	guint64 first = 0;
 
-	/* Two offsets of 8 bytes each precede the records; clients skip them. */
-	g_byte_array_append(body, zero, sizeof(zero));
-	g_byte_array_append(body, zero, sizeof(zero));
+	g_byte_array_append(body, (const guint8 *)&end, sizeof(end));
+	g_byte_array_append(body, (const guint8 *)&first, sizeof(first));
 	for (size_t i = read->from; i < topic->keys->len; i++) {
 		const char *key = topic->keys->pdata[i];
 		gsize length;
--- a/test/unit/node_config_test.c
+++ b/test/unit/node_config_test.c
@@ -244,6 +244,27 @@
 	tear_down(&fixture);
 }
 
+/* Guards against an entry that waits for records behind the end of a log that has lost some, and
+ * so misses the changes that take their place. */
+static void test_log_ends_earlier(void)
+{
+	static const char end_at_4[16] = {[7] = 4};
+	struct fixture fixture;
+
+	set_up(&fixture);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_version(&fixture, 5);
+	run_until(&fixture, fixture.waiting_reads, 1);
+	http_respond_bytes(g_ptr_array_steal_index(fixture.waiting_reads, 0), 200, NULL, end_at_4,
+			   sizeof(end_at_4));
+	while (fixture.newest_reads->len + fixture.waiting_reads->len == 0)
+		uv_run(&fixture.loop.uv, UV_RUN_ONCE);
+	g_assert_cmpuint(fixture.newest_reads->len, ==, 1);
+	answer_version(&fixture, 8);
+	run_until_version(&fixture, 8);
+	tear_down(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -253,5 +274,6 @@
 	g_test_add_func("/node_config/late_first_read", test_late_first_read);
 	g_test_add_func("/node_config/silent_connection", test_silent_connection);
 	g_test_add_func("/node_config/older_version_last", test_older_version_last);
+	g_test_add_func("/node_config/log_ends_earlier", test_log_ends_earlier);
 	return g_test_run();
 }
