Keep the interval between reads of the newest configuration when polls fail

Callers saw nothing; the store would have: calls without a pause, each of them priced and counted against the limit that all daemons share.

Cause: follows a failed poll at once by a read of the newest version, and that by the next poll. A store that answers the one and refuses the other (parts of it down) closes the circle within a round trip.

Change: a sequence of newest reads begins no sooner than one interval (250 ms) after the last such read.

--- a/packages/greengaged/src/node_config.c
+++ b/packages/greengaged/src/node_config.c
@@ -189,14 +189,20 @@
 {
 	struct node_config *config = context;
 
+	config->newest_read_us = now_us;
 	store_read_newest(config->store, STORE_TOPIC_OPERATOR, on_newest_read, read_new(config));
 }
 
 void node_config_read_newest(struct node_config *config)
 {
+	/* The interval also holds when each poll fails at once after a successful read. */
+	int64_t earliest_us = config->newest_read_us + NEWEST_READ_INTERVAL_MS * US_PER_MS;
+	int64_t first_us = config->newest_read_us == 0 ? config->loop->now_us
+						       : MAX(config->loop->now_us, earliest_us);
+
 	timer_cancel(&config->loop->timers, config->newest_read_timer);
 	config->read_sequence++;
 	config->newest_read_timer =
-		timer_subscribe(&config->loop->timers, config->loop->now_us,
+		timer_subscribe(&config->loop->timers, first_us,
 				NEWEST_READ_INTERVAL_MS * US_PER_MS, start_newest_read, config);
 }
--- a/packages/greengaged/src/node_config.h
+++ b/packages/greengaged/src/node_config.h
@@ -15,6 +15,7 @@
 	int64_t apply_limit_ms;	   /* time limit for a new version to be in force */
 	/* Starts reads of the newest version until one succeeds; of no effect after that. */
 	struct handle newest_read_timer;
+	int64_t newest_read_us; /* when such a read was last started; 0 before the first */
 	/* Number of the present sequence of reads. A read of an earlier one does not continue. */
 	uint32_t read_sequence;
 	bool store_unavailable; /* the last read ended with STATUS_LOG_UNAVAILABLE */
--- a/test/unit/node_config_test.c
+++ b/test/unit/node_config_test.c
@@ -13,6 +13,7 @@
 	/* More than twice the interval between reads of the newest version, so that a second chain
 	 * of reads would be noticed. */
 	SETTLE_US = 600 * 1000,
+	NEWEST_READ_INTERVAL_US = 250 * 1000,
 	APPLY_LIMIT_MS = 2000, /* time limit for a new version to be in force */
 	US_PER_MS = 1000
 };
@@ -265,6 +266,30 @@
 	tear_down(&fixture);
 }
 
+/* Guards against calls without a pause to a store that answers reads of the newest version but
+ * refuses the reads that wait for the next one. */
+static void test_refused_polls(void)
+{
+	struct fixture fixture;
+	guint newest_reads = 0;
+	int64_t end_us;
+
+	set_up(&fixture);
+	end_us = g_get_monotonic_time() + SETTLE_US;
+	while (g_get_monotonic_time() < end_us) {
+		uv_run(&fixture.loop.uv, UV_RUN_ONCE);
+		if (fixture.waiting_reads->len > 0)
+			answer(fixture.waiting_reads, 503);
+		if (fixture.newest_reads->len > 0) {
+			answer(fixture.newest_reads, 200);
+			newest_reads++;
+		}
+	}
+	/* One at once and one for each interval that has begun. */
+	g_assert_cmpuint(newest_reads, <=, 1 + SETTLE_US / NEWEST_READ_INTERVAL_US);
+	tear_down(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -275,5 +300,6 @@
 	g_test_add_func("/node_config/silent_connection", test_silent_connection);
 	g_test_add_func("/node_config/older_version_last", test_older_version_last);
 	g_test_add_func("/node_config/log_ends_earlier", test_log_ends_earlier);
+	g_test_add_func("/node_config/refused_polls", test_refused_polls);
 	return g_test_run();
 }
