Close the store's idle connections when a call on one of them times out

Callers would see: a route added by a confirmed change refused with 404 for a while longer than the limit allows, after two troubles in series.

Cause: while the store is slow, reads of the newest version overlap, each on a connection of its own. When all connections go silent later, the timeout of the poll closes one of them, and each of the reads that follow takes one of the other idle connections and is lost as well, at 250 ms apiece.

Change: a client of the store closes all connections that have been idle since before the call that timed out.

--- a/packages/net/include/http_client.h
+++ b/packages/net/include/http_client.h
@@ -33,6 +33,9 @@
 	unsigned max_connections;  /* calls wait while all of them are busy */
 	int64_t idle_limit_ms;	   /* a connection idle for longer is replaced */
 	size_t response_max_bytes; /* larger response bodies fail with STATUS_NETWORK */
+	/* A call that times out on its connection also closes the connections that have been idle
+	 * since before it, because the same fault may have silenced them. */
+	bool close_idle_on_timeout;
 };
 
 struct http_call {
--- a/packages/net/src/http_client.c
+++ b/packages/net/src/http_client.c
@@ -39,6 +39,7 @@
 	unsigned connection_limit;
 	int64_t idle_limit_us;
 	size_t response_max_bytes;
+	bool close_idle_on_timeout;
 	GPtrArray *connections;
 	GQueue waiting; /* struct call * */
 	bool freeing;
@@ -300,11 +301,25 @@
 	}
 }
 
+static void close_idle_since(struct http_client *client, int64_t time_us)
+{
+	for (guint i = client->connections->len; i-- > 0;) {
+		struct connection *connection = client->connections->pdata[i];
+
+		if (connection->call || connection->idle_since_us > time_us)
+			continue;
+		net_conn_close(connection->conn);
+		remove_connection(connection);
+	}
+}
+
 static void on_timeout(void *context, int64_t now_us)
 {
 	struct call *call = context;
 
 	if (call->connection) {
+		if (call->client->close_idle_on_timeout)
+			close_idle_since(call->client, call->started_us);
 		abort_connection(call->connection, STATUS_TIMEOUT,
 				 "no response within the timeout");
 		return;
@@ -323,6 +338,7 @@
 	client->connection_limit = options->max_connections;
 	client->idle_limit_us = options->idle_limit_ms * US_PER_MS;
 	client->response_max_bytes = options->response_max_bytes;
+	client->close_idle_on_timeout = options->close_idle_on_timeout;
 	client->connections = g_ptr_array_new();
 	g_queue_init(&client->waiting);
 	return client;
--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -42,6 +42,7 @@
 		.max_connections = MAX_CONNECTIONS,
 		.idle_limit_ms = IDLE_LIMIT_MS,
 		.response_max_bytes = ANSWER_MAX_BYTES,
+		.close_idle_on_timeout = true,
 	};
 	struct store *store = g_new0(struct store, 1);
 
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -192,6 +192,36 @@
 	tear_down(&fixture);
 }
 
+/* Guards against calls that fail one after the other on kept connections that a network fault has
+ * silenced all at once. */
+static void test_timeout_closes_idle(void)
+{
+	struct fixture fixture;
+	struct http_client *client;
+
+	set_up(&fixture);
+	client = http_client_new(&fixture.loop,
+				 &(struct http_client_options){.address = fixture.address,
+							       .max_connections = 3,
+							       .idle_limit_ms = 1000,
+							       .response_max_bytes = 1000,
+							       .close_idle_on_timeout = true});
+	fixture.leave_unanswered = true;
+	call(client, &fixture, "a", 1000);
+	call(client, &fixture, "b", 1000);
+	run_until(&fixture, &fixture.request_count, 2);
+	while (fixture.unanswered->len > 0)
+		http_respond(g_ptr_array_steal_index(fixture.unanswered, 0), 200, NULL, "{}");
+	run_until(&fixture, &fixture.response_count, 2);
+	g_assert_cmpuint(http_server_connections(fixture.server), ==, 2);
+	call(client, &fixture, "c", 50);
+	run_until(&fixture, &fixture.response_count, 3);
+	g_assert_cmpint(fixture.statuses[2], ==, STATUS_TIMEOUT);
+	g_assert_false(http_client_connected(client));
+	http_client_free(client);
+	tear_down(&fixture);
+}
+
 /* A call that waits behind an unanswered one must get its whole timeout once it is sent, and its
  * elapsed time must not include the wait. Otherwise lost responses look like a slow server,
  * timeouts grow and more calls wait. */
@@ -426,6 +456,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http/kept_connection", test_keep_alive);
 	g_test_add_func("/http/timeout", test_timeout);
+	g_test_add_func("/http/timeout_closes_idle", test_timeout_closes_idle);
 	g_test_add_func("/http/timeout_of_waiting_call", test_timeout_of_waiting_call);
 	g_test_add_func("/http/refused", test_refused);
 	g_test_add_func("/http/bad_requests", test_bad_requests);
