Have an agent read the configuration while the store refuses the entries

Callers would see: a route added by a confirmed change refused with 404 for as long as the store turns all entries away.

Cause: an entry learns of a version from the store or from another entry. A store that refuses the calls of every entry, and serves the operator and the other hosts, leaves both without it. Class of fault: all sources behind one point of failure.

A starting entry does the same. The answer also confirms the version in force. A document that was not requested from the agent is ignored.

--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -8,6 +8,7 @@
 #include "agent_owner.h"
 #include "client_api.h"
 #include "event.h"
+#include "node_config_relay.h"
 #include "node_link.h"
 #include "node_members.h"
 #include "node_reload.h"
@@ -56,6 +57,7 @@
 	struct node_links links;
 	struct node_members members;
 	struct store *store;
+	struct node_config_relay config_relay;
 	struct node_signals signals;
 	struct node_reload reload;
 	struct backend backend;
@@ -172,8 +174,30 @@
 {
 	struct endpoint *endpoint = context;
 
-	if (frame->body_case == GGD__FRAME__BODY_ORDERS && endpoint->owner)
+	if (!endpoint->owner)
+		return;
+	if (frame->body_case == GGD__FRAME__BODY_ORDERS)
 		handle_orders(endpoint->agent, endpoint->owner, frame->orders);
+	else if (frame->body_case == GGD__FRAME__BODY_CONFIG_REQUEST)
+		node_config_relay_read(&endpoint->agent->config_relay, endpoint->owner->number,
+				       frame->config_request->version);
+}
+
+static void send_config(void *context, uint32_t entry, uint64_t version, const char *document,
+			size_t length)
+{
+	struct owner *owner = find_owner(context, entry);
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__ConfigDocument message = GGD__CONFIG_DOCUMENT__INIT;
+
+	if (!owner || !owner->link)
+		return;
+	message.version = version;
+	message.document.data = (uint8_t *)document;
+	message.document.len = document ? length : 0;
+	frame.body_case = GGD__FRAME__BODY_CONFIG;
+	frame.config = &message;
+	node_link_send(owner->link, &frame);
 }
 
 static bool on_up(void *context, struct node_link *link, const Ggd__Hello *hello)
@@ -550,6 +574,8 @@
 	agent->subset_size = SUBSET_MIN_ENTRIES;
 	agent->no_entry_since_us = agent->loop.now_us;
 	agent->store = store_new(&agent->loop, settings->store_address);
+	agent->config_relay = (struct node_config_relay){
+		.store = agent->store, .answer = send_config, .context = agent};
 	node_links_init(&agent->links, &agent->loop, &identity,
 			node_settings_silence_timeout_ms(settings));
 	node_members_init(&agent->members, &(struct node_members_options){
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -37,6 +37,7 @@
 	/* Earlier process of the agent with the same name, while runs of that process may be
 	 * unsettled; otherwise NULL. */
 	struct agent_peer *predecessor;
+	bool config_requested; /* on this connection, and not answered yet */
 };
 
 static void free_order(gpointer data)
@@ -207,12 +208,30 @@
 	settle_former_servers(agent, report->room, now_us);
 }
 
+/* Handles the configuration that an agent has read for this entry. */
+static void handle_config(struct agent_peer *agent, const Ggd__ConfigDocument *config)
+{
+	struct node_entry *entry = agent->entry;
+
+	agent->config_requested = false;
+	if (config->version == 0)
+		return;
+	config_relay_answered(&entry->config_relay, entry->loop.now_us);
+	if (config->version > node_config_version(&entry->config))
+		node_config_apply(&entry->config, (const char *)config->document.data,
+				  config->document.len, agent->name);
+	if (config->version <= node_config_version(&entry->config))
+		node_config_confirm(&entry->config);
+}
+
 static void on_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
 {
 	struct agent_peer *agent = context;
 
 	if (frame->body_case == GGD__FRAME__BODY_REPORT)
 		handle_report(agent, frame->report, agent->entry->loop.now_us);
+	else if (frame->body_case == GGD__FRAME__BODY_CONFIG && agent->config_requested)
+		handle_config(agent, frame->config);
 }
 
 /* Fills BATCH, which must be initialized, with the consecutive orders for one job that begin at
@@ -346,6 +365,7 @@
 	agent->link = link;
 	agent->last_orders_number = 0;
 	agent->awaiting_inventory = true;
+	agent->config_requested = false;
 	agent->members_sent = 0;
 	agent->service_servers_sent = 0;
 	node_link_set_callbacks(link, &link_callbacks, agent);
@@ -381,6 +401,37 @@
 	}
 }
 
+static void send_config_request(struct agent_peer *agent)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__ConfigRequest request = GGD__CONFIG_REQUEST__INIT;
+
+	request.version = node_config_version(&agent->entry->config);
+	frame.body_case = GGD__FRAME__BODY_CONFIG_REQUEST;
+	frame.config_request = &request;
+	node_link_send(agent->link, &frame);
+	agent->config_requested = true;
+}
+
+void node_agent_links_request_config(struct node_entry *entry, int64_t now_us)
+{
+	/* An agent that the store answers is asked again. */
+	uint32_t first = entry->config_relay_agent + (entry->config_relay.unanswered > 0);
+
+	for (guint i = 0; i < entry->agents->len; i++) {
+		uint32_t index = (first + i) % entry->agents->len;
+		struct agent_peer *agent = entry->agents->pdata[index];
+
+		if (!agent->link)
+			continue;
+		if (config_relay_due(&entry->config_relay, now_us)) {
+			entry->config_relay_agent = index;
+			send_config_request(agent);
+		}
+		return;
+	}
+}
+
 void node_agent_links_close_all(struct node_entry *entry)
 {
 	for (guint i = 0; i < entry->agents->len; i++) {
--- a/packages/greengaged/src/node_agent_links.h
+++ b/packages/greengaged/src/node_agent_links.h
@@ -17,6 +17,10 @@
 /* Sends the orders queued in this turn of the event loop. */
 void node_agent_links_send_queued(struct node_entry *entry);
 
+/* Requests an agent to read the configuration from the store, if that is due. Call at each tick
+ * while the store does not answer the reads of this entry. */
+void node_agent_links_request_config(struct node_entry *entry, int64_t now_us);
+
 /* Closes all links. Call after this process was frozen. */
 void node_agent_links_close_all(struct node_entry *entry);
 
--- a/packages/greengaged/src/node_config.c
+++ b/packages/greengaged/src/node_config.c
@@ -1,7 +1,5 @@
 #include "node_config.h"
 
-#include <string.h>
-
 #include "config_document.h"
 #include "event.h"
 
@@ -79,10 +77,9 @@
 	return apply_document(config, text, length, source) != 0;
 }
 
-static bool is_config_record(const struct store_record *record)
+void node_config_confirm(struct node_config *config)
 {
-	return record->value && record->key_length == strlen(STORE_KEY_CONFIG) &&
-	       memcmp(record->key, STORE_KEY_CONFIG, record->key_length) == 0;
+	config->confirmed_us = config->loop->now_us;
 }
 
 /* Applies the document with the highest version in RESULT. That is usually the last one, so the
@@ -96,7 +93,7 @@
 		const struct store_record *record = &result->records[i];
 		uint64_t version;
 
-		if (!is_config_record(record))
+		if (!store_record_has_key(record, STORE_KEY_CONFIG))
 			continue;
 		version = apply_document(config, record->value, record->value_length, "store");
 		if (newest_record == 0)
@@ -143,7 +140,7 @@
 		update_store_state(config, result);
 	if (result->status == STATUS_OK) {
 		apply_records(config, result);
-		config->confirmed_us = config->loop->now_us;
+		node_config_confirm(config);
 	}
 	return is_current;
 }
--- a/packages/greengaged/src/node_config.h
+++ b/packages/greengaged/src/node_config.h
@@ -39,6 +39,9 @@
 bool node_config_apply(struct node_config *config, const char *text, size_t length,
 		       const char *source);
 
+/* Records that the store has answered a read by another host with the version in force. */
+void node_config_confirm(struct node_config *config);
+
 /* Returns the version of the configuration in force, 0 when there is none. */
 uint64_t node_config_version(const struct node_config *config);
 
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -178,7 +178,11 @@
 
 static void tick_peers(void *context, int64_t now_us)
 {
-	node_peers_tick(context, now_us);
+	struct node_entry *entry = context;
+
+	node_peers_tick(entry, now_us);
+	if (entry->config.store_unavailable || node_config_version(&entry->config) == 0)
+		node_agent_links_request_config(entry, now_us);
 }
 
 static void count_servers(void *context, int64_t now_us)
@@ -326,6 +330,7 @@
 			node_settings_silence_timeout_ms(settings));
 	start_dispatch(entry);
 	entry->config_pull.apply_limit_us = (int64_t)(settings->config_apply_ms * US_PER_MS);
+	entry->config_relay.apply_limit_us = entry->config_pull.apply_limit_us;
 	ended_jobs_init(&entry->ended_jobs, ENDED_JOBS_RETENTION_MS * US_PER_MS, MAX_ENDED_JOBS);
 	node_signals_start(&entry->signals, &entry->loop, on_terminate, on_reload, entry);
 	if (start_listeners(entry, &err) != STATUS_OK) {
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -5,6 +5,7 @@
 #define GG_NODE_ENTRY_H
 
 #include "config_pull.h"
+#include "config_relay.h"
 #include "daemon_defs.h"
 #include "dispatch.h"
 #include "ended_jobs.h"
@@ -24,6 +25,8 @@
 	struct node_signals signals;
 	struct node_config config;
 	struct config_pull config_pull;
+	struct config_relay config_relay;
+	uint32_t config_relay_agent; /* index in `agents` of the one that reads the configuration */
 	struct node_members members;
 	struct node_reload reload;
 	struct node_links links;
--- a/packages/platform/include/config_document.h
+++ b/packages/platform/include/config_document.h
@@ -12,4 +12,7 @@
 enum status config_document_parse(const char *text, size_t length, struct route_table **table,
 				  struct error *err);
 
+/* Returns the version of a configuration, or 0 when it has no valid one. Checks nothing else. */
+uint64_t config_document_version(const char *text, size_t length);
+
 #endif
--- a/packages/platform/include/store.h
+++ b/packages/platform/include/store.h
@@ -60,4 +60,7 @@
 void store_append(struct store *store, const char *topic, const char *key, const char *value,
 		  store_callback callback, void *context);
 
+/* Returns whether RECORD has KEY and a value. A record without a value drops its key. */
+bool store_record_has_key(const struct store_record *record, const char *key);
+
 #endif
--- a/packages/platform/src/config_document.c
+++ b/packages/platform/src/config_document.c
@@ -144,22 +144,37 @@
 	return STATUS_OK;
 }
 
+/* Returns the version of DOCUMENT, or 0, which stands for no version, when it has no valid one. A
+ * negative version would rank above all others once unsigned. */
+static uint64_t get_version(const json_t *document)
+{
+	json_int_t version = json_integer_value(json_object_get(document, "version"));
+
+	return version < 1 ? 0 : (uint64_t)version;
+}
+
+uint64_t config_document_version(const char *text, size_t length)
+{
+	json_t *document = json_loadb(text, length, 0, NULL);
+	uint64_t version = get_version(document);
+
+	json_decref(document);
+	return version;
+}
+
 static enum status parse_table(const json_t *document, struct route_table *table, struct error *err)
 {
-	const json_t *version = json_object_get(document, "version");
 	const json_t *routes = json_object_get(document, "routes");
 	const json_t *route;
 	enum status status;
 	size_t i;
 
-	/* 0 stands for no version. A negative one would rank above all others once unsigned. */
-	if (!json_is_integer(version) || json_integer_value(version) < 1)
+	table->version = get_version(document);
+	if (table->version == 0)
 		return error_set(err, STATUS_INVALID_CONFIG,
-				 "version must be a whole number "
-				 "above 0");
+				 "version must be a whole number above 0");
 	if (!json_is_array(routes))
 		return error_set(err, STATUS_INVALID_CONFIG, "routes must be a list");
-	table->version = (uint64_t)json_integer_value(version);
 	status = parse_limits(json_object_get(document, "limits"), table, err);
 	if (status != STATUS_OK)
 		return status;
--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -305,3 +305,9 @@
 	g_byte_array_free(body, TRUE);
 	g_free(path);
 }
+
+bool store_record_has_key(const struct store_record *record, const char *key)
+{
+	return record->value && record->key_length == strlen(key) &&
+	       memcmp(record->key, key, record->key_length) == 0;
+}
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -1,6 +1,8 @@
 /* Runs entries and agents as processes on the platform stand-in and tests that each fault leaves
  * jobs, from the client's request to the response, intact. Entry N listens on 127.0.0.(N + 2). All
- * entries use the same peer port, as on the real platform. */
+ * entries use the same peer port, as on the real platform. The entries call the store at
+ * ENTRIES_STORE_IP and the agents at 127.0.0.1, so that it can refuse the calls of the entries
+ * only. */
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -26,7 +28,10 @@
 	US_PER_MS = 1000
 };
 
+#define ENTRIES_STORE_IP "127.0.0.9"
+
 struct cluster {
+	int store_port;
 	struct harness *harness;
 	struct harness_process *platform;
 	struct harness_process *entries[ENTRIES];
@@ -105,7 +110,8 @@
 			"\"listen\":{\"clients\":\"127.0.0.%u:%d\",\"readiness\":\"127.0.0.%u:%d\"}"
 			","
 			"\"peers\":{\"ip\":\"127.0.0.%u\",\"port\":%d,\"seeds\":[\"127.0.0.2:1\"]},"
-			"\"store\":{\"address\":\"127.0.0.1:%d\"},\"limits\":{\"grace_s\":6.0}}",
+			"\"store\":{\"address\":\"" ENTRIES_STORE_IP
+			":%d\"},\"limits\":{\"grace_s\":6.0}}",
 			name, i + 2, clients, i + 2, readiness, i + 2, peer_port, store_port);
 
 		write_settings(cluster, name, text);
@@ -138,7 +144,8 @@
 	*cluster = (struct cluster){.harness = harness_new()};
 	store_port = harness_reserve_port();
 	peer_port = harness_reserve_port();
-	argv[1] = g_strdup_printf("127.0.0.1:%d", store_port);
+	cluster->store_port = store_port;
+	argv[1] = g_strdup_printf("127.0.0.1:%d," ENTRIES_STORE_IP ":%d", store_port, store_port);
 	for (unsigned i = 0; i < AGENTS; i++) {
 		controls[i] = harness_reserve_port();
 		cluster->control_ports[i] = controls[i];
@@ -376,6 +383,46 @@
 	stop_cluster(&cluster);
 }
 
+static void refuse_entries(struct cluster *cluster)
+{
+	char *faults = g_strdup_printf("{\"refused_address\":\"" ENTRIES_STORE_IP ":%d\"}",
+				       cluster->store_port);
+
+	control_platform(cluster, faults);
+	g_free(faults);
+}
+
+/* Waits until all entries have a route for PREFIX, at most for the time limit of a new
+ * configuration. */
+static void wait_for_route(struct cluster *cluster, const char *prefix)
+{
+	for (unsigned i = 0; i < ENTRIES; i++)
+		HARNESS_WAIT(CONFIG_TIMEOUT_MS,
+			     harness_status("GET", cluster->client_urls[i], prefix, NULL) == 200);
+}
+
+/* Guards against a confirmed configuration that no entry applies because the store refuses the
+ * calls of all of them, and against entries that start meanwhile and get none. The agents, which
+ * the store serves, read it for them. */
+static void test_store_refuses_entries(void)
+{
+	struct cluster cluster;
+
+	start_cluster(&cluster);
+	refuse_entries(&cluster);
+	publish_config(&cluster, 9, "/new/");
+	wait_for_route(&cluster, "/new/");
+	g_usleep(SETTLE_MS * US_PER_MS);
+	publish_config(&cluster, 11, "/last/");
+	wait_for_route(&cluster, "/last/");
+	for (unsigned i = 0; i < ENTRIES; i++)
+		harness_kill(cluster.entries[i]);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		harness_restart(cluster.harness, cluster.entries[i]);
+	wait_for_route(&cluster, "/last/");
+	stop_cluster(&cluster);
+}
+
 /* Guards against an entry that does not become ready because the store is down when it starts. It
  * must fetch the configuration from another entry. */
 static void test_start_without_store(void)
@@ -718,6 +765,7 @@
 	g_test_add_func("/platform/bad_requests", test_bad_requests);
 	g_test_add_func("/platform/configuration", test_configuration);
 	g_test_add_func("/platform/store_without_history", test_store_without_history);
+	g_test_add_func("/platform/store_refuses_entries", test_store_refuses_entries);
 	g_test_add_func("/platform/agents_start_without_seed", test_agents_start_without_seed);
 	g_test_add_func("/platform/start_without_store", test_start_without_store);
 	g_test_add_func("/platform/start_in_silence", test_start_with_silent_store);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -2,12 +2,12 @@
  * Stand-in for the users' platform: a store with a log of keyed topics, and backend servers that
  * send heartbeats to their agents and execute orders under leases.
  *
- * usage: standin_platform STORE_ADDRESS [SERVER_ADDRESS=AGENT_CONTROL_ADDRESS ...]
+ * usage: standin_platform STORE_ADDRESS[,STORE_ADDRESS] [SERVER_ADDRESS=AGENT_CONTROL_ADDRESS ...]
  *
- * At the store's address, POST /control changes settings, POST /control/config publishes a
+ * At the store's addresses, POST /control changes settings, POST /control/config publishes a
  * configuration, GET /control returns counters, and GET /control/started returns the ids of the
  * started jobs. The settings are lists_lost, starts_lost, run_ms, store_down, store_silent,
- * lists_garbled, and drain, stay and silent, whose value is the index of a server.
+ * refused_address, lists_garbled, and drain, stay and silent, whose value is the index of a server.
  */
 #include <arpa/inet.h>
 #include <jansson.h>
@@ -83,7 +83,6 @@
 
 struct standin {
 	struct net_loop loop;
-	struct http_server *store;
 	GHashTable *topics;    /* name -> struct topic * */
 	GArray *pending_reads; /* struct pending_read */
 	struct server servers[MAX_SERVERS];
@@ -95,8 +94,9 @@
 	double starts_lost; /* probability that a start request is ignored and gets no response */
 	int64_t run_ms;	    /* run time of every task */
 	bool store_down;
-	bool store_silent;  /* leaves requests unanswered */
-	bool lists_garbled; /* responds to hold requests with truncated JSON */
+	bool store_silent;     /* leaves requests unanswered */
+	char *refused_address; /* address of the store at which calls are refused, or NULL */
+	bool lists_garbled;    /* responds to hold requests with truncated JSON */
 	uint32_t starts;
 	uint32_t overlaps; /* counts changes after which a task has more than one run */
 	uint32_t heartbeats_refused;
@@ -522,6 +522,13 @@
 	return value;
 }
 
+/* Returns whether calls at the store's address that REQUEST was sent to are to be refused. */
+static bool is_refused(const struct standin *standin, const struct http_request *request)
+{
+	return standin->store_down ||
+	       g_strcmp0(http_request_header(request, "Host"), standin->refused_address) == 0;
+}
+
 static void handle_log_request(struct standin *standin, struct http_request *request)
 {
 	const char *path = http_request_path(request);
@@ -531,7 +538,7 @@
 
 	if (standin->store_silent) {
 		leave_unanswered(request);
-	} else if (standin->store_down) {
+	} else if (is_refused(standin, request)) {
 		http_respond(request, 503, NULL, "{}");
 	} else if (!topic) {
 		http_respond(request, 400, NULL, "{}");
@@ -563,10 +570,10 @@
 			g_array_index(standin->pending_reads, struct pending_read, i);
 
 		if (find_or_create_topic(standin, read.topic)->keys->len <= read.from &&
-		    standin->loop.now_us < read.until_us && !standin->store_down)
+		    standin->loop.now_us < read.until_us && !is_refused(standin, read.request))
 			continue;
 		g_array_remove_index_fast(standin->pending_reads, i);
-		if (standin->store_down)
+		if (is_refused(standin, read.request))
 			http_respond(read.request, 503, NULL, "{}");
 		else
 			respond_records(standin, &read);
@@ -605,6 +612,10 @@
 		standin->store_down = json_is_true(field);
 	if ((field = json_object_get(document, "store_silent")))
 		standin->store_silent = json_is_true(field);
+	if ((field = json_object_get(document, "refused_address"))) {
+		g_free(standin->refused_address);
+		standin->refused_address = g_strdup(json_string_value(field));
+	}
 	if ((field = json_object_get(document, "lists_garbled")))
 		standin->lists_garbled = json_is_true(field);
 	apply_server_settings(standin, document);
@@ -735,10 +746,25 @@
 	return true;
 }
 
+/* Listens on the store's addresses, which are separated by commas. */
+static bool start_store(struct standin *standin, const char *addresses)
+{
+	char **list = g_strsplit(addresses, ",", -1);
+	struct http_server *server;
+	struct error err = {.status = STATUS_OK};
+
+	for (char **address = list; *address && err.status == STATUS_OK; address++)
+		http_server_listen(&standin->loop, *address, &server_options, &store_callbacks,
+				   standin, &server, &err);
+	if (err.status != STATUS_OK)
+		fprintf(stderr, "standin_platform: %s\n", err.message);
+	g_strfreev(list);
+	return err.status == STATUS_OK;
+}
+
 int main(int argc, char **argv)
 {
 	static struct standin standin;
-	struct error err;
 
 	if (argc < 2) {
 		fprintf(stderr, "usage: standin_platform STORE_ADDRESS [SERVER=CONTROL ...]\n");
@@ -751,11 +777,8 @@
 	standin.started_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	standin.rand = g_rand_new_with_seed(1);
 	standin.run_ms = 100;
-	if (http_server_listen(&standin.loop, argv[1], &server_options, &store_callbacks, &standin,
-			       &standin.store, &err) != STATUS_OK) {
-		fprintf(stderr, "standin_platform: %s\n", err.message);
+	if (!start_store(&standin, argv[1]))
 		return 1;
-	}
 	for (int i = 2; i < argc; i++) {
 		if (!add_server(&standin, argv[i]))
 			return 1;
