Apply a configuration whose numbers are 0 or above the range

Callers would see: a confirmed change that never comes into force, since the store takes a document that the entries refuse.

Cause, found by reading: it made a limit of 0 and a number above 2^31 - 1 invalid. Writers on the platform leave out zeros, so 0 means the same as a missing field, and a number above the range means no limit.

Change: 0 counts as absent and larger numbers as the maximum. Negative numbers and other types stay invalid.

--- a/packages/platform/src/config_document.c
+++ b/packages/platform/src/config_document.c
@@ -18,12 +18,12 @@
 /* A number in the document. */
 struct number_field {
 	const char *name;
-	json_int_t min;
 	json_int_t default_value;
 };
 
-/* Reads FIELD of OBJECT into VALUE; a field that is missing or null has its default value. Returns
- * STATUS_INVALID_CONFIG when it is no number, below its minimum or above INT32_MAX. */
+/* Reads FIELD of OBJECT into VALUE, at most INT32_MAX. A field that is missing, null or 0 has its
+ * default value, because writers leave out zeros. Returns STATUS_INVALID_CONFIG when it is no
+ * number or negative. */
 static enum status read_number(const json_t *object, const struct number_field *field,
 			       json_int_t *value, struct error *err)
 {
@@ -33,10 +33,11 @@
 	*value = field->default_value;
 	if (!json || json_is_null(json))
 		return STATUS_OK;
-	if (!json_is_number(json) || number < (double)field->min || number > INT32_MAX)
-		return error_set(err, STATUS_INVALID_CONFIG, "%s must be a number from %lld on",
-				 field->name, (long long)field->min);
-	*value = (json_int_t)number;
+	if (!json_is_number(json) || number < 0)
+		return error_set(err, STATUS_INVALID_CONFIG, "%s must be a number from 0 on",
+				 field->name);
+	if (number >= 1)
+		*value = (json_int_t)MIN(number, INT32_MAX);
 	return STATUS_OK;
 }
 
@@ -120,16 +121,12 @@
 	};
 	static const struct number_field fields[FIELD_COUNT] = {
 		[HEADER_MAX_BYTES] = {.name = "maxHeaderBytes",
-				      .min = 1,
 				      .default_value = DEFAULT_HEADER_MAX_BYTES},
 		[BODY_MAX_BYTES] = {.name = "maxBodyBytes",
-				    .min = 1,
 				    .default_value = DEFAULT_BODY_MAX_BYTES},
 		[HEADER_TIMEOUT] = {.name = "headerTimeoutMs",
-				    .min = 1,
 				    .default_value = DEFAULT_HEADER_TIMEOUT_MS},
 		[IDLE_TIMEOUT] = {.name = "idleTimeoutMs",
-				  .min = 1,
 				  .default_value = DEFAULT_IDLE_TIMEOUT_MS},
 	};
 	json_int_t values[FIELD_COUNT];
