Give up a task under which two backend servers have crashed

Callers saw: all backend servers down at once, and 503 for everybody, while one job was started on up to eleven servers that each crashed.

Cause: a run that is lost with its server counted for nothing. Only runs that end as failed had a limit, and the task was queued again at once. Class of fault: a retry without a budget.

Change: an agent tells a crash (connection refused, or a new process, without notice that the server leaves) from other losses, and blames only runs that were sent to the server. Two crashes under a task end its job as failed, which is final. The count is kept for 10 s after the last crash, so it holds when the job is sent again, and entries tell it each other; an entry that dies takes at most one crash of a task with it, since the second one is final. Between old and new daemons a crash counts as the loss that it was before.

That servers crash all at once is not touched by this change.

--- /dev/null
+++ b/packages/core/include/crash_history.h
@@ -0,0 +1,56 @@
+/*
+ * Tasks under which backend servers have crashed recently, at this entry or at another one.
+ *
+ * A task may crash every server that starts it. A client that gets no answer sends the job again,
+ * possibly to another entry, so the count of a task outlives its job and is told to all entries.
+ */
+#ifndef GG_CRASH_HISTORY_H
+#define GG_CRASH_HISTORY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct crash_record {
+	char *task;	    /* job id, a dot and the index of the task */
+	GString *servers;   /* ids of the crashed servers that this entry knows, by spaces */
+	uint32_t crashes;   /* servers that crashed under the task */
+	int64_t crashed_us; /* time of the last crash */
+	uint64_t sequence;  /* position in the order of changes, from 1 */
+	bool crashed_here;  /* false: another entry reported the last crash */
+};
+
+struct crash_history {
+	int64_t retention_us;
+	uint32_t max_tasks;
+	uint64_t last_sequence;
+	GHashTable *by_task; /* name -> struct crash_record * */
+	GQueue by_age;	     /* struct crash_record *, the longest unchanged first */
+};
+
+/* Initializes HISTORY to keep tasks for RETENTION_US after the last crash. The oldest are removed
+ * when there are more than MAX_TASKS; the newest one is always kept. */
+void crash_history_init(struct crash_history *history, int64_t retention_us, uint32_t max_tasks);
+void crash_history_free(struct crash_history *history);
+
+/* Records that SERVER crashed while a run of the task INDEX of JOB may have been running there.
+ * Returns the record, valid until the next change. */
+const struct crash_record *crash_history_add(struct crash_history *history, const char *job,
+					     uint32_t index, const char *server, int64_t now_us);
+
+/* Raises the count of TASK, as named by another entry, to CRASHES if it is lower. A count of 0 is
+ * ignored. */
+void crash_history_merge(struct crash_history *history, const char *task, uint32_t crashes,
+			 int64_t now_us);
+
+/* Returns the number of servers that have crashed under a task within the retention time. */
+uint32_t crash_history_count(const struct crash_history *history, const char *job, uint32_t index,
+			     int64_t now_us);
+
+/* Appends the records whose last crash was seen at this entry and that changed after SEQUENCE to
+ * RECORDS, an array of const struct crash_record *. Returns the last sequence number covered, to be
+ * passed to the next call. */
+uint64_t crash_history_since(const struct crash_history *history, uint64_t sequence,
+			     GPtrArray *records);
+
+#endif
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -14,6 +14,7 @@
 #include <glib.h>
 
 #include "admission.h"
+#include "crash_history.h"
 #include "fleet.h"
 #include "policy.h"
 #include "runs.h"
@@ -40,7 +41,8 @@
 };
 
 /* How a job ended. STATUS_OK: all tasks are done. STATUS_TASK_FAILED: a task failed as often as the
- * queue allows. With any other status, `outcome` tells whether a task of the job may have run. */
+ * queue allows, or was given up because servers crashed under it. With any other status, `outcome`
+ * tells whether a task of the job may have run. */
 struct job_end {
 	enum status status;
 	enum outcome outcome;
@@ -54,6 +56,8 @@
 	int64_t last_order_us;
 	uint32_t tasks;
 	uint32_t runs; /* total number of runs ordered */
+	/* The task that was given up because servers crashed under it, or NULL. */
+	const struct crash_record *crashed_task;
 };
 
 /* Order to start one run of a task. Orders for one job at one server are issued consecutively. */
@@ -99,6 +103,9 @@
 	/* After a start or a freeze of this process, jobs may wait this long for agents to connect.
 	 */
 	int64_t connect_time_us;
+	/* How long the crashes under a task count, also when its job is submitted again. */
+	int64_t crash_retention_us;
+	uint32_t max_crashed_tasks; /* for which crashes are remembered */
 };
 
 struct dispatch {
@@ -111,6 +118,7 @@
 	GHashTable *by_id;	 /* job id -> packed handle */
 	GPtrArray *queue;	 /* packed handles of jobs with tasks to start */
 	GHashTable *queue_stats; /* queue name -> struct queue_stats */
+	struct crash_history crashes;
 	double peer_backlog_core_us[PRIORITY_LEVELS]; /* queued work of the other entries */
 	uint64_t random_state;			      /* state of the random number generator */
 	bool pump_needed;			      /* a queued task may now be able to start */
--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -18,13 +18,14 @@
 #include "health.h"
 #include "table.h"
 
-/* How a run ended, or why it was not started. The values are sent over the wire. */
+/* How a run ended, or why it was not started. The values are sent over the wire, but for
+ * RUN_CRASHED, which is sent as RUN_LOST with a mark. */
 enum run_outcome {
 	RUN_DONE = 1,
 	RUN_FAILED = 2,	 /* the task or the server failed */
 	RUN_STOPPED = 3, /* its owner requested the stop */
 	RUN_EXPIRED = 4, /* its lease expired */
-	RUN_LOST = 5,	 /* the server restarted or disappeared */
+	RUN_LOST = 5,	 /* the server disappeared, or restarted after it had announced to leave */
 	/* No free resources or queue space, or the server is on trial and has a run already. */
 	RUN_NO_RESOURCES = 6,
 	RUN_SERVER_UNAVAILABLE = 7, /* the server is absent, leaving or quarantined */
@@ -36,6 +37,7 @@
 	RUN_UNANSWERED = 12, /* not sent, or not answered and certainly not executed */
 	RUN_BUSY = 13,	     /* an earlier run of the same task may still exist */
 	RUN_WITHDRAWN = 14,  /* stopped by its owner while it was queued */
+	RUN_CRASHED = 15,    /* the server crashed while the run may have been running */
 	RUN_OUTCOME_COUNT
 };
 
@@ -178,8 +180,11 @@
  * server accepts no new runs. */
 void runs_server_present(struct runs *runs, const struct resources *total, bool leaving);
 
-/* Ends every run as RUN_LOST. Call when the server has restarted or certainly runs nothing. */
-void runs_server_lost(struct runs *runs, int64_t now_us);
+/* Ends every run. Call when the server's process has ended: it was replaced by a new one, or
+ * nothing listens on its address. That counts as a crash (RUN_CRASHED) for the runs that were sent
+ * to it, unless the server had announced to leave (RUN_LOST). Runs that were still waiting here end
+ * as RUN_SERVER_UNAVAILABLE. */
+void runs_server_ended(struct runs *runs, int64_t now_us);
 
 struct run_request {
 	const char *task;
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -8,6 +8,9 @@
 	USELESS_FACTOR = 3, /* an answer is useless after this multiple of the objective */
 	MOVE_DELAY_US = 60 * US_PER_MS, /* time to stop a run and start it elsewhere */
 	MAX_MOVES = 2,
+	/* A task is given up once this many servers have crashed under it. Each further run may
+	 * take down another server and all other runs there. */
+	MAX_CRASHES = 2,
 	/* Delay before tasks refused for lack of room are sent to full servers again. On a full
 	 * server with ten evenly staggered runs of 200 ms, one ends every 20 ms, so the next one
 	 * ends after 10 ms on average; the delay is half of that. */
@@ -46,6 +49,8 @@
 	};
 	policy_init(&dispatch->policy);
 	fleet_init(&dispatch->fleet);
+	crash_history_init(&dispatch->crashes, limits->crash_retention_us,
+			   limits->max_crashed_tasks);
 	table_init(&dispatch->jobs, sizeof(struct job *));
 	table_init(&dispatch->runs, sizeof(struct run_row));
 }
@@ -69,6 +74,7 @@
 	table_free(&dispatch->jobs);
 	table_free(&dispatch->runs);
 	fleet_free(&dispatch->fleet);
+	crash_history_free(&dispatch->crashes);
 	g_hash_table_destroy(dispatch->by_id);
 	g_hash_table_destroy(dispatch->queue_stats);
 	g_ptr_array_free(dispatch->queue, TRUE);
@@ -222,6 +228,17 @@
 	return job;
 }
 
+/* Returns whether as many servers as allowed have crashed under a task of JOB, in an earlier
+ * submission or at another entry. */
+static bool crashed_before(const struct dispatch *dispatch, const struct job *job, int64_t now_us)
+{
+	for (uint32_t i = 0; i < job->task_count; i++) {
+		if (crash_history_count(&dispatch->crashes, job->id, i, now_us) >= MAX_CRASHES)
+			return true;
+	}
+	return false;
+}
+
 void dispatch_submit(struct dispatch *dispatch, const struct job_request *request, int64_t now_us)
 {
 	struct job *earlier = find_job_by_id(dispatch, request->id);
@@ -238,6 +255,9 @@
 	g_hash_table_replace(dispatch->by_id, job->id, dispatch_pack(job->handle));
 	if (table_count(&dispatch->jobs) > dispatch->limits.max_jobs)
 		end_job(dispatch, job, STATUS_QUEUE_FULL, "too many unfinished jobs", now_us);
+	else if (crashed_before(dispatch, job, now_us))
+		end_job(dispatch, job, STATUS_TASK_FAILED,
+			"backend servers crashed while they ran a task", now_us);
 	else
 		dispatch_enqueue(dispatch, job);
 }
@@ -340,7 +360,7 @@
  * enum run_outcome. */
 static bool never_ran(enum run_outcome outcome)
 {
-	return outcome >= RUN_NO_RESOURCES;
+	return outcome >= RUN_NO_RESOURCES && outcome != RUN_CRASHED;
 }
 
 static void learn_run_time(const struct dispatch *dispatch, const struct job *job,
@@ -358,6 +378,18 @@
 	dispatch_enqueue(dispatch, job);
 }
 
+static void give_up(struct dispatch *dispatch, struct job *job, const struct crash_record *record,
+		    int64_t now_us)
+{
+	struct job_end end = {
+		.status = STATUS_TASK_FAILED,
+		.reason = "backend servers crashed while they ran a task",
+		.crashed_task = record,
+	};
+
+	dispatch_finish(dispatch, job, &end, now_us);
+}
+
 static void handle_task_end(struct dispatch *dispatch, struct job *job, struct job_task *task,
 			    enum run_outcome outcome, int64_t now_us)
 {
@@ -398,6 +430,7 @@
 	struct run_row run;
 	struct job *job;
 	struct job_task *task;
+	const struct crash_record *crash = NULL;
 
 	if (!row)
 		return; /* the end of the run was already reported over an earlier connection */
@@ -422,8 +455,13 @@
 		learn_run_time(dispatch, job, server, elapsed_us);
 	else if (outcome == RUN_FAILED || outcome == RUN_UNHEALTHY || run.restart_elsewhere)
 		job->avoid_server = run.server;
+	if (outcome == RUN_CRASHED)
+		crash = crash_history_add(&dispatch->crashes, job->id, run.index,
+					  server ? server->id : "", now_us);
 	if (job->finished)
 		free_if_settled(dispatch, job);
+	else if (crash && crash->crashes >= MAX_CRASHES)
+		give_up(dispatch, job, crash, now_us);
 	else
 		handle_task_end(dispatch, job, task, outcome, now_us);
 }
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -37,6 +37,7 @@
 		[RUN_UNANSWERED] = "order_unanswered",
 		[RUN_BUSY] = "earlier_run_unsettled",
 		[RUN_WITHDRAWN] = "withdrawn",
+		[RUN_CRASHED] = "server_crashed",
 	};
 
 	return outcome > 0 && outcome < RUN_OUTCOME_COUNT ? names[outcome] : "unknown";
@@ -171,15 +172,19 @@
 	free_run_members(&copy);
 }
 
-void runs_server_lost(struct runs *runs, int64_t now_us)
+void runs_server_ended(struct runs *runs, int64_t now_us)
 {
+	enum run_outcome outcome = runs->server_leaving ? RUN_LOST : RUN_CRASHED;
 	uint32_t cursor = 0;
 	struct handle handle;
+	const struct run *run;
 
 	runs->server_present = false;
 	runs->last_processed_end = 0;
-	while (table_next(&runs->table, &cursor, &handle))
-		runs_end(runs, handle, RUN_LOST, now_us);
+	while ((run = table_next(&runs->table, &cursor, &handle)))
+		runs_end(runs, handle,
+			 run->phase == RUN_PHASE_WAITING ? RUN_SERVER_UNAVAILABLE : outcome,
+			 now_us);
 }
 
 static struct run *add_run(struct runs *runs, const struct run_request *request,
--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -132,7 +132,9 @@
 
 		ggd__run_end__init(&end_rows[i]);
 		end_rows[i].run = end->run;
-		end_rows[i].outcome = end->outcome;
+		end_rows[i].server_crashed = end->outcome == RUN_CRASHED;
+		end_rows[i].outcome =
+			end_rows[i].server_crashed ? RUN_LOST : (uint32_t)end->outcome;
 		end_rows[i].elapsed_ms = end->elapsed_ms;
 		end_row_pointers[i] = &end_rows[i];
 	}
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -171,12 +171,15 @@
 static void handle_run_end(struct agent_peer *agent, const Ggd__RunEnd *end, int64_t now_us)
 {
 	struct dispatch *dispatch = &agent->entry->dispatch;
+	enum run_outcome outcome = (enum run_outcome)end->outcome;
 
-	if (end->outcome == 0 || end->outcome >= RUN_OUTCOME_COUNT ||
+	if (end->outcome == 0 || end->outcome >= RUN_CRASHED ||
 	    !dispatch_run_is_on(dispatch, end->run, agent->server))
 		return;
-	dispatch_run_ended(dispatch, end->run, (enum run_outcome)end->outcome,
-			   (int64_t)end->elapsed_ms * US_PER_MS, now_us);
+	if (outcome == RUN_LOST && end->server_crashed)
+		outcome = RUN_CRASHED;
+	dispatch_run_ended(dispatch, end->run, outcome, (int64_t)end->elapsed_ms * US_PER_MS,
+			   now_us);
 }
 
 static void handle_report(struct agent_peer *agent, const Ggd__Report *report, int64_t now_us)
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -20,6 +20,8 @@
 	 * the retention time it allows 4,000 jobs per second, three times the usual load of 55
 	 * entries. */
 	MAX_ENDED_JOBS = 40000,
+	/* Limit on the tasks whose crashes are remembered, at about 200 bytes each. */
+	MAX_CRASHED_TASKS = 10000,
 	PROBE_MAX_BYTES = 4096,
 	PROBE_HEADER_LIMIT_MS = 2000,
 	PROBE_IDLE_LIMIT_MS = 60000,
@@ -233,6 +235,8 @@
 				      (int64_t)settings->stop_ms + SETTLE_MARGIN_MS) *
 				     US_PER_MS,
 		.connect_time_us = AGENT_CONNECT_MS * US_PER_MS,
+		.crash_retention_us = ENDED_JOBS_RETENTION_MS * US_PER_MS,
+		.max_crashed_tasks = MAX_CRASHED_TASKS,
 	};
 	const struct dispatch_callbacks callbacks = {
 		.context = entry,
--- a/packages/greengaged/src/node_metrics.c
+++ b/packages/greengaged/src/node_metrics.c
@@ -39,6 +39,8 @@
 	else if (end->outcome == OUTCOME_NOT_RUN)
 		metric = NODE_METRIC_JOBS_REFUSED;
 	counter_add(&node_metrics[metric], 1);
+	if (end->crashed_task)
+		counter_add(&node_metrics[NODE_METRIC_TASKS_GIVEN_UP], 1);
 	if (end->status == STATUS_OK)
 		histogram_record(&job_us, (uint64_t)end->elapsed_us);
 }
@@ -46,6 +48,8 @@
 void node_metrics_run_ended(enum run_outcome outcome, int64_t elapsed_us)
 {
 	counter_add(&node_metrics[NODE_METRIC_RUNS], 1);
+	if (outcome == RUN_CRASHED)
+		counter_add(&node_metrics[NODE_METRIC_RUNS_CRASHED], 1);
 	if (outcome != RUN_DONE)
 		counter_add(&node_metrics[NODE_METRIC_RUNS_NOT_DONE], 1);
 	else
--- a/packages/greengaged/src/node_metrics.h
+++ b/packages/greengaged/src/node_metrics.h
@@ -17,6 +17,10 @@
 	X(REFUSED_REQUESTS, "requests_refused_total", TOTAL, "Requests that reached no job")       \
 	X(RUNS, "runs_total", TOTAL, "Runs that ended or were not started")                        \
 	X(RUNS_NOT_DONE, "runs_not_done_total", TOTAL, "Runs that did not end as done")            \
+	X(RUNS_CRASHED, "runs_crashed_total", TOTAL,                                               \
+	  "Runs that ended with a crash of their server")                                          \
+	X(TASKS_GIVEN_UP, "tasks_given_up_total", TOTAL,                                           \
+	  "Tasks given up after crashes of servers")                                               \
 	X(LOG_DROPPED, "log_lines_dropped_total", TOTAL, "Log lines dropped at their bounds")      \
 	X(CONFIG_VERSION, "config_version", GAUGE, "Version of the configuration in force")        \
 	X(CONFIG_UNCONFIRMED, "config_unconfirmed_ms", GAUGE,                                      \
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -34,6 +34,7 @@
 	guint members_sent;	       /* number of entry addresses sent on this connection */
 	uint64_t last_backlog_core_ms; /* sum over all priorities in the last state sent */
 	uint64_t last_ended_sequence;  /* sequence of the last ended job sent on this connection */
+	uint64_t last_crash_sequence;  /* sequence of the last crash sent on this connection */
 };
 
 /* An entry that has connected to this one, and the last state that it sent. */
@@ -99,6 +100,26 @@
 	state->n_failed = failed->len;
 }
 
+/* Sets the fields crashed_tasks and crash_counts of STATE to the crashes seen at this entry since
+ * the last state sent to PEER. The caller frees both arrays; STATE borrows the names. */
+static void set_crashes(struct outgoing_peer *peer, Ggd__PeerState *state)
+{
+	GPtrArray *records = g_ptr_array_new();
+
+	peer->last_crash_sequence = crash_history_since(&peer->entry->dispatch.crashes,
+							peer->last_crash_sequence, records);
+	state->crashed_tasks = g_new(char *, records->len);
+	state->crash_counts = g_new(uint32_t, records->len);
+	for (guint i = 0; i < records->len; i++) {
+		const struct crash_record *record = records->pdata[i];
+
+		state->crashed_tasks[i] = record->task;
+		state->crash_counts[i] = record->crashes;
+	}
+	state->n_crashed_tasks = state->n_crash_counts = records->len;
+	g_ptr_array_free(records, TRUE);
+}
+
 static void send_state(struct outgoing_peer *peer, bool config_wanted, int64_t now_us)
 {
 	struct node_entry *entry = peer->entry;
@@ -124,12 +145,15 @@
 	dispatch_count_pending_by_queue(&entry->dispatch, counts);
 	set_pending_counts(&state, counts);
 	set_ended_jobs(peer, &state, completed, failed);
+	set_crashes(peer, &state);
 	state.entries = node_members_unsent(&entry->members, &peer->members_sent, &state.n_entries);
 	frame.body_case = GGD__FRAME__BODY_PEER;
 	frame.peer = &state;
 	node_link_send(peer->link, &frame);
 	peer->last_state_sent_us = now_us;
 	peer->last_backlog_core_ms = sum;
+	g_free(state.crashed_tasks);
+	g_free(state.crash_counts);
 	g_free(state.queues);
 	g_free(state.queued);
 	g_array_free(completed, TRUE);
@@ -186,6 +210,7 @@
 
 	peer->members_sent = 0;
 	peer->last_ended_sequence = 0;
+	peer->last_crash_sequence = 0;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", peer->address));
 	node_link_set_heartbeat(link, heartbeat_ms(peer->entry));
 	send_state(peer, claim_first_config_request(peer->entry), peer->entry->loop.now_us);
@@ -245,6 +270,13 @@
 				  entry->loop.now_us);
 }
 
+static void record_crashes(struct node_entry *entry, const Ggd__PeerState *state)
+{
+	for (size_t i = 0; i < state->n_crashed_tasks && i < state->n_crash_counts; i++)
+		crash_history_merge(&entry->dispatch.crashes, state->crashed_tasks[i],
+				    state->crash_counts[i], entry->loop.now_us);
+}
+
 static void on_incoming_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
 {
 	struct incoming_peer *peer = context;
@@ -260,6 +292,7 @@
 						   ? (double)state->backlog_core_ms[i] * US_PER_MS
 						   : 0;
 	record_ended_jobs(peer->entry, state);
+	record_crashes(peer->entry, state);
 	g_hash_table_remove_all(peer->pending_by_queue);
 	for (size_t i = 0; i < state->n_queues && i < state->n_queued; i++)
 		g_hash_table_insert(peer->pending_by_queue, g_strdup(state->queues[i]),
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -267,6 +267,29 @@
 	tear_down(&fixture);
 }
 
+/* Guards against blaming runs for the end of a server that they cannot have caused: those that were
+ * not sent to it, and all runs when it had announced to leave. */
+static void test_server_ended(void)
+{
+	struct fixture fixture;
+	const struct resources total = {.cpu = CPU, .memory_mb = 1000};
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", CPU, OWNER, 0, 0);
+	start(&fixture, "b.0.0.0", 1000, OWNER, 0, 0);
+	runs_server_ended(&fixture.runs, 1000);
+	g_assert_cmpuint(fixture.outcomes->len, ==, 2);
+	g_assert_cmpint(g_array_index(fixture.outcomes, int, 0) +
+				g_array_index(fixture.outcomes, int, 1),
+			==, RUN_CRASHED + RUN_SERVER_UNAVAILABLE);
+	runs_server_present(&fixture.runs, &total, false);
+	start(&fixture, "c.0.0.0", 1000, OWNER, 0, 2000);
+	runs_server_present(&fixture.runs, &total, true);
+	runs_server_ended(&fixture.runs, 3000);
+	check_outcomes(&fixture, 3, RUN_LOST);
+	tear_down(&fixture);
+}
+
 /* Guards against a wrong order of waiting runs at a full server: the most urgent one starts first,
  * and a full queue refuses the least urgent one. */
 static void test_waiting(void)
@@ -431,6 +454,7 @@
 	g_test_add_func("/runs/stop_lost", test_stop_lost);
 	g_test_add_func("/runs/owner_gone", test_owner_gone);
 	g_test_add_func("/runs/stranger", test_unknown_run);
+	g_test_add_func("/runs/server_ended", test_server_ended);
 	g_test_add_func("/runs/lease", test_lease);
 	g_test_add_func("/runs/waiting", test_waiting);
 	g_test_add_func("/runs/waited_too_long", test_waited_too_long);
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -1104,7 +1104,7 @@
 	simulation_free_server(server);
 	simulation_start_server(sim, index, cpu, speed);
 	if (sim->agents[index].up) {
-		runs_server_lost(&sim->agents[index].runs, sim->now_us);
+		runs_server_ended(&sim->agents[index].runs, sim->now_us);
 		runs_server_present(&sim->agents[index].runs, &server->total, false);
 	}
 }
