Start nothing beside a run that the agent did not order

Cause, found by reading: an agent that has restarted finds runs of its predecessor in the server's list, which it stops. It knows their cpu only as a rough figure of the last half second, 0 for one that has just begun, and no memory, so it started others in room that was still taken.

Evidence: runs_test start_beside_unknown_run fails on the code before (one start) and passes now.

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -81,6 +81,7 @@
 	GBytes *spec; /* NULL after runs_start_answered */
 	enum run_phase phase;
 	bool stop_requested; /* the owner has requested a stop or is gone */
+	bool unknown;	     /* this agent did not order it and does not know its needs */
 	uint32_t priority;   /* 0 is the highest */
 	int64_t urgency_us;  /* of the waiting runs that fit, the one with the lowest value starts
 				first */
@@ -162,6 +163,7 @@
 	uint64_t last_processed_end;	/* highest sequence number of a processed end */
 	int64_t latest_lease_expiry_us; /* no run continues after this without a new lease */
 	uint32_t ownerless_runs; /* runs whose owner is gone or that this agent did not order */
+	uint32_t unknown_runs;	 /* runs that this agent did not order */
 	struct health health;
 	char *last_failed_task; /* task whose failure was the last to count against the server's
 				   health */
@@ -240,7 +242,8 @@
  * stops. Ends all runs as RUN_LOST once the last lease has certainly expired. */
 void runs_tick(struct runs *runs, int64_t now_us);
 
-/* Returns the free resources: none while the server is absent, leaving or quarantined. */
+/* Returns the free resources: none while the server is absent, leaving or quarantined, or has a run
+ * that this agent did not order. */
 struct resources runs_free_resources(const struct runs *runs);
 
 /* Returns the cpu of all waiting runs. */
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -164,6 +164,8 @@
 		release_resources(runs, &run->need);
 	if (run->owner == RUN_NO_OWNER)
 		runs->ownerless_runs--;
+	if (run->unknown)
+		runs->unknown_runs--;
 	g_hash_table_remove(runs->by_task, run->task);
 	copy = *run;
 	table_remove(&runs->table, handle);
@@ -413,6 +415,8 @@
 		return;
 	}
 	run = add_run(runs, &request, &handle, now_us);
+	run->unknown = true;
+	runs->unknown_runs++;
 	reserve_resources(runs, &run->need);
 	runs->ownerless_runs++;
 	send_stop(runs, run, handle, now_us);
@@ -532,7 +536,7 @@
 {
 	struct resources available = {0};
 
-	if (!runs_ready(runs))
+	if (!runs_ready(runs) || runs->unknown_runs > 0)
 		return available;
 	available.cpu = runs->total_resources.cpu -
 			MIN(runs->total_resources.cpu, runs->used_resources.cpu);
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -250,6 +250,23 @@
 	tear_down(&fixture);
 }
 
+/* Guards against a start that overloads a server beside a run whose needs a restarted agent does
+ * not know. */
+static void test_start_beside_unknown_run(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	deliver_lists(&fixture, "z.0.0.0", NULL, 0, 1000);
+	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 2000);
+	runs_start_waiting(&fixture.runs, 3000);
+	g_assert_cmpuint(fixture.starts, ==, 0);
+	deliver_lists(&fixture, NULL, "z.0.0.0", RUN_STOPPED, 4000);
+	runs_start_waiting(&fixture.runs, 5000);
+	g_assert_cmpuint(fixture.starts, ==, 1);
+	tear_down(&fixture);
+}
+
 /* Guards against giving up the runs of a silent server too early: its clock may be slow, and its
  * last lease then expires later. */
 static void test_lease(void)
@@ -454,6 +471,7 @@
 	g_test_add_func("/runs/stop_lost", test_stop_lost);
 	g_test_add_func("/runs/owner_gone", test_owner_gone);
 	g_test_add_func("/runs/stranger", test_unknown_run);
+	g_test_add_func("/runs/start_beside_unknown_run", test_start_beside_unknown_run);
 	g_test_add_func("/runs/server_ended", test_server_ended);
 	g_test_add_func("/runs/lease", test_lease);
 	g_test_add_func("/runs/waiting", test_waiting);
