Tell the entries a capacity that has changed, and send back what exceeds it

Callers saw: a job whose tasks fit no server any more waits and is then refused as late, in place of at once; others are counted on room that is gone.

Cause: an agent sent its server's capacity with the identity only, so an entry kept the first one; free room was right, the total was not. A run that waited at the agent for room that would not come again waited until its time limit.

Change: a changed capacity is logged (1413) and sent with the next report, and waiting runs that exceed it are refused at the next tick. That no start exceeds a capacity that has shrunk, also while runs are being stopped, held before: free room never counts below zero and a run counts until its end is listed. It has a test now.

--- a/packages/base/include/event_defs.h
+++ b/packages/base/include/event_defs.h
@@ -49,6 +49,7 @@
 	X(1410, SERVER_STATE, INFO, "backend server's readiness changed")                          \
 	X(1411, HEARTBEAT_INVALID, WARNING, "heartbeat refused")                                   \
 	X(1412, EPOCH_RAISED, WARNING, "epoch of orders raised")                                   \
+	X(1413, SERVER_CAPACITY, INFO, "backend server's capacity changed")                        \
 	X(1500, CONFIG_APPLIED, INFO, "configuration applied")                                     \
 	X(1501, CONFIG_REJECTED, WARNING, "configuration patch rejected")                          \
 	X(1502, LOG_UNAVAILABLE, WARNING, "log service unavailable")                               \
--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -57,6 +57,11 @@
 	       need->gpus <= available->gpus;
 }
 
+static inline bool resources_equal(const struct resources *a, const struct resources *b)
+{
+	return a->cpu == b->cpu && a->memory_mb == b->memory_mb && a->gpus == b->gpus;
+}
+
 enum run_phase {
 	RUN_PHASE_WAITING,     /* queued for resources; nothing was sent */
 	RUN_PHASE_ORDERED,     /* the start was sent */
--- a/packages/core/src/runs_waiting.c
+++ b/packages/core/src/runs_waiting.c
@@ -101,6 +101,8 @@
 			continue;
 		if (!runs_ready(runs))
 			runs_end(runs, handle, RUN_SERVER_UNAVAILABLE, now_us);
+		else if (!resources_fit(&run->need, &runs->total_resources))
+			runs_end(runs, handle, RUN_NO_RESOURCES, now_us);
 		else if (now_us > run->start_by_us)
 			runs_end(runs, handle, RUN_LATE, now_us);
 	}
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -478,6 +478,15 @@
 			  EV_S("service", heartbeat->service), EV_I("cpu", heartbeat->capacity.cpu),
 			  EV_I("started_ms", heartbeat->start_time_ms));
 	}
+	if (!resources_equal(&backend->runs.total_resources, &heartbeat->capacity)) {
+		/* The entries learn the capacity together with the identity. */
+		backend->identity_version++;
+		event_log(EVENT_SERVER_CAPACITY, EV_S("server", heartbeat->id),
+			  EV_I("cpu", heartbeat->capacity.cpu),
+			  EV_I("memory_mb", heartbeat->capacity.memory_mb),
+			  EV_I("gpus", heartbeat->capacity.gpus),
+			  EV_I("runs", table_count(&backend->runs.table)));
+	}
 	backend->heartbeat_seen = true;
 	backend->heartbeat_sequence = heartbeat->sequence;
 	backend->heartbeat_clock_ms = heartbeat->clock_ms;
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -383,6 +383,46 @@
 	stop_cluster(&cluster);
 }
 
+/* Returns whether a job of one task that needs CPU is refused because no server is large enough. */
+static bool is_too_large(struct cluster *cluster, unsigned entry, unsigned number, int cpu)
+{
+	char *path = g_strdup_printf("/q/%016x", number);
+	char *body = g_strdup_printf("{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{"
+				     "\"count\":1,\"cpu\":%d,\"memMb\":64,\"estMs\":100}]}",
+				     cpu);
+	struct harness_reply reply = harness_call("POST", cluster->client_urls[entry], path, body);
+	const char *message = json_string_value(json_object_get(reply.body, "message"));
+	bool too_large = reply.status == 503 && message && strstr(message, "large enough");
+
+	harness_reply_clear(&reply);
+	g_free(path);
+	g_free(body);
+	return too_large;
+}
+
+/* Guards against starts that bring a server over a capacity that has shrunk, and against jobs that
+ * wait for a capacity that no server has any more. */
+static void test_capacity_shrinks(void)
+{
+	struct cluster cluster;
+
+	start_cluster(&cluster);
+	control_platform(&cluster, "{\"run_ms\":300}");
+	g_assert_true(job_completes(&cluster, 0, 1, MANY_TASKS));
+	control_platform(&cluster, "{\"cpu\":2000}");
+	g_usleep(SETTLE_MS * US_PER_MS);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		g_assert_true(is_too_large(&cluster, i, 2 + i, 4000));
+	for (unsigned i = 0; i < ENTRIES; i++)
+		g_assert_true(job_completes(&cluster, i, 4 + i, 3));
+	g_assert_cmpint(platform_counter(&cluster, "starts_over_capacity"), ==, 0);
+	control_platform(&cluster, "{\"cpu\":16000}");
+	g_usleep(SETTLE_MS * US_PER_MS);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		g_assert_false(is_too_large(&cluster, i, 6 + i, 4000));
+	stop_cluster(&cluster);
+}
+
 static void refuse_entries(struct cluster *cluster)
 {
 	char *faults = g_strdup_printf("{\"refused_address\":\"" ENTRIES_STORE_IP ":%d\"}",
@@ -774,6 +814,7 @@
 	g_test_add_func("/platform/lost_answers", test_lost_answers);
 	g_test_add_func("/platform/losses_cost_little", test_delay_with_lost_responses);
 	g_test_add_func("/platform/garbled_lists", test_invalid_task_lists);
+	g_test_add_func("/platform/capacity_shrinks", test_capacity_shrinks);
 	g_test_add_func("/platform/leaving_server", test_draining_server);
 	g_test_add_func("/platform/late_heartbeat", test_late_heartbeat);
 	g_test_add_func("/platform/graceful_stop", test_graceful_stop);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -7,7 +7,8 @@
  * At the store's addresses, POST /control changes settings, POST /control/config publishes a
  * configuration, GET /control returns counters, and GET /control/started returns the ids of the
  * started jobs. The settings are lists_lost, starts_lost, run_ms, store_down, store_silent,
- * refused_address, lists_garbled, and drain, stay and silent, whose value is the index of a server.
+ * refused_address, cpu (capacity of each server, which it does not enforce), lists_garbled, and
+ * drain, stay and silent, whose value is the index of a server.
  */
 #include <arpa/inet.h>
 #include <jansson.h>
@@ -93,6 +94,8 @@
 	double lists_lost;  /* probability that a hold request takes effect but gets no response */
 	double starts_lost; /* probability that a start request is ignored and gets no response */
 	int64_t run_ms;	    /* run time of every task */
+	int64_t cpu;	    /* capacity that each server announces */
+	int64_t cpu_changed_us;
 	bool store_down;
 	bool store_silent;     /* leaves requests unanswered */
 	char *refused_address; /* address of the store at which calls are refused, or NULL */
@@ -100,6 +103,7 @@
 	uint32_t starts;
 	uint32_t overlaps; /* counts changes after which a task has more than one run */
 	uint32_t heartbeats_refused;
+	uint32_t starts_over_capacity; /* once two heartbeats have announced the capacity */
 };
 
 static bool draw_fault(struct standin *standin, double probability)
@@ -241,6 +245,9 @@
 	run->ends_us = standin->loop.now_us + standin->run_ms * US_PER_MS;
 	g_ptr_array_add(server->runs, run);
 	standin->starts++;
+	standin->starts_over_capacity +=
+		used_cpu(server) > standin->cpu &&
+		standin->loop.now_us - standin->cpu_changed_us > 2 * HEARTBEAT_MS * US_PER_MS;
 	g_hash_table_add(standin->started_jobs, g_strndup(task, strcspn(task, ".")));
 	server->starts_after_drain += server->draining;
 	adjust_running_count(standin, task, 1);
@@ -398,7 +405,7 @@
 		"8,"
 		"\"state\":\"%s\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":%d,\"memMb\":65536,"
 		"\"gpu\":0},\"labels\":[\"a\",\"r1\"],\"clockMs\":%lld,\"seq\":%lld,\"born\":%lld}",
-		server->address, server->draining ? "draining" : "ready", SERVER_CPU,
+		server->address, server->draining ? "draining" : "ready", (int)server->standin->cpu,
 		(long long)clock_ms(server), (long long)++server->sequence,
 		(long long)server->started_ms);
 
@@ -608,6 +615,10 @@
 		standin->starts_lost = json_number_value(field);
 	if ((field = json_object_get(document, "run_ms")))
 		standin->run_ms = json_integer_value(field);
+	if ((field = json_object_get(document, "cpu"))) {
+		standin->cpu = json_integer_value(field);
+		standin->cpu_changed_us = standin->loop.now_us;
+	}
 	if ((field = json_object_get(document, "store_down")))
 		standin->store_down = json_is_true(field);
 	if ((field = json_object_get(document, "store_silent")))
@@ -633,10 +644,11 @@
 		after_drain += standin->servers[i].starts_after_drain;
 	}
 	respond_json(request, 200,
-		     json_pack("{s:i, s:i, s:i, s:i, s:i}", "starts", (int)standin->starts,
+		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i}", "starts", (int)standin->starts,
 			       "overlaps", (int)standin->overlaps, "running", (int)running,
 			       "starts_after_drain", (int)after_drain, "heartbeats_refused",
-			       (int)standin->heartbeats_refused));
+			       (int)standin->heartbeats_refused, "starts_over_capacity",
+			       (int)standin->starts_over_capacity));
 }
 
 static void respond_started_jobs(struct standin *standin, struct http_request *request)
@@ -777,6 +789,7 @@
 	standin.started_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	standin.rand = g_rand_new_with_seed(1);
 	standin.run_ms = 100;
+	standin.cpu = SERVER_CPU;
 	if (!start_store(&standin, argv[1]))
 		return 1;
 	for (int i = 2; i < argc; i++) {
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -267,6 +267,47 @@
 	tear_down(&fixture);
 }
 
+static void set_capacity(struct fixture *fixture, uint32_t cpu)
+{
+	const struct resources total = {.cpu = cpu, .memory_mb = 1000};
+
+	runs_server_present(&fixture->runs, &total, false);
+}
+
+/* Guards against starts that bring a server over a capacity that has shrunk. Runs that are being
+ * stopped still count, and what no longer fits at all is sent back at once. */
+static void test_capacity_shrinks(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 6000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	start(&fixture, "b.0.0.0", 5000, OWNER, 0, 1000);
+	g_assert_cmpuint(fixture.starts, ==, 1);
+	set_capacity(&fixture, 5000);
+	runs_start_waiting(&fixture.runs, 2000);
+	g_assert_cmpuint(runs_free_resources(&fixture.runs).cpu, ==, 0);
+	runs_stop(&fixture.runs, OWNER, g_str_hash("a.0.0.0"), 3000);
+	runs_stop_answered(&fixture.runs, fixture.last, true, 4000);
+	runs_start_waiting(&fixture.runs, 4000);
+	g_assert_cmpuint(fixture.starts, ==, 1);
+	set_capacity(&fixture, 4000);
+	runs_tick(&fixture.runs, 5000);
+	check_outcomes(&fixture, 1, RUN_NO_RESOURCES);
+	start(&fixture, "c.0.0.0", 3000, OWNER, 0, 5000);
+	g_assert_cmpuint(fixture.starts, ==, 1);
+	deliver_lists(&fixture, NULL, "a.0.0.0", RUN_STOPPED, 6000);
+	runs_start_waiting(&fixture.runs, 7000);
+	g_assert_cmpuint(fixture.starts, ==, 2);
+	set_capacity(&fixture, 0);
+	start(&fixture, "d.0.0.0", 1000, OWNER, 0, 8000);
+	check_outcomes(&fixture, 3, RUN_NO_RESOURCES);
+	set_capacity(&fixture, CPU);
+	g_assert_cmpuint(runs_free_resources(&fixture.runs).cpu, ==, CPU - 3000);
+	tear_down(&fixture);
+}
+
 /* Guards against giving up the runs of a silent server too early: its clock may be slow, and its
  * last lease then expires later. */
 static void test_lease(void)
@@ -472,6 +513,7 @@
 	g_test_add_func("/runs/owner_gone", test_owner_gone);
 	g_test_add_func("/runs/stranger", test_unknown_run);
 	g_test_add_func("/runs/start_beside_unknown_run", test_start_beside_unknown_run);
+	g_test_add_func("/runs/capacity_shrinks", test_capacity_shrinks);
 	g_test_add_func("/runs/server_ended", test_server_ended);
 	g_test_add_func("/runs/lease", test_lease);
 	g_test_add_func("/runs/waiting", test_waiting);
