--- a/packages/core/src/runs_state.h
+++ b/packages/core/src/runs_state.h
@@ -16,8 +16,8 @@
 /* Refuses less urgent waiting runs until REQUEST fits into the queue. Returns whether it fits. */
 bool runs_make_queue_space(struct runs *runs, const struct run_request *request, int64_t now_us);
 
-/* Refuses runs that have waited too long or exceed a capacity that has shrunk, or all waiting runs if
- * the server accepts no starts. */
+/* Refuses runs that have waited too long or exceed a capacity that has shrunk, or all waiting runs
+ * if the server accepts no starts. */
 void runs_refuse_waiting(struct runs *runs, int64_t now_us);
 
 #endif
