Count the servers that crashed under a task by their ids

Callers would see: a job that crashes one server after another each time it is sent again, for as long as the entries that take it restart.

Cause, found by reading: entries told each other a number, and the higher one counted. Crashes that two entries see at the same time, or successive processes of one entry, each make it 1 and never add up. A report of another entry also marked a record as not seen here, before the crash seen here had been sent. Class of fault: a counter merged as if it were a state.

Change: a record has the ids of the servers, which are merged as a set; each process of a server has its own id. The first state on a connection has all records, so that an entry that restarted knows what it has told the others.

crash_test gives a server that has crashed a new id, as a server's agent does; its bounds are as before.

--- a/packages/core/include/crash_history.h
+++ b/packages/core/include/crash_history.h
@@ -11,13 +11,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+enum {
+	CRASH_RECORD_MAX_SERVERS = 8 /* further ones are not recorded */
+};
+
 struct crash_record {
 	char *task;	    /* job id, a dot and the index of the task */
-	GString *servers;   /* ids of the crashed servers that this entry knows, by spaces */
-	uint32_t crashes;   /* servers that crashed under the task */
+	GPtrArray *servers; /* ids (char *) of the servers that crashed under the task, each once */
 	int64_t crashed_us; /* time of the last crash */
 	uint64_t sequence;  /* position in the order of changes, from 1 */
-	bool crashed_here;  /* false: another entry reported the last crash */
+	bool crashed_here;  /* false: all crashes were reported by other entries */
 };
 
 struct crash_history {
@@ -38,19 +41,22 @@
 const struct crash_record *crash_history_add(struct crash_history *history, const char *job,
 					     uint32_t index, const char *server, int64_t now_us);
 
-/* Raises the count of TASK, as named by another entry, to CRASHES if it is lower. A count of 0 is
- * ignored. */
-void crash_history_merge(struct crash_history *history, const char *task, uint32_t crashes,
+/* Records that SERVER crashed under TASK, as another entry has reported. Does nothing if that is
+ * known. */
+void crash_history_merge(struct crash_history *history, const char *task, const char *server,
 			 int64_t now_us);
 
 /* Returns the number of servers that have crashed under a task within the retention time. */
 uint32_t crash_history_count(const struct crash_history *history, const char *job, uint32_t index,
 			     int64_t now_us);
 
-/* Appends the records whose last crash was seen at this entry and that changed after SEQUENCE to
- * RECORDS, an array of const struct crash_record *. Returns the last sequence number covered, to be
- * passed to the next call. */
+/* Appends the records to RECORDS, an array of const struct crash_record *, that changed after
+ * SEQUENCE and of which a crash was seen at this entry; with 0 for SEQUENCE all records. Returns
+ * the last sequence number covered, to be passed to the next call. */
 uint64_t crash_history_since(const struct crash_history *history, uint64_t sequence,
 			     GPtrArray *records);
 
+/* Returns the ids of the servers of RECORD, separated by spaces. The caller frees them. */
+char *crash_record_server_names(const struct crash_record *record);
+
 #endif
--- a/packages/core/src/crash_history.c
+++ b/packages/core/src/crash_history.c
@@ -4,7 +4,7 @@
 {
 	struct crash_record *record = data;
 
-	g_string_free(record->servers, TRUE);
+	g_ptr_array_free(record->servers, TRUE);
 	g_free(record->task);
 	g_free(record);
 }
@@ -49,22 +49,38 @@
 	return g_strdup_printf("%s.%u", job, index);
 }
 
-/* Sets the count of the task NAME and makes its record the newest one. */
-static struct crash_record *update(struct crash_history *history, const char *name,
-				   uint32_t crashes, bool crashed_here, int64_t now_us)
+static const struct crash_record *find(const struct crash_history *history, const char *name,
+				       int64_t now_us)
 {
-	struct crash_record *record = g_hash_table_lookup(history->by_task, name);
+	const struct crash_record *record = g_hash_table_lookup(history->by_task, name);
+
+	return record && !has_expired(history, record, now_us) ? record : NULL;
+}
+
+static bool has_server(const struct crash_record *record, const char *server)
+{
+	return g_ptr_array_find_with_equal_func(record->servers, server, g_str_equal, NULL);
+}
 
+/* Adds SERVER to the record of the task NAME and makes that the newest one. */
+static struct crash_record *add_server(struct crash_history *history, const char *name,
+				       const char *server, bool seen_here, int64_t now_us)
+{
+	struct crash_record *record;
+
+	remove_old(history, now_us);
+	record = g_hash_table_lookup(history->by_task, name);
 	if (record) {
 		g_queue_remove(&history->by_age, record);
 	} else {
 		record = g_new0(struct crash_record, 1);
 		record->task = g_strdup(name);
-		record->servers = g_string_new(NULL);
+		record->servers = g_ptr_array_new_with_free_func(g_free);
 		g_hash_table_insert(history->by_task, record->task, record);
 	}
-	record->crashes = crashes;
-	record->crashed_here = crashed_here;
+	if (record->servers->len < CRASH_RECORD_MAX_SERVERS && !has_server(record, server))
+		g_ptr_array_add(record->servers, g_strdup(server));
+	record->crashed_here = record->crashed_here || seen_here;
 	record->crashed_us = now_us;
 	record->sequence = ++history->last_sequence;
 	g_queue_push_tail(&history->by_age, record);
@@ -72,46 +88,38 @@
 	return record;
 }
 
-static uint32_t count(const struct crash_history *history, const char *name, int64_t now_us)
-{
-	const struct crash_record *record = g_hash_table_lookup(history->by_task, name);
-
-	return record && !has_expired(history, record, now_us) ? record->crashes : 0;
-}
-
 const struct crash_record *crash_history_add(struct crash_history *history, const char *job,
 					     uint32_t index, const char *server, int64_t now_us)
 {
 	char *name = task_name(job, index);
-	struct crash_record *record =
-		update(history, name, count(history, name, now_us) + 1, true, now_us);
+	struct crash_record *record = add_server(history, name, server, true, now_us);
 
-	if (record->servers->len > 0)
-		g_string_append_c(record->servers, ' ');
-	g_string_append(record->servers, server);
 	g_free(name);
 	return record;
 }
 
-void crash_history_merge(struct crash_history *history, const char *task, uint32_t crashes,
+void crash_history_merge(struct crash_history *history, const char *task, const char *server,
 			 int64_t now_us)
 {
-	if (crashes > count(history, task, now_us))
-		update(history, task, crashes, false, now_us);
+	const struct crash_record *record = find(history, task, now_us);
+
+	if (!record ||
+	    (record->servers->len < CRASH_RECORD_MAX_SERVERS && !has_server(record, server)))
+		add_server(history, task, server, false, now_us);
 }
 
 uint32_t crash_history_count(const struct crash_history *history, const char *job, uint32_t index,
 			     int64_t now_us)
 {
+	const struct crash_record *record;
 	char *name;
-	uint32_t crashes;
 
 	if (g_queue_is_empty((GQueue *)&history->by_age))
 		return 0;
 	name = task_name(job, index);
-	crashes = count(history, name, now_us);
+	record = find(history, name, now_us);
 	g_free(name);
-	return crashes;
+	return record ? record->servers->len : 0;
 }
 
 uint64_t crash_history_since(const struct crash_history *history, uint64_t sequence,
@@ -122,8 +130,20 @@
 
 		if (record->sequence <= sequence)
 			break;
-		if (record->crashed_here)
+		if (record->crashed_here || sequence == 0)
 			g_ptr_array_add(records, record);
 	}
 	return history->last_sequence;
 }
+
+char *crash_record_server_names(const struct crash_record *record)
+{
+	GString *names = g_string_new(NULL);
+
+	for (guint i = 0; i < record->servers->len; i++) {
+		if (i > 0)
+			g_string_append_c(names, ' ');
+		g_string_append(names, record->servers->pdata[i]);
+	}
+	return g_string_free(names, FALSE);
+}
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -431,6 +431,7 @@
 	struct job *job;
 	struct job_task *task;
 	const struct crash_record *crash = NULL;
+	char server_id[NAME_BYTES] = "";
 
 	if (!row)
 		return; /* the end of the run was already reported over an earlier connection */
@@ -438,6 +439,7 @@
 	table_remove(&dispatch->runs, handle);
 	server = fleet_get(&dispatch->fleet, run.server);
 	if (server) {
+		g_strlcpy(server_id, server->id, sizeof(server_id));
 		server->runs--;
 		if (!server->link && server->runs == 0)
 			fleet_remove(&dispatch->fleet, run.server);
@@ -450,17 +452,17 @@
 		job->may_have_run = true;
 	server = fleet_get(&dispatch->fleet, run.server);
 	dispatch->callbacks.run_ended(dispatch->callbacks.context, job->id, run.index,
-				      task->attempt, server ? server->id : "", outcome, elapsed_us);
+				      task->attempt, server_id, outcome, elapsed_us);
 	if (outcome == RUN_DONE)
 		learn_run_time(dispatch, job, server, elapsed_us);
 	else if (outcome == RUN_FAILED || outcome == RUN_UNHEALTHY || run.restart_elsewhere)
 		job->avoid_server = run.server;
 	if (outcome == RUN_CRASHED)
-		crash = crash_history_add(&dispatch->crashes, job->id, run.index,
-					  server ? server->id : "", now_us);
+		crash = crash_history_add(&dispatch->crashes, job->id, run.index, server_id,
+					  now_us);
 	if (job->finished)
 		free_if_settled(dispatch, job);
-	else if (crash && crash->crashes >= MAX_CRASHES)
+	else if (crash && crash->servers->len >= MAX_CRASHES)
 		give_up(dispatch, job, crash, now_us);
 	else
 		handle_task_end(dispatch, job, task, outcome, now_us);
--- a/packages/greengaged/src/node_clients.c
+++ b/packages/greengaged/src/node_clients.c
@@ -122,10 +122,14 @@
 		  EV_I("expected_wait_ms", end->expected_wait_us / US_PER_MS),
 		  EV_I("elapsed_ms", end->elapsed_us / US_PER_MS));
 	node_metrics_job_ended(end);
-	if (end->crashed_task)
+	if (end->crashed_task) {
+		char *servers = crash_record_server_names(end->crashed_task);
+
 		event_log(EVENT_TASK_GIVEN_UP, EV_S("task", end->crashed_task->task),
-			  EV_I("crashes", end->crashed_task->crashes),
-			  EV_S("servers", end->crashed_task->servers->str));
+			  EV_I("crashes", end->crashed_task->servers->len),
+			  EV_S("servers", servers));
+		g_free(servers);
+	}
 	if (end->status == STATUS_OK || end->status == STATUS_TASK_FAILED)
 		ended_jobs_record(&entry->ended_jobs, client_job_number(id),
 				  end->status == STATUS_OK, true, entry->loop.now_us);
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -100,23 +100,29 @@
 	state->n_failed = failed->len;
 }
 
-/* Sets the fields crashed_tasks and crash_counts of STATE to the crashes seen at this entry since
- * the last state sent to PEER. The caller frees both arrays; STATE borrows the names. */
+/* Sets the fields crashed_tasks and crashed_servers of STATE to the crashes seen at this entry
+ * since the last state sent to PEER, or to all that it knows in the first state on a connection: an
+ * entry that has restarted has lost its own. The caller frees both arrays; STATE borrows the names.
+ */
 static void set_crashes(struct outgoing_peer *peer, Ggd__PeerState *state)
 {
 	GPtrArray *records = g_ptr_array_new();
+	GPtrArray *tasks = g_ptr_array_new();
+	GPtrArray *servers = g_ptr_array_new();
 
 	peer->last_crash_sequence = crash_history_since(&peer->entry->dispatch.crashes,
 							peer->last_crash_sequence, records);
-	state->crashed_tasks = g_new(char *, records->len);
-	state->crash_counts = g_new(uint32_t, records->len);
 	for (guint i = 0; i < records->len; i++) {
 		const struct crash_record *record = records->pdata[i];
 
-		state->crashed_tasks[i] = record->task;
-		state->crash_counts[i] = record->crashes;
+		for (guint j = 0; j < record->servers->len; j++) {
+			g_ptr_array_add(tasks, record->task);
+			g_ptr_array_add(servers, record->servers->pdata[j]);
+		}
 	}
-	state->n_crashed_tasks = state->n_crash_counts = records->len;
+	state->n_crashed_tasks = state->n_crashed_servers = tasks->len;
+	state->crashed_tasks = (char **)g_ptr_array_free(tasks, FALSE);
+	state->crashed_servers = (char **)g_ptr_array_free(servers, FALSE);
 	g_ptr_array_free(records, TRUE);
 }
 
@@ -153,7 +159,7 @@
 	peer->last_state_sent_us = now_us;
 	peer->last_backlog_core_ms = sum;
 	g_free(state.crashed_tasks);
-	g_free(state.crash_counts);
+	g_free(state.crashed_servers);
 	g_free(state.queues);
 	g_free(state.queued);
 	g_array_free(completed, TRUE);
@@ -272,9 +278,9 @@
 
 static void record_crashes(struct node_entry *entry, const Ggd__PeerState *state)
 {
-	for (size_t i = 0; i < state->n_crashed_tasks && i < state->n_crash_counts; i++)
+	for (size_t i = 0; i < state->n_crashed_tasks && i < state->n_crashed_servers; i++)
 		crash_history_merge(&entry->dispatch.crashes, state->crashed_tasks[i],
-				    state->crash_counts[i], entry->loop.now_us);
+				    state->crashed_servers[i], entry->loop.now_us);
 }
 
 static void on_incoming_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
--- a/test/unit/crash_test.c
+++ b/test/unit/crash_test.c
@@ -24,6 +24,7 @@
 	int64_t now_us;
 	uint32_t starts;
 	uint64_t last_run;
+	uint32_t boots; /* of servers after a crash */
 	uint32_t finished;
 	enum status status;
 	char given_up[64]; /* name of the task, or empty */
@@ -122,11 +123,37 @@
 	dispatch_pump(&fixture->dispatch, fixture->now_us);
 }
 
-/* Ends the last run that was started, 10 ms later. */
+/* Returns the server that has RUN. */
+static struct fleet_server *server_of(struct fixture *fixture, uint64_t run)
+{
+	struct fleet *fleet = &fixture->dispatch.fleet;
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct fleet_server *server;
+
+	while ((server = table_next(&fleet->servers, &cursor, &handle))) {
+		if (dispatch_run_is_on(&fixture->dispatch, run, handle))
+			break;
+	}
+	g_assert_nonnull(server);
+	return server;
+}
+
+/* Starts a crashed server again. Each process of a server has an id of its own. */
+static void restart_server(struct fixture *fixture, struct fleet_server *server)
+{
+	g_snprintf(server->id, sizeof(server->id), "restarted-%u", ++fixture->boots);
+}
+
+/* Ends the last run that was started, 10 ms later. A server that has crashed is back at once. */
 static void end_run(struct fixture *fixture, enum run_outcome outcome)
 {
+	struct fleet_server *server = server_of(fixture, fixture->last_run);
+
 	fixture->now_us += 10 * US_PER_MS;
 	dispatch_run_ended(&fixture->dispatch, fixture->last_run, outcome, 0, fixture->now_us);
+	if (outcome == RUN_CRASHED)
+		restart_server(fixture, server);
 	dispatch_pump(&fixture->dispatch, fixture->now_us);
 }
 
@@ -187,10 +214,12 @@
 	for (guint i = 0; i < records->len; i++) {
 		const struct crash_record *record = records->pdata[i];
 
-		crash_history_merge(&second.dispatch.crashes, record->task, record->crashes,
-				    second.now_us);
+		crash_history_merge(&second.dispatch.crashes, record->task,
+				    record->servers->pdata[0], second.now_us);
 	}
 	submit(&second);
+	/* The second entry may choose the server that the first one has seen crash. */
+	restart_server(&second, server_of(&second, second.last_run));
 	end_run(&second, RUN_CRASHED);
 	g_assert_cmpuint(second.starts, ==, 1);
 	g_assert_cmpint(second.status, ==, STATUS_TASK_FAILED);
