Test a task that crashes servers with real processes

The stand-in's servers crash when they start a task of a marked job: they close their connections, refuse new ones for a while and come back with a new id. http_server_close serves for that.

--- a/packages/net/include/http_server.h
+++ b/packages/net/include/http_server.h
@@ -49,6 +49,9 @@
  * requests not answered yet. */
 void http_server_reset(struct http_server *server);
 
+/* Closes all connections and stops listening. SERVER is freed. */
+void http_server_close(struct http_server *server);
+
 /* Returns the number of open connections. */
 size_t http_server_connections(const struct http_server *server);
 
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -20,6 +20,7 @@
 	const struct http_server_callbacks *callbacks;
 	void *context;
 	GHashTable *connections; /* set of struct http_request * */
+	struct handle limit_timer;
 	bool keep_alive_disabled;
 };
 
@@ -318,8 +319,9 @@
 		g_free(new_server);
 		return status;
 	}
-	timer_subscribe(&loop->timers, loop->now_us + LIMIT_CHECK_PERIOD_US, LIMIT_CHECK_PERIOD_US,
-			check_limits, new_server);
+	new_server->limit_timer =
+		timer_subscribe(&loop->timers, loop->now_us + LIMIT_CHECK_PERIOD_US,
+				LIMIT_CHECK_PERIOD_US, check_limits, new_server);
 	*server = new_server;
 	return STATUS_OK;
 }
@@ -347,6 +349,15 @@
 	g_list_free(requests);
 }
 
+void http_server_close(struct http_server *server)
+{
+	http_server_reset(server);
+	net_listener_close(server->listener);
+	timer_cancel(&server->loop->timers, server->limit_timer);
+	g_hash_table_destroy(server->connections);
+	g_free(server);
+}
+
 size_t http_server_connections(const struct http_server *server)
 {
 	return g_hash_table_size(server->connections);
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -17,11 +17,13 @@
 	STOP_TIMEOUT_MS = 9000,
 	CONFIG_TIMEOUT_MS = 2000, /* limit for a configuration to take effect */
 	MANY_TASKS = 20,	  /* more than fit on one server */
+	DEADLY_JOB = 0xdead,	  /* number of the job that crashes servers */
 	SUSPEND_MS = 1500, /* longer than the time after which a silent peer is disconnected */
 	LOSS_TEST_JOBS = 40,
 	STORE_RECOVERY_MS =
 		600, /* half of the 1.2 s that a call timeout and the retry delay take together */
 	CONNECTION_AGE_MS = 10300, /* longer than the 10 s of fast retries */
+	DEADLINE_MS = 3000,	   /* of each job, from its route */
 	RESEND_MS = 1300,	   /* delay before a client resends a job without response */
 	ENTRY_RECOVERY_MS = 1000,  /* half of the 2 s limit for the recovery of a lost entry */
 	SETTLE_MS = 1000,	   /* pause before the effects of a fault are checked */
@@ -423,6 +425,62 @@
 	stop_cluster(&cluster);
 }
 
+/* Submits the deadly job to entry 0, and checks that CRASHES servers have crashed in all when it is
+ * answered. Returns whether the answer is that it has failed for good. */
+static bool deadly_job_fails(struct cluster *cluster, int64_t crashes)
+{
+	struct harness_reply reply = submit(cluster, 0, DEADLY_JOB, 1);
+	const char *state = json_string_value(json_object_get(reply.body, "state"));
+	bool failed = state && strcmp(state, "failed") == 0;
+
+	harness_reply_clear(&reply);
+	g_assert_cmpint(platform_counter(cluster, "crashes"), ==, crashes);
+	return failed;
+}
+
+/* A server that the deadly job crashes is away for AWAY_MS. */
+static void start_cluster_with_deadly_job(struct cluster *cluster, int away_ms)
+{
+	char *faults =
+		g_strdup_printf("{\"deadly_job\":\"%016x\",\"away_ms\":%d}", DEADLY_JOB, away_ms);
+
+	start_cluster(cluster);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, job_completes(cluster, 0, 1, MANY_TASKS));
+	control_platform(cluster, faults);
+	g_free(faults);
+}
+
+/* Guards against a task that is started again after two servers have crashed under it. */
+static void test_deadly_task(void)
+{
+	struct cluster cluster;
+
+	start_cluster_with_deadly_job(&cluster, 300);
+	g_assert_true(deadly_job_fails(&cluster, 2));
+	g_assert_true(deadly_job_fails(&cluster, 2));
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, job_completes(&cluster, 1, 2, 1));
+	stop_cluster(&cluster);
+}
+
+/* The entry that sees each crash is killed after it. Guards against a count that starts again with
+ * each process of the entry. */
+static void test_deadly_task_and_entry_restarts(void)
+{
+	struct cluster cluster;
+
+	start_cluster_with_deadly_job(&cluster, DEADLINE_MS + SETTLE_MS);
+	control_platform(&cluster, "{\"drain\":1}");
+	g_usleep(SETTLE_MS * US_PER_MS);
+	g_assert_false(deadly_job_fails(&cluster, 1));
+	g_usleep(SETTLE_MS * US_PER_MS);
+	harness_kill(cluster.entries[0]);
+	harness_restart(cluster.harness, cluster.entries[0]);
+	HARNESS_WAIT(READY_TIMEOUT_MS, entry_is_ready(&cluster, 0));
+	HARNESS_WAIT(READY_TIMEOUT_MS, job_completes(&cluster, 0, 2, 1));
+	g_assert_true(deadly_job_fails(&cluster, 2));
+	stop_cluster(&cluster);
+}
+
 static void refuse_entries(struct cluster *cluster)
 {
 	char *faults = g_strdup_printf("{\"refused_address\":\"" ENTRIES_STORE_IP ":%d\"}",
@@ -815,6 +873,9 @@
 	g_test_add_func("/platform/losses_cost_little", test_delay_with_lost_responses);
 	g_test_add_func("/platform/garbled_lists", test_invalid_task_lists);
 	g_test_add_func("/platform/capacity_shrinks", test_capacity_shrinks);
+	g_test_add_func("/platform/deadly_task", test_deadly_task);
+	g_test_add_func("/platform/deadly_task_and_entry_restarts",
+			test_deadly_task_and_entry_restarts);
 	g_test_add_func("/platform/leaving_server", test_draining_server);
 	g_test_add_func("/platform/late_heartbeat", test_late_heartbeat);
 	g_test_add_func("/platform/graceful_stop", test_graceful_stop);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -7,8 +7,9 @@
  * At the store's addresses, POST /control changes settings, POST /control/config publishes a
  * configuration, GET /control returns counters, and GET /control/started returns the ids of the
  * started jobs. The settings are lists_lost, starts_lost, run_ms, store_down, store_silent,
- * refused_address, cpu (capacity of each server, which it does not enforce), lists_garbled, and
- * drain, stay and silent, whose value is the index of a server.
+ * refused_address, cpu (capacity of each server, which it does not enforce), lists_garbled,
+ * deadly_job (id of a job whose tasks crash each server that starts them), away_ms (how long a
+ * crashed server is away), and drain, stay and silent, whose value is the index of a server.
  */
 #include <arpa/inet.h>
 #include <jansson.h>
@@ -26,6 +27,7 @@
 	LEASE_MAX_MS = 1000,
 	TICK_MS = 5,
 	SERVER_CPU = 16000,
+	DEADLY_DELAY_MS = 10, /* from the start of a task to the crash */
 	BODY_MAX_BYTES = 4 << 20,
 	HEADER_MAX_BYTES = 16384,
 	CONNECTION_TIMEOUT_MS = 60000 /* for receiving a request and for idle connections */
@@ -65,7 +67,10 @@
 	int64_t started_ms;
 	int64_t sequence;
 	bool draining;
-	bool silent; /* sends no heartbeats */
+	bool silent;	       /* sends no heartbeats */
+	int64_t crash_due_us;  /* 0: none */
+	int64_t return_due_us; /* 0: not crashed */
+	uint32_t crashes;
 	int64_t drained_us;
 	uint32_t starts_after_drain;
 };
@@ -99,6 +104,8 @@
 	bool store_down;
 	bool store_silent;     /* leaves requests unanswered */
 	char *refused_address; /* address of the store at which calls are refused, or NULL */
+	char *deadly_job;      /* id, or NULL */
+	int64_t away_ms;       /* how long a crashed server is away */
 	bool lists_garbled;    /* responds to hold requests with truncated JSON */
 	uint32_t starts;
 	uint32_t overlaps; /* counts changes after which a task has more than one run */
@@ -249,6 +256,9 @@
 		used_cpu(server) > standin->cpu &&
 		standin->loop.now_us - standin->cpu_changed_us > 2 * HEARTBEAT_MS * US_PER_MS;
 	g_hash_table_add(standin->started_jobs, g_strndup(task, strcspn(task, ".")));
+	if (standin->deadly_job && g_str_has_prefix(task, standin->deadly_job) &&
+	    server->crash_due_us == 0)
+		server->crash_due_us = standin->loop.now_us + DEADLY_DELAY_MS * US_PER_MS;
 	server->starts_after_drain += server->draining;
 	adjust_running_count(standin, task, 1);
 	return NULL;
@@ -409,7 +419,7 @@
 		(long long)clock_ms(server), (long long)++server->sequence,
 		(long long)server->started_ms);
 
-	if (!server->silent)
+	if (!server->silent && server->return_due_us == 0)
 		http_client_call(server->agent, &(struct http_call){
 							.method = "POST",
 							.path = path,
@@ -627,6 +637,12 @@
 		g_free(standin->refused_address);
 		standin->refused_address = g_strdup(json_string_value(field));
 	}
+	if ((field = json_object_get(document, "deadly_job"))) {
+		g_free(standin->deadly_job);
+		standin->deadly_job = g_strdup(json_string_value(field));
+	}
+	if ((field = json_object_get(document, "away_ms")))
+		standin->away_ms = json_integer_value(field);
 	if ((field = json_object_get(document, "lists_garbled")))
 		standin->lists_garbled = json_is_true(field);
 	apply_server_settings(standin, document);
@@ -638,17 +654,20 @@
 {
 	uint32_t running = 0;
 	uint32_t after_drain = 0;
+	uint32_t crashes = 0;
 
 	for (unsigned i = 0; i < standin->server_count; i++) {
 		running += standin->servers[i].runs->len;
 		after_drain += standin->servers[i].starts_after_drain;
+		crashes += standin->servers[i].crashes;
 	}
 	respond_json(request, 200,
-		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i}", "starts", (int)standin->starts,
-			       "overlaps", (int)standin->overlaps, "running", (int)running,
-			       "starts_after_drain", (int)after_drain, "heartbeats_refused",
-			       (int)standin->heartbeats_refused, "starts_over_capacity",
-			       (int)standin->starts_over_capacity));
+		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "starts",
+			       (int)standin->starts, "overlaps", (int)standin->overlaps, "running",
+			       (int)running, "starts_after_drain", (int)after_drain,
+			       "heartbeats_refused", (int)standin->heartbeats_refused,
+			       "starts_over_capacity", (int)standin->starts_over_capacity,
+			       "crashes", (int)crashes));
 }
 
 static void respond_started_jobs(struct standin *standin, struct http_request *request)
@@ -712,13 +731,69 @@
 	.idle_limit_ms = CONNECTION_TIMEOUT_MS,
 };
 
+/* Each process of a server has an id of its own. */
+static void set_id(struct server *server)
+{
+	g_snprintf(server->id, sizeof(server->id), "i-%08x",
+		   (server->crashes << 8) + server->index + 1);
+	server->started_ms = timer_wall_ms();
+}
+
+static enum status listen_for_orders(struct server *server, struct error *err)
+{
+	return http_server_listen(&server->standin->loop, server->address, &server_options,
+				  &order_callbacks, server, &server->http, err);
+}
+
+/* Closes the server's connections and forgets its runs and all that its agent has told it. */
+static void crash(struct server *server)
+{
+	http_server_close(server->http);
+	server->http = NULL;
+	for (guint i = 0; i < server->runs->len; i++) {
+		struct run *run = server->runs->pdata[i];
+
+		adjust_running_count(server->standin, run->task, -1);
+		g_free(run->task);
+		g_free(run);
+	}
+	g_ptr_array_set_size(server->runs, 0);
+	g_hash_table_remove_all(server->highest_attempt);
+	json_array_clear(server->finished);
+	server->last_cursor = 0;
+	server->epoch = 0;
+	server->lease_until_us = 0;
+	server->sequence = 0;
+	server->crashes++;
+	server->crash_due_us = 0;
+	server->return_due_us = server->standin->loop.now_us + server->standin->away_ms * US_PER_MS;
+}
+
+static void return_after_crash(struct server *server)
+{
+	struct error err;
+
+	set_id(server);
+	server->return_due_us = 0;
+	if (listen_for_orders(server, &err) != STATUS_OK) {
+		fprintf(stderr, "standin_platform: %s\n", err.message);
+		abort();
+	}
+}
+
 static void on_tick(void *context, int64_t now_us)
 {
 	struct standin *standin = context;
 
 	for (unsigned i = 0; i < standin->server_count; i++) {
-		end_due_runs(&standin->servers[i]);
-		respond_to_due_holds(&standin->servers[i]);
+		struct server *server = &standin->servers[i];
+
+		end_due_runs(server);
+		respond_to_due_holds(server);
+		if (server->crash_due_us != 0 && now_us >= server->crash_due_us)
+			crash(server);
+		else if (server->return_due_us != 0 && now_us >= server->return_due_us)
+			return_after_crash(server);
 	}
 	respond_to_due_reads(standin);
 }
@@ -735,12 +810,11 @@
 	server->index = standin->server_count++;
 	server->address = g_strdup(parts[0]);
 	server->agent_address = g_strdup(parts[1]);
-	g_snprintf(server->id, sizeof(server->id), "i-%08x", server->index + 1);
+	set_id(server);
 	server->runs = g_ptr_array_new();
 	server->highest_attempt = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	server->finished = json_array();
 	server->pending_holds = g_array_new(FALSE, FALSE, sizeof(struct pending_hold));
-	server->started_ms = timer_wall_ms();
 	g_strfreev(parts);
 	server->agent = http_client_new(
 		&standin->loop,
@@ -748,8 +822,7 @@
 					      .max_connections = 1,
 					      .idle_limit_ms = CONNECTION_TIMEOUT_MS,
 					      .response_max_bytes = HEADER_MAX_BYTES});
-	if (http_server_listen(&standin->loop, server->address, &server_options, &order_callbacks,
-			       server, &server->http, &err) != STATUS_OK) {
+	if (listen_for_orders(server, &err) != STATUS_OK) {
 		fprintf(stderr, "standin_platform: %s\n", err.message);
 		return false;
 	}
@@ -790,6 +863,7 @@
 	standin.rand = g_rand_new_with_seed(1);
 	standin.run_ms = 100;
 	standin.cpu = SERVER_CPU;
+	standin.away_ms = 1000;
 	if (!start_store(&standin, argv[1]))
 		return 1;
 	for (int i = 2; i < argc; i++) {
