Ask a backend server at once when a poll's connection is closed

Callers saw: tries that ended on a server that had crashed up to 50 ms before, and the jobs on it restarted that much later.

Cause: a crash closes the connections of the polls. The agent took that as a failed poll and found out only with the next regular call, which is refused.

Change: a long poll that fails without a timeout is followed by an immediate one, which shows whether the server refuses connections. Failed immediate polls are not repeated, so a server that closes each connection is not called without a pause.

--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -307,7 +307,7 @@
 }
 
 static void handle_hold_failure(struct backend *backend, const struct http_response *reply,
-				const struct error *err)
+				bool long_poll, const struct error *err)
 {
 	int64_t now_us = backend->loop->now_us;
 	/* After a crash nothing runs, connections are refused and existing ones are closed. A
@@ -316,6 +316,11 @@
 	bool crashed = reply->connection_refused && !http_client_connected(backend->hold_client) &&
 		       !http_client_connected(backend->order_client);
 
+	/* A closed connection tells of the end of the server at once; the next call shows whether
+	 * it is refused. Failed immediate polls are not repeated, or a server that closes each
+	 * connection would be called without a pause. */
+	if (long_poll && reply->status == STATUS_NETWORK && !reply->connection_refused)
+		backend->immediate_poll_requested = true;
 	if (crashed)
 		runs_server_ended(&backend->runs, now_us);
 	if (crashed || now_us - backend->lists_received_us > UNREACHABLE_TIMEOUT_MS * US_PER_MS)
@@ -353,7 +358,7 @@
 		backend->lists_applied = true;
 		notify_state_changed(backend);
 	} else if (!parsed.answered) {
-		handle_hold_failure(backend, reply, &err);
+		handle_hold_failure(backend, reply, hold->long_poll, &err);
 	}
 	server_run_lists_clear(&lists);
 	/* A timeout has already delayed the next long poll. Other failures may return at once, so a
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -18,6 +18,7 @@
 	CONFIG_TIMEOUT_MS = 2000, /* limit for a configuration to take effect */
 	MANY_TASKS = 20,	  /* more than fit on one server */
 	DEADLY_JOB = 0xdead,	  /* number of the job that crashes servers */
+	CRASH_NOTICE_MS = 25,	  /* half of the 50 ms between regular checks of a server */
 	SUSPEND_MS = 1500, /* longer than the time after which a silent peer is disconnected */
 	LOSS_TEST_JOBS = 40,
 	STORE_RECOVERY_MS =
@@ -462,6 +463,51 @@
 	stop_cluster(&cluster);
 }
 
+/* Returns the shortest time from the start of a task's first run to the report of its server's
+ * crash at PROCESS, in milliseconds. */
+static int64_t shortest_crashed_run(const struct harness_process *process)
+{
+	int64_t shortest = INT64_MAX;
+	char *log = NULL;
+	char **lines;
+
+	g_assert_true(g_file_get_contents(process->stdout_file, &log, NULL, NULL));
+	lines = g_strsplit(log, "\n", -1);
+	for (char **line = lines; *line; line++) {
+		json_t *event = json_loads(*line, 0, NULL);
+		const char *outcome = json_string_value(json_object_get(event, "outcome"));
+
+		if (g_strcmp0(outcome, "server_crashed") == 0 &&
+		    json_integer_value(json_object_get(event, "attempt")) == 1)
+			shortest = MIN(shortest,
+				       json_integer_value(json_object_get(event, "elapsed_ms")));
+		json_decref(event);
+	}
+	g_strfreev(lines);
+	g_free(log);
+	return shortest;
+}
+
+/* Guards against a crash that goes unnoticed until the next regular poll of the server. The
+ * shortest of several delays counts, because the processes may be held up. */
+static void test_crash_is_noticed(void)
+{
+	struct cluster cluster;
+
+	start_cluster_with_deadly_job(&cluster, 50);
+	for (int i = 1; i <= 6; i++) {
+		char *faults = g_strdup_printf("{\"deadly_job\":\"%016x\"}", DEADLY_JOB + i);
+		struct harness_reply reply;
+
+		control_platform(&cluster, faults);
+		reply = submit(&cluster, 0, DEADLY_JOB + (unsigned)i, 1);
+		harness_reply_clear(&reply);
+		g_free(faults);
+	}
+	g_assert_cmpint(shortest_crashed_run(cluster.entries[0]), <, CRASH_NOTICE_MS);
+	stop_cluster(&cluster);
+}
+
 /* The entry that sees each crash is killed after it. Guards against a count that starts again with
  * each process of the entry. */
 static void test_deadly_task_and_entry_restarts(void)
@@ -874,6 +920,7 @@
 	g_test_add_func("/platform/garbled_lists", test_invalid_task_lists);
 	g_test_add_func("/platform/capacity_shrinks", test_capacity_shrinks);
 	g_test_add_func("/platform/deadly_task", test_deadly_task);
+	g_test_add_func("/platform/crash_is_noticed", test_crash_is_noticed);
 	g_test_add_func("/platform/deadly_task_and_entry_restarts",
 			test_deadly_task_and_entry_restarts);
 	g_test_add_func("/platform/leaving_server", test_draining_server);
