Test a change of the configuration while all entries are frozen

Entries that are stopped before a change is confirmed and continue after its time limit must have it within that limit from the thaw.

--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -567,6 +567,26 @@
 	stop_cluster(&cluster);
 }
 
+/* All entries are stopped before a change is confirmed and continue after its time limit. Guards
+ * against an entry that uses what it read before the freeze for longer than that limit again. */
+static void test_change_while_frozen(void)
+{
+	struct cluster cluster;
+
+	start_cluster(&cluster);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		harness_signal(cluster.entries[i], SIGSTOP);
+	publish_config(&cluster, 9, "/new/");
+	g_usleep((CONFIG_TIMEOUT_MS + SETTLE_MS) * US_PER_MS);
+	for (unsigned i = 0; i < ENTRIES; i++)
+		harness_signal(cluster.entries[i], SIGCONT);
+	wait_for_route(&cluster, "/new/");
+	for (unsigned i = 0; i < ENTRIES; i++)
+		g_assert_cmpint(harness_status("GET", cluster.client_urls[i], "/q/", NULL), ==,
+				404);
+	stop_cluster(&cluster);
+}
+
 /* Guards against an entry that does not become ready because the store is down when it starts. It
  * must fetch the configuration from another entry. */
 static void test_start_without_store(void)
@@ -910,6 +930,7 @@
 	g_test_add_func("/platform/configuration", test_configuration);
 	g_test_add_func("/platform/store_without_history", test_store_without_history);
 	g_test_add_func("/platform/store_refuses_entries", test_store_refuses_entries);
+	g_test_add_func("/platform/change_while_frozen", test_change_while_frozen);
 	g_test_add_func("/platform/agents_start_without_seed", test_agents_start_without_seed);
 	g_test_add_func("/platform/start_without_store", test_start_without_store);
 	g_test_add_func("/platform/start_in_silence", test_start_with_silent_store);
