Send heads of HTTP requests of any length

A peer would get a request cut at 1,023 bytes and padded with what lay behind the buffer (read past its end), for instance for a read of the store after a long escaped key.

Cause: the length that the head would have was taken as the length that it has. It is formatted into memory of its own size now.

Evidence: http_test long_path fails on the code before and passes now.

--- a/packages/net/src/http_client.c
+++ b/packages/net/src/http_client.c
@@ -347,20 +347,19 @@
 void http_client_call(struct http_client *client, const struct http_call *call)
 {
 	struct call *new_call = g_new0(struct call, 1);
-	char head[1024];
-	int length;
+	char *head = g_strdup_printf(
+		"%s %s HTTP/1.1\r\nHost: %s\r\n%sContent-Length: %zu\r\n%s\r\n", call->method,
+		call->path, client->address, call->body ? "Content-Type: application/json\r\n" : "",
+		call->length, call->extra_headers ? call->extra_headers : "");
+	size_t head_length = strlen(head);
 
 	new_call->client = client;
 	new_call->callback = call->callback;
 	new_call->context = call->context;
 	new_call->timeout_us = call->timeout_ms * US_PER_MS;
-	new_call->request = g_byte_array_sized_new((guint)(sizeof(head) / 4 + call->length));
-	length = g_snprintf(head, sizeof(head),
-			    "%s %s HTTP/1.1\r\nHost: %s\r\n%sContent-Length: %zu\r\n%s\r\n",
-			    call->method, call->path, client->address,
-			    call->body ? "Content-Type: application/json\r\n" : "", call->length,
-			    call->extra_headers ? call->extra_headers : "");
-	g_byte_array_append(new_call->request, (const guint8 *)head, (guint)length);
+	new_call->request = g_byte_array_sized_new((guint)(head_length + call->length));
+	g_byte_array_append(new_call->request, (const guint8 *)head, (guint)head_length);
+	g_free(head);
 	if (call->body)
 		g_byte_array_append(new_call->request, call->body, (guint)call->length);
 	start_timeout(new_call);
--- a/test/unit/http_test.c
+++ b/test/unit/http_test.c
@@ -261,6 +261,109 @@
 	tear_down(&fixture);
 }
 
+/* A server of plain blocking sockets. */
+struct raw_server {
+	int listener;
+	int connection;
+};
+
+static void raw_server_listen(struct raw_server *server, struct fixture *fixture)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t length = sizeof(address);
+
+	server->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	g_assert_cmpint(bind(server->listener, (struct sockaddr *)&address, length), ==, 0);
+	g_assert_cmpint(listen(server->listener, 1), ==, 0);
+	g_assert_cmpint(getsockname(server->listener, (struct sockaddr *)&address, &length), ==, 0);
+	g_snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d",
+		   ntohs(address.sin_port));
+}
+
+/* Accepts a connection and receives the first bytes on it. */
+static void raw_server_accept(struct raw_server *server, struct fixture *fixture, char *bytes,
+			      size_t size)
+{
+	while ((server->connection = accept(server->listener, NULL, NULL)) < 0)
+		uv_run(&fixture->loop.uv, UV_RUN_ONCE);
+	while (recv(server->connection, bytes, size, MSG_DONTWAIT) <= 0)
+		uv_run(&fixture->loop.uv, UV_RUN_ONCE);
+}
+
+/* Accepts a connection and answers its first request. */
+static void raw_server_answer(struct raw_server *server, struct fixture *fixture)
+{
+	static const char response[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	char bytes[1000];
+
+	raw_server_accept(server, fixture, bytes, sizeof(bytes));
+	g_assert_cmpint(send(server->connection, response, strlen(response), 0), ==,
+			(int)strlen(response));
+}
+
+/* Guards against a request whose head is cut at a fixed length and padded with foreign memory. */
+static void test_long_path(void)
+{
+	struct fixture fixture;
+	struct raw_server server;
+	struct http_client *client;
+	GString *path = g_string_new("/");
+	char bytes[4096] = "";
+	char **lines;
+
+	while (path->len < 2000)
+		g_string_append(path, "0123456789");
+	set_up(&fixture);
+	raw_server_listen(&server, &fixture);
+	client = new_client(&fixture);
+	http_client_call(client, &(struct http_call){.method = "GET",
+						     .path = path->str,
+						     .timeout_ms = 1000,
+						     .callback = on_response,
+						     .context = &fixture});
+	raw_server_accept(&server, &fixture, bytes, sizeof(bytes) - 1);
+	lines = g_strsplit(bytes, "\r\n", 2);
+	g_string_prepend(path, "GET ");
+	g_string_append(path, " HTTP/1.1");
+	g_assert_cmpstr(lines[0], ==, path->str);
+	g_assert_true(g_str_has_suffix(bytes, "\r\n\r\n"));
+	g_strfreev(lines);
+	g_string_free(path, TRUE);
+	close(server.connection);
+	close(server.listener);
+	http_client_free(client);
+	tear_down(&fixture);
+}
+
+/* A peer ends its direction of a kept connection and still reads the next request. Guards against a
+ * request that is sent again on another connection although the peer may have received it. */
+static void test_closing_peer_gets_request_once(void)
+{
+	struct fixture fixture;
+	struct raw_server server;
+	struct http_client *client;
+	char bytes[1000];
+
+	set_up(&fixture);
+	raw_server_listen(&server, &fixture);
+	client = new_client(&fixture);
+	call(client, &fixture, "x", 1000);
+	raw_server_answer(&server, &fixture);
+	run_until(&fixture, &fixture.response_count, 1);
+	shutdown(server.connection, SHUT_WR);
+	call(client, &fixture, "y", 200);
+	run_until(&fixture, &fixture.response_count, 2);
+	g_assert_cmpint(recv(server.connection, bytes, sizeof(bytes), MSG_DONTWAIT), >, 0);
+	g_assert_cmpint(accept(server.listener, NULL, NULL), <, 0);
+	g_assert_cmpint(fixture.statuses[1], ==, STATUS_NETWORK);
+	g_assert_true(fixture.last_call_sent);
+	close(server.connection);
+	close(server.listener);
+	http_client_free(client);
+	tear_down(&fixture);
+}
+
 /* A plain TCP connection, for bytes that an HTTP client library would not send. */
 struct raw_connection {
 	struct net_conn *conn;
@@ -458,6 +561,9 @@
 	g_test_add_func("/http/timeout", test_timeout);
 	g_test_add_func("/http/timeout_closes_idle", test_timeout_closes_idle);
 	g_test_add_func("/http/timeout_of_waiting_call", test_timeout_of_waiting_call);
+	g_test_add_func("/http/long_path", test_long_path);
+	g_test_add_func("/http/closing_peer_gets_request_once",
+			test_closing_peer_gets_request_once);
 	g_test_add_func("/http/refused", test_refused);
 	g_test_add_func("/http/bad_requests", test_bad_requests);
 	g_test_add_func("/http/pipelined", test_pipelined);
