greengagectl: take any number of entries from GREENGAGE_ENTRY

Operators saw: a crash (status 139) when the variable is set and empty, a usage error when it begins with a space, and the 20th entry and all behind it never tried.

Cause: the text was split into at most 20 parts, empty ones included, and the first part was read without a look at whether there is one.

--- a/packages/greengagectl/src/main.c
+++ b/packages/greengagectl/src/main.c
@@ -9,8 +9,7 @@
 enum {
 	DEFAULT_TIMEOUT_MS = 10000,
 	DEFAULT_WAIT_MS = 60000,
-	MAX_OPTION_MS = 3600000,
-	MAX_ENV_ENTRIES = 20
+	MAX_OPTION_MS = 3600000
 };
 
 static struct ctl_options options = {
@@ -192,6 +191,22 @@
 	return found;
 }
 
+/* Splits TEXT at spaces and leaves out empty parts. The caller frees the result. */
+static char **split_urls(const char *text)
+{
+	char **urls = g_strsplit(text, " ", -1);
+	size_t kept = 0;
+
+	for (size_t i = 0; urls[i]; i++) {
+		if (*urls[i])
+			urls[kept++] = urls[i];
+		else
+			g_free(urls[i]);
+	}
+	urls[kept] = NULL;
+	return urls;
+}
+
 /* Takes the entries from GREENGAGE_ENTRY if none is given, and checks the options. Returns false
  * after printing an error. */
 static bool complete_options(const struct command *command)
@@ -199,8 +214,9 @@
 	const char *entry_urls = g_getenv("GREENGAGE_ENTRY");
 
 	if (!options.entries && entry_urls)
-		options.entries = g_strsplit_set(entry_urls, " ", MAX_ENV_ENTRIES);
-	if (!command->is_local && (!options.entries || !*options.entries[0])) {
+		options.entries = split_urls(entry_urls);
+	if (!command->is_local &&
+	    (!options.entries || !options.entries[0] || !*options.entries[0])) {
 		print_usage_error("%s: --entry URL or GREENGAGE_ENTRY is required", command->name);
 		return false;
 	}
--- a/test/unit/greengagectl_test.c
+++ b/test/unit/greengagectl_test.c
@@ -80,6 +80,8 @@
 	return code;
 }
 
+static const char *entry_urls; /* value of GREENGAGE_ENTRY; NULL: the fake entry */
+
 /* Runs greengagectl with ARGS, separated by spaces, and INPUT as standard input. Clears the
  * recorded requests. Returns the exit code. */
 static int run_greengagectl(const char *args, const char *input, char **output, char **error_output)
@@ -96,7 +98,8 @@
 	pthread_mutex_lock(&fake_entry.lock);
 	g_string_truncate(fake_entry.requests, 0);
 	pthread_mutex_unlock(&fake_entry.lock);
-	g_subprocess_launcher_setenv(launcher, "GREENGAGE_ENTRY", fake_entry.url, TRUE);
+	g_subprocess_launcher_setenv(launcher, "GREENGAGE_ENTRY",
+				     entry_urls ? entry_urls : fake_entry.url, TRUE);
 	/* greengagectl must not use a proxy. */
 	g_subprocess_launcher_setenv(launcher, "http_proxy", "http://127.0.0.1:1", TRUE);
 	process = g_subprocess_launcher_spawnv(launcher, (const char *const *)argv, NULL);
@@ -217,6 +220,30 @@
 	g_free(args);
 }
 
+/* Guards against a crash when the variable is empty or has spaces at its ends, and against entries
+ * that are not tried because many others stand before them. */
+static void test_entries_from_environment(void)
+{
+	GString *many = g_string_new(NULL);
+	char *padded = g_strdup_printf("  %s ", fake_entry.url);
+
+	for (int i = 0; i < 25; i++)
+		g_string_append(many, "http://127.0.0.1:1 ");
+	g_string_append(many, fake_entry.url);
+	entry_urls = "";
+	assert_exit_code(2, "config get", "");
+	assert_exit_code(2, "submit", "{}");
+	entry_urls = " ";
+	assert_exit_code(2, "config get", "");
+	entry_urls = padded;
+	assert_exit_code(0, "config get", "");
+	entry_urls = many->str;
+	assert_exit_code(0, "config get", "");
+	entry_urls = NULL;
+	g_string_free(many, TRUE);
+	g_free(padded);
+}
+
 /* After a version conflict, the drain patch must be built again from the newer version, otherwise
  * it would undo the drains of another operator. The attempts are limited, and no patch is sent if
  * it would change nothing. */
@@ -267,6 +294,7 @@
 	g_test_add_func("/greengagectl/submit", test_submit);
 	g_test_add_func("/greengagectl/exit-codes", test_exit_codes);
 	g_test_add_func("/greengagectl/failover", test_failover);
+	g_test_add_func("/greengagectl/entries-from-environment", test_entries_from_environment);
 	g_test_add_func("/greengagectl/drain-retries", test_drain_retries);
 	code = g_test_run();
 	mg_stop(fake_entry.server);
