Count a crash only under a run that the server has confirmed

Cause: blamed all runs that had been sent to the server. Sent is not started: the log shows ends 0 ms after the order, which reached the server after its crash, and orders that were never answered. Class of fault: a guess taken for a fact in an answer that is final.

Change: a run counts if the server has answered its start or listed it, and it was not being stopped. Other runs are lost, as before. For a task that crashes servers before they can answer, a submission ends after four lost or crashed runs of one task, with outcome unknown.

Evidence: runs_test server_ended had the wrong expectation (a run without an answer was to count) and is stricter now; it and crash_test unconfirmed fail on the code before (9 starts instead of 4).

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -25,7 +25,7 @@
 	RUN_FAILED = 2,	 /* the task or the server failed */
 	RUN_STOPPED = 3, /* its owner requested the stop */
 	RUN_EXPIRED = 4, /* its lease expired */
-	RUN_LOST = 5,	 /* the server disappeared, or restarted after it had announced to leave */
+	RUN_LOST = 5,	 /* the server is gone; it may have had the run */
 	/* No free resources or queue space, or the server is on trial and has a run already. */
 	RUN_NO_RESOURCES = 6,
 	RUN_SERVER_UNAVAILABLE = 7, /* the server is absent, leaving or quarantined */
@@ -37,7 +37,7 @@
 	RUN_UNANSWERED = 12, /* not sent, or not answered and certainly not executed */
 	RUN_BUSY = 13,	     /* an earlier run of the same task may still exist */
 	RUN_WITHDRAWN = 14,  /* stopped by its owner while it was queued */
-	RUN_CRASHED = 15,    /* the server crashed while the run may have been running */
+	RUN_CRASHED = 15,    /* the server crashed while it had the run */
 	RUN_OUTCOME_COUNT
 };
 
@@ -85,6 +85,7 @@
 	int64_t estimate_us;
 	GBytes *spec; /* NULL after runs_start_answered */
 	enum run_phase phase;
+	bool confirmed;	     /* the server has said that it runs */
 	bool stop_requested; /* the owner has requested a stop or is gone */
 	bool unknown;	     /* this agent did not order it and does not know its needs */
 	uint32_t priority;   /* 0 is the highest */
@@ -188,9 +189,10 @@
 void runs_server_present(struct runs *runs, const struct resources *total, bool leaving);
 
 /* Ends every run. Call when the server's process has ended: it was replaced by a new one, or
- * nothing listens on its address. That counts as a crash (RUN_CRASHED) for the runs that were sent
- * to it, unless the server had announced to leave (RUN_LOST). Runs that were still waiting here end
- * as RUN_SERVER_UNAVAILABLE. */
+ * nothing listens on its address. That counts as a crash (RUN_CRASHED) for the runs that the server
+ * has confirmed and that were not being stopped, unless it had announced to leave. The others end
+ * as RUN_LOST: they may not have run, or not any more. Runs that were still waiting here end as
+ * RUN_SERVER_UNAVAILABLE. */
 void runs_server_ended(struct runs *runs, int64_t now_us);
 
 struct run_request {
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -12,6 +12,10 @@
 	/* A task is given up once this many servers have crashed under it. Each further run may
 	 * take down another server and all other runs there. */
 	MAX_CRASHES = 2,
+	/* A task is not started again by its submission after this many runs that ended with their
+	 * server or may have done so. The answer of a start may be lost with each of them, so that
+	 * none counts as a crash. */
+	MAX_LOSSES = 4,
 	/* A crash is early in a run if it comes within this share of the expected run time, or
 	 * within this time. A task that crashes servers does so early as a rule, while the other
 	 * runs on them are hit at any time. */
@@ -481,6 +485,11 @@
 			"a task reached its maximum number of failures", now_us);
 		return;
 	}
+	if ((outcome == RUN_LOST || outcome == RUN_CRASHED) && ++task->losses >= MAX_LOSSES) {
+		end_job(dispatch, job, STATUS_SERVER_UNREACHABLE,
+			"backend servers were lost while they may have run a task", now_us);
+		return;
+	}
 	if (outcome == RUN_INVALID) {
 		end_job(dispatch, job, STATUS_SERVER_REFUSED,
 			"the backend server rejected the task", now_us);
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -16,7 +16,8 @@
 	enum task_phase phase;
 	uint32_t attempt; /* number of the last attempt */
 	uint32_t failures;
-	uint32_t moves; /* restarts elsewhere that were requested because the server was slow */
+	uint32_t losses; /* runs that ended as RUN_LOST or RUN_CRASHED */
+	uint32_t moves;	 /* restarts elsewhere that were requested because the server was slow */
 	struct handle run;
 };
 
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -174,9 +174,18 @@
 	free_run_members(&copy);
 }
 
+static enum run_outcome outcome_of_server_end(const struct runs *runs, const struct run *run)
+{
+	if (run->phase == RUN_PHASE_WAITING)
+		return RUN_SERVER_UNAVAILABLE;
+	if (runs->server_leaving || !run->confirmed || run->phase == RUN_PHASE_STOPPING ||
+	    run->phase == RUN_PHASE_STOP_ACKED)
+		return RUN_LOST;
+	return RUN_CRASHED;
+}
+
 void runs_server_ended(struct runs *runs, int64_t now_us)
 {
-	enum run_outcome outcome = runs->server_leaving ? RUN_LOST : RUN_CRASHED;
 	uint32_t cursor = 0;
 	struct handle handle;
 	const struct run *run;
@@ -184,9 +193,7 @@
 	runs->server_present = false;
 	runs->last_processed_end = 0;
 	while ((run = table_next(&runs->table, &cursor, &handle)))
-		runs_end(runs, handle,
-			 run->phase == RUN_PHASE_WAITING ? RUN_SERVER_UNAVAILABLE : outcome,
-			 now_us);
+		runs_end(runs, handle, outcome_of_server_end(runs, run), now_us);
 }
 
 static struct run *add_run(struct runs *runs, const struct run_request *request,
@@ -353,6 +360,7 @@
 		runs_end(runs, handle, refusals[answer], now_us);
 	} else if (run->phase == RUN_PHASE_ORDERED || run->phase == RUN_PHASE_UNCONFIRMED) {
 		runs_set_phase(run, RUN_PHASE_ACTIVE, now_us);
+		run->confirmed = true;
 	}
 }
 
@@ -458,6 +466,7 @@
 		}
 		g_hash_table_add(listed, run);
 		run->percent = row->percent;
+		run->confirmed = true;
 		if (run->phase == RUN_PHASE_UNCONFIRMED) {
 			runs_set_phase(run, RUN_PHASE_ACTIVE, now_us);
 			if (run->stop_requested)
--- a/test/unit/crash_test.c
+++ b/test/unit/crash_test.c
@@ -13,7 +13,8 @@
 	DEADLINE_US = 3000 * US_PER_MS,
 	RETENTION_US = 10 * US_PER_SECOND,
 	NOW_US = 100 * US_PER_SECOND,
-	MAX_STARTS = 2 /* a task is given up after this many crashes */
+	MAX_STARTS = 2,		   /* a task is given up after this many crashes */
+	MAX_UNCONFIRMED_STARTS = 4 /* one more after three servers may have crashed */
 };
 
 #define JOB_ID "0123456789abcdef"
@@ -228,6 +229,26 @@
 	dispatch_free(&second.dispatch);
 }
 
+/* Each server crashes before its answer to the start arrives. Guards against a task that is started
+ * for good because none of its crashes is certain. The outcome stays unknown, not failed. */
+static void test_unconfirmed(void)
+{
+	struct fixture fixture;
+	uint32_t ended = 0;
+
+	set_up(&fixture);
+	submit(&fixture);
+	while (ended < fixture.starts && ended < SERVERS) {
+		ended++;
+		end_run(&fixture, RUN_LOST);
+	}
+	g_assert_cmpuint(fixture.starts, ==, MAX_UNCONFIRMED_STARTS);
+	g_assert_cmpuint(fixture.finished, ==, 1);
+	g_assert_cmpint(fixture.status, ==, STATUS_SERVER_UNREACHABLE);
+	g_assert_cmpstr(fixture.given_up, ==, "");
+	dispatch_free(&fixture.dispatch);
+}
+
 /* A server that is lost in another way than by a crash does not count against the task. */
 static void test_other_losses(void)
 {
@@ -250,6 +271,7 @@
 	g_test_add_func("/crash/one_submission", test_one_submission);
 	g_test_add_func("/crash/sent_again", test_sent_again);
 	g_test_add_func("/crash/other_entry", test_other_entry);
+	g_test_add_func("/crash/unconfirmed", test_unconfirmed);
 	g_test_add_func("/crash/other_losses", test_other_losses);
 	return g_test_run();
 }
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -325,26 +325,55 @@
 	tear_down(&fixture);
 }
 
-/* Guards against blaming runs for the end of a server that they cannot have caused: those that were
- * not sent to it, and all runs when it had announced to leave. */
+static int outcome_at(const struct fixture *fixture, guint index)
+{
+	g_assert_cmpuint(index, <, fixture->outcomes->len);
+	return g_array_index(fixture->outcomes, int, index);
+}
+
+/* Guards against blaming runs for the end of a server that they may not have caused: those that it
+ * has not confirmed, that were being stopped or were not sent to it, and all runs when it had
+ * announced to leave. */
 static void test_server_ended(void)
 {
 	struct fixture fixture;
 	const struct resources total = {.cpu = CPU, .memory_mb = 1000};
 
 	set_up(&fixture);
-	start(&fixture, "a.0.0.0", CPU, OWNER, 0, 0);
-	start(&fixture, "b.0.0.0", 1000, OWNER, 0, 0);
+	start(&fixture, "confirmed.0.0.0", 1000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
+	start(&fixture, "sent.0.0.0", 1000, OWNER, 0, 0);
+	start(&fixture, "unanswered.0.0.0", 1000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 100);
+	start(&fixture, "stopping.0.0.0", CPU - 3000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
+	runs_stop(&fixture.runs, OWNER, g_str_hash("stopping.0.0.0"), 200);
+	start(&fixture, "waiting.0.0.0", 1000, OWNER, 0, 0);
 	runs_server_ended(&fixture.runs, 1000);
-	g_assert_cmpuint(fixture.outcomes->len, ==, 2);
-	g_assert_cmpint(g_array_index(fixture.outcomes, int, 0) +
-				g_array_index(fixture.outcomes, int, 1),
-			==, RUN_CRASHED + RUN_SERVER_UNAVAILABLE);
+	g_assert_cmpint(outcome_at(&fixture, 0), ==, RUN_CRASHED);
+	g_assert_cmpint(outcome_at(&fixture, 1), ==, RUN_LOST);
+	g_assert_cmpint(outcome_at(&fixture, 2), ==, RUN_LOST);
+	g_assert_cmpint(outcome_at(&fixture, 3), ==, RUN_LOST);
+	check_outcomes(&fixture, 5, RUN_SERVER_UNAVAILABLE);
 	runs_server_present(&fixture.runs, &total, false);
-	start(&fixture, "c.0.0.0", 1000, OWNER, 0, 2000);
+	start(&fixture, "leaving.0.0.0", 1000, OWNER, 0, 2000);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 2100);
 	runs_server_present(&fixture.runs, &total, true);
 	runs_server_ended(&fixture.runs, 3000);
-	check_outcomes(&fixture, 3, RUN_LOST);
+	check_outcomes(&fixture, 6, RUN_LOST);
+	tear_down(&fixture);
+}
+
+/* The start was not answered, but the server has listed the run. */
+static void test_server_ended_after_list(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 0);
+	deliver_lists(&fixture, "a.0.0.0", NULL, RUN_DONE, 500);
+	runs_server_ended(&fixture.runs, 1000);
+	check_outcomes(&fixture, 1, RUN_CRASHED);
 	tear_down(&fixture);
 }
 
@@ -515,6 +544,7 @@
 	g_test_add_func("/runs/start_beside_unknown_run", test_start_beside_unknown_run);
 	g_test_add_func("/runs/capacity_shrinks", test_capacity_shrinks);
 	g_test_add_func("/runs/server_ended", test_server_ended);
+	g_test_add_func("/runs/server_ended_after_list", test_server_ended_after_list);
 	g_test_add_func("/runs/lease", test_lease);
 	g_test_add_func("/runs/waiting", test_waiting);
 	g_test_add_func("/runs/waited_too_long", test_waited_too_long);
