--- a/test/unit/crash_test.c
+++ b/test/unit/crash_test.c
@@ -158,18 +158,25 @@
 	dispatch_pump(&fixture->dispatch, fixture->now_us);
 }
 
+/* Submits the job and ends each run that is started with OUTCOME, at most SERVERS of them. */
+static void submit_and_end_all(struct fixture *fixture, enum run_outcome outcome)
+{
+	uint32_t ended = 0;
+
+	submit(fixture);
+	while (ended < fixture->starts && ended < SERVERS) {
+		ended++;
+		end_run(fixture, outcome);
+	}
+}
+
 /* Crashes the server of each run that is started, and counts the starts. */
 static void test_one_submission(void)
 {
 	struct fixture fixture;
-	uint32_t ended = 0;
 
 	set_up(&fixture);
-	submit(&fixture);
-	while (ended < fixture.starts && ended < SERVERS) {
-		ended++;
-		end_run(&fixture, RUN_CRASHED);
-	}
+	submit_and_end_all(&fixture, RUN_CRASHED);
 	g_assert_cmpuint(fixture.starts, ==, MAX_STARTS);
 	g_assert_cmpuint(fixture.finished, ==, 1);
 	g_assert_cmpint(fixture.status, ==, STATUS_TASK_FAILED);
@@ -234,14 +241,9 @@
 static void test_unconfirmed(void)
 {
 	struct fixture fixture;
-	uint32_t ended = 0;
 
 	set_up(&fixture);
-	submit(&fixture);
-	while (ended < fixture.starts && ended < SERVERS) {
-		ended++;
-		end_run(&fixture, RUN_LOST);
-	}
+	submit_and_end_all(&fixture, RUN_LOST);
 	g_assert_cmpuint(fixture.starts, ==, MAX_UNCONFIRMED_STARTS);
 	g_assert_cmpuint(fixture.finished, ==, 1);
 	g_assert_cmpint(fixture.status, ==, STATUS_SERVER_UNREACHABLE);
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -1142,9 +1142,9 @@
 	g_array_free(server->ended_runs, TRUE);
 }
 
-/* Restarts a server immediately: its runs are lost and its incarnation changes. Its agent is
- * notified at once. */
-static inline void simulation_crash_server(struct simulation *sim, uint32_t index)
+/* Replaces the process of a server: its runs are lost and its incarnation changes. Its agent is
+ * notified of the end at once. */
+static inline void simulation_replace_server(struct simulation *sim, uint32_t index)
 {
 	struct simulation_server *server = &sim->servers[index];
 	uint32_t cpu = server->total.cpu;
@@ -1152,10 +1152,16 @@
 
 	simulation_free_server(server);
 	simulation_start_server(sim, index, cpu, speed);
-	if (sim->agents[index].up) {
+	if (sim->agents[index].up)
 		runs_server_ended(&sim->agents[index].runs, sim->now_us);
-		runs_server_present(&sim->agents[index].runs, &server->total, false);
-	}
+}
+
+/* Crashes a server, which is back immediately. */
+static inline void simulation_crash_server(struct simulation *sim, uint32_t index)
+{
+	simulation_replace_server(sim, index);
+	if (sim->agents[index].up)
+		runs_server_present(&sim->agents[index].runs, &sim->servers[index].total, false);
 }
 
 static inline void simulation_return_server(struct simulation *sim, void *data)
@@ -1167,18 +1173,11 @@
 		runs_server_present(&sim->agents[index].runs, &sim->servers[index].total, false);
 }
 
-/* Crashes a server, which is away for a while. Its agent is notified at once. */
+/* Crashes a server, which is away for a while. */
 static inline void simulation_stop_server(struct simulation *sim, uint32_t index)
 {
-	struct simulation_server *server = &sim->servers[index];
-	uint32_t cpu = server->total.cpu;
-	double speed = server->speed;
-
-	simulation_free_server(server);
-	simulation_start_server(sim, index, cpu, speed);
-	server->up = false;
-	if (sim->agents[index].up)
-		runs_server_ended(&sim->agents[index].runs, sim->now_us);
+	simulation_replace_server(sim, index);
+	sim->servers[index].up = false;
 	simulation_schedule(sim, sim->now_us + SIMULATION_CRASH_US, simulation_return_server,
 			    GUINT_TO_POINTER(index));
 }
