--- a/review/standin/lab.c
+++ b/review/standin/lab.c
@@ -1,7 +1,6 @@
 #include "lab.h"
 
 #include <arpa/inet.h>
-#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
@@ -21,6 +20,10 @@
 	HEADER_MAX_BYTES = 16384,
 	IDLE_LIMIT_MS = 120000,
 	MEMORY_MB = 131072,
+	/* Below the range from which the kernel takes the ports of outgoing channels. */
+	FIRST_PORT = 15000,
+	PORT_RANGE = 15000,
+	PORT_STEP = 101, /* between the first ports of two scripts */
 	CODE_OK = 200,
 	CODE_CONFLICT = 409,
 	CODE_MISDIRECTED = 421
@@ -68,19 +71,35 @@
 	va_end(arguments);
 }
 
-int lab_free_port(void)
+/* Returns whether PORT can be listened on at all addresses. */
+static bool is_free(int port)
 {
-	struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_ANY)};
-	socklen_t length = sizeof(address);
+	struct sockaddr_in address = {.sin_family = AF_INET,
+				      .sin_addr.s_addr = htonl(INADDR_ANY),
+				      .sin_port = htons((uint16_t)port)};
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool is_bound = fd >= 0 && bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
 
-	if (fd < 0 || bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&address, &length) != 0) {
-		fprintf(stderr, "no free port: %s\n", strerror(errno));
-		exit(LAB_EXIT_NOT_RUN);
+	if (fd >= 0)
+		close(fd);
+	return is_bound;
+}
+
+int lab_free_port(void)
+{
+	static int last_port;
+
+	if (last_port == 0)
+		last_port = FIRST_PORT + (int)((int64_t)getpid() * PORT_STEP % PORT_RANGE);
+	for (int i = 0; i < PORT_RANGE; i++) {
+		last_port++;
+		if (last_port >= FIRST_PORT + PORT_RANGE)
+			last_port = FIRST_PORT;
+		if (is_free(last_port))
+			return last_port;
 	}
-	close(fd);
-	return ntohs(address.sin_port);
+	fprintf(stderr, "no free port\n");
+	exit(LAB_EXIT_NOT_RUN);
 }
 
 static void respond_json(struct http_request *request, int code, json_t *document)
@@ -144,10 +163,9 @@
 		char *encoded = g_base64_encode(value, length);
 
 		if (is_newest(topic, i))
-			json_array_append_new(items,
-					      json_pack("{s:s, s:s, s:i}", "key",
-							(char *)topic->keys->pdata[i], "value",
-							encoded, "offset", (int)i));
+			json_array_append_new(items, json_pack("{s:s, s:s, s:i}", "key",
+							       (char *)topic->keys->pdata[i],
+							       "value", encoded, "offset", (int)i));
 		g_free(encoded);
 	}
 	respond_json(request, CODE_OK,
@@ -245,7 +263,8 @@
 	struct lab *lab = context;
 
 	for (guint i = lab->pending_reads->len; i-- > 0;) {
-		struct pending_read *read = &g_array_index(lab->pending_reads, struct pending_read, i);
+		struct pending_read *read =
+			&g_array_index(lab->pending_reads, struct pending_read, i);
 
 		if (read->request != request)
 			continue;
@@ -262,7 +281,8 @@
 static void respond_to_due_reads(struct lab *lab)
 {
 	for (guint i = lab->pending_reads->len; i-- > 0;) {
-		struct pending_read read = g_array_index(lab->pending_reads, struct pending_read, i);
+		struct pending_read read =
+			g_array_index(lab->pending_reads, struct pending_read, i);
 
 		if (find_topic(lab, read.topic)->keys->len <= read.from &&
 		    lab->loop.now_us < read.until_us)
@@ -477,9 +497,9 @@
 		int64_t percent = 100 * (timer_clock_us() - run->started_us) /
 				  MAX(run->ends_us - run->started_us, 1);
 
-		json_array_append_new(running, json_pack("[s,I,s,I,i]", run->task,
-							 (json_int_t)run->attempt, "",
-							 (json_int_t)percent, run->cpu));
+		json_array_append_new(running,
+				      json_pack("[s,I,s,I,i]", run->task, (json_int_t)run->attempt,
+						"", (json_int_t)percent, run->cpu));
 	}
 	json_object_set_new(document, "running", running);
 	json_object_set(document, "finished", server->finished);
@@ -640,12 +660,13 @@
 	server->highest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	server->finished = json_array();
 	server->pending_holds = g_array_new(FALSE, FALSE, sizeof(struct pending_hold));
-	server->control = http_client_new(&lab->loop, &(struct http_client_options){
-							       .address = server->control_address,
-							       .max_connections = 1,
-							       .idle_limit_ms = IDLE_LIMIT_MS,
-							       .response_max_bytes = HEADER_MAX_BYTES,
-						       });
+	server->control =
+		http_client_new(&lab->loop, &(struct http_client_options){
+						    .address = server->control_address,
+						    .max_connections = 1,
+						    .idle_limit_ms = IDLE_LIMIT_MS,
+						    .response_max_bytes = HEADER_MAX_BYTES,
+					    });
 	g_ptr_array_add(lab->servers, server);
 	lab_boot_server(server);
 	timer_subscribe(&lab->loop.timers, lab->loop.now_us, HEARTBEAT_MS * LAB_US_PER_MS,
@@ -759,6 +780,137 @@
 	}
 }
 
+/* ---- links ---- */
+
+/* One side of a channel. */
+struct lab_side {
+	struct lab_channel *channel;
+	struct net_conn *conn; /* NULL once closed */
+	GByteArray *held;      /* received from this side and not forwarded yet */
+	bool closed;
+};
+
+struct lab_channel {
+	struct lab_link *link;
+	struct lab_side caller;
+	struct lab_side target;
+	int64_t held_until_us; /* bytes from the caller are held until then */
+};
+
+static struct lab_side *other_side(struct lab_side *side)
+{
+	struct lab_channel *channel = side->channel;
+
+	if (side == &channel->caller)
+		return &channel->target;
+	return &channel->caller;
+}
+
+/* Forwards what is held from SIDE, and its end, as far as the link lets them pass. */
+static void forward_side(struct lab_side *side)
+{
+	struct lab_side *other = other_side(side);
+	const struct lab_channel *channel = side->channel;
+
+	if (channel->link->cut ||
+	    (side == &channel->caller && timer_clock_us() < channel->held_until_us))
+		return;
+	if (other->conn && side->held->len > 0)
+		net_conn_send(other->conn, side->held->data, side->held->len);
+	g_byte_array_set_size(side->held, 0);
+	if (side->closed && other->conn) {
+		net_conn_close_after_send(other->conn);
+		other->conn = NULL;
+		other->closed = true;
+	}
+}
+
+static void on_side_data(void *context, const char *bytes, size_t length)
+{
+	struct lab_side *side = context;
+
+	g_byte_array_append(side->held, (const guint8 *)bytes, (guint)length);
+	forward_side(side);
+}
+
+static void on_side_closed(void *context, const char *reason)
+{
+	struct lab_side *side = context;
+
+	side->conn = NULL;
+	side->closed = true;
+	/* Bytes that are held up are lost when their sender is gone. */
+	g_byte_array_set_size(side->held, 0);
+	forward_side(side);
+}
+
+static const struct net_conn_callbacks side_callbacks = {
+	.on_data = on_side_data,
+	.on_closed = on_side_closed,
+};
+
+static void on_channel(void *context, struct net_conn *conn)
+{
+	struct lab_link *link = context;
+	struct lab_channel *channel = g_new0(struct lab_channel, 1);
+	struct error err;
+
+	channel->link = link;
+	channel->caller =
+		(struct lab_side){.channel = channel, .conn = conn, .held = g_byte_array_new()};
+	channel->target = (struct lab_side){.channel = channel, .held = g_byte_array_new()};
+	net_conn_set_callbacks(conn, &side_callbacks, &channel->caller);
+	g_ptr_array_add(link->channels, channel);
+	/* During a cut nothing answers; the caller gives the attempt up. */
+	if (link->cut)
+		return;
+	if (link->lost_first_ms > 0) {
+		channel->held_until_us =
+			timer_clock_us() + (int64_t)link->lost_first_ms * LAB_US_PER_MS;
+		lab_note(link->lab,
+			 "link: the first packet of a channel to %s is lost, and sent "
+			 "again after %d ms",
+			 link->target, link->lost_first_ms);
+		link->lost_first_ms = 0;
+	}
+	channel->target.conn = net_connect(&link->lab->loop, link->target, &side_callbacks,
+					   &channel->target, &err);
+	channel->target.closed = !channel->target.conn;
+}
+
+struct lab_link *lab_add_link(struct lab *lab, const char *listen, const char *target)
+{
+	struct lab_link *link = g_new0(struct lab_link, 1);
+	struct net_listener *listener;
+	struct error err;
+
+	link->lab = lab;
+	link->target = g_strdup(target);
+	link->channels = g_ptr_array_new();
+	if (net_listen(&lab->loop, listen, on_channel, link, &listener, &err) != STATUS_OK)
+		lab_abort(lab, err.message);
+	g_ptr_array_add(lab->links, link);
+	return link;
+}
+
+static void forward_link(struct lab_link *link)
+{
+	for (guint i = 0; i < link->channels->len; i++) {
+		struct lab_channel *channel = link->channels->pdata[i];
+
+		forward_side(&channel->caller);
+		forward_side(&channel->target);
+	}
+}
+
+void lab_cut(struct lab_link *link, bool cut, int lost_first_ms)
+{
+	link->cut = cut;
+	link->lost_first_ms = lost_first_ms;
+	lab_note(link->lab, "link to %s: %s", link->target, cut ? "cut" : "whole again");
+	forward_link(link);
+}
+
 /* ---- clients ---- */
 
 static void on_answer(void *context, const struct http_response *response)
@@ -845,6 +997,8 @@
 		end_due_runs(server);
 		respond_to_due_holds(server);
 	}
+	for (guint i = 0; i < lab->links->len; i++)
+		forward_link(lab->links->pdata[i]);
 	respond_to_due_reads(lab);
 	reap_daemons(lab);
 	publish_pids(lab);
@@ -877,6 +1031,7 @@
 	lab->started_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	lab->servers = g_ptr_array_new();
 	lab->daemons = g_ptr_array_new();
+	lab->links = g_ptr_array_new();
 	net_loop_init(&lab->loop);
 	address = g_strdup_printf("127.0.0.1:%d", lab->store_port);
 	if (http_server_listen(&lab->loop, address, &server_options, &store_callbacks, lab, &store,
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -12,8 +12,8 @@
 #include <stdio.h>
 #include <sys/types.h>
 
-#include "http_client.h"
-#include "http_server.h"
+#include "../../packages/net/include/http_client.h"
+#include "../../packages/net/include/http_server.h"
 
 enum {
 	LAB_US_PER_MS = 1000,
@@ -42,9 +42,10 @@
 	GArray *pending_reads; /* of log-read calls that wait */
 	GPtrArray *servers;    /* struct lab_server * */
 	GPtrArray *daemons;    /* struct lab_daemon * */
+	GPtrArray *links;      /* struct lab_link * */
 	int64_t config_version;
 	GHashTable *started_jobs; /* set of the ids of jobs of which a task has started */
-	unsigned overlaps; /* starts of a task while another run of it was at work */
+	unsigned overlaps;	  /* starts of a task while another run of it was at work */
 };
 
 /* One life after the other of a backend server at one address. */
@@ -66,7 +67,7 @@
 	int64_t born_ms;
 	int64_t born_us; /* its clock counts from here */
 	int64_t sequence;
-	int cpu; /* thousandths of a core */
+	int cpu;     /* thousandths of a core */
 	int stop_ms; /* time in which a stop takes effect */
 	bool up;
 	unsigned starts; /* number of starts */
@@ -88,6 +89,16 @@
 	pid_t pid; /* 0 while it does not run */
 };
 
+/* A link between hosts: channels to one address are forwarded to another one. */
+struct lab_link {
+	struct lab *lab;
+	char *target;
+	GPtrArray *channels; /* struct lab_channel *, open or half open */
+	bool cut;	     /* nothing passes; bytes wait for the end of the cut */
+	int lost_first_ms; /* of the next channel, the first packet from the caller is lost and sent
+			      again after this time; 0: none */
+};
+
 /* A client's request. */
 struct lab_request {
 	struct lab *lab;
@@ -133,6 +144,13 @@
 void lab_start_daemon(struct lab_daemon *daemon);
 void lab_signal(struct lab_daemon *daemon, int signal_number);
 
+/* Forwards channels from LISTEN to TARGET, both "IP:port". */
+struct lab_link *lab_add_link(struct lab *lab, const char *listen, const char *target);
+
+/* Begins or ends a cut. The first packet of the first channel opened after a cut is lost if
+ * LOST_FIRST_MS is above 0; it is sent again after that time. */
+void lab_cut(struct lab_link *link, bool cut, int lost_first_ms);
+
 /* Sends a request. Its answer is written to the record and to REQUEST. WAIT_MS is what the client
  * states as its deadline; it closes the channel after that time. */
 void lab_send(struct lab_request *request, const char *method, const char *path, const char *body,
