--- a/review/standin/lab.c
+++ b/review/standin/lab.c
@@ -591,7 +591,7 @@
 	struct lab_server *server = context;
 	char *path, *body;
 
-	if (!server->up)
+	if (!server->up || server->cut)
 		return;
 	path = g_strdup_printf("/greengagefront/instances/%s/heartbeat", server->id);
 	body = g_strdup_printf(
@@ -613,10 +613,33 @@
 	g_free(body);
 }
 
-void lab_boot_server(struct lab_server *server)
+static void listen_for_orders(struct lab_server *server)
 {
 	struct error err;
 
+	if (http_server_listen(&server->lab->loop, server->app_address, &server_options,
+			       &order_callbacks, server, &server->http, &err) != STATUS_OK)
+		lab_abort(server->lab, err.message);
+}
+
+void lab_cut_server(struct lab_server *server, bool cut)
+{
+	server->cut = cut;
+	lab_note(server->lab, "server %s: %s, %u runs", server->id, cut ? "cut off" : "back",
+		 server->runs->len);
+	if (!cut) {
+		listen_for_orders(server);
+		send_heartbeat(server, 0);
+		return;
+	}
+	http_server_close(server->http);
+	server->http = NULL;
+	g_array_set_size(server->pending_holds, 0);
+}
+
+void lab_boot_server(struct lab_server *server)
+{
+
 	server->born_ms = timer_wall_ms();
 	server->born_us = timer_clock_us();
 	server->sequence = 0;
@@ -625,9 +648,7 @@
 	server->lease_until_us = 0;
 	g_hash_table_remove_all(server->highest);
 	json_array_clear(server->finished);
-	if (http_server_listen(&server->lab->loop, server->app_address, &server_options,
-			       &order_callbacks, server, &server->http, &err) != STATUS_OK)
-		lab_abort(server->lab, err.message);
+	listen_for_orders(server);
 	server->up = true;
 	lab_note(server->lab, "server %s: born %lld", server->id, (long long)server->born_ms);
 	send_heartbeat(server, 0);
@@ -995,7 +1016,8 @@
 		if (!server->up)
 			continue;
 		end_due_runs(server);
-		respond_to_due_holds(server);
+		if (!server->cut)
+			respond_to_due_holds(server);
 	}
 	for (guint i = 0; i < lab->links->len; i++)
 		forward_link(lab->links->pdata[i]);
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -70,6 +70,7 @@
 	int cpu;     /* thousandths of a core */
 	int stop_ms; /* time in which a stop takes effect */
 	bool up;
+	bool cut;
 	unsigned starts; /* number of starts */
 };
 
@@ -135,6 +136,10 @@
 /* Begins the next life of SERVER, with the same id. */
 void lab_boot_server(struct lab_server *server);
 
+/* Begins or ends a cut of SERVER from all machines, its agent's too: open channels are closed, new
+ * ones refused and no heartbeat gets out, while its runs go on under their lease. */
+void lab_cut_server(struct lab_server *server, bool cut);
+
 /* Starts an entry on the address IP, which others reach at ADVERTISED_IP, or an agent beside
  * SERVER. */
 struct lab_daemon *lab_add_entry(struct lab *lab, const char *name, const char *ip,
