--- a/review/1/case.c
+++ b/review/1/case.c
@@ -17,7 +17,7 @@
 	DEADLINE_MS = 1700,
 	BEGIN_MS = 100, /* from the submission to the cut */
 	CUT_MS = 800,	/* single machines are cut off for up to 5.5 s */
-	RETRANSMISSION_MS = 1000,
+	RETRANSMISSION_MS = 300,
 	LATER_JOBS = 5
 };
 
