--- a/review/standin/lab.c
+++ b/review/standin/lab.c
@@ -744,13 +744,18 @@
 				 const char *advertised_ip, int client_port, int readiness_port)
 {
 	char *bounds = limits();
-	char *text = g_strdup_printf(
+	char *text;
+
+	if (!lab->seed_ip)
+		lab->seed_ip = advertised_ip;
+	text = g_strdup_printf(
 		"{\"mode\":\"platform\",\"role\":\"entry\",\"name\":\"%s\",\"zone\":\"a\","
 		"\"listen\":{\"clients\":\"%s:%d\",\"readiness\":\"%s:%d\"},"
-		"\"peers\":{\"ip\":\"%s\",\"advertised_ip\":\"%s\",\"port\":%d,\"seeds\":[]},"
+		"\"peers\":{\"ip\":\"%s\",\"advertised_ip\":\"%s\",\"port\":%d,\"seeds\":[\"%s:1\"]"
+		"},"
 		"\"store\":{\"address\":\"127.0.0.1:%d\"},%s}",
 		name, ip, client_port, ip, readiness_port, ip, advertised_ip, lab->peer_port,
-		lab->store_port, bounds);
+		lab->seed_ip, lab->store_port, bounds);
 
 	g_free(bounds);
 	return add_daemon(lab, name, text);
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -43,6 +43,7 @@
 	GPtrArray *servers;    /* struct lab_server * */
 	GPtrArray *daemons;    /* struct lab_daemon * */
 	GPtrArray *links;      /* struct lab_link * */
+	const char *seed_ip;   /* of the first entry; in the settings of all entries */
 	int64_t config_version;
 	GHashTable *started_jobs; /* set of the ids of jobs of which a task has started */
 	unsigned overlaps;	  /* starts of a task while another run of it was at work */
