Log which message told of a restart, and messages that are ignored as old

The users' record of a server that was taken for restarted doesn't tell whether a heartbeat or an answer brought the start time, nor why the agent logged nothing afterwards: messages of another incarnation were ignored without a line. Event 1407 names the message and the start time before it; 1414 tells of ignored messages, at most once a second.

--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -54,7 +54,8 @@
 	HEADER_MAX_BYTES = 16384,
 	BODY_MAX_BYTES = 4 << 20, /* heartbeats may be this large */
 	HEADER_LIMIT_MS = 3000,
-	CONTROL_IDLE_LIMIT_MS = 60000
+	CONTROL_IDLE_LIMIT_MS = 60000,
+	IGNORED_LOG_INTERVAL_MS = 1000
 };
 
 static void notify_state_changed(struct backend *backend)
@@ -77,11 +78,12 @@
 
 /* Resets the state that depends on the server's incarnation. The runs of the previous incarnation
  * are lost. */
-static void begin_incarnation(struct backend *backend, int64_t start_time_ms)
+static void begin_incarnation(struct backend *backend, int64_t start_time_ms, const char *source)
 {
 	if (backend->start_time_ms != 0)
 		event_log(EVENT_SERVER_RESTARTED, EV_S("server", backend->id),
-			  EV_I("started_ms", start_time_ms),
+			  EV_S("source", source), EV_I("started_ms", start_time_ms),
+			  EV_I("before_ms", backend->start_time_ms),
 			  EV_I("runs_lost", table_count(&backend->runs.table)));
 	backend->start_time_ms = start_time_ms;
 	backend->heartbeat_sequence = 0;
@@ -91,16 +93,36 @@
 	runs_server_ended(&backend->runs, backend->loop->now_us);
 }
 
+/* Logs that a message of the server was ignored, at most once in IGNORED_LOG_INTERVAL_MS. */
+static void log_ignored_message(struct backend *backend, const char *source, int64_t start_time_ms,
+				const char *reason)
+{
+	int64_t now_us = backend->loop->now_us;
+
+	backend->ignored_unlogged++;
+	if (backend->ignored_logged_us > 0 &&
+	    now_us - backend->ignored_logged_us < IGNORED_LOG_INTERVAL_MS * US_PER_MS)
+		return;
+	event_log(EVENT_SERVER_MESSAGE_IGNORED, EV_S("server", backend->id),
+		  EV_S("source", source), EV_S("reason", reason),
+		  EV_I("started_ms", start_time_ms), EV_I("current_ms", backend->start_time_ms),
+		  EV_I("count", backend->ignored_unlogged));
+	backend->ignored_logged_us = now_us;
+	backend->ignored_unlogged = 0;
+}
+
 /* Handles the start time that a message of the server states. Returns false if the message is from
  * an earlier incarnation than the current one. If it is from a later incarnation, begins that
  * incarnation. A START_TIME_MS of 0 stands for the current incarnation. */
-static bool accept_incarnation(struct backend *backend, int64_t start_time_ms)
+static bool accept_incarnation(struct backend *backend, int64_t start_time_ms, const char *source)
 {
 	if (start_time_ms == 0 || start_time_ms == backend->start_time_ms)
 		return true;
-	if (start_time_ms < backend->start_time_ms)
+	if (start_time_ms < backend->start_time_ms) {
+		log_ignored_message(backend, source, start_time_ms, "earlier start time");
 		return false;
-	begin_incarnation(backend, start_time_ms);
+	}
+	begin_incarnation(backend, start_time_ms, source);
 	return true;
 }
 
@@ -151,7 +173,7 @@
 static bool apply_common_fields(struct backend *backend, const struct server_reply *reply,
 				int64_t epoch)
 {
-	if (!accept_incarnation(backend, reply->start_time_ms))
+	if (!accept_incarnation(backend, reply->start_time_ms, "answer"))
 		return false;
 	if (reply->clock_ms > 0) {
 		backend->clock_ms = reply->clock_ms;
@@ -473,7 +495,7 @@
 {
 	bool was_leaving = backend->runs.server_leaving;
 
-	if (!accept_incarnation(backend, heartbeat->start_time_ms))
+	if (!accept_incarnation(backend, heartbeat->start_time_ms, "heartbeat"))
 		return;
 	if (heartbeat->sequence <= backend->heartbeat_sequence && backend->heartbeat_seen)
 		return; /* a later heartbeat arrived first */
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -59,10 +59,12 @@
 	bool immediate_poll_active;
 	bool immediate_poll_requested;
 	uint32_t failed_immediate_polls; /* number of consecutive failures */
-	int64_t last_timeout_us;  /* time of the last timeout of a start or hold that had been sent;
-				     0 if none */
-	bool logged_quarantined;  /* whether the last logged state is quarantined */
-	bool agent_shutting_down; /* the agent accepts no more starts */
+	int64_t last_timeout_us; /* time of the last timeout of a start or hold that had been sent;
+				    0 if none */
+	int64_t ignored_logged_us; /* when an ignored message was last logged; 0 if never */
+	uint32_t ignored_unlogged; /* messages ignored since then */
+	bool logged_quarantined;   /* whether the last logged state is quarantined */
+	bool agent_shutting_down;  /* the agent accepts no more starts */
 };
 
 /* Listens for heartbeats and sends the first hold. Fails with the errors of http_server_listen. */
