Let only the server's answers decide which incarnation is the current one

What callers saw: tasks that ran twice at the same time (TWICE), then no work for the server. In the users' record one heartbeat states the start time 2^63-1 under the id of a server at work; its agent declares six runs lost, the entry orders them on another server while they go on, and from then on the server's own heartbeats and answers count as old.

Cause: begin_incarnation() on the word of any message with a later start time. A heartbeat may come from any sender. The same trust let a sequence number or a clock far ahead hide all later heartbeats, also the one that says the server drains, and let one heartbeat change the server's id, its resources or its state.

Change: packages/core/presence decides what is believed. The process that answers at the server's address decides the incarnation; of two processes, the one with the later connection is the later one, so that a start time that goes back is followed too. A heartbeat counts if start time and clock agree with the answers. If they do not, it waits for the answer to a poll sent at once. Heartbeats are ordered by the confirmed clock before the sequence number. More resources, and the use of a leaving server, need two heartbeats in a row; the identity is that of most heartbeats.

--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -37,9 +37,6 @@
 	LEASE_RENEWAL_MS = 200,
 	ANSWER_TIME_DIVISOR = 16, /* EWMA: one answer has a weight of 1/16 */
 	LONG_POLL_RETRY_MS = 100,
-	/* A heartbeat older than this on arrival counts as late. The server considers a
-	 * heartbeat lost when no answer has arrived within this time. */
-	HEARTBEAT_MAX_AGE_MS = 1000,
 	/* Added to an epoch that the server has rejected. An agent uses the wall clock in ms as its
 	 * first epoch. */
 	EPOCH_STEP = 60000,
@@ -70,32 +67,9 @@
 	return backend->lease_ms * 8 / 10;
 }
 
-/* Returns the current time of the server's clock. */
-static int64_t server_clock_now_ms(const struct backend *backend)
-{
-	return backend->clock_ms + (backend->loop->now_us - backend->clock_received_us) / US_PER_MS;
-}
-
-/* Resets the state that depends on the server's incarnation. The runs of the previous incarnation
- * are lost. */
-static void begin_incarnation(struct backend *backend, int64_t start_time_ms, const char *source)
-{
-	if (backend->start_time_ms != 0)
-		event_log(EVENT_SERVER_RESTARTED, EV_S("server", backend->id),
-			  EV_S("source", source), EV_I("started_ms", start_time_ms),
-			  EV_I("before_ms", backend->start_time_ms),
-			  EV_I("runs_lost", table_count(&backend->runs.table)));
-	backend->start_time_ms = start_time_ms;
-	backend->heartbeat_sequence = 0;
-	backend->heartbeat_seen = false;
-	backend->clock_ms = 0;
-	backend->lists_applied = false;
-	runs_server_ended(&backend->runs, backend->loop->now_us);
-}
-
 /* Logs that a message of the server was ignored, at most once in IGNORED_LOG_INTERVAL_MS. */
-static void log_ignored_message(struct backend *backend, const char *source, int64_t start_time_ms,
-				const char *reason)
+static void log_ignored_message(struct backend *backend, const char *source, const char *id,
+				int64_t start_time_ms, const char *reason)
 {
 	int64_t now_us = backend->loop->now_us;
 
@@ -103,26 +77,38 @@
 	if (backend->ignored_logged_us > 0 &&
 	    now_us - backend->ignored_logged_us < IGNORED_LOG_INTERVAL_MS * US_PER_MS)
 		return;
-	event_log(EVENT_SERVER_MESSAGE_IGNORED, EV_S("server", backend->id),
-		  EV_S("source", source), EV_S("reason", reason),
-		  EV_I("started_ms", start_time_ms), EV_I("current_ms", backend->start_time_ms),
+	event_log(EVENT_SERVER_MESSAGE_IGNORED, EV_S("server", id), EV_S("source", source),
+		  EV_S("reason", reason), EV_I("started_ms", start_time_ms),
+		  EV_I("current_ms", backend->presence.start_time_ms),
 		  EV_I("count", backend->ignored_unlogged));
 	backend->ignored_logged_us = now_us;
 	backend->ignored_unlogged = 0;
 }
 
-/* Handles the start time that a message of the server states. Returns false if the message is from
- * an earlier incarnation than the current one. If it is from a later incarnation, begins that
- * incarnation. A START_TIME_MS of 0 stands for the current incarnation. */
-static bool accept_incarnation(struct backend *backend, int64_t start_time_ms, const char *source)
+/* Applies what ANSWER tells of the server's process. If another process than before has answered,
+ * resets the state that depends on the incarnation, and the runs of the previous one are lost.
+ * Returns false if the answer is from a process that has been replaced. */
+static bool accept_answer(struct backend *backend, const struct server_answer *answer)
 {
-	if (start_time_ms == 0 || start_time_ms == backend->start_time_ms)
+	struct presence *presence = &backend->presence;
+	int64_t previous_ms = presence->start_time_ms;
+
+	switch (presence_on_answer(presence, answer)) {
+	case ANSWER_CURRENT:
 		return true;
-	if (start_time_ms < backend->start_time_ms) {
-		log_ignored_message(backend, source, start_time_ms, "earlier start time");
+	case ANSWER_OLD:
+		log_ignored_message(backend, "answer", presence->identity.id, answer->start_time_ms,
+				    "process that has been replaced");
 		return false;
+	case ANSWER_NEW_INCARNATION:
+		break;
 	}
-	begin_incarnation(backend, start_time_ms, source);
+	if (previous_ms != 0)
+		event_log(EVENT_SERVER_RESTARTED, EV_S("server", presence->identity.id),
+			  EV_I("started_ms", answer->start_time_ms), EV_I("before_ms", previous_ms),
+			  EV_I("runs_lost", table_count(&backend->runs.table)));
+	backend->lists_applied = false;
+	runs_server_ended(&backend->runs, backend->loop->now_us);
 	return true;
 }
 
@@ -161,28 +147,39 @@
 		return;
 	backend->reachable = reachable;
 	if (reachable)
-		event_log(EVENT_SERVER_REACHABLE, EV_S("server", backend->id));
+		event_log(EVENT_SERVER_REACHABLE, EV_S("server", backend->presence.identity.id));
 	else
-		event_log(EVENT_SERVER_UNREACHABLE, EV_S("server", backend->id),
+		event_log(EVENT_SERVER_UNREACHABLE, EV_S("server", backend->presence.identity.id),
 			  EV_S("reason", reason), EV_I("runs", table_count(&backend->runs.table)));
 	notify_state_changed(backend);
 }
 
-/* Applies the fields that every answer contains. EPOCH is the epoch sent with the call. Returns
- * false if the answer is from an earlier incarnation of the server. */
-static bool apply_common_fields(struct backend *backend, const struct server_reply *reply,
-				int64_t epoch)
+static void settle_heartbeats(struct backend *backend, int64_t asked_us);
+
+/* Applies the fields that every answer contains. ASKED_US and EPOCH are the time of the call and
+ * the epoch sent with it. Returns false if the answer is from an earlier incarnation of the
+ * server. */
+static bool apply_common_fields(struct backend *backend, const struct http_response *reply,
+				const struct server_reply *parsed, int64_t asked_us, int64_t epoch)
 {
-	if (!accept_incarnation(backend, reply->start_time_ms, "answer"))
+	const struct server_answer answer = {
+		.start_time_ms = parsed->start_time_ms,
+		.clock_ms = parsed->clock_ms,
+		.connected_us = reply->connected_us,
+		.received_us = backend->loop->now_us,
+	};
+
+	if (!parsed->answered)
+		return true;
+	if (!accept_answer(backend, &answer))
 		return false;
-	if (reply->clock_ms > 0) {
-		backend->clock_ms = reply->clock_ms;
-		backend->clock_received_us = backend->loop->now_us;
-	}
-	if (reply->stale_epoch && epoch == backend->epoch) {
+	if (parsed->wrong_instance)
+		presence_on_id_rejected(&backend->presence);
+	if (parsed->stale_epoch && epoch == backend->epoch) {
 		backend->epoch += EPOCH_STEP + (backend->epoch - epoch);
 		event_log(EVENT_EPOCH_RAISED, EV_I("epoch", backend->epoch));
 	}
+	settle_heartbeats(backend, asked_us);
 	return true;
 }
 
@@ -190,6 +187,7 @@
 struct pending_order {
 	struct backend *backend;
 	struct handle run;
+	int64_t sent_us;
 	int64_t epoch;
 };
 
@@ -199,7 +197,10 @@
 {
 	struct pending_order *order = g_new(struct pending_order, 1);
 
-	*order = (struct pending_order){.backend = backend, .run = run, .epoch = backend->epoch};
+	*order = (struct pending_order){.backend = backend,
+					.run = run,
+					.sent_us = backend->loop->now_us,
+					.epoch = backend->epoch};
 	return order;
 }
 
@@ -232,7 +233,7 @@
 	server_reply_parse(reply, &parsed);
 	if (!parsed.answered && reply->connection_refused)
 		parsed.start_answer = START_NOT_SENT;
-	if (!apply_common_fields(backend, &parsed, order->epoch))
+	if (!apply_common_fields(backend, reply, &parsed, order->sent_us, order->epoch))
 		parsed = (struct server_reply){.start_answer = START_UNANSWERED};
 	if (parsed.stale_epoch && table_get(&backend->runs.table, order->run)) {
 		order_start(backend, order->run);
@@ -251,7 +252,8 @@
 	struct server_start start = {
 		.task = run->task,
 		.attempt = run->attempt,
-		.expires_clock_ms = server_clock_now_ms(backend) + start_validity_ms(backend),
+		.expires_clock_ms = presence_clock_ms(&backend->presence, backend->loop->now_us) +
+				    start_validity_ms(backend),
 		.epoch = backend->epoch,
 	};
 	char *body;
@@ -261,7 +263,7 @@
 	runs_lease_sent(&backend->runs, backend->loop->now_us);
 	send_call(backend->order_client, SERVER_START_PATH, body, order_timeout_ms(backend),
 		  on_start_answered, pending_order_new(backend, run_handle),
-		  server_id_header(backend->id));
+		  server_id_header(backend->presence.identity.id));
 	g_free(body);
 }
 
@@ -272,7 +274,7 @@
 	struct server_reply parsed;
 
 	server_reply_parse(reply, &parsed);
-	if (apply_common_fields(backend, &parsed, order->epoch))
+	if (apply_common_fields(backend, reply, &parsed, order->sent_us, order->epoch))
 		runs_stop_answered(&backend->runs, order->run,
 				   parsed.answered && parsed.start_answer == START_STARTED,
 				   backend->loop->now_us);
@@ -286,7 +288,7 @@
 
 	send_call(backend->order_client, SERVER_STOP_PATH, body, order_timeout_ms(backend),
 		  on_stop_answered, pending_order_new(backend, run_handle),
-		  server_id_header(backend->id));
+		  server_id_header(backend->presence.identity.id));
 	g_free(body);
 }
 
@@ -371,7 +373,7 @@
 			reply->status == STATUS_OK ? 0 : backend->failed_immediate_polls + 1;
 	}
 	valid = server_run_lists_parse(reply, &parsed, &lists, &err) == STATUS_OK;
-	if (parsed.answered && !apply_common_fields(backend, &parsed, hold->epoch))
+	if (!apply_common_fields(backend, reply, &parsed, hold->sent_us, hold->epoch))
 		valid = false;
 	if (valid) {
 		backend->lists_received_us = backend->loop->now_us;
@@ -408,7 +410,7 @@
 	struct pending_hold *hold = g_new(struct pending_hold, 1);
 	/* While the server is unreachable, or its clock or its runs are unknown, even a long poll
 	 * asks for an immediate answer, because the answer contains the clock and the runs. */
-	bool known = backend->lists_applied && backend->reachable && backend->clock_ms > 0;
+	bool known = backend->lists_applied && backend->reachable && backend->presence.clock_ms > 0;
 	bool lossy = is_lossy(backend);
 	int64_t wait_ms = long_poll && known ? long_poll_wait_ms(backend, lossy) : 0;
 	int64_t margin_ms = lossy ? order_timeout_ms(backend) : LONG_POLL_MARGIN_MS;
@@ -421,8 +423,9 @@
 		.epoch = backend->epoch,
 		.long_poll = long_poll,
 	};
-	if (backend->clock_ms > 0) {
-		expires_ms = server_clock_now_ms(backend) + backend->lease_ms;
+	if (backend->presence.clock_ms > 0) {
+		expires_ms = presence_clock_ms(&backend->presence, backend->loop->now_us) +
+			     backend->lease_ms;
 		runs_lease_sent(&backend->runs, backend->loop->now_us);
 		backend->lease_sent_us = backend->loop->now_us;
 	}
@@ -462,7 +465,8 @@
 		return;
 	backend->logged_quarantined = quarantined;
 	event_log(quarantined ? EVENT_SERVER_QUARANTINED : EVENT_SERVER_RECOVERED,
-		  EV_S("server", backend->id), EV_I("streak", backend->runs.health.failure_streak),
+		  EV_S("server", backend->presence.identity.id),
+		  EV_I("streak", backend->runs.health.failure_streak),
 		  EV_I("backoff_ms", backend->runs.health.backoff_us / US_PER_MS));
 	notify_state_changed(backend);
 }
@@ -480,56 +484,81 @@
 		backend->immediate_poll_requested = true;
 }
 
-static void copy_identity(struct backend *backend, const struct server_heartbeat *heartbeat)
-{
-	g_strlcpy(backend->id, heartbeat->id, sizeof(backend->id));
-	g_strlcpy(backend->service, heartbeat->service, sizeof(backend->service));
-	g_strlcpy(backend->zone, heartbeat->zone, sizeof(backend->zone));
-	backend->label_count = heartbeat->label_count;
-	for (size_t i = 0; i < heartbeat->label_count; i++)
-		g_strlcpy(backend->labels[i], heartbeat->labels[i], NAME_BYTES);
-	backend->identity_version++;
-}
-
-static void apply_heartbeat(struct backend *backend, const struct server_heartbeat *heartbeat)
+/* Applies a heartbeat that the presence has accepted. KNOWN tells whether the server's identity was
+ * known before. */
+static void apply_heartbeat(struct backend *backend, const struct heartbeat *heartbeat, bool known)
 {
-	bool was_leaving = backend->runs.server_leaving;
+	const struct presence *presence = &backend->presence;
+	const struct server_identity *identity = &presence->identity;
 
-	if (!accept_incarnation(backend, heartbeat->start_time_ms, "heartbeat"))
-		return;
-	if (heartbeat->sequence <= backend->heartbeat_sequence && backend->heartbeat_seen)
-		return; /* a later heartbeat arrived first */
-	if (!backend->heartbeat_seen || strcmp(backend->id, heartbeat->id) != 0) {
-		copy_identity(backend, heartbeat);
-		event_log(EVENT_SERVER_ANNOUNCED, EV_S("server", heartbeat->id),
-			  EV_S("service", heartbeat->service), EV_I("cpu", heartbeat->capacity.cpu),
-			  EV_I("started_ms", heartbeat->start_time_ms));
-	}
-	if (!resources_equal(&backend->runs.total_resources, &heartbeat->capacity)) {
-		/* The entries learn the capacity together with the identity. */
-		backend->identity_version++;
-		event_log(EVENT_SERVER_CAPACITY, EV_S("server", heartbeat->id),
-			  EV_I("cpu", heartbeat->capacity.cpu),
-			  EV_I("memory_mb", heartbeat->capacity.memory_mb),
-			  EV_I("gpus", heartbeat->capacity.gpus),
+	if (!known)
+		event_log(EVENT_SERVER_ANNOUNCED, EV_S("server", identity->id),
+			  EV_S("service", identity->service), EV_I("cpu", presence->resources.cpu),
+			  EV_I("started_ms", presence->start_time_ms));
+	if (!resources_equal(&backend->runs.total_resources, &presence->resources))
+		event_log(EVENT_SERVER_CAPACITY, EV_S("server", identity->id),
+			  EV_I("cpu", presence->resources.cpu),
+			  EV_I("memory_mb", presence->resources.memory_mb),
+			  EV_I("gpus", presence->resources.gpus),
 			  EV_I("runs", table_count(&backend->runs.table)));
-	}
-	backend->heartbeat_seen = true;
-	backend->heartbeat_sequence = heartbeat->sequence;
-	backend->heartbeat_clock_ms = heartbeat->clock_ms;
-	backend->heartbeat_received_us = backend->loop->now_us;
-	runs_server_present(&backend->runs, &heartbeat->capacity, heartbeat->draining);
-	if (heartbeat->draining && !was_leaving)
-		event_log(EVENT_SERVER_LEAVING, EV_S("server", heartbeat->id),
+	if (presence->leaving && !backend->runs.server_leaving)
+		event_log(EVENT_SERVER_LEAVING, EV_S("server", identity->id),
 			  EV_I("remaining_ms", heartbeat->remaining_ms),
 			  EV_I("runs", table_count(&backend->runs.table)));
+	runs_server_present(&backend->runs, &presence->resources, presence->leaving);
 	notify_state_changed(backend);
 }
 
+static void handle_verdict(struct backend *backend, const struct heartbeat *heartbeat,
+			   enum heartbeat_verdict verdict, bool known)
+{
+	switch (verdict) {
+	case HEARTBEAT_ACCEPTED:
+		apply_heartbeat(backend, heartbeat, known);
+		break;
+	case HEARTBEAT_UNCONFIRMED:
+		backend->immediate_poll_requested = true;
+		break;
+	case HEARTBEAT_SUPERSEDED:
+		break; /* a later heartbeat arrived first */
+	case HEARTBEAT_OTHER_INCARNATION:
+	case HEARTBEAT_CLOCK_AHEAD:
+	case HEARTBEAT_OTHER_IDENTITY:
+		log_ignored_message(backend, "heartbeat", heartbeat->identity.id,
+				    heartbeat->start_time_ms, heartbeat_verdict_name(verdict));
+		notify_state_changed(backend);
+		break;
+	}
+}
+
+/* Judges the heartbeats that waited for an answer to a call made at ASKED_US or later. */
+static void settle_heartbeats(struct backend *backend, int64_t asked_us)
+{
+	bool known = backend->presence.heartbeat_seen;
+	enum heartbeat_verdict verdict;
+	struct heartbeat heartbeat;
+
+	while (presence_next_confirmed(&backend->presence, asked_us, backend->loop->now_us,
+				       &heartbeat, &verdict)) {
+		handle_verdict(backend, &heartbeat, verdict, known);
+		known = backend->presence.heartbeat_seen;
+	}
+}
+
+static void handle_heartbeat(struct backend *backend, struct heartbeat *heartbeat)
+{
+	bool known = backend->presence.heartbeat_seen;
+	enum heartbeat_verdict verdict;
+
+	heartbeat->received_us = backend->loop->now_us;
+	verdict = presence_on_heartbeat(&backend->presence, heartbeat, backend->loop->now_us);
+	handle_verdict(backend, heartbeat, verdict, known);
+}
+
 static void on_control_request(void *context, struct http_request *request)
 {
 	struct backend *backend = context;
-	struct server_heartbeat heartbeat;
+	struct heartbeat heartbeat;
 	char id[NAME_BYTES];
 	struct error err;
 	const char *body;
@@ -544,12 +573,12 @@
 			server_answer_error(request, &err);
 			return;
 		}
-		apply_heartbeat(backend, &heartbeat);
-		server_heartbeat_clear(&heartbeat);
+		handle_heartbeat(backend, &heartbeat);
 		server_answer_empty(request);
 		return;
 	case SERVER_DEREGISTER:
-		if (strcmp(id, backend->id) == 0) {
+		if (presence_on_deregistration(&backend->presence, id,
+					       server_deregistration_start_time(body, length))) {
 			backend->runs.server_leaving = true;
 			notify_state_changed(backend);
 		}
@@ -647,22 +676,11 @@
 	return STATUS_OK;
 }
 
-/* Returns whether the last heartbeat was delayed. A restarted agent does not know the earlier
- * heartbeats, so a delayed one could make a server that has left meanwhile appear present. */
-static bool is_heartbeat_late(const struct backend *backend)
-{
-	int64_t received_clock_ms =
-		backend->clock_ms +
-		(backend->heartbeat_received_us - backend->clock_received_us) / US_PER_MS;
-
-	return backend->heartbeat_clock_ms > 0 &&
-	       received_clock_ms - backend->heartbeat_clock_ms > HEARTBEAT_MAX_AGE_MS;
-}
-
 bool backend_ready(const struct backend *backend)
 {
-	return backend->heartbeat_seen && !is_heartbeat_late(backend) && backend->reachable &&
-	       backend->clock_ms > 0 && !backend->agent_shutting_down && runs_ready(&backend->runs);
+	return presence_is_known(&backend->presence) && !presence_is_late(&backend->presence) &&
+	       backend->reachable && backend->presence.clock_ms > 0 &&
+	       !backend->agent_shutting_down && runs_ready(&backend->runs);
 }
 
 uint32_t backend_count_ownerless_runs(const struct backend *backend)
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -12,6 +12,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "node_settings.h"
+#include "presence.h"
 #include "runs.h"
 #include "server_api.h"
 
@@ -33,24 +34,11 @@
 	struct http_server *control_server; /* receives heartbeats and deregistrations */
 	struct http_client *order_client;   /* sends starts and stops */
 	struct http_client *hold_client;    /* sends holds */
-	/* The server's identity, from its heartbeats. */
-	char id[NAME_BYTES];
-	char service[NAME_BYTES];
-	char zone[NAME_BYTES];
-	char labels[SERVER_LABELS_MAX][NAME_BYTES];
-	size_t label_count;
-	int64_t start_time_ms; /* identifies the server's incarnation; 0 while unknown */
-	uint64_t heartbeat_sequence;
-	int64_t heartbeat_clock_ms;    /* the server's clock in its last heartbeat; 0 if absent */
-	int64_t heartbeat_received_us; /* time of the last heartbeat */
-	uint32_t identity_version;     /* incremented when the identity changes */
-	bool heartbeat_seen;	       /* the current incarnation has sent a heartbeat */
-	bool reachable;		       /* the server answers holds */
-	bool lists_applied;	       /* run lists of the current incarnation were applied */
+	struct presence presence;	    /* the server's process and what its heartbeats state */
+	bool reachable;			    /* the server answers holds */
+	bool lists_applied;		    /* run lists of the current incarnation were applied */
 	int64_t epoch; /* sent with each call; the server rejects calls with an epoch lower than the
 			  highest it has seen */
-	int64_t clock_ms; /* the server's monotonic clock in its last answer; 0 while unknown */
-	int64_t clock_received_us; /* time when clock_ms was received */
 	int64_t lease_ms;
 	int64_t lease_sent_us;	   /* time of the last hold that renewed the lease */
 	int64_t lists_received_us; /* time when valid run lists were last received */
--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -97,16 +97,18 @@
 
 static void fill_server(const struct backend *backend, Ggd__Server *server, char **labels)
 {
-	server->id = (char *)backend->id;
-	server->service = (char *)backend->service;
-	server->zone = (char *)backend->zone;
+	const struct server_identity *identity = &backend->presence.identity;
+
+	server->id = (char *)identity->id;
+	server->service = (char *)identity->service;
+	server->zone = (char *)identity->zone;
 	server->cpu = backend->runs.total_resources.cpu;
 	server->memory_mb = backend->runs.total_resources.memory_mb;
 	server->gpus = backend->runs.total_resources.gpus;
-	server->n_labels = backend->label_count;
+	server->n_labels = identity->label_count;
 	server->labels = labels;
-	for (size_t i = 0; i < backend->label_count; i++)
-		labels[i] = (char *)backend->labels[i];
+	for (size_t i = 0; i < identity->label_count; i++)
+		labels[i] = (char *)identity->labels[i];
 }
 
 /* Sends a report with the given ENDS and INVENTORY, which may be NULL, the free resources and all
@@ -119,7 +121,7 @@
 	Ggd__Report report = GGD__REPORT__INIT;
 	Ggd__Room room = GGD__ROOM__INIT;
 	Ggd__Server server = GGD__SERVER__INIT;
-	char *labels[SERVER_LABELS_MAX];
+	char *labels[PRESENCE_LABELS_MAX];
 	guint end_count = ends ? ends->len : 0;
 	Ggd__RunEnd *end_rows = g_new(Ggd__RunEnd, end_count + 1);
 	Ggd__RunEnd **end_row_pointers = g_new(Ggd__RunEnd *, end_count + 1);
@@ -157,10 +159,10 @@
 	report.n_late = owner->unsent_progress->len;
 	report.late = progress_row_pointers;
 	report.inventory = inventory;
-	if (owner->sent_identity_version != backend->identity_version) {
+	if (owner->sent_identity_version != backend->presence.identity_version) {
 		fill_server(backend, &server, labels);
 		report.server = &server;
-		owner->sent_identity_version = backend->identity_version;
+		owner->sent_identity_version = backend->presence.identity_version;
 	}
 	frame.body_case = GGD__FRAME__BODY_REPORT;
 	frame.report = &report;
--- a/packages/greengaged/src/agent_owner.h
+++ b/packages/greengaged/src/agent_owner.h
@@ -24,7 +24,7 @@
 	bool is_new; /* no inventory has been sent to this owner since it was added, or since it was
 			 added again after its removal */
 	int64_t report_sent_us;		/* time of the last report of any kind */
-	uint32_t sent_identity_version; /* backend.identity_version as last sent; 0 if not sent */
+	uint32_t sent_identity_version; /* presence.identity_version as last sent; 0 if not sent */
 	uint32_t service_server_count; /* number of servers of the backend server's service that the
 					  entry last reported as reachable; 0 while unknown */
 	int64_t retiring_since_us;     /* time when this owner was first requested to send no more
--- a/packages/net/include/http_client.h
+++ b/packages/net/include/http_client.h
@@ -19,6 +19,7 @@
 	enum status status;
 	bool connection_assigned; /* also true if connecting then failed */
 	bool connection_refused;  /* no process listens on the address */
+	int64_t connected_us;	  /* when the connection was established; 0 without one */
 	int code;
 	const char *body; /* valid during the callback; followed by a NUL byte */
 	size_t length;
--- a/packages/net/src/http_client.c
+++ b/packages/net/src/http_client.c
@@ -16,6 +16,7 @@
 	http_parser parser;
 	GString *body;
 	int64_t idle_since_us;
+	int64_t connected_us;
 	bool connected;
 	bool response_complete;
 	bool response_too_large;
@@ -82,6 +83,7 @@
 		.status = status,
 		.connection_assigned = call->connection != NULL,
 		.connection_refused = strcmp(reason, uv_strerror(UV_ECONNREFUSED)) == 0,
+		.connected_us = call->connection ? call->connection->connected_us : 0,
 		.reason = reason,
 	};
 
@@ -152,6 +154,7 @@
 	response = (struct http_response){
 		.status = STATUS_OK,
 		.connection_assigned = true,
+		.connected_us = connection->connected_us,
 		.code = connection->parser.status_code,
 		.body = connection->body->str,
 		.length = connection->body->len,
@@ -195,7 +198,10 @@
 
 static void on_opened(void *context)
 {
-	((struct connection *)context)->connected = true;
+	struct connection *connection = context;
+
+	connection->connected = true;
+	connection->connected_us = connection->client->loop->now_us;
 }
 
 static const struct net_conn_callbacks conn_callbacks = {
--- a/packages/platform/include/server_api.h
+++ b/packages/platform/include/server_api.h
@@ -6,30 +6,10 @@
 
 #include "http_client.h"
 #include "http_server.h"
+#include "presence.h"
 #include "runs.h"
 #include "status.h"
 
-enum {
-	SERVER_LABELS_MAX = 8 /* further labels are ignored */
-};
-
-/* A heartbeat of a backend server. The strings are valid as long as DOCUMENT. */
-struct server_heartbeat {
-	char id[NAME_BYTES];
-	const char *service;
-	const char *address; /* IP:port at which the server accepts calls */
-	const char *zone;
-	const char *labels[SERVER_LABELS_MAX];
-	size_t label_count;
-	struct resources capacity;
-	bool draining;
-	int64_t start_time_ms; /* start time since 1970; identifies the incarnation; 0 if absent */
-	int64_t clock_ms;      /* the server's monotonic clock */
-	uint64_t sequence;     /* heartbeat number, increasing within an incarnation */
-	int64_t remaining_ms;  /* minimum time until a draining server exits; 0 if absent */
-	json_t *document;
-};
-
 /* Kinds of requests that backend servers send. */
 enum server_message {
 	SERVER_HEARTBEAT,
@@ -41,12 +21,13 @@
  * of NAME_BYTES bytes; otherwise the content of ID is unspecified. */
 enum server_message server_message_parse(const struct http_request *request, char *id);
 
-/* Parses a heartbeat. The caller frees it with server_heartbeat_clear. Returns STATUS_INVALID_JSON,
- * or STATUS_INVALID_REQUEST for a field that is missing or invalid, such as an unknown state. */
+/* Parses a heartbeat. Leaves received_us at 0. Returns STATUS_INVALID_JSON, or
+ * STATUS_INVALID_REQUEST for a field that is missing or invalid, such as an unknown state. */
 enum status server_heartbeat_parse(const char *id, const char *body, size_t length,
-				   struct server_heartbeat *heartbeat, struct error *err);
+				   struct heartbeat *heartbeat, struct error *err);
 
-void server_heartbeat_clear(struct server_heartbeat *heartbeat);
+/* Returns the start time that a deregistration states, or 0 if it states none. */
+int64_t server_deregistration_start_time(const char *body, size_t length);
 
 /* Answers 200 with an empty JSON object, to a heartbeat or a deregistration. */
 void server_answer_empty(struct http_request *request);
--- a/packages/platform/src/server_api.c
+++ b/packages/platform/src/server_api.c
@@ -58,7 +58,7 @@
 	return *draining || (state && strcmp(state, "ready") == 0);
 }
 
-static bool parse_labels(const json_t *document, struct server_heartbeat *heartbeat)
+static bool parse_labels(const json_t *document, struct server_identity *identity)
 {
 	const json_t *labels = json_object_get(document, "labels");
 	const json_t *label;
@@ -69,26 +69,50 @@
 	json_array_foreach (labels, i, label) {
 		if (!json_is_string(label))
 			return false;
-		if (heartbeat->label_count < SERVER_LABELS_MAX)
-			heartbeat->labels[heartbeat->label_count++] = json_string_value(label);
+		if (identity->label_count < PRESENCE_LABELS_MAX)
+			g_strlcpy(identity->labels[identity->label_count++],
+				  json_string_value(label), NAME_BYTES);
 	}
 	return true;
 }
 
-static enum status parse_heartbeat(struct server_heartbeat *heartbeat, struct error *err)
+/* Parses a whole number that may be absent, in which case VALUE is 0. */
+static bool parse_optional(const json_t *document, const char *name, int64_t smallest,
+			   int64_t *value)
 {
-	const json_t *document = heartbeat->document;
-	const json_t *capacity = json_object_get(document, "capacity");
+	const json_t *field = json_object_get(document, name);
+
+	*value = json_integer_value(field);
+	return !field || (json_is_integer(field) && *value >= smallest);
+}
+
+static enum status parse_identity(const json_t *document, struct server_identity *identity,
+				  struct error *err)
+{
+	const char *service = get_string(document, "service");
+	const char *zone = get_string(document, "zone");
 
-	heartbeat->service = get_string(document, "service");
-	heartbeat->address = get_string(document, "addr");
-	heartbeat->zone = get_string(document, "zone");
-	if (!heartbeat->service || !heartbeat->address || !heartbeat->zone)
+	if (!service || !zone || !get_string(document, "addr"))
 		return error_set(err, STATUS_INVALID_REQUEST,
 				 "service, addr and zone must be strings");
-	if (strlen(heartbeat->service) >= NAME_BYTES || strlen(heartbeat->zone) >= NAME_BYTES)
+	if (strlen(service) >= NAME_BYTES || strlen(zone) >= NAME_BYTES)
 		return error_set(err, STATUS_INVALID_REQUEST,
 				 "service and zone: accepted: up to %d bytes", NAME_BYTES - 1);
+	g_strlcpy(identity->service, service, sizeof(identity->service));
+	g_strlcpy(identity->zone, zone, sizeof(identity->zone));
+	if (!parse_labels(document, identity))
+		return error_set(err, STATUS_INVALID_REQUEST, "labels must be strings");
+	return STATUS_OK;
+}
+
+static enum status parse_heartbeat(const json_t *document, struct heartbeat *heartbeat,
+				   struct error *err)
+{
+	const json_t *capacity = json_object_get(document, "capacity");
+	const json_t *sequence = json_object_get(document, "seq");
+
+	if (parse_identity(document, &heartbeat->identity, err) != STATUS_OK)
+		return err->status;
 	if (!parse_state(document, &heartbeat->draining))
 		return error_set(err, STATUS_INVALID_REQUEST, "state: accepted: ready, draining");
 	if (!parse_u32(capacity, "cpu", &heartbeat->capacity.cpu) ||
@@ -97,39 +121,42 @@
 				 "capacity: cpu and memMb must be whole numbers");
 	if (!parse_u32(capacity, "gpu", &heartbeat->capacity.gpus))
 		heartbeat->capacity.gpus = 0;
-	if (!parse_labels(document, heartbeat))
-		return error_set(err, STATUS_INVALID_REQUEST, "labels must be strings");
-	if (!json_is_integer(json_object_get(document, "seq")))
+	if (!json_is_integer(sequence) || json_integer_value(sequence) < 0)
 		return error_set(err, STATUS_INVALID_REQUEST, "seq must be a whole number");
-	heartbeat->sequence = (uint64_t)json_integer_value(json_object_get(document, "seq"));
-	heartbeat->start_time_ms = json_integer_value(json_object_get(document, "born"));
-	heartbeat->clock_ms = json_integer_value(json_object_get(document, "clockMs"));
-	heartbeat->remaining_ms = json_integer_value(json_object_get(document, "remainingMs"));
+	heartbeat->sequence = (uint64_t)json_integer_value(sequence);
+	if (!parse_optional(document, "born", 1, &heartbeat->start_time_ms))
+		return error_set(err, STATUS_INVALID_REQUEST, "born must be a time in ms");
+	if (!parse_optional(document, "clockMs", 0, &heartbeat->clock_ms))
+		return error_set(err, STATUS_INVALID_REQUEST, "clockMs must be a time in ms");
+	if (!parse_optional(document, "remainingMs", 0, &heartbeat->remaining_ms))
+		heartbeat->remaining_ms = 0;
 	return STATUS_OK;
 }
 
 enum status server_heartbeat_parse(const char *id, const char *body, size_t length,
-				   struct server_heartbeat *heartbeat, struct error *err)
+				   struct heartbeat *heartbeat, struct error *err)
 {
 	json_error_t json_error;
+	json_t *document = json_loadb(body, length, 0, &json_error);
 	enum status status;
 
-	*heartbeat = (struct server_heartbeat){0};
-	g_strlcpy(heartbeat->id, id, sizeof(heartbeat->id));
-	heartbeat->document = json_loadb(body, length, 0, &json_error);
-	if (!heartbeat->document)
+	*heartbeat = (struct heartbeat){0};
+	if (!document)
 		return error_set(err, STATUS_INVALID_JSON, "line %d: %s", json_error.line,
 				 json_error.text);
-	status = parse_heartbeat(heartbeat, err);
-	if (status != STATUS_OK)
-		server_heartbeat_clear(heartbeat);
+	g_strlcpy(heartbeat->identity.id, id, sizeof(heartbeat->identity.id));
+	status = parse_heartbeat(document, heartbeat, err);
+	json_decref(document);
 	return status;
 }
 
-void server_heartbeat_clear(struct server_heartbeat *heartbeat)
+int64_t server_deregistration_start_time(const char *body, size_t length)
 {
-	json_decref(heartbeat->document);
-	heartbeat->document = NULL;
+	json_t *document = json_loadb(body, length, 0, NULL);
+	int64_t start_time_ms = json_integer_value(json_object_get(document, "born"));
+
+	json_decref(document);
+	return start_time_ms;
 }
 
 void server_answer_empty(struct http_request *request)
@@ -212,8 +239,10 @@
 				 struct server_reply *parsed)
 {
 	parsed->answered = true;
-	parsed->clock_ms = json_integer_value(json_object_get(document, "clockMs"));
-	parsed->start_time_ms = json_integer_value(json_object_get(document, "born"));
+	if (!parse_optional(document, "clockMs", 0, &parsed->clock_ms))
+		parsed->clock_ms = 0;
+	if (!parse_optional(document, "born", 1, &parsed->start_time_ms))
+		parsed->start_time_ms = 0;
 	switch (reply->code) {
 	case CODE_OK:
 		parsed->start_answer = START_STARTED;
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -5,11 +5,12 @@
  * usage: standin_platform STORE_ADDRESS[,STORE_ADDRESS] [SERVER_ADDRESS=AGENT_CONTROL_ADDRESS ...]
  *
  * At the store's addresses, POST /control changes settings, POST /control/config publishes a
- * configuration, GET /control returns counters, and GET /control/started returns the ids of the
- * started jobs. The settings are lists_lost, starts_lost, run_ms, store_down, store_silent,
- * refused_address, cpu (capacity of each server, which it does not enforce), lists_garbled,
- * deadly_job (id of a job whose tasks crash each server that starts them), away_ms (how long a
- * crashed server is away), and drain, stay and silent, whose value is the index of a server.
+ * configuration, GET /control returns counters, GET /control/started returns the ids of the
+ * started jobs, and GET /control/servers what the servers' next heartbeats will state. The settings
+ * are lists_lost, starts_lost, run_ms, store_down, store_silent, refused_address, cpu (capacity of
+ * each server, which it does not enforce), lists_garbled, deadly_job (id of a job whose tasks crash
+ * each server that starts them), away_ms (how long a crashed server is away), and drain, stay and
+ * silent, whose value is the index of a server.
  */
 #include <arpa/inet.h>
 #include <jansson.h>
@@ -682,6 +683,23 @@
 	respond_json(request, 200, json_pack("{s:o}", "jobs", ids));
 }
 
+/* Responds with what each server's next heartbeat will state. */
+static void respond_servers(struct standin *standin, struct http_request *request)
+{
+	json_t *rows = json_array();
+
+	for (unsigned i = 0; i < standin->server_count; i++) {
+		const struct server *server = &standin->servers[i];
+		json_t *row = clock_to_json(server);
+
+		json_object_set_new(row, "id", json_string(server->id));
+		json_object_set_new(row, "addr", json_string(server->address));
+		json_object_set_new(row, "seq", json_integer(server->sequence + 1));
+		json_array_append_new(rows, row);
+	}
+	respond_json(request, 200, json_pack("{s:o}", "servers", rows));
+}
+
 static void on_store_request(void *context, struct http_request *request)
 {
 	struct standin *standin = context;
@@ -692,6 +710,8 @@
 	if (strcmp(path, "/control/config") == 0) {
 		append_record(standin, "keyed.op", "config", body, length);
 		http_respond(request, 200, NULL, "{}");
+	} else if (strcmp(path, "/control/servers") == 0) {
+		respond_servers(standin, request);
 	} else if (strcmp(path, "/control/started") == 0) {
 		respond_started_jobs(standin, request);
 	} else if (strcmp(path, "/control") == 0) {
--- a/test/unit/adapter_test.c
+++ b/test/unit/adapter_test.c
@@ -99,14 +99,14 @@
 /* Each field of a heartbeat must be parsed into its own member. */
 static void test_heartbeat(void)
 {
-	struct server_heartbeat heartbeat;
+	struct heartbeat heartbeat;
 	struct error err;
 	char *body = g_strdup_printf(HEARTBEAT, "draining");
 
 	g_assert_cmpint(server_heartbeat_parse("i-1", body, strlen(body), &heartbeat, &err), ==,
 			STATUS_OK);
-	g_assert_cmpstr(heartbeat.id, ==, "i-1");
-	g_assert_cmpstr(heartbeat.service, ==, "s");
+	g_assert_cmpstr(heartbeat.identity.id, ==, "i-1");
+	g_assert_cmpstr(heartbeat.identity.service, ==, "s");
 	g_assert_cmpuint(heartbeat.capacity.cpu, ==, 16000);
 	g_assert_cmpuint(heartbeat.capacity.memory_mb, ==, 32768);
 	g_assert_cmpuint(heartbeat.capacity.gpus, ==, 2);
@@ -114,8 +114,7 @@
 	g_assert_cmpint(heartbeat.start_time_ms, ==, 77);
 	g_assert_cmpint(heartbeat.clock_ms, ==, 482113);
 	g_assert_cmpint(heartbeat.remaining_ms, ==, 900);
-	g_assert_cmpuint(heartbeat.label_count, ==, 2);
-	server_heartbeat_clear(&heartbeat);
+	g_assert_cmpuint(heartbeat.identity.label_count, ==, 2);
 	g_free(body);
 }
 
@@ -141,7 +140,7 @@
 /* An invalid heartbeat must be rejected, because its sender is possibly not a backend server. */
 static void test_bad_heartbeats(void)
 {
-	struct server_heartbeat heartbeat;
+	struct heartbeat heartbeat;
 	struct error err;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(bad_heartbeats); i++)
--- /dev/null
+++ b/test/unit/presence_test.c
@@ -0,0 +1,282 @@
+/* Tests what an agent believes about its server, from sequences of answers and heartbeats. */
+#include <glib.h>
+#include <string.h>
+
+#include "presence.h"
+
+enum {
+	START_MS = 500000, /* start time of the server's process */
+	CLOCK_MS = 7000,   /* the server's clock at time 0 */
+	CPU = 16000,
+	INTERVAL_US = 1500 * US_PER_MS /* between two heartbeats of the server */
+};
+
+static struct heartbeat true_heartbeat(int64_t now_us)
+{
+	return (struct heartbeat){
+		.identity = {.id = "i-1",
+			     .service = "svc",
+			     .zone = "a",
+			     .labels = {"r1"},
+			     .label_count = 1},
+		.capacity = {.cpu = CPU, .memory_mb = 1000},
+		.start_time_ms = START_MS,
+		.clock_ms = CLOCK_MS + now_us / US_PER_MS,
+		.sequence = (uint64_t)(now_us / INTERVAL_US) + 1,
+		.received_us = now_us,
+	};
+}
+
+static enum answer_origin answer(struct presence *presence, int64_t start_time_ms,
+				 int64_t connected_us, int64_t now_us)
+{
+	return presence_on_answer(presence, &(struct server_answer){
+						    .start_time_ms = start_time_ms,
+						    .clock_ms = CLOCK_MS + now_us / US_PER_MS,
+						    .connected_us = connected_us,
+						    .received_us = now_us,
+					    });
+}
+
+static enum heartbeat_verdict send_heartbeat(struct presence *presence,
+					     const struct heartbeat *heartbeat)
+{
+	return presence_on_heartbeat(presence, heartbeat, heartbeat->received_us);
+}
+
+/* Sends COUNT true heartbeats, the first one at NOW_US. */
+static void send_true_heartbeats(struct presence *presence, unsigned count, int64_t now_us)
+{
+	for (unsigned i = 0; i < count; i++) {
+		struct heartbeat heartbeat = true_heartbeat(now_us + i * (int64_t)INTERVAL_US);
+
+		g_assert_cmpint(send_heartbeat(presence, &heartbeat), ==, HEARTBEAT_ACCEPTED);
+	}
+}
+
+static void set_up(struct presence *presence)
+{
+	*presence = (struct presence){0};
+	g_assert_cmpint(answer(presence, START_MS, 0, 0), ==, ANSWER_NEW_INCARNATION);
+	send_true_heartbeats(presence, 1, 0);
+}
+
+/* Judges the only unconfirmed heartbeat after an answer to a call made at ASKED_US. */
+static enum heartbeat_verdict settle(struct presence *presence, int64_t asked_us)
+{
+	enum heartbeat_verdict verdict, next;
+	struct heartbeat heartbeat;
+
+	if (!presence_next_confirmed(presence, asked_us, asked_us, &heartbeat, &verdict))
+		return HEARTBEAT_UNCONFIRMED;
+	g_assert_false(presence_next_confirmed(presence, asked_us, asked_us, &heartbeat, &next));
+	return verdict;
+}
+
+/* Guards against a heartbeat alone that begins a new incarnation, after which the server's own
+ * messages count as old. */
+static void test_start_time_of_heartbeat(void)
+{
+	static const int64_t start_times[] = {1, START_MS - 1, START_MS + 3600000, INT64_MAX};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(start_times); i++) {
+		struct heartbeat odd = true_heartbeat(1000);
+		struct presence presence;
+
+		set_up(&presence);
+		odd.start_time_ms = start_times[i];
+		g_assert_cmpint(send_heartbeat(&presence, &odd), ==, HEARTBEAT_UNCONFIRMED);
+		g_assert_true(presence_is_known(&presence));
+		g_assert_cmpint(answer(&presence, START_MS, 0, 2000), ==, ANSWER_CURRENT);
+		g_assert_cmpint(settle(&presence, 2000), ==, HEARTBEAT_OTHER_INCARNATION);
+		send_true_heartbeats(&presence, 2, INTERVAL_US);
+	}
+}
+
+/* Guards against an answer to a call made before a heartbeat arrived that rejects the heartbeat:
+ * the server may have restarted between the two. */
+static void test_restart(void)
+{
+	struct presence presence;
+	struct heartbeat first = true_heartbeat(5000);
+
+	set_up(&presence);
+	first.start_time_ms = START_MS + 10;
+	first.sequence = 1;
+	g_assert_cmpint(send_heartbeat(&presence, &first), ==, HEARTBEAT_UNCONFIRMED);
+	answer(&presence, START_MS, 0, 5000);
+	g_assert_cmpint(settle(&presence, 4000), ==, HEARTBEAT_UNCONFIRMED);
+	g_assert_cmpint(answer(&presence, START_MS + 10, 5500, 6000), ==, ANSWER_NEW_INCARNATION);
+	g_assert_false(presence_is_known(&presence));
+	g_assert_cmpint(settle(&presence, 5500), ==, HEARTBEAT_ACCEPTED);
+	g_assert_true(presence_is_known(&presence));
+	/* An answer of the old process arrives last. */
+	g_assert_cmpint(answer(&presence, START_MS, 0, 7000), ==, ANSWER_OLD);
+}
+
+/* The time of day was set back while the server restarted. Guards against a server that is ignored
+ * for good because its start time is lower than before. */
+static void test_start_time_goes_back(void)
+{
+	struct presence presence;
+
+	set_up(&presence);
+	g_assert_cmpint(answer(&presence, START_MS - 5000, 1000, 2000), ==, ANSWER_NEW_INCARNATION);
+	g_assert_cmpint(answer(&presence, START_MS, 0, 3000), ==, ANSWER_OLD);
+	g_assert_cmpint(answer(&presence, START_MS - 5000, 1000, 4000), ==, ANSWER_CURRENT);
+}
+
+/* Guards against a number far ahead in one heartbeat that makes all later ones count as old. */
+static void test_numbers_far_ahead(void)
+{
+	struct heartbeat odd = true_heartbeat(1000);
+	struct presence presence;
+
+	set_up(&presence);
+	odd.sequence = UINT64_MAX;
+	g_assert_cmpint(send_heartbeat(&presence, &odd), ==, HEARTBEAT_ACCEPTED);
+	odd = true_heartbeat(2000);
+	odd.clock_ms = INT64_MAX;
+	g_assert_cmpint(send_heartbeat(&presence, &odd), ==, HEARTBEAT_UNCONFIRMED);
+	answer(&presence, START_MS, 0, 3000);
+	g_assert_cmpint(settle(&presence, 3000), ==, HEARTBEAT_CLOCK_AHEAD);
+	send_true_heartbeats(&presence, 2, INTERVAL_US);
+	g_assert_cmpint(presence.last.sequence, ==, 3);
+}
+
+/* A process or its host stood still, so the server's clock is ahead of what the agent expects.
+ * Guards against true heartbeats that are refused until the next one. */
+static void test_clock_after_freeze(void)
+{
+	struct heartbeat heartbeat = true_heartbeat(INTERVAL_US);
+	struct presence presence;
+
+	set_up(&presence);
+	heartbeat.clock_ms += 3000;
+	g_assert_cmpint(send_heartbeat(&presence, &heartbeat), ==, HEARTBEAT_UNCONFIRMED);
+	presence_on_answer(&presence, &(struct server_answer){.start_time_ms = START_MS,
+							      .clock_ms = heartbeat.clock_ms + 1,
+							      .received_us = INTERVAL_US + 1000});
+	g_assert_cmpint(settle(&presence, INTERVAL_US + 500), ==, HEARTBEAT_ACCEPTED);
+}
+
+/* Guards against one heartbeat that takes a draining server into use again, and against a sound
+ * server that stays out of use for more than two heartbeats after one said that it drains. */
+static void test_draining(void)
+{
+	struct heartbeat heartbeat = true_heartbeat(1000);
+	struct presence presence;
+
+	set_up(&presence);
+	heartbeat.draining = true;
+	send_heartbeat(&presence, &heartbeat);
+	g_assert_true(presence.leaving);
+	send_true_heartbeats(&presence, 1, INTERVAL_US);
+	g_assert_true(presence.leaving);
+	send_true_heartbeats(&presence, 1, 2 * INTERVAL_US);
+	g_assert_false(presence.leaving);
+}
+
+/* Guards against a deregistration of the process before a restart that takes the new one out of
+ * use, and against one heartbeat that takes a deregistered server into use again. */
+static void test_deregistration(void)
+{
+	struct presence presence;
+
+	set_up(&presence);
+	g_assert_false(presence_on_deregistration(&presence, "i-1", START_MS - 1));
+	g_assert_false(presence_on_deregistration(&presence, "i-2", START_MS));
+	g_assert_false(presence.leaving);
+	g_assert_true(presence_on_deregistration(&presence, "i-1", 0));
+	send_true_heartbeats(&presence, 1, INTERVAL_US);
+	g_assert_true(presence.leaving);
+}
+
+/* Guards against starts beyond the resources of the server after one wrong heartbeat. */
+static void test_resources(void)
+{
+	struct heartbeat heartbeat = true_heartbeat(1000);
+	struct presence presence;
+
+	set_up(&presence);
+	heartbeat.capacity.cpu = UINT32_MAX;
+	send_heartbeat(&presence, &heartbeat);
+	g_assert_cmpuint(presence.resources.cpu, ==, CPU);
+	send_true_heartbeats(&presence, 1, INTERVAL_US);
+	g_assert_cmpuint(presence.resources.cpu, ==, CPU);
+	heartbeat = true_heartbeat(2 * INTERVAL_US);
+	heartbeat.capacity.cpu = CPU / 2;
+	send_heartbeat(&presence, &heartbeat);
+	g_assert_cmpuint(presence.resources.cpu, ==, CPU / 2);
+}
+
+/* Guards against one heartbeat that moves the server to another service, zone or id. */
+static void test_identity(void)
+{
+	struct heartbeat odd = true_heartbeat(INTERVAL_US + 1000);
+	struct presence presence;
+	uint32_t version;
+
+	set_up(&presence);
+	send_true_heartbeats(&presence, 1, INTERVAL_US);
+	version = presence.identity_version;
+	g_strlcpy(odd.identity.service, "other", NAME_BYTES);
+	odd.draining = true;
+	g_assert_cmpint(send_heartbeat(&presence, &odd), ==, HEARTBEAT_OTHER_IDENTITY);
+	g_assert_true(presence_is_known(&presence));
+	g_assert_false(presence.leaving);
+	g_assert_cmpuint(presence.identity_version, ==, version);
+	g_assert_cmpstr(presence.identity.service, ==, "svc");
+}
+
+/* The first heartbeat that an agent sees is wrong. Guards against a wrong identity that stays for
+ * the life of the server; the server is not used until two heartbeats agree. */
+static void test_wrong_identity_first(void)
+{
+	struct heartbeat odd = true_heartbeat(0);
+	struct heartbeat heartbeat = true_heartbeat(INTERVAL_US);
+	struct presence presence = {0};
+
+	answer(&presence, START_MS, 0, 0);
+	g_strlcpy(odd.identity.service, "other", NAME_BYTES);
+	g_assert_cmpint(send_heartbeat(&presence, &odd), ==, HEARTBEAT_ACCEPTED);
+	g_assert_cmpint(send_heartbeat(&presence, &heartbeat), ==, HEARTBEAT_OTHER_IDENTITY);
+	g_assert_false(presence_is_known(&presence));
+	heartbeat = true_heartbeat(2 * INTERVAL_US);
+	g_assert_cmpint(send_heartbeat(&presence, &heartbeat), ==, HEARTBEAT_ACCEPTED);
+	g_assert_true(presence_is_known(&presence));
+	g_assert_cmpstr(presence.identity.service, ==, "svc");
+}
+
+/* Guards against a flood of wrong heartbeats that keeps a true one from being confirmed, and
+ * against unconfirmed ones that are kept without a bound. */
+static void test_many_unconfirmed(void)
+{
+	struct heartbeat odd = true_heartbeat(1000);
+	struct presence presence = {0};
+
+	odd.start_time_ms = INT64_MAX;
+	for (int i = 0; i < 100; i++)
+		send_heartbeat(&presence, &odd);
+	g_assert_cmpuint(presence.unconfirmed_count, ==, PRESENCE_UNCONFIRMED_MAX);
+	answer(&presence, START_MS, 0, 2000);
+	send_true_heartbeats(&presence, 1, INTERVAL_US);
+	g_assert_true(presence_is_known(&presence));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/presence/start_time_of_heartbeat", test_start_time_of_heartbeat);
+	g_test_add_func("/presence/restart", test_restart);
+	g_test_add_func("/presence/start_time_goes_back", test_start_time_goes_back);
+	g_test_add_func("/presence/numbers_far_ahead", test_numbers_far_ahead);
+	g_test_add_func("/presence/clock_after_freeze", test_clock_after_freeze);
+	g_test_add_func("/presence/draining", test_draining);
+	g_test_add_func("/presence/deregistration", test_deregistration);
+	g_test_add_func("/presence/resources", test_resources);
+	g_test_add_func("/presence/identity", test_identity);
+	g_test_add_func("/presence/wrong_identity_first", test_wrong_identity_first);
+	g_test_add_func("/presence/many_unconfirmed", test_many_unconfirmed);
+	return g_test_run();
+}
