--- a/test/unit/presence_test.c
+++ b/test/unit/presence_test.c
@@ -264,6 +264,84 @@
 	g_assert_true(presence_is_known(&presence));
 }
 
+/* Returns a heartbeat as the server would send it at NOW_US, with one field of another value. */
+static struct heartbeat draw_odd_heartbeat(int64_t now_us)
+{
+	static const int64_t numbers[] = {
+		0, 1, INT32_MAX, UINT32_MAX, INT64_MAX, START_MS - 1, START_MS + 3600000};
+	struct heartbeat odd = true_heartbeat(now_us);
+	int64_t number = numbers[g_test_rand_int_range(0, G_N_ELEMENTS(numbers))];
+
+	switch (g_test_rand_int_range(0, 8)) {
+	case 0:
+		odd.start_time_ms = number;
+		break;
+	case 1:
+		odd.clock_ms = number;
+		break;
+	case 2:
+		odd.sequence = (uint64_t)number;
+		break;
+	case 3:
+		odd.capacity.cpu = (uint32_t)number;
+		break;
+	case 4:
+		odd.draining = true;
+		break;
+	case 5:
+		g_strlcpy(odd.identity.id, "i-2", NAME_BYTES);
+		break;
+	case 6:
+		g_strlcpy(odd.identity.service, "other", NAME_BYTES);
+		break;
+	default:
+		odd.identity.label_count = 0;
+		break;
+	}
+	return odd;
+}
+
+/* Another writer posts a heartbeat with one wrong field at any time between two of the server's,
+ * but not after each of them. Guards against a sequence of such heartbeats that does what no single
+ * one does: ends the incarnation, adds resources, hides that the server drains, or takes a sound
+ * server out of use for more than two of its heartbeats. */
+static void test_random_heartbeats(void)
+{
+	for (int history = 0; history < 2000; history++) {
+		int drains_at = g_test_rand_int_range(3, 40);
+		struct presence presence;
+
+		set_up(&presence);
+		for (int i = 1; i < 40; i++) {
+			int64_t now_us = i * (int64_t)INTERVAL_US;
+			struct heartbeat heartbeat = true_heartbeat(now_us);
+
+			answer(&presence, START_MS, 0, now_us);
+			if (i % 3 == 1) {
+				struct heartbeat odd = draw_odd_heartbeat(
+					now_us - g_test_rand_int_range(1000, INTERVAL_US / 2));
+
+				send_heartbeat(&presence, &odd);
+				answer(&presence, START_MS, 0, now_us);
+				settle(&presence, now_us);
+			}
+			heartbeat.draining = i >= drains_at;
+			send_heartbeat(&presence, &heartbeat);
+			g_assert_cmpint(presence.start_time_ms, ==, START_MS);
+			g_assert_cmpuint(presence.resources.cpu, <=, CPU);
+			if (i >= drains_at) {
+				g_assert_true(presence.leaving);
+			} else if (i % 3 == 0) {
+				g_assert_true(presence_is_known(&presence));
+				g_assert_false(presence.leaving);
+				g_assert_cmpuint(presence.resources.cpu, ==, CPU);
+				g_assert_cmpstr(presence.identity.service, ==, "svc");
+				g_assert_cmpstr(presence.identity.id, ==, "i-1");
+			}
+		}
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -278,5 +356,6 @@
 	g_test_add_func("/presence/identity", test_identity);
 	g_test_add_func("/presence/wrong_identity_first", test_wrong_identity_first);
 	g_test_add_func("/presence/many_unconfirmed", test_many_unconfirmed);
+	g_test_add_func("/presence/random_heartbeats", test_random_heartbeats);
 	return g_test_run();
 }
