--- a/test/functional/hostile_peer_test.c
+++ b/test/functional/hostile_peer_test.c
@@ -1,155 +1,35 @@
 /* Sends random frames to the peer port of an entry in platform mode. Guards against a hostile or
  * broken peer whose messages crash the process or disturb the jobs of clients. */
-#include <arpa/inet.h>
 #include <signal.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include "dispatch.pb-c.h"
-#include "harness.h"
+#include "harness_peer.h"
 
 enum {
 	CONNECTIONS = 300,
 	FRAMES_PER_CONNECTION = 20,
 	CONNECTION_INTERVAL_US = 3000, /* between two connections */
-	TIMEOUT_MS = 10000,
-	IDENT_BYTES = 16,
-	HEADER_BYTES = 4,
 	PROTOCOL_VERSION = 1,
 	LIST_CAPACITY = 6
 };
 
-static const char config_document[] =
-	"{\"version\":5,\"routes\":[{\"name\":\"r\",\"host\":\"127.0.0.2\",\"pathPrefix\":\"/q/\","
-	"\"service\":\"svc\",\"priority\":0,\"maxAttempts\":2,\"stretchFactor\":1.6,"
-	"\"targetRuntimeMs\":2000,\"timeoutMs\":3000}],\"services\":[],\"limits\":{}}";
-
-struct cluster {
-	struct harness *harness;
-	struct harness_process *entry;
-	int peer_port;
-	char *store_url;
-	char *client_url;
-	char *ready_url;
-};
-
-static struct harness_process *spawn_daemon(struct cluster *cluster, const char *name,
-					    const char *settings)
-{
-	char *file = g_strdup_printf("%s/%s.json", cluster->harness->directory, name);
-	const char *argv[] = {GG_BUILD_DIR "/packages/greengaged/greengaged", "--settings", file,
-			      NULL};
-	struct harness_process *process;
-
-	g_assert_true(g_file_set_contents(file, settings, -1, NULL));
-	process = harness_spawn(cluster->harness, name, argv);
-	g_free(file);
-	return process;
-}
-
-/* Starts one entry, one agent, its backend server and the configuration store. */
-static void start_cluster(struct cluster *cluster)
-{
-	int store_port = harness_reserve_port();
-	int server_port = harness_reserve_port();
-	int control_port = harness_reserve_port();
-	int client_port = harness_reserve_port();
-	int ready_port = harness_reserve_port();
-	char *store = g_strdup_printf("127.0.0.1:%d", store_port);
-	char *server_addresses =
-		g_strdup_printf("127.0.0.1:%d=127.0.0.1:%d", server_port, control_port);
-	const char *platform[] = {GG_BUILD_DIR "/test/standin/standin_platform", store,
-				  server_addresses, NULL};
-	char *settings;
-
-	*cluster = (struct cluster){.harness = harness_new(), .peer_port = harness_reserve_port()};
-	cluster->store_url = g_strdup_printf("http://%s", store);
-	cluster->client_url = g_strdup_printf("http://127.0.0.2:%d", client_port);
-	cluster->ready_url = g_strdup_printf("http://127.0.0.2:%d", ready_port);
-	harness_spawn(cluster->harness, "platform", platform);
-	HARNESS_WAIT(TIMEOUT_MS,
-		     harness_status("GET", cluster->store_url, "/control", NULL) == 200);
-	g_assert_cmpint(
-		harness_status("POST", cluster->store_url, "/control/config", config_document), ==,
-		200);
-	settings = g_strdup_printf(
-		"{\"mode\":\"platform\",\"role\":\"entry\",\"name\":\"entry0\",\"zone\":\"a\","
-		"\"listen\":{\"clients\":\"127.0.0.2:%d\",\"readiness\":\"127.0.0.2:%d\"},"
-		"\"peers\":{\"ip\":\"127.0.0.2\",\"port\":%d,\"seeds\":[]},"
-		"\"store\":{\"address\":\"%s\"},\"limits\":{\"grace_s\":6.0}}",
-		client_port, ready_port, cluster->peer_port, store);
-	cluster->entry = spawn_daemon(cluster, "entry0", settings);
-	g_free(settings);
-	settings = g_strdup_printf(
-		"{\"mode\":\"platform\",\"role\":\"agent\",\"name\":\"agent0\",\"zone\":\"a\","
-		"\"listen\":{\"control\":\"127.0.0.1:%d\"},"
-		"\"peers\":{\"ip\":\"127.0.0.1\",\"port\":%d,\"seeds\":[\"127.0.0.2:1\"]},"
-		"\"server\":{\"address\":\"127.0.0.1:%d\"},\"store\":{\"address\":\"%s\"}}",
-		control_port, cluster->peer_port, server_port, store);
-	spawn_daemon(cluster, "agent0", settings);
-	g_free(settings);
-	g_free(server_addresses);
-	g_free(store);
-	HARNESS_WAIT(TIMEOUT_MS, harness_status("GET", cluster->ready_url, "/greengagefront/readyz",
-						NULL) == 200);
-}
-
-static void stop_cluster(struct cluster *cluster)
-{
-	g_free(cluster->store_url);
-	g_free(cluster->client_url);
-	g_free(cluster->ready_url);
-	harness_free(cluster->harness);
-}
-
-static int connect_to_entry(const struct cluster *cluster)
-{
-	struct sockaddr_in address = {.sin_family = AF_INET,
-				      .sin_port = htons((uint16_t)cluster->peer_port)};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	inet_pton(AF_INET, "127.0.0.2", &address.sin_addr);
-	g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)), ==, 0);
-	return fd;
-}
-
-/* Sends a frame. Errors are ignored because the entry may have closed the connection. */
-static void send_frame(int fd, const uint8_t *content, size_t length)
-{
-	uint32_t header = htonl((uint32_t)length);
-
-	if (send(fd, &header, HEADER_BYTES, MSG_NOSIGNAL) == HEADER_BYTES)
-		(void)!send(fd, content, length, MSG_NOSIGNAL);
-}
-
-static void send_message(int fd, const Ggd__Frame *frame)
-{
-	size_t length = ggd__frame__get_packed_size(frame);
-	uint8_t *bytes = g_malloc(length + 1);
-
-	ggd__frame__pack(frame, bytes);
-	send_frame(fd, bytes, length);
-	g_free(bytes);
-}
-
-static void send_hello(int fd, GRand *rand, bool as_entry)
+static void send_hello(struct peer_conn *conn, GRand *rand, bool as_entry)
 {
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	Ggd__Hello hello = GGD__HELLO__INIT;
-	uint8_t incarnation[IDENT_BYTES];
+	uint8_t incarnation[PEER_IDENT_BYTES];
 
-	for (int i = 0; i < IDENT_BYTES; i++)
+	for (int i = 0; i < PEER_IDENT_BYTES; i++)
 		incarnation[i] = (uint8_t)g_rand_int_range(rand, 0, 256);
 	hello.incarnation.data = incarnation;
-	hello.incarnation.len = IDENT_BYTES;
+	hello.incarnation.len = PEER_IDENT_BYTES;
 	hello.name = (char *)(g_rand_boolean(rand) ? "agent0" : "stranger");
 	hello.zone = (char *)"a";
 	hello.address = (char *)(as_entry ? "127.0.0.9:1" : "");
 	hello.protocol = PROTOCOL_VERSION;
 	frame.body_case = GGD__FRAME__BODY_HELLO;
 	frame.hello = &hello;
-	send_message(fd, &frame);
+	peer_send(conn, &frame);
 }
 
 /* Returns, with equal probability, a number near UINT64_MAX, any number, a number whose upper and
@@ -175,7 +55,7 @@
 }
 
 /* Sends a report with random content, which may refer to real runs. */
-static void send_report(int fd, GRand *rand)
+static void send_report(struct peer_conn *conn, GRand *rand)
 {
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	Ggd__Report report = GGD__REPORT__INIT;
@@ -227,10 +107,10 @@
 	report.inventory = g_rand_boolean(rand) ? &inventory : NULL;
 	frame.body_case = GGD__FRAME__BODY_REPORT;
 	frame.report = &report;
-	send_message(fd, &frame);
+	peer_send(conn, &frame);
 }
 
-static void send_peer_state(int fd, GRand *rand)
+static void send_peer_state(struct peer_conn *conn, GRand *rand)
 {
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	Ggd__PeerState state = GGD__PEER_STATE__INIT;
@@ -254,10 +134,10 @@
 	state.n_queued = (size_t)g_rand_int_range(rand, 0, LIST_CAPACITY);
 	frame.body_case = GGD__FRAME__BODY_PEER;
 	frame.peer = &state;
-	send_message(fd, &frame);
+	peer_send(conn, &frame);
 }
 
-static void send_config(int fd, GRand *rand)
+static void send_config(struct peer_conn *conn, GRand *rand)
 {
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	Ggd__ConfigDocument document = GGD__CONFIG_DOCUMENT__INIT;
@@ -268,48 +148,48 @@
 	document.document.len = (size_t)g_rand_int_range(rand, 0, sizeof(text));
 	frame.body_case = GGD__FRAME__BODY_CONFIG;
 	frame.config = &document;
-	send_message(fd, &frame);
+	peer_send(conn, &frame);
 }
 
-static void send_garbage(int fd, GRand *rand)
+static void send_garbage(struct peer_conn *conn, GRand *rand)
 {
 	uint8_t bytes[64];
 
 	for (size_t i = 0; i < sizeof(bytes); i++)
 		bytes[i] = (uint8_t)g_rand_int_range(rand, 0, 256);
-	send_frame(fd, bytes, (size_t)g_rand_int_range(rand, 0, sizeof(bytes)));
+	peer_send_bytes(conn, bytes, (size_t)g_rand_int_range(rand, 0, sizeof(bytes)));
 }
 
-static void send_random_frames(const struct cluster *cluster, GRand *rand)
+static void send_random_frames(const struct peer_cluster *cluster, GRand *rand)
 {
-	int fd = connect_to_entry(cluster);
+	struct peer_conn conn = peer_connect(cluster);
 
 	if (g_rand_int_range(rand, 0, 10) > 0)
-		send_hello(fd, rand, g_rand_boolean(rand));
+		send_hello(&conn, rand, g_rand_boolean(rand));
 	for (int i = 0; i < FRAMES_PER_CONNECTION; i++) {
 		switch (g_rand_int_range(rand, 0, 20)) {
 		case 0:
-			send_garbage(fd, rand);
+			send_garbage(&conn, rand);
 			break;
 		case 1:
-			send_config(fd, rand);
+			send_config(&conn, rand);
 			break;
 		case 2:
 		case 3:
 		case 4:
 		case 5:
-			send_peer_state(fd, rand);
+			send_peer_state(&conn, rand);
 			break;
 		default:
-			send_report(fd, rand);
+			send_report(&conn, rand);
 			break;
 		}
 	}
-	close(fd);
+	peer_close(&conn);
 }
 
 struct job_sender {
-	struct cluster *cluster;
+	struct peer_cluster *cluster;
 	unsigned completed;
 	gint stop; /* atomic */
 };
@@ -342,10 +222,11 @@
 {
 	GRand *rand = g_rand_new_with_seed(g_test_rand_int_range(0, INT32_MAX));
 	struct job_sender sender = {0};
-	struct cluster cluster;
+	struct peer_cluster cluster;
 	GThread *thread;
 
-	start_cluster(&cluster);
+	peer_cluster_start(&cluster, true, true);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, peer_cluster_is_ready(&cluster));
 	sender.cluster = &cluster;
 	thread = g_thread_new("client", send_jobs, &sender);
 	for (int i = 0; i < CONNECTIONS; i++) {
@@ -355,15 +236,15 @@
 	g_atomic_int_set(&sender.stop, 1);
 	g_thread_join(thread);
 	g_test_message("%u jobs completed meanwhile", sender.completed);
-	HARNESS_WAIT(TIMEOUT_MS,
+	HARNESS_WAIT(PEER_TIMEOUT_MS,
 		     harness_status("POST", cluster.client_url, "/q/00000000ffffffff",
 				    "{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{\"count\":1,"
 				    "\"cpu\":1000,\"memMb\":64,\"estMs\":100}]}") == 200);
 	/* Nothing restarts the entry, so exit status 0 on SIGTERM shows that it never crashed. */
 	harness_signal(cluster.entry, SIGTERM);
-	g_assert_cmpint(harness_wait_exit(cluster.entry, TIMEOUT_MS), ==, 0);
+	g_assert_cmpint(harness_wait_exit(cluster.entry, PEER_TIMEOUT_MS), ==, 0);
 	g_rand_free(rand);
-	stop_cluster(&cluster);
+	peer_cluster_stop(&cluster);
 }
 
 int main(int argc, char **argv)
