entry: a namesake of a lost agent does not settle the runs of that agent

Seen: an agent whose connection is lost for a moment has a namesake: another process connects under its name. The entry takes the namesake for a restart of the agent and, on its first report without unsettled runs, declares all runs of the agent lost and starts their tasks again while they go on (two runs of a task at the same time). If the agent had connected again in between, the entry also removed the server of that live connection, and the next report of the agent ended the entry by a signal.

Cause: the name in the hello message alone made a process the successor, and once it was that, it stayed so when the first process came back.

Now an agent speaks for the runs of an earlier process of its name only while that process is not connected, and only beside the same process of the backend server, whose lists it has read. Otherwise these runs are settled as those of any lost agent: when the server has been disconnected for so long that its leases have ended. A process that connects again keeps its runs.

--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -34,8 +34,8 @@
 	/* Handle under which the server was known before the agent dropped this entry, until the
 	 * runs of that time are settled. A zero handle if none. */
 	struct handle former_server;
-	/* Earlier process of the agent with the same name, while runs of that process may be
-	 * unsettled; otherwise NULL. */
+	/* Disconnected process with the same name, while runs of that process may be unsettled;
+	 * otherwise NULL. */
 	struct agent_peer *predecessor;
 	bool config_requested; /* on this connection, and not answered yet */
 };
@@ -49,7 +49,8 @@
 	g_free(order);
 }
 
-static void remove_agent(struct node_entry *entry, struct agent_peer *agent)
+/* Ends the relation of AGENT to the later processes with its name. */
+static void clear_successors(struct node_entry *entry, const struct agent_peer *agent)
 {
 	for (guint i = 0; i < entry->agents->len; i++) {
 		struct agent_peer *other = entry->agents->pdata[i];
@@ -57,6 +58,11 @@
 		if (other->predecessor == agent)
 			other->predecessor = NULL;
 	}
+}
+
+static void remove_agent(struct node_entry *entry, struct agent_peer *agent)
+{
+	clear_successors(entry, agent);
 	g_ptr_array_remove_fast(entry->agents, agent);
 	g_ptr_array_free(agent->starts, TRUE);
 	g_array_free(agent->stops, TRUE);
@@ -100,24 +106,36 @@
 		.cpu = server->cpu, .memory_mb = server->memory_mb, .gpus = server->gpus};
 }
 
+/* Settles the predecessor's server once the agent is known to serve the same process of it. Beside
+ * another one, the agent has not seen the predecessor's runs: they are settled when the server has
+ * been disconnected for long enough. */
+static void settle_predecessor(struct agent_peer *agent, int64_t now_us)
+{
+	struct dispatch *dispatch = &agent->entry->dispatch;
+	struct agent_peer *predecessor = agent->predecessor;
+	const struct fleet_server *server = fleet_get(&dispatch->fleet, agent->server);
+	const struct fleet_server *former = NULL;
+
+	if (predecessor->has_server)
+		former = fleet_get(&dispatch->fleet, predecessor->server);
+	if (former && strcmp(former->id, server->id) != 0)
+		return;
+	if (former)
+		dispatch_server_settled(dispatch, predecessor->server, now_us);
+	remove_agent(agent->entry, predecessor);
+}
+
 /* Settles the agent's former server and that of its predecessor once the agent reports no unsettled
  * runs. By then the agent has stopped all runs that this entry had ordered from it or from its
- * predecessor. */
+ * predecessor at the same server. */
 static void settle_former_servers(struct agent_peer *agent, const Ggd__Room *room, int64_t now_us)
 {
-	struct agent_peer *predecessor = agent->predecessor;
-
 	if (room->unsettled > 0)
 		return;
 	dispatch_server_settled(&agent->entry->dispatch, agent->former_server, now_us);
 	agent->former_server = (struct handle){0};
-	if (!predecessor)
-		return;
-	agent->predecessor = NULL;
-	if (predecessor->has_server)
-		dispatch_server_settled(&agent->entry->dispatch, predecessor->server, now_us);
-	if (!predecessor->link)
-		remove_agent(agent->entry, predecessor);
+	if (agent->predecessor)
+		settle_predecessor(agent, now_us);
 }
 
 static void handle_inventory(struct agent_peer *agent, const Ggd__Inventory *inventory,
@@ -366,6 +384,8 @@
 		node_link_close(old);
 	}
 	event_log(EVENT_CHANNEL_OPENED, EV_S("agent", agent->name));
+	/* It has not ended, so a later process with its name does not speak for its runs. */
+	clear_successors(entry, agent);
 	agent->link = link;
 	agent->last_orders_number = 0;
 	agent->awaiting_inventory = true;
--- /dev/null
+++ b/test/functional/stale_peer_test.c
@@ -0,0 +1,274 @@
+/* Plays agents to a real entry, and an entry to a real agent. Guards against messages that are
+ * valid but stale, repeated or from another process, and that make the receiver believe that a run
+ * has ended or never started while it goes on. */
+#include <string.h>
+
+#include "harness_peer.h"
+
+enum {
+	SERVE_INTERVAL_US = 20000, /* between two reports of a played agent */
+	PAUSE_MS = 500,		   /* for orders that must not arrive */
+	TURN_MS = 100,		   /* less than the time after which a silent agent is lost */
+	TURNS = 3,
+	SERVER_CPU = 8000,
+	SPEED_PERMILLE = 1000,
+	US_PER_MS = 1000,
+	OUTCOME_DONE = 1 /* RUN_DONE */
+};
+
+/* An agent process that the test plays. */
+struct played_agent {
+	struct peer_conn conn;
+	uint8_t incarnation;
+	const char *name;
+	const char *server;
+	bool greeted;	/* the entry's hello message has arrived */
+	bool connected; /* the inventory was sent */
+	GArray *starts; /* uint64_t, runs that the entry has ordered */
+};
+
+static struct played_agent new_agent(uint8_t incarnation, const char *name, const char *server)
+{
+	return (struct played_agent){
+		.conn.fd = -1,
+		.incarnation = incarnation,
+		.name = name,
+		.server = server,
+		.starts = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
+	};
+}
+
+static void send_report(struct played_agent *agent, Ggd__Report *report)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__Room room = GGD__ROOM__INIT;
+	Ggd__Server server = GGD__SERVER__INIT;
+
+	room.ready = true;
+	room.cpu = SERVER_CPU;
+	room.memory_mb = SERVER_CPU;
+	room.speed = SPEED_PERMILLE;
+	server.id = (char *)agent->server;
+	server.service = (char *)"svc";
+	server.zone = (char *)"a";
+	server.cpu = SERVER_CPU;
+	server.memory_mb = SERVER_CPU;
+	report->room = &room;
+	report->server = &server;
+	frame.body_case = GGD__FRAME__BODY_REPORT;
+	frame.report = report;
+	peer_send(&agent->conn, &frame);
+}
+
+/* Sends the first report on a connection. RUNS are the runs that the agent still knows of an
+ * earlier connection, or NULL if the entry is new to it. */
+static void send_inventory(struct played_agent *agent, GArray *runs)
+{
+	Ggd__Report report = GGD__REPORT__INIT;
+	Ggd__Inventory inventory = GGD__INVENTORY__INIT;
+
+	inventory.remembered = runs != NULL;
+	inventory.runs = runs ? (uint64_t *)(void *)runs->data : NULL;
+	inventory.n_runs = runs ? runs->len : 0;
+	report.inventory = &inventory;
+	send_report(agent, &report);
+	agent->connected = true;
+}
+
+static void send_done(struct played_agent *agent, uint64_t run)
+{
+	Ggd__Report report = GGD__REPORT__INIT;
+	Ggd__RunEnd end = GGD__RUN_END__INIT;
+	Ggd__RunEnd *ends[] = {&end};
+
+	end.run = run;
+	end.outcome = OUTCOME_DONE;
+	end.elapsed_ms = 1;
+	report.number = 1;
+	report.ends = ends;
+	report.n_ends = 1;
+	send_report(agent, &report);
+}
+
+static void connect_agent(struct played_agent *agent, const struct peer_cluster *cluster)
+{
+	agent->conn = peer_connect(cluster);
+	agent->greeted = false;
+	agent->connected = false;
+	peer_send_hello(&agent->conn, agent->incarnation, agent->name, "");
+}
+
+static void record_starts(struct played_agent *agent, const Ggd__Orders *orders)
+{
+	for (size_t i = 0; i < orders->n_starts; i++)
+		g_array_append_vals(agent->starts, orders->starts[i]->runs,
+				    (guint)orders->starts[i]->n_runs);
+}
+
+/* Reads what the entry has sent, and sends a report as a heartbeat. Returns whether the agent is
+ * connected. */
+static bool serve(struct played_agent *agent)
+{
+	Ggd__Report report = GGD__REPORT__INIT;
+	Ggd__Frame *frame;
+
+	while (agent->conn.received && (frame = peer_receive(&agent->conn))) {
+		agent->greeted = true;
+		if (frame->body_case == GGD__FRAME__BODY_ORDERS)
+			record_starts(agent, frame->orders);
+		ggd__frame__free_unpacked(frame, NULL);
+	}
+	if (agent->conn.fd < 0)
+		return false;
+	if (agent->connected)
+		send_report(agent, &report);
+	return true;
+}
+
+static void serve_for(struct played_agent *agent, int64_t ms)
+{
+	int64_t end = g_get_monotonic_time() + ms * US_PER_MS;
+
+	while (g_get_monotonic_time() < end) {
+		serve(agent);
+		g_usleep(SERVE_INTERVAL_US);
+	}
+}
+
+static bool has_starts(struct played_agent *agent, guint count)
+{
+	serve(agent);
+	return agent->starts->len >= count;
+}
+
+static bool is_greeted(struct played_agent *agent)
+{
+	serve(agent);
+	return agent->greeted;
+}
+
+static bool makes_ready(struct played_agent *agent, const struct peer_cluster *cluster)
+{
+	serve(agent);
+	return peer_cluster_is_ready(cluster);
+}
+
+static void free_agent(struct played_agent *agent)
+{
+	peer_close(&agent->conn);
+	g_array_free(agent->starts, TRUE);
+}
+
+static uint64_t first_run(const struct played_agent *agent)
+{
+	return g_array_index(agent->starts, uint64_t, 0);
+}
+
+/* A job of one task whose request waits on a separate thread. */
+struct submission {
+	const struct peer_cluster *cluster;
+	GThread *thread;
+	struct harness_reply reply;
+};
+
+static void *run_submission(void *context)
+{
+	struct submission *submission = context;
+
+	submission->reply =
+		harness_call("POST", submission->cluster->client_url, "/q/0000000000000001",
+			     "{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{\"count\":1,"
+			     "\"cpu\":1000,\"memMb\":64,\"estMs\":100}]}");
+	return NULL;
+}
+
+static void submit(struct submission *submission, const struct peer_cluster *cluster)
+{
+	submission->cluster = cluster;
+	submission->thread = g_thread_new("client", run_submission, submission);
+}
+
+/* Checks that the job was done. */
+static void check_done(struct submission *submission)
+{
+	g_thread_join(submission->thread);
+	g_assert_cmpint(submission->reply.status, ==, 200);
+	g_assert_cmpstr(json_string_value(json_object_get(submission->reply.body, "state")), ==,
+			"completed");
+	harness_reply_clear(&submission->reply);
+}
+
+/* Starts an entry and AGENT, and submits a job whose run the agent has received on return. */
+static void start_run(struct peer_cluster *cluster, struct played_agent *agent,
+		      struct submission *submission)
+{
+	peer_cluster_start(cluster, true, false);
+	connect_agent(agent, cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(agent));
+	send_inventory(agent, NULL);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, makes_ready(agent, cluster));
+	submit(submission, cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_starts(agent, 1));
+}
+
+/* An agent beside another server that has the name of one whose connection is lost must not make
+ * the entry start that one's runs again before these can have ended. */
+static void test_namesake_beside_another_server(void)
+{
+	struct played_agent agent = new_agent(1, "host", "i-1");
+	struct played_agent namesake = new_agent(2, "host", "i-2");
+	struct submission submission;
+	struct peer_cluster cluster;
+
+	start_run(&cluster, &agent, &submission);
+	peer_close(&agent.conn);
+	connect_agent(&namesake, &cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(&namesake));
+	send_inventory(&namesake, NULL);
+	serve_for(&namesake, PAUSE_MS);
+	g_assert_cmpuint(namesake.starts->len, ==, 0);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_starts(&namesake, 1));
+	send_done(&namesake, first_run(&namesake));
+	check_done(&submission);
+	free_agent(&agent);
+	free_agent(&namesake);
+	peer_cluster_stop(&cluster);
+}
+
+/* An agent that connects again after another process has taken its name must keep its runs. */
+static void test_agent_returns_beside_namesake(void)
+{
+	struct played_agent agent = new_agent(1, "host", "i-1");
+	struct played_agent namesake = new_agent(2, "host", "i-1");
+	struct submission submission;
+	struct peer_cluster cluster;
+
+	start_run(&cluster, &agent, &submission);
+	peer_close(&agent.conn);
+	connect_agent(&namesake, &cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(&namesake));
+	connect_agent(&agent, &cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(&agent));
+	send_inventory(&agent, agent.starts);
+	serve_for(&agent, TURN_MS);
+	send_inventory(&namesake, NULL);
+	for (int i = 0; i < TURNS; i++) {
+		serve_for(&agent, TURN_MS);
+		serve_for(&namesake, TURN_MS);
+	}
+	g_assert_cmpuint(agent.starts->len + namesake.starts->len, ==, 1);
+	send_done(&agent, first_run(&agent));
+	check_done(&submission);
+	free_agent(&agent);
+	free_agent(&namesake);
+	peer_cluster_stop(&cluster);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/stale_peer/namesake/beside_another_server",
+			test_namesake_beside_another_server);
+	g_test_add_func("/stale_peer/namesake/agent_returns", test_agent_returns_beside_namesake);
+	return g_test_run();
+}
