entry: a given-up connection of an agent does not replace a later one

Seen: an agent gives a connection up and opens another, on which the entry orders a run. Then the entry reads the hello message and the inventory of the first one. It takes that for the agent's newest connection, closes the true one, finds the run missing from the inventory and counts it as never started: its task is ordered again while it runs, and a client may be told that nothing ran.

Cause: each hello message of a known process replaced its connection, whichever of the two was the older one. The entry closes a connection without a hello message after 200 ms, so the message must be late by less than that.

An agent sends an inventory only after it has read the entry's hello message, which the entry sends when it accepts the connection, and it connects again only after it has given up the last connection. The order in which the entry has accepted the connections is therefore their order at the agent, and needs no number in a message that a sender could get wrong. Links are now numbered when they are created, and a hello message on an older link than the newest of that process closes the link.

--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -20,6 +20,7 @@
 	struct ident incarnation;
 	char name[NAME_BYTES];
 	struct node_link *link;	       /* NULL while disconnected */
+	uint64_t last_link_number;     /* highest number of its links */
 	struct handle server;	       /* its backend server in the dispatcher */
 	bool has_server;	       /* `server` has been set */
 	bool awaiting_inventory;       /* no inventory has arrived on this connection yet */
@@ -377,6 +378,12 @@
 {
 	struct agent_peer *agent = find_or_add_agent(entry, hello);
 
+	/* An agent connects again only after it has given up its last connection. The hello message
+	 * and the inventory of that one may still be read, but do not cover the orders sent since.
+	 */
+	if (node_link_number(link) < agent->last_link_number)
+		return false;
+	agent->last_link_number = node_link_number(link);
 	if (agent->link) {
 		struct node_link *old = agent->link;
 
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -20,6 +20,7 @@
 
 struct node_link {
 	struct node_links *links;
+	uint64_t number;
 	struct net_conn *conn;
 	struct frame_reader reader;
 	const struct node_link_callbacks *callbacks;
@@ -179,6 +180,7 @@
 	struct node_link *link = g_new0(struct node_link, 1);
 
 	link->links = links;
+	link->number = ++links->last_number;
 	link->callbacks = callbacks;
 	link->context = context;
 	link->last_received_us = links->loop->now_us;
@@ -247,6 +249,11 @@
 	return link->up;
 }
 
+uint64_t node_link_number(const struct node_link *link)
+{
+	return link->number;
+}
+
 int64_t node_link_last_received_us(const struct node_link *link)
 {
 	return link->last_received_us;
--- a/packages/greengaged/src/node_link.h
+++ b/packages/greengaged/src/node_link.h
@@ -41,6 +41,7 @@
 	/* Time without data after which a peer counts as unreachable. Initial value for each link;
 	 * node_link_set_heartbeat may raise it. */
 	int64_t silence_timeout_ms;
+	uint64_t last_number; /* of the link created last */
 	GPtrArray *links;
 };
 
@@ -71,6 +72,9 @@
 /* Returns whether the peer has sent its hello message. */
 bool node_link_is_up(const struct node_link *link);
 
+/* Returns the number of the link, which is higher than those of all links created before it. */
+uint64_t node_link_number(const struct node_link *link);
+
 /* Returns the time at which data last arrived from the peer, or at which the link was created. */
 int64_t node_link_last_received_us(const struct node_link *link);
 
--- a/test/functional/stale_peer_test.c
+++ b/test/functional/stale_peer_test.c
@@ -264,11 +264,50 @@
 	peer_cluster_stop(&cluster);
 }
 
+/* A connection that the agent has given up must not replace a later one when it is read late: its
+ * list of runs is older than the orders on that one. */
+static void test_given_up_connection(void)
+{
+	struct played_agent agent = new_agent(1, "host", "i-1");
+	struct played_agent stale = new_agent(1, "host", "i-1");
+	struct submission submission;
+	struct peer_cluster cluster;
+
+	peer_cluster_start(&cluster, true, false);
+	connect_agent(&agent, &cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(&agent));
+	send_inventory(&agent, NULL);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, makes_ready(&agent, &cluster));
+	/* The entry closes a connection without a hello message after 200 ms, and the test then
+	 * checks nothing. */
+	stale.conn = peer_connect(&cluster);
+	peer_close(&agent.conn);
+	connect_agent(&agent, &cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(&agent));
+	send_inventory(&agent, agent.starts);
+	submit(&submission, &cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_starts(&agent, 1));
+	peer_send_hello(&stale.conn, stale.incarnation, stale.name, "");
+	send_inventory(&stale, stale.starts);
+	for (int i = 0; i < TURNS; i++) {
+		serve_for(&agent, TURN_MS);
+		serve_for(&stale, TURN_MS);
+	}
+	g_assert_cmpuint(agent.starts->len + stale.starts->len, ==, 1);
+	g_assert_cmpint(agent.conn.fd, >=, 0);
+	send_done(&agent, first_run(&agent));
+	check_done(&submission);
+	free_agent(&agent);
+	free_agent(&stale);
+	peer_cluster_stop(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stale_peer/namesake/beside_another_server",
 			test_namesake_beside_another_server);
 	g_test_add_func("/stale_peer/namesake/agent_returns", test_agent_returns_beside_namesake);
+	g_test_add_func("/stale_peer/given_up_connection", test_given_up_connection);
 	return g_test_run();
 }
