agent: orders that are not the next ones on their link are not carried out

Seen: an agent that receives the same orders twice tries to start the run a second time, finds its task at work and reports the run, by its number, as not started because an earlier run of the task exists. The entry believes that, requeues the task and may start it at another server while the run goes on. Orders whose number jumps were carried out as well.

Cause: the agent took the number of orders only for the accounting of free room and carried out whatever arrived.

Orders with starts are now carried out only if their number follows the last one on the link; otherwise the link is closed and the agent connects again, so that both sides begin with the inventory. Numbers begin anew on each link, so that one that jumps has no effect on later ones.

--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -164,19 +164,29 @@
 		node_members_add(&agent->members, orders->entries[i]);
 	if (orders->service_servers > 0)
 		owner->service_server_count = orders->service_servers;
-	if (orders->number > owner->orders_ack) {
+	if (orders->n_starts > 0) {
 		owner->orders_ack = orders->number;
 		mark_status_changed(agent);
 	}
 }
 
+/* Returns whether ORDERS are the ones that must follow on this link. If others were handled, a
+ * repeated start would be refused as that of a task with an earlier run, and the owner would take
+ * the run for one that never started. */
+static bool is_next(const struct owner *owner, const Ggd__Orders *orders)
+{
+	return orders->n_starts == 0 || orders->number == owner->orders_ack + 1;
+}
+
 static void on_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
 {
 	struct endpoint *endpoint = context;
 
 	if (!endpoint->owner)
 		return;
-	if (frame->body_case == GGD__FRAME__BODY_ORDERS)
+	if (frame->body_case == GGD__FRAME__BODY_ORDERS && !is_next(endpoint->owner, frame->orders))
+		node_link_fail(link, "the entry sent orders twice or left some out");
+	else if (frame->body_case == GGD__FRAME__BODY_ORDERS)
 		handle_orders(endpoint->agent, endpoint->owner, frame->orders);
 	else if (frame->body_case == GGD__FRAME__BODY_CONFIG_REQUEST)
 		node_config_relay_read(&endpoint->agent->config_relay, endpoint->owner->number,
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -47,8 +47,7 @@
 	net_conn_close(link->conn);
 }
 
-/* Closes the link and reports REASON to the `down` callback. */
-static void fail_link(struct node_link *link, const char *reason)
+void node_link_fail(struct node_link *link, const char *reason)
 {
 	if (link->closed)
 		return;
@@ -79,7 +78,7 @@
 	if (frame->body_case != GGD__FRAME__BODY_HELLO ||
 	    frame->hello->protocol != NODE_PROTOCOL_VERSION ||
 	    frame->hello->incarnation.len != IDENT_BYTES) {
-		fail_link(link, "the peer sent no valid hello message");
+		node_link_fail(link, "the peer sent no valid hello message");
 		return false;
 	}
 	link->up = true;
@@ -98,7 +97,7 @@
 
 	if (!frame) {
 		event_log(EVENT_MESSAGE_INVALID, EV_I("bytes", length));
-		fail_link(link, "the peer sent a malformed frame");
+		node_link_fail(link, "the peer sent a malformed frame");
 		return false;
 	}
 	if (!link->up)
@@ -115,7 +114,7 @@
 
 	link->last_received_us = link->links->loop->now_us;
 	if (frame_reader_append(&link->reader, bytes, length, on_frame, link) != STATUS_OK)
-		fail_link(link, "the peer sent an oversized frame");
+		node_link_fail(link, "the peer sent an oversized frame");
 }
 
 static void on_closed(void *context, const char *reason)
@@ -144,9 +143,9 @@
 		int64_t timeout_ms = link->up ? link->silence_timeout_ms : HELLO_TIMEOUT_MS;
 
 		if (!link->closed && now_us - link->last_received_us > timeout_ms * US_PER_MS)
-			fail_link(link, "silent");
+			node_link_fail(link, "silent");
 		else if (!link->closed && net_conn_unsent(link->conn) > MAX_UNSENT_BYTES)
-			fail_link(link, "the peer does not read what is sent to it");
+			node_link_fail(link, "the peer does not read what is sent to it");
 		else if (link->up && !link->closed &&
 			 now_us - link->last_sent_us >= link->heartbeat_ms * US_PER_MS)
 			link->callbacks->heartbeat(link->context, link);
--- a/packages/greengaged/src/node_link.h
+++ b/packages/greengaged/src/node_link.h
@@ -78,6 +78,9 @@
 /* Returns the time at which data last arrived from the peer, or at which the link was created. */
 int64_t node_link_last_received_us(const struct node_link *link);
 
+/* Closes the link after an invalid message and reports REASON to the `down` callback. */
+void node_link_fail(struct node_link *link, const char *reason);
+
 /* Closes the link without a call of `down`. The link is freed later by a timer of the event
  * loop. */
 void node_link_close(struct node_link *link);
--- a/test/functional/stale_peer_test.c
+++ b/test/functional/stale_peer_test.c
@@ -302,6 +302,161 @@
 	peer_cluster_stop(&cluster);
 }
 
+/* The entry that the test plays to an agent. */
+struct played_entry {
+	struct peer_cluster cluster;
+	int listener;
+	struct peer_conn conn;
+	bool ready;   /* according to the last report */
+	bool listed;  /* the inventory has arrived on this connection */
+	GArray *ends; /* struct reported_end */
+};
+
+struct reported_end {
+	uint64_t run;
+	uint32_t outcome;
+};
+
+static void accept_agent(struct played_entry *entry)
+{
+	entry->conn = peer_accept(entry->listener);
+	entry->listed = false;
+	entry->ready = false;
+	peer_send_hello(&entry->conn, 1, "entry0", entry->cluster.entry_address);
+}
+
+static void handle_report(struct played_entry *entry, const Ggd__Report *report)
+{
+	for (size_t i = 0; i < report->n_ends; i++) {
+		const struct reported_end end = {report->ends[i]->run, report->ends[i]->outcome};
+
+		g_array_append_val(entry->ends, end);
+	}
+	entry->listed = entry->listed || report->inventory;
+	entry->ready = report->room && report->room->ready;
+}
+
+static void send_orders(struct played_entry *entry, uint64_t number, uint64_t report_ack,
+			uint64_t run)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__Orders orders = GGD__ORDERS__INIT;
+	Ggd__StartBatch batch = GGD__START_BATCH__INIT;
+	Ggd__StartBatch *batches[] = {&batch};
+	uint32_t index = (uint32_t)run;
+	uint32_t attempt = 1;
+
+	batch.job = (char *)"0000000000000001";
+	batch.cpu = 1000;
+	batch.memory_mb = 1;
+	batch.start_within_ms = PEER_TIMEOUT_MS;
+	batch.runs = &run;
+	batch.indexes = &index;
+	batch.attempts = &attempt;
+	batch.n_runs = batch.n_indexes = batch.n_attempts = 1;
+	orders.number = number;
+	orders.report_ack = report_ack;
+	orders.starts = batches;
+	orders.n_starts = number > 0;
+	frame.body_case = GGD__FRAME__BODY_ORDERS;
+	frame.orders = &orders;
+	peer_send(&entry->conn, &frame);
+}
+
+/* Reads what the agent has sent, and sends a heartbeat. Accepts its next connection when it has
+ * closed this one. */
+static void serve_agent(struct played_entry *entry)
+{
+	Ggd__Frame *frame;
+
+	if (entry->conn.fd < 0) {
+		peer_close(&entry->conn);
+		accept_agent(entry);
+	}
+	while ((frame = peer_receive(&entry->conn))) {
+		if (frame->body_case == GGD__FRAME__BODY_REPORT)
+			handle_report(entry, frame->report);
+		ggd__frame__free_unpacked(frame, NULL);
+	}
+	if (entry->conn.fd >= 0)
+		send_orders(entry, 0, 0, 0);
+}
+
+static bool is_listed(struct played_entry *entry)
+{
+	serve_agent(entry);
+	return entry->listed;
+}
+
+static bool agent_is_ready(struct played_entry *entry)
+{
+	serve_agent(entry);
+	return entry->ready;
+}
+
+static bool has_ends(struct played_entry *entry, guint count)
+{
+	serve_agent(entry);
+	return entry->ends->len >= count;
+}
+
+/* Starts an agent that is ready for orders on return. */
+static void start_played_entry(struct played_entry *entry)
+{
+	*entry = (struct played_entry){
+		.ends = g_array_new(FALSE, FALSE, sizeof(struct reported_end))};
+	peer_cluster_start(&entry->cluster, false, true);
+	entry->listener = peer_listen(&entry->cluster);
+	accept_agent(entry);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, agent_is_ready(entry));
+}
+
+static void stop_played_entry(struct played_entry *entry)
+{
+	peer_close(&entry->conn);
+	g_array_free(entry->ends, TRUE);
+	peer_cluster_stop(&entry->cluster);
+}
+
+static void check_end(const struct played_entry *entry, guint index, uint64_t run)
+{
+	const struct reported_end *end = &g_array_index(entry->ends, struct reported_end, index);
+
+	g_assert_cmpuint(end->run, ==, run);
+	g_assert_cmpuint(end->outcome, ==, OUTCOME_DONE);
+}
+
+/* Orders that arrive twice must not make the agent report a run that goes on as never started. */
+static void test_repeated_orders(void)
+{
+	struct played_entry entry;
+
+	start_played_entry(&entry);
+	send_orders(&entry, 1, 0, 7);
+	send_orders(&entry, 1, 0, 7);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_ends(&entry, 1));
+	check_end(&entry, 0, 7);
+	g_assert_cmpint(peer_cluster_counter(&entry.cluster, "starts"), ==, 1);
+	stop_played_entry(&entry);
+}
+
+/* Orders with a number that jumps ahead must neither be carried out nor make the agent take the
+ * later ones for repeated. */
+static void test_orders_number_jumps(void)
+{
+	struct played_entry entry;
+
+	start_played_entry(&entry);
+	entry.listed = false;
+	send_orders(&entry, UINT64_MAX, 0, 7);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_listed(&entry)); /* on the agent's next connection */
+	send_orders(&entry, 1, 0, 8);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_ends(&entry, 1));
+	check_end(&entry, 0, 8);
+	g_assert_cmpint(peer_cluster_counter(&entry.cluster, "starts"), ==, 1);
+	stop_played_entry(&entry);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -309,5 +464,7 @@
 			test_namesake_beside_another_server);
 	g_test_add_func("/stale_peer/namesake/agent_returns", test_agent_returns_beside_namesake);
 	g_test_add_func("/stale_peer/given_up_connection", test_given_up_connection);
+	g_test_add_func("/stale_peer/repeated_orders", test_repeated_orders);
+	g_test_add_func("/stale_peer/orders_number_jumps", test_orders_number_jumps);
 	return g_test_run();
 }
