agent: an acknowledgement of reports that were not sent drops nothing

Seen: after an acknowledgement with too high a number the agent drops the ends that it has sent. When their report is lost with the connection, the next inventory names neither the run nor its end, and the entry takes a run that is done for one that never started: it starts the task again, or answers that nothing ran.

Cause: the agent dropped all reports up to the number acknowledged, whatever it was.

An acknowledgement of a report that the agent has not sent is ignored. The ends stay until a true one arrives.

--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -242,6 +242,9 @@
 {
 	struct sent_report *sent;
 
+	/* The owner cannot have handled a report that was not sent. */
+	if (number >= owner->next_report_number)
+		return;
 	while ((sent = g_queue_peek_head(&owner->unacknowledged_reports)) &&
 	       sent->number <= number) {
 		g_queue_pop_head(&owner->unacknowledged_reports);
--- a/packages/greengaged/src/agent_owner.h
+++ b/packages/greengaged/src/agent_owner.h
@@ -53,7 +53,8 @@
 /* Returns whether the owner has not acknowledged all ends of its runs. */
 bool owner_has_unacknowledged_ends(const struct owner *owner);
 
-/* Drops the sent reports up to NUMBER, which the owner has acknowledged. */
+/* Drops the sent reports up to NUMBER, which the owner has acknowledged. Ignores the number of a
+ * report that was not sent. */
 void owner_acknowledge(struct owner *owner, uint64_t number);
 
 #endif
--- a/test/functional/stale_peer_test.c
+++ b/test/functional/stale_peer_test.c
@@ -457,6 +457,27 @@
 	stop_played_entry(&entry);
 }
 
+/* An acknowledgement of reports that were never sent must not make the agent drop the ends of
+ * those that it sends next. When one of these is lost with its connection, the entry would take
+ * the run for one that never started. */
+static void test_acknowledgement_beyond_reports(void)
+{
+	struct played_entry entry;
+
+	start_played_entry(&entry);
+	send_orders(&entry, 1, 0, 7);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_ends(&entry, 1));
+	send_orders(&entry, 0, UINT64_MAX, 0);
+	serve_agent(&entry);
+	g_usleep(PAUSE_MS * US_PER_MS / 5);
+	g_array_set_size(entry.ends, 0);
+	peer_close(&entry.conn);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_listed(&entry));
+	g_assert_cmpuint(entry.ends->len, ==, 1);
+	check_end(&entry, 0, 7);
+	stop_played_entry(&entry);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -466,5 +487,7 @@
 	g_test_add_func("/stale_peer/given_up_connection", test_given_up_connection);
 	g_test_add_func("/stale_peer/repeated_orders", test_repeated_orders);
 	g_test_add_func("/stale_peer/orders_number_jumps", test_orders_number_jumps);
+	g_test_add_func("/stale_peer/acknowledgement_beyond_reports",
+			test_acknowledgement_beyond_reports);
 	return g_test_run();
 }
