entry: its own end of a job replaces what another entry has reported

Seen: a client sends a job again to a second entry before that one has heard of the end at the first. The job runs there to another end, and the second entry answers so. A later request for the job gets the answer of the first entry all the same, and no entry is told of the end at the second.

The end at this entry now replaces one that another entry has reported. Reports of other entries change no record, as before.

Evidence: ended_jobs_test /ended_jobs/own_end_wins failed before (the record of the other entry) and passes now.

--- a/packages/core/include/ended_jobs.h
+++ b/packages/core/include/ended_jobs.h
@@ -33,7 +33,8 @@
 void ended_jobs_init(struct ended_jobs *ended, int64_t retention_us, uint32_t max_jobs);
 void ended_jobs_free(struct ended_jobs *ended);
 
-/* Records the end of a job. A job that is already recorded is left unchanged. */
+/* Records the end of a job. A job that is already recorded is left unchanged, unless only another
+ * entry has reported its end and it has now ended at this one. */
 void ended_jobs_record(struct ended_jobs *ended, uint64_t id, bool completed, bool ended_here,
 		       int64_t now_us);
 
--- a/packages/core/src/ended_jobs.c
+++ b/packages/core/src/ended_jobs.c
@@ -16,10 +16,9 @@
 	g_queue_clear_full(&ended->by_age, g_free);
 }
 
-static void remove_oldest(struct ended_jobs *ended)
+static void remove_job(struct ended_jobs *ended, struct ended_job *job)
 {
-	struct ended_job *job = g_queue_pop_head(&ended->by_age);
-
+	g_queue_remove(&ended->by_age, job);
 	g_hash_table_remove(ended->by_id, &job->id);
 	g_free(job);
 }
@@ -36,9 +35,12 @@
 
 	while ((job = g_queue_peek_head(&ended->by_age)) &&
 	       (has_expired(ended, job, now_us) || ended->by_age.length >= ended->max_jobs))
-		remove_oldest(ended);
-	if (g_hash_table_contains(ended->by_id, &id))
+		remove_job(ended, job);
+	job = g_hash_table_lookup(ended->by_id, &id);
+	if (job && (job->ended_here || !ended_here))
 		return;
+	if (job)
+		remove_job(ended, job);
 	job = g_new(struct ended_job, 1);
 	*job = (struct ended_job){
 		.id = id,
--- a/test/unit/ended_jobs_test.c
+++ b/test/unit/ended_jobs_test.c
@@ -35,6 +35,28 @@
 	ended_jobs_free(&ended);
 }
 
+/* The answer given by this entry replaces the contradicting report of another one. Otherwise a
+ * repeated request would get that one's answer, and no entry would hear of the end here. */
+static void test_own_end_wins(void)
+{
+	GArray *completed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GArray *failed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	struct ended_jobs ended;
+
+	ended_jobs_init(&ended, RETENTION_US, MAX_JOBS);
+	ended_jobs_record(&ended, 1, false, false, 0);
+	ended_jobs_record(&ended, 2, true, false, 0);
+	ended_jobs_record(&ended, 1, true, true, 1);
+	g_assert_true(ended_jobs_find(&ended, 1, 2)->completed);
+	g_assert_cmpuint(ended.by_age.length, ==, 2);
+	ended_jobs_since(&ended, 0, completed, failed);
+	g_assert_cmpuint(completed->len, ==, 1);
+	g_assert_cmpuint(failed->len, ==, 0);
+	g_array_free(completed, TRUE);
+	g_array_free(failed, TRUE);
+	ended_jobs_free(&ended);
+}
+
 /* Above the limit on records, the oldest ones must be removed, and the newest must stay. */
 static void test_max_jobs(void)
 {
@@ -79,6 +101,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/ended_jobs/found_until_expired", test_found_until_expired);
 	g_test_add_func("/ended_jobs/first_end_stands", test_first_record_kept);
+	g_test_add_func("/ended_jobs/own_end_wins", test_own_end_wins);
 	g_test_add_func("/ended_jobs/bounded", test_max_jobs);
 	g_test_add_func("/ended_jobs/since", test_reported_once);
 	return g_test_run();
