--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -1,19 +1,13 @@
 /* Runs entries and agents as processes on the platform stand-in and tests that each fault leaves
- * jobs, from the client's request to the response, intact. Entry N listens on 127.0.0.(N + 2). All
- * entries use the same peer port, as on the real platform. The entries call the store at
- * ENTRIES_STORE_IP and the agents at 127.0.0.1, so that it can refuse the calls of the entries
- * only. */
+ * jobs, from the client's request to the response, intact. */
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
-#include "harness.h"
+#include "harness_platform.h"
 
 enum {
-	ENTRIES = 2,
-	AGENTS = 2,
 	CONDITION_TIMEOUT_MS = 4000,
-	READY_TIMEOUT_MS = 10000,
 	STOP_TIMEOUT_MS = 9000,
 	CONFIG_TIMEOUT_MS = 2000, /* limit for a configuration to take effect */
 	MANY_TASKS = 20,	  /* more than fit on one server */
@@ -31,234 +25,17 @@
 	US_PER_MS = 1000
 };
 
-#define ENTRIES_STORE_IP "127.0.0.9"
-
-struct cluster {
-	int store_port;
-	struct harness *harness;
-	struct harness_process *platform;
-	struct harness_process *entries[ENTRIES];
-	struct harness_process *agents[AGENTS];
-	int control_ports[AGENTS];
-	char *platform_url;
-	char *client_urls[ENTRIES];
-	char *ready_urls[ENTRIES];
-};
-
-static void write_settings(struct cluster *cluster, const char *name, const char *text)
-{
-	char *file = g_strdup_printf("%s/%s.json", cluster->harness->directory, name);
-
-	g_assert_true(g_file_set_contents(file, text, -1, NULL));
-	g_free(file);
-}
-
-static struct harness_process *spawn_daemon(struct cluster *cluster, const char *name)
-{
-	char *file = g_strdup_printf("%s/%s.json", cluster->harness->directory, name);
-	const char *argv[] = {GG_BUILD_DIR "/packages/greengaged/greengaged", "--settings", file,
-			      NULL};
-	struct harness_process *process = harness_spawn(cluster->harness, name, argv);
-
-	g_free(file);
-	return process;
-}
-
-static void publish_config(struct cluster *cluster, int version, const char *prefix)
-{
-	char *document = g_strdup_printf(
-		"{\"version\":%d,\"routes\":["
-		"{\"name\":\"r2\",\"host\":\"127.0.0.2\",\"pathPrefix\":\"%s\",\"service\":\"svc\","
-		"\"priority\":0,\"maxAttempts\":2,\"stretchFactor\":1.6,\"targetRuntimeMs\":2000,"
-		"\"timeoutMs\":3000},"
-		"{\"name\":\"r3\",\"host\":\"127.0.0.3\",\"pathPrefix\":\"%s\",\"service\":\"svc\","
-		"\"priority\":0,\"maxAttempts\":2,\"stretchFactor\":1.6,\"targetRuntimeMs\":2000,"
-		"\"timeoutMs\":3000}],\"services\":[],\"limits\":{\"maxBodyBytes\":8192}}",
-		version, prefix, prefix);
-
-	g_assert_cmpint(harness_status("POST", cluster->platform_url, "/control/config", document),
-			==, 200);
-	g_free(document);
-}
-
-static void control_platform(struct cluster *cluster, const char *faults)
-{
-	g_assert_cmpint(harness_status("POST", cluster->platform_url, "/control", faults), ==, 200);
-}
-
-static int64_t platform_counter(struct cluster *cluster, const char *name)
-{
-	struct harness_reply reply = harness_call("GET", cluster->platform_url, "/control", NULL);
-	int64_t value = json_integer_value(json_object_get(reply.body, name));
-
-	harness_reply_clear(&reply);
-	return value;
-}
-
-static bool entry_is_ready(struct cluster *cluster, unsigned entry)
-{
-	return harness_status("GET", cluster->ready_urls[entry], "/greengagefront/readyz", NULL) ==
-	       200;
-}
-
-static void write_all_settings(struct cluster *cluster, int store_port, int peer_port,
-			       const int *controls, const int *servers)
-{
-	for (unsigned i = 0; i < ENTRIES; i++) {
-		char *name = g_strdup_printf("entry%u", i);
-		int clients = harness_reserve_port();
-		int readiness = harness_reserve_port();
-		char *text = g_strdup_printf(
-			"{\"mode\":\"platform\",\"role\":\"entry\",\"name\":\"%s\",\"zone\":\"a\","
-			"\"listen\":{\"clients\":\"127.0.0.%u:%d\",\"readiness\":\"127.0.0.%u:%d\"}"
-			","
-			"\"peers\":{\"ip\":\"127.0.0.%u\",\"port\":%d,\"seeds\":[\"127.0.0.2:1\"]},"
-			"\"store\":{\"address\":\"" ENTRIES_STORE_IP
-			":%d\"},\"limits\":{\"grace_s\":6.0}}",
-			name, i + 2, clients, i + 2, readiness, i + 2, peer_port, store_port);
-
-		write_settings(cluster, name, text);
-		cluster->client_urls[i] = g_strdup_printf("http://127.0.0.%u:%d", i + 2, clients);
-		cluster->ready_urls[i] = g_strdup_printf("http://127.0.0.%u:%d", i + 2, readiness);
-		g_free(text);
-		g_free(name);
-	}
-	for (unsigned i = 0; i < AGENTS; i++) {
-		char *name = g_strdup_printf("agent%u", i);
-		char *text = g_strdup_printf(
-			"{\"mode\":\"platform\",\"role\":\"agent\",\"name\":\"%s\",\"zone\":\"a\","
-			"\"listen\":{\"control\":\"127.0.0.1:%d\"},"
-			"\"peers\":{\"ip\":\"127.0.0.1\",\"port\":%d,\"seeds\":[\"127.0.0.2:1\"]},"
-			"\"server\":{\"address\":\"127.0.0.1:%d\"},"
-			"\"store\":{\"address\":\"127.0.0.1:%d\"}}",
-			name, controls[i], peer_port, servers[i], store_port);
-
-		write_settings(cluster, name, text);
-		g_free(text);
-		g_free(name);
-	}
-}
-
-static void start_cluster(struct cluster *cluster)
-{
-	int store_port, peer_port, controls[AGENTS], servers[AGENTS];
-	char *argv[AGENTS + 3] = {GG_BUILD_DIR "/test/standin/standin_platform"};
-
-	*cluster = (struct cluster){.harness = harness_new()};
-	store_port = harness_reserve_port();
-	peer_port = harness_reserve_port();
-	cluster->store_port = store_port;
-	argv[1] = g_strdup_printf("127.0.0.1:%d," ENTRIES_STORE_IP ":%d", store_port, store_port);
-	for (unsigned i = 0; i < AGENTS; i++) {
-		controls[i] = harness_reserve_port();
-		cluster->control_ports[i] = controls[i];
-		servers[i] = harness_reserve_port();
-		argv[i + 2] = g_strdup_printf("127.0.0.1:%d=127.0.0.1:%d", servers[i], controls[i]);
-	}
-	cluster->platform_url = g_strdup_printf("http://127.0.0.1:%d", store_port);
-	write_all_settings(cluster, store_port, peer_port, controls, servers);
-	cluster->platform = harness_spawn(cluster->harness, "platform", (const char *const *)argv);
-	for (unsigned i = 1; argv[i]; i++)
-		g_free(argv[i]);
-	HARNESS_WAIT(READY_TIMEOUT_MS,
-		     harness_status("GET", cluster->platform_url, "/control", NULL) == 200);
-	publish_config(cluster, 5, "/q/");
-	for (unsigned i = 0; i < ENTRIES; i++) {
-		char *name = g_strdup_printf("entry%u", i);
-
-		cluster->entries[i] = spawn_daemon(cluster, name);
-		g_free(name);
-	}
-	for (unsigned i = 0; i < AGENTS; i++) {
-		char *name = g_strdup_printf("agent%u", i);
-
-		cluster->agents[i] = spawn_daemon(cluster, name);
-		g_free(name);
-	}
-	for (unsigned i = 0; i < ENTRIES; i++)
-		HARNESS_WAIT(READY_TIMEOUT_MS, entry_is_ready(cluster, i));
-}
-
-/* Checks that no two runs of one task overlapped, then stops the cluster. */
-static void stop_cluster(struct cluster *cluster)
-{
-	g_assert_cmpint(platform_counter(cluster, "overlaps"), ==, 0);
-	for (unsigned i = 0; i < ENTRIES; i++) {
-		g_free(cluster->client_urls[i]);
-		g_free(cluster->ready_urls[i]);
-	}
-	g_free(cluster->platform_url);
-	harness_free(cluster->harness);
-}
-
-static char *job_body(unsigned tasks, int estimate_ms)
-{
-	return g_strdup_printf("{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{\"count\":%u,"
-			       "\"cpu\":1000,\"memMb\":64,\"estMs\":%d}]}",
-			       tasks, estimate_ms);
-}
-
-static struct harness_reply submit(struct cluster *cluster, unsigned entry, unsigned number,
-				   unsigned tasks)
-{
-	char *path = g_strdup_printf("/q/%016x", number);
-	char *body = job_body(tasks, 100);
-	struct harness_reply reply = harness_call("POST", cluster->client_urls[entry], path, body);
-
-	g_free(path);
-	g_free(body);
-	return reply;
-}
-
-static bool job_completes(struct cluster *cluster, unsigned entry, unsigned number, unsigned tasks)
-{
-	struct harness_reply reply = submit(cluster, entry, number, tasks);
-	const char *state = json_string_value(json_object_get(reply.body, "state"));
-	bool completed = reply.status == 200 && state && strcmp(state, "completed") == 0;
-
-	harness_reply_clear(&reply);
-	return completed;
-}
-
-/* A job submission that runs on a separate thread. */
-struct submission {
-	struct cluster *cluster;
-	unsigned entry;
-	unsigned number;
-	unsigned tasks;
-	struct harness_reply reply;
-};
-
-static void *run_submission(void *context)
-{
-	struct submission *submission = context;
-
-	submission->reply = submit(submission->cluster, submission->entry, submission->number,
-				   submission->tasks);
-	return NULL;
-}
-
-static bool log_contains(const struct harness_process *process, const char *text)
-{
-	char *log = NULL;
-	bool found =
-		g_file_get_contents(process->stdout_file, &log, NULL, NULL) && strstr(log, text);
-
-	g_free(log);
-	return found;
-}
-
 /* Guards against tasks that start more than once or not at all, and against jobs that end without a
  * response to the client. */
 static void test_jobs_complete(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
+	platform_start(&cluster);
 	for (unsigned i = 0; i < 20; i++)
-		g_assert_true(job_completes(&cluster, i % ENTRIES, i + 1, 3));
+		g_assert_true(platform_job_completes(&cluster, i % PLATFORM_ENTRIES, i + 1, 3));
 	g_assert_cmpint(platform_counter(&cluster, "starts"), ==, 60);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Guards against a second run of a job that a client sends again, to any entry, after its response.
@@ -266,19 +43,19 @@
 static void test_resubmit_after_response(void)
 {
 	struct harness_reply reply;
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
-	g_assert_true(job_completes(&cluster, 0, 7, 3));
-	g_assert_true(job_completes(&cluster, 0, 7, 3));
+	platform_start(&cluster);
+	g_assert_true(platform_job_completes(&cluster, 0, 7, 3));
+	g_assert_true(platform_job_completes(&cluster, 0, 7, 3));
 	/* Entries inform each other of finished jobs within 0.2 s. Clients resend after 1.3 s. */
 	g_usleep(RESEND_MS * US_PER_MS);
-	g_assert_true(job_completes(&cluster, 1, 7, 3));
+	g_assert_true(platform_job_completes(&cluster, 1, 7, 3));
 	g_assert_cmpint(platform_counter(&cluster, "starts"), ==, 3);
 	reply = harness_call("GET", cluster.client_urls[1], "/q/0000000000000007", NULL);
 	g_assert_cmpstr(json_string_value(json_object_get(reply.body, "state")), ==, "completed");
 	harness_reply_clear(&reply);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Guards against invalid requests that start tasks or get the wrong HTTP status. */
@@ -309,10 +86,10 @@
 		{"DELETE", "/q/0000000000000001", NULL, 410},
 		{"GET", "/q/", NULL, 200},
 	};
-	struct cluster cluster;
+	struct platform_cluster cluster;
 	char *large = g_strnfill(9000, ' ');
 
-	start_cluster(&cluster);
+	platform_start(&cluster);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
 		g_assert_cmpint(harness_status(cases[i].method, cluster.client_urls[0],
 					       cases[i].path, cases[i].body),
@@ -321,73 +98,73 @@
 		harness_status("POST", cluster.client_urls[0], "/q/0000000000000001", large), ==,
 		413);
 	g_assert_cmpint(platform_counter(&cluster, "starts"), ==, 0);
-	g_assert_true(job_completes(&cluster, 0, 1, 1));
+	g_assert_true(platform_job_completes(&cluster, 0, 1, 1));
 	g_free(large);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Guards against agents that find no entries because the only seed is down when they start. They
  * must read the addresses of the other entries from the store. */
 static void test_agents_start_without_seed(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
+	platform_start(&cluster);
 	harness_kill(cluster.entries[0]);
-	for (unsigned i = 0; i < AGENTS; i++)
+	for (unsigned i = 0; i < PLATFORM_AGENTS; i++)
 		harness_kill(cluster.agents[i]);
-	HARNESS_WAIT(READY_TIMEOUT_MS, !entry_is_ready(&cluster, 1));
-	for (unsigned i = 0; i < AGENTS; i++)
+	HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS, !platform_entry_is_ready(&cluster, 1));
+	for (unsigned i = 0; i < PLATFORM_AGENTS; i++)
 		harness_restart(cluster.harness, cluster.agents[i]);
-	HARNESS_WAIT(ENTRY_RECOVERY_MS, entry_is_ready(&cluster, 1));
-	g_assert_true(job_completes(&cluster, 1, 1, 2));
-	stop_cluster(&cluster);
+	HARNESS_WAIT(ENTRY_RECOVERY_MS, platform_entry_is_ready(&cluster, 1));
+	g_assert_true(platform_job_completes(&cluster, 1, 1, 2));
+	platform_stop(&cluster);
 }
 
 /* Guards against a configuration that takes effect late, and against a lower version that replaces
  * a higher one. */
 static void test_configuration(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
-	publish_config(&cluster, 9, "/new/");
+	platform_start(&cluster);
+	platform_publish_config(&cluster, 9, "/new/");
 	HARNESS_WAIT(CONFIG_TIMEOUT_MS,
 		     harness_status("GET", cluster.client_urls[0], "/new/", NULL) == 200 &&
 			     harness_status("GET", cluster.client_urls[1], "/new/", NULL) == 200);
-	publish_config(&cluster, 7, "/old/");
+	platform_publish_config(&cluster, 7, "/old/");
 	g_usleep(300 * US_PER_MS);
 	g_assert_cmpint(harness_status("GET", cluster.client_urls[0], "/new/", NULL), ==, 200);
 	g_assert_cmpint(harness_status("GET", cluster.client_urls[0], "/old/", NULL), ==, 404);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Guards against entries that miss changes once the store has restarted without its history. */
 static void test_store_without_history(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
-	publish_config(&cluster, 7, "/mid/");
+	platform_start(&cluster);
+	platform_publish_config(&cluster, 7, "/mid/");
 	HARNESS_WAIT(CONFIG_TIMEOUT_MS,
 		     harness_status("GET", cluster.client_urls[1], "/mid/", NULL) == 200);
 	harness_kill(cluster.platform);
 	harness_restart(cluster.harness, cluster.platform);
-	HARNESS_WAIT(READY_TIMEOUT_MS,
+	HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS,
 		     harness_status("GET", cluster.platform_url, "/control", NULL) == 200);
-	publish_config(&cluster, 9, "/new/");
+	platform_publish_config(&cluster, 9, "/new/");
 	HARNESS_WAIT(CONFIG_TIMEOUT_MS,
 		     harness_status("GET", cluster.client_urls[0], "/new/", NULL) == 200 &&
 			     harness_status("GET", cluster.client_urls[1], "/new/", NULL) == 200);
-	publish_config(&cluster, 11, "/last/");
+	platform_publish_config(&cluster, 11, "/last/");
 	HARNESS_WAIT(CONFIG_TIMEOUT_MS,
 		     harness_status("GET", cluster.client_urls[0], "/last/", NULL) == 200 &&
 			     harness_status("GET", cluster.client_urls[1], "/last/", NULL) == 200);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Returns whether a job of one task that needs CPU is refused because no server is large enough. */
-static bool is_too_large(struct cluster *cluster, unsigned entry, unsigned number, int cpu)
+static bool is_too_large(struct platform_cluster *cluster, unsigned entry, unsigned number, int cpu)
 {
 	char *path = g_strdup_printf("/q/%016x", number);
 	char *body = g_strdup_printf("{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{"
@@ -407,30 +184,30 @@
  * wait for a capacity that no server has any more. */
 static void test_capacity_shrinks(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
-	control_platform(&cluster, "{\"run_ms\":300}");
-	g_assert_true(job_completes(&cluster, 0, 1, MANY_TASKS));
-	control_platform(&cluster, "{\"cpu\":2000}");
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"run_ms\":300}");
+	g_assert_true(platform_job_completes(&cluster, 0, 1, MANY_TASKS));
+	platform_control(&cluster, "{\"cpu\":2000}");
 	g_usleep(SETTLE_MS * US_PER_MS);
-	for (unsigned i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		g_assert_true(is_too_large(&cluster, i, 2 + i, 4000));
-	for (unsigned i = 0; i < ENTRIES; i++)
-		g_assert_true(job_completes(&cluster, i, 4 + i, 3));
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
+		g_assert_true(platform_job_completes(&cluster, i, 4 + i, 3));
 	g_assert_cmpint(platform_counter(&cluster, "starts_over_capacity"), ==, 0);
-	control_platform(&cluster, "{\"cpu\":16000}");
+	platform_control(&cluster, "{\"cpu\":16000}");
 	g_usleep(SETTLE_MS * US_PER_MS);
-	for (unsigned i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		g_assert_false(is_too_large(&cluster, i, 6 + i, 4000));
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Submits the deadly job to entry 0, and checks that CRASHES servers have crashed in all when it is
  * answered. Returns whether the answer is that it has failed for good. */
-static bool deadly_job_fails(struct cluster *cluster, int64_t crashes)
+static bool deadly_job_fails(struct platform_cluster *cluster, int64_t crashes)
 {
-	struct harness_reply reply = submit(cluster, 0, DEADLY_JOB, 1);
+	struct harness_reply reply = platform_submit(cluster, 0, DEADLY_JOB, 1);
 	const char *state = json_string_value(json_object_get(reply.body, "state"));
 	bool failed = state && strcmp(state, "failed") == 0;
 
@@ -440,27 +217,27 @@
 }
 
 /* A server that the deadly job crashes is away for AWAY_MS. */
-static void start_cluster_with_deadly_job(struct cluster *cluster, int away_ms)
+static void start_cluster_with_deadly_job(struct platform_cluster *cluster, int away_ms)
 {
 	char *faults =
 		g_strdup_printf("{\"deadly_job\":\"%016x\",\"away_ms\":%d}", DEADLY_JOB, away_ms);
 
-	start_cluster(cluster);
-	HARNESS_WAIT(CONDITION_TIMEOUT_MS, job_completes(cluster, 0, 1, MANY_TASKS));
-	control_platform(cluster, faults);
+	platform_start(cluster);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(cluster, 0, 1, MANY_TASKS));
+	platform_control(cluster, faults);
 	g_free(faults);
 }
 
 /* Guards against a task that is started again after two servers have crashed under it. */
 static void test_deadly_task(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
 	start_cluster_with_deadly_job(&cluster, 300);
 	g_assert_true(deadly_job_fails(&cluster, 2));
 	g_assert_true(deadly_job_fails(&cluster, 2));
-	HARNESS_WAIT(CONDITION_TIMEOUT_MS, job_completes(&cluster, 1, 2, 1));
-	stop_cluster(&cluster);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(&cluster, 1, 2, 1));
+	platform_stop(&cluster);
 }
 
 /* Returns the shortest time from the start of a task's first run to the report of its server's
@@ -492,55 +269,55 @@
  * shortest of several delays counts, because the processes may be held up. */
 static void test_crash_is_noticed(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
 	start_cluster_with_deadly_job(&cluster, 50);
 	for (int i = 1; i <= 6; i++) {
 		char *faults = g_strdup_printf("{\"deadly_job\":\"%016x\"}", DEADLY_JOB + i);
 		struct harness_reply reply;
 
-		control_platform(&cluster, faults);
-		reply = submit(&cluster, 0, DEADLY_JOB + (unsigned)i, 1);
+		platform_control(&cluster, faults);
+		reply = platform_submit(&cluster, 0, DEADLY_JOB + (unsigned)i, 1);
 		harness_reply_clear(&reply);
 		g_free(faults);
 	}
 	g_assert_cmpint(shortest_crashed_run(cluster.entries[0]), <, CRASH_NOTICE_MS);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* The entry that sees each crash is killed after it. Guards against a count that starts again with
  * each process of the entry. */
 static void test_deadly_task_and_entry_restarts(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
 	start_cluster_with_deadly_job(&cluster, DEADLINE_MS + SETTLE_MS);
-	control_platform(&cluster, "{\"drain\":1}");
+	platform_control(&cluster, "{\"drain\":1}");
 	g_usleep(SETTLE_MS * US_PER_MS);
 	g_assert_false(deadly_job_fails(&cluster, 1));
 	g_usleep(SETTLE_MS * US_PER_MS);
 	harness_kill(cluster.entries[0]);
 	harness_restart(cluster.harness, cluster.entries[0]);
-	HARNESS_WAIT(READY_TIMEOUT_MS, entry_is_ready(&cluster, 0));
-	HARNESS_WAIT(READY_TIMEOUT_MS, job_completes(&cluster, 0, 2, 1));
+	HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS, platform_entry_is_ready(&cluster, 0));
+	HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS, platform_job_completes(&cluster, 0, 2, 1));
 	g_assert_true(deadly_job_fails(&cluster, 2));
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
-static void refuse_entries(struct cluster *cluster)
+static void refuse_entries(struct platform_cluster *cluster)
 {
-	char *faults = g_strdup_printf("{\"refused_address\":\"" ENTRIES_STORE_IP ":%d\"}",
+	char *faults = g_strdup_printf("{\"refused_address\":\"" PLATFORM_ENTRIES_STORE_IP ":%d\"}",
 				       cluster->store_port);
 
-	control_platform(cluster, faults);
+	platform_control(cluster, faults);
 	g_free(faults);
 }
 
 /* Waits until all entries have a route for PREFIX, at most for the time limit of a new
  * configuration. */
-static void wait_for_route(struct cluster *cluster, const char *prefix)
+static void wait_for_route(struct platform_cluster *cluster, const char *prefix)
 {
-	for (unsigned i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		HARNESS_WAIT(CONFIG_TIMEOUT_MS,
 			     harness_status("GET", cluster->client_urls[i], prefix, NULL) == 200);
 }
@@ -550,56 +327,56 @@
  * the store serves, read it for them. */
 static void test_store_refuses_entries(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
+	platform_start(&cluster);
 	refuse_entries(&cluster);
-	publish_config(&cluster, 9, "/new/");
+	platform_publish_config(&cluster, 9, "/new/");
 	wait_for_route(&cluster, "/new/");
 	g_usleep(SETTLE_MS * US_PER_MS);
-	publish_config(&cluster, 11, "/last/");
+	platform_publish_config(&cluster, 11, "/last/");
 	wait_for_route(&cluster, "/last/");
-	for (unsigned i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		harness_kill(cluster.entries[i]);
-	for (unsigned i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		harness_restart(cluster.harness, cluster.entries[i]);
 	wait_for_route(&cluster, "/last/");
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* All entries are stopped before a change is confirmed and continue after its time limit. Guards
  * against an entry that uses what it read before the freeze for longer than that limit again. */
 static void test_change_while_frozen(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
-	for (unsigned i = 0; i < ENTRIES; i++)
+	platform_start(&cluster);
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		harness_signal(cluster.entries[i], SIGSTOP);
-	publish_config(&cluster, 9, "/new/");
+	platform_publish_config(&cluster, 9, "/new/");
 	g_usleep((CONFIG_TIMEOUT_MS + SETTLE_MS) * US_PER_MS);
-	for (unsigned i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		harness_signal(cluster.entries[i], SIGCONT);
 	wait_for_route(&cluster, "/new/");
-	for (unsigned i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		g_assert_cmpint(harness_status("GET", cluster.client_urls[i], "/q/", NULL), ==,
 				404);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Guards against an entry that does not become ready because the store is down when it starts. It
  * must fetch the configuration from another entry. */
 static void test_start_without_store(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
+	platform_start(&cluster);
 	harness_kill(cluster.entries[1]);
-	control_platform(&cluster, "{\"store_down\":true}");
+	platform_control(&cluster, "{\"store_down\":true}");
 	harness_restart(cluster.harness, cluster.entries[1]);
-	HARNESS_WAIT(READY_TIMEOUT_MS, entry_is_ready(&cluster, 1));
-	g_assert_true(job_completes(&cluster, 1, 1, 2));
-	stop_cluster(&cluster);
+	HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS, platform_entry_is_ready(&cluster, 1));
+	g_assert_true(platform_job_completes(&cluster, 1, 1, 2));
+	platform_stop(&cluster);
 }
 
 /* All entries start while the store does not respond. Guards against entries that become ready only
@@ -607,66 +384,66 @@
  * responds. */
 static void test_start_with_silent_store(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
-	for (unsigned i = 0; i < ENTRIES; i++)
+	platform_start(&cluster);
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		harness_kill(cluster.entries[i]);
-	control_platform(&cluster, "{\"store_silent\":true}");
-	for (unsigned i = 0; i < ENTRIES; i++)
+	platform_control(&cluster, "{\"store_silent\":true}");
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		harness_restart(cluster.harness, cluster.entries[i]);
-	for (unsigned i = 0; i < ENTRIES; i++)
-		HARNESS_WAIT(READY_TIMEOUT_MS,
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
+		HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS,
 			     harness_status("GET", cluster.ready_urls[i], "/metrics", NULL) == 200);
-	control_platform(&cluster, "{\"store_silent\":false}");
-	for (unsigned i = 0; i < ENTRIES; i++)
-		HARNESS_WAIT(STORE_RECOVERY_MS, entry_is_ready(&cluster, i));
-	stop_cluster(&cluster);
+	platform_control(&cluster, "{\"store_silent\":false}");
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
+		HARNESS_WAIT(STORE_RECOVERY_MS, platform_entry_is_ready(&cluster, i));
+	platform_stop(&cluster);
 }
 
 /* Guards against agents that wait 2 s before they reconnect to an entry that was restarted
  * immediately after a crash. */
 static void test_entry_restart(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 	int64_t restarted_us;
 
-	start_cluster(&cluster);
+	platform_start(&cluster);
 	/* The 2 s delay can occur only if the connection was established more than 10 s ago,
 	 * because until then the agent retries fast. */
 	g_usleep(CONNECTION_AGE_MS * US_PER_MS);
 	harness_kill(cluster.entries[0]);
 	harness_restart(cluster.harness, cluster.entries[0]);
 	restarted_us = g_get_monotonic_time();
-	HARNESS_WAIT(ENTRY_RECOVERY_MS, entry_is_ready(&cluster, 0));
+	HARNESS_WAIT(ENTRY_RECOVERY_MS, platform_entry_is_ready(&cluster, 0));
 	g_test_message("ready after %d ms",
 		       (int)((g_get_monotonic_time() - restarted_us) / US_PER_MS));
-	g_assert_true(job_completes(&cluster, 0, 1, 2));
-	stop_cluster(&cluster);
+	g_assert_true(platform_job_completes(&cluster, 0, 1, 2));
+	platform_stop(&cluster);
 }
 
 /* An entry is killed while its job runs, and the client resends the job to another entry. Guards
  * against a resent job that does not complete, and against two runs of a task at the same time. */
 static void test_entry_killed_during_job(void)
 {
-	struct cluster cluster;
-	struct submission submission = {.number = 1, .tasks = 4};
+	struct platform_cluster cluster;
+	struct platform_submission submission = {.number = 1, .tasks = 4};
 	GThread *thread;
 
-	start_cluster(&cluster);
-	control_platform(&cluster, "{\"run_ms\":3000}");
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"run_ms\":3000}");
 	submission.cluster = &cluster;
-	thread = g_thread_new("client", run_submission, &submission);
+	thread = g_thread_new("client", platform_run_submission, &submission);
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") == 4);
 	harness_kill(cluster.entries[0]);
 	g_thread_join(thread);
 	g_assert_cmpint(submission.reply.status, ==, 0);
 	harness_reply_clear(&submission.reply);
-	control_platform(&cluster, "{\"run_ms\":100}");
+	platform_control(&cluster, "{\"run_ms\":100}");
 	/* The client resends after 1.3 s. By then the killed entry's runs must have stopped. */
 	HARNESS_WAIT(1300, platform_counter(&cluster, "running") == 0);
-	g_assert_true(job_completes(&cluster, 1, 1, 4));
-	stop_cluster(&cluster);
+	g_assert_true(platform_job_completes(&cluster, 1, 1, 4));
+	platform_stop(&cluster);
 }
 
 /* Guards against jobs that do not complete, or tasks that run twice at the same time, when a
@@ -674,16 +451,16 @@
  * jobs must complete. */
 static void test_lost_answers(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 	unsigned completed = 0;
 
-	start_cluster(&cluster);
-	control_platform(&cluster, "{\"lists_lost\":0.25,\"starts_lost\":0.25,\"run_ms\":50}");
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"lists_lost\":0.25,\"starts_lost\":0.25,\"run_ms\":50}");
 	for (unsigned i = 0; i < 20; i++)
-		completed += job_completes(&cluster, i % ENTRIES, i + 1, 3);
-	control_platform(&cluster, "{\"lists_lost\":0,\"starts_lost\":0}");
+		completed += platform_job_completes(&cluster, i % PLATFORM_ENTRIES, i + 1, 3);
+	platform_control(&cluster, "{\"lists_lost\":0,\"starts_lost\":0}");
 	g_assert_cmpuint(completed, >=, 19);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* A third of the start requests and task list requests get no response. Each loss may delay a job
@@ -693,62 +470,62 @@
  * hide the ends of all runs for 200 ms. */
 static void test_delay_with_lost_responses(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 	unsigned completed = 0;
 	int64_t started_us;
 	int64_t elapsed_us;
 
-	start_cluster(&cluster);
-	control_platform(&cluster, "{\"lists_lost\":0.33,\"starts_lost\":0.33,\"run_ms\":50}");
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"lists_lost\":0.33,\"starts_lost\":0.33,\"run_ms\":50}");
 	started_us = g_get_monotonic_time();
 	for (unsigned i = 0; i < LOSS_TEST_JOBS; i++)
-		completed += job_completes(&cluster, i % ENTRIES, i + 1, 4);
+		completed += platform_job_completes(&cluster, i % PLATFORM_ENTRIES, i + 1, 4);
 	elapsed_us = g_get_monotonic_time() - started_us;
-	control_platform(&cluster, "{\"lists_lost\":0,\"starts_lost\":0}");
+	platform_control(&cluster, "{\"lists_lost\":0,\"starts_lost\":0}");
 	g_test_message("%u jobs in %d ms", LOSS_TEST_JOBS, (int)(elapsed_us / US_PER_MS));
 	g_assert_cmpuint(completed, ==, LOSS_TEST_JOBS);
 	g_assert_cmpint(elapsed_us, <, (int64_t)LOSS_TEST_JOBS * (50 + 200) * US_PER_MS);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Guards against runs that are considered ended because a task list could not be parsed. The job
  * must complete once the lists are valid again. */
 static void test_invalid_task_lists(void)
 {
-	struct cluster cluster;
-	struct submission submission = {.number = 1, .tasks = 2};
+	struct platform_cluster cluster;
+	struct platform_submission submission = {.number = 1, .tasks = 2};
 	GThread *thread;
 
-	start_cluster(&cluster);
-	control_platform(&cluster, "{\"run_ms\":600}");
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"run_ms\":600}");
 	submission.cluster = &cluster;
-	thread = g_thread_new("client", run_submission, &submission);
+	thread = g_thread_new("client", platform_run_submission, &submission);
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") == 2);
-	control_platform(&cluster, "{\"lists_garbled\":true}");
+	platform_control(&cluster, "{\"lists_garbled\":true}");
 	g_usleep(200 * US_PER_MS);
-	control_platform(&cluster, "{\"lists_garbled\":false}");
+	platform_control(&cluster, "{\"lists_garbled\":false}");
 	g_thread_join(thread);
 	g_assert_cmpint(submission.reply.status, ==, 200);
 	g_assert_cmpint(platform_counter(&cluster, "starts"), ==, 2);
 	harness_reply_clear(&submission.reply);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Guards against continued starts on a draining backend server, and against agents that refuse its
  * heartbeats. */
 static void test_draining_server(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
-	control_platform(&cluster, "{\"drain\":0}");
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"drain\":0}");
 	/* A draining server may receive starts for at most 2 s. The test allows half of that. */
 	g_usleep(1000 * US_PER_MS);
 	for (unsigned i = 0; i < 10; i++)
-		g_assert_true(job_completes(&cluster, i % ENTRIES, i + 1, 3));
+		g_assert_true(platform_job_completes(&cluster, i % PLATFORM_ENTRIES, i + 1, 3));
 	g_assert_cmpint(platform_counter(&cluster, "starts_after_drain"), <=, 3);
 	g_assert_cmpint(platform_counter(&cluster, "heartbeats_refused"), ==, 0);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Guards against starts on a drained server whose agent restarts and then receives a delayed
@@ -759,11 +536,11 @@
 		"{\"service\":\"svc\",\"addr\":\"127.0.0.1:1\",\"zone\":\"a\",\"version\":\"v1\","
 		"\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":64000,"
 		"\"memMb\":65536,\"gpu\":0},\"labels\":[],\"clockMs\":1,\"seq\":1}";
-	struct cluster cluster;
+	struct platform_cluster cluster;
 	char *url;
 
-	start_cluster(&cluster);
-	control_platform(&cluster, "{\"drain\":0,\"silent\":0}");
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"drain\":0,\"silent\":0}");
 	g_usleep(SETTLE_MS * US_PER_MS);
 	harness_kill(cluster.agents[0]);
 	harness_restart(cluster.harness, cluster.agents[0]);
@@ -773,79 +550,79 @@
 				    heartbeat) == 200);
 	g_usleep(SETTLE_MS * US_PER_MS);
 	for (unsigned i = 0; i < 10; i++)
-		job_completes(&cluster, i % ENTRIES, i + 1, 3);
+		platform_job_completes(&cluster, i % PLATFORM_ENTRIES, i + 1, 3);
 	g_assert_cmpint(platform_counter(&cluster, "starts_after_drain"), ==, 0);
 	g_free(url);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Guards against a graceful stop that loses accepted jobs, that leaves the entry ready for the load
  * balancer, or that does not exit with status 0. */
 static void test_graceful_stop(void)
 {
-	struct cluster cluster;
-	struct submission submission = {.number = 1, .tasks = 2};
+	struct platform_cluster cluster;
+	struct platform_submission submission = {.number = 1, .tasks = 2};
 	GThread *thread;
 
-	start_cluster(&cluster);
-	control_platform(&cluster, "{\"run_ms\":700}");
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"run_ms\":700}");
 	submission.cluster = &cluster;
-	thread = g_thread_new("client", run_submission, &submission);
+	thread = g_thread_new("client", platform_run_submission, &submission);
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") == 2);
 	harness_signal(cluster.entries[0], SIGTERM);
-	HARNESS_WAIT(CONDITION_TIMEOUT_MS, !entry_is_ready(&cluster, 0));
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, !platform_entry_is_ready(&cluster, 0));
 	g_thread_join(thread);
 	g_assert_cmpint(submission.reply.status, ==, 200);
 	harness_reply_clear(&submission.reply);
 	g_assert_cmpint(harness_wait_exit(cluster.entries[0], STOP_TIMEOUT_MS), ==, 0);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* Guards against runs that continue on a server after its agent was killed and restarted. The new
  * agent process must stop the runs that the old one started. */
 static void test_agent_restarts(void)
 {
-	struct cluster cluster;
-	struct submission submission = {.number = 1, .tasks = 4};
+	struct platform_cluster cluster;
+	struct platform_submission submission = {.number = 1, .tasks = 4};
 	GThread *thread;
 
-	start_cluster(&cluster);
-	control_platform(&cluster, "{\"run_ms\":1500}");
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"run_ms\":1500}");
 	submission.cluster = &cluster;
-	thread = g_thread_new("client", run_submission, &submission);
+	thread = g_thread_new("client", platform_run_submission, &submission);
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") == 4);
 	harness_kill(cluster.agents[0]);
 	harness_restart(cluster.harness, cluster.agents[0]);
 	g_thread_join(thread);
 	harness_reply_clear(&submission.reply);
-	control_platform(&cluster, "{\"run_ms\":50}");
-	HARNESS_WAIT(CONDITION_TIMEOUT_MS, job_completes(&cluster, 0, 2, 8));
-	stop_cluster(&cluster);
+	platform_control(&cluster, "{\"run_ms\":50}");
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(&cluster, 0, 2, 8));
+	platform_stop(&cluster);
 }
 
 /* Guards against changed settings that are not read, with or without SIGHUP, and against an invalid
  * file that changes the settings in use. */
 static void test_settings_change(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 	char *file;
 	char *text;
 
-	start_cluster(&cluster);
+	platform_start(&cluster);
 	file = g_strdup_printf("%s/entry0.json", cluster.harness->directory);
 	g_assert_true(g_file_get_contents(file, &text, NULL, NULL));
 	g_assert_true(g_file_set_contents(file, "{\"mode\":", -1, NULL));
 	harness_signal(cluster.entries[0], SIGHUP);
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS,
-		     log_contains(cluster.entries[0], "\"result\":\"invalid\""));
-	g_assert_true(job_completes(&cluster, 0, 1, 1));
+		     platform_log_contains(cluster.entries[0], "\"result\":\"invalid\""));
+	g_assert_true(platform_job_completes(&cluster, 0, 1, 1));
 	g_assert_true(g_file_set_contents(file, text, -1, NULL));
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS,
-		     log_contains(cluster.entries[0], "\"result\":\"valid\""));
-	g_assert_true(job_completes(&cluster, 0, 2, 1));
+		     platform_log_contains(cluster.entries[0], "\"result\":\"valid\""));
+	g_assert_true(platform_job_completes(&cluster, 0, 2, 1));
 	g_free(text);
 	g_free(file);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* An entry is suspended while its job runs, and the client resends the
@@ -854,23 +631,23 @@
  * not receive an answer (429 or 503) that says that the job did not run. */
 static void test_entry_suspended(void)
 {
-	struct cluster cluster;
-	struct submission original = {.number = 1, .tasks = MANY_TASKS};
-	struct submission resent = {.entry = 1, .number = 1, .tasks = MANY_TASKS};
+	struct platform_cluster cluster;
+	struct platform_submission original = {.number = 1, .tasks = MANY_TASKS};
+	struct platform_submission resent = {.entry = 1, .number = 1, .tasks = MANY_TASKS};
 	GThread *thread;
 	GThread *resent_thread;
 	int64_t before;
 
-	start_cluster(&cluster);
-	control_platform(&cluster, "{\"run_ms\":500}");
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"run_ms\":500}");
 	original.cluster = resent.cluster = &cluster;
-	thread = g_thread_new("client", run_submission, &original);
+	thread = g_thread_new("client", platform_run_submission, &original);
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") > 0);
 	harness_signal(cluster.entries[0], SIGSTOP);
 	g_usleep(RESEND_MS * US_PER_MS);
 	g_assert_cmpint(platform_counter(&cluster, "running"), ==, 0);
 	before = platform_counter(&cluster, "starts");
-	resent_thread = g_thread_new("client", run_submission, &resent);
+	resent_thread = g_thread_new("client", platform_run_submission, &resent);
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") > 0);
 	harness_signal(cluster.entries[0], SIGCONT);
 	g_thread_join(resent_thread);
@@ -881,7 +658,7 @@
 	g_assert_cmpint(platform_counter(&cluster, "starts") - before, ==, MANY_TASKS);
 	harness_reply_clear(&original.reply);
 	harness_reply_clear(&resent.reply);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 /* A suspended agent disconnects from its entries and then numbers its reports from 1 again. Guards
@@ -889,36 +666,38 @@
  * deadline. */
 static void test_agent_suspended(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 
-	start_cluster(&cluster);
+	platform_start(&cluster);
 	for (unsigned i = 0; i < 10; i++)
-		g_assert_true(job_completes(&cluster, i % ENTRIES, i + 1, MANY_TASKS));
-	for (unsigned i = 0; i < AGENTS; i++)
+		g_assert_true(
+			platform_job_completes(&cluster, i % PLATFORM_ENTRIES, i + 1, MANY_TASKS));
+	for (unsigned i = 0; i < PLATFORM_AGENTS; i++)
 		harness_signal(cluster.agents[i], SIGSTOP);
 	g_usleep(SUSPEND_MS * US_PER_MS);
-	for (unsigned i = 0; i < AGENTS; i++)
+	for (unsigned i = 0; i < PLATFORM_AGENTS; i++)
 		harness_signal(cluster.agents[i], SIGCONT);
 	g_usleep(SETTLE_MS * US_PER_MS);
 	for (unsigned i = 0; i < 10; i++)
-		g_assert_true(job_completes(&cluster, i % ENTRIES, i + 100, MANY_TASKS));
-	stop_cluster(&cluster);
+		g_assert_true(platform_job_completes(&cluster, i % PLATFORM_ENTRIES, i + 100,
+						     MANY_TASKS));
+	platform_stop(&cluster);
 }
 
 /* Guards against job counters and latencies missing from /metrics. */
 static void test_metrics(void)
 {
-	struct cluster cluster;
+	struct platform_cluster cluster;
 	struct harness_reply reply;
 
-	start_cluster(&cluster);
-	g_assert_true(job_completes(&cluster, 0, 1, 2));
+	platform_start(&cluster);
+	g_assert_true(platform_job_completes(&cluster, 0, 1, 2));
 	reply = harness_call("GET", cluster.ready_urls[0], "/metrics", NULL);
 	g_assert_cmpint(reply.status, ==, 200);
 	g_assert_nonnull(strstr(reply.text, "greengage_jobs_completed_total 1"));
 	g_assert_nonnull(strstr(reply.text, "greengage_job_us"));
 	harness_reply_clear(&reply);
-	stop_cluster(&cluster);
+	platform_stop(&cluster);
 }
 
 int main(int argc, char **argv)
