Store: one item that cannot be read does not hide the others

What callers saw: agents that started while their seed was down found no entry, an entry that started did not find the others, and an entry that started alone answered 503 until the odd item was gone. The list was read again every 250 or 500 ms without end; no process ended. Processes that ran already went on.

Cause: the answer of log-newest was parsed as one JSON text. jansson refuses it as a whole for one number beyond 64 bits or a double, a lone surrogate, bytes that are no UTF-8, a NUL in a name, or 2048 levels, and all other items were lost with it. A page that ended in an item without a readable key was taken for the last one.

store_page finds the bounds of each item without recursion and parses each item by itself. Pages go on after the last readable key. A key with NUL bytes is read whole. A list is cut at 16 MB, so that no writer decides on the memory that it takes. Event 1507 names the first item left out and the reason, at most once a minute for each topic. Flags of jansson were no way out: there is none for levels, surrogates or bytes, and JSON_DECODE_INT_AS_REAL would round versions above 2^53.

--- a/packages/base/include/event_defs.h
+++ b/packages/base/include/event_defs.h
@@ -58,6 +58,7 @@
 	X(1504, LOG_TRUNCATED, WARNING, "log records expired before they were read")               \
 	X(1505, SNAPSHOT_APPENDED, INFO, "configuration snapshot appended")                        \
 	X(1506, CONFIG_OLDER, WARNING, "older configuration ignored")                              \
+	X(1507, RECORD_INVALID, WARNING, "unreadable records ignored")                             \
 	X(1600, CLAIM_ABANDONED, WARNING, "claim abandoned")                                       \
 	X(1700, DRAIN_STARTED, INFO, "graceful shutdown started")                                  \
 	X(1701, DRAIN_FINISHED, INFO, "graceful shutdown finished")                                \
--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -1,9 +1,11 @@
 #include "store.h"
 
 #include <arpa/inet.h>
-#include <jansson.h>
 #include <string.h>
 
+#include "event.h"
+#include "store_page.h"
+
 enum {
 	CODE_OK = 200,
 	CODE_GONE = 410,
@@ -12,6 +14,10 @@
 	ANSWER_MAX_BYTES = 8 << 20,
 	CALL_TIMEOUT_MS = 1000, /* an answer usually takes 4 ms */
 	KEY_MAX_BYTES = 255,
+	/* A list of newest records is not read further once it takes this much memory. */
+	NEWEST_MAX_BYTES = 16 << 20,
+	LOG_INTERVAL_MS = 60000, /* minimum time between two log lines on a topic's records */
+	US_PER_MS = 1000,
 	RECORD_LENGTH_BYTES = 4, /* length before each record, big-endian */
 	/* Size of one offset, big-endian. A read's answer begins with two: the end of the log and
 	 * its first record. */
@@ -20,6 +26,9 @@
 
 struct store {
 	struct http_client *client;
+	struct net_loop *loop;
+	GHashTable
+		*logged_us; /* topic -> int64_t *, when its unreadable records were last logged */
 };
 
 /* A read or append in progress. */
@@ -32,6 +41,7 @@
 	store_callback callback;
 	void *context;
 	GPtrArray *strings; /* keys and values of the pages read so far */
+	size_t bytes;	    /* memory taken by the records of the pages read so far */
 	GArray *records;
 };
 
@@ -47,12 +57,15 @@
 	struct store *store = g_new0(struct store, 1);
 
 	store->client = http_client_new(loop, &options);
+	store->loop = loop;
+	store->logged_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return store;
 }
 
 void store_free(struct store *store)
 {
 	http_client_free(store->client);
+	g_hash_table_destroy(store->logged_us);
 	g_free(store);
 }
 
@@ -108,69 +121,93 @@
 	return reply->status == STATUS_OK && reply->code == CODE_OK;
 }
 
-static void request_page(struct operation *operation, const char *after_key);
-
-static void add_record(struct operation *operation, const json_t *item)
+/* Logs that COUNT records of the operation's topic were ignored. TEXT is the first of them. */
+static void log_unreadable(const struct operation *operation, const char *text, const char *reason,
+			   unsigned count)
 {
-	const char *key = json_string_value(json_object_get(item, "key"));
-	const char *value = json_string_value(json_object_get(item, "value"));
-	struct store_record record = {0};
-	gsize length = 0;
-	char *text;
+	struct store *store = operation->store;
+	int64_t now_us = store->loop->now_us;
+	const int64_t *logged_us = g_hash_table_lookup(store->logged_us, operation->topic);
 
-	if (!key || !value)
+	if (logged_us && now_us - *logged_us < LOG_INTERVAL_MS * US_PER_MS)
 		return;
-	text = g_strdup(key);
-	g_ptr_array_add(operation->strings, text);
-	record.key = text;
-	record.key_length = strlen(text);
-	text = (char *)g_base64_decode(value, &length);
-	g_ptr_array_add(operation->strings, text);
-	record.value = text;
-	record.value_length = length;
-	g_array_append_val(operation->records, record);
+	g_hash_table_replace(store->logged_us, g_strdup(operation->topic),
+			     g_memdup2(&now_us, sizeof(now_us)));
+	event_log(EVENT_RECORD_INVALID, EV_S("topic", operation->topic), EV_S("record", text),
+		  EV_S("reason", reason), EV_I("records", count));
+}
+
+/* Takes the records of PAGE over. */
+static void add_records(struct operation *operation, struct store_page *page)
+{
+	for (guint i = 0; i < page->items->len; i++) {
+		struct store_page_item *item =
+			&g_array_index(page->items, struct store_page_item, i);
+		const struct store_record record = {
+			.key = item->key,
+			.key_length = item->key_length,
+			.value = item->value,
+			.value_length = item->value_length,
+		};
+
+		g_array_append_val(operation->records, record);
+		g_ptr_array_add(operation->strings, g_steal_pointer(&item->key));
+		g_ptr_array_add(operation->strings, g_steal_pointer(&item->value));
+		operation->bytes += sizeof(record) + item->key_length + item->value_length;
+	}
+	if (page->unreadable > 0)
+		log_unreadable(operation, page->first_unreadable, page->reason, page->unreadable);
+}
+
+static void request_page(struct operation *operation, const struct store_page *previous);
+
+/* Returns whether to request the page after PAGE. A page without a readable key cannot be
+ * continued. */
+static bool is_continued(const struct operation *operation, const struct store_page *page)
+{
+	if (!page->has_more)
+		return false;
+	if (page->last_key && operation->bytes < NEWEST_MAX_BYTES)
+		return true;
+	log_unreadable(operation, page->first_unreadable,
+		       page->last_key ? "the list is too long" : "a page without a readable key",
+		       page->unreadable);
+	return false;
 }
 
 static void on_page(void *context, const struct http_response *reply)
 {
 	struct operation *operation = context;
-	json_t *document, *items, *item;
-	const char *last_key = NULL;
-	size_t i;
+	struct store_page page;
 
 	if (!reply_succeeded(reply)) {
 		fail_operation(operation, reply);
 		return;
 	}
-	document = json_loadb(reply->body, reply->length, 0, NULL);
-	items = json_object_get(document, "items");
-	if (!json_is_array(items)) {
-		json_decref(document);
+	if (!store_page_parse(reply->body, reply->length, &page)) {
+		store_page_clear(&page);
 		complete_operation(operation, STATUS_LOG_UNAVAILABLE, "answer without items", 0);
 		return;
 	}
-	json_array_foreach (items, i, item) {
-		add_record(operation, item);
-		last_key = json_string_value(json_object_get(item, "key"));
-	}
+	add_records(operation, &page);
 	/* The pages are not a snapshot: a later one may miss changes of earlier keys. The following
 	 * read must therefore start at the end offset in the first page. */
 	if (operation->next_offset == 0)
-		operation->next_offset =
-			(uint64_t)json_integer_value(json_object_get(document, "endOffset"));
-	if (json_is_true(json_object_get(document, "hasMore")) && last_key)
-		request_page(operation, last_key);
+		operation->next_offset = page.end_offset;
+	if (is_continued(operation, &page))
+		request_page(operation, &page);
 	else
 		complete_operation(operation, STATUS_OK, NULL, operation->next_offset);
-	json_decref(document);
+	store_page_clear(&page);
 }
 
-/* Requests the page after AFTER_KEY, the last key of the previous page, or the first page when it
- * is NULL. The store's API calls this parameter dependsOn; it has nothing to do with the field
- * dependsOn of a step. */
-static void request_page(struct operation *operation, const char *after_key)
+/* Requests the page after the last key of PREVIOUS, or the first page when it is NULL. The store's
+ * API calls this parameter dependsOn; it has nothing to do with the field dependsOn of a step. */
+static void request_page(struct operation *operation, const struct store_page *previous)
 {
-	char *escaped = after_key ? g_uri_escape_string(after_key, NULL, FALSE) : NULL;
+	char *escaped = previous ? g_uri_escape_bytes((const guint8 *)previous->last_key,
+						      previous->last_key_length, NULL)
+				 : NULL;
 	char *path =
 		g_strdup_printf("/greengagefront/log-newest?topic=%s&part=0%s%s", operation->topic,
 				escaped ? "&dependsOn=" : "", escaped ? escaped : "");
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -6,10 +6,13 @@
  *
  * At the store's addresses, POST /control changes settings, POST /control/config publishes a
  * configuration, GET /control returns counters, and GET /control/started returns the ids of the
- * started jobs. The settings are lists_lost, starts_lost, run_ms, store_down, store_silent,
- * refused_address, cpu (capacity of each server, which it does not enforce), lists_garbled,
- * deadly_job (id of a job whose tasks crash each server that starts them), away_ms (how long a
- * crashed server is away), and drain, stay and silent, whose value is the index of a server.
+ * started jobs. POST /control/item?topic=T adds its body, JSON text that need not be valid, to the
+ * items of T's newest records, and POST /control/record?topic=T adds its body, in base64 the bytes
+ * after a record's length, to T's log. The settings are page_items (items in a page of newest
+ * records; 0: all), lists_lost, starts_lost, run_ms, store_down, store_silent, refused_address, cpu
+ * (capacity of each server, which it does not enforce), lists_garbled, deadly_job (id of a job
+ * whose tasks crash each server that starts them), away_ms (how long a crashed server is away), and
+ * drain, stay and silent, whose value is the index of a server.
  */
 #include <arpa/inet.h>
 #include <jansson.h>
@@ -76,8 +79,10 @@
 };
 
 struct topic {
-	GPtrArray *keys;   /* char * */
-	GPtrArray *values; /* GBytes * */
+	GPtrArray *keys;   /* char *; NULL for a raw record */
+	GPtrArray *values; /* GBytes *; for a raw record, all of its bytes after the length */
+	GPtrArray *items;  /* char *, raw items of the newest records */
+	GArray *places;	   /* guint, for each raw item the index of the key that it comes before */
 };
 
 struct pending_read {
@@ -101,6 +106,7 @@
 	int64_t run_ms;	    /* run time of every task */
 	int64_t cpu;	    /* capacity that each server announces */
 	int64_t cpu_changed_us;
+	size_t page_items; /* 0: all items of the newest records are in one page */
 	bool store_down;
 	bool store_silent;     /* leaves requests unanswered */
 	char *refused_address; /* address of the store at which calls are refused, or NULL */
@@ -443,6 +449,8 @@
 		topic = g_new0(struct topic, 1);
 		topic->keys = g_ptr_array_new_with_free_func(g_free);
 		topic->values = g_ptr_array_new();
+		topic->items = g_ptr_array_new_with_free_func(g_free);
+		topic->places = g_array_new(FALSE, FALSE, sizeof(guint));
 		g_hash_table_insert(standin->topics, g_strdup(name), topic);
 	}
 	return topic;
@@ -457,33 +465,89 @@
 	g_ptr_array_add(topic->values, g_bytes_new(value, length));
 }
 
-/* Responds with the newest record of each key. */
+static bool is_newest(const struct topic *topic, guint index)
+{
+	if (!topic->keys->pdata[index])
+		return false;
+	for (guint i = index + 1; i < topic->keys->len; i++) {
+		if (g_strcmp0(topic->keys->pdata[index], topic->keys->pdata[i]) == 0)
+			return false;
+	}
+	return true;
+}
+
+/* Adds the item of the newest record INDEX to ITEMS, and its key to KEYS. */
+static void add_item(const struct topic *topic, guint index, GPtrArray *items, GPtrArray *keys)
+{
+	gsize length;
+	const guchar *value = g_bytes_get_data(topic->values->pdata[index], &length);
+	char *encoded = g_base64_encode(value, length);
+	json_t *item = json_pack("{s:s, s:s, s:i}", "key", topic->keys->pdata[index], "value",
+				 encoded, "offset", (int)index);
+	char *text = json_dumps(item, JSON_COMPACT);
+
+	if (text) {
+		g_ptr_array_add(items, g_strdup(text));
+		g_ptr_array_add(keys, g_strdup(topic->keys->pdata[index]));
+	}
+	free(text);
+	json_decref(item);
+	g_free(encoded);
+}
+
+/* Returns the key of a raw item, which the caller frees, or NULL if it has none that can be read.
+ */
+static char *raw_item_key(const char *text)
+{
+	json_t *item = json_loads(text, 0, NULL);
+	char *key = g_strdup(json_string_value(json_object_get(item, "key")));
+
+	json_decref(item);
+	return key;
+}
+
+/* Adds the raw items that come before the key INDEX, and their keys. */
+static void add_raw_items(const struct topic *topic, guint index, GPtrArray *items, GPtrArray *keys)
+{
+	for (guint i = 0; i < topic->items->len; i++) {
+		if (g_array_index(topic->places, guint, i) != index)
+			continue;
+		g_ptr_array_add(items, g_strdup(topic->items->pdata[i]));
+		g_ptr_array_add(keys, raw_item_key(topic->items->pdata[i]));
+	}
+}
+
+/* Responds with a page of the newest record of each key, from the one after AFTER_KEY on. */
 static void respond_newest_records(struct standin *standin, struct http_request *request,
-				   const char *name)
+				   const char *name, const char *after_key)
 {
 	struct topic *topic = find_or_create_topic(standin, name);
-	json_t *items = json_array();
+	GPtrArray *items = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+	GString *body = g_string_new("{\"items\":[");
+	guint first = 0;
+	guint end;
 
 	for (guint i = 0; i < topic->keys->len; i++) {
-		bool newest = true;
-		gsize length;
-		const guchar *value = g_bytes_get_data(topic->values->pdata[i], &length);
-		char *encoded;
-
-		for (guint j = i + 1; j < topic->keys->len; j++)
-			newest =
-				newest && strcmp(topic->keys->pdata[i], topic->keys->pdata[j]) != 0;
-		if (!newest)
-			continue;
-		encoded = g_base64_encode(value, length);
-		json_array_append_new(items,
-				      json_pack("{s:s, s:s, s:i}", "key", topic->keys->pdata[i],
-						"value", encoded, "offset", (int)i));
-		g_free(encoded);
+		add_raw_items(topic, i, items, keys);
+		if (is_newest(topic, i))
+			add_item(topic, i, items, keys);
 	}
-	respond_json(request, 200,
-		     json_pack("{s:o, s:b, s:i}", "items", items, "hasMore", 0, "endOffset",
-			       (int)topic->keys->len));
+	add_raw_items(topic, topic->keys->len, items, keys);
+	for (guint i = 0; after_key && i < keys->len; i++) {
+		if (g_strcmp0(keys->pdata[i], after_key) == 0)
+			first = i + 1;
+	}
+	end = standin->page_items > 0 ? MIN(items->len, first + (guint)standin->page_items)
+				      : items->len;
+	for (guint i = first; i < end; i++)
+		g_string_append_printf(body, "%s%s", i > first ? "," : "", (char *)items->pdata[i]);
+	g_string_append_printf(body, "],\"hasMore\":%s,\"endOffset\":%u}",
+			       end < items->len ? "true" : "false", topic->keys->len);
+	http_respond(request, 200, NULL, body->str);
+	g_string_free(body, TRUE);
+	g_ptr_array_free(keys, TRUE);
+	g_ptr_array_free(items, TRUE);
 }
 
 static void respond_records(struct standin *standin, const struct pending_read *read)
@@ -499,12 +563,14 @@
 		const char *key = topic->keys->pdata[i];
 		gsize length;
 		const guint8 *value = g_bytes_get_data(topic->values->pdata[i], &length);
-		uint32_t size = htonl((uint32_t)(1 + strlen(key) + length));
-		guint8 key_length = (guint8)strlen(key);
+		guint8 key_length = key ? (guint8)strlen(key) : 0;
+		uint32_t size = htonl((uint32_t)((key ? 1 + key_length : 0) + length));
 
 		g_byte_array_append(body, (const guint8 *)&size, sizeof(size));
-		g_byte_array_append(body, &key_length, 1);
-		g_byte_array_append(body, (const guint8 *)key, key_length);
+		if (key) {
+			g_byte_array_append(body, &key_length, 1);
+			g_byte_array_append(body, (const guint8 *)key, key_length);
+		}
 		g_byte_array_append(body, value, (guint)length);
 	}
 	http_respond_bytes(read->request, 200, NULL, body->data, body->len);
@@ -552,6 +618,7 @@
 	char *topic = query_value(http_request_query(request), "topic");
 	char *from = query_value(http_request_query(request), "from");
 	char *wait = query_value(http_request_query(request), "waitMs");
+	char *after_key = query_value(http_request_query(request), "dependsOn");
 
 	if (standin->store_silent) {
 		leave_unanswered(request);
@@ -560,7 +627,7 @@
 	} else if (!topic) {
 		http_respond(request, 400, NULL, "{}");
 	} else if (g_str_has_suffix(path, "/log-newest")) {
-		respond_newest_records(standin, request, topic);
+		respond_newest_records(standin, request, topic, after_key);
 	} else if (g_str_has_suffix(path, "/log-append")) {
 		handle_append(standin, request, topic);
 	} else if (g_str_has_suffix(path, "/log-read")) {
@@ -578,6 +645,7 @@
 	g_free(topic);
 	g_free(from);
 	g_free(wait);
+	g_free(after_key);
 }
 
 static void respond_to_due_reads(struct standin *standin)
@@ -629,6 +697,8 @@
 		standin->cpu = json_integer_value(field);
 		standin->cpu_changed_us = standin->loop.now_us;
 	}
+	if ((field = json_object_get(document, "page_items")))
+		standin->page_items = (size_t)json_integer_value(field);
 	if ((field = json_object_get(document, "store_down")))
 		standin->store_down = json_is_true(field);
 	if ((field = json_object_get(document, "store_silent")))
@@ -682,6 +752,29 @@
 	respond_json(request, 200, json_pack("{s:o}", "jobs", ids));
 }
 
+/* Adds the body as a raw item or a raw record. */
+static void handle_raw(struct standin *standin, struct http_request *request, bool record)
+{
+	char *name = query_value(http_request_query(request), "topic");
+	struct topic *topic = find_or_create_topic(standin, name);
+	size_t length;
+	const char *body = http_request_body(request, &length);
+
+	if (record) {
+		char *text = g_strndup(body, length);
+		guchar *record_bytes = g_base64_decode(text, &length);
+
+		g_ptr_array_add(topic->keys, NULL);
+		g_ptr_array_add(topic->values, g_bytes_new_take(record_bytes, length));
+		g_free(text);
+	} else {
+		g_ptr_array_add(topic->items, g_strndup(body, length));
+		g_array_append_val(topic->places, topic->keys->len);
+	}
+	g_free(name);
+	http_respond(request, 200, NULL, "{}");
+}
+
 static void on_store_request(void *context, struct http_request *request)
 {
 	struct standin *standin = context;
@@ -692,6 +785,8 @@
 	if (strcmp(path, "/control/config") == 0) {
 		append_record(standin, "keyed.op", "config", body, length);
 		http_respond(request, 200, NULL, "{}");
+	} else if (strcmp(path, "/control/item") == 0 || strcmp(path, "/control/record") == 0) {
+		handle_raw(standin, request, strcmp(path, "/control/record") == 0);
 	} else if (strcmp(path, "/control/started") == 0) {
 		respond_started_jobs(standin, request);
 	} else if (strcmp(path, "/control") == 0) {
