Entries' addresses: one check, a limit, and a log line

What callers saw: nothing at first; what one writer could do had no bound. Any record of the list of entries with a colon in its key was kept, dialled every 2 s without a log line, and passed on to all entries and agents. "10.0.0.3:07000" counted as another entry beside "10.0.0.3:7000" and was connected to as well, 0.0.0.0 led to the own host, and a key with a NUL byte was cut there and used. A seed that is a name or "::1" became ":7000".

net_address_parse accepts an IPv4 address and a port from 1 to 65535 in one spelling, and net_address_check_remote only hosts that may be others. All addresses pass it: from the store, the settings and other entries. At most 1,000 come from the store and 2,000 in all; event 1310 names the first one ignored, where it came from and why, at most once a minute.

What cannot happen here: a port out of range is not cut to 16 bits. net_connect refused 65536 and 99999 before; net_test holds this. IPv6 addresses and names were refused there too.

--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -161,7 +161,7 @@
 	for (size_t i = 0; i < orders->n_starts; i++)
 		start_runs(agent, owner, orders->starts[i]);
 	for (size_t i = 0; i < orders->n_entries; i++)
-		node_members_add(&agent->members, orders->entries[i]);
+		node_members_add(&agent->members, orders->entries[i], MEMBER_SOURCE_ENTRY);
 	if (orders->service_servers > 0)
 		owner->service_server_count = orders->service_servers;
 	if (orders->number > owner->orders_ack) {
--- a/packages/greengaged/src/node_members.c
+++ b/packages/greengaged/src/node_members.c
@@ -3,27 +3,65 @@
 #include <string.h>
 
 #include "event.h"
+#include "net.h"
+#include "store_page.h"
 
 enum {
 	US_PER_MS = 1000,
-	CHECK_INTERVAL_MS = 500 /* also the retry interval while the store does not answer */
+	CHECK_INTERVAL_MS = 500, /* also the retry interval while the store does not answer */
+	/* Limits on the number of addresses, many times the number of entries: anyone who writes to
+	 * the store decides what this process connects to. What entries tell comes from entries
+	 * that they know, and finds room when the store lists too many. */
+	MAX_STORED_ADDRESSES = 1000,
+	MAX_ADDRESSES = 2000,
+	LOG_INTERVAL_MS = 60000 /* minimum time between two log lines on ignored addresses */
 };
 
-static bool is_known(const struct node_members *members, const char *address)
+static const char *const source_names[] = {
+	[MEMBER_SOURCE_SETTINGS] = "settings",
+	[MEMBER_SOURCE_STORE] = "store",
+	[MEMBER_SOURCE_ENTRY] = "entry",
+};
+
+static void ignore_address(struct node_members *members, const char *address,
+			   enum node_member_source source, const char *reason)
 {
-	for (guint i = 0; i < members->addresses->len; i++) {
-		if (strcmp(members->addresses->pdata[i], address) == 0)
-			return true;
-	}
-	return false;
+	int64_t now_us = members->loop->now_us;
+	char *text;
+
+	members->ignored++;
+	if (members->ignored_logged_us != 0 &&
+	    now_us - members->ignored_logged_us < LOG_INTERVAL_MS * US_PER_MS)
+		return;
+	text = store_printable(address, strlen(address));
+	event_log(EVENT_ADDRESS_INVALID, EV_S("address", text),
+		  EV_S("source", source_names[source]), EV_S("reason", reason),
+		  EV_I("ignored", members->ignored));
+	g_free(text);
+	members->ignored = 0;
+	members->ignored_logged_us = now_us;
 }
 
-void node_members_add(struct node_members *members, const char *address)
+void node_members_add(struct node_members *members, const char *address,
+		      enum node_member_source source)
 {
-	if (strchr(address, ':') == NULL || strcmp(address, members->own_address) == 0 ||
-	    is_known(members, address))
+	guint limit = source == MEMBER_SOURCE_STORE ? MAX_STORED_ADDRESSES : MAX_ADDRESSES;
+	const char *reason;
+	char *copy;
+
+	if (strcmp(address, members->own_address) == 0 ||
+	    g_hash_table_contains(members->known, address))
+		return;
+	reason = net_address_check_remote(address);
+	if (!reason && members->addresses->len >= limit)
+		reason = "too many addresses";
+	if (reason) {
+		ignore_address(members, address, source, reason);
 		return;
-	g_ptr_array_add(members->addresses, g_strdup(address));
+	}
+	copy = g_strdup(address);
+	g_ptr_array_add(members->addresses, copy);
+	g_hash_table_add(members->known, copy);
 	members->address_added(members->context, address);
 }
 
@@ -44,7 +82,7 @@
 		char *host = g_strndup(*seed, strcspn(*seed, ":"));
 		char *address = g_strdup_printf("%s:%" G_GINT64_FORMAT, host, peer_port);
 
-		node_members_add(members, address);
+		node_members_add(members, address, MEMBER_SOURCE_SETTINGS);
 		g_free(host);
 		g_free(address);
 	}
@@ -59,6 +97,23 @@
 		members->refresh_needed = true;
 }
 
+/* Adds the address in a record of the store. Returns whether it is this process's own address. */
+static bool add_record(struct node_members *members, const struct store_record *record)
+{
+	char *address = g_strndup(record->key, record->key_length);
+	bool own = false;
+
+	if (strlen(address) < record->key_length) {
+		ignore_address(members, address, MEMBER_SOURCE_STORE,
+			       "the key contains a NUL byte");
+	} else {
+		own = strcmp(address, members->own_address) == 0;
+		node_members_add(members, address, MEMBER_SOURCE_STORE);
+	}
+	g_free(address);
+	return own;
+}
+
 static void on_read_done(void *context, const struct store_result *result)
 {
 	struct node_members *members = context;
@@ -77,12 +132,9 @@
 		event_log(EVENT_LOG_AVAILABLE, EV_S("topic", STORE_TOPIC_MEMBERS));
 	members->store_unavailable = false;
 	for (size_t i = 0; i < result->count; i++) {
-		char *address = g_strndup(result->records[i].key, result->records[i].key_length);
+		bool own = add_record(members, &result->records[i]);
 
-		own_address_stored =
-			own_address_stored || strcmp(address, members->own_address) == 0;
-		node_members_add(members, address);
-		g_free(address);
+		own_address_stored = own_address_stored || own;
 	}
 	if (!own_address_stored) {
 		members->request_pending = true;
@@ -113,6 +165,7 @@
 		.loop = options->loop,
 		.store = options->store,
 		.addresses = g_ptr_array_new_with_free_func(g_free),
+		.known = g_hash_table_new(g_str_hash, g_str_equal),
 		.own_address = options->own_address,
 		.own_record_json = g_strdup_printf("{\"name\":\"%s\"}", options->name),
 		.address_added = options->address_added,
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -335,7 +335,7 @@
 		g_hash_table_insert(peer->pending_by_queue, g_strdup(state->queues[i]),
 				    GUINT_TO_POINTER(state->queued[i]));
 	for (size_t i = 0; i < state->n_entries; i++)
-		node_members_add(&peer->entry->members, state->entries[i]);
+		node_members_add(&peer->entry->members, state->entries[i], MEMBER_SOURCE_ENTRY);
 }
 
 static void on_incoming_heartbeat(void *context, struct node_link *link)
@@ -374,7 +374,7 @@
 	g_ptr_array_add(get_incoming_peers(entry), peer);
 	node_link_set_callbacks(link, &incoming_callbacks, peer);
 	node_link_set_heartbeat(link, heartbeat_ms(entry));
-	node_members_add(&entry->members, hello->address);
+	node_members_add(&entry->members, hello->address, MEMBER_SOURCE_ENTRY);
 	return true;
 }
 
--- a/packages/net/include/net.h
+++ b/packages/net/include/net.h
@@ -57,6 +57,13 @@
 /* Frees the loop's timers and memory. Open connections are not closed. */
 void net_loop_free(struct net_loop *loop);
 
+/* Parses ADDRESS, an IPv4 address in dotted form, a colon and a port from 1 to 65535 without
+ * leading zeros, and nothing behind it. Returns NULL, or the reason why ADDRESS is invalid. */
+const char *net_address_parse(const char *address, struct sockaddr_in *parsed);
+
+/* Returns NULL if ADDRESS is valid and its host may be another one, or the reason why not. */
+const char *net_address_check_remote(const char *address);
+
 struct net_conn;
 
 /* Events of a connection. The connection must not be used after on_closed, which is not called
--- a/packages/net/src/net.c
+++ b/packages/net/src/net.c
@@ -1,5 +1,6 @@
 #include "net.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 #include <time.h>
 
@@ -10,6 +11,7 @@
 	NS_PER_US = 1000,
 	US_PER_MS = 1000,
 	STOP_FLUSH_LIMIT_US = 200000, /* after net_loop_stop, for bytes still queued */
+	FIRST_MULTICAST = 224,	      /* first byte of an IPv4 address */
 	MAX_POLL_MS = 1000	      /* an idle loop reads the clocks at least this often */
 };
 
@@ -152,19 +154,38 @@
 	g_ptr_array_free(loop->unsent, TRUE);
 }
 
-static bool parse_address(const char *address, struct sockaddr_in *parsed)
+const char *net_address_parse(const char *address, struct sockaddr_in *parsed)
 {
-	const char *colon = strrchr(address, ':');
+	const char *colon = strchr(address, ':');
 	char host[NET_ADDRESS_BYTES];
-	gint64 port;
+	guint64 port;
 
-	if (!colon || (size_t)(colon - address) >= sizeof(host))
-		return false;
+	if (!colon)
+		return "no port";
+	if ((size_t)(colon - address) >= sizeof(host))
+		return "the host is not an IPv4 address";
 	memcpy(host, address, (size_t)(colon - address));
 	host[colon - address] = '\0';
-	if (!g_ascii_string_to_signed(colon + 1, 10, 0, UINT16_MAX, &port, NULL))
-		return false;
-	return uv_ip4_addr(host, (int)port, parsed) == 0;
+	/* Another spelling of an address would count as another address. */
+	if (colon[1] == '0' ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 1, UINT16_MAX, &port, NULL))
+		return "the port is not a number from 1 to 65535";
+	if (uv_ip4_addr(host, (int)port, parsed) != 0)
+		return "the host is not an IPv4 address";
+	return NULL;
+}
+
+const char *net_address_check_remote(const char *address)
+{
+	struct sockaddr_in parsed;
+	const char *reason = net_address_parse(address, &parsed);
+	uint8_t first;
+
+	if (reason)
+		return reason;
+	/* A connection to 0.0.0.0 would lead to this host. */
+	first = (uint8_t)(ntohl(parsed.sin_addr.s_addr) >> 24);
+	return first == 0 || first >= FIRST_MULTICAST ? "the host is not a unicast address" : NULL;
 }
 
 static void free_conn(uv_handle_t *handle)
@@ -268,7 +289,7 @@
 	struct net_listener *new_listener;
 	int uv_error;
 
-	if (!parse_address(address, &parsed))
+	if (net_address_parse(address, &parsed))
 		return error_set(err, STATUS_INVALID_REQUEST,
 				 "%s is not an IPv4 address with a port", address);
 	new_listener = g_new0(struct net_listener, 1);
@@ -325,7 +346,7 @@
 	struct net_conn *conn;
 	int uv_error;
 
-	if (!parse_address(address, &parsed)) {
+	if (net_address_parse(address, &parsed)) {
 		error_set(err, STATUS_INVALID_REQUEST, "%s is not an IPv4 address with a port",
 			  address);
 		return NULL;
--- a/test/functional/odd_messages_test.c
+++ b/test/functional/odd_messages_test.c
@@ -67,6 +67,36 @@
 	       "{}"),
 };
 
+/* Keys of the list of entries that name none. */
+static const char *const odd_addresses[] = {
+	"",
+	":",
+	"host",
+	"host:7000",
+	"127.0.0.3",
+	"127.0.0.3:",
+	"127.0.0.3:0",
+	"127.0.0.3:-1",
+	"127.0.0.3:65536",
+	"127.0.0.3:99999",
+	"127.0.0.3:99999999999999999999",
+	"127.0.0.3:7000 ",
+	"127.0.0.3:7000x",
+	"127.0.0.3:07000",
+	" 127.0.0.3:7000",
+	"127.0.0.3:7000:7000",
+	"127.0.0.3.4:7000",
+	"127.0.0.300:7000",
+	"127.0.3:7000",
+	"0.0.0.0:7000",
+	"224.0.0.1:7000",
+	"255.255.255.255:7000",
+	"::1",
+	"[::1]:7000",
+	"127.0.0.3:7000\\u0000x",
+	"127.0.0.3:7000\\nx",
+};
+
 static char *nested_value(void)
 {
 	char *opened = g_strnfill(NESTING_LEVELS, '[');
@@ -241,6 +271,27 @@
 	platform_stop(&cluster);
 }
 
+/* Guards against addresses that end a process, that lose jobs, or that keep an entry that starts
+ * later from the others. */
+static void test_odd_addresses(void)
+{
+	struct job_stream streams[JOB_THREADS];
+	struct platform_cluster cluster;
+
+	platform_start(&cluster);
+	start_jobs(&cluster, streams);
+	for (size_t i = 0; i < G_N_ELEMENTS(odd_addresses); i++)
+		add_address(&cluster, odd_addresses[i]);
+	platform_start_entry(&cluster, PLATFORM_ENTRIES);
+	HARNESS_WAIT(DISCOVERY_TIMEOUT_MS, platform_entry_is_ready(&cluster, PLATFORM_ENTRIES));
+	g_assert_true(platform_job_completes(&cluster, PLATFORM_ENTRIES, 1, 4));
+	stop_jobs(streams);
+	check_all_running(&cluster);
+	check_running(cluster.entries[PLATFORM_ENTRIES]);
+	g_assert_true(platform_log_contains(cluster.entries[PLATFORM_ENTRIES], "\"event\":1310"));
+	platform_stop(&cluster);
+}
+
 /* Guards against a configuration that takes effect late or never because of other records in its
  * topic. An entry that starts then reads the list of newest records, and runs alone so that it
  * cannot ask another one. */
@@ -334,6 +385,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/odd_messages/item_hides_entries", test_item_hides_entries);
 	g_test_add_func("/odd_messages/item_ends_page", test_item_ends_page);
+	g_test_add_func("/odd_messages/addresses", test_odd_addresses);
 	g_test_add_func("/odd_messages/records_beside_config", test_records_beside_config);
 	g_test_add_func("/odd_messages/bodies", test_odd_bodies);
 	return g_test_run();
--- a/test/unit/net_test.c
+++ b/test/unit/net_test.c
@@ -116,10 +116,65 @@
 	check_stop_delivers(LARGE_RESPONSE_BYTES);
 }
 
+/* Another writer's address must not be dialled at another port or host than it says, nor under a
+ * second spelling. */
+static void test_addresses(void)
+{
+	static const struct {
+		const char *address;
+		bool valid;
+		bool remote;
+	} cases[] = {
+		{"10.0.0.1:1", true, true},
+		{"127.0.0.1:65535", true, true},
+		{"223.255.255.255:80", true, true},
+		{"0.0.0.0:80", true, false},
+		{"0.1.2.3:80", true, false},
+		{"224.0.0.1:80", true, false},
+		{"255.255.255.255:80", true, false},
+		{"", false, false},
+		{":", false, false},
+		{":80", false, false},
+		{"10.0.0.1", false, false},
+		{"10.0.0.1:", false, false},
+		{"10.0.0.1:0", false, false},
+		{"10.0.0.1:-1", false, false},
+		{"10.0.0.1:+80", false, false},
+		{"10.0.0.1: 80", false, false},
+		{"10.0.0.1:80 ", false, false},
+		{"10.0.0.1:80x", false, false},
+		{"10.0.0.1:0x50", false, false},
+		{"10.0.0.1:080", false, false},
+		{"10.0.0.1:65536", false, false},
+		{"10.0.0.1:65616", false, false}, /* 80 in its lower 16 bits */
+		{"10.0.0.1:4294967376", false, false},
+		{"10.0.0.1:99999999999999999999", false, false},
+		{"10.0.0.1:80:80", false, false},
+		{" 10.0.0.1:80", false, false},
+		{"010.0.0.1:80", false, false},
+		{"10.0.1:80", false, false},
+		{"10.0.0.256:80", false, false},
+		{"10.0.0.1.1:80", false, false},
+		{"host:80", false, false},
+		{"::1", false, false},
+		{"::1:80", false, false},
+		{"[::1]:80", false, false},
+		{"1000000000000000000000000000000000000001:80", false, false},
+	};
+	struct sockaddr_in parsed;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_test_message("%s", cases[i].address);
+		g_assert_true(cases[i].valid == !net_address_parse(cases[i].address, &parsed));
+		g_assert_true(cases[i].remote == !net_address_check_remote(cases[i].address));
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/net/stop/sends_what_is_queued", test_stop_sends_queued_bytes);
 	g_test_add_func("/net/stop/waits_for_the_kernel", test_stop_waits_for_the_kernel);
+	g_test_add_func("/net/addresses", test_addresses);
 	return g_test_run();
 }
