Addresses without an entry delay no connection to the others

What callers saw: with 400 addresses in the store's list at which nobody listens, agents that started while their seed was down took more than 2 s to find the one entry; its clients got 503 until then.

Cause: an agent serves the 16 entries that rank first and counts each as reachable for 2 s, so that dead addresses took the places of entries, 16 of them every 2 s. All addresses were dialled every 50 ms for 10 s and every 2 s after that, all at once, a socket each. Heartbeat and state periods of entries grew with the number of addresses instead of connected entries.

An address at which no entry ever was connected takes no place once an attempt has failed; one that was connected keeps it for 2 s as before. At most 64 attempts of a process run at a time; with more than 64 addresses each is tried less often, so that all get their turn. The periods follow the connected entries. With up to 64 addresses nothing but the first rule and the periods changes.

--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -48,6 +48,8 @@
 	struct node_retry retry;
 	uint64_t rank;
 	bool selected;		      /* one of the entries that this agent is to serve */
+	bool was_up;		      /* an entry has been connected here */
+	bool failed;		      /* the last connection attempt failed */
 	int64_t unreachable_since_us; /* end of the last connection, or time of the selection */
 };
 
@@ -220,6 +222,8 @@
 		endpoint->retry.next_attempt_us = agent->loop.now_us + ALIAS_RETRY_MS * US_PER_MS;
 		return false;
 	}
+	endpoint->was_up = true;
+	endpoint->failed = false;
 	endpoint->owner = owner;
 	owner->retiring_since_us = 0;
 	owner->link = link;
@@ -239,6 +243,14 @@
 		owner_send_status(endpoint->owner, &endpoint->agent->backend);
 }
 
+static void schedule_retry(struct endpoint *endpoint, bool was_up)
+{
+	const struct node_agent *agent = endpoint->agent;
+
+	endpoint->failed = !was_up;
+	node_retry_schedule(&endpoint->retry, was_up, agent->endpoints->len, agent->loop.now_us);
+}
+
 static void on_down(void *context, struct node_link *link, const char *reason)
 {
 	struct endpoint *endpoint = context;
@@ -253,7 +265,7 @@
 	endpoint->link = NULL;
 	if (node_link_is_up(link))
 		endpoint->unreachable_since_us = endpoint->agent->loop.now_us;
-	node_retry_schedule(&endpoint->retry, node_link_is_up(link), endpoint->agent->loop.now_us);
+	schedule_retry(endpoint, node_link_is_up(link));
 }
 
 static const struct node_link_callbacks link_callbacks = {
@@ -286,10 +298,15 @@
 }
 
 /* An entry that is not selected counts as reachable, because this agent may never have tried to
- * connect to it. */
+ * connect to it. An entry that was connected may just restart, but an address at which none ever
+ * was takes no entry's place: the list may hold hundreds of them. */
 static bool is_reachable(const struct endpoint *endpoint, int64_t now_us)
 {
-	return is_connected(endpoint) || !endpoint->selected ||
+	if (is_connected(endpoint))
+		return true;
+	if (endpoint->failed && !endpoint->was_up)
+		return false;
+	return !endpoint->selected ||
 	       now_us - endpoint->unreachable_since_us < UNREACHABLE_TIMEOUT_MS * US_PER_MS;
 }
 
@@ -393,6 +410,7 @@
  * entry has been connected for too long. */
 static void connect_endpoints(struct node_agent *agent, int64_t now_us)
 {
+	uint32_t attempts = node_links_free_attempts(&agent->links);
 	struct error err;
 	bool connected = false;
 
@@ -403,12 +421,13 @@
 		/* An entry that may have runs here is connected again even if it is not selected,
 		 * so that it learns how they ended. */
 		if (endpoint->link || now_us < endpoint->retry.next_attempt_us ||
-		    !(endpoint->selected || endpoint->owner))
+		    !(endpoint->selected || endpoint->owner) || attempts == 0)
 			continue;
+		attempts--;
 		endpoint->link = node_link_connect(&agent->links, endpoint->address,
 						   &link_callbacks, endpoint, &err);
 		if (!endpoint->link)
-			node_retry_schedule(&endpoint->retry, false, now_us);
+			schedule_retry(endpoint, false);
 	}
 	if (connected) {
 		agent->no_entry_since_us = now_us;
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -38,6 +38,7 @@
 	struct http_server *readiness_server; /* probes of the load balancer, and metrics */
 	GPtrArray *agents;		      /* struct agent_peer * */
 	GPtrArray *outgoing_peers; /* struct outgoing_peer *, entries that this one connects to */
+	uint32_t linked_peers;	   /* connected outgoing peers, as of the last tick */
 	GPtrArray *incoming_peers; /* struct incoming_peer *, entries that connected to this one */
 	GArray *pending_requests;  /* struct pending_request, waiting for the first configuration */
 	uint32_t unfinished_submissions; /* submissions whose job has not ended */
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -12,6 +12,12 @@
 	SLOW_RETRY_MS = 2000,
 	/* Retries are fast for this long after the start or the last connection, then slow. */
 	FAST_RETRY_PERIOD_MS = 10000,
+	/* Connection attempts in progress at a time. Each takes a socket, and anyone who writes to
+	 * the list of entries can add addresses at which nobody answers. */
+	MAX_ATTEMPTS = 64,
+	/* Added to the retry interval for each address, if there are more than MAX_ATTEMPTS: the
+	 * time that an attempt without an answer takes, divided by MAX_ATTEMPTS. */
+	RETRY_PER_ADDRESS_MS = 4,
 	/* The silence timeout is at least this many heartbeat periods. */
 	MIN_SILENCE_HEARTBEATS = 3,
 	/* A link with more unsent bytes is closed, because its peer does not read. */
@@ -28,6 +34,7 @@
 	int64_t last_sent_us;
 	int64_t heartbeat_ms;
 	int64_t silence_timeout_ms;
+	bool outgoing;
 	bool up;
 	bool closed; /* freed by the next call of check_links */
 };
@@ -200,6 +207,7 @@
 		free_link(link);
 		return NULL;
 	}
+	link->outgoing = true;
 	g_ptr_array_add(links->links, link);
 	send_hello(link);
 	return link;
@@ -257,12 +265,26 @@
 	*retry = (struct node_retry){.next_attempt_us = now_us, .last_connected_us = now_us};
 }
 
-void node_retry_schedule(struct node_retry *retry, bool was_up, int64_t now_us)
+void node_retry_schedule(struct node_retry *retry, bool was_up, uint32_t addresses, int64_t now_us)
 {
+	int64_t round_ms = addresses > MAX_ATTEMPTS ? addresses * RETRY_PER_ADDRESS_MS : 0;
 	bool retry_fast;
 
 	if (was_up)
 		retry->last_connected_us = now_us;
 	retry_fast = now_us - retry->last_connected_us < FAST_RETRY_PERIOD_MS * US_PER_MS;
-	retry->next_attempt_us = now_us + (retry_fast ? FAST_RETRY_MS : SLOW_RETRY_MS) * US_PER_MS;
+	retry->next_attempt_us =
+		now_us + MAX(retry_fast ? FAST_RETRY_MS : SLOW_RETRY_MS, round_ms) * US_PER_MS;
+}
+
+uint32_t node_links_free_attempts(const struct node_links *links)
+{
+	uint32_t attempts = 0;
+
+	for (guint i = 0; i < links->links->len; i++) {
+		const struct node_link *link = links->links->pdata[i];
+
+		attempts += link->outgoing && !link->up && !link->closed;
+	}
+	return attempts < MAX_ATTEMPTS ? MAX_ATTEMPTS - attempts : 0;
 }
--- a/packages/greengaged/src/node_link.h
+++ b/packages/greengaged/src/node_link.h
@@ -89,7 +89,12 @@
 void node_retry_init(struct node_retry *retry, int64_t now_us);
 
 /* Schedules the next attempt after a connection has failed or was lost. WAS_UP tells whether the
- * peer had sent its hello message. */
-void node_retry_schedule(struct node_retry *retry, bool was_up, int64_t now_us);
+ * peer had sent its hello message. ADDRESSES is the number of addresses that this process knows:
+ * when they are too many to try all at once, each is tried less often, so that all get their turn.
+ */
+void node_retry_schedule(struct node_retry *retry, bool was_up, uint32_t addresses, int64_t now_us);
+
+/* Returns the number of connection attempts that may be started now. */
+uint32_t node_links_free_attempts(const struct node_links *links);
 
 #endif
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -51,15 +51,17 @@
 	GHashTable *pending_by_queue;	/* queue name -> count, stored in the pointer */
 };
 
+/* The periods depend on the peers that are connected: the list of addresses may hold hundreds at
+ * which no entry is. */
 static int64_t state_interval_us(const struct node_entry *entry)
 {
-	return MAX(MIN_STATE_INTERVAL_MS, entry->outgoing_peers->len * STATE_INTERVAL_PER_PEER_MS) *
+	return MAX(MIN_STATE_INTERVAL_MS, entry->linked_peers * STATE_INTERVAL_PER_PEER_MS) *
 	       US_PER_MS;
 }
 
 static int64_t heartbeat_ms(const struct node_entry *entry)
 {
-	return CLAMP((int64_t)entry->outgoing_peers->len * HEARTBEAT_INTERVAL_PER_PEER_MS,
+	return CLAMP((int64_t)entry->linked_peers * HEARTBEAT_INTERVAL_PER_PEER_MS,
 		     NODE_HEARTBEAT_MS, MAX_HEARTBEAT_MS);
 }
 
@@ -264,6 +266,13 @@
 	send_state(peer, false, peer->entry->loop.now_us);
 }
 
+static void schedule_retry(struct outgoing_peer *peer, bool was_up)
+{
+	const struct node_entry *entry = peer->entry;
+
+	node_retry_schedule(&peer->retry, was_up, entry->outgoing_peers->len, entry->loop.now_us);
+}
+
 static void on_outgoing_down(void *context, struct node_link *link, const char *reason)
 {
 	struct outgoing_peer *peer = context;
@@ -272,7 +281,7 @@
 		event_log(EVENT_CHANNEL_LOST, EV_S("address", peer->address),
 			  EV_S("reason", reason));
 	peer->link = NULL;
-	node_retry_schedule(&peer->retry, node_link_is_up(link), peer->entry->loop.now_us);
+	schedule_retry(peer, node_link_is_up(link));
 }
 
 static const struct node_link_callbacks outgoing_callbacks = {
@@ -432,10 +441,21 @@
 		send_config_request(chosen_peer, now_us);
 }
 
+static void count_linked_peers(struct node_entry *entry)
+{
+	entry->linked_peers = 0;
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		const struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+
+		entry->linked_peers += peer->link && node_link_is_up(peer->link);
+	}
+}
+
 /* Updates the heartbeat periods, which depend on the number of entries. Called on each tick,
  * because that number may change at any time. */
 static void update_heartbeat_periods(struct node_entry *entry)
 {
+	count_linked_peers(entry);
 	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
 		struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
 
@@ -463,17 +483,19 @@
 
 void node_peers_tick(struct node_entry *entry, int64_t now_us)
 {
+	uint32_t attempts = node_links_free_attempts(&entry->links);
 	struct error err;
 
 	update_heartbeat_periods(entry);
 	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
 		struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
 
-		if (!peer->link && now_us >= peer->retry.next_attempt_us) {
+		if (!peer->link && now_us >= peer->retry.next_attempt_us && attempts > 0) {
+			attempts--;
 			peer->link = node_link_connect(&entry->links, peer->address,
 						       &outgoing_callbacks, peer, &err);
 			if (!peer->link)
-				node_retry_schedule(&peer->retry, false, now_us);
+				schedule_retry(peer, false);
 		} else if (peer->link && node_link_is_up(peer->link) &&
 			   is_state_due(peer, now_us)) {
 			send_state(peer, false, now_us);
--- a/test/functional/odd_messages_test.c
+++ b/test/functional/odd_messages_test.c
@@ -10,10 +10,13 @@
 	CONDITION_TIMEOUT_MS = 4000,
 	CONFIG_TIMEOUT_MS = 2000,    /* limit for a configuration to take effect */
 	DISCOVERY_TIMEOUT_MS = 2000, /* limit for the recovery of a lost entry */
+	US_PER_MS = 1000,
 	NESTING_LEVELS = 100000,
+	UNUSED_ADDRESSES = 400,
 	ODD_MESSAGE_REPETITIONS = 20,
 	JOB_THREADS = 2,
-	FIRST_JOB = 1000
+	FIRST_JOB = 1000,
+	SETTLE_MS = 1000 /* pause before the effects of a fault are checked */
 };
 
 #define MEMBERS_TOPIC "keyed.members"
@@ -187,14 +190,14 @@
 {
 	struct job_stream *stream = context;
 
-	while (!g_atomic_int_get(&stream->stopping)) {
+	do {
 		unsigned number = stream->first_job + stream->completed + stream->lost;
 
 		if (platform_job_completes(stream->cluster, stream->entry, number, 2))
 			stream->completed++;
 		else
 			stream->lost++;
-	}
+	} while (!g_atomic_int_get(&stream->stopping));
 	return NULL;
 }
 
@@ -292,6 +295,37 @@
 	platform_stop(&cluster);
 }
 
+/* Guards against agents that find the entries late, and entries that lose jobs, because the list
+ * holds hundreds of addresses at which nobody listens. */
+static void test_unused_addresses(void)
+{
+	struct job_stream streams[JOB_THREADS];
+	struct platform_cluster cluster;
+
+	platform_start(&cluster);
+	for (unsigned i = 0; i < UNUSED_ADDRESSES; i++) {
+		char *address =
+			g_strdup_printf("127.1.%u.%u:%d", i / 100, i % 100 + 1, cluster.peer_port);
+
+		add_address(&cluster, address);
+		g_free(address);
+	}
+	restart(&cluster, cluster.entries[1]);
+	HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS, platform_entry_is_ready(&cluster, 1));
+	start_jobs(&cluster, streams);
+	g_usleep(SETTLE_MS * US_PER_MS);
+	stop_jobs(streams);
+	harness_kill(cluster.entries[0]);
+	for (unsigned i = 0; i < PLATFORM_AGENTS; i++)
+		harness_kill(cluster.agents[i]);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, !platform_entry_is_ready(&cluster, 1));
+	for (unsigned i = 0; i < PLATFORM_AGENTS; i++)
+		harness_restart(cluster.harness, cluster.agents[i]);
+	HARNESS_WAIT(DISCOVERY_TIMEOUT_MS, platform_entry_is_ready(&cluster, 1));
+	g_assert_true(platform_job_completes(&cluster, 1, 1, 4));
+	platform_stop(&cluster);
+}
+
 /* Guards against a configuration that takes effect late or never because of other records in its
  * topic. An entry that starts then reads the list of newest records, and runs alone so that it
  * cannot ask another one. */
@@ -386,6 +420,7 @@
 	g_test_add_func("/odd_messages/item_hides_entries", test_item_hides_entries);
 	g_test_add_func("/odd_messages/item_ends_page", test_item_ends_page);
 	g_test_add_func("/odd_messages/addresses", test_odd_addresses);
+	g_test_add_func("/odd_messages/unused_addresses", test_unused_addresses);
 	g_test_add_func("/odd_messages/records_beside_config", test_records_beside_config);
 	g_test_add_func("/odd_messages/bodies", test_odd_bodies);
 	return g_test_run();
