Store: one record without a readable key does not drop a whole answer

What callors saw: nothing in a quiet store; the entries logged "log service unavailable" for each such record, threw away the good records that came with it and read the whole list again, at most every 250 ms. Where many such records are written, every change of the configuration came by that way only.

Cause: a key longer than its record made the parser refuse the answer, although the length of the record tells where the next begins.

--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -229,11 +229,29 @@
 	request_page(operation_new(store, topic, callback, context), NULL);
 }
 
-/* Parses the records of a read. Each consists of its length (4 bytes), the length of the key (1
- * byte), the key and the value. Returns false when they are malformed. */
+/* Parses the content of a record: the length of the key (1 byte), the key and the value. Returns
+ * false when the key is longer than the record. */
+static bool parse_record(const char *bytes, size_t size, struct store_record *record)
+{
+	size_t key_length = size > 0 ? (uint8_t)bytes[0] : 0;
+
+	if (size == 0 || key_length + 1 > size)
+		return false;
+	record->key = bytes + 1;
+	record->key_length = key_length;
+	record->value_length = size - 1 - key_length;
+	if (record->value_length > 0)
+		record->value = record->key + key_length;
+	return true;
+}
+
+/* Parses the records of a read. Each consists of its length (4 bytes) and its content. A record
+ * whose content cannot be read is empty. Returns false when the records do not fill the answer. */
 static bool parse_records(struct operation *operation, const char *bytes, size_t length)
 {
 	size_t offset = 0;
+	unsigned unreadable = 0;
+	size_t first_unreadable = 0;
 
 	while (offset < length) {
 		struct store_record record = {0};
@@ -246,18 +264,17 @@
 		offset += RECORD_LENGTH_BYTES;
 		if (size > length - offset)
 			return false;
-		if (size > 0) {
-			record.key_length = (uint8_t)bytes[offset];
-			if (record.key_length + 1 > size)
-				return false;
-			record.key = bytes + offset + 1;
-			record.value_length = size - 1 - record.key_length;
-			if (record.value_length > 0)
-				record.value = record.key + record.key_length;
-		}
+		if (!parse_record(bytes + offset, size, &record) && unreadable++ == 0)
+			first_unreadable = offset;
 		g_array_append_val(operation->records, record);
 		offset += size;
 	}
+	if (unreadable > 0) {
+		char *text = store_printable(bytes + first_unreadable, length - first_unreadable);
+
+		log_unreadable(operation, text, "a record without a key", unreadable);
+		g_free(text);
+	}
 	return true;
 }
 
--- a/test/functional/odd_messages_test.c
+++ b/test/functional/odd_messages_test.c
@@ -346,6 +346,9 @@
 		g_free(prefix);
 		version++;
 	}
+	/* "log service unavailable": a whole answer was dropped. */
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
+		g_assert_false(platform_log_contains(cluster.entries[i], "\"event\":1502"));
 	for (size_t i = 0; i < G_N_ELEMENTS(odd_items); i++)
 		add_item(&cluster, CONFIG_TOPIC, odd_items[i]);
 	platform_publish_config(&cluster, version, "/last/");
