Entries: a second address of an entry is no second entry

What callers saw: with a second address of an entry in the list (here a proxy's), the number of queued jobs that a queue's GET reports was up to half too high: 10 to 12 of 8 jobs in the test. The entry also held a connection to itself. Queued work of others that competes for servers counts in placement, so that it was wrong in the same way.

Cause: entries connected to each address in their list, and the peer registered each connection as an entry with queued work of its own.

An entry now closes a connection when the peer is itself or one that it is connected to at another address, and tries the address again every 10 s.

--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -22,14 +22,19 @@
 	/* Less than the silence timeout with the default limits, 575 ms. A peer that knows fewer
 	 * entries has shorter heartbeat periods and does not extend its silence timeout for this
 	 * entry's longer ones. */
-	MAX_HEARTBEAT_MS = 500
+	MAX_HEARTBEAT_MS = 500,
+	/* Retry interval for an address of this entry itself, or a second one of a connected entry.
+	 */
+	ALIAS_RETRY_MS = 10000
 };
 
 /* An entry that this one connects to, at one address. */
 struct outgoing_peer {
 	struct node_entry *entry;
 	char *address;
-	struct node_link *link; /* NULL while there is none */
+	struct node_link *link;	  /* NULL while there is none */
+	bool connected;		  /* the hello message has been received on the link */
+	struct ident incarnation; /* of the entry process last connected at this address */
 	struct node_retry retry;
 	int64_t last_state_sent_us;
 	guint members_sent;	       /* number of entry addresses sent on this connection */
@@ -239,10 +244,33 @@
 	       config_pull_due(&entry->config_pull, version, version + 1, entry->loop.now_us);
 }
 
+/* Returns whether INCARNATION is that of this entry, or of one that is connected at another
+ * address. Over a second connection its peer would count the same queued work again. */
+static bool is_alias(const struct node_entry *entry, const struct ident *incarnation)
+{
+	if (ident_equal(incarnation, &entry->links.identity.incarnation))
+		return true;
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		const struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+
+		if (peer->connected && ident_equal(incarnation, &peer->incarnation))
+			return true;
+	}
+	return false;
+}
+
 static bool on_outgoing_up(void *context, struct node_link *link, const Ggd__Hello *hello)
 {
 	struct outgoing_peer *peer = context;
 
+	memcpy(peer->incarnation.bytes, hello->incarnation.data, IDENT_BYTES);
+	if (is_alias(peer->entry, &peer->incarnation)) {
+		/* Returning false closes this link without a call of `down`. */
+		peer->link = NULL;
+		peer->retry.next_attempt_us = peer->entry->loop.now_us + ALIAS_RETRY_MS * US_PER_MS;
+		return false;
+	}
+	peer->connected = true;
 	peer->members_sent = 0;
 	peer->last_ended_sequence = 0;
 	peer->last_crash_sequence = 0;
@@ -281,6 +309,7 @@
 		event_log(EVENT_CHANNEL_LOST, EV_S("address", peer->address),
 			  EV_S("reason", reason));
 	peer->link = NULL;
+	peer->connected = false;
 	schedule_retry(peer, node_link_is_up(link));
 }
 
@@ -447,7 +476,7 @@
 	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
 		const struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
 
-		entry->linked_peers += peer->link && node_link_is_up(peer->link);
+		entry->linked_peers += peer->connected;
 	}
 }
 
@@ -526,6 +555,7 @@
 			continue;
 		node_link_close(peer->link);
 		peer->link = NULL;
+		peer->connected = false;
 		peer->retry.next_attempt_us = 0;
 	}
 	for (guint i = get_incoming_peers(entry)->len; i-- > 0;) {
--- a/test/functional/odd_messages_test.c
+++ b/test/functional/odd_messages_test.c
@@ -16,6 +16,9 @@
 	ODD_MESSAGE_REPETITIONS = 20,
 	JOB_THREADS = 2,
 	FIRST_JOB = 1000,
+	QUEUED_JOBS = 8,
+	MANY_TASKS = 20, /* more than fit on one server */
+	PENDING_SAMPLES = 40,
 	SETTLE_MS = 1000 /* pause before the effects of a fault are checked */
 };
 
@@ -326,6 +329,66 @@
 	platform_stop(&cluster);
 }
 
+/* Returns the number of queued jobs that ENTRY reports. */
+static int64_t pending_jobs(struct platform_cluster *cluster, unsigned entry)
+{
+	struct harness_reply reply = harness_call("GET", cluster->client_urls[entry], "/q/", NULL);
+	int64_t pending = json_integer_value(json_object_get(reply.body, "pending"));
+
+	harness_reply_clear(&reply);
+	return pending;
+}
+
+/* Starts a proxy at ALIAS, a second address of entry 0, and has entry 1 read it from the store and
+ * tell entry 0 of it. */
+static void add_alias(struct platform_cluster *cluster, const char *alias)
+{
+	char *route = g_strdup_printf("--route=alias:%s:%d:127.0.0.2:%d", alias, cluster->peer_port,
+				      cluster->peer_port);
+	char *address = g_strdup_printf("%s:%d", alias, cluster->peer_port);
+	const char *argv[] = {GG_BUILD_DIR "/test/standin/standin_proxy", route, NULL};
+
+	harness_wait_listening(harness_spawn(cluster->harness, "alias", argv));
+	add_address(cluster, address);
+	restart(cluster, cluster->entries[1]);
+	HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS, platform_entry_is_ready(cluster, 1));
+	g_usleep(SETTLE_MS * US_PER_MS);
+	g_free(address);
+	g_free(route);
+}
+
+/* Guards against queued jobs that are counted twice because an entry is listed under a second
+ * address, at which it also reaches itself. */
+static void test_second_address(void)
+{
+	struct platform_submission submissions[QUEUED_JOBS];
+	GThread *threads[QUEUED_JOBS];
+	struct platform_cluster cluster;
+	int64_t highest = 0;
+
+	platform_start(&cluster);
+	add_alias(&cluster, "127.0.0.20");
+	platform_control(&cluster, "{\"run_ms\":400}");
+	for (unsigned i = 0; i < QUEUED_JOBS; i++) {
+		submissions[i] = (struct platform_submission){
+			.cluster = &cluster, .number = i + 1, .tasks = MANY_TASKS};
+		threads[i] = g_thread_new("client", platform_run_submission, &submissions[i]);
+	}
+	for (unsigned i = 0; i < PENDING_SAMPLES; i++) {
+		for (unsigned j = 0; j < PLATFORM_ENTRIES; j++)
+			highest = MAX(highest, pending_jobs(&cluster, j));
+		g_usleep(HARNESS_POLL_US);
+	}
+	for (unsigned i = 0; i < QUEUED_JOBS; i++) {
+		g_thread_join(threads[i]);
+		harness_reply_clear(&submissions[i].reply);
+	}
+	g_test_message("at most %d jobs reported as queued", (int)highest);
+	g_assert_cmpint(highest, >, 0);
+	g_assert_cmpint(highest, <=, QUEUED_JOBS);
+	platform_stop(&cluster);
+}
+
 /* Guards against a configuration that takes effect late or never because of other records in its
  * topic. An entry that starts then reads the list of newest records, and runs alone so that it
  * cannot ask another one. */
@@ -424,6 +487,7 @@
 	g_test_add_func("/odd_messages/item_ends_page", test_item_ends_page);
 	g_test_add_func("/odd_messages/addresses", test_odd_addresses);
 	g_test_add_func("/odd_messages/unused_addresses", test_unused_addresses);
+	g_test_add_func("/odd_messages/second_address", test_second_address);
 	g_test_add_func("/odd_messages/records_beside_config", test_records_beside_config);
 	g_test_add_func("/odd_messages/bodies", test_odd_bodies);
 	return g_test_run();
