--- a/packages/base/include/event_defs.h
+++ b/packages/base/include/event_defs.h
@@ -37,6 +37,7 @@
 	X(1307, CHANNEL_FAILED, WARNING, "channel cannot be opened")                               \
 	X(1308, CHANNEL_LOST, WARNING, "channel lost")                                             \
 	X(1309, OWNER_LOST, WARNING, "entry unreachable, its runs are stopped")                    \
+	X(1310, ADDRESS_INVALID, WARNING, "address of an entry ignored")                           \
 	X(1400, SERVER_ANNOUNCED, INFO, "backend server announced")                                \
 	X(1401, SERVER_LEAVING, INFO, "backend server leaving")                                    \
 	X(1402, SERVER_EXPIRED, WARNING, "backend server announcement expired")                    \
@@ -59,6 +60,7 @@
 	X(1504, LOG_TRUNCATED, WARNING, "log records expired before they were read")               \
 	X(1505, SNAPSHOT_APPENDED, INFO, "configuration snapshot appended")                        \
 	X(1506, CONFIG_OLDER, WARNING, "older configuration ignored")                              \
+	X(1507, RECORD_INVALID, WARNING, "unreadable records ignored")                             \
 	X(1600, CLAIM_ABANDONED, WARNING, "claim abandoned")                                       \
 	X(1700, DRAIN_STARTED, INFO, "graceful shutdown started")                                  \
 	X(1701, DRAIN_FINISHED, INFO, "graceful shutdown finished")                                \
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -22,14 +22,19 @@
 	/* Less than the silence timeout with the default limits, 575 ms. A peer that knows fewer
 	 * entries has shorter heartbeat periods and does not extend its silence timeout for this
 	 * entry's longer ones. */
-	MAX_HEARTBEAT_MS = 500
+	MAX_HEARTBEAT_MS = 500,
+	/* Retry interval for an address of this entry itself, or a second one of a connected entry.
+	 */
+	ALIAS_RETRY_MS = 10000
 };
 
 /* An entry that this one connects to, at one address. */
 struct outgoing_peer {
 	struct node_entry *entry;
 	char *address;
-	struct node_link *link; /* NULL while there is none */
+	struct node_link *link;	  /* NULL while there is none */
+	bool connected;		  /* the hello message has been received on the link */
+	struct ident incarnation; /* of the entry process last connected at this address */
 	struct node_retry retry;
 	int64_t last_state_sent_us;
 	guint members_sent;	       /* number of entry addresses sent on this connection */
@@ -51,15 +56,17 @@
 	GHashTable *pending_by_queue;	/* queue name -> count, stored in the pointer */
 };
 
+/* The periods depend on the peers that are connected: the list of addresses may hold hundreds at
+ * which no entry is. */
 static int64_t state_interval_us(const struct node_entry *entry)
 {
-	return MAX(MIN_STATE_INTERVAL_MS, entry->outgoing_peers->len * STATE_INTERVAL_PER_PEER_MS) *
+	return MAX(MIN_STATE_INTERVAL_MS, entry->linked_peers * STATE_INTERVAL_PER_PEER_MS) *
 	       US_PER_MS;
 }
 
 static int64_t heartbeat_ms(const struct node_entry *entry)
 {
-	return CLAMP((int64_t)entry->outgoing_peers->len * HEARTBEAT_INTERVAL_PER_PEER_MS,
+	return CLAMP((int64_t)entry->linked_peers * HEARTBEAT_INTERVAL_PER_PEER_MS,
 		     NODE_HEARTBEAT_MS, MAX_HEARTBEAT_MS);
 }
 
@@ -237,10 +244,33 @@
 	       config_pull_due(&entry->config_pull, version, version + 1, entry->loop.now_us);
 }
 
+/* Returns whether INCARNATION is that of this entry, or of one that is connected at another
+ * address. Over a second connection its peer would count the same queued work again. */
+static bool is_alias(const struct node_entry *entry, const struct ident *incarnation)
+{
+	if (ident_equal(incarnation, &entry->links.identity.incarnation))
+		return true;
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		const struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+
+		if (peer->connected && ident_equal(incarnation, &peer->incarnation))
+			return true;
+	}
+	return false;
+}
+
 static bool on_outgoing_up(void *context, struct node_link *link, const Ggd__Hello *hello)
 {
 	struct outgoing_peer *peer = context;
 
+	memcpy(peer->incarnation.bytes, hello->incarnation.data, IDENT_BYTES);
+	if (is_alias(peer->entry, &peer->incarnation)) {
+		/* Returning false closes this link without a call of `down`. */
+		peer->link = NULL;
+		peer->retry.next_attempt_us = peer->entry->loop.now_us + ALIAS_RETRY_MS * US_PER_MS;
+		return false;
+	}
+	peer->connected = true;
 	peer->members_sent = 0;
 	peer->last_ended_sequence = 0;
 	peer->last_crash_sequence = 0;
@@ -264,6 +294,13 @@
 	send_state(peer, false, peer->entry->loop.now_us);
 }
 
+static void schedule_retry(struct outgoing_peer *peer, bool was_up)
+{
+	const struct node_entry *entry = peer->entry;
+
+	node_retry_schedule(&peer->retry, was_up, entry->outgoing_peers->len, entry->loop.now_us);
+}
+
 static void on_outgoing_down(void *context, struct node_link *link, const char *reason)
 {
 	struct outgoing_peer *peer = context;
@@ -272,7 +309,8 @@
 		event_log(EVENT_CHANNEL_LOST, EV_S("address", peer->address),
 			  EV_S("reason", reason));
 	peer->link = NULL;
-	node_retry_schedule(&peer->retry, node_link_is_up(link), peer->entry->loop.now_us);
+	peer->connected = false;
+	schedule_retry(peer, node_link_is_up(link));
 }
 
 static const struct node_link_callbacks outgoing_callbacks = {
@@ -335,7 +373,7 @@
 		g_hash_table_insert(peer->pending_by_queue, g_strdup(state->queues[i]),
 				    GUINT_TO_POINTER(state->queued[i]));
 	for (size_t i = 0; i < state->n_entries; i++)
-		node_members_add(&peer->entry->members, state->entries[i]);
+		node_members_add(&peer->entry->members, state->entries[i], MEMBER_SOURCE_ENTRY);
 }
 
 static void on_incoming_heartbeat(void *context, struct node_link *link)
@@ -374,7 +412,7 @@
 	g_ptr_array_add(get_incoming_peers(entry), peer);
 	node_link_set_callbacks(link, &incoming_callbacks, peer);
 	node_link_set_heartbeat(link, heartbeat_ms(entry));
-	node_members_add(&entry->members, hello->address);
+	node_members_add(&entry->members, hello->address, MEMBER_SOURCE_ENTRY);
 	return true;
 }
 
@@ -432,10 +470,21 @@
 		send_config_request(chosen_peer, now_us);
 }
 
+static void count_linked_peers(struct node_entry *entry)
+{
+	entry->linked_peers = 0;
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		const struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+
+		entry->linked_peers += peer->connected;
+	}
+}
+
 /* Updates the heartbeat periods, which depend on the number of entries. Called on each tick,
  * because that number may change at any time. */
 static void update_heartbeat_periods(struct node_entry *entry)
 {
+	count_linked_peers(entry);
 	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
 		struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
 
@@ -463,17 +512,19 @@
 
 void node_peers_tick(struct node_entry *entry, int64_t now_us)
 {
+	uint32_t attempts = node_links_free_attempts(&entry->links);
 	struct error err;
 
 	update_heartbeat_periods(entry);
 	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
 		struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
 
-		if (!peer->link && now_us >= peer->retry.next_attempt_us) {
+		if (!peer->link && now_us >= peer->retry.next_attempt_us && attempts > 0) {
+			attempts--;
 			peer->link = node_link_connect(&entry->links, peer->address,
 						       &outgoing_callbacks, peer, &err);
 			if (!peer->link)
-				node_retry_schedule(&peer->retry, false, now_us);
+				schedule_retry(peer, false);
 		} else if (peer->link && node_link_is_up(peer->link) &&
 			   is_state_due(peer, now_us)) {
 			send_state(peer, false, now_us);
@@ -504,6 +555,7 @@
 			continue;
 		node_link_close(peer->link);
 		peer->link = NULL;
+		peer->connected = false;
 		peer->retry.next_attempt_us = 0;
 	}
 	for (guint i = get_incoming_peers(entry)->len; i-- > 0;) {
