--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -67,22 +67,40 @@
 	return backend->lease_ms * 8 / 10;
 }
 
-/* Logs that a message of the server was ignored, at most once in IGNORED_LOG_INTERVAL_MS. */
-static void log_ignored_message(struct backend *backend, const char *source, const char *id,
-				int64_t start_time_ms, const char *reason)
+/* Counts an ignored message. Returns the number of messages to log, which is 0 until
+ * IGNORED_LOG_INTERVAL_MS have passed since the last line. */
+static uint32_t count_ignored_message(struct backend *backend)
 {
 	int64_t now_us = backend->loop->now_us;
+	uint32_t count = ++backend->ignored_unlogged;
 
-	backend->ignored_unlogged++;
 	if (backend->ignored_logged_us > 0 &&
 	    now_us - backend->ignored_logged_us < IGNORED_LOG_INTERVAL_MS * US_PER_MS)
-		return;
-	event_log(EVENT_SERVER_MESSAGE_IGNORED, EV_S("server", id), EV_S("source", source),
-		  EV_S("reason", reason), EV_I("started_ms", start_time_ms),
-		  EV_I("current_ms", backend->presence.start_time_ms),
-		  EV_I("count", backend->ignored_unlogged));
+		return 0;
 	backend->ignored_logged_us = now_us;
 	backend->ignored_unlogged = 0;
+	return count;
+}
+
+static void log_ignored_message(struct backend *backend, const char *source, const char *id,
+				int64_t start_time_ms, const char *reason)
+{
+	uint32_t count = count_ignored_message(backend);
+
+	if (count > 0)
+		event_log(EVENT_SERVER_MESSAGE_IGNORED, EV_S("server", id), EV_S("source", source),
+			  EV_S("reason", reason), EV_I("started_ms", start_time_ms),
+			  EV_I("current_ms", backend->presence.start_time_ms),
+			  EV_I("count", count));
+}
+
+static void log_invalid_heartbeat(struct backend *backend, const char *id, const char *reason)
+{
+	uint32_t count = count_ignored_message(backend);
+
+	if (count > 0)
+		event_log(EVENT_HEARTBEAT_INVALID, EV_S("server", id), EV_S("reason", reason),
+			  EV_I("count", count));
 }
 
 /* Applies what ANSWER tells of the server's process. If another process than before has answered,
@@ -568,8 +586,7 @@
 	switch (server_message_parse(request, id)) {
 	case SERVER_HEARTBEAT:
 		if (server_heartbeat_parse(id, body, length, &heartbeat, &err) != STATUS_OK) {
-			event_log(EVENT_HEARTBEAT_INVALID, EV_S("server", id),
-				  EV_S("reason", err.message));
+			log_invalid_heartbeat(backend, id, err.message);
 			server_answer_error(request, &err);
 			return;
 		}
