Settle starts in transit with the process that has replaced the server's

What callers saw: the rule on two runs of one task. A server may start again under the id that it had, and a call without an answer may be executed seconds later. The entry ordered a task elsewhere while its first start could still reach the new process.

Cause: when the server's process was replaced, or refused connections, runs_server_ended() ended every run, also those whose start no process had confirmed. The header of a start names the id only, so the new process takes it. An acknowledgement of a stop by the old process was trusted too, though the new one knows nothing of it.

runs_server_replaced() takes its place. It ends what the old process had confirmed, and what still waits, as before. The others are settled with the new process: by the answer to the start, through its lists, or through a stop sent anew and a later list. They end as lost, not as unanswered, as the old process may have had them. The lease of the old process does not end them; 15 s do, after which a call is not in transit any more.

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -3,9 +3,9 @@
  * unanswered orders and runs whose owner is gone, and is reconciled with the server's lists.
  *
  * A run is removed only when it is certainly not running: its start was refused or never sent, the
- * server listed its end, the server restarted, every lease that was sent has expired, a confirmed
- * run is missing from a later list, or the server acknowledged a stop and a later list does not
- * contain the run.
+ * server listed its end, the server restarted after it had confirmed the run, every lease that was
+ * sent has expired, a confirmed run is missing from a later list, or the server acknowledged a stop
+ * and a later list does not contain the run.
  */
 #ifndef GG_RUNS_H
 #define GG_RUNS_H
@@ -94,6 +94,9 @@
 	int64_t start_by_us; /* a run that still waits after this time is refused */
 	int64_t ordered_us;
 	int64_t phase_us; /* time at which the phase began */
+	/* If the process that the start was sent to has been replaced and the new one has not
+	 * confirmed the run: time after which the start is not in transit any more. Otherwise 0. */
+	int64_t settle_by_us;
 	int64_t stop_sent_us;
 	uint32_t stop_retries;
 	int64_t behind_reported_us; /* time at which the run was last found behind */
@@ -188,12 +191,13 @@
  * server accepts no new runs. */
 void runs_server_present(struct runs *runs, const struct resources *total, bool leaving);
 
-/* Ends every run. Call when the server's process has ended: it was replaced by a new one, or
- * nothing listens on its address. That counts as a crash (RUN_CRASHED) for the runs that the server
- * has confirmed and that were not being stopped, unless it had announced to leave. The others end
- * as RUN_LOST: they may not have run, or not any more. Runs that were still waiting here end as
- * RUN_SERVER_UNAVAILABLE. */
-void runs_server_ended(struct runs *runs, int64_t now_us);
+/* Records that a new process has taken the place of the server's process. The runs that the old
+ * one had are over. That counts as a crash (RUN_CRASHED) for those that it has confirmed and that
+ * were not being stopped, unless it had announced to leave; the others end as RUN_LOST. Runs that
+ * were still waiting here end as RUN_SERVER_UNAVAILABLE. A start that no process has confirmed may
+ * still reach the new one. Such a run is settled with it: by the answer, through the lists, or
+ * through a stop. */
+void runs_server_replaced(struct runs *runs, int64_t now_us);
 
 struct run_request {
 	const char *task;
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -7,7 +7,8 @@
 enum {
 	PERMILLE = 1000,
 	PERCENT = 100,
-	LEASE_MARGIN_US = 50 * US_PER_MS,	     /* time to stop a run whose lease expired */
+	LEASE_MARGIN_US = 50 * US_PER_MS,   /* time to stop a run whose lease expired */
+	TRANSIT_MAX_US = 15000 * US_PER_MS, /* a call without an answer is executed by then */
 	BEHIND_REPORT_INTERVAL_US = 100 * US_PER_MS, /* between reports of the same slow run */
 	BEHIND_MIN_ELAPSED_US = 120 * US_PER_MS, /* the speed of younger runs is not meaningful */
 	STOP_RETRY_MAX_DOUBLINGS = 4
@@ -184,16 +185,52 @@
 	return RUN_CRASHED;
 }
 
-void runs_server_ended(struct runs *runs, int64_t now_us)
+static void confirm(struct run *run)
+{
+	run->confirmed = true;
+	run->settle_by_us = 0;
+}
+
+/* Returns whether the start of RUN may not have reached the server yet. */
+static bool may_be_in_transit(const struct run *run)
+{
+	return run->phase != RUN_PHASE_WAITING && !run->confirmed && !run->unknown;
+}
+
+static void send_stop(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
+{
+	runs_set_phase(run, RUN_PHASE_STOPPING, now_us);
+	run->stop_sent_us = now_us;
+	runs->callbacks.order_stop(runs->callbacks.context, run->task, run->attempt, handle);
+}
+
+/* Makes the new process of the server answer for RUN. What the old one said of it is void. */
+static void settle_with_new_process(struct runs *runs, struct run *run, struct handle handle,
+				    int64_t now_us)
+{
+	run->settle_by_us = now_us + TRANSIT_MAX_US;
+	if (run->phase == RUN_PHASE_UNCONFIRMED)
+		runs_set_phase(run, RUN_PHASE_UNCONFIRMED, now_us);
+	else if (run->phase != RUN_PHASE_ORDERED)
+		send_stop(runs, run, handle, now_us);
+}
+
+void runs_server_replaced(struct runs *runs, int64_t now_us)
 {
 	uint32_t cursor = 0;
 	struct handle handle;
-	const struct run *run;
+	struct run *run;
 
 	runs->server_present = false;
 	runs->last_processed_end = 0;
-	while ((run = table_next(&runs->table, &cursor, &handle)))
-		runs_end(runs, handle, outcome_of_server_end(runs, run), now_us);
+	while ((run = table_next(&runs->table, &cursor, &handle))) {
+		if (may_be_in_transit(run))
+			settle_with_new_process(runs, run, handle, now_us);
+		else
+			runs_end(runs, handle, outcome_of_server_end(runs, run), now_us);
+	}
+	if (table_count(&runs->table) > 0)
+		runs->callbacks.request_lists(runs->callbacks.context);
 }
 
 static struct run *add_run(struct runs *runs, const struct run_request *request,
@@ -272,13 +309,6 @@
 	}
 }
 
-static void send_stop(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
-{
-	runs_set_phase(run, RUN_PHASE_STOPPING, now_us);
-	run->stop_sent_us = now_us;
-	runs->callbacks.order_stop(runs->callbacks.context, run->task, run->attempt, handle);
-}
-
 /* Repeats an unanswered stop when its delay has passed. The first delay is short because another
  * run of the task may wait for the stop. The delay then doubles because each stop sent to a hanging
  * server occupies a connection. */
@@ -360,7 +390,7 @@
 		runs_end(runs, handle, refusals[answer], now_us);
 	} else if (run->phase == RUN_PHASE_ORDERED || run->phase == RUN_PHASE_UNCONFIRMED) {
 		runs_set_phase(run, RUN_PHASE_ACTIVE, now_us);
-		run->confirmed = true;
+		confirm(run);
 	}
 }
 
@@ -466,7 +496,7 @@
 		}
 		g_hash_table_add(listed, run);
 		run->percent = row->percent;
-		run->confirmed = true;
+		confirm(run);
 		if (run->phase == RUN_PHASE_UNCONFIRMED) {
 			runs_set_phase(run, RUN_PHASE_ACTIVE, now_us);
 			if (run->stop_requested)
@@ -477,6 +507,14 @@
 	}
 }
 
+/* Returns the outcome of a run that was stopped and whose end the server has not listed. */
+static enum run_outcome outcome_of_stop(const struct run *run)
+{
+	if (run->settle_by_us > 0)
+		return RUN_LOST; /* a process of the server that has ended may have had it */
+	return run->stop_requested ? RUN_STOPPED : RUN_UNANSWERED;
+}
+
 /* Handles runs that are missing from a list requested at ASKED_US. */
 static void apply_missing(struct runs *runs, GHashTable *listed, int64_t asked_us, int64_t now_us)
 {
@@ -491,8 +529,7 @@
 		if (run->phase == RUN_PHASE_UNCONFIRMED)
 			send_stop(runs, run, handle, now_us); /* the start may be in transit */
 		else if (run->phase == RUN_PHASE_STOP_ACKED)
-			runs_end(runs, handle, run->stop_requested ? RUN_STOPPED : RUN_UNANSWERED,
-				 now_us);
+			runs_end(runs, handle, outcome_of_stop(run), now_us);
 		else if (run->phase == RUN_PHASE_ACTIVE)
 			runs_end(runs, handle, RUN_LOST, now_us);
 	}
@@ -524,13 +561,10 @@
 
 	health_tick(&runs->health, now_us);
 	runs_refuse_waiting(runs, now_us);
-	if (table_count(&runs->table) > 0 && now_us > runs->latest_lease_expiry_us) {
-		while (table_next(&runs->table, &cursor, &handle))
-			runs_end(runs, handle, RUN_LOST, now_us);
-		return;
-	}
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
-		if (run->phase == RUN_PHASE_STOPPING)
+		if (now_us > MAX(runs->latest_lease_expiry_us, run->settle_by_us))
+			runs_end(runs, handle, RUN_LOST, now_us);
+		else if (run->phase == RUN_PHASE_STOPPING)
 			retry_stop(runs, run, handle, now_us);
 	}
 }
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -88,7 +88,7 @@
 	backend->heartbeat_seen = false;
 	backend->clock_ms = 0;
 	backend->lists_applied = false;
-	runs_server_ended(&backend->runs, backend->loop->now_us);
+	runs_server_replaced(&backend->runs, backend->loop->now_us);
 }
 
 /* Handles the start time that a message of the server states. Returns false if the message is from
@@ -322,7 +322,7 @@
 	if (long_poll && reply->status == STATUS_NETWORK && !reply->connection_refused)
 		backend->immediate_poll_requested = true;
 	if (crashed)
-		runs_server_ended(&backend->runs, now_us);
+		runs_server_replaced(&backend->runs, now_us);
 	if (crashed || now_us - backend->lists_received_us > UNREACHABLE_TIMEOUT_MS * US_PER_MS)
 		set_reachable(backend, false, err->message);
 }
