Stop a confirmed run that a list leaves out before its task is ordered again

Cause: one list without a confirmed run ended the run at once, and its resources were free. Nothing was sent to the server, so that nothing settled the matter if the run was there.

Such a run is now stopped, as an unanswered start is. It ends when its end is listed, or when a list later than the acknowledgement is without it, as lost.

Test: runs_test missing_from_one_list failed before (an outcome after the first list).

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -4,8 +4,7 @@
  *
  * A run is removed only when it is certainly not running: its start was refused or never sent, the
  * server listed its end, the server restarted after it had confirmed the run, every lease that was
- * sent has expired, a confirmed run is missing from a later list, or the server acknowledged a stop
- * and a later list does not contain the run.
+ * sent has expired, or the server acknowledged a stop and a later list does not contain the run.
  */
 #ifndef GG_RUNS_H
 #define GG_RUNS_H
@@ -86,6 +85,7 @@
 	GBytes *spec; /* NULL after runs_start_answered */
 	enum run_phase phase;
 	bool confirmed;	     /* the server has said that it runs */
+	bool missed;	     /* a list was without it after the server had confirmed it */
 	bool stop_requested; /* the owner has requested a stop or is gone */
 	bool unknown;	     /* this agent did not order it and does not know its needs */
 	uint32_t priority;   /* 0 is the highest */
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -510,8 +510,8 @@
 /* Returns the outcome of a run that was stopped and whose end the server has not listed. */
 static enum run_outcome outcome_of_stop(const struct run *run)
 {
-	if (run->settle_by_us > 0)
-		return RUN_LOST; /* a process of the server that has ended may have had it */
+	if (run->settle_by_us > 0 || run->missed)
+		return RUN_LOST; /* it may have run, here or in a process that has ended */
 	return run->stop_requested ? RUN_STOPPED : RUN_UNANSWERED;
 }
 
@@ -526,12 +526,13 @@
 		if (run->phase == RUN_PHASE_WAITING || run->phase_us > asked_us ||
 		    g_hash_table_contains(listed, run))
 			continue;
-		if (run->phase == RUN_PHASE_UNCONFIRMED)
-			send_stop(runs, run, handle, now_us); /* the start may be in transit */
-		else if (run->phase == RUN_PHASE_STOP_ACKED)
+		if (run->phase == RUN_PHASE_STOP_ACKED) {
 			runs_end(runs, handle, outcome_of_stop(run), now_us);
-		else if (run->phase == RUN_PHASE_ACTIVE)
-			runs_end(runs, handle, RUN_LOST, now_us);
+		} else if (run->phase == RUN_PHASE_UNCONFIRMED || run->phase == RUN_PHASE_ACTIVE) {
+			/* The start may be in transit, or the list may be wrong. */
+			run->missed = run->phase == RUN_PHASE_ACTIVE;
+			send_stop(runs, run, handle, now_us);
+		}
 	}
 }
 
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -189,6 +189,26 @@
 	tear_down(&fixture);
 }
 
+/* Guards against ordering a task again because a single list is without its confirmed run: the run
+ * is stopped first, and while later lists show it, it is not over. */
+static void test_missing_from_one_list(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	deliver_lists(&fixture, NULL, NULL, 0, 2000);
+	check_outcomes(&fixture, 0, 0);
+	g_assert_cmpuint(fixture.stops, ==, 1);
+	runs_stop_answered(&fixture.runs, fixture.last, true, 4000);
+	deliver_lists(&fixture, "a.0.0.0", NULL, 0, 5000);
+	check_outcomes(&fixture, 0, 0);
+	deliver_lists(&fixture, NULL, NULL, 0, 7000);
+	check_outcomes(&fixture, 1, RUN_LOST);
+	tear_down(&fixture);
+}
+
 /* Guards against a lost stop that is not repeated until it is answered, or is repeated too often.
  */
 static void test_stop_lost(void)
@@ -601,6 +621,7 @@
 	g_test_add_func("/runs/done", test_done);
 	g_test_add_func("/runs/answer_lost", test_answer_lost);
 	g_test_add_func("/runs/order_lost", test_order_lost);
+	g_test_add_func("/runs/missing_from_one_list", test_missing_from_one_list);
 	g_test_add_func("/runs/stop_lost", test_stop_lost);
 	g_test_add_func("/runs/owner_gone", test_owner_gone);
 	g_test_add_func("/runs/stranger", test_unknown_run);
