Acknowledge no ends to a process that may be a new one

What callers would see: a task that was done runs again. The ends that a server lists are numbered from 1 by each of its processes, and those up to the acknowledged number are forgotten.

Cause: after a crash the first hold at the new process carried the number of the old one's last end. The new process forgot as many ends of its own, listed to nobody, and took them as noted.

While the hold that ended last has failed, holds acknowledge nothing; ends that were handled already are skipped by their number. A hold that is under way when the old process ends may still reach the new one.

--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -375,6 +375,7 @@
 	valid = server_run_lists_parse(reply, &parsed, &lists, &err) == STATUS_OK;
 	if (parsed.answered && !apply_common_fields(backend, &parsed, hold->epoch))
 		valid = false;
+	backend->hold_failed = !valid;
 	if (valid) {
 		backend->lists_received_us = backend->loop->now_us;
 		set_reachable(backend, true, NULL);
@@ -411,6 +412,9 @@
 	/* While the server is unreachable, or its clock or its runs are unknown, even a long poll
 	 * asks for an immediate answer, because the answer contains the clock and the runs. */
 	bool known = backend->lists_applied && backend->reachable && backend->clock_ms > 0;
+	/* After a failure the next answer may be that of a new process, which numbers its ends
+	 * from 1 again and would forget as many as the old one had listed. */
+	uint64_t acknowledged_end = backend->hold_failed ? 0 : backend->runs.last_processed_end;
 	bool lossy = is_lossy(backend);
 	int64_t wait_ms = long_poll && known ? long_poll_wait_ms(backend, lossy) : 0;
 	int64_t margin_ms = lossy ? order_timeout_ms(backend) : LONG_POLL_MARGIN_MS;
@@ -434,8 +438,7 @@
 		backend->long_polls++;
 	else
 		backend->immediate_poll_active = true;
-	body = server_hold_body(expires_ms, backend->epoch, backend->runs.last_processed_end,
-				wait_ms);
+	body = server_hold_body(expires_ms, backend->epoch, acknowledged_end, wait_ms);
 	send_call(backend->hold_client, SERVER_HOLD_PATH, body,
 		  long_poll ? wait_ms + margin_ms : immediate_poll_timeout_ms(backend),
 		  on_hold_answered, hold, NULL);
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -57,6 +57,7 @@
 				       was not refused */
 	int64_t lists_received_us;  /* time when valid run lists were last received */
 	int64_t order_answer_us;    /* mean time until a start is answered, EWMA */
+	bool hold_failed;	    /* the hold that ended last has brought no valid lists */
 	uint32_t long_polls;	    /* number of long polls in progress */
 	bool immediate_poll_active;
 	bool immediate_poll_requested;
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -508,6 +508,20 @@
 	stop_cluster(&cluster);
 }
 
+/* Guards against acknowledging to a server's new process the ends that the old one has listed: the
+ * new one would forget as many of its own. */
+static void test_ends_of_old_process_acknowledged(void)
+{
+	struct cluster cluster;
+
+	start_cluster_with_deadly_job(&cluster, 50);
+	g_assert_true(deadly_job_fails(&cluster, 2));
+	g_usleep(SETTLE_MS * US_PER_MS);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, job_completes(&cluster, 1, 2, MANY_TASKS));
+	g_assert_cmpint(platform_counter(&cluster, "acks_ahead"), ==, 0);
+	stop_cluster(&cluster);
+}
+
 /* The entry that sees each crash is killed after it. Guards against a count that starts again with
  * each process of the entry. */
 static void test_deadly_task_and_entry_restarts(void)
@@ -941,6 +955,8 @@
 	g_test_add_func("/platform/garbled_lists", test_invalid_task_lists);
 	g_test_add_func("/platform/capacity_shrinks", test_capacity_shrinks);
 	g_test_add_func("/platform/deadly_task", test_deadly_task);
+	g_test_add_func("/platform/ends_of_old_process_acknowledged",
+			test_ends_of_old_process_acknowledged);
 	g_test_add_func("/platform/crash_is_noticed", test_crash_is_noticed);
 	g_test_add_func("/platform/deadly_task_and_entry_restarts",
 			test_deadly_task_and_entry_restarts);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -110,6 +110,7 @@
 	uint32_t starts;
 	uint32_t overlaps; /* counts changes after which a task has more than one run */
 	uint32_t heartbeats_refused;
+	uint32_t acks_ahead;	       /* of ends that the process has not listed */
 	uint32_t starts_over_capacity; /* once two heartbeats have announced the capacity */
 };
 
@@ -332,6 +333,7 @@
 				    .until_us = server->standin->loop.now_us + wait_ms * US_PER_MS};
 
 	extend_lease(server, document);
+	server->standin->acks_ahead += acked_cursor > server->last_cursor;
 	while (json_array_size(server->finished) > 0 &&
 	       json_integer_value(json_array_get(json_array_get(server->finished, 0), 0)) <=
 		       acked_cursor)
@@ -662,12 +664,12 @@
 		crashes += standin->servers[i].crashes;
 	}
 	respond_json(request, 200,
-		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "starts",
+		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "starts",
 			       (int)standin->starts, "overlaps", (int)standin->overlaps, "running",
 			       (int)running, "starts_after_drain", (int)after_drain,
 			       "heartbeats_refused", (int)standin->heartbeats_refused,
 			       "starts_over_capacity", (int)standin->starts_over_capacity,
-			       "crashes", (int)crashes));
+			       "acks_ahead", (int)standin->acks_ahead, "crashes", (int)crashes));
 }
 
 static void respond_started_jobs(struct standin *standin, struct http_request *request)
