Ignore late lists that show runs as running after their ends were listed

Answers overtake each other. A list that an answer with the end of a run had overtaken showed a run that was in no table. The agent took it for one that it had not ordered, stopped it, and held the server for full until that was settled.

It runs no attempt again that is not higher than one that has ended there. A new process of the server starts without them.

Test: runs_test late_list failed before (one stop).

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -164,6 +164,8 @@
 	struct runs_callbacks callbacks;
 	struct table table;
 	GHashTable *by_task; /* task name -> packed handle */
+	GHashTable *ended;   /* task name -> its last run that has ended here lately */
+	GQueue ended_order;  /* the same, oldest first */
 	struct resources total_resources;
 	struct resources used_resources;
 	uint32_t waiting_cpu[PRIORITY_LEVELS]; /* cpu of waiting runs, by priority */
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -55,6 +55,7 @@
 		.baseline_speed = 1.0,
 	};
 	table_init(&runs->table, sizeof(struct run));
+	runs_ended_init(runs);
 	health_init(&runs->health, &limits->health);
 	runs->health.state = HEALTH_HEALTHY;
 }
@@ -73,6 +74,7 @@
 	while ((run = table_next(&runs->table, &cursor, NULL)))
 		free_run_members(run);
 	table_free(&runs->table);
+	runs_ended_free(runs);
 	g_hash_table_destroy(runs->by_task);
 	g_free(runs->last_failed_task);
 }
@@ -224,6 +226,7 @@
 	runs->server_present = false;
 	runs->suspected = false;
 	runs->last_processed_end = 0;
+	runs_ended_clear(runs);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
 		if (may_be_in_transit(run))
 			settle_with_new_process(runs, run, handle, now_us);
@@ -437,6 +440,7 @@
 		if (row->number <= runs->last_processed_end)
 			continue;
 		runs->last_processed_end = row->number;
+		runs_ended_add(runs, row->task, row->attempt, now_us);
 		if (find_run(runs, row, &handle))
 			runs_end(runs, handle, row->outcome, now_us);
 	}
@@ -497,6 +501,8 @@
 		struct handle handle;
 		struct run *run = find_run(runs, row, &handle);
 
+		if (!run && runs_ended_contains(runs, row->task, row->attempt))
+			continue; /* the list was overtaken by the one that showed the end */
 		if (!run) {
 			stop_unknown_run(runs, row, now_us);
 			continue;
@@ -570,6 +576,7 @@
 
 	health_tick(&runs->health, now_us);
 	runs_refuse_waiting(runs, now_us);
+	runs_ended_expire(runs, now_us);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
 		if (now_us > MAX(runs->latest_lease_expiry_us, run->settle_by_us))
 			runs_end(runs, handle,
--- a/packages/core/src/runs_state.h
+++ b/packages/core/src/runs_state.h
@@ -20,4 +20,13 @@
  * if the server accepts no starts. */
 void runs_refuse_waiting(struct runs *runs, int64_t now_us);
 
+/* The runs that the server has said to be over, for as long as a late list may show them. It never
+ * runs an attempt again that is not higher than one that has ended there. */
+void runs_ended_init(struct runs *runs);
+void runs_ended_free(struct runs *runs);
+void runs_ended_clear(struct runs *runs);
+void runs_ended_add(struct runs *runs, const char *task, uint32_t attempt, int64_t now_us);
+bool runs_ended_contains(const struct runs *runs, const char *task, uint32_t attempt);
+void runs_ended_expire(struct runs *runs, int64_t now_us);
+
 #endif
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -287,6 +287,27 @@
 	tear_down(&fixture);
 }
 
+/* Guards against taking a run that has ended for an unknown one when a list arrives late: it would
+ * be stopped, and the server would seem full meanwhile. */
+static void test_late_list(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	deliver_lists(&fixture, NULL, "a.0.0.0", RUN_DONE, 3000);
+	deliver_lists(&fixture, "a.0.0.0", NULL, 0, 2000);
+	g_assert_cmpuint(fixture.stops, ==, 0);
+	g_assert_cmpuint(runs_free_resources(&fixture.runs).cpu, ==, CPU);
+	check_outcomes(&fixture, 1, RUN_DONE);
+	/* The next process of the server knows nothing of that end. */
+	runs_server_replaced(&fixture.runs, 4000);
+	deliver_lists(&fixture, "a.0.0.0", NULL, 0, 5000);
+	g_assert_cmpuint(fixture.stops, ==, 1);
+	tear_down(&fixture);
+}
+
 static void set_capacity(struct fixture *fixture, uint32_t cpu)
 {
 	const struct resources total = {.cpu = cpu, .memory_mb = 1000};
@@ -673,6 +694,7 @@
 	g_test_add_func("/runs/stop_lost", test_stop_lost);
 	g_test_add_func("/runs/owner_gone", test_owner_gone);
 	g_test_add_func("/runs/stranger", test_unknown_run);
+	g_test_add_func("/runs/late_list", test_late_list);
 	g_test_add_func("/runs/start_beside_unknown_run", test_start_beside_unknown_run);
 	g_test_add_func("/runs/capacity_shrinks", test_capacity_shrinks);
 	g_test_add_func("/runs/server_ended", test_server_ended);
