--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -3,9 +3,8 @@
  * unanswered orders and runs whose owner is gone, and is reconciled with the server's lists.
  *
  * A run is removed only when it is certainly not running: its start was refused or never sent, the
- * server listed its end, the server restarted, every lease that was sent has expired, a confirmed
- * run is missing from a later list, or the server acknowledged a stop and a later list does not
- * contain the run.
+ * server listed its end, the server restarted after it had confirmed the run, every lease that was
+ * sent has expired, or the server acknowledged a stop and a later list does not contain the run.
  */
 #ifndef GG_RUNS_H
 #define GG_RUNS_H
@@ -86,6 +85,7 @@
 	GBytes *spec; /* NULL after runs_start_answered */
 	enum run_phase phase;
 	bool confirmed;	     /* the server has said that it runs */
+	bool missed;	     /* a list was without it after the server had confirmed it */
 	bool stop_requested; /* the owner has requested a stop or is gone */
 	bool unknown;	     /* this agent did not order it and does not know its needs */
 	uint32_t priority;   /* 0 is the highest */
@@ -94,6 +94,9 @@
 	int64_t start_by_us; /* a run that still waits after this time is refused */
 	int64_t ordered_us;
 	int64_t phase_us; /* time at which the phase began */
+	/* If the process that the start was sent to has been replaced and the new one has not
+	 * confirmed the run: time after which the start is not in transit any more. Otherwise 0. */
+	int64_t settle_by_us;
 	int64_t stop_sent_us;
 	uint32_t stop_retries;
 	int64_t behind_reported_us; /* time at which the run was last found behind */
@@ -161,11 +164,14 @@
 	struct runs_callbacks callbacks;
 	struct table table;
 	GHashTable *by_task; /* task name -> packed handle */
+	GHashTable *ended;   /* task name -> its last run that has ended here lately */
+	GQueue ended_order;  /* the same, oldest first */
 	struct resources total_resources;
 	struct resources used_resources;
 	uint32_t waiting_cpu[PRIORITY_LEVELS]; /* cpu of waiting runs, by priority */
 	bool server_present; /* the server has announced itself and answers requests */
 	bool server_leaving;
+	bool suspected;			/* the server's process may have ended */
 	uint64_t last_processed_end;	/* highest sequence number of a processed end */
 	int64_t latest_lease_expiry_us; /* no run continues after this without a new lease */
 	uint32_t ownerless_runs; /* runs whose owner is gone or that this agent did not order */
@@ -188,12 +194,20 @@
  * server accepts no new runs. */
 void runs_server_present(struct runs *runs, const struct resources *total, bool leaving);
 
-/* Ends every run. Call when the server's process has ended: it was replaced by a new one, or
- * nothing listens on its address. That counts as a crash (RUN_CRASHED) for the runs that the server
- * has confirmed and that were not being stopped, unless it had announced to leave. The others end
- * as RUN_LOST: they may not have run, or not any more. Runs that were still waiting here end as
- * RUN_SERVER_UNAVAILABLE. */
-void runs_server_ended(struct runs *runs, int64_t now_us);
+/* Records that nothing listens on the server's address, which may also be due to the network. Until
+ * lists arrive or the server is replaced, no run is started, and those that were still waiting here
+ * end as RUN_SERVER_UNAVAILABLE. The others go on until their leases have certainly expired, so the
+ * caller must send no more leases. If the server is still suspected then, their outcomes are those
+ * of runs_server_replaced. */
+void runs_server_suspected(struct runs *runs, int64_t now_us);
+
+/* Records that a new process has taken the place of the server's process. The runs that the old
+ * one had are over. That counts as a crash (RUN_CRASHED) for those that it has confirmed and that
+ * were not being stopped, unless it had announced to leave; the others end as RUN_LOST. Runs that
+ * were still waiting here end as RUN_SERVER_UNAVAILABLE. A start that no process has confirmed may
+ * still reach the new one. Such a run is settled with it: by the answer, through the lists, or
+ * through a stop. */
+void runs_server_replaced(struct runs *runs, int64_t now_us);
 
 struct run_request {
 	const char *task;
@@ -246,7 +260,8 @@
 void runs_lease_sent(struct runs *runs, int64_t now_us);
 
 /* Ends a quarantine that is over, refuses waiting runs that are too late, and repeats unanswered
- * stops. Ends all runs as RUN_LOST once the last lease has certainly expired. */
+ * stops. Ends all runs as RUN_LOST once the last lease has certainly expired, unless the server is
+ * suspected. */
 void runs_tick(struct runs *runs, int64_t now_us);
 
 /* Returns the free resources: none while the server is absent, leaving or quarantined, or has a run
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -126,7 +126,7 @@
 			  EV_I("started_ms", answer->start_time_ms), EV_I("before_ms", previous_ms),
 			  EV_I("runs_lost", table_count(&backend->runs.table)));
 	backend->lists_applied = false;
-	runs_server_ended(&backend->runs, backend->loop->now_us);
+	runs_server_replaced(&backend->runs, backend->loop->now_us);
 	return true;
 }
 
@@ -201,12 +201,24 @@
 	return true;
 }
 
+/* Records the end of a call that carried a lease and was sent at SENT_US. A call that was refused
+ * has not delivered it. */
+static void record_lease(struct backend *backend, const struct http_response *reply,
+			 int64_t sent_us)
+{
+	if (reply->connection_refused || sent_us <= backend->lease_delivered_us)
+		return;
+	backend->lease_delivered_us = sent_us;
+	if (backend->runs.suspected)
+		runs_lease_sent(&backend->runs, sent_us);
+}
+
 /* An order that has not been answered. */
 struct pending_order {
 	struct backend *backend;
 	struct handle run;
-	int64_t sent_us;
 	int64_t epoch;
+	int64_t sent_us;
 };
 
 static void order_start(void *context, struct handle run_handle);
@@ -215,10 +227,12 @@
 {
 	struct pending_order *order = g_new(struct pending_order, 1);
 
-	*order = (struct pending_order){.backend = backend,
-					.run = run,
-					.sent_us = backend->loop->now_us,
-					.epoch = backend->epoch};
+	*order = (struct pending_order){
+		.backend = backend,
+		.run = run,
+		.epoch = backend->epoch,
+		.sent_us = backend->loop->now_us,
+	};
 	return order;
 }
 
@@ -248,6 +262,7 @@
 
 	update_order_answer_time(backend, reply);
 	record_timeout(backend, reply);
+	record_lease(backend, reply, order->sent_us);
 	server_reply_parse(reply, &parsed);
 	if (!parsed.answered && reply->connection_refused)
 		parsed.start_answer = START_NOT_SENT;
@@ -316,6 +331,7 @@
 	int64_t sent_us;
 	int64_t epoch;
 	bool long_poll;
+	bool with_lease;
 };
 
 static void send_hold(struct backend *backend, bool long_poll);
@@ -352,20 +368,22 @@
 				bool long_poll, const struct error *err)
 {
 	int64_t now_us = backend->loop->now_us;
-	/* After a crash nothing runs, connections are refused and existing ones are closed. A
-	 * server that does not answer, or only accepts no new connections, keeps its runs until
-	 * their leases have expired. */
-	bool crashed = reply->connection_refused && !http_client_connected(backend->hold_client) &&
-		       !http_client_connected(backend->order_client);
+	/* After a crash connections are refused and existing ones are closed. A network can do the
+	 * same to a server that runs on. */
+	bool suspected = reply->connection_refused &&
+			 !http_client_connected(backend->hold_client) &&
+			 !http_client_connected(backend->order_client);
 
 	/* A closed connection tells of the end of the server at once; the next call shows whether
 	 * it is refused. Failed immediate polls are not repeated, or a server that closes each
 	 * connection would be called without a pause. */
 	if (long_poll && reply->status == STATUS_NETWORK && !reply->connection_refused)
 		backend->immediate_poll_requested = true;
-	if (crashed)
-		runs_server_ended(&backend->runs, now_us);
-	if (crashed || now_us - backend->lists_received_us > UNREACHABLE_TIMEOUT_MS * US_PER_MS)
+	if (suspected && !backend->runs.suspected) {
+		runs_lease_sent(&backend->runs, backend->lease_delivered_us);
+		runs_server_suspected(&backend->runs, now_us);
+	}
+	if (suspected || now_us - backend->lists_received_us > UNREACHABLE_TIMEOUT_MS * US_PER_MS)
 		set_reachable(backend, false, err->message);
 }
 
@@ -379,6 +397,8 @@
 	bool valid;
 
 	record_timeout(backend, reply);
+	if (hold->with_lease)
+		record_lease(backend, reply, hold->sent_us);
 	if (hold->long_poll) {
 		backend->long_polls--;
 	} else {
@@ -393,6 +413,7 @@
 	valid = server_run_lists_parse(reply, &parsed, &lists, &err) == STATUS_OK;
 	if (!apply_common_fields(backend, reply, &parsed, hold->sent_us, hold->epoch))
 		valid = false;
+	backend->hold_failed = !valid;
 	if (valid) {
 		backend->lists_received_us = backend->loop->now_us;
 		set_reachable(backend, true, NULL);
@@ -429,6 +450,9 @@
 	/* While the server is unreachable, or its clock or its runs are unknown, even a long poll
 	 * asks for an immediate answer, because the answer contains the clock and the runs. */
 	bool known = backend->lists_applied && backend->reachable && backend->presence.clock_ms > 0;
+	/* After a failure the next answer may be that of a new process, which numbers its ends
+	 * from 1 again and would forget as many as the old one had listed. */
+	uint64_t acknowledged_end = backend->hold_failed ? 0 : backend->runs.last_processed_end;
 	bool lossy = is_lossy(backend);
 	int64_t wait_ms = long_poll && known ? long_poll_wait_ms(backend, lossy) : 0;
 	int64_t margin_ms = lossy ? order_timeout_ms(backend) : LONG_POLL_MARGIN_MS;
@@ -441,9 +465,11 @@
 		.epoch = backend->epoch,
 		.long_poll = long_poll,
 	};
-	if (backend->presence.clock_ms > 0) {
+	/* A suspected server gets no lease, so that the runs that it may have end soon. */
+	if (backend->presence.clock_ms > 0 && !backend->runs.suspected) {
 		expires_ms = presence_clock_ms(&backend->presence, backend->loop->now_us) +
 			     backend->lease_ms;
+		hold->with_lease = true;
 		runs_lease_sent(&backend->runs, backend->loop->now_us);
 		backend->lease_sent_us = backend->loop->now_us;
 	}
@@ -451,8 +477,7 @@
 		backend->long_polls++;
 	else
 		backend->immediate_poll_active = true;
-	body = server_hold_body(expires_ms, backend->epoch, backend->runs.last_processed_end,
-				wait_ms);
+	body = server_hold_body(expires_ms, backend->epoch, acknowledged_end, wait_ms);
 	send_call(backend->hold_client, SERVER_HOLD_PATH, body,
 		  long_poll ? wait_ms + margin_ms : immediate_poll_timeout_ms(backend),
 		  on_hold_answered, hold, NULL);
