Revert "Take a refused connection for a suspicion, and keep the runs until they can no longer act"

The blame for a crash comes 0.6 s late, so all servers have crashed before their queue gets servers of its own.

What is missing is a separation of the queue that begins with the suspicion, while the blame on a task waits for the proof.

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -171,7 +171,6 @@
 	uint32_t waiting_cpu[PRIORITY_LEVELS]; /* cpu of waiting runs, by priority */
 	bool server_present; /* the server has announced itself and answers requests */
 	bool server_leaving;
-	bool suspected;			/* the server's process may have ended */
 	uint64_t last_processed_end;	/* highest sequence number of a processed end */
 	int64_t latest_lease_expiry_us; /* no run continues after this without a new lease */
 	uint32_t ownerless_runs; /* runs whose owner is gone or that this agent did not order */
@@ -194,13 +193,6 @@
  * server accepts no new runs. */
 void runs_server_present(struct runs *runs, const struct resources *total, bool leaving);
 
-/* Records that nothing listens on the server's address, which may also be due to the network. Until
- * lists arrive or the server is replaced, no run is started, and those that were still waiting here
- * end as RUN_SERVER_UNAVAILABLE. The others go on until their leases have certainly expired, so the
- * caller must send no more leases. If the server is still suspected then, their outcomes are those
- * of runs_server_replaced. */
-void runs_server_suspected(struct runs *runs, int64_t now_us);
-
 /* Records that a new process has taken the place of the server's process. The runs that the old
  * one had are over. That counts as a crash (RUN_CRASHED) for those that it has confirmed and that
  * were not being stopped, unless it had announced to leave; the others end as RUN_LOST. Runs that
@@ -260,8 +252,7 @@
 void runs_lease_sent(struct runs *runs, int64_t now_us);
 
 /* Ends a quarantine that is over, refuses waiting runs that are too late, and repeats unanswered
- * stops. Ends all runs as RUN_LOST once the last lease has certainly expired, unless the server is
- * suspected. */
+ * stops. Ends all runs as RUN_LOST once the last lease has certainly expired. */
 void runs_tick(struct runs *runs, int64_t now_us);
 
 /* Returns the free resources: none while the server is absent, leaving or quarantined, or has a run
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -224,7 +224,6 @@
 	struct run *run;
 
 	runs->server_present = false;
-	runs->suspected = false;
 	runs->last_processed_end = 0;
 	runs_ended_clear(runs);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
@@ -237,12 +236,6 @@
 		runs->callbacks.request_lists(runs->callbacks.context);
 }
 
-void runs_server_suspected(struct runs *runs, int64_t now_us)
-{
-	runs->suspected = true;
-	runs_refuse_waiting(runs, now_us);
-}
-
 static struct run *add_run(struct runs *runs, const struct run_request *request,
 			   struct handle *handle, int64_t now_us)
 {
@@ -554,7 +547,6 @@
 {
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 
-	runs->suspected = false;
 	apply_finished(runs, list, now_us);
 	apply_running(runs, list, listed, now_us);
 	apply_missing(runs, listed, asked_us, now_us);
@@ -579,9 +571,7 @@
 	runs_ended_expire(runs, now_us);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
 		if (now_us > MAX(runs->latest_lease_expiry_us, run->settle_by_us))
-			runs_end(runs, handle,
-				 runs->suspected ? outcome_of_server_end(runs, run) : RUN_LOST,
-				 now_us);
+			runs_end(runs, handle, RUN_LOST, now_us);
 		else if (run->phase == RUN_PHASE_STOPPING)
 			retry_stop(runs, run, handle, now_us);
 	}
@@ -589,7 +579,7 @@
 
 bool runs_ready(const struct runs *runs)
 {
-	return runs->server_present && !runs->suspected && !runs->server_leaving &&
+	return runs->server_present && !runs->server_leaving &&
 	       runs->health.state != HEALTH_QUARANTINED;
 }
 
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -201,24 +201,12 @@
 	return true;
 }
 
-/* Records the end of a call that carried a lease and was sent at SENT_US. A call that was refused
- * has not delivered it. */
-static void record_lease(struct backend *backend, const struct http_response *reply,
-			 int64_t sent_us)
-{
-	if (reply->connection_refused || sent_us <= backend->lease_delivered_us)
-		return;
-	backend->lease_delivered_us = sent_us;
-	if (backend->runs.suspected)
-		runs_lease_sent(&backend->runs, sent_us);
-}
-
 /* An order that has not been answered. */
 struct pending_order {
 	struct backend *backend;
 	struct handle run;
-	int64_t epoch;
 	int64_t sent_us;
+	int64_t epoch;
 };
 
 static void order_start(void *context, struct handle run_handle);
@@ -230,8 +218,8 @@
 	*order = (struct pending_order){
 		.backend = backend,
 		.run = run,
-		.epoch = backend->epoch,
 		.sent_us = backend->loop->now_us,
+		.epoch = backend->epoch,
 	};
 	return order;
 }
@@ -262,7 +250,6 @@
 
 	update_order_answer_time(backend, reply);
 	record_timeout(backend, reply);
-	record_lease(backend, reply, order->sent_us);
 	server_reply_parse(reply, &parsed);
 	if (!parsed.answered && reply->connection_refused)
 		parsed.start_answer = START_NOT_SENT;
@@ -331,7 +318,6 @@
 	int64_t sent_us;
 	int64_t epoch;
 	bool long_poll;
-	bool with_lease;
 };
 
 static void send_hold(struct backend *backend, bool long_poll);
@@ -368,22 +354,20 @@
 				bool long_poll, const struct error *err)
 {
 	int64_t now_us = backend->loop->now_us;
-	/* After a crash connections are refused and existing ones are closed. A network can do the
-	 * same to a server that runs on. */
-	bool suspected = reply->connection_refused &&
-			 !http_client_connected(backend->hold_client) &&
-			 !http_client_connected(backend->order_client);
+	/* After a crash nothing runs, connections are refused and existing ones are closed. A
+	 * server that does not answer, or only accepts no new connections, keeps its runs until
+	 * their leases have expired. */
+	bool crashed = reply->connection_refused && !http_client_connected(backend->hold_client) &&
+		       !http_client_connected(backend->order_client);
 
 	/* A closed connection tells of the end of the server at once; the next call shows whether
 	 * it is refused. Failed immediate polls are not repeated, or a server that closes each
 	 * connection would be called without a pause. */
 	if (long_poll && reply->status == STATUS_NETWORK && !reply->connection_refused)
 		backend->immediate_poll_requested = true;
-	if (suspected && !backend->runs.suspected) {
-		runs_lease_sent(&backend->runs, backend->lease_delivered_us);
-		runs_server_suspected(&backend->runs, now_us);
-	}
-	if (suspected || now_us - backend->lists_received_us > UNREACHABLE_TIMEOUT_MS * US_PER_MS)
+	if (crashed)
+		runs_server_replaced(&backend->runs, now_us);
+	if (crashed || now_us - backend->lists_received_us > UNREACHABLE_TIMEOUT_MS * US_PER_MS)
 		set_reachable(backend, false, err->message);
 }
 
@@ -397,8 +381,6 @@
 	bool valid;
 
 	record_timeout(backend, reply);
-	if (hold->with_lease)
-		record_lease(backend, reply, hold->sent_us);
 	if (hold->long_poll) {
 		backend->long_polls--;
 	} else {
@@ -465,11 +447,9 @@
 		.epoch = backend->epoch,
 		.long_poll = long_poll,
 	};
-	/* A suspected server gets no lease, so that the runs that it may have end soon. */
-	if (backend->presence.clock_ms > 0 && !backend->runs.suspected) {
+	if (backend->presence.clock_ms > 0) {
 		expires_ms = presence_clock_ms(&backend->presence, backend->loop->now_us) +
 			     backend->lease_ms;
-		hold->with_lease = true;
 		runs_lease_sent(&backend->runs, backend->loop->now_us);
 		backend->lease_sent_us = backend->loop->now_us;
 	}
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -40,13 +40,11 @@
 	int64_t epoch; /* sent with each call; the server rejects calls with an epoch lower than the
 			  highest it has seen */
 	int64_t lease_ms;
-	int64_t lease_sent_us;	    /* time of the last hold that renewed the lease */
-	int64_t lease_delivered_us; /* when the last call with a lease was sent that has ended and
-				       was not refused */
-	int64_t lists_received_us;  /* time when valid run lists were last received */
-	int64_t order_answer_us;    /* mean time until a start is answered, EWMA */
-	bool hold_failed;	    /* the hold that ended last has brought no valid lists */
-	uint32_t long_polls;	    /* number of long polls in progress */
+	int64_t lease_sent_us;	   /* time of the last hold that renewed the lease */
+	int64_t lists_received_us; /* time when valid run lists were last received */
+	int64_t order_answer_us;   /* mean time until a start is answered, EWMA */
+	bool hold_failed;	   /* the hold that ended last has brought no valid lists */
+	uint32_t long_polls;	   /* number of long polls in progress */
 	bool immediate_poll_active;
 	bool immediate_poll_requested;
 	uint32_t failed_immediate_polls; /* number of consecutive failures */
