Store: a list of newest records is read up to 16 pages

What callers saw: nothing yet; each process that starts, and each agent that has no entry every 1.5 s, reads the list of entries to its end, one call for 500 keys. One writer with many keys could thus use up the calls that all processes share, and a refused call drops what was read.

16 pages are 8,000 keys or 16 MB, far more than deployments have entries; the limit replaces the one in bytes.

--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -14,8 +14,9 @@
 	ANSWER_MAX_BYTES = 8 << 20,
 	CALL_TIMEOUT_MS = 1000, /* an answer usually takes 4 ms */
 	KEY_MAX_BYTES = 255,
-	/* A list of newest records is not read further once it takes this much memory. */
-	NEWEST_MAX_BYTES = 16 << 20,
+	/* Pages read of a list of newest records, 500 keys or 1 MB each: every page is a call, and
+	 * anyone who writes to a topic decides on the length of its list. */
+	NEWEST_MAX_PAGES = 16,
 	LOG_INTERVAL_MS = 60000, /* minimum time between two log lines on a topic's records */
 	US_PER_MS = 1000,
 	RECORD_LENGTH_BYTES = 4, /* length before each record, big-endian */
@@ -41,7 +42,7 @@
 	store_callback callback;
 	void *context;
 	GPtrArray *strings; /* keys and values of the pages read so far */
-	size_t bytes;	    /* memory taken by the records of the pages read so far */
+	unsigned pages;	    /* pages read so far */
 	GArray *records;
 };
 
@@ -153,7 +154,6 @@
 		g_array_append_val(operation->records, record);
 		g_ptr_array_add(operation->strings, g_steal_pointer(&item->key));
 		g_ptr_array_add(operation->strings, g_steal_pointer(&item->value));
-		operation->bytes += sizeof(record) + item->key_length + item->value_length;
 	}
 	if (page->unreadable > 0)
 		log_unreadable(operation, page->first_unreadable, page->reason, page->unreadable);
@@ -167,7 +167,7 @@
 {
 	if (!page->has_more)
 		return false;
-	if (page->last_key && operation->bytes < NEWEST_MAX_BYTES)
+	if (page->last_key && operation->pages < NEWEST_MAX_PAGES)
 		return true;
 	log_unreadable(operation, page->first_unreadable,
 		       page->last_key ? "the list is too long" : "a page without a readable key",
@@ -189,6 +189,7 @@
 		complete_operation(operation, STATUS_LOG_UNAVAILABLE, "answer without items", 0);
 		return;
 	}
+	operation->pages++;
 	add_records(operation, &page);
 	/* The pages are not a snapshot: a later one may miss changes of earlier keys. The following
 	 * read must therefore start at the end offset in the first page. */
--- a/test/functional/odd_messages_test.c
+++ b/test/functional/odd_messages_test.c
@@ -13,6 +13,7 @@
 	US_PER_MS = 1000,
 	NESTING_LEVELS = 100000,
 	UNUSED_ADDRESSES = 400,
+	MAX_PAGES = 20, /* calls for one list, of 500 keys each on the real platform */
 	ODD_MESSAGE_REPETITIONS = 20,
 	JOB_THREADS = 2,
 	FIRST_JOB = 1000,
@@ -277,6 +278,31 @@
 	platform_stop(&cluster);
 }
 
+/* Guards against a list whose length, and so the number of calls to the store, any writer decides
+ * on. */
+static void test_long_list(void)
+{
+	struct platform_cluster cluster;
+	int64_t before;
+
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"page_items\":1}");
+	for (int i = 0; i < UNUSED_ADDRESSES; i++) {
+		char *address = g_strdup_printf("odd%d", i);
+
+		add_address(&cluster, address);
+		g_free(address);
+	}
+	before = platform_counter(&cluster, "pages");
+	restart(&cluster, cluster.agents[0]);
+	g_usleep(SETTLE_MS * US_PER_MS);
+	g_assert_cmpint(platform_counter(&cluster, "pages") - before, >, 0);
+	g_assert_cmpint(platform_counter(&cluster, "pages") - before, <=, MAX_PAGES);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_log_contains(cluster.agents[0], "too long"));
+	g_assert_true(platform_job_completes(&cluster, 0, 1, 2));
+	platform_stop(&cluster);
+}
+
 /* Guards against addresses that end a process, that lose jobs, or that keep an entry that starts
  * later from the others. */
 static void test_odd_addresses(void)
@@ -485,6 +511,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/odd_messages/item_hides_entries", test_item_hides_entries);
 	g_test_add_func("/odd_messages/item_ends_page", test_item_ends_page);
+	g_test_add_func("/odd_messages/long_list", test_long_list);
 	g_test_add_func("/odd_messages/addresses", test_odd_addresses);
 	g_test_add_func("/odd_messages/unused_addresses", test_unused_addresses);
 	g_test_add_func("/odd_messages/second_address", test_second_address);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -106,6 +106,7 @@
 	int64_t run_ms;	    /* run time of every task */
 	int64_t cpu;	    /* capacity that each server announces */
 	int64_t cpu_changed_us;
+	uint32_t pages;	   /* pages of newest records sent */
 	size_t page_items; /* 0: all items of the newest records are in one page */
 	bool store_down;
 	bool store_silent;     /* leaves requests unanswered */
@@ -528,6 +529,7 @@
 	guint first = 0;
 	guint end;
 
+	standin->pages++;
 	for (guint i = 0; i < topic->keys->len; i++) {
 		add_raw_items(topic, i, items, keys);
 		if (is_newest(topic, i))
@@ -732,12 +734,12 @@
 		crashes += standin->servers[i].crashes;
 	}
 	respond_json(request, 200,
-		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "starts",
-			       (int)standin->starts, "overlaps", (int)standin->overlaps, "running",
-			       (int)running, "starts_after_drain", (int)after_drain,
-			       "heartbeats_refused", (int)standin->heartbeats_refused,
-			       "starts_over_capacity", (int)standin->starts_over_capacity,
-			       "crashes", (int)crashes));
+		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "pages",
+			       (int)standin->pages, "starts", (int)standin->starts, "overlaps",
+			       (int)standin->overlaps, "running", (int)running,
+			       "starts_after_drain", (int)after_drain, "heartbeats_refused",
+			       (int)standin->heartbeats_refused, "starts_over_capacity",
+			       (int)standin->starts_over_capacity, "crashes", (int)crashes));
 }
 
 static void respond_started_jobs(struct standin *standin, struct http_request *request)
