Tell the server's processes apart in answers that do not state a start time

Orders now remember which process was there when they were sent; a start that was confirmed after the last lists is settled with the new process; answers without a start time set no clock. An id that the server rejects counts only if it is the present one, and leaves the bounds on resources and draining.

Refused polls: each one replaced the server's process anew, which asked for the lists at once, renewed the lease and put off the end of starts in transit, for as long as the server was away. The first refusal counts now; until lists arrive no lease is sent.

Also: the number of a connection replaces its time, two start times on one connection close it, no read of a freed connection after a failed call, bounds on clocks and figures from outside.

Tests: runs_test start_answered_by_new_process and transit_ends, presence_test odd_answers, notice_behind_clock and id_rejected are new.

--- a/packages/core/include/presence.h
+++ b/packages/core/include/presence.h
@@ -51,14 +51,15 @@
 struct server_answer {
 	int64_t start_time_ms; /* 0 if absent */
 	int64_t clock_ms;      /* 0 if absent */
-	int64_t connected_us;  /* when the connection of the call was established */
+	uint64_t connection;   /* number of its connection; later ones have higher numbers */
 	int64_t received_us;
 };
 
 enum answer_origin {
 	ANSWER_CURRENT,
 	ANSWER_NEW_INCARNATION, /* the previous process has ended */
-	ANSWER_OLD		/* from a process that has been replaced since */
+	ANSWER_OLD,		/* from a process that has been replaced since */
+	ANSWER_CONTRADICTS	/* its connection has stated another start time before */
 };
 
 enum heartbeat_verdict {
@@ -74,7 +75,8 @@
 	/* From the server's answers. */
 	bool answered;
 	int64_t start_time_ms; /* identifies the current incarnation; 0 while unknown */
-	int64_t connected_us;  /* latest connection on which that incarnation has answered */
+	uint64_t connection;   /* latest connection on which that incarnation has stated its start
+				  time */
 	int64_t clock_ms;      /* the server's monotonic clock in its last answer; 0 if unknown */
 	int64_t clock_received_us;
 	/* From accepted heartbeats of the current incarnation. */
@@ -94,7 +96,8 @@
 const char *heartbeat_verdict_name(enum heartbeat_verdict verdict);
 
 /* Records an answer. The connections order the incarnations, since start times are taken from a
- * clock that may be set back: of two processes, the later one has accepted the later connection. */
+ * clock that may be set back: of two processes, the later one has accepted the later connection. An
+ * answer without a start time tells nothing of the process, once a start time is known. */
 enum answer_origin presence_on_answer(struct presence *presence,
 				      const struct server_answer *answer);
 
@@ -113,8 +116,9 @@
  * not the current incarnation. */
 bool presence_on_deregistration(struct presence *presence, const char *id, int64_t start_time_ms);
 
-/* Records that the server has rejected the id in IDENTITY. The next heartbeat states it anew. */
-void presence_on_id_rejected(struct presence *presence);
+/* Records that the server has rejected ID. If it is the one in IDENTITY, returns true, and the next
+ * heartbeat states the identity anew. */
+bool presence_on_id_rejected(struct presence *presence, const char *id);
 
 /* Returns the current time of the server's clock, in ms. */
 int64_t presence_clock_ms(const struct presence *presence, int64_t now_us);
--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -84,7 +84,8 @@
 	int64_t estimate_us;
 	GBytes *spec; /* NULL after runs_start_answered */
 	enum run_phase phase;
-	bool confirmed;	     /* the server has said that it runs */
+	bool confirmed; /* the server has said that it runs */
+	int64_t confirmed_us;
 	bool missed;	     /* a list was without it after the server had confirmed it */
 	bool stop_requested; /* the owner has requested a stop or is gone */
 	bool unknown;	     /* this agent did not order it and does not know its needs */
@@ -171,6 +172,7 @@
 	uint32_t waiting_cpu[PRIORITY_LEVELS]; /* cpu of waiting runs, by priority */
 	bool server_present; /* the server has announced itself and answers requests */
 	bool server_leaving;
+	int64_t lists_us;		/* when lists of the current process were last applied */
 	uint64_t last_processed_end;	/* highest sequence number of a processed end */
 	int64_t latest_lease_expiry_us; /* no run continues after this without a new lease */
 	uint32_t ownerless_runs; /* runs whose owner is gone or that this agent did not order */
@@ -193,12 +195,16 @@
  * server accepts no new runs. */
 void runs_server_present(struct runs *runs, const struct resources *total, bool leaving);
 
-/* Records that a new process has taken the place of the server's process. The runs that the old
- * one had are over. That counts as a crash (RUN_CRASHED) for those that it has confirmed and that
- * were not being stopped, unless it had announced to leave; the others end as RUN_LOST. Runs that
- * were still waiting here end as RUN_SERVER_UNAVAILABLE. A start that no process has confirmed may
- * still reach the new one. Such a run is settled with it: by the answer, through the lists, or
- * through a stop. */
+/* Records that the server's process has ended: nothing listens on its address. The runs that it had
+ * are over. That counts as a crash (RUN_CRASHED) for those that it has confirmed and that were not
+ * being stopped, unless it had announced to leave; the others end as RUN_LOST. Runs that were still
+ * waiting here end as RUN_SERVER_UNAVAILABLE. A start that no process has confirmed may still reach
+ * the next one. Such a run is settled with it: by the answer, through the lists, or through a stop.
+ */
+void runs_server_ended(struct runs *runs, int64_t now_us);
+
+/* As runs_server_ended, but another process has answered already. It may be the one that has
+ * confirmed a start since the last lists of the old one, so such a run is settled with it, too. */
 void runs_server_replaced(struct runs *runs, int64_t now_us);
 
 struct run_request {
--- a/packages/core/src/presence.c
+++ b/packages/core/src/presence.c
@@ -48,7 +48,7 @@
 static void begin_incarnation(struct presence *presence, int64_t start_time_ms)
 {
 	presence->start_time_ms = start_time_ms;
-	presence->connected_us = 0;
+	presence->connection = 0;
 	presence->clock_ms = 0;
 	presence->heartbeat_seen = false;
 }
@@ -57,14 +57,18 @@
 {
 	enum answer_origin origin = ANSWER_CURRENT;
 
-	if (answer->start_time_ms != 0 && answer->start_time_ms != presence->start_time_ms) {
-		if (presence->start_time_ms != 0 && answer->connected_us < presence->connected_us)
+	if (answer->start_time_ms == 0 && presence->start_time_ms != 0)
+		return ANSWER_CURRENT;
+	if (answer->start_time_ms != presence->start_time_ms) {
+		if (presence->start_time_ms != 0 && answer->connection < presence->connection)
 			return ANSWER_OLD;
+		if (presence->start_time_ms != 0 && answer->connection == presence->connection)
+			return ANSWER_CONTRADICTS;
 		begin_incarnation(presence, answer->start_time_ms);
 		origin = ANSWER_NEW_INCARNATION;
 	}
 	presence->answered = true;
-	presence->connected_us = MAX(presence->connected_us, answer->connected_us);
+	presence->connection = MAX(presence->connection, answer->connection);
 	if (answer->clock_ms > 0) {
 		presence->clock_ms = answer->clock_ms;
 		presence->clock_received_us = answer->received_us;
@@ -108,7 +112,6 @@
 		presence->identity = *identity;
 		presence->identity_votes = 1;
 		presence->identity_version++;
-		presence->heartbeat_seen = false;
 		return true;
 	}
 	if (equal)
@@ -138,6 +141,15 @@
 	       (heartbeat->clock_ms == last->clock_ms && heartbeat->sequence <= last->sequence);
 }
 
+/* Returns whether a superseded heartbeat says that the server leaves and may be later than its
+ * clock makes it appear beside a wrong one, whose clock may lead by CLOCK_LEAD_MAX_MS. */
+static bool is_late_notice(const struct presence *presence, const struct heartbeat *heartbeat)
+{
+	return heartbeat->draining && !presence->last.draining &&
+	       heartbeat->clock_ms >= presence->last.clock_ms - CLOCK_LEAD_MAX_MS &&
+	       identities_equal(&presence->identity, &heartbeat->identity);
+}
+
 /* Resources are added, and a leaving server is used again, only when two heartbeats in a row say
  * so. */
 static enum heartbeat_verdict apply(struct presence *presence, const struct heartbeat *heartbeat)
@@ -145,8 +157,13 @@
 	struct resources resources = heartbeat->capacity;
 	bool leaving = heartbeat->draining;
 
-	if (is_superseded(presence, heartbeat))
-		return HEARTBEAT_SUPERSEDED;
+	if (is_superseded(presence, heartbeat)) {
+		if (!is_late_notice(presence, heartbeat))
+			return HEARTBEAT_SUPERSEDED;
+		presence->leaving = true;
+		presence->last.draining = true;
+		return HEARTBEAT_ACCEPTED;
+	}
 	if (!vote_for_identity(presence, &heartbeat->identity))
 		return HEARTBEAT_OTHER_IDENTITY;
 	if (presence->heartbeat_seen) {
@@ -206,7 +223,10 @@
 	return true;
 }
 
-void presence_on_id_rejected(struct presence *presence)
+bool presence_on_id_rejected(struct presence *presence, const char *id)
 {
-	presence->heartbeat_seen = false;
+	if (!presence->heartbeat_seen || strcmp(id, presence->identity.id) != 0)
+		return false;
+	presence->identity_votes = 0;
+	return true;
 }
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -187,8 +187,10 @@
 	return RUN_CRASHED;
 }
 
-static void confirm(struct run *run)
+static void confirm(struct run *run, int64_t now_us)
 {
+	if (!run->confirmed)
+		run->confirmed_us = now_us;
 	run->confirmed = true;
 	run->settle_by_us = 0;
 }
@@ -210,14 +212,18 @@
 static void settle_with_new_process(struct runs *runs, struct run *run, struct handle handle,
 				    int64_t now_us)
 {
-	run->settle_by_us = now_us + TRANSIT_MAX_US;
-	if (run->phase == RUN_PHASE_UNCONFIRMED)
+	if (run->settle_by_us == 0)
+		run->settle_by_us = now_us + TRANSIT_MAX_US;
+	run->confirmed = false;
+	if (run->phase == RUN_PHASE_UNCONFIRMED || run->phase == RUN_PHASE_ACTIVE)
 		runs_set_phase(run, RUN_PHASE_UNCONFIRMED, now_us);
 	else if (run->phase != RUN_PHASE_ORDERED)
 		send_stop(runs, run, handle, now_us);
 }
 
-void runs_server_replaced(struct runs *runs, int64_t now_us)
+/* Ends the runs of the server's process. Those that were confirmed after CONFIRMED_MAX_US may be
+ * runs of the next one. */
+static void end_process(struct runs *runs, int64_t confirmed_max_us, int64_t now_us)
 {
 	uint32_t cursor = 0;
 	struct handle handle;
@@ -227,7 +233,8 @@
 	runs->last_processed_end = 0;
 	runs_ended_clear(runs);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
-		if (may_be_in_transit(run))
+		if (may_be_in_transit(run) ||
+		    (run->confirmed && run->confirmed_us > confirmed_max_us))
 			settle_with_new_process(runs, run, handle, now_us);
 		else
 			runs_end(runs, handle, outcome_of_server_end(runs, run), now_us);
@@ -236,6 +243,16 @@
 		runs->callbacks.request_lists(runs->callbacks.context);
 }
 
+void runs_server_ended(struct runs *runs, int64_t now_us)
+{
+	end_process(runs, now_us, now_us);
+}
+
+void runs_server_replaced(struct runs *runs, int64_t now_us)
+{
+	end_process(runs, runs->lists_us, now_us);
+}
+
 static struct run *add_run(struct runs *runs, const struct run_request *request,
 			   struct handle *handle, int64_t now_us)
 {
@@ -393,7 +410,7 @@
 		runs_end(runs, handle, refusals[answer], now_us);
 	} else if (run->phase == RUN_PHASE_ORDERED || run->phase == RUN_PHASE_UNCONFIRMED) {
 		runs_set_phase(run, RUN_PHASE_ACTIVE, now_us);
-		confirm(run);
+		confirm(run, now_us);
 	}
 }
 
@@ -502,7 +519,7 @@
 		}
 		g_hash_table_add(listed, run);
 		run->percent = row->percent;
-		confirm(run);
+		confirm(run, now_us);
 		if (run->phase == RUN_PHASE_UNCONFIRMED) {
 			runs_set_phase(run, RUN_PHASE_ACTIVE, now_us);
 			if (run->stop_requested)
@@ -547,6 +564,7 @@
 {
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 
+	runs->lists_us = now_us;
 	apply_finished(runs, list, now_us);
 	apply_running(runs, list, listed, now_us);
 	apply_missing(runs, listed, asked_us, now_us);
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -118,6 +118,12 @@
 		log_ignored_message(backend, "answer", presence->identity.id, answer->start_time_ms,
 				    "process that has been replaced");
 		return false;
+	case ANSWER_CONTRADICTS:
+		/* Only new connections can tell which process there is. */
+		log_ignored_message(backend, "answer", presence->identity.id, answer->start_time_ms,
+				    "two start times on one connection");
+		backend->reconnect_requested = true;
+		return false;
 	case ANSWER_NEW_INCARNATION:
 		break;
 	}
@@ -125,6 +131,8 @@
 		event_log(EVENT_SERVER_RESTARTED, EV_S("server", presence->identity.id),
 			  EV_I("started_ms", answer->start_time_ms), EV_I("before_ms", previous_ms),
 			  EV_I("runs_lost", table_count(&backend->runs.table)));
+	backend->replacements++;
+	backend->refused = false;
 	backend->lists_applied = false;
 	runs_server_replaced(&backend->runs, backend->loop->now_us);
 	return true;
@@ -183,7 +191,7 @@
 	const struct server_answer answer = {
 		.start_time_ms = parsed->start_time_ms,
 		.clock_ms = parsed->clock_ms,
-		.connected_us = reply->connected_us,
+		.connection = reply->connection,
 		.received_us = backend->loop->now_us,
 	};
 
@@ -191,8 +199,6 @@
 		return true;
 	if (!accept_answer(backend, &answer))
 		return false;
-	if (parsed->wrong_instance)
-		presence_on_id_rejected(&backend->presence);
 	if (parsed->stale_epoch && epoch == backend->epoch) {
 		backend->epoch += EPOCH_STEP + (backend->epoch - epoch);
 		event_log(EVENT_EPOCH_RAISED, EV_I("epoch", backend->epoch));
@@ -205,6 +211,8 @@
 struct pending_order {
 	struct backend *backend;
 	struct handle run;
+	char id[NAME_BYTES];   /* of the server that it was meant for */
+	uint32_t replacements; /* backend.replacements when it was sent */
 	int64_t sent_us;
 	int64_t epoch;
 };
@@ -218,12 +226,26 @@
 	*order = (struct pending_order){
 		.backend = backend,
 		.run = run,
+		.replacements = backend->replacements,
 		.sent_us = backend->loop->now_us,
 		.epoch = backend->epoch,
 	};
+	g_strlcpy(order->id, backend->presence.identity.id, sizeof(order->id));
 	return order;
 }
 
+/* Applies what the answer to an order tells of the server. Returns false if the answer may be from
+ * a process of the server that has been replaced since. */
+static bool apply_order_answer(struct backend *backend, const struct pending_order *order,
+			       const struct http_response *reply, const struct server_reply *parsed)
+{
+	if (!apply_common_fields(backend, reply, parsed, order->sent_us, order->epoch))
+		return false;
+	if (parsed->wrong_instance && presence_on_id_rejected(&backend->presence, order->id))
+		notify_state_changed(backend);
+	return order->replacements == backend->replacements || parsed->start_time_ms != 0;
+}
+
 /* Sends a POST request and frees EXTRA, which contains additional header lines or is NULL. */
 static void send_call(struct http_client *client, const char *path, const char *body,
 		      int64_t timeout_ms, http_response_callback callback, void *context,
@@ -253,7 +275,7 @@
 	server_reply_parse(reply, &parsed);
 	if (!parsed.answered && reply->connection_refused)
 		parsed.start_answer = START_NOT_SENT;
-	if (!apply_common_fields(backend, reply, &parsed, order->sent_us, order->epoch))
+	if (!apply_order_answer(backend, order, reply, &parsed) && parsed.answered)
 		parsed = (struct server_reply){.start_answer = START_UNANSWERED};
 	if (parsed.stale_epoch && table_get(&backend->runs.table, order->run)) {
 		order_start(backend, order->run);
@@ -292,12 +314,13 @@
 	struct pending_order *order = context;
 	struct backend *backend = order->backend;
 	struct server_reply parsed;
+	bool current;
 
 	server_reply_parse(reply, &parsed);
-	if (apply_common_fields(backend, reply, &parsed, order->sent_us, order->epoch))
-		runs_stop_answered(&backend->runs, order->run,
-				   parsed.answered && parsed.start_answer == START_STARTED,
-				   backend->loop->now_us);
+	current = apply_order_answer(backend, order, reply, &parsed);
+	runs_stop_answered(&backend->runs, order->run,
+			   current && parsed.answered && parsed.start_answer == START_STARTED,
+			   backend->loop->now_us);
 	g_free(order);
 }
 
@@ -365,8 +388,10 @@
 	 * connection would be called without a pause. */
 	if (long_poll && reply->status == STATUS_NETWORK && !reply->connection_refused)
 		backend->immediate_poll_requested = true;
-	if (crashed)
-		runs_server_replaced(&backend->runs, now_us);
+	if (crashed && !backend->refused) {
+		backend->refused = true;
+		runs_server_ended(&backend->runs, now_us);
+	}
 	if (crashed || now_us - backend->lists_received_us > UNREACHABLE_TIMEOUT_MS * US_PER_MS)
 		set_reachable(backend, false, err->message);
 }
@@ -398,6 +423,7 @@
 	backend->hold_failed = !valid;
 	if (valid) {
 		backend->lists_received_us = backend->loop->now_us;
+		backend->refused = false;
 		set_reachable(backend, true, NULL);
 		runs_apply_lists(&backend->runs, &lists.runs, hold->sent_us, backend->loop->now_us);
 		backend->lists_applied = true;
@@ -447,7 +473,8 @@
 		.epoch = backend->epoch,
 		.long_poll = long_poll,
 	};
-	if (backend->presence.clock_ms > 0) {
+	/* A call that is refused delivers no lease. */
+	if (backend->presence.clock_ms > 0 && !backend->refused) {
 		expires_ms = presence_clock_ms(&backend->presence, backend->loop->now_us) +
 			     backend->lease_ms;
 		runs_lease_sent(&backend->runs, backend->loop->now_us);
@@ -473,6 +500,10 @@
 
 void backend_send_requested_poll(struct backend *backend)
 {
+	if (backend->reconnect_requested) {
+		backend->reconnect_requested = false;
+		backend_close_connections(backend);
+	}
 	if (!backend->immediate_poll_requested || backend->immediate_poll_active)
 		return;
 	backend->immediate_poll_requested = false;
@@ -503,7 +534,8 @@
 	log_health_change(backend);
 	if (busy && backend->long_polls < BUSY_LONG_POLLS && backend->reachable)
 		start_long_polls(backend);
-	if (busy && now_us - backend->lease_sent_us > LEASE_RENEWAL_MS * US_PER_MS)
+	if (busy && !backend->refused &&
+	    now_us - backend->lease_sent_us > LEASE_RENEWAL_MS * US_PER_MS)
 		backend->immediate_poll_requested = true;
 }
 
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -35,8 +35,10 @@
 	struct http_client *order_client;   /* sends starts and stops */
 	struct http_client *hold_client;    /* sends holds */
 	struct presence presence;	    /* the server's process and what its heartbeats state */
-	bool reachable;			    /* the server answers holds */
-	bool lists_applied;		    /* run lists of the current incarnation were applied */
+	uint32_t replacements;		    /* processes of the server that were replaced */
+	bool refused;	    /* connections were refused since the last valid lists */
+	bool reachable;	    /* the server answers holds */
+	bool lists_applied; /* run lists of the current incarnation were applied */
 	int64_t epoch; /* sent with each call; the server rejects calls with an epoch lower than the
 			  highest it has seen */
 	int64_t lease_ms;
@@ -47,6 +49,7 @@
 	uint32_t long_polls;	   /* number of long polls in progress */
 	bool immediate_poll_active;
 	bool immediate_poll_requested;
+	bool reconnect_requested;	 /* close all connections before the next poll */
 	uint32_t failed_immediate_polls; /* number of consecutive failures */
 	int64_t last_timeout_us; /* time of the last timeout of a start or hold that had been sent;
 				    0 if none */
--- a/packages/net/include/http_client.h
+++ b/packages/net/include/http_client.h
@@ -19,7 +19,8 @@
 	enum status status;
 	bool connection_assigned; /* also true if connecting then failed */
 	bool connection_refused;  /* no process listens on the address */
-	int64_t connected_us;	  /* when the connection was established; 0 without one */
+	uint64_t connection;	  /* of an answer: number of its connection; those that were
+				     established later on the same loop have higher numbers */
 	int code;
 	const char *body; /* valid during the callback; followed by a NUL byte */
 	size_t length;
--- a/packages/net/include/net.h
+++ b/packages/net/include/net.h
@@ -39,7 +39,8 @@
 	void *iteration_context;
 	net_freeze_callback on_freeze;
 	void *freeze_context;
-	GPtrArray *unsent;	 /* connections with bytes to send at the end of the iteration */
+	GPtrArray *unsent; /* connections with bytes to send at the end of the iteration */
+	uint64_t connections_opened; /* by net_connect, in the order of their establishment */
 	uint32_t pending_writes; /* connections with a write that the kernel has not completed */
 	bool stopping;
 	int64_t stop_requested_us;
--- a/packages/net/src/http_client.c
+++ b/packages/net/src/http_client.c
@@ -16,7 +16,7 @@
 	http_parser parser;
 	GString *body;
 	int64_t idle_since_us;
-	int64_t connected_us;
+	uint64_t number; /* 0 until the connection is established */
 	bool connected;
 	bool response_complete;
 	bool response_too_large;
@@ -83,7 +83,6 @@
 		.status = status,
 		.connection_assigned = call->connection != NULL,
 		.connection_refused = strcmp(reason, uv_strerror(UV_ECONNREFUSED)) == 0,
-		.connected_us = call->connection ? call->connection->connected_us : 0,
 		.reason = reason,
 	};
 
@@ -154,7 +153,7 @@
 	response = (struct http_response){
 		.status = STATUS_OK,
 		.connection_assigned = true,
-		.connected_us = connection->connected_us,
+		.connection = connection->number,
 		.code = connection->parser.status_code,
 		.body = connection->body->str,
 		.length = connection->body->len,
@@ -201,7 +200,7 @@
 	struct connection *connection = context;
 
 	connection->connected = true;
-	connection->connected_us = connection->client->loop->now_us;
+	connection->number = ++connection->client->loop->connections_opened;
 }
 
 static const struct net_conn_callbacks conn_callbacks = {
--- a/packages/platform/src/server_api.c
+++ b/packages/platform/src/server_api.c
@@ -8,9 +8,12 @@
 	CODE_CONFLICT = 409,
 	CODE_MISDIRECTED_REQUEST = 421,
 	CODE_TOO_MANY_REQUESTS = 429,
-	CODE_UNAVAILABLE = 503
+	CODE_UNAVAILABLE = 503,
+	PERCENT = 100
 };
 
+static const int64_t time_max_ms = (int64_t)1 << 52; /* sums of two cannot overflow */
+
 static const char instances_prefix[] = "/greengagefront/instances/";
 
 enum server_message server_message_parse(const struct http_request *request, char *id)
@@ -76,14 +79,14 @@
 	return true;
 }
 
-/* Parses a whole number that may be absent, in which case VALUE is 0. */
+/* Parses a whole number of milliseconds that may be absent, in which case VALUE is 0. */
 static bool parse_optional(const json_t *document, const char *name, int64_t smallest,
 			   int64_t *value)
 {
 	const json_t *field = json_object_get(document, name);
 
 	*value = json_integer_value(field);
-	return !field || (json_is_integer(field) && *value >= smallest);
+	return !field || (json_is_integer(field) && *value >= smallest && *value <= time_max_ms);
 }
 
 static enum status parse_identity(const json_t *document, struct server_identity *identity,
@@ -305,8 +308,8 @@
 {
 	parsed->task = json_string_value(json_array_get(row, 0));
 	parsed->attempt = (uint32_t)json_integer_value(json_array_get(row, 1));
-	parsed->percent = (uint32_t)json_number_value(json_array_get(row, 3));
-	parsed->cpu = (uint32_t)json_number_value(json_array_get(row, 4));
+	parsed->percent = (uint32_t)CLAMP(json_number_value(json_array_get(row, 3)), 0, PERCENT);
+	parsed->cpu = (uint32_t)CLAMP(json_number_value(json_array_get(row, 4)), 0, UINT32_MAX);
 	return parsed->task != NULL;
 }
 
@@ -314,11 +317,13 @@
  * checkpoint. */
 static bool parse_finished_row(const json_t *row, struct run_list_row *parsed)
 {
-	parsed->number = (uint64_t)json_integer_value(json_array_get(row, 0));
+	json_int_t number = json_integer_value(json_array_get(row, 0));
+
+	parsed->number = (uint64_t)number;
 	parsed->task = json_string_value(json_array_get(row, 1));
 	parsed->attempt = (uint32_t)json_integer_value(json_array_get(row, 2));
 	parsed->outcome = run_outcome_from_name(json_string_value(json_array_get(row, 3)));
-	return parsed->task != NULL && parsed->number > 0;
+	return parsed->task != NULL && number > 0;
 }
 
 static struct run_list_row *parse_rows(const json_t *list,
--- a/test/functional/presence_test.c
+++ b/test/functional/presence_test.c
@@ -90,6 +90,8 @@
 		g_assert_cmpint(platform_counter(&cluster, "starts_over_capacity"), ==, 0);
 		g_usleep(HEARTBEATS_MS * US_PER_MS);
 	}
+	/* The server is in use again after the last one, too. */
+	g_assert_true(platform_job_completes(&cluster, 0, G_N_ELEMENTS(changes) + 1, MANY_TASKS));
 	platform_stop(&cluster);
 }
 
--- a/test/unit/presence_test.c
+++ b/test/unit/presence_test.c
@@ -28,12 +28,12 @@
 }
 
 static enum answer_origin answer(struct presence *presence, int64_t start_time_ms,
-				 int64_t connected_us, int64_t now_us)
+				 uint64_t connection, int64_t now_us)
 {
 	return presence_on_answer(presence, &(struct server_answer){
 						    .start_time_ms = start_time_ms,
 						    .clock_ms = CLOCK_MS + now_us / US_PER_MS,
-						    .connected_us = connected_us,
+						    .connection = connection,
 						    .received_us = now_us,
 					    });
 }
@@ -57,7 +57,7 @@
 static void set_up(struct presence *presence)
 {
 	*presence = (struct presence){0};
-	g_assert_cmpint(answer(presence, START_MS, 0, 0), ==, ANSWER_NEW_INCARNATION);
+	g_assert_cmpint(answer(presence, START_MS, 1, 0), ==, ANSWER_NEW_INCARNATION);
 	send_true_heartbeats(presence, 1, 0);
 }
 
@@ -87,7 +87,7 @@
 		odd.start_time_ms = start_times[i];
 		g_assert_cmpint(send_heartbeat(&presence, &odd), ==, HEARTBEAT_UNCONFIRMED);
 		g_assert_true(presence_is_known(&presence));
-		g_assert_cmpint(answer(&presence, START_MS, 0, 2000), ==, ANSWER_CURRENT);
+		g_assert_cmpint(answer(&presence, START_MS, 1, 2000), ==, ANSWER_CURRENT);
 		g_assert_cmpint(settle(&presence, 2000), ==, HEARTBEAT_OTHER_INCARNATION);
 		send_true_heartbeats(&presence, 2, INTERVAL_US);
 	}
@@ -104,14 +104,14 @@
 	first.start_time_ms = START_MS + 10;
 	first.sequence = 1;
 	g_assert_cmpint(send_heartbeat(&presence, &first), ==, HEARTBEAT_UNCONFIRMED);
-	answer(&presence, START_MS, 0, 5000);
+	answer(&presence, START_MS, 1, 5000);
 	g_assert_cmpint(settle(&presence, 4000), ==, HEARTBEAT_UNCONFIRMED);
-	g_assert_cmpint(answer(&presence, START_MS + 10, 5500, 6000), ==, ANSWER_NEW_INCARNATION);
+	g_assert_cmpint(answer(&presence, START_MS + 10, 2, 6000), ==, ANSWER_NEW_INCARNATION);
 	g_assert_false(presence_is_known(&presence));
 	g_assert_cmpint(settle(&presence, 5500), ==, HEARTBEAT_ACCEPTED);
 	g_assert_true(presence_is_known(&presence));
 	/* An answer of the old process arrives last. */
-	g_assert_cmpint(answer(&presence, START_MS, 0, 7000), ==, ANSWER_OLD);
+	g_assert_cmpint(answer(&presence, START_MS, 1, 7000), ==, ANSWER_OLD);
 }
 
 /* The time of day was set back while the server restarted. Guards against a server that is ignored
@@ -121,9 +121,61 @@
 	struct presence presence;
 
 	set_up(&presence);
-	g_assert_cmpint(answer(&presence, START_MS - 5000, 1000, 2000), ==, ANSWER_NEW_INCARNATION);
-	g_assert_cmpint(answer(&presence, START_MS, 0, 3000), ==, ANSWER_OLD);
-	g_assert_cmpint(answer(&presence, START_MS - 5000, 1000, 4000), ==, ANSWER_CURRENT);
+	g_assert_cmpint(answer(&presence, START_MS - 5000, 2, 2000), ==, ANSWER_NEW_INCARNATION);
+	g_assert_cmpint(answer(&presence, START_MS, 1, 3000), ==, ANSWER_OLD);
+	g_assert_cmpint(answer(&presence, START_MS - 5000, 2, 4000), ==, ANSWER_CURRENT);
+}
+
+/* Guards against an answer that contradicts earlier ones on its connection and ends the
+ * incarnation, and against an answer without a start time, possibly of an old process, that sets
+ * the clock. */
+static void test_odd_answers(void)
+{
+	struct presence presence;
+
+	set_up(&presence);
+	g_assert_cmpint(answer(&presence, INT64_MAX, 1, 1000), ==, ANSWER_CONTRADICTS);
+	g_assert_cmpint(answer(&presence, START_MS, 1, 2000), ==, ANSWER_CURRENT);
+	g_assert_true(presence_is_known(&presence));
+	g_assert_cmpint(answer(&presence, 0, 5, 1000000), ==, ANSWER_CURRENT);
+	g_assert_cmpint(presence.clock_received_us, ==, 2000);
+	g_assert_cmpint(answer(&presence, START_MS + 1, 2, 3000000), ==, ANSWER_NEW_INCARNATION);
+}
+
+/* Guards against a heartbeat of another writer, with a clock that leads a little, that hides the
+ * server's own one which says that it drains. */
+static void test_notice_behind_clock(void)
+{
+	struct heartbeat odd = true_heartbeat(INTERVAL_US - 50000);
+	struct heartbeat heartbeat = true_heartbeat(INTERVAL_US);
+	struct presence presence;
+
+	set_up(&presence);
+	odd.clock_ms += 190;
+	g_assert_cmpint(send_heartbeat(&presence, &odd), ==, HEARTBEAT_ACCEPTED);
+	heartbeat.draining = true;
+	g_assert_cmpint(send_heartbeat(&presence, &heartbeat), ==, HEARTBEAT_ACCEPTED);
+	g_assert_true(presence.leaving);
+}
+
+/* Guards against a rejected id of an earlier process that takes the server out of use, and against
+ * a rejected id that makes the next heartbeat alone add resources or end a drain. */
+static void test_id_rejected(void)
+{
+	struct heartbeat heartbeat = true_heartbeat(INTERVAL_US);
+	struct presence presence;
+
+	set_up(&presence);
+	g_assert_false(presence_on_id_rejected(&presence, "i-0"));
+	g_assert_true(presence_is_known(&presence));
+	g_assert_true(presence_on_id_rejected(&presence, "i-1"));
+	g_assert_false(presence_is_known(&presence));
+	g_strlcpy(heartbeat.identity.id, "i-2", NAME_BYTES);
+	heartbeat.capacity.cpu = UINT32_MAX;
+	g_assert_cmpint(send_heartbeat(&presence, &heartbeat), ==, HEARTBEAT_ACCEPTED);
+	g_assert_true(presence_is_known(&presence));
+	g_assert_cmpstr(presence.identity.id, ==, "i-2");
+	g_assert_cmpuint(presence.resources.cpu, ==, CPU);
 }
 
 /* Guards against a number far ahead in one heartbeat that makes all later ones count as old. */
@@ -138,7 +190,7 @@
 	odd = true_heartbeat(2000);
 	odd.clock_ms = INT64_MAX;
 	g_assert_cmpint(send_heartbeat(&presence, &odd), ==, HEARTBEAT_UNCONFIRMED);
-	answer(&presence, START_MS, 0, 3000);
+	answer(&presence, START_MS, 1, 3000);
 	g_assert_cmpint(settle(&presence, 3000), ==, HEARTBEAT_CLOCK_AHEAD);
 	send_true_heartbeats(&presence, 2, INTERVAL_US);
 	g_assert_cmpint(presence.last.sequence, ==, 3);
@@ -155,6 +207,7 @@
 	heartbeat.clock_ms += 3000;
 	g_assert_cmpint(send_heartbeat(&presence, &heartbeat), ==, HEARTBEAT_UNCONFIRMED);
 	presence_on_answer(&presence, &(struct server_answer){.start_time_ms = START_MS,
+							      .connection = 1,
 							      .clock_ms = heartbeat.clock_ms + 1,
 							      .received_us = INTERVAL_US + 1000});
 	g_assert_cmpint(settle(&presence, INTERVAL_US + 500), ==, HEARTBEAT_ACCEPTED);
@@ -237,7 +290,7 @@
 	struct heartbeat heartbeat = true_heartbeat(INTERVAL_US);
 	struct presence presence = {0};
 
-	answer(&presence, START_MS, 0, 0);
+	answer(&presence, START_MS, 1, 0);
 	g_strlcpy(odd.identity.service, "other", NAME_BYTES);
 	g_assert_cmpint(send_heartbeat(&presence, &odd), ==, HEARTBEAT_ACCEPTED);
 	g_assert_cmpint(send_heartbeat(&presence, &heartbeat), ==, HEARTBEAT_OTHER_IDENTITY);
@@ -259,7 +312,7 @@
 	for (int i = 0; i < 100; i++)
 		send_heartbeat(&presence, &odd);
 	g_assert_cmpuint(presence.unconfirmed_count, ==, PRESENCE_UNCONFIRMED_MAX);
-	answer(&presence, START_MS, 0, 2000);
+	answer(&presence, START_MS, 1, 2000);
 	send_true_heartbeats(&presence, 1, INTERVAL_US);
 	g_assert_true(presence_is_known(&presence));
 }
@@ -301,10 +354,10 @@
 	return odd;
 }
 
-/* Another writer posts a heartbeat with one wrong field at any time between two of the server's,
- * but not after each of them. Guards against a sequence of such heartbeats that does what no single
- * one does: ends the incarnation, adds resources, hides that the server drains, or takes a sound
- * server out of use for more than two of its heartbeats. */
+/* Another writer posts a heartbeat with one wrong field before one in three of the server's. Guards
+ * against a sequence of such heartbeats that does what no single one does: ends the incarnation,
+ * adds resources, hides that the server drains, or takes a sound server out of use for more than
+ * two of its heartbeats. */
 static void test_random_heartbeats(void)
 {
 	for (int history = 0; history < 2000; history++) {
@@ -316,13 +369,13 @@
 			int64_t now_us = i * (int64_t)INTERVAL_US;
 			struct heartbeat heartbeat = true_heartbeat(now_us);
 
-			answer(&presence, START_MS, 0, now_us);
+			answer(&presence, START_MS, 1, now_us);
 			if (i % 3 == 1) {
 				struct heartbeat odd = draw_odd_heartbeat(
 					now_us - g_test_rand_int_range(1000, INTERVAL_US / 2));
 
 				send_heartbeat(&presence, &odd);
-				answer(&presence, START_MS, 0, now_us);
+				answer(&presence, START_MS, 1, now_us);
 				settle(&presence, now_us);
 			}
 			heartbeat.draining = i >= drains_at;
@@ -348,6 +401,9 @@
 	g_test_add_func("/presence/start_time_of_heartbeat", test_start_time_of_heartbeat);
 	g_test_add_func("/presence/restart", test_restart);
 	g_test_add_func("/presence/start_time_goes_back", test_start_time_goes_back);
+	g_test_add_func("/presence/odd_answers", test_odd_answers);
+	g_test_add_func("/presence/notice_behind_clock", test_notice_behind_clock);
+	g_test_add_func("/presence/id_rejected", test_id_rejected);
 	g_test_add_func("/presence/numbers_far_ahead", test_numbers_far_ahead);
 	g_test_add_func("/presence/clock_after_freeze", test_clock_after_freeze);
 	g_test_add_func("/presence/draining", test_draining);
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -400,7 +400,7 @@
 	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
 	runs_stop(&fixture.runs, OWNER, g_str_hash("stopping.0.0.0"), 200);
 	start(&fixture, "waiting.0.0.0", 1000, OWNER, 0, 0);
-	runs_server_replaced(&fixture.runs, 1000);
+	runs_server_ended(&fixture.runs, 1000);
 	g_assert_cmpint(outcome_at(&fixture, 0), ==, RUN_CRASHED);
 	g_assert_cmpint(outcome_at(&fixture, 1), ==, RUN_LOST);
 	check_outcomes(&fixture, 3, RUN_SERVER_UNAVAILABLE);
@@ -415,7 +415,7 @@
 	start(&fixture, "leaving.0.0.0", 1000, OWNER, 0, 2000);
 	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 2100);
 	runs_server_present(&fixture.runs, &total, true);
-	runs_server_replaced(&fixture.runs, 3000);
+	runs_server_ended(&fixture.runs, 3000);
 	check_outcomes(&fixture, 6, RUN_LOST);
 	tear_down(&fixture);
 }
@@ -468,6 +468,45 @@
 	tear_down(&fixture);
 }
 
+/* Guards against a run that is taken for lost with the old process, and ordered elsewhere, though
+ * it was the new one that has answered its start: such answers do not say which process gave them.
+ */
+static void test_start_answered_by_new_process(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "old.0.0.0", 1000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
+	deliver_lists(&fixture, "old.0.0.0", NULL, 0, 200);
+	start(&fixture, "new.0.0.0", 1000, OWNER, 0, 2000);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 2100);
+	runs_server_replaced(&fixture.runs, 3000);
+	check_outcomes(&fixture, 1, RUN_CRASHED);
+	deliver_lists(&fixture, "new.0.0.0", NULL, 0, 4000);
+	g_assert_cmpuint(fixture.stops, ==, 0);
+	deliver_lists(&fixture, NULL, "new.0.0.0", RUN_DONE, 6000);
+	check_outcomes(&fixture, 2, RUN_DONE);
+	tear_down(&fixture);
+}
+
+/* Guards against a start that is kept in transit for good while the server is replaced or refuses
+ * connections again and again. */
+static void test_transit_ends(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 100);
+	runs_server_ended(&fixture.runs, 1000);
+	runs_server_replaced(&fixture.runs, 10000000);
+	check_outcomes(&fixture, 0, 0);
+	runs_tick(&fixture.runs, 15002000);
+	check_outcomes(&fixture, 1, RUN_LOST);
+	tear_down(&fixture);
+}
+
 /* The start was not answered, but the server has listed the run. */
 static void test_server_ended_after_list(void)
 {
@@ -654,6 +693,8 @@
 	g_test_add_func("/runs/start_reaches_new_process", test_start_reaches_new_process);
 	g_test_add_func("/runs/stop_acknowledged_by_old_process",
 			test_stop_acknowledged_by_old_process);
+	g_test_add_func("/runs/start_answered_by_new_process", test_start_answered_by_new_process);
+	g_test_add_func("/runs/transit_ends", test_transit_ends);
 	g_test_add_func("/runs/lease", test_lease);
 	g_test_add_func("/runs/waiting", test_waiting);
 	g_test_add_func("/runs/waited_too_long", test_waited_too_long);
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -1153,7 +1153,7 @@
 	simulation_free_server(server);
 	simulation_start_server(sim, index, cpu, speed);
 	if (sim->agents[index].up)
-		runs_server_replaced(&sim->agents[index].runs, sim->now_us);
+		runs_server_ended(&sim->agents[index].runs, sim->now_us);
 }
 
 /* Crashes a server, which is back immediately. */
