--- a/packages/core/include/presence.h
+++ b/packages/core/include/presence.h
@@ -11,7 +11,8 @@
  *
  * Load pattern: one wrong or late heartbeat beside the true ones, every few seconds. It must not
  * end runs, hide later heartbeats, add resources or make a leaving server accept starts, and may
- * take a sound server out of use for two heartbeat intervals at most.
+ * take a sound server out of use for two heartbeat intervals at most. Only the first heartbeat of
+ * an incarnation is believed alone, until the next one.
  */
 #ifndef GG_PRESENCE_H
 #define GG_PRESENCE_H
