Agent: the entries it knows get a module of their own

node_agent.c held the table of owners between connections and timers, where no test without sockets could reach it. agent_owners takes what an agent does with an entry process: finding, removing, orders, reports.

--- /dev/null
+++ b/packages/greengaged/src/agent_owners.c
@@ -0,0 +1,164 @@
+#include "agent_owners.h"
+
+#include "client_api.h"
+#include "event.h"
+
+enum {
+	/*
+	 * Interval between two reports to an entry that only update the free resources:
+	 * REPORT_INTERVAL_PER_ENTRY_MS for each known entry, but at least MIN_REPORT_INTERVAL_MS.
+	 * When many entries share the resources, each needs updates less often. Otherwise the
+	 * reports of all servers would take most of the processor time of a small entry host.
+	 */
+	REPORT_INTERVAL_PER_ENTRY_MS = 1,
+	MIN_REPORT_INTERVAL_MS = 5
+};
+
+void owners_init(struct owners *owners)
+{
+	owners->list = g_ptr_array_new();
+	owners->last_number = 0;
+}
+
+struct owner *owners_find(const struct owners *owners, uint32_t number)
+{
+	for (guint i = 0; i < owners->list->len; i++) {
+		struct owner *owner = owners->list->pdata[i];
+
+		if (owner->number == number)
+			return owner;
+	}
+	return NULL;
+}
+
+struct owner *owners_find_or_add(struct owners *owners, const struct ident *incarnation)
+{
+	struct owner *owner;
+
+	for (guint i = 0; i < owners->list->len; i++) {
+		owner = owners->list->pdata[i];
+		if (ident_equal(&owner->incarnation, incarnation))
+			return owner;
+	}
+	owner = owner_new(++owners->last_number, incarnation);
+	g_ptr_array_add(owners->list, owner);
+	return owner;
+}
+
+void owners_remove(struct owners *owners, struct owner *owner)
+{
+	int64_t now_us = owners->backend->loop->now_us;
+	char text[IDENT_HEX_BYTES];
+
+	event_log(EVENT_OWNER_LOST, EV_S("entry", ident_format(&owner->incarnation, text)),
+		  EV_I("silent_ms", (now_us - owner->last_received_us) / US_PER_MS));
+	owners->removed(owners->context, owner);
+	runs_owner_gone(&owners->backend->runs, owner->number, now_us);
+	g_ptr_array_remove_fast(owners->list, owner);
+	owner_free(owner);
+}
+
+void owners_remove_silent(struct owners *owners)
+{
+	int64_t now_us = owners->backend->loop->now_us;
+
+	for (guint i = owners->list->len; i-- > 0;) {
+		struct owner *owner = owners->list->pdata[i];
+
+		if (!owner->link && now_us - owner->last_received_us > owners->silence_timeout_us)
+			owners_remove(owners, owner);
+	}
+}
+
+void owners_mark_status_changed(struct owners *owners)
+{
+	for (guint i = 0; i < owners->list->len; i++)
+		((struct owner *)owners->list->pdata[i])->status_changed = true;
+}
+
+static void start_runs(struct owners *owners, const struct owner *owner,
+		       const Ggd__StartBatch *batch)
+{
+	struct backend *backend = owners->backend;
+	size_t count = MIN(batch->n_runs, MIN(batch->n_indexes, batch->n_attempts));
+	GBytes *spec = g_bytes_new(batch->spec.data, batch->spec.len);
+	int64_t now_us = backend->loop->now_us;
+
+	for (size_t i = 0; i < count; i++) {
+		char *task = client_task_name(batch->job, batch->step, batch->indexes[i]);
+		const struct run_request request = {
+			.task = task,
+			.attempt = batch->attempts[i],
+			.owner = owner->number,
+			.number = batch->runs[i],
+			.need = {.cpu = batch->cpu,
+				 .memory_mb = batch->memory_mb,
+				 .gpus = batch->gpus},
+			.estimate_us = (int64_t)batch->estimate_ms * US_PER_MS,
+			.priority = batch->priority,
+			.urgency_us = now_us + (int64_t)batch->urgent_within_ms * US_PER_MS,
+			.start_by_us = now_us + (int64_t)batch->start_within_ms * US_PER_MS,
+			.spec = spec,
+		};
+
+		runs_start(&backend->runs, &request, now_us);
+		g_free(task);
+	}
+	g_bytes_unref(spec);
+}
+
+/* Returns whether ORDERS are the ones that must follow on this link. If others were handled, a
+ * repeated start would be refused as that of a task with an earlier run, and the owner would take
+ * the run for one that never started. */
+static bool is_next(const struct owner *owner, const Ggd__Orders *orders)
+{
+	return orders->n_starts == 0 || orders->number == owner->orders_ack + 1;
+}
+
+bool owners_handle_orders(struct owners *owners, struct owner *owner, const Ggd__Orders *orders)
+{
+	struct backend *backend = owners->backend;
+
+	if (!is_next(owner, orders))
+		return false;
+	owner_acknowledge(owner, orders->report_ack);
+	for (size_t i = 0; i < orders->n_stops; i++)
+		runs_stop(&backend->runs, owner->number, orders->stops[i], backend->loop->now_us);
+	for (size_t i = 0; i < orders->n_starts; i++)
+		start_runs(owners, owner, orders->starts[i]);
+	if (orders->service_servers > 0)
+		owner->service_server_count = orders->service_servers;
+	if (orders->n_starts > 0) {
+		owner->orders_ack = orders->number;
+		owners_mark_status_changed(owners);
+	}
+	return true;
+}
+
+static int64_t report_interval_us(const struct owners *owners)
+{
+	return MAX(owners->list->len * REPORT_INTERVAL_PER_ENTRY_MS, MIN_REPORT_INTERVAL_MS) *
+	       US_PER_MS;
+}
+
+int64_t owners_send_reports(struct owners *owners)
+{
+	struct backend *backend = owners->backend;
+	int64_t next_us = INT64_MAX;
+
+	for (guint i = 0; i < owners->list->len; i++) {
+		struct owner *owner = owners->list->pdata[i];
+		int64_t due_us = owner->report_sent_us + report_interval_us(owners);
+
+		if (!owner->link)
+			continue;
+		if (owner->unsent_ends->len > 0)
+			owner_send_ends(owner, backend);
+		else if (owner->unsent_progress->len > 0 ||
+			 (owner->status_changed && backend->loop->now_us >= due_us))
+			owner_send_status(owner, backend);
+		else if (owner->status_changed)
+			next_us = MIN(next_us, due_us);
+	}
+	return next_us;
+}
--- /dev/null
+++ b/packages/greengaged/src/agent_owners.h
@@ -0,0 +1,45 @@
+/* The entry processes that an agent knows, and what it does with their orders. */
+#ifndef GG_AGENT_OWNERS_H
+#define GG_AGENT_OWNERS_H
+
+#include "agent_owner.h"
+
+struct owners {
+	struct backend *backend;
+	int64_t silence_timeout_us;
+	GPtrArray *list; /* struct owner * */
+	uint32_t last_number;
+	/* OWNER, which is disconnected, is about to be freed. */
+	void (*removed)(void *context, struct owner *owner);
+	void *context;
+};
+
+/* Initializes all members from the values of the given ones. */
+void owners_init(struct owners *owners);
+
+/* Returns the owner with NUMBER, or NULL. */
+struct owner *owners_find(const struct owners *owners, uint32_t number);
+
+/* Returns the owner with INCARNATION, which is added if it is not known. */
+struct owner *owners_find_or_add(struct owners *owners, const struct ident *incarnation);
+
+/* Removes an owner that is disconnected, and stops its runs. */
+void owners_remove(struct owners *owners, struct owner *owner);
+
+/* Removes disconnected owners that have been silent for longer than the silence timeout, so that
+ * their runs stop before the clients may send the jobs again. */
+void owners_remove_silent(struct owners *owners);
+
+/* Makes a report to each owner due, because it may have changed. */
+void owners_mark_status_changed(struct owners *owners);
+
+/* Carries out the starts and stops of ORDERS. Returns false, with nothing done, if they are not the
+ * next ones on the owner's link. */
+bool owners_handle_orders(struct owners *owners, struct owner *owner, const Ggd__Orders *orders);
+
+/* Sends the reports that are due to the connected owners: ends and runs behind their estimates at
+ * once, mere changes of the free resources at the report interval. Returns the time at which the
+ * next report is due, or INT64_MAX. */
+int64_t owners_send_reports(struct owners *owners);
+
+#endif
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -5,8 +5,7 @@
 #include <string.h>
 
 #include "agent_backend.h"
-#include "agent_owner.h"
-#include "client_api.h"
+#include "agent_owners.h"
 #include "event.h"
 #include "node_config_relay.h"
 #include "node_link.h"
@@ -17,14 +16,6 @@
 
 enum {
 	TICK_MS = 25,
-	/*
-	 * Interval between two reports to an entry that only update the free resources:
-	 * REPORT_INTERVAL_PER_ENTRY_MS for each known entry, but at least MIN_REPORT_INTERVAL_MS.
-	 * When many entries share the resources, each needs updates less often. Otherwise the
-	 * reports of all servers would take most of the processor time of a small entry host.
-	 */
-	REPORT_INTERVAL_PER_ENTRY_MS = 1,
-	MIN_REPORT_INTERVAL_MS = 5,
 	/* The store is asked for addresses after this time without any connected entry. */
 	NO_ENTRY_TIMEOUT_MS = 1500,
 	/* An entry that has been unreachable this long is replaced by another one. */
@@ -65,119 +56,44 @@
 	struct backend backend;
 	GPtrArray *endpoints; /* struct endpoint *, in descending order of rank */
 	uint32_t subset_size; /* number of entries to serve */
-	GPtrArray *owners;    /* struct owner * */
-	uint32_t last_owner_number;
+	struct owners owners;
 	int64_t no_entry_since_us; /* when an entry was last connected, or the addresses were last
 				      read again, whichever is later */
 	int64_t stop_deadline_us;  /* 0 unless shutting down */
 	bool wakeup_scheduled;	   /* a timer is set for the next report that is due */
 };
 
-static struct owner *find_owner(const struct node_agent *agent, uint32_t number)
+/* Forgets an entry process that the agent has removed. */
+static void on_owner_removed(void *context, struct owner *owner)
 {
-	for (guint i = 0; i < agent->owners->len; i++) {
-		struct owner *owner = agent->owners->pdata[i];
-
-		if (owner->number == number)
-			return owner;
-	}
-	return NULL;
-}
-
-/* Removes an entry process that is disconnected, and stops its runs. */
-static void remove_owner(struct node_agent *agent, struct owner *owner)
-{
-	char text[IDENT_HEX_BYTES];
+	struct node_agent *agent = context;
 
-	event_log(EVENT_OWNER_LOST, EV_S("entry", ident_format(&owner->incarnation, text)),
-		  EV_I("silent_ms", (agent->loop.now_us - owner->last_received_us) / US_PER_MS));
 	for (guint i = 0; i < agent->endpoints->len; i++) {
 		struct endpoint *endpoint = agent->endpoints->pdata[i];
 
 		if (endpoint->owner == owner)
 			endpoint->owner = NULL;
 	}
-	runs_owner_gone(&agent->backend.runs, owner->number, agent->loop.now_us);
-	g_ptr_array_remove_fast(agent->owners, owner);
-	owner_free(owner);
-}
-
-static struct owner *find_or_add_owner(struct node_agent *agent, const struct ident *incarnation)
-{
-	struct owner *owner;
-
-	for (guint i = 0; i < agent->owners->len; i++) {
-		owner = agent->owners->pdata[i];
-		if (ident_equal(&owner->incarnation, incarnation))
-			return owner;
-	}
-	owner = owner_new(++agent->last_owner_number, incarnation);
-	g_ptr_array_add(agent->owners, owner);
-	return owner;
-}
-
-static void start_runs(struct node_agent *agent, struct owner *owner, const Ggd__StartBatch *batch)
-{
-	size_t count = MIN(batch->n_runs, MIN(batch->n_indexes, batch->n_attempts));
-	GBytes *spec = g_bytes_new(batch->spec.data, batch->spec.len);
-
-	for (size_t i = 0; i < count; i++) {
-		char *task = client_task_name(batch->job, batch->step, batch->indexes[i]);
-		const struct run_request request = {
-			.task = task,
-			.attempt = batch->attempts[i],
-			.owner = owner->number,
-			.number = batch->runs[i],
-			.need = {.cpu = batch->cpu,
-				 .memory_mb = batch->memory_mb,
-				 .gpus = batch->gpus},
-			.estimate_us = (int64_t)batch->estimate_ms * US_PER_MS,
-			.priority = batch->priority,
-			.urgency_us =
-				agent->loop.now_us + (int64_t)batch->urgent_within_ms * US_PER_MS,
-			.start_by_us =
-				agent->loop.now_us + (int64_t)batch->start_within_ms * US_PER_MS,
-			.spec = spec,
-		};
-
-		runs_start(&agent->backend.runs, &request, agent->loop.now_us);
-		g_free(task);
-	}
-	g_bytes_unref(spec);
 }
 
-static void mark_status_changed(void *context)
+static void on_state_changed(void *context)
 {
 	struct node_agent *agent = context;
 
-	for (guint i = 0; i < agent->owners->len; i++)
-		((struct owner *)agent->owners->pdata[i])->status_changed = true;
+	owners_mark_status_changed(&agent->owners);
 }
 
-static void handle_orders(struct node_agent *agent, struct owner *owner, const Ggd__Orders *orders)
+static void handle_orders(struct endpoint *endpoint, struct node_link *link,
+			  const Ggd__Orders *orders)
 {
-	owner_acknowledge(owner, orders->report_ack);
-	for (size_t i = 0; i < orders->n_stops; i++)
-		runs_stop(&agent->backend.runs, owner->number, orders->stops[i],
-			  agent->loop.now_us);
-	for (size_t i = 0; i < orders->n_starts; i++)
-		start_runs(agent, owner, orders->starts[i]);
+	struct node_agent *agent = endpoint->agent;
+
+	if (!owners_handle_orders(&agent->owners, endpoint->owner, orders)) {
+		node_link_fail(link, "the entry sent orders twice or left some out");
+		return;
+	}
 	for (size_t i = 0; i < orders->n_entries; i++)
 		node_members_add(&agent->members, orders->entries[i], MEMBER_SOURCE_ENTRY);
-	if (orders->service_servers > 0)
-		owner->service_server_count = orders->service_servers;
-	if (orders->n_starts > 0) {
-		owner->orders_ack = orders->number;
-		mark_status_changed(agent);
-	}
-}
-
-/* Returns whether ORDERS are the ones that must follow on this link. If others were handled, a
- * repeated start would be refused as that of a task with an earlier run, and the owner would take
- * the run for one that never started. */
-static bool is_next(const struct owner *owner, const Ggd__Orders *orders)
-{
-	return orders->n_starts == 0 || orders->number == owner->orders_ack + 1;
 }
 
 static void on_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
@@ -186,10 +102,8 @@
 
 	if (!endpoint->owner)
 		return;
-	if (frame->body_case == GGD__FRAME__BODY_ORDERS && !is_next(endpoint->owner, frame->orders))
-		node_link_fail(link, "the entry sent orders twice or left some out");
-	else if (frame->body_case == GGD__FRAME__BODY_ORDERS)
-		handle_orders(endpoint->agent, endpoint->owner, frame->orders);
+	if (frame->body_case == GGD__FRAME__BODY_ORDERS)
+		handle_orders(endpoint, link, frame->orders);
 	else if (frame->body_case == GGD__FRAME__BODY_CONFIG_REQUEST)
 		node_config_relay_read(&endpoint->agent->config_relay, endpoint->owner->number,
 				       frame->config_request->version);
@@ -198,7 +112,8 @@
 static void send_config(void *context, uint32_t entry, uint64_t version, const char *document,
 			size_t length)
 {
-	struct owner *owner = find_owner(context, entry);
+	struct node_agent *agent = context;
+	struct owner *owner = owners_find(&agent->owners, entry);
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	Ggd__ConfigDocument message = GGD__CONFIG_DOCUMENT__INIT;
 
@@ -220,11 +135,11 @@
 	struct owner *owner;
 
 	memcpy(incarnation.bytes, hello->incarnation.data, IDENT_BYTES);
-	owner = find_or_add_owner(agent, &incarnation);
+	owner = owners_find_or_add(&agent->owners, &incarnation);
 	/* Another process has replaced the one that was connected at this address before, so the
 	 * runs of the earlier one are stopped. */
 	if (endpoint->owner && endpoint->owner != owner && !endpoint->owner->link)
-		remove_owner(agent, endpoint->owner);
+		owners_remove(&agent->owners, endpoint->owner);
 	if (owner->link) {
 		/* The process is connected at another of its addresses already. Returning false
 		 * closes this link without a call of `down`. */
@@ -366,7 +281,7 @@
 	owner->link = NULL;
 	owner->last_received_us = now_us;
 	node_link_close(link);
-	remove_owner(agent, owner);
+	owners_remove(&agent->owners, owner);
 }
 
 /* Retires the links to entries that are not selected while at least subset_size selected entries
@@ -403,8 +318,8 @@
 	double total_servers = 0;
 	uint32_t entry_count = 0;
 
-	for (guint i = 0; i < agent->owners->len; i++) {
-		const struct owner *owner = agent->owners->pdata[i];
+	for (guint i = 0; i < agent->owners.list->len; i++) {
+		const struct owner *owner = agent->owners.list->pdata[i];
 
 		if (!owner->link || owner->service_server_count == 0)
 			continue;
@@ -447,19 +362,6 @@
 	}
 }
 
-/* Removes disconnected owners that have been silent for longer than the silence timeout, so that
- * their runs stop before the clients may send the jobs again. */
-static void remove_silent_owners(struct node_agent *agent, int64_t now_us)
-{
-	for (guint i = agent->owners->len; i-- > 0;) {
-		struct owner *owner = agent->owners->pdata[i];
-
-		if (!owner->link &&
-		    now_us - owner->last_received_us > agent->links.silence_timeout_ms * US_PER_MS)
-			remove_owner(agent, owner);
-	}
-}
-
 static void stop_when_idle(struct node_agent *agent, int64_t now_us)
 {
 	if (agent->stop_deadline_us == 0)
@@ -475,7 +377,7 @@
 	select_endpoints(agent, now_us);
 	connect_endpoints(agent, now_us);
 	retire_surplus_links(agent, now_us);
-	remove_silent_owners(agent, now_us);
+	owners_remove_silent(&agent->owners);
 	stop_when_idle(agent, now_us);
 }
 
@@ -483,7 +385,7 @@
 			 int64_t elapsed_us)
 {
 	struct node_agent *agent = context;
-	struct owner *owner = find_owner(agent, run->owner);
+	struct owner *owner = owners_find(&agent->owners, run->owner);
 
 	if (owner)
 		owner_add_end(owner, run, outcome, elapsed_us);
@@ -492,7 +394,7 @@
 static void on_run_behind(void *context, const struct run *run, int64_t elapsed_us)
 {
 	struct node_agent *agent = context;
-	struct owner *owner = find_owner(agent, run->owner);
+	struct owner *owner = owners_find(&agent->owners, run->owner);
 
 	if (owner)
 		owner_add_progress(owner, run, elapsed_us);
@@ -506,35 +408,14 @@
 	agent->wakeup_scheduled = false;
 }
 
-static int64_t report_interval_us(const struct node_agent *agent)
-{
-	return MAX(agent->owners->len * REPORT_INTERVAL_PER_ENTRY_MS, MIN_REPORT_INTERVAL_MS) *
-	       US_PER_MS;
-}
-
-/* Reports run ends and runs behind their estimates at once, and mere changes of the free resources
- * at the report interval. */
 static void on_iteration(void *context, int64_t now_us)
 {
 	struct node_agent *agent = context;
-	int64_t wakeup_us = INT64_MAX;
+	int64_t wakeup_us;
 
 	backend_send_requested_poll(&agent->backend);
 	runs_start_waiting(&agent->backend.runs, now_us);
-	for (guint i = 0; i < agent->owners->len; i++) {
-		struct owner *owner = agent->owners->pdata[i];
-		int64_t due_us = owner->report_sent_us + report_interval_us(agent);
-
-		if (!owner->link)
-			continue;
-		if (owner->unsent_ends->len > 0)
-			owner_send_ends(owner, &agent->backend);
-		else if (owner->unsent_progress->len > 0 ||
-			 (owner->status_changed && now_us >= due_us))
-			owner_send_status(owner, &agent->backend);
-		else if (owner->status_changed)
-			wakeup_us = MIN(wakeup_us, due_us);
-	}
+	wakeup_us = owners_send_reports(&agent->owners);
 	if (wakeup_us != INT64_MAX && !agent->wakeup_scheduled) {
 		agent->wakeup_scheduled = true;
 		timer_subscribe(&agent->loop.timers, wakeup_us, 0, on_wakeup, agent);
@@ -571,7 +452,7 @@
 	agent->stop_deadline_us =
 		agent->loop.now_us +
 		((int64_t)(agent->settings->grace_s * MS_PER_S) - STOP_MARGIN_MS) * US_PER_MS;
-	mark_status_changed(agent);
+	owners_mark_status_changed(&agent->owners);
 }
 
 static void on_reload(void *context)
@@ -599,7 +480,13 @@
 	agent->loop.on_freeze = on_freeze;
 	agent->loop.freeze_context = agent;
 	agent->endpoints = g_ptr_array_new();
-	agent->owners = g_ptr_array_new();
+	agent->owners = (struct owners){
+		.backend = &agent->backend,
+		.silence_timeout_us = node_settings_silence_timeout_ms(settings) * US_PER_MS,
+		.removed = on_owner_removed,
+		.context = agent,
+	};
+	owners_init(&agent->owners);
 	agent->subset_size = SUBSET_MIN_ENTRIES;
 	agent->no_entry_since_us = agent->loop.now_us;
 	agent->store = store_new(&agent->loop, settings->store_address);
@@ -626,7 +513,7 @@
 		.loop = &agent->loop,
 		.settings = settings,
 		.callbacks = {.context = agent,
-			      .state_changed = mark_status_changed,
+			      .state_changed = on_state_changed,
 			      .run_ended = on_run_ended,
 			      .run_behind = on_run_behind},
 	};
