Keep a session between an entry and an agent across connections

Cause: an agent that gave up an entry dropped its runs and their ends, and told the next inventory's reader so with a flag that was cleared when the inventory was sent, not when it was received. On a connection that the entry gave up before the agent's hello, the flag was lost. The next inventory claimed that everything was remembered, so the entry took the runs that it did not list for ones that never started, and the reports, numbered from 1 again, for repeated ones.

Change: what both processes keep of each other is a session with a number. Each report names it, and the entry decides by comparison whether the agent still knows its runs; a lost inventory loses nothing. Orders name the session whose inventory has arrived on the connection. Only these acknowledge ends, are carried out, and count as a sign of the entry: a hello shows that a process listens, not that it knows what the agent sends. An agent that hears nothing stops the runs, but keeps their ends for 5 s, so that an entry that returns learns how each one ended, also if it was done. Inventories name runs that the entry has settled by itself; it has them stopped. The protocol is version 2: processes of version 1 are refused at the hello.

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -240,6 +240,9 @@
  * its run was already reported. */
 void runs_stop(struct runs *runs, uint32_t owner, uint64_t number, int64_t now_us);
 
+/* Stops all runs of OWNER. */
+void runs_stop_owned(struct runs *runs, uint32_t owner, int64_t now_us);
+
 /* Stops all runs of an owner that is gone. Their ends are not reported. */
 void runs_owner_gone(struct runs *runs, uint32_t owner, int64_t now_us);
 
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -368,6 +368,18 @@
 	}
 }
 
+void runs_stop_owned(struct runs *runs, uint32_t owner, int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, &handle))) {
+		if (run->owner == owner)
+			request_stop(runs, run, handle, now_us);
+	}
+}
+
 void runs_owner_gone(struct runs *runs, uint32_t owner, int64_t now_us)
 {
 	uint32_t cursor = 0;
--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -32,14 +32,14 @@
 	g_free(report);
 }
 
-struct owner *owner_new(uint32_t number, const struct ident *incarnation)
+struct owner *owner_new(uint32_t number, const struct ident *incarnation, int64_t now_us)
 {
 	struct owner *owner = g_new0(struct owner, 1);
 
 	owner->number = number;
 	owner->incarnation = *incarnation;
 	owner->next_report_number = 1;
-	owner->is_new = true;
+	owner->confirmed_us = now_us;
 	g_queue_init(&owner->unacknowledged_reports);
 	owner->unsent_ends = g_array_new(FALSE, FALSE, sizeof(struct run_end));
 	owner->unsent_progress = g_array_new(FALSE, FALSE, sizeof(struct run_progress));
@@ -151,6 +151,7 @@
 		progress_row_pointers[i] = &progress_rows[i];
 	}
 	fill_room(owner, backend, &room);
+	report.session = owner->number;
 	report.number = number;
 	report.orders_ack = owner->orders_ack;
 	report.room = &room;
@@ -222,11 +223,9 @@
 	/* Makes the inventory report include the server's identity. The owner may have dropped it,
 	 * and ignores everything except the ends in reports that arrive before the inventory. */
 	owner->sent_identity_version = 0;
-	inventory.remembered = !owner->is_new;
 	inventory.n_runs = collected.numbers->len;
 	inventory.runs = (uint64_t *)(void *)collected.numbers->data;
 	send_report(owner, backend, 0, NULL, &inventory);
-	owner->is_new = false;
 	g_array_free(collected.numbers, TRUE);
 }
 
--- a/packages/greengaged/src/agent_owner.h
+++ b/packages/greengaged/src/agent_owner.h
@@ -1,5 +1,12 @@
-/* An entry process as the agent sees it: the owner of runs. The agent keeps reports of run ends
- * until their owner acknowledges them. */
+/*
+ * An entry process as the agent sees it: the owner of runs. The agent keeps reports of run ends
+ * until their owner acknowledges them.
+ *
+ * An owner is also a session between the two processes: both keep their state of it across
+ * connections, and a run or an end that the agent has dropped with an owner is never taken for one
+ * of a later owner with the same incarnation. What was sent on a connection counts only when the
+ * entry has confirmed the session on that connection.
+ */
 #ifndef GG_AGENT_OWNER_H
 #define GG_AGENT_OWNER_H
 
@@ -8,11 +15,12 @@
 
 /* An entry process that owns runs at this agent. */
 struct owner {
-	uint32_t number; /* identifies the owner in the table of runs */
+	uint32_t number; /* of the session; identifies the owner in the table of runs */
 	struct ident incarnation;
 	struct node_link *link;	  /* NULL while disconnected */
-	int64_t last_received_us; /* time of the last receipt on the last link; set when that link
-				     goes down */
+	int64_t confirmed_us;	  /* when the owner last confirmed the session; at first, when it was
+				     added */
+	bool abandoned; /* has not confirmed the session for too long; its runs were stopped */
 	uint64_t orders_ack; /* number of the last Orders message handled on this link; 0 if none */
 	uint64_t next_report_number; /* number of the next report with ends; other reports have the
 					number 0 */
@@ -21,8 +29,6 @@
 	GArray *unsent_progress; /* progress of runs that are far behind their estimate */
 	bool status_changed;	 /* a report is due because the free resources, the readiness or the
 				    acknowledged orders may have changed */
-	bool is_new; /* no inventory has been sent to this owner since it was added, or since it was
-			 added again after its removal */
 	int64_t report_sent_us;		/* time of the last report of any kind */
 	uint32_t sent_identity_version; /* presence.identity_version as last sent; 0 if not sent */
 	uint32_t service_server_count; /* number of servers of the backend server's service that the
@@ -31,7 +37,7 @@
 					  starts; 0 if it was not */
 };
 
-struct owner *owner_new(uint32_t number, const struct ident *incarnation);
+struct owner *owner_new(uint32_t number, const struct ident *incarnation, int64_t now_us);
 void owner_free(struct owner *owner);
 
 /* Add the end or the progress of a run to the next report. */
--- a/packages/greengaged/src/agent_owners.c
+++ b/packages/greengaged/src/agent_owners.c
@@ -11,7 +11,9 @@
 	 * reports of all servers would take most of the processor time of a small entry host.
 	 */
 	REPORT_INTERVAL_PER_ENTRY_MS = 1,
-	MIN_REPORT_INTERVAL_MS = 5
+	MIN_REPORT_INTERVAL_MS = 5,
+	/* An owner that returns later than this has settled its runs by itself. */
+	ABANDONED_RETENTION_MS = 5000
 };
 
 void owners_init(struct owners *owners)
@@ -40,32 +42,39 @@
 		if (ident_equal(&owner->incarnation, incarnation))
 			return owner;
 	}
-	owner = owner_new(++owners->last_number, incarnation);
+	owner = owner_new(++owners->last_number, incarnation, owners->backend->loop->now_us);
 	g_ptr_array_add(owners->list, owner);
 	return owner;
 }
 
 void owners_remove(struct owners *owners, struct owner *owner)
 {
-	int64_t now_us = owners->backend->loop->now_us;
-	char text[IDENT_HEX_BYTES];
-
-	event_log(EVENT_OWNER_LOST, EV_S("entry", ident_format(&owner->incarnation, text)),
-		  EV_I("silent_ms", (now_us - owner->last_received_us) / US_PER_MS));
 	owners->removed(owners->context, owner);
-	runs_owner_gone(&owners->backend->runs, owner->number, now_us);
+	runs_owner_gone(&owners->backend->runs, owner->number, owners->backend->loop->now_us);
 	g_ptr_array_remove_fast(owners->list, owner);
 	owner_free(owner);
 }
 
-void owners_remove_silent(struct owners *owners)
+static void abandon(struct owners *owners, struct owner *owner, int64_t silent_us)
 {
-	int64_t now_us = owners->backend->loop->now_us;
+	char text[IDENT_HEX_BYTES];
+
+	event_log(EVENT_OWNER_LOST, EV_S("entry", ident_format(&owner->incarnation, text)),
+		  EV_I("silent_ms", silent_us / US_PER_MS));
+	owner->abandoned = true;
+	runs_stop_owned(&owners->backend->runs, owner->number, owners->backend->loop->now_us);
+}
 
+void owners_abandon_silent(struct owners *owners)
+{
 	for (guint i = owners->list->len; i-- > 0;) {
 		struct owner *owner = owners->list->pdata[i];
+		int64_t silent_us = owners->backend->loop->now_us - owner->confirmed_us;
 
-		if (!owner->link && now_us - owner->last_received_us > owners->silence_timeout_us)
+		if (!owner->abandoned && silent_us > owners->silence_timeout_us)
+			abandon(owners, owner, silent_us);
+		if (!owner->link && silent_us > owners->silence_timeout_us +
+							 ABANDONED_RETENTION_MS * US_PER_MS)
 			owners_remove(owners, owner);
 	}
 }
@@ -112,7 +121,17 @@
  * the run for one that never started. */
 static bool is_next(const struct owner *owner, const Ggd__Orders *orders)
 {
-	return orders->n_starts == 0 || orders->number == owner->orders_ack + 1;
+	if (orders->n_starts == 0 && orders->n_stops == 0)
+		return true;
+	return orders->session == owner->number &&
+	       (orders->n_starts == 0 || orders->number == owner->orders_ack + 1);
+}
+
+static void confirm_session(struct owners *owners, struct owner *owner, const Ggd__Orders *orders)
+{
+	owner->confirmed_us = owners->backend->loop->now_us;
+	owner->abandoned = false;
+	owner_acknowledge(owner, orders->report_ack);
 }
 
 bool owners_handle_orders(struct owners *owners, struct owner *owner, const Ggd__Orders *orders)
@@ -121,7 +140,8 @@
 
 	if (!is_next(owner, orders))
 		return false;
-	owner_acknowledge(owner, orders->report_ack);
+	if (orders->session == owner->number)
+		confirm_session(owners, owner, orders);
 	for (size_t i = 0; i < orders->n_stops; i++)
 		runs_stop(&backend->runs, owner->number, orders->stops[i], backend->loop->now_us);
 	for (size_t i = 0; i < orders->n_starts; i++)
--- a/packages/greengaged/src/agent_owners.h
+++ b/packages/greengaged/src/agent_owners.h
@@ -26,15 +26,16 @@
 /* Removes an owner that is disconnected, and stops its runs. */
 void owners_remove(struct owners *owners, struct owner *owner);
 
-/* Removes disconnected owners that have been silent for longer than the silence timeout, so that
- * their runs stop before the clients may send the jobs again. */
-void owners_remove_silent(struct owners *owners);
+/* Stops the runs of owners that have not confirmed their sessions for longer than the silence
+ * timeout, so that these end before the clients may send the jobs again. The owners are kept for a
+ * while, as they may return for the ends of their runs, and then removed. */
+void owners_abandon_silent(struct owners *owners);
 
 /* Makes a report to each owner due, because it may have changed. */
 void owners_mark_status_changed(struct owners *owners);
 
 /* Carries out the starts and stops of ORDERS. Returns false, with nothing done, if they are not the
- * next ones on the owner's link. */
+ * next ones on the owner's link, or belong to another session. */
 bool owners_handle_orders(struct owners *owners, struct owner *owner, const Ggd__Orders *orders);
 
 /* Sends the reports that are due to the connected owners: ends and runs behind their estimates at
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -89,7 +89,7 @@
 	struct node_agent *agent = endpoint->agent;
 
 	if (!owners_handle_orders(&agent->owners, endpoint->owner, orders)) {
-		node_link_fail(link, "the entry sent orders twice or left some out");
+		node_link_fail(link, "the entry sent orders twice, left some out or took them from another session");
 		return;
 	}
 	for (size_t i = 0; i < orders->n_entries; i++)
@@ -185,7 +185,6 @@
 		event_log(EVENT_CHANNEL_LOST, EV_S("address", endpoint->address),
 			  EV_S("reason", reason));
 		owner->link = NULL;
-		owner->last_received_us = node_link_last_received_us(link);
 	}
 	endpoint->link = NULL;
 	if (node_link_is_up(link))
@@ -279,7 +278,6 @@
 		  EV_S("reason", "this agent serves other entries"));
 	endpoint->link = NULL;
 	owner->link = NULL;
-	owner->last_received_us = now_us;
 	node_link_close(link);
 	owners_remove(&agent->owners, owner);
 }
@@ -377,7 +375,7 @@
 	select_endpoints(agent, now_us);
 	connect_endpoints(agent, now_us);
 	retire_surplus_links(agent, now_us);
-	owners_remove_silent(&agent->owners);
+	owners_abandon_silent(&agent->owners);
 	stop_when_idle(agent, now_us);
 }
 
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -22,11 +22,13 @@
 	struct node_link *link;	       /* NULL while disconnected */
 	uint64_t last_link_number;     /* highest number of its links */
 	struct handle server;	       /* its backend server in the dispatcher */
-	bool has_server;	       /* `server` has been set */
+	bool has_server;	       /* `server` has been set in this session */
+	uint32_t session;	       /* of the last report; 0 before the first */
 	bool awaiting_inventory;       /* no inventory has arrived on this connection yet */
+	bool session_unconfirmed;      /* the agent was not told that its inventory has arrived */
 	uint64_t last_orders_number;   /* number of the last Orders message with starts on this
 					  connection */
-	uint64_t last_report_number;   /* highest number of the reports handled */
+	uint64_t last_report_number;   /* highest number of the reports handled in this session */
 	guint members_sent;	       /* number of entry addresses sent on this connection */
 	uint32_t service_servers;      /* connected servers of its service; 0: not counted yet */
 	uint32_t service_servers_sent; /* last value sent on this connection */
@@ -139,25 +141,43 @@
 		settle_predecessor(agent, now_us);
 }
 
+/* Begins a session in which the agent knows none of the runs that were ordered before. */
+static void begin_session(struct agent_peer *agent, uint32_t session)
+{
+	if (agent->has_server)
+		agent->former_server = agent->server;
+	agent->server = (struct handle){0};
+	agent->has_server = false;
+	agent->session = session;
+	agent->last_report_number = 0;
+}
+
+/* Requests the agent to stop the runs that have been settled here without it. */
+static void stop_settled_runs(struct agent_peer *agent, const Ggd__Inventory *inventory)
+{
+	for (size_t i = 0; i < inventory->n_runs; i++) {
+		if (!dispatch_run_is_on(&agent->entry->dispatch, inventory->runs[i], agent->server))
+			g_array_append_val(agent->stops, inventory->runs[i]);
+	}
+}
+
 static void handle_inventory(struct agent_peer *agent, const Ggd__Inventory *inventory,
 			     int64_t now_us)
 {
 	struct dispatch *dispatch = &agent->entry->dispatch;
 
 	agent->awaiting_inventory = false;
-	if (agent->has_server && inventory->remembered &&
-	    fleet_get(&dispatch->fleet, agent->server)) {
+	agent->session_unconfirmed = true;
+	if (agent->has_server && fleet_get(&dispatch->fleet, agent->server)) {
 		dispatch_server_reconnected(dispatch, agent->server, agent, inventory->runs,
 					    inventory->n_runs, now_us);
-		return;
+	} else {
+		agent->server = dispatch_server_add(dispatch, agent);
+		g_strlcpy(fleet_get(&dispatch->fleet, agent->server)->agent, agent->name,
+			  NAME_BYTES);
+		agent->has_server = true;
 	}
-	if (agent->has_server)
-		agent->former_server = agent->server;
-	/* An agent that no longer knows this entry process numbers its reports from 1 again. */
-	agent->last_report_number = 0;
-	agent->server = dispatch_server_add(dispatch, agent);
-	g_strlcpy(fleet_get(&dispatch->fleet, agent->server)->agent, agent->name, NAME_BYTES);
-	agent->has_server = true;
+	stop_settled_runs(agent, inventory);
 }
 
 static void handle_room(struct agent_peer *agent, const Ggd__Report *report, int64_t now_us)
@@ -202,10 +222,23 @@
 			   now_us);
 }
 
+/* Returns whether REPORT belongs to the agent's session, after beginning a later one that the first
+ * report on a connection names. */
+static bool is_in_session(struct agent_peer *agent, const Ggd__Report *report)
+{
+	if (agent->awaiting_inventory && report->session > agent->session)
+		begin_session(agent, report->session);
+	return report->session != 0 && report->session == agent->session;
+}
+
 static void handle_report(struct agent_peer *agent, const Ggd__Report *report, int64_t now_us)
 {
 	struct dispatch *dispatch = &agent->entry->dispatch;
 
+	if (!is_in_session(agent, report)) {
+		node_link_fail(agent->link, "the agent sent a report of another session");
+		return;
+	}
 	/* The ends of a report that was sent again after a lost connection are handled only once.
 	 */
 	if (report->number == 0 || report->number > agent->last_report_number) {
@@ -213,8 +246,8 @@
 			handle_run_end(agent, report->ends[i], now_us);
 	}
 	agent->last_report_number = MAX(agent->last_report_number, report->number);
-	/* A second inventory on a connection is ignored: it would add another server, and the one
-	 * added for the first inventory would never be removed. */
+	/* A second inventory on a connection is ignored: it would end the runs that were ordered
+	 * on this connection. */
 	if (report->inventory && agent->awaiting_inventory)
 		handle_inventory(agent, report->inventory, now_us);
 	if (agent->awaiting_inventory || !report->room)
@@ -320,7 +353,11 @@
 	orders.starts = pointers;
 	orders.stops = (uint64_t *)(void *)agent->stops->data;
 	orders.n_stops = agent->stops->len;
-	orders.report_ack = agent->last_report_number;
+	if (!agent->awaiting_inventory) {
+		orders.session = agent->session;
+		orders.report_ack = agent->last_report_number;
+	}
+	agent->session_unconfirmed = false;
 	orders.entries =
 		node_members_unsent(&entry->members, &agent->members_sent, &orders.n_entries);
 	if (agent->service_servers != agent->service_servers_sent)
@@ -396,6 +433,7 @@
 	agent->link = link;
 	agent->last_orders_number = 0;
 	agent->awaiting_inventory = true;
+	agent->session_unconfirmed = false;
 	agent->config_requested = false;
 	agent->members_sent = 0;
 	agent->service_servers_sent = 0;
@@ -427,7 +465,8 @@
 	for (guint i = 0; i < entry->agents->len; i++) {
 		struct agent_peer *agent = entry->agents->pdata[i];
 
-		if (agent->link && (agent->starts->len > 0 || agent->stops->len > 0))
+		if (agent->link && (agent->starts->len > 0 || agent->stops->len > 0 ||
+				    agent->session_unconfirmed))
 			send_orders(agent);
 	}
 }
--- a/packages/greengaged/src/node_link.h
+++ b/packages/greengaged/src/node_link.h
@@ -7,7 +7,7 @@
 #include "net.h"
 
 enum {
-	NODE_PROTOCOL_VERSION = 1,
+	NODE_PROTOCOL_VERSION = 2,
 	NODE_HEARTBEAT_MS = 150,
 };
 
--- a/test/functional/hostile_peer_test.c
+++ b/test/functional/hostile_peer_test.c
@@ -9,7 +9,8 @@
 	CONNECTIONS = 300,
 	FRAMES_PER_CONNECTION = 20,
 	CONNECTION_INTERVAL_US = 3000, /* between two connections */
-	PROTOCOL_VERSION = 1,
+	PROTOCOL_VERSION = 2,
+	OTHER_SESSION_INTERVAL = 16, /* reports, on average */
 	LIST_CAPACITY = 6
 };
 
@@ -101,9 +102,10 @@
 	server.zone = (char *)"a";
 	server.cpu = random_u32(rand);
 	report.server = g_rand_boolean(rand) ? &server : NULL;
+	/* Any other session ends the connection, and with it the effect of what follows. */
+	report.session = g_rand_int_range(rand, 0, OTHER_SESSION_INTERVAL) ? 1 : random_u32(rand);
 	inventory.runs = runs;
 	inventory.n_runs = (size_t)g_rand_int_range(rand, 0, LIST_CAPACITY);
-	inventory.remembered = g_rand_boolean(rand);
 	report.inventory = g_rand_boolean(rand) ? &inventory : NULL;
 	frame.body_case = GGD__FRAME__BODY_REPORT;
 	frame.report = &report;
--- a/test/functional/stale_peer_test.c
+++ b/test/functional/stale_peer_test.c
@@ -8,6 +8,7 @@
 enum {
 	SERVE_INTERVAL_US = 20000, /* between two reports of a played agent */
 	PAUSE_MS = 500,		   /* for orders that must not arrive */
+	SILENT_MS = 1000,	   /* longer than an agent waits for an entry */
 	TURN_MS = 100,		   /* less than the time after which a silent agent is lost */
 	TURNS = 3,
 	SERVER_CPU = 8000,
@@ -20,6 +21,7 @@
 struct played_agent {
 	struct peer_conn conn;
 	uint8_t incarnation;
+	uint32_t session;
 	const char *name;
 	const char *server;
 	bool greeted;	/* the entry's hello message has arrived */
@@ -32,6 +34,7 @@
 	return (struct played_agent){
 		.conn.fd = -1,
 		.incarnation = incarnation,
+		.session = 1,
 		.name = name,
 		.server = server,
 		.starts = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
@@ -53,6 +56,7 @@
 	server.zone = (char *)"a";
 	server.cpu = SERVER_CPU;
 	server.memory_mb = SERVER_CPU;
+	report->session = agent->session;
 	report->room = &room;
 	report->server = &server;
 	frame.body_case = GGD__FRAME__BODY_REPORT;
@@ -61,13 +65,12 @@
 }
 
 /* Sends the first report on a connection. RUNS are the runs that the agent still knows of an
- * earlier connection, or NULL if the entry is new to it. */
+ * earlier connection, or NULL if there are none. */
 static void send_inventory(struct played_agent *agent, GArray *runs)
 {
 	Ggd__Report report = GGD__REPORT__INIT;
 	Ggd__Inventory inventory = GGD__INVENTORY__INIT;
 
-	inventory.remembered = runs != NULL;
 	inventory.runs = runs ? (uint64_t *)(void *)runs->data : NULL;
 	inventory.n_runs = runs ? runs->len : 0;
 	report.inventory = &inventory;
@@ -167,6 +170,7 @@
 /* A job of one task whose request waits on a separate thread. */
 struct submission {
 	const struct peer_cluster *cluster;
+	const char *path;
 	GThread *thread;
 	struct harness_reply reply;
 };
@@ -176,18 +180,25 @@
 	struct submission *submission = context;
 
 	submission->reply =
-		harness_call("POST", submission->cluster->client_url, "/q/0000000000000001",
+		harness_call("POST", submission->cluster->client_url, submission->path,
 			     "{\"spec\":\"s\",\"bestEffort\":true,\"phases\":[{\"count\":1,"
 			     "\"cpu\":1000,\"memMb\":64,\"estMs\":100}]}");
 	return NULL;
 }
 
-static void submit(struct submission *submission, const struct peer_cluster *cluster)
+static void submit_as(struct submission *submission, const struct peer_cluster *cluster,
+		      const char *path)
 {
 	submission->cluster = cluster;
+	submission->path = path;
 	submission->thread = g_thread_new("client", run_submission, submission);
 }
 
+static void submit(struct submission *submission, const struct peer_cluster *cluster)
+{
+	submit_as(submission, cluster, "/q/0000000000000001");
+}
+
 /* Checks that the job was done. */
 static void check_done(struct submission *submission)
 {
@@ -307,7 +318,8 @@
 	struct peer_cluster cluster;
 	int listener;
 	struct peer_conn conn;
-	bool ready;   /* according to the last report */
+	uint32_t session; /* of the last report */
+	bool ready;	  /* according to the last report */
 	bool listed;  /* the inventory has arrived on this connection */
 	GArray *ends; /* struct reported_end */
 };
@@ -332,6 +344,7 @@
 
 		g_array_append_val(entry->ends, end);
 	}
+	entry->session = report->session;
 	entry->listed = entry->listed || report->inventory;
 	entry->ready = report->room && report->room->ready;
 }
@@ -354,6 +367,7 @@
 	batch.indexes = &index;
 	batch.attempts = &attempt;
 	batch.n_runs = batch.n_indexes = batch.n_attempts = 1;
+	orders.session = entry->session;
 	orders.number = number;
 	orders.report_ack = report_ack;
 	orders.starts = batches;
@@ -363,9 +377,8 @@
 	peer_send(&entry->conn, &frame);
 }
 
-/* Reads what the agent has sent, and sends a heartbeat. Accepts its next connection when it has
- * closed this one. */
-static void serve_agent(struct played_entry *entry)
+/* Reads what the agent has sent. Accepts its next connection when it has closed this one. */
+static void read_reports(struct played_entry *entry)
 {
 	Ggd__Frame *frame;
 
@@ -378,10 +391,23 @@
 			handle_report(entry, frame->report);
 		ggd__frame__free_unpacked(frame, NULL);
 	}
+}
+
+/* Reads what the agent has sent, and sends a heartbeat. */
+static void serve_agent(struct played_entry *entry)
+{
+	read_reports(entry);
 	if (entry->conn.fd >= 0)
 		send_orders(entry, 0, 0, 0);
 }
 
+/* Returns whether the agent has sent its inventory on a connection on which it gets no orders. */
+static bool is_listed_unheard(struct played_entry *entry)
+{
+	read_reports(entry);
+	return entry->listed;
+}
+
 static bool is_listed(struct played_entry *entry)
 {
 	serve_agent(entry);
@@ -478,6 +504,54 @@
 	stop_played_entry(&entry);
 }
 
+/* An inventory that the entry has not received must not make the agent drop the ends of runs and
+ * then list none of these: the entry would take the runs for ones that never started. */
+static void test_unheard_inventory(void)
+{
+	struct played_entry entry;
+
+	start_played_entry(&entry);
+	send_orders(&entry, 1, 0, 7);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_ends(&entry, 1));
+	peer_close(&entry.conn);
+	g_usleep(SILENT_MS * US_PER_MS);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_listed_unheard(&entry));
+	peer_close(&entry.conn);
+	g_array_set_size(entry.ends, 0);
+	entry.listed = false;
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_listed(&entry));
+	g_assert_cmpuint(entry.ends->len, ==, 1);
+	check_end(&entry, 0, 7);
+	stop_played_entry(&entry);
+}
+
+/* Reports of an agent that has dropped the entry and numbers them from 1 again must not be taken
+ * for repeated ones: the ends of all later runs would be ignored. */
+static void test_reports_of_later_session(void)
+{
+	struct played_agent agent = new_agent(1, "host", "i-1");
+	struct submission submission;
+	struct peer_cluster cluster;
+
+	start_run(&cluster, &agent, &submission);
+	send_done(&agent, first_run(&agent));
+	check_done(&submission);
+	submit_as(&submission, &cluster, "/q/0000000000000002");
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_starts(&agent, 2));
+	peer_close(&agent.conn);
+	g_array_set_size(agent.starts, 0);
+	connect_agent(&agent, &cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(&agent));
+	agent.session++;
+	send_inventory(&agent, agent.starts);
+	/* The run was lost with the session before, so its task is ordered again. */
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_starts(&agent, 1));
+	send_done(&agent, first_run(&agent));
+	check_done(&submission);
+	free_agent(&agent);
+	peer_cluster_stop(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -489,5 +563,7 @@
 	g_test_add_func("/stale_peer/orders_number_jumps", test_orders_number_jumps);
 	g_test_add_func("/stale_peer/acknowledgement_beyond_reports",
 			test_acknowledgement_beyond_reports);
+	g_test_add_func("/stale_peer/unheard_inventory", test_unheard_inventory);
+	g_test_add_func("/stale_peer/reports_of_later_session", test_reports_of_later_session);
 	return g_test_run();
 }
