--- a/packages/greengaged/src/agent_owner.h
+++ b/packages/greengaged/src/agent_owner.h
@@ -17,10 +17,10 @@
 struct owner {
 	uint32_t number; /* of the session; identifies the owner in the table of runs */
 	struct ident incarnation;
-	struct node_link *link;	  /* NULL while disconnected */
-	int64_t confirmed_us;	  /* when the owner last confirmed the session; at first, when it was
-				     added */
-	bool abandoned; /* has not confirmed the session for too long; its runs were stopped */
+	struct node_link *link; /* NULL while disconnected */
+	int64_t confirmed_us;	/* when the owner last confirmed the session; at first, when it was
+				   added */
+	bool abandoned;	     /* has not confirmed the session for too long; its runs were stopped */
 	uint64_t orders_ack; /* number of the last Orders message handled on this link; 0 if none */
 	uint64_t next_report_number; /* number of the next report with ends; other reports have the
 					number 0 */
@@ -29,7 +29,7 @@
 	GArray *unsent_progress; /* progress of runs that are far behind their estimate */
 	bool status_changed;	 /* a report is due because the free resources, the readiness or the
 				    acknowledged orders may have changed */
-	int64_t report_sent_us;		/* time of the last report of any kind */
+	int64_t report_sent_us;	 /* time of the last report of any kind */
 	uint32_t sent_identity_version; /* presence.identity_version as last sent; 0 if not sent */
 	uint32_t service_server_count; /* number of servers of the backend server's service that the
 					  entry last reported as reachable; 0 while unknown */
--- a/packages/greengaged/src/agent_owners.c
+++ b/packages/greengaged/src/agent_owners.c
@@ -47,6 +47,15 @@
 	return owner;
 }
 
+void owners_connect(struct owners *owners, struct owner *owner, struct node_link *link)
+{
+	owner->retiring_since_us = 0;
+	owner->link = link;
+	owner->orders_ack = 0;
+	owner->sent_identity_version = 0;
+	owner_send_inventory(owner, owners->backend);
+}
+
 void owners_remove(struct owners *owners, struct owner *owner)
 {
 	owners->removed(owners->context, owner);
@@ -73,8 +82,8 @@
 
 		if (!owner->abandoned && silent_us > owners->silence_timeout_us)
 			abandon(owners, owner, silent_us);
-		if (!owner->link && silent_us > owners->silence_timeout_us +
-							 ABANDONED_RETENTION_MS * US_PER_MS)
+		if (!owner->link &&
+		    silent_us > owners->silence_timeout_us + ABANDONED_RETENTION_MS * US_PER_MS)
 			owners_remove(owners, owner);
 	}
 }
--- a/packages/greengaged/src/agent_owners.h
+++ b/packages/greengaged/src/agent_owners.h
@@ -23,6 +23,10 @@
 /* Returns the owner with INCARNATION, which is added if it is not known. */
 struct owner *owners_find_or_add(struct owners *owners, const struct ident *incarnation);
 
+/* Resumes the session with OWNER, which is disconnected, on a new link: sends the ends that are not
+ * acknowledged and the inventory. */
+void owners_connect(struct owners *owners, struct owner *owner, struct node_link *link);
+
 /* Removes an owner that is disconnected, and stops its runs. */
 void owners_remove(struct owners *owners, struct owner *owner);
 
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -89,7 +89,8 @@
 	struct node_agent *agent = endpoint->agent;
 
 	if (!owners_handle_orders(&agent->owners, endpoint->owner, orders)) {
-		node_link_fail(link, "the entry sent orders twice, left some out or took them from another session");
+		node_link_fail(link, "the entry sent orders twice, left some out or took them from "
+				     "another session");
 		return;
 	}
 	for (size_t i = 0; i < orders->n_entries; i++)
@@ -150,13 +151,9 @@
 	endpoint->was_up = true;
 	endpoint->failed = false;
 	endpoint->owner = owner;
-	owner->retiring_since_us = 0;
-	owner->link = link;
-	owner->orders_ack = 0;
-	owner->sent_identity_version = 0;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name),
 		  EV_S("address", endpoint->address));
-	owner_send_inventory(owner, &agent->backend);
+	owners_connect(&agent->owners, owner, link);
 	return true;
 }
 
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -465,8 +465,8 @@
 	for (guint i = 0; i < entry->agents->len; i++) {
 		struct agent_peer *agent = entry->agents->pdata[i];
 
-		if (agent->link && (agent->starts->len > 0 || agent->stops->len > 0 ||
-				    agent->session_unconfirmed))
+		if (agent->link &&
+		    (agent->starts->len > 0 || agent->stops->len > 0 || agent->session_unconfirmed))
 			send_orders(agent);
 	}
 }
@@ -515,6 +515,13 @@
 	}
 }
 
+void node_agent_links_free(struct node_entry *entry)
+{
+	while (entry->agents->len > 0)
+		remove_agent(entry, entry->agents->pdata[0]);
+	g_ptr_array_free(entry->agents, TRUE);
+}
+
 /* Returns the agent's server, or NULL while the agent is disconnected or its server unknown. */
 static const struct fleet_server *connected_server(const struct agent_peer *agent)
 {
--- a/packages/greengaged/src/node_agent_links.h
+++ b/packages/greengaged/src/node_agent_links.h
@@ -24,6 +24,9 @@
 /* Closes all links. Call after this process was frozen. */
 void node_agent_links_close_all(struct node_entry *entry);
 
+/* Frees what ENTRY knows of agents. Their links are not closed. */
+void node_agent_links_free(struct node_entry *entry);
+
 /* Counts the connected servers of each service. The counts go to the agents with their next orders.
  */
 void node_agent_links_count_servers(struct node_entry *entry);
--- a/test/functional/stale_peer_test.c
+++ b/test/functional/stale_peer_test.c
@@ -320,8 +320,8 @@
 	struct peer_conn conn;
 	uint32_t session; /* of the last report */
 	bool ready;	  /* according to the last report */
-	bool listed;  /* the inventory has arrived on this connection */
-	GArray *ends; /* struct reported_end */
+	bool listed;	  /* the inventory has arrived on this connection */
+	GArray *ends;	  /* struct reported_end */
 };
 
 struct reported_end {
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -527,8 +527,9 @@
 				const struct bulkhead_report *report =
 					&g_array_index(reports, struct bulkhead_report, k);
 
-				dispatch_suspect_reported(&sim->entries[j].node.dispatch, report->queue,
-							  report->share, sim->now_us);
+				dispatch_suspect_reported(&sim->entries[j].node.dispatch,
+							  report->queue, report->share,
+							  sim->now_us);
 			}
 		}
 	}
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -1164,7 +1164,8 @@
 {
 	simulation_replace_server(sim, index);
 	if (sim->agents[index].up)
-		runs_server_present(&sim->agents[index].backend.runs, &sim->servers[index].total, false);
+		runs_server_present(&sim->agents[index].backend.runs, &sim->servers[index].total,
+				    false);
 }
 
 static inline void simulation_return_server(struct simulation *sim, void *data)
@@ -1173,7 +1174,8 @@
 
 	sim->servers[index].up = true;
 	if (sim->agents[index].up)
-		runs_server_present(&sim->agents[index].backend.runs, &sim->servers[index].total, false);
+		runs_server_present(&sim->agents[index].backend.runs, &sim->servers[index].total,
+				    false);
 }
 
 /* Crashes a server, which is away for a while. */
@@ -1236,7 +1238,8 @@
 	simulation_schedule(sim, sim->now_us + SIMULATION_OWNER_TIMEOUT_US, simulation_expire_owner,
 			    timeout);
 	if (entry->up)
-		dispatch_server_disconnected(&entry->node.dispatch, entry->servers[server], sim->now_us);
+		dispatch_server_disconnected(&entry->node.dispatch, entry->servers[server],
+					     sim->now_us);
 }
 
 static inline void simulation_collect_owned_run(void *context, const struct run *run)
