--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -223,6 +223,7 @@
 	/* Makes the inventory report include the server's identity. The owner may have dropped it,
 	 * and ignores everything except the ends in reports that arrive before the inventory. */
 	owner->sent_identity_version = 0;
+	inventory.last_report = owner->next_report_number - 1;
 	inventory.n_runs = collected.numbers->len;
 	inventory.runs = (uint64_t *)(void *)collected.numbers->data;
 	send_report(owner, backend, 0, NULL, &inventory);
