Stop the runs of entries that may have given up a suspended agent

What callers could see: a task on two servers at once.

Cause: while a host is suspended the steady clock stands still. An agent that woke after seconds counted every entry as heard a moment ago, kept their runs, and started those that had waited for room, though the entries had settled them after 1.4 s and may have ordered the tasks elsewhere. Only the links were closed.

Change: the time of the gap counts as silence, before anything else is done. A gap shorter than the silence timeout costs no runs.

agent_owners_test suspended failed with an owners_suspended without effect (2 starts instead of 1) and passes. The other cases of the new test guard the session: orders of another one, a heartbeat that does not confirm it, how long ends are kept. session_diff_test prints the seeds of broken histories also when its output is a file.

--- a/packages/greengaged/src/agent_owners.c
+++ b/packages/greengaged/src/agent_owners.c
@@ -88,6 +88,13 @@
 	}
 }
 
+void owners_suspended(struct owners *owners, int64_t gap_us)
+{
+	for (guint i = 0; i < owners->list->len; i++)
+		((struct owner *)owners->list->pdata[i])->confirmed_us -= gap_us;
+	owners_abandon_silent(owners);
+}
+
 void owners_mark_status_changed(struct owners *owners)
 {
 	for (guint i = 0; i < owners->list->len; i++)
--- /dev/null
+++ b/test/unit/agent_owners_test.c
@@ -0,0 +1,216 @@
+/* Tests what an agent does with the runs of entries that it does not hear from. */
+#include "agent_owners.h"
+#include "event.h"
+
+enum {
+	SILENCE_TIMEOUT_US = 575 * US_PER_MS,
+	TIME_LIMIT_MS = 10000,
+	TASK_CPU = 1000,
+	RUNS = 2
+};
+
+struct fixture {
+	struct net_loop loop; /* only its time is used */
+	struct backend backend;
+	struct owners owners;
+	struct owner *owner;
+	uint32_t starts;
+	struct handle started; /* the run that was ordered last */
+};
+
+bool backend_ready(const struct backend *backend)
+{
+	return true;
+}
+
+uint32_t backend_count_ownerless_runs(const struct backend *backend)
+{
+	return backend->runs.ownerless_runs;
+}
+
+static void order_start(void *context, struct handle run)
+{
+	struct fixture *fixture = context;
+
+	fixture->starts++;
+	fixture->started = run;
+}
+
+static void order_stop(void *context, const char *task, uint32_t attempt, struct handle run)
+{
+}
+
+static void request_lists(void *context)
+{
+}
+
+static void on_run_ended(void *context, const struct run *run, enum run_outcome outcome,
+			 int64_t elapsed_us)
+{
+	struct fixture *fixture = context;
+
+	owner_add_end(owners_find(&fixture->owners, run->owner), run, outcome, elapsed_us);
+}
+
+static void on_owner_removed(void *context, struct owner *owner)
+{
+}
+
+/* Orders RUNS runs, of which only one has room. */
+static void order_runs(struct fixture *fixture)
+{
+	Ggd__Orders orders = GGD__ORDERS__INIT;
+	Ggd__StartBatch batch = GGD__START_BATCH__INIT;
+	Ggd__StartBatch *batches[] = {&batch};
+	uint64_t runs[RUNS] = {1, 2};
+	uint32_t indexes[RUNS] = {0, 1};
+	uint32_t attempts[RUNS] = {1, 1};
+
+	batch.job = (char *)"0000000000000001";
+	batch.cpu = TASK_CPU;
+	batch.start_within_ms = TIME_LIMIT_MS;
+	batch.runs = runs;
+	batch.indexes = indexes;
+	batch.attempts = attempts;
+	batch.n_runs = batch.n_indexes = batch.n_attempts = RUNS;
+	orders.session = fixture->owner->number;
+	orders.number = 1;
+	orders.starts = batches;
+	orders.n_starts = 1;
+	g_assert_true(owners_handle_orders(&fixture->owners, fixture->owner, &orders));
+	g_assert_cmpuint(fixture->starts, ==, 1);
+}
+
+static void set_up(struct fixture *fixture, const void *unused)
+{
+	const struct runs_limits limits = {
+		.stop_retry_us = SILENCE_TIMEOUT_US,
+		.lease_us = SILENCE_TIMEOUT_US,
+		.health = {.fail_streak = 4, .first_backoff_us = 1, .longest_backoff_us = 1},
+		.waiting_permille = 100,
+		.trial_us = US_PER_SECOND,
+	};
+	const struct runs_callbacks callbacks = {
+		.context = fixture,
+		.order_start = order_start,
+		.order_stop = order_stop,
+		.request_lists = request_lists,
+		.run_ended = on_run_ended,
+	};
+	struct ident incarnation = ident_random();
+
+	fixture->loop.now_us = US_PER_SECOND;
+	fixture->backend.loop = &fixture->loop;
+	runs_init(&fixture->backend.runs, &limits, &callbacks);
+	runs_server_present(&fixture->backend.runs, &(struct resources){.cpu = TASK_CPU}, false);
+	fixture->owners = (struct owners){
+		.backend = &fixture->backend,
+		.silence_timeout_us = SILENCE_TIMEOUT_US,
+		.removed = on_owner_removed,
+		.context = fixture,
+	};
+	owners_init(&fixture->owners);
+	fixture->owner = owners_find_or_add(&fixture->owners, &incarnation);
+	order_runs(fixture);
+}
+
+static void tear_down(struct fixture *fixture, const void *unused)
+{
+	owners_remove(&fixture->owners, fixture->owner);
+	g_ptr_array_free(fixture->owners.list, TRUE);
+	runs_free(&fixture->backend.runs);
+}
+
+/* Makes room for the run that waits. */
+static void end_first_run(struct fixture *fixture)
+{
+	runs_start_answered(&fixture->backend.runs, fixture->started, START_UNHEALTHY,
+			    fixture->loop.now_us);
+	runs_start_waiting(&fixture->backend.runs, fixture->loop.now_us);
+}
+
+/* Guards against the start of a run whose entry has not been heard from for so long that it may
+ * have ordered the task elsewhere. */
+static void test_silent_owner(struct fixture *fixture, const void *unused)
+{
+	fixture->loop.now_us += SILENCE_TIMEOUT_US + 1;
+	owners_abandon_silent(&fixture->owners);
+	end_first_run(fixture);
+	g_assert_cmpuint(fixture->starts, ==, 1);
+	g_assert_true(owner_has_unacknowledged_ends(fixture->owner));
+}
+
+/* The same when the host was suspended meanwhile, which the clock of the loop does not count. */
+static void test_suspended(struct fixture *fixture, const void *unused)
+{
+	owners_suspended(&fixture->owners, SILENCE_TIMEOUT_US + 1);
+	end_first_run(fixture);
+	g_assert_cmpuint(fixture->starts, ==, 1);
+}
+
+/* A suspension that is too short for the entry to give the agent up must not cost its runs. */
+static void test_suspended_briefly(struct fixture *fixture, const void *unused)
+{
+	owners_suspended(&fixture->owners, SILENCE_TIMEOUT_US / 2);
+	end_first_run(fixture);
+	g_assert_cmpuint(fixture->starts, ==, 2);
+}
+
+/* Guards against the loss of the ends of an entry's runs while it may return for them, and against
+ * ends that are kept for good. */
+static void test_retention(struct fixture *fixture, const void *unused)
+{
+	fixture->loop.now_us += SILENCE_TIMEOUT_US + 1;
+	owners_abandon_silent(&fixture->owners);
+	g_assert_cmpuint(fixture->owners.list->len, ==, 1);
+	fixture->loop.now_us += 10 * US_PER_SECOND;
+	owners_abandon_silent(&fixture->owners);
+	g_assert_cmpuint(fixture->owners.list->len, ==, 0);
+	g_assert_cmpuint(fixture->backend.runs.ownerless_runs, ==, 1);
+	fixture->owner = owners_find_or_add(&fixture->owners, &(struct ident){{1}});
+	g_assert_cmpuint(fixture->owner->number, ==, 2);
+}
+
+/* Orders of another session must not be carried out: their runs were settled with it. */
+static void test_orders_of_other_session(struct fixture *fixture, const void *unused)
+{
+	Ggd__Orders orders = GGD__ORDERS__INIT;
+	uint64_t run = 2;
+
+	orders.session = fixture->owner->number + 1;
+	orders.stops = &run;
+	orders.n_stops = 1;
+	g_assert_false(owners_handle_orders(&fixture->owners, fixture->owner, &orders));
+	end_first_run(fixture);
+	g_assert_cmpuint(fixture->starts, ==, 2);
+}
+
+/* A heartbeat of an entry that has not received the inventory on this connection must not count as
+ * a sign that it knows the runs. */
+static void test_unconfirmed_heartbeat(struct fixture *fixture, const void *unused)
+{
+	Ggd__Orders heartbeat = GGD__ORDERS__INIT;
+
+	fixture->loop.now_us += SILENCE_TIMEOUT_US + 1;
+	g_assert_true(owners_handle_orders(&fixture->owners, fixture->owner, &heartbeat));
+	owners_abandon_silent(&fixture->owners);
+	g_assert_true(fixture->owner->abandoned);
+	heartbeat.session = fixture->owner->number;
+	g_assert_true(owners_handle_orders(&fixture->owners, fixture->owner, &heartbeat));
+	g_assert_false(fixture->owner->abandoned);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	event_init("agent_owners_test", "error");
+#define CASE(name, function)                                                                       \
+	g_test_add("/agent_owners/" name, struct fixture, NULL, set_up, function, tear_down)
+	CASE("silent_owner", test_silent_owner);
+	CASE("suspended", test_suspended);
+	CASE("suspended_briefly", test_suspended_briefly);
+	CASE("retention", test_retention);
+	CASE("orders_of_other_session", test_orders_of_other_session);
+	CASE("unconfirmed_heartbeat", test_unconfirmed_heartbeat);
+	return g_test_run();
+}
--- a/test/unit/session_diff_test.c
+++ b/test/unit/session_diff_test.c
@@ -11,6 +11,7 @@
  * SESSION_DIFF_SEED replays a single history and prints its trace; SESSION_DIFF_COUNT sets the
  * number of histories, SESSION_DIFF_FIRST the seed of the first.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -809,8 +810,11 @@
 	int status, failed = 0;
 
 	for (uint32_t i = 0; i < PROCESSES; i++) {
-		if (fork() == 0)
-			_exit(play_histories(first + i * share, share) > 0);
+		if (fork() == 0) {
+			failed = play_histories(first + i * share, share) > 0;
+			fflush(NULL);
+			_exit(failed);
+		}
 	}
 	for (uint32_t i = 0; i < PROCESSES; i++) {
 		wait(&status);
