--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -144,8 +144,11 @@
 /* Begins a session in which the agent knows none of the runs that were ordered before. */
 static void begin_session(struct agent_peer *agent, uint32_t session)
 {
-	if (agent->has_server)
+	if (agent->has_server) {
+		event_log(EVENT_SESSION_REPLACED, EV_S("agent", agent->name),
+			  EV_I("session", session));
 		agent->former_server = agent->server;
+	}
 	agent->server = (struct handle){0};
 	agent->has_server = false;
 	agent->session = session;
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -83,11 +83,14 @@
 static bool handle_hello(struct node_link *link, const Ggd__Frame *frame)
 {
 	if (frame->body_case != GGD__FRAME__BODY_HELLO ||
-	    frame->hello->protocol != NODE_PROTOCOL_VERSION ||
 	    frame->hello->incarnation.len != IDENT_BYTES) {
 		node_link_fail(link, "the peer sent no valid hello message");
 		return false;
 	}
+	if (frame->hello->protocol != NODE_PROTOCOL_VERSION) {
+		node_link_fail(link, "the peer speaks another version of the protocol");
+		return false;
+	}
 	link->up = true;
 	if (!link->callbacks->up(link->context, link, frame->hello)) {
 		node_link_close(link);
