Measure the silence of entries in boot time

The mend for suspended hosts added the gap that the event loop reports to the silence. For a process that was stopped, the steady clock counts that time as well, so that a stop of 0.3 to 0.57 s cost the runs of all entries. Boot time counts both kinds once.

--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -32,14 +32,14 @@
 	g_free(report);
 }
 
-struct owner *owner_new(uint32_t number, const struct ident *incarnation, int64_t now_us)
+struct owner *owner_new(uint32_t number, const struct ident *incarnation, int64_t boot_time_us)
 {
 	struct owner *owner = g_new0(struct owner, 1);
 
 	owner->number = number;
 	owner->incarnation = *incarnation;
 	owner->next_report_number = 1;
-	owner->confirmed_us = now_us;
+	owner->confirmed_us = boot_time_us;
 	g_queue_init(&owner->unacknowledged_reports);
 	owner->unsent_ends = g_array_new(FALSE, FALSE, sizeof(struct run_end));
 	owner->unsent_progress = g_array_new(FALSE, FALSE, sizeof(struct run_progress));
--- a/packages/greengaged/src/agent_owner.h
+++ b/packages/greengaged/src/agent_owner.h
@@ -18,8 +18,8 @@
 	uint32_t number; /* of the session; identifies the owner in the table of runs */
 	struct ident incarnation;
 	struct node_link *link; /* NULL while disconnected */
-	int64_t confirmed_us;	/* when the owner last confirmed the session; at first, when it was
-				   added */
+	int64_t confirmed_us;	/* boot time when the owner last confirmed the session; at first,
+				   when it was added */
 	bool abandoned;	     /* has not confirmed the session for too long; its runs were stopped */
 	uint64_t orders_ack; /* number of the last Orders message handled on this link; 0 if none */
 	uint64_t next_report_number; /* number of the next report with ends; other reports have the
@@ -37,7 +37,7 @@
 					  starts; 0 if it was not */
 };
 
-struct owner *owner_new(uint32_t number, const struct ident *incarnation, int64_t now_us);
+struct owner *owner_new(uint32_t number, const struct ident *incarnation, int64_t boot_time_us);
 void owner_free(struct owner *owner);
 
 /* Add the end or the progress of a run to the next report. */
--- a/packages/greengaged/src/agent_owners.c
+++ b/packages/greengaged/src/agent_owners.c
@@ -16,6 +16,15 @@
 	ABANDONED_RETENTION_MS = 5000
 };
 
+/* The steady clock stands still while the host is suspended, and the entries settle runs meanwhile.
+ * So silence is measured in boot time. */
+static int64_t boot_time_us(const struct owners *owners)
+{
+	const struct net_loop *loop = owners->backend->loop;
+
+	return loop->now_us + loop->suspended_us;
+}
+
 void owners_init(struct owners *owners)
 {
 	owners->list = g_ptr_array_new();
@@ -42,7 +51,7 @@
 		if (ident_equal(&owner->incarnation, incarnation))
 			return owner;
 	}
-	owner = owner_new(++owners->last_number, incarnation, owners->backend->loop->now_us);
+	owner = owner_new(++owners->last_number, incarnation, boot_time_us(owners));
 	g_ptr_array_add(owners->list, owner);
 	return owner;
 }
@@ -56,45 +65,46 @@
 	owner_send_inventory(owner, owners->backend);
 }
 
+static void log_lost(const struct owners *owners, const struct owner *owner)
+{
+	char text[IDENT_HEX_BYTES];
+
+	event_log(EVENT_OWNER_LOST, EV_S("entry", ident_format(&owner->incarnation, text)),
+		  EV_I("silent_ms", (boot_time_us(owners) - owner->confirmed_us) / US_PER_MS));
+}
+
 void owners_remove(struct owners *owners, struct owner *owner)
 {
+	if (!owner->abandoned)
+		log_lost(owners, owner);
 	owners->removed(owners->context, owner);
 	runs_owner_gone(&owners->backend->runs, owner->number, owners->backend->loop->now_us);
 	g_ptr_array_remove_fast(owners->list, owner);
 	owner_free(owner);
 }
 
-static void abandon(struct owners *owners, struct owner *owner, int64_t silent_us)
+static void abandon(struct owners *owners, struct owner *owner)
 {
-	char text[IDENT_HEX_BYTES];
-
-	event_log(EVENT_OWNER_LOST, EV_S("entry", ident_format(&owner->incarnation, text)),
-		  EV_I("silent_ms", silent_us / US_PER_MS));
+	log_lost(owners, owner);
 	owner->abandoned = true;
 	runs_stop_owned(&owners->backend->runs, owner->number, owners->backend->loop->now_us);
 }
 
 void owners_abandon_silent(struct owners *owners)
 {
+	int64_t retention_us = owners->silence_timeout_us + ABANDONED_RETENTION_MS * US_PER_MS;
+
 	for (guint i = owners->list->len; i-- > 0;) {
 		struct owner *owner = owners->list->pdata[i];
-		int64_t silent_us = owners->backend->loop->now_us - owner->confirmed_us;
+		int64_t silent_us = boot_time_us(owners) - owner->confirmed_us;
 
 		if (!owner->abandoned && silent_us > owners->silence_timeout_us)
-			abandon(owners, owner, silent_us);
-		if (!owner->link &&
-		    silent_us > owners->silence_timeout_us + ABANDONED_RETENTION_MS * US_PER_MS)
+			abandon(owners, owner);
+		if (!owner->link && silent_us > retention_us)
 			owners_remove(owners, owner);
 	}
 }
 
-void owners_suspended(struct owners *owners, int64_t gap_us)
-{
-	for (guint i = 0; i < owners->list->len; i++)
-		((struct owner *)owners->list->pdata[i])->confirmed_us -= gap_us;
-	owners_abandon_silent(owners);
-}
-
 void owners_mark_status_changed(struct owners *owners)
 {
 	for (guint i = 0; i < owners->list->len; i++)
@@ -145,7 +155,7 @@
 
 static void confirm_session(struct owners *owners, struct owner *owner, const Ggd__Orders *orders)
 {
-	owner->confirmed_us = owners->backend->loop->now_us;
+	owner->confirmed_us = boot_time_us(owners);
 	owner->abandoned = false;
 	owner_acknowledge(owner, orders->report_ack);
 }
--- a/packages/greengaged/src/agent_owners.h
+++ b/packages/greengaged/src/agent_owners.h
@@ -14,7 +14,7 @@
 	void *context;
 };
 
-/* Initializes all members from the values of the given ones. */
+/* Initializes the list. The caller sets the backend, the timeout and the callback. */
 void owners_init(struct owners *owners);
 
 /* Returns the owner with NUMBER, or NULL. */
@@ -35,11 +35,7 @@
  * while, as they may return for the ends of their runs, and then removed. */
 void owners_abandon_silent(struct owners *owners);
 
-/* Tells that this process did not run for GAP_US, which the loop's clock may not have counted:
- * abandons the owners that may have given it up meanwhile. Call before anything else is done. */
-void owners_suspended(struct owners *owners, int64_t gap_us);
-
-/* Makes a report to each owner due, because it may have changed. */
+/* Marks the reports to all owners as due. */
 void owners_mark_status_changed(struct owners *owners);
 
 /* Carries out the starts and stops of ORDERS. Returns false, with nothing done, if they are not the
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -422,7 +422,7 @@
 	struct node_agent *agent = context;
 
 	event_log(EVENT_PROCESS_FROZEN, EV_I("gap_ms", gap_us / US_PER_MS));
-	owners_suspended(&agent->owners, gap_us);
+	owners_abandon_silent(&agent->owners);
 	/* Orders buffered in the connections may be out of date, because other entries may have
 	 * replaced their owners meanwhile. Closing the links discards them. */
 	for (guint i = 0; i < agent->endpoints->len; i++) {
--- a/test/unit/agent_owners_test.c
+++ b/test/unit/agent_owners_test.c
@@ -143,7 +143,8 @@
 /* The same when the host was suspended meanwhile, which the clock of the loop does not count. */
 static void test_suspended(struct fixture *fixture, const void *unused)
 {
-	owners_suspended(&fixture->owners, SILENCE_TIMEOUT_US + 1);
+	fixture->loop.suspended_us += SILENCE_TIMEOUT_US + 1;
+	owners_abandon_silent(&fixture->owners);
 	end_first_run(fixture);
 	g_assert_cmpuint(fixture->starts, ==, 1);
 }
@@ -151,7 +152,8 @@
 /* A suspension that is too short for the entry to give the agent up must not cost its runs. */
 static void test_suspended_briefly(struct fixture *fixture, const void *unused)
 {
-	owners_suspended(&fixture->owners, SILENCE_TIMEOUT_US / 2);
+	fixture->loop.suspended_us += SILENCE_TIMEOUT_US / 2;
+	owners_abandon_silent(&fixture->owners);
 	end_first_run(fixture);
 	g_assert_cmpuint(fixture->starts, ==, 2);
 }
