Log runs that may go on although they should not

Event 1416 tells of a run that has not ended 50 ms after it should have been stopped (a stop takes up to 50 ms), and of one that an agent finds after its restart: server, task, attempt, how long the stop has waited, and whether the start may still be in transit. runs.h counts the changes of that set.

runs_test held_while_stops_are_lost, unknown_run_held.

--- a/packages/base/include/event_defs.h
+++ b/packages/base/include/event_defs.h
@@ -55,6 +55,7 @@
 	X(1413, SERVER_CAPACITY, INFO, "backend server's capacity changed")                        \
 	X(1414, SERVER_MESSAGE_IGNORED, WARNING, "message about the backend server ignored")       \
 	X(1415, RUN_STOP_OVERDUE, WARNING, "run was not stopped in time")                          \
+	X(1416, TASK_HELD, INFO, "run may go on; its task is held")                                \
 	X(1500, CONFIG_APPLIED, INFO, "configuration applied")                                     \
 	X(1501, CONFIG_REJECTED, WARNING, "configuration patch rejected")                          \
 	X(1502, LOG_UNAVAILABLE, WARNING, "log service unavailable")                               \
--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -91,6 +91,7 @@
 	int64_t stop_requested_us;
 	int64_t stop_by_us;  /* no lease is sent after this time while the run may go on; 0: none */
 	bool stop_overdue;   /* reported as such */
+	bool held;	     /* no entry may start its task */
 	bool unknown;	     /* this agent did not order it and does not know its needs */
 	uint32_t priority;   /* 0 is the highest */
 	int64_t urgency_us;  /* of the waiting runs that fit, the one with the lowest value starts
@@ -163,6 +164,8 @@
 			  int64_t elapsed_us);
 	/* Reports once that RUN has not ended WAITED_US after the request to stop it. */
 	void (*stop_overdue)(void *context, const struct run *run, int64_t waited_us);
+	/* Reports that RUN may go on although it should not, so that its task is held. */
+	void (*run_held)(void *context, const struct run *run, int64_t waited_us);
 	/* Reports that RUN is much slower than its estimate. */
 	void (*run_behind)(void *context, const struct run *run, int64_t elapsed_us);
 };
@@ -185,6 +188,7 @@
 	int64_t stop_by_us;		/* the earliest of all runs, or INT64_MAX */
 	uint32_t ownerless_runs; /* runs whose owner is gone or that this agent did not order */
 	uint32_t unknown_runs;	 /* runs that this agent did not order */
+	uint64_t holds_version;	 /* incremented when the set of held runs changes; from 1 on */
 	struct health health;
 	char *last_failed_task; /* task whose failure was the last to count against the server's
 				   health */
@@ -304,6 +308,10 @@
  * is its baseline speed. */
 double runs_speed(const struct runs *runs, int64_t now_us);
 
+/* Returns whether the start of RUN, which is held, may not have reached the server yet. Otherwise
+ * RUN ends with its lease at the latest. */
+bool runs_start_in_transit(const struct run *run);
+
 /* Returns the number of runs of OWNER. */
 uint32_t runs_count_owned(const struct runs *runs, uint32_t owner);
 
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -7,7 +7,10 @@
 enum {
 	PERMILLE = 1000,
 	PERCENT = 100,
-	LEASE_MARGIN_US = 50 * US_PER_MS,   /* time to stop a run whose lease expired */
+	LEASE_MARGIN_US = 50 * US_PER_MS, /* time to stop a run whose lease expired */
+	/* A run that has not ended this long after the request to stop it is held. A stop takes up
+	 * to 50 ms. */
+	HOLD_DELAY_US = 50 * US_PER_MS,
 	TRANSIT_MAX_US = 15000 * US_PER_MS, /* a call without an answer is executed by then */
 	BEHIND_REPORT_INTERVAL_US = 100 * US_PER_MS, /* between reports of the same slow run */
 	BEHIND_MIN_ELAPSED_US = 120 * US_PER_MS, /* the speed of younger runs is not meaningful */
@@ -54,6 +57,7 @@
 		.speed = 1.0,
 		.baseline_speed = 1.0,
 		.stop_by_us = INT64_MAX,
+		.holds_version = 1,
 	};
 	table_init(&runs->table, sizeof(struct run));
 	runs_ended_init(runs);
@@ -191,6 +195,8 @@
 		runs->ownerless_runs--;
 	if (run->unknown)
 		runs->unknown_runs--;
+	if (run->held)
+		runs->holds_version++;
 	g_hash_table_remove(runs->by_task, run->task);
 	copy = *run;
 	table_remove(&runs->table, handle);
@@ -219,12 +225,20 @@
 	run->settle_by_us = 0;
 }
 
-/* Returns whether the start of RUN may not have reached the server yet. */
-static bool may_be_in_transit(const struct run *run)
+bool runs_start_in_transit(const struct run *run)
 {
 	return run->phase != RUN_PHASE_WAITING && !run->confirmed && !run->unknown;
 }
 
+static void hold_run(struct runs *runs, struct run *run, int64_t waited_us)
+{
+	if (run->held)
+		return;
+	run->held = true;
+	runs->holds_version++;
+	runs->callbacks.run_held(runs->callbacks.context, run, waited_us);
+}
+
 static void send_stop(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
 {
 	runs_set_phase(run, RUN_PHASE_STOPPING, now_us);
@@ -257,7 +271,7 @@
 	runs->last_processed_end = 0;
 	runs_ended_clear(runs);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
-		if (may_be_in_transit(run) ||
+		if (runs_start_in_transit(run) ||
 		    (run->confirmed && run->confirmed_us > confirmed_max_us))
 			settle_with_new_process(runs, run, handle, now_us);
 		else
@@ -531,6 +545,7 @@
 	runs->unknown_runs++;
 	reserve_resources(runs, &run->need);
 	runs->ownerless_runs++;
+	hold_run(runs, run, 0);
 	send_stop(runs, run, handle, now_us);
 }
 
@@ -640,6 +655,8 @@
 {
 	int64_t waited_us = now_us - run->stop_requested_us;
 
+	if (run->stop_requested && waited_us >= HOLD_DELAY_US)
+		hold_run(runs, run, waited_us);
 	if (run->stop_requested && !run->stop_overdue && waited_us > runs->limits.stop_wait_us) {
 		run->stop_overdue = true;
 		runs->callbacks.stop_overdue(runs->callbacks.context, run, waited_us);
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -679,6 +679,17 @@
 		  EV_I("lease_ms", lease_us / US_PER_MS));
 }
 
+static void on_run_held(void *context, const struct run *run, int64_t waited_us)
+{
+	struct backend *backend = context;
+
+	event_log(EVENT_TASK_HELD, EV_S("server", backend->presence.identity.id),
+		  EV_S("task", run->task), EV_I("attempt", run->attempt),
+		  EV_I("waited_ms", waited_us / US_PER_MS),
+		  EV_S("start", runs_start_in_transit(run) ? "in_transit" : "arrived"));
+	notify_state_changed(backend);
+}
+
 static void on_run_behind(void *context, const struct run *run, int64_t elapsed_us)
 {
 	struct backend *backend = context;
@@ -706,6 +717,7 @@
 		.request_lists = request_immediate_poll,
 		.run_ended = on_run_ended,
 		.stop_overdue = on_stop_overdue,
+		.run_held = on_run_held,
 		.run_behind = on_run_behind,
 	};
 
--- a/test/unit/agent_owners_test.c
+++ b/test/unit/agent_owners_test.c
@@ -53,6 +53,10 @@
 	owner_add_end(owners_find(&fixture->owners, run->owner), run, outcome, elapsed_us);
 }
 
+static void on_run_held(void *context, const struct run *run, int64_t waited_us)
+{
+}
+
 static void on_owner_removed(void *context, struct owner *owner)
 {
 }
@@ -106,6 +110,7 @@
 		.order_stop = order_stop,
 		.request_lists = request_lists,
 		.run_ended = on_run_ended,
+		.run_held = on_run_held,
 	};
 	struct ident incarnation = ident_random();
 
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -20,6 +20,7 @@
 	uint32_t list_requests;
 	uint32_t behind;
 	uint32_t overdue;
+	uint32_t held;
 	struct handle last; /* run of the last order */
 	GArray *outcomes;   /* enum run_outcome, in order */
 };
@@ -59,6 +60,11 @@
 	((struct fixture *)context)->overdue++;
 }
 
+static void on_held(void *context, const struct run *run, int64_t waited_us)
+{
+	((struct fixture *)context)->held++;
+}
+
 static void on_behind(void *context, const struct run *run, int64_t elapsed_us)
 {
 	((struct fixture *)context)->behind++;
@@ -87,6 +93,7 @@
 					   .request_lists = on_request_lists,
 					   .run_ended = on_ended,
 					   .stop_overdue = on_overdue,
+					   .run_held = on_held,
 					   .run_behind = on_behind});
 	runs_server_present(&fixture->runs, &total, false);
 	runs_lease_sent(&fixture->runs, 0);
@@ -784,6 +791,42 @@
 	tear_down(&fixture);
 }
 
+/* Guards against a task that is started elsewhere while its run goes on although it was stopped,
+ * and against news of every stop: one that is carried out at once holds nothing. */
+static void test_run_held_while_stops_are_lost(void)
+{
+	struct fixture fixture;
+	uint64_t version;
+
+	set_up(&fixture);
+	version = fixture.runs.holds_version;
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	runs_stop(&fixture.runs, OWNER, g_str_hash("a.0.0.0"), 1000);
+	runs_tick(&fixture.runs, 1000);
+	g_assert_cmpuint(fixture.runs.holds_version, ==, version);
+	runs_tick(&fixture.runs, 51000);
+	runs_tick(&fixture.runs, 52000);
+	g_assert_cmpuint(fixture.held, ==, 1);
+	g_assert_cmpuint(fixture.runs.holds_version, ==, version + 1);
+	g_assert_false(runs_start_in_transit(table_get(&fixture.runs.table, fixture.last)));
+	deliver_lists(&fixture, NULL, "a.0.0.0", RUN_STOPPED, 60000);
+	g_assert_cmpuint(fixture.runs.holds_version, ==, version + 2);
+	tear_down(&fixture);
+}
+
+/* Guards against a task that is started elsewhere beside a run that the agent finds after its
+ * restart. */
+static void test_unknown_run_held(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	deliver_lists(&fixture, "a.0.0.0", NULL, 0, 1000);
+	g_assert_cmpuint(fixture.held, ==, 1);
+	tear_down(&fixture);
+}
+
 /* Guards against late detection of a stalled server: a run without progress must be reported long
  * before its lease or deadline. */
 static void test_run_behind(void)
@@ -836,6 +879,8 @@
 	g_test_add_func("/runs/quarantine", test_quarantine);
 	g_test_add_func("/runs/quarantine_backoff_ends", test_quarantine_backoff_ends);
 	g_test_add_func("/runs/trial", test_trial);
+	g_test_add_func("/runs/held_while_stops_are_lost", test_run_held_while_stops_are_lost);
+	g_test_add_func("/runs/unknown_run_held", test_unknown_run_held);
 	g_test_add_func("/runs/behind", test_run_behind);
 	return g_test_run();
 }
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -987,6 +987,14 @@
 {
 }
 
+static inline void simulation_agent_run_held(void *context, const struct run *run,
+					     int64_t waited_us)
+{
+	struct simulation_agent *agent = context;
+
+	simulation_trace(agent->sim, "held", run->task, agent->index);
+}
+
 static inline void simulation_agent_run_behind(void *context, const struct run *run,
 					       int64_t elapsed_us)
 {
@@ -1395,6 +1403,7 @@
 		.run_ended = simulation_agent_run_ended,
 		.run_behind = simulation_agent_run_behind,
 		.stop_overdue = simulation_agent_stop_overdue,
+		.run_held = simulation_agent_run_held,
 	};
 
 	agent->sim = sim;
