Start no task while an agent knows of an earlier run that may go on

A client that gets no answer sends its job again after 1.3 s, to any entry.

Cause: time stands for proof between entries that do not know of each other's runs.

Change: the agent at whose server a run may go on although it should not tells all entries of its task (Report.holds, in the first report on a connection and after each change), and entries pass that on to each other (PeerState.holds), since an agent serves only some of them. A held task stays queued; its job is answered as unknown, not as not run. Once the run is over, the agent releases the task. Of an agent that is not connected any more, a run is released when its lease is over, a start that may still be in transit after 15 s.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -20,6 +20,7 @@
 #include "policy.h"
 #include "runs.h"
 #include "status.h"
+#include "task_holds.h"
 #include "timer.h"
 
 /* A job as submitted by a client. */
@@ -121,6 +122,7 @@
 	GHashTable *queue_stats; /* queue name -> struct queue_stats */
 	struct crash_history crashes;
 	struct bulkhead bulkhead;
+	struct task_holds holds; /* tasks that are not started; see dispatch_holds_changed */
 	double peer_backlog_core_us[PRIORITY_LEVELS]; /* queued work of the other entries */
 	uint64_t random_state;			      /* state of the random number generator */
 	bool pump_needed;			      /* a queued task may now be able to start */
@@ -191,6 +193,9 @@
 /* Sets the queued work of the other entries by priority, in core-microseconds. */
 void dispatch_set_peer_backlog(struct dispatch *dispatch, const double core_us[PRIORITY_LEVELS]);
 
+/* Records that tasks were held or released. */
+void dispatch_holds_changed(struct dispatch *dispatch);
+
 /* Starts the queued tasks that can start and refuses the jobs that can no longer be in time. Call
  * once per iteration of the event loop. */
 void dispatch_pump(struct dispatch *dispatch, int64_t now_us);
--- /dev/null
+++ b/packages/core/include/task_holds.h
@@ -0,0 +1,59 @@
+/*
+ * Tasks that no entry starts, because an earlier run of them may still go on.
+ *
+ * Load pattern: a client gets no answer and sends its job again, to another entry, while stops of
+ * the first submission's runs are lost or late. That entry knows nothing of those runs, and time
+ * alone does not prove that they are over. The agent at whose server such a run may be tells all
+ * entries of its task, and tells them again once the run is over.
+ */
+#ifndef GG_TASK_HOLDS_H
+#define GG_TASK_HOLDS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* An agent, or another entry that passes on what its agents hold. */
+struct hold_source;
+
+struct task_holds {
+	GHashTable *counts; /* key of a task -> number of sources that hold it, in the pointer */
+	GPtrArray *sources; /* struct hold_source * */
+	uint64_t changes;   /* incremented when tasks are held or released */
+};
+
+/* Names of tasks, as "JOB.OCCURRENCE.STEP.INDEX". */
+struct held_tasks {
+	char *const *runs; /* tasks of runs that have started, which end with their leases */
+	size_t run_count;
+	char *const *starts; /* tasks of runs whose start may still reach the server */
+	size_t start_count;
+};
+
+void task_holds_init(struct task_holds *holds);
+void task_holds_free(struct task_holds *holds);
+
+/* Adds a source that holds no tasks. It is freed by task_holds_remove_source or task_holds_free. */
+struct hold_source *task_holds_add_source(struct task_holds *holds);
+void task_holds_remove_source(struct task_holds *holds, struct hold_source *source);
+
+/* Replaces the tasks that SOURCE holds, until the next call. */
+void task_holds_replace(struct task_holds *holds, struct hold_source *source,
+			const struct held_tasks *tasks);
+
+/* Limits what SOURCE holds, because it is not connected any more and can't release it: its runs to
+ * RUNS_UNTIL_US and its starts to STARTS_UNTIL_US. */
+void task_holds_limit(struct hold_source *source, int64_t runs_until_us, int64_t starts_until_us);
+
+/* Releases the tasks whose time limit has passed. */
+void task_holds_expire(struct task_holds *holds, int64_t now_us);
+
+/* Returns whether the task INDEX of JOB is held. */
+bool task_holds_contains(const struct task_holds *holds, const char *job, uint32_t index);
+
+/* Calls VISIT for the names of all tasks that SOURCE holds. */
+void task_holds_foreach(const struct hold_source *source,
+			void (*visit)(void *context, const char *task, bool start), void *context);
+
+#endif
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -75,6 +75,7 @@
 	bulkhead_init(&dispatch->bulkhead);
 	crash_history_init(&dispatch->crashes, limits->crash_retention_us,
 			   limits->max_crashed_tasks);
+	task_holds_init(&dispatch->holds);
 	table_init(&dispatch->jobs, sizeof(struct job *));
 	table_init(&dispatch->runs, sizeof(struct run_row));
 }
@@ -99,6 +100,7 @@
 	table_free(&dispatch->runs);
 	fleet_free(&dispatch->fleet);
 	crash_history_free(&dispatch->crashes);
+	task_holds_free(&dispatch->holds);
 	bulkhead_free(&dispatch->bulkhead);
 	g_hash_table_destroy(dispatch->by_id);
 	g_hash_table_destroy(dispatch->queue_stats);
@@ -639,6 +641,20 @@
 	memcpy(dispatch->peer_backlog_core_us, core_us, sizeof(dispatch->peer_backlog_core_us));
 }
 
+void dispatch_holds_changed(struct dispatch *dispatch)
+{
+	dispatch->pump_needed = true;
+}
+
+static void expire_holds(struct dispatch *dispatch, int64_t now_us)
+{
+	uint64_t changes = dispatch->holds.changes;
+
+	task_holds_expire(&dispatch->holds, now_us);
+	if (dispatch->holds.changes != changes)
+		dispatch_holds_changed(dispatch);
+}
+
 void dispatch_tick(struct dispatch *dispatch, int64_t now_us)
 {
 	uint32_t cursor = 0;
@@ -661,6 +677,7 @@
 		    now_us - server->reported_us > dispatch->limits.settle_timeout_us)
 			dispatch_server_settled(dispatch, handle, now_us);
 	}
+	expire_holds(dispatch, now_us);
 }
 
 void dispatch_await_agents(struct dispatch *dispatch, int64_t now_us)
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -167,6 +167,19 @@
 	struct placement_headroom headroom;
 };
 
+/* Returns the number of queued tasks of JOB that are held. */
+static uint32_t count_held_tasks(const struct dispatch *dispatch, const struct job *job)
+{
+	uint32_t held = 0;
+
+	if (dispatch->holds.sources->len == 0)
+		return 0;
+	for (uint32_t i = 0; i < job->task_count; i++)
+		held += job->tasks[i].phase == TASK_QUEUED &&
+			task_holds_contains(&dispatch->holds, job->id, i);
+	return held;
+}
+
 /* Starts the queued tasks of JOB for which there is room. */
 static void place_tasks(struct dispatch *dispatch, struct job *job, struct service_view *view,
 			int64_t urgent_us, bool behind_plan, int64_t now_us)
@@ -174,12 +187,13 @@
 	struct handle *servers;
 	/* If no server is known to be sound, only a trial can find one, even a late one. */
 	bool any_end = behind_plan || view->sum.max_speed <= 0;
+	uint32_t held = count_held_tasks(dispatch, job);
 	const struct placement_request request = {
 		.policy = &dispatch->policy,
 		.service = job->service,
 		.partition = job->stats->partition,
 		.need = job->need,
-		.tasks = job->queued_tasks,
+		.tasks = job->queued_tasks - held,
 		.work_us = job->longest_task_us,
 		.target_us = any_end ? job->deadline_us : job->planned_end_us,
 		.priority = job->priority,
@@ -193,14 +207,18 @@
 	uint32_t placed;
 	GString *names;
 
-	if (!placement_may_place(&view->headroom, &request))
+	/* An earlier submission of a held task has run. */
+	job->held = held > 0;
+	job->may_have_run = job->may_have_run || job->held;
+	if (request.tasks == 0 || !placement_may_place(&view->headroom, &request))
 		return;
 	servers = g_new(struct handle, job->queued_tasks);
 	placed = placement_choose(&dispatch->fleet, &request, &view->sum, now_us,
 				  &dispatch->random_state, servers);
 	names = g_string_new(NULL);
 	for (uint32_t i = 0; i < job->task_count && next < placed; i++) {
-		if (job->tasks[i].phase != TASK_QUEUED)
+		if (job->tasks[i].phase != TASK_QUEUED ||
+		    (job->held && task_holds_contains(&dispatch->holds, job->id, i)))
 			continue;
 		add_server_name(names, fleet_get(&dispatch->fleet, servers[next]), &oldest_us);
 		start_task(dispatch, job, i, servers[next++], urgent_us, now_us);
@@ -342,7 +360,8 @@
 {
 	int64_t slack_us = dispatch_latest_start_us(job, sum->max_speed) - job->arrived_us;
 
-	if (!job->admitted || has_progress(job) || is_blocked(dispatch, job) || slack_us <= 0)
+	if (!job->admitted || job->held || has_progress(job) || is_blocked(dispatch, job) ||
+	    slack_us <= 0)
 		return 0;
 	return (double)(now_us - job->arrived_us) / (double)slack_us;
 }
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -65,6 +65,7 @@
 	bool finished; /* the client was answered; the job is kept until its runs are settled */
 	bool in_queue;
 	bool admitted;		    /* was left in the queue by a pump, to wait for room */
+	bool held;		    /* a queued task was held in the last pump */
 	struct handle avoid_server; /* server at which a run last failed, was refused as unhealthy
 				       or was too slow */
 	struct handle predecessor;  /* earlier job of the same id that has unsettled runs */
--- a/packages/greengaged/src/agent_owner.h
+++ b/packages/greengaged/src/agent_owner.h
@@ -31,6 +31,7 @@
 				    acknowledged orders may have changed */
 	int64_t report_sent_us;	 /* time of the last report of any kind */
 	uint32_t sent_identity_version; /* presence.identity_version as last sent; 0 if not sent */
+	uint64_t sent_holds_version;	/* runs.holds_version as last sent on this link; 0 if not */
 	uint32_t service_server_count; /* number of servers of the backend server's service that the
 					  entry last reported as reachable; 0 while unknown */
 	int64_t retiring_since_us;     /* time when this owner was first requested to send no more
--- a/packages/greengaged/src/agent_owners.c
+++ b/packages/greengaged/src/agent_owners.c
@@ -62,6 +62,7 @@
 	owner->link = link;
 	owner->orders_ack = 0;
 	owner->sent_identity_version = 0;
+	owner->sent_holds_version = 0;
 	owner_send_inventory(owner, owners->backend);
 }
 
@@ -225,6 +226,7 @@
 		if (owner->unsent_ends->len > 0)
 			owner_send_ends(owner, backend);
 		else if (owner->unsent_progress->len > 0 ||
+			 owner->sent_holds_version != backend->runs.holds_version ||
 			 (owner->status_changed && backend->loop->now_us >= due_us))
 			owner_send_status(owner, backend);
 		else if (owner->status_changed)
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -8,7 +8,9 @@
 	PERMILLE = 1000,
 	/* Added to urgent_within_us, which may be negative, because the field in the message is
 	 * unsigned. Only the order of the values matters. */
-	URGENT_OFFSET_MS = 60000
+	URGENT_OFFSET_MS = 60000,
+	/* A start that got no answer may reach the backend server up to this much later. */
+	TRANSIT_MAX_MS = 15000
 };
 
 static const double min_speed = 0.001; /* lower bound, because speeds are used as divisors */
@@ -40,7 +42,8 @@
 	/* Disconnected process with the same name, while runs of that process may be unsettled;
 	 * otherwise NULL. */
 	struct agent_peer *predecessor;
-	bool config_requested; /* on this connection, and not answered yet */
+	bool config_requested;	   /* on this connection, and not answered yet */
+	struct hold_source *holds; /* the tasks that it holds */
 };
 
 static void free_order(gpointer data)
@@ -66,6 +69,8 @@
 static void remove_agent(struct node_entry *entry, struct agent_peer *agent)
 {
 	clear_successors(entry, agent);
+	task_holds_remove_source(&entry->dispatch.holds, agent->holds);
+	dispatch_holds_changed(&entry->dispatch);
 	g_ptr_array_remove_fast(entry->agents, agent);
 	g_ptr_array_free(agent->starts, TRUE);
 	g_array_free(agent->stops, TRUE);
@@ -94,6 +99,7 @@
 	agent->starts = g_ptr_array_new_with_free_func(free_order);
 	agent->stops = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	agent->predecessor = predecessor;
+	agent->holds = task_holds_add_source(&entry->dispatch.holds);
 	g_ptr_array_add(entry->agents, agent);
 	return agent;
 }
@@ -238,6 +244,24 @@
 		report->number - agent->last_report_number == 1);
 }
 
+static void handle_holds(struct agent_peer *agent, const Ggd__Holds *holds)
+{
+	struct dispatch *dispatch = &agent->entry->dispatch;
+	uint64_t changes = dispatch->holds.changes;
+
+	task_holds_replace(&dispatch->holds, agent->holds,
+			   &(struct held_tasks){
+				   .runs = holds->runs,
+				   .run_count = holds->n_runs,
+				   .starts = holds->starts,
+				   .start_count = holds->n_starts,
+			   });
+	if (dispatch->holds.changes == changes)
+		return;
+	agent->entry->agent_holds_changes++;
+	dispatch_holds_changed(dispatch);
+}
+
 static void handle_report(struct agent_peer *agent, const Ggd__Report *report, int64_t now_us)
 {
 	struct dispatch *dispatch = &agent->entry->dispatch;
@@ -247,6 +271,9 @@
 			       "the agent left out a report or sent one of another session");
 		return;
 	}
+	/* A task whose run ends with this report may be held. */
+	if (report->holds)
+		handle_holds(agent, report->holds);
 	/* The ends of a report that was sent again after a lost connection are handled only once.
 	 */
 	if (report->number == 0 || report->number > agent->last_report_number) {
@@ -398,6 +425,9 @@
 		  EV_I("silent_ms",
 		       (entry->loop.now_us - node_link_last_received_us(agent->link)) / US_PER_MS));
 	agent->link = NULL;
+	task_holds_limit(agent->holds,
+			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
+			 entry->loop.now_us + TRANSIT_MAX_MS * US_PER_MS);
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
 	if (agent->has_server)
@@ -530,6 +560,17 @@
 	g_ptr_array_free(entry->agents, TRUE);
 }
 
+void node_agent_links_foreach_hold(const struct node_entry *entry,
+				   void (*visit)(void *context, const char *task, bool start),
+				   void *context)
+{
+	for (guint i = 0; i < entry->agents->len; i++) {
+		const struct agent_peer *agent = entry->agents->pdata[i];
+
+		task_holds_foreach(agent->holds, visit, context);
+	}
+}
+
 /* Returns the agent's server, or NULL while the agent is disconnected or its server unknown. */
 static const struct fleet_server *connected_server(const struct agent_peer *agent)
 {
--- a/packages/greengaged/src/node_agent_links.h
+++ b/packages/greengaged/src/node_agent_links.h
@@ -34,4 +34,10 @@
 /* Returns the number of connected agents whose backend server accepts starts. */
 uint32_t node_agent_links_count_ready(const struct node_entry *entry);
 
+/* Calls VISIT for the names of the tasks that the agents of ENTRY hold. START: the start of the run
+ * may not have reached the server yet. */
+void node_agent_links_foreach_hold(const struct node_entry *entry,
+				   void (*visit)(void *context, const char *task, bool start),
+				   void *context);
+
 #endif
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -37,6 +37,7 @@
 	struct http_server *client_server;
 	struct http_server *readiness_server; /* probes of the load balancer, and metrics */
 	GPtrArray *agents;		      /* struct agent_peer * */
+	uint64_t agent_holds_changes; /* incremented when an agent holds or releases tasks */
 	GPtrArray *outgoing_peers; /* struct outgoing_peer *, entries that this one connects to */
 	uint32_t linked_peers;	   /* connected outgoing peers, as of the last tick */
 	GPtrArray *incoming_peers; /* struct incoming_peer *, entries that connected to this one */
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "event.h"
+#include "node_agent_links.h"
 #include "subset.h"
 
 /*
@@ -42,6 +43,7 @@
 	uint64_t last_ended_sequence;  /* sequence of the last ended job sent on this connection */
 	uint64_t last_crash_sequence;  /* sequence of the last crash sent on this connection */
 	uint64_t last_bulkhead_change; /* bulkhead.changes when a state was last sent */
+	uint64_t last_holds_change;    /* agent_holds_changes when a state was last sent */
 };
 
 /* An entry that has connected to this one, and the last state that it sent. */
@@ -54,6 +56,7 @@
 	uint64_t config_version;
 	int64_t last_config_request_us; /* time of the last request to it for its configuration */
 	GHashTable *pending_by_queue;	/* queue name -> count, stored in the pointer */
+	struct hold_source *holds;	/* the tasks that its agents hold */
 };
 
 /* The periods depend on the peers that are connected: the list of addresses may hold hundreds at
@@ -157,6 +160,34 @@
 	g_array_free(reports, TRUE);
 }
 
+/* Names of the tasks that the agents of this entry hold. */
+struct held_names {
+	GPtrArray *runs;
+	GPtrArray *starts;
+};
+
+static void add_held_name(void *context, const char *task, bool start)
+{
+	struct held_names *names = context;
+
+	g_ptr_array_add(start ? names->starts : names->runs, (char *)task);
+}
+
+/* Sets the field holds of STATE to HOLDS. Agents serve only some of the entries, and a client may
+ * send its job again to any. The arrays in NAMES must outlive STATE. */
+static void set_holds(struct outgoing_peer *peer, Ggd__PeerState *state, Ggd__Holds *holds,
+		      struct held_names *names)
+{
+	node_agent_links_foreach_hold(peer->entry, add_held_name, names);
+	holds->runs = (char **)names->runs->pdata;
+	holds->n_runs = names->runs->len;
+	holds->starts = (char **)names->starts->pdata;
+	holds->n_starts = names->starts->len;
+	if (holds->n_runs + holds->n_starts > 0)
+		state->holds = holds;
+	peer->last_holds_change = peer->entry->agent_holds_changes;
+}
+
 static void send_state(struct outgoing_peer *peer, bool config_wanted, int64_t now_us)
 {
 	struct node_entry *entry = peer->entry;
@@ -165,6 +196,8 @@
 	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
 	GArray *completed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	GArray *failed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	Ggd__Holds holds = GGD__HOLDS__INIT;
+	struct held_names held = {.runs = g_ptr_array_new(), .starts = g_ptr_array_new()};
 	double core_us[PRIORITY_LEVELS];
 	uint64_t backlog[PRIORITY_LEVELS];
 	uint64_t sum = 0;
@@ -184,6 +217,7 @@
 	set_ended_jobs(peer, &state, completed, failed);
 	set_crashes(peer, &state);
 	set_suspects(peer, &state, now_us);
+	set_holds(peer, &state, &holds, &held);
 	state.entries = node_members_unsent(&entry->members, &peer->members_sent, &state.n_entries);
 	frame.body_case = GGD__FRAME__BODY_PEER;
 	frame.peer = &state;
@@ -198,6 +232,8 @@
 	g_free(state.suspect_shares);
 	g_array_free(completed, TRUE);
 	g_array_free(failed, TRUE);
+	g_ptr_array_free(held.runs, TRUE);
+	g_ptr_array_free(held.starts, TRUE);
 	g_hash_table_destroy(counts);
 }
 
@@ -352,6 +388,23 @@
 					  entry->loop.now_us);
 }
 
+/* Holds what the peer's agents hold, and no more what its last state has named. */
+static void apply_holds(struct incoming_peer *peer, const Ggd__Holds *holds)
+{
+	struct dispatch *dispatch = &peer->entry->dispatch;
+	uint64_t changes = dispatch->holds.changes;
+	struct held_tasks tasks = {0};
+
+	if (holds)
+		tasks = (struct held_tasks){.runs = holds->runs,
+					    .run_count = holds->n_runs,
+					    .starts = holds->starts,
+					    .start_count = holds->n_starts};
+	task_holds_replace(&dispatch->holds, peer->holds, &tasks);
+	if (dispatch->holds.changes != changes)
+		dispatch_holds_changed(dispatch);
+}
+
 static void on_incoming_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
 {
 	struct incoming_peer *peer = context;
@@ -368,6 +421,7 @@
 						   : 0;
 	record_ended_jobs(peer->entry, state);
 	record_crashes(peer->entry, state);
+	apply_holds(peer, state->holds);
 	g_hash_table_remove_all(peer->pending_by_queue);
 	for (size_t i = 0; i < state->n_queues && i < state->n_queued; i++)
 		g_hash_table_insert(peer->pending_by_queue, g_strdup(state->queues[i]),
@@ -386,6 +440,8 @@
 static void remove_incoming_peer(struct incoming_peer *peer)
 {
 	g_ptr_array_remove_fast(get_incoming_peers(peer->entry), peer);
+	task_holds_remove_source(&peer->entry->dispatch.holds, peer->holds);
+	dispatch_holds_changed(&peer->entry->dispatch);
 	g_hash_table_destroy(peer->pending_by_queue);
 	g_free(peer);
 }
@@ -409,6 +465,7 @@
 	peer->link = link;
 	g_strlcpy(peer->name, hello->name, sizeof(peer->name));
 	peer->pending_by_queue = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	peer->holds = task_holds_add_source(&entry->dispatch.holds);
 	g_ptr_array_add(get_incoming_peers(entry), peer);
 	node_link_set_callbacks(link, &incoming_callbacks, peer);
 	node_link_set_heartbeat(link, heartbeat_ms(entry));
@@ -499,12 +556,13 @@
 }
 
 /* Returns whether to send PEER a state before the next heartbeat: at once when a queue has become a
- * suspect, and at intervals while work is queued. */
+ * suspect or the agents hold other tasks, and at intervals while work is queued. */
 static bool is_state_due(const struct outgoing_peer *peer, int64_t now_us)
 {
 	const struct node_entry *entry = peer->entry;
 
-	if (peer->last_bulkhead_change != entry->dispatch.bulkhead.changes)
+	if (peer->last_bulkhead_change != entry->dispatch.bulkhead.changes ||
+	    peer->last_holds_change != entry->agent_holds_changes)
 		return true;
 	return now_us - peer->last_state_sent_us >= state_interval_us(entry) &&
 	       (entry->dispatch.queue->len > 0 || peer->last_backlog_core_ms > 0);
