Hold the runs of a lost owner at once

An entry's last words may be read up to 575 ms after its end, the agent gives it up 575 ms later, and held its runs 50 to 100 ms after that; its clients send their jobs again after 1,300 ms.

Change: runs of an owner that is given up or gone are held in the moment in which their stop is asked for. The delay of 50 ms stays for stops that an owner asks for, which are carried out in that time.

runs_test abandoned_run_held_at_once failed before (not held before the next ticks).

--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -420,6 +420,16 @@
 	runs_stop_by(runs, owner, number, INT64_MAX, now_us);
 }
 
+/* Stops a run whose owner may have been gone for long, so that its client may send the job again at
+ * any time. */
+static void abandon_run(struct runs *runs, struct run *run, struct handle handle,
+			int64_t stop_by_us, int64_t now_us)
+{
+	if (run->phase != RUN_PHASE_WAITING)
+		hold_run(runs, run, 0);
+	request_stop(runs, run, handle, stop_by_us, now_us);
+}
+
 void runs_stop_owned(struct runs *runs, uint32_t owner, int64_t stop_by_us, int64_t now_us)
 {
 	uint32_t cursor = 0;
@@ -428,7 +438,7 @@
 
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
 		if (run->owner == owner)
-			request_stop(runs, run, handle, stop_by_us, now_us);
+			abandon_run(runs, run, handle, stop_by_us, now_us);
 	}
 }
 
@@ -443,7 +453,7 @@
 			continue;
 		run->owner = RUN_NO_OWNER;
 		runs->ownerless_runs++;
-		request_stop(runs, run, handle, stop_by_us, now_us);
+		abandon_run(runs, run, handle, stop_by_us, now_us);
 	}
 }
 
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -815,6 +815,20 @@
 	tear_down(&fixture);
 }
 
+/* Guards against a hold that comes after the client of a lost owner has sent its job again. */
+static void test_abandoned_run_held_at_once(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 100, OWNER, 0, 0);
+	start(&fixture, "b.0.0.0", 100, OWNER + 1, 0, 0);
+	runs_stop_owned(&fixture.runs, OWNER, 1000, 1000);
+	runs_owner_gone(&fixture.runs, OWNER + 1, 1000, 1000);
+	g_assert_cmpuint(fixture.held, ==, 2);
+	tear_down(&fixture);
+}
+
 /* Guards against a task that is started elsewhere because this agent has refused it beside its
  * earlier run. */
 static void test_busy_task_held(void)
@@ -894,6 +908,7 @@
 	g_test_add_func("/runs/quarantine_backoff_ends", test_quarantine_backoff_ends);
 	g_test_add_func("/runs/trial", test_trial);
 	g_test_add_func("/runs/held_while_stops_are_lost", test_run_held_while_stops_are_lost);
+	g_test_add_func("/runs/abandoned_run_held_at_once", test_abandoned_run_held_at_once);
 	g_test_add_func("/runs/busy_task_held", test_busy_task_held);
 	g_test_add_func("/runs/unknown_run_held", test_unknown_run_held);
 	g_test_add_func("/runs/behind", test_run_behind);
