Bound the cost of held tasks; keep what a lost relay has passed on

- Holds that another entry had passed on were lost with the link to it.
- An entry that had lost the agent passed on what the agent had released since.
Holds carry the agent's incarnation now, and an entry to which that agent is connected ignores what others say of it.
- A source that connects and is lost again and again set the limit anew each time (limit_is_not_extended).
- A list of names had no limit; an unchanged one counted as a change (repeated_and_too_many).
- The answer of a job that waited for an earlier submission's runs, or had held tasks at an entry that shuts down, was "not run" (dispatch_test waiting_job_may_have_run).

--- a/packages/core/include/task_holds.h
+++ b/packages/core/include/task_holds.h
@@ -14,11 +14,21 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core_defs.h"
+
+enum {
+	/* The start of a held task may reach the backend server up to this much later. */
+	TASK_HOLDS_START_MAX_US = 15000 * US_PER_MS
+};
+
 /* An agent, or another entry that passes on what its agents hold. */
 struct hold_source;
 
+/* The held tasks of one job. */
+struct held_indexes;
+
 struct task_holds {
-	GHashTable *counts; /* key of a task -> number of sources that hold it, in the pointer */
+	GHashTable *jobs;   /* job id -> table of task indexes and the numbers of sources */
 	GPtrArray *sources; /* struct hold_source * */
 	uint64_t changes;   /* incremented when tasks are held or released */
 };
@@ -38,20 +48,34 @@
 struct hold_source *task_holds_add_source(struct task_holds *holds);
 void task_holds_remove_source(struct task_holds *holds, struct hold_source *source);
 
-/* Replaces the tasks that SOURCE holds, until the next call. */
-void task_holds_replace(struct task_holds *holds, struct hold_source *source,
+/* Limits what SOURCE holds as task_holds_limit, and frees it when it holds nothing any more. */
+void task_holds_abandon_source(struct task_holds *holds, struct hold_source *source,
+			       int64_t runs_until_us, int64_t starts_until_us);
+
+/* Replaces the tasks that SOURCE holds, until the next call. Returns whether they have changed. Of
+ * more tasks than a server can have, the others are ignored. */
+bool task_holds_replace(struct task_holds *holds, struct hold_source *source,
 			const struct held_tasks *tasks);
 
 /* Limits what SOURCE holds, because it is not connected any more and can't release it: its runs to
- * RUNS_UNTIL_US and its starts to STARTS_UNTIL_US. */
+ * RUNS_UNTIL_US and its starts to STARTS_UNTIL_US. A limit that is set only gets earlier. */
 void task_holds_limit(struct hold_source *source, int64_t runs_until_us, int64_t starts_until_us);
 
-/* Releases the tasks whose time limit has passed. */
-void task_holds_expire(struct task_holds *holds, int64_t now_us);
+/* Releases the tasks whose time limit has passed. Returns whether there were any. */
+bool task_holds_expire(struct task_holds *holds, int64_t now_us);
+
+/* Returns the held tasks of JOB, or NULL if there are none. Valid until the next change. */
+const struct held_indexes *task_holds_of_job(const struct task_holds *holds, const char *job);
+
+/* Returns whether the task INDEX is in INDEXES, which may be NULL. */
+bool task_holds_index(const struct held_indexes *indexes, uint32_t index);
 
 /* Returns whether the task INDEX of JOB is held. */
 bool task_holds_contains(const struct task_holds *holds, const char *job, uint32_t index);
 
+/* Returns the number of tasks that SOURCE holds. */
+size_t task_holds_count(const struct hold_source *source);
+
 /* Calls VISIT for the names of all tasks that SOURCE holds. */
 void task_holds_foreach(const struct hold_source *source,
 			void (*visit)(void *context, const char *task, bool start), void *context);
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -207,8 +207,11 @@
 	}
 	end->tasks = job->task_count;
 	end->runs = job->order_count;
-	/* An unsettled run may have started, so it is unknown whether a task has run. */
-	if (job->may_have_run || job->unsettled_runs > 0)
+	/* An unsettled run may have started, so it is unknown whether a task has run; also one of
+	 * an earlier submission, here or at another entry. */
+	if (job->may_have_run || job->unsettled_runs > 0 ||
+	    dispatch_find(dispatch, job->predecessor) ||
+	    task_holds_of_job(&dispatch->holds, job->id))
 		end->outcome = OUTCOME_UNKNOWN;
 	dispatch->callbacks.job_finished(dispatch->callbacks.context, job->id, context, end);
 	free_if_settled(dispatch, job);
@@ -355,9 +358,6 @@
 /* Ends JOB because this process is about to end. */
 static void end_draining(struct dispatch *dispatch, struct job *job, int64_t now_us)
 {
-	/* The runs of an earlier submission of the job may not be settled. */
-	if (dispatch_find(dispatch, job->predecessor))
-		job->may_have_run = true;
 	end_job(dispatch, job, STATUS_DRAINING, "the entry is shutting down", now_us);
 }
 
@@ -659,15 +659,6 @@
 	dispatch->pump_needed = true;
 }
 
-static void expire_holds(struct dispatch *dispatch, int64_t now_us)
-{
-	uint64_t changes = dispatch->holds.changes;
-
-	task_holds_expire(&dispatch->holds, now_us);
-	if (dispatch->holds.changes != changes)
-		dispatch_holds_changed(dispatch);
-}
-
 void dispatch_tick(struct dispatch *dispatch, int64_t now_us)
 {
 	uint32_t cursor = 0;
@@ -690,7 +681,8 @@
 		    now_us - server->reported_us > dispatch->limits.settle_timeout_us)
 			dispatch_server_settled(dispatch, handle, now_us);
 	}
-	expire_holds(dispatch, now_us);
+	if (task_holds_expire(&dispatch->holds, now_us))
+		dispatch_holds_changed(dispatch);
 }
 
 void dispatch_await_agents(struct dispatch *dispatch, int64_t now_us)
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -168,15 +168,12 @@
 };
 
 /* Returns the number of queued tasks of JOB that are held. */
-static uint32_t count_held_tasks(const struct dispatch *dispatch, const struct job *job)
+static uint32_t count_held_tasks(const struct job *job, const struct held_indexes *indexes)
 {
 	uint32_t held = 0;
 
-	if (dispatch->holds.sources->len == 0)
-		return 0;
-	for (uint32_t i = 0; i < job->task_count; i++)
-		held += job->tasks[i].phase == TASK_QUEUED &&
-			task_holds_contains(&dispatch->holds, job->id, i);
+	for (uint32_t i = 0; indexes && i < job->task_count; i++)
+		held += job->tasks[i].phase == TASK_QUEUED && task_holds_index(indexes, i);
 	return held;
 }
 
@@ -187,7 +184,8 @@
 	struct handle *servers;
 	/* If no server is known to be sound, only a trial can find one, even a late one. */
 	bool any_end = behind_plan || view->sum.max_speed <= 0;
-	uint32_t held = count_held_tasks(dispatch, job);
+	const struct held_indexes *indexes = task_holds_of_job(&dispatch->holds, job->id);
+	uint32_t held = count_held_tasks(job, indexes);
 	const struct placement_request request = {
 		.policy = &dispatch->policy,
 		.service = job->service,
@@ -217,8 +215,7 @@
 				  &dispatch->random_state, servers);
 	names = g_string_new(NULL);
 	for (uint32_t i = 0; i < job->task_count && next < placed; i++) {
-		if (job->tasks[i].phase != TASK_QUEUED ||
-		    (job->held && task_holds_contains(&dispatch->holds, job->id, i)))
+		if (job->tasks[i].phase != TASK_QUEUED || task_holds_index(indexes, i))
 			continue;
 		add_server_name(names, fleet_get(&dispatch->fleet, servers[next]), &oldest_us);
 		start_task(dispatch, job, i, servers[next++], urgent_us, now_us);
--- a/packages/core/src/task_holds.c
+++ b/packages/core/src/task_holds.c
@@ -2,6 +2,13 @@
 
 #include <string.h>
 
+enum {
+	/* Limit on the tasks of one kind that a source may hold. A backend server has a few hundred
+	 * runs at most. */
+	MAX_HELD_TASKS = 4096,
+	DECIMAL = 10
+};
+
 /* Tasks of one kind that a source holds. */
 struct hold_set {
 	GPtrArray *tasks; /* names, char * */
@@ -11,12 +18,18 @@
 struct hold_source {
 	struct hold_set runs;
 	struct hold_set starts;
+	bool removed; /* freed once it holds nothing any more */
 };
 
+static void free_indexes(gpointer data)
+{
+	g_hash_table_destroy(data);
+}
+
 void task_holds_init(struct task_holds *holds)
 {
 	*holds = (struct task_holds){
-		.counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+		.jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_indexes),
 		.sources = g_ptr_array_new(),
 	};
 }
@@ -33,7 +46,7 @@
 	for (guint i = 0; i < holds->sources->len; i++)
 		free_source(holds->sources->pdata[i]);
 	g_ptr_array_free(holds->sources, TRUE);
-	g_hash_table_destroy(holds->counts);
+	g_hash_table_destroy(holds->jobs);
 }
 
 struct hold_source *task_holds_add_source(struct task_holds *holds)
@@ -42,55 +55,94 @@
 
 	source->runs.tasks = g_ptr_array_new_with_free_func(g_free);
 	source->starts.tasks = g_ptr_array_new_with_free_func(g_free);
+	source->runs.until_us = source->starts.until_us = INT64_MAX;
 	g_ptr_array_add(holds->sources, source);
 	return source;
 }
 
-static char *task_key(const char *job, size_t length, const char *index)
+/* Stores the index of a task, which ends its name. Returns false if NAME is not that of a task. */
+static bool parse_index(const char *name, gpointer *index)
 {
-	return g_strdup_printf("%.*s.%s", (int)length, job, index);
+	const char *dot = strrchr(name, '.');
+	guint64 value;
+
+	if (!dot || !g_ascii_string_to_unsigned(dot + 1, DECIMAL, 0, G_MAXUINT32, &value, NULL))
+		return false;
+	*index = GUINT_TO_POINTER((guint)value);
+	return true;
 }
 
-/* Returns the key of a task from its name. */
-static char *key_of_name(const char *name)
+static char *job_of(const char *name)
 {
-	const char *dot = strrchr(name, '.');
-
-	return task_key(name, strcspn(name, "."), dot ? dot + 1 : "");
+	return g_strndup(name, strcspn(name, "."));
 }
 
-static void release(struct task_holds *holds, struct hold_set *set)
+/* Changes the number of sources that hold the task NAME. */
+static void count_source(struct task_holds *holds, const char *name, bool added)
 {
-	if (set->tasks->len == 0)
+	GHashTable *indexes;
+	gpointer index;
+	guint count;
+	char *job;
+
+	if (!parse_index(name, &index))
 		return;
-	holds->changes++;
-	for (guint i = 0; i < set->tasks->len; i++) {
-		char *key = key_of_name(set->tasks->pdata[i]);
-		guint count = GPOINTER_TO_UINT(g_hash_table_lookup(holds->counts, key));
-
-		if (count > 1)
-			g_hash_table_replace(holds->counts, g_strdup(key),
-					     GUINT_TO_POINTER(count - 1));
-		else
-			g_hash_table_remove(holds->counts, key);
-		g_free(key);
+	job = job_of(name);
+	indexes = g_hash_table_lookup(holds->jobs, job);
+	if (!indexes) {
+		indexes = g_hash_table_new(NULL, NULL);
+		g_hash_table_insert(holds->jobs, g_strdup(job), indexes);
 	}
+	count = GPOINTER_TO_UINT(g_hash_table_lookup(indexes, index));
+	count = added ? count + 1 : count - 1;
+	if (count > 0)
+		g_hash_table_insert(indexes, index, GUINT_TO_POINTER(count));
+	else
+		g_hash_table_remove(indexes, index);
+	if (g_hash_table_size(indexes) == 0)
+		g_hash_table_remove(holds->jobs, job);
+	g_free(job);
+}
+
+static void release(struct task_holds *holds, struct hold_set *set)
+{
+	holds->changes += set->tasks->len > 0;
+	for (guint i = 0; i < set->tasks->len; i++)
+		count_source(holds, set->tasks->pdata[i], false);
 	g_ptr_array_set_size(set->tasks, 0);
 }
 
-static void hold(struct task_holds *holds, struct hold_set *set, char *const *names, size_t count)
+static bool set_equals(const struct hold_set *set, char *const *names, size_t count)
+{
+	if (set->tasks->len != count)
+		return false;
+	for (size_t i = 0; i < count; i++) {
+		if (strcmp(set->tasks->pdata[i], names[i]) != 0)
+			return false;
+	}
+	return true;
+}
+
+static void replace(struct task_holds *holds, struct hold_set *set, char *const *names,
+		    size_t count)
 {
+	count = MIN(count, MAX_HELD_TASKS);
 	set->until_us = INT64_MAX;
+	if (set_equals(set, names, count))
+		return;
+	release(holds, set);
 	holds->changes += count > 0;
 	for (size_t i = 0; i < count; i++) {
-		char *key = key_of_name(names[i]);
-		guint sources = GPOINTER_TO_UINT(g_hash_table_lookup(holds->counts, key));
-
-		g_hash_table_replace(holds->counts, key, GUINT_TO_POINTER(sources + 1));
+		count_source(holds, names[i], true);
 		g_ptr_array_add(set->tasks, g_strdup(names[i]));
 	}
 }
 
+size_t task_holds_count(const struct hold_source *source)
+{
+	return source->runs.tasks->len + source->starts.tasks->len;
+}
+
 void task_holds_remove_source(struct task_holds *holds, struct hold_source *source)
 {
 	release(holds, &source->runs);
@@ -99,46 +151,63 @@
 	free_source(source);
 }
 
-void task_holds_replace(struct task_holds *holds, struct hold_source *source,
+void task_holds_abandon_source(struct task_holds *holds, struct hold_source *source,
+			       int64_t runs_until_us, int64_t starts_until_us)
+{
+	if (task_holds_count(source) == 0) {
+		task_holds_remove_source(holds, source);
+		return;
+	}
+	task_holds_limit(source, runs_until_us, starts_until_us);
+	source->removed = true;
+}
+
+bool task_holds_replace(struct task_holds *holds, struct hold_source *source,
 			const struct held_tasks *tasks)
 {
-	release(holds, &source->runs);
-	release(holds, &source->starts);
-	hold(holds, &source->runs, tasks->runs, tasks->run_count);
-	hold(holds, &source->starts, tasks->starts, tasks->start_count);
+	uint64_t changes = holds->changes;
+
+	replace(holds, &source->runs, tasks->runs, tasks->run_count);
+	replace(holds, &source->starts, tasks->starts, tasks->start_count);
+	return holds->changes != changes;
 }
 
 void task_holds_limit(struct hold_source *source, int64_t runs_until_us, int64_t starts_until_us)
 {
-	source->runs.until_us = runs_until_us;
-	source->starts.until_us = starts_until_us;
+	source->runs.until_us = MIN(source->runs.until_us, runs_until_us);
+	source->starts.until_us = MIN(source->starts.until_us, starts_until_us);
 }
 
-void task_holds_expire(struct task_holds *holds, int64_t now_us)
+bool task_holds_expire(struct task_holds *holds, int64_t now_us)
 {
-	for (guint i = 0; i < holds->sources->len; i++) {
+	uint64_t changes = holds->changes;
+
+	for (guint i = holds->sources->len; i-- > 0;) {
 		struct hold_source *source = holds->sources->pdata[i];
 
 		if (now_us > source->runs.until_us)
 			release(holds, &source->runs);
 		if (now_us > source->starts.until_us)
 			release(holds, &source->starts);
+		if (source->removed && task_holds_count(source) == 0)
+			task_holds_remove_source(holds, source);
 	}
+	return holds->changes != changes;
 }
 
-bool task_holds_contains(const struct task_holds *holds, const char *job, uint32_t index)
+const struct held_indexes *task_holds_of_job(const struct task_holds *holds, const char *job)
 {
-	char text[16];
-	bool held;
-	char *key;
+	return (const struct held_indexes *)g_hash_table_lookup(holds->jobs, job);
+}
 
-	if (g_hash_table_size(holds->counts) == 0)
-		return false;
-	g_snprintf(text, sizeof(text), "%u", index);
-	key = task_key(job, strlen(job), text);
-	held = g_hash_table_contains(holds->counts, key);
-	g_free(key);
-	return held;
+bool task_holds_index(const struct held_indexes *indexes, uint32_t index)
+{
+	return indexes && g_hash_table_contains((GHashTable *)indexes, GUINT_TO_POINTER(index));
+}
+
+bool task_holds_contains(const struct task_holds *holds, const char *job, uint32_t index)
+{
+	return task_holds_index(task_holds_of_job(holds, job), index);
 }
 
 void task_holds_foreach(const struct hold_source *source,
--- a/packages/greengaged/src/agent_owners.c
+++ b/packages/greengaged/src/agent_owners.c
@@ -220,16 +220,17 @@
 	for (guint i = 0; i < owners->list->len; i++) {
 		struct owner *owner = owners->list->pdata[i];
 		int64_t due_us = owner->report_sent_us + report_interval_us(owners);
+		bool changed = owner->status_changed ||
+			       owner->sent_holds_version != backend->runs.holds_version;
 
 		if (!owner->link)
 			continue;
 		if (owner->unsent_ends->len > 0)
 			owner_send_ends(owner, backend);
 		else if (owner->unsent_progress->len > 0 ||
-			 owner->sent_holds_version != backend->runs.holds_version ||
-			 (owner->status_changed && backend->loop->now_us >= due_us))
+			 (changed && backend->loop->now_us >= due_us))
 			owner_send_status(owner, backend);
-		else if (owner->status_changed)
+		else if (changed)
 			next_us = MIN(next_us, due_us);
 	}
 	return next_us;
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -8,9 +8,7 @@
 	PERMILLE = 1000,
 	/* Added to urgent_within_us, which may be negative, because the field in the message is
 	 * unsigned. Only the order of the values matters. */
-	URGENT_OFFSET_MS = 60000,
-	/* A start that got no answer may reach the backend server up to this much later. */
-	TRANSIT_MAX_MS = 15000
+	URGENT_OFFSET_MS = 60000
 };
 
 static const double min_speed = 0.001; /* lower bound, because speeds are used as divisors */
@@ -247,16 +245,14 @@
 static void handle_holds(struct agent_peer *agent, const Ggd__Holds *holds)
 {
 	struct dispatch *dispatch = &agent->entry->dispatch;
-	uint64_t changes = dispatch->holds.changes;
-
-	task_holds_replace(&dispatch->holds, agent->holds,
-			   &(struct held_tasks){
-				   .runs = holds->runs,
-				   .run_count = holds->n_runs,
-				   .starts = holds->starts,
-				   .start_count = holds->n_starts,
-			   });
-	if (dispatch->holds.changes == changes)
+	const struct held_tasks tasks = {
+		.runs = holds->runs,
+		.run_count = holds->n_runs,
+		.starts = holds->starts,
+		.start_count = holds->n_starts,
+	};
+
+	if (!task_holds_replace(&dispatch->holds, agent->holds, &tasks))
 		return;
 	agent->entry->agent_holds_changes++;
 	dispatch_holds_changed(dispatch);
@@ -427,7 +423,7 @@
 	agent->link = NULL;
 	task_holds_limit(agent->holds,
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
-			 entry->loop.now_us + TRANSIT_MAX_MS * US_PER_MS);
+			 entry->loop.now_us + TASK_HOLDS_START_MAX_US);
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
 	if (agent->has_server)
@@ -560,15 +556,27 @@
 	g_ptr_array_free(entry->agents, TRUE);
 }
 
-void node_agent_links_foreach_hold(const struct node_entry *entry,
-				   void (*visit)(void *context, const char *task, bool start),
-				   void *context)
+void node_agent_links_foreach_holder(const struct node_entry *entry,
+				     void (*visit)(void *context, const struct ident *incarnation,
+						   const struct hold_source *holds),
+				     void *context)
+{
+	for (guint i = 0; i < entry->agents->len; i++) {
+		const struct agent_peer *agent = entry->agents->pdata[i];
+
+		visit(context, &agent->incarnation, agent->holds);
+	}
+}
+
+bool node_agent_links_is_connected(const struct node_entry *entry, const uint8_t *incarnation)
 {
 	for (guint i = 0; i < entry->agents->len; i++) {
 		const struct agent_peer *agent = entry->agents->pdata[i];
 
-		task_holds_foreach(agent->holds, visit, context);
+		if (agent->link && memcmp(agent->incarnation.bytes, incarnation, IDENT_BYTES) == 0)
+			return true;
 	}
+	return false;
 }
 
 /* Returns the agent's server, or NULL while the agent is disconnected or its server unknown. */
--- a/packages/greengaged/src/node_agent_links.h
+++ b/packages/greengaged/src/node_agent_links.h
@@ -34,10 +34,13 @@
 /* Returns the number of connected agents whose backend server accepts starts. */
 uint32_t node_agent_links_count_ready(const struct node_entry *entry);
 
-/* Calls VISIT for the names of the tasks that the agents of ENTRY hold. START: the start of the run
- * may not have reached the server yet. */
-void node_agent_links_foreach_hold(const struct node_entry *entry,
-				   void (*visit)(void *context, const char *task, bool start),
-				   void *context);
+/* Calls VISIT for each agent that ENTRY knows, with the tasks that it holds. */
+void node_agent_links_foreach_holder(const struct node_entry *entry,
+				     void (*visit)(void *context, const struct ident *incarnation,
+						   const struct hold_source *holds),
+				     void *context);
+
+/* Returns whether the agent process of INCARNATION, which has IDENT_BYTES, is connected. */
+bool node_agent_links_is_connected(const struct node_entry *entry, const uint8_t *incarnation);
 
 #endif
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -160,32 +160,55 @@
 	g_array_free(reports, TRUE);
 }
 
-/* Names of the tasks that the agents of this entry hold. */
-struct held_names {
-	GPtrArray *runs;
-	GPtrArray *starts;
-};
+static void add_held_task(void *context, const char *task, bool start)
+{
+	Ggd__Holds *message = context;
+
+	if (start)
+		message->starts[message->n_starts++] = (char *)task;
+	else
+		message->runs[message->n_runs++] = (char *)task;
+}
+
+static void add_holds(void *context, const struct ident *incarnation,
+		      const struct hold_source *holds)
+{
+	GPtrArray *messages = context;
+	size_t count = task_holds_count(holds);
+	Ggd__Holds *message;
+
+	if (count == 0)
+		return;
+	message = g_new(Ggd__Holds, 1);
+	ggd__holds__init(message);
+	message->agent.data = (uint8_t *)incarnation->bytes;
+	message->agent.len = IDENT_BYTES;
+	message->runs = g_new(char *, count);
+	message->starts = g_new(char *, count);
+	task_holds_foreach(holds, add_held_task, message);
+	g_ptr_array_add(messages, message);
+}
 
-static void add_held_name(void *context, const char *task, bool start)
+static void free_holds(gpointer data)
 {
-	struct held_names *names = context;
+	Ggd__Holds *message = data;
 
-	g_ptr_array_add(start ? names->starts : names->runs, (char *)task);
+	g_free(message->runs);
+	g_free(message->starts);
+	g_free(message);
 }
 
-/* Sets the field holds of STATE to HOLDS. Agents serve only some of the entries, and a client may
- * send its job again to any. The arrays in NAMES must outlive STATE. */
-static void set_holds(struct outgoing_peer *peer, Ggd__PeerState *state, Ggd__Holds *holds,
-		      struct held_names *names)
+/* Sets the field holds of STATE. Agents serve only some of the entries, and a client may send its
+ * job again to any. The caller frees the array, which must outlive STATE. */
+static GPtrArray *set_holds(struct outgoing_peer *peer, Ggd__PeerState *state)
 {
-	node_agent_links_foreach_hold(peer->entry, add_held_name, names);
-	holds->runs = (char **)names->runs->pdata;
-	holds->n_runs = names->runs->len;
-	holds->starts = (char **)names->starts->pdata;
-	holds->n_starts = names->starts->len;
-	if (holds->n_runs + holds->n_starts > 0)
-		state->holds = holds;
+	GPtrArray *messages = g_ptr_array_new_with_free_func(free_holds);
+
+	node_agent_links_foreach_holder(peer->entry, add_holds, messages);
+	state->holds = (Ggd__Holds **)messages->pdata;
+	state->n_holds = messages->len;
 	peer->last_holds_change = peer->entry->agent_holds_changes;
+	return messages;
 }
 
 static void send_state(struct outgoing_peer *peer, bool config_wanted, int64_t now_us)
@@ -196,8 +219,7 @@
 	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
 	GArray *completed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	GArray *failed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	Ggd__Holds holds = GGD__HOLDS__INIT;
-	struct held_names held = {.runs = g_ptr_array_new(), .starts = g_ptr_array_new()};
+	GPtrArray *holds;
 	double core_us[PRIORITY_LEVELS];
 	uint64_t backlog[PRIORITY_LEVELS];
 	uint64_t sum = 0;
@@ -217,7 +239,7 @@
 	set_ended_jobs(peer, &state, completed, failed);
 	set_crashes(peer, &state);
 	set_suspects(peer, &state, now_us);
-	set_holds(peer, &state, &holds, &held);
+	holds = set_holds(peer, &state);
 	state.entries = node_members_unsent(&entry->members, &peer->members_sent, &state.n_entries);
 	frame.body_case = GGD__FRAME__BODY_PEER;
 	frame.peer = &state;
@@ -232,8 +254,7 @@
 	g_free(state.suspect_shares);
 	g_array_free(completed, TRUE);
 	g_array_free(failed, TRUE);
-	g_ptr_array_free(held.runs, TRUE);
-	g_ptr_array_free(held.starts, TRUE);
+	g_ptr_array_free(holds, TRUE);
 	g_hash_table_destroy(counts);
 }
 
@@ -388,21 +409,40 @@
 					  entry->loop.now_us);
 }
 
-/* Holds what the peer's agents hold, and no more what its last state has named. */
-static void apply_holds(struct incoming_peer *peer, const Ggd__Holds *holds)
+static void add_names(GPtrArray *names, char *const *tasks, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		g_ptr_array_add(names, tasks[i]);
+}
+
+/* Holds what the peer's agents hold, and no more what its last state has named. An agent that is
+ * connected here speaks for itself, and sooner. */
+static void apply_holds(struct incoming_peer *peer, const Ggd__PeerState *state)
 {
 	struct dispatch *dispatch = &peer->entry->dispatch;
-	uint64_t changes = dispatch->holds.changes;
-	struct held_tasks tasks = {0};
-
-	if (holds)
-		tasks = (struct held_tasks){.runs = holds->runs,
-					    .run_count = holds->n_runs,
-					    .starts = holds->starts,
-					    .start_count = holds->n_starts};
-	task_holds_replace(&dispatch->holds, peer->holds, &tasks);
-	if (dispatch->holds.changes != changes)
+	GPtrArray *runs = g_ptr_array_new();
+	GPtrArray *starts = g_ptr_array_new();
+	struct held_tasks tasks;
+
+	for (size_t i = 0; i < state->n_holds; i++) {
+		const Ggd__Holds *holds = state->holds[i];
+
+		if (holds->agent.len != IDENT_BYTES ||
+		    node_agent_links_is_connected(peer->entry, holds->agent.data))
+			continue;
+		add_names(runs, holds->runs, holds->n_runs);
+		add_names(starts, holds->starts, holds->n_starts);
+	}
+	tasks = (struct held_tasks){
+		.runs = (char **)runs->pdata,
+		.run_count = runs->len,
+		.starts = (char **)starts->pdata,
+		.start_count = starts->len,
+	};
+	if (task_holds_replace(&dispatch->holds, peer->holds, &tasks))
 		dispatch_holds_changed(dispatch);
+	g_ptr_array_free(runs, TRUE);
+	g_ptr_array_free(starts, TRUE);
 }
 
 static void on_incoming_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
@@ -421,7 +461,7 @@
 						   : 0;
 	record_ended_jobs(peer->entry, state);
 	record_crashes(peer->entry, state);
-	apply_holds(peer, state->holds);
+	apply_holds(peer, state);
 	g_hash_table_remove_all(peer->pending_by_queue);
 	for (size_t i = 0; i < state->n_queues && i < state->n_queued; i++)
 		g_hash_table_insert(peer->pending_by_queue, g_strdup(state->queues[i]),
@@ -440,8 +480,10 @@
 static void remove_incoming_peer(struct incoming_peer *peer)
 {
 	g_ptr_array_remove_fast(get_incoming_peers(peer->entry), peer);
-	task_holds_remove_source(&peer->entry->dispatch.holds, peer->holds);
-	dispatch_holds_changed(&peer->entry->dispatch);
+	task_holds_abandon_source(&peer->entry->dispatch.holds, peer->holds,
+				  peer->entry->loop.now_us +
+					  peer->entry->dispatch.limits.settle_timeout_us,
+				  peer->entry->loop.now_us + TASK_HOLDS_START_MAX_US);
 	g_hash_table_destroy(peer->pending_by_queue);
 	g_free(peer);
 }
@@ -556,16 +598,16 @@
 }
 
 /* Returns whether to send PEER a state before the next heartbeat: at once when a queue has become a
- * suspect or the agents hold other tasks, and at intervals while work is queued. */
+ * suspect, and at intervals while work is queued or when the agents hold other tasks. */
 static bool is_state_due(const struct outgoing_peer *peer, int64_t now_us)
 {
 	const struct node_entry *entry = peer->entry;
 
-	if (peer->last_bulkhead_change != entry->dispatch.bulkhead.changes ||
-	    peer->last_holds_change != entry->agent_holds_changes)
+	if (peer->last_bulkhead_change != entry->dispatch.bulkhead.changes)
 		return true;
 	return now_us - peer->last_state_sent_us >= state_interval_us(entry) &&
-	       (entry->dispatch.queue->len > 0 || peer->last_backlog_core_ms > 0);
+	       (entry->dispatch.queue->len > 0 || peer->last_backlog_core_ms > 0 ||
+		peer->last_holds_change != entry->agent_holds_changes);
 }
 
 void node_peers_tick(struct node_entry *entry, int64_t now_us)
--- a/test/unit/dispatch_test.c
+++ b/test/unit/dispatch_test.c
@@ -202,6 +202,31 @@
 	dispatch_free(&fixture.dispatch);
 }
 
+/* Guards against the answer that a job has not run while runs of its first submission are not
+ * settled, here or at another server. */
+static void test_waiting_job_may_have_run(void)
+{
+	struct fixture fixture;
+	struct task_holds *holds = &fixture.dispatch.holds;
+
+	set_up(&fixture);
+	submit_job(&fixture);
+	leave(&fixture, NOW_US + 1);
+	submit_job_at(&fixture, NOW_US + 2);
+	fixture.finished = false;
+	dispatch_tick(&fixture.dispatch, NOW_US + 2 + DEADLINE_US);
+	g_assert_true(fixture.finished);
+	g_assert_cmpint(fixture.outcome, ==, OUTCOME_UNKNOWN);
+	dispatch_free(&fixture.dispatch);
+	set_up(&fixture);
+	hold_run(holds, task_holds_add_source(holds), second_task);
+	dispatch_drain(&fixture.dispatch, NOW_US, NOW_US);
+	submit_job(&fixture);
+	g_assert_true(fixture.finished);
+	g_assert_cmpint(fixture.outcome, ==, OUTCOME_UNKNOWN);
+	dispatch_free(&fixture.dispatch);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -209,5 +234,6 @@
 	g_test_add_func("/dispatch/held_job_may_have_run", test_held_job_may_have_run);
 	g_test_add_func("/dispatch/third_submission_waits", test_third_submission_waits);
 	g_test_add_func("/dispatch/busy_job_may_have_run", test_busy_job_may_have_run);
+	g_test_add_func("/dispatch/waiting_job_may_have_run", test_waiting_job_may_have_run);
 	return g_test_run();
 }
--- a/test/unit/task_holds_test.c
+++ b/test/unit/task_holds_test.c
@@ -95,10 +95,70 @@
 	task_holds_replace(&holds, source, &tasks);
 	g_assert_false(task_holds_contains(&holds, "a", 0));
 	task_holds_remove_source(&holds, source);
-	g_assert_cmpuint(g_hash_table_size(holds.counts), ==, 0);
+	g_assert_cmpuint(g_hash_table_size(holds.jobs), ==, 0);
 	task_holds_free(&holds);
 }
 
+/* Guards against a hold that lasts for good because its source connects and is lost again and
+ * again. */
+static void test_limit_is_not_extended(void)
+{
+	struct task_holds holds;
+	struct hold_source *source;
+
+	task_holds_init(&holds);
+	source = task_holds_add_source(&holds);
+	hold_run(&holds, source, first_task);
+	task_holds_limit(source, NOW_US, NOW_US);
+	task_holds_limit(source, 2 * NOW_US, 2 * NOW_US);
+	g_assert_true(task_holds_expire(&holds, NOW_US + 1));
+	g_assert_false(task_holds_contains(&holds, "a", 0));
+	task_holds_free(&holds);
+}
+
+/* Guards against a hold that is lost with the entry that has passed it on. */
+static void test_abandoned_source(void)
+{
+	struct task_holds holds;
+	struct hold_source *source;
+
+	task_holds_init(&holds);
+	source = task_holds_add_source(&holds);
+	hold_run(&holds, source, first_task);
+	task_holds_abandon_source(&holds, source, NOW_US, NOW_US);
+	g_assert_false(task_holds_expire(&holds, NOW_US));
+	g_assert_true(task_holds_contains(&holds, "a", 0));
+	g_assert_true(task_holds_expire(&holds, NOW_US + 1));
+	g_assert_cmpuint(holds.sources->len, ==, 0);
+	task_holds_abandon_source(&holds, task_holds_add_source(&holds), NOW_US, NOW_US);
+	g_assert_cmpuint(holds.sources->len, ==, 0);
+	task_holds_free(&holds);
+}
+
+/* Guards against work for each repeated message, and against names without limit. */
+static void test_repeated_and_too_many(void)
+{
+	enum {
+		MANY = 100000
+	};
+	char **names = g_new(char *, MANY);
+	const struct held_tasks tasks = {.runs = names, .run_count = MANY};
+	struct task_holds holds;
+	struct hold_source *source;
+
+	for (int i = 0; i < MANY; i++)
+		names[i] = "a.0.0.1";
+	task_holds_init(&holds);
+	source = task_holds_add_source(&holds);
+	g_assert_true(task_holds_replace(&holds, source, &tasks));
+	g_assert_cmpuint(task_holds_count(source), <, MANY);
+	g_assert_false(task_holds_replace(&holds, source, &tasks));
+	task_holds_remove_source(&holds, source);
+	g_assert_cmpuint(g_hash_table_size(holds.jobs), ==, 0);
+	task_holds_free(&holds);
+	g_free(names);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -106,5 +166,8 @@
 	g_test_add_func("/holds/two_sources", test_two_sources);
 	g_test_add_func("/holds/limit", test_limit);
 	g_test_add_func("/holds/odd_names", test_odd_names);
+	g_test_add_func("/holds/limit_is_not_extended", test_limit_is_not_extended);
+	g_test_add_func("/holds/abandoned_source", test_abandoned_source);
+	g_test_add_func("/holds/repeated_and_too_many", test_repeated_and_too_many);
 	return g_test_run();
 }
