Settle unanswered starts by a higher epoch, not by the lease

A task ran twice: a start without an answer counted as settled once the last lease that the agent had sent was over, and the task was started elsewhere. In the same way, a hold without an answer could extend the lease of a run that counted as over.

The agent raises its epoch whenever a call with a lease gets no answer. The server does nothing for a call with a lower epoch than the highest it has seen. So a list that was requested with the higher epoch shows all that the earlier calls will ever have done: a start that is not in it has never run, and the lease lasts from that list on at the latest. Without such a list both last until a call can't be under way any more (15 s). After the end of a server's process, a list of the new one with a higher epoch settles starts in transit, instead of 15 s. A start that got no answer for 50 ms is held, so that all entries know of it if the agent ends; one that turns out to run is released.

A call that was overtaken by one with a higher epoch is answered with 409 and repeated; the epoch jumps by 60 s, as before, only if it is the present one that is refused.

Cost: at a server that answers nothing at all, a run whose stop is requested is settled 15.6 s after the last lease was sent, after 0.56 s before.

Tests: the simulation has the epoch of each call instead of the agent's number, and holds without an answer are told to the agent; its starts that are refused for their epoch are answered as such. runs_test: the leases of the existing tests are sent with calls that are answered, as `lease` meant; late_lease, pending_lease, late_lease_ends, start_outlives_lease, start_overtaken, stale_start, list_before_answer, unanswered_start_held and new_process_settles_starts are new.

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -5,6 +5,13 @@
  * A run is removed only when it is certainly not running: its start was refused or never sent, the
  * server listed its end, the server restarted after it had confirmed the run, every lease that was
  * sent has expired, or the server acknowledged a stop and a later list does not contain the run.
+ *
+ * A call that gets no answer may be carried out seconds later, and its lease then counts from that
+ * time. So neither the expiry in a start nor the end of the last lease proves that an unanswered
+ * call can do no more. A higher epoch does: the server does nothing for a call whose epoch is lower
+ * than the highest that it has seen. The epoch is raised when a call that carries a lease gets no
+ * answer, and a list that was requested with the higher one shows all that earlier calls will ever
+ * have done. Without such a list, they count as void only after the longest transit.
  */
 #ifndef GG_RUNS_H
 #define GG_RUNS_H
@@ -99,9 +106,12 @@
 	int64_t start_by_us; /* a run that still waits after this time is refused */
 	int64_t ordered_us;
 	int64_t phase_us; /* time at which the phase began */
-	/* If the process that the start was sent to has been replaced and the new one has not
-	 * confirmed the run: time after which the start is not in transit any more. Otherwise 0. */
+	int64_t epoch;	  /* that the start was sent with */
+	/* If the start got no answer, or the process that it was sent to has been replaced, and no
+	 * process has confirmed the run since: time after which the start is not in transit any
+	 * more. Otherwise 0. */
 	int64_t settle_by_us;
+	bool process_replaced; /* since the start was sent */
 	int64_t stop_sent_us;
 	uint32_t stop_retries;
 	int64_t behind_reported_us; /* time at which the run was last found behind */
@@ -117,6 +127,7 @@
 	START_UNHEALTHY,
 	START_INVALID,
 	START_NOT_SENT,	  /* there was no connection; the order was not sent */
+	START_STALE,	  /* the server has seen a higher epoch and has done nothing */
 	START_UNANSWERED, /* the order may have been executed or may still be executed */
 };
 
@@ -182,10 +193,18 @@
 	uint32_t waiting_cpu[PRIORITY_LEVELS]; /* cpu of waiting runs, by priority */
 	bool server_present; /* the server has announced itself and answers requests */
 	bool server_leaving;
-	int64_t lists_us;		/* when lists of the current process were last applied */
-	uint64_t last_processed_end;	/* highest sequence number of a processed end */
-	int64_t latest_lease_expiry_us; /* no run continues after this without a new lease */
-	int64_t stop_by_us;		/* the earliest of all runs, or INT64_MAX */
+	int64_t lists_us;	     /* when lists of the current process were last applied */
+	uint64_t last_processed_end; /* highest sequence number of a processed end */
+	int64_t epoch; /* sent with each call; the server does nothing for a call with a lower one
+			  than the highest that it has seen */
+	int64_t latest_lease_expiry_us; /* no run continues after this without a new lease, if all
+					   calls with leases were answered */
+	uint32_t pending_leases;	/* calls with a lease that wait for their answers */
+	int64_t unanswered_epoch; /* highest of the calls with a lease that got no answer and may
+				     still be carried out; 0: none */
+	int64_t unanswered_us;	  /* when the last of these was sent */
+	int64_t answered_epoch;	 /* highest of the lists of the server's present process; 0: none */
+	int64_t stop_by_us;	 /* the earliest of all runs, or INT64_MAX */
 	uint32_t ownerless_runs; /* runs whose owner is gone or that this agent did not order */
 	uint32_t unknown_runs;	 /* runs that this agent did not order */
 	uint64_t holds_version;	 /* incremented when the set of held runs changes; from 1 on */
@@ -263,16 +282,17 @@
 /* Stops all runs of an owner that is gone, as runs_stop_owned. Their ends are not reported. */
 void runs_owner_gone(struct runs *runs, uint32_t owner, int64_t stop_by_us, int64_t now_us);
 
-/* Apply the answers to orders. An unacknowledged stop is repeated, and an unanswered start is
- * resolved through the lists. */
+/* Apply the answers to orders. An unacknowledged stop is repeated, and so is a stale start unless
+ * it is not wanted any more. An unanswered start is resolved through the lists. */
 void runs_start_answered(struct runs *runs, struct handle run, enum start_answer answer,
 			 int64_t now_us);
 void runs_stop_answered(struct runs *runs, struct handle run, bool acknowledged, int64_t now_us);
 
-/* Applies the server's lists, which were requested at ASKED_US. Runs whose phase began later are
- * not considered missing. */
-void runs_apply_lists(struct runs *runs, const struct run_lists *list, int64_t asked_us,
-		      int64_t now_us);
+/* Applies the server's lists, which were requested at ASKED_US with EPOCH. Runs whose phase began
+ * later are not considered missing. An unanswered start that had a lower epoch and is not in them
+ * has never been carried out and never will be. */
+void runs_apply_lists(struct runs *runs, const struct run_lists *list, int64_t epoch,
+		      int64_t asked_us, int64_t now_us);
 
 /*
  * Returns whether a lease may be sent. A lease covers all runs at the server, so none is sent while
@@ -282,12 +302,17 @@
  */
 bool runs_may_lease(const struct runs *runs, int64_t now_us);
 
-/* Records that a lease was sent at NOW_US. Call it for each lease, answered or not. */
+/* Records that a call with a lease is sent at NOW_US. */
 void runs_lease_sent(struct runs *runs, int64_t now_us);
 
+/* Records the end of a call with a lease that was sent at SENT_US with EPOCH. Call it before the
+ * functions that apply the answer. ANSWERED is also true if the call was certainly not sent. */
+void runs_lease_ended(struct runs *runs, int64_t epoch, int64_t sent_us, bool answered,
+		      int64_t now_us);
+
 /* Ends a quarantine that is over, refuses waiting runs that are too late, repeats unanswered stops
  * and reports those that are overdue. Ends all runs as RUN_LOST once the last lease has certainly
- * expired. */
+ * expired and no start is in transit. */
 void runs_tick(struct runs *runs, int64_t now_us);
 
 /* Returns the free resources: none while the server is absent, leaving or quarantined, has a run
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -11,6 +11,8 @@
 	/* A run that has not ended this long after the request to stop it is held. A stop takes up
 	 * to 50 ms. */
 	HOLD_DELAY_US = 50 * US_PER_MS,
+	/* A start that has got no answer for this long is held. A list takes a few ms. */
+	START_HOLD_DELAY_US = 50 * US_PER_MS,
 	TRANSIT_MAX_US = 15000 * US_PER_MS, /* a call without an answer is executed by then */
 	BEHIND_REPORT_INTERVAL_US = 100 * US_PER_MS, /* between reports of the same slow run */
 	BEHIND_MIN_ELAPSED_US = 120 * US_PER_MS, /* the speed of younger runs is not meaningful */
@@ -217,11 +219,16 @@
 	return RUN_CRASHED;
 }
 
-static void confirm(struct run *run, int64_t now_us)
+/* A held run stays held only if it should end. */
+static void confirm(struct runs *runs, struct run *run, int64_t now_us)
 {
-	if (!run->confirmed)
-		run->confirmed_us = now_us;
+	if (run->confirmed)
+		return;
+	run->confirmed_us = now_us;
 	run->confirmed = true;
+	if (run->held)
+		runs->holds_version++;
+	run->held = run->held && run->stop_requested;
 	run->settle_by_us = 0;
 }
 
@@ -246,13 +253,23 @@
 	runs->callbacks.order_stop(runs->callbacks.context, run->task, run->attempt, handle);
 }
 
+/* Makes the epoch of later calls higher than EPOCH. */
+static void raise_epoch(struct runs *runs, int64_t epoch)
+{
+	runs->epoch = MAX(runs->epoch, epoch + 1);
+}
+
 /* Makes the new process of the server answer for RUN. What the old one said of it is void. */
 static void settle_with_new_process(struct runs *runs, struct run *run, struct handle handle,
 				    int64_t now_us)
 {
 	if (run->settle_by_us == 0)
 		run->settle_by_us = now_us + TRANSIT_MAX_US;
+	raise_epoch(runs, run->epoch);
+	run->process_replaced = true;
 	run->confirmed = false;
+	if (run->held)
+		runs->holds_version++;
 	if (run->phase == RUN_PHASE_UNCONFIRMED || run->phase == RUN_PHASE_ACTIVE)
 		runs_set_phase(run, RUN_PHASE_UNCONFIRMED, now_us);
 	else if (run->phase != RUN_PHASE_ORDERED)
@@ -269,6 +286,7 @@
 
 	runs->server_present = false;
 	runs->last_processed_end = 0;
+	runs->answered_epoch = 0;
 	runs_ended_clear(runs);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
 		if (runs_start_in_transit(run) ||
@@ -334,14 +352,20 @@
 	run->phase_us = now_us;
 }
 
-void runs_send_start(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
+static void order_start(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
 {
-	reserve_resources(runs, &run->need);
 	runs_set_phase(run, RUN_PHASE_ORDERED, now_us);
+	run->epoch = runs->epoch;
 	run->ordered_us = now_us;
 	runs->callbacks.order_start(runs->callbacks.context, handle);
 }
 
+void runs_send_start(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
+{
+	reserve_resources(runs, &run->need);
+	order_start(runs, run, handle, now_us);
+}
+
 void runs_start(struct runs *runs, const struct run_request *request, int64_t now_us)
 {
 	/* A server on trial takes one run at a time, of all owners together. */
@@ -454,13 +478,20 @@
 		[START_UNHEALTHY] = RUN_UNHEALTHY,
 		[START_INVALID] = RUN_INVALID,
 		[START_NOT_SENT] = RUN_UNANSWERED,
+		[START_STALE] = RUN_UNANSWERED,
 	};
 	struct run *run = table_get(&runs->table, handle);
 
 	if (!run)
 		return; /* the run has ended already, for example because a list showed its end */
+	if (answer == START_STALE && !run->stop_requested && runs_may_lease(runs, now_us)) {
+		order_start(runs, run, handle, now_us);
+		return;
+	}
 	g_clear_pointer(&run->spec, g_bytes_unref);
 	if (answer == START_UNANSWERED) {
+		if (runs_start_in_transit(run) && run->settle_by_us == 0)
+			run->settle_by_us = now_us + TRANSIT_MAX_US;
 		if (run->phase != RUN_PHASE_ORDERED)
 			return;
 		runs_set_phase(run, RUN_PHASE_UNCONFIRMED, now_us);
@@ -471,7 +502,7 @@
 		runs_end(runs, handle, refusals[answer], now_us);
 	} else if (run->phase == RUN_PHASE_ORDERED || run->phase == RUN_PHASE_UNCONFIRMED) {
 		runs_set_phase(run, RUN_PHASE_ACTIVE, now_us);
-		confirm(run, now_us);
+		confirm(runs, run, now_us);
 	}
 }
 
@@ -517,6 +548,20 @@
 	}
 }
 
+/* Returns when a lease ends at the latest that is carried out by AT_US. */
+static int64_t lease_expiry_us(const struct runs *runs, int64_t at_us)
+{
+	int64_t slack = runs->limits.lease_us * runs->limits.clock_drift_permille / PERMILLE;
+
+	return at_us + runs->limits.lease_us + slack + LEASE_MARGIN_US;
+}
+
+static void extend_lease(struct runs *runs, int64_t now_us)
+{
+	runs->latest_lease_expiry_us =
+		MAX(runs->latest_lease_expiry_us, lease_expiry_us(runs, now_us));
+}
+
 /* Stops a run that this agent did not order, for example one from before the agent restarted. */
 static void stop_unknown_run(struct runs *runs, const struct run_list_row *row, int64_t now_us)
 {
@@ -539,7 +584,7 @@
 	/* It is unknown how long its owner has been gone. */
 	set_stop_by(runs, run, now_us);
 	/* The agent that ordered it may have sent a lease just before its end. */
-	runs_lease_sent(runs, now_us);
+	extend_lease(runs, now_us);
 	run->stop_requested = true;
 	run->stop_requested_us = now_us;
 	runs->unknown_runs++;
@@ -587,7 +632,7 @@
 		}
 		g_hash_table_add(listed, run);
 		run->percent = row->percent;
-		confirm(run, now_us);
+		confirm(runs, run, now_us);
 		if (run->phase == RUN_PHASE_UNCONFIRMED) {
 			runs_set_phase(run, RUN_PHASE_ACTIVE, now_us);
 			if (run->stop_requested)
@@ -601,21 +646,35 @@
 /* Returns the outcome of a run that was stopped and whose end the server has not listed. */
 static enum run_outcome outcome_of_stop(const struct run *run)
 {
-	if (run->settle_by_us > 0 || run->missed)
+	if (run->process_replaced || run->missed)
 		return RUN_LOST; /* it may have run, here or in a process that has ended */
 	return run->stop_requested ? RUN_STOPPED : RUN_UNANSWERED;
 }
 
-/* Handles runs that are missing from a list requested at ASKED_US. */
-static void apply_missing(struct runs *runs, GHashTable *listed, int64_t asked_us, int64_t now_us)
+/* Returns whether the start of RUN, which is missing from a list requested with EPOCH, has got no
+ * answer and can't be carried out any more. */
+static bool start_is_void(const struct run *run, int64_t epoch)
+{
+	return runs_start_in_transit(run) && run->phase != RUN_PHASE_ORDERED && run->epoch < epoch;
+}
+
+/* Handles runs that are missing from a list requested at ASKED_US with EPOCH. */
+static void apply_missing(struct runs *runs, GHashTable *listed, int64_t epoch, int64_t asked_us,
+			  int64_t now_us)
 {
 	uint32_t cursor = 0;
 	struct handle handle;
 	struct run *run;
 
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
-		if (run->phase == RUN_PHASE_WAITING || run->phase_us > asked_us ||
-		    g_hash_table_contains(listed, run))
+		if (run->phase == RUN_PHASE_WAITING || g_hash_table_contains(listed, run))
+			continue;
+		if (start_is_void(run, epoch)) {
+			runs_end(runs, handle, run->process_replaced ? RUN_LOST : RUN_UNANSWERED,
+				 now_us);
+			continue;
+		}
+		if (run->phase_us > asked_us)
 			continue;
 		if (run->phase == RUN_PHASE_STOP_ACKED) {
 			runs_end(runs, handle, outcome_of_stop(run), now_us);
@@ -627,15 +686,32 @@
 	}
 }
 
-void runs_apply_lists(struct runs *runs, const struct run_lists *list, int64_t asked_us,
-		      int64_t now_us)
+/* A call with a lease that got no answer may have been carried out just before NOW_US, and can't be
+ * later. */
+static void bound_unanswered_leases(struct runs *runs, int64_t now_us)
+{
+	extend_lease(runs, now_us);
+	runs->unanswered_epoch = 0;
+}
+
+/* Records that the server has answered a call with EPOCH. */
+static void epoch_answered(struct runs *runs, int64_t epoch, int64_t now_us)
+{
+	runs->answered_epoch = MAX(runs->answered_epoch, epoch);
+	if (runs->unanswered_epoch > 0 && runs->unanswered_epoch < runs->answered_epoch)
+		bound_unanswered_leases(runs, now_us);
+}
+
+void runs_apply_lists(struct runs *runs, const struct run_lists *list, int64_t epoch,
+		      int64_t asked_us, int64_t now_us)
 {
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 
 	runs->lists_us = now_us;
+	epoch_answered(runs, epoch, now_us);
 	apply_finished(runs, list, now_us);
 	apply_running(runs, list, listed, now_us);
-	apply_missing(runs, listed, asked_us, now_us);
+	apply_missing(runs, listed, epoch, asked_us, now_us);
 	g_hash_table_destroy(listed);
 }
 
@@ -646,9 +722,40 @@
 
 void runs_lease_sent(struct runs *runs, int64_t now_us)
 {
-	int64_t slack = runs->limits.lease_us * runs->limits.clock_drift_permille / PERMILLE;
+	runs->pending_leases++;
+	extend_lease(runs, now_us);
+}
 
-	runs->latest_lease_expiry_us = now_us + runs->limits.lease_us + slack + LEASE_MARGIN_US;
+void runs_lease_ended(struct runs *runs, int64_t epoch, int64_t sent_us, bool answered,
+		      int64_t now_us)
+{
+	runs->pending_leases--;
+	if (answered)
+		return;
+	raise_epoch(runs, epoch);
+	runs->unanswered_epoch = MAX(runs->unanswered_epoch, epoch);
+	runs->unanswered_us = MAX(runs->unanswered_us, sent_us);
+	if (runs->unanswered_epoch < runs->answered_epoch)
+		bound_unanswered_leases(runs, now_us);
+}
+
+/* Returns when all runs at the server have certainly ended without a new lease. */
+static int64_t leases_end_us(const struct runs *runs)
+{
+	if (runs->pending_leases > 0)
+		return INT64_MAX;
+	if (runs->unanswered_epoch == 0)
+		return runs->latest_lease_expiry_us;
+	return MAX(runs->latest_lease_expiry_us,
+		   lease_expiry_us(runs, runs->unanswered_us + TRANSIT_MAX_US));
+}
+
+static void check_start(struct runs *runs, struct run *run, int64_t now_us)
+{
+	int64_t waited_us = now_us - run->ordered_us;
+
+	if (run->settle_by_us > 0 && waited_us >= START_HOLD_DELAY_US)
+		hold_run(runs, run, waited_us);
 }
 
 static void check_stop(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
@@ -677,10 +784,12 @@
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
 		if (run->phase == RUN_PHASE_WAITING)
 			continue;
-		if (now_us > MAX(runs->latest_lease_expiry_us, run->settle_by_us))
+		if (now_us > MAX(leases_end_us(runs), run->settle_by_us)) {
 			runs_end(runs, handle, RUN_LOST, now_us);
-		else
-			check_stop(runs, run, handle, now_us);
+			continue;
+		}
+		check_start(runs, run, now_us);
+		check_stop(runs, run, handle, now_us);
 	}
 }
 
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -199,9 +199,10 @@
 		return true;
 	if (!accept_answer(backend, &answer))
 		return false;
-	if (parsed->stale_epoch && epoch == backend->epoch) {
-		backend->epoch += EPOCH_STEP + (backend->epoch - epoch);
-		event_log(EVENT_EPOCH_RAISED, EV_I("epoch", backend->epoch));
+	/* A call whose epoch has been raised since may only have been overtaken. */
+	if (parsed->stale_epoch && epoch == backend->runs.epoch) {
+		backend->runs.epoch += EPOCH_STEP;
+		event_log(EVENT_EPOCH_RAISED, EV_I("epoch", backend->runs.epoch));
 	}
 	settle_heartbeats(backend, asked_us);
 	return true;
@@ -217,8 +218,6 @@
 	int64_t epoch;
 };
 
-static void order_start(void *context, struct handle run_handle);
-
 static struct pending_order *pending_order_new(struct backend *backend, struct handle run)
 {
 	struct pending_order *order = g_new(struct pending_order, 1);
@@ -228,7 +227,7 @@
 		.run = run,
 		.replacements = backend->replacements,
 		.sent_us = backend->loop->now_us,
-		.epoch = backend->epoch,
+		.epoch = backend->runs.epoch,
 	};
 	g_strlcpy(order->id, backend->presence.identity.id, sizeof(order->id));
 	return order;
@@ -264,6 +263,12 @@
 	g_free(extra);
 }
 
+/* Returns whether a call may be carried out although the server has not said so. */
+static bool is_unanswered(const struct http_response *reply, const struct server_reply *parsed)
+{
+	return !parsed->answered && reply->connection_assigned && !reply->connection_refused;
+}
+
 static void on_start_answered(void *context, const struct http_response *reply)
 {
 	struct pending_order *order = context;
@@ -277,17 +282,10 @@
 		parsed.start_answer = START_NOT_SENT;
 	if (!apply_order_answer(backend, order, reply, &parsed) && parsed.answered)
 		parsed = (struct server_reply){.start_answer = START_UNANSWERED};
-	/* A start with a stale epoch has done nothing. */
-	if (parsed.stale_epoch)
-		parsed.start_answer = START_NOT_SENT;
-	if (parsed.stale_epoch && table_get(&backend->runs.table, order->run) &&
-	    runs_may_lease(&backend->runs, backend->loop->now_us)) {
-		order_start(backend, order->run);
-	} else {
-		runs_start_answered(&backend->runs, order->run, parsed.start_answer,
-				    backend->loop->now_us);
-		notify_state_changed(backend);
-	}
+	runs_lease_ended(&backend->runs, order->epoch, order->sent_us,
+			 parsed.start_answer != START_UNANSWERED, backend->loop->now_us);
+	runs_start_answered(&backend->runs, order->run, parsed.start_answer, backend->loop->now_us);
+	notify_state_changed(backend);
 	g_free(order);
 }
 
@@ -300,7 +298,7 @@
 		.attempt = run->attempt,
 		.expires_clock_ms = presence_clock_ms(&backend->presence, backend->loop->now_us) +
 				    start_validity_ms(backend),
-		.epoch = backend->epoch,
+		.epoch = run->epoch,
 	};
 	char *body;
 
@@ -331,7 +329,7 @@
 static void order_stop(void *context, const char *task, uint32_t attempt, struct handle run_handle)
 {
 	struct backend *backend = context;
-	char *body = server_stop_body(task, attempt, backend->epoch);
+	char *body = server_stop_body(task, attempt, backend->runs.epoch);
 
 	send_call(backend->order_client, SERVER_STOP_PATH, body, order_timeout_ms(backend),
 		  on_stop_answered, pending_order_new(backend, run_handle),
@@ -345,6 +343,7 @@
 	int64_t sent_us;
 	int64_t epoch;
 	bool long_poll;
+	bool contains_lease;
 };
 
 static void send_hold(struct backend *backend, bool long_poll);
@@ -424,12 +423,16 @@
 	valid = server_run_lists_parse(reply, &parsed, &lists, &err) == STATUS_OK;
 	if (!apply_common_fields(backend, reply, &parsed, hold->sent_us, hold->epoch))
 		valid = false;
+	if (hold->contains_lease)
+		runs_lease_ended(&backend->runs, hold->epoch, hold->sent_us,
+				 !is_unanswered(reply, &parsed), backend->loop->now_us);
 	backend->hold_failed = !valid;
 	if (valid) {
 		backend->lists_received_us = backend->loop->now_us;
 		backend->refused = false;
 		set_reachable(backend, true, NULL);
-		runs_apply_lists(&backend->runs, &lists.runs, hold->sent_us, backend->loop->now_us);
+		runs_apply_lists(&backend->runs, &lists.runs, hold->epoch, hold->sent_us,
+				 backend->loop->now_us);
 		backend->lists_applied = true;
 		notify_state_changed(backend);
 	} else if (!parsed.answered) {
@@ -474,7 +477,7 @@
 	*hold = (struct pending_hold){
 		.backend = backend,
 		.sent_us = backend->loop->now_us,
-		.epoch = backend->epoch,
+		.epoch = backend->runs.epoch,
 		.long_poll = long_poll,
 	};
 	/* A call that is refused delivers no lease. */
@@ -484,12 +487,13 @@
 			     backend->lease_ms;
 		runs_lease_sent(&backend->runs, backend->loop->now_us);
 		backend->lease_sent_us = backend->loop->now_us;
+		hold->contains_lease = true;
 	}
 	if (long_poll)
 		backend->long_polls++;
 	else
 		backend->immediate_poll_active = true;
-	body = server_hold_body(expires_ms, backend->epoch, acknowledged_end, wait_ms);
+	body = server_hold_body(expires_ms, backend->runs.epoch, acknowledged_end, wait_ms);
 	send_call(backend->hold_client, SERVER_HOLD_PATH, body,
 		  long_poll ? wait_ms + margin_ms : immediate_poll_timeout_ms(backend),
 		  on_hold_answered, hold, NULL);
@@ -745,7 +749,7 @@
 	/* The epoch must increase from one incarnation of the agent to the next. The wall clock
 	 * does so unless it is set back. In that case the server rejects the epoch, and
 	 * apply_common_fields raises it. */
-	backend->epoch = timer_wall_ms();
+	backend->runs.epoch = timer_wall_ms();
 	backend->order_client = http_client_new(backend->loop, &client);
 	client.max_connections = HOLD_CONNECTIONS;
 	backend->hold_client = http_client_new(backend->loop, &client);
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -39,8 +39,6 @@
 	bool refused;	    /* connections were refused since the last valid lists */
 	bool reachable;	    /* the server answers holds */
 	bool lists_applied; /* run lists of the current incarnation were applied */
-	int64_t epoch; /* sent with each call; the server rejects calls with an epoch lower than the
-			  highest it has seen */
 	int64_t lease_ms;
 	int64_t lease_sent_us;	   /* time of the last hold that renewed the lease */
 	int64_t lists_received_us; /* time when valid run lists were last received */
--- a/packages/platform/src/server_api.c
+++ b/packages/platform/src/server_api.c
@@ -235,7 +235,7 @@
 	if (reason && strcmp(reason, "late") == 0)
 		return START_LATE;
 	parsed->stale_epoch = reason && strcmp(reason, "fence") == 0;
-	return START_INVALID;
+	return parsed->stale_epoch ? START_STALE : START_INVALID;
 }
 
 static void parse_reply_document(const struct http_response *reply, const json_t *document,
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -10,7 +10,9 @@
 	RETRY_US = 30000,
 	STOP_WAIT_US = 300000,
 	OWNER = 1,
-	OTHER_OWNER = 2
+	OTHER_OWNER = 2,
+	FIRST_EPOCH = 100,
+	TRANSIT_MAX_US = 15000000
 };
 
 struct fixture {
@@ -22,6 +24,7 @@
 	uint32_t overdue;
 	uint32_t held;
 	struct handle last; /* run of the last order */
+	int64_t list_epoch; /* with which the lists are requested */
 	GArray *outcomes;   /* enum run_outcome, in order */
 };
 
@@ -70,6 +73,22 @@
 	((struct fixture *)context)->behind++;
 }
 
+/* Sends a lease with a call that is answered. */
+static void send_lease(struct fixture *fixture, int64_t now_us)
+{
+	runs_lease_sent(&fixture->runs, now_us);
+	runs_lease_ended(&fixture->runs, fixture->runs.epoch, now_us, true, now_us);
+}
+
+/* Sends a lease with a call that gets no answer. */
+static void lose_lease(struct fixture *fixture, int64_t now_us)
+{
+	int64_t epoch = fixture->runs.epoch;
+
+	runs_lease_sent(&fixture->runs, now_us);
+	runs_lease_ended(&fixture->runs, epoch, now_us, false, now_us + RETRY_US);
+}
+
 static void set_up(struct fixture *fixture)
 {
 	const struct runs_limits limits = {
@@ -96,7 +115,8 @@
 					   .run_held = on_held,
 					   .run_behind = on_behind});
 	runs_server_present(&fixture->runs, &total, false);
-	runs_lease_sent(&fixture->runs, 0);
+	fixture->runs.epoch = FIRST_EPOCH;
+	send_lease(fixture, 0);
 }
 
 static void tear_down(struct fixture *fixture)
@@ -146,7 +166,7 @@
 		.finished_count = finished != NULL,
 	};
 
-	runs_apply_lists(&fixture->runs, &lists, asked_us, asked_us + 1000);
+	runs_apply_lists(&fixture->runs, &lists, fixture->list_epoch, asked_us, asked_us + 1000);
 }
 
 /* Guards against a completed run that is not reported or keeps its resources. */
@@ -205,6 +225,105 @@
 	tear_down(&fixture);
 }
 
+/* Guards against a start without an answer that counts as settled with the last lease: it may be
+ * carried out later, with a lease that counts from then. */
+static void test_start_outlives_lease(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 30000);
+	runs_tick(&fixture.runs, 2 * LEASE_US);
+	check_outcomes(&fixture, 0, 0);
+	runs_tick(&fixture.runs, 30000 + TRANSIT_MAX_US);
+	check_outcomes(&fixture, 0, 0);
+	runs_tick(&fixture.runs, 30001 + TRANSIT_MAX_US);
+	check_outcomes(&fixture, 1, RUN_LOST);
+	tear_down(&fixture);
+}
+
+/* Guards against a delay until a stop is acknowledged, or longer, when the server has answered a
+ * call with a higher epoch: a start with a lower one can't be carried out any more. */
+static void test_start_overtaken(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	runs_lease_sent(&fixture.runs, 0);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_lease_ended(&fixture.runs, FIRST_EPOCH, 0, false, 30000);
+	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 30000);
+	g_assert_cmpint(fixture.runs.epoch, ==, FIRST_EPOCH + 1);
+	fixture.list_epoch = FIRST_EPOCH;
+	deliver_lists(&fixture, NULL, NULL, 0, 29000);
+	check_outcomes(&fixture, 0, 0);
+	fixture.list_epoch = FIRST_EPOCH + 1;
+	deliver_lists(&fixture, NULL, NULL, 0, 31000);
+	g_assert_cmpuint(fixture.stops, ==, 0);
+	check_outcomes(&fixture, 1, RUN_UNANSWERED);
+	tear_down(&fixture);
+}
+
+/* Guards against a start that is settled by a list with a higher epoch while its answer, which may
+ * confirm the run, is awaited. */
+static void test_list_before_answer(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	lose_lease(&fixture, 100);
+	fixture.list_epoch = FIRST_EPOCH + 1;
+	deliver_lists(&fixture, NULL, NULL, 0, 500);
+	check_outcomes(&fixture, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 2000);
+	deliver_lists(&fixture, NULL, "a.0.0.0", RUN_DONE, 3000);
+	check_outcomes(&fixture, 1, RUN_DONE);
+	tear_down(&fixture);
+}
+
+/* Guards against a start that is given up because a call with a higher epoch has overtaken it, and
+ * against repeating one that is not wanted any more. */
+static void test_stale_start(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	lose_lease(&fixture, 100);
+	runs_start_answered(&fixture.runs, fixture.last, START_STALE, 1000);
+	g_assert_cmpuint(fixture.starts, ==, 2);
+	check_outcomes(&fixture, 0, 0);
+	runs_stop(&fixture.runs, OWNER, g_str_hash("a.0.0.0"), 1500);
+	runs_start_answered(&fixture.runs, fixture.last, START_STALE, 2000);
+	g_assert_cmpuint(fixture.starts, ==, 2);
+	check_outcomes(&fixture, 1, RUN_UNANSWERED);
+	tear_down(&fixture);
+}
+
+/* Guards against a task that is started elsewhere while its start may still be carried out, and
+ * against a task that stays held when the run turns out to be in order. */
+static void test_unanswered_start_held(void)
+{
+	struct fixture fixture;
+	uint64_t version;
+
+	set_up(&fixture);
+	version = fixture.runs.holds_version;
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_tick(&fixture.runs, 60000);
+	g_assert_cmpuint(fixture.held, ==, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 61000);
+	runs_tick(&fixture.runs, 110000);
+	g_assert_cmpuint(fixture.held, ==, 1);
+	g_assert_true(runs_start_in_transit(table_get(&fixture.runs.table, fixture.last)));
+	deliver_lists(&fixture, "a.0.0.0", NULL, 0, 120000);
+	g_assert_cmpuint(fixture.runs.holds_version, ==, version + 2);
+	g_assert_false(((struct run *)table_get(&fixture.runs.table, fixture.last))->held);
+	tear_down(&fixture);
+}
+
 /* Guards against ordering a task again because a single list is without its confirmed run: the run
  * is stopped first, and while later lists show it, it is not over. */
 static void test_missing_from_one_list(void)
@@ -491,7 +610,7 @@
 	set_up(&fixture);
 	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
 	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
-	runs_lease_sent(&fixture.runs, 1000);
+	send_lease(&fixture, 1000);
 	runs_tick(&fixture.runs, 1000 + LEASE_US + LEASE_US / 50);
 	check_outcomes(&fixture, 0, 0);
 	runs_tick(&fixture.runs, 1000 + LEASE_US + LEASE_US / 50 + 60000);
@@ -499,6 +618,69 @@
 	tear_down(&fixture);
 }
 
+/* Guards against a run that counts as over with the lease while a call that got no answer may still
+ * extend that: the call may be carried out late, unless it was overtaken by one with a higher
+ * epoch.
+ */
+static void test_late_lease(void)
+{
+	int64_t expiry_us = LEASE_US + LEASE_US / 50 + 50000;
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	lose_lease(&fixture, 1000);
+	g_assert_cmpint(fixture.runs.epoch, ==, FIRST_EPOCH + 1);
+	runs_tick(&fixture.runs, 2000 + expiry_us);
+	runs_tick(&fixture.runs, 1000 + TRANSIT_MAX_US + expiry_us);
+	check_outcomes(&fixture, 0, 0);
+	/* A list with the same epoch does not forbid it. */
+	fixture.list_epoch = FIRST_EPOCH;
+	deliver_lists(&fixture, "a.0.0.0", NULL, 0, 2000000);
+	runs_tick(&fixture.runs, 3000000 + expiry_us);
+	check_outcomes(&fixture, 0, 0);
+	fixture.list_epoch = FIRST_EPOCH + 1;
+	deliver_lists(&fixture, "a.0.0.0", NULL, 0, 4000000);
+	runs_tick(&fixture.runs, 4001000 + expiry_us);
+	check_outcomes(&fixture, 0, 0);
+	runs_tick(&fixture.runs, 4001001 + expiry_us);
+	check_outcomes(&fixture, 1, RUN_LOST);
+	tear_down(&fixture);
+}
+
+/* Guards against the same while the call waits for its answer. */
+static void test_pending_lease(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	runs_lease_sent(&fixture.runs, 1000);
+	runs_tick(&fixture.runs, 3 * LEASE_US);
+	check_outcomes(&fixture, 0, 0);
+	runs_lease_ended(&fixture.runs, FIRST_EPOCH, 1000, true, 3 * LEASE_US);
+	runs_tick(&fixture.runs, 3 * LEASE_US + 1);
+	check_outcomes(&fixture, 1, RUN_LOST);
+	tear_down(&fixture);
+}
+
+/* Guards against a run that is kept for good at a server that answers nothing. */
+static void test_late_lease_ends(void)
+{
+	int64_t expiry_us = LEASE_US + LEASE_US / 50 + 50000;
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	lose_lease(&fixture, 1000);
+	runs_tick(&fixture.runs, 1000 + TRANSIT_MAX_US + expiry_us + 1);
+	check_outcomes(&fixture, 1, RUN_LOST);
+	tear_down(&fixture);
+}
+
 /* Returns the handle of the run of TASK. */
 static struct handle find(const struct fixture *fixture, const char *task)
 {
@@ -577,6 +759,26 @@
 	tear_down(&fixture);
 }
 
+/* Guards against 15 s in which a task is not ordered elsewhere after its server's process has
+ * ended: a list of the new process with a higher epoch settles the starts in transit. */
+static void test_new_process_settles_starts(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 100);
+	runs_server_replaced(&fixture.runs, 1000);
+	g_assert_cmpint(fixture.runs.epoch, ==, FIRST_EPOCH + 1);
+	fixture.list_epoch = FIRST_EPOCH;
+	deliver_lists(&fixture, NULL, NULL, 0, 900);
+	check_outcomes(&fixture, 0, 0);
+	fixture.list_epoch = FIRST_EPOCH + 1;
+	deliver_lists(&fixture, NULL, NULL, 0, 1100);
+	check_outcomes(&fixture, 1, RUN_LOST);
+	tear_down(&fixture);
+}
+
 /* Guards against trusting the acknowledgement of a stop by a process that has ended: the new one
  * knows nothing of it and executes the delayed start. */
 static void test_stop_acknowledged_by_old_process(void)
@@ -683,7 +885,7 @@
 	start(&fixture, "a.0.0.0", 9500, OWNER, 0, 0);
 	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
 	start(&fixture, "b.0.0.0", 1500, OWNER, 200, 2000);
-	runs_lease_sent(&fixture.runs, 50000);
+	send_lease(&fixture, 50000);
 	runs_tick(&fixture.runs, 60000);
 	check_outcomes(&fixture, 1, RUN_LATE);
 	tear_down(&fixture);
@@ -850,6 +1052,15 @@
 	g_test_add_func("/runs/done", test_done);
 	g_test_add_func("/runs/answer_lost", test_answer_lost);
 	g_test_add_func("/runs/order_lost", test_order_lost);
+	g_test_add_func("/runs/start_outlives_lease", test_start_outlives_lease);
+	g_test_add_func("/runs/start_overtaken", test_start_overtaken);
+	g_test_add_func("/runs/list_before_answer", test_list_before_answer);
+	g_test_add_func("/runs/stale_start", test_stale_start);
+	g_test_add_func("/runs/unanswered_start_held", test_unanswered_start_held);
+	g_test_add_func("/runs/new_process_settles_starts", test_new_process_settles_starts);
+	g_test_add_func("/runs/late_lease", test_late_lease);
+	g_test_add_func("/runs/pending_lease", test_pending_lease);
+	g_test_add_func("/runs/late_lease_ends", test_late_lease_ends);
 	g_test_add_func("/runs/missing_from_one_list", test_missing_from_one_list);
 	g_test_add_func("/runs/stop_lost", test_stop_lost);
 	g_test_add_func("/runs/stop_overdue", test_stop_overdue);
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -39,6 +39,8 @@
 	/* A deadly task crashes its server this long after its start, for so long. */
 	SIMULATION_DEADLY_DELAY_US = 10000,
 	SIMULATION_CRASH_US = 3000000,
+	/* Between the first epochs of two processes of an agent. */
+	SIMULATION_EPOCH_STEP = 1000000,
 };
 
 /* A run of a task at a backend server. */
@@ -74,7 +76,7 @@
 	int64_t cut_until_us;	  /* no call arrives */
 	int64_t answers_until_us; /* no answer arrives */
 	bool slow_clock;
-	uint32_t epoch; /* highest of a call; calls of earlier agents do nothing */
+	int64_t epoch; /* highest of a call; calls with a lower one do nothing */
 	bool always_fails;
 };
 
@@ -486,8 +488,10 @@
 	struct handle run;
 	char *task;
 	uint32_t attempt;
+	int64_t epoch; /* of the agent when it was sent */
 	int64_t expires_us;
 	int64_t sent_us;
+	int64_t agent_sent_us; /* on the agent's clock */
 	enum start_answer answer;
 	bool acknowledged;
 };
@@ -502,6 +506,8 @@
 	request->agent_incarnation = agent->incarnation;
 	request->server_incarnation = agent->sim->servers[agent->index].incarnation;
 	request->sent_us = agent->sim->now_us;
+	request->agent_sent_us = simulation_agent_now(agent);
+	request->epoch = agent->backend.runs.epoch;
 	request->run = run;
 	request->task = g_strdup(task);
 	request->attempt = attempt;
@@ -542,8 +548,8 @@
 	return sent_us < sim->agents[index].process.dropped_us;
 }
 
-/* Returns whether the call of an agent has the highest epoch that the server has seen. */
-static inline bool simulation_accept_epoch(struct simulation *sim, uint32_t index, uint32_t epoch)
+/* Returns whether a call has the highest epoch that the server has seen. */
+static inline bool simulation_accept_epoch(struct simulation *sim, uint32_t index, int64_t epoch)
 {
 	struct simulation_server *server = &sim->servers[index];
 
@@ -562,9 +568,12 @@
 		return;
 	if (simulation_answer_dropped(sim, request->index, request->sent_us))
 		request->answer = START_UNANSWERED;
-	if (simulation_is_agent_current(sim, request))
+	if (simulation_is_agent_current(sim, request)) {
+		runs_lease_ended(&agent->backend.runs, request->epoch, request->agent_sent_us,
+				 request->answer != START_UNANSWERED, simulation_agent_now(agent));
 		runs_start_answered(&agent->backend.runs, request->run, request->answer,
 				    simulation_agent_now(agent));
+	}
 	simulation_free_server_request(request);
 }
 
@@ -596,12 +605,13 @@
 
 	if (simulation_server_waits(sim, request->index, simulation_on_start_request, request))
 		return;
-	if (simulation_is_server_current(sim, request) &&
-	    simulation_accept_epoch(sim, request->index, request->agent_incarnation))
+	if (!simulation_is_server_current(sim, request))
+		request->answer = START_UNANSWERED;
+	else if (!simulation_accept_epoch(sim, request->index, request->epoch))
+		request->answer = START_STALE;
+	else
 		request->answer = simulation_server_start_run(
 			sim, request->index, request->task, request->attempt, request->expires_us);
-	else
-		request->answer = START_UNANSWERED;
 	if (simulation_answer_lost(sim, request))
 		request->answer = START_UNANSWERED;
 	simulation_schedule(sim,
@@ -623,7 +633,7 @@
 		request->expires_us =
 			simulation_lease_end_us(sim, request->index, SIMULATION_START_LEASE_US);
 	if (simulation_is_server_current(sim, request) &&
-	    simulation_accept_epoch(sim, request->index, request->agent_incarnation))
+	    simulation_accept_epoch(sim, request->index, request->epoch))
 		simulation_server_start_run(sim, request->index, request->task, request->attempt,
 					    request->expires_us);
 	simulation_free_server_request(request);
@@ -686,7 +696,7 @@
 	if (simulation_server_waits(sim, request->index, simulation_on_stop_request, request))
 		return;
 	if (simulation_is_server_current(sim, request) &&
-	    simulation_accept_epoch(sim, request->index, request->agent_incarnation)) {
+	    simulation_accept_epoch(sim, request->index, request->epoch)) {
 		struct simulation_run *run;
 
 		simulation_end_due_runs(sim, request->index);
@@ -733,22 +743,71 @@
 	uint32_t agent_incarnation;
 	uint32_t server_incarnation;
 	int64_t sent_us;
+	int64_t epoch;
 	int64_t requested_us; /* on the agent's clock */
 	bool contains_lease;  /* the request for the lists renews it */
 	GArray *running;
 	GArray *finished;
 };
 
+/* The end of a hold that renews the lease. */
+struct simulation_hold_end {
+	uint32_t index;
+	uint32_t agent_incarnation;
+	int64_t epoch;
+	int64_t agent_sent_us;
+};
+
+static inline void simulation_on_hold_unanswered(struct simulation *sim, void *data)
+{
+	struct simulation_hold_end *end = data;
+	struct simulation_agent *agent = &sim->agents[end->index];
+	bool current = agent->up && agent->incarnation == end->agent_incarnation;
+
+	if (current &&
+	    simulation_postpone(sim, &agent->process, simulation_on_hold_unanswered, end))
+		return;
+	if (current)
+		runs_lease_ended(&agent->backend.runs, end->epoch, end->agent_sent_us, false,
+				 simulation_agent_now(agent));
+	g_free(end);
+}
+
+/* Records that the agent sends a lease. The answer does not arrive unless ANSWERED. */
+static inline void simulation_lease_sent(struct simulation_agent *agent, bool answered)
+{
+	struct simulation *sim = agent->sim;
+	struct simulation_hold_end *end;
+
+	runs_lease_sent(&agent->backend.runs, simulation_agent_now(agent));
+	if (answered)
+		return;
+	end = g_new(struct simulation_hold_end, 1);
+	*end = (struct simulation_hold_end){
+		.index = agent->index,
+		.agent_incarnation = agent->incarnation,
+		.epoch = agent->backend.runs.epoch,
+		.agent_sent_us = simulation_agent_now(agent),
+	};
+	simulation_schedule(sim, sim->now_us + SIMULATION_ANSWER_TIMEOUT_US,
+			    simulation_on_hold_unanswered, end);
+}
+
 static inline void simulation_on_lists(struct simulation *sim, void *data)
 {
 	struct simulation_lists *lists = data;
 	struct simulation_agent *agent = &sim->agents[lists->index];
+	bool current = agent->up && agent->incarnation == lists->agent_incarnation;
+	bool answered = !simulation_answer_dropped(sim, lists->index, lists->sent_us) &&
+			sim->servers[lists->index].incarnation == lists->server_incarnation;
 
 	if (simulation_postpone(sim, &agent->process, simulation_on_lists, lists))
 		return;
-	if (!simulation_answer_dropped(sim, lists->index, lists->sent_us) && agent->up &&
-	    agent->incarnation == lists->agent_incarnation &&
-	    sim->servers[lists->index].incarnation == lists->server_incarnation) {
+	if (current && lists->contains_lease)
+		runs_lease_ended(&agent->backend.runs, lists->epoch,
+				 lists->requested_us + SIMULATION_LOCAL_DELAY_US, answered,
+				 simulation_agent_now(agent));
+	if (current && answered) {
 		const struct run_lists list = {
 			.running = (struct run_list_row *)(void *)lists->running->data,
 			.running_count = lists->running->len,
@@ -757,7 +816,7 @@
 		};
 
 		agent->clock_known = true;
-		runs_apply_lists(&agent->backend.runs, &list, lists->requested_us,
+		runs_apply_lists(&agent->backend.runs, &list, lists->epoch, lists->requested_us,
 				 simulation_agent_now(agent));
 	}
 	for (guint i = 0; i < lists->running->len; i++)
@@ -774,7 +833,7 @@
 	struct simulation_server *server = &sim->servers[lists->index];
 
 	simulation_end_due_runs(sim, lists->index);
-	simulation_accept_epoch(sim, lists->index, lists->agent_incarnation);
+	simulation_accept_epoch(sim, lists->index, lists->epoch);
 	if (lists->contains_lease)
 		server->lease_until_us =
 			MAX(server->lease_until_us,
@@ -804,7 +863,7 @@
 
 struct simulation_late_lease {
 	uint32_t index;
-	uint32_t agent_incarnation;
+	int64_t epoch;
 	uint32_t server_incarnation;
 	int64_t expires_us;
 };
@@ -820,7 +879,7 @@
 	if (sim->faults.late_grants)
 		lease->expires_us = simulation_lease_end_us(sim, lease->index, SIMULATION_LEASE_US);
 	if (server->up && server->incarnation == lease->server_incarnation &&
-	    simulation_accept_epoch(sim, lease->index, lease->agent_incarnation))
+	    simulation_accept_epoch(sim, lease->index, lease->epoch))
 		server->lease_until_us = MAX(server->lease_until_us, lease->expires_us);
 	g_free(lease);
 }
@@ -834,11 +893,11 @@
 	if (!agent->clock_known ||
 	    !runs_may_lease(&agent->backend.runs, simulation_agent_now(agent)))
 		return;
-	runs_lease_sent(&agent->backend.runs, simulation_agent_now(agent));
+	simulation_lease_sent(agent, false);
 	lease = g_new(struct simulation_late_lease, 1);
 	*lease = (struct simulation_late_lease){
 		.index = index,
-		.agent_incarnation = agent->incarnation,
+		.epoch = agent->backend.runs.epoch,
 		.server_incarnation = sim->servers[index].incarnation,
 		.expires_us = simulation_lease_end_us(sim, index, SIMULATION_LEASE_US)};
 	simulation_schedule(sim, at_us, simulation_on_late_lease, lease);
@@ -855,7 +914,7 @@
 	/* The agent does not know that a lease got lost. */
 	if (sim->now_us < sim->servers[index].cut_until_us) {
 		if (runs_may_lease(&agent->backend.runs, simulation_agent_now(agent)))
-			runs_lease_sent(&agent->backend.runs, simulation_agent_now(agent));
+			simulation_lease_sent(agent, false);
 		return;
 	}
 	if (sim->now_us < sim->servers[index].frozen_until_us) {
@@ -872,13 +931,14 @@
 	lists->agent_incarnation = agent->incarnation;
 	lists->server_incarnation = sim->servers[index].incarnation;
 	lists->sent_us = sim->now_us;
+	lists->epoch = agent->backend.runs.epoch;
 	lists->requested_us = simulation_agent_now(agent) - SIMULATION_LOCAL_DELAY_US;
 	lists->running = g_array_new(FALSE, FALSE, sizeof(struct run_list_row));
 	lists->finished = g_array_new(FALSE, FALSE, sizeof(struct run_list_row));
 	lists->contains_lease = agent->clock_known &&
 				runs_may_lease(&agent->backend.runs, simulation_agent_now(agent));
 	if (lists->contains_lease)
-		runs_lease_sent(&agent->backend.runs, simulation_agent_now(agent));
+		simulation_lease_sent(agent, sim->now_us >= sim->servers[index].answers_until_us);
 	simulation_fill_lists(sim, lists);
 	if (sim->now_us < sim->servers[index].answers_until_us)
 		lists->agent_incarnation = UINT32_MAX; /* nobody receives it */
@@ -1412,6 +1472,7 @@
 	agent->lists_requested = true;
 	agent->clock_known = false;
 	runs_init(&agent->backend.runs, &limits, &callbacks);
+	agent->backend.runs.epoch = (agent->incarnation + 1) * SIMULATION_EPOCH_STEP;
 	for (uint32_t i = 0; i < SIMULATION_MAX_ENTRIES; i++)
 		agent->undelivered_ends[i] =
 			g_ptr_array_new_with_free_func(simulation_free_message);
