Keep a start unsettled that a lost agent may have had no answer to

The entry took all its runs for lost 1.35 s later and started the task at another server; then the start was carried out.

An agent reports up to which order no start may still be sent or carried out unnoticed (Report.settled_orders). When it is lost, the entry settles the runs of these orders by time, as before, and the others up to 15 s later, unless the agent's next process says that it has no unsettled runs. That is a proof: it says so after its first lists, and the call for them had a higher epoch than all calls of the process before. An agent whose link has been silent for 0.5 s is cut off rather than ended: it settles its starts itself and holds those that it can't, so nothing changes for its runs.

Cost: a task whose start was under way when its agent ended waits for the next process of the agent, at most 15 s. Orders that a connection of the agent's last process may have delivered count as under way until the next report (5 ms or more).

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -100,7 +100,8 @@
 struct dispatch_limits {
 	uint32_t max_jobs;
 	/* When the agent of a server has been disconnected for this long, the server certainly has
-	 * no run of this entry any more. */
+	 * no run of this entry any more that it had confirmed by the agent's last report. The
+	 * others may start until RUNS_TRANSIT_MAX_US later. */
 	int64_t settle_timeout_us;
 	/* After a start or a freeze of this process, jobs may wait this long for agents to connect.
 	 */
@@ -153,6 +154,10 @@
 void dispatch_server_report(struct dispatch *dispatch, struct handle server,
 			    const struct fleet_report *report, int64_t now_us);
 
+/* Records that the agent of a server is cut off rather than ended, before its disconnection: it
+ * settles its starts itself, and holds those that it can't. */
+void dispatch_server_cut_off(struct dispatch *dispatch, struct handle server);
+
 /* Marks a server whose agent has disconnected from this entry. Its runs are kept until
  * settle_timeout_us has passed, as the agent may reconnect. A server without runs is removed at
  * once. */
--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -30,6 +30,8 @@
 	bool speed_known;
 	int64_t speed_changed_us; /* when reported_speed last changed */
 	uint32_t runs;		  /* number of runs of this entry */
+	uint64_t settled_orders;  /* as last reported on this connection; 0 before */
+	bool settled_by_time;	  /* disconnected, and only starts in transit are unsettled */
 	int64_t reported_us;
 	GQueue orders; /* struct fleet_order *, sent but not yet included in a report */
 };
@@ -51,6 +53,9 @@
 	int64_t run_us;
 	/* Highest order number that `free` and `waiting_cpu` cover. */
 	uint64_t last_order_accounted;
+	/* No start of the orders before this one may still be carried out unnoticed; 0: one of an
+	 * earlier connection may. */
+	uint64_t settled_orders;
 };
 
 void fleet_init(struct fleet *fleet);
--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -78,7 +78,8 @@
 };
 
 enum {
-	RUN_NO_OWNER = 0
+	RUN_NO_OWNER = 0,
+	RUNS_TRANSIT_MAX_US = 15000000 /* a call without an answer is carried out by then */
 };
 
 struct run {
@@ -87,6 +88,7 @@
 	uint32_t owner; /* number of the entry, or RUN_NO_OWNER, in which case the end of the run is
 			   not reported */
 	uint64_t number; /* number of the run, assigned by its owner */
+	uint64_t order;	 /* number of its order on the owner's connection; 0: on an earlier one */
 	struct resources need;
 	int64_t estimate_us;
 	GBytes *spec; /* NULL after runs_start_answered */
@@ -243,6 +245,7 @@
 	uint32_t attempt;
 	uint32_t owner;
 	uint64_t number;
+	uint64_t order;
 	struct resources need;
 	int64_t estimate_us;
 	uint32_t priority;
@@ -337,6 +340,13 @@
  * RUN ends with its lease at the latest. */
 bool runs_start_in_transit(const struct run *run);
 
+/* Returns up to which order, exclusive, no start of OWNER may still be sent or carried out: the
+ * lowest one with such a start, or the one after HANDLED. */
+uint64_t runs_settled_orders(const struct runs *runs, uint32_t owner, uint64_t handled);
+
+/* Forgets the numbers of the orders of OWNER, which has a new connection. */
+void runs_forget_orders(struct runs *runs, uint32_t owner);
+
 /* Returns the number of runs of OWNER. */
 uint32_t runs_count_owned(const struct runs *runs, uint32_t owner);
 
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -400,6 +400,14 @@
 		dispatch->pump_needed = true;
 }
 
+void dispatch_server_cut_off(struct dispatch *dispatch, struct handle handle)
+{
+	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
+
+	if (server)
+		server->settled_orders = UINT64_MAX;
+}
+
 void dispatch_server_disconnected(struct dispatch *dispatch, struct handle handle, int64_t now_us)
 {
 	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
@@ -444,6 +452,8 @@
 	struct run_row *run;
 
 	server->link = link;
+	server->settled_orders = 0;
+	server->settled_by_time = false;
 	/* The agent numbers the orders of each connection from 1, so its reports no longer refer to
 	 * the numbers of earlier orders. */
 	g_queue_clear_full(&server->orders, g_free);
@@ -454,7 +464,10 @@
 	end_runs_at(dispatch, handle, known, RUN_UNANSWERED, now_us);
 	/* A stop request may have been lost with the connection as well, so all are sent again. */
 	while ((run = table_next(&dispatch->runs, &cursor, &run_handle))) {
-		if (handle_equal(run->server, handle) && run->stop_requested)
+		if (!handle_equal(run->server, handle))
+			continue;
+		run->order = 0;
+		if (run->stop_requested)
 			dispatch->callbacks.stop_run(dispatch->callbacks.context, link,
 						     handle_pack(run_handle));
 	}
@@ -655,6 +668,28 @@
 		dispatch_holds_changed(dispatch);
 }
 
+/* Settles the runs at a SERVER whose agent is disconnected, as far as time allows. Time does not
+ * prove that a start has not been carried out that the agent may have had no answer to. */
+static void settle_by_time(struct dispatch *dispatch, struct handle handle,
+			   struct fleet_server *server, int64_t now_us)
+{
+	int64_t age_us = now_us - server->reported_us - dispatch->limits.settle_timeout_us;
+	uint64_t settled_orders = server->settled_orders;
+	uint32_t cursor = 0;
+	struct handle run_handle;
+	const struct run_row *run;
+
+	if (age_us > RUNS_TRANSIT_MAX_US)
+		dispatch_server_settled(dispatch, handle, now_us);
+	if (age_us <= 0 || age_us > RUNS_TRANSIT_MAX_US || server->settled_by_time)
+		return;
+	server->settled_by_time = true;
+	while ((run = table_next(&dispatch->runs, &cursor, &run_handle))) {
+		if (handle_equal(run->server, handle) && run->order < settled_orders)
+			dispatch_run_ended(dispatch, handle_pack(run_handle), RUN_LOST, 0, now_us);
+	}
+}
+
 void dispatch_tick(struct dispatch *dispatch, int64_t now_us)
 {
 	uint32_t cursor = 0;
@@ -673,9 +708,8 @@
 	}
 	cursor = 0;
 	while ((server = table_next(&dispatch->fleet.servers, &cursor, &handle))) {
-		if (!server->link &&
-		    now_us - server->reported_us > dispatch->limits.settle_timeout_us)
-			dispatch_server_settled(dispatch, handle, now_us);
+		if (!server->link)
+			settle_by_time(dispatch, handle, server, now_us);
 	}
 	expire_holds(dispatch, now_us);
 }
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -143,6 +143,7 @@
 		.urgent_within_us = urgent_us - now_us,
 	};
 	number = dispatch->callbacks.start_run(dispatch->callbacks.context, server->link, &order);
+	run->order = number;
 	fleet_record_order(server, &job->need, job->priority, number);
 }
 
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -77,6 +77,7 @@
 	struct handle job;
 	uint32_t index;
 	struct handle server;
+	uint64_t order; /* its number on the present connection; 0: on an earlier one */
 	bool stop_requested;
 	bool restart_elsewhere; /* stopped because another server is expected to be faster */
 };
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -155,6 +155,7 @@
 		fleet->speeds_stale = true;
 	}
 	server->reported_us = now_us;
+	server->settled_orders = report->settled_orders;
 	while ((order = g_queue_peek_head(&server->orders)) &&
 	       order->number <= report->last_order_accounted) {
 		g_queue_pop_head(&server->orders);
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -13,7 +13,6 @@
 	HOLD_DELAY_US = 50 * US_PER_MS,
 	/* A start that has got no answer for this long is held. A list takes a few ms. */
 	START_HOLD_DELAY_US = 50 * US_PER_MS,
-	TRANSIT_MAX_US = 15000 * US_PER_MS, /* a call without an answer is executed by then */
 	BEHIND_REPORT_INTERVAL_US = 100 * US_PER_MS, /* between reports of the same slow run */
 	BEHIND_MIN_ELAPSED_US = 120 * US_PER_MS, /* the speed of younger runs is not meaningful */
 	STOP_RETRY_MAX_DOUBLINGS = 4
@@ -264,7 +263,7 @@
 				    int64_t now_us)
 {
 	if (run->settle_by_us == 0)
-		run->settle_by_us = now_us + TRANSIT_MAX_US;
+		run->settle_by_us = now_us + RUNS_TRANSIT_MAX_US;
 	raise_epoch(runs, run->epoch);
 	run->process_replaced = true;
 	run->confirmed = false;
@@ -319,6 +318,7 @@
 		.attempt = request->attempt,
 		.owner = request->owner,
 		.number = request->number,
+		.order = request->order,
 		.need = request->need,
 		.estimate_us = request->estimate_us,
 		.spec = request->spec ? g_bytes_ref(request->spec) : NULL,
@@ -491,7 +491,7 @@
 	g_clear_pointer(&run->spec, g_bytes_unref);
 	if (answer == START_UNANSWERED) {
 		if (runs_start_in_transit(run) && run->settle_by_us == 0)
-			run->settle_by_us = now_us + TRANSIT_MAX_US;
+			run->settle_by_us = now_us + RUNS_TRANSIT_MAX_US;
 		if (run->phase != RUN_PHASE_ORDERED)
 			return;
 		runs_set_phase(run, RUN_PHASE_UNCONFIRMED, now_us);
@@ -747,7 +747,7 @@
 	if (runs->unanswered_epoch == 0)
 		return runs->latest_lease_expiry_us;
 	return MAX(runs->latest_lease_expiry_us,
-		   lease_expiry_us(runs, runs->unanswered_us + TRANSIT_MAX_US));
+		   lease_expiry_us(runs, runs->unanswered_us + RUNS_TRANSIT_MAX_US));
 }
 
 static void check_start(struct runs *runs, struct run *run, int64_t now_us)
@@ -833,6 +833,31 @@
 	return runs->speed;
 }
 
+uint64_t runs_settled_orders(const struct runs *runs, uint32_t owner, uint64_t handled)
+{
+	uint64_t settled = handled + 1;
+	uint32_t cursor = 0;
+	const struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, NULL))) {
+		if (run->owner == owner &&
+		    (run->phase == RUN_PHASE_WAITING || runs_start_in_transit(run)))
+			settled = MIN(settled, run->order);
+	}
+	return settled;
+}
+
+void runs_forget_orders(struct runs *runs, uint32_t owner)
+{
+	uint32_t cursor = 0;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, NULL))) {
+		if (run->owner == owner)
+			run->order = 0;
+	}
+}
+
 uint32_t runs_count_owned(const struct runs *runs, uint32_t owner)
 {
 	uint32_t cursor = 0;
--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -171,6 +171,8 @@
 	report.session = owner->number;
 	report.number = number;
 	report.orders_ack = owner->orders_ack;
+	report.settled_orders =
+		runs_settled_orders(&backend->runs, owner->number, owner->orders_ack);
 	report.room = &room;
 	report.n_ends = end_count;
 	report.ends = end_row_pointers;
--- a/packages/greengaged/src/agent_owners.c
+++ b/packages/greengaged/src/agent_owners.c
@@ -61,6 +61,7 @@
 	owner->retiring_since_us = 0;
 	owner->link = link;
 	owner->orders_ack = 0;
+	runs_forget_orders(&owners->backend->runs, owner->number);
 	owner->sent_identity_version = 0;
 	owner->sent_holds_version = 0;
 	owner_send_inventory(owner, owners->backend);
@@ -122,7 +123,7 @@
 }
 
 static void start_runs(struct owners *owners, const struct owner *owner,
-		       const Ggd__StartBatch *batch)
+		       const Ggd__StartBatch *batch, uint64_t order)
 {
 	struct backend *backend = owners->backend;
 	size_t count = MIN(batch->n_runs, MIN(batch->n_indexes, batch->n_attempts));
@@ -136,6 +137,7 @@
 			.attempt = batch->attempts[i],
 			.owner = owner->number,
 			.number = batch->runs[i],
+			.order = order,
 			.need = {.cpu = batch->cpu,
 				 .memory_mb = batch->memory_mb,
 				 .gpus = batch->gpus},
@@ -193,7 +195,7 @@
 	/* The stops make room for the starts. */
 	stop_runs(owners, owner, orders, by_us);
 	for (size_t i = 0; i < orders->n_starts; i++)
-		start_runs(owners, owner, orders->starts[i]);
+		start_runs(owners, owner, orders->starts[i], orders->number);
 	/* A run may be started and stopped by the same orders. */
 	if (orders->n_starts > 0)
 		stop_runs(owners, owner, orders, by_us);
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -9,8 +9,8 @@
 	/* Added to urgent_within_us, which may be negative, because the field in the message is
 	 * unsigned. Only the order of the values matters. */
 	URGENT_OFFSET_MS = 60000,
-	/* A start that got no answer may reach the backend server up to this much later. */
-	TRANSIT_MAX_MS = 15000
+	/* An agent that ends closes its connections at once, and reports every 150 ms before. */
+	CUT_OFF_SILENCE_MS = 500
 };
 
 static const double min_speed = 0.001; /* lower bound, because speeds are used as divisors */
@@ -204,6 +204,7 @@
 		.speed_known = room->samples > 0,
 		.run_us = (int64_t)room->run_ms * US_PER_MS,
 		.last_order_accounted = report->orders_ack,
+		.settled_orders = report->settled_orders,
 	};
 
 	for (size_t i = 0; i < room->n_waiting_cpu && i < PRIORITY_LEVELS; i++)
@@ -420,16 +421,19 @@
 static void disconnect_agent(struct agent_peer *agent, const char *reason)
 {
 	struct node_entry *entry = agent->entry;
+	int64_t silent_ms =
+		(entry->loop.now_us - node_link_last_received_us(agent->link)) / US_PER_MS;
 
 	event_log(EVENT_CHANNEL_LOST, EV_S("agent", agent->name), EV_S("reason", reason),
-		  EV_I("silent_ms",
-		       (entry->loop.now_us - node_link_last_received_us(agent->link)) / US_PER_MS));
+		  EV_I("silent_ms", silent_ms));
 	agent->link = NULL;
 	task_holds_limit(agent->holds,
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
-			 entry->loop.now_us + TRANSIT_MAX_MS * US_PER_MS);
+			 entry->loop.now_us + RUNS_TRANSIT_MAX_US);
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
+	if (agent->has_server && silent_ms > CUT_OFF_SILENCE_MS)
+		dispatch_server_cut_off(&entry->dispatch, agent->server);
 	if (agent->has_server)
 		dispatch_server_disconnected(&entry->dispatch, agent->server, entry->loop.now_us);
 }
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -1029,6 +1029,31 @@
 	tear_down(&fixture);
 }
 
+/* Guards against an agent that calls a start settled which it may still send, or which may still be
+ * carried out. */
+static void test_settled_orders(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	((struct run *)table_get(&fixture.runs.table, fixture.last))->order = 1;
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	start(&fixture, "b.0.0.0", 4000, OWNER, 0, 0);
+	((struct run *)table_get(&fixture.runs.table, fixture.last))->order = 2;
+	g_assert_cmpuint(runs_settled_orders(&fixture.runs, OWNER, 3), ==, 2);
+	g_assert_cmpuint(runs_settled_orders(&fixture.runs, OTHER_OWNER, 3), ==, 4);
+	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 30000);
+	g_assert_cmpuint(runs_settled_orders(&fixture.runs, OWNER, 3), ==, 2);
+	runs_forget_orders(&fixture.runs, OWNER);
+	g_assert_cmpuint(runs_settled_orders(&fixture.runs, OWNER, 0), ==, 0);
+	deliver_lists(&fixture, "b.0.0.0", NULL, 0, 40000);
+	g_assert_cmpuint(runs_settled_orders(&fixture.runs, OWNER, 0), ==, 1);
+	start(&fixture, "waiting.0.0.0", 4000, OWNER, 0, 0);
+	g_assert_cmpuint(runs_settled_orders(&fixture.runs, OWNER, 1), ==, 0);
+	tear_down(&fixture);
+}
+
 /* Guards against late detection of a stalled server: a run without progress must be reported long
  * before its lease or deadline. */
 static void test_run_behind(void)
@@ -1092,6 +1117,7 @@
 	g_test_add_func("/runs/trial", test_trial);
 	g_test_add_func("/runs/held_while_stops_are_lost", test_run_held_while_stops_are_lost);
 	g_test_add_func("/runs/unknown_run_held", test_unknown_run_held);
+	g_test_add_func("/runs/settled_orders", test_settled_orders);
 	g_test_add_func("/runs/behind", test_run_behind);
 	return g_test_run();
 }
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -1087,6 +1087,7 @@
 			.attempt = message->attempt,
 			.owner = owner,
 			.number = message->run,
+			.order = message->order_number,
 			.need = message->need,
 			.estimate_us = message->estimate_us,
 			.priority = message->priority,
@@ -1175,7 +1176,11 @@
 			     .speed = runs_speed(&agent->backend.runs, sim->now_us),
 			     .speed_known = agent->backend.runs.samples > 0,
 			     .run_us = (int64_t)agent->backend.runs.run_us,
-			     .last_order_accounted = agent->last_order_received[entry]},
+			     .last_order_accounted = agent->last_order_received[entry],
+			     .settled_orders = runs_settled_orders(
+				     &agent->backend.runs,
+				     simulation_owner_id(entry, sim->entries[entry].incarnation),
+				     agent->last_order_received[entry])},
 	};
 
 	memcpy(report.contents.waiting_cpu, agent->backend.runs.waiting_cpu,
@@ -1670,6 +1675,7 @@
 	if (!entry->owner_gone[server] &&
 	    fleet_get(&entry->node.dispatch.fleet, entry->servers[server])) {
 		runs_foreach(&agent->backend.runs, simulation_collect_owned_run, context);
+		runs_forget_orders(&agent->backend.runs, owner);
 		entry->connected[server] = true;
 		entry->connection_generation[server]++;
 		entry->last_order_sent[server] = 0;
