Send no lease beside an unknown attempt of a task in the table

A run that the agent did not order, for example from before its restart, is stopped, and until it has ended its server gets no lease.

runs_test no_lease_for_other_attempt fails without the change.

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -209,7 +209,11 @@
 	int64_t stop_by_us;	 /* the earliest of all runs, or INT64_MAX */
 	uint32_t ownerless_runs; /* runs whose owner is gone or that this agent did not order */
 	uint32_t unknown_runs;	 /* runs that this agent did not order */
-	uint64_t holds_version;	 /* incremented when the set of held runs changes; from 1 on */
+	/* Whether the latest list has a run that this agent did not order, beside another attempt
+	 * of its task in the table. */
+	bool other_attempt_listed;
+	int64_t other_attempt_asked_us; /* when that list was requested */
+	uint64_t holds_version; /* incremented when the set of held runs changes; from 1 on */
 	struct health health;
 	char *last_failed_task; /* task whose failure was the last to count against the server's
 				   health */
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -286,6 +286,7 @@
 	runs->server_present = false;
 	runs->last_processed_end = 0;
 	runs->answered_epoch = 0;
+	runs->other_attempt_listed = false;
 	runs_ended_clear(runs);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
 		if (runs_start_in_transit(run) ||
@@ -617,8 +618,10 @@
 }
 
 static void apply_running(struct runs *runs, const struct run_lists *list, GHashTable *listed,
-			  int64_t now_us)
+			  int64_t asked_us, int64_t now_us)
 {
+	bool other_attempt = false;
+
 	for (size_t i = 0; i < list->running_count; i++) {
 		const struct run_list_row *row = &list->running[i];
 		struct handle handle;
@@ -627,6 +630,7 @@
 		if (!run && runs_ended_contains(runs, row->task, row->attempt))
 			continue; /* the list was overtaken by the one that showed the end */
 		if (!run) {
+			other_attempt |= g_hash_table_contains(runs->by_task, row->task);
 			stop_unknown_run(runs, row, now_us);
 			continue;
 		}
@@ -641,6 +645,10 @@
 		if (run->phase == RUN_PHASE_ACTIVE)
 			check_progress(runs, run, now_us);
 	}
+	if (asked_us < runs->other_attempt_asked_us)
+		return; /* overtaken */
+	runs->other_attempt_listed = other_attempt;
+	runs->other_attempt_asked_us = asked_us;
 }
 
 /* Returns the outcome of a run that was stopped and whose end the server has not listed. */
@@ -710,14 +718,14 @@
 	runs->lists_us = now_us;
 	epoch_answered(runs, epoch, now_us);
 	apply_finished(runs, list, now_us);
-	apply_running(runs, list, listed, now_us);
+	apply_running(runs, list, listed, asked_us, now_us);
 	apply_missing(runs, listed, epoch, asked_us, now_us);
 	g_hash_table_destroy(listed);
 }
 
 bool runs_may_lease(const struct runs *runs, int64_t now_us)
 {
-	return now_us < runs->stop_by_us;
+	return now_us < runs->stop_by_us && !runs->other_attempt_listed;
 }
 
 void runs_lease_sent(struct runs *runs, int64_t now_us)
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -993,6 +993,28 @@
 	tear_down(&fixture);
 }
 
+/* Guards against leases for a run that the agent did not order and can't keep in its table beside
+ * another attempt of the task: if its stops are lost, nothing else ends it. */
+static void test_no_lease_for_other_attempt(void)
+{
+	const struct run_list_row row = {.task = "a.0.0.0", .attempt = 2};
+	const struct run_lists lists = {.running = &row, .running_count = 1};
+	const struct run_lists none = {0};
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_apply_lists(&fixture.runs, &lists, 0, 2000, 3000);
+	g_assert_cmpuint(fixture.stops, ==, 1);
+	g_assert_false(runs_may_lease(&fixture.runs, 3000));
+	/* A list that was overtaken tells nothing. */
+	runs_apply_lists(&fixture.runs, &none, 0, 1000, 4000);
+	g_assert_false(runs_may_lease(&fixture.runs, 4000));
+	runs_apply_lists(&fixture.runs, &none, 0, 5000, 6000);
+	g_assert_true(runs_may_lease(&fixture.runs, 6000));
+	tear_down(&fixture);
+}
+
 /* Guards against a task that is started elsewhere while its run goes on although it was stopped,
  * and against news of every stop: one that is carried out at once holds nothing. */
 static void test_run_held_while_stops_are_lost(void)
@@ -1117,6 +1139,7 @@
 	g_test_add_func("/runs/trial", test_trial);
 	g_test_add_func("/runs/held_while_stops_are_lost", test_run_held_while_stops_are_lost);
 	g_test_add_func("/runs/unknown_run_held", test_unknown_run_held);
+	g_test_add_func("/runs/no_lease_for_other_attempt", test_no_lease_for_other_attempt);
 	g_test_add_func("/runs/settled_orders", test_settled_orders);
 	g_test_add_func("/runs/behind", test_run_behind);
 	return g_test_run();
