Send no lease before the first lists of a server's process

An agent that has restarted sent a lease, and offered room, before it knew which runs its server has, if the first answer refused its epoch: that answer tells the server's clock, which was all that a lease waited for.

Leases and starts now wait for the first lists of the server's present process, which come with the first accepted call.

The stand-in counts refused epochs and leases that came before lists.

--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -480,8 +480,9 @@
 		.epoch = backend->runs.epoch,
 		.long_poll = long_poll,
 	};
-	/* A call that is refused delivers no lease. */
-	if (backend->presence.clock_ms > 0 && !backend->refused &&
+	/* A call that is refused delivers no lease. Before the first lists, the server may have runs
+	 * that should have ended. */
+	if (backend->lists_applied && backend->presence.clock_ms > 0 && !backend->refused &&
 	    runs_may_lease(&backend->runs, backend->loop->now_us)) {
 		expires_ms = presence_clock_ms(&backend->presence, backend->loop->now_us) +
 			     backend->lease_ms;
@@ -767,7 +768,7 @@
 bool backend_ready(const struct backend *backend)
 {
 	return presence_is_known(&backend->presence) && !presence_is_late(&backend->presence) &&
-	       backend->reachable && backend->presence.clock_ms > 0 &&
+	       backend->reachable && backend->lists_applied && backend->presence.clock_ms > 0 &&
 	       !backend->agent_shutting_down && runs_ready(&backend->runs);
 }
 
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -614,6 +614,24 @@
 	platform_stop(&cluster);
 }
 
+/* Guards against a lease that an agent sends after its restart before it knows the server's runs,
+ * because the first answer, which refuses its epoch, tells the server's clock. */
+static void test_no_lease_before_lists(void)
+{
+	struct platform_cluster cluster;
+
+	platform_start(&cluster);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(&cluster, 0, 1, 4));
+	harness_kill(cluster.agents[0]);
+	platform_control(&cluster, "{\"epoch_ahead\":30000}");
+	g_assert_cmpint(platform_counter(&cluster, "blind_leases"), ==, 0);
+	harness_restart(cluster.harness, cluster.agents[0]);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(&cluster, 0, 2, 8));
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "epochs_refused") > 0);
+	g_assert_cmpint(platform_counter(&cluster, "blind_leases"), ==, 0);
+	platform_stop(&cluster);
+}
+
 /* Guards against changed settings that are not read, with or without SIGHUP, and against an invalid
  * file that changes the settings in use. */
 static void test_settings_change(void)
@@ -743,6 +761,7 @@
 	g_test_add_func("/platform/late_heartbeat", test_late_heartbeat);
 	g_test_add_func("/platform/graceful_stop", test_graceful_stop);
 	g_test_add_func("/platform/agent_restarts", test_agent_restarts);
+	g_test_add_func("/platform/no_lease_before_lists", test_no_lease_before_lists);
 	g_test_add_func("/platform/settings_change", test_settings_change);
 	g_test_add_func("/platform/agent_frozen", test_agent_suspended);
 	g_test_add_func("/platform/entry_frozen", test_entry_suspended);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -24,6 +24,7 @@
 #include "http_server.h"
 
 enum {
+	SAME_AGENT_EPOCHS = 1000, /* an agent process raises its epoch by less */
 	US_PER_MS = 1000,
 	MAX_SERVERS = 8,
 	HEARTBEAT_MS = 200,
@@ -66,7 +67,10 @@
 	json_t *finished;	     /* unacknowledged runs: [cursor, task, attempt, outcome, ""] */
 	int64_t last_cursor;	     /* cursor of the run that ended last */
 	GArray *pending_holds;
-	int64_t epoch; /* highest "fence" received; orders with a lower one are refused */
+	int64_t epoch;	       /* highest "fence" received; orders with a lower one are refused */
+	int64_t listed_epoch;  /* highest of the holds that were accepted */
+	uint32_t blind_leases; /* with an epoch that is far higher than that */
+	uint32_t epochs_refused;
 	int64_t lease_until_us;
 	int64_t started_ms;
 	int64_t sequence;
@@ -337,9 +341,13 @@
 {
 	int64_t wait_ms = json_integer_value(json_object_get(document, "waitMs"));
 	int64_t acked_cursor = json_integer_value(json_object_get(document, "ackCursor"));
+	int64_t epoch = json_integer_value(json_object_get(document, "fence"));
 	struct pending_hold hold = {.request = request,
 				    .until_us = server->standin->loop.now_us + wait_ms * US_PER_MS};
 
+	server->blind_leases += json_object_get(document, "expiresMs") != NULL &&
+				epoch > server->listed_epoch + SAME_AGENT_EPOCHS;
+	server->listed_epoch = epoch;
 	extend_lease(server, document);
 	server->standin->acks_ahead += acked_cursor > server->last_cursor;
 	while (json_array_size(server->finished) > 0 &&
@@ -363,6 +371,7 @@
 	if (!document) {
 		http_respond(request, 400, NULL, "{}");
 	} else if (epoch < server->epoch) {
+		server->epochs_refused++;
 		respond_refusal(request, server, "fence");
 	} else {
 		server->epoch = epoch;
@@ -720,6 +729,8 @@
 		standin->away_ms = json_integer_value(field);
 	if ((field = json_object_get(document, "lists_garbled")))
 		standin->lists_garbled = json_is_true(field);
+	if ((field = json_object_get(document, "epoch_ahead")))
+		standin->servers[0].epoch += json_integer_value(field);
 	apply_server_settings(standin, document);
 	json_decref(document);
 	http_respond(request, 200, NULL, "{}");
@@ -737,13 +748,15 @@
 		crashes += standin->servers[i].crashes;
 	}
 	respond_json(request, 200,
-		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "pages",
+		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "pages",
 			       (int)standin->pages, "starts", (int)standin->starts, "overlaps",
 			       (int)standin->overlaps, "running", (int)running,
 			       "starts_after_drain", (int)after_drain, "heartbeats_refused",
 			       (int)standin->heartbeats_refused, "starts_over_capacity",
 			       (int)standin->starts_over_capacity, "acks_ahead",
-			       (int)standin->acks_ahead, "crashes", (int)crashes));
+			       (int)standin->acks_ahead, "crashes", (int)crashes, "epochs_refused",
+			       (int)standin->servers[0].epochs_refused, "blind_leases",
+			       (int)standin->servers[0].blind_leases));
 }
 
 static void respond_started_jobs(struct standin *standin, struct http_request *request)
