Count a lease from a clock that is as slow as it may be

The agent gives the end of a lease on the server's clock, which it extrapolates from the last answer.

The extrapolation for leases and for the expiry of starts is now that of a clock that is 2 % slow. At an exact clock, a lease is shorter by 2 % of the time since the last answer.

presence_test slow_clock; presence_clock_ms, which was used before, gives 200 ms more there.

--- a/packages/core/include/presence.h
+++ b/packages/core/include/presence.h
@@ -124,6 +124,11 @@
 /* Returns the current time of the server's clock, in ms. */
 int64_t presence_clock_ms(const struct presence *presence, int64_t now_us);
 
+/* Returns the same if the clock has been slow by DRIFT_PERMILLE since the last answer. A lease
+ * until some time after that is not longer than meant, however long the server has not answered. */
+int64_t presence_slow_clock_ms(const struct presence *presence, uint32_t drift_permille,
+			       int64_t now_us);
+
 /* Returns whether the server's identity is known: a heartbeat of the current incarnation was
  * accepted, and not as many others contradict it. */
 bool presence_is_known(const struct presence *presence);
--- a/packages/core/src/presence.c
+++ b/packages/core/src/presence.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 enum {
+	PERMILLE = 1000,
 	/* A heartbeat older than this on arrival counts as late. The server considers a
 	 * heartbeat lost when no answer has arrived within this time. */
 	HEARTBEAT_MAX_AGE_MS = 1000,
@@ -32,6 +33,14 @@
 	return presence->clock_ms + (now_us - presence->clock_received_us) / US_PER_MS;
 }
 
+int64_t presence_slow_clock_ms(const struct presence *presence, uint32_t drift_permille,
+			       int64_t now_us)
+{
+	int64_t age_us = now_us - presence->clock_received_us;
+
+	return presence->clock_ms + (age_us - age_us * drift_permille / PERMILLE) / US_PER_MS;
+}
+
 bool presence_is_known(const struct presence *presence)
 {
 	return presence->heartbeat_seen && presence->identity_votes > 0;
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -67,6 +67,13 @@
 	return backend->lease_ms * 8 / 10;
 }
 
+/* Returns the time on the server's clock from which leases are counted. */
+static int64_t lease_clock_ms(const struct backend *backend)
+{
+	return presence_slow_clock_ms(&backend->presence, CLOCK_DRIFT_PERMILLE,
+				      backend->loop->now_us);
+}
+
 /* Counts an ignored message. Returns the number of messages to log, which is 0 until
  * IGNORED_LOG_INTERVAL_MS have passed since the last line. */
 static uint32_t count_ignored_message(struct backend *backend)
@@ -296,8 +303,7 @@
 	struct server_start start = {
 		.task = run->task,
 		.attempt = run->attempt,
-		.expires_clock_ms = presence_clock_ms(&backend->presence, backend->loop->now_us) +
-				    start_validity_ms(backend),
+		.expires_clock_ms = lease_clock_ms(backend) + start_validity_ms(backend),
 		.epoch = run->epoch,
 	};
 	char *body;
@@ -480,12 +486,11 @@
 		.epoch = backend->runs.epoch,
 		.long_poll = long_poll,
 	};
-	/* A call that is refused delivers no lease. Before the first lists, the server may have runs
-	 * that should have ended. */
+	/* A call that is refused delivers no lease. Before the first lists, the server may have
+	 * runs that should have ended. */
 	if (backend->lists_applied && backend->presence.clock_ms > 0 && !backend->refused &&
 	    runs_may_lease(&backend->runs, backend->loop->now_us)) {
-		expires_ms = presence_clock_ms(&backend->presence, backend->loop->now_us) +
-			     backend->lease_ms;
+		expires_ms = lease_clock_ms(backend) + backend->lease_ms;
 		runs_lease_sent(&backend->runs, backend->loop->now_us);
 		backend->lease_sent_us = backend->loop->now_us;
 		hold->contains_lease = true;
--- a/test/unit/presence_test.c
+++ b/test/unit/presence_test.c
@@ -395,6 +395,19 @@
 	}
 }
 
+/* Guards against leases that are longer than meant at a server with a slow clock that has not
+ * answered for long. */
+static void test_slow_clock(void)
+{
+	struct presence presence;
+
+	set_up(&presence);
+	/* The server's clock is 2 % slow and has advanced by 9.8 s. */
+	g_assert_cmpint(presence_slow_clock_ms(&presence, 20, 10 * US_PER_SECOND), ==,
+			CLOCK_MS + 9800);
+	g_assert_cmpint(presence_slow_clock_ms(&presence, 20, 0), ==, CLOCK_MS);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -413,5 +426,6 @@
 	g_test_add_func("/presence/wrong_identity_first", test_wrong_identity_first);
 	g_test_add_func("/presence/many_unconfirmed", test_many_unconfirmed);
 	g_test_add_func("/presence/random_heartbeats", test_random_heartbeats);
+	g_test_add_func("/presence/slow_clock", test_slow_clock);
 	return g_test_run();
 }
