Let an agent settle the runs of all its former processes

A process settles its whole line of predecessors, as long as they served the same process of the server. A process that disconnects while another one with its name is connected is settled by time as before: the first call of the other one has voided its calls.

--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -117,21 +117,25 @@
 
 /* Settles the predecessor's server once the agent is known to serve the same process of it. Beside
  * another one, the agent has not seen the predecessor's runs: they are settled when the server has
- * been disconnected for long enough. */
-static void settle_predecessor(struct agent_peer *agent, int64_t now_us)
+ * been disconnected for long enough. Returns whether it is settled, and the process before the
+ * predecessor is to be settled next. */
+static bool settle_predecessor(struct agent_peer *agent, int64_t now_us)
 {
 	struct dispatch *dispatch = &agent->entry->dispatch;
 	struct agent_peer *predecessor = agent->predecessor;
 	const struct fleet_server *server = fleet_get(&dispatch->fleet, agent->server);
 	const struct fleet_server *former = NULL;
+	struct agent_peer *earlier = predecessor->predecessor;
 
 	if (predecessor->has_server)
 		former = fleet_get(&dispatch->fleet, predecessor->server);
 	if (former && strcmp(former->id, server->id) != 0)
-		return;
+		return false;
 	if (former)
 		dispatch_server_settled(dispatch, predecessor->server, now_us);
 	remove_agent(agent->entry, predecessor);
+	agent->predecessor = earlier;
+	return true;
 }
 
 /* Settles the agent's former server and that of its predecessor once the agent reports no unsettled
@@ -143,8 +147,8 @@
 		return;
 	dispatch_server_settled(&agent->entry->dispatch, agent->former_server, now_us);
 	agent->former_server = (struct handle){0};
-	if (agent->predecessor)
-		settle_predecessor(agent, now_us);
+	while (agent->predecessor && settle_predecessor(agent, now_us))
+		;
 }
 
 /* Begins a session in which the agent knows none of the runs that were ordered before. */
@@ -418,6 +422,19 @@
 	send_orders(context);
 }
 
+/* Returns whether another process with the name of AGENT is connected. Its first call to the
+ * server has voided the calls of this one. */
+static bool has_successor(const struct agent_peer *agent)
+{
+	for (guint i = 0; i < agent->entry->agents->len; i++) {
+		const struct agent_peer *other = agent->entry->agents->pdata[i];
+
+		if (other != agent && other->link && strcmp(other->name, agent->name) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void disconnect_agent(struct agent_peer *agent, const char *reason)
 {
 	struct node_entry *entry = agent->entry;
@@ -432,7 +449,7 @@
 			 entry->loop.now_us + RUNS_TRANSIT_MAX_US);
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
-	if (agent->has_server && silent_ms > CUT_OFF_SILENCE_MS)
+	if (agent->has_server && (silent_ms > CUT_OFF_SILENCE_MS || has_successor(agent)))
 		dispatch_server_cut_off(&entry->dispatch, agent->server);
 	if (agent->has_server)
 		dispatch_server_disconnected(&entry->dispatch, agent->server, entry->loop.now_us);
