--- a/packages/core/include/task_holds.h
+++ b/packages/core/include/task_holds.h
@@ -14,13 +14,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "core_defs.h"
-
-enum {
-	/* The start of a held task may reach the backend server up to this much later. */
-	TASK_HOLDS_START_MAX_US = 15000 * US_PER_MS
-};
-
 /* An agent, or another entry that passes on what its agents hold. */
 struct hold_source;
 
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -8,7 +8,9 @@
 	PERMILLE = 1000,
 	/* Added to urgent_within_us, which may be negative, because the field in the message is
 	 * unsigned. Only the order of the values matters. */
-	URGENT_OFFSET_MS = 60000
+	URGENT_OFFSET_MS = 60000,
+	/* An agent that ends closes its connections at once, and reports every 150 ms before. */
+	CUT_OFF_SILENCE_MS = 500
 };
 
 static const double min_speed = 0.001; /* lower bound, because speeds are used as divisors */
@@ -115,21 +117,25 @@
 
 /* Settles the predecessor's server once the agent is known to serve the same process of it. Beside
  * another one, the agent has not seen the predecessor's runs: they are settled when the server has
- * been disconnected for long enough. */
-static void settle_predecessor(struct agent_peer *agent, int64_t now_us)
+ * been disconnected for long enough. Returns whether it is settled, and the process before the
+ * predecessor is to be settled next. */
+static bool settle_predecessor(struct agent_peer *agent, int64_t now_us)
 {
 	struct dispatch *dispatch = &agent->entry->dispatch;
 	struct agent_peer *predecessor = agent->predecessor;
 	const struct fleet_server *server = fleet_get(&dispatch->fleet, agent->server);
 	const struct fleet_server *former = NULL;
+	struct agent_peer *earlier = predecessor->predecessor;
 
 	if (predecessor->has_server)
 		former = fleet_get(&dispatch->fleet, predecessor->server);
 	if (former && strcmp(former->id, server->id) != 0)
-		return;
+		return false;
 	if (former)
 		dispatch_server_settled(dispatch, predecessor->server, now_us);
 	remove_agent(agent->entry, predecessor);
+	agent->predecessor = earlier;
+	return true;
 }
 
 /* Settles the agent's former server and that of its predecessor once the agent reports no unsettled
@@ -141,8 +147,8 @@
 		return;
 	dispatch_server_settled(&agent->entry->dispatch, agent->former_server, now_us);
 	agent->former_server = (struct handle){0};
-	if (agent->predecessor)
-		settle_predecessor(agent, now_us);
+	while (agent->predecessor && settle_predecessor(agent, now_us))
+		;
 }
 
 /* Begins a session in which the agent knows none of the runs that were ordered before. */
@@ -202,6 +208,7 @@
 		.speed_known = room->samples > 0,
 		.run_us = (int64_t)room->run_ms * US_PER_MS,
 		.last_order_accounted = report->orders_ack,
+		.settled_orders = report->settled_orders,
 	};
 
 	for (size_t i = 0; i < room->n_waiting_cpu && i < PRIORITY_LEVELS; i++)
@@ -413,19 +420,35 @@
 	send_orders(context);
 }
 
+/* Returns whether another process with the name of AGENT is connected. Its first call to the
+ * server has voided the calls of this one. */
+static bool has_successor(const struct agent_peer *agent)
+{
+	for (guint i = 0; i < agent->entry->agents->len; i++) {
+		const struct agent_peer *other = agent->entry->agents->pdata[i];
+
+		if (other != agent && other->link && strcmp(other->name, agent->name) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void disconnect_agent(struct agent_peer *agent, const char *reason)
 {
 	struct node_entry *entry = agent->entry;
+	int64_t silent_ms =
+		(entry->loop.now_us - node_link_last_received_us(agent->link)) / US_PER_MS;
 
 	event_log(EVENT_CHANNEL_LOST, EV_S("agent", agent->name), EV_S("reason", reason),
-		  EV_I("silent_ms",
-		       (entry->loop.now_us - node_link_last_received_us(agent->link)) / US_PER_MS));
+		  EV_I("silent_ms", silent_ms));
 	agent->link = NULL;
 	task_holds_limit(agent->holds,
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
-			 entry->loop.now_us + TASK_HOLDS_START_MAX_US);
+			 entry->loop.now_us + RUNS_TRANSIT_MAX_US);
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
+	if (agent->has_server && (silent_ms > CUT_OFF_SILENCE_MS || has_successor(agent)))
+		dispatch_server_cut_off(&entry->dispatch, agent->server);
 	if (agent->has_server)
 		dispatch_server_disconnected(&entry->dispatch, agent->server, entry->loop.now_us);
 }
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -483,7 +483,7 @@
 	task_holds_abandon_source(&peer->entry->dispatch.holds, peer->holds,
 				  peer->entry->loop.now_us +
 					  peer->entry->dispatch.limits.settle_timeout_us,
-				  peer->entry->loop.now_us + TASK_HOLDS_START_MAX_US);
+				  peer->entry->loop.now_us + RUNS_TRANSIT_MAX_US);
 	g_hash_table_destroy(peer->pending_by_queue);
 	g_free(peer);
 }
