--- a/test/unit/overlap_diff_test.c
+++ b/test/unit/overlap_diff_test.c
@@ -722,8 +722,7 @@
 /* Returns whether the product does not pass with faults of KIND. */
 static bool is_off(int kind)
 {
-	return kind == REFUSE_SERVER || kind == SUSPEND_AGENT || kind == LATE_GRANTS ||
-	       kind == LATE_HEARTBEATS || kind == BRIEF_ISOLATION;
+	return kind == REFUSE_SERVER || kind == LATE_GRANTS;
 }
 
 static void enable_kinds(void)
