--- a/test/unit/session_world.h
+++ b/test/unit/session_world.h
@@ -578,6 +578,7 @@
 }
 
 struct held_names {
+	const struct node_entry *receiver;
 	GPtrArray *runs;
 	GPtrArray *starts;
 };
@@ -589,25 +590,36 @@
 	g_ptr_array_add(start ? names->starts : names->runs, (char *)task);
 }
 
+static inline void add_holder(void *context, const struct ident *incarnation,
+			      const struct hold_source *holds)
+{
+	struct held_names *names = context;
+
+	if (!node_agent_links_is_connected(names->receiver, incarnation->bytes))
+		task_holds_foreach(holds, add_held_name, names);
+}
+
 /* Tells an entry what the agents of another one hold, as node_peers.c does. */
 static inline void pass_holds(struct simulation_entry *entry, struct peer_link *link,
 			      const struct simulation_entry *peer)
 {
-	struct held_names names = {.runs = g_ptr_array_new(), .starts = g_ptr_array_new()};
+	struct held_names names = {
+		.receiver = &entry->node,
+		.runs = g_ptr_array_new(),
+		.starts = g_ptr_array_new(),
+	};
 	struct dispatch *dispatch = &entry->node.dispatch;
-	uint64_t changes = dispatch->holds.changes;
 
 	if (!link->holds)
 		link->holds = task_holds_add_source(&dispatch->holds);
-	node_agent_links_foreach_hold(&peer->node, add_held_name, &names);
-	task_holds_replace(&dispatch->holds, link->holds,
-			   &(struct held_tasks){
-				   .runs = (char **)names.runs->pdata,
-				   .run_count = names.runs->len,
-				   .starts = (char **)names.starts->pdata,
-				   .start_count = names.starts->len,
-			   });
-	if (dispatch->holds.changes != changes)
+	node_agent_links_foreach_holder(&peer->node, add_holder, &names);
+	if (task_holds_replace(&dispatch->holds, link->holds,
+			       &(struct held_tasks){
+				       .runs = (char **)names.runs->pdata,
+				       .run_count = names.runs->len,
+				       .starts = (char **)names.starts->pdata,
+				       .start_count = names.starts->len,
+			       }))
 		dispatch_holds_changed(dispatch);
 	g_ptr_array_free(names.runs, TRUE);
 	g_ptr_array_free(names.starts, TRUE);
@@ -618,10 +630,12 @@
 	struct dispatch *dispatch = &world->sim.entries[index].node.dispatch;
 	struct peer_link *link = &world->peers[index][peer];
 
-	if (link->holds) {
-		task_holds_remove_source(&dispatch->holds, link->holds);
-		dispatch_holds_changed(dispatch);
-	}
+	int64_t now_us = simulation_entry_now(&world->sim.entries[index]);
+
+	if (link->holds)
+		task_holds_abandon_source(&dispatch->holds, link->holds,
+					  now_us + dispatch->limits.settle_timeout_us,
+					  now_us + RUNS_TRANSIT_MAX_US);
 	*link = (struct peer_link){0};
 }
 
