stale_peer_ftest: let the played agent say whether starts were answered

namesake/beside_another_server failed since: the played agent, as one of an earlier release, never reported that the server had answered the start, so the entry kept the run for 16 s after the agent's end and the test waits 10 s. The played agent now reports it, and the test is otherwise as before. The new namesake/unanswered checks the other half: if the start was not answered, the entry does not start the task again within 2.5 s, and goes on with the run when the agent is back.

An agent of an earlier release beside a new entry has all its runs kept for 16 s when it ends, unless its next process speaks for them.

--- a/test/functional/stale_peer_test.c
+++ b/test/functional/stale_peer_test.c
@@ -8,8 +8,9 @@
 enum {
 	SERVE_INTERVAL_US = 20000, /* between two reports of a played agent */
 	PAUSE_MS = 500,		   /* for orders that must not arrive */
-	SILENT_MS = 1000,	   /* longer than an agent waits for an entry */
-	TURN_MS = 100,		   /* less than the time after which a silent agent is lost */
+	LONG_PAUSE_MS = 2500, /* the same, longer than runs last after the loss of their agent */
+	SILENT_MS = 1000,     /* longer than an agent waits for an entry */
+	TURN_MS = 100,	      /* less than the time after which a silent agent is lost */
 	TURNS = 3,
 	SERVER_CPU = 8000,
 	SPEED_PERMILLE = 1000,
@@ -25,9 +26,10 @@
 	uint64_t last_report; /* number of the last report with ends in this session */
 	const char *name;
 	const char *server;
-	bool greeted;	/* the entry's hello message has arrived */
-	bool connected; /* the inventory was sent */
-	GArray *starts; /* uint64_t, runs that the entry has ordered */
+	bool greeted;	 /* the entry's hello message has arrived */
+	bool connected;	 /* the inventory was sent */
+	bool unanswered; /* its server does not answer the starts */
+	GArray *starts;	 /* uint64_t, runs that the entry has ordered */
 };
 
 static struct played_agent new_agent(uint8_t incarnation, const char *name, const char *server)
@@ -59,6 +61,7 @@
 	server.memory_mb = SERVER_CPU;
 	report->session = agent->session;
 	report->room = &room;
+	report->settled_orders = agent->unanswered ? 0 : agent->starts->len + 1;
 	report->server = &server;
 	frame.body_case = GGD__FRAME__BODY_REPORT;
 	frame.report = report;
@@ -248,6 +251,34 @@
 	peer_cluster_stop(&cluster);
 }
 
+/* The same agent must not make the entry start a run again whose start its server may still carry
+ * out, as it was not answered. */
+static void test_namesake_of_unanswered_agent(void)
+{
+	struct played_agent agent = new_agent(1, "host", "i-1");
+	struct played_agent namesake = new_agent(2, "host", "i-2");
+	struct submission submission;
+	struct peer_cluster cluster;
+
+	agent.unanswered = true;
+	start_run(&cluster, &agent, &submission);
+	peer_close(&agent.conn);
+	g_usleep(PAUSE_MS * US_PER_MS / 5);
+	connect_agent(&namesake, &cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(&namesake));
+	send_inventory(&namesake, NULL);
+	serve_for(&namesake, LONG_PAUSE_MS);
+	g_assert_cmpuint(namesake.starts->len, ==, 0);
+	connect_agent(&agent, &cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(&agent));
+	send_inventory(&agent, agent.starts);
+	send_done(&agent, first_run(&agent));
+	check_done(&submission);
+	free_agent(&agent);
+	free_agent(&namesake);
+	peer_cluster_stop(&cluster);
+}
+
 /* An agent that connects again after another process has taken its name must keep its runs. */
 static void test_agent_returns_beside_namesake(void)
 {
@@ -583,6 +614,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/stale_peer/namesake/beside_another_server",
 			test_namesake_beside_another_server);
+	g_test_add_func("/stale_peer/namesake/unanswered", test_namesake_of_unanswered_agent);
 	g_test_add_func("/stale_peer/namesake/agent_returns", test_agent_returns_beside_namesake);
 	g_test_add_func("/stale_peer/given_up_connection", test_given_up_connection);
 	g_test_add_func("/stale_peer/repeated_orders", test_repeated_orders);
