--- a/test/unit/overlap_diff_test.c
+++ b/test/unit/overlap_diff_test.c
@@ -724,7 +724,7 @@
 	const char *without = g_getenv("OVERLAP_DIFF_WITHOUT");
 
 	for (int i = 0; i < FAULT_KINDS; i++) {
-		kind_enabled[i] = (i != REFUSE_SERVER && i != SUSPEND_AGENT && i < LATE_GRANTS) ||
+		kind_enabled[i] = (i != REFUSE_SERVER && i != SUSPEND_AGENT && i <= LATE_GRANTS) ||
 				  (with && strstr(with, kind_names[i]));
 		if (without && strstr(without, kind_names[i]))
 			kind_enabled[i] = false;
