--- a/test/unit/overlap_diff_test.c
+++ b/test/unit/overlap_diff_test.c
@@ -726,7 +726,7 @@
 /* Returns whether the product does not pass with faults of KIND. */
 static bool is_off(int kind)
 {
-	return kind == REFUSE_SERVER || kind == LATE_GRANTS;
+	return kind == REFUSE_SERVER;
 }
 
 static void enable_kinds(void)
