Start tasks of a server that refuses connections again only on proof of its end

A server whose connections are closed and refused may run on under its lease; its tasks ran again elsewhere.

Cause: handle_hold_failure() took a refused connection, while none was open, for the end of the process.

Change: runs_server_suspected(). The agent still reports the ends of confirmed runs at once, as crashed, and accepts no start; but it keeps these runs, without an owner, and holds their tasks (task_holds) until another process answers, the server lists the end, a stop is acknowledged and a later list is without the run, or every lease has expired. It sends no lease meanwhile. If the same process answers again, the runs are stopped, as their owners have given them up. Runs that are being stopped end on the same proof. Starts that no process has confirmed are settled with the next process, as before.

overlap_diff_test lets the server be suspected in the product's way, and plays refuse-server by default. A new process is announced to the agent by runs_server_replaced, as accept_answer() does.

runs_test: suspected_run_is_held, suspected_server_replaced, suspected_server_answers and stopping_run_at_suspected_server are new. server_ended now separates what the suspicion ends at once from what the next process proves; the outcomes are the same.

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -92,6 +92,7 @@
 	int64_t stop_by_us;  /* no lease is sent after this time while the run may go on; 0: none */
 	bool stop_overdue;   /* reported as such */
 	bool held;	     /* no entry may start its task */
+	bool given_up;	     /* its end was reported when its server was suspected */
 	bool unknown;	     /* this agent did not order it and does not know its needs */
 	uint32_t priority;   /* 0 is the highest */
 	int64_t urgency_us;  /* of the waiting runs that fit, the one with the lowest value starts
@@ -182,6 +183,7 @@
 	uint32_t waiting_cpu[PRIORITY_LEVELS]; /* cpu of waiting runs, by priority */
 	bool server_present; /* the server has announced itself and answers requests */
 	bool server_leaving;
+	bool suspected;			/* the server's process may have ended */
 	int64_t lists_us;		/* when lists of the current process were last applied */
 	uint64_t last_processed_end;	/* highest sequence number of a processed end */
 	int64_t latest_lease_expiry_us; /* no run continues after this without a new lease */
@@ -207,16 +209,20 @@
  * server accepts no new runs. */
 void runs_server_present(struct runs *runs, const struct resources *total, bool leaving);
 
-/* Records that the server's process has ended: nothing listens on its address. The runs that it had
- * are over. That counts as a crash (RUN_CRASHED) for those that it has confirmed and that were not
- * being stopped, unless it had announced to leave; the others end as RUN_LOST. Runs that were still
- * waiting here end as RUN_SERVER_UNAVAILABLE. A start that no process has confirmed may still reach
+/* Records that the server's process may have ended: connections are refused. Until lists arrive or
+ * another process answers, no lease is sent and no run accepted. Runs that were still waiting here
+ * end as RUN_SERVER_UNAVAILABLE. Those that the server has confirmed and that are not being stopped
+ * are reported as crashed (RUN_CRASHED), or as RUN_LOST if it had announced to leave, but may go
+ * on: they are kept without an owner and held, until it is certain that they are over. If the same
+ * process answers again, they are stopped. A start that no process has confirmed may still reach
  * the next one. Such a run is settled with it: by the answer, through the lists, or through a stop.
  */
-void runs_server_ended(struct runs *runs, int64_t now_us);
+void runs_server_suspected(struct runs *runs, int64_t now_us);
 
-/* As runs_server_ended, but another process has answered already. It may be the one that has
- * confirmed a start since the last lists of the old one, so such a run is settled with it, too. */
+/* Records that another process of the server has answered. The runs of the old one are over, with
+ * the outcomes that runs_server_suspected describes; those that were being stopped end as RUN_LOST.
+ * The new process may be the one that has confirmed a start since the last lists of the old one, so
+ * such a run is settled with it, as a start that no process has confirmed. */
 void runs_server_replaced(struct runs *runs, int64_t now_us);
 
 struct run_request {
@@ -278,7 +284,7 @@
  * Returns whether a lease may be sent. A lease covers all runs at the server, so none is sent while
  * a run goes on that should have been stopped: if all its stops are lost, it ends with the last
  * lease, before its owner's client sends the job again. No run is started meanwhile either, as a
- * start contains a lease.
+ * start contains a lease. None is sent to a suspected server, as its runs are reported as crashed.
  */
 bool runs_may_lease(const struct runs *runs, int64_t now_us);
 
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -207,12 +207,16 @@
 	free_run_members(&copy);
 }
 
+static bool is_being_stopped(const struct run *run)
+{
+	return run->phase == RUN_PHASE_STOPPING || run->phase == RUN_PHASE_STOP_ACKED;
+}
+
 static enum run_outcome outcome_of_server_end(const struct runs *runs, const struct run *run)
 {
 	if (run->phase == RUN_PHASE_WAITING)
 		return RUN_SERVER_UNAVAILABLE;
-	if (runs->server_leaving || !run->confirmed || run->phase == RUN_PHASE_STOPPING ||
-	    run->phase == RUN_PHASE_STOP_ACKED)
+	if (runs->server_leaving || !run->confirmed || is_being_stopped(run))
 		return RUN_LOST;
 	return RUN_CRASHED;
 }
@@ -246,6 +250,21 @@
 	runs->callbacks.order_stop(runs->callbacks.context, run->task, run->attempt, handle);
 }
 
+/* Withdraws a waiting run, or sends a stop for one that was ordered or confirmed. In the other
+ * phases, a stop was sent already or will be sent when the next list arrives. */
+static void request_stop(struct runs *runs, struct run *run, struct handle handle,
+			 int64_t stop_by_us, int64_t now_us)
+{
+	set_stop_by(runs, run, stop_by_us);
+	if (!run->stop_requested)
+		run->stop_requested_us = now_us;
+	run->stop_requested = true;
+	if (run->phase == RUN_PHASE_WAITING)
+		runs_end(runs, handle, RUN_WITHDRAWN, now_us);
+	else if (run->phase == RUN_PHASE_ACTIVE || run->phase == RUN_PHASE_ORDERED)
+		send_stop(runs, run, handle, now_us);
+}
+
 /* Makes the new process of the server answer for RUN. What the old one said of it is void. */
 static void settle_with_new_process(struct runs *runs, struct run *run, struct handle handle,
 				    int64_t now_us)
@@ -259,36 +278,73 @@
 		send_stop(runs, run, handle, now_us);
 }
 
-/* Ends the runs of the server's process. Those that were confirmed after CONFIRMED_MAX_US may be
- * runs of the next one. */
-static void end_process(struct runs *runs, int64_t confirmed_max_us, int64_t now_us)
+/* Reports a run that may go on as ended. */
+static void give_up_run(struct runs *runs, struct run *run, int64_t now_us)
+{
+	const struct run copy = *run;
+
+	hold_run(runs, run, 0);
+	run->given_up = true;
+	run->owner = RUN_NO_OWNER;
+	runs->ownerless_runs++;
+	runs->callbacks.run_ended(runs->callbacks.context, &copy,
+				  outcome_of_server_end(runs, &copy), now_us - copy.ordered_us);
+}
+
+void runs_server_suspected(struct runs *runs, int64_t now_us)
 {
 	uint32_t cursor = 0;
 	struct handle handle;
 	struct run *run;
 
+	if (runs->suspected)
+		return;
+	runs->suspected = true;
 	runs->server_present = false;
-	runs->last_processed_end = 0;
-	runs_ended_clear(runs);
+	runs_refuse_waiting(runs, now_us);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
-		if (runs_start_in_transit(run) ||
-		    (run->confirmed && run->confirmed_us > confirmed_max_us))
+		if (runs_start_in_transit(run))
 			settle_with_new_process(runs, run, handle, now_us);
-		else
-			runs_end(runs, handle, outcome_of_server_end(runs, run), now_us);
+		else if (run->owner != RUN_NO_OWNER && !is_being_stopped(run))
+			give_up_run(runs, run, now_us);
 	}
 	if (table_count(&runs->table) > 0)
 		runs->callbacks.request_lists(runs->callbacks.context);
 }
 
-void runs_server_ended(struct runs *runs, int64_t now_us)
+/* The same process has answered. The owners of the runs that were given up have no use for them. */
+static void withdraw_suspicion(struct runs *runs, int64_t now_us)
 {
-	end_process(runs, now_us, now_us);
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	runs->suspected = false;
+	while ((run = table_next(&runs->table, &cursor, &handle))) {
+		if (run->given_up)
+			request_stop(runs, run, handle, now_us + runs->limits.stop_wait_us, now_us);
+	}
 }
 
 void runs_server_replaced(struct runs *runs, int64_t now_us)
 {
-	end_process(runs, runs->lists_us, now_us);
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	runs->server_present = false;
+	runs->suspected = false;
+	runs->last_processed_end = 0;
+	runs_ended_clear(runs);
+	while ((run = table_next(&runs->table, &cursor, &handle))) {
+		if (runs_start_in_transit(run) ||
+		    (run->confirmed && run->confirmed_us > runs->lists_us))
+			settle_with_new_process(runs, run, handle, now_us);
+		else
+			runs_end(runs, handle, outcome_of_server_end(runs, run), now_us);
+	}
+	if (table_count(&runs->table) > 0)
+		runs->callbacks.request_lists(runs->callbacks.context);
 }
 
 static struct run *add_run(struct runs *runs, const struct run_request *request,
@@ -381,21 +437,6 @@
 	send_stop(runs, run, handle, now_us);
 }
 
-/* Withdraws a waiting run, or sends a stop for one that was ordered or confirmed. In the other
- * phases, a stop was sent already or will be sent when the next list arrives. */
-static void request_stop(struct runs *runs, struct run *run, struct handle handle,
-			 int64_t stop_by_us, int64_t now_us)
-{
-	set_stop_by(runs, run, stop_by_us);
-	if (!run->stop_requested)
-		run->stop_requested_us = now_us;
-	run->stop_requested = true;
-	if (run->phase == RUN_PHASE_WAITING)
-		runs_end(runs, handle, RUN_WITHDRAWN, now_us);
-	else if (run->phase == RUN_PHASE_ACTIVE || run->phase == RUN_PHASE_ORDERED)
-		send_stop(runs, run, handle, now_us);
-}
-
 void runs_stop_by(struct runs *runs, uint32_t owner, uint64_t number, int64_t stop_by_us,
 		  int64_t now_us)
 {
@@ -634,6 +675,8 @@
 
 	runs->lists_us = now_us;
 	apply_finished(runs, list, now_us);
+	if (runs->suspected)
+		withdraw_suspicion(runs, now_us);
 	apply_running(runs, list, listed, now_us);
 	apply_missing(runs, listed, asked_us, now_us);
 	g_hash_table_destroy(listed);
@@ -641,7 +684,7 @@
 
 bool runs_may_lease(const struct runs *runs, int64_t now_us)
 {
-	return now_us < runs->stop_by_us;
+	return !runs->suspected && now_us < runs->stop_by_us;
 }
 
 void runs_lease_sent(struct runs *runs, int64_t now_us)
@@ -686,7 +729,7 @@
 
 bool runs_ready(const struct runs *runs)
 {
-	return runs->server_present && !runs->server_leaving &&
+	return runs->server_present && !runs->suspected && !runs->server_leaving &&
 	       runs->health.state != HEALTH_QUARANTINED;
 }
 
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -381,22 +381,22 @@
 				bool long_poll, const struct error *err)
 {
 	int64_t now_us = backend->loop->now_us;
-	/* After a crash nothing runs, connections are refused and existing ones are closed. A
-	 * server that does not answer, or only accepts no new connections, keeps its runs until
-	 * their leases have expired. */
-	bool crashed = reply->connection_refused && !http_client_connected(backend->hold_client) &&
-		       !http_client_connected(backend->order_client);
+	/* After a crash connections are refused and existing ones are closed. A network can do the
+	 * same to a server that runs on. */
+	bool suspected = reply->connection_refused &&
+			 !http_client_connected(backend->hold_client) &&
+			 !http_client_connected(backend->order_client);
 
 	/* A closed connection tells of the end of the server at once; the next call shows whether
 	 * it is refused. Failed immediate polls are not repeated, or a server that closes each
 	 * connection would be called without a pause. */
 	if (long_poll && reply->status == STATUS_NETWORK && !reply->connection_refused)
 		backend->immediate_poll_requested = true;
-	if (crashed && !backend->refused) {
+	if (suspected && !backend->refused) {
 		backend->refused = true;
-		runs_server_ended(&backend->runs, now_us);
+		runs_server_suspected(&backend->runs, now_us);
 	}
-	if (crashed || now_us - backend->lists_received_us > UNREACHABLE_TIMEOUT_MS * US_PER_MS)
+	if (suspected || now_us - backend->lists_received_us > UNREACHABLE_TIMEOUT_MS * US_PER_MS)
 		set_reachable(backend, false, err->message);
 }
 
--- a/test/unit/overlap_diff_test.c
+++ b/test/unit/overlap_diff_test.c
@@ -386,7 +386,7 @@
 				    false);
 }
 
-/* The agent takes a server that refuses connections for one that has ended. */
+/* The server refuses connections and runs on. */
 static void refuse_server(struct simulation *sim, struct fault *fault)
 {
 	struct simulation_server *server = &sim->servers[fault->server];
@@ -395,7 +395,7 @@
 	server->cut_until_us = MAX(server->cut_until_us, fault->end_us);
 	if (!agent->up || simulation_frozen(sim, &agent->process))
 		return;
-	runs_server_ended(&agent->backend.runs, simulation_agent_now(agent));
+	runs_server_suspected(&agent->backend.runs, simulation_agent_now(agent));
 	simulation_schedule(sim, fault->end_us, end_fault, fault);
 }
 
@@ -724,7 +724,7 @@
 	const char *without = g_getenv("OVERLAP_DIFF_WITHOUT");
 
 	for (int i = 0; i < FAULT_KINDS; i++) {
-		kind_enabled[i] = (i != REFUSE_SERVER && i != SUSPEND_AGENT && i < LATE_GRANTS) ||
+		kind_enabled[i] = (i != SUSPEND_AGENT && i < LATE_GRANTS) ||
 				  (with && strstr(with, kind_names[i]));
 		if (without && strstr(without, kind_names[i]))
 			kind_enabled[i] = false;
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -533,10 +533,13 @@
 	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
 	runs_stop(&fixture.runs, OWNER, g_str_hash("stopping.0.0.0"), 200);
 	start(&fixture, "waiting.0.0.0", 1000, OWNER, 0, 0);
-	runs_server_ended(&fixture.runs, 1000);
-	g_assert_cmpint(outcome_at(&fixture, 0), ==, RUN_CRASHED);
-	g_assert_cmpint(outcome_at(&fixture, 1), ==, RUN_LOST);
-	check_outcomes(&fixture, 3, RUN_SERVER_UNAVAILABLE);
+	deliver_lists(&fixture, "confirmed.0.0.0", NULL, 0, 50);
+	runs_server_suspected(&fixture.runs, 1060);
+	g_assert_cmpint(outcome_at(&fixture, 0), ==, RUN_SERVER_UNAVAILABLE);
+	check_outcomes(&fixture, 2, RUN_CRASHED);
+	/* The stop may not have arrived. */
+	runs_server_replaced(&fixture.runs, 1070);
+	check_outcomes(&fixture, 3, RUN_LOST);
 	runs_start_answered(&fixture.runs, find(&fixture, "sent.0.0.0"), START_UNANSWERED, 1100);
 	deliver_lists(&fixture, NULL, NULL, 0, 1200);
 	runs_stop_answered(&fixture.runs, find(&fixture, "sent.0.0.0"), true, 1300);
@@ -548,11 +551,115 @@
 	start(&fixture, "leaving.0.0.0", 1000, OWNER, 0, 2000);
 	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 2100);
 	runs_server_present(&fixture.runs, &total, true);
-	runs_server_ended(&fixture.runs, 3000);
+	runs_server_suspected(&fixture.runs, 3000);
 	check_outcomes(&fixture, 6, RUN_LOST);
 	tear_down(&fixture);
 }
 
+/* Guards against starting a task again on the mere suspicion that its server has crashed: the crash
+ * is reported at once, but the task is held until every lease has expired. */
+static void test_suspected_run_is_held(void)
+{
+	struct fixture fixture;
+	const int64_t expired_us = 1000 + LEASE_US + LEASE_US / 50 + 50000;
+	const struct resources total = {.cpu = CPU, .memory_mb = 1000};
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
+	runs_lease_sent(&fixture.runs, 1000);
+	runs_server_suspected(&fixture.runs, 2000);
+	check_outcomes(&fixture, 1, RUN_CRASHED);
+	g_assert_cmpuint(fixture.held, ==, 1);
+	g_assert_true(((struct run *)table_get(&fixture.runs.table, fixture.last))->held);
+	/* Its heartbeats may go on. */
+	runs_server_present(&fixture.runs, &total, false);
+	g_assert_false(runs_may_lease(&fixture.runs, 3000));
+	start(&fixture, "b.0.0.0", 1000, OWNER, 0, 3000);
+	check_outcomes(&fixture, 2, RUN_SERVER_UNAVAILABLE);
+	runs_server_suspected(&fixture.runs, 4000);
+	runs_tick(&fixture.runs, expired_us);
+	g_assert_nonnull(table_get(&fixture.runs.table, fixture.last));
+	runs_tick(&fixture.runs, expired_us + 1);
+	g_assert_null(table_get(&fixture.runs.table, fixture.last));
+	g_assert_cmpuint(fixture.runs.ownerless_runs, ==, 0);
+	check_outcomes(&fixture, 2, RUN_SERVER_UNAVAILABLE);
+	tear_down(&fixture);
+}
+
+/* Guards against a task that stays held after another process of its server has answered, and
+ * against releasing a run that this process may have confirmed. */
+static void test_suspected_server_replaced(void)
+{
+	struct fixture fixture;
+	uint64_t version;
+
+	set_up(&fixture);
+	start(&fixture, "listed.0.0.0", 1000, OWNER, 0, 0);
+	deliver_lists(&fixture, "listed.0.0.0", NULL, 0, 1000);
+	start(&fixture, "young.0.0.0", 1000, OWNER, 0, 5000);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 6000);
+	runs_server_suspected(&fixture.runs, 10000);
+	check_outcomes(&fixture, 2, RUN_CRASHED);
+	version = fixture.runs.holds_version;
+	runs_server_replaced(&fixture.runs, 60000);
+	g_assert_cmpuint(fixture.runs.holds_version, >, version);
+	g_assert_cmpuint(table_count(&fixture.runs.table), ==, 1);
+	g_assert_true(runs_may_lease(&fixture.runs, 60000));
+	deliver_lists(&fixture, NULL, NULL, 0, 61000);
+	runs_stop_answered(&fixture.runs, fixture.last, true, 63000);
+	deliver_lists(&fixture, NULL, NULL, 0, 64000);
+	g_assert_cmpuint(table_count(&fixture.runs.table), ==, 0);
+	check_outcomes(&fixture, 2, RUN_CRASHED);
+	tear_down(&fixture);
+}
+
+/* Guards against a run that goes on after its end was reported, when the process that was suspected
+ * answers again, and against releasing its task before it is over. */
+static void test_suspected_server_answers(void)
+{
+	struct fixture fixture;
+	const struct resources total = {.cpu = CPU, .memory_mb = 1000};
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
+	start(&fixture, "ended.0.0.0", 1000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
+	runs_server_suspected(&fixture.runs, 2000);
+	check_outcomes(&fixture, 2, RUN_CRASHED);
+	runs_server_present(&fixture.runs, &total, false);
+	deliver_lists(&fixture, "a.0.0.0", "ended.0.0.0", RUN_DONE, 3000);
+	g_assert_cmpuint(fixture.stops, ==, 1);
+	g_assert_true(runs_ready(&fixture.runs));
+	g_assert_true(runs_may_lease(&fixture.runs, 4000));
+	g_assert_false(runs_may_lease(&fixture.runs, 4000 + STOP_WAIT_US));
+	g_assert_true(
+		((struct run *)table_get(&fixture.runs.table, find(&fixture, "a.0.0.0")))->held);
+	deliver_lists(&fixture, NULL, "a.0.0.0", RUN_STOPPED, 6000);
+	g_assert_cmpuint(table_count(&fixture.runs.table), ==, 0);
+	check_outcomes(&fixture, 2, RUN_CRASHED);
+	tear_down(&fixture);
+}
+
+/* Guards against taking a run that is being stopped for over when connections are refused. */
+static void test_stopping_run_at_suspected_server(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
+	runs_stop(&fixture.runs, OWNER, g_str_hash("a.0.0.0"), 200);
+	runs_server_suspected(&fixture.runs, 2000);
+	check_outcomes(&fixture, 0, 0);
+	runs_tick(&fixture.runs, LEASE_US);
+	check_outcomes(&fixture, 0, 0);
+	runs_tick(&fixture.runs, LEASE_US + LEASE_US / 50 + 50001);
+	check_outcomes(&fixture, 1, RUN_LOST);
+	tear_down(&fixture);
+}
+
 /* Guards against ending a run whose start reaches the process that has replaced the server's, which
  * lets the task run there and elsewhere. */
 static void test_start_reaches_new_process(void)
@@ -632,7 +739,7 @@
 	set_up(&fixture);
 	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 0);
 	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 100);
-	runs_server_ended(&fixture.runs, 1000);
+	runs_server_suspected(&fixture.runs, 1000);
 	runs_server_replaced(&fixture.runs, 10000000);
 	check_outcomes(&fixture, 0, 0);
 	runs_tick(&fixture.runs, 15002000);
@@ -866,6 +973,11 @@
 	g_test_add_func("/runs/start_beside_unknown_run", test_start_beside_unknown_run);
 	g_test_add_func("/runs/capacity_shrinks", test_capacity_shrinks);
 	g_test_add_func("/runs/server_ended", test_server_ended);
+	g_test_add_func("/runs/suspected_run_is_held", test_suspected_run_is_held);
+	g_test_add_func("/runs/suspected_server_replaced", test_suspected_server_replaced);
+	g_test_add_func("/runs/suspected_server_answers", test_suspected_server_answers);
+	g_test_add_func("/runs/stopping_run_at_suspected_server",
+			test_stopping_run_at_suspected_server);
 	g_test_add_func("/runs/server_ended_after_list", test_server_ended_after_list);
 	g_test_add_func("/runs/start_reaches_new_process", test_start_reaches_new_process);
 	g_test_add_func("/runs/stop_acknowledged_by_old_process",
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -1457,6 +1457,14 @@
 	uint32_t agent_incarnation;
 };
 
+/* The new process of a server answers its agent. */
+static inline void simulation_announce_server(struct simulation *sim,
+					      struct simulation_agent *agent)
+{
+	runs_server_replaced(&agent->backend.runs, simulation_agent_now(agent));
+	runs_server_present(&agent->backend.runs, &sim->servers[agent->index].total, false);
+}
+
 static inline void simulation_on_server_ended(struct simulation *sim, void *data)
 {
 	struct simulation_server_end *end = data;
@@ -1469,9 +1477,9 @@
 	g_free(end);
 	if (!current)
 		return;
-	runs_server_ended(&agent->backend.runs, simulation_agent_now(agent));
+	runs_server_suspected(&agent->backend.runs, simulation_agent_now(agent));
 	if (sim->servers[index].up)
-		runs_server_present(&agent->backend.runs, &sim->servers[index].total, false);
+		simulation_announce_server(sim, agent);
 }
 
 /* Tells the agent of the end of its server, and that there is a new process if that is up. */
@@ -1505,11 +1513,13 @@
 static inline void simulation_return_server(struct simulation *sim, void *data)
 {
 	uint32_t index = GPOINTER_TO_UINT(data);
+	struct simulation_agent *agent = &sim->agents[index];
 
 	sim->servers[index].up = true;
-	if (sim->agents[index].up)
-		runs_server_present(&sim->agents[index].backend.runs, &sim->servers[index].total,
-				    false);
+	if (simulation_postpone(sim, &agent->process, simulation_return_server, data))
+		return;
+	if (agent->up)
+		simulation_announce_server(sim, agent);
 }
 
 /* Crashes a server, which is away for a while. */
