--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -12,6 +12,7 @@
 	CONFIG_TIMEOUT_MS = 2000, /* limit for a configuration to take effect */
 	MANY_TASKS = 20,	  /* more than fit on one server */
 	DEADLY_JOB = 0xdead,	  /* number of the job that crashes servers */
+	CUT_MS = 200,		  /* shorter than what is left of a lease */
 	CRASH_NOTICE_MS = 25,	  /* half of the 50 ms between regular checks of a server */
 	SUSPEND_MS = 1500, /* longer than the time after which a silent peer is disconnected */
 	LOSS_TEST_JOBS = 40,
@@ -285,6 +286,47 @@
 	platform_stop(&cluster);
 }
 
+/* Cuts a server off from its agent while tasks run there: it refuses connections and runs on, for
+ * CUT_MS or to the end of the test if that is 0. */
+static void run_while_server_is_cut_off(int cut_ms)
+{
+	struct platform_cluster cluster;
+	struct platform_submission submission = {
+		.cluster = &cluster, .entry = 0, .number = 2, .tasks = MANY_TASKS};
+	GThread *thread;
+
+	platform_start(&cluster);
+	g_assert_true(platform_job_completes(&cluster, 0, 1, MANY_TASKS));
+	platform_control(&cluster, "{\"run_ms\":700}");
+	thread = g_thread_new("client", platform_run_submission, &submission);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") == MANY_TASKS);
+	platform_control(&cluster, "{\"cut_server\":0}");
+	if (cut_ms > 0) {
+		g_usleep(cut_ms * US_PER_MS);
+		platform_control(&cluster, "{\"restore_server\":0}");
+	}
+	g_thread_join(thread);
+	g_assert_cmpint(submission.reply.status, ==, 200);
+	harness_reply_clear(&submission.reply);
+	g_assert_cmpint(platform_counter(&cluster, "starts"), >, 2 * MANY_TASKS);
+	g_assert_cmpint(platform_counter(&cluster, "overlaps"), ==, 0);
+	if (cut_ms == 0)
+		platform_control(&cluster, "{\"restore_server\":0}");
+	platform_stop(&cluster);
+}
+
+/* Guards against a second run of tasks whose server refuses connections and runs on, and which the
+ * same process or nobody answers for later. */
+static void test_server_cut_off(void)
+{
+	run_while_server_is_cut_off(CUT_MS);
+}
+
+static void test_server_cut_off_beyond_lease(void)
+{
+	run_while_server_is_cut_off(0);
+}
+
 /* Guards against acknowledging to a server's new process the ends that the old one has listed: the
  * new one would forget as many of its own. */
 static void test_ends_of_old_process_acknowledged(void)
@@ -737,6 +779,8 @@
 	g_test_add_func("/platform/ends_of_old_process_acknowledged",
 			test_ends_of_old_process_acknowledged);
 	g_test_add_func("/platform/crash_is_noticed", test_crash_is_noticed);
+	g_test_add_func("/platform/server_cut_off", test_server_cut_off);
+	g_test_add_func("/platform/server_cut_off_beyond_lease", test_server_cut_off_beyond_lease);
 	g_test_add_func("/platform/deadly_task_and_entry_restarts",
 			test_deadly_task_and_entry_restarts);
 	g_test_add_func("/platform/leaving_server", test_draining_server);
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -11,7 +11,8 @@
  * records, and POST /control/record?topic=T adds its body, in base64 the bytes after a record's
  * length, to T's log. The settings are page_items (items in a page of newest records; 0: all),
  * lists_lost, starts_lost, run_ms, store_down, store_silent, refused_address, cpu (capacity of each
- * server, which it does not enforce), lists_garbled, deadly_job (id of a job whose tasks crash each
+ * server, which it does not enforce), cut_server (its connections are closed and new ones refused;
+ * it runs on), restore_server, lists_garbled, deadly_job (id of a job whose tasks crash each
  * server that starts them), away_ms (how long a crashed server is away), and drain, stay and
  * silent, whose value is the index of a server.
  */
@@ -673,16 +674,25 @@
 
 /* ---- requests to /control ---- */
 
+static void cut_off(struct server *server);
+static void listen_again(struct server *server);
+
 static void apply_server_settings(struct standin *standin, const json_t *document)
 {
 	json_t *drain = json_object_get(document, "drain");
 	json_t *silent = json_object_get(document, "silent");
 	json_t *undrain = json_object_get(document, "stay");
+	json_t *cut = json_object_get(document, "cut_server");
+	json_t *restore = json_object_get(document, "restore_server");
 
 	if (drain)
 		standin->servers[json_integer_value(drain) % MAX_SERVERS].draining = true;
 	if (undrain)
 		standin->servers[json_integer_value(undrain) % MAX_SERVERS].draining = false;
+	if (cut)
+		cut_off(&standin->servers[json_integer_value(cut) % MAX_SERVERS]);
+	if (restore)
+		listen_again(&standin->servers[json_integer_value(restore) % MAX_SERVERS]);
 	if (silent)
 		standin->servers[json_integer_value(silent) % MAX_SERVERS].silent = true;
 }
@@ -865,11 +875,26 @@
 				  &order_callbacks, server, &server->http, err);
 }
 
-/* Closes the server's connections and forgets its runs and all that its agent has told it. */
-static void crash(struct server *server)
+static void cut_off(struct server *server)
 {
 	http_server_close(server->http);
 	server->http = NULL;
+}
+
+static void listen_again(struct server *server)
+{
+	struct error err;
+
+	if (listen_for_orders(server, &err) != STATUS_OK) {
+		fprintf(stderr, "standin_platform: %s\n", err.message);
+		abort();
+	}
+}
+
+/* Closes the server's connections and forgets its runs and all that its agent has told it. */
+static void crash(struct server *server)
+{
+	cut_off(server);
 	for (guint i = 0; i < server->runs->len; i++) {
 		struct run *run = server->runs->pdata[i];
 
@@ -891,14 +916,9 @@
 
 static void return_after_crash(struct server *server)
 {
-	struct error err;
-
 	set_id(server);
 	server->return_due_us = 0;
-	if (listen_for_orders(server, &err) != STATUS_OK) {
-		fprintf(stderr, "standin_platform: %s\n", err.message);
-		abort();
-	}
+	listen_again(server);
 }
 
 static void on_tick(void *context, int64_t now_us)
