--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -7,6 +7,8 @@
 enum {
 	PERMILLE = 1000,
 	PERCENT = 100,
+	/* A call that gets no answer is carried out at once, or seconds later. */
+	LATE_CALL_MIN_US = 1000 * US_PER_MS,
 	LEASE_MARGIN_US = 50 * US_PER_MS, /* time to stop a run whose lease expired */
 	/* A run that has not ended this long after the request to stop it is held. A stop takes up
 	 * to 50 ms. */
@@ -208,12 +210,16 @@
 	free_run_members(&copy);
 }
 
+static bool is_being_stopped(const struct run *run)
+{
+	return run->phase == RUN_PHASE_STOPPING || run->phase == RUN_PHASE_STOP_ACKED;
+}
+
 static enum run_outcome outcome_of_server_end(const struct runs *runs, const struct run *run)
 {
 	if (run->phase == RUN_PHASE_WAITING)
 		return RUN_SERVER_UNAVAILABLE;
-	if (runs->server_leaving || !run->confirmed || run->phase == RUN_PHASE_STOPPING ||
-	    run->phase == RUN_PHASE_STOP_ACKED)
+	if (runs->server_leaving || !run->confirmed || is_being_stopped(run))
 		return RUN_LOST;
 	return RUN_CRASHED;
 }
@@ -258,6 +264,21 @@
 	runs->epoch = MAX(runs->epoch, epoch + 1);
 }
 
+/* Withdraws a waiting run, or sends a stop for one that was ordered or confirmed. In the other
+ * phases, a stop was sent already or will be sent when the next list arrives. */
+static void request_stop(struct runs *runs, struct run *run, struct handle handle,
+			 int64_t stop_by_us, int64_t now_us)
+{
+	set_stop_by(runs, run, stop_by_us);
+	if (!run->stop_requested)
+		run->stop_requested_us = now_us;
+	run->stop_requested = true;
+	if (run->phase == RUN_PHASE_WAITING)
+		runs_end(runs, handle, RUN_WITHDRAWN, now_us);
+	else if (run->phase == RUN_PHASE_ACTIVE || run->phase == RUN_PHASE_ORDERED)
+		send_stop(runs, run, handle, now_us);
+}
+
 /* Makes the new process of the server answer for RUN. What the old one said of it is void. */
 static void settle_with_new_process(struct runs *runs, struct run *run, struct handle handle,
 				    int64_t now_us)
@@ -275,38 +296,75 @@
 		send_stop(runs, run, handle, now_us);
 }
 
-/* Ends the runs of the server's process. Those that were confirmed after CONFIRMED_MAX_US may be
- * runs of the next one. */
-static void end_process(struct runs *runs, int64_t confirmed_max_us, int64_t now_us)
+/* Reports a run that may go on as ended. */
+static void give_up_run(struct runs *runs, struct run *run, int64_t now_us)
+{
+	const struct run copy = *run;
+
+	hold_run(runs, run, 0);
+	run->given_up = true;
+	run->owner = RUN_NO_OWNER;
+	runs->ownerless_runs++;
+	runs->callbacks.run_ended(runs->callbacks.context, &copy,
+				  outcome_of_server_end(runs, &copy), now_us - copy.ordered_us);
+}
+
+void runs_server_suspected(struct runs *runs, int64_t now_us)
 {
 	uint32_t cursor = 0;
 	struct handle handle;
 	struct run *run;
 
+	if (runs->suspected)
+		return;
+	runs->suspected = true;
 	runs->server_present = false;
-	runs->last_processed_end = 0;
-	runs->answered_epoch = 0;
-	runs->other_attempt_listed = false;
-	runs_ended_clear(runs);
+	runs_refuse_waiting(runs, now_us);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
-		if (runs_start_in_transit(run) ||
-		    (run->confirmed && run->confirmed_us > confirmed_max_us))
+		if (runs_start_in_transit(run))
 			settle_with_new_process(runs, run, handle, now_us);
-		else
-			runs_end(runs, handle, outcome_of_server_end(runs, run), now_us);
+		else if (run->owner != RUN_NO_OWNER && !is_being_stopped(run))
+			give_up_run(runs, run, now_us);
 	}
 	if (table_count(&runs->table) > 0)
 		runs->callbacks.request_lists(runs->callbacks.context);
 }
 
-void runs_server_ended(struct runs *runs, int64_t now_us)
+/* Stops the runs that were given up, for which their owners have no use, if a process has answered.
+ */
+static void stop_given_up(struct runs *runs, int64_t now_us)
 {
-	end_process(runs, now_us, now_us);
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	while ((run = table_next(&runs->table, &cursor, &handle))) {
+		if (run->given_up && !run->stop_requested)
+			request_stop(runs, run, handle, now_us + runs->limits.stop_wait_us, now_us);
+	}
 }
 
 void runs_server_replaced(struct runs *runs, int64_t now_us)
 {
-	end_process(runs, runs->lists_us, now_us);
+	uint32_t cursor = 0;
+	struct handle handle;
+	struct run *run;
+
+	runs->server_present = false;
+	runs->suspected = false;
+	runs->last_processed_end = 0;
+	runs->answered_epoch = 0;
+	runs->other_attempt_listed = false;
+	runs_ended_clear(runs);
+	while ((run = table_next(&runs->table, &cursor, &handle))) {
+		if (runs_start_in_transit(run) ||
+		    (run->confirmed && run->confirmed_us > runs->lists_us))
+			settle_with_new_process(runs, run, handle, now_us);
+		else
+			runs_end(runs, handle, outcome_of_server_end(runs, run), now_us);
+	}
+	if (table_count(&runs->table) > 0)
+		runs->callbacks.request_lists(runs->callbacks.context);
 }
 
 static struct run *add_run(struct runs *runs, const struct run_request *request,
@@ -409,21 +467,6 @@
 	send_stop(runs, run, handle, now_us);
 }
 
-/* Withdraws a waiting run, or sends a stop for one that was ordered or confirmed. In the other
- * phases, a stop was sent already or will be sent when the next list arrives. */
-static void request_stop(struct runs *runs, struct run *run, struct handle handle,
-			 int64_t stop_by_us, int64_t now_us)
-{
-	set_stop_by(runs, run, stop_by_us);
-	if (!run->stop_requested)
-		run->stop_requested_us = now_us;
-	run->stop_requested = true;
-	if (run->phase == RUN_PHASE_WAITING)
-		runs_end(runs, handle, RUN_WITHDRAWN, now_us);
-	else if (run->phase == RUN_PHASE_ACTIVE || run->phase == RUN_PHASE_ORDERED)
-		send_stop(runs, run, handle, now_us);
-}
-
 void runs_stop_by(struct runs *runs, uint32_t owner, uint64_t number, int64_t stop_by_us,
 		  int64_t now_us)
 {
@@ -731,14 +774,16 @@
 	runs->lists_us = now_us;
 	epoch_answered(runs, epoch, now_us);
 	apply_finished(runs, list, now_us);
+	runs->suspected = false;
 	apply_running(runs, list, listed, asked_us, now_us);
 	apply_missing(runs, listed, epoch, asked_us, now_us);
+	stop_given_up(runs, now_us);
 	g_hash_table_destroy(listed);
 }
 
 bool runs_may_lease(const struct runs *runs, int64_t now_us)
 {
-	return now_us < runs->stop_by_us && !runs->other_attempt_listed;
+	return !runs->suspected && !runs->other_attempt_listed && now_us < runs->stop_by_us;
 }
 
 void runs_lease_sent(struct runs *runs, int64_t now_us)
@@ -754,6 +799,9 @@
 	if (answered)
 		return;
 	raise_epoch(runs, epoch);
+	if (runs->unanswered_epoch == 0)
+		runs->unanswered_since_us = sent_us;
+	runs->unanswered_since_us = MIN(runs->unanswered_since_us, sent_us);
 	runs->unanswered_epoch = MAX(runs->unanswered_epoch, epoch);
 	runs->unanswered_us = MAX(runs->unanswered_us, sent_us);
 	if (runs->unanswered_epoch < runs->answered_epoch)
@@ -767,6 +815,11 @@
 		return INT64_MAX;
 	if (runs->unanswered_epoch == 0)
 		return runs->latest_lease_expiry_us;
+	/* A server that refuses connections gets no more calls. The calls that it has not answered
+	 * since come too late for a run that no other lease has kept. */
+	if (runs->suspected &&
+	    runs->unanswered_since_us + LATE_CALL_MIN_US > runs->latest_lease_expiry_us)
+		return runs->latest_lease_expiry_us;
 	return MAX(runs->latest_lease_expiry_us,
 		   lease_expiry_us(runs, runs->unanswered_us + RUNS_TRANSIT_MAX_US));
 }
@@ -816,7 +869,7 @@
 
 bool runs_ready(const struct runs *runs)
 {
-	return runs->server_present && !runs->server_leaving &&
+	return runs->server_present && !runs->suspected && !runs->server_leaving &&
 	       runs->health.state != HEALTH_QUARANTINED;
 }
 
