--- a/test/unit/overlap_diff_test.c
+++ b/test/unit/overlap_diff_test.c
@@ -10,8 +10,8 @@
  * OVERLAP_DIFF_SEED replays a single history and prints its trace after it has left out all faults
  * that the failure does not need; OVERLAP_DIFF_COUNT sets the number of histories,
  * OVERLAP_DIFF_FIRST the seed of the first, OVERLAP_DIFF_PROCESSES the number of processes.
- * OVERLAP_DIFF_WITH names kinds of faults, separated by commas, that are off otherwise, as the
- * product does not pass with them, and OVERLAP_DIFF_WITHOUT those to leave out.
+ * OVERLAP_DIFF_WITH names the only kinds of faults to play, separated by commas, and
+ * OVERLAP_DIFF_WITHOUT those to leave out.
  */
 #include <glib/gstdio.h>
 #include <stdio.h>
