Settle the tasks of a lost server soon, also beside polls that its end has broken

- A poll from before the start of a run contained a lease, and counted as a call that may still extend the leases once the server's end had broken it: the tasks of a lost server were held for 15 s.
- A frozen server carries out what waits for it when the freeze ends.
Only holds whose connections were broken are left out; those that waited in vain keep the leases' end open (runs_test late_lease_at_suspected_server).
- A run that was held for another reason than its unanswered start was released when the server confirmed it (runs_test busy_task_held, given_up_run_is_stopped).
- Starts that a lost agent or relay holds are kept for a lease longer than they may be under way.

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -101,6 +101,7 @@
 	int64_t stop_by_us;  /* no lease is sent after this time while the run may go on; 0: none */
 	bool stop_overdue;   /* reported as such */
 	bool held;	     /* no entry may start its task */
+	bool held_for_start; /* held only because its start was not answered */
 	bool given_up;	     /* its end was reported when its server was suspected */
 	bool unknown;	     /* this agent did not order it and does not know its needs */
 	uint32_t priority;   /* 0 is the highest */
@@ -152,6 +153,13 @@
 	size_t finished_count;
 };
 
+/* How a call with a lease has ended. */
+enum lease_end {
+	LEASE_ANSWERED,	       /* or certainly not sent */
+	LEASE_UNANSWERED,      /* in time */
+	LEASE_CONNECTION_LOST, /* before an answer */
+};
+
 struct runs_limits {
 	int64_t stop_retry_us; /* delay before an unanswered stop is repeated; doubles up to 16-fold
 				*/
@@ -206,7 +214,7 @@
 	uint32_t pending_leases;	/* calls with a lease that wait for their answers */
 	int64_t unanswered_epoch;    /* highest of the calls with a lease that got no answer and may
 					still be carried out; 0: none */
-	bool unanswered_start;	     /* one of these is a start */
+	bool unanswered_silently;    /* one of these is a start, or its connection stayed open */
 	int64_t unanswered_since_us; /* when the first of these was sent */
 	int64_t unanswered_us;	     /* when the last of these was sent */
 	int64_t answered_epoch;	 /* highest of the lists of the server's present process; 0: none */
@@ -321,8 +329,8 @@
 void runs_lease_sent(struct runs *runs, int64_t now_us);
 
 /* Records the end of a call with a lease that was sent at SENT_US with EPOCH. Call it before the
- * functions that apply the answer. ANSWERED is also true if the call was certainly not sent. */
-void runs_lease_ended(struct runs *runs, int64_t epoch, int64_t sent_us, bool answered,
+ * functions that apply the answer. */
+void runs_lease_ended(struct runs *runs, int64_t epoch, int64_t sent_us, enum lease_end end,
 		      int64_t now_us);
 
 /* Ends a quarantine that is over, refuses waiting runs that are too late, repeats unanswered stops
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -224,7 +224,7 @@
 	return RUN_CRASHED;
 }
 
-/* A held run stays held only if it should end. */
+/* A run that was held only because its start was not answered is held no more. */
 static void confirm(struct runs *runs, struct run *run, int64_t now_us)
 {
 	if (run->confirmed)
@@ -233,7 +233,7 @@
 	run->confirmed = true;
 	if (run->held)
 		runs->holds_version++;
-	run->held = run->held && run->stop_requested;
+	run->held = run->held && (run->stop_requested || !run->held_for_start);
 	run->settle_by_us = 0;
 }
 
@@ -244,6 +244,7 @@
 
 static void hold_run(struct runs *runs, struct run *run, int64_t waited_us)
 {
+	run->held_for_start = false;
 	if (run->held)
 		return;
 	run->held = true;
@@ -540,7 +541,7 @@
 	struct run *run = table_get(&runs->table, handle);
 
 	if (answer == START_UNANSWERED)
-		runs->unanswered_start = true;
+		runs->unanswered_silently = true;
 	if (!run)
 		return; /* the run has ended already, for example because a list showed its end */
 	if (answer == START_STALE && !run->stop_requested && runs_may_lease(runs, now_us)) {
@@ -758,7 +759,7 @@
 {
 	extend_lease(runs, now_us);
 	runs->unanswered_epoch = 0;
-	runs->unanswered_start = false;
+	runs->unanswered_silently = false;
 }
 
 /* Records that the server has answered a call with EPOCH. */
@@ -795,12 +796,14 @@
 	extend_lease(runs, now_us);
 }
 
-void runs_lease_ended(struct runs *runs, int64_t epoch, int64_t sent_us, bool answered,
+void runs_lease_ended(struct runs *runs, int64_t epoch, int64_t sent_us, enum lease_end end,
 		      int64_t now_us)
 {
 	runs->pending_leases--;
-	if (answered)
+	if (end == LEASE_ANSWERED)
 		return;
+	if (end == LEASE_UNANSWERED)
+		runs->unanswered_silently = true;
 	raise_epoch(runs, epoch);
 	if (runs->unanswered_epoch == 0)
 		runs->unanswered_since_us = sent_us;
@@ -818,9 +821,9 @@
 		return INT64_MAX;
 	if (runs->unanswered_epoch == 0)
 		return runs->latest_lease_expiry_us;
-	/* A server that refuses connections gets no more calls. The holds that it has not answered
-	 * since come too late for a run that no other lease has kept. */
-	if (runs->suspected && !runs->unanswered_start &&
+	/* A server that refuses connections gets no more calls. The holds whose connections its end
+	 * has broken come too late for a run that no other lease has kept. */
+	if (runs->suspected && !runs->unanswered_silently &&
 	    runs->unanswered_since_us + LATE_CALL_MIN_US > runs->latest_lease_expiry_us)
 		return runs->latest_lease_expiry_us;
 	return MAX(runs->latest_lease_expiry_us,
@@ -831,8 +834,10 @@
 {
 	int64_t waited_us = now_us - run->ordered_us;
 
-	if (run->settle_by_us > 0 && waited_us >= START_HOLD_DELAY_US)
-		hold_run(runs, run, waited_us);
+	if (run->held || run->settle_by_us == 0 || waited_us < START_HOLD_DELAY_US)
+		return;
+	hold_run(runs, run, waited_us);
+	run->held_for_start = true;
 }
 
 static void check_stop(struct runs *runs, struct run *run, struct handle handle, int64_t now_us)
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -270,10 +270,14 @@
 	g_free(extra);
 }
 
-/* Returns whether a call may be carried out although the server has not said so. */
-static bool is_unanswered(const struct http_response *reply, const struct server_reply *parsed)
+/* Returns how a call with a lease has ended. One that was sent may be carried out although the
+ * server has not said so. */
+static enum lease_end lease_end(const struct http_response *reply,
+				const struct server_reply *parsed)
 {
-	return !parsed->answered && reply->connection_assigned && !reply->connection_refused;
+	if (parsed->answered || !reply->connection_assigned || reply->connection_refused)
+		return LEASE_ANSWERED;
+	return reply->status == STATUS_NETWORK ? LEASE_CONNECTION_LOST : LEASE_UNANSWERED;
 }
 
 static void on_start_answered(void *context, const struct http_response *reply)
@@ -290,7 +294,9 @@
 	if (!apply_order_answer(backend, order, reply, &parsed) && parsed.answered)
 		parsed = (struct server_reply){.start_answer = START_UNANSWERED};
 	runs_lease_ended(&backend->runs, order->epoch, order->sent_us,
-			 parsed.start_answer != START_UNANSWERED, backend->loop->now_us);
+			 parsed.start_answer == START_UNANSWERED ? LEASE_UNANSWERED
+								 : LEASE_ANSWERED,
+			 backend->loop->now_us);
 	runs_start_answered(&backend->runs, order->run, parsed.start_answer, backend->loop->now_us);
 	notify_state_changed(backend);
 	g_free(order);
@@ -311,6 +317,7 @@
 	start.spec = g_bytes_get_data(run->spec, &start.spec_length);
 	body = server_start_body(&start);
 	runs_lease_sent(&backend->runs, backend->loop->now_us);
+	backend->lease_sent_us = backend->loop->now_us;
 	send_call(backend->order_client, SERVER_START_PATH, body, order_timeout_ms(backend),
 		  on_start_answered, pending_order_new(backend, run_handle),
 		  server_id_header(backend->presence.identity.id));
@@ -431,7 +438,7 @@
 		valid = false;
 	if (hold->contains_lease)
 		runs_lease_ended(&backend->runs, hold->epoch, hold->sent_us,
-				 !is_unanswered(reply, &parsed), backend->loop->now_us);
+				 lease_end(reply, &parsed), backend->loop->now_us);
 	backend->hold_failed = !valid;
 	if (valid) {
 		backend->lists_received_us = backend->loop->now_us;
@@ -486,9 +493,10 @@
 		.epoch = backend->runs.epoch,
 		.long_poll = long_poll,
 	};
-	/* A call that is refused delivers no lease. Before the first lists, the server may have
-	 * runs that should have ended. */
-	if (backend->lists_applied && backend->presence.clock_ms > 0 && !backend->refused &&
+	/* A start brings its own lease. A call that is refused delivers none. Before the first
+	 * lists, the server may have runs that should have ended. */
+	if (table_count(&backend->runs.table) > 0 && backend->lists_applied &&
+	    backend->presence.clock_ms > 0 && !backend->refused &&
 	    runs_may_lease(&backend->runs, backend->loop->now_us)) {
 		expires_ms = lease_clock_ms(backend) + backend->lease_ms;
 		runs_lease_sent(&backend->runs, backend->loop->now_us);
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -40,7 +40,7 @@
 	bool reachable;	    /* the server answers holds */
 	bool lists_applied; /* run lists of the current incarnation were applied */
 	int64_t lease_ms;
-	int64_t lease_sent_us;	   /* time of the last hold that renewed the lease */
+	int64_t lease_sent_us;	   /* time of the last call that contained one */
 	int64_t lists_received_us; /* time when valid run lists were last received */
 	int64_t order_answer_us;   /* mean time until a start is answered, EWMA */
 	bool hold_failed;	   /* the hold that ended last has brought no valid lists */
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -442,7 +442,8 @@
 	agent->link = NULL;
 	task_holds_limit(agent->holds,
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
-			 entry->loop.now_us + RUNS_TRANSIT_MAX_US);
+			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us +
+				 RUNS_TRANSIT_MAX_US);
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
 	if (agent->has_server && has_successor(agent))
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -480,10 +480,11 @@
 static void remove_incoming_peer(struct incoming_peer *peer)
 {
 	g_ptr_array_remove_fast(get_incoming_peers(peer->entry), peer);
-	task_holds_abandon_source(&peer->entry->dispatch.holds, peer->holds,
-				  peer->entry->loop.now_us +
-					  peer->entry->dispatch.limits.settle_timeout_us,
-				  peer->entry->loop.now_us + RUNS_TRANSIT_MAX_US);
+	task_holds_abandon_source(
+		&peer->entry->dispatch.holds, peer->holds,
+		peer->entry->loop.now_us + peer->entry->dispatch.limits.settle_timeout_us,
+		peer->entry->loop.now_us + peer->entry->dispatch.limits.settle_timeout_us +
+			RUNS_TRANSIT_MAX_US);
 	g_hash_table_destroy(peer->pending_by_queue);
 	g_free(peer);
 }
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -13,6 +13,7 @@
 	MANY_TASKS = 20,	  /* more than fit on one server */
 	DEADLY_JOB = 0xdead,	  /* number of the job that crashes servers */
 	CUT_MS = 200,		  /* shorter than what is left of a lease */
+	IDLE_POLL_MS = 500,	  /* shorter than an idle poll, and than the runs */
 	CRASH_NOTICE_MS = 25,	  /* half of the 50 ms between regular checks of a server */
 	SUSPEND_MS = 1500, /* longer than the time after which a silent peer is disconnected */
 	LOSS_TEST_JOBS = 40,
@@ -286,9 +287,9 @@
 	platform_stop(&cluster);
 }
 
-/* Cuts a server off from its agent while tasks run there: it refuses connections and runs on, for
- * CUT_MS or to the end of the test if that is 0. */
-static void run_while_server_is_cut_off(int cut_ms)
+/* Cuts a server off from its agent AFTER_MS after tasks have started there: it refuses connections
+ * and runs on, for CUT_MS or to the end of the test if that is 0. */
+static void run_while_server_is_cut_off(int after_ms, int cut_ms)
 {
 	struct platform_cluster cluster;
 	struct platform_submission submission = {
@@ -300,6 +301,7 @@
 	platform_control(&cluster, "{\"run_ms\":700}");
 	thread = g_thread_new("client", platform_run_submission, &submission);
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") == MANY_TASKS);
+	g_usleep(after_ms * US_PER_MS);
 	platform_control(&cluster, "{\"cut_server\":0}");
 	if (cut_ms > 0) {
 		g_usleep(cut_ms * US_PER_MS);
@@ -319,12 +321,19 @@
  * same process or nobody answers for later. */
 static void test_server_cut_off(void)
 {
-	run_while_server_is_cut_off(CUT_MS);
+	run_while_server_is_cut_off(0, CUT_MS);
 }
 
 static void test_server_cut_off_beyond_lease(void)
 {
-	run_while_server_is_cut_off(0);
+	run_while_server_is_cut_off(0, 0);
+}
+
+/* Guards against tasks that are held long after the lease of a lost server, because a poll from
+ * before their start, which was still open, contained a lease, too. */
+static void test_server_cut_off_with_idle_poll(void)
+{
+	run_while_server_is_cut_off(IDLE_POLL_MS, 0);
 }
 
 /* Guards against acknowledging to a server's new process the ends that the old one has listed: the
@@ -840,6 +849,8 @@
 	g_test_add_func("/platform/crash_is_noticed", test_crash_is_noticed);
 	g_test_add_func("/platform/server_cut_off", test_server_cut_off);
 	g_test_add_func("/platform/server_cut_off_beyond_lease", test_server_cut_off_beyond_lease);
+	g_test_add_func("/platform/server_cut_off_with_idle_poll",
+			test_server_cut_off_with_idle_poll);
 	g_test_add_func("/platform/deadly_task_and_entry_restarts",
 			test_deadly_task_and_entry_restarts);
 	g_test_add_func("/platform/leaving_server", test_draining_server);
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -77,7 +77,7 @@
 static void send_lease(struct fixture *fixture, int64_t now_us)
 {
 	runs_lease_sent(&fixture->runs, now_us);
-	runs_lease_ended(&fixture->runs, fixture->runs.epoch, now_us, true, now_us);
+	runs_lease_ended(&fixture->runs, fixture->runs.epoch, now_us, LEASE_ANSWERED, now_us);
 }
 
 /* Sends a lease with a call that gets no answer. */
@@ -86,7 +86,7 @@
 	int64_t epoch = fixture->runs.epoch;
 
 	runs_lease_sent(&fixture->runs, now_us);
-	runs_lease_ended(&fixture->runs, epoch, now_us, false, now_us + RETRY_US);
+	runs_lease_ended(&fixture->runs, epoch, now_us, LEASE_UNANSWERED, now_us + RETRY_US);
 }
 
 static void set_up(struct fixture *fixture)
@@ -252,7 +252,7 @@
 	set_up(&fixture);
 	runs_lease_sent(&fixture.runs, 0);
 	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
-	runs_lease_ended(&fixture.runs, FIRST_EPOCH, 0, false, 30000);
+	runs_lease_ended(&fixture.runs, FIRST_EPOCH, 0, LEASE_UNANSWERED, 30000);
 	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 30000);
 	g_assert_cmpint(fixture.runs.epoch, ==, FIRST_EPOCH + 1);
 	fixture.list_epoch = FIRST_EPOCH;
@@ -660,7 +660,7 @@
 	runs_lease_sent(&fixture.runs, 1000);
 	runs_tick(&fixture.runs, 3 * LEASE_US);
 	check_outcomes(&fixture, 0, 0);
-	runs_lease_ended(&fixture.runs, FIRST_EPOCH, 1000, true, 3 * LEASE_US);
+	runs_lease_ended(&fixture.runs, FIRST_EPOCH, 1000, LEASE_ANSWERED, 3 * LEASE_US);
 	runs_tick(&fixture.runs, 3 * LEASE_US + 1);
 	check_outcomes(&fixture, 1, RUN_LOST);
 	tear_down(&fixture);
@@ -749,8 +749,9 @@
 	set_up(&fixture);
 	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 0);
 	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
-	/* The call that the end of the server breaks has no answer. */
-	lose_lease(&fixture, 1000);
+	/* The end of the server breaks the connection of a call. */
+	runs_lease_sent(&fixture.runs, 1000);
+	runs_lease_ended(&fixture.runs, fixture.runs.epoch, 1000, LEASE_CONNECTION_LOST, 2000);
 	runs_server_suspected(&fixture.runs, 2000);
 	check_outcomes(&fixture, 1, RUN_CRASHED);
 	g_assert_cmpuint(fixture.held, ==, 1);
@@ -781,7 +782,6 @@
 	set_up(&fixture);
 	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 0);
 	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
-	lose_lease(&fixture, 1000);
 	lose_lease(&fixture, sent_us);
 	runs_server_suspected(&fixture.runs, sent_us + 1000);
 	runs_tick(&fixture.runs, expired_us + 1);
@@ -804,6 +804,7 @@
 	runs_server_replaced(&fixture.runs, 3000);
 	deliver_lists(&fixture, "a.0.0.0", NULL, 0, 4000);
 	g_assert_cmpuint(fixture.stops, ==, 1);
+	g_assert_true(((struct run *)table_get(&fixture.runs.table, fixture.last))->held);
 	tear_down(&fixture);
 }
 
@@ -1209,6 +1210,8 @@
 	start(&fixture, "a.0.0.0", 4000, OWNER + 1, 0, 0);
 	check_outcomes(&fixture, 1, RUN_BUSY);
 	g_assert_cmpuint(fixture.held, ==, 1);
+	deliver_lists(&fixture, "a.0.0.0", NULL, 0, 1000);
+	g_assert_true(((struct run *)table_get(&fixture.runs.table, fixture.last))->held);
 	tear_down(&fixture);
 }
 
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -572,7 +572,9 @@
 		request->answer = START_UNANSWERED;
 	if (simulation_is_agent_current(sim, request)) {
 		runs_lease_ended(&agent->backend.runs, request->epoch, request->agent_sent_us,
-				 request->answer != START_UNANSWERED, simulation_agent_now(agent));
+				 request->answer == START_UNANSWERED ? LEASE_UNANSWERED
+								     : LEASE_ANSWERED,
+				 simulation_agent_now(agent));
 		runs_start_answered(&agent->backend.runs, request->run, request->answer,
 				    simulation_agent_now(agent));
 	}
@@ -770,8 +772,8 @@
 	    simulation_postpone(sim, &agent->process, simulation_on_hold_unanswered, end))
 		return;
 	if (current)
-		runs_lease_ended(&agent->backend.runs, end->epoch, end->agent_sent_us, false,
-				 simulation_agent_now(agent));
+		runs_lease_ended(&agent->backend.runs, end->epoch, end->agent_sent_us,
+				 LEASE_UNANSWERED, simulation_agent_now(agent));
 	g_free(end);
 }
 
@@ -807,7 +809,8 @@
 		return;
 	if (current && lists->contains_lease)
 		runs_lease_ended(&agent->backend.runs, lists->epoch,
-				 lists->requested_us + SIMULATION_LOCAL_DELAY_US, answered,
+				 lists->requested_us + SIMULATION_LOCAL_DELAY_US,
+				 answered ? LEASE_ANSWERED : LEASE_UNANSWERED,
 				 simulation_agent_now(agent));
 	if (current && answered) {
 		const struct run_lists list = {
