Give a task up only for crashes of servers that are certain

What callers saw: a job is answered as failed, because servers crashed under it, although they were only cut off from their agents and ran on.

Cause: the entry gives a task up as soon as an agent suspects the second crash.

Change: crashes count, are told to other entries and separate the queue at once, as before. But while the task is held, its run may go on: its job is not given up then, and none of its tasks starts. When the agent releases the task, the job is given up. If the process that was suspected answers again, the agent tells the owner (RunEnd.survived, acknowledged like other ends; older entries ignore it, as its outcome is 0), and the crash is taken out of the count again. Given-up runs that a new process has confirmed are stopped, too.

Tests: crash_test suspected_crashes and survived_servers fail if the job is given up at once. runs_test suspected_server_answers and suspected_server_replaced ask for the withdrawal, and for none.

Open: other entries that were told of the crash do not learn that there was none.

--- a/packages/core/include/crash_history.h
+++ b/packages/core/include/crash_history.h
@@ -48,6 +48,17 @@
 void crash_history_merge(struct crash_history *history, const char *task, const char *server,
 			 int64_t now_us);
 
+/* Returns the record of a task, or NULL if no server has crashed under it within the retention
+ * time.
+ */
+const struct crash_record *crash_history_find(const struct crash_history *history, const char *job,
+					      uint32_t index, int64_t now_us);
+
+/* Removes what crash_history_add has recorded with the same arguments, here but not at the entries
+ * that were told of it. */
+void crash_history_remove(struct crash_history *history, const char *job, uint32_t index,
+			  const char *server, bool early);
+
 /* Returns the number of servers that have crashed under a task within the retention time. */
 uint32_t crash_history_count(const struct crash_history *history, const char *job, uint32_t index,
 			     int64_t now_us);
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -122,6 +122,7 @@
 	GHashTable *queue_stats; /* queue name -> struct queue_stats */
 	struct crash_history crashes;
 	struct bulkhead bulkhead;
+	GPtrArray *suspicions;	 /* struct crash_suspicion *; see dispatch_state.h */
 	struct task_holds holds; /* tasks that are not started; see dispatch_holds_changed */
 	double peer_backlog_core_us[PRIORITY_LEVELS]; /* queued work of the other entries */
 	uint64_t random_state;			      /* state of the random number generator */
@@ -196,6 +197,10 @@
 /* Records that tasks were held or released. */
 void dispatch_holds_changed(struct dispatch *dispatch);
 
+/* Records that the server did not crash under the run NUMBER, which has ended here as RUN_CRASHED.
+ */
+void dispatch_server_survived(struct dispatch *dispatch, uint64_t number, int64_t now_us);
+
 /* Starts the queued tasks that can start and refuses the jobs that can no longer be in time. Call
  * once per iteration of the event loop. */
 void dispatch_pump(struct dispatch *dispatch, int64_t now_us);
--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -89,15 +89,16 @@
 	bool missed;	     /* a list was without it after the server had confirmed it */
 	bool stop_requested; /* the owner has requested a stop or is gone */
 	int64_t stop_requested_us;
-	int64_t stop_by_us;  /* no lease is sent after this time while the run may go on; 0: none */
-	bool stop_overdue;   /* reported as such */
-	bool held;	     /* no entry may start its task */
-	bool given_up;	     /* its end was reported when its server was suspected */
-	bool unknown;	     /* this agent did not order it and does not know its needs */
-	uint32_t priority;   /* 0 is the highest */
-	int64_t urgency_us;  /* of the waiting runs that fit, the one with the lowest value starts
-				first */
-	int64_t start_by_us; /* a run that still waits after this time is refused */
+	int64_t stop_by_us; /* no lease is sent after this time while the run may go on; 0: none */
+	bool stop_overdue;  /* reported as such */
+	bool held;	    /* no entry may start its task */
+	uint32_t given_up_by; /* owner that was told of its end when its server was suspected, or
+				 RUN_NO_OWNER */
+	bool unknown;	      /* this agent did not order it and does not know its needs */
+	uint32_t priority;    /* 0 is the highest */
+	int64_t urgency_us;   /* of the waiting runs that fit, the one with the lowest value starts
+				 first */
+	int64_t start_by_us;  /* a run that still waits after this time is refused */
 	int64_t ordered_us;
 	int64_t phase_us; /* time at which the phase began */
 	/* If the process that the start was sent to has been replaced and the new one has not
@@ -167,6 +168,9 @@
 	void (*stop_overdue)(void *context, const struct run *run, int64_t waited_us);
 	/* Reports that RUN may go on although it should not, so that its task is held. */
 	void (*run_held)(void *context, const struct run *run, int64_t waited_us);
+	/* Reports that the server did not crash while it had RUN, whose end was reported to
+	 * run->given_up_by. */
+	void (*run_survived)(void *context, const struct run *run);
 	/* Reports that RUN is much slower than its estimate. */
 	void (*run_behind)(void *context, const struct run *run, int64_t elapsed_us);
 };
@@ -214,8 +218,9 @@
  * end as RUN_SERVER_UNAVAILABLE. Those that the server has confirmed and that are not being stopped
  * are reported as crashed (RUN_CRASHED), or as RUN_LOST if it had announced to leave, but may go
  * on: they are kept without an owner and held, until it is certain that they are over. If the same
- * process answers again, they are stopped. A start that no process has confirmed may still reach
- * the next one. Such a run is settled with it: by the answer, through the lists, or through a stop.
+ * process answers again, run_survived is called for each and they are stopped. A start that no
+ * process has confirmed may still reach the next one. Such a run is settled with it: by the answer,
+ * through the lists, or through a stop.
  */
 void runs_server_suspected(struct runs *runs, int64_t now_us);
 
--- a/packages/core/src/crash_history.c
+++ b/packages/core/src/crash_history.c
@@ -110,17 +110,40 @@
 		add_server(history, task, server, false, now_us);
 }
 
-uint32_t crash_history_count(const struct crash_history *history, const char *job, uint32_t index,
-			     int64_t now_us)
+const struct crash_record *crash_history_find(const struct crash_history *history, const char *job,
+					      uint32_t index, int64_t now_us)
 {
 	const struct crash_record *record;
 	char *name;
 
 	if (g_queue_is_empty((GQueue *)&history->by_age))
-		return 0;
+		return NULL;
 	name = task_name(job, index);
 	record = find(history, name, now_us);
 	g_free(name);
+	return record;
+}
+
+void crash_history_remove(struct crash_history *history, const char *job, uint32_t index,
+			  const char *server, bool early)
+{
+	char *name = task_name(job, index);
+	struct crash_record *record = g_hash_table_lookup(history->by_task, name);
+	guint position;
+
+	g_free(name);
+	if (!record ||
+	    !g_ptr_array_find_with_equal_func(record->servers, server, g_str_equal, &position))
+		return;
+	g_ptr_array_remove_index(record->servers, position);
+	record->early -= early;
+}
+
+uint32_t crash_history_count(const struct crash_history *history, const char *job, uint32_t index,
+			     int64_t now_us)
+{
+	const struct crash_record *record = crash_history_find(history, job, index, now_us);
+
 	return record ? record->servers->len : 0;
 }
 
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -57,6 +57,25 @@
 	g_free(stats);
 }
 
+static void free_suspicion(gpointer data)
+{
+	struct crash_suspicion *suspicion = data;
+
+	g_free(suspicion->job);
+	g_free(suspicion->server);
+	g_free(suspicion);
+}
+
+static struct crash_suspicion *copy_suspicion(const struct crash_suspicion *suspicion)
+{
+	struct crash_suspicion *copy = g_new(struct crash_suspicion, 1);
+
+	*copy = *suspicion;
+	copy->job = g_strdup(suspicion->job);
+	copy->server = g_strdup(suspicion->server);
+	return copy;
+}
+
 void dispatch_init(struct dispatch *dispatch, const struct dispatch_limits *limits,
 		   const struct dispatch_callbacks *callbacks, uint64_t seed)
 {
@@ -75,6 +94,7 @@
 	bulkhead_init(&dispatch->bulkhead);
 	crash_history_init(&dispatch->crashes, limits->crash_retention_us,
 			   limits->max_crashed_tasks);
+	dispatch->suspicions = g_ptr_array_new_with_free_func(free_suspicion);
 	task_holds_init(&dispatch->holds);
 	table_init(&dispatch->jobs, sizeof(struct job *));
 	table_init(&dispatch->runs, sizeof(struct run_row));
@@ -100,6 +120,7 @@
 	table_free(&dispatch->runs);
 	fleet_free(&dispatch->fleet);
 	crash_history_free(&dispatch->crashes);
+	g_ptr_array_free(dispatch->suspicions, TRUE);
 	task_holds_free(&dispatch->holds);
 	bulkhead_free(&dispatch->bulkhead);
 	g_hash_table_destroy(dispatch->by_id);
@@ -297,6 +318,34 @@
 	return job;
 }
 
+/* Returns the record of the task that CRASH counts for if it has crashed as many servers as
+ * allowed, otherwise NULL. */
+static const struct crash_record *decisive_record(const struct dispatch *dispatch,
+						  const struct crash_suspicion *crash,
+						  int64_t now_us)
+{
+	const struct crash_record *record =
+		crash_history_find(&dispatch->crashes, crash->job, crash->index, now_us);
+
+	return record && record->servers->len >= MAX_CRASHES ? record : NULL;
+}
+
+static void update_suspected(struct dispatch *dispatch, const char *id, int64_t now_us)
+{
+	struct job *job = find_job_by_id(dispatch, id);
+
+	if (!job)
+		return;
+	job->suspected = false;
+	for (guint i = 0; i < dispatch->suspicions->len; i++) {
+		const struct crash_suspicion *crash = dispatch->suspicions->pdata[i];
+
+		if (strcmp(crash->job, id) == 0 && decisive_record(dispatch, crash, now_us))
+			job->suspected = true;
+	}
+	dispatch->pump_needed = true;
+}
+
 /* Returns whether as many servers as allowed have crashed under a task of JOB, in an earlier
  * submission or at another entry. */
 static bool crashed_before(const struct dispatch *dispatch, const struct job *job, int64_t now_us)
@@ -362,11 +411,12 @@
 	if (earlier)
 		job->predecessor = earlier->handle;
 	g_hash_table_replace(dispatch->by_id, job->id, dispatch_pack(job->handle));
+	update_suspected(dispatch, job->id, now_us);
 	if (!can_end_in_drain(dispatch, job, now_us))
 		end_draining(dispatch, job, now_us);
 	else if (table_count(&dispatch->jobs) > dispatch->limits.max_jobs)
 		end_job(dispatch, job, STATUS_QUEUE_FULL, "too many unfinished jobs", now_us);
-	else if (crashed_before(dispatch, job, now_us))
+	else if (!job->suspected && crashed_before(dispatch, job, now_us))
 		end_job(dispatch, job, STATUS_TASK_FAILED,
 			"backend servers crashed while they ran a task", now_us);
 	else
@@ -537,6 +587,68 @@
 	requeue(dispatch, job, task);
 }
 
+/* Counts the crash of a server under a run of JOB. Returns whether JOB was given up. A task that is
+ * held may go on at that server: until that is certain, its job is not given up, but its queue is
+ * separated at once. */
+static bool handle_crash(struct dispatch *dispatch, struct job *job,
+			 const struct crash_suspicion *crash, int64_t now_us)
+{
+	const struct crash_record *record = crash_history_add(
+		&dispatch->crashes, crash->job, crash->index, crash->server, crash->early, now_us);
+	bool held = task_holds_contains(&dispatch->holds, crash->job, crash->index);
+
+	if (held) {
+		g_ptr_array_add(dispatch->suspicions, copy_suspicion(crash));
+		update_suspected(dispatch, crash->job, now_us);
+	}
+	if (job->finished || record->servers->len < MAX_CRASHES)
+		return false;
+	if (!held)
+		give_up(dispatch, job, record, now_us);
+	else if (record->early == record->servers->len)
+		suspect_queue(dispatch, job->queue, 0, true, now_us);
+	return !held;
+}
+
+void dispatch_settle_suspicions(struct dispatch *dispatch, int64_t now_us)
+{
+	const struct crash_record *record;
+	struct job *job;
+	guint i = 0;
+
+	while (i < dispatch->suspicions->len) {
+		struct crash_suspicion *crash = dispatch->suspicions->pdata[i];
+
+		if (task_holds_contains(&dispatch->holds, crash->job, crash->index)) {
+			i++;
+			continue;
+		}
+		g_ptr_array_steal_index(dispatch->suspicions, i);
+		job = find_job_by_id(dispatch, crash->job);
+		record = decisive_record(dispatch, crash, now_us);
+		if (job && !job->finished && record)
+			give_up(dispatch, job, record, now_us);
+		update_suspected(dispatch, crash->job, now_us);
+		free_suspicion(crash);
+	}
+}
+
+void dispatch_server_survived(struct dispatch *dispatch, uint64_t number, int64_t now_us)
+{
+	for (guint i = 0; i < dispatch->suspicions->len; i++) {
+		struct crash_suspicion *crash = dispatch->suspicions->pdata[i];
+
+		if (crash->run != number)
+			continue;
+		g_ptr_array_steal_index(dispatch->suspicions, i);
+		crash_history_remove(&dispatch->crashes, crash->job, crash->index, crash->server,
+				     crash->early);
+		update_suspected(dispatch, crash->job, now_us);
+		free_suspicion(crash);
+		return;
+	}
+}
+
 bool dispatch_run_is_on(const struct dispatch *dispatch, uint64_t number, struct handle server)
 {
 	const struct run_row *run = table_get(&dispatch->runs, handle_unpack(number));
@@ -553,7 +665,7 @@
 	struct run_row run;
 	struct job *job;
 	struct job_task *task;
-	const struct crash_record *crash = NULL;
+	struct crash_suspicion crash;
 	char server_id[NAME_BYTES] = "";
 
 	if (!row)
@@ -583,13 +695,17 @@
 	/* While a queue has servers of its own, each crash there is by one of its tasks. */
 	if (outcome == RUN_CRASHED && job->stats->partition != BULKHEAD_SHARED)
 		suspect_queue(dispatch, job->queue, 0, true, now_us);
-	if (outcome == RUN_CRASHED)
-		crash = crash_history_add(&dispatch->crashes, job->id, run.index, server_id,
-					  is_early(job, elapsed_us), now_us);
+	crash = (struct crash_suspicion){
+		.job = job->id,
+		.index = run.index,
+		.run = number,
+		.server = server_id,
+		.early = is_early(job, elapsed_us),
+	};
+	if (outcome == RUN_CRASHED && handle_crash(dispatch, job, &crash, now_us))
+		return;
 	if (job->finished)
 		free_if_settled(dispatch, job);
-	else if (crash && crash->servers->len >= MAX_CRASHES)
-		give_up(dispatch, job, crash, now_us);
 	else
 		handle_task_end(dispatch, job, task, outcome, now_us);
 }
@@ -678,6 +794,7 @@
 			dispatch_server_settled(dispatch, handle, now_us);
 	}
 	expire_holds(dispatch, now_us);
+	dispatch_settle_suspicions(dispatch, now_us);
 }
 
 void dispatch_await_agents(struct dispatch *dispatch, int64_t now_us)
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -347,10 +347,11 @@
 	return false;
 }
 
-/* Returns whether an earlier job of the same id still has unsettled runs. */
+/* Returns whether an earlier job of the same id still has unsettled runs, or JOB may have to be
+ * given up. */
 static bool is_blocked(const struct dispatch *dispatch, const struct job *job)
 {
-	return dispatch_find(dispatch, job->predecessor) != NULL;
+	return job->suspected || dispatch_find(dispatch, job->predecessor) != NULL;
 }
 
 /* Returns the share of the time from the arrival of JOB to its latest start that has passed, or 0
@@ -439,6 +440,8 @@
 	double ahead_core_us = 0;
 	GArray *sorted;
 
+	if (dispatch->pump_needed)
+		dispatch_settle_suspicions(dispatch, now_us);
 	if (!dispatch->pump_needed || dispatch->queue->len == 0)
 		return;
 	dispatch->pump_needed = false;
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -66,6 +66,7 @@
 	bool in_queue;
 	bool admitted;		    /* was left in the queue by a pump, to wait for room */
 	bool held;		    /* a queued task was held in the last pump */
+	bool suspected;		    /* is given up if a suspicion proves right */
 	struct handle avoid_server; /* server at which a run last failed, was refused as unhealthy
 				       or was too slow */
 	struct handle predecessor;  /* earlier job of the same id that has unsettled runs */
@@ -73,6 +74,16 @@
 	struct job_task tasks[];
 };
 
+/* The crash of a server that is not certain yet: the task is held, as its run may go on. The task is
+ * not given up for it before it is released. */
+struct crash_suspicion {
+	char *job; /* id */
+	uint32_t index;
+	uint64_t run;
+	char *server; /* id */
+	bool early;
+};
+
 struct run_row {
 	struct handle job;
 	uint32_t index;
@@ -85,6 +96,9 @@
 struct queue_stats *dispatch_queue_stats(struct dispatch *dispatch, const char *queue);
 
 /* Returns a job, or NULL when it is no longer known. */
+/* Gives up the tasks that have caused too many crashes, once the last one is certain. */
+void dispatch_settle_suspicions(struct dispatch *dispatch, int64_t now_us);
+
 struct job *dispatch_find(const struct dispatch *dispatch, struct handle job);
 
 /* Returns the latest time at which JOB can start and still reach its planned end if its longest
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -284,7 +284,7 @@
 	const struct run copy = *run;
 
 	hold_run(runs, run, 0);
-	run->given_up = true;
+	run->given_up_by = run->owner;
 	run->owner = RUN_NO_OWNER;
 	runs->ownerless_runs++;
 	runs->callbacks.run_ended(runs->callbacks.context, &copy,
@@ -312,16 +312,28 @@
 		runs->callbacks.request_lists(runs->callbacks.context);
 }
 
-/* The same process has answered. The owners of the runs that were given up have no use for them. */
-static void withdraw_suspicion(struct runs *runs, int64_t now_us)
+/* Reports that the same process has answered. */
+static void withdraw_suspicion(struct runs *runs)
+{
+	uint32_t cursor = 0;
+	const struct run *run;
+
+	runs->suspected = false;
+	while ((run = table_next(&runs->table, &cursor, NULL))) {
+		if (run->given_up_by != RUN_NO_OWNER)
+			runs->callbacks.run_survived(runs->callbacks.context, run);
+	}
+}
+
+/* The owners of the runs that were given up have no use for them. */
+static void stop_given_up(struct runs *runs, int64_t now_us)
 {
 	uint32_t cursor = 0;
 	struct handle handle;
 	struct run *run;
 
-	runs->suspected = false;
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
-		if (run->given_up)
+		if (run->given_up_by != RUN_NO_OWNER && !run->stop_requested)
 			request_stop(runs, run, handle, now_us + runs->limits.stop_wait_us, now_us);
 	}
 }
@@ -674,9 +686,10 @@
 	GHashTable *listed = g_hash_table_new(NULL, NULL);
 
 	runs->lists_us = now_us;
-	apply_finished(runs, list, now_us);
 	if (runs->suspected)
-		withdraw_suspicion(runs, now_us);
+		withdraw_suspicion(runs);
+	apply_finished(runs, list, now_us);
+	stop_given_up(runs, now_us);
 	apply_running(runs, list, listed, now_us);
 	apply_missing(runs, listed, asked_us, now_us);
 	g_hash_table_destroy(listed);
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -690,6 +690,13 @@
 	notify_state_changed(backend);
 }
 
+static void on_run_survived(void *context, const struct run *run)
+{
+	struct backend *backend = context;
+
+	backend->callbacks.run_survived(backend->callbacks.context, run);
+}
+
 static void on_run_behind(void *context, const struct run *run, int64_t elapsed_us)
 {
 	struct backend *backend = context;
@@ -718,6 +725,7 @@
 		.run_ended = on_run_ended,
 		.stop_overdue = on_stop_overdue,
 		.run_held = on_run_held,
+		.run_survived = on_run_survived,
 		.run_behind = on_run_behind,
 	};
 
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -22,6 +22,8 @@
 	void (*state_changed)(void *context);
 	void (*run_ended)(void *context, const struct run *run, enum run_outcome outcome,
 			  int64_t elapsed_us);
+	/* The server did not crash while it had RUN; see runs_callbacks. */
+	void (*run_survived)(void *context, const struct run *run);
 	/* RUN is much slower than its estimate. Called repeatedly while it is. */
 	void (*run_behind)(void *context, const struct run *run, int64_t elapsed_us);
 };
--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -10,6 +10,7 @@
 	uint64_t run;
 	uint32_t outcome;
 	uint32_t elapsed_ms;
+	bool survived; /* reported as crashed, but the server did not crash; no outcome */
 };
 
 struct run_progress {
@@ -66,6 +67,13 @@
 	g_array_append_val(owner->unsent_ends, end);
 }
 
+void owner_add_survivor(struct owner *owner, const struct run *run)
+{
+	const struct run_end end = {.run = run->number, .survived = true};
+
+	g_array_append_val(owner->unsent_ends, end);
+}
+
 void owner_add_progress(struct owner *owner, const struct run *run, int64_t elapsed_us)
 {
 	const struct run_progress progress = {
@@ -155,6 +163,7 @@
 		end_rows[i].outcome =
 			end_rows[i].server_crashed ? RUN_LOST : (uint32_t)end->outcome;
 		end_rows[i].elapsed_ms = end->elapsed_ms;
+		end_rows[i].survived = end->survived;
 		end_row_pointers[i] = &end_rows[i];
 	}
 	for (guint i = 0; i < owner->unsent_progress->len; i++) {
--- a/packages/greengaged/src/agent_owner.h
+++ b/packages/greengaged/src/agent_owner.h
@@ -41,9 +41,10 @@
 struct owner *owner_new(uint32_t number, const struct ident *incarnation, int64_t boot_time_us);
 void owner_free(struct owner *owner);
 
-/* Add the end or the progress of a run to the next report. */
+/* Add the end of a run, that its server did not crash, or its progress to the next report. */
 void owner_add_end(struct owner *owner, const struct run *run, enum run_outcome outcome,
 		   int64_t elapsed_us);
+void owner_add_survivor(struct owner *owner, const struct run *run);
 void owner_add_progress(struct owner *owner, const struct run *run, int64_t elapsed_us);
 
 /* Sends a report with the free resources, the readiness and the unsent progress. The owner must be
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -386,6 +386,15 @@
 		owner_add_end(owner, run, outcome, elapsed_us);
 }
 
+static void on_run_survived(void *context, const struct run *run)
+{
+	struct node_agent *agent = context;
+	struct owner *owner = owners_find(&agent->owners, run->given_up_by);
+
+	if (owner)
+		owner_add_survivor(owner, run);
+}
+
 static void on_run_behind(void *context, const struct run *run, int64_t elapsed_us)
 {
 	struct node_agent *agent = context;
@@ -512,6 +521,7 @@
 		.callbacks = {.context = agent,
 			      .state_changed = on_state_changed,
 			      .run_ended = on_run_ended,
+			      .run_survived = on_run_survived,
 			      .run_behind = on_run_behind},
 	};
 	if (backend_start(&agent->backend, &err) != STATUS_OK) {
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -223,6 +223,8 @@
 	struct dispatch *dispatch = &agent->entry->dispatch;
 	enum run_outcome outcome = (enum run_outcome)end->outcome;
 
+	if (end->survived)
+		dispatch_server_survived(dispatch, end->run, now_us);
 	if (end->outcome == 0 || end->outcome >= RUN_CRASHED ||
 	    !dispatch_run_is_on(dispatch, end->run, agent->server))
 		return;
--- a/test/unit/agent_owners_test.c
+++ b/test/unit/agent_owners_test.c
@@ -57,6 +57,10 @@
 {
 }
 
+static void on_run_survived(void *context, const struct run *run)
+{
+}
+
 static void on_owner_removed(void *context, struct owner *owner)
 {
 }
@@ -111,6 +115,7 @@
 		.request_lists = request_lists,
 		.run_ended = on_run_ended,
 		.run_held = on_run_held,
+		.run_survived = on_run_survived,
 	};
 	struct ident incarnation = ident_random();
 
--- a/test/unit/crash_test.c
+++ b/test/unit/crash_test.c
@@ -267,6 +267,71 @@
 	dispatch_free(&fixture.dispatch);
 }
 
+/* Ends the last run, whose task its agent holds, as crashed. */
+static void end_suspected_run(struct fixture *fixture, struct hold_source *source)
+{
+	char *task = (char *)JOB_ID ".0.0.0";
+	const struct held_tasks tasks = {.runs = &task, .run_count = 1};
+
+	task_holds_replace(&fixture->dispatch.holds, source, &tasks);
+	dispatch_holds_changed(&fixture->dispatch);
+	end_run(fixture, RUN_CRASHED);
+}
+
+static void release_task(struct fixture *fixture, struct hold_source *source)
+{
+	task_holds_replace(&fixture->dispatch.holds, source, &(struct held_tasks){0});
+	dispatch_holds_changed(&fixture->dispatch);
+	dispatch_pump(&fixture->dispatch, fixture->now_us);
+}
+
+/* Guards against giving a task up on the mere suspicion that a server has crashed under it, and
+ * against forgetting the crash once it is certain. */
+static void test_suspected_crashes(void)
+{
+	struct fixture fixture;
+	struct hold_source *source;
+
+	set_up(&fixture);
+	source = task_holds_add_source(&fixture.dispatch.holds);
+	submit(&fixture);
+	end_suspected_run(&fixture, source);
+	g_assert_cmpuint(fixture.starts, ==, 1);
+	release_task(&fixture, source);
+	g_assert_cmpuint(fixture.starts, ==, MAX_STARTS);
+	end_suspected_run(&fixture, source);
+	g_assert_cmpuint(fixture.finished, ==, 0);
+	/* Its queue is separated at once. */
+	g_assert_cmpuint(fixture.dispatch.bulkhead.suspects->len, ==, 1);
+	release_task(&fixture, source);
+	g_assert_cmpuint(fixture.starts, ==, MAX_STARTS);
+	g_assert_cmpint(fixture.status, ==, STATUS_TASK_FAILED);
+	g_assert_cmpstr(fixture.given_up, ==, JOB_ID ".0");
+	dispatch_free(&fixture.dispatch);
+}
+
+/* Guards against a job that fails because its servers were cut off from their agents. */
+static void test_survived_servers(void)
+{
+	struct fixture fixture;
+	struct hold_source *source;
+
+	set_up(&fixture);
+	source = task_holds_add_source(&fixture.dispatch.holds);
+	submit(&fixture);
+	for (uint32_t i = 0; i < MAX_STARTS + 1; i++) {
+		end_suspected_run(&fixture, source);
+		dispatch_server_survived(&fixture.dispatch, fixture.last_run, fixture.now_us);
+		release_task(&fixture, source);
+		g_assert_cmpuint(fixture.starts, ==, i + 2);
+	}
+	g_assert_cmpuint(crash_history_count(&fixture.dispatch.crashes, JOB_ID, 0, fixture.now_us),
+			 ==, 0);
+	end_run(&fixture, RUN_DONE);
+	g_assert_cmpint(fixture.status, ==, STATUS_OK);
+	dispatch_free(&fixture.dispatch);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -275,5 +340,7 @@
 	g_test_add_func("/crash/other_entry", test_other_entry);
 	g_test_add_func("/crash/unconfirmed", test_unconfirmed);
 	g_test_add_func("/crash/other_losses", test_other_losses);
+	g_test_add_func("/crash/suspected_crashes", test_suspected_crashes);
+	g_test_add_func("/crash/survived_servers", test_survived_servers);
 	return g_test_run();
 }
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -20,6 +20,7 @@
 	uint32_t list_requests;
 	uint32_t behind;
 	uint32_t overdue;
+	uint32_t survived;
 	uint32_t held;
 	struct handle last; /* run of the last order */
 	GArray *outcomes;   /* enum run_outcome, in order */
@@ -65,6 +66,12 @@
 	((struct fixture *)context)->held++;
 }
 
+static void on_survived(void *context, const struct run *run)
+{
+	g_assert_cmpuint(run->given_up_by, ==, OWNER);
+	((struct fixture *)context)->survived++;
+}
+
 static void on_behind(void *context, const struct run *run, int64_t elapsed_us)
 {
 	((struct fixture *)context)->behind++;
@@ -94,6 +101,7 @@
 					   .run_ended = on_ended,
 					   .stop_overdue = on_overdue,
 					   .run_held = on_held,
+					   .run_survived = on_survived,
 					   .run_behind = on_behind});
 	runs_server_present(&fixture->runs, &total, false);
 	runs_lease_sent(&fixture->runs, 0);
@@ -603,6 +611,7 @@
 	check_outcomes(&fixture, 2, RUN_CRASHED);
 	version = fixture.runs.holds_version;
 	runs_server_replaced(&fixture.runs, 60000);
+	g_assert_cmpuint(fixture.survived, ==, 0);
 	g_assert_cmpuint(fixture.runs.holds_version, >, version);
 	g_assert_cmpuint(table_count(&fixture.runs.table), ==, 1);
 	g_assert_true(runs_may_lease(&fixture.runs, 60000));
@@ -615,7 +624,8 @@
 }
 
 /* Guards against a run that goes on after its end was reported, when the process that was suspected
- * answers again, and against releasing its task before it is over. */
+ * answers again, against releasing its task before it is over, and against a crash that the owner
+ * counts although there was none. */
 static void test_suspected_server_answers(void)
 {
 	struct fixture fixture;
@@ -630,6 +640,7 @@
 	check_outcomes(&fixture, 2, RUN_CRASHED);
 	runs_server_present(&fixture.runs, &total, false);
 	deliver_lists(&fixture, "a.0.0.0", "ended.0.0.0", RUN_DONE, 3000);
+	g_assert_cmpuint(fixture.survived, ==, 2);
 	g_assert_cmpuint(fixture.stops, ==, 1);
 	g_assert_true(runs_ready(&fixture.runs));
 	g_assert_true(runs_may_lease(&fixture.runs, 4000));
@@ -638,6 +649,7 @@
 		((struct run *)table_get(&fixture.runs.table, find(&fixture, "a.0.0.0")))->held);
 	deliver_lists(&fixture, NULL, "a.0.0.0", RUN_STOPPED, 6000);
 	g_assert_cmpuint(table_count(&fixture.runs.table), ==, 0);
+	g_assert_cmpuint(fixture.survived, ==, 2);
 	check_outcomes(&fixture, 2, RUN_CRASHED);
 	tear_down(&fixture);
 }
--- a/test/unit/session_world.h
+++ b/test/unit/session_world.h
@@ -423,6 +423,16 @@
 {
 }
 
+static inline void on_run_survived(void *context, const struct run *run)
+{
+	struct simulation_agent *agent = context;
+	struct owner *owner =
+		owners_find(&world_of(agent->sim)->owners[agent->index], run->given_up_by);
+
+	if (owner)
+		owner_add_survivor(owner, run);
+}
+
 /* Completes an agent process that the simulation has started. */
 static inline void prepare_agent(struct world *world, uint32_t index)
 {
@@ -435,6 +445,7 @@
 	g_snprintf(identity->id, sizeof(identity->id), "server-%u", index);
 	g_strlcpy(identity->service, "s", sizeof(identity->service));
 	agent->backend.runs.callbacks.run_ended = on_run_ended;
+	agent->backend.runs.callbacks.run_survived = on_run_survived;
 	agent->backend.runs.callbacks.run_behind = on_run_behind;
 	world->agent_incarnations[index] = random_incarnation(world);
 	world->owners[index] = (struct owners){
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -995,6 +995,10 @@
 	simulation_trace(agent->sim, "held", run->task, agent->index);
 }
 
+static inline void simulation_agent_run_survived(void *context, const struct run *run)
+{
+}
+
 static inline void simulation_agent_run_behind(void *context, const struct run *run,
 					       int64_t elapsed_us)
 {
@@ -1404,6 +1408,7 @@
 		.run_behind = simulation_agent_run_behind,
 		.stop_overdue = simulation_agent_stop_overdue,
 		.run_held = simulation_agent_run_held,
+		.run_survived = simulation_agent_run_survived,
 	};
 
 	agent->sim = sim;
