Draw the random values of histories one at a time

Cause: several values were drawn among the arguments of one call. The order in which arguments are evaluated is unspecified; gcc takes the last one first on x86-64 and the first one first on aarch64. So a seed stood for different histories, and session_diff_test failed on aarch64 on seeds 34277, 84553 and 95134, which pass on x86-64.

Change: each value is drawn by a statement of its own, in the order of x86-64, so that the known seeds keep their meaning.

--- a/test/unit/dispatch_diff_test.c
+++ b/test/unit/dispatch_diff_test.c
@@ -130,10 +130,10 @@
 static void schedule_random_jobs(struct simulation *sim)
 {
 	for (uint32_t i = 0; i < JOBS; i++) {
-		struct simulation_job *job =
-			simulation_add_job(sim, i + 1, (uint32_t)g_rand_int_range(sim->rand, 1, 5),
-					   (uint32_t)g_rand_int_range(sim->rand, 1000, 9000),
-					   g_rand_int_range(sim->rand, 20000, 1500000));
+		int64_t work_us = g_rand_int_range(sim->rand, 20000, 1500000);
+		uint32_t cpu = (uint32_t)g_rand_int_range(sim->rand, 1000, 9000);
+		uint32_t tasks = (uint32_t)g_rand_int_range(sim->rand, 1, 5);
+		struct simulation_job *job = simulation_add_job(sim, i + 1, tasks, cpu, work_us);
 		int64_t at_us = g_rand_int_range(sim->rand, 0, SUBMIT_US);
 
 		job->priority = (uint32_t)g_rand_int_range(sim->rand, 0, 3);
--- a/test/unit/overlap_diff_test.c
+++ b/test/unit/overlap_diff_test.c
@@ -573,14 +573,12 @@
 		bool aimed = g_rand_int_range(rand, 0, PERCENT) < AIMED_PERCENT;
 		bool is_short = g_rand_int_range(rand, 0, PERCENT) < SHORT_PERCENT;
 
-		*fault = (struct fault){
-			.kind = draw_kind(rand),
-			.at_us = first_us + g_rand_int_range(rand, 0, MAX_SPREAD_US),
-			.entry = (uint32_t)g_rand_int_range(rand, 0, ENTRIES),
-			.server = (uint32_t)g_rand_int_range(rand, 0, SERVERS),
-			.job = (uint32_t)g_rand_int_range(rand, 0, JOBS),
-			.probability = g_rand_double_range(rand, 0.02, 0.9),
-		};
+		fault->kind = draw_kind(rand);
+		fault->at_us = first_us + g_rand_int_range(rand, 0, MAX_SPREAD_US);
+		fault->entry = (uint32_t)g_rand_int_range(rand, 0, ENTRIES);
+		fault->server = (uint32_t)g_rand_int_range(rand, 0, SERVERS);
+		fault->job = (uint32_t)g_rand_int_range(rand, 0, JOBS);
+		fault->probability = g_rand_double_range(rand, 0.02, 0.9);
 		fault->end_us = fault->at_us +
 				g_rand_int_range(rand, MIN_FAULT_US,
 						 is_short ? NET_FREEZE_MIN_US : MAX_FAULT_US);
@@ -606,10 +604,11 @@
 	for (uint32_t i = 0; i < JOBS; i++) {
 		int64_t at_us = g_rand_int_range(rand, 0, JOBS_US);
 		bool is_long = g_rand_boolean(rand);
-		struct simulation_job *job = simulation_add_job(
-			sim, i + 1, (uint32_t)g_rand_int_range(rand, 1, 4),
-			(uint32_t)g_rand_int_range(rand, 1000, 4000),
-			g_rand_int_range(rand, MIN_WORK_US, is_long ? MAX_WORK_US : JOBS_US / 10));
+		int64_t work_us =
+			g_rand_int_range(rand, MIN_WORK_US, is_long ? MAX_WORK_US : JOBS_US / 10);
+		uint32_t cpu = (uint32_t)g_rand_int_range(rand, 1000, 4000);
+		uint32_t tasks = (uint32_t)g_rand_int_range(rand, 1, 4);
+		struct simulation_job *job = simulation_add_job(sim, i + 1, tasks, cpu, work_us);
 
 		job->entry = (uint32_t)g_rand_int_range(rand, 0, ENTRIES);
 		job->deadline_us = at_us + JOB_LIFE_US;
--- a/test/unit/session_diff_test.c
+++ b/test/unit/session_diff_test.c
@@ -87,14 +87,13 @@
 static void schedule_cut(struct world *world, int64_t at_us, int64_t end_us)
 {
 	GRand *rand = world->sim.rand;
-	struct cut *cut = g_new(struct cut, 1);
-
-	*cut = (struct cut){
-		.entry = (uint32_t)g_rand_int_range(rand, 0, ENTRIES),
-		.server = (uint32_t)g_rand_int_range(rand, 0, SERVERS),
-		.until_us = end_us,
-		.loss = g_rand_boolean(rand) ? g_rand_double_range(rand, 0.05, 0.5) : 0,
-	};
+	struct cut *cut = g_new0(struct cut, 1);
+
+	cut->entry = (uint32_t)g_rand_int_range(rand, 0, ENTRIES);
+	cut->server = (uint32_t)g_rand_int_range(rand, 0, SERVERS);
+	cut->until_us = end_us;
+	if (g_rand_boolean(rand))
+		cut->loss = g_rand_double_range(rand, 0.05, 0.5);
 	simulation_schedule(&world->sim, at_us, begin_cut, cut);
 }
 
@@ -147,9 +146,9 @@
 					   int64_t at_us, int64_t work_us, int64_t life_us)
 {
 	struct simulation *sim = &world->sim;
-	struct simulation_job *job =
-		simulation_add_job(sim, number, (uint32_t)g_rand_int_range(sim->rand, 1, 4),
-				   (uint32_t)g_rand_int_range(sim->rand, 1000, 4000), work_us);
+	uint32_t cpu = (uint32_t)g_rand_int_range(sim->rand, 1000, 4000);
+	uint32_t tasks = (uint32_t)g_rand_int_range(sim->rand, 1, 4);
+	struct simulation_job *job = simulation_add_job(sim, number, tasks, cpu, work_us);
 	struct submission *submission = g_new(struct submission, 1);
 
 	job->deadline_us = at_us + life_us;
@@ -162,10 +161,13 @@
 {
 	GRand *rand = world->sim.rand;
 
-	for (uint32_t i = 0; i < JOBS; i++)
-		schedule_job(world, i + 1, (uint32_t)g_rand_int_range(rand, 0, ENTRIES),
-			     g_rand_int_range(rand, 100000, FAULTS_US),
-			     g_rand_int_range(rand, 10000, MAX_WORK_US), JOB_LIFE_US);
+	for (uint32_t i = 0; i < JOBS; i++) {
+		int64_t work_us = g_rand_int_range(rand, 10000, MAX_WORK_US);
+		int64_t at_us = g_rand_int_range(rand, 100000, FAULTS_US);
+		uint32_t entry = (uint32_t)g_rand_int_range(rand, 0, ENTRIES);
+
+		schedule_job(world, i + 1, entry, at_us, work_us, JOB_LIFE_US);
+	}
 }
 
 static void init_world(struct world *world, uint32_t seed)
