Settle the runs of an agent process whose connection ends late

The rule was unsound as well: it took starts for void because another process was connected, which may not have called the server, may serve another one, or may be the earlier one of the two.

Change: a process speaks for all disconnected processes with its name whose first connection was earlier, by a report without unsettled runs beside the same process of the server. If it was known before the other's connection ended, that one may not have ended and gets the settle timeout to give up its runs. A connection without an inventory, on which nothing is ordered, does not prolong the time for which the agent counts as silent.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -155,8 +155,8 @@
 void dispatch_server_report(struct dispatch *dispatch, struct handle server,
 			    const struct fleet_report *report, int64_t now_us);
 
-/* Records that the agent of a server is cut off rather than ended, before its disconnection: it
- * settles its starts itself, and holds those that it can't. */
+/* Records that the server carries out no start of a disconnected agent any more: a later process of
+ * the agent has called it. The runs are settled by time alone. */
 void dispatch_server_cut_off(struct dispatch *dispatch, struct handle server);
 
 /* Marks a server whose agent has disconnected from this entry. Its runs are kept until
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -422,8 +422,10 @@
 {
 	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
 
-	if (server)
-		server->settled_orders = UINT64_MAX;
+	if (!server)
+		return;
+	server->settled_orders = UINT64_MAX;
+	server->settled_by_time = false;
 }
 
 void dispatch_server_disconnected(struct dispatch *dispatch, struct handle handle, int64_t now_us)
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -20,6 +20,7 @@
 	struct ident incarnation;
 	char name[NAME_BYTES];
 	struct node_link *link;	       /* NULL while disconnected */
+	uint64_t first_link_number;    /* later processes have higher ones */
 	uint64_t last_link_number;     /* highest number of its links */
 	struct handle server;	       /* its backend server in the dispatcher */
 	bool has_server;	       /* `server` has been set in this session */
@@ -37,9 +38,11 @@
 	/* Handle under which the server was known before the agent dropped this entry, until the
 	 * runs of that time are settled. A zero handle if none. */
 	struct handle former_server;
-	/* Disconnected process with the same name, while runs of that process may be unsettled;
-	 * otherwise NULL. */
-	struct agent_peer *predecessor;
+	bool has_namesakes; /* other processes with its name were known when it was last checked */
+	/* A later process with its name was known when it disconnected, so it may not have ended.
+	 */
+	bool was_overlapped;
+	int64_t disconnected_us;   /* the end of its last connection on which it was served */
 	bool config_requested;	   /* on this connection, and not answered yet */
 	struct hold_source *holds; /* the tasks that it holds */
 };
@@ -53,20 +56,8 @@
 	g_free(order);
 }
 
-/* Ends the relation of AGENT to the later processes with its name. */
-static void clear_successors(struct node_entry *entry, const struct agent_peer *agent)
-{
-	for (guint i = 0; i < entry->agents->len; i++) {
-		struct agent_peer *other = entry->agents->pdata[i];
-
-		if (other->predecessor == agent)
-			other->predecessor = NULL;
-	}
-}
-
 static void remove_agent(struct node_entry *entry, struct agent_peer *agent)
 {
-	clear_successors(entry, agent);
 	task_holds_remove_source(&entry->dispatch.holds, agent->holds);
 	dispatch_holds_changed(&entry->dispatch);
 	g_ptr_array_remove_fast(entry->agents, agent);
@@ -75,29 +66,30 @@
 	g_free(agent);
 }
 
-static struct agent_peer *find_or_add_agent(struct node_entry *entry, const Ggd__Hello *hello)
+static struct agent_peer *find_or_add_agent(struct node_entry *entry, const Ggd__Hello *hello,
+					    uint64_t link_number)
 {
-	struct agent_peer *agent = NULL;
-	struct agent_peer *predecessor = NULL;
+	struct agent_peer *agent;
 
 	for (guint i = 0; i < entry->agents->len; i++) {
-		struct agent_peer *other = entry->agents->pdata[i];
-
-		if (memcmp(other->incarnation.bytes, hello->incarnation.data, IDENT_BYTES) == 0)
-			agent = other;
-		else if (strcmp(other->name, hello->name) == 0 && !other->link)
-			predecessor = other;
+		agent = entry->agents->pdata[i];
+		if (memcmp(agent->incarnation.bytes, hello->incarnation.data, IDENT_BYTES) == 0)
+			return agent;
 	}
-	if (agent)
-		return agent;
 	agent = g_new0(struct agent_peer, 1);
 	agent->entry = entry;
+	agent->first_link_number = link_number;
 	memcpy(agent->incarnation.bytes, hello->incarnation.data, IDENT_BYTES);
 	g_strlcpy(agent->name, hello->name, sizeof(agent->name));
 	agent->starts = g_ptr_array_new_with_free_func(free_order);
 	agent->stops = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	agent->predecessor = predecessor;
 	agent->holds = task_holds_add_source(&entry->dispatch.holds);
+	for (guint i = 0; i < entry->agents->len; i++) {
+		struct agent_peer *other = entry->agents->pdata[i];
+
+		if (strcmp(other->name, agent->name) == 0)
+			agent->has_namesakes = other->has_namesakes = true;
+	}
 	g_ptr_array_add(entry->agents, agent);
 	return agent;
 }
@@ -113,40 +105,67 @@
 		.cpu = server->cpu, .memory_mb = server->memory_mb, .gpus = server->gpus};
 }
 
-/* Settles the predecessor's server once the agent is known to serve the same process of it. Beside
- * another one, the agent has not seen the predecessor's runs: they are settled when the server has
- * been disconnected for long enough. Returns whether it is settled, and the process before the
- * predecessor is to be settled next. */
-static bool settle_predecessor(struct agent_peer *agent, int64_t now_us)
+/* Returns whether SERVER is known and is another process than the backend server of AGENT. */
+static bool is_elsewhere(const struct agent_peer *agent, struct handle server)
+{
+	const struct fleet *fleet = &agent->entry->dispatch.fleet;
+	const struct fleet_server *former = fleet_get(fleet, server);
+
+	return former && strcmp(former->id, fleet_get(fleet, agent->server)->id) != 0;
+}
+
+/* Settles the runs of PREDECESSOR, a disconnected earlier process with the agent's name, once the
+ * agent is known to serve the same process of the backend server. Beside another one, the agent has
+ * not seen these runs. Returns whether the predecessor was removed. */
+static bool settle_predecessor(struct agent_peer *agent, struct agent_peer *predecessor,
+			       int64_t now_us)
 {
 	struct dispatch *dispatch = &agent->entry->dispatch;
-	struct agent_peer *predecessor = agent->predecessor;
-	const struct fleet_server *server = fleet_get(&dispatch->fleet, agent->server);
-	const struct fleet_server *former = NULL;
-	struct agent_peer *earlier = predecessor->predecessor;
-
-	if (predecessor->has_server)
-		former = fleet_get(&dispatch->fleet, predecessor->server);
-	if (former && strcmp(former->id, server->id) != 0)
+
+	if (is_elsewhere(agent, predecessor->server) ||
+	    is_elsewhere(agent, predecessor->former_server))
 		return false;
-	if (former)
-		dispatch_server_settled(dispatch, predecessor->server, now_us);
+	/* A process that has not ended needs this time to give up its runs. */
+	if (predecessor->was_overlapped &&
+	    now_us <= predecessor->disconnected_us + dispatch->limits.settle_timeout_us) {
+		dispatch_server_cut_off(dispatch, predecessor->server);
+		return false;
+	}
+	dispatch_server_settled(dispatch, predecessor->server, now_us);
+	dispatch_server_settled(dispatch, predecessor->former_server, now_us);
 	remove_agent(agent->entry, predecessor);
-	agent->predecessor = earlier;
 	return true;
 }
 
-/* Settles the agent's former server and that of its predecessor once the agent reports no unsettled
- * runs. By then the agent has stopped all runs that this entry had ordered from it or from its
- * predecessor at the same server. */
+/* Settles the earlier processes with the agent's name. */
+static void settle_predecessors(struct agent_peer *agent, int64_t now_us)
+{
+	const struct node_entry *entry = agent->entry;
+
+	if (!agent->has_namesakes)
+		return;
+	agent->has_namesakes = false;
+	for (guint i = entry->agents->len; i-- > 0;) {
+		struct agent_peer *other = entry->agents->pdata[i];
+
+		if (other == agent || strcmp(other->name, agent->name) != 0)
+			continue;
+		if (other->link || other->first_link_number > agent->first_link_number ||
+		    !settle_predecessor(agent, other, now_us))
+			agent->has_namesakes = true;
+	}
+}
+
+/* Settles the agent's former server and those of its predecessors once the agent reports no
+ * unsettled runs. By then the agent has stopped all runs that this entry had ordered from it or
+ * from its predecessors at the same server. */
 static void settle_former_servers(struct agent_peer *agent, const Ggd__Room *room, int64_t now_us)
 {
 	if (room->unsettled > 0)
 		return;
 	dispatch_server_settled(&agent->entry->dispatch, agent->former_server, now_us);
 	agent->former_server = (struct handle){0};
-	while (agent->predecessor && settle_predecessor(agent, now_us))
-		;
+	settle_predecessors(agent, now_us);
 }
 
 /* Begins a session in which the agent knows none of the runs that were ordered before. */
@@ -418,14 +437,14 @@
 	send_orders(context);
 }
 
-/* Returns whether another process with the name of AGENT is connected. Its first call to the
- * server has voided the calls of this one. */
+/* Returns whether a later process with the name of AGENT is known. */
 static bool has_successor(const struct agent_peer *agent)
 {
 	for (guint i = 0; i < agent->entry->agents->len; i++) {
 		const struct agent_peer *other = agent->entry->agents->pdata[i];
 
-		if (other != agent && other->link && strcmp(other->name, agent->name) == 0)
+		if (other->first_link_number > agent->first_link_number &&
+		    strcmp(other->name, agent->name) == 0)
 			return true;
 	}
 	return false;
@@ -446,10 +465,12 @@
 				 RUNS_TRANSIT_MAX_US);
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
-	if (agent->has_server && has_successor(agent))
-		dispatch_server_cut_off(&entry->dispatch, agent->server);
-	if (agent->has_server)
-		dispatch_server_disconnected(&entry->dispatch, agent->server, entry->loop.now_us);
+	agent->was_overlapped = has_successor(agent);
+	/* Before the inventory, an agent is not served. */
+	if (agent->awaiting_inventory)
+		return;
+	agent->disconnected_us = entry->loop.now_us;
+	dispatch_server_disconnected(&entry->dispatch, agent->server, entry->loop.now_us);
 }
 
 static void on_down(void *context, struct node_link *link, const char *reason)
@@ -469,7 +490,7 @@
 bool node_agent_links_register(struct node_entry *entry, struct node_link *link,
 			       const Ggd__Hello *hello)
 {
-	struct agent_peer *agent = find_or_add_agent(entry, hello);
+	struct agent_peer *agent = find_or_add_agent(entry, hello, node_link_number(link));
 
 	/* An agent connects again only after it has given up its last connection. The hello message
 	 * and the inventory of that one may still be read, but do not cover the orders sent since.
@@ -484,8 +505,6 @@
 		node_link_close(old);
 	}
 	event_log(EVENT_CHANNEL_OPENED, EV_S("agent", agent->name));
-	/* It has not ended, so a later process with its name does not speak for its runs. */
-	clear_successors(entry, agent);
 	agent->link = link;
 	agent->last_orders_number = 0;
 	agent->awaiting_inventory = true;
--- a/packages/greengaged/src/node_agent_links.h
+++ b/packages/greengaged/src/node_agent_links.h
@@ -40,7 +40,8 @@
 						   const struct hold_source *holds),
 				     void *context);
 
-/* Returns whether the agent process of INCARNATION, which has IDENT_BYTES, is connected. */
+/* Returns whether the agent process of INCARNATION, which has IDENT_BYTES, is connected and has
+ * told which tasks it holds. */
 bool node_agent_links_is_connected(const struct node_entry *entry, const uint8_t *incarnation);
 
 #endif
--- a/test/unit/settle_test.c
+++ b/test/unit/settle_test.c
@@ -153,6 +153,23 @@
 	dispatch_free(&fixture.dispatch);
 }
 
+/* Guards against a start that stays in transit because it is known to be void only after the other
+ * runs were settled by time. */
+static void test_agent_cut_off_late(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	report(&fixture, 2);
+	dispatch_server_disconnected(&fixture.dispatch, fixture.server, now_us);
+	dispatch_tick(&fixture.dispatch, now_us + SETTLE_US + 1);
+	g_assert_cmpuint(fixture.lost, ==, 1);
+	dispatch_server_cut_off(&fixture.dispatch, fixture.server);
+	dispatch_tick(&fixture.dispatch, now_us + SETTLE_US + 2);
+	g_assert_cmpuint(fixture.lost, ==, 2);
+	dispatch_free(&fixture.dispatch);
+}
+
 /* Guards against a start of an earlier connection that is forgotten with it, and against runs that
  * stay unsettled for longer than the next process of the agent needs to speak for them. */
 static void test_new_connection(void)
@@ -182,6 +199,7 @@
 	g_test_add_func("/settle/start_in_transit", test_start_in_transit);
 	g_test_add_func("/settle/starts_answered", test_starts_answered);
 	g_test_add_func("/settle/agent_cut_off", test_agent_cut_off);
+	g_test_add_func("/settle/agent_cut_off_late", test_agent_cut_off_late);
 	g_test_add_func("/settle/new_connection", test_new_connection);
 	return g_test_run();
 }
