Keep passed-on holds of an agent until its inventory has arrived

Callers saw: two runs of a task at once.

Cause: an entry leaves out what other entries pass on of the holds of an agent that is connected to it. An agent whose hello message had arrived counted as connected, although it tells its holds only with the inventory, which it sends after the hello message of the entry. That one did not arrive, so the entry knew no hold of a task that went on there, which it took for over by time 0.1 s later.

Test that failed before: node_agent_links_test holds_unknown_before_inventory.

--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -614,7 +614,8 @@
 	for (guint i = 0; i < entry->agents->len; i++) {
 		const struct agent_peer *agent = entry->agents->pdata[i];
 
-		if (agent->link && memcmp(agent->incarnation.bytes, incarnation, IDENT_BYTES) == 0)
+		if (agent->link && !agent->awaiting_inventory &&
+		    memcmp(agent->incarnation.bytes, incarnation, IDENT_BYTES) == 0)
 			return true;
 	}
 	return false;
--- a/test/unit/node_agent_links_test.c
+++ b/test/unit/node_agent_links_test.c
@@ -270,6 +270,21 @@
 	g_assert_cmpuint(fixture->lost, ==, 0);
 }
 
+/* Guards against leaving out what another entry passes on of an agent's holds while the agent has
+ * connected here and has not told them yet. */
+static void test_holds_unknown_before_inventory(struct fixture *fixture, const void *unused)
+{
+	const uint8_t incarnation[IDENT_BYTES] = {fixture->former.incarnation};
+
+	g_assert_true(node_agent_links_is_connected(&fixture->entry, incarnation));
+	lose(&fixture->former);
+	g_assert_false(node_agent_links_is_connected(&fixture->entry, incarnation));
+	greet(fixture, &fixture->former);
+	g_assert_false(node_agent_links_is_connected(&fixture->entry, incarnation));
+	report(&fixture->former, 0, true);
+	g_assert_true(node_agent_links_is_connected(&fixture->entry, incarnation));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -284,5 +299,7 @@
 		   test_earlier_process_connected, tear_down);
 	g_test_add("/node_agent_links/later_process_elsewhere", struct fixture, NULL, set_up,
 		   test_later_process_elsewhere, tear_down);
+	g_test_add("/node_agent_links/holds_unknown_before_inventory", struct fixture, NULL, set_up,
+		   test_holds_unknown_before_inventory, tear_down);
 	return g_test_run();
 }
