Send no lease while a run that was given up goes on

Cause: row "agent lost, not back" of docs/guarantees.md. An agent stops the runs of an entry 635 ms after its last sign of life and sends no lease from then on. A run that was given up has no owner any more, and the time without a lease began only 575 ms after the server had answered again. So the run could outlive the 1,399 ms that its entry waits.

Change: as for the runs that an agent finds at its server, for which it is as unknown how long their owners have been gone, no lease is sent until the run is over. All sound runs at that server have been given up as well; only a start that was under way at that moment can lose its lease, if all stops are lost for as long as that lasts.

runs_test suspected_server_answers asserted that a lease may be sent for STOP_WAIT_US after the answer, which is this fault. It now asserts that none is sent, and that one is as soon as the list shows the end.

Test that failed before: runs_test no_lease_for_given_up_run.

--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -332,7 +332,7 @@
 }
 
 /* Stops the runs that were given up, for which their owners have no use, if a process has answered.
- */
+ * It is unknown for how long their owners have been gone. */
 static void stop_given_up(struct runs *runs, int64_t now_us)
 {
 	uint32_t cursor = 0;
@@ -341,7 +341,7 @@
 
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
 		if (run->given_up && !run->stop_requested)
-			request_stop(runs, run, handle, now_us + runs->limits.stop_wait_us, now_us);
+			request_stop(runs, run, handle, now_us, now_us);
 	}
 }
 
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -853,16 +853,35 @@
 	deliver_lists(&fixture, "a.0.0.0", "ended.0.0.0", RUN_DONE, 3000);
 	g_assert_cmpuint(fixture.stops, ==, 1);
 	g_assert_true(runs_ready(&fixture.runs));
-	g_assert_true(runs_may_lease(&fixture.runs, 4000));
-	g_assert_false(runs_may_lease(&fixture.runs, 4000 + STOP_WAIT_US));
+	g_assert_false(runs_may_lease(&fixture.runs, 4000));
 	g_assert_true(
 		((struct run *)table_get(&fixture.runs.table, find(&fixture, "a.0.0.0")))->held);
 	deliver_lists(&fixture, NULL, "a.0.0.0", RUN_STOPPED, 6000);
 	g_assert_cmpuint(table_count(&fixture.runs.table), ==, 0);
+	g_assert_true(runs_may_lease(&fixture.runs, 7000));
 	check_outcomes(&fixture, 2, RUN_CRASHED);
 	tear_down(&fixture);
 }
 
+/* Guards against a run that was given up and goes on for longer than its silent owner waits for it,
+ * as its server, which answers again and loses all stops, gets leases meanwhile. */
+static void test_no_lease_for_given_up_run(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 1000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 100);
+	runs_server_suspected(&fixture.runs, 2000);
+	runs_server_present(&fixture.runs, &(struct resources){.cpu = CPU, .memory_mb = 1000},
+			    false);
+	deliver_lists(&fixture, "a.0.0.0", NULL, 0, 3000);
+	g_assert_false(runs_may_lease(&fixture.runs, 4000));
+	deliver_lists(&fixture, NULL, "a.0.0.0", RUN_STOPPED, 6000);
+	g_assert_true(runs_may_lease(&fixture.runs, 7000));
+	tear_down(&fixture);
+}
+
 /* Guards against taking a run that is being stopped for over when connections are refused. */
 static void test_stopping_run_at_suspected_server(void)
 {
@@ -1306,6 +1325,7 @@
 	g_test_add_func("/runs/given_up_run_is_stopped", test_given_up_run_is_stopped);
 	g_test_add_func("/runs/suspected_server_replaced", test_suspected_server_replaced);
 	g_test_add_func("/runs/suspected_server_answers", test_suspected_server_answers);
+	g_test_add_func("/runs/no_lease_for_given_up_run", test_no_lease_for_given_up_run);
 	g_test_add_func("/runs/stopping_run_at_suspected_server",
 			test_stopping_run_at_suspected_server);
 	g_test_add_func("/runs/server_ended_after_list", test_server_ended_after_list);
