Agent: keep the suspicion of a server in one place

backend.refused and runs.suspected were set and cleared together; runs_server_suspected ignores a repetition, and runs_may_lease is false while it lasts. No change of behaviour.

--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -139,7 +139,6 @@
 			  EV_I("started_ms", answer->start_time_ms), EV_I("before_ms", previous_ms),
 			  EV_I("runs_lost", table_count(&backend->runs.table)));
 	backend->replacements++;
-	backend->refused = false;
 	backend->lists_applied = false;
 	runs_server_replaced(&backend->runs, backend->loop->now_us);
 	return true;
@@ -404,10 +403,8 @@
 	 * connection would be called without a pause. */
 	if (long_poll && reply->status == STATUS_NETWORK && !reply->connection_refused)
 		backend->immediate_poll_requested = true;
-	if (suspected && !backend->refused) {
-		backend->refused = true;
+	if (suspected)
 		runs_server_suspected(&backend->runs, now_us);
-	}
 	if (suspected || now_us - backend->lists_received_us > UNREACHABLE_TIMEOUT_MS * US_PER_MS)
 		set_reachable(backend, false, err->message);
 }
@@ -442,7 +439,6 @@
 	backend->hold_failed = !valid;
 	if (valid) {
 		backend->lists_received_us = backend->loop->now_us;
-		backend->refused = false;
 		set_reachable(backend, true, NULL);
 		runs_apply_lists(&backend->runs, &lists.runs, hold->epoch, hold->sent_us,
 				 backend->loop->now_us);
@@ -493,10 +489,10 @@
 		.epoch = backend->runs.epoch,
 		.long_poll = long_poll,
 	};
-	/* A start brings its own lease. A call that is refused delivers none. Before the first
-	 * lists, the server may have runs that should have ended. */
+	/* A start brings its own lease. Before the first lists, the server may have runs that
+	 * should have ended. */
 	if (table_count(&backend->runs.table) > 0 && backend->lists_applied &&
-	    backend->presence.clock_ms > 0 && !backend->refused &&
+	    backend->presence.clock_ms > 0 &&
 	    runs_may_lease(&backend->runs, backend->loop->now_us)) {
 		expires_ms = lease_clock_ms(backend) + backend->lease_ms;
 		runs_lease_sent(&backend->runs, backend->loop->now_us);
@@ -557,7 +553,7 @@
 	log_health_change(backend);
 	if (busy && backend->long_polls < BUSY_LONG_POLLS && backend->reachable)
 		start_long_polls(backend);
-	if (busy && !backend->refused &&
+	if (busy && !backend->runs.suspected &&
 	    now_us - backend->lease_sent_us > LEASE_RENEWAL_MS * US_PER_MS)
 		backend->immediate_poll_requested = true;
 }
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -36,9 +36,8 @@
 	struct http_client *hold_client;    /* sends holds */
 	struct presence presence;	    /* the server's process and what its heartbeats state */
 	uint32_t replacements;		    /* processes of the server that were replaced */
-	bool refused;	    /* connections were refused since the last valid lists */
-	bool reachable;	    /* the server answers holds */
-	bool lists_applied; /* run lists of the current incarnation were applied */
+	bool reachable;			    /* the server answers holds */
+	bool lists_applied;		    /* run lists of the current incarnation were applied */
 	int64_t lease_ms;
 	int64_t lease_sent_us;	   /* time of the last call that contained one */
 	int64_t lists_received_us; /* time when valid run lists were last received */
