--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -434,11 +434,10 @@
 static void disconnect_agent(struct agent_peer *agent, const char *reason)
 {
 	struct node_entry *entry = agent->entry;
-	int64_t silent_ms =
-		(entry->loop.now_us - node_link_last_received_us(agent->link)) / US_PER_MS;
 
 	event_log(EVENT_CHANNEL_LOST, EV_S("agent", agent->name), EV_S("reason", reason),
-		  EV_I("silent_ms", silent_ms));
+		  EV_I("silent_ms",
+		       (entry->loop.now_us - node_link_last_received_us(agent->link)) / US_PER_MS));
 	agent->link = NULL;
 	task_holds_limit(agent->holds,
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
