--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -155,9 +155,9 @@
 void dispatch_server_report(struct dispatch *dispatch, struct handle server,
 			    const struct fleet_report *report, int64_t now_us);
 
-/* Records that the agent of a server is cut off rather than ended, before its disconnection: it
- * settles its starts itself, and holds those that it can't. */
-void dispatch_server_cut_off(struct dispatch *dispatch, struct handle server);
+/* Records that no start of a server's agent can be carried out any more, before the disconnection
+ * of that agent: another process of it has called the server since. */
+void dispatch_server_starts_voided(struct dispatch *dispatch, struct handle server);
 
 /* Marks a server whose agent has disconnected from this entry. Its runs are kept until
  * settle_timeout_us has passed, as the agent may reconnect. A server without runs is removed at
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -418,7 +418,7 @@
 		dispatch->pump_needed = true;
 }
 
-void dispatch_server_cut_off(struct dispatch *dispatch, struct handle handle)
+void dispatch_server_starts_voided(struct dispatch *dispatch, struct handle handle)
 {
 	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
 
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -446,7 +446,7 @@
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
 	if (agent->has_server && has_successor(agent))
-		dispatch_server_cut_off(&entry->dispatch, agent->server);
+		dispatch_server_starts_voided(&entry->dispatch, agent->server);
 	if (agent->has_server)
 		dispatch_server_disconnected(&entry->dispatch, agent->server, entry->loop.now_us);
 }
--- a/test/unit/settle_test.c
+++ b/test/unit/settle_test.c
@@ -140,13 +140,13 @@
 	dispatch_free(&fixture.dispatch);
 }
 
-/* Guards against a delay of runs at an agent that is cut off and settles them itself. */
-static void test_agent_cut_off(void)
+/* Guards against a delay of runs whose starts the next process of their agent has voided. */
+static void test_starts_voided(void)
 {
 	struct fixture fixture;
 
 	set_up(&fixture);
-	dispatch_server_cut_off(&fixture.dispatch, fixture.server);
+	dispatch_server_starts_voided(&fixture.dispatch, fixture.server);
 	dispatch_server_disconnected(&fixture.dispatch, fixture.server, now_us);
 	dispatch_tick(&fixture.dispatch, now_us + SETTLE_US + 1);
 	g_assert_cmpuint(fixture.lost, ==, 2);
@@ -181,7 +181,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/settle/start_in_transit", test_start_in_transit);
 	g_test_add_func("/settle/starts_answered", test_starts_answered);
-	g_test_add_func("/settle/agent_cut_off", test_agent_cut_off);
+	g_test_add_func("/settle/starts_voided", test_starts_voided);
 	g_test_add_func("/settle/new_connection", test_new_connection);
 	return g_test_run();
 }
