--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -859,14 +859,17 @@
 	uint32_t cursor = 0;
 	struct handle handle;
 	struct run *run;
+	int64_t end_us;
 
 	health_tick(&runs->health, now_us);
 	runs_refuse_waiting(runs, now_us);
 	runs_ended_expire(runs, now_us);
+	/* The end of a run extends no lease. */
+	end_us = leases_end_us(runs);
 	while ((run = table_next(&runs->table, &cursor, &handle))) {
 		if (run->phase == RUN_PHASE_WAITING)
 			continue;
-		if (now_us > MAX(leases_end_us(runs), run->settle_by_us)) {
+		if (now_us > MAX(end_us, run->settle_by_us)) {
 			runs_end(runs, handle, RUN_LOST, now_us);
 			continue;
 		}
