--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -112,18 +112,24 @@
 		labels[i] = (char *)identity->labels[i];
 }
 
-struct held_names {
-	GPtrArray *runs;
-	GPtrArray *starts;
-};
-
 static void collect_held(void *context, const struct run *run)
 {
-	struct held_names *names = context;
+	Ggd__Holds *holds = context;
+
+	if (run->held && runs_start_in_transit(run))
+		holds->starts[holds->n_starts++] = run->task;
+	else if (run->held)
+		holds->runs[holds->n_runs++] = run->task;
+}
+
+/* Sets the names of the held tasks, which HOLDS borrows. The caller frees the arrays. */
+static void fill_holds(struct backend *backend, Ggd__Holds *holds)
+{
+	uint32_t count = table_count(&backend->runs.table);
 
-	if (run->held)
-		g_ptr_array_add(runs_start_in_transit(run) ? names->starts : names->runs,
-				run->task);
+	holds->runs = g_new(char *, count);
+	holds->starts = g_new(char *, count);
+	runs_foreach(&backend->runs, collect_held, holds);
 }
 
 /* Sends a report with the given ENDS and INVENTORY, which may be NULL, the free resources and all
@@ -137,7 +143,6 @@
 	Ggd__Room room = GGD__ROOM__INIT;
 	Ggd__Server server = GGD__SERVER__INIT;
 	Ggd__Holds holds = GGD__HOLDS__INIT;
-	struct held_names held = {.runs = g_ptr_array_new(), .starts = g_ptr_array_new()};
 	char *labels[PRESENCE_LABELS_MAX];
 	guint end_count = ends ? ends->len : 0;
 	Ggd__RunEnd *end_rows = g_new(Ggd__RunEnd, end_count + 1);
@@ -185,19 +190,15 @@
 		owner->sent_identity_version = backend->presence.identity_version;
 	}
 	if (owner->sent_holds_version != backend->runs.holds_version) {
-		runs_foreach(&backend->runs, collect_held, &held);
-		holds.runs = (char **)held.runs->pdata;
-		holds.n_runs = held.runs->len;
-		holds.starts = (char **)held.starts->pdata;
-		holds.n_starts = held.starts->len;
+		fill_holds(backend, &holds);
 		report.holds = &holds;
 		owner->sent_holds_version = backend->runs.holds_version;
 	}
 	frame.body_case = GGD__FRAME__BODY_REPORT;
 	frame.report = &report;
 	node_link_send(owner->link, &frame);
-	g_ptr_array_free(held.runs, TRUE);
-	g_ptr_array_free(held.starts, TRUE);
+	g_free(holds.runs);
+	g_free(holds.starts);
 	owner->status_changed = false;
 	owner->report_sent_us = backend->loop->now_us;
 	g_array_set_size(owner->unsent_progress, 0);
