Settings: keep the wait for stops and the drift of clocks once

node_settings_stop_wait_ms ignored its parameter, and CLOCK_DRIFT_PERCENT stood in two modules beside a third value in permille. No change of behaviour.

--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -43,7 +43,7 @@
 	/* Waiting runs may need at most this share of the server's total cpu. At this limit, a run
 	 * waits about 15 ms. */
 	WAITING_PERMILLE = 100,
-	CLOCK_DRIFT_PERMILLE = 20, /* a server's monotonic clock may be 2 % slow */
+	CLOCK_DRIFT_PERMILLE = NODE_CLOCK_DRIFT_PERCENT * 10,
 	TRIAL_INTERVAL_MS = 1500,
 	QUARANTINE_FAILURES = 4,
 	QUARANTINE_FIRST_MS = 500,
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -479,7 +479,7 @@
 	agent->owners = (struct owners){
 		.backend = &agent->backend,
 		.silence_timeout_us = node_settings_silence_timeout_ms(settings) * US_PER_MS,
-		.stop_wait_us = node_settings_stop_wait_ms(settings) * US_PER_MS,
+		.stop_wait_us = NODE_STOP_WAIT_MS * US_PER_MS,
 		.removed = on_owner_removed,
 		.context = agent,
 	};
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -46,8 +46,6 @@
 	 * agent may detect late that the owner of a run (the entry that ordered it) is unreachable.
 	 */
 	SETTLE_MARGIN_MS = 200,
-	/* By the entry's clock, a lease may last this much longer than granted. */
-	CLOCK_DRIFT_PERCENT = 2,
 	PERCENT = 100
 };
 
@@ -267,13 +265,14 @@
 static void start_dispatch(struct node_entry *entry)
 {
 	const struct node_settings *settings = entry->settings;
-	int64_t lease_ms = node_settings_run_lease_ms(settings) * (100 + CLOCK_DRIFT_PERCENT) / 100;
+	int64_t lease_ms = node_settings_run_lease_ms(settings) *
+			   (PERCENT + NODE_CLOCK_DRIFT_PERCENT) / PERCENT;
 	const struct dispatch_limits limits = {
 		.max_jobs = MAX_JOBS,
-		.settle_timeout_us = (node_settings_silence_timeout_ms(settings) +
-				      node_settings_stop_wait_ms(settings) + lease_ms +
-				      (int64_t)settings->stop_ms + SETTLE_MARGIN_MS) *
-				     US_PER_MS,
+		.settle_timeout_us =
+			(node_settings_silence_timeout_ms(settings) + NODE_STOP_WAIT_MS + lease_ms +
+			 (int64_t)settings->stop_ms + SETTLE_MARGIN_MS) *
+			US_PER_MS,
 		.connect_time_us = AGENT_CONNECT_MS * US_PER_MS,
 		.crash_retention_us = ENDED_JOBS_RETENTION_MS * US_PER_MS,
 		.max_crashed_tasks = MAX_CRASHED_TASKS,
--- a/packages/greengaged/src/node_settings.c
+++ b/packages/greengaged/src/node_settings.c
@@ -17,9 +17,7 @@
 	HOUR_S = 3600,
 	RESEND_MARGIN_MS = 100,	      /* for messages in transit and differences between clocks */
 	MIN_SILENCE_TIMEOUT_MS = 300, /* shorter pauses of a healthy peer are usual */
-	STOP_WAIT_MS = 60,	      /* for a stop and two repetitions */
-	PERCENT = 100,
-	CLOCK_DRIFT_PERCENT = 2 /* a server's monotonic clock may be this much slow */
+	PERCENT = 100
 };
 
 static const char *const mode_choices[] = {"platform", NULL};
@@ -143,18 +141,12 @@
 	return (int64_t)((settings->resend_ms - settings->stop_ms - RESEND_MARGIN_MS) / 2);
 }
 
-int64_t node_settings_stop_wait_ms(const struct node_settings *settings)
-{
-	return STOP_WAIT_MS;
-}
-
 int64_t node_settings_run_lease_ms(const struct node_settings *settings)
 {
-	int64_t remaining_ms =
-		node_settings_silence_timeout_ms(settings) - node_settings_stop_wait_ms(settings);
+	int64_t remaining_ms = node_settings_silence_timeout_ms(settings) - NODE_STOP_WAIT_MS;
 
 	return MIN((int64_t)settings->lease_ms,
-		   remaining_ms * PERCENT / (PERCENT + CLOCK_DRIFT_PERCENT));
+		   remaining_ms * PERCENT / (PERCENT + NODE_CLOCK_DRIFT_PERCENT));
 }
 
 void node_settings_free(struct node_settings *settings)
--- a/packages/greengaged/src/node_settings.h
+++ b/packages/greengaged/src/node_settings.h
@@ -9,6 +9,15 @@
 
 #include "status.h"
 
+enum {
+	/* Time after the silence timeout in which an agent should have stopped the runs of an
+	 * owner, for a stop and two repetitions. Then it sends no more leases until they have
+	 * ended. */
+	NODE_STOP_WAIT_MS = 60,
+	/* A server's monotonic clock may be this much slow. */
+	NODE_CLOCK_DRIFT_PERCENT = 2
+};
+
 /* Values from the settings file, with units in the field names. Strings are owned by the struct; an
  * optional string without a value is NULL. */
 struct node_settings {
@@ -65,10 +74,6 @@
 int64_t node_settings_silence_timeout_ms(const struct node_settings *settings);
 int64_t node_settings_run_lease_ms(const struct node_settings *settings);
 
-/* Time after the silence timeout in which an agent should have stopped the runs of an owner. Then
- * it sends no more leases until they have ended. */
-int64_t node_settings_stop_wait_ms(const struct node_settings *settings);
-
 /* Frees the strings in SETTINGS. */
 void node_settings_free(struct node_settings *settings);
 
--- a/test/unit/node_settings_test.c
+++ b/test/unit/node_settings_test.c
@@ -62,7 +62,7 @@
 
 		g_assert_cmpint(load(text, &settings, &err), ==, STATUS_OK);
 		g_assert_cmpfloat((double)node_settings_silence_timeout_ms(&settings) +
-					  (double)node_settings_stop_wait_ms(&settings) +
+					  NODE_STOP_WAIT_MS +
 					  1.02 * (double)node_settings_run_lease_ms(&settings) +
 					  settings.stop_ms,
 				  <, settings.resend_ms);
--- a/test/unit/overlap_diff_test.c
+++ b/test/unit/overlap_diff_test.c
@@ -760,8 +760,7 @@
 	g_assert_cmpint(node_settings_load(name, &settings, &err), ==, STATUS_OK);
 	g_assert_cmpint(node_settings_silence_timeout_ms(&settings) * US_PER_MS, ==,
 			SIMULATION_OWNER_TIMEOUT_US);
-	g_assert_cmpint(node_settings_stop_wait_ms(&settings) * US_PER_MS, ==,
-			SIMULATION_OWNER_STOP_WAIT_US);
+	g_assert_cmpint((int64_t)NODE_STOP_WAIT_MS * US_PER_MS, ==, SIMULATION_OWNER_STOP_WAIT_US);
 	g_assert_cmpint(node_settings_run_lease_ms(&settings) * US_PER_MS, ==, SIMULATION_LEASE_US);
 	g_assert_cmpint((int64_t)settings.resend_ms * US_PER_MS, ==, SIMULATION_RESEND_DELAY_US);
 	node_settings_free(&settings);
