Tests: keep the playing of many histories in session_world.h

play_histories, number_from and test_histories stood in session_diff_test and overlap_diff_test. SESSION_DIFF_PROCESSES is new; counts, seeds and checks are as before.

--- a/test/unit/overlap_diff_test.c
+++ b/test/unit/overlap_diff_test.c
@@ -14,10 +14,6 @@
  * OVERLAP_DIFF_WITHOUT those to leave out.
  */
 #include <glib/gstdio.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include "event.h"
 #include "node_settings.h"
@@ -685,49 +681,20 @@
 	return left_out;
 }
 
-/* Plays COUNT histories. Returns how many were broken. */
-static uint32_t play_histories(uint32_t first, uint32_t count)
+static const char *play_whole(uint32_t seed, uint32_t *starts)
 {
-	uint32_t failed = 0, starts = 0;
-
-	for (uint32_t i = 0; i < count; i++) {
-		const char *broken = play(first + i, 0, 0, false, &starts);
-
-		failed += broken != NULL;
-		if (broken)
-			g_test_message("OVERLAP_DIFF_SEED=%u: %s", first + i, broken);
-	}
-	/* Without enough starts, the checks would be meaningless. */
-	g_assert_cmpuint(starts, >, count * JOBS / 2);
-	return failed;
-}
-
-static uint32_t number_from(const char *variable, uint32_t otherwise)
-{
-	const char *text = g_getenv(variable);
-
-	return text ? (uint32_t)strtoul(text, NULL, 10) : otherwise;
+	return play(seed, 0, 0, false, starts);
 }
 
 static void test_histories(void)
 {
-	uint32_t processes = number_from("OVERLAP_DIFF_PROCESSES", PROCESSES);
-	uint32_t first = number_from("OVERLAP_DIFF_FIRST", 1);
-	uint32_t share = number_from("OVERLAP_DIFF_COUNT", HISTORIES) / processes;
-	int status, failed = 0;
-
-	for (uint32_t i = 0; i < processes; i++) {
-		if (fork() == 0) {
-			failed = play_histories(first + i * share, share) > 0;
-			fflush(NULL);
-			_exit(failed);
-		}
-	}
-	for (uint32_t i = 0; i < processes; i++) {
-		wait(&status);
-		failed += status != 0;
-	}
-	g_assert_cmpint(failed, ==, 0);
+	check_histories(&(struct history_set){
+		.prefix = "OVERLAP_DIFF",
+		.count = HISTORIES,
+		.processes = PROCESSES,
+		.min_starts = JOBS / 2,
+		.play = play_whole,
+	});
 }
 
 static void test_one_history(void)
--- a/test/unit/session_diff_test.c
+++ b/test/unit/session_diff_test.c
@@ -9,13 +9,9 @@
  * or ends, after the links have been whole again for a while.
  *
  * SESSION_DIFF_SEED replays a single history and prints its trace; SESSION_DIFF_COUNT sets the
- * number of histories, SESSION_DIFF_FIRST the seed of the first.
+ * number of histories, SESSION_DIFF_FIRST the seed of the first, SESSION_DIFF_PROCESSES the number
+ * of processes.
  */
-#include <stdio.h>
-#include <stdlib.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include "event.h"
 #include "session_world.h"
 
@@ -234,51 +230,20 @@
 	return broken;
 }
 
-/* Plays COUNT histories. Returns how many were broken. */
-static uint32_t play_histories(uint32_t first, uint32_t count)
-{
-	uint32_t failed = 0, starts = 0;
-
-	for (uint32_t i = 0; i < count; i++) {
-		const char *broken;
-
-		if (first + i == LATE_MESSAGE_SEED)
-			continue;
-		broken = play_history(first + i, false, &starts);
-		failed += broken != NULL;
-		if (broken)
-			g_test_message("SESSION_DIFF_SEED=%u: %s", first + i, broken);
-	}
-	/* Without enough starts, the checks would be meaningless. */
-	g_assert_cmpuint(starts, >, count * JOBS / 2);
-	return failed;
-}
-
-static uint32_t number_from(const char *variable, uint32_t otherwise)
+static const char *play_known_good(uint32_t seed, uint32_t *starts)
 {
-	const char *text = g_getenv(variable);
-
-	return text ? (uint32_t)strtoul(text, NULL, 10) : otherwise;
+	return seed == LATE_MESSAGE_SEED ? NULL : play_history(seed, false, starts);
 }
 
 static void test_histories(void)
 {
-	uint32_t first = number_from("SESSION_DIFF_FIRST", 1);
-	uint32_t share = number_from("SESSION_DIFF_COUNT", HISTORIES) / PROCESSES;
-	int status, failed = 0;
-
-	for (uint32_t i = 0; i < PROCESSES; i++) {
-		if (fork() == 0) {
-			failed = play_histories(first + i * share, share) > 0;
-			fflush(NULL);
-			_exit(failed);
-		}
-	}
-	for (uint32_t i = 0; i < PROCESSES; i++) {
-		wait(&status);
-		failed += status != 0;
-	}
-	g_assert_cmpint(failed, ==, 0);
+	check_histories(&(struct history_set){
+		.prefix = "SESSION_DIFF",
+		.count = HISTORIES,
+		.processes = PROCESSES,
+		.min_starts = JOBS / 2,
+		.play = play_known_good,
+	});
 }
 
 static void test_one_history(void)
--- a/test/unit/session_world.h
+++ b/test/unit/session_world.h
@@ -5,6 +5,11 @@
 #ifndef GG_TEST_SESSION_WORLD_H
 #define GG_TEST_SESSION_WORLD_H
 
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include "agent_owners.h"
 #include "node_agent_links.h"
 #include "node_isolation.h"
@@ -760,4 +765,73 @@
 	g_ptr_array_free(world->links, TRUE);
 }
 
+/* ---- tests that play many histories ---- */
+
+static inline uint32_t number_from(const char *variable, uint32_t otherwise)
+{
+	const char *text = g_getenv(variable);
+
+	return text ? (uint32_t)strtoul(text, NULL, 10) : otherwise;
+}
+
+/* The histories of a test. Variables of the environment, whose names begin with PREFIX, set the
+ * number of histories (_COUNT), the seed of the first (_FIRST) and the number of processes that
+ * play them beside each other (_PROCESSES). */
+struct history_set {
+	const char *prefix;
+	uint32_t count;
+	uint32_t processes;
+	uint32_t min_starts; /* of a history on average; with fewer the checks are meaningless */
+	/* Plays the history of SEED and adds its starts to *STARTS. Returns what was broken, or
+	 * NULL. */
+	const char *(*play)(uint32_t seed, uint32_t *starts);
+};
+
+/* Plays COUNT histories. Returns how many were broken. */
+static inline uint32_t play_histories(const struct history_set *set, uint32_t first, uint32_t count)
+{
+	uint32_t failed = 0, starts = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const char *broken = set->play(first + i, &starts);
+
+		failed += broken != NULL;
+		if (broken)
+			g_test_message("%s_SEED=%u: %s", set->prefix, first + i, broken);
+	}
+	g_assert_cmpuint(starts, >, count * set->min_starts);
+	return failed;
+}
+
+static inline uint32_t history_number(const struct history_set *set, const char *name,
+				      uint32_t otherwise)
+{
+	char *variable = g_strdup_printf("%s_%s", set->prefix, name);
+	uint32_t number = number_from(variable, otherwise);
+
+	g_free(variable);
+	return number;
+}
+
+static inline void check_histories(const struct history_set *set)
+{
+	uint32_t processes = history_number(set, "PROCESSES", set->processes);
+	uint32_t first = history_number(set, "FIRST", 1);
+	uint32_t share = history_number(set, "COUNT", set->count) / processes;
+	int status, failed = 0;
+
+	for (uint32_t i = 0; i < processes; i++) {
+		if (fork() == 0) {
+			failed = play_histories(set, first + i * share, share) > 0;
+			fflush(NULL);
+			_exit(failed);
+		}
+	}
+	for (uint32_t i = 0; i < processes; i++) {
+		wait(&status);
+		failed += status != 0;
+	}
+	g_assert_cmpint(failed, ==, 0);
+}
+
 #endif
