--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -157,7 +157,7 @@
 
 /* Records that the server carries out no start of a disconnected agent any more: a later process of
  * the agent has called it. The runs are settled by time alone. */
-void dispatch_server_cut_off(struct dispatch *dispatch, struct handle server);
+void dispatch_server_starts_voided(struct dispatch *dispatch, struct handle server);
 
 /* Marks a server whose agent has disconnected from this entry. Its runs are kept until
  * settle_timeout_us has passed, as the agent may reconnect. A server without runs is removed at
@@ -179,6 +179,13 @@
  * process has settled the runs that it found at the server. */
 void dispatch_server_settled(struct dispatch *dispatch, struct handle server, int64_t now_us);
 
+/* Calls VISIT for each task with an unsettled run at SERVER. START tells whether its start may not
+ * have been answered, and may be carried out late. */
+void dispatch_foreach_unsettled(const struct dispatch *dispatch, struct handle server,
+				void (*visit)(void *context, const char *job, uint32_t step,
+					      uint32_t index, bool start),
+				void *context);
+
 /* Returns whether run NUMBER is known and was ordered at SERVER. */
 bool dispatch_run_is_on(const struct dispatch *dispatch, uint64_t number, struct handle server);
 
--- a/packages/core/src/task_holds.c
+++ b/packages/core/src/task_holds.c
@@ -18,7 +18,8 @@
 struct hold_source {
 	struct hold_set runs;
 	struct hold_set starts;
-	bool removed; /* freed once it holds nothing any more */
+	bool removed;		   /* freed once it holds nothing any more */
+	struct hold_origin origin; /* with strings of its own; NULL if it was not passed on */
 };
 
 static void free_indexes(gpointer data)
@@ -38,6 +39,10 @@
 {
 	g_ptr_array_free(source->runs.tasks, TRUE);
 	g_ptr_array_free(source->starts.tasks, TRUE);
+	g_free((char *)source->origin.sender);
+	g_free((char *)source->origin.entry);
+	g_free((char *)source->origin.agent);
+	g_free((char *)source->origin.server);
 	g_free(source);
 }
 
@@ -60,6 +65,19 @@
 	return source;
 }
 
+struct hold_source *task_holds_add_passed_source(struct task_holds *holds,
+						 const struct hold_origin *origin)
+{
+	struct hold_source *source = task_holds_add_source(holds);
+
+	source->origin = *origin;
+	source->origin.sender = g_strdup(origin->sender);
+	source->origin.entry = g_strdup(origin->entry);
+	source->origin.agent = g_strdup(origin->agent);
+	source->origin.server = g_strdup(origin->server);
+	return source;
+}
+
 /* Stores the index of a task, which ends its name. Returns false if NAME is not that of a task. */
 static bool parse_index(const char *name, gpointer *index)
 {
@@ -162,6 +180,36 @@
 	source->removed = true;
 }
 
+bool task_holds_sender_returned(struct task_holds *holds, const char *sender)
+{
+	uint64_t changes = holds->changes;
+
+	for (guint i = holds->sources->len; i-- > 0;) {
+		struct hold_source *source = holds->sources->pdata[i];
+
+		if (source->removed && g_strcmp0(source->origin.sender, sender) == 0)
+			task_holds_remove_source(holds, source);
+	}
+	return holds->changes != changes;
+}
+
+bool task_holds_agent_settled(struct task_holds *holds, const char *agent, const char *server,
+			      int64_t connected_us)
+{
+	uint64_t changes = holds->changes;
+
+	for (guint i = holds->sources->len; i-- > 0;) {
+		struct hold_source *source = holds->sources->pdata[i];
+
+		/* A process that was connected before may be an earlier one itself. */
+		if (source->removed && source->origin.since_us < connected_us &&
+		    server[0] != '\0' && g_strcmp0(source->origin.agent, agent) == 0 &&
+		    g_strcmp0(source->origin.server, server) == 0)
+			task_holds_remove_source(holds, source);
+	}
+	return holds->changes != changes;
+}
+
 bool task_holds_replace(struct task_holds *holds, struct hold_source *source,
 			const struct held_tasks *tasks)
 {
@@ -218,3 +266,23 @@
 	for (guint i = 0; i < source->starts.tasks->len; i++)
 		visit(context, source->starts.tasks->pdata[i], true);
 }
+
+void task_holds_foreach_abandoned(const struct task_holds *holds,
+				  void (*visit)(void *context, const struct hold_origin *origin,
+						const struct hold_source *source),
+				  void *context)
+{
+	for (guint i = 0; i < holds->sources->len; i++) {
+		const struct hold_source *source = holds->sources->pdata[i];
+
+		if (source->removed && source->origin.sender)
+			visit(context, &source->origin, source);
+	}
+}
+
+void task_holds_limits(const struct hold_source *source, int64_t *runs_until_us,
+		       int64_t *starts_until_us)
+{
+	*runs_until_us = source->runs.until_us;
+	*starts_until_us = source->starts.until_us;
+}
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -22,8 +22,10 @@
 	struct node_link *link;	       /* NULL while disconnected */
 	uint64_t first_link_number;    /* later processes have higher ones */
 	uint64_t last_link_number;     /* highest number of its links */
+	int64_t connected_us;	       /* when the link was registered */
 	struct handle server;	       /* its backend server in the dispatcher */
 	bool has_server;	       /* `server` has been set in this session */
+	char server_id[NAME_BYTES];    /* of its backend server, or empty */
 	uint32_t session;	       /* of the last report; 0 before the first */
 	bool awaiting_inventory;       /* no inventory has arrived on this connection yet */
 	bool session_unconfirmed;      /* the agent was not told that its inventory has arrived */
@@ -59,6 +61,7 @@
 static void remove_agent(struct node_entry *entry, struct agent_peer *agent)
 {
 	task_holds_remove_source(&entry->dispatch.holds, agent->holds);
+	entry->agent_holds_changes++;
 	dispatch_holds_changed(&entry->dispatch);
 	g_ptr_array_remove_fast(entry->agents, agent);
 	g_ptr_array_free(agent->starts, TRUE);
@@ -99,6 +102,7 @@
 	struct fleet_server *fleet_server = fleet_get(&agent->entry->dispatch.fleet, agent->server);
 
 	g_strlcpy(fleet_server->id, server->id, sizeof(fleet_server->id));
+	g_strlcpy(agent->server_id, server->id, sizeof(agent->server_id));
 	g_strlcpy(fleet_server->service, server->service, sizeof(fleet_server->service));
 	g_strlcpy(fleet_server->zone, server->zone, sizeof(fleet_server->zone));
 	fleet_server->total = (struct resources){
@@ -128,7 +132,7 @@
 	/* A process that has not ended needs this time to give up its runs. */
 	if (predecessor->was_overlapped &&
 	    now_us <= predecessor->disconnected_us + dispatch->limits.settle_timeout_us) {
-		dispatch_server_cut_off(dispatch, predecessor->server);
+		dispatch_server_starts_voided(dispatch, predecessor->server);
 		return false;
 	}
 	dispatch_server_settled(dispatch, predecessor->server, now_us);
@@ -166,6 +170,9 @@
 	dispatch_server_settled(&agent->entry->dispatch, agent->former_server, now_us);
 	agent->former_server = (struct handle){0};
 	settle_predecessors(agent, now_us);
+	if (task_holds_agent_settled(&agent->entry->dispatch.holds, agent->name, agent->server_id,
+				     agent->connected_us))
+		dispatch_holds_changed(&agent->entry->dispatch);
 }
 
 /* Begins a session in which the agent knows none of the runs that were ordered before. */
@@ -453,11 +460,10 @@
 static void disconnect_agent(struct agent_peer *agent, const char *reason)
 {
 	struct node_entry *entry = agent->entry;
-	int64_t silent_ms =
-		(entry->loop.now_us - node_link_last_received_us(agent->link)) / US_PER_MS;
 
 	event_log(EVENT_CHANNEL_LOST, EV_S("agent", agent->name), EV_S("reason", reason),
-		  EV_I("silent_ms", silent_ms));
+		  EV_I("silent_ms",
+		       (entry->loop.now_us - node_link_last_received_us(agent->link)) / US_PER_MS));
 	agent->link = NULL;
 	task_holds_limit(agent->holds,
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
@@ -471,6 +477,8 @@
 		return;
 	agent->disconnected_us = entry->loop.now_us;
 	dispatch_server_disconnected(&entry->dispatch, agent->server, entry->loop.now_us);
+	if (fleet_get(&entry->dispatch.fleet, agent->server))
+		entry->lost_agents++;
 }
 
 static void on_down(void *context, struct node_link *link, const char *reason)
@@ -506,6 +514,7 @@
 	}
 	event_log(EVENT_CHANNEL_OPENED, EV_S("agent", agent->name));
 	agent->link = link;
+	agent->connected_us = entry->loop.now_us;
 	agent->last_orders_number = 0;
 	agent->awaiting_inventory = true;
 	agent->session_unconfirmed = false;
@@ -597,15 +606,22 @@
 	g_ptr_array_free(entry->agents, TRUE);
 }
 
-void node_agent_links_foreach_holder(const struct node_entry *entry,
-				     void (*visit)(void *context, const struct ident *incarnation,
-						   const struct hold_source *holds),
-				     void *context)
+void node_agent_links_foreach(const struct node_entry *entry,
+			      void (*visit)(void *context, const struct agent_state *agent),
+			      void *context)
 {
 	for (guint i = 0; i < entry->agents->len; i++) {
 		const struct agent_peer *agent = entry->agents->pdata[i];
-
-		visit(context, &agent->incarnation, agent->holds);
+		struct agent_state state = {
+			.incarnation = &agent->incarnation,
+			.name = agent->name,
+			.server_id = agent->server_id,
+			.holds = agent->holds,
+		};
+
+		if (!agent->link && agent->has_server)
+			state.lost_server = agent->server;
+		visit(context, &state);
 	}
 }
 
