A message counts as a sign of life from when it was sent

Cause: an agent gives an entry up 575 ms after it last heard it, and counted each message from its arrival. What the entry had sent before it was cut off or ended may arrive up to 0.3 s later; the agent then stops its runs 0.3 s too late for the 1,300 ms after which a client sends its job again. The holds cover that only if an entry learns of them in time.

Change: each frame names when it was sent, by the sender's boot-time clock (Frame.sent_ms). The agent keeps the estimate of message_age with the owner, so over all connections of that process, and counts orders from their sending, or from loop.input_since_us if that is earlier. Starts older than the silence timeout are refused and the connection is closed: a start brings a lease, which would last beyond the stop. NODE_PROTOCOL_VERSION stays: an older process ignores the field, and without it a message counts from its arrival, as before.

Places that take an arrival for a sign of life: - agent, owner->confirmed_us: corrected. With it the stop delays (stop_by_us, by_us of owners_handle_orders, runs_owner_gone). A stop counts from the last message before it, which was sent earlier; safe by up to 60 ms more than a stop that is asked for. - agent, owner_new: counts from the arrival of the hello; no run is ordered before a confirmation. - agent, silence timeout of the link (last_received_us): left, since giving up the link costs work, and the runs no longer depend on it. - entry, last_received_us of an agent's link, and from its end the settle times of a lost agent, the limits of its holds and those of peers: late is later, so on the safe side. The agent's side of that sum is bounded only now: the entry's last words count from before the end of the link. - entry, state of peers (backlog 400 ms, suspects 1.5 s, ended jobs and crashes 10 s): placement, or kept for longer. Holds in it: frames keep their order, the last one sent is the newest known. - entry, loop.last_input_us of the isolation: left; late input delays the end of an isolated entry's jobs by its delay. It comes from clients too, which name no time. - start_within_ms counts from arrival: a limit of the queue, not a sign of life.

The simulation names send times, on clocks that are off by up to 2 % and by minutes; its random draws are as before.

--- a/packages/greengaged/src/agent_owner.h
+++ b/packages/greengaged/src/agent_owner.h
@@ -18,8 +18,9 @@
 	uint32_t number; /* of the session; identifies the owner in the table of runs */
 	struct ident incarnation;
 	struct node_link *link; /* NULL while disconnected */
-	int64_t confirmed_us;	/* boot time when the owner last confirmed the session; at first,
-				   when it was added */
+	int64_t confirmed_us;	/* boot time when the owner last confirmed the session, which it did
+				   when it sent the message; at first, when it was added */
+	struct message_age age; /* of its messages, over all links */
 	bool abandoned;	     /* has not confirmed the session for too long; its runs were stopped */
 	uint64_t orders_ack; /* number of the last Orders message handled on this link; 0 if none */
 	uint64_t next_report_number; /* number of the next report with ends; other reports have the
--- a/packages/greengaged/src/agent_owners.c
+++ b/packages/greengaged/src/agent_owners.c
@@ -25,6 +25,12 @@
 	return loop->now_us + loop->suspended_us;
 }
 
+/* Returns whether an owner last heard at SINCE_US counts as unreachable. */
+static bool is_silent(const struct owners *owners, int64_t since_us)
+{
+	return boot_time_us(owners) - since_us > owners->silence_timeout_us;
+}
+
 void owners_init(struct owners *owners)
 {
 	owners->list = g_ptr_array_new();
@@ -58,6 +64,9 @@
 
 void owners_connect(struct owners *owners, struct owner *owner, struct node_link *link)
 {
+	const struct message_times times = node_link_frame_times(link);
+
+	message_age_update(&owner->age, &times);
 	owner->retiring_since_us = 0;
 	owner->link = link;
 	owner->orders_ack = 0;
@@ -107,11 +116,10 @@
 
 	for (guint i = owners->list->len; i-- > 0;) {
 		struct owner *owner = owners->list->pdata[i];
-		int64_t silent_us = boot_time_us(owners) - owner->confirmed_us;
 
-		if (!owner->abandoned && silent_us > owners->silence_timeout_us)
+		if (!owner->abandoned && is_silent(owners, owner->confirmed_us))
 			abandon(owners, owner);
-		if (!owner->link && silent_us > retention_us)
+		if (!owner->link && boot_time_us(owners) - owner->confirmed_us > retention_us)
 			owners_remove(owners, owner);
 	}
 }
@@ -165,11 +173,20 @@
 	       (orders->n_starts == 0 || orders->number == owner->orders_ack + 1);
 }
 
-static void confirm_session(struct owners *owners, struct owner *owner, const Ggd__Orders *orders)
+/* Returns the boot time at which OWNER was there, as its message with TIMES shows. It may have
+ * ended after it sent the message, while that was on its way or this process did not run. */
+static int64_t heard_us(const struct owners *owners, struct owner *owner,
+			const struct message_times *times)
+{
+	return MIN(owners->backend->loop->input_since_us,
+		   times->received_us - message_age_update(&owner->age, times));
+}
+
+static void confirm_session(const struct owners *owners, struct owner *owner,
+			    const Ggd__Orders *orders, int64_t since_us)
 {
-	/* The owner may have ended after it sent ORDERS, while this process did not run. */
-	owner->confirmed_us = owners->backend->loop->input_since_us;
-	owner->abandoned = false;
+	owner->confirmed_us = since_us;
+	owner->abandoned = owner->abandoned && is_silent(owners, since_us);
 	owner_acknowledge(owner, orders->report_ack);
 }
 
@@ -183,15 +200,18 @@
 			     backend->loop->now_us);
 }
 
-bool owners_handle_orders(struct owners *owners, struct owner *owner, const Ggd__Orders *orders)
+bool owners_handle_orders(struct owners *owners, struct owner *owner, const Ggd__Orders *orders,
+			  const struct message_times *times)
 {
 	/* A stop that was delayed by a lost connection is at most as old as the last message. */
 	int64_t by_us = stop_by_us(owners, owner);
+	int64_t since_us = heard_us(owners, owner, times);
 
-	if (!is_next(owner, orders))
+	/* Started so late, a task may run elsewhere already, as its owner may have ended. */
+	if (!is_next(owner, orders) || (orders->n_starts > 0 && is_silent(owners, since_us)))
 		return false;
 	if (orders->session == owner->number)
-		confirm_session(owners, owner, orders);
+		confirm_session(owners, owner, orders, since_us);
 	/* The stops make room for the starts. */
 	stop_runs(owners, owner, orders, by_us);
 	for (size_t i = 0; i < orders->n_starts; i++)
--- a/packages/greengaged/src/agent_owners.h
+++ b/packages/greengaged/src/agent_owners.h
@@ -41,9 +41,11 @@
 /* Marks the reports to all owners as due. */
 void owners_mark_status_changed(struct owners *owners);
 
-/* Carries out the starts and stops of ORDERS. Returns false, with nothing done, if they are not the
- * next ones on the owner's link, or belong to another session. */
-bool owners_handle_orders(struct owners *owners, struct owner *owner, const Ggd__Orders *orders);
+/* Carries out the starts and stops of ORDERS, which were sent and arrived at TIMES. Returns false,
+ * with nothing done, if they are not the next ones on the owner's link, belong to another session,
+ * or are to start runs although they are older than the silence timeout. */
+bool owners_handle_orders(struct owners *owners, struct owner *owner, const Ggd__Orders *orders,
+			  const struct message_times *times);
 
 /* Sends the reports that are due to the connected owners: ends and runs behind their estimates at
  * once, mere changes of the free resources at the report interval. Returns the time at which the
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -87,10 +87,11 @@
 			  const Ggd__Orders *orders)
 {
 	struct node_agent *agent = endpoint->agent;
+	const struct message_times times = node_link_frame_times(link);
 
-	if (!owners_handle_orders(&agent->owners, endpoint->owner, orders)) {
-		node_link_fail(link, "the entry sent orders twice, left some out or took them from "
-				     "another session");
+	if (!owners_handle_orders(&agent->owners, endpoint->owner, orders, &times)) {
+		node_link_fail(link, "the entry sent orders twice, left some out, took them from "
+				     "another session, or they are too old");
 		return;
 	}
 	for (size_t i = 0; i < orders->n_entries; i++)
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -32,6 +32,7 @@
 	const struct node_link_callbacks *callbacks;
 	void *context;
 	int64_t last_received_us;
+	struct message_times frame_times;
 	int64_t last_sent_us;
 	int64_t heartbeat_ms;
 	int64_t silence_timeout_ms;
@@ -99,6 +100,12 @@
 	return !link->closed;
 }
 
+/* The time of the loop may be that of input which was handled before. */
+static int64_t boot_time_us(const struct net_loop *loop)
+{
+	return timer_clock_us() + loop->suspended_us;
+}
+
 static bool on_frame(void *context, const uint8_t *content, size_t length)
 {
 	struct node_link *link = context;
@@ -110,6 +117,8 @@
 		node_link_fail(link, "the peer sent a malformed frame");
 		return false;
 	}
+	link->frame_times.sent_us = message_sent_us(frame->sent_ms);
+	link->frame_times.received_us = boot_time_us(link->links->loop);
 	if (!link->up)
 		link_open = handle_hello(link, frame);
 	else
@@ -215,6 +224,8 @@
 		return NULL;
 	}
 	link->outgoing = true;
+	/* An accepted connection may have waited, with frames in it. */
+	link->frame_times.earliest_us = links->loop->now_us + links->loop->suspended_us;
 	g_ptr_array_add(links->links, link);
 	send_hello(link);
 	return link;
@@ -248,10 +259,14 @@
 
 void node_link_send(struct node_link *link, const Ggd__Frame *frame)
 {
-	size_t length = ggd__frame__get_packed_size(frame);
-	uint8_t *bytes = g_malloc(length);
-
-	ggd__frame__pack(frame, bytes);
+	Ggd__Frame named = *frame;
+	size_t length;
+	uint8_t *bytes;
+
+	named.sent_ms = (uint64_t)(boot_time_us(link->links->loop) / US_PER_MS);
+	length = ggd__frame__get_packed_size(&named);
+	bytes = g_malloc(length);
+	ggd__frame__pack(&named, bytes);
 	frame_send(link->conn, bytes, length);
 	g_free(bytes);
 	link->last_sent_us = link->links->loop->now_us;
@@ -272,6 +287,11 @@
 	return link->last_received_us;
 }
 
+struct message_times node_link_frame_times(const struct node_link *link)
+{
+	return link->frame_times;
+}
+
 void node_retry_init(struct node_retry *retry, int64_t now_us)
 {
 	*retry = (struct node_retry){.next_attempt_us = now_us, .last_connected_us = now_us};
--- a/packages/greengaged/src/node_link.h
+++ b/packages/greengaged/src/node_link.h
@@ -4,6 +4,7 @@
 
 #include "dispatch.pb-c.h"
 #include "ident.h"
+#include "message_age.h"
 #include "net.h"
 
 enum {
@@ -67,7 +68,8 @@
 void node_link_set_callbacks(struct node_link *link, const struct node_link_callbacks *callbacks,
 			     void *context);
 
-/* Queues FRAME, which is sent at the end of the current turn of the event loop. */
+/* Queues FRAME, which is sent at the end of the current turn of the event loop, and names the time
+ * of this call in it. */
 void node_link_send(struct node_link *link, const Ggd__Frame *frame);
 
 /* Returns whether the peer has sent its hello message. */
@@ -79,6 +81,10 @@
 /* Returns the time at which data last arrived from the peer, or at which the link was created. */
 int64_t node_link_last_received_us(const struct node_link *link);
 
+/* Returns when the last frame was sent and arrived. To be called by the callbacks that handle it.
+ */
+struct message_times node_link_frame_times(const struct node_link *link);
+
 /* Closes the link after an invalid message and reports REASON to the `down` callback. */
 void node_link_fail(struct node_link *link, const char *reason);
 
--- a/test/functional/harness_peer.c
+++ b/test/functional/harness_peer.c
@@ -4,12 +4,15 @@
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 enum {
 	HEADER_BYTES = 4,
 	PROTOCOL_VERSION = 2,
-	RECEIVE_BYTES = 65536
+	RECEIVE_BYTES = 65536,
+	MS_PER_S = 1000,
+	NS_PER_MS = 1000000
 };
 
 #define ENTRY_IP "127.0.0.2"
@@ -178,12 +181,24 @@
 		(void)!send(conn->fd, content, length, MSG_NOSIGNAL);
 }
 
+static int64_t boot_time_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (int64_t)ts.tv_sec * MS_PER_S + ts.tv_nsec / NS_PER_MS;
+}
+
 void peer_send(struct peer_conn *conn, const Ggd__Frame *frame)
 {
-	size_t length = ggd__frame__get_packed_size(frame);
-	uint8_t *bytes = g_malloc(length + 1);
+	Ggd__Frame named = *frame;
+	size_t length;
+	uint8_t *bytes;
 
-	ggd__frame__pack(frame, bytes);
+	named.sent_ms = (uint64_t)(boot_time_ms() - conn->delay_ms);
+	length = ggd__frame__get_packed_size(&named);
+	bytes = g_malloc(length);
+	ggd__frame__pack(&named, bytes);
 	peer_send_bytes(conn, bytes, length);
 	g_free(bytes);
 }
--- a/test/functional/harness_peer.h
+++ b/test/functional/harness_peer.h
@@ -35,6 +35,7 @@
 struct peer_conn {
 	int fd; /* -1 once closed */
 	GByteArray *received;
+	int64_t delay_ms; /* frames name a time so long ago as that of their sending */
 };
 
 /* Connects to the entry. */
--- a/test/functional/stale_peer_test.c
+++ b/test/functional/stale_peer_test.c
@@ -517,6 +517,53 @@
 	stop_played_entry(&entry);
 }
 
+static void set_run_ms(const struct played_entry *entry, int run_ms)
+{
+	char *body = g_strdup_printf("{\"run_ms\":%d}", run_ms);
+
+	g_assert_cmpint(harness_status("POST", entry->cluster.platform_url, "/control", body), ==,
+			200);
+	g_free(body);
+}
+
+/* Sends a heartbeat that was sent at ENDED_US and has arrived only now. */
+static bool has_end_after_late_heartbeat(struct played_entry *entry, int64_t ended_us)
+{
+	entry->conn.delay_ms = (g_get_monotonic_time() - ended_us) / US_PER_MS;
+	return has_ends(entry, 1);
+}
+
+/* The last messages of an entry, which the network delivers long after its end, must not keep its
+ * runs: its clients send their jobs again. */
+static void test_late_heartbeats(void)
+{
+	struct played_entry entry;
+	int64_t ended_us;
+
+	start_played_entry(&entry);
+	set_run_ms(&entry, LONG_PAUSE_MS);
+	send_orders(&entry, 1, 0, 7);
+	ended_us = g_get_monotonic_time();
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_end_after_late_heartbeat(&entry, ended_us));
+	g_assert_cmpuint(g_array_index(entry.ends, struct reported_end, 0).outcome, !=,
+			 OUTCOME_DONE);
+	stop_played_entry(&entry);
+}
+
+/* Messages that a longer path delays all alike must not cost the runs of their entry. */
+static void test_longer_path(void)
+{
+	struct played_entry entry;
+
+	start_played_entry(&entry);
+	set_run_ms(&entry, SILENT_MS);
+	entry.conn.delay_ms = 2 * TURN_MS;
+	send_orders(&entry, 1, 0, 7);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, has_ends(&entry, 1));
+	check_end(&entry, 0, 7);
+	stop_played_entry(&entry);
+}
+
 /* An acknowledgement of reports that were never sent must not make the agent drop the ends of
  * those that it sends next. When one of these is lost with its connection, the entry would take
  * the run for one that never started. */
@@ -620,6 +667,8 @@
 	g_test_add_func("/stale_peer/given_up_connection", test_given_up_connection);
 	g_test_add_func("/stale_peer/repeated_orders", test_repeated_orders);
 	g_test_add_func("/stale_peer/orders_number_jumps", test_orders_number_jumps);
+	g_test_add_func("/stale_peer/late_heartbeats", test_late_heartbeats);
+	g_test_add_func("/stale_peer/longer_path", test_longer_path);
 	g_test_add_func("/stale_peer/acknowledgement_beyond_reports",
 			test_acknowledgement_beyond_reports);
 	g_test_add_func("/stale_peer/unheard_inventory", test_unheard_inventory);
--- a/test/unit/agent_owners_test.c
+++ b/test/unit/agent_owners_test.c
@@ -5,7 +5,10 @@
 enum {
 	SILENCE_TIMEOUT_US = 575 * US_PER_MS,
 	STOP_WAIT_US = 60 * US_PER_MS,
+	HEARTBEAT_US = 150 * US_PER_MS,
+	DRIFT_US = SILENCE_TIMEOUT_US / 40, /* of the clocks, in that time */
 	TIME_LIMIT_MS = 10000,
+	OWNER_CLOCK_US = 600 * US_PER_SECOND, /* ahead of that of the agent */
 	TASK_CPU = 1000,
 	RUNS = 2
 };
@@ -61,6 +64,23 @@
 {
 }
 
+/* Handles ORDERS that the owner sent AGE_US before. */
+static bool handle_late_orders(struct fixture *fixture, const Ggd__Orders *orders, int64_t age_us)
+{
+	int64_t now_us = fixture->loop.now_us + fixture->loop.suspended_us;
+
+	return owners_handle_orders(&fixture->owners, fixture->owner, orders,
+				    &(struct message_times){
+					    .sent_us = now_us + OWNER_CLOCK_US - age_us,
+					    .received_us = now_us,
+				    });
+}
+
+static bool handle_orders(struct fixture *fixture, const Ggd__Orders *orders)
+{
+	return handle_late_orders(fixture, orders, 0);
+}
+
 /* Orders COUNT of RUNS runs that begin at FIRST, and stops one if STOPPED is not NULL. */
 static void order_runs(struct fixture *fixture, uint64_t first, uint32_t count, uint64_t *stopped)
 {
@@ -84,7 +104,7 @@
 	orders.n_starts = 1;
 	orders.stops = stopped;
 	orders.n_stops = stopped != NULL;
-	g_assert_true(owners_handle_orders(&fixture->owners, fixture->owner, &orders));
+	g_assert_true(handle_orders(fixture, &orders));
 	/* Only one run has room. */
 	g_assert_cmpuint(fixture->starts, ==, 1);
 }
@@ -159,7 +179,7 @@
 	orders.session = fixture->owner->number;
 	orders.stops = &run;
 	orders.n_stops = 1;
-	g_assert_true(owners_handle_orders(&fixture->owners, fixture->owner, &orders));
+	g_assert_true(handle_orders(fixture, &orders));
 	g_assert_true(runs_may_lease(&fixture->backend.runs, fixture->loop.now_us));
 	g_assert_false(runs_may_lease(&fixture->backend.runs,
 				      confirmed_us + SILENCE_TIMEOUT_US + STOP_WAIT_US));
@@ -230,7 +250,7 @@
 	orders.session = fixture->owner->number + 1;
 	orders.stops = &run;
 	orders.n_stops = 1;
-	g_assert_false(owners_handle_orders(&fixture->owners, fixture->owner, &orders));
+	g_assert_false(handle_orders(fixture, &orders));
 	end_first_run(fixture);
 	g_assert_cmpuint(fixture->starts, ==, 2);
 }
@@ -242,11 +262,11 @@
 	Ggd__Orders heartbeat = GGD__ORDERS__INIT;
 
 	advance(fixture, SILENCE_TIMEOUT_US + 1);
-	g_assert_true(owners_handle_orders(&fixture->owners, fixture->owner, &heartbeat));
+	g_assert_true(handle_orders(fixture, &heartbeat));
 	owners_abandon_silent(&fixture->owners);
 	g_assert_true(fixture->owner->abandoned);
 	heartbeat.session = fixture->owner->number;
-	g_assert_true(owners_handle_orders(&fixture->owners, fixture->owner, &heartbeat));
+	g_assert_true(handle_orders(fixture, &heartbeat));
 	g_assert_false(fixture->owner->abandoned);
 }
 
@@ -258,12 +278,85 @@
 
 	heartbeat.session = fixture->owner->number;
 	fixture->loop.now_us += SILENCE_TIMEOUT_US / 2;
-	g_assert_true(owners_handle_orders(&fixture->owners, fixture->owner, &heartbeat));
+	g_assert_true(handle_orders(fixture, &heartbeat));
 	fixture->loop.now_us += SILENCE_TIMEOUT_US / 2 + 2;
 	owners_abandon_silent(&fixture->owners);
 	g_assert_true(fixture->owner->abandoned);
 }
 
+/* Handles a heartbeat that the owner sent AGE_US before. */
+static void send_heartbeat(struct fixture *fixture, int64_t age_us)
+{
+	Ggd__Orders heartbeat = GGD__ORDERS__INIT;
+
+	heartbeat.session = fixture->owner->number;
+	g_assert_true(handle_late_orders(fixture, &heartbeat, age_us));
+}
+
+/* Guards against the last message of an entry that has ended, which is held up in the network and
+ * taken for a sign that its sender is there now. */
+static void test_message_delayed(struct fixture *fixture, const void *unused)
+{
+	advance(fixture, HEARTBEAT_US);
+	send_heartbeat(fixture, 0);
+	advance(fixture, SILENCE_TIMEOUT_US - HEARTBEAT_US);
+	send_heartbeat(fixture, SILENCE_TIMEOUT_US - 2 * HEARTBEAT_US);
+	advance(fixture, 2 * HEARTBEAT_US - DRIFT_US);
+	owners_abandon_silent(&fixture->owners);
+	g_assert_false(fixture->owner->abandoned);
+	advance(fixture, 2 * DRIFT_US);
+	owners_abandon_silent(&fixture->owners);
+	g_assert_true(fixture->owner->abandoned);
+}
+
+/* An entry on a path that delays each message must not lose its runs. */
+static void test_messages_delayed_alike(struct fixture *fixture, const void *unused)
+{
+	for (int i = 0; i < 40; i++) {
+		send_heartbeat(fixture, SILENCE_TIMEOUT_US - HEARTBEAT_US - 2 * DRIFT_US);
+		advance(fixture, HEARTBEAT_US);
+		owners_abandon_silent(&fixture->owners);
+		g_assert_false(fixture->owner->abandoned);
+	}
+}
+
+/* Guards against the start of a run that was ordered so long ago that its entry may have given it
+ * up since. */
+static void test_start_delayed(struct fixture *fixture, const void *unused)
+{
+	Ggd__Orders orders = GGD__ORDERS__INIT;
+	Ggd__StartBatch batch = GGD__START_BATCH__INIT;
+	Ggd__StartBatch *batches[] = {&batch};
+
+	orders.session = fixture->owner->number;
+	orders.number = fixture->owner->orders_ack + 1;
+	orders.starts = batches;
+	orders.n_starts = 1;
+	advance(fixture, SILENCE_TIMEOUT_US + 2 * DRIFT_US);
+	g_assert_false(handle_late_orders(fixture, &orders, SILENCE_TIMEOUT_US + 2 * DRIFT_US));
+	owners_abandon_silent(&fixture->owners);
+	g_assert_true(fixture->owner->abandoned);
+	g_assert_true(handle_late_orders(fixture, &orders, 0));
+	g_assert_false(fixture->owner->abandoned);
+}
+
+/* An entry of an earlier release names no times: its messages count from their arrival. */
+static void test_time_unknown(struct fixture *fixture, const void *unused)
+{
+	Ggd__Orders heartbeat = GGD__ORDERS__INIT;
+	struct message_times times = {0};
+
+	heartbeat.session = fixture->owner->number;
+	for (int i = 0; i < 10; i++) {
+		advance(fixture, HEARTBEAT_US);
+		times.received_us = fixture->loop.now_us;
+		g_assert_true(
+			owners_handle_orders(&fixture->owners, fixture->owner, &heartbeat, &times));
+		owners_abandon_silent(&fixture->owners);
+		g_assert_false(fixture->owner->abandoned);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -272,6 +365,10 @@
 	g_test_add("/agent_owners/" name, struct fixture, NULL, set_up, function, tear_down)
 	CASE("silent_owner", test_silent_owner);
 	CASE("message_read_late", test_message_read_late);
+	CASE("message_delayed", test_message_delayed);
+	CASE("messages_delayed_alike", test_messages_delayed_alike);
+	CASE("start_delayed", test_start_delayed);
+	CASE("time_unknown", test_time_unknown);
 	CASE("suspended", test_suspended);
 	CASE("suspended_briefly", test_suspended_briefly);
 	CASE("stop_delayed_by_lost_link", test_stop_delayed_by_lost_link);
--- a/test/unit/session_world.h
+++ b/test/unit/session_world.h
@@ -23,7 +23,10 @@
 	MIN_DELAY_US = 200,
 	MAX_DELAY_US = 1500,
 	RESET_PERCENT = 30, /* of the closed connections, which deliver nothing more */
-	PERCENT = 100
+	PERCENT = 100,
+	/* Between the boot times of two hosts, and between the speeds of their clocks. */
+	CLOCK_OFFSET_US = 1000000000,
+	MAX_DRIFT_PERMILLE = 20
 };
 
 enum side {
@@ -44,6 +47,7 @@
 	const struct node_link_callbacks *callbacks;
 	void *context;
 	int64_t last_received_us;
+	struct message_times frame_times;
 	int64_t last_sent_us;
 	int64_t last_due_us; /* when the last frame or the end of the stream arrives at the peer */
 	bool accepted;	     /* the handshake has arrived; only at the entry */
@@ -147,6 +151,23 @@
 	return &link->world->paths[link->entry][link->server];
 }
 
+static inline const struct ident *incarnation_of(const struct node_link *link)
+{
+	return link->side == AT_AGENT ? &link->world->agent_incarnations[link->server]
+				      : &link->world->entry_incarnations[link->entry];
+}
+
+/* Returns the time on the clock by which the process that LINK belongs to names its messages. Each
+ * process has its own, which may be faster or slower than that of the receiver. */
+static inline int64_t sender_clock_us(const struct node_link *link)
+{
+	const uint8_t *bytes = incarnation_of(link)->bytes;
+	int64_t drift_permille = bytes[1] % (2 * MAX_DRIFT_PERMILLE + 1) - MAX_DRIFT_PERMILLE;
+
+	return (bytes[0] + 1) * (int64_t)CLOCK_OFFSET_US + link->world->sim.now_us +
+	       link->world->sim.now_us * drift_permille / 1000;
+}
+
 static inline struct ident random_incarnation(struct world *world)
 {
 	struct ident incarnation;
@@ -188,11 +209,15 @@
 
 void node_link_send(struct node_link *link, const Ggd__Frame *frame)
 {
-	size_t length = ggd__frame__get_packed_size(frame);
-	uint8_t *bytes = g_malloc(length);
+	Ggd__Frame named = *frame;
+	size_t length;
+	uint8_t *bytes;
 
 	g_assert_false(link->closed);
-	ggd__frame__pack(frame, bytes);
+	named.sent_ms = (uint64_t)(sender_clock_us(link) / US_PER_MS);
+	length = ggd__frame__get_packed_size(&named);
+	bytes = g_malloc(length);
+	ggd__frame__pack(&named, bytes);
 	link->last_sent_us = link_now_us(link);
 	if (simulation_chance(&link->world->sim, link->world->repeats))
 		send_bytes(link, g_memdup2(bytes, length), length);
@@ -226,6 +251,11 @@
 	return link->last_received_us;
 }
 
+struct message_times node_link_frame_times(const struct node_link *link)
+{
+	return link->frame_times;
+}
+
 void node_link_set_callbacks(struct node_link *link, const struct node_link_callbacks *callbacks,
 			     void *context)
 {
@@ -235,15 +265,12 @@
 
 static inline void send_hello(struct node_link *link)
 {
-	struct world *world = link->world;
 	Ggd__Hello hello = GGD__HELLO__INIT;
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	char name[NAME_BYTES];
 
 	g_snprintf(name, sizeof(name), "agent-%u", link->server);
-	hello.incarnation.data = link->side == AT_AGENT
-					 ? world->agent_incarnations[link->server].bytes
-					 : world->entry_incarnations[link->entry].bytes;
+	hello.incarnation.data = (uint8_t *)incarnation_of(link)->bytes;
 	hello.incarnation.len = IDENT_BYTES;
 	hello.name = name;
 	frame.body_case = GGD__FRAME__BODY_HELLO;
@@ -293,6 +320,7 @@
 	entry_end->peer = agent_end;
 	simulation_schedule(&world->sim, arrival_us(agent_end), accept_link, entry_end);
 	world->paths[entry][server].link = agent_end;
+	agent_end->frame_times.earliest_us = world->sim.now_us;
 	send_hello(agent_end);
 }
 
@@ -354,13 +382,15 @@
 	struct path *path = path_of(link);
 
 	link->last_received_us = link_now_us(link);
+	link->frame_times.sent_us = message_sent_us(frame->sent_ms);
+	link->frame_times.received_us = link->world->sim.now_us;
 	if (!link->up)
 		handle_hello(link, frame);
 	else if (link->side == AT_ENTRY)
 		link->callbacks->frame(link->context, link, frame);
 	else if (frame->body_case == GGD__FRAME__BODY_ORDERS && path->owner &&
 		 !owners_handle_orders(&link->world->owners[link->server], path->owner,
-				       frame->orders))
+				       frame->orders, &link->frame_times))
 		node_link_fail(link, "refused orders");
 }
 
