Entry: keep settled holds settled while others pass them on

What callers saw: a job that was sent again waits for up to 16.4 s although the next process of the agent has long settled its task. Found by reading; no report of it.

Cause: an entry and an agent end; the others hold the agent's tasks on the lost entry's word and pass them on. The agent's next process releases them at the entries that it serves. An entry that it does not serve keeps them and names them again in its next state, and the others held them once more, as live holds, which no report of the agent releases.

Change: a settled source is kept without tasks until its time limits have passed. What others tell of it is ignored, and they are told that it is settled, by the same message without tasks.

Evidence: lost_agent_test agent_returns_to_some failed before: both entries still held the task 7.5 s after the agent had returned, until the agent reached the entry that it could not serve.

--- a/packages/core/include/task_holds.h
+++ b/packages/core/include/task_holds.h
@@ -29,6 +29,9 @@
 	int64_t since_us;     /* when the agent's process was first named */
 };
 
+/* Returns the entry process whose word the holds are. */
+const char *hold_origin_entry(const struct hold_origin *origin);
+
 /* The held tasks of one job. */
 struct held_indexes;
 
@@ -63,7 +66,7 @@
  * Returns whether they held any tasks. */
 bool task_holds_sender_returned(struct task_holds *holds, const char *sender);
 
-/* Calls VISIT for each abandoned source that was passed on. */
+/* Calls VISIT for each abandoned source that was passed on. One that is settled holds no tasks. */
 void task_holds_foreach_abandoned(const struct task_holds *holds,
 				  void (*visit)(void *context, const struct hold_origin *origin,
 						const struct hold_source *source),
@@ -73,12 +76,23 @@
 void task_holds_limits(const struct hold_source *source, int64_t *runs_until_us,
 		       int64_t *starts_until_us);
 
-/* Removes the abandoned sources of earlier processes of AGENT, because the one that has connected
- * at CONNECTED_US says that nothing of theirs is unsettled at SERVER. Returns whether they held any
- * tasks. */
-bool task_holds_agent_settled(struct task_holds *holds, const char *agent, const char *server,
+/* Settles the abandoned sources of earlier processes of AGENT, because its PROCESS, which has
+ * connected at CONNECTED_US, says that nothing of theirs is unsettled at SERVER. Returns whether
+ * they held any tasks. A settled source is kept until its time limits have passed, as other entries
+ * may still pass it on. */
+bool task_holds_agent_settled(struct task_holds *holds, const char *agent,
+			      const struct ident *process, const char *server,
 			      int64_t connected_us);
 
+/* Settles the abandoned sources that are the word of ENTRY on PROCESS of an agent, because another
+ * entry has. Returns whether they held any tasks. */
+bool task_holds_process_settled(struct task_holds *holds, const char *entry,
+				const struct ident *process);
+
+/* Returns whether the word of ENTRY on PROCESS is settled. */
+bool task_holds_is_settled(const struct task_holds *holds, const char *entry,
+			   const struct ident *process);
+
 /* Replaces the tasks that SOURCE holds, until the next call. Returns whether they have changed. Of
  * more tasks than a server can have, the others are ignored. */
 bool task_holds_replace(struct task_holds *holds, struct hold_source *source,
--- a/packages/core/src/task_holds.c
+++ b/packages/core/src/task_holds.c
@@ -19,6 +19,7 @@
 	struct hold_set runs;
 	struct hold_set starts;
 	bool removed;		   /* freed once it holds nothing any more */
+	bool settled;		   /* freed only when its time limits have passed */
 	struct hold_origin origin; /* with strings of its own; NULL if it was not passed on */
 };
 
@@ -193,8 +194,20 @@
 	return holds->changes != changes;
 }
 
-bool task_holds_agent_settled(struct task_holds *holds, const char *agent, const char *server,
-			      int64_t connected_us)
+const char *hold_origin_entry(const struct hold_origin *origin)
+{
+	return origin->entry[0] != '\0' ? origin->entry : origin->sender;
+}
+
+static void settle(struct task_holds *holds, struct hold_source *source)
+{
+	release(holds, &source->runs);
+	release(holds, &source->starts);
+	source->settled = true;
+}
+
+bool task_holds_agent_settled(struct task_holds *holds, const char *agent,
+			      const struct ident *process, const char *server, int64_t connected_us)
 {
 	uint64_t changes = holds->changes;
 
@@ -202,14 +215,55 @@
 		struct hold_source *source = holds->sources->pdata[i];
 
 		/* A process that was connected before may be an earlier one itself. */
-		if (source->removed && source->origin.since_us < connected_us &&
-		    server[0] != '\0' && g_strcmp0(source->origin.agent, agent) == 0 &&
-		    g_strcmp0(source->origin.server, server) == 0)
+		if (!source->removed || source->settled ||
+		    source->origin.since_us >= connected_us || server[0] == '\0' ||
+		    g_strcmp0(source->origin.agent, agent) != 0 ||
+		    g_strcmp0(source->origin.server, server) != 0)
+			continue;
+		/* A process that has not ended speaks for itself only while it is connected. */
+		if (ident_equal(&source->origin.process, process))
 			task_holds_remove_source(holds, source);
+		else
+			settle(holds, source);
 	}
 	return holds->changes != changes;
 }
 
+/* Returns whether SOURCE is abandoned and the word of ENTRY on PROCESS. */
+static bool is_word_of(const struct hold_source *source, const char *entry,
+		       const struct ident *process)
+{
+	return source->removed && source->origin.sender &&
+	       strcmp(hold_origin_entry(&source->origin), entry) == 0 &&
+	       ident_equal(&source->origin.process, process);
+}
+
+bool task_holds_process_settled(struct task_holds *holds, const char *entry,
+				const struct ident *process)
+{
+	uint64_t changes = holds->changes;
+
+	for (guint i = 0; i < holds->sources->len; i++) {
+		struct hold_source *source = holds->sources->pdata[i];
+
+		if (is_word_of(source, entry, process))
+			settle(holds, source);
+	}
+	return holds->changes != changes;
+}
+
+bool task_holds_is_settled(const struct task_holds *holds, const char *entry,
+			   const struct ident *process)
+{
+	for (guint i = 0; i < holds->sources->len; i++) {
+		const struct hold_source *source = holds->sources->pdata[i];
+
+		if (source->settled && is_word_of(source, entry, process))
+			return true;
+	}
+	return false;
+}
+
 bool task_holds_replace(struct task_holds *holds, struct hold_source *source,
 			const struct held_tasks *tasks)
 {
@@ -226,6 +280,12 @@
 	source->starts.until_us = MIN(source->starts.until_us, starts_until_us);
 }
 
+static bool is_over(const struct hold_source *source, int64_t now_us)
+{
+	return source->removed && task_holds_count(source) == 0 &&
+	       (!source->settled || now_us > MAX(source->runs.until_us, source->starts.until_us));
+}
+
 bool task_holds_expire(struct task_holds *holds, int64_t now_us)
 {
 	uint64_t changes = holds->changes;
@@ -237,7 +297,7 @@
 			release(holds, &source->runs);
 		if (now_us > source->starts.until_us)
 			release(holds, &source->starts);
-		if (source->removed && task_holds_count(source) == 0)
+		if (is_over(source, now_us))
 			task_holds_remove_source(holds, source);
 	}
 	return holds->changes != changes;
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -170,9 +170,11 @@
 	dispatch_server_settled(&agent->entry->dispatch, agent->former_server, now_us);
 	agent->former_server = (struct handle){0};
 	settle_predecessors(agent, now_us);
-	if (task_holds_agent_settled(&agent->entry->dispatch.holds, agent->name, agent->server_id,
-				     agent->connected_us))
+	if (task_holds_agent_settled(&agent->entry->dispatch.holds, agent->name,
+				     &agent->incarnation, agent->server_id, agent->connected_us)) {
+		agent->entry->agent_holds_changes++;
 		dispatch_holds_changed(&agent->entry->dispatch);
+	}
 }
 
 /* Begins a session in which the agent knows none of the runs that were ordered before. */
--- a/packages/greengaged/src/node_holds.c
+++ b/packages/greengaged/src/node_holds.c
@@ -106,7 +106,7 @@
 	message->agent.data = g_memdup2(origin->process.bytes, IDENT_BYTES);
 	message->agent_name = g_strdup(origin->agent);
 	message->server = g_strdup(origin->server);
-	message->entry = g_strdup(origin->entry[0] ? origin->entry : origin->sender);
+	message->entry = g_strdup(hold_origin_entry(origin));
 	message->runs_left_ms = left_ms(runs_until_us, now_us);
 	message->starts_left_ms = left_ms(starts_until_us, now_us);
 }
@@ -226,6 +226,22 @@
 	       is_heard(node, message->entry);
 }
 
+/* Returns whether MESSAGE, which is the word of a lost entry, is settled here or at its sender. */
+static bool is_settled(struct node_entry *node, const Ggd__Holds *message)
+{
+	struct task_holds *holds = &node->dispatch.holds;
+	struct ident process;
+
+	if (message->entry[0] == '\0')
+		return false;
+	memcpy(process.bytes, message->agent.data, IDENT_BYTES);
+	if (message->n_runs + message->n_starts > 0)
+		return task_holds_is_settled(holds, message->entry, &process);
+	/* The others pass it on, too. */
+	node->agent_holds_changes += task_holds_process_settled(holds, message->entry, &process);
+	return true;
+}
+
 static void limit(const struct passed_holds *passed, struct hold_source *source,
 		  const Ggd__Holds *message)
 {
@@ -255,7 +271,7 @@
 		};
 		struct holder *holder;
 
-		if (is_superseded(passed->entry, holds[i]))
+		if (is_superseded(passed->entry, holds[i]) || is_settled(passed->entry, holds[i]))
 			continue;
 		holder = find_or_add_holder(passed, holds[i]);
 		holder->named = true;
--- a/test/unit/lost_agent_test.c
+++ b/test/unit/lost_agent_test.c
@@ -4,7 +4,7 @@
 #include "session_world.h"
 
 enum {
-	ENTRIES = 2,
+	ENTRIES = 3,
 	SERVERS = 2,
 	SERVER_CPU = 8000,
 	TASK_CPU = 1000,
@@ -127,6 +127,26 @@
 	free_world(&fixture.world);
 }
 
+/* Guards against a task that is held again, after the next process of the agent has settled it, on
+ * the word of an entry that the agent does not serve. */
+static void test_agent_returns_to_some(void)
+{
+	struct fixture fixture;
+	struct simulation *sim = &fixture.world.sim;
+
+	set_up(&fixture);
+	fixture.world.paths[2][fixture.agent].refused_until_us = END_US;
+	kill_agent(sim, GUINT_TO_POINTER(fixture.agent));
+	simulation_run_until(sim, TOLD_US);
+	kill_entry(sim, GUINT_TO_POINTER(0));
+	simulation_run_until(sim, RETURN_US);
+	restart_agent(sim, GUINT_TO_POINTER(fixture.agent));
+	simulation_run_until(sim, SETTLED_US);
+	g_assert_false(is_held_at(&fixture, 1));
+	g_assert_false(is_held_at(&fixture, 2));
+	free_world(&fixture.world);
+}
+
 /* Guards against a task that stays held although the entry that has ordered it lives and knows that
  * it is settled. */
 static void test_entry_settles(void)
@@ -153,6 +173,7 @@
 	g_test_add_func("/lost_agent/agent_and_entry_end", test_agent_and_entry_end);
 	g_test_add_func("/lost_agent/next_entry_process", test_next_entry_process);
 	g_test_add_func("/lost_agent/agent_returns", test_agent_returns);
+	g_test_add_func("/lost_agent/agent_returns_to_some", test_agent_returns_to_some);
 	g_test_add_func("/lost_agent/entry_settles", test_entry_settles);
 	return g_test_run();
 }
--- a/test/unit/task_holds_test.c
+++ b/test/unit/task_holds_test.c
@@ -135,11 +135,15 @@
 	task_holds_free(&holds);
 }
 
+static const struct ident former = {.bytes = {1}};
+static const struct ident later = {.bytes = {2}};
+
 static void add_abandoned(struct task_holds *holds)
 {
 	struct hold_source *source =
 		task_holds_add_passed_source(holds, &(struct hold_origin){.sender = "e",
 									  .entry = "",
+									  .process = former,
 									  .agent = "agent",
 									  .server = "server",
 									  .since_us = NOW_US});
@@ -159,17 +163,67 @@
 	other = task_holds_add_source(&holds);
 	hold_run(&holds, other, second_task);
 	add_abandoned(&holds);
-	g_assert_false(task_holds_agent_settled(&holds, "agent", "server", NOW_US));
-	g_assert_false(task_holds_agent_settled(&holds, "agent", "other", NOW_US + 1));
-	g_assert_false(task_holds_agent_settled(&holds, "agent", "", NOW_US + 1));
-	g_assert_false(task_holds_agent_settled(&holds, "other", "server", NOW_US + 1));
+	g_assert_false(task_holds_agent_settled(&holds, "agent", &later, "server", NOW_US));
+	g_assert_false(task_holds_agent_settled(&holds, "agent", &later, "other", NOW_US + 1));
+	g_assert_false(task_holds_agent_settled(&holds, "agent", &later, "", NOW_US + 1));
+	g_assert_false(task_holds_agent_settled(&holds, "other", &later, "server", NOW_US + 1));
 	g_assert_true(task_holds_contains(&holds, "a", 0));
-	g_assert_true(task_holds_agent_settled(&holds, "agent", "server", NOW_US + 1));
+	g_assert_true(task_holds_agent_settled(&holds, "agent", &later, "server", NOW_US + 1));
 	g_assert_false(task_holds_contains(&holds, "a", 0));
 	g_assert_true(task_holds_contains(&holds, "a", 1));
 	task_holds_free(&holds);
 }
 
+/* Guards against settled tasks that are held again because another entry still passes them on. */
+static void test_settled_until_limit(void)
+{
+	struct task_holds holds;
+
+	task_holds_init(&holds);
+	add_abandoned(&holds);
+	task_holds_limit(holds.sources->pdata[0], NOW_US, 2 * NOW_US);
+	g_assert_false(task_holds_is_settled(&holds, "e", &former));
+	g_assert_true(task_holds_agent_settled(&holds, "agent", &later, "server", NOW_US + 1));
+	g_assert_false(task_holds_agent_settled(&holds, "agent", &later, "server", NOW_US + 1));
+	task_holds_expire(&holds, 2 * NOW_US);
+	g_assert_true(task_holds_is_settled(&holds, "e", &former));
+	g_assert_false(task_holds_is_settled(&holds, "other", &former));
+	g_assert_false(task_holds_is_settled(&holds, "e", &later));
+	task_holds_expire(&holds, 2 * NOW_US + 1);
+	g_assert_false(task_holds_is_settled(&holds, "e", &former));
+	g_assert_cmpuint(holds.sources->len, ==, 0);
+	task_holds_free(&holds);
+}
+
+/* Guards against tasks that stay held at an entry that the agent does not serve. */
+static void test_process_settled(void)
+{
+	struct task_holds holds;
+
+	task_holds_init(&holds);
+	add_abandoned(&holds);
+	g_assert_false(task_holds_process_settled(&holds, "other", &former));
+	g_assert_false(task_holds_process_settled(&holds, "e", &later));
+	g_assert_true(task_holds_contains(&holds, "a", 0));
+	g_assert_true(task_holds_process_settled(&holds, "e", &former));
+	g_assert_false(task_holds_contains(&holds, "a", 0));
+	g_assert_true(task_holds_is_settled(&holds, "e", &former));
+	task_holds_free(&holds);
+}
+
+/* Guards against a process that settles its own earlier word for longer than its connection. */
+static void test_agent_reconnected(void)
+{
+	struct task_holds holds;
+
+	task_holds_init(&holds);
+	add_abandoned(&holds);
+	g_assert_true(task_holds_agent_settled(&holds, "agent", &former, "server", NOW_US + 1));
+	g_assert_false(task_holds_is_settled(&holds, "e", &former));
+	g_assert_cmpuint(holds.sources->len, ==, 0);
+	task_holds_free(&holds);
+}
+
 /* Guards against tasks that an entry has passed on over a link that is down, and does not name on
  * the next one. */
 static void test_sender_returned(void)
@@ -219,6 +273,9 @@
 	g_test_add_func("/holds/limit_is_not_extended", test_limit_is_not_extended);
 	g_test_add_func("/holds/abandoned_source", test_abandoned_source);
 	g_test_add_func("/holds/agent_settled", test_agent_settled);
+	g_test_add_func("/holds/settled_until_limit", test_settled_until_limit);
+	g_test_add_func("/holds/process_settled", test_process_settled);
+	g_test_add_func("/holds/agent_reconnected", test_agent_reconnected);
 	g_test_add_func("/holds/sender_returned", test_sender_returned);
 	g_test_add_func("/holds/repeated_and_too_many", test_repeated_and_too_many);
 	return g_test_run();
