--- a/test/unit/lost_agent_test.c
+++ b/test/unit/lost_agent_test.c
@@ -12,7 +12,7 @@
 	JOB_LIFE_US = 8000000,
 	SENT_US = 500000,
 	ORDERED_US = SENT_US + 40000,	  /* the agent has sent the start by then */
-	TOLD_US = ORDERED_US + 100000,	  /* entry 1 has been told by then */
+	TOLD_US = ORDERED_US + 30000,	  /* the entries have been told by then */
 	RETURN_US = ORDERED_US + 500000,  /* the agent returns */
 	SETTLED_US = RETURN_US + 500000,  /* and has said what it has found */
 	RESENT_US = SETTLED_US + 1000000, /* the end of a job that is sent at SETTLED_US */
