Entry: collect the holds once for all entries that are told

Cost: after the loss of agents, an entry tells all others within 10 ms, and collected the unsettled runs anew for each of them. An entry that does not run for 300 ms ends its jobs. The agents of a cut entry are given up in several turns.

Change: the holds are collected once for all entries that are told in a turn, and a run at another server is skipped before its job is looked up.

--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -582,11 +582,13 @@
 	if (!server || server->runs == 0)
 		return;
 	while ((run = table_next(&dispatch->runs, &cursor, NULL))) {
-		const struct job *job = dispatch_find(dispatch, run->job);
+		const struct job *job;
 
-		if (handle_equal(run->server, handle))
-			visit(context, job->id, job->step, run->index,
-			      run->order >= server->settled_orders);
+		if (!handle_equal(run->server, handle))
+			continue;
+		job = dispatch_find(dispatch, run->job);
+		visit(context, job->id, job->step, run->index,
+		      run->order >= server->settled_orders);
 	}
 }
 
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -162,7 +162,9 @@
 	g_array_free(reports, TRUE);
 }
 
-static void send_state(struct outgoing_peer *peer, bool config_wanted, int64_t now_us)
+/* Sends the state of this entry with its HOLDS, as node_holds_collect returns them. */
+static void send_state(struct outgoing_peer *peer, const GPtrArray *holds, bool config_wanted,
+		       int64_t now_us)
 {
 	struct node_entry *entry = peer->entry;
 	Ggd__Frame frame = GGD__FRAME__INIT;
@@ -170,7 +172,6 @@
 	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
 	GArray *completed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	GArray *failed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	GPtrArray *holds;
 	double core_us[PRIORITY_LEVELS];
 	uint64_t backlog[PRIORITY_LEVELS];
 	uint64_t sum = 0;
@@ -190,7 +191,6 @@
 	set_ended_jobs(peer, &state, completed, failed);
 	set_crashes(peer, &state);
 	set_suspects(peer, &state, now_us);
-	holds = node_holds_collect(entry);
 	state.holds = (Ggd__Holds **)holds->pdata;
 	state.n_holds = holds->len;
 	peer->last_holds_change = entry->agent_holds_changes;
@@ -209,10 +209,38 @@
 	g_free(state.suspect_shares);
 	g_array_free(completed, TRUE);
 	g_array_free(failed, TRUE);
-	g_ptr_array_free(holds, TRUE);
 	g_hash_table_destroy(counts);
 }
 
+static void send_state_now(struct outgoing_peer *peer, bool config_wanted)
+{
+	GPtrArray *holds = node_holds_collect(peer->entry);
+
+	send_state(peer, holds, config_wanted, peer->entry->loop.now_us);
+	g_ptr_array_free(holds, TRUE);
+}
+
+/* Sends a state to the connected entries that IS_DUE returns. */
+static void send_states(struct node_entry *entry,
+			bool (*is_due)(const struct outgoing_peer *peer, int64_t now_us),
+			int64_t now_us)
+{
+	GPtrArray *holds = NULL;
+
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+
+		if (!peer->connected || !is_due(peer, now_us))
+			continue;
+		/* Once for all: there may be dozens of entries. */
+		if (!holds)
+			holds = node_holds_collect(entry);
+		send_state(peer, holds, false, now_us);
+	}
+	if (holds)
+		g_ptr_array_free(holds, TRUE);
+}
+
 /* Sends the configuration over LINK, unless VERSION, which the requesting entry has, is at least as
  * high as this entry's version. */
 static void send_config(struct node_entry *entry, struct node_link *link, uint64_t version)
@@ -288,7 +316,7 @@
 	peer->last_crash_sequence = 0;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", peer->address));
 	node_link_set_heartbeat(link, heartbeat_ms(peer->entry));
-	send_state(peer, claim_first_config_request(peer->entry), peer->entry->loop.now_us);
+	send_state_now(peer, claim_first_config_request(peer->entry));
 	return true;
 }
 
@@ -303,7 +331,7 @@
 {
 	struct outgoing_peer *peer = context;
 
-	send_state(peer, false, peer->entry->loop.now_us);
+	send_state_now(peer, false);
 }
 
 static void schedule_retry(struct outgoing_peer *peer, bool was_up)
@@ -543,23 +571,21 @@
 						       &outgoing_callbacks, peer, &err);
 			if (!peer->link)
 				schedule_retry(peer, false);
-		} else if (peer->link && node_link_is_up(peer->link) &&
-			   is_state_due(peer, now_us)) {
-			send_state(peer, false, now_us);
 		}
 	}
+	send_states(entry, is_state_due, now_us);
 	request_config_if_due(entry, now_us);
 	update_peer_backlog(entry, now_us);
 }
 
-void node_peers_tell_lost_agents(struct node_entry *entry, int64_t now_us)
+static bool has_lost_agents(const struct outgoing_peer *peer, int64_t now_us)
 {
-	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
-		struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+	return peer->last_lost_agents != peer->entry->lost_agents;
+}
 
-		if (peer->connected && peer->last_lost_agents != entry->lost_agents)
-			send_state(peer, false, now_us);
-	}
+void node_peers_tell_lost_agents(struct node_entry *entry, int64_t now_us)
+{
+	send_states(entry, has_lost_agents, now_us);
 }
 
 uint32_t node_peers_count_pending(const struct node_entry *entry, const char *queue)
