--- a/test/unit/node_agent_links_test.c
+++ b/test/unit/node_agent_links_test.c
@@ -212,6 +212,20 @@
 	g_assert_cmpuint(fixture->entry.agents->len, ==, 1);
 }
 
+/* Guards against a start that is kept for 16 s because the next process of the agent, which has
+ * said that nothing is unsettled, ends before the former one counts as ended. */
+static void test_later_process_ends(struct fixture *fixture, const void *unused)
+{
+	greet(fixture, &fixture->later);
+	lose(&fixture->former);
+	report(&fixture->later, 0, true);
+	lose(&fixture->later);
+	pass(fixture, SETTLE_US, false, 0);
+	g_assert_cmpuint(fixture->lost, ==, 0);
+	pass(fixture, TURN_US, false, 0);
+	g_assert_cmpuint(fixture->lost, ==, 1);
+}
+
 /* Guards against a run that is kept for 16 s after its process has connected again and ended before
  * it sent its inventory. */
 static void test_former_process_sends_no_inventory(struct fixture *fixture, const void *unused)
@@ -291,6 +305,8 @@
 	event_init("node_agent_links_test", "error");
 	g_test_add("/node_agent_links/former_process_ends_late", struct fixture, NULL, set_up,
 		   test_former_process_ends_late, tear_down);
+	g_test_add("/node_agent_links/later_process_ends", struct fixture, NULL, set_up,
+		   test_later_process_ends, tear_down);
 	g_test_add("/node_agent_links/former_process_sends_no_inventory", struct fixture, NULL,
 		   set_up, test_former_process_sends_no_inventory, tear_down);
 	g_test_add("/node_agent_links/later_process_without_lists", struct fixture, NULL, set_up,
