Entry: keep what is told of an agent that still counts as connected

What callers saw: two runs of one task are possible, as before. Found by reading; no report of it.

Cause: an entry that loses an agent tells the others of its unsettled runs there, once, and may end before its next state. The others ignored that while the agent counted as connected to them. Where the end of a connection arrives late, or silence shows it, they learn of the agent's end up to 0.6 s after they were told, and knew nothing of those starts then.

Change: what is told of a connected agent is kept without holding tasks, and holds them when the agent is lost here. When the sender is lost, it is kept for 1.4 s at most: an agent that is still connected has settled the runs by then, or holds them itself.

--- a/packages/core/include/task_holds.h
+++ b/packages/core/include/task_holds.h
@@ -58,7 +58,17 @@
 						 const struct hold_origin *origin);
 void task_holds_remove_source(struct task_holds *holds, struct hold_source *source);
 
-/* Limits what SOURCE holds as task_holds_limit, and frees it when it holds nothing any more. */
+/* Makes the tasks of SOURCE not held, although it keeps them, while its agent is CONNECTED here and
+ * speaks for itself. To be called before the tasks are replaced. */
+void task_holds_set_connected(struct task_holds *holds, struct hold_source *source, bool connected);
+
+/* Holds the tasks of all sources for PROCESS of an agent, which is not connected here any more.
+ * Returns whether there were any. */
+bool task_holds_agent_lost(struct task_holds *holds, const struct ident *process);
+
+/* Limits what SOURCE holds as task_holds_limit, and frees it when it holds nothing any more, or
+ * when its agent is still connected at RUNS_UNTIL_US: that one has settled the runs by then, or
+ * holds them itself. */
 void task_holds_abandon_source(struct task_holds *holds, struct hold_source *source,
 			       int64_t runs_until_us, int64_t starts_until_us);
 
--- a/packages/core/src/task_holds.c
+++ b/packages/core/src/task_holds.c
@@ -18,6 +18,7 @@
 struct hold_source {
 	struct hold_set runs;
 	struct hold_set starts;
+	bool connected;		   /* its agent is; the tasks are not held */
 	bool removed;		   /* freed once it holds nothing any more */
 	bool settled;		   /* freed only when its time limits have passed */
 	struct hold_origin origin; /* with strings of its own; NULL if it was not passed on */
@@ -123,11 +124,19 @@
 	g_free(job);
 }
 
-static void release(struct task_holds *holds, struct hold_set *set)
+/* Counts the tasks of SET, or does so no more. */
+static void count_set(struct task_holds *holds, const struct hold_set *set, bool added)
 {
 	holds->changes += set->tasks->len > 0;
 	for (guint i = 0; i < set->tasks->len; i++)
-		count_source(holds, set->tasks->pdata[i], false);
+		count_source(holds, set->tasks->pdata[i], added);
+}
+
+static void release(struct task_holds *holds, const struct hold_source *source,
+		    struct hold_set *set)
+{
+	if (!source->connected)
+		count_set(holds, set, false);
 	g_ptr_array_set_size(set->tasks, 0);
 }
 
@@ -142,19 +151,18 @@
 	return true;
 }
 
-static void replace(struct task_holds *holds, struct hold_set *set, char *const *names,
-		    size_t count)
+static void replace(struct task_holds *holds, const struct hold_source *source,
+		    struct hold_set *set, char *const *names, size_t count)
 {
 	count = MIN(count, MAX_HELD_TASKS);
 	set->until_us = INT64_MAX;
 	if (set_equals(set, names, count))
 		return;
-	release(holds, set);
-	holds->changes += count > 0;
-	for (size_t i = 0; i < count; i++) {
-		count_source(holds, names[i], true);
+	release(holds, source, set);
+	for (size_t i = 0; i < count; i++)
 		g_ptr_array_add(set->tasks, g_strdup(names[i]));
-	}
+	if (!source->connected)
+		count_set(holds, set, true);
 }
 
 size_t task_holds_count(const struct hold_source *source)
@@ -164,12 +172,34 @@
 
 void task_holds_remove_source(struct task_holds *holds, struct hold_source *source)
 {
-	release(holds, &source->runs);
-	release(holds, &source->starts);
+	release(holds, source, &source->runs);
+	release(holds, source, &source->starts);
 	g_ptr_array_remove_fast(holds->sources, source);
 	free_source(source);
 }
 
+void task_holds_set_connected(struct task_holds *holds, struct hold_source *source, bool connected)
+{
+	if (source->connected == connected)
+		return;
+	count_set(holds, &source->runs, !connected);
+	count_set(holds, &source->starts, !connected);
+	source->connected = connected;
+}
+
+bool task_holds_agent_lost(struct task_holds *holds, const struct ident *process)
+{
+	uint64_t changes = holds->changes;
+
+	for (guint i = 0; i < holds->sources->len; i++) {
+		struct hold_source *source = holds->sources->pdata[i];
+
+		if (ident_equal(&source->origin.process, process))
+			task_holds_set_connected(holds, source, false);
+	}
+	return holds->changes != changes;
+}
+
 void task_holds_abandon_source(struct task_holds *holds, struct hold_source *source,
 			       int64_t runs_until_us, int64_t starts_until_us)
 {
@@ -201,8 +231,8 @@
 
 static void settle(struct task_holds *holds, struct hold_source *source)
 {
-	release(holds, &source->runs);
-	release(holds, &source->starts);
+	release(holds, source, &source->runs);
+	release(holds, source, &source->starts);
 	source->settled = true;
 }
 
@@ -269,8 +299,8 @@
 {
 	uint64_t changes = holds->changes;
 
-	replace(holds, &source->runs, tasks->runs, tasks->run_count);
-	replace(holds, &source->starts, tasks->starts, tasks->start_count);
+	replace(holds, source, &source->runs, tasks->runs, tasks->run_count);
+	replace(holds, source, &source->starts, tasks->starts, tasks->start_count);
 	return holds->changes != changes;
 }
 
@@ -294,9 +324,10 @@
 		struct hold_source *source = holds->sources->pdata[i];
 
 		if (now_us > source->runs.until_us)
-			release(holds, &source->runs);
-		if (now_us > source->starts.until_us)
-			release(holds, &source->starts);
+			release(holds, source, &source->runs);
+		if (now_us > source->starts.until_us ||
+		    (source->connected && now_us > source->runs.until_us))
+			release(holds, source, &source->starts);
 		if (is_over(source, now_us))
 			task_holds_remove_source(holds, source);
 	}
@@ -335,7 +366,7 @@
 	for (guint i = 0; i < holds->sources->len; i++) {
 		const struct hold_source *source = holds->sources->pdata[i];
 
-		if (source->removed && source->origin.sender)
+		if (source->removed && source->origin.sender && !source->connected)
 			visit(context, &source->origin, source);
 	}
 }
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -471,6 +471,8 @@
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us +
 				 RUNS_TRANSIT_MAX_US);
+	if (task_holds_agent_lost(&entry->dispatch.holds, &agent->incarnation))
+		dispatch_holds_changed(&entry->dispatch);
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
 	agent->was_overlapped = has_successor(agent);
--- a/packages/greengaged/src/node_holds.c
+++ b/packages/greengaged/src/node_holds.c
@@ -222,7 +222,6 @@
 static bool is_superseded(const struct node_entry *node, const Ggd__Holds *message)
 {
 	return message->agent.len != IDENT_BYTES || strlen(message->entry) >= IDENT_HEX_BYTES ||
-	       node_agent_links_is_connected(node, message->agent.data) ||
 	       is_heard(node, message->entry);
 }
 
@@ -275,6 +274,9 @@
 			continue;
 		holder = find_or_add_holder(passed, holds[i]);
 		holder->named = true;
+		task_holds_set_connected(
+			&dispatch->holds, holder->source,
+			node_agent_links_is_connected(passed->entry, holds[i]->agent.data));
 		task_holds_replace(&dispatch->holds, holder->source, &tasks);
 		limit(passed, holder->source, holds[i]);
 	}
--- a/packages/greengaged/src/node_holds.h
+++ b/packages/greengaged/src/node_holds.h
@@ -22,7 +22,7 @@
 struct passed_holds *passed_holds_new(struct node_entry *entry, const struct ident *sender);
 
 /* Holds what the sender has told, and no more what it has told before. An agent that is connected
- * here speaks for itself, and sooner. */
+ * here speaks for itself, and sooner, until it is lost. */
 void passed_holds_apply(struct passed_holds *passed, Ggd__Holds *const *holds, size_t count);
 
 /* Frees PASSED, because its link is down. What it holds is kept as long as runs may go on without
--- a/test/unit/lost_agent_test.c
+++ b/test/unit/lost_agent_test.c
@@ -11,8 +11,9 @@
 	WORK_US = 100000,
 	JOB_LIFE_US = 8000000,
 	SENT_US = 500000,
-	ORDERED_US = SENT_US + 40000,	  /* the agent has sent the start by then */
-	TOLD_US = ORDERED_US + 30000,	  /* the entries have been told by then */
+	ORDERED_US = SENT_US + 40000, /* the agent has sent the start by then */
+	TOLD_US = ORDERED_US + 30000, /* the entries have been told by then */
+	LATE_US = 100000,
 	RETURN_US = ORDERED_US + 500000,  /* the agent returns */
 	SETTLED_US = RETURN_US + 500000,  /* and has said what it has found */
 	RESENT_US = SETTLED_US + 1000000, /* the end of a job that is sent at SETTLED_US */
@@ -83,6 +84,29 @@
 	free_world(&fixture.world);
 }
 
+/* Guards against a second run of such a task by an entry that learns of the agent's end only after
+ * it has been told. */
+static void test_end_of_agent_noticed_late(void)
+{
+	struct fixture fixture;
+	struct simulation *sim = &fixture.world.sim;
+
+	set_up(&fixture);
+	for (uint32_t i = 1; i < ENTRIES; i++)
+		fixture.world.paths[i][fixture.agent].cut_until_us[AT_AGENT] = TOLD_US + LATE_US;
+	kill_agent(sim, GUINT_TO_POINTER(fixture.agent));
+	simulation_run_until(sim, TOLD_US);
+	kill_entry(sim, GUINT_TO_POINTER(0));
+	simulation_run_until(sim, SETTLED_US);
+	send_again(&fixture);
+	simulation_run_until(sim, RESENT_US);
+	g_assert_true(is_held(&fixture));
+	g_assert_false(fixture.job->answered);
+	simulation_run_until(sim, END_US);
+	g_assert_cmpuint(sim->overlapping_starts, ==, 0);
+	free_world(&fixture.world);
+}
+
 /* Guards against a second run by an entry that has started after the lost one has told the others.
  */
 static void test_next_entry_process(void)
@@ -171,6 +195,7 @@
 	g_test_init(&argc, &argv, NULL);
 	event_init("lost_agent_test", "error");
 	g_test_add_func("/lost_agent/agent_and_entry_end", test_agent_and_entry_end);
+	g_test_add_func("/lost_agent/end_of_agent_noticed_late", test_end_of_agent_noticed_late);
 	g_test_add_func("/lost_agent/next_entry_process", test_next_entry_process);
 	g_test_add_func("/lost_agent/agent_returns", test_agent_returns);
 	g_test_add_func("/lost_agent/agent_returns_to_some", test_agent_returns_to_some);
--- a/test/unit/task_holds_test.c
+++ b/test/unit/task_holds_test.c
@@ -224,6 +224,54 @@
 	task_holds_free(&holds);
 }
 
+/* Guards against tasks that nobody holds because another entry has told of them while their agent
+ * still counted as connected here. */
+static void test_agent_lost_later(void)
+{
+	struct task_holds holds;
+	struct hold_source *source;
+
+	task_holds_init(&holds);
+	add_abandoned(&holds);
+	source = holds.sources->pdata[0];
+	task_holds_limit(source, NOW_US, 2 * NOW_US);
+	task_holds_set_connected(&holds, source, true);
+	g_assert_false(task_holds_contains(&holds, "a", 0));
+	g_assert_false(task_holds_agent_lost(&holds, &later));
+	g_assert_true(task_holds_agent_lost(&holds, &former));
+	g_assert_true(task_holds_contains(&holds, "a", 0));
+	g_assert_false(task_holds_agent_lost(&holds, &former));
+	task_holds_set_connected(&holds, source, true);
+	task_holds_replace(&holds, source,
+			   &(struct held_tasks){.starts = second_task, .start_count = 1});
+	g_assert_cmpuint(g_hash_table_size(holds.jobs), ==, 0);
+	g_assert_true(task_holds_agent_lost(&holds, &former));
+	g_assert_true(task_holds_contains(&holds, "a", 1));
+	g_assert_false(task_holds_contains(&holds, "a", 0));
+	task_holds_free(&holds);
+}
+
+/* Guards against what a lost entry has told of a connected agent, and is held when that agent is
+ * lost long after it has settled it. */
+static void test_agent_stays_connected(void)
+{
+	struct task_holds holds;
+	struct hold_source *source;
+
+	task_holds_init(&holds);
+	source = task_holds_add_passed_source(
+		&holds, &(struct hold_origin){.sender = "e", .entry = "", .process = former});
+	task_holds_set_connected(&holds, source, true);
+	task_holds_replace(&holds, source,
+			   &(struct held_tasks){.starts = first_task, .start_count = 1});
+	task_holds_abandon_source(&holds, source, NOW_US, 2 * NOW_US);
+	g_assert_false(task_holds_expire(&holds, NOW_US));
+	g_assert_cmpuint(holds.sources->len, ==, 1);
+	g_assert_false(task_holds_expire(&holds, NOW_US + 1));
+	g_assert_cmpuint(holds.sources->len, ==, 0);
+	task_holds_free(&holds);
+}
+
 /* Guards against tasks that an entry has passed on over a link that is down, and does not name on
  * the next one. */
 static void test_sender_returned(void)
@@ -276,6 +324,8 @@
 	g_test_add_func("/holds/settled_until_limit", test_settled_until_limit);
 	g_test_add_func("/holds/process_settled", test_process_settled);
 	g_test_add_func("/holds/agent_reconnected", test_agent_reconnected);
+	g_test_add_func("/holds/agent_lost_later", test_agent_lost_later);
+	g_test_add_func("/holds/agent_stays_connected", test_agent_stays_connected);
 	g_test_add_func("/holds/sender_returned", test_sender_returned);
 	g_test_add_func("/holds/repeated_and_too_many", test_repeated_and_too_many);
 	return g_test_run();
