--- a/test/unit/lost_agent_test.c
+++ b/test/unit/lost_agent_test.c
@@ -14,11 +14,7 @@
 	ORDERED_US = SENT_US + 40000, /* the agent has sent the start by then */
 	TOLD_US = ORDERED_US + 30000, /* the entries have been told by then */
 	LATE_US = 100000,
-	RETURN_US = ORDERED_US + 500000, /* the agent returns */
-	/* Just after entries have told each other their states, and just before they do so again.
-	 */
-	FRESH_US = 1101000,
-	FRESH_SENT_US = 1177000,
+	RETURN_US = ORDERED_US + 500000,  /* the agent returns */
 	SETTLED_US = RETURN_US + 500000,  /* and has said what it has found */
 	RESENT_US = SETTLED_US + 1000000, /* the end of a job that is sent at SETTLED_US */
 	END_US = ORDERED_US + JOB_LIFE_US
