--- a/packages/greengaged/src/node_holds.h
+++ b/packages/greengaged/src/node_holds.h
@@ -22,7 +22,7 @@
 struct passed_holds *passed_holds_new(struct node_entry *entry, const struct ident *sender);
 
 /* Holds what the sender has told, and no more what it has told before. An agent that is connected
- * here speaks for itself, and sooner. */
+ * here speaks for itself, and sooner, until it is lost. */
 void passed_holds_apply(struct passed_holds *passed, Ggd__Holds *const *holds, size_t count);
 
 /* Holds what SENDER has told once, until it tells it over a link of its own, as after its loss. */
