--- a/packages/core/include/task_holds.h
+++ b/packages/core/include/task_holds.h
@@ -36,6 +36,7 @@
 	GHashTable *jobs;   /* job id -> table of task indexes and the numbers of sources */
 	GPtrArray *sources; /* struct hold_source * */
 	uint64_t changes;   /* incremented when tasks are held or released */
+	guint abandoned;    /* number of abandoned sources */
 };
 
 /* Names of tasks, as "JOB.OCCURRENCE.STEP.INDEX". */
--- a/packages/core/src/task_holds.c
+++ b/packages/core/src/task_holds.c
@@ -165,6 +165,7 @@
 {
 	release(holds, &source->runs);
 	release(holds, &source->starts);
+	holds->abandoned -= source->removed;
 	g_ptr_array_remove_fast(holds->sources, source);
 	free_source(source);
 }
@@ -178,6 +179,7 @@
 	}
 	task_holds_limit(source, runs_until_us, starts_until_us);
 	source->removed = true;
+	holds->abandoned++;
 }
 
 bool task_holds_sender_returned(struct task_holds *holds, const char *sender)
@@ -198,6 +200,8 @@
 {
 	uint64_t changes = holds->changes;
 
+	if (holds->abandoned == 0)
+		return false;
 	for (guint i = holds->sources->len; i-- > 0;) {
 		struct hold_source *source = holds->sources->pdata[i];
 
--- a/packages/greengaged/src/node_holds.c
+++ b/packages/greengaged/src/node_holds.c
@@ -8,7 +8,7 @@
 
 enum {
 	/* Limit on the agents in one message. */
-	MAX_HOLDERS = 4096
+	MAX_HOLDERS = 1024
 };
 
 /* ---- sender ---- */
