--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -44,6 +44,7 @@
 	uint64_t lost_agents;	      /* disconnections of agents with unsettled runs */
 	GPtrArray *outgoing_peers; /* struct outgoing_peer *, entries that this one connects to */
 	bool holds_awaited;	   /* from some of them; see node_peers_await_holds */
+	int64_t holds_awaited_since_us;
 	uint32_t linked_peers;	   /* connected outgoing peers, as of the last tick */
 	GPtrArray *incoming_peers; /* struct incoming_peer *, entries that connected to this one */
 	GArray *pending_requests;  /* struct pending_request, waiting for the first configuration */
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -30,7 +30,9 @@
 	ALIAS_RETRY_MS = 10000,
 	/* Limit on the wait for the holds of other entries: an address at which nobody answers is
 	 * given up after 200 ms, and attempts are made every 50 ms. */
-	HOLDS_WAIT_MS = 250
+	HOLDS_WAIT_MS = 250,
+	/* Before this time, the other entries may not be known yet. */
+	MIN_HOLDS_WAIT_MS = 50
 };
 
 /* An entry that this one connects to, at one address. */
@@ -275,21 +277,28 @@
 	return false;
 }
 
-/* Records that PEER has told its holds or can't be reached. */
-static void stop_awaiting_holds(struct outgoing_peer *peer)
+/* Ends the wait for the holds of the other entries if none is awaited any more. */
+static void check_holds_awaited(struct node_entry *entry)
 {
-	struct node_entry *entry = peer->entry;
-	bool awaited = false;
-
-	peer->holds_awaited = false;
-	for (guint i = 0; i < entry->outgoing_peers->len; i++)
-		awaited |= ((struct outgoing_peer *)entry->outgoing_peers->pdata[i])->holds_awaited;
-	if (!entry->holds_awaited || awaited)
+	if (!entry->holds_awaited)
 		return;
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		const struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+
+		if (peer->holds_awaited)
+			return;
+	}
 	entry->holds_awaited = false;
 	dispatch_holds_known(&entry->dispatch);
 }
 
+/* Records that PEER has told its holds or can't be reached. */
+static void stop_awaiting_holds(struct outgoing_peer *peer)
+{
+	peer->holds_awaited = false;
+	check_holds_awaited(peer->entry);
+}
+
 void node_peers_await_holds(struct node_entry *entry)
 {
 	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
@@ -298,6 +307,7 @@
 		peer->holds_awaited = peer->connected;
 	}
 	entry->holds_awaited = true;
+	entry->holds_awaited_since_us = entry->loop.now_us;
 	dispatch_await_holds(&entry->dispatch, entry->loop.now_us + HOLDS_WAIT_MS * US_PER_MS);
 }
 
@@ -624,9 +634,10 @@
 			send_state(peer, false, now_us);
 		}
 	}
-	/* The dispatcher has the same limit. */
-	entry->holds_awaited =
-		entry->holds_awaited && now_us < entry->dispatch.holds_awaited_until_us;
+	if (now_us >= entry->holds_awaited_since_us + HOLDS_WAIT_MS * US_PER_MS)
+		entry->holds_awaited = false; /* as in the dispatcher */
+	else if (now_us >= entry->holds_awaited_since_us + MIN_HOLDS_WAIT_MS * US_PER_MS)
+		check_holds_awaited(entry);
 	request_config_if_due(entry, now_us);
 	update_peer_backlog(entry, now_us);
 }
