--- a/test/functional/soak_test.c
+++ b/test/functional/soak_test.c
@@ -7,6 +7,7 @@
  * SOAK_SEED selects the first seed, SOAK_COUNT the number of seeds and SOAK_MS the time in
  * milliseconds during which faults are injected. With SOAK_SEED, SOAK_COUNT defaults to 1. Without
  * SOAK_SEED, the test starts at seed 1 and also runs the seeds in `regression_seeds`.
+ * SOAK_ENTRIES and SOAK_AGENTS set the size of the cluster.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -16,8 +17,10 @@
 #include "harness.h"
 
 enum {
-	ENTRIES = 3,
-	AGENTS = 4,
+	ENTRIES = 3, /* by default */
+	AGENTS = 4,  /* by default */
+	MAX_ENTRIES = 8,
+	MAX_AGENTS = 32,
 	CLIENTS = 12,
 	FAULT_PHASE_MS = 6000,
 	SEED_COUNT = 1,
@@ -47,16 +50,18 @@
 };
 
 struct soak {
+	unsigned entry_count;
+	unsigned agent_count;
 	struct harness *harness;
 	GRand *rand;
 	struct harness_process *platform;
-	struct harness_process *daemons[ENTRIES + AGENTS];
-	int64_t down_until_us[ENTRIES + AGENTS]; /* when a suspended or stopped process runs again;
-						    0 while it runs */
-	bool suspended[ENTRIES + AGENTS];
+	struct harness_process *daemons[MAX_ENTRIES + MAX_AGENTS];
+	int64_t down_until_us[MAX_ENTRIES + MAX_AGENTS]; /* when a suspended or stopped process runs
+						    again; 0 while it runs */
+	bool suspended[MAX_ENTRIES + MAX_AGENTS];
 	char *platform_url;
-	char *client_urls[ENTRIES];
-	char *ready_urls[ENTRIES];
+	char *client_urls[MAX_ENTRIES];
+	char *ready_urls[MAX_ENTRIES];
 	gint stop_requested;
 	gint config_version;
 	guint32 seed;
@@ -99,7 +104,7 @@
 	GString *text = g_string_new(NULL);
 
 	g_string_printf(text, "{\"version\":%d,\"routes\":[", version);
-	for (unsigned i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < soak->entry_count; i++)
 		g_string_append_printf(
 			text,
 			"%s{\"name\":\"r%u\",\"host\":\"127.0.0.%u\",\"pathPrefix\":\"/q/\","
@@ -183,13 +188,13 @@
 	g_ptr_array_add(platform, g_strdup_printf("127.0.0.1:%d", store));
 	g_ptr_array_add(proxy, g_strdup(GG_BUILD_DIR "/test/standin/standin_proxy"));
 	g_ptr_array_add(proxy, g_strdup_printf("--route=store:%d:%d", store_proxy, store));
-	for (unsigned i = 0; i < ENTRIES; i++) {
+	for (unsigned i = 0; i < soak->entry_count; i++) {
 		write_entry_settings(soak, i, peer_port, store_proxy);
 		g_ptr_array_add(proxy,
 				g_strdup_printf("--route=entry%u:127.0.1.%u:%d:127.0.0.%u:%d", i,
 						i + 2, peer_port, i + 2, peer_port));
 	}
-	for (unsigned i = 0; i < AGENTS; i++) {
+	for (unsigned i = 0; i < soak->agent_count; i++) {
 		int control_port = harness_reserve_port();
 		int server_port = harness_reserve_port();
 		int server_proxy = harness_reserve_port();
@@ -211,14 +216,15 @@
 	HARNESS_WAIT(READY_TIMEOUT_MS,
 		     harness_status("GET", soak->platform_url, "/control", NULL) == 200);
 	publish_config(soak, ++soak->config_version);
-	for (unsigned i = 0; i < ENTRIES + AGENTS; i++) {
-		char *name = i < ENTRIES ? g_strdup_printf("entry%u", i)
-					 : g_strdup_printf("agent%u", i - ENTRIES);
+	for (unsigned i = 0; i < soak->entry_count + soak->agent_count; i++) {
+		char *name = i < soak->entry_count
+				     ? g_strdup_printf("entry%u", i)
+				     : g_strdup_printf("agent%u", i - soak->entry_count);
 
 		soak->daemons[i] = spawn_daemon(soak, name);
 		g_free(name);
 	}
-	for (unsigned i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < soak->entry_count; i++)
 		HARNESS_WAIT(READY_TIMEOUT_MS,
 			     harness_status("GET", soak->ready_urls[i], "/greengagefront/readyz",
 					    NULL) == 200);
@@ -232,7 +238,8 @@
  * NOT_RUN if the response says that the job did not run (429 or 503). */
 static bool send_job(struct client *client, struct job *job, const char *body, bool *not_run)
 {
-	unsigned entry = (unsigned)g_rand_int_range(client->rand, 0, ENTRIES);
+	unsigned entry =
+		(unsigned)g_rand_int_range(client->rand, 0, (gint32)client->soak->entry_count);
 	char *path = g_strdup_printf("/q/%s", job->id);
 	struct harness_reply reply =
 		harness_call("POST", client->soak->client_urls[entry], path, body);
@@ -307,10 +314,12 @@
 		break;
 	case 1:
 	case 2:
-		g_snprintf(name, bytes, "server%d", g_rand_int_range(soak->rand, 0, AGENTS));
+		g_snprintf(name, bytes, "server%d",
+			   g_rand_int_range(soak->rand, 0, (gint32)soak->agent_count));
 		break;
 	default:
-		g_snprintf(name, bytes, "entry%d", g_rand_int_range(soak->rand, 0, ENTRIES));
+		g_snprintf(name, bytes, "entry%d",
+			   g_rand_int_range(soak->rand, 0, (gint32)soak->entry_count));
 		break;
 	}
 }
@@ -330,15 +339,15 @@
 
 static void clear_route_faults(struct soak *soak)
 {
-	for (int i = -1; i < ENTRIES + AGENTS; i++) {
+	for (int i = -1; i < (int)(soak->entry_count + soak->agent_count); i++) {
 		char name[16];
 
 		if (i < 0)
 			g_strlcpy(name, "store", sizeof(name));
-		else if (i < ENTRIES)
+		else if (i < (int)soak->entry_count)
 			g_snprintf(name, sizeof(name), "entry%d", i);
 		else
-			g_snprintf(name, sizeof(name), "server%d", i - ENTRIES);
+			g_snprintf(name, sizeof(name), "server%d", i - (int)soak->entry_count);
 		send_proxy_command(soak, "%s delay_ms 0", name);
 		send_proxy_command(soak, "%s half_open none", name);
 		send_proxy_command(soak, "%s refuse 0", name);
@@ -354,7 +363,8 @@
 
 static void inject_process_fault(struct soak *soak)
 {
-	unsigned i = (unsigned)g_rand_int_range(soak->rand, 0, ENTRIES + AGENTS);
+	unsigned i = (unsigned)g_rand_int_range(soak->rand, 0,
+						(gint32)(soak->entry_count + soak->agent_count));
 	int kind = g_rand_int_range(soak->rand, 0, PROCESS_FAULT_COUNT);
 
 	if (soak->down_until_us[i] != 0)
@@ -375,7 +385,7 @@
  * set. */
 static void recover_processes(struct soak *soak, bool all)
 {
-	for (unsigned i = 0; i < ENTRIES + AGENTS; i++) {
+	for (unsigned i = 0; i < soak->entry_count + soak->agent_count; i++) {
 		if (soak->down_until_us[i] == 0 ||
 		    (!all && g_get_monotonic_time() < soak->down_until_us[i]))
 			continue;
@@ -475,9 +485,22 @@
 	return completed;
 }
 
+/* Returns the number in the environment variable NAME, from 1 to MAX, or OTHERWISE without it. */
+static unsigned size_from(const char *name, unsigned otherwise, unsigned max)
+{
+	const char *text = g_getenv(name);
+
+	return text ? (unsigned)CLAMP(atoi(text), 1, (int)max) : otherwise;
+}
+
 static void run_soak(guint32 seed, int64_t faults_ms)
 {
-	struct soak soak = {.harness = harness_new(), .seed = seed};
+	struct soak soak = {
+		.harness = harness_new(),
+		.seed = seed,
+		.entry_count = size_from("SOAK_ENTRIES", ENTRIES, MAX_ENTRIES),
+		.agent_count = size_from("SOAK_AGENTS", AGENTS, MAX_AGENTS),
+	};
 	struct client clients[CLIENTS];
 	unsigned number = 0;
 	unsigned jobs = 0, completed = 0, refused = 0;
@@ -499,7 +522,7 @@
 		g_usleep((gulong)g_rand_int_range(soak.rand, 1, 2 * FAULT_INTERVAL_MS) * US_PER_MS);
 	}
 	clear_all_faults(&soak);
-	for (unsigned i = 0; i < ENTRIES; i++)
+	for (unsigned i = 0; i < soak.entry_count; i++)
 		HARNESS_WAIT(RECOVERY_TIMEOUT_MS, job_completes(&soak, i, ++number));
 	g_atomic_int_set(&soak.stop_requested, 1);
 	for (unsigned i = 0; i < CLIENTS; i++) {
@@ -519,7 +542,7 @@
 		g_array_free(clients[i].refused_jobs, TRUE);
 		g_rand_free(clients[i].rand);
 	}
-	for (unsigned i = 0; i < ENTRIES; i++) {
+	for (unsigned i = 0; i < soak.entry_count; i++) {
 		g_free(soak.client_urls[i]);
 		g_free(soak.ready_urls[i]);
 	}
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -27,7 +27,7 @@
 enum {
 	SAME_AGENT_EPOCHS = 1000, /* an agent process raises its epoch by less */
 	US_PER_MS = 1000,
-	MAX_SERVERS = 8,
+	MAX_SERVERS = 32,
 	HEARTBEAT_MS = 200,
 	HEARTBEAT_TIMEOUT_MS = 500,
 	LEASE_MAX_MS = 1000,
