End the jobs of an entry that is cut off with some of its agents

Callers saw: two runs of a task at once. An entry is cut off together with some agents. They hear each other, so neither gives the runs up, while its clients lose it and send their jobs to other entries, 1.3 s later. Whether that was this is not shown.

Cause: isolation is found by the silence of everybody only.

Change: an entry counts its links, those in use and those lost in silence up to 20 s ago. Once half of them or all other entries (two processes at least) have been silent for 300 ms it probes the store; if they are silent for 525 ms and the store has not answered for 200 ms, it is cut off: it ends its jobs as unknown, is not ready and refuses jobs (not run) until the store answers or they are back. Its agents get Orders.abandon and stop the runs as those of a lost entry: no lease after 60 ms (575 ms after a usual stop), holds at once. 525 + 60 + 564 ms leave 151 ms of the 1,300, though every stop is lost. It is found 50 ms before the links of the silent ones fail, so that agents that hear the entry, but can't answer, get the order as well. A link that its peer has closed is lost in silence if connecting again gets no answer. After a start or a freeze an entry expects late requests until the store has answered: it does not know whom it has lost.

A single silent process ends nobody's jobs, nor does a dark rack; a loss of half the hosts does only if the store does not answer either. Weighed: docs/platform.md. Events 1313 and 1314. Orders.abandon is ignored by an earlier release, which then stops as usual.

Both platform_ftest cases say so when the machine did not let the entry run for 0.3 s, which ends its jobs as well (seen at loads above 20).

--- a/packages/base/include/event_defs.h
+++ b/packages/base/include/event_defs.h
@@ -40,6 +40,8 @@
 	X(1310, ADDRESS_INVALID, WARNING, "address of an entry ignored")                           \
 	X(1311, SESSION_REPLACED, WARNING, "agent has dropped this entry")                         \
 	X(1312, ENTRY_ISOLATED, WARNING, "nobody heard, all jobs ended")                           \
+	X(1313, ENTRY_CUT_OFF, WARNING, "cut off from the platform, all jobs ended")               \
+	X(1314, ENTRY_RECONNECTED, INFO, "no longer cut off from the platform")                    \
 	X(1400, SERVER_ANNOUNCED, INFO, "backend server announced")                                \
 	X(1401, SERVER_LEAVING, INFO, "backend server leaving")                                    \
 	X(1402, SERVER_EXPIRED, WARNING, "backend server announcement expired")                    \
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -130,6 +130,7 @@
 	int64_t connecting_until_us;	/* agents may still be connecting before this time */
 	int64_t late_requests_until_us; /* see dispatch_expect_late_requests */
 	int64_t drain_end_us;		/* all jobs end by this time; see dispatch_drain */
+	bool cut_off;			/* new jobs are refused; see dispatch_set_cut_off */
 };
 
 void dispatch_init(struct dispatch *dispatch, const struct dispatch_limits *limits,
@@ -221,6 +222,9 @@
  * after it has closed or lost the links to all agents. */
 void dispatch_await_agents(struct dispatch *dispatch, int64_t now_us);
 
+/* Refuses new jobs at once while CUT_OFF is set. */
+void dispatch_set_cut_off(struct dispatch *dispatch, bool cut_off);
+
 /* Lets jobs that arrive before UNTIL_US wait for 20 ms before their tasks start, so that it is seen
  * first if their clients have left while this process was cut off. */
 void dispatch_expect_late_requests(struct dispatch *dispatch, int64_t until_us);
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -382,6 +382,9 @@
 	g_hash_table_replace(dispatch->by_id, job->id, dispatch_pack(job->handle));
 	if (!can_end_in_drain(dispatch, job, now_us))
 		end_draining(dispatch, job, now_us);
+	else if (dispatch->cut_off)
+		end_job(dispatch, job, STATUS_LOG_UNAVAILABLE,
+			"the entry is cut off from the platform", now_us);
 	else if (table_count(&dispatch->jobs) > dispatch->limits.max_jobs)
 		end_job(dispatch, job, STATUS_QUEUE_FULL, "too many unfinished jobs", now_us);
 	else if (crashed_before(dispatch, job, now_us))
@@ -751,6 +754,11 @@
 	dispatch->connecting_until_us = now_us + dispatch->limits.connect_time_us;
 }
 
+void dispatch_set_cut_off(struct dispatch *dispatch, bool cut_off)
+{
+	dispatch->cut_off = cut_off;
+}
+
 void dispatch_expect_late_requests(struct dispatch *dispatch, int64_t until_us)
 {
 	dispatch->late_requests_until_us = until_us;
--- a/packages/greengaged/src/agent_owners.c
+++ b/packages/greengaged/src/agent_owners.c
@@ -219,6 +219,10 @@
 	/* A run may be started and stopped by the same orders. */
 	if (orders->n_starts > 0)
 		stop_runs(owners, owner, orders, by_us);
+	if (orders->abandon && orders->session == owner->number)
+		runs_stop_owned(&owners->backend->runs, owner->number,
+				owners->backend->loop->now_us + owners->stop_wait_us,
+				owners->backend->loop->now_us);
 	if (orders->service_servers > 0)
 		owner->service_server_count = orders->service_servers;
 	if (orders->n_starts > 0) {
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -19,22 +19,24 @@
 	struct node_entry *entry;
 	struct ident incarnation;
 	char name[NAME_BYTES];
-	struct node_link *link;	       /* NULL while disconnected */
-	uint64_t first_link_number;    /* later processes have higher ones */
-	uint64_t last_link_number;     /* highest number of its links */
-	int64_t connected_us;	       /* when the link was registered */
-	struct handle server;	       /* its backend server in the dispatcher */
-	bool has_server;	       /* `server` has been set in this session */
-	char server_id[NAME_BYTES];    /* of its backend server, or empty */
-	uint32_t session;	       /* of the last report; 0 before the first */
-	bool awaiting_inventory;       /* no inventory has arrived on this connection yet */
-	bool session_unconfirmed;      /* the agent was not told that its inventory has arrived */
-	uint64_t last_orders_number;   /* number of the last Orders message with starts on this
-					  connection */
-	uint64_t last_report_number;   /* highest number of the reports handled in this session */
-	guint members_sent;	       /* number of entry addresses sent on this connection */
-	uint32_t service_servers;      /* connected servers of its service; 0: not counted yet */
+	struct node_link *link;	     /* NULL while disconnected */
+	int64_t lost_us;	     /* when it was last heard, if it was lost in silence; else 0 */
+	uint64_t first_link_number;  /* later processes have higher ones */
+	uint64_t last_link_number;   /* highest number of its links */
+	int64_t connected_us;	     /* when the link was registered */
+	struct handle server;	     /* its backend server in the dispatcher */
+	bool has_server;	     /* `server` has been set in this session */
+	char server_id[NAME_BYTES];  /* of its backend server, or empty */
+	uint32_t session;	     /* of the last report; 0 before the first */
+	bool awaiting_inventory;     /* no inventory has arrived on this connection yet */
+	bool session_unconfirmed;    /* the agent was not told that its inventory has arrived */
+	uint64_t last_orders_number; /* number of the last Orders message with starts on this
+					connection */
+	uint64_t last_report_number; /* highest number of the reports handled in this session */
+	guint members_sent;	     /* number of entry addresses sent on this connection */
+	uint32_t service_servers;    /* connected servers of its service; 0: not counted yet */
 	uint32_t service_servers_sent; /* last value sent on this connection */
+	bool abandon;		       /* order it to stop all runs as those of a lost entry */
 	GPtrArray *starts; /* struct run_order *, copies of the starts queued in this turn */
 	GArray *stops;	   /* uint64_t, runs to stop, queued in this turn */
 	/* Handle under which the server was known before the agent dropped this entry, until the
@@ -422,6 +424,8 @@
 	agent->session_unconfirmed = false;
 	orders.entries =
 		node_members_unsent(&entry->members, &agent->members_sent, &orders.n_entries);
+	orders.abandon = agent->abandon;
+	agent->abandon = false;
 	if (agent->service_servers != agent->service_servers_sent)
 		orders.service_servers = agent->service_servers;
 	agent->service_servers_sent = agent->service_servers;
@@ -460,10 +464,13 @@
 static void disconnect_agent(struct agent_peer *agent, const char *reason)
 {
 	struct node_entry *entry = agent->entry;
+	int64_t heard_us = node_link_last_received_us(agent->link);
+	int64_t silent_us = entry->loop.now_us - heard_us;
 
 	event_log(EVENT_CHANNEL_LOST, EV_S("agent", agent->name), EV_S("reason", reason),
-		  EV_I("silent_ms",
-		       (entry->loop.now_us - node_link_last_received_us(agent->link)) / US_PER_MS));
+		  EV_I("silent_ms", silent_us / US_PER_MS));
+	agent->lost_us = node_link_was_silent(agent->link) ? heard_us : 0;
+	agent->abandon = false;
 	agent->link = NULL;
 	task_holds_limit(agent->holds,
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
@@ -515,6 +522,7 @@
 	event_log(EVENT_CHANNEL_OPENED, EV_S("agent", agent->name));
 	agent->link = link;
 	agent->connected_us = entry->loop.now_us;
+	agent->lost_us = 0;
 	agent->last_orders_number = 0;
 	agent->awaiting_inventory = true;
 	agent->session_unconfirmed = false;
@@ -549,8 +557,8 @@
 	for (guint i = 0; i < entry->agents->len; i++) {
 		struct agent_peer *agent = entry->agents->pdata[i];
 
-		if (agent->link &&
-		    (agent->starts->len > 0 || agent->stops->len > 0 || agent->session_unconfirmed))
+		if (agent->link && (agent->starts->len > 0 || agent->stops->len > 0 ||
+				    agent->abandon || agent->session_unconfirmed))
 			send_orders(agent);
 	}
 }
@@ -586,6 +594,28 @@
 	}
 }
 
+void node_agent_links_abandon_runs(struct node_entry *entry)
+{
+	for (guint i = 0; i < entry->agents->len; i++) {
+		struct agent_peer *agent = entry->agents->pdata[i];
+
+		agent->abandon = agent->link && !agent->awaiting_inventory;
+	}
+}
+
+void node_agent_links_census(const struct node_entry *entry, int64_t silence_us,
+			     struct isolation_census *census)
+{
+	for (guint i = 0; i < entry->agents->len; i++) {
+		const struct agent_peer *agent = entry->agents->pdata[i];
+		int64_t heard_us =
+			agent->link ? node_link_last_received_us(agent->link) : agent->lost_us;
+
+		if (agent->link || (agent->lost_us != 0 && !has_successor(agent)))
+			isolation_count(census, false, heard_us, silence_us, entry->loop.now_us);
+	}
+}
+
 void node_agent_links_close_all(struct node_entry *entry)
 {
 	for (guint i = 0; i < entry->agents->len; i++) {
--- a/packages/greengaged/src/node_agent_links.h
+++ b/packages/greengaged/src/node_agent_links.h
@@ -21,6 +21,15 @@
  * while the store does not answer the reads of this entry. */
 void node_agent_links_request_config(struct node_entry *entry, int64_t now_us);
 
+/* Orders the connected agents to stop all runs of this entry as those of a lost one: without a
+ * further lease, and held until they are over. */
+void node_agent_links_abandon_runs(struct node_entry *entry);
+
+/* Counts the agents that are connected or were lost in silence. They count as silent after
+ * SILENCE_US. */
+void node_agent_links_census(const struct node_entry *entry, int64_t silence_us,
+			     struct isolation_census *census);
+
 /* Closes all links. Call after this process was frozen. */
 void node_agent_links_close_all(struct node_entry *entry);
 
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -51,7 +51,8 @@
 
 static bool is_ready(const struct node_entry *entry)
 {
-	return !entry->stopping && entry->config.table && node_agent_links_count_ready(entry) > 0;
+	return !entry->stopping && !entry->partition.cut_off && entry->config.table &&
+	       node_agent_links_count_ready(entry) > 0;
 }
 
 static void on_readiness_request(void *context, struct http_request *request)
@@ -324,6 +325,8 @@
 	const struct node_settings *settings = entry->settings;
 
 	entry->store = store_new(&entry->loop, settings->store_address);
+	entry->store_probe = store_probe_new(&entry->loop, settings->store_address,
+					     node_isolation_probe_answered, entry);
 	node_members_init(&entry->members, &(struct node_members_options){
 						   .loop = &entry->loop,
 						   .store = entry->store,
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -17,12 +17,14 @@
 #include "node_reload.h"
 #include "node_settings.h"
 #include "node_signals.h"
+#include "store_probe.h"
 
 struct node_entry {
 	struct net_loop loop;
 	const struct node_settings *settings;
 	char *own_address; /* address at which other daemons connect to this entry */
 	struct store *store;
+	struct store_probe *store_probe;
 	struct node_signals signals;
 	struct node_config config;
 	struct config_pull config_pull;
@@ -32,6 +34,8 @@
 	struct node_reload reload;
 	struct node_links links;
 	struct isolation isolation;
+	struct partition partition;
+	int64_t census_us; /* when the silent agents and entries were last counted */
 	struct net_listener *listener;
 	struct dispatch dispatch;
 	uint64_t logged_suspicions; /* bulkhead.changes when the suspects were last logged */
--- a/packages/greengaged/src/node_link.c
+++ b/packages/greengaged/src/node_link.c
@@ -38,6 +38,7 @@
 	int64_t silence_timeout_ms;
 	bool outgoing;
 	bool up;
+	bool silent;
 	bool closed; /* freed by the next call of check_links */
 };
 
@@ -164,6 +165,7 @@
 		if (!link->closed && now_us - link->last_received_us > timeout_ms * US_PER_MS) {
 			if (link->up)
 				links->last_silent_us = now_us;
+			link->silent = true;
 			node_link_fail(link, "silent");
 		} else if (!link->closed && net_conn_unsent(link->conn) > MAX_UNSENT_BYTES) {
 			node_link_fail(link, "the peer does not read what is sent to it");
@@ -292,6 +294,11 @@
 	return link->frame_times;
 }
 
+bool node_link_was_silent(const struct node_link *link)
+{
+	return link->silent;
+}
+
 void node_retry_init(struct node_retry *retry, int64_t now_us)
 {
 	*retry = (struct node_retry){.next_attempt_us = now_us, .last_connected_us = now_us};
--- a/packages/greengaged/src/node_link.h
+++ b/packages/greengaged/src/node_link.h
@@ -85,6 +85,9 @@
  */
 struct message_times node_link_frame_times(const struct node_link *link);
 
+/* Returns whether the link has failed because nothing arrived, or its first message did not. */
+bool node_link_was_silent(const struct node_link *link);
+
 /* Closes the link after an invalid message and reports REASON to the `down` callback. */
 void node_link_fail(struct node_link *link, const char *reason);
 
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -36,6 +36,8 @@
 	char *address;
 	struct node_link *link;	  /* NULL while there is none */
 	bool connected;		  /* the hello message has been received on the link */
+	int64_t heard_us;	  /* when it was last heard on the last connection; 0 before */
+	int64_t lost_us;	  /* the same, if it does not answer since; else 0 */
 	struct ident incarnation; /* of the entry process last connected at this address */
 	struct node_retry retry;
 	int64_t last_state_sent_us;
@@ -283,6 +285,7 @@
 		return false;
 	}
 	peer->connected = true;
+	peer->lost_us = 0;
 	peer->members_sent = 0;
 	peer->last_ended_sequence = 0;
 	peer->last_crash_sequence = 0;
@@ -317,9 +320,13 @@
 {
 	struct outgoing_peer *peer = context;
 
-	if (node_link_is_up(link))
+	if (node_link_is_up(link)) {
 		event_log(EVENT_CHANNEL_LOST, EV_S("address", peer->address),
 			  EV_S("reason", reason));
+		peer->heard_us = node_link_last_received_us(link);
+	}
+	if (node_link_was_silent(link))
+		peer->lost_us = peer->heard_us;
 	peer->link = NULL;
 	peer->connected = false;
 	schedule_retry(peer, node_link_is_up(link));
@@ -574,6 +581,19 @@
 	return pending;
 }
 
+void node_peers_census(const struct node_entry *entry, int64_t silence_us,
+		       struct isolation_census *census)
+{
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		const struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+		int64_t heard_us =
+			peer->connected ? node_link_last_received_us(peer->link) : peer->lost_us;
+
+		if (peer->connected || peer->lost_us != 0)
+			isolation_count(census, true, heard_us, silence_us, entry->loop.now_us);
+	}
+}
+
 void node_peers_close_links(struct node_entry *entry)
 {
 	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
@@ -583,7 +603,10 @@
 			continue;
 		node_link_close(peer->link);
 		peer->link = NULL;
+		if (peer->connected)
+			peer->heard_us = entry->loop.now_us;
 		peer->connected = false;
+		peer->lost_us = 0;
 		peer->retry.next_attempt_us = 0;
 	}
 	for (guint i = get_incoming_peers(entry)->len; i-- > 0;) {
--- a/packages/greengaged/src/node_peers.h
+++ b/packages/greengaged/src/node_peers.h
@@ -26,6 +26,11 @@
  * state of each entry that has connected to this one. */
 uint32_t node_peers_count_pending(const struct node_entry *entry, const char *queue);
 
+/* Counts the entries to which this one is connected or which it has lost in silence. They count as
+ * silent after SILENCE_US. */
+void node_peers_census(const struct node_entry *entry, int64_t silence_us,
+		       struct isolation_census *census);
+
 /* Closes all links and makes new connection attempts due at once. Call after this process was
  * frozen. */
 void node_peers_close_links(struct node_entry *entry);
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -808,6 +808,83 @@
 	platform_stop(&cluster);
 }
 
+/* Returns whether PROCESS did not run for so long that it has ended its jobs for that reason, as on
+ * a busy machine. */
+static bool was_frozen(const struct harness_process *process)
+{
+	bool frozen = platform_log_contains(process, "\"event\":1003");
+
+	if (frozen)
+		g_test_message("%s did not run for a while", process->name);
+	return frozen;
+}
+
+/* The other entry and all agents but one stop, and the platform as well if PLATFORM_STOPS. Returns
+ * the response to a job that entry 0 has accepted before. */
+static long submit_before_partition(struct platform_cluster *cluster, bool platform_stops)
+{
+	struct platform_submission submission = {.number = 1, .tasks = MANY_TASKS};
+	struct harness_process *others[PLATFORM_AGENTS + 1];
+	unsigned count = 0;
+	int64_t sent_us, waited_ms;
+	GThread *thread;
+	long status;
+
+	platform_control(cluster, "{\"run_ms\":500}");
+	for (unsigned i = 1; i < PLATFORM_AGENTS; i++)
+		others[count++] = cluster->agents[i];
+	others[count++] = cluster->entries[1];
+	if (platform_stops)
+		others[count++] = cluster->platform;
+	submission.cluster = cluster;
+	thread = g_thread_new("client", platform_run_submission, &submission);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(cluster, "running") > 0);
+	sent_us = g_get_monotonic_time();
+	for (unsigned i = 0; i < count; i++)
+		harness_signal(others[i], SIGSTOP);
+	g_thread_join(thread);
+	waited_ms = (g_get_monotonic_time() - sent_us) / US_PER_MS;
+	g_assert_true(!platform_stops || waited_ms < RESEND_MS || was_frozen(cluster->entries[0]));
+	for (unsigned i = 0; i < count; i++)
+		harness_signal(others[i], SIGCONT);
+	status = submission.reply.status;
+	harness_reply_clear(&submission.reply);
+	return status;
+}
+
+/* An entry is cut off with one of its agents. Guards against one that goes on with its jobs,
+ * because it hears that agent, while the clients have sent them to another entry. */
+static void test_entry_partitioned(void)
+{
+	struct platform_cluster cluster;
+
+	platform_start(&cluster);
+	g_assert_cmpint(submit_before_partition(&cluster, true), ==, 502);
+	g_assert_true(platform_log_contains(cluster.entries[0], "\"event\":1313") ||
+		      was_frozen(cluster.entries[0]));
+	g_assert_false(platform_log_contains(cluster.entries[0], "\"event\":1312"));
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_entry_is_ready(&cluster, 0));
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") == 0);
+	g_assert_true(platform_log_contains(cluster.entries[0], "\"event\":1314") ||
+		      was_frozen(cluster.entries[0]));
+	g_assert_true(platform_job_completes(&cluster, 0, 2, MANY_TASKS));
+	platform_stop(&cluster);
+}
+
+/* Guards against an entry that ends its jobs when other processes stop and clients reach it. */
+static void test_entry_left_alone(void)
+{
+	struct platform_cluster cluster;
+	long status;
+
+	platform_start(&cluster);
+	status = submit_before_partition(&cluster, false);
+	/* The tasks of the lost agent may be started again too late for the job's deadline. */
+	g_assert_true(status == 200 || status == 504 || was_frozen(cluster.entries[0]));
+	g_assert_false(platform_log_contains(cluster.entries[0], "\"event\":1313"));
+	platform_stop(&cluster);
+}
+
 /* Guards against job counters and latencies missing from /metrics. */
 static void test_metrics(void)
 {
@@ -862,6 +939,8 @@
 	g_test_add_func("/platform/agent_frozen", test_agent_suspended);
 	g_test_add_func("/platform/entry_frozen", test_entry_suspended);
 	g_test_add_func("/platform/entry_isolated", test_entry_isolated);
+	g_test_add_func("/platform/entry_partitioned", test_entry_partitioned);
+	g_test_add_func("/platform/entry_left_alone", test_entry_left_alone);
 	g_test_add_func("/platform/metrics", test_metrics);
 	return g_test_run();
 }
--- a/test/unit/agent_owners_test.c
+++ b/test/unit/agent_owners_test.c
@@ -185,6 +185,35 @@
 				      confirmed_us + SILENCE_TIMEOUT_US + STOP_WAIT_US));
 }
 
+/* Guards against leases for the runs of an entry that its clients have lost, and that says so: they
+ * have waited for the silence timeout already. */
+static void test_abandon_order(struct fixture *fixture, const void *unused)
+{
+	int64_t now_us = fixture->loop.now_us;
+	Ggd__Orders orders = GGD__ORDERS__INIT;
+
+	fixture->backend.runs.limits.stop_wait_us = SILENCE_TIMEOUT_US;
+	runs_start_answered(&fixture->backend.runs, fixture->started, START_STARTED, now_us);
+	orders.session = fixture->owner->number;
+	orders.abandon = true;
+	g_assert_true(handle_orders(fixture, &orders));
+	g_assert_true(runs_may_lease(&fixture->backend.runs, now_us));
+	g_assert_false(runs_may_lease(&fixture->backend.runs, now_us + STOP_WAIT_US));
+}
+
+/* The same order from another session names none of these runs. */
+static void test_abandon_order_of_other_session(struct fixture *fixture, const void *unused)
+{
+	int64_t now_us = fixture->loop.now_us;
+	Ggd__Orders orders = GGD__ORDERS__INIT;
+
+	runs_start_answered(&fixture->backend.runs, fixture->started, START_STARTED, now_us);
+	orders.session = fixture->owner->number + 1;
+	orders.abandon = true;
+	g_assert_true(handle_orders(fixture, &orders));
+	g_assert_true(runs_may_lease(&fixture->backend.runs, now_us + STOP_WAIT_US));
+}
+
 /* Guards against the start of a run whose entry has not been heard from for so long that it may
  * have ordered the task elsewhere. */
 static void test_silent_owner(struct fixture *fixture, const void *unused)
@@ -372,6 +401,8 @@
 	CASE("suspended", test_suspended);
 	CASE("suspended_briefly", test_suspended_briefly);
 	CASE("stop_delayed_by_lost_link", test_stop_delayed_by_lost_link);
+	CASE("abandon_order", test_abandon_order);
+	CASE("abandon_order_of_other_session", test_abandon_order_of_other_session);
 	CASE("retention", test_retention);
 	CASE("started_and_stopped", test_started_and_stopped);
 	CASE("orders_of_other_session", test_orders_of_other_session);
--- a/test/unit/dispatch_test.c
+++ b/test/unit/dispatch_test.c
@@ -162,6 +162,24 @@
 	dispatch_free(&fixture.dispatch);
 }
 
+/* Guards against a start by an entry that is cut off, whose client may have sent the job elsewhere,
+ * and against the answer that such a job may have run. */
+static void test_refused_while_cut_off(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	dispatch_set_cut_off(&fixture.dispatch, true);
+	submit_job(&fixture);
+	g_assert_cmpuint(fixture.ordered[0], ==, 0);
+	g_assert_cmpuint(fixture.finished, ==, 1);
+	g_assert_cmpint(fixture.outcome, ==, OUTCOME_NOT_RUN);
+	dispatch_set_cut_off(&fixture.dispatch, false);
+	submit_job_at(&fixture, NOW_US + 1);
+	g_assert_cmpuint(fixture.ordered[0], ==, 1);
+	dispatch_free(&fixture.dispatch);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -170,5 +188,6 @@
 	g_test_add_func("/dispatch/third_submission_waits", test_third_submission_waits);
 	g_test_add_func("/dispatch/busy_job_may_have_run", test_busy_job_may_have_run);
 	g_test_add_func("/dispatch/waiting_job_may_have_run", test_waiting_job_may_have_run);
+	g_test_add_func("/dispatch/refused_while_cut_off", test_refused_while_cut_off);
 	return g_test_run();
 }
--- a/test/unit/node_agent_links_test.c
+++ b/test/unit/node_agent_links_test.c
@@ -52,6 +52,11 @@
 	return 0;
 }
 
+bool node_link_was_silent(const struct node_link *link)
+{
+	return false;
+}
+
 void node_link_set_callbacks(struct node_link *link, const struct node_link_callbacks *callbacks,
 			     void *context)
 {
