--- a/packages/core/include/task_holds.h
+++ b/packages/core/include/task_holds.h
@@ -29,6 +29,9 @@
 	int64_t since_us;     /* when the agent's process was first named */
 };
 
+/* Returns the entry process whose word the holds are. */
+const char *hold_origin_entry(const struct hold_origin *origin);
+
 /* The held tasks of one job. */
 struct held_indexes;
 
@@ -36,6 +39,7 @@
 	GHashTable *jobs;   /* job id -> table of task indexes and the numbers of sources */
 	GPtrArray *sources; /* struct hold_source * */
 	uint64_t changes;   /* incremented when tasks are held or released */
+	guint abandoned;    /* number of abandoned sources */
 };
 
 /* Names of tasks, as "JOB.OCCURRENCE.STEP.INDEX". */
@@ -55,7 +59,17 @@
 						 const struct hold_origin *origin);
 void task_holds_remove_source(struct task_holds *holds, struct hold_source *source);
 
-/* Limits what SOURCE holds as task_holds_limit, and frees it when it holds nothing any more. */
+/* Makes the tasks of SOURCE not held, although it keeps them, while its agent is CONNECTED here and
+ * speaks for itself. To be called before the tasks are replaced. */
+void task_holds_set_connected(struct task_holds *holds, struct hold_source *source, bool connected);
+
+/* Holds the tasks of all sources for PROCESS of an agent, which is not connected here any more.
+ * Returns whether there were any. */
+bool task_holds_agent_lost(struct task_holds *holds, const struct ident *process);
+
+/* Limits what SOURCE holds as task_holds_limit, and frees it when it holds nothing any more, or
+ * when its agent is still connected at RUNS_UNTIL_US: that one has settled the runs by then, or
+ * holds them itself. */
 void task_holds_abandon_source(struct task_holds *holds, struct hold_source *source,
 			       int64_t runs_until_us, int64_t starts_until_us);
 
@@ -63,7 +77,7 @@
  * Returns whether they held any tasks. */
 bool task_holds_sender_returned(struct task_holds *holds, const char *sender);
 
-/* Calls VISIT for each abandoned source that was passed on. */
+/* Calls VISIT for each abandoned source that was passed on. One that is settled holds no tasks. */
 void task_holds_foreach_abandoned(const struct task_holds *holds,
 				  void (*visit)(void *context, const struct hold_origin *origin,
 						const struct hold_source *source),
@@ -73,12 +87,23 @@
 void task_holds_limits(const struct hold_source *source, int64_t *runs_until_us,
 		       int64_t *starts_until_us);
 
-/* Removes the abandoned sources of earlier processes of AGENT, because the one that has connected
- * at CONNECTED_US says that nothing of theirs is unsettled at SERVER. Returns whether they held any
- * tasks. */
-bool task_holds_agent_settled(struct task_holds *holds, const char *agent, const char *server,
+/* Settles the abandoned sources of earlier processes of AGENT, because its PROCESS, which has
+ * connected at CONNECTED_US, says that nothing of theirs is unsettled at SERVER. Returns whether
+ * they held any tasks. A settled source is kept until its time limits have passed, as other entries
+ * may still pass it on. */
+bool task_holds_agent_settled(struct task_holds *holds, const char *agent,
+			      const struct ident *process, const char *server,
 			      int64_t connected_us);
 
+/* Settles the abandoned sources that are the word of ENTRY on PROCESS of an agent, because another
+ * entry has. Returns whether they held any tasks. */
+bool task_holds_process_settled(struct task_holds *holds, const char *entry,
+				const struct ident *process);
+
+/* Returns whether the word of ENTRY on PROCESS is settled. */
+bool task_holds_is_settled(const struct task_holds *holds, const char *entry,
+			   const struct ident *process);
+
 /* Replaces the tasks that SOURCE holds, until the next call. Returns whether they have changed. Of
  * more tasks than a server can have, the others are ignored. */
 bool task_holds_replace(struct task_holds *holds, struct hold_source *source,
--- a/packages/core/src/task_holds.c
+++ b/packages/core/src/task_holds.c
@@ -18,7 +18,9 @@
 struct hold_source {
 	struct hold_set runs;
 	struct hold_set starts;
+	bool connected;		   /* its agent is; the tasks are not held */
 	bool removed;		   /* freed once it holds nothing any more */
+	bool settled;		   /* freed only when its time limits have passed */
 	struct hold_origin origin; /* with strings of its own; NULL if it was not passed on */
 };
 
@@ -122,11 +124,19 @@
 	g_free(job);
 }
 
-static void release(struct task_holds *holds, struct hold_set *set)
+/* Counts the tasks of SET, or does so no more. */
+static void count_set(struct task_holds *holds, const struct hold_set *set, bool added)
 {
 	holds->changes += set->tasks->len > 0;
 	for (guint i = 0; i < set->tasks->len; i++)
-		count_source(holds, set->tasks->pdata[i], false);
+		count_source(holds, set->tasks->pdata[i], added);
+}
+
+static void release(struct task_holds *holds, const struct hold_source *source,
+		    struct hold_set *set)
+{
+	if (!source->connected)
+		count_set(holds, set, false);
 	g_ptr_array_set_size(set->tasks, 0);
 }
 
@@ -141,19 +151,18 @@
 	return true;
 }
 
-static void replace(struct task_holds *holds, struct hold_set *set, char *const *names,
-		    size_t count)
+static void replace(struct task_holds *holds, const struct hold_source *source,
+		    struct hold_set *set, char *const *names, size_t count)
 {
 	count = MIN(count, MAX_HELD_TASKS);
 	set->until_us = INT64_MAX;
 	if (set_equals(set, names, count))
 		return;
-	release(holds, set);
-	holds->changes += count > 0;
-	for (size_t i = 0; i < count; i++) {
-		count_source(holds, names[i], true);
+	release(holds, source, set);
+	for (size_t i = 0; i < count; i++)
 		g_ptr_array_add(set->tasks, g_strdup(names[i]));
-	}
+	if (!source->connected)
+		count_set(holds, set, true);
 }
 
 size_t task_holds_count(const struct hold_source *source)
@@ -163,12 +172,35 @@
 
 void task_holds_remove_source(struct task_holds *holds, struct hold_source *source)
 {
-	release(holds, &source->runs);
-	release(holds, &source->starts);
+	release(holds, source, &source->runs);
+	release(holds, source, &source->starts);
+	holds->abandoned -= source->removed;
 	g_ptr_array_remove_fast(holds->sources, source);
 	free_source(source);
 }
 
+void task_holds_set_connected(struct task_holds *holds, struct hold_source *source, bool connected)
+{
+	if (source->connected == connected)
+		return;
+	count_set(holds, &source->runs, !connected);
+	count_set(holds, &source->starts, !connected);
+	source->connected = connected;
+}
+
+bool task_holds_agent_lost(struct task_holds *holds, const struct ident *process)
+{
+	uint64_t changes = holds->changes;
+
+	for (guint i = 0; i < holds->sources->len; i++) {
+		struct hold_source *source = holds->sources->pdata[i];
+
+		if (ident_equal(&source->origin.process, process))
+			task_holds_set_connected(holds, source, false);
+	}
+	return holds->changes != changes;
+}
+
 void task_holds_abandon_source(struct task_holds *holds, struct hold_source *source,
 			       int64_t runs_until_us, int64_t starts_until_us)
 {
@@ -178,6 +210,7 @@
 	}
 	task_holds_limit(source, runs_until_us, starts_until_us);
 	source->removed = true;
+	holds->abandoned++;
 }
 
 bool task_holds_sender_returned(struct task_holds *holds, const char *sender)
@@ -193,30 +226,85 @@
 	return holds->changes != changes;
 }
 
-bool task_holds_agent_settled(struct task_holds *holds, const char *agent, const char *server,
-			      int64_t connected_us)
+const char *hold_origin_entry(const struct hold_origin *origin)
+{
+	return origin->entry[0] != '\0' ? origin->entry : origin->sender;
+}
+
+static void settle(struct task_holds *holds, struct hold_source *source)
+{
+	release(holds, source, &source->runs);
+	release(holds, source, &source->starts);
+	source->settled = true;
+}
+
+bool task_holds_agent_settled(struct task_holds *holds, const char *agent,
+			      const struct ident *process, const char *server, int64_t connected_us)
 {
 	uint64_t changes = holds->changes;
 
+	if (holds->abandoned == 0)
+		return false;
 	for (guint i = holds->sources->len; i-- > 0;) {
 		struct hold_source *source = holds->sources->pdata[i];
 
 		/* A process that was connected before may be an earlier one itself. */
-		if (source->removed && source->origin.since_us < connected_us &&
-		    server[0] != '\0' && g_strcmp0(source->origin.agent, agent) == 0 &&
-		    g_strcmp0(source->origin.server, server) == 0)
+		if (!source->removed || source->settled ||
+		    source->origin.since_us >= connected_us || server[0] == '\0' ||
+		    g_strcmp0(source->origin.agent, agent) != 0 ||
+		    g_strcmp0(source->origin.server, server) != 0)
+			continue;
+		/* A process that has not ended speaks for itself only while it is connected. */
+		if (ident_equal(&source->origin.process, process))
 			task_holds_remove_source(holds, source);
+		else
+			settle(holds, source);
+	}
+	return holds->changes != changes;
+}
+
+/* Returns whether SOURCE is abandoned and the word of ENTRY on PROCESS. */
+static bool is_word_of(const struct hold_source *source, const char *entry,
+		       const struct ident *process)
+{
+	return source->removed && source->origin.sender &&
+	       strcmp(hold_origin_entry(&source->origin), entry) == 0 &&
+	       ident_equal(&source->origin.process, process);
+}
+
+bool task_holds_process_settled(struct task_holds *holds, const char *entry,
+				const struct ident *process)
+{
+	uint64_t changes = holds->changes;
+
+	for (guint i = 0; i < holds->sources->len; i++) {
+		struct hold_source *source = holds->sources->pdata[i];
+
+		if (is_word_of(source, entry, process))
+			settle(holds, source);
 	}
 	return holds->changes != changes;
 }
 
+bool task_holds_is_settled(const struct task_holds *holds, const char *entry,
+			   const struct ident *process)
+{
+	for (guint i = 0; i < holds->sources->len; i++) {
+		const struct hold_source *source = holds->sources->pdata[i];
+
+		if (source->settled && is_word_of(source, entry, process))
+			return true;
+	}
+	return false;
+}
+
 bool task_holds_replace(struct task_holds *holds, struct hold_source *source,
 			const struct held_tasks *tasks)
 {
 	uint64_t changes = holds->changes;
 
-	replace(holds, &source->runs, tasks->runs, tasks->run_count);
-	replace(holds, &source->starts, tasks->starts, tasks->start_count);
+	replace(holds, source, &source->runs, tasks->runs, tasks->run_count);
+	replace(holds, source, &source->starts, tasks->starts, tasks->start_count);
 	return holds->changes != changes;
 }
 
@@ -226,6 +314,12 @@
 	source->starts.until_us = MIN(source->starts.until_us, starts_until_us);
 }
 
+static bool is_over(const struct hold_source *source, int64_t now_us)
+{
+	return source->removed && task_holds_count(source) == 0 &&
+	       (!source->settled || now_us > MAX(source->runs.until_us, source->starts.until_us));
+}
+
 bool task_holds_expire(struct task_holds *holds, int64_t now_us)
 {
 	uint64_t changes = holds->changes;
@@ -234,10 +328,11 @@
 		struct hold_source *source = holds->sources->pdata[i];
 
 		if (now_us > source->runs.until_us)
-			release(holds, &source->runs);
-		if (now_us > source->starts.until_us)
-			release(holds, &source->starts);
-		if (source->removed && task_holds_count(source) == 0)
+			release(holds, source, &source->runs);
+		if (now_us > source->starts.until_us ||
+		    (source->connected && now_us > source->runs.until_us))
+			release(holds, source, &source->starts);
+		if (is_over(source, now_us))
 			task_holds_remove_source(holds, source);
 	}
 	return holds->changes != changes;
@@ -275,7 +370,7 @@
 	for (guint i = 0; i < holds->sources->len; i++) {
 		const struct hold_source *source = holds->sources->pdata[i];
 
-		if (source->removed && source->origin.sender)
+		if (source->removed && source->origin.sender && !source->connected)
 			visit(context, &source->origin, source);
 	}
 }
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -172,9 +172,11 @@
 	dispatch_server_settled(&agent->entry->dispatch, agent->former_server, now_us);
 	agent->former_server = (struct handle){0};
 	settle_predecessors(agent, now_us);
-	if (task_holds_agent_settled(&agent->entry->dispatch.holds, agent->name, agent->server_id,
-				     agent->connected_us))
+	if (task_holds_agent_settled(&agent->entry->dispatch.holds, agent->name,
+				     &agent->incarnation, agent->server_id, agent->connected_us)) {
+		agent->entry->agent_holds_changes++;
 		dispatch_holds_changed(&agent->entry->dispatch);
+	}
 }
 
 /* Begins a session in which the agent knows none of the runs that were ordered before. */
@@ -476,6 +478,8 @@
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
 			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us +
 				 RUNS_TRANSIT_MAX_US);
+	if (task_holds_agent_lost(&entry->dispatch.holds, &agent->incarnation))
+		dispatch_holds_changed(&entry->dispatch);
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
 	agent->was_overlapped = has_successor(agent);
--- a/packages/greengaged/src/node_holds.c
+++ b/packages/greengaged/src/node_holds.c
@@ -8,7 +8,7 @@
 
 enum {
 	/* Limit on the agents in one message. */
-	MAX_HOLDERS = 4096
+	MAX_HOLDERS = 1024
 };
 
 /* ---- sender ---- */
@@ -106,7 +106,7 @@
 	message->agent.data = g_memdup2(origin->process.bytes, IDENT_BYTES);
 	message->agent_name = g_strdup(origin->agent);
 	message->server = g_strdup(origin->server);
-	message->entry = g_strdup(origin->entry[0] ? origin->entry : origin->sender);
+	message->entry = g_strdup(hold_origin_entry(origin));
 	message->runs_left_ms = left_ms(runs_until_us, now_us);
 	message->starts_left_ms = left_ms(starts_until_us, now_us);
 }
@@ -209,7 +209,7 @@
 {
 	char own[IDENT_HEX_BYTES];
 
-	for (guint i = 0; i < node->passed_holds->len; i++) {
+	for (guint i = 0; node->passed_holds && i < node->passed_holds->len; i++) {
 		const struct passed_holds *passed = node->passed_holds->pdata[i];
 
 		if (passed->applied && strcmp(passed->sender, entry) == 0)
@@ -222,10 +222,25 @@
 static bool is_superseded(const struct node_entry *node, const Ggd__Holds *message)
 {
 	return message->agent.len != IDENT_BYTES || strlen(message->entry) >= IDENT_HEX_BYTES ||
-	       node_agent_links_is_connected(node, message->agent.data) ||
 	       is_heard(node, message->entry);
 }
 
+/* Returns whether MESSAGE, which is the word of a lost entry, is settled here or at its sender. */
+static bool is_settled(struct node_entry *node, const Ggd__Holds *message)
+{
+	struct task_holds *holds = &node->dispatch.holds;
+	struct ident process;
+
+	if (message->entry[0] == '\0')
+		return false;
+	memcpy(process.bytes, message->agent.data, IDENT_BYTES);
+	if (message->n_runs + message->n_starts > 0)
+		return task_holds_is_settled(holds, message->entry, &process);
+	/* The others pass it on, too. */
+	node->agent_holds_changes += task_holds_process_settled(holds, message->entry, &process);
+	return true;
+}
+
 static void limit(const struct passed_holds *passed, struct hold_source *source,
 		  const Ggd__Holds *message)
 {
@@ -255,10 +270,13 @@
 		};
 		struct holder *holder;
 
-		if (is_superseded(passed->entry, holds[i]))
+		if (is_superseded(passed->entry, holds[i]) || is_settled(passed->entry, holds[i]))
 			continue;
 		holder = find_or_add_holder(passed, holds[i]);
 		holder->named = true;
+		task_holds_set_connected(
+			&dispatch->holds, holder->source,
+			node_agent_links_is_connected(passed->entry, holds[i]->agent.data));
 		task_holds_replace(&dispatch->holds, holder->source, &tasks);
 		limit(passed, holder->source, holds[i]);
 	}
@@ -283,3 +301,16 @@
 	g_array_free(passed->holders, TRUE);
 	g_free(passed);
 }
+
+void passed_holds_apply_once(struct node_entry *entry, const struct ident *sender,
+			     Ggd__Holds *const *holds, size_t count)
+{
+	char text[IDENT_HEX_BYTES];
+	struct passed_holds *passed;
+
+	if (is_heard(entry, ident_format(sender, text)))
+		return;
+	passed = passed_holds_new(entry, sender);
+	passed_holds_apply(passed, holds, count);
+	passed_holds_abandon(passed);
+}
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -27,7 +27,12 @@
 	MAX_HEARTBEAT_MS = 500,
 	/* Retry interval for an address of this entry itself, or a second one of a connected entry.
 	 */
-	ALIAS_RETRY_MS = 10000
+	ALIAS_RETRY_MS = 10000,
+	/* Limit on the wait for the holds of other entries: an address at which nobody answers is
+	 * given up after 200 ms, and attempts are made every 50 ms. */
+	HOLDS_WAIT_MS = 250,
+	/* Before this time, the other entries may not be known yet. */
+	MIN_HOLDS_WAIT_MS = 50
 };
 
 /* An entry that this one connects to, at one address. */
@@ -36,6 +41,7 @@
 	char *address;
 	struct node_link *link;	  /* NULL while there is none */
 	bool connected;		  /* the hello message has been received on the link */
+	bool holds_awaited;	  /* it has not answered since node_peers_await_holds */
 	int64_t heard_us;	  /* when it was last heard on the last connection; 0 before */
 	int64_t lost_us;	  /* the same, if it does not answer since; else 0 */
 	struct ident incarnation; /* of the entry process last connected at this address */
@@ -164,7 +170,9 @@
 	g_array_free(reports, TRUE);
 }
 
-static void send_state(struct outgoing_peer *peer, bool config_wanted, int64_t now_us)
+/* Sends the state of this entry with its HOLDS, as node_holds_collect returns them. */
+static void send_state(struct outgoing_peer *peer, const GPtrArray *holds, bool config_wanted,
+		       int64_t now_us)
 {
 	struct node_entry *entry = peer->entry;
 	Ggd__Frame frame = GGD__FRAME__INIT;
@@ -172,7 +180,6 @@
 	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
 	GArray *completed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	GArray *failed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	GPtrArray *holds;
 	double core_us[PRIORITY_LEVELS];
 	uint64_t backlog[PRIORITY_LEVELS];
 	uint64_t sum = 0;
@@ -192,7 +199,6 @@
 	set_ended_jobs(peer, &state, completed, failed);
 	set_crashes(peer, &state);
 	set_suspects(peer, &state, now_us);
-	holds = node_holds_collect(entry);
 	state.holds = (Ggd__Holds **)holds->pdata;
 	state.n_holds = holds->len;
 	peer->last_holds_change = entry->agent_holds_changes;
@@ -211,10 +217,38 @@
 	g_free(state.suspect_shares);
 	g_array_free(completed, TRUE);
 	g_array_free(failed, TRUE);
-	g_ptr_array_free(holds, TRUE);
 	g_hash_table_destroy(counts);
 }
 
+static void send_state_now(struct outgoing_peer *peer, bool config_wanted)
+{
+	GPtrArray *holds = node_holds_collect(peer->entry);
+
+	send_state(peer, holds, config_wanted, peer->entry->loop.now_us);
+	g_ptr_array_free(holds, TRUE);
+}
+
+/* Sends a state to the connected entries that IS_DUE returns. */
+static void send_states(struct node_entry *entry,
+			bool (*is_due)(const struct outgoing_peer *peer, int64_t now_us),
+			int64_t now_us)
+{
+	GPtrArray *holds = NULL;
+
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+
+		if (!peer->connected || !is_due(peer, now_us))
+			continue;
+		/* Once for all: there may be dozens of entries. */
+		if (!holds)
+			holds = node_holds_collect(entry);
+		send_state(peer, holds, false, now_us);
+	}
+	if (holds)
+		g_ptr_array_free(holds, TRUE);
+}
+
 /* Sends the configuration over LINK, unless VERSION, which the requesting entry has, is at least as
  * high as this entry's version. */
 static void send_config(struct node_entry *entry, struct node_link *link, uint64_t version)
@@ -273,6 +307,40 @@
 	return false;
 }
 
+/* Ends the wait for the holds of the other entries if none is awaited any more. */
+static void check_holds_awaited(struct node_entry *entry)
+{
+	if (!entry->holds_awaited)
+		return;
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		const struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+
+		if (peer->holds_awaited)
+			return;
+	}
+	entry->holds_awaited = false;
+	dispatch_holds_known(&entry->dispatch);
+}
+
+/* Records that PEER has told its holds or can't be reached. */
+static void stop_awaiting_holds(struct outgoing_peer *peer)
+{
+	peer->holds_awaited = false;
+	check_holds_awaited(peer->entry);
+}
+
+void node_peers_await_holds(struct node_entry *entry)
+{
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+
+		peer->holds_awaited = peer->connected;
+	}
+	entry->holds_awaited = true;
+	entry->holds_awaited_since_us = entry->loop.now_us;
+	dispatch_await_holds(&entry->dispatch, entry->loop.now_us + HOLDS_WAIT_MS * US_PER_MS);
+}
+
 static bool on_outgoing_up(void *context, struct node_link *link, const Ggd__Hello *hello)
 {
 	struct outgoing_peer *peer = context;
@@ -282,6 +350,7 @@
 		/* Returning false closes this link without a call of `down`. */
 		peer->link = NULL;
 		peer->retry.next_attempt_us = peer->entry->loop.now_us + ALIAS_RETRY_MS * US_PER_MS;
+		stop_awaiting_holds(peer);
 		return false;
 	}
 	peer->connected = true;
@@ -291,22 +360,32 @@
 	peer->last_crash_sequence = 0;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", peer->address));
 	node_link_set_heartbeat(link, heartbeat_ms(peer->entry));
-	send_state(peer, claim_first_config_request(peer->entry), peer->entry->loop.now_us);
+	send_state_now(peer, claim_first_config_request(peer->entry));
 	return true;
 }
 
+static void handle_answer(struct outgoing_peer *peer, const Ggd__PeerState *state)
+{
+	for (size_t i = 0; i < state->n_entries; i++)
+		node_members_add(&peer->entry->members, state->entries[i], MEMBER_SOURCE_ENTRY);
+	passed_holds_apply_once(peer->entry, &peer->incarnation, state->holds, state->n_holds);
+	stop_awaiting_holds(peer);
+}
+
 static void on_outgoing_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
 {
 	struct outgoing_peer *peer = context;
 
 	handle_config_frame(peer->entry, link, frame, peer->address);
+	if (frame->body_case == GGD__FRAME__BODY_PEER && frame->peer->answer)
+		handle_answer(peer, frame->peer);
 }
 
 static void on_outgoing_heartbeat(void *context, struct node_link *link)
 {
 	struct outgoing_peer *peer = context;
 
-	send_state(peer, false, peer->entry->loop.now_us);
+	send_state_now(peer, false);
 }
 
 static void schedule_retry(struct outgoing_peer *peer, bool was_up)
@@ -330,6 +409,7 @@
 	peer->link = NULL;
 	peer->connected = false;
 	schedule_retry(peer, node_link_is_up(link));
+	stop_awaiting_holds(peer);
 }
 
 static const struct node_link_callbacks outgoing_callbacks = {
@@ -346,6 +426,7 @@
 
 	peer->entry = entry;
 	peer->address = g_strdup(address);
+	peer->holds_awaited = entry->holds_awaited;
 	node_retry_init(&peer->retry, entry->loop.now_us);
 	g_ptr_array_add(entry->outgoing_peers, peer);
 }
@@ -422,6 +503,35 @@
 	.down = on_incoming_down,
 };
 
+/* Tells an entry that has connected, which may have just started, what it must not start. */
+static void send_answer(struct node_entry *entry, struct node_link *link)
+{
+	GPtrArray *holds = node_holds_collect(entry);
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__PeerState state = GGD__PEER_STATE__INIT;
+	guint sent = 0;
+
+	state.answer = true;
+	state.holds = (Ggd__Holds **)holds->pdata;
+	state.n_holds = holds->len;
+	state.entries = node_members_unsent(&entry->members, &sent, &state.n_entries);
+	frame.body_case = GGD__FRAME__BODY_PEER;
+	frame.peer = &state;
+	node_link_send(link, &frame);
+	g_ptr_array_free(holds, TRUE);
+}
+
+/* Makes an attempt to connect to the entry at ADDRESS due, which is known to be back. */
+static void retry_now(struct node_entry *entry, const char *address)
+{
+	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
+		struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+
+		if (!peer->link && strcmp(peer->address, address) == 0)
+			peer->retry.next_attempt_us = entry->loop.now_us;
+	}
+}
+
 bool node_peers_link_up(struct node_entry *entry, struct node_link *link, const Ggd__Hello *hello)
 {
 	struct incoming_peer *peer = g_new0(struct incoming_peer, 1);
@@ -437,6 +547,8 @@
 	node_link_set_callbacks(link, &incoming_callbacks, peer);
 	node_link_set_heartbeat(link, heartbeat_ms(entry));
 	node_members_add(&entry->members, hello->address, MEMBER_SOURCE_ENTRY);
+	retry_now(entry, hello->address);
+	send_answer(entry, link);
 	return true;
 }
 
@@ -548,25 +660,29 @@
 			attempts--;
 			peer->link = node_link_connect(&entry->links, peer->address,
 						       &outgoing_callbacks, peer, &err);
-			if (!peer->link)
+			if (!peer->link) {
 				schedule_retry(peer, false);
-		} else if (peer->link && node_link_is_up(peer->link) &&
-			   is_state_due(peer, now_us)) {
-			send_state(peer, false, now_us);
+				stop_awaiting_holds(peer);
+			}
 		}
 	}
+	send_states(entry, is_state_due, now_us);
+	if (now_us >= entry->holds_awaited_since_us + HOLDS_WAIT_MS * US_PER_MS)
+		entry->holds_awaited = false; /* as in the dispatcher */
+	else if (now_us >= entry->holds_awaited_since_us + MIN_HOLDS_WAIT_MS * US_PER_MS)
+		check_holds_awaited(entry);
 	request_config_if_due(entry, now_us);
 	update_peer_backlog(entry, now_us);
 }
 
-void node_peers_tell_lost_agents(struct node_entry *entry, int64_t now_us)
+static bool has_lost_agents(const struct outgoing_peer *peer, int64_t now_us)
 {
-	for (guint i = 0; i < entry->outgoing_peers->len; i++) {
-		struct outgoing_peer *peer = entry->outgoing_peers->pdata[i];
+	return peer->last_lost_agents != peer->entry->lost_agents;
+}
 
-		if (peer->connected && peer->last_lost_agents != entry->lost_agents)
-			send_state(peer, false, now_us);
-	}
+void node_peers_tell_lost_agents(struct node_entry *entry, int64_t now_us)
+{
+	send_states(entry, has_lost_agents, now_us);
 }
 
 uint32_t node_peers_count_pending(const struct node_entry *entry, const char *queue)
