--- a/test/unit/session_world.h
+++ b/test/unit/session_world.h
@@ -702,21 +702,6 @@
 	}
 }
 
-/* Returns whether all other entries have told an entry what they hold, or refuse connections. */
-static inline bool holds_known(const struct world *world, uint32_t index)
-{
-	const struct simulation *sim = &world->sim;
-
-	for (uint32_t i = 0; i < sim->entry_count; i++) {
-		bool refused = !sim->entries[i].up && peer_reaches(world, i, index) &&
-			       peer_reaches(world, index, i);
-
-		if (i != index && !world->peers[index][i].holds && !refused)
-			return false;
-	}
-	return true;
-}
-
 /* In place of that of node_peers.c. */
 void node_peers_census(const struct node_entry *entry, int64_t silence_us,
 		       struct isolation_census *census)
@@ -772,6 +757,21 @@
 	simulation_schedule(entry->sim, entry->sim->now_us + PROBE_ANSWER_US, answer_probe, answer);
 }
 
+/* Returns whether all other entries have told an entry what they hold, or refuse connections. */
+static inline bool holds_known(const struct world *world, uint32_t index)
+{
+	const struct simulation *sim = &world->sim;
+
+	for (uint32_t i = 0; i < sim->entry_count; i++) {
+		bool refused = !sim->entries[i].up && peer_reaches(world, index, i) &&
+			       peer_reaches(world, i, index);
+
+		if (i != index && !world->peers[index][i].holds && !refused)
+			return false;
+	}
+	return true;
+}
+
 static inline void check_peers(struct world *world)
 {
 	struct simulation *sim = &world->sim;
