--- a/review/standin-2/deployment.sh
+++ b/review/standin-2/deployment.sh
@@ -148,8 +148,8 @@
 	sleep "${SETTLE_S:-4}"
 }
 
-job_body() { # TASKS ESTIMATE_MS
-	printf '{"spec":"hold","bestEffort":true,"phases":[{"count":%d,"cpu":3100,"memMb":64,"estMs":%d}]}' "$1" "$2"
+job_body() { # TASKS ESTIMATE_MS [CPU]
+	printf '{"spec":"hold","bestEffort":true,"phases":[{"count":%d,"cpu":%d,"memMb":64,"estMs":%d}]}' "$1" "${3:-3100}" "$2"
 }
 
 # Submits job ID to entry N as a client that waits for 1,500 ms, and notes the answer.
