The agent does not take runs for over by time in which it stood still

Cause, the agent's part: it takes a run for over when the last lease has expired by its own clock. When the agent and its server stand still together and only the server's clock does so as well, time has passed here in which nothing expired there. runs_tick then ended the run, which released its task.

Change: runs_paused moves the end of the leases and of starts in transit by the time that this process has not run, which the tick of the backend finds from its own gaps (over 60 ms for a period of 50 ms). A real suspension stops this clock, too, and moves nothing.

Evidence: runs_test lease_after_pause and transit_after_pause fail without it.

--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -254,6 +254,10 @@
  */
 void runs_server_suspected(struct runs *runs, int64_t now_us);
 
+/* Records that this process has not run for GAP_US by its own clock. The server may have stood
+ * still as well, so that nothing has expired there meanwhile. Call it before runs_tick. */
+void runs_paused(struct runs *runs, int64_t gap_us);
+
 /* Records that another process of the server has answered. The runs of the old one are over, with
  * the outcomes that runs_server_suspected describes; those that were being stopped end as RUN_LOST.
  * The new process may be the one that has confirmed a start since the last lists of the old one, so
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -814,6 +814,20 @@
 		bound_unanswered_leases(runs, now_us);
 }
 
+void runs_paused(struct runs *runs, int64_t gap_us)
+{
+	uint32_t cursor = 0;
+	struct run *run;
+
+	runs->latest_lease_expiry_us += gap_us;
+	runs->unanswered_since_us += gap_us;
+	runs->unanswered_us += gap_us;
+	while ((run = table_next(&runs->table, &cursor, NULL))) {
+		if (run->settle_by_us > 0)
+			run->settle_by_us += gap_us;
+	}
+}
+
 /* Returns when all runs at the server have certainly ended without a new lease. */
 static int64_t leases_end_us(const struct runs *runs)
 {
--- a/packages/greengaged/src/agent_backend.c
+++ b/packages/greengaged/src/agent_backend.c
@@ -6,6 +6,8 @@
 
 enum {
 	TICK_MS = 50,
+	/* With a longer time between two ticks, this process has not run meanwhile. */
+	MAX_TICK_GAP_MS = TICK_MS + 10,
 	ORDER_CONNECTIONS = 8, /* an unanswered order occupies a connection until its timeout */
 	HOLD_CONNECTIONS = 4,
 	CLIENT_IDLE_LIMIT_MS = 10000,
@@ -549,6 +551,9 @@
 	struct backend *backend = context;
 	bool busy = table_count(&backend->runs.table) > 0;
 
+	if (now_us - backend->ticked_us > MAX_TICK_GAP_MS * US_PER_MS)
+		runs_paused(&backend->runs, now_us - backend->ticked_us - TICK_MS * US_PER_MS);
+	backend->ticked_us = now_us;
 	runs_tick(&backend->runs, now_us);
 	log_health_change(backend);
 	if (busy && backend->long_polls < BUSY_LONG_POLLS && backend->reachable)
@@ -755,6 +760,7 @@
 	enum status status;
 
 	backend->lease_ms = node_settings_run_lease_ms(backend->settings);
+	backend->ticked_us = backend->loop->now_us;
 	init_runs(backend);
 	/* The epoch must increase from one incarnation of the agent to the next. The wall clock
 	 * does so unless it is set back. In that case the server rejects the epoch, and
--- a/packages/greengaged/src/agent_backend.h
+++ b/packages/greengaged/src/agent_backend.h
@@ -38,6 +38,7 @@
 	uint32_t replacements;		    /* processes of the server that were replaced */
 	bool reachable;			    /* the server answers holds */
 	bool lists_applied;		    /* run lists of the current incarnation were applied */
+	int64_t ticked_us;		    /* time of the last tick */
 	int64_t lease_ms;
 	int64_t lease_sent_us;	   /* time of the last call that contained one */
 	int64_t lists_received_us; /* time when valid run lists were last received */
--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -618,6 +618,48 @@
 	tear_down(&fixture);
 }
 
+/* Guards against a run that counts as over with its lease although the server, like the agent, has
+ * stood still and the lease has not run out there. */
+static void test_lease_after_pause(void)
+{
+	enum {
+		PAUSE_US = 3000000
+	};
+	int64_t expiry_us = LEASE_US + LEASE_US / 50 + 60000;
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	send_lease(&fixture, 1000);
+	runs_paused(&fixture.runs, PAUSE_US);
+	runs_tick(&fixture.runs, 1000 + expiry_us);
+	check_outcomes(&fixture, 0, 0);
+	runs_tick(&fixture.runs, 1000 + PAUSE_US + LEASE_US);
+	check_outcomes(&fixture, 0, 0);
+	runs_tick(&fixture.runs, 1000 + PAUSE_US + expiry_us);
+	check_outcomes(&fixture, 1, RUN_LOST);
+	tear_down(&fixture);
+}
+
+/* Guards against a start that counts as out of transit after a pause of the agent and the server.
+ */
+static void test_transit_after_pause(void)
+{
+	enum {
+		PAUSE_US = 3000000
+	};
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_UNANSWERED, 1000);
+	runs_paused(&fixture.runs, PAUSE_US);
+	runs_tick(&fixture.runs, 1000 + TRANSIT_MAX_US + LEASE_US + LEASE_US / 50 + 60000);
+	check_outcomes(&fixture, 0, 0);
+	tear_down(&fixture);
+}
+
 /* Guards against a run that counts as over with the lease while a call that got no answer may still
  * extend that: the call may be carried out late, unless it was overtaken by one with a higher
  * epoch.
@@ -1335,6 +1377,8 @@
 	g_test_add_func("/runs/start_answered_by_new_process", test_start_answered_by_new_process);
 	g_test_add_func("/runs/transit_ends", test_transit_ends);
 	g_test_add_func("/runs/lease", test_lease);
+	g_test_add_func("/runs/lease_after_pause", test_lease_after_pause);
+	g_test_add_func("/runs/transit_after_pause", test_transit_after_pause);
 	g_test_add_func("/runs/waiting", test_waiting);
 	g_test_add_func("/runs/waited_too_long", test_waited_too_long);
 	g_test_add_func("/runs/leaving", test_leaving);
