An agent that wakes up sends its stops on the connections that it keeps

Cause: on_freeze stopped the runs of the entries that count as lost, and then closed the connections to the server on which these stops were queued. They were sent again by the next tick.

Change: the connections are closed first.

Not shown in the stand-in of this repository: a server that carries out what it has read stops the runs within 3 ms either way, and two forms of a test with stops that take time did not tell the versions apart (12 to 28 ms either way). So there is no test of the order alone.

--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -423,6 +423,8 @@
 	struct node_agent *agent = context;
 
 	event_log(EVENT_PROCESS_FROZEN, EV_I("gap_ms", gap_us / US_PER_MS));
+	/* First, as the stops of abandoned runs are to go out on the next connections. */
+	backend_close_connections(&agent->backend);
 	owners_abandon_silent(&agent->owners);
 	/* Orders buffered in the connections may be out of date, because other entries may have
 	 * replaced their owners meanwhile. Closing the links discards them. */
@@ -435,7 +437,6 @@
 		on_down(endpoint, endpoint->link, "this process was frozen");
 		endpoint->retry.next_attempt_us = 0;
 	}
-	backend_close_connections(&agent->backend);
 }
 
 static void on_terminate(void *context)
