--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -3,10 +3,11 @@
  * their tasks at backend servers, retries and refusals.
  *
  * A run is one attempt to execute a task at a backend server. It is started by an order to the
- * server's agent. A run is settled once the agent has reported its end, or once so much time has
- * passed that the run cannot exist any more. A task has at most one unsettled run at a time: the
- * next run is ordered only after the previous one is settled. All state is in memory: if the owning
- * entry dies, its jobs are lost and the agents stop their runs.
+ * server's agent. A run is settled once the agent has reported its end, or a later process of the
+ * agent has found nothing of it at the server. Time proves nothing: a server whose host is
+ * suspended goes on with its runs and their leases when it wakes up. A task has at most one
+ * unsettled run at a time: the next run is ordered only after the previous one is settled. All
+ * state is in memory: if the owning entry dies, its jobs are lost and the agents stop their runs.
  */
 #ifndef GG_DISPATCH_H
 #define GG_DISPATCH_H
@@ -99,10 +100,13 @@
 
 struct dispatch_limits {
 	uint32_t max_jobs;
-	/* When the agent of a server has been disconnected for this long, the server certainly has
-	 * no run of this entry any more that it had confirmed by the agent's last report. The
-	 * others may start until RUNS_TRANSIT_MAX_US later. */
+	/* An agent that runs has settled the runs of an entry that it has lost after this time. */
 	int64_t settle_timeout_us;
+	/* The same, or it has told that it holds them. */
+	int64_t hold_timeout_us;
+	/* When the agent of a server has been disconnected for this long, its host counts as
+	 * removed for good, and the runs at the server as over. */
+	int64_t host_return_us;
 	/* After a start or a freeze of this process, jobs may wait this long for agents to connect.
 	 */
 	int64_t connect_time_us;
@@ -157,13 +161,9 @@
 void dispatch_server_report(struct dispatch *dispatch, struct handle server,
 			    const struct fleet_report *report, int64_t now_us);
 
-/* Records that the server carries out no start of a disconnected agent any more: a later process of
- * the agent has called it. The runs are settled by time alone. */
-void dispatch_server_starts_voided(struct dispatch *dispatch, struct handle server);
-
-/* Marks a server whose agent has disconnected from this entry. Its runs are kept until
- * settle_timeout_us has passed, as the agent may reconnect. A server without runs is removed at
- * once. */
+/* Marks a server whose agent has disconnected from this entry. Its runs are kept until the agent or
+ * a later process of it has told of them, or host_return_us has passed. A server without runs is
+ * removed at once. */
 void dispatch_server_disconnected(struct dispatch *dispatch, struct handle server, int64_t now_us);
 
 /*
@@ -181,13 +181,18 @@
  * process has settled the runs that it found at the server. */
 void dispatch_server_settled(struct dispatch *dispatch, struct handle server, int64_t now_us);
 
-/* Calls VISIT for each task with an unsettled run at SERVER. START tells whether its start may not
+/* Calls VISIT for each task with an unsettled run at SERVER that was requested to stop at
+ * STOP_SINCE_US or before; all of them if that is INT64_MAX. START tells whether its start may not
  * have been answered, and may be carried out late. */
 void dispatch_foreach_unsettled(const struct dispatch *dispatch, struct handle server,
+				int64_t stop_since_us,
 				void (*visit)(void *context, const char *job, uint32_t step,
 					      uint32_t index, bool start),
 				void *context);
 
+/* Returns whether any unsettled run was requested to stop at SINCE_US or before. */
+bool dispatch_has_overdue_stops(const struct dispatch *dispatch, int64_t since_us);
+
 /* Returns whether run NUMBER is known and was ordered at SERVER. */
 bool dispatch_run_is_on(const struct dispatch *dispatch, uint64_t number, struct handle server);
 
@@ -220,8 +225,8 @@
  * once per iteration of the event loop. */
 void dispatch_pump(struct dispatch *dispatch, int64_t now_us);
 
-/* Enforces deadlines and settles servers whose agents have been disconnected too long. Call every
- * few milliseconds. */
+/* Enforces deadlines, refuses jobs that wait for hosts which are not heard, and settles servers
+ * whose hosts count as removed. Call every few milliseconds. */
 void dispatch_tick(struct dispatch *dispatch, int64_t now_us);
 
 /* Lets jobs wait for agents that are about to connect. Call after the start of this process, and
--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -31,7 +31,6 @@
 	int64_t speed_changed_us; /* when reported_speed last changed */
 	uint32_t runs;		  /* number of runs of this entry */
 	uint64_t settled_orders;  /* as last reported on this connection; 0 before */
-	bool settled_by_time;	  /* disconnected, and only starts in transit are unsettled */
 	int64_t reported_us;
 	GQueue orders; /* struct fleet_order *, sent but not yet included in a report */
 };
--- a/packages/core/include/task_holds.h
+++ b/packages/core/include/task_holds.h
@@ -19,6 +19,13 @@
 /* An agent, or an agent whose holds another entry has passed on. */
 struct hold_source;
 
+/* What an agent that another entry has told of says here. */
+enum agent_word {
+	AGENT_WORD_NONE,    /* nothing */
+	AGENT_WORD_PENDING, /* it may not have given up yet what that entry had ordered from it */
+	AGENT_WORD_FINAL    /* it tells itself which tasks are held */
+};
+
 /* Where holds that were passed on come from. */
 struct hold_origin {
 	const char *sender; /* the entry process that has passed them on */
@@ -59,19 +66,37 @@
 						 const struct hold_origin *origin);
 void task_holds_remove_source(struct task_holds *holds, struct hold_source *source);
 
-/* Makes the tasks of SOURCE not held, although it keeps them, while its agent is CONNECTED here and
- * speaks for itself. To be called before the tasks are replaced. */
-void task_holds_set_connected(struct task_holds *holds, struct hold_source *source, bool connected);
+/* Records the WORD of the agent of SOURCE. While that is AGENT_WORD_FINAL, the tasks are kept, but
+ * not held. To be called before the tasks are replaced. */
+void task_holds_set_word(struct task_holds *holds, struct hold_source *source,
+			 enum agent_word word);
+
+/* Records that PROCESS of an agent is heard here, for the abandoned sources. It speaks for those
+ * that were lost at SINCE_US or before, as it has given up the runs by now. Returns whether that
+ * has changed what is held. */
+bool task_holds_agent_heard(struct task_holds *holds, const struct ident *process,
+			    int64_t since_us);
+
+/* Holds the tasks of all sources for PROCESS of an agent, which is not connected here any more
+ * since LOST_US. Returns whether there were any. */
+bool task_holds_agent_lost(struct task_holds *holds, const struct ident *process, int64_t lost_us);
+
+/* Records that the agent of SOURCE has not been heard since LOST_US, or is heard if that is 0. */
+void task_holds_set_lost(struct hold_source *source, int64_t lost_us);
+
+/* Returns since when the agent of SOURCE has not been heard, or 0. */
+int64_t task_holds_lost_us(const struct hold_source *source);
 
-/* Holds the tasks of all sources for PROCESS of an agent, which is not connected here any more.
- * Returns whether there were any. */
-bool task_holds_agent_lost(struct task_holds *holds, const struct ident *process);
+/* Returns whether a task of JOB for which IS_WANTED returns true is held for an agent that is not
+ * heard, since SINCE_US or longer: nobody can say when the task will be released. */
+bool task_holds_await_lost_agent(const struct task_holds *holds, const char *job, int64_t since_us,
+				 bool (*is_wanted)(const void *context, uint32_t index),
+				 const void *context);
 
-/* Limits what SOURCE holds as task_holds_limit, and frees it when it holds nothing any more, or
- * when its agent is still connected at RUNS_UNTIL_US: that one has settled the runs by then, or
- * holds them itself. */
+/* Keeps what SOURCE holds until UNTIL_US, as its sender is lost, too, since LOST_US, and frees it
+ * when it holds nothing any more. */
 void task_holds_abandon_source(struct task_holds *holds, struct hold_source *source,
-			       int64_t runs_until_us, int64_t starts_until_us);
+			       int64_t lost_us, int64_t until_us);
 
 /* Removes the abandoned sources that SENDER has passed on, which is back and names them again.
  * Returns whether they held any tasks. */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -25,6 +25,9 @@
 	/* The end of the connection of a client that has left follows its request within a round
 	 * trip. */
 	LATE_REQUEST_WAIT_US = 20 * US_PER_MS,
+	/* An agent whose connection has failed dials again after 50 ms, and gives the attempt up
+	 * after 200 ms. */
+	RECONNECT_GRACE_US = 250 * US_PER_MS,
 	DEMAND_DECAY_US =
 		5 * US_PER_SECOND, /* time in which the demand of a queue decays to 37 % */
 	/* Delay before tasks refused for lack of room are sent to full servers again. On a full
@@ -169,19 +172,20 @@
 	dispatch->pump_needed = true;
 }
 
-static void stop_run(struct dispatch *dispatch, struct handle handle, struct run_row *run)
+static void stop_run(struct dispatch *dispatch, struct handle handle, struct run_row *run,
+		     int64_t now_us)
 {
 	struct fleet_server *server = fleet_get(&dispatch->fleet, run->server);
 
-	if (run->stop_requested)
+	if (run->stop_requested_us > 0)
 		return;
-	run->stop_requested = true;
+	run->stop_requested_us = now_us;
 	if (server && server->link)
 		dispatch->callbacks.stop_run(dispatch->callbacks.context, server->link,
 					     handle_pack(handle));
 }
 
-static void stop_runs(struct dispatch *dispatch, struct job *job)
+static void stop_runs(struct dispatch *dispatch, struct job *job, int64_t now_us)
 {
 	for (uint32_t i = 0; i < job->task_count; i++) {
 		struct run_row *run;
@@ -190,7 +194,7 @@
 			continue;
 		run = table_get(&dispatch->runs, job->tasks[i].run);
 		if (run)
-			stop_run(dispatch, job->tasks[i].run, run);
+			stop_run(dispatch, job->tasks[i].run, run, now_us);
 	}
 }
 
@@ -201,7 +205,7 @@
 
 	job->finished = true;
 	dispatch_dequeue(dispatch, job);
-	stop_runs(dispatch, job);
+	stop_runs(dispatch, job, now_us);
 	end->elapsed_us = now_us - job->arrived_us;
 	end->objective_us = job->objective_at_us - job->arrived_us;
 	if (job->order_count > 0) {
@@ -421,16 +425,6 @@
 		dispatch->pump_needed = true;
 }
 
-void dispatch_server_starts_voided(struct dispatch *dispatch, struct handle handle)
-{
-	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
-
-	if (!server)
-		return;
-	server->settled_orders = UINT64_MAX;
-	server->settled_by_time = false;
-}
-
 void dispatch_server_disconnected(struct dispatch *dispatch, struct handle handle, int64_t now_us)
 {
 	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
@@ -476,7 +470,6 @@
 
 	server->link = link;
 	server->settled_orders = 0;
-	server->settled_by_time = false;
 	/* The agent numbers the orders of each connection from 1, so its reports no longer refer to
 	 * the numbers of earlier orders. */
 	g_queue_clear_full(&server->orders, g_free);
@@ -490,7 +483,7 @@
 		if (!handle_equal(run->server, handle))
 			continue;
 		run->order = 0;
-		if (run->stop_requested)
+		if (run->stop_requested_us > 0)
 			dispatch->callbacks.stop_run(dispatch->callbacks.context, link,
 						     handle_pack(run_handle));
 	}
@@ -573,7 +566,13 @@
 	requeue(dispatch, job, task);
 }
 
+static bool should_have_stopped(const struct run_row *run, int64_t since_us)
+{
+	return run->stop_requested_us > 0 && run->stop_requested_us <= since_us;
+}
+
 void dispatch_foreach_unsettled(const struct dispatch *dispatch, struct handle handle,
+				int64_t stop_since_us,
 				void (*visit)(void *context, const char *job, uint32_t step,
 					      uint32_t index, bool start),
 				void *context)
@@ -587,7 +586,8 @@
 	while ((run = table_next(&dispatch->runs, &cursor, NULL))) {
 		const struct job *job;
 
-		if (!handle_equal(run->server, handle))
+		if (!handle_equal(run->server, handle) ||
+		    (stop_since_us != INT64_MAX && !should_have_stopped(run, stop_since_us)))
 			continue;
 		job = dispatch_find(dispatch, run->job);
 		visit(context, job->id, job->step, run->index,
@@ -595,6 +595,18 @@
 	}
 }
 
+bool dispatch_has_overdue_stops(const struct dispatch *dispatch, int64_t since_us)
+{
+	uint32_t cursor = 0;
+	const struct run_row *run;
+
+	while ((run = table_next(&dispatch->runs, &cursor, NULL))) {
+		if (should_have_stopped(run, since_us))
+			return true;
+	}
+	return false;
+}
+
 bool dispatch_run_is_on(const struct dispatch *dispatch, uint64_t number, struct handle server)
 {
 	const struct run_row *run = table_get(&dispatch->runs, handle_unpack(number));
@@ -661,7 +673,7 @@
 	struct fleet_totals sum;
 	int64_t here_us, elsewhere_us;
 
-	if (!dispatch->policy.move_runs || !job || job->finished || run->stop_requested ||
+	if (!dispatch->policy.move_runs || !job || job->finished || run->stop_requested_us > 0 ||
 	    job->tasks[run->index].moves >= MAX_MOVES)
 		return;
 	fleet_normalize_speeds(&dispatch->fleet);
@@ -691,7 +703,7 @@
 		return;
 	run->restart_elsewhere = true;
 	job->tasks[run->index].moves++;
-	stop_run(dispatch, handle, run);
+	stop_run(dispatch, handle, run, now_us);
 }
 
 void dispatch_set_peer_backlog(struct dispatch *dispatch, const double core_us[PRIORITY_LEVELS])
@@ -715,26 +727,55 @@
 	dispatch->pump_needed = true;
 }
 
-/* Settles the runs at a SERVER whose agent is disconnected, as far as time allows. Time does not
- * prove that a start has not been carried out that the agent may have had no answer to. */
-static void settle_by_time(struct dispatch *dispatch, struct handle handle,
-			   struct fleet_server *server, int64_t now_us)
+/* Returns whether the server of RUN has not been heard since SINCE_US or longer. */
+static bool is_at_lost_host(const struct dispatch *dispatch, const struct run_row *run,
+			    int64_t since_us)
 {
-	int64_t age_us = now_us - server->reported_us - dispatch->limits.settle_timeout_us;
-	uint64_t settled_orders = server->settled_orders;
-	uint32_t cursor = 0;
-	struct handle run_handle;
-	const struct run_row *run;
+	const struct fleet_server *server = fleet_get(&dispatch->fleet, run->server);
 
-	if (age_us > RUNS_TRANSIT_MAX_US)
-		dispatch_server_settled(dispatch, handle, now_us);
-	if (age_us <= 0 || age_us > RUNS_TRANSIT_MAX_US || server->settled_by_time)
-		return;
-	server->settled_by_time = true;
-	while ((run = table_next(&dispatch->runs, &cursor, &run_handle))) {
-		if (handle_equal(run->server, handle) && run->order < settled_orders)
-			dispatch_run_ended(dispatch, handle_pack(run_handle), RUN_LOST, 0, now_us);
+	return server && !server->link && server->reported_us <= since_us;
+}
+
+/* Returns whether a run of JOB, which has ended, may go on at a host that has not been heard since
+ * SINCE_US or longer. */
+static bool has_run_at_lost_host(const struct dispatch *dispatch, const struct job *job,
+				 int64_t since_us)
+{
+	for (uint32_t i = 0; i < job->task_count; i++) {
+		const struct run_row *run;
+
+		if (job->tasks[i].phase != TASK_SENT)
+			continue;
+		run = table_get(&dispatch->runs, job->tasks[i].run);
+		if (run && is_at_lost_host(dispatch, run, since_us))
+			return true;
 	}
+	return false;
+}
+
+static bool is_queued(const void *context, uint32_t index)
+{
+	const struct job *job = context;
+
+	return index < job->task_count && job->tasks[index].phase == TASK_QUEUED;
+}
+
+/*
+ * Returns whether a task of JOB can't start because an earlier submission's run may go on at a host
+ * that is not heard.
+ *
+ * Load pattern: a host is suspended or cut off for seconds, or removed, and the clients of its jobs
+ * send them again. Nobody knows when their tasks may start, so their clients are told at once.
+ */
+static bool awaits_lost_host(const struct dispatch *dispatch, const struct job *job, int64_t now_us)
+{
+	const struct job *predecessor = dispatch_find(dispatch, job->predecessor);
+	int64_t since_us = now_us - RECONNECT_GRACE_US;
+
+	if (predecessor && has_run_at_lost_host(dispatch, predecessor, since_us))
+		return true;
+	return job->held &&
+	       task_holds_await_lost_agent(&dispatch->holds, job->id, since_us, is_queued, job);
 }
 
 void dispatch_tick(struct dispatch *dispatch, int64_t now_us)
@@ -752,11 +793,15 @@
 		else if (now_us >= (*row)->deadline_us)
 			end_job(dispatch, *row, STATUS_DEADLINE_PASSED, "the deadline has passed",
 				now_us);
+		else if (awaits_lost_host(dispatch, *row, now_us))
+			end_job(dispatch, *row, STATUS_AGENT_LOST,
+				"an earlier run of a task may go on at a host that does not answer",
+				now_us);
 	}
 	cursor = 0;
 	while ((server = table_next(&dispatch->fleet.servers, &cursor, &handle))) {
-		if (!server->link)
-			settle_by_time(dispatch, handle, server, now_us);
+		if (!server->link && now_us - server->reported_us > dispatch->limits.host_return_us)
+			dispatch_server_settled(dispatch, handle, now_us);
 	}
 	if (task_holds_expire(&dispatch->holds, now_us))
 		dispatch_holds_changed(dispatch);
@@ -815,7 +860,7 @@
 	while ((run = table_next(&dispatch->runs, &cursor, NULL))) {
 		const struct fleet_server *server = fleet_get(&dispatch->fleet, run->server);
 
-		if (run->stop_requested && server && server->link)
+		if (run->stop_requested_us > 0 && server && server->link)
 			return true;
 	}
 	return false;
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -78,9 +78,9 @@
 	struct handle job;
 	uint32_t index;
 	struct handle server;
-	uint64_t order; /* its number on the present connection; 0: on an earlier one */
-	bool stop_requested;
-	bool restart_elsewhere; /* stopped because another server is expected to be faster */
+	uint64_t order;		   /* its number on the present connection; 0: on an earlier one */
+	int64_t stop_requested_us; /* 0: it is not to stop */
+	bool restart_elsewhere;	   /* stopped because another server is expected to be faster */
 };
 
 /* Returns the record of a queue, which is created on first use and kept until dispatch_free. */
--- a/packages/core/src/task_holds.c
+++ b/packages/core/src/task_holds.c
@@ -18,7 +18,8 @@
 struct hold_source {
 	struct hold_set runs;
 	struct hold_set starts;
-	bool connected;		   /* its agent is; the tasks are not held */
+	int64_t lost_us;	   /* since when its agent has not been heard; 0: it is heard */
+	enum agent_word word;	   /* of its agent */
 	bool removed;		   /* freed once it holds nothing any more */
 	bool settled;		   /* freed only when its time limits have passed */
 	struct hold_origin origin; /* with strings of its own; NULL if it was not passed on */
@@ -135,7 +136,7 @@
 static void release(struct task_holds *holds, const struct hold_source *source,
 		    struct hold_set *set)
 {
-	if (!source->connected)
+	if (source->word != AGENT_WORD_FINAL)
 		count_set(holds, set, false);
 	g_ptr_array_set_size(set->tasks, 0);
 }
@@ -161,7 +162,7 @@
 	release(holds, source, set);
 	for (size_t i = 0; i < count; i++)
 		g_ptr_array_add(set->tasks, g_strdup(names[i]));
-	if (!source->connected)
+	if (source->word != AGENT_WORD_FINAL)
 		count_set(holds, set, true);
 }
 
@@ -179,36 +180,106 @@
 	free_source(source);
 }
 
-void task_holds_set_connected(struct task_holds *holds, struct hold_source *source, bool connected)
+void task_holds_set_word(struct task_holds *holds, struct hold_source *source, enum agent_word word)
 {
-	if (source->connected == connected)
+	bool was_held = source->word != AGENT_WORD_FINAL;
+	bool is_held = word != AGENT_WORD_FINAL;
+
+	source->word = word;
+	if (was_held == is_held)
 		return;
-	count_set(holds, &source->runs, !connected);
-	count_set(holds, &source->starts, !connected);
-	source->connected = connected;
+	count_set(holds, &source->runs, is_held);
+	count_set(holds, &source->starts, is_held);
+}
+
+void task_holds_set_lost(struct hold_source *source, int64_t lost_us)
+{
+	source->lost_us = lost_us;
+}
+
+int64_t task_holds_lost_us(const struct hold_source *source)
+{
+	return source->lost_us;
 }
 
-bool task_holds_agent_lost(struct task_holds *holds, const struct ident *process)
+/* Returns whether SET has a task of JOB for which IS_WANTED returns true. */
+static bool has_wanted_task(const struct hold_set *set, const char *job,
+			    bool (*is_wanted)(const void *context, uint32_t index),
+			    const void *context)
+{
+	size_t length = strlen(job);
+	gpointer index;
+
+	for (guint i = 0; i < set->tasks->len; i++) {
+		const char *name = set->tasks->pdata[i];
+
+		if (strncmp(name, job, length) == 0 && name[length] == '.' &&
+		    parse_index(name, &index) && is_wanted(context, GPOINTER_TO_UINT(index)))
+			return true;
+	}
+	return false;
+}
+
+bool task_holds_await_lost_agent(const struct task_holds *holds, const char *job, int64_t since_us,
+				 bool (*is_wanted)(const void *context, uint32_t index),
+				 const void *context)
+{
+	for (guint i = 0; i < holds->sources->len; i++) {
+		const struct hold_source *source = holds->sources->pdata[i];
+
+		if (source->word != AGENT_WORD_NONE || source->lost_us == 0 ||
+		    source->lost_us > since_us)
+			continue;
+		if (has_wanted_task(&source->runs, job, is_wanted, context) ||
+		    has_wanted_task(&source->starts, job, is_wanted, context))
+			return true;
+	}
+	return false;
+}
+
+bool task_holds_agent_heard(struct task_holds *holds, const struct ident *process, int64_t since_us)
+{
+	uint64_t changes = holds->changes;
+
+	for (guint i = 0; holds->abandoned > 0 && i < holds->sources->len; i++) {
+		struct hold_source *source = holds->sources->pdata[i];
+
+		if (source->removed && source->word != AGENT_WORD_FINAL &&
+		    ident_equal(&source->origin.process, process))
+			task_holds_set_word(holds, source,
+					    source->lost_us <= since_us ? AGENT_WORD_FINAL
+									: AGENT_WORD_PENDING);
+	}
+	return holds->changes != changes;
+}
+
+bool task_holds_agent_lost(struct task_holds *holds, const struct ident *process, int64_t lost_us)
 {
 	uint64_t changes = holds->changes;
 
 	for (guint i = 0; i < holds->sources->len; i++) {
 		struct hold_source *source = holds->sources->pdata[i];
 
-		if (ident_equal(&source->origin.process, process))
-			task_holds_set_connected(holds, source, false);
+		if (!ident_equal(&source->origin.process, process))
+			continue;
+		task_holds_set_word(holds, source, AGENT_WORD_NONE);
+		/* While its sender is linked, that one knows whether it hears the agent. */
+		if (source->removed)
+			source->lost_us = lost_us;
 	}
 	return holds->changes != changes;
 }
 
 void task_holds_abandon_source(struct task_holds *holds, struct hold_source *source,
-			       int64_t runs_until_us, int64_t starts_until_us)
+			       int64_t lost_us, int64_t until_us)
 {
 	if (task_holds_count(source) == 0) {
 		task_holds_remove_source(holds, source);
 		return;
 	}
-	task_holds_limit(source, runs_until_us, starts_until_us);
+	task_holds_limit(source, until_us, until_us);
+	if (source->lost_us == 0)
+		source->lost_us = lost_us;
 	source->removed = true;
 	holds->abandoned++;
 }
@@ -255,9 +326,7 @@
 		    g_strcmp0(source->origin.server, server) != 0)
 			continue;
 		/* A process that has not ended speaks for itself only while it is connected. */
-		if (ident_equal(&source->origin.process, process))
-			task_holds_remove_source(holds, source);
-		else
+		if (!ident_equal(&source->origin.process, process))
 			settle(holds, source);
 	}
 	return holds->changes != changes;
@@ -329,8 +398,7 @@
 
 		if (now_us > source->runs.until_us)
 			release(holds, source, &source->runs);
-		if (now_us > source->starts.until_us ||
-		    (source->connected && now_us > source->runs.until_us))
+		if (now_us > source->starts.until_us)
 			release(holds, source, &source->starts);
 		if (is_over(source, now_us))
 			task_holds_remove_source(holds, source);
@@ -370,7 +438,7 @@
 	for (guint i = 0; i < holds->sources->len; i++) {
 		const struct hold_source *source = holds->sources->pdata[i];
 
-		if (source->removed && source->origin.sender && !source->connected)
+		if (source->removed && source->origin.sender && source->word != AGENT_WORD_FINAL)
 			visit(context, &source->origin, source);
 	}
 }
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -133,10 +133,8 @@
 		return false;
 	/* A process that has not ended needs this time to give up its runs. */
 	if (predecessor->was_overlapped &&
-	    now_us <= predecessor->disconnected_us + dispatch->limits.settle_timeout_us) {
-		dispatch_server_starts_voided(dispatch, predecessor->server);
+	    now_us <= predecessor->disconnected_us + dispatch->limits.settle_timeout_us)
 		return false;
-	}
 	dispatch_server_settled(dispatch, predecessor->server, now_us);
 	dispatch_server_settled(dispatch, predecessor->former_server, now_us);
 	remove_agent(agent->entry, predecessor);
@@ -287,6 +285,7 @@
 		.start_count = holds->n_starts,
 	};
 
+	task_holds_set_lost(agent->holds, 0);
 	if (!task_holds_replace(&dispatch->holds, agent->holds, &tasks))
 		return;
 	agent->entry->agent_holds_changes++;
@@ -328,6 +327,9 @@
 				(int64_t)report->late[i]->elapsed_ms * US_PER_MS, now_us);
 	}
 	settle_former_servers(agent, report->room, now_us);
+	if (task_holds_agent_heard(&dispatch->holds, &agent->incarnation,
+				   now_us - dispatch->limits.hold_timeout_us))
+		dispatch_holds_changed(dispatch);
 }
 
 /* Handles the configuration that an agent has read for this entry. */
@@ -467,18 +469,17 @@
 {
 	struct node_entry *entry = agent->entry;
 	int64_t heard_us = node_link_last_received_us(agent->link);
-	int64_t silent_us = entry->loop.now_us - heard_us;
+	int64_t now_us = entry->loop.now_us;
+	int64_t until_us = now_us + entry->dispatch.limits.host_return_us;
 
 	event_log(EVENT_CHANNEL_LOST, EV_S("agent", agent->name), EV_S("reason", reason),
-		  EV_I("silent_ms", silent_us / US_PER_MS));
+		  EV_I("silent_ms", (now_us - heard_us) / US_PER_MS));
 	agent->lost_us = node_link_was_silent(agent->link) ? heard_us : 0;
 	agent->abandon = false;
 	agent->link = NULL;
-	task_holds_limit(agent->holds,
-			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us,
-			 entry->loop.now_us + entry->dispatch.limits.settle_timeout_us +
-				 RUNS_TRANSIT_MAX_US);
-	if (task_holds_agent_lost(&entry->dispatch.holds, &agent->incarnation))
+	task_holds_limit(agent->holds, until_us, until_us);
+	task_holds_set_lost(agent->holds, now_us);
+	if (task_holds_agent_lost(&entry->dispatch.holds, &agent->incarnation, now_us))
 		dispatch_holds_changed(&entry->dispatch);
 	g_ptr_array_set_size(agent->starts, 0);
 	g_array_set_size(agent->stops, 0);
@@ -486,8 +487,8 @@
 	/* Before the inventory, an agent is not served. */
 	if (agent->awaiting_inventory)
 		return;
-	agent->disconnected_us = entry->loop.now_us;
-	dispatch_server_disconnected(&entry->dispatch, agent->server, entry->loop.now_us);
+	agent->disconnected_us = now_us;
+	dispatch_server_disconnected(&entry->dispatch, agent->server, now_us);
 	if (fleet_get(&entry->dispatch.fleet, agent->server))
 		entry->lost_agents++;
 }
@@ -537,6 +538,22 @@
 	return true;
 }
 
+static struct agent_state state_of(const struct agent_peer *agent)
+{
+	struct agent_state state = {
+		.incarnation = &agent->incarnation,
+		.name = agent->name,
+		.server_id = agent->server_id,
+		.holds = agent->holds,
+	};
+
+	if (agent->has_server)
+		state.server = agent->server;
+	if (!agent->link)
+		state.lost_us = MAX(agent->disconnected_us, 1);
+	return state;
+}
+
 uint64_t node_agent_links_start_run(void *context, void *link, const struct run_order *order)
 {
 	struct agent_peer *agent = link;
@@ -645,30 +662,27 @@
 			      void *context)
 {
 	for (guint i = 0; i < entry->agents->len; i++) {
-		const struct agent_peer *agent = entry->agents->pdata[i];
-		struct agent_state state = {
-			.incarnation = &agent->incarnation,
-			.name = agent->name,
-			.server_id = agent->server_id,
-			.holds = agent->holds,
-		};
-
-		if (!agent->link && agent->has_server)
-			state.lost_server = agent->server;
+		const struct agent_state state = state_of(entry->agents->pdata[i]);
+
 		visit(context, &state);
 	}
 }
 
-bool node_agent_links_is_connected(const struct node_entry *entry, const uint8_t *incarnation)
+enum agent_word node_agent_links_word(const struct node_entry *entry, const uint8_t *incarnation,
+				      int64_t lost_us)
 {
 	for (guint i = 0; i < entry->agents->len; i++) {
 		const struct agent_peer *agent = entry->agents->pdata[i];
 
-		if (agent->link && !agent->awaiting_inventory &&
-		    memcmp(agent->incarnation.bytes, incarnation, IDENT_BYTES) == 0)
-			return true;
+		if (!agent->link || agent->awaiting_inventory ||
+		    memcmp(agent->incarnation.bytes, incarnation, IDENT_BYTES) != 0)
+			continue;
+		if (lost_us == 0 || node_link_last_received_us(agent->link) >=
+					    lost_us + entry->dispatch.limits.hold_timeout_us)
+			return AGENT_WORD_FINAL;
+		return AGENT_WORD_PENDING;
 	}
-	return false;
+	return AGENT_WORD_NONE;
 }
 
 /* Returns the agent's server, or NULL while the agent is disconnected or its server unknown. */
--- a/packages/greengaged/src/node_agent_links.h
+++ b/packages/greengaged/src/node_agent_links.h
@@ -49,8 +49,8 @@
 	const char *name;
 	const char *server_id; /* empty while it is unknown */
 	const struct hold_source *holds;
-	/* Its server in the dispatcher if the agent is disconnected, otherwise a zero handle. */
-	struct handle lost_server;
+	struct handle server; /* its server in the dispatcher, or a zero handle */
+	int64_t lost_us;      /* the end of its last connection; 0 while it is connected */
 };
 
 /* Calls VISIT for each agent that ENTRY knows. */
@@ -58,8 +58,9 @@
 			      void (*visit)(void *context, const struct agent_state *agent),
 			      void *context);
 
-/* Returns whether the agent process of INCARNATION, which has IDENT_BYTES, is connected and has
- * told which tasks it holds. */
-bool node_agent_links_is_connected(const struct node_entry *entry, const uint8_t *incarnation);
+/* Returns the word of the agent process of INCARNATION, which has IDENT_BYTES, on what an entry
+ * that has lost it at LOST_US had ordered from it. LOST_US is 0 if that entry hears it. */
+enum agent_word node_agent_links_word(const struct node_entry *entry, const uint8_t *incarnation,
+				      int64_t lost_us);
 
 #endif
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -46,6 +46,9 @@
 	 * agent may detect late that the owner of a run (the entry that ordered it) is unreachable.
 	 */
 	SETTLE_MARGIN_MS = 200,
+	/* A machine may be suspended for seconds (the platform's pages). One that has not been
+	 * heard for longer has been removed. */
+	HOST_RETURN_MS = 60000,
 	PERCENT = 100
 };
 
@@ -276,6 +279,10 @@
 			(node_settings_silence_timeout_ms(settings) + NODE_STOP_WAIT_MS + lease_ms +
 			 (int64_t)settings->stop_ms + SETTLE_MARGIN_MS) *
 			US_PER_MS,
+		.hold_timeout_us = (node_settings_silence_timeout_ms(settings) + NODE_STOP_WAIT_MS +
+				    SETTLE_MARGIN_MS) *
+				   US_PER_MS,
+		.host_return_us = HOST_RETURN_MS * US_PER_MS,
 		.connect_time_us = AGENT_CONNECT_MS * US_PER_MS,
 		.crash_retention_us = ENDED_JOBS_RETENTION_MS * US_PER_MS,
 		.max_crashed_tasks = MAX_CRASHED_TASKS,
--- a/packages/greengaged/src/node_holds.c
+++ b/packages/greengaged/src/node_holds.c
@@ -8,7 +8,10 @@
 
 enum {
 	/* Limit on the agents in one message. */
-	MAX_HOLDERS = 1024
+	MAX_HOLDERS = 1024,
+	/* A run ends within this time after the request to stop it, unless its agent or its server
+	 * does not answer. */
+	STOP_WAIT_MS = 100
 };
 
 /* ---- sender ---- */
@@ -35,6 +38,8 @@
 
 struct collection {
 	const struct node_entry *entry;
+	int64_t stop_since_us; /* runs that were requested to stop by then should have ended */
+	bool has_overdue_stops;
 	GPtrArray *messages;
 };
 
@@ -63,6 +68,12 @@
 	return message;
 }
 
+/* Returns for how long an agent has not been heard, at least 1 ms, or 0 if LOST_US is 0. */
+static uint32_t lost_ms(const struct node_entry *entry, int64_t lost_us)
+{
+	return lost_us == 0 ? 0 : (uint32_t)(MAX(entry->loop.now_us - lost_us, 0) / US_PER_MS) + 1;
+}
+
 static void collect_agent(void *context, const struct agent_state *agent)
 {
 	struct collection *collection = context;
@@ -70,8 +81,11 @@
 	Ggd__Holds *message;
 
 	task_holds_foreach(agent->holds, add_held_task, &names);
-	dispatch_foreach_unsettled(&collection->entry->dispatch, agent->lost_server,
-				   add_unsettled_run, &names);
+	if (agent->lost_us > 0 || collection->has_overdue_stops)
+		dispatch_foreach_unsettled(&collection->entry->dispatch, agent->server,
+					   agent->lost_us > 0 ? INT64_MAX
+							      : collection->stop_since_us,
+					   add_unsettled_run, &names);
 	if (names.runs->len + names.starts->len == 0) {
 		g_ptr_array_free(names.runs, TRUE);
 		g_ptr_array_free(names.starts, TRUE);
@@ -82,6 +96,7 @@
 	message->agent_name = g_strdup(agent->name);
 	message->server = g_strdup(agent->server_id);
 	message->entry = g_strdup("");
+	message->lost_ms = lost_ms(collection->entry, agent->lost_us);
 }
 
 /* Returns the time until UNTIL_US for a message, at least 1 ms, or 0 if there is no limit. */
@@ -109,6 +124,7 @@
 	message->entry = g_strdup(hold_origin_entry(origin));
 	message->runs_left_ms = left_ms(runs_until_us, now_us);
 	message->starts_left_ms = left_ms(starts_until_us, now_us);
+	message->lost_ms = lost_ms(collection->entry, task_holds_lost_us(source));
 }
 
 static void free_message(gpointer data)
@@ -128,9 +144,13 @@
 {
 	struct collection collection = {
 		.entry = entry,
+		.stop_since_us = entry->loop.now_us - STOP_WAIT_MS * US_PER_MS,
 		.messages = g_ptr_array_new_with_free_func(free_message),
 	};
 
+	collection.has_overdue_stops =
+		dispatch_has_overdue_stops(&entry->dispatch, collection.stop_since_us);
+
 	node_agent_links_foreach(entry, collect_agent, &collection);
 	task_holds_foreach_abandoned(&entry->dispatch.holds, collect_abandoned, &collection);
 	return collection.messages;
@@ -251,6 +271,14 @@
 				 now_us + (int64_t)message->starts_left_ms * US_PER_MS);
 }
 
+/* Returns since when the agent of MESSAGE has not been heard, or 0. */
+static int64_t lost_since_us(const struct passed_holds *passed, const Ggd__Holds *message)
+{
+	if (message->lost_ms == 0)
+		return 0;
+	return MAX(passed->entry->loop.now_us - (int64_t)message->lost_ms * US_PER_MS, 1);
+}
+
 void passed_holds_apply(struct passed_holds *passed, Ggd__Holds *const *holds, size_t count)
 {
 	struct dispatch *dispatch = &passed->entry->dispatch;
@@ -269,15 +297,18 @@
 			.start_count = holds[i]->n_starts,
 		};
 		struct holder *holder;
+		int64_t lost_us;
 
 		if (is_superseded(passed->entry, holds[i]) || is_settled(passed->entry, holds[i]))
 			continue;
 		holder = find_or_add_holder(passed, holds[i]);
 		holder->named = true;
-		task_holds_set_connected(
+		lost_us = lost_since_us(passed, holds[i]);
+		task_holds_set_word(
 			&dispatch->holds, holder->source,
-			node_agent_links_is_connected(passed->entry, holds[i]->agent.data));
+			node_agent_links_word(passed->entry, holds[i]->agent.data, lost_us));
 		task_holds_replace(&dispatch->holds, holder->source, &tasks);
+		task_holds_set_lost(holder->source, lost_us);
 		limit(passed, holder->source, holds[i]);
 	}
 	remove_unnamed(passed);
@@ -288,12 +319,12 @@
 void passed_holds_abandon(struct passed_holds *passed)
 {
 	struct dispatch *dispatch = &passed->entry->dispatch;
-	int64_t settled_us = passed->entry->loop.now_us + dispatch->limits.settle_timeout_us;
+	int64_t now_us = passed->entry->loop.now_us;
 
 	for (guint i = 0; i < passed->holders->len; i++)
 		task_holds_abandon_source(&dispatch->holds,
 					  g_array_index(passed->holders, struct holder, i).source,
-					  settled_us, settled_us + RUNS_TRANSIT_MAX_US);
+					  now_us, now_us + dispatch->limits.host_return_us);
 	passed->entry->agent_holds_changes += passed->holders->len > 0;
 	g_ptr_array_remove_fast(passed->entry->passed_holds, passed);
 	if (passed->entry->passed_holds->len == 0)
--- a/test/functional/stale_peer_test.c
+++ b/test/functional/stale_peer_test.c
@@ -232,7 +232,8 @@
 }
 
 /* An agent beside another server that has the name of one whose connection is lost must not make
- * the entry start that one's runs again before these can have ended. */
+ * the entry start that one's runs again, however long that one is away: its host may be suspended.
+ */
 static void test_namesake_beside_another_server(void)
 {
 	struct played_agent agent = new_agent(1, "host", "i-1");
@@ -245,10 +246,12 @@
 	connect_agent(&namesake, &cluster);
 	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(&namesake));
 	send_inventory(&namesake, NULL);
-	serve_for(&namesake, PAUSE_MS);
+	serve_for(&namesake, LONG_PAUSE_MS);
 	g_assert_cmpuint(namesake.starts->len, ==, 0);
-	HARNESS_WAIT(PEER_TIMEOUT_MS, has_starts(&namesake, 1));
-	send_done(&namesake, first_run(&namesake));
+	connect_agent(&agent, &cluster);
+	HARNESS_WAIT(PEER_TIMEOUT_MS, is_greeted(&agent));
+	send_inventory(&agent, agent.starts);
+	send_done(&agent, first_run(&agent));
 	check_done(&submission);
 	free_agent(&agent);
 	free_agent(&namesake);
--- a/test/unit/dispatch_fixture.h
+++ b/test/unit/dispatch_fixture.h
@@ -9,7 +9,8 @@
 enum {
 	FIXTURE_TASKS_MAX = 4,
 	FIXTURE_MEMORY_MB = 1000,
-	FIXTURE_CRASHED_TASKS = 100
+	FIXTURE_CRASHED_TASKS = 100,
+	FIXTURE_HOST_RETURN_US = 60 * US_PER_SECOND
 };
 
 struct fixture {
@@ -70,6 +71,7 @@
 	const struct dispatch_limits limits = {
 		.max_jobs = 10,
 		.settle_timeout_us = US_PER_SECOND,
+		.host_return_us = FIXTURE_HOST_RETURN_US,
 		.crash_retention_us = crash_retention_us,
 		.max_crashed_tasks = FIXTURE_CRASHED_TASKS,
 	};
--- a/test/unit/node_agent_links_test.c
+++ b/test/unit/node_agent_links_test.c
@@ -4,6 +4,8 @@
 
 enum {
 	SETTLE_US = 1399 * US_PER_MS,
+	HOLD_US = 835 * US_PER_MS,
+	HOST_RETURN_US = 60 * US_PER_SECOND,
 	TURN_US = 150 * US_PER_MS,
 	CPU = 1000
 };
@@ -11,6 +13,7 @@
 /* Defined in place of that of node_link.c. */
 struct node_link {
 	uint64_t number;
+	int64_t received_us;
 	const struct node_link_callbacks *callbacks;
 	void *context;
 };
@@ -49,7 +52,7 @@
 
 int64_t node_link_last_received_us(const struct node_link *link)
 {
-	return 0;
+	return link->received_us;
 }
 
 bool node_link_was_silent(const struct node_link *link)
@@ -174,6 +177,8 @@
 	struct node_entry *entry = &fixture->entry;
 	const struct dispatch_limits limits = {.max_jobs = 10,
 					       .settle_timeout_us = SETTLE_US,
+					       .hold_timeout_us = HOLD_US,
+					       .host_return_us = HOST_RETURN_US,
 					       .crash_retention_us = US_PER_SECOND,
 					       .max_crashed_tasks = 1};
 	const struct dispatch_callbacks callbacks = {.context = fixture,
@@ -217,21 +222,34 @@
 	g_assert_cmpuint(fixture->entry.agents->len, ==, 1);
 }
 
-/* Guards against a start that is kept for 16 s because the next process of the agent, which has
- * said that nothing is unsettled, ends before the former one counts as ended. */
+/* Guards against runs that are settled by time when both processes of the agent that may know of
+ * them are disconnected: their host may be suspended. */
 static void test_later_process_ends(struct fixture *fixture, const void *unused)
 {
 	greet(fixture, &fixture->later);
 	lose(&fixture->former);
 	report(&fixture->later, 0, true);
 	lose(&fixture->later);
-	pass(fixture, SETTLE_US, false, 0);
+	pass(fixture, HOST_RETURN_US, false, 0);
 	g_assert_cmpuint(fixture->lost, ==, 0);
 	pass(fixture, TURN_US, false, 0);
 	g_assert_cmpuint(fixture->lost, ==, 1);
 }
 
-/* Guards against a run that is kept for 16 s after its process has connected again and ended before
+/* Guards against a run that is kept although the next process of the agent is back. */
+static void test_later_process_returns(struct fixture *fixture, const void *unused)
+{
+	greet(fixture, &fixture->later);
+	lose(&fixture->former);
+	report(&fixture->later, 0, true);
+	lose(&fixture->later);
+	pass(fixture, SETTLE_US + TURN_US, false, 0);
+	g_assert_cmpuint(fixture->lost, ==, 0);
+	connect_process(fixture, &fixture->later, 0);
+	g_assert_cmpuint(fixture->lost, ==, 1);
+}
+
+/* Guards against a run that is kept after its process has connected again and ended before
  * it sent its inventory. */
 static void test_former_process_sends_no_inventory(struct fixture *fixture, const void *unused)
 {
@@ -266,7 +284,7 @@
 	uint32_t runs;
 
 	lose(&fixture->former);
-	pass(fixture, SETTLE_US + RUNS_TRANSIT_MAX_US + TURN_US, false, 0);
+	pass(fixture, HOST_RETURN_US + TURN_US, false, 0);
 	g_assert_cmpuint(fixture->lost, ==, 1);
 	greet(fixture, &fixture->former);
 	connect_process(fixture, later, 0);
@@ -295,13 +313,31 @@
 {
 	const uint8_t incarnation[IDENT_BYTES] = {fixture->former.incarnation};
 
-	g_assert_true(node_agent_links_is_connected(&fixture->entry, incarnation));
+	g_assert_cmpint(node_agent_links_word(&fixture->entry, incarnation, 0), ==,
+			AGENT_WORD_FINAL);
 	lose(&fixture->former);
-	g_assert_false(node_agent_links_is_connected(&fixture->entry, incarnation));
+	g_assert_cmpint(node_agent_links_word(&fixture->entry, incarnation, 0), ==,
+			AGENT_WORD_NONE);
 	greet(fixture, &fixture->former);
-	g_assert_false(node_agent_links_is_connected(&fixture->entry, incarnation));
+	g_assert_cmpint(node_agent_links_word(&fixture->entry, incarnation, 0), ==,
+			AGENT_WORD_NONE);
 	report(&fixture->former, 0, true);
-	g_assert_true(node_agent_links_is_connected(&fixture->entry, incarnation));
+	g_assert_cmpint(node_agent_links_word(&fixture->entry, incarnation, 0), ==,
+			AGENT_WORD_FINAL);
+}
+
+/* Guards against the word of an agent from before it may have noticed that it has lost an entry. */
+static void test_speaks_for_lost_entry(struct fixture *fixture, const void *unused)
+{
+	const uint8_t incarnation[IDENT_BYTES] = {fixture->former.incarnation};
+	int64_t lost_us = fixture->entry.loop.now_us;
+
+	fixture->former.link.received_us = lost_us + HOLD_US - 1;
+	g_assert_cmpint(node_agent_links_word(&fixture->entry, incarnation, lost_us), ==,
+			AGENT_WORD_PENDING);
+	fixture->former.link.received_us = lost_us + HOLD_US;
+	g_assert_cmpint(node_agent_links_word(&fixture->entry, incarnation, lost_us), ==,
+			AGENT_WORD_FINAL);
 }
 
 int main(int argc, char **argv)
@@ -312,6 +348,8 @@
 		   test_former_process_ends_late, tear_down);
 	g_test_add("/node_agent_links/later_process_ends", struct fixture, NULL, set_up,
 		   test_later_process_ends, tear_down);
+	g_test_add("/node_agent_links/later_process_returns", struct fixture, NULL, set_up,
+		   test_later_process_returns, tear_down);
 	g_test_add("/node_agent_links/former_process_sends_no_inventory", struct fixture, NULL,
 		   set_up, test_former_process_sends_no_inventory, tear_down);
 	g_test_add("/node_agent_links/later_process_without_lists", struct fixture, NULL, set_up,
@@ -322,5 +360,7 @@
 		   test_later_process_elsewhere, tear_down);
 	g_test_add("/node_agent_links/holds_unknown_before_inventory", struct fixture, NULL, set_up,
 		   test_holds_unknown_before_inventory, tear_down);
+	g_test_add("/node_agent_links/speaks_for_lost_entry", struct fixture, NULL, set_up,
+		   test_speaks_for_lost_entry, tear_down);
 	return g_test_run();
 }
--- a/test/unit/node_holds_test.c
+++ b/test/unit/node_holds_test.c
@@ -3,7 +3,8 @@
 #include "node_holds.h"
 
 enum {
-	SETTLE_US = 1399 * US_PER_MS,
+	HOLD_US = 835 * US_PER_MS,
+	HOST_RETURN_US = 60 * US_PER_SECOND,
 	LEFT_MS = 100
 };
 
@@ -33,7 +34,8 @@
 
 static void set_up(struct fixture *fixture, const void *unused)
 {
-	const struct dispatch_limits limits = {.settle_timeout_us = SETTLE_US};
+	const struct dispatch_limits limits = {.hold_timeout_us = HOLD_US,
+					       .host_return_us = HOST_RETURN_US};
 	const struct dispatch_callbacks callbacks = {.context = fixture};
 
 	dispatch_init(&fixture->entry.dispatch, &limits, &callbacks, 1);
@@ -131,6 +133,18 @@
 	g_assert_false(is_held(fixture));
 }
 
+/* Guards against a task that is started because its entry has been lost for long: the host of its
+ * run may be suspended. */
+static void test_time_releases_nothing(struct fixture *fixture, const void *unused)
+{
+	pass_start(fixture, SENDER);
+	lose_sender(fixture);
+	pass_time(fixture, HOST_RETURN_US);
+	g_assert_true(is_held(fixture));
+	pass_time(fixture, 1);
+	g_assert_false(is_held(fixture));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -141,5 +155,6 @@
 	CASE(entry_heard_here);
 	CASE(own_word);
 	CASE(limit_is_kept);
+	CASE(time_releases_nothing);
 	return g_test_run();
 }
--- a/test/unit/overlap_diff_test.c
+++ b/test/unit/overlap_diff_test.c
@@ -1,8 +1,8 @@
 /*
  * Plays random histories in which all faults overlap, with the real modules of entries and agents:
  * links that are cut, silent in one direction, refused or reset, processes that end, freeze or are
- * suspended, servers whose orders or answers are lost or late, and clients that send their jobs
- * again.
+ * suspended, hosts that are suspended with their agent and server, servers whose orders or answers
+ * are lost or late, and clients that send their jobs again.
  *
  * Guards against two concurrent runs of one task, and against the answer that a job has not run
  * when one of its tasks has started.
@@ -11,7 +11,8 @@
  * that the failure does not need; OVERLAP_DIFF_COUNT sets the number of histories,
  * OVERLAP_DIFF_FIRST the seed of the first, OVERLAP_DIFF_PROCESSES the number of processes.
  * OVERLAP_DIFF_WITH names the only kinds of faults to play, separated by commas, and
- * OVERLAP_DIFF_WITHOUT those to leave out. OVERLAP_DIFF_PARTITIONS=1 adds partitions.
+ * OVERLAP_DIFF_WITHOUT those to leave out. OVERLAP_DIFF_PARTITIONS=1 adds partitions, and
+ * OVERLAP_DIFF_SUSPENSIONS=1 suspended hosts.
  */
 #include <glib/gstdio.h>
 
@@ -22,9 +23,12 @@
 enum {
 	HISTORIES = 12000,
 	PARTITION_HISTORIES = 6000,
+	SUSPENSION_HISTORIES = 12000,
 	PROCESSES = 6, /* that play histories beside each other */
 	ENTRIES = 2,
-	PARTITION_ENTRIES = 3, /* in histories of partitions: the others remain linked */
+	/* In histories of partitions, the others remain linked. In those of suspended hosts, one
+	 * entry may end and another start while a third one goes on. */
+	MORE_ENTRIES = 3,
 	SERVERS = 3,
 	SERVER_CPU = 8000,
 	JOBS = 8,
@@ -34,6 +38,9 @@
 	JOBS_US = 3500000, /* jobs are sent before this time */
 	MAX_FAULTS = 12,
 	MAX_PARTITIONS = 2,
+	MAX_SUSPENSIONS = 2,
+	MAX_ALL_FAULTS = MAX_FAULTS + MAX_PARTITIONS + MAX_SUSPENSIONS,
+	MAX_OVERSLEEP_US = 60000, /* how much later than its host an agent may wake up */
 	MIN_FAULT_US = 50000,
 	MAX_FAULT_US = 3000000,
 	MAX_SPREAD_US = 1500000, /* between the first fault and the begin of the others */
@@ -80,6 +87,8 @@
 	BRIEF_ISOLATION,
 	/* Only in histories of partitions. */
 	PARTITION,
+	/* Only in histories of suspended hosts. */
+	SUSPEND_HOST,
 	FAULT_KINDS
 };
 
@@ -125,6 +134,7 @@
 	[LATE_HEARTBEATS] = "late-heartbeats",
 	[BRIEF_ISOLATION] = "brief-isolation",
 	[PARTITION] = "partition",
+	[SUSPEND_HOST] = "suspend-host",
 };
 
 static bool kind_enabled[FAULT_KINDS];
@@ -153,7 +163,7 @@
 
 struct history {
 	struct world world;
-	struct fault faults[MAX_FAULTS + MAX_PARTITIONS];
+	struct fault faults[MAX_ALL_FAULTS];
 	uint32_t fault_count;
 	struct simulation_job *jobs[JOBS];
 	/* An entry that was isolated learns this late which clients have left. */
@@ -170,10 +180,9 @@
 	return (struct history *)sim;
 }
 
-/* Returns the number of entries, which the histories without partitions leave at two. */
 static uint32_t entry_count(void)
 {
-	return kind_enabled[PARTITION] ? PARTITION_ENTRIES : ENTRIES;
+	return kind_enabled[PARTITION] || kind_enabled[SUSPEND_HOST] ? MORE_ENTRIES : ENTRIES;
 }
 
 static void trace_fault(const struct simulation *sim, const struct fault *fault)
@@ -194,12 +203,13 @@
 	uint32_t index;
 	uint32_t incarnation;
 	int64_t began_us;
-	bool suspended;
+	int64_t suspended_us; /* for which its steady clock stands still */
 };
 
 /* As on_freeze in node_agent.c. */
 static void agent_woke(struct world *world, uint32_t index)
 {
+	world->sim.agents[index].process.dropped_us = world->sim.now_us;
 	owners_abandon_silent(&world->owners[index]);
 	for (uint32_t i = 0; i < world->sim.entry_count; i++) {
 		struct path *path = &world->paths[i][index];
@@ -211,7 +221,6 @@
 		agent_link_down(link);
 		path->retry_us = 0;
 	}
-	world->sim.agents[index].process.dropped_us = world->sim.now_us;
 }
 
 /* As on_freeze in node_entry.c. */
@@ -239,8 +248,7 @@
 			       : entry->up && entry->incarnation == pause->incarnation;
 	int64_t gap_us = sim->now_us - pause->began_us;
 
-	if (pause->suspended)
-		process->suspended_us += gap_us;
+	process->suspended_us += pause->suspended_us;
 	update_clocks(world_of(sim));
 	if (up && gap_us > NET_FREEZE_MIN_US && pause->agent)
 		agent_woke(world_of(sim), pause->index);
@@ -249,9 +257,12 @@
 	g_free(pause);
 }
 
-static void begin_pause(struct simulation *sim, const struct fault *fault)
+/* Pauses a process until END_US. Its steady clock stands still for SUSPENDED_US. */
+static void begin_pause(struct simulation *sim, const struct fault *fault, int64_t end_us,
+			int64_t suspended_us)
 {
-	bool agent = fault->kind == FREEZE_AGENT || fault->kind == SUSPEND_AGENT;
+	bool agent = fault->kind == FREEZE_AGENT || fault->kind == SUSPEND_AGENT ||
+		     fault->kind == SUSPEND_HOST;
 	uint32_t index = agent ? fault->server : fault->entry;
 	struct simulation_process *process =
 		agent ? &sim->agents[index].process : &sim->entries[index].process;
@@ -261,7 +272,7 @@
 	    !(agent ? sim->agents[index].up : sim->entries[index].up))
 		return;
 	process->frozen_since_us = sim->now_us;
-	process->frozen_until_us = fault->end_us;
+	process->frozen_until_us = end_us;
 	pause = g_new(struct pause, 1);
 	*pause = (struct pause){
 		.agent = agent,
@@ -269,9 +280,16 @@
 		.incarnation =
 			agent ? sim->agents[index].incarnation : sim->entries[index].incarnation,
 		.began_us = sim->now_us,
-		.suspended = fault->kind == SUSPEND_AGENT || fault->kind == SUSPEND_ENTRY,
+		.suspended_us = suspended_us,
 	};
-	simulation_schedule(sim, fault->end_us, end_pause, pause);
+	simulation_schedule(sim, end_us, end_pause, pause);
+}
+
+static void begin_process_pause(struct simulation *sim, const struct fault *fault)
+{
+	bool suspended = fault->kind == SUSPEND_AGENT || fault->kind == SUSPEND_ENTRY;
+
+	begin_pause(sim, fault, fault->end_us, suspended ? fault->end_us - sim->now_us : 0);
 }
 
 /* The runs of a frozen server make no progress. */
@@ -301,6 +319,49 @@
 	simulation_schedule(sim, fault->end_us, end_server_freeze, fault);
 }
 
+/* The server goes on with its runs: its clock has stood still as well. */
+static void end_server_suspension(struct simulation *sim, void *data)
+{
+	uint32_t index = GPOINTER_TO_UINT(data);
+	struct simulation_server *server = &sim->servers[index];
+	int64_t gap_us = sim->now_us - server->suspended_since_us;
+
+	server->suspended_since_us = 0;
+	server->suspended_us += gap_us;
+	for (guint i = 0; i < server->runs->len; i++) {
+		struct simulation_run *run = server->runs->pdata[i];
+
+		run->ends_us += gap_us;
+		simulation_schedule(sim, run->ends_us, simulation_run_end_due, NULL);
+	}
+}
+
+static bool is_suspended(const struct simulation *sim, uint32_t index)
+{
+	return sim->servers[index].suspended_since_us > 0;
+}
+
+/* Suspends an agent and its server. The agent wakes up later than the server, and its steady clock
+ * may have gone on meanwhile, as when both processes are stopped. */
+static void suspend_host(struct simulation *sim, const struct fault *fault)
+{
+	struct simulation_server *server = &sim->servers[fault->server];
+	const struct simulation_agent *agent = &sim->agents[fault->server];
+	int64_t oversleep_us = g_rand_int_range(sim->rand, 0, MAX_OVERSLEEP_US);
+	bool clock_goes_on = g_rand_boolean(sim->rand);
+
+	if (!server->up || sim->now_us < server->frozen_until_us ||
+	    (agent->up && simulation_frozen(sim, &agent->process)))
+		return;
+	simulation_end_due_runs(sim, fault->server);
+	server->frozen_until_us = fault->end_us;
+	server->suspended_since_us = sim->now_us;
+	begin_pause(sim, fault, fault->end_us + oversleep_us,
+		    clock_goes_on ? 0 : fault->end_us - sim->now_us);
+	simulation_schedule(sim, fault->end_us, end_server_suspension,
+			    GUINT_TO_POINTER(fault->server));
+}
+
 /* ---- clients ---- */
 
 struct disconnect {
@@ -526,6 +587,9 @@
 
 	if (fault->kind == KILL_ENTRY)
 		restart_entry(sim, GUINT_TO_POINTER(fault->entry));
+	else if (fault->kind == KILL_AGENT && is_suspended(sim, fault->server))
+		simulation_schedule(sim, sim->servers[fault->server].frozen_until_us, end_fault,
+				    data);
 	else if (fault->kind == KILL_AGENT)
 		restart_agent(sim, GUINT_TO_POINTER(fault->server));
 	else if (agent->up)
@@ -564,17 +628,20 @@
 		simulation_schedule(sim, fault->end_us, end_fault, fault);
 		break;
 	case KILL_AGENT:
+		if (is_suspended(sim, fault->server))
+			break;
 		kill_agent(sim, GUINT_TO_POINTER(fault->server));
 		simulation_schedule(sim, fault->end_us, end_fault, fault);
 		break;
 	case CRASH_SERVER:
-		simulation_crash_server(sim, fault->server);
+		if (!is_suspended(sim, fault->server))
+			simulation_crash_server(sim, fault->server);
 		break;
 	case FREEZE_ENTRY:
 	case FREEZE_AGENT:
 	case SUSPEND_ENTRY:
 	case SUSPEND_AGENT:
-		begin_pause(sim, fault);
+		begin_process_pause(sim, fault);
 		break;
 	case FREEZE_SERVER:
 		freeze_server(sim, fault);
@@ -597,6 +664,9 @@
 	case PARTITION:
 		partition(history, fault);
 		break;
+	case SUSPEND_HOST:
+		suspend_host(sim, fault);
+		break;
 	case CUT_SERVER:
 		server->cut_until_us = MAX(server->cut_until_us, fault->end_us);
 		break;
@@ -628,7 +698,7 @@
 		[HOLDS_LATE] = &sim->faults.hold_late,
 	};
 
-	if (fault->kind < STARTS_LOST || fault->kind == PARTITION)
+	if (fault->kind < STARTS_LOST || fault->kind >= PARTITION)
 		return false;
 	if (fault->kind == SLOW_CLOCKS) {
 		for (uint32_t i = 0; i < SERVERS; i++)
@@ -673,7 +743,7 @@
 		fault->kind = PARTITION;
 		fault->at_us = first_us + g_rand_int_range(rand, 0, MAX_SPREAD_US);
 		fault->end_us = fault->at_us + g_rand_int_range(rand, MIN_FAULT_US, MAX_FAULT_US);
-		fault->entry = (uint32_t)g_rand_int_range(rand, 0, PARTITION_ENTRIES);
+		fault->entry = (uint32_t)g_rand_int_range(rand, 0, MORE_ENTRIES);
 		fault->server = (uint32_t)g_rand_int_range(rand, 0, SERVERS);
 		fault->side = (uint32_t)g_rand_int_range(rand, 0, 1 << SERVERS);
 		if (is_open)
@@ -681,6 +751,26 @@
 	}
 }
 
+/* Adds suspensions of hosts, most of them of the server that the first fault meets. */
+static void draw_suspensions(struct history *history, GRand *rand)
+{
+	uint32_t count = (uint32_t)g_rand_int_range(rand, 1, MAX_SUSPENSIONS + 1);
+	const struct fault *first = history->fault_count > 0 ? &history->faults[0] : NULL;
+	int64_t first_us = first ? first->at_us : g_rand_int_range(rand, 0, JOBS_US);
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct fault *fault = &history->faults[history->fault_count++];
+		bool aimed = g_rand_int_range(rand, 0, PERCENT) < AIMED_PERCENT;
+
+		fault->kind = SUSPEND_HOST;
+		fault->at_us = first_us + g_rand_int_range(rand, 0, MAX_SPREAD_US);
+		fault->end_us = fault->at_us + g_rand_int_range(rand, MIN_FAULT_US, MAX_FAULT_US);
+		fault->server = (uint32_t)g_rand_int_range(rand, 0, SERVERS);
+		if (aimed && first)
+			fault->server = first->server;
+	}
+}
+
 /* Draws faults that overlap: most of them meet the same entry and server at about the same time. */
 static void draw_faults(struct history *history, GRand *rand)
 {
@@ -758,6 +848,8 @@
 		draw_faults(history, rand);
 	if (kind_enabled[PARTITION])
 		draw_partitions(history, rand);
+	if (kind_enabled[SUSPEND_HOST])
+		draw_suspensions(history, rand);
 	for (uint32_t i = 0; i < history->fault_count; i++) {
 		struct fault *fault = &history->faults[i];
 
@@ -799,7 +891,7 @@
 {
 	uint32_t left_out = 0;
 
-	for (uint32_t i = MAX_FAULTS + MAX_PARTITIONS; i-- > 0;) {
+	for (uint32_t i = MAX_ALL_FAULTS; i-- > 0;) {
 		int found = find_broken_variant(seed, left_out | 1u << i, *variant);
 
 		if (found < 0)
@@ -841,6 +933,15 @@
 	play_in_processes(PARTITION_HISTORIES);
 }
 
+/* Guards against a run that goes on when its suspended host wakes up, beside a second run of its
+ * task. */
+static void test_suspensions(void)
+{
+	kind_enabled[SUSPEND_HOST] = true;
+	play_in_processes(SUSPENSION_HISTORIES);
+	kind_enabled[SUSPEND_HOST] = g_getenv("OVERLAP_DIFF_SUSPENSIONS") != NULL;
+}
+
 static void test_one_history(void)
 {
 	uint32_t seed = number_from("OVERLAP_DIFF_SEED", 1);
@@ -885,6 +986,7 @@
 	const char *without = g_getenv("OVERLAP_DIFF_WITHOUT");
 
 	kind_enabled[PARTITION] = g_getenv("OVERLAP_DIFF_PARTITIONS") != NULL;
+	kind_enabled[SUSPEND_HOST] = g_getenv("OVERLAP_DIFF_SUSPENSIONS") != NULL;
 	for (int i = 0; i < PARTITION; i++) {
 		kind_enabled[i] = !with || strstr(with, kind_names[i]);
 		if (without && strstr(without, kind_names[i]))
@@ -900,6 +1002,8 @@
 	g_test_add_func("/overlap/diff/times", test_times);
 	if (g_getenv("OVERLAP_DIFF_SEED")) {
 		g_test_add_func("/overlap/diff/one_history", test_one_history);
+	} else if (kind_enabled[SUSPEND_HOST]) {
+		g_test_add_func("/overlap/diff/suspensions", test_suspensions);
 	} else {
 		if (!kind_enabled[PARTITION])
 			g_test_add_func("/overlap/diff/histories", test_histories);
--- a/test/unit/session_world.h
+++ b/test/unit/session_world.h
@@ -84,7 +84,8 @@
 	int64_t lost_us;       /* when it was last heard, if it does not answer since; else 0 */
 	int64_t unanswered_us; /* when the next attempt to connect to it fails, or 0 */
 	struct passed_holds *holds;
-	uint64_t lost_agents; /* of the other one, when it last told its holds */
+	struct ident incarnation; /* of the other process */
+	uint64_t lost_agents;	  /* of the other one, when it last told its holds */
 };
 
 struct world {
@@ -680,6 +681,9 @@
 		link->heard_us = heard_us;
 		link->unanswered_us = simulation_entry_now(entry) + RETRY_US + HELLO_TIMEOUT_US;
 	} else if (reachable && runs_entry(sim, peer)) {
+		if (link->up && !ident_equal(&link->incarnation, &world->entry_incarnations[peer]))
+			drop_peer(world, index, peer); /* replaced */
+		link->incarnation = world->entry_incarnations[peer];
 		hear(world, index);
 		link->up = true;
 		link->lost_us = link->unanswered_us = 0;
@@ -832,8 +836,9 @@
 		owners_send_reports(&world->owners[i]);
 	}
 	for (uint32_t i = 0; i < sim->entry_count; i++) {
-		if (sim->entries[i].up && !simulation_frozen(sim, &sim->entries[i].process))
-			node_agent_links_send_queued(&sim->entries[i].node);
+		if (!sim->entries[i].up || simulation_frozen(sim, &sim->entries[i].process))
+			continue;
+		node_agent_links_send_queued(&sim->entries[i].node);
 	}
 }
 
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -19,6 +19,7 @@
 	SIMULATION_NETWORK_DELAY_US = 500, /* Message delay between an entry and an agent. */
 	SIMULATION_LOCAL_DELAY_US = 500,   /* Message delay between an agent and its server. */
 	SIMULATION_TICK_US = 10000,
+	SIMULATION_MAX_TICK_GAP_US = 60000, /* As in agent_backend.c. */
 	/* Lease that a server gets with each request for its run lists. */
 	SIMULATION_LEASE_US = 504000,
 	/* Lease that a server gets with each start request. */
@@ -32,6 +33,7 @@
 	/* After this long without an answer, an agent treats the outcome of its request to the
 	 * server as unknown. */
 	SIMULATION_ANSWER_TIMEOUT_US = 30000,
+	SIMULATION_HOST_RETURN_US = 60000000, /* A host that is away for longer was removed. */
 	SIMULATION_RESEND_DELAY_US =
 		1300000, /* Delay until a client sends an unanswered job again. */
 	/* Interval at which an agent reads the run lists of its server when no run ends. */
@@ -71,10 +73,12 @@
 	GHashTable *highest_attempt;
 	GArray *ended_runs; /* struct simulation_ended_run */
 	uint64_t last_end_number;
-	int64_t lease_until_us;
+	int64_t lease_until_us; /* on its own steady clock; see simulation_server_now */
 	int64_t frozen_until_us;
-	int64_t cut_until_us;	  /* no call arrives */
-	int64_t answers_until_us; /* no answer arrives */
+	int64_t suspended_since_us; /* its host is; 0: it is not */
+	int64_t suspended_us;	    /* total time of the earlier suspensions of its host */
+	int64_t cut_until_us;	    /* no call arrives */
+	int64_t answers_until_us;   /* no answer arrives */
 	bool slow_clock;
 	int64_t epoch; /* highest of a call; calls with a lower one do nothing */
 	bool always_fails;
@@ -99,6 +103,7 @@
 	bool lists_requested;
 	bool clock_known; /* of the server: without it, no lease can be sent */
 	int64_t next_list_us;
+	int64_t ticked_us;
 	uint64_t last_order_received[SIMULATION_MAX_ENTRIES];
 	/* Ends of runs that were not delivered to the entry, struct simulation_message *. */
 	GPtrArray *undelivered_ends[SIMULATION_MAX_ENTRIES];
@@ -233,6 +238,16 @@
 	return entry->sim->now_us - entry->process.suspended_us;
 }
 
+/* Returns the time on the steady clock of a server, which stands still while its host is suspended.
+ */
+static inline int64_t simulation_server_now(const struct simulation *sim, uint32_t index)
+{
+	const struct simulation_server *server = &sim->servers[index];
+	int64_t now_us = server->suspended_since_us > 0 ? server->suspended_since_us : sim->now_us;
+
+	return now_us - server->suspended_us;
+}
+
 static inline int simulation_compare_events(gconstpointer a, gconstpointer b, gpointer unused)
 {
 	const struct simulation_event *left = a;
@@ -311,13 +326,14 @@
 static inline void simulation_end_due_runs(struct simulation *sim, uint32_t index)
 {
 	struct simulation_server *server = &sim->servers[index];
+	int64_t lease_until_us = server->lease_until_us + server->suspended_us;
 
 	if (sim->now_us < server->frozen_until_us)
 		return;
 	for (guint i = server->runs->len; i-- > 0;) {
 		struct simulation_run *run = server->runs->pdata[i];
 
-		if (run->ends_us <= sim->now_us && run->ends_us <= server->lease_until_us) {
+		if (run->ends_us <= sim->now_us && run->ends_us <= lease_until_us) {
 			struct simulation_job *job;
 			char *id = g_strndup(run->task, strcspn(run->task, "."));
 
@@ -327,7 +343,7 @@
 				sim->completed_core_us +=
 					(double)job->work_us * job->need.cpu / 1000;
 			simulation_record_end(sim, index, run, run->fails ? RUN_FAILED : RUN_DONE);
-		} else if (server->lease_until_us < sim->now_us) {
+		} else if (lease_until_us < sim->now_us) {
 			simulation_record_end(sim, index, run, RUN_EXPIRED);
 		}
 	}
@@ -339,8 +355,10 @@
 
 	for (uint32_t i = 0; i < sim->server_count; i++) {
 		simulation_end_due_runs(sim, i);
-		/* A frozen server ends the runs whose lease has expired when it wakes up. */
-		running += sim->servers[i].up && sim->servers[i].lease_until_us >= sim->now_us &&
+		/* A frozen server ends the runs whose lease has expired when it wakes up. One whose
+		 * host is suspended goes on with its runs. */
+		running += sim->servers[i].up &&
+			   sim->servers[i].lease_until_us >= simulation_server_now(sim, i) &&
 			   simulation_find_run(&sim->servers[i], task) != NULL;
 	}
 	sim->overlapping_starts += running > 1;
@@ -456,7 +474,7 @@
 	if (g_hash_table_lookup_extended(server->highest_attempt, task, NULL, &highest_attempt) &&
 	    GPOINTER_TO_UINT(highest_attempt) >= attempt)
 		return START_SUPERSEDED;
-	if (expires_us < sim->now_us)
+	if (expires_us < simulation_server_now(sim, index))
 		return START_LATE;
 	server->lease_until_us = MAX(server->lease_until_us, expires_us);
 	if (simulation_used_cpu(sim, index) + job->need.cpu > server->total.cpu) {
@@ -600,7 +618,7 @@
 {
 	if (sim->servers[index].slow_clock)
 		lease_us = (lease_us + 3000) * 100 / 98;
-	return sim->now_us + lease_us;
+	return simulation_server_now(sim, index) + lease_us;
 }
 
 static inline void simulation_on_start_request(struct simulation *sim, void *data)
@@ -1432,6 +1450,9 @@
 		.max_jobs = 100000,
 		.settle_timeout_us = SIMULATION_OWNER_TIMEOUT_US + SIMULATION_OWNER_STOP_WAIT_US +
 				     SIMULATION_LEASE_US + 150000,
+		.hold_timeout_us =
+			SIMULATION_OWNER_TIMEOUT_US + SIMULATION_OWNER_STOP_WAIT_US + 200000,
+		.host_return_us = SIMULATION_HOST_RETURN_US,
 		.crash_retention_us = 10 * US_PER_SECOND,
 		.max_crashed_tasks = 1000,
 	};
@@ -1484,6 +1505,7 @@
 	agent->up = true;
 	agent->lists_requested = true;
 	agent->clock_known = false;
+	agent->ticked_us = simulation_agent_now(agent);
 	runs_init(&agent->backend.runs, &limits, &callbacks);
 	agent->backend.runs.epoch = (agent->incarnation + 1) * SIMULATION_EPOCH_STEP;
 	for (uint32_t i = 0; i < SIMULATION_MAX_ENTRIES; i++)
@@ -1756,9 +1778,13 @@
 static inline void simulation_tick_agent(struct simulation *sim, uint32_t index)
 {
 	struct simulation_agent *agent = &sim->agents[index];
+	int64_t now_us = simulation_agent_now(agent);
 
 	if (simulation_frozen(sim, &agent->process))
 		return;
+	if (now_us - agent->ticked_us > SIMULATION_MAX_TICK_GAP_US)
+		runs_paused(&agent->backend.runs, now_us - agent->ticked_us - SIMULATION_TICK_US);
+	agent->ticked_us = now_us;
 	runs_tick(&agent->backend.runs, simulation_agent_now(agent));
 	if (agent->lists_requested || sim->now_us >= agent->next_list_us) {
 		agent->lists_requested = false;
--- a/test/unit/task_holds_test.c
+++ b/test/unit/task_holds_test.c
@@ -125,12 +125,12 @@
 	task_holds_init(&holds);
 	source = task_holds_add_source(&holds);
 	hold_run(&holds, source, first_task);
-	task_holds_abandon_source(&holds, source, NOW_US, NOW_US);
+	task_holds_abandon_source(&holds, source, 1, NOW_US);
 	g_assert_false(task_holds_expire(&holds, NOW_US));
 	g_assert_true(task_holds_contains(&holds, "a", 0));
 	g_assert_true(task_holds_expire(&holds, NOW_US + 1));
 	g_assert_cmpuint(holds.sources->len, ==, 0);
-	task_holds_abandon_source(&holds, task_holds_add_source(&holds), NOW_US, NOW_US);
+	task_holds_abandon_source(&holds, task_holds_add_source(&holds), 1, NOW_US);
 	g_assert_cmpuint(holds.sources->len, ==, 0);
 	task_holds_free(&holds);
 }
@@ -149,7 +149,7 @@
 									  .since_us = NOW_US});
 
 	hold_run(holds, source, first_task);
-	task_holds_abandon_source(holds, source, INT64_MAX, INT64_MAX);
+	task_holds_abandon_source(holds, source, NOW_US, INT64_MAX);
 }
 
 /* Guards against tasks that stay held after a later process of their agent has settled them, and
@@ -211,16 +211,24 @@
 	task_holds_free(&holds);
 }
 
-/* Guards against a process that settles its own earlier word for longer than its connection. */
+/* Guards against a process that settles its own earlier word for longer than its connection, and
+ * against its word from before it had given up the runs. */
 static void test_agent_reconnected(void)
 {
 	struct task_holds holds;
 
 	task_holds_init(&holds);
 	add_abandoned(&holds);
-	g_assert_true(task_holds_agent_settled(&holds, "agent", &former, "server", NOW_US + 1));
+	g_assert_false(task_holds_agent_settled(&holds, "agent", &former, "server", NOW_US + 1));
+	g_assert_false(task_holds_agent_heard(&holds, &former, NOW_US - 1));
+	g_assert_false(task_holds_agent_heard(&holds, &later, NOW_US));
+	g_assert_true(task_holds_contains(&holds, "a", 0));
+	g_assert_true(task_holds_agent_heard(&holds, &former, NOW_US));
+	g_assert_false(task_holds_contains(&holds, "a", 0));
 	g_assert_false(task_holds_is_settled(&holds, "e", &former));
-	g_assert_cmpuint(holds.sources->len, ==, 0);
+	g_assert_true(task_holds_agent_lost(&holds, &former, 2 * NOW_US));
+	g_assert_true(task_holds_contains(&holds, "a", 0));
+	g_assert_false(task_holds_agent_heard(&holds, &former, NOW_US));
 	task_holds_free(&holds);
 }
 
@@ -235,24 +243,23 @@
 	add_abandoned(&holds);
 	source = holds.sources->pdata[0];
 	task_holds_limit(source, NOW_US, 2 * NOW_US);
-	task_holds_set_connected(&holds, source, true);
+	task_holds_set_word(&holds, source, AGENT_WORD_FINAL);
 	g_assert_false(task_holds_contains(&holds, "a", 0));
-	g_assert_false(task_holds_agent_lost(&holds, &later));
-	g_assert_true(task_holds_agent_lost(&holds, &former));
+	g_assert_false(task_holds_agent_lost(&holds, &later, NOW_US));
+	g_assert_true(task_holds_agent_lost(&holds, &former, NOW_US));
 	g_assert_true(task_holds_contains(&holds, "a", 0));
-	g_assert_false(task_holds_agent_lost(&holds, &former));
-	task_holds_set_connected(&holds, source, true);
+	g_assert_false(task_holds_agent_lost(&holds, &former, NOW_US));
+	task_holds_set_word(&holds, source, AGENT_WORD_FINAL);
 	task_holds_replace(&holds, source,
 			   &(struct held_tasks){.starts = second_task, .start_count = 1});
 	g_assert_cmpuint(g_hash_table_size(holds.jobs), ==, 0);
-	g_assert_true(task_holds_agent_lost(&holds, &former));
+	g_assert_true(task_holds_agent_lost(&holds, &former, NOW_US));
 	g_assert_true(task_holds_contains(&holds, "a", 1));
 	g_assert_false(task_holds_contains(&holds, "a", 0));
 	task_holds_free(&holds);
 }
 
-/* Guards against what a lost entry has told of a connected agent, and is held when that agent is
- * lost long after it has settled it. */
+/* Guards against what a lost entry has told of a connected agent, and is kept for good. */
 static void test_agent_stays_connected(void)
 {
 	struct task_holds holds;
@@ -261,10 +268,10 @@
 	task_holds_init(&holds);
 	source = task_holds_add_passed_source(
 		&holds, &(struct hold_origin){.sender = "e", .entry = "", .process = former});
-	task_holds_set_connected(&holds, source, true);
+	task_holds_set_word(&holds, source, AGENT_WORD_FINAL);
 	task_holds_replace(&holds, source,
 			   &(struct held_tasks){.starts = first_task, .start_count = 1});
-	task_holds_abandon_source(&holds, source, NOW_US, 2 * NOW_US);
+	task_holds_abandon_source(&holds, source, 1, NOW_US);
 	g_assert_false(task_holds_expire(&holds, NOW_US));
 	g_assert_cmpuint(holds.sources->len, ==, 1);
 	g_assert_false(task_holds_expire(&holds, NOW_US + 1));
@@ -311,6 +318,44 @@
 	g_free(names);
 }
 
+static bool is_first(const void *context, uint32_t index)
+{
+	return index == 0;
+}
+
+static bool awaits_lost_agent(const struct task_holds *holds, const char *job, int64_t since_us)
+{
+	return task_holds_await_lost_agent(holds, job, since_us, is_first, NULL);
+}
+
+/* Guards against a job that waits until its deadline for an agent that nobody hears, and against
+ * the refusal of one whose task is released soon. */
+static void test_await_lost_agent(void)
+{
+	struct task_holds holds;
+	struct hold_source *source;
+
+	task_holds_init(&holds);
+	source = task_holds_add_source(&holds);
+	hold_run(&holds, source, first_task);
+	g_assert_false(awaits_lost_agent(&holds, "a", NOW_US));
+	task_holds_set_lost(source, NOW_US);
+	g_assert_false(awaits_lost_agent(&holds, "a", NOW_US - 1));
+	g_assert_true(awaits_lost_agent(&holds, "a", NOW_US));
+	g_assert_false(awaits_lost_agent(&holds, "aa", NOW_US));
+	g_assert_false(awaits_lost_agent(&holds, "b", NOW_US));
+	hold_run(&holds, source, second_task);
+	g_assert_false(awaits_lost_agent(&holds, "a", NOW_US));
+	hold_run(&holds, source, first_task);
+	task_holds_set_word(&holds, source, AGENT_WORD_PENDING);
+	g_assert_false(awaits_lost_agent(&holds, "a", NOW_US));
+	g_assert_true(task_holds_contains(&holds, "a", 0));
+	task_holds_set_word(&holds, source, AGENT_WORD_NONE);
+	task_holds_set_lost(source, 0);
+	g_assert_false(awaits_lost_agent(&holds, "a", NOW_US));
+	task_holds_free(&holds);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -326,6 +371,7 @@
 	g_test_add_func("/holds/agent_reconnected", test_agent_reconnected);
 	g_test_add_func("/holds/agent_lost_later", test_agent_lost_later);
 	g_test_add_func("/holds/agent_stays_connected", test_agent_stays_connected);
+	g_test_add_func("/holds/await_lost_agent", test_await_lost_agent);
 	g_test_add_func("/holds/sender_returned", test_sender_returned);
 	g_test_add_func("/holds/repeated_and_too_many", test_repeated_and_too_many);
 	return g_test_run();
