Suspended hosts with real processes: platform_ftest and the soak

In the soak, half of the agents that are suspended are so with their server, drawn from a generator of its own, so that the other faults of a seed stay as they were.

--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -24,6 +24,7 @@
 	RESEND_MS = 1300,	   /* delay before a client resends a job without response */
 	ENTRY_RECOVERY_MS = 1000,  /* half of the 2 s limit for the recovery of a lost entry */
 	SETTLE_MS = 1000,	   /* pause before the effects of a fault are checked */
+	REFUSAL_MS = 1000,	   /* far less than the deadline */
 	US_PER_MS = 1000
 };
 
@@ -770,6 +771,80 @@
 	platform_stop(&cluster);
 }
 
+static void suspend_host(struct platform_cluster *cluster)
+{
+	harness_signal(cluster->agents[0], SIGSTOP);
+	platform_control(cluster, "{\"suspend_server\":0}");
+}
+
+static void resume_host(struct platform_cluster *cluster)
+{
+	platform_control(cluster, "{\"resume_server\":0}");
+	harness_signal(cluster->agents[0], SIGCONT);
+}
+
+/* Checks that a job which is sent again to entry 1 is refused at once while its earlier runs may go
+ * on at a suspended host, and completes after that has woken up. */
+static void check_sent_again(struct platform_cluster *cluster)
+{
+	int64_t sent_us = g_get_monotonic_time();
+	struct harness_reply reply;
+
+	platform_control(cluster, "{\"run_ms\":100}");
+	reply = platform_submit(cluster, 1, 1, MANY_TASKS);
+	g_assert_cmpint(reply.status, ==, 502);
+	g_assert_cmpstr(json_string_value(json_object_get(reply.body, "error")), ==, "agent_lost");
+	g_assert_cmpint(g_get_monotonic_time() - sent_us, <, REFUSAL_MS * US_PER_MS);
+	harness_reply_clear(&reply);
+	resume_host(cluster);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(cluster, 1, 1, MANY_TASKS));
+	platform_stop(cluster);
+}
+
+/* Guards against a second run of a task elsewhere, because its agent has been silent for longer
+ * than a lease lasts. The host is suspended, and the run goes on when it wakes up. */
+static void test_host_suspended(void)
+{
+	struct platform_cluster cluster;
+	struct platform_submission submission = {
+		.cluster = &cluster, .number = 1, .tasks = MANY_TASKS};
+	GThread *thread;
+
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"run_ms\":5000}");
+	thread = g_thread_new("client", platform_run_submission, &submission);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") == MANY_TASKS);
+	suspend_host(&cluster);
+	g_thread_join(thread);
+	g_assert_cmpint(submission.reply.status, >=, 502);
+	g_assert_cmpint(submission.reply.status, !=, 503);
+	harness_reply_clear(&submission.reply);
+	g_usleep(RESEND_MS * US_PER_MS);
+	check_sent_again(&cluster);
+}
+
+/* Guards against the same when the entry that has ordered the runs has ended as well, so that only
+ * its records at other entries tell of them. */
+static void test_host_suspended_and_entry_killed(void)
+{
+	struct platform_cluster cluster;
+	struct platform_submission submission = {
+		.cluster = &cluster, .number = 1, .tasks = MANY_TASKS};
+	GThread *thread;
+
+	platform_start(&cluster);
+	platform_control(&cluster, "{\"run_ms\":5000}");
+	thread = g_thread_new("client", platform_run_submission, &submission);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_counter(&cluster, "running") == MANY_TASKS);
+	suspend_host(&cluster);
+	harness_kill(cluster.entries[0]);
+	g_thread_join(thread);
+	g_assert_cmpint(submission.reply.status, ==, 0);
+	harness_reply_clear(&submission.reply);
+	g_usleep(RESEND_MS * US_PER_MS);
+	check_sent_again(&cluster);
+}
+
 /* Nobody sends anything to an entry. Guards against one that keeps its jobs and starts their tasks
  * again when its agents return, although it can't know which clients have left. The answer must not
  * say (429 or 503) that the job did not run. */
@@ -937,6 +1012,9 @@
 	g_test_add_func("/platform/no_lease_before_lists", test_no_lease_before_lists);
 	g_test_add_func("/platform/settings_change", test_settings_change);
 	g_test_add_func("/platform/agent_frozen", test_agent_suspended);
+	g_test_add_func("/platform/host_suspended", test_host_suspended);
+	g_test_add_func("/platform/host_suspended_and_entry_killed",
+			test_host_suspended_and_entry_killed);
 	g_test_add_func("/platform/entry_frozen", test_entry_suspended);
 	g_test_add_func("/platform/entry_isolated", test_entry_isolated);
 	g_test_add_func("/platform/entry_partitioned", test_entry_partitioned);
--- a/test/functional/soak_test.c
+++ b/test/functional/soak_test.c
@@ -40,7 +40,8 @@
 	9011, /* an entry that had removed a server did not receive the server's service again */
 };
 
-/* Faults of a process. SUSPEND is followed by SIGCONT, KILL and STOP by a restart. */
+/* Faults of a process. SUSPEND is followed by SIGCONT, KILL and STOP by a restart. Half of the
+ * agents that are suspended are so with their host, and thus their backend server. */
 enum process_fault {
 	SUSPEND,
 	KILL,
@@ -59,6 +60,8 @@
 	int64_t down_until_us[MAX_ENTRIES + MAX_AGENTS]; /* when a suspended or stopped process runs
 						    again; 0 while it runs */
 	bool suspended[MAX_ENTRIES + MAX_AGENTS];
+	bool host_suspended[MAX_AGENTS];
+	GRand *host_rand; /* of its own, so that the other faults of a seed stay the same */
 	char *platform_url;
 	char *client_urls[MAX_ENTRIES];
 	char *ready_urls[MAX_ENTRIES];
@@ -361,6 +364,16 @@
 	       (int64_t)g_rand_int_range(soak->rand, 100, 2 * FAULT_MEAN_MS) * US_PER_MS;
 }
 
+static void suspend_host(struct soak *soak, unsigned agent, bool suspended)
+{
+	char *text = g_strdup_printf("{\"%s\":%u}", suspended ? "suspend_server" : "resume_server",
+				     agent);
+
+	soak->host_suspended[agent] = suspended;
+	control_platform(soak, text);
+	g_free(text);
+}
+
 static void inject_process_fault(struct soak *soak)
 {
 	unsigned i = (unsigned)g_rand_int_range(soak->rand, 0,
@@ -379,6 +392,8 @@
 		       kind == SUSPEND ? "suspended" : (kind == KILL ? "killed" : "sent SIGTERM"));
 	harness_signal(soak->daemons[i],
 		       kind == SUSPEND ? SIGSTOP : (kind == KILL ? SIGKILL : SIGTERM));
+	if (kind == SUSPEND && i >= soak->entry_count && g_rand_boolean(soak->host_rand))
+		suspend_host(soak, i - soak->entry_count, true);
 }
 
 /* Resumes suspended processes and restarts stopped ones whose fault has ended, or all if ALL is
@@ -390,6 +405,8 @@
 		    (!all && g_get_monotonic_time() < soak->down_until_us[i]))
 			continue;
 		soak->down_until_us[i] = 0;
+		if (i >= soak->entry_count && soak->host_suspended[i - soak->entry_count])
+			suspend_host(soak, i - soak->entry_count, false);
 		if (soak->suspended[i]) {
 			harness_signal(soak->daemons[i], SIGCONT);
 		} else {
@@ -508,6 +525,7 @@
 
 	g_test_message("seed %u", seed);
 	soak.rand = g_rand_new_with_seed(seed);
+	soak.host_rand = g_rand_new_with_seed(~seed);
 	start_cluster(&soak);
 	for (unsigned i = 0; i < CLIENTS; i++) {
 		clients[i] = (struct client){
@@ -548,6 +566,7 @@
 	}
 	g_free(soak.platform_url);
 	g_rand_free(soak.rand);
+	g_rand_free(soak.host_rand);
 	harness_free(soak.harness);
 }
 
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -12,9 +12,10 @@
  * length, to T's log. The settings are page_items (items in a page of newest records; 0: all),
  * lists_lost, starts_lost, run_ms, store_down, store_silent, refused_address, cpu (capacity of each
  * server, which it does not enforce), cut_server (its connections are closed and new ones refused;
- * it runs on), restore_server, lists_garbled, deadly_job (id of a job whose tasks crash each
- * server that starts them), away_ms (how long a crashed server is away), and drain, stay and
- * silent, whose value is the index of a server.
+ * it runs on), restore_server, suspend_server and resume_server (its host is suspended: its clock
+ * and its runs stand still), lists_garbled, deadly_job (id of a job whose tasks crash each server
+ * that starts them), away_ms (how long a crashed server is away), and drain, stay and silent, whose
+ * value is the index of a server.
  */
 #include <arpa/inet.h>
 #include <jansson.h>
@@ -72,7 +73,9 @@
 	int64_t listed_epoch;  /* highest of the holds that were accepted */
 	uint32_t blind_leases; /* with an epoch that is far higher than that */
 	uint32_t epochs_refused;
-	int64_t lease_until_us;
+	int64_t lease_until_us;	    /* on its own clock */
+	int64_t suspended_since_us; /* 0: its host is not suspended */
+	int64_t suspended_us;	    /* in total before */
 	int64_t started_ms;
 	int64_t sequence;
 	bool draining;
@@ -157,9 +160,18 @@
 
 /* ---- backend servers ---- */
 
+/* The steady clock of a server stands still while its host is suspended. */
+static int64_t clock_us(const struct server *server)
+{
+	int64_t now_us = server->suspended_since_us > 0 ? server->suspended_since_us
+							: server->standin->loop.now_us;
+
+	return now_us - server->suspended_us;
+}
+
 static int64_t clock_ms(const struct server *server)
 {
-	return server->standin->loop.now_us / US_PER_MS;
+	return clock_us(server) / US_PER_MS;
 }
 
 /* Adds CHANGE to the number of runs of TASK and counts an overlap if the task then has more than
@@ -201,12 +213,12 @@
 {
 	int64_t now_us = server->standin->loop.now_us;
 
-	for (guint i = server->runs->len; i-- > 0;) {
+	for (guint i = server->runs->len; i-- > 0 && server->suspended_since_us == 0;) {
 		struct run *run = server->runs->pdata[i];
 
 		if (run->ends_us <= now_us)
 			end_run(server, run, "done");
-		else if (server->lease_until_us < now_us)
+		else if (server->lease_until_us < clock_us(server))
 			end_run(server, run, "lapsed");
 	}
 }
@@ -369,7 +381,9 @@
 	int64_t epoch = json_integer_value(json_object_get(document, "fence"));
 
 	end_due_runs(server);
-	if (!document) {
+	if (server->suspended_since_us > 0) {
+		leave_unanswered(request);
+	} else if (!document) {
 		http_respond(request, 400, NULL, "{}");
 	} else if (epoch < server->epoch) {
 		server->epochs_refused++;
@@ -407,7 +421,7 @@
 {
 	int64_t now_us = server->standin->loop.now_us;
 
-	for (guint i = server->pending_holds->len; i-- > 0;) {
+	for (guint i = server->pending_holds->len; i-- > 0 && server->suspended_since_us == 0;) {
 		struct pending_hold hold =
 			g_array_index(server->pending_holds, struct pending_hold, i);
 
@@ -439,7 +453,7 @@
 		(long long)clock_ms(server), (long long)++server->sequence,
 		(long long)server->started_ms);
 
-	if (!server->silent && server->return_due_us == 0)
+	if (!server->silent && server->suspended_since_us == 0 && server->return_due_us == 0)
 		http_client_call(server->agent, &(struct http_call){
 							.method = "POST",
 							.path = path,
@@ -686,6 +700,26 @@
 static void cut_off(struct server *server);
 static void listen_again(struct server *server);
 
+static void suspend(struct server *server)
+{
+	end_due_runs(server);
+	server->suspended_since_us = server->standin->loop.now_us;
+}
+
+/* The server goes on with its runs, whose leases last as long as before. */
+static void resume(struct server *server)
+{
+	int64_t now_us = server->standin->loop.now_us;
+	int64_t gap_us = now_us - server->suspended_since_us;
+
+	if (server->suspended_since_us == 0)
+		return;
+	for (guint i = 0; i < server->runs->len; i++)
+		((struct run *)server->runs->pdata[i])->ends_us += gap_us;
+	server->suspended_us += gap_us;
+	server->suspended_since_us = 0;
+}
+
 static void apply_server_settings(struct standin *standin, const json_t *document)
 {
 	json_t *drain = json_object_get(document, "drain");
@@ -693,6 +727,8 @@
 	json_t *undrain = json_object_get(document, "stay");
 	json_t *cut = json_object_get(document, "cut_server");
 	json_t *restore = json_object_get(document, "restore_server");
+	json_t *suspended = json_object_get(document, "suspend_server");
+	json_t *resumed = json_object_get(document, "resume_server");
 
 	if (drain)
 		standin->servers[json_integer_value(drain) % MAX_SERVERS].draining = true;
@@ -702,6 +738,10 @@
 		cut_off(&standin->servers[json_integer_value(cut) % MAX_SERVERS]);
 	if (restore)
 		listen_again(&standin->servers[json_integer_value(restore) % MAX_SERVERS]);
+	if (suspended)
+		suspend(&standin->servers[json_integer_value(suspended) % MAX_SERVERS]);
+	if (resumed)
+		resume(&standin->servers[json_integer_value(resumed) % MAX_SERVERS]);
 	if (silent)
 		standin->servers[json_integer_value(silent) % MAX_SERVERS].silent = true;
 }
@@ -921,6 +961,7 @@
 	server->last_cursor = 0;
 	server->epoch = 0;
 	server->lease_until_us = 0;
+	server->suspended_since_us = 0;
 	server->sequence = 0;
 	server->crashes++;
 	server->crash_due_us = 0;
