Evacuation of zones, from the operator's record to the agent's gate

Cause: nothing read the operator's records evacuate/ZONE, so tasks went on starting in zones that the operator had emptied.

Change: a process keeps the set of evacuated zones with the offset up to which the topic was read as its version; of two sets the higher version holds. Entries read the records with the configuration and tell agents, in Orders before the starts, and each other, in PeerState, as soon as the version has changed. An agent that reads the configuration for an entry that the store does not answer passes the set on. Entries place nothing on servers of the zones. Agents refuse starts there, also those that wait and stale ones that would be sent again. A list that lacks unreadable records removes no zone. When a zone is taken back, its servers offer a quarter of their cpu at once and all of it after a second. An entry whose zones are all evacuated stays ready and refuses jobs at once.

--- a/packages/base/include/event_defs.h
+++ b/packages/base/include/event_defs.h
@@ -59,6 +59,7 @@
 	X(1414, SERVER_MESSAGE_IGNORED, WARNING, "message about the backend server ignored")       \
 	X(1415, RUN_STOP_OVERDUE, WARNING, "run was not stopped in time")                          \
 	X(1416, TASK_HELD, INFO, "run may go on; its task is held")                                \
+	X(1417, SERVER_EVACUATED, INFO, "backend server's zone evacuated or taken back")           \
 	X(1500, CONFIG_APPLIED, INFO, "configuration applied")                                     \
 	X(1501, CONFIG_REJECTED, WARNING, "configuration patch rejected")                          \
 	X(1502, LOG_UNAVAILABLE, WARNING, "log service unavailable")                               \
@@ -67,6 +68,7 @@
 	X(1505, SNAPSHOT_APPENDED, INFO, "configuration snapshot appended")                        \
 	X(1506, CONFIG_OLDER, WARNING, "older configuration ignored")                              \
 	X(1507, RECORD_INVALID, WARNING, "unreadable records ignored")                             \
+	X(1508, ZONES_EVACUATED, WARNING, "evacuated zones changed")                               \
 	X(1600, CLAIM_ABANDONED, WARNING, "claim abandoned")                                       \
 	X(1700, DRAIN_STARTED, INFO, "graceful shutdown started")                                  \
 	X(1701, DRAIN_FINISHED, INFO, "graceful shutdown finished")                                \
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -161,6 +161,10 @@
 void dispatch_server_report(struct dispatch *dispatch, struct handle server,
 			    const struct fleet_report *report, int64_t now_us);
 
+/* Records whether the zone of SERVER is EVACUATED. Tasks that wait for room at the server come back
+ * by its agent. */
+void dispatch_server_evacuated(struct dispatch *dispatch, struct handle server, bool evacuated);
+
 /* Marks a server whose agent has disconnected from this entry. Its runs are kept until the agent or
  * a later process of it has told of them, or host_return_us has passed. A server without runs is
  * removed at once. */
--- a/packages/core/include/fleet.h
+++ b/packages/core/include/fleet.h
@@ -15,10 +15,12 @@
 	char agent[NAME_BYTES]; /* name of its agent, which stays the same */
 	char service[NAME_BYTES];
 	char zone[NAME_BYTES];
-	uint32_t partition; /* of the servers of its service; see bulkhead.h */
-	void *link;	    /* the agent's connection, passed to the callbacks of the dispatcher */
-	bool ready;
-	bool on_trial; /* this entry sends it at most one run at a time */
+	uint32_t partition;  /* of the servers of its service; see bulkhead.h */
+	void *link;	     /* the agent's connection, passed to the callbacks of the dispatcher */
+	bool ready;	     /* as reported, and not evacuated */
+	bool reported_ready; /* as last reported */
+	bool evacuated;	     /* it is in an evacuated zone */
+	bool on_trial;	     /* this entry sends it at most one run at a time */
 	struct resources total;
 	struct resources free; /* as reported, minus the orders sent since the report that can start
 				  at once */
@@ -73,6 +75,10 @@
 bool fleet_apply_report(struct fleet *fleet, struct fleet_server *server,
 			const struct fleet_report *report, int64_t now_us);
 
+/* Records whether SERVER is EVACUATED: it gets no runs, whatever its agent reports. Returns whether
+ * it has become ready or not ready. */
+bool fleet_set_evacuated(struct fleet *fleet, struct fleet_server *server, bool evacuated);
+
 /*
  * Recomputes the speeds relative to the median sound server if reports have changed them. Call
  * before choosing servers and not for each report: with hundreds of servers it costs more than
--- a/packages/core/include/runs.h
+++ b/packages/core/include/runs.h
@@ -79,7 +79,9 @@
 
 enum {
 	RUN_NO_OWNER = 0,
-	RUNS_TRANSIT_MAX_US = 15000000 /* a call without an answer is carried out by then */
+	RUNS_TRANSIT_MAX_US = 15000000, /* a call without an answer is carried out by then */
+	/* Time after an evacuation in which the offered resources grow. */
+	RUNS_RETURN_US = 1000000,
 };
 
 struct run {
@@ -204,6 +206,9 @@
 	uint32_t waiting_cpu[PRIORITY_LEVELS]; /* cpu of waiting runs, by priority */
 	bool server_present; /* the server has announced itself and answers requests */
 	bool server_leaving;
+	bool evacuated;		     /* no start is accepted; see runs_set_evacuated */
+	int64_t returned_us;	     /* when that ended; 0 if it never began */
+	uint32_t return_cpu;	     /* offered at that time */
 	bool suspected;		     /* the server's process may have ended */
 	int64_t lists_us;	     /* when lists of the current process were last applied */
 	uint64_t last_processed_end; /* highest sequence number of a processed end */
@@ -244,6 +249,20 @@
  * server accepts no new runs. */
 void runs_server_present(struct runs *runs, const struct resources *total, bool leaving);
 
+/*
+ * Records whether the zone of the server is EVACUATED. While it is, no start is sent and those that
+ * wait are refused. Runs that were started go on.
+ *
+ * When the zone is taken back, all its servers are empty, and may be slow as they have just been
+ * idle or started, while other servers may be overloaded and their work queued. If that all went to
+ * them at once, it would wait behind the slowest of them. So the offered resources grow to the
+ * total over RUNS_RETURN_US.
+ */
+void runs_set_evacuated(struct runs *runs, bool evacuated, int64_t now_us);
+
+/* Returns whether the offered resources grow after an evacuation. */
+bool runs_is_returning(const struct runs *runs, int64_t now_us);
+
 /* Records that the server's process may have ended: connections are refused. Until lists arrive or
  * another process answers, no lease is sent and no run accepted. Runs that were still waiting here
  * end as RUN_SERVER_UNAVAILABLE. Those that the server has confirmed and that are not being stopped
@@ -342,8 +361,8 @@
  * expired and no start is in transit. */
 void runs_tick(struct runs *runs, int64_t now_us);
 
-/* Returns the free resources: none while the server is absent, leaving or quarantined, has a run
- * that this agent did not order, or gets no lease. */
+/* Returns the free resources: none while the server is absent, leaving, quarantined or evacuated,
+ * has a run that this agent did not order, or gets no lease. */
 struct resources runs_free_resources(const struct runs *runs, int64_t now_us);
 
 /* Returns the cpu of all waiting runs. */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -425,6 +425,14 @@
 		dispatch->pump_needed = true;
 }
 
+void dispatch_server_evacuated(struct dispatch *dispatch, struct handle handle, bool evacuated)
+{
+	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
+
+	if (server && fleet_set_evacuated(&dispatch->fleet, server, evacuated))
+		dispatch->pump_needed = true;
+}
+
 void dispatch_server_disconnected(struct dispatch *dispatch, struct handle handle, int64_t now_us)
 {
 	struct fleet_server *server = fleet_get(&dispatch->fleet, handle);
@@ -432,7 +440,7 @@
 	if (!server)
 		return;
 	server->link = NULL;
-	server->ready = false;
+	server->ready = server->reported_ready = false;
 	dispatch->fleet.speeds_stale = true;
 	server->reported_us = now_us;
 	if (server->runs == 0)
--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -136,22 +136,40 @@
 		server->speed = server->speed_known ? server->reported_speed / median : 1.0;
 }
 
+/* Returns whether SERVER has become ready or not ready. */
+static bool update_ready(struct fleet *fleet, struct fleet_server *server)
+{
+	bool ready = server->reported_ready && !server->evacuated;
+
+	if (server->ready == ready)
+		return false;
+	server->ready = ready;
+	fleet->speeds_stale = true;
+	return true;
+}
+
+bool fleet_set_evacuated(struct fleet *fleet, struct fleet_server *server, bool evacuated)
+{
+	server->evacuated = evacuated;
+	return update_ready(fleet, server);
+}
+
 bool fleet_apply_report(struct fleet *fleet, struct fleet_server *server,
 			const struct fleet_report *report, int64_t now_us)
 {
 	uint32_t free_before = server->free.cpu;
 	uint32_t waiting_before = fleet_waiting_cpu_ahead(server, PRIORITY_LEVELS);
-	bool was_ready = server->ready;
+	bool ready_changed;
 	struct fleet_order *order;
 
 	server->on_trial = report->on_trial;
-	if (report->speed != server->reported_speed || server->ready != report->ready ||
-	    server->speed_known != report->speed_known) {
+	server->reported_ready = report->ready;
+	ready_changed = update_ready(fleet, server);
+	if (report->speed != server->reported_speed || server->speed_known != report->speed_known) {
 		if (report->speed != server->reported_speed)
 			server->speed_changed_us = now_us;
 		server->reported_speed = report->speed;
 		server->speed_known = report->speed_known;
-		server->ready = report->ready;
 		fleet->speeds_stale = true;
 	}
 	server->reported_us = now_us;
@@ -168,7 +186,7 @@
 		order = item->data;
 		count_order(server, &order->need, order->priority);
 	}
-	return server->ready != was_ready || server->free.cpu > free_before ||
+	return ready_changed || server->free.cpu > free_before ||
 	       fleet_waiting_cpu_ahead(server, PRIORITY_LEVELS) < waiting_before;
 }
 
--- a/packages/core/src/runs.c
+++ b/packages/core/src/runs.c
@@ -17,7 +17,9 @@
 	START_HOLD_DELAY_US = 50 * US_PER_MS,
 	BEHIND_REPORT_INTERVAL_US = 100 * US_PER_MS, /* between reports of the same slow run */
 	BEHIND_MIN_ELAPSED_US = 120 * US_PER_MS, /* the speed of younger runs is not meaningful */
-	STOP_RETRY_MAX_DOUBLINGS = 4
+	STOP_RETRY_MAX_DOUBLINGS = 4,
+	/* Share of the resources that is offered at once after an evacuation. */
+	RETURN_PERCENT = 25
 };
 
 static const double speed_ewma_weight = 0.15; /* weight of one sample */
@@ -94,6 +96,25 @@
 	runs->server_leaving = leaving;
 }
 
+void runs_set_evacuated(struct runs *runs, bool evacuated, int64_t now_us)
+{
+	if (evacuated == runs->evacuated)
+		return;
+	runs->evacuated = evacuated;
+	if (evacuated) {
+		runs_refuse_waiting(runs, now_us);
+		return;
+	}
+	runs->returned_us = now_us;
+	runs->return_cpu =
+		MAX(runs->used_resources.cpu, runs->total_resources.cpu / PERCENT * RETURN_PERCENT);
+}
+
+bool runs_is_returning(const struct runs *runs, int64_t now_us)
+{
+	return runs->returned_us > 0 && now_us - runs->returned_us < RUNS_RETURN_US;
+}
+
 /* Returns whether two tasks belong to the same job, which the part of a name before the first dot
  * identifies. */
 static bool same_job(const char *a, const char *b)
@@ -544,7 +565,8 @@
 		runs->unanswered_silently = true;
 	if (!run)
 		return; /* the run has ended already, for example because a list showed its end */
-	if (answer == START_STALE && !run->stop_requested && runs_may_lease(runs, now_us)) {
+	if (answer == START_STALE && !run->stop_requested && !runs->evacuated &&
+	    runs_may_lease(runs, now_us)) {
 		order_start(runs, run, handle, now_us);
 		return;
 	}
@@ -895,17 +917,30 @@
 bool runs_ready(const struct runs *runs)
 {
 	return runs->server_present && !runs->suspected && !runs->server_leaving &&
-	       runs->health.state != HEALTH_QUARANTINED;
+	       !runs->evacuated && runs->health.state != HEALTH_QUARANTINED;
+}
+
+/* Returns the cpu that is offered, including what is in use. */
+static uint32_t offered_cpu(const struct runs *runs, int64_t now_us)
+{
+	uint32_t total = runs->total_resources.cpu;
+	int64_t missing = (int64_t)total - MIN(total, runs->return_cpu);
+
+	if (!runs_is_returning(runs, now_us))
+		return total;
+	return (uint32_t)(total - missing +
+			  missing * (now_us - runs->returned_us) / RUNS_RETURN_US);
 }
 
 struct resources runs_free_resources(const struct runs *runs, int64_t now_us)
 {
 	struct resources available = {0};
+	uint32_t offered;
 
 	if (!runs_ready(runs) || runs->unknown_runs > 0 || !runs_may_lease(runs, now_us))
 		return available;
-	available.cpu = runs->total_resources.cpu -
-			MIN(runs->total_resources.cpu, runs->used_resources.cpu);
+	offered = offered_cpu(runs, now_us);
+	available.cpu = offered - MIN(offered, runs->used_resources.cpu);
 	available.memory_mb = runs->total_resources.memory_mb -
 			      MIN(runs->total_resources.memory_mb, runs->used_resources.memory_mb);
 	available.gpus = runs->total_resources.gpus -
--- a/packages/greengaged/src/agent_owner.c
+++ b/packages/greengaged/src/agent_owner.c
@@ -94,6 +94,7 @@
 	room->waiting_cpu = (uint32_t *)backend->runs.waiting_cpu;
 	room->run_ms = (uint32_t)(backend->runs.run_us / US_PER_MS);
 	room->suspect = runs_on_trial(&backend->runs, now_us);
+	room->evacuated = backend->runs.evacuated;
 }
 
 static void fill_server(const struct backend *backend, Ggd__Server *server, char **labels)
--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "event.h"
+#include "node_evacuations.h"
 #include "node_run_records.h"
 
 enum {
@@ -34,6 +35,8 @@
 	uint64_t last_orders_number; /* number of the last Orders message with starts on this
 					connection */
 	uint64_t last_report_number; /* highest number of the reports handled in this session */
+	uint64_t evacuations_sent;   /* version last sent on this connection; 0 before */
+	bool reported_evacuated;     /* the agent has reported that it accepts no starts */
 	guint members_sent;	     /* number of entry addresses sent on this connection */
 	uint32_t service_servers;    /* connected servers of its service; 0: not counted yet */
 	uint32_t service_servers_sent; /* last value sent on this connection */
@@ -100,6 +103,26 @@
 	return agent;
 }
 
+/* Excludes the backend server of AGENT while its zone is evacuated, as this entry or the agent
+ * knows. */
+static void update_evacuated(struct agent_peer *agent)
+{
+	struct node_entry *entry = agent->entry;
+	const struct fleet_server *server = fleet_get(&entry->dispatch.fleet, agent->server);
+
+	if (!agent->has_server || !server)
+		return;
+	dispatch_server_evacuated(&entry->dispatch, agent->server,
+				  agent->reported_evacuated ||
+					  evacuations_contains(&entry->evacuations, server->zone));
+}
+
+void node_agent_links_evacuations_changed(struct node_entry *entry)
+{
+	for (guint i = 0; i < entry->agents->len; i++)
+		update_evacuated(entry->agents->pdata[i]);
+}
+
 static void update_server(struct agent_peer *agent, const Ggd__Server *server)
 {
 	struct fleet_server *fleet_server = fleet_get(&agent->entry->dispatch.fleet, agent->server);
@@ -240,6 +263,8 @@
 
 	for (size_t i = 0; i < room->n_waiting_cpu && i < PRIORITY_LEVELS; i++)
 		fleet_report.waiting_cpu[i] = room->waiting_cpu[i];
+	agent->reported_evacuated = room->evacuated;
+	update_evacuated(agent);
 	dispatch_server_report(&entry->dispatch, agent->server, &fleet_report, now_us);
 	if (was_ready != fleet_server->ready)
 		event_log(EVENT_SERVER_STATE, EV_S("server", fleet_server->id),
@@ -342,6 +367,8 @@
 	if (config->version == 0)
 		return;
 	config_relay_answered(&entry->config_relay, entry->loop.now_us);
+	if (node_evacuations_receive(&entry->evacuations, config->evacuations, agent->name))
+		node_agent_links_evacuations_changed(entry);
 	if (config->version > node_config_version(&entry->config))
 		node_config_apply(&entry->config, (const char *)config->document.data,
 				  config->document.len, agent->name);
@@ -400,12 +427,13 @@
 }
 
 /* Sends the queued starts and stops, which may be none, the acknowledgement of reports, new
- * addresses of entries and a changed number of servers. */
+ * addresses of entries, a changed number of servers and changed evacuated zones. */
 static void send_orders(struct agent_peer *agent)
 {
 	struct node_entry *entry = agent->entry;
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	Ggd__Orders orders = GGD__ORDERS__INIT;
+	Ggd__Evacuations evacuations = GGD__EVACUATIONS__INIT;
 	Ggd__StartBatch *batches = g_new0(Ggd__StartBatch, agent->starts->len + 1);
 	Ggd__StartBatch **pointers = g_new(Ggd__StartBatch *, agent->starts->len + 1);
 	guint first = 0;
@@ -434,6 +462,11 @@
 	if (agent->service_servers != agent->service_servers_sent)
 		orders.service_servers = agent->service_servers;
 	agent->service_servers_sent = agent->service_servers;
+	if (agent->evacuations_sent != entry->evacuations.version) {
+		node_evacuations_fill(&entry->evacuations, &evacuations);
+		orders.evacuations = &evacuations;
+		agent->evacuations_sent = entry->evacuations.version;
+	}
 	frame.body_case = GGD__FRAME__BODY_ORDERS;
 	frame.orders = &orders;
 	node_link_send(agent->link, &frame);
@@ -534,6 +567,7 @@
 	agent->session_unconfirmed = false;
 	agent->config_requested = false;
 	agent->members_sent = 0;
+	agent->evacuations_sent = 0;
 	agent->service_servers_sent = 0;
 	node_link_set_callbacks(link, &link_callbacks, agent);
 	return true;
@@ -582,7 +616,8 @@
 		struct agent_peer *agent = entry->agents->pdata[i];
 
 		if (agent->link && (agent->starts->len > 0 || agent->stops->len > 0 ||
-				    agent->abandon || agent->session_unconfirmed))
+				    agent->abandon || agent->session_unconfirmed ||
+				    agent->evacuations_sent != entry->evacuations.version))
 			send_orders(agent);
 	}
 }
@@ -721,14 +756,14 @@
 	g_hash_table_destroy(counts);
 }
 
-uint32_t node_agent_links_count_ready(const struct node_entry *entry)
+uint32_t node_agent_links_count_serving(const struct node_entry *entry)
 {
-	uint32_t ready = 0;
+	uint32_t serving = 0;
 
 	for (guint i = 0; i < entry->agents->len; i++) {
 		const struct fleet_server *server = connected_server(entry->agents->pdata[i]);
 
-		ready += server && server->ready;
+		serving += server && (server->ready || server->evacuated);
 	}
-	return ready;
+	return serving;
 }
--- a/packages/greengaged/src/node_agent_links.h
+++ b/packages/greengaged/src/node_agent_links.h
@@ -40,8 +40,13 @@
  */
 void node_agent_links_count_servers(struct node_entry *entry);
 
-/* Returns the number of connected agents whose backend server accepts starts. */
-uint32_t node_agent_links_count_ready(const struct node_entry *entry);
+/* Returns the number of connected agents whose backend server accepts starts, or does so again when
+ * its zone is taken back: an entry whose zones are all evacuated answers its requests at once. */
+uint32_t node_agent_links_count_serving(const struct node_entry *entry);
+
+/* Applies the evacuated zones to all servers. They go to the agents with the next orders, which are
+ * due at once. Call when their version has risen. */
+void node_agent_links_evacuations_changed(struct node_entry *entry);
 
 /* An agent process, as far as others need to know what may go on at its server. */
 struct agent_state {
--- a/packages/greengaged/src/node_config.c
+++ b/packages/greengaged/src/node_config.c
@@ -2,6 +2,7 @@
 
 #include "config_document.h"
 #include "event.h"
+#include "node_evacuations.h"
 
 enum {
 	US_PER_MS = 1000,
@@ -128,9 +129,12 @@
 	return read;
 }
 
-/* Ends READ and applies its records. Returns whether reading has not continued in another way since
- * READ began, so that the caller must continue it. */
-static bool finish_read(struct config_read *read, const struct store_result *result)
+/* Ends READ and applies its records, those of evacuated zones by APPLY_EVACUATIONS. Returns whether
+ * reading has not continued in another way since READ began, so that the caller must continue it.
+ */
+static bool finish_read(struct config_read *read, const struct store_result *result,
+			bool (*apply_evacuations)(struct evacuations *evacuations,
+						  const struct store_result *result))
 {
 	struct node_config *config = read->config;
 	bool is_current = read->sequence == config->read_sequence;
@@ -139,6 +143,9 @@
 	if (is_current)
 		update_store_state(config, result);
 	if (result->status == STATUS_OK) {
+		/* First, so that no task is placed by a new configuration alone. */
+		if (apply_evacuations(config->evacuations, result))
+			config->evacuations_read(config->context);
 		apply_records(config, result);
 		node_config_confirm(config);
 	}
@@ -152,7 +159,7 @@
 	struct config_read *read = context;
 	struct node_config *config = read->config;
 
-	if (!finish_read(read, result))
+	if (!finish_read(read, result, node_evacuations_apply_records))
 		return;
 	if (result->status == STATUS_OK)
 		poll_records(config, result->next);
@@ -174,7 +181,8 @@
 	struct config_read *read = context;
 	struct node_config *config = read->config;
 
-	if (!finish_read(read, result) || result->status != STATUS_OK)
+	if (!finish_read(read, result, node_evacuations_apply_newest) ||
+	    result->status != STATUS_OK)
 		return;
 	timer_cancel(&config->loop->timers, config->newest_read_timer);
 	/* The answers to overlapping reads must not start further polls. */
--- a/packages/greengaged/src/node_config.h
+++ b/packages/greengaged/src/node_config.h
@@ -1,8 +1,10 @@
-/* The configuration in force, which all entries share. It is read from the store, and received from
- * other entries when the store does not deliver it. See node_settings.h for the local settings. */
+/* The configuration in force, which all entries share, and the evacuated zones. They are read from
+ * the store, and received from other processes when the store does not deliver them. See
+ * node_settings.h for the local settings. */
 #ifndef GG_NODE_CONFIG_H
 #define GG_NODE_CONFIG_H
 
+#include "evacuation.h"
 #include "net.h"
 #include "routes.h"
 #include "store.h"
@@ -12,7 +14,8 @@
 	struct store *store;
 	struct route_table *table; /* NULL before the first configuration */
 	GBytes *document;	   /* the configuration in force, as stored */
-	int64_t apply_limit_ms;	   /* time limit for a new version to be in force */
+	struct evacuations *evacuations;
+	int64_t apply_limit_ms; /* time limit for a new version to be in force */
 	/* Starts reads of the newest version until one succeeds; of no effect after that. */
 	struct handle newest_read_timer;
 	int64_t newest_read_us; /* when such a read was last started; 0 before the first */
@@ -22,6 +25,8 @@
 	int64_t confirmed_us;	/* when the store last answered a read; 0 before the first answer */
 	/* Called when a new configuration has come into force. */
 	void (*applied)(void *context, const struct route_table *table);
+	/* Called when the version of the evacuated zones has risen by a read. */
+	void (*evacuations_read)(void *context);
 	/* Called when the store answers again after a read that ended with STATUS_LOG_UNAVAILABLE.
 	 */
 	void (*store_recovered)(void *context);
@@ -30,7 +35,7 @@
 
 /* Reads the newest version from the store, repeatedly until the store answers, and then waits there
  * for further versions. Replaces reads that are in progress. The caller must set `loop`, `store`,
- * `apply_limit_ms`, the callbacks and their context before the first call. */
+ * `evacuations`, `apply_limit_ms`, the callbacks and their context before the first call. */
 void node_config_read_newest(struct node_config *config);
 
 /* Applies the document TEXT if its version is higher than the one in force. SOURCE names its origin
--- a/packages/greengaged/src/node_config_relay.c
+++ b/packages/greengaged/src/node_config_relay.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "config_document.h"
+#include "node_evacuations.h"
 
 /* A read in progress. */
 struct relayed_read {
@@ -19,6 +20,9 @@
 	size_t length = 0;
 	uint64_t version = 0;
 
+	if (result->status == STATUS_OK &&
+	    node_evacuations_apply_newest(relay->evacuations, result))
+		relay->evacuations_read(relay->context);
 	for (size_t i = 0; result->status == STATUS_OK && i < result->count; i++) {
 		const struct store_record *record = &result->records[i];
 
--- a/packages/greengaged/src/node_config_relay.h
+++ b/packages/greengaged/src/node_config_relay.h
@@ -1,10 +1,11 @@
-/* The agent's side of config_relay.h: reads the configuration from the store for entries that the
- * store does not answer. */
+/* The agent's side of config_relay.h: reads the configuration and the evacuated zones from the
+ * store for entries that the store does not answer. */
 #ifndef GG_NODE_CONFIG_RELAY_H
 #define GG_NODE_CONFIG_RELAY_H
 
 #include <stdint.h>
 
+#include "evacuation.h"
 #include "store.h"
 
 /* Receives the answer to the request of ENTRY. VERSION is the newest version, 0 if the store did
@@ -15,6 +16,9 @@
 
 struct node_config_relay {
 	struct store *store;
+	struct evacuations *evacuations; /* of this process */
+	/* Called before the answer when the version of the evacuated zones has risen by a read. */
+	void (*evacuations_read)(void *context);
 	node_config_relay_callback answer;
 	void *context;
 };
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -56,7 +56,7 @@
 static bool is_ready(const struct node_entry *entry)
 {
 	return !entry->stopping && !entry->partition.cut_off && entry->config.table &&
-	       node_agent_links_count_ready(entry) > 0;
+	       node_agent_links_count_serving(entry) > 0;
 }
 
 static void on_readiness_request(void *context, struct http_request *request)
@@ -69,6 +69,8 @@
 			    (int64_t)node_config_version(&entry->config));
 		counter_set(&node_metrics[NODE_METRIC_CONFIG_UNCONFIRMED],
 			    node_config_unconfirmed_ms(&entry->config));
+		counter_set(&node_metrics[NODE_METRIC_EVACUATED_ZONES],
+			    (int64_t)entry->evacuations.zones->len);
 		node_metrics_answer(request);
 		return;
 	}
@@ -79,7 +81,7 @@
 	if (ready != entry->reported_ready)
 		event_log(EVENT_READINESS, EV_S("state", ready ? "ready" : "not_ready"),
 			  EV_I("config_version", node_config_version(&entry->config)),
-			  EV_I("servers", node_agent_links_count_ready(entry)));
+			  EV_I("servers", node_agent_links_count_serving(entry)));
 	entry->reported_ready = ready;
 	http_respond(request, ready ? 200 : 503, NULL, "{}");
 }
@@ -127,6 +129,11 @@
 	node_clients_apply_config(context, table);
 }
 
+static void on_evacuations_read(void *context)
+{
+	node_agent_links_evacuations_changed(context);
+}
+
 static void on_store_recovered(void *context)
 {
 	struct node_entry *entry = context;
@@ -354,7 +361,9 @@
 		.loop = &entry->loop,
 		.store = entry->store,
 		.apply_limit_ms = (int64_t)settings->config_apply_ms,
+		.evacuations = &entry->evacuations,
 		.applied = on_config,
+		.evacuations_read = on_evacuations_read,
 		.store_recovered = on_store_recovered,
 		.context = entry,
 	};
@@ -373,6 +382,7 @@
 					     settings->peer_port);
 	entry->agents = g_ptr_array_new();
 	entry->outgoing_peers = g_ptr_array_new();
+	evacuations_init(&entry->evacuations);
 	node_metrics_register();
 	net_loop_init(&entry->loop);
 	entry->loop.on_iteration = on_iteration;
--- a/packages/greengaged/src/node_entry.h
+++ b/packages/greengaged/src/node_entry.h
@@ -27,6 +27,7 @@
 	struct store_probe *store_probe;
 	struct node_signals signals;
 	struct node_config config;
+	struct evacuations evacuations;
 	struct config_pull config_pull;
 	struct config_relay config_relay;
 	uint32_t config_relay_agent; /* index in `agents` of the one that reads the configuration */
--- a/packages/greengaged/src/node_metrics.h
+++ b/packages/greengaged/src/node_metrics.h
@@ -26,7 +26,8 @@
 	X(LOG_DROPPED, "log_lines_dropped_total", TOTAL, "Log lines dropped at their bounds")      \
 	X(CONFIG_VERSION, "config_version", GAUGE, "Version of the configuration in force")        \
 	X(CONFIG_UNCONFIRMED, "config_unconfirmed_ms", GAUGE,                                      \
-	  "Time since the store last answered a read of the configuration, -1 before the first")
+	  "Time since the store last answered a read of the configuration, -1 before the first")   \
+	X(EVACUATED_ZONES, "evacuated_zones", GAUGE, "Zones in which no task is started")
 
 enum node_metric {
 #define NODE_METRIC_ENUM(constant, name, kind, help) NODE_METRIC_##constant,
--- a/packages/greengaged/src/node_peers.c
+++ b/packages/greengaged/src/node_peers.c
@@ -4,6 +4,7 @@
 
 #include "event.h"
 #include "node_agent_links.h"
+#include "node_evacuations.h"
 #include "node_holds.h"
 #include "node_run_records.h"
 #include "subset.h"
@@ -58,6 +59,7 @@
 	uint64_t last_ended_sequence;  /* sequence of the last ended job sent on this connection */
 	uint64_t last_crash_sequence;  /* sequence of the last crash sent on this connection */
 	uint64_t last_bulkhead_change; /* bulkhead.changes when a state was last sent */
+	uint64_t last_evacuations;     /* version sent last on this connection; 0 before */
 	uint64_t last_holds_change;    /* agent_holds_changes when a state was last sent */
 	uint64_t last_lost_agents;     /* lost_agents when a state was last sent */
 };
@@ -188,12 +190,18 @@
 	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
 	GArray *completed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	GArray *failed = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	Ggd__Evacuations evacuations = GGD__EVACUATIONS__INIT;
 	double core_us[PRIORITY_LEVELS];
 	uint64_t backlog[PRIORITY_LEVELS];
 	uint64_t sum = 0;
 
 	state.config_version = node_config_version(&entry->config);
 	state.config_wanted = config_wanted;
+	if (peer->last_evacuations != entry->evacuations.version) {
+		node_evacuations_fill(&entry->evacuations, &evacuations);
+		state.evacuations = &evacuations;
+		peer->last_evacuations = entry->evacuations.version;
+	}
 	dispatch_backlog(&entry->dispatch, core_us);
 	for (int i = 0; i < PRIORITY_LEVELS; i++) {
 		backlog[i] = (uint64_t)(core_us[i] / US_PER_MS);
@@ -437,6 +445,7 @@
 	peer->members_sent = 0;
 	peer->last_ended_sequence = 0;
 	peer->last_crash_sequence = 0;
+	peer->last_evacuations = 0;
 	event_log(EVENT_CHANNEL_OPENED, EV_S("entry", hello->name), EV_S("address", peer->address));
 	node_link_set_heartbeat(link, heartbeat_ms(peer->entry));
 	choose_witnesses(peer->entry);
@@ -452,10 +461,20 @@
 	stop_awaiting_holds(peer);
 }
 
+static void receive_evacuations(struct node_entry *entry, const Ggd__Frame *frame,
+				const char *source)
+{
+	if (frame->body_case == GGD__FRAME__BODY_PEER &&
+	    node_evacuations_receive(&entry->evacuations, frame->peer->evacuations, source))
+		node_agent_links_evacuations_changed(entry);
+}
+
 static void on_outgoing_frame(void *context, struct node_link *link, const Ggd__Frame *frame)
 {
 	struct outgoing_peer *peer = context;
 
+	/* Before a configuration, with which the first tasks may be placed. */
+	receive_evacuations(peer->entry, frame, peer->address);
 	handle_config_frame(peer->entry, link, frame, peer->address);
 	if (frame->body_case == GGD__FRAME__BODY_PEER && frame->peer->answer)
 		handle_answer(peer, frame->peer);
@@ -540,6 +559,7 @@
 	struct incoming_peer *peer = context;
 	const Ggd__PeerState *state = frame->peer;
 
+	receive_evacuations(peer->entry, frame, peer->name);
 	handle_config_frame(peer->entry, link, frame, peer->name);
 	if (frame->body_case == GGD__FRAME__BODY_RUN_RECORDS)
 		run_records_apply(peer->run_records, frame->run_records);
@@ -610,9 +630,12 @@
 	GPtrArray *holds = node_holds_collect(entry);
 	Ggd__Frame frame = GGD__FRAME__INIT;
 	Ggd__PeerState state = GGD__PEER_STATE__INIT;
+	Ggd__Evacuations evacuations = GGD__EVACUATIONS__INIT;
 	guint sent = 0;
 
 	state.answer = true;
+	node_evacuations_fill(&entry->evacuations, &evacuations);
+	state.evacuations = &evacuations;
 	state.holds = (Ggd__Holds **)holds->pdata;
 	state.n_holds = holds->len;
 	state.entries = node_members_unsent(&entry->members, &sent, &state.n_entries);
@@ -739,12 +762,14 @@
 }
 
 /* Returns whether to send PEER a state before the next heartbeat: at once when a queue has become a
- * suspect, and at intervals while work is queued or when the agents hold other tasks. */
+ * suspect or the evacuated zones may have changed, and at intervals while work is queued or when
+ * the agents hold other tasks. */
 static bool is_state_due(const struct outgoing_peer *peer, int64_t now_us)
 {
 	const struct node_entry *entry = peer->entry;
 
-	if (peer->last_bulkhead_change != entry->dispatch.bulkhead.changes)
+	if (peer->last_bulkhead_change != entry->dispatch.bulkhead.changes ||
+	    peer->last_evacuations != entry->evacuations.version)
 		return true;
 	return now_us - peer->last_state_sent_us >= state_interval_us(entry) &&
 	       (entry->dispatch.queue->len > 0 || peer->last_backlog_core_ms > 0 ||
--- a/packages/platform/include/store.h
+++ b/packages/platform/include/store.h
@@ -15,7 +15,12 @@
 /* Key of the operator's record that contains the whole configuration. */
 #define STORE_KEY_CONFIG "config"
 
+/* Keys of the operator's records of evacuated zones: this prefix and the name of the zone. Whatever
+ * their value, the zone is evacuated while the record exists. */
+#define STORE_KEY_EVACUATE "evacuate/"
+
 struct store_record {
+	uint64_t offset; /* of a record from store_read; 0 in a list of newest records */
 	const char *key; /* NULL for an empty record */
 	size_t key_length;
 	const char *value; /* NULL if empty, which marks the key as deleted */
@@ -34,7 +39,8 @@
 	const char *reason; /* error message; NULL with STATUS_OK */
 	const struct store_record *records;
 	size_t count;
-	uint64_t next; /* offset at which to continue reading; 0 for an append or a failure */
+	uint64_t next;	 /* offset at which to continue reading; 0 for an append or a failure */
+	bool incomplete; /* a list of newest records lacks some that are not readable */
 };
 
 typedef void (*store_callback)(void *context, const struct store_result *result);
@@ -63,4 +69,10 @@
 /* Returns whether RECORD has KEY and a value. A record without a value drops its key. */
 bool store_record_has_key(const struct store_record *record, const char *key);
 
+/* Returns whether the key of RECORD, which may be without a value, begins with PREFIX, and copies
+ * the rest to NAME, of SIZE bytes. *VALID tells whether it is a name: not empty, not too long and
+ * without a NUL byte. */
+bool store_record_get_name(const struct store_record *record, const char *prefix, char *name,
+			   size_t size, bool *valid);
+
 #endif
--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -44,6 +44,7 @@
 	GPtrArray *strings; /* keys and values of the pages read so far */
 	unsigned pages;	    /* pages read so far */
 	GArray *records;
+	bool incomplete; /* records were left out */
 };
 
 struct store *store_new(struct net_loop *loop, const char *address)
@@ -93,6 +94,7 @@
 		.records = (const struct store_record *)(void *)operation->records->data,
 		.count = operation->records->len,
 		.next = next,
+		.incomplete = operation->incomplete,
 	};
 
 	operation->callback(operation->context, &result);
@@ -155,20 +157,23 @@
 		g_ptr_array_add(operation->strings, g_steal_pointer(&item->key));
 		g_ptr_array_add(operation->strings, g_steal_pointer(&item->value));
 	}
-	if (page->unreadable > 0)
+	if (page->unreadable > 0) {
+		operation->incomplete = true;
 		log_unreadable(operation, page->first_unreadable, page->reason, page->unreadable);
+	}
 }
 
 static void request_page(struct operation *operation, const struct store_page *previous);
 
 /* Returns whether to request the page after PAGE. A page without a readable key cannot be
  * continued. */
-static bool is_continued(const struct operation *operation, const struct store_page *page)
+static bool is_continued(struct operation *operation, const struct store_page *page)
 {
 	if (!page->has_more)
 		return false;
 	if (page->last_key && operation->pages < NEWEST_MAX_PAGES)
 		return true;
+	operation->incomplete = true;
 	log_unreadable(operation, page->first_unreadable,
 		       page->last_key ? "the list is too long" : "a page without a readable key",
 		       page->unreadable);
@@ -267,6 +272,7 @@
 			return false;
 		if (!parse_record(bytes + offset, size, &record) && unreadable++ == 0)
 			first_unreadable = offset;
+		record.offset = operation->next_offset + operation->records->len;
 		g_array_append_val(operation->records, record);
 		offset += size;
 	}
@@ -366,3 +372,22 @@
 	return record->value && record->key_length == strlen(key) &&
 	       memcmp(record->key, key, record->key_length) == 0;
 }
+
+bool store_record_get_name(const struct store_record *record, const char *prefix, char *name,
+			   size_t size, bool *valid)
+{
+	size_t prefix_length = strlen(prefix);
+	size_t length;
+
+	if (!record->key || record->key_length < prefix_length ||
+	    memcmp(record->key, prefix, prefix_length) != 0)
+		return false;
+	length = record->key_length - prefix_length;
+	*valid = length > 0 && length < size && !memchr(record->key + prefix_length, 0, length);
+	g_strlcpy(name, "", size);
+	if (*valid) {
+		memcpy(name, record->key + prefix_length, length);
+		name[length] = '\0';
+	}
+	return true;
+}
--- a/test/unit/node_agent_links_test.c
+++ b/test/unit/node_agent_links_test.c
@@ -189,6 +189,7 @@
 						     .run_ended = run_ended};
 
 	dispatch_init(&entry->dispatch, &limits, &callbacks, 1);
+	evacuations_init(&entry->evacuations);
 	entry->loop.now_us = US_PER_SECOND;
 	entry->agents = g_ptr_array_new();
 	entry->members.addresses = g_ptr_array_new();
@@ -204,6 +205,7 @@
 	node_agent_links_free(&fixture->entry);
 	g_ptr_array_free(fixture->entry.members.addresses, TRUE);
 	dispatch_free(&fixture->entry.dispatch);
+	evacuations_free(&fixture->entry.evacuations);
 }
 
 /* Guards against a run that is kept for 16 s because the connection of the process with it ends
--- a/test/unit/node_config_test.c
+++ b/test/unit/node_config_test.c
@@ -26,6 +26,7 @@
 	GPtrArray *newest_reads;
 	/* struct http_request *, unanswered reads that wait for new records */
 	GPtrArray *waiting_reads;
+	struct evacuations evacuations;
 	struct node_config config;
 };
 
@@ -71,6 +72,10 @@
 	return ntohs(address.sin_port);
 }
 
+static void on_evacuations_read(void *context)
+{
+}
+
 static void set_up(struct fixture *fixture)
 {
 	const struct http_server_options options = {
@@ -84,6 +89,7 @@
 	*fixture = (struct fixture){.newest_reads = g_ptr_array_new(),
 				    .waiting_reads = g_ptr_array_new()};
 	net_loop_init(&fixture->loop);
+	evacuations_init(&fixture->evacuations);
 	g_snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d", find_free_port());
 	g_assert_cmpint(http_server_listen(&fixture->loop, fixture->address, &options, &callbacks,
 					   fixture, &fixture->server, &err),
@@ -91,8 +97,10 @@
 	fixture->config = (struct node_config){
 		.loop = &fixture->loop,
 		.store = store_new(&fixture->loop, fixture->address),
+		.evacuations = &fixture->evacuations,
 		.apply_limit_ms = APPLY_LIMIT_MS,
 		.applied = on_applied,
+		.evacuations_read = on_evacuations_read,
 		.store_recovered = on_recovered,
 	};
 	node_config_read_newest(&fixture->config);
@@ -179,6 +187,7 @@
 static void tear_down(struct fixture *fixture)
 {
 	store_free(fixture->config.store);
+	evacuations_free(&fixture->evacuations);
 	http_server_reset(fixture->server);
 	uv_run(&fixture->loop.uv, UV_RUN_NOWAIT);
 	g_ptr_array_free(fixture->newest_reads, TRUE);
--- a/test/unit/session_world.h
+++ b/test/unit/session_world.h
@@ -576,6 +576,7 @@
 	entry->node.store_probe = (void *)entry;
 	node_isolation_start(&entry->node);
 	entry->node.agents = g_ptr_array_new();
+	evacuations_init(&entry->node.evacuations);
 	entry->node.members.addresses = g_ptr_array_new();
 	dispatch_await_holds(&entry->node.dispatch, entry->node.loop.now_us + HOLDS_WAIT_US);
 	world->entry_incarnations[index] = random_incarnation(world);
@@ -600,6 +601,7 @@
 	for (uint32_t i = 0; i < world->sim.entry_count; i++)
 		drop_peer(world, index, i);
 	node_agent_links_free(node);
+	evacuations_free(&node->evacuations);
 	g_ptr_array_free(node->members.addresses, TRUE);
 }
 
