Test the reading of evacuation records by an entry

Cause: no test covered the records evacuate/ZONE in a list or in the log.

Change: node_config_test covers records in a list and in the log, deleted and odd ones, the longest names, a list with an unreadable item, overlapping reads answered out of order, and a poll behind what another process has told.

--- a/test/unit/node_config_test.c
+++ b/test/unit/node_config_test.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "core_defs.h"
 #include "http_server.h"
 #include "node_config.h"
 
@@ -14,8 +15,7 @@
 	 * of reads would be noticed. */
 	SETTLE_US = 600 * 1000,
 	NEWEST_READ_INTERVAL_US = 250 * 1000,
-	APPLY_LIMIT_MS = 2000, /* time limit for a new version to be in force */
-	US_PER_MS = 1000
+	APPLY_LIMIT_MS = 2000 /* time limit for a new version to be in force */
 };
 
 struct fixture {
@@ -27,9 +27,16 @@
 	/* struct http_request *, unanswered reads that wait for new records */
 	GPtrArray *waiting_reads;
 	struct evacuations evacuations;
+	uint32_t evacuations_read; /* number of calls that tell of a higher version */
 	struct node_config config;
 };
 
+/* A record of the log. VALUE is NULL in one that takes its key back. */
+struct log_record {
+	const char *key;
+	const char *value;
+};
+
 static void on_request(void *context, struct http_request *request)
 {
 	struct fixture *fixture = context;
@@ -74,6 +81,7 @@
 
 static void on_evacuations_read(void *context)
 {
+	((struct fixture *)context)->evacuations_read++;
 }
 
 static void set_up(struct fixture *fixture)
@@ -102,6 +110,7 @@
 		.applied = on_applied,
 		.evacuations_read = on_evacuations_read,
 		.store_recovered = on_recovered,
+		.context = fixture,
 	};
 	node_config_read_newest(&fixture->config);
 }
@@ -137,38 +146,47 @@
 	return g_strdup_printf("{\"version\":%d,\"routes\":[]}", version);
 }
 
-/* Answers the poll that has waited longest with the configurations DOCUMENTS, a list that ends with
- * NULL. */
-static void answer_poll(struct fixture *fixture, char *const *documents)
+/* Answers the poll that has waited longest with COUNT RECORDS. */
+static void answer_poll(struct fixture *fixture, const struct log_record *records, size_t count)
 {
-	static const char key[] = "config";
 	GString *body = g_string_new_len("\0\0\0\0\0\0\0\100\0\0\0\0\0\0\0\0", 16);
 
-	for (size_t i = 0; documents[i]; i++) {
-		guint32 size = htonl((guint32)(sizeof(key) + strlen(documents[i])));
+	for (size_t i = 0; i < count; i++) {
+		size_t key_length = strlen(records[i].key);
+		const char *value = records[i].value ? records[i].value : "";
+		guint32 size = htonl((guint32)(1 + key_length + strlen(value)));
 
 		g_string_append_len(body, (const char *)&size, sizeof(size));
-		g_string_append_c(body, (char)strlen(key));
-		g_string_append(body, key);
-		g_string_append(body, documents[i]);
+		g_string_append_c(body, (char)key_length);
+		g_string_append(body, records[i].key);
+		g_string_append(body, value);
 	}
 	http_respond_bytes(g_ptr_array_steal_index(fixture->waiting_reads, 0), 200, NULL, body->str,
 			   body->len);
 	g_string_free(body, TRUE);
 }
 
+/* Answers the read of the newest records that has waited longest with ITEMS, the JSON text of a
+ * list without its brackets, and END_OFFSET. */
+static void answer_newest(struct fixture *fixture, const char *items, int end_offset)
+{
+	char *body = g_strdup_printf("{\"items\":[%s],\"hasMore\":false,\"endOffset\":%d}", items,
+				     end_offset);
+
+	http_respond(g_ptr_array_steal_index(fixture->newest_reads, 0), 200, NULL, body);
+	g_free(body);
+}
+
 /* Answers the read of the newest records that has waited longest with a configuration. */
 static void answer_version(struct fixture *fixture, int version)
 {
-	struct http_request *request = g_ptr_array_steal_index(fixture->newest_reads, 0);
 	char *document = make_document(version);
 	char *value = g_base64_encode((const guchar *)document, strlen(document));
-	char *body = g_strdup_printf("{\"items\":[{\"key\":\"config\",\"value\":\"%s\","
-				     "\"offset\":%d}],\"hasMore\":false,\"endOffset\":%d}",
-				     value, version, version + 1);
+	char *item = g_strdup_printf("{\"key\":\"config\",\"value\":\"%s\",\"offset\":%d}", value,
+				     version);
 
-	http_respond(request, 200, NULL, body);
-	g_free(body);
+	answer_newest(fixture, item, version + 1);
+	g_free(item);
 	g_free(value);
 	g_free(document);
 }
@@ -184,6 +202,21 @@
 	}
 }
 
+/* Runs the event loop until the evacuated zones have VERSION, and checks that they are ZONES. */
+static void run_until_evacuated(struct fixture *fixture, uint64_t version, const char *zones)
+{
+	int64_t end_us = g_get_monotonic_time() + TIMEOUT_US;
+	char *text;
+
+	while (fixture->evacuations.version != version) {
+		g_assert_cmpint(g_get_monotonic_time(), <, end_us);
+		uv_run(&fixture->loop.uv, UV_RUN_ONCE);
+	}
+	text = evacuations_format(&fixture->evacuations);
+	g_assert_cmpstr(text, ==, zones);
+	g_free(text);
+}
+
 static void tear_down(struct fixture *fixture)
 {
 	store_free(fixture->config.store);
@@ -240,13 +273,14 @@
 static void test_older_version_last(void)
 {
 	struct fixture fixture;
-	char *documents[] = {make_document(9), make_document(7), NULL};
+	char *documents[] = {make_document(9), make_document(7)};
+	const struct log_record records[] = {{"config", documents[0]}, {"config", documents[1]}};
 
 	set_up(&fixture);
 	run_until(&fixture, fixture.newest_reads, 1);
 	answer_version(&fixture, 5);
 	run_until(&fixture, fixture.waiting_reads, 1);
-	answer_poll(&fixture, documents);
+	answer_poll(&fixture, records, G_N_ELEMENTS(records));
 	run_until(&fixture, fixture.waiting_reads, 1);
 	g_assert_cmpuint(node_config_version(&fixture.config), ==, 9);
 	g_free(documents[0]);
@@ -299,6 +333,134 @@
 	tear_down(&fixture);
 }
 
+/* Guards against evacuations that are overlooked in a list or in the log, that end for another
+ * reason than a record without a value, and against other records that are taken for one. */
+static void test_evacuations(void)
+{
+	static const struct log_record records[] = {
+		{"evacuate/b", "not JSON"}, {"evacuate/a", NULL}, {"evacuate", "x"},
+		{"evacuate/", "x"},	    {"evacuated/c", "x"}, {"other", "x"},
+	};
+	static const struct log_record again[] = {{"evacuate/a", "x"}, {"evacuate/b", NULL}};
+	struct fixture fixture;
+
+	set_up(&fixture);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_newest(&fixture,
+		      "{\"key\":\"evacuate/a\",\"value\":\"eA==\",\"offset\":1},"
+		      "{\"key\":\"evacuate/\",\"value\":\"eA==\",\"offset\":2},"
+		      "{\"key\":\"evacuate/n\\u0000\",\"value\":\"eA==\",\"offset\":3},"
+		      "{\"key\":\"evacuate/d\",\"offset\":4}",
+		      5);
+	run_until_evacuated(&fixture, 5, "a");
+	run_until(&fixture, fixture.waiting_reads, 1);
+	answer_poll(&fixture, records, G_N_ELEMENTS(records));
+	run_until_evacuated(&fixture, 11, "b");
+	run_until(&fixture, fixture.waiting_reads, 1);
+	answer_poll(&fixture, again, G_N_ELEMENTS(again));
+	run_until_evacuated(&fixture, 13, "a");
+	g_assert_cmpuint(fixture.evacuations_read, ==, 3);
+	tear_down(&fixture);
+}
+
+/* Guards against a zone with a name of the greatest length that is not evacuated, and against a
+ * longer name that is cut off to that of another zone. */
+static void test_long_zone_names(void)
+{
+	struct fixture fixture;
+	char *longest = g_strnfill(NAME_BYTES - 1, 'z');
+	char *key = g_strconcat(STORE_KEY_EVACUATE, longest, NULL);
+	char *too_long = g_strconcat(key, "z", NULL);
+
+	set_up(&fixture);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_newest(&fixture, "", 1);
+	run_until(&fixture, fixture.waiting_reads, 1);
+	answer_poll(&fixture, &(struct log_record){too_long, "x"}, 1);
+	run_until_evacuated(&fixture, 2, "");
+	run_until(&fixture, fixture.waiting_reads, 1);
+	answer_poll(&fixture, &(struct log_record){key, "x"}, 1);
+	run_until_evacuated(&fixture, 3, longest);
+	tear_down(&fixture);
+	g_free(too_long);
+	g_free(key);
+	g_free(longest);
+}
+
+/* Guards against a zone that returns to service because its record in a list cannot be read. The
+ * records that follow are read all the same. */
+static void test_unreadable_item(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_newest(&fixture,
+		      "{\"key\":\"evacuate/a\",\"value\":\"eA==\"},"
+		      "{\"key\":\"evacuate/b\",\"value\":\"eA==\"}",
+		      5);
+	run_until_evacuated(&fixture, 5, "a b");
+	run_until(&fixture, fixture.waiting_reads, 1);
+	answer(fixture.waiting_reads, 410);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_newest(&fixture, "{\"key\":tru},{\"key\":\"evacuate/c\",\"value\":\"eA==\"}", 9);
+	run_until_evacuated(&fixture, 9, "a b c");
+	run_until(&fixture, fixture.waiting_reads, 1);
+	answer_poll(&fixture, &(struct log_record){"evacuate/b", NULL}, 1);
+	run_until_evacuated(&fixture, 10, "a c");
+	/* A list that can be read in full tells that the other zone is back. */
+	run_until(&fixture, fixture.waiting_reads, 1);
+	answer(fixture.waiting_reads, 410);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_newest(&fixture, "{\"key\":\"evacuate/c\",\"value\":\"eA==\"}", 12);
+	run_until_evacuated(&fixture, 12, "c");
+	tear_down(&fixture);
+}
+
+/* Guards against a state of the zones that is replaced by the late answer to an earlier one of two
+ * overlapping reads, whichever of them is answered first. */
+static void test_answers_out_of_order(void)
+{
+	static const char evacuated[] = "{\"key\":\"evacuate/a\",\"value\":\"eA==\"}";
+	struct fixture fixture;
+
+	set_up(&fixture);
+	run_until(&fixture, fixture.newest_reads, 3);
+	answer_newest(&fixture, evacuated, 5);
+	run_until_evacuated(&fixture, 5, "a");
+	answer_newest(&fixture, "", 4);
+	run_until(&fixture, fixture.waiting_reads, 1);
+	answer_poll(&fixture, &(struct log_record){"evacuate/b", "x"}, 1);
+	run_until_evacuated(&fixture, 6, "a b");
+	answer_newest(&fixture, evacuated, 5);
+	run_for(&fixture, NEWEST_READ_INTERVAL_US);
+	run_until_evacuated(&fixture, 6, "a b");
+	g_assert_cmpuint(fixture.evacuations_read, ==, 2);
+	tear_down(&fixture);
+}
+
+/* Guards against records that are applied again because another process has told of them before
+ * the poll that was waiting is answered. */
+static void test_poll_behind_other_process(void)
+{
+	static const char *const zones[] = {"b"};
+	static const struct log_record records[] = {
+		{"evacuate/a", "x"}, {"evacuate/b", "x"}, {"evacuate/a", NULL}, {"evacuate/c", "x"}};
+	struct fixture fixture;
+
+	set_up(&fixture);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_newest(&fixture, "", 5);
+	run_until(&fixture, fixture.waiting_reads, 1);
+	g_assert_true(evacuations_replace(&fixture.evacuations, 8, zones, 1));
+	answer_poll(&fixture, records, 2);
+	run_until(&fixture, fixture.waiting_reads, 1);
+	run_until_evacuated(&fixture, 8, "b");
+	answer_poll(&fixture, records + 2, 2);
+	run_until_evacuated(&fixture, 9, "b c");
+	tear_down(&fixture);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -310,5 +472,10 @@
 	g_test_add_func("/node_config/older_version_last", test_older_version_last);
 	g_test_add_func("/node_config/log_ends_earlier", test_log_ends_earlier);
 	g_test_add_func("/node_config/refused_polls", test_refused_polls);
+	g_test_add_func("/node_config/evacuations", test_evacuations);
+	g_test_add_func("/node_config/long_zone_names", test_long_zone_names);
+	g_test_add_func("/node_config/unreadable_item", test_unreadable_item);
+	g_test_add_func("/node_config/answers_out_of_order", test_answers_out_of_order);
+	g_test_add_func("/node_config/poll_behind_other_process", test_poll_behind_other_process);
 	return g_test_run();
 }
