--- a/test/unit/evacuation_test.c
+++ b/test/unit/evacuation_test.c
@@ -32,8 +32,7 @@
 {
 	static const char *const zones[] = {"c", "a", "c", "b", "a"};
 
-	g_assert_true(
-		evacuations_replace(&fixture->evacuations, 7, zones, G_N_ELEMENTS(zones)));
+	g_assert_true(evacuations_replace(&fixture->evacuations, 7, zones, G_N_ELEMENTS(zones)));
 	check_zones(fixture, 7, "a b c");
 	evacuations_apply(&fixture->evacuations, 7, "c", true);
 	check_zones(fixture, 8, "a b c");
