Evacuate a zone whose record in a list has an unreadable value

Cause: a list of newest records left out an item with a readable key and a value that is no string or that the JSON parser refuses, so a process that had only the list (after its start, or an agent that reads for an entry) did not evacuate the zone. The value of such a record must not matter. node_config_test/unreadable_value got no zone for the items with values 7 and a byte that is not UTF-8.

Change: a page of the list keeps the keys of such items apart. store_read_newest returns them as records without a value, and a list counts as incomplete only if a key is missing. The list of members passes over records without a value, as before.

--- a/packages/greengaged/src/node_members.c
+++ b/packages/greengaged/src/node_members.c
@@ -131,8 +131,9 @@
 	if (members->store_unavailable)
 		event_log(EVENT_LOG_AVAILABLE, EV_S("topic", STORE_TOPIC_MEMBERS));
 	members->store_unavailable = false;
+	/* A record whose value cannot be read is written again. */
 	for (size_t i = 0; i < result->count; i++) {
-		bool own = add_record(members, &result->records[i]);
+		bool own = result->records[i].value && add_record(members, &result->records[i]);
 
 		own_address_stored = own_address_stored || own;
 	}
--- a/packages/platform/include/store.h
+++ b/packages/platform/include/store.h
@@ -23,7 +23,9 @@
 	uint64_t offset; /* of a record from store_read; 0 in a list of newest records */
 	const char *key; /* NULL for an empty record */
 	size_t key_length;
-	const char *value; /* NULL if empty, which marks the key as deleted */
+	/* NULL if empty, which marks the key as deleted. A list of newest records lacks the deleted
+	 * ones; there it is NULL if it cannot be read. */
+	const char *value;
 	size_t value_length;
 };
 
@@ -40,7 +42,7 @@
 	const struct store_record *records;
 	size_t count;
 	uint64_t next;	 /* offset at which to continue reading; 0 for an append or a failure */
-	bool incomplete; /* a list of newest records lacks some that are not readable */
+	bool incomplete; /* a list of newest records lacks some whose key is not readable */
 };
 
 typedef void (*store_callback)(void *context, const struct store_result *result);
--- a/packages/platform/include/store_page.h
+++ b/packages/platform/include/store_page.h
@@ -12,12 +12,15 @@
 	gsize last_key_length;
 	uint64_t end_offset; /* 0 if missing or invalid */
 	bool has_more;
-	unsigned unreadable;	/* items left out because they cannot be read */
+	unsigned unreadable; /* items left out because they cannot be read */
+	/* struct store_page_item without a value: those of the unreadable items that have a value
+	 * and a readable key. */
+	GArray *unreadable_values;
 	char *first_unreadable; /* beginning of the first of them as printable text, or NULL */
 	char *reason;		/* why it cannot be read */
 };
 
-/* A record with a value. Both pointers are owned by the page. */
+/* A record. Both pointers are owned by the page. */
 struct store_page_item {
 	char *key;
 	gsize key_length;
--- a/packages/platform/src/store.c
+++ b/packages/platform/src/store.c
@@ -140,12 +140,11 @@
 		  EV_S("reason", reason), EV_I("records", count));
 }
 
-/* Takes the records of PAGE over. */
-static void add_records(struct operation *operation, struct store_page *page)
+/* Takes over ITEMS. */
+static void add_items(struct operation *operation, GArray *items)
 {
-	for (guint i = 0; i < page->items->len; i++) {
-		struct store_page_item *item =
-			&g_array_index(page->items, struct store_page_item, i);
+	for (guint i = 0; i < items->len; i++) {
+		struct store_page_item *item = &g_array_index(items, struct store_page_item, i);
 		const struct store_record record = {
 			.key = item->key,
 			.key_length = item->key_length,
@@ -157,10 +156,17 @@
 		g_ptr_array_add(operation->strings, g_steal_pointer(&item->key));
 		g_ptr_array_add(operation->strings, g_steal_pointer(&item->value));
 	}
-	if (page->unreadable > 0) {
+}
+
+/* Takes the records of PAGE over. */
+static void add_records(struct operation *operation, struct store_page *page)
+{
+	add_items(operation, page->items);
+	add_items(operation, page->unreadable_values);
+	if (page->unreadable > page->unreadable_values->len)
 		operation->incomplete = true;
+	if (page->unreadable > 0)
 		log_unreadable(operation, page->first_unreadable, page->reason, page->unreadable);
-	}
 }
 
 static void request_page(struct operation *operation, const struct store_page *previous);
--- a/packages/platform/src/store_page.c
+++ b/packages/platform/src/store_page.c
@@ -102,14 +102,6 @@
 	return printable;
 }
 
-static void leave_out(struct store_page *page, const struct text *text, const char *reason)
-{
-	if (page->unreadable++ > 0)
-		return;
-	page->first_unreadable = store_printable(text->at, (size_t)(text->end - text->at));
-	page->reason = store_printable(reason, strlen(reason));
-}
-
 static void add_item(struct store_page *page, const json_t *key, const json_t *value)
 {
 	struct store_page_item item = {
@@ -126,6 +118,52 @@
 	g_array_append_val(page->items, item);
 }
 
+/* Returns the first member of the object at TEXT whose name is written as NAME, with its quotes, in
+ * VALUE. The rest of the object is not checked. */
+static bool find_member(struct text text, const char *name, struct text *value)
+{
+	struct text member;
+
+	if (!skip(&text, '{'))
+		return false;
+	while (!skip(&text, '}')) {
+		if (!next_value(&text, &member) || !skip(&text, ':') || !next_value(&text, value))
+			return false;
+		if (text_equals(&member, name))
+			return true;
+		skip(&text, ',');
+	}
+	return false;
+}
+
+/* Keeps the key of the unreadable item TEXT if it has a value and the key can be read. */
+static void keep_key(struct store_page *page, const struct text *text)
+{
+	struct text value, key_text;
+	struct store_page_item item = {0};
+	json_t *key;
+
+	if (!find_member(*text, "\"value\"", &value) || !find_member(*text, "\"key\"", &key_text))
+		return;
+	key = json_loadb(key_text.at, (size_t)(key_text.end - key_text.at),
+			 JSON_ALLOW_NUL | JSON_DECODE_ANY, NULL);
+	if (json_is_string(key)) {
+		item.key_length = json_string_length(key);
+		item.key = g_memdup2(json_string_value(key), item.key_length + 1);
+		g_array_append_val(page->unreadable_values, item);
+	}
+	json_decref(key);
+}
+
+static void leave_out(struct store_page *page, const struct text *text, const char *reason)
+{
+	keep_key(page, text);
+	if (page->unreadable++ > 0)
+		return;
+	page->first_unreadable = store_printable(text->at, (size_t)(text->end - text->at));
+	page->reason = store_printable(reason, strlen(reason));
+}
+
 static void parse_item(struct store_page *page, const struct text *text)
 {
 	json_error_t json_error;
@@ -177,7 +215,9 @@
 	bool has_items = false;
 
 	*page = (struct store_page){
-		.items = g_array_new(FALSE, FALSE, sizeof(struct store_page_item))};
+		.items = g_array_new(FALSE, FALSE, sizeof(struct store_page_item)),
+		.unreadable_values = g_array_new(FALSE, FALSE, sizeof(struct store_page_item)),
+	};
 	if (!skip(&text, '{'))
 		return false;
 	while (!skip(&text, '}')) {
@@ -194,16 +234,21 @@
 	return has_items;
 }
 
-void store_page_clear(struct store_page *page)
+static void free_items(GArray *items)
 {
-	for (guint i = 0; i < page->items->len; i++) {
-		struct store_page_item *item =
-			&g_array_index(page->items, struct store_page_item, i);
+	for (guint i = 0; i < items->len; i++) {
+		struct store_page_item *item = &g_array_index(items, struct store_page_item, i);
 
 		g_free(item->key);
 		g_free(item->value);
 	}
-	g_array_free(page->items, TRUE);
+	g_array_free(items, TRUE);
+}
+
+void store_page_clear(struct store_page *page)
+{
+	free_items(page->items);
+	free_items(page->unreadable_values);
 	g_free(page->last_key);
 	g_free(page->first_unreadable);
 	g_free(page->reason);
--- a/test/unit/node_config_test.c
+++ b/test/unit/node_config_test.c
@@ -417,6 +417,29 @@
 	tear_down(&fixture);
 }
 
+/* Guards against an evacuation that is overlooked because the value of its record cannot be read,
+ * by a process that has just started and knows only the list. */
+static void test_unreadable_value(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	run_until(&fixture, fixture.newest_reads, 1);
+	answer_newest(&fixture,
+		      "{\"key\":\"evacuate/a\",\"value\":7},"
+		      "{\"key\":\"evacuate/b\",\"value\":\"\xff\"},"
+		      "{\"key\":\"evacuate/c\",\"value\":\"not base64\"}",
+		      5);
+	run_until_evacuated(&fixture, 5, "a b c");
+	run_until(&fixture, fixture.waiting_reads, 1);
+	answer(fixture.waiting_reads, 410);
+	run_until(&fixture, fixture.newest_reads, 1);
+	/* The names of all zones can be read, so the others are back. */
+	answer_newest(&fixture, "{\"key\":\"evacuate/a\",\"value\":7}", 9);
+	run_until_evacuated(&fixture, 9, "a");
+	tear_down(&fixture);
+}
+
 /* Guards against a state of the zones that is replaced by the late answer to an earlier one of two
  * overlapping reads, whichever of them is answered first. */
 static void test_answers_out_of_order(void)
@@ -444,8 +467,10 @@
 static void test_poll_behind_other_process(void)
 {
 	static const char *const zones[] = {"b"};
-	static const struct log_record records[] = {
-		{"evacuate/a", "x"}, {"evacuate/b", "x"}, {"evacuate/a", NULL}, {"evacuate/c", "x"}};
+	static const struct log_record records[] = {{"evacuate/a", "x"},
+						    {"evacuate/b", "x"},
+						    {"evacuate/a", NULL},
+						    {"evacuate/c", "x"}};
 	struct fixture fixture;
 
 	set_up(&fixture);
@@ -475,6 +500,7 @@
 	g_test_add_func("/node_config/evacuations", test_evacuations);
 	g_test_add_func("/node_config/long_zone_names", test_long_zone_names);
 	g_test_add_func("/node_config/unreadable_item", test_unreadable_item);
+	g_test_add_func("/node_config/unreadable_value", test_unreadable_value);
 	g_test_add_func("/node_config/answers_out_of_order", test_answers_out_of_order);
 	g_test_add_func("/node_config/poll_behind_other_process", test_poll_behind_other_process);
 	return g_test_run();
--- a/test/unit/store_page_test.c
+++ b/test/unit/store_page_test.c
@@ -95,6 +95,57 @@
 	}
 }
 
+/* Returns the key of the only unreadable value of a page with ITEM, or NULL. The caller frees it.
+ */
+static char *unreadable_key(const char *item)
+{
+	char *body = g_strdup_printf("{\"items\":[%s]}", item);
+	struct store_page page;
+	char *key = NULL;
+
+	g_assert_true(parse(body, &page));
+	g_assert_cmpuint(page.items->len, ==, 0);
+	g_assert_cmpuint(page.unreadable, ==, 1);
+	g_assert_cmpuint(page.unreadable_values->len, <=, 1);
+	if (page.unreadable_values->len == 1)
+		key = g_strdup(
+			g_array_index(page.unreadable_values, struct store_page_item, 0).key);
+	store_page_clear(&page);
+	g_free(body);
+	return key;
+}
+
+/* Guards against a key that is lost because its value, or another member of its item, cannot be
+ * read: some keys count whatever their value is. */
+static void test_unreadable_values(void)
+{
+	static const struct {
+		const char *item;
+		const char *key;
+	} cases[] = {
+		{"{\"key\":\"x\",\"value\":1}", "x"},
+		{"{\"key\":\"x\",\"value\":tru}", "x"},
+		{"{\"value\":\"\xff\",\"offset\":1,\"key\":\"a\\\"b\"}", "a\"b"},
+		{"{ \"key\" : \"x\" , \"value\" : {\"a\":[\"]}\"]} }", "x"},
+		{"{\"key\":\"x\",\"value\":\"\",\"offset\":1e999}", "x"},
+		/* Deleted, as far as it can be told. */
+		{"{\"key\":\"x\",\"offset\":1e999}", NULL},
+		{"{\"key\":tru,\"value\":\"\"}", NULL},
+		{"{\"key\":7,\"value\":\"\"}", NULL},
+		{"{\"key\":\"\xff\",\"value\":\"\"}", NULL},
+		{"{\"a\":{\"key\":\"x\",\"value\":1}}", NULL},
+		{"[\"key\",\"x\",\"value\",1]", NULL},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *key = unreadable_key(cases[i].item);
+
+		g_test_message("%s", cases[i].item);
+		g_assert_cmpstr(key, ==, cases[i].key);
+		g_free(key);
+	}
+}
+
 /* A nested value must not use up the stack either. */
 static void test_nested_item(void)
 {
@@ -170,6 +221,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/store_page/page", test_page);
 	g_test_add_func("/store_page/unreadable_items", test_unreadable_items);
+	g_test_add_func("/store_page/unreadable_values", test_unreadable_values);
 	g_test_add_func("/store_page/nested_item", test_nested_item);
 	g_test_add_func("/store_page/nul_in_key", test_nul_in_key);
 	g_test_add_func("/store_page/no_list", test_no_list);
