Test the agent's gate for evacuated zones

Change: runs_test covers starts that arrive, wait or are sent again as stale, runs that go on, the growth of the offered cpu after the return, a short evacuation of a busy server, and a capacity that changes meanwhile.

--- a/test/unit/runs_test.c
+++ b/test/unit/runs_test.c
@@ -1116,6 +1116,116 @@
 	tear_down(&fixture);
 }
 
+/* Guards against a start that reaches a server of an evacuated zone: one that arrives, one that
+ * waits, and one that the server has refused as stale and that would be sent again. What the server
+ * may run already goes on, and its end is reported. */
+static void test_evacuated(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 4000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	start(&fixture, "b.0.0.0", 5500, OWNER, 0, 1000);
+	start(&fixture, "c.0.0.0", 1500, OWNER, 200, 1000);
+	g_assert_cmpuint(fixture.starts, ==, 2);
+	lose_lease(&fixture, 1100);
+	runs_set_evacuated(&fixture.runs, true, 2000);
+	check_outcomes(&fixture, 1, RUN_SERVER_UNAVAILABLE);
+	g_assert_cmpuint(runs_waiting_cpu(&fixture.runs), ==, 0);
+	g_assert_false(runs_ready(&fixture.runs));
+	runs_start_answered(&fixture.runs, fixture.last, START_STALE, 2500);
+	check_outcomes(&fixture, 2, RUN_UNANSWERED);
+	start(&fixture, "d.0.0.0", 100, OWNER, 0, 3000);
+	check_outcomes(&fixture, 3, RUN_SERVER_UNAVAILABLE);
+	runs_start_waiting(&fixture.runs, 3000);
+	runs_tick(&fixture.runs, 3000);
+	g_assert_cmpuint(fixture.starts, ==, 2);
+	g_assert_cmpuint(fixture.stops, ==, 0);
+	g_assert_true(runs_may_lease(&fixture.runs, 3000));
+	g_assert_cmpuint(runs_free_resources(&fixture.runs, 3000).cpu, ==, 0);
+	deliver_lists(&fixture, NULL, "a.0.0.0", RUN_DONE, 100000);
+	check_outcomes(&fixture, 4, RUN_DONE);
+	tear_down(&fixture);
+}
+
+/* Guards against a server that accepts no starts after its zone has been taken back, and against
+ * one that is given all the work that others have queued as soon as it is back. */
+static void test_returns_from_evacuation(void)
+{
+	const int64_t back_us = 10 * US_PER_SECOND;
+	struct fixture fixture;
+
+	set_up(&fixture);
+	g_assert_false(runs_is_returning(&fixture.runs, 0));
+	runs_set_evacuated(&fixture.runs, true, 1000);
+	g_assert_false(runs_is_returning(&fixture.runs, 1000));
+	send_lease(&fixture, back_us);
+	runs_set_evacuated(&fixture.runs, false, back_us);
+	/* Telling it again does not start anew. */
+	runs_set_evacuated(&fixture.runs, false, back_us + RUNS_RETURN_US / 10);
+	g_assert_true(runs_ready(&fixture.runs));
+	g_assert_true(runs_is_returning(&fixture.runs, back_us));
+	g_assert_cmpuint(runs_free_resources(&fixture.runs, back_us).cpu, ==, CPU / 4);
+	start(&fixture, "a.0.0.0", CPU / 4, OWNER, 0, back_us);
+	start(&fixture, "b.0.0.0", CPU / 10, OWNER, 0, back_us);
+	g_assert_cmpuint(fixture.starts, ==, 1);
+	g_assert_cmpuint(runs_waiting_cpu(&fixture.runs), ==, CPU / 10);
+	send_lease(&fixture, back_us + RUNS_RETURN_US / 2);
+	g_assert_cmpuint(runs_free_resources(&fixture.runs, back_us + RUNS_RETURN_US / 2).cpu, ==,
+			 CPU * 3 / 8);
+	runs_start_waiting(&fixture.runs, back_us + RUNS_RETURN_US / 2);
+	g_assert_cmpuint(fixture.starts, ==, 2);
+	send_lease(&fixture, back_us + RUNS_RETURN_US);
+	g_assert_false(runs_is_returning(&fixture.runs, back_us + RUNS_RETURN_US));
+	g_assert_cmpuint(runs_free_resources(&fixture.runs, back_us + RUNS_RETURN_US).cpu, ==,
+			 CPU - CPU / 4 - CPU / 10);
+	tear_down(&fixture);
+}
+
+/* Guards against an evacuation that was taken back at once and halts a busy server: what it runs
+ * counts as offered, so that a run that ends makes room for another one. */
+static void test_short_evacuation(void)
+{
+	struct fixture fixture;
+
+	set_up(&fixture);
+	start(&fixture, "a.0.0.0", 6000, OWNER, 0, 0);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 1000);
+	start(&fixture, "b.0.0.0", 2000, OWNER, 0, 1000);
+	runs_start_answered(&fixture.runs, fixture.last, START_STARTED, 2000);
+	runs_set_evacuated(&fixture.runs, true, 3000);
+	runs_set_evacuated(&fixture.runs, false, 4000);
+	g_assert_cmpuint(runs_free_resources(&fixture.runs, 4000).cpu, ==, 0);
+	deliver_lists(&fixture, NULL, "a.0.0.0", RUN_DONE, 5000);
+	g_assert_cmpuint(runs_free_resources(&fixture.runs, 4000).cpu, ==, 6000);
+	start(&fixture, "c.0.0.0", 6000, OWNER, 0, 6000);
+	g_assert_cmpuint(fixture.starts, ==, 3);
+	/* Evacuated again while it returns. */
+	runs_set_evacuated(&fixture.runs, true, 7000);
+	start(&fixture, "d.0.0.0", 100, OWNER, 0, 8000);
+	check_outcomes(&fixture, 2, RUN_SERVER_UNAVAILABLE);
+	tear_down(&fixture);
+}
+
+/* Guards against resources that are counted wrongly when the server's capacity changes while they
+ * are growing. */
+static void test_capacity_changes_on_return(void)
+{
+	const struct resources smaller = {.cpu = CPU / 5, .memory_mb = 1000};
+	const struct resources larger = {.cpu = 2 * CPU, .memory_mb = 1000};
+	struct fixture fixture;
+
+	set_up(&fixture);
+	runs_set_evacuated(&fixture.runs, true, 1000);
+	runs_set_evacuated(&fixture.runs, false, 2000);
+	runs_server_present(&fixture.runs, &smaller, false);
+	g_assert_cmpuint(runs_free_resources(&fixture.runs, 2000).cpu, ==, CPU / 5);
+	runs_server_present(&fixture.runs, &larger, false);
+	g_assert_cmpuint(runs_free_resources(&fixture.runs, 2000).cpu, ==, CPU / 4);
+	tear_down(&fixture);
+}
+
 /* Guards against a quarantine because of a single faulty job. Failures of different jobs do cause
  * one. */
 static void test_quarantine(void)
@@ -1382,6 +1492,10 @@
 	g_test_add_func("/runs/waiting", test_waiting);
 	g_test_add_func("/runs/waited_too_long", test_waited_too_long);
 	g_test_add_func("/runs/leaving", test_leaving);
+	g_test_add_func("/runs/evacuated", test_evacuated);
+	g_test_add_func("/runs/returns_from_evacuation", test_returns_from_evacuation);
+	g_test_add_func("/runs/short_evacuation", test_short_evacuation);
+	g_test_add_func("/runs/capacity_changes_on_return", test_capacity_changes_on_return);
 	g_test_add_func("/runs/quarantine", test_quarantine);
 	g_test_add_func("/runs/quarantine_backoff_ends", test_quarantine_backoff_ends);
 	g_test_add_func("/runs/trial", test_trial);
