Test what an entry does with evacuated zones

Cause: the exclusion of servers, the order of messages to agents and the relay of zones had no unit tests.

Change: dispatch_test covers a server that reports ready in an evacuated zone, the refusal of a job at once, the return, and runs that go on or come back. node_agent_links_test covers that Orders carry the set before the first start and only when its version has changed, servers that the entry or the agent knows to be evacuated, a server that changes its zone, and sets that an agent relays.

Measured: dispatch_test (10 cases) and node_agent_links_test (13) pass.

--- a/test/unit/dispatch_test.c
+++ b/test/unit/dispatch_test.c
@@ -19,17 +19,18 @@
 	task_holds_replace(holds, source, &tasks);
 }
 
-/* Starts an entry with one server that has room for the job of submit_job. */
+/* Room for the job of submit_job. */
+static const struct fleet_report ready_report = {
+	.ready = true,
+	.free = {.cpu = CPU, .memory_mb = FIXTURE_MEMORY_MB},
+	.speed = 1,
+};
+
+/* Starts an entry with one server. */
 static void set_up(struct fixture *fixture)
 {
 	fixture_init(fixture, US_PER_SECOND);
-	fixture_add_server(fixture,
-			   &(struct fleet_report){
-				   .ready = true,
-				   .free = {.cpu = CPU, .memory_mb = FIXTURE_MEMORY_MB},
-				   .speed = 1,
-			   },
-			   NOW_US);
+	fixture_add_server(fixture, &ready_report, NOW_US);
 }
 
 static void submit_job_at(struct fixture *fixture, int64_t now_us)
@@ -210,6 +211,94 @@
 	dispatch_free(&fixture.dispatch);
 }
 
+static uint32_t count_ordered(const struct fixture *fixture)
+{
+	return fixture->ordered[0] + fixture->ordered[1];
+}
+
+/* Guards against tasks that are placed on a server of an evacuated zone because its agent, which
+ * may not know it yet, reports that it is ready, and against a server that gets nothing after the
+ * return. */
+static void test_evacuated_server(void)
+{
+	struct fixture fixture;
+	struct handle evacuated;
+	struct fleet_server *server;
+
+	set_up(&fixture);
+	evacuated = fixture.server;
+	server = fleet_get(&fixture.dispatch.fleet, evacuated);
+	dispatch_server_evacuated(&fixture.dispatch, evacuated, true);
+	dispatch_server_report(&fixture.dispatch, evacuated, &ready_report, NOW_US + 1);
+	g_assert_false(server->ready);
+	submit_job(&fixture);
+	/* At once, and nothing has run. */
+	g_assert_cmpuint(count_ordered(&fixture), ==, 0);
+	g_assert_cmpuint(fixture.finished, ==, 1);
+	g_assert_cmpint(fixture.status, ==, STATUS_NO_CAPACITY_MATCH);
+	g_assert_cmpint(fixture.outcome, ==, OUTCOME_NOT_RUN);
+	dispatch_server_evacuated(&fixture.dispatch, evacuated, false);
+	g_assert_true(server->ready);
+	submit_job_at(&fixture, NOW_US + 2);
+	g_assert_cmpuint(count_ordered(&fixture), ==, TASKS);
+	dispatch_free(&fixture.dispatch);
+}
+
+/* Guards against a server that becomes ready by the return of its zone alone, although its agent
+ * has reported that it is not, or has disconnected. */
+static void test_return_of_unready_server(void)
+{
+	struct fleet_report report = ready_report;
+	struct fleet_server *server;
+	struct fixture fixture;
+
+	set_up(&fixture);
+	server = fleet_get(&fixture.dispatch.fleet, fixture.server);
+	dispatch_server_evacuated(&fixture.dispatch, fixture.server, true);
+	report.ready = false;
+	fixture_report(&fixture, &report, NOW_US + 1);
+	dispatch_server_evacuated(&fixture.dispatch, fixture.server, false);
+	g_assert_false(server->ready);
+	fixture_report(&fixture, &ready_report, NOW_US + 2);
+	g_assert_true(server->ready);
+	submit_job(&fixture);
+	dispatch_server_evacuated(&fixture.dispatch, fixture.server, true);
+	dispatch_server_disconnected(&fixture.dispatch, fixture.server, NOW_US + 3);
+	dispatch_server_evacuated(&fixture.dispatch, fixture.server, false);
+	g_assert_false(server->ready);
+	dispatch_free(&fixture.dispatch);
+}
+
+/* Guards against the loss of runs that go on at a server of an evacuated zone, and against a job
+ * that waits for room there while another server has some. */
+static void test_evacuated_while_running(void)
+{
+	struct fixture fixture;
+	struct handle evacuated;
+
+	set_up(&fixture);
+	evacuated = fixture.server;
+	submit_job(&fixture);
+	g_assert_cmpuint(count_ordered(&fixture), ==, TASKS);
+	dispatch_server_evacuated(&fixture.dispatch, evacuated, true);
+	dispatch_pump(&fixture.dispatch, NOW_US + 1);
+	g_assert_cmpuint(fixture.finished, ==, 0);
+	g_assert_cmpuint(fixture.lost, ==, 0);
+	fixture_add_server(&fixture, &ready_report, NOW_US + 2);
+	dispatch_run_ended(&fixture.dispatch, fixture.runs[0], RUN_SERVER_UNAVAILABLE, 0,
+			   NOW_US + 2);
+	dispatch_run_ended(&fixture.dispatch, fixture.runs[1], RUN_DONE, 10 * US_PER_MS,
+			   NOW_US + 2);
+	dispatch_pump(&fixture.dispatch, NOW_US + 2);
+	g_assert_cmpuint(fixture.ordered[0], ==, 2);
+	g_assert_cmpuint(fixture.ordered[1], ==, 1);
+	dispatch_run_ended(&fixture.dispatch, fixture.runs[0], RUN_DONE, 10 * US_PER_MS,
+			   NOW_US + 3);
+	g_assert_cmpuint(fixture.finished, ==, 1);
+	g_assert_cmpint(fixture.status, ==, STATUS_OK);
+	dispatch_free(&fixture.dispatch);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -220,5 +309,8 @@
 	g_test_add_func("/dispatch/busy_job_may_have_run", test_busy_job_may_have_run);
 	g_test_add_func("/dispatch/waiting_job_may_have_run", test_waiting_job_may_have_run);
 	g_test_add_func("/dispatch/refused_while_cut_off", test_refused_while_cut_off);
+	g_test_add_func("/dispatch/evacuated_server", test_evacuated_server);
+	g_test_add_func("/dispatch/return_of_unready_server", test_return_of_unready_server);
+	g_test_add_func("/dispatch/evacuated_while_running", test_evacuated_while_running);
 	return g_test_run();
 }
--- a/test/unit/node_agent_links_test.c
+++ b/test/unit/node_agent_links_test.c
@@ -18,9 +18,17 @@
 	void *context;
 };
 
+/* What the entry has sent on all connections. */
+static struct {
+	GPtrArray
+		*texts; /* one for each Orders: "VERSION ZONES, N starts", "-" without a version */
+} sent;
+
 struct process {
 	uint8_t incarnation;
 	const char *server;
+	const char *zone;
+	bool reports_evacuated;
 	struct node_link link;
 };
 
@@ -30,10 +38,27 @@
 	struct process former;
 	struct process later;
 	uint32_t lost;
+	uint32_t refused; /* jobs for which no server is ready */
 };
 
 void node_link_send(struct node_link *link, const Ggd__Frame *frame)
 {
+	const Ggd__Evacuations *evacuations;
+	GString *text;
+	size_t starts = 0;
+
+	if (frame->body_case != GGD__FRAME__BODY_ORDERS)
+		return;
+	evacuations = frame->orders->evacuations;
+	text = g_string_new(evacuations ? NULL : "-");
+	if (evacuations)
+		g_string_append_printf(text, "%" G_GUINT64_FORMAT, evacuations->version);
+	for (size_t i = 0; evacuations && i < evacuations->n_zones; i++)
+		g_string_append_printf(text, " %s", evacuations->zones[i]);
+	for (size_t i = 0; i < frame->orders->n_starts; i++)
+		starts += frame->orders->starts[i]->n_runs;
+	g_string_append_printf(text, ", %zu starts", starts);
+	g_ptr_array_add(sent.texts, g_string_free(text, FALSE));
 }
 
 void node_link_close(struct node_link *link)
@@ -70,6 +95,7 @@
 static void job_finished(void *context, const char *id, void *job_context,
 			 const struct job_end *end)
 {
+	((struct fixture *)context)->refused += end->status == STATUS_NO_CAPACITY_MATCH;
 }
 
 static void tasks_placed(void *context, const char *id, uint32_t tasks, uint32_t queued,
@@ -112,12 +138,13 @@
 
 	server.id = (char *)process->server;
 	server.service = (char *)"s";
-	server.zone = (char *)"";
+	server.zone = (char *)process->zone;
 	server.cpu = room.cpu = CPU;
 	server.memory_mb = room.memory_mb = 1;
 	room.ready = true;
 	room.speed = 1000;
 	room.unsettled = unsettled;
+	room.evacuated = process->reports_evacuated;
 	content.session = 1;
 	content.settled_orders = 1;
 	content.room = &room;
@@ -171,8 +198,7 @@
 	g_bytes_unref(spec);
 }
 
-/* Starts an entry that has ordered a run from an agent, which has said nothing of it. */
-static void set_up(struct fixture *fixture, const void *unused)
+static void set_up_entry(struct fixture *fixture, const void *unused)
 {
 	struct node_entry *entry = &fixture->entry;
 	const struct dispatch_limits limits = {.max_jobs = 10,
@@ -188,16 +214,23 @@
 						     .tasks_placed = tasks_placed,
 						     .run_ended = run_ended};
 
+	sent.texts = g_ptr_array_new_with_free_func(g_free);
 	dispatch_init(&entry->dispatch, &limits, &callbacks, 1);
 	evacuations_init(&entry->evacuations);
 	entry->loop.now_us = US_PER_SECOND;
 	entry->agents = g_ptr_array_new();
 	entry->members.addresses = g_ptr_array_new();
-	fixture->former = (struct process){.incarnation = 1, .server = "i-1"};
-	fixture->later = (struct process){.incarnation = 2, .server = "i-1"};
+	fixture->former = (struct process){.incarnation = 1, .server = "i-1", .zone = ""};
+	fixture->later = (struct process){.incarnation = 2, .server = "i-1", .zone = ""};
+}
+
+/* Starts an entry that has ordered a run from an agent, which has said nothing of it. */
+static void set_up(struct fixture *fixture, const void *unused)
+{
+	set_up_entry(fixture, unused);
 	connect_process(fixture, &fixture->former, 0);
 	order_run(fixture);
-	g_assert_cmpuint(table_count(&entry->dispatch.runs), ==, 1);
+	g_assert_cmpuint(table_count(&fixture->entry.dispatch.runs), ==, 1);
 }
 
 static void tear_down(struct fixture *fixture, const void *unused)
@@ -206,6 +239,7 @@
 	g_ptr_array_free(fixture->entry.members.addresses, TRUE);
 	dispatch_free(&fixture->entry.dispatch);
 	evacuations_free(&fixture->entry.evacuations);
+	g_ptr_array_free(sent.texts, TRUE);
 }
 
 /* Guards against a run that is kept for 16 s because the connection of the process with it ends
@@ -342,6 +376,169 @@
 			AGENT_WORD_FINAL);
 }
 
+/* The entry learns of the zones in ZONES, a list that ends with NULL. */
+static void learn_zones(struct fixture *fixture, uint64_t version, const char *const *zones)
+{
+	g_assert_true(evacuations_replace(&fixture->entry.evacuations, version, zones,
+					  g_strv_length((char **)zones)));
+	node_agent_links_evacuations_changed(&fixture->entry);
+}
+
+/* Sends what is queued, and checks that it is ORDERS, a list that ends with NULL. */
+static void check_sent(struct fixture *fixture, const char *const *orders)
+{
+	node_agent_links_send_queued(&fixture->entry);
+	g_ptr_array_add(sent.texts, NULL);
+	g_assert_true(g_strv_equal((const char *const *)sent.texts->pdata, orders));
+	g_ptr_array_set_size(sent.texts, 0);
+}
+
+/* Guards against a start that reaches an agent before the evacuated zones, as after its restart,
+ * against a change that is not sent at once, and against a state that is sent with each order. */
+static void test_evacuations_sent(struct fixture *fixture, const void *unused)
+{
+	static const char *const none[] = {NULL};
+	static const char *const zones[] = {"a", "b", NULL};
+
+	learn_zones(fixture, 5, zones);
+	greet(fixture, &fixture->former);
+	check_sent(fixture, (const char *const[]){"5 a b, 0 starts", NULL});
+	report(&fixture->former, 0, true);
+	order_run(fixture);
+	check_sent(fixture, (const char *const[]){"-, 1 starts", NULL});
+	check_sent(fixture, none);
+	/* The set is the same, but an agent that knows its version passes no older one on. */
+	learn_zones(fixture, 6, zones);
+	check_sent(fixture, (const char *const[]){"6 a b, 0 starts", NULL});
+	learn_zones(fixture, 7, none);
+	check_sent(fixture, (const char *const[]){"7, 0 starts", NULL});
+	check_sent(fixture, none);
+	lose(&fixture->former);
+	learn_zones(fixture, 8, zones + 1);
+	check_sent(fixture, none);
+	/* The start waits here, so that both go in one message. */
+	connect_process(fixture, &fixture->former, 0);
+	order_run(fixture);
+	g_assert_cmpstr(sent.texts->pdata[0], ==, "8 b, 1 starts");
+}
+
+/* Guards against work for a server whose zone this entry knows to be evacuated while the agent
+ * reports that it is ready, against work for one whose agent knows it first, and against an entry
+ * that does not count as ready when all its zones are evacuated. */
+static void test_server_of_evacuated_zone(struct fixture *fixture, const void *unused)
+{
+	static const char *const zones[] = {"a", NULL};
+	static const char *const none[] = {NULL};
+	struct process *process = &fixture->former;
+
+	process->zone = "a";
+	learn_zones(fixture, 5, zones);
+	connect_process(fixture, process, 0);
+	g_assert_cmpuint(node_agent_links_count_serving(&fixture->entry), ==, 1);
+	order_run(fixture);
+	g_assert_cmpuint(fixture->refused, ==, 1);
+	report(process, 0, false);
+	order_run(fixture);
+	g_assert_cmpuint(fixture->refused, ==, 2);
+	learn_zones(fixture, 6, none);
+	/* The agent has learned of a later evacuation. */
+	process->reports_evacuated = true;
+	report(process, 0, false);
+	order_run(fixture);
+	g_assert_cmpuint(fixture->refused, ==, 3);
+	g_assert_cmpuint(node_agent_links_count_serving(&fixture->entry), ==, 1);
+	process->reports_evacuated = false;
+	report(process, 0, false);
+	order_run(fixture);
+	g_assert_cmpuint(fixture->refused, ==, 3);
+	g_assert_cmpuint(table_count(&fixture->entry.dispatch.runs), ==, 1);
+}
+
+/* Guards against work for a server that has moved to an evacuated zone, and against one that stays
+ * excluded after it has left the zone. */
+static void test_server_changes_zone(struct fixture *fixture, const void *unused)
+{
+	static const char *const zones[] = {"a", NULL};
+	struct process *process = &fixture->former;
+
+	process->zone = "b";
+	learn_zones(fixture, 5, zones);
+	connect_process(fixture, process, 0);
+	process->zone = "a";
+	report(process, 0, true);
+	order_run(fixture);
+	g_assert_cmpuint(fixture->refused, ==, 1);
+	process->zone = "b";
+	report(process, 0, true);
+	order_run(fixture);
+	g_assert_cmpuint(fixture->refused, ==, 1);
+	g_assert_cmpuint(table_count(&fixture->entry.dispatch.runs), ==, 1);
+}
+
+/* The entry asks the agent of PROCESS to read the store. Its answer tells of ZONES, a list that
+ * ends with NULL, and of CONFIG_VERSION, 0 for no valid configuration. */
+static void relay_zones(struct fixture *fixture, struct process *process, uint64_t config_version,
+			uint64_t version, char **zones)
+{
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__ConfigDocument document = GGD__CONFIG_DOCUMENT__INIT;
+	Ggd__Evacuations evacuations = GGD__EVACUATIONS__INIT;
+
+	fixture->entry.loop.now_us += US_PER_SECOND;
+	node_agent_links_request_config(&fixture->entry, fixture->entry.loop.now_us);
+	evacuations.version = version;
+	evacuations.zones = zones;
+	evacuations.n_zones = g_strv_length(zones);
+	document.version = config_version;
+	document.evacuations = &evacuations;
+	frame.body_case = GGD__FRAME__BODY_CONFIG;
+	frame.config = &document;
+	process->link.callbacks->frame(process->link.context, &process->link, &frame);
+}
+
+/* Starts an entry with the configuration TABLE and an agent in zone a. */
+static void set_up_relay(struct fixture *fixture, const struct route_table *table)
+{
+	fixture->entry.config.loop = &fixture->entry.loop;
+	fixture->entry.config.table = (struct route_table *)table;
+	fixture->former.zone = "a";
+	connect_process(fixture, &fixture->former, 0);
+	node_agent_links_send_queued(&fixture->entry);
+	g_ptr_array_set_size(sent.texts, 0);
+}
+
+/* Guards against an evacuation that an entry does not apply, or does not pass on to the agents,
+ * when one of them has read it from the store, and against odd messages of one. */
+static void test_relayed_evacuations(struct fixture *fixture, const void *unused)
+{
+	const struct route_table table = {.version = 1};
+	struct process *process = &fixture->former;
+	char *long_name = g_strnfill(NAME_BYTES, 'z');
+	char *zones[] = {(char *)"a", NULL};
+	char *long_zones[] = {(char *)"b", long_name, NULL};
+	char *many_zones[EVACUATED_ZONES_MAX + 2] = {NULL};
+	char *none[] = {NULL};
+
+	for (size_t i = 0; i < EVACUATED_ZONES_MAX + 1; i++)
+		many_zones[i] = (char *)"c";
+	set_up_relay(fixture, &table);
+	relay_zones(fixture, process, 1, 5, zones);
+	check_sent(fixture, (const char *const[]){"5 a, 0 starts", NULL});
+	order_run(fixture);
+	g_assert_cmpuint(fixture->refused, ==, 1);
+	relay_zones(fixture, process, 1, 4, none);
+	relay_zones(fixture, process, 1, 6, long_zones);
+	relay_zones(fixture, process, 1, 6, many_zones);
+	g_assert_cmpuint(fixture->entry.evacuations.version, ==, 5);
+	check_sent(fixture, (const char *const[]){NULL});
+	relay_zones(fixture, process, 1, 6, none);
+	check_sent(fixture, (const char *const[]){"6, 0 starts", NULL});
+	order_run(fixture);
+	g_assert_cmpuint(fixture->refused, ==, 1);
+	g_assert_cmpuint(table_count(&fixture->entry.dispatch.runs), ==, 1);
+	g_free(long_name);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -364,5 +561,13 @@
 		   test_holds_unknown_before_inventory, tear_down);
 	g_test_add("/node_agent_links/speaks_for_lost_entry", struct fixture, NULL, set_up,
 		   test_speaks_for_lost_entry, tear_down);
+	g_test_add("/node_agent_links/evacuations_sent", struct fixture, NULL, set_up_entry,
+		   test_evacuations_sent, tear_down);
+	g_test_add("/node_agent_links/server_of_evacuated_zone", struct fixture, NULL, set_up_entry,
+		   test_server_of_evacuated_zone, tear_down);
+	g_test_add("/node_agent_links/server_changes_zone", struct fixture, NULL, set_up_entry,
+		   test_server_changes_zone, tear_down);
+	g_test_add("/node_agent_links/relayed_evacuations", struct fixture, NULL, set_up_entry,
+		   test_relayed_evacuations, tear_down);
 	return g_test_run();
 }
