Take relayed zones also without a valid configuration

Cause: an entry that the store does not answer has an agent read for it. It ignored the whole answer if the topic held no valid configuration at that time, and with it the evacuated zones. node_agent_links_test/relayed_without_config failed: a task was placed in the zone.

Change: the zones are taken from each answer. They have a version of their own, so those of a failed read do no harm.

--- a/packages/greengaged/src/node_agent_links.c
+++ b/packages/greengaged/src/node_agent_links.c
@@ -364,11 +364,11 @@
 	struct node_entry *entry = agent->entry;
 
 	agent->config_requested = false;
+	if (node_evacuations_receive(&entry->evacuations, config->evacuations, agent->name))
+		node_agent_links_evacuations_changed(entry);
 	if (config->version == 0)
 		return;
 	config_relay_answered(&entry->config_relay, entry->loop.now_us);
-	if (node_evacuations_receive(&entry->evacuations, config->evacuations, agent->name))
-		node_agent_links_evacuations_changed(entry);
 	if (config->version > node_config_version(&entry->config))
 		node_config_apply(&entry->config, (const char *)config->document.data,
 				  config->document.len, agent->name);
--- a/test/unit/node_agent_links_test.c
+++ b/test/unit/node_agent_links_test.c
@@ -539,6 +539,19 @@
 	g_free(long_name);
 }
 
+/* Guards against an evacuation that an entry ignores because the configuration that its agent has
+ * read beside it is missing or invalid. */
+static void test_relayed_without_config(struct fixture *fixture, const void *unused)
+{
+	const struct route_table table = {.version = 1};
+	char *zones[] = {(char *)"a", NULL};
+
+	set_up_relay(fixture, &table);
+	relay_zones(fixture, &fixture->former, 0, 5, zones);
+	order_run(fixture);
+	g_assert_cmpuint(fixture->refused, ==, 1);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -569,5 +582,7 @@
 		   test_server_changes_zone, tear_down);
 	g_test_add("/node_agent_links/relayed_evacuations", struct fixture, NULL, set_up_entry,
 		   test_relayed_evacuations, tear_down);
+	g_test_add("/node_agent_links/relayed_without_config", struct fixture, NULL, set_up_entry,
+		   test_relayed_without_config, tear_down);
 	return g_test_run();
 }
