Functional tests of the evacuation of zones

Cause: no test with real processes covered an evacuation.

Change: platform_test covers an evacuation and a return during traffic, a store that refuses all entries, an entry and an agent that start during an evacuation while the store is down, no zone left, and values that cannot be read in the log and in a list. Servers of the stand-in have a zone, it takes any record of the operator, lists a deleted key without a value, and counts the starts in one zone.

--- a/test/functional/harness_platform.c
+++ b/test/functional/harness_platform.c
@@ -41,6 +41,15 @@
 	g_free(document);
 }
 
+void platform_write_record(struct platform_cluster *cluster, const char *key, const char *value)
+{
+	char *path = g_strdup_printf("/control/operator?key=%s", key);
+
+	g_assert_cmpint(harness_status("POST", cluster->platform_url, path, value ? value : ""), ==,
+			200);
+	g_free(path);
+}
+
 void platform_control(struct platform_cluster *cluster, const char *faults)
 {
 	g_assert_cmpint(harness_status("POST", cluster->platform_url, "/control", faults), ==, 200);
@@ -62,7 +71,7 @@
 }
 
 static void write_all_settings(struct platform_cluster *cluster, int store_port, int peer_port,
-			       const int *controls, const int *servers)
+			       const int *controls, const int *servers, const char *const *zones)
 {
 	for (unsigned i = 0; i < PLATFORM_ENTRIES + PLATFORM_SPARE_ENTRIES; i++) {
 		char *name = g_strdup_printf("entry%u", i);
@@ -86,12 +95,12 @@
 	for (unsigned i = 0; i < PLATFORM_AGENTS; i++) {
 		char *name = g_strdup_printf("agent%u", i);
 		char *text = g_strdup_printf(
-			"{\"mode\":\"platform\",\"role\":\"agent\",\"name\":\"%s\",\"zone\":\"a\","
+			"{\"mode\":\"platform\",\"role\":\"agent\",\"name\":\"%s\",\"zone\":\"%s\","
 			"\"listen\":{\"control\":\"127.0.0.1:%d\"},"
 			"\"peers\":{\"ip\":\"127.0.0.1\",\"port\":%d,\"seeds\":[\"127.0.0.2:1\"]},"
 			"\"server\":{\"address\":\"127.0.0.1:%d\"},"
 			"\"store\":{\"address\":\"127.0.0.1:%d\"}}",
-			name, controls[i], peer_port, servers[i], store_port);
+			name, zones[i], controls[i], peer_port, servers[i], store_port);
 
 		write_settings(cluster, name, text);
 		g_free(text);
@@ -108,6 +117,16 @@
 }
 
 void platform_start(struct platform_cluster *cluster)
+{
+	const char *zones[PLATFORM_AGENTS];
+
+	for (unsigned i = 0; i < PLATFORM_AGENTS; i++)
+		zones[i] = "a";
+	platform_start_in_zones(cluster, zones);
+}
+
+void platform_start_in_zones(struct platform_cluster *cluster,
+			     const char *const zones[PLATFORM_AGENTS])
 {
 	int store_port, peer_port, controls[PLATFORM_AGENTS], servers[PLATFORM_AGENTS];
 	char *argv[PLATFORM_AGENTS + 3] = {GG_BUILD_DIR "/test/standin/standin_platform"};
@@ -123,10 +142,11 @@
 		controls[i] = harness_reserve_port();
 		cluster->control_ports[i] = controls[i];
 		servers[i] = harness_reserve_port();
-		argv[i + 2] = g_strdup_printf("127.0.0.1:%d=127.0.0.1:%d", servers[i], controls[i]);
+		argv[i + 2] = g_strdup_printf("127.0.0.1:%d=127.0.0.1:%d=%s", servers[i],
+					      controls[i], zones[i]);
 	}
 	cluster->platform_url = g_strdup_printf("http://127.0.0.1:%d", store_port);
-	write_all_settings(cluster, store_port, peer_port, controls, servers);
+	write_all_settings(cluster, store_port, peer_port, controls, servers, zones);
 	cluster->platform = harness_spawn(cluster->harness, "platform", (const char *const *)argv);
 	for (unsigned i = 1; argv[i]; i++)
 		g_free(argv[i]);
--- a/test/functional/harness_platform.h
+++ b/test/functional/harness_platform.h
@@ -42,6 +42,11 @@
  * configuration with the prefix "/q/", and waits until the entries are ready. */
 void platform_start(struct platform_cluster *cluster);
 
+/* As platform_start. ZONES names the zone of each agent and its backend server, which is "a"
+ * otherwise. */
+void platform_start_in_zones(struct platform_cluster *cluster,
+			     const char *const zones[PLATFORM_AGENTS]);
+
 /* Starts the spare entry ENTRY. */
 void platform_start_entry(struct platform_cluster *cluster, unsigned entry);
 
@@ -51,6 +56,9 @@
 /* Publishes a configuration in which each entry has a route for PREFIX. */
 void platform_publish_config(struct platform_cluster *cluster, int version, const char *prefix);
 
+/* Writes the operator's record KEY, or deletes it if VALUE is NULL. */
+void platform_write_record(struct platform_cluster *cluster, const char *key, const char *value);
+
 /* Sends FAULTS, a JSON object, to the stand-in. */
 void platform_control(struct platform_cluster *cluster, const char *faults);
 int64_t platform_counter(struct platform_cluster *cluster, const char *name);
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -25,6 +25,8 @@
 	ENTRY_RECOVERY_MS = 1000,  /* half of the 2 s limit for the recovery of a lost entry */
 	SETTLE_MS = 1000,	   /* pause before the effects of a fault are checked */
 	REFUSAL_MS = 1000,	   /* far less than the deadline */
+	EVACUATE_MS = 5000,	   /* limit for an evacuation to take effect */
+	TRAFFIC_JOBS = 20,	   /* enough for each server to get many tasks */
 	US_PER_MS = 1000
 };
 
@@ -976,6 +978,232 @@
 	platform_stop(&cluster);
 }
 
+/* The zones of the agents in the tests of evacuations. */
+static const char *const two_zones[PLATFORM_AGENTS] = {"a", "b"};
+
+static bool is_agent_evacuated(const struct platform_cluster *cluster, unsigned agent)
+{
+	char *log = NULL;
+	const char *last;
+	bool evacuated;
+
+	g_file_get_contents(cluster->agents[agent]->stdout_file, &log, NULL, NULL);
+	last = log ? g_strrstr(log, "\"event\":1417") : NULL;
+	evacuated = last && strstr(last, "\"state\":\"evacuated\"");
+	g_free(log);
+	return evacuated;
+}
+
+/* Returns whether ENTRY counts ZONES as evacuated. */
+static bool has_evacuated(struct platform_cluster *cluster, unsigned entry, unsigned zones)
+{
+	char *line = g_strdup_printf("\ngreengage_evacuated_zones %u\n", zones);
+	struct harness_reply reply =
+		harness_call("GET", cluster->ready_urls[entry], "/metrics", NULL);
+	bool found = reply.text && strstr(reply.text, line);
+
+	harness_reply_clear(&reply);
+	g_free(line);
+	return found;
+}
+
+/* Waits until ZONES zones are evacuated at all entries and those of the agents in AGENTS, a bit for
+ * each, are known to them, at most for the time limit of an evacuation. */
+static void wait_for_evacuation(struct platform_cluster *cluster, unsigned zones, unsigned agents)
+{
+	int64_t written_us = g_get_monotonic_time();
+
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
+		HARNESS_WAIT(EVACUATE_MS, has_evacuated(cluster, i, zones));
+	for (unsigned i = 0; i < PLATFORM_AGENTS; i++)
+		HARNESS_WAIT(EVACUATE_MS,
+			     is_agent_evacuated(cluster, i) == ((agents >> i & 1) != 0));
+	g_test_message("in force after %d ms",
+		       (int)((g_get_monotonic_time() - written_us) / US_PER_MS));
+	g_assert_cmpint(g_get_monotonic_time() - written_us, <, EVACUATE_MS * US_PER_MS);
+}
+
+/* A client that sends one job after the other to an entry. */
+struct traffic {
+	struct platform_cluster *cluster;
+	unsigned entry;
+	gint stop;
+	gint completed;
+	gint failed;
+};
+
+static void *send_traffic(void *context)
+{
+	struct traffic *traffic = context;
+
+	for (unsigned i = 0; !g_atomic_int_get(&traffic->stop); i++) {
+		unsigned number = 1000 * (traffic->entry + 1) + i;
+
+		g_atomic_int_inc(platform_job_completes(traffic->cluster, traffic->entry, number, 3)
+					 ? &traffic->completed
+					 : &traffic->failed);
+	}
+	return NULL;
+}
+
+/* Waits until each of the TRAFFIC has completed TRAFFIC_JOBS more. */
+static void wait_for_jobs(struct traffic traffic[PLATFORM_ENTRIES])
+{
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++) {
+		gint target = g_atomic_int_get(&traffic[i].completed) + TRAFFIC_JOBS;
+
+		HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS,
+			     g_atomic_int_get(&traffic[i].completed) >= target);
+	}
+}
+
+/* Guards against tasks that start in a zone after its evacuation is in force, against jobs that are
+ * lost by it, and against a zone that stays empty after it has been taken back. */
+static void test_zone_evacuated(void)
+{
+	struct platform_cluster cluster;
+	struct traffic traffic[PLATFORM_ENTRIES];
+	GThread *threads[PLATFORM_ENTRIES];
+
+	platform_start_in_zones(&cluster, two_zones);
+	platform_control(&cluster, "{\"run_ms\":20,\"watch_zone\":\"a\"}");
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++) {
+		traffic[i] = (struct traffic){.cluster = &cluster, .entry = i};
+		threads[i] = g_thread_new("traffic", send_traffic, &traffic[i]);
+	}
+	wait_for_jobs(traffic);
+	g_assert_cmpint(platform_counter(&cluster, "zone_starts"), >, 0);
+	platform_write_record(&cluster, "evacuate/a", "{}");
+	wait_for_evacuation(&cluster, 1, 1);
+	platform_control(&cluster, "{\"watch_zone\":\"a\"}");
+	wait_for_jobs(traffic);
+	g_assert_cmpint(platform_counter(&cluster, "zone_starts"), ==, 0);
+	platform_write_record(&cluster, "evacuate/a", NULL);
+	HARNESS_WAIT(EVACUATE_MS, platform_counter(&cluster, "zone_starts") > 0);
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++) {
+		g_atomic_int_set(&traffic[i].stop, 1);
+		g_thread_join(threads[i]);
+		g_assert_cmpint(traffic[i].failed, ==, 0);
+	}
+	platform_stop(&cluster);
+}
+
+/* Runs jobs at all entries, numbered from FIRST, and checks that none of their tasks starts in zone
+ * a. */
+static void check_zone_stays_empty(struct platform_cluster *cluster, unsigned first)
+{
+	platform_control(cluster, "{\"watch_zone\":\"a\"}");
+	for (unsigned i = 0; i < 10; i++)
+		g_assert_true(platform_job_completes(cluster, i % PLATFORM_ENTRIES, first + i, 3));
+	g_assert_cmpint(platform_counter(cluster, "zone_starts"), ==, 0);
+}
+
+/* Guards against an evacuation, or its end, that no entry learns of because the store refuses the
+ * calls of all of them. The agents, which the store serves, read for them. */
+static void test_evacuated_while_store_refuses(void)
+{
+	struct platform_cluster cluster;
+
+	platform_start_in_zones(&cluster, two_zones);
+	platform_control(&cluster, "{\"run_ms\":20}");
+	refuse_entries(&cluster);
+	platform_write_record(&cluster, "evacuate/a", "{}");
+	wait_for_evacuation(&cluster, 1, 1);
+	check_zone_stays_empty(&cluster, 1);
+	platform_write_record(&cluster, "evacuate/a", NULL);
+	wait_for_evacuation(&cluster, 0, 0);
+	platform_stop(&cluster);
+}
+
+/* Guards against a process that starts during an evacuation, cannot read the store, and starts
+ * tasks in the zone: an entry that takes the configuration from another one, an agent, and an
+ * entry that hears only of agents that have just started. */
+static void test_start_during_evacuation(void)
+{
+	struct platform_cluster cluster;
+
+	platform_start_in_zones(&cluster, two_zones);
+	platform_control(&cluster, "{\"run_ms\":20}");
+	platform_write_record(&cluster, "evacuate/a", "{}");
+	wait_for_evacuation(&cluster, 1, 1);
+	platform_control(&cluster, "{\"store_down\":true}");
+	harness_kill(cluster.entries[1]);
+	harness_kill(cluster.agents[0]);
+	platform_control(&cluster, "{\"watch_zone\":\"a\"}");
+	harness_restart(cluster.harness, cluster.entries[1]);
+	harness_restart(cluster.harness, cluster.agents[0]);
+	HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS, platform_entry_is_ready(&cluster, 1));
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(&cluster, 1, 1, 3));
+	wait_for_evacuation(&cluster, 1, 1);
+	/* The other entry learns the zones back from the one that has started. */
+	harness_kill(cluster.entries[0]);
+	harness_restart(cluster.harness, cluster.entries[0]);
+	HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS, platform_entry_is_ready(&cluster, 0));
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(&cluster, 0, 2, 3));
+	g_assert_cmpint(platform_counter(&cluster, "zone_starts"), ==, 0);
+	check_zone_stays_empty(&cluster, 3);
+	platform_control(&cluster, "{\"store_down\":false}");
+	platform_write_record(&cluster, "evacuate/a", NULL);
+	wait_for_evacuation(&cluster, 0, 0);
+	platform_stop(&cluster);
+}
+
+/* Guards against jobs that wait for their deadline, and against entries that the load balancer
+ * takes out of service, when no zone is left. */
+static void test_all_zones_evacuated(void)
+{
+	struct platform_cluster cluster;
+
+	platform_start_in_zones(&cluster, two_zones);
+	platform_write_record(&cluster, "evacuate/a", "{}");
+	platform_write_record(&cluster, "evacuate/b", "{}");
+	wait_for_evacuation(&cluster, 2, 3);
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++) {
+		int64_t sent_us = g_get_monotonic_time();
+		struct harness_reply reply = platform_submit(&cluster, i, i + 1, 3);
+
+		g_assert_cmpint(reply.status, ==, 503);
+		g_assert_cmpint(g_get_monotonic_time() - sent_us, <, REFUSAL_MS * US_PER_MS);
+		harness_reply_clear(&reply);
+		g_assert_true(platform_entry_is_ready(&cluster, i));
+	}
+	g_assert_cmpint(platform_counter(&cluster, "starts"), ==, 0);
+	platform_write_record(&cluster, "evacuate/b", NULL);
+	wait_for_evacuation(&cluster, 1, 1);
+	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(&cluster, 0, 3, 3));
+	platform_stop(&cluster);
+}
+
+/* Guards against an evacuation that is ignored because the value of its record cannot be read,
+ * where it is a record in the log and where it is an item in the list that a starting entry reads.
+ */
+static void test_evacuation_with_odd_value(void)
+{
+	struct platform_cluster cluster;
+
+	platform_start_in_zones(&cluster, two_zones);
+	platform_control(&cluster, "{\"run_ms\":20}");
+	platform_write_record(&cluster, "evacuate/a", "\xff{");
+	wait_for_evacuation(&cluster, 1, 1);
+	check_zone_stays_empty(&cluster, 1);
+	platform_write_record(&cluster, "evacuate/a", NULL);
+	wait_for_evacuation(&cluster, 0, 0);
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
+		harness_kill(cluster.entries[i]);
+	g_assert_cmpint(harness_status("POST", cluster.platform_url, "/control/item?topic=keyed.op",
+				       "{\"key\":\"evacuate/a\",\"value\":7}"),
+			==, 200);
+	/* Raises the version. */
+	platform_write_record(&cluster, "other", "{}");
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
+		harness_restart(cluster.harness, cluster.entries[i]);
+	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
+		HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS, platform_entry_is_ready(&cluster, i));
+	wait_for_evacuation(&cluster, 1, 1);
+	check_zone_stays_empty(&cluster, 101);
+	platform_stop(&cluster);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -1020,5 +1248,11 @@
 	g_test_add_func("/platform/entry_partitioned", test_entry_partitioned);
 	g_test_add_func("/platform/entry_left_alone", test_entry_left_alone);
 	g_test_add_func("/platform/metrics", test_metrics);
+	g_test_add_func("/platform/zone_evacuated", test_zone_evacuated);
+	g_test_add_func("/platform/evacuated_while_store_refuses",
+			test_evacuated_while_store_refuses);
+	g_test_add_func("/platform/start_during_evacuation", test_start_during_evacuation);
+	g_test_add_func("/platform/all_zones_evacuated", test_all_zones_evacuated);
+	g_test_add_func("/platform/evacuation_with_odd_value", test_evacuation_with_odd_value);
 	return g_test_run();
 }
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -2,20 +2,25 @@
  * Stand-in for the users' platform: a store with a log of keyed topics, and backend servers that
  * send heartbeats to their agents and execute orders under leases.
  *
- * usage: standin_platform STORE_ADDRESS[,STORE_ADDRESS] [SERVER_ADDRESS=AGENT_CONTROL_ADDRESS ...]
+ * usage: standin_platform STORE_ADDRESS[,STORE_ADDRESS]
+ *        [SERVER_ADDRESS=AGENT_CONTROL_ADDRESS[=ZONE] ...]
+ *
+ * Servers are in zone a unless another one is given.
  *
  * At the store's addresses, POST /control changes settings, POST /control/config publishes a
- * configuration, GET /control returns counters, GET /control/started returns the ids of the
- * started jobs, and GET /control/servers what the servers' next heartbeats will state. POST
- * /control/item?topic=T adds its body, JSON text that need not be valid, to the items of T's newest
- * records, and POST /control/record?topic=T adds its body, in base64 the bytes after a record's
- * length, to T's log. The settings are page_items (items in a page of newest records; 0: all),
- * lists_lost, starts_lost, run_ms, store_down, store_silent, refused_address, cpu (capacity of each
- * server, which it does not enforce), cut_server (its connections are closed and new ones refused;
- * it runs on), restore_server, suspend_server and resume_server (its host is suspended: its clock
- * and its runs stand still), lists_garbled, deadly_job (id of a job whose tasks crash each server
- * that starts them), away_ms (how long a crashed server is away), and drain, stay and silent, whose
- * value is the index of a server.
+ * configuration, POST /control/operator?key=K any other record of the operator, with its body as
+ * value, or deletes it if that is empty, GET /control returns counters, GET /control/started
+ * returns the ids of the started jobs, and GET /control/servers what the servers' next heartbeats
+ * will state. POST /control/item?topic=T adds its body, JSON text that need not be valid, to the
+ * items of T's newest records, and POST /control/record?topic=T adds its body, in base64 the bytes
+ * after a record's length, to T's log. The settings are page_items (items in a page of newest
+ * records; 0: all), lists_lost, starts_lost, run_ms, store_down, store_silent, refused_address, cpu
+ * (capacity of each server, which it does not enforce), cut_server (its connections are closed and
+ * new ones refused; it runs on), restore_server, suspend_server and resume_server (its host is
+ * suspended: its clock and its runs stand still), lists_garbled, deadly_job (id of a job whose
+ * tasks crash each server that starts them), away_ms (how long a crashed server is away),
+ * watch_zone (whose starts are counted from now on), and drain, stay and silent, whose value is the
+ * index of a server.
  */
 #include <arpa/inet.h>
 #include <jansson.h>
@@ -61,6 +66,7 @@
 	unsigned index;
 	char *address;
 	char *agent_address;
+	char *zone;
 	char id[32];
 	struct http_server *http;
 	struct http_client *agent;
@@ -123,6 +129,8 @@
 	char *deadly_job;      /* id, or NULL */
 	int64_t away_ms;       /* how long a crashed server is away */
 	bool lists_garbled;    /* responds to hold requests with truncated JSON */
+	char *watched_zone;    /* or NULL */
+	uint32_t zone_starts;  /* since the zone is watched */
 	uint32_t starts;
 	uint32_t overlaps; /* counts changes after which a task has more than one run */
 	uint32_t heartbeats_refused;
@@ -286,6 +294,7 @@
 	    server->crash_due_us == 0)
 		server->crash_due_us = standin->loop.now_us + DEADLY_DELAY_MS * US_PER_MS;
 	server->starts_after_drain += server->draining;
+	standin->zone_starts += g_strcmp0(server->zone, standin->watched_zone) == 0;
 	adjust_running_count(standin, task, 1);
 	return NULL;
 }
@@ -445,13 +454,13 @@
 	struct server *server = context;
 	char *path = g_strdup_printf("/greengagefront/instances/%s/heartbeat", server->id);
 	char *body = g_strdup_printf(
-		"{\"service\":\"svc\",\"addr\":\"%s\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":"
+		"{\"service\":\"svc\",\"addr\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":"
 		"8,"
 		"\"state\":\"%s\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":%d,\"memMb\":65536,"
 		"\"gpu\":0},\"labels\":[\"a\",\"r1\"],\"clockMs\":%lld,\"seq\":%lld,\"born\":%lld}",
-		server->address, server->draining ? "draining" : "ready", (int)server->standin->cpu,
-		(long long)clock_ms(server), (long long)++server->sequence,
-		(long long)server->started_ms);
+		server->address, server->zone, server->draining ? "draining" : "ready",
+		(int)server->standin->cpu, (long long)clock_ms(server),
+		(long long)++server->sequence, (long long)server->started_ms);
 
 	if (!server->silent && server->suspended_since_us == 0 && server->return_due_us == 0)
 		http_client_call(server->agent, &(struct http_call){
@@ -512,8 +521,12 @@
 	char *encoded = g_base64_encode(value, length);
 	json_t *item = json_pack("{s:s, s:s, s:i}", "key", topic->keys->pdata[index], "value",
 				 encoded, "offset", (int)index);
-	char *text = json_dumps(item, JSON_COMPACT);
+	char *text;
 
+	/* A deleted key. */
+	if (length == 0)
+		json_object_del(item, "value");
+	text = json_dumps(item, JSON_COMPACT);
 	if (text) {
 		g_ptr_array_add(items, g_strdup(text));
 		g_ptr_array_add(keys, g_strdup(topic->keys->pdata[index]));
@@ -779,6 +792,11 @@
 		standin->away_ms = json_integer_value(field);
 	if ((field = json_object_get(document, "lists_garbled")))
 		standin->lists_garbled = json_is_true(field);
+	if ((field = json_object_get(document, "watch_zone"))) {
+		g_free(standin->watched_zone);
+		standin->watched_zone = g_strdup(json_string_value(field));
+		standin->zone_starts = 0;
+	}
 	if ((field = json_object_get(document, "epoch_ahead")))
 		standin->servers[0].epoch += json_integer_value(field);
 	apply_server_settings(standin, document);
@@ -798,15 +816,16 @@
 		crashes += standin->servers[i].crashes;
 	}
 	respond_json(request, 200,
-		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "pages",
-			       (int)standin->pages, "starts", (int)standin->starts, "overlaps",
-			       (int)standin->overlaps, "running", (int)running,
+		     json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}",
+			       "pages", (int)standin->pages, "starts", (int)standin->starts,
+			       "overlaps", (int)standin->overlaps, "running", (int)running,
 			       "starts_after_drain", (int)after_drain, "heartbeats_refused",
 			       (int)standin->heartbeats_refused, "starts_over_capacity",
 			       (int)standin->starts_over_capacity, "acks_ahead",
 			       (int)standin->acks_ahead, "crashes", (int)crashes, "epochs_refused",
 			       (int)standin->servers[0].epochs_refused, "blind_leases",
-			       (int)standin->servers[0].blind_leases));
+			       (int)standin->servers[0].blind_leases, "zone_starts",
+			       (int)standin->zone_starts));
 }
 
 static void respond_started_jobs(struct standin *standin, struct http_request *request)
@@ -871,6 +890,12 @@
 	if (strcmp(path, "/control/config") == 0) {
 		append_record(standin, "keyed.op", "config", body, length);
 		http_respond(request, 200, NULL, "{}");
+	} else if (strcmp(path, "/control/operator") == 0) {
+		char *key = query_value(http_request_query(request), "key");
+
+		append_record(standin, "keyed.op", key, body, length);
+		g_free(key);
+		http_respond(request, 200, NULL, "{}");
 	} else if (strcmp(path, "/control/servers") == 0) {
 		respond_servers(standin, request);
 	} else if (strcmp(path, "/control/item") == 0 || strcmp(path, "/control/record") == 0) {
@@ -995,7 +1020,7 @@
 static bool add_server(struct standin *standin, const char *text)
 {
 	struct server *server = &standin->servers[standin->server_count];
-	char **parts = g_strsplit(text, "=", 2);
+	char **parts = g_strsplit(text, "=", 3);
 	struct error err;
 
 	if (!parts[0] || !parts[1] || standin->server_count == MAX_SERVERS)
@@ -1004,6 +1029,7 @@
 	server->index = standin->server_count++;
 	server->address = g_strdup(parts[0]);
 	server->agent_address = g_strdup(parts[1]);
+	server->zone = g_strdup(parts[2] ? parts[2] : "a");
 	set_id(server);
 	server->runs = g_ptr_array_new();
 	server->highest_attempt = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -1046,7 +1072,8 @@
 	static struct standin standin;
 
 	if (argc < 2) {
-		fprintf(stderr, "usage: standin_platform STORE_ADDRESS [SERVER=CONTROL ...]\n");
+		fprintf(stderr,
+			"usage: standin_platform STORE_ADDRESS [SERVER=CONTROL[=ZONE] ...]\n");
 		return 2;
 	}
 	net_loop_init(&standin.loop);
