GET /evacuations at an entry, and greengagectl evacuations

Cause: an operator could see in logs and a metric only whether an evacuation had taken effect at an entry.

Change: the readiness address of an entry answers GET /evacuations with the version and the zones; bytes of a name that are not UTF-8 are replaced. greengagectl evacuations prints it.

--- a/packages/greengagectl/src/cmd_view.c
+++ b/packages/greengagectl/src/cmd_view.c
@@ -50,6 +50,27 @@
 	return fetched ? CTL_EXIT_OK : CTL_EXIT_FAILED;
 }
 
+enum ctl_exit cmd_evacuations(const struct ctl_options *options, char **args)
+{
+	struct ctl_response response;
+	bool fetched = ctl_fetch(options, "GET", "/evacuations", NULL, 0, &response);
+
+	if (fetched && options->json) {
+		ctl_print_json(options, response.body);
+	} else if (fetched) {
+		struct ctl_table *table = ctl_table_new("EVACUATED ZONE");
+		size_t index;
+		json_t *zone;
+
+		printf("version %lld\n", ctl_json_integer(response.body, "version"));
+		json_array_foreach (json_object_get(response.body, "zones"), index, zone)
+			ctl_table_add_row(table, "%s", json_string_value(zone));
+		ctl_table_print(table);
+	}
+	ctl_response_clear(&response);
+	return fetched ? CTL_EXIT_OK : CTL_EXIT_FAILED;
+}
+
 static double json_number_at(const json_t *object, const char *key)
 {
 	return json_number_value(json_object_get(object, key));
--- a/packages/greengagectl/src/ctl.h
+++ b/packages/greengagectl/src/ctl.h
@@ -101,6 +101,7 @@
 enum ctl_exit cmd_drain(const struct ctl_options *options, char **args);
 enum ctl_exit cmd_undrain(const struct ctl_options *options, char **args);
 enum ctl_exit cmd_members(const struct ctl_options *options, char **args);
+enum ctl_exit cmd_evacuations(const struct ctl_options *options, char **args);
 enum ctl_exit cmd_report(const struct ctl_options *options, char **args);
 enum ctl_exit cmd_settings_check(const struct ctl_options *options, char **args);
 
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -2,12 +2,14 @@
  * without "mode". */
 #include "node_entry.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "client_api.h"
 #include "event.h"
 #include "node_agent_links.h"
 #include "node_clients.h"
+#include "node_evacuations.h"
 #include "node_isolation.h"
 #include "node_metrics.h"
 #include "node_peers.h"
@@ -74,6 +76,13 @@
 		node_metrics_answer(request);
 		return;
 	}
+	if (strcmp(http_request_path(request), "/evacuations") == 0) {
+		char *body = node_evacuations_to_json(&entry->evacuations);
+
+		http_respond(request, 200, NULL, body);
+		free(body);
+		return;
+	}
 	if (!client_is_readiness_probe(request)) {
 		http_respond(request, 404, NULL, "{}");
 		return;
--- a/packages/greengaged/src/node_evacuations.c
+++ b/packages/greengaged/src/node_evacuations.c
@@ -1,5 +1,6 @@
 #include "node_evacuations.h"
 
+#include <jansson.h>
 #include <string.h>
 
 #include "core_defs.h"
@@ -98,6 +99,25 @@
 	return true;
 }
 
+char *node_evacuations_to_json(const struct evacuations *evacuations)
+{
+	json_t *zones = json_array();
+	json_t *document;
+	char *text;
+
+	for (guint i = 0; i < evacuations->zones->len; i++) {
+		char *name = g_utf8_make_valid(evacuations->zones->pdata[i], -1);
+
+		json_array_append_new(zones, json_string(name));
+		g_free(name);
+	}
+	document = json_pack("{s:I, s:o}", "version", (json_int_t)evacuations->version, "zones",
+			     zones);
+	text = json_dumps(document, JSON_COMPACT);
+	json_decref(document);
+	return text;
+}
+
 void node_evacuations_fill(const struct evacuations *evacuations, Ggd__Evacuations *message)
 {
 	message->version = evacuations->version;
--- a/packages/greengaged/src/node_evacuations.h
+++ b/packages/greengaged/src/node_evacuations.h
@@ -20,6 +20,10 @@
 bool node_evacuations_receive(struct evacuations *evacuations, const Ggd__Evacuations *message,
 			      const char *source);
 
+/* Returns the version and the zones as JSON text, which the caller frees with free(). Bytes of a
+ * name that are not UTF-8 are replaced. */
+char *node_evacuations_to_json(const struct evacuations *evacuations);
+
 /* Sets the fields of MESSAGE, which borrows the names. */
 void node_evacuations_fill(const struct evacuations *evacuations, Ggd__Evacuations *message);
 
--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -2,6 +2,7 @@
  * jobs, from the client's request to the response, intact. */
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "harness_platform.h"
@@ -1148,6 +1149,20 @@
 	platform_stop(&cluster);
 }
 
+/* Checks the answer to GET /evacuations of ENTRY: ZONES and a version. */
+static void check_listed_zones(struct platform_cluster *cluster, unsigned entry, const char *zones)
+{
+	struct harness_reply reply =
+		harness_call("GET", cluster->ready_urls[entry], "/evacuations", NULL);
+	char *text = json_dumps(json_object_get(reply.body, "zones"), JSON_COMPACT);
+
+	g_assert_cmpint(reply.status, ==, 200);
+	g_assert_cmpint(json_integer_value(json_object_get(reply.body, "version")), >, 0);
+	g_assert_cmpstr(text, ==, zones);
+	free(text);
+	harness_reply_clear(&reply);
+}
+
 /* Guards against jobs that wait for their deadline, and against entries that the load balancer
  * takes out of service, when no zone is left. */
 static void test_all_zones_evacuated(void)
@@ -1166,14 +1181,24 @@
 		g_assert_cmpint(g_get_monotonic_time() - sent_us, <, REFUSAL_MS * US_PER_MS);
 		harness_reply_clear(&reply);
 		g_assert_true(platform_entry_is_ready(&cluster, i));
+		check_listed_zones(&cluster, i, "[\"a\",\"b\"]");
 	}
 	g_assert_cmpint(platform_counter(&cluster, "starts"), ==, 0);
 	platform_write_record(&cluster, "evacuate/b", NULL);
 	wait_for_evacuation(&cluster, 1, 1);
+	check_listed_zones(&cluster, 0, "[\"a\"]");
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(&cluster, 0, 3, 3));
 	platform_stop(&cluster);
 }
 
+/* Adds the RECORD, in base64, to the operator's log. */
+static void write_raw_record(struct platform_cluster *cluster, const char *record)
+{
+	g_assert_cmpint(harness_status("POST", cluster->platform_url,
+				       "/control/record?topic=keyed.op", record),
+			==, 200);
+}
+
 /* Guards against an evacuation that is ignored because the value of its record cannot be read,
  * where it is a record in the log and where it is an item in the list that a starting entry reads.
  */
@@ -1188,6 +1213,12 @@
 	check_zone_stays_empty(&cluster, 1);
 	platform_write_record(&cluster, "evacuate/a", NULL);
 	wait_for_evacuation(&cluster, 0, 0);
+	/* The name is "z" and a byte that is not UTF-8. */
+	write_raw_record(&cluster, "C2V2YWN1YXRlL3r/e30=");
+	wait_for_evacuation(&cluster, 1, 0);
+	check_listed_zones(&cluster, 0, "[\"z\xef\xbf\xbd\"]");
+	write_raw_record(&cluster, "C2V2YWN1YXRlL3r/");
+	wait_for_evacuation(&cluster, 0, 0);
 	for (unsigned i = 0; i < PLATFORM_ENTRIES; i++)
 		harness_kill(cluster.entries[i]);
 	g_assert_cmpint(harness_status("POST", cluster.platform_url, "/control/item?topic=keyed.op",
--- a/test/unit/greengagectl_test.c
+++ b/test/unit/greengagectl_test.c
@@ -72,6 +72,8 @@
 			       info->local_uri, MAX(length, 0), body);
 	if (strcmp(info->local_uri, "/v1/sessions") == 0)
 		code = respond(conn, 201, "{\"session\":\"s1\",\"expires_ms\":1}");
+	else if (strcmp(info->local_uri, "/evacuations") == 0)
+		code = respond(conn, 200, "{\"version\":7,\"zones\":[\"a\",\"b\"]}");
 	else if (strcmp(info->local_uri, "/v1/config") == 0)
 		code = respond_config(conn, info->request_method);
 	else
@@ -278,6 +280,24 @@
 	g_free(expected);
 }
 
+/* Guards against zones that are left out, and against output that a program cannot parse. */
+static void test_evacuations(void)
+{
+	char *output;
+	char *error_output;
+
+	g_assert_cmpint(run_greengagectl("evacuations", "", &output, &error_output), ==, 0);
+	g_assert_cmpstr(output, ==, "version 7\nEVACUATED ZONE\na\nb\n");
+	assert_requests("GET /evacuations \n");
+	g_free(output);
+	g_free(error_output);
+	g_assert_cmpint(run_greengagectl("evacuations --json", "", &output, &error_output), ==, 0);
+	g_assert_cmpstr(output, ==, "{\"version\":7,\"zones\":[\"a\",\"b\"]}\n");
+	g_free(output);
+	g_free(error_output);
+	assert_exit_code(1, "--entry http://127.0.0.1:1 evacuations", "");
+}
+
 int main(int argc, char **argv)
 {
 	const char *options[] = {"listening_ports", "127.0.0.1:0", "num_threads", "4", NULL};
@@ -290,12 +310,14 @@
 	g_assert_nonnull(fake_entry.server);
 	g_assert_cmpint(mg_get_server_ports(fake_entry.server, 1, &port), ==, 1);
 	mg_set_request_handler(fake_entry.server, "/v1", handle_request, NULL);
+	mg_set_request_handler(fake_entry.server, "/evacuations", handle_request, NULL);
 	fake_entry.url = g_strdup_printf("http://127.0.0.1:%d", port.port);
 	g_test_add_func("/greengagectl/submit", test_submit);
 	g_test_add_func("/greengagectl/exit-codes", test_exit_codes);
 	g_test_add_func("/greengagectl/failover", test_failover);
 	g_test_add_func("/greengagectl/entries-from-environment", test_entries_from_environment);
 	g_test_add_func("/greengagectl/drain-retries", test_drain_retries);
+	g_test_add_func("/greengagectl/evacuations", test_evacuations);
 	code = g_test_run();
 	mg_stop(fake_entry.server);
 	g_string_free(fake_entry.requests, TRUE);
