Test two more properties of evacuated zones at an entry

Cause: with 23 faults put into the implementation one by one, four were not noticed. Two of these change nothing that can be seen from outside; the others were that a job which waits for room stays queued after the evacuation, and that an agent that connects again is not told an unchanged set.

Change: dispatch_test/waiting_job_refused, and a second connection in node_agent_links_test/evacuations_sent.

Measured: both faults are noticed now; dispatch_test (11 cases) and node_agent_links_test (14) pass.

--- a/test/unit/dispatch_test.c
+++ b/test/unit/dispatch_test.c
@@ -299,6 +299,28 @@
 	dispatch_free(&fixture.dispatch);
 }
 
+/* Guards against a job that waits for room at a server until its deadline after the evacuation of
+ * the last zone. */
+static void test_waiting_job_refused(void)
+{
+	struct fleet_report report = ready_report;
+	struct fixture fixture;
+
+	report.free.cpu = 0;
+	/* More than an agent may queue. */
+	report.waiting_cpu[0] = CPU;
+	fixture_init(&fixture, US_PER_SECOND);
+	fixture_add_server(&fixture, &report, NOW_US)->total = ready_report.free;
+	submit_job(&fixture);
+	g_assert_cmpuint(fixture.finished + count_ordered(&fixture), ==, 0);
+	dispatch_server_evacuated(&fixture.dispatch, fixture.server, true);
+	dispatch_pump(&fixture.dispatch, NOW_US + 1);
+	g_assert_cmpuint(count_ordered(&fixture), ==, 0);
+	g_assert_cmpuint(fixture.finished, ==, 1);
+	g_assert_cmpint(fixture.outcome, ==, OUTCOME_NOT_RUN);
+	dispatch_free(&fixture.dispatch);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -312,5 +334,6 @@
 	g_test_add_func("/dispatch/evacuated_server", test_evacuated_server);
 	g_test_add_func("/dispatch/return_of_unready_server", test_return_of_unready_server);
 	g_test_add_func("/dispatch/evacuated_while_running", test_evacuated_while_running);
+	g_test_add_func("/dispatch/waiting_job_refused", test_waiting_job_refused);
 	return g_test_run();
 }
--- a/test/unit/node_agent_links_test.c
+++ b/test/unit/node_agent_links_test.c
@@ -414,6 +414,9 @@
 	check_sent(fixture, (const char *const[]){"7, 0 starts", NULL});
 	check_sent(fixture, none);
 	lose(&fixture->former);
+	greet(fixture, &fixture->former);
+	check_sent(fixture, (const char *const[]){"7, 0 starts", NULL});
+	lose(&fixture->former);
 	learn_zones(fixture, 8, zones + 1);
 	check_sent(fixture, none);
 	/* The start waits here, so that both go in one message. */
