Test that an entry takes the evacuated zones from another one

Cause: platform_test/start_during_evacuation passed although entries ignored each other's sets, as an agent told the entry that had started as well.

Change: the agents start after that entry has learned the zone, which only the other entry can have told.

--- a/test/functional/platform_test.c
+++ b/test/functional/platform_test.c
@@ -1129,10 +1129,14 @@
 	wait_for_evacuation(&cluster, 1, 1);
 	platform_control(&cluster, "{\"store_down\":true}");
 	harness_kill(cluster.entries[1]);
-	harness_kill(cluster.agents[0]);
+	for (unsigned i = 0; i < PLATFORM_AGENTS; i++)
+		harness_kill(cluster.agents[i]);
 	platform_control(&cluster, "{\"watch_zone\":\"a\"}");
 	harness_restart(cluster.harness, cluster.entries[1]);
-	harness_restart(cluster.harness, cluster.agents[0]);
+	/* Nobody but the other entry can tell of it. */
+	HARNESS_WAIT(EVACUATE_MS, has_evacuated(&cluster, 1, 1));
+	for (unsigned i = 0; i < PLATFORM_AGENTS; i++)
+		harness_restart(cluster.harness, cluster.agents[i]);
 	HARNESS_WAIT(PLATFORM_READY_TIMEOUT_MS, platform_entry_is_ready(&cluster, 1));
 	HARNESS_WAIT(CONDITION_TIMEOUT_MS, platform_job_completes(&cluster, 1, 1, 3));
 	wait_for_evacuation(&cluster, 1, 1);
