Placement: prefer servers of the entry's own zone

An entry sends orders to the agents of all zones alike, and each order, its report and its result cross the zone. With the setting policy.local_zone (default: false) the servers of the entry's zone that have free room and end the task by its target come before those of other zones; tasks that find no such server spill over at once, so no task waits for its zone. The mechanism local_zone in policy.h switches the preference off. Where all servers are in one zone, the same random numbers choose the same servers.

The template of the settings is not changed: which variable a deployment gives for it isn't known here.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -118,7 +118,8 @@
 struct dispatch {
 	struct dispatch_limits limits;
 	struct dispatch_callbacks callbacks;
-	struct policy policy; /* dispatch_init switches all mechanisms on */
+	struct policy policy;	     /* dispatch_init switches all mechanisms on */
+	char local_zone[NAME_BYTES]; /* zone whose servers are preferred; empty: none */
 	struct fleet fleet;
 	struct table jobs;
 	struct table runs;
--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -8,6 +8,10 @@
  * Many entries learn of free room some milliseconds late. If all of them ranked the servers alike,
  * they would compete for the same room and most of their orders would be refused. Therefore each
  * entry selects servers at random, weighted by their free room and speed.
+ *
+ * Traffic between zones may be expensive, and each order to another zone is followed by reports and
+ * a result from there. With a local zone set, tasks go to other zones only when no server of the
+ * local zone has free room on which they end by the target time.
  */
 #ifndef GG_PLACEMENT_H
 #define GG_PLACEMENT_H
@@ -20,7 +24,8 @@
 	const struct policy *policy;
 	const char *service;
 	uint32_t partition;
-	struct resources need; /* of each task */
+	const char *local_zone; /* zone whose servers are preferred; empty: none */
+	struct resources need;	/* of each task */
 	uint32_t tasks;
 	uint32_t priority;
 	int64_t work_us; /* expected run time of one task on a typical server, which has speed 1 */
--- a/packages/core/include/policy.h
+++ b/packages/core/include/policy.h
@@ -30,6 +30,8 @@
 	X(leave_room)                                                                              \
 	/* draw servers at random by weight instead of taking the best */                          \
 	X(random_choice)                                                                           \
+	/* prefer servers in the entry's own zone, if the settings ask for it */                   \
+	X(local_zone)                                                                              \
 	/* restart slow runs elsewhere */                                                          \
 	X(move_runs)                                                                               \
 	/* learn run times from measured ones */                                                   \
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -191,6 +191,7 @@
 		.policy = &dispatch->policy,
 		.service = job->service,
 		.partition = job->stats->partition,
+		.local_zone = dispatch->local_zone,
 		.need = job->need,
 		.tasks = job->queued_tasks - held,
 		.work_us = job->longest_task_us,
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -33,6 +33,7 @@
 	struct resources free;
 	uint32_t wait_allowance_cpu; /* cpu of further tasks that may be sent there to wait */
 	bool must_wait;		     /* a task would have to wait there */
+	bool remote;		     /* it is not in the local zone of the request */
 	int64_t end_us;
 	double rank;	     /* random rank among servers with room; the lowest comes first */
 	uint32_t tasks_left; /* tasks that may still be placed there */
@@ -92,8 +93,8 @@
 	return -log(prng_uniform(random_state)) / MAX(weight, divisor_floor);
 }
 
-/* Sorts servers with room by their random rank, before those where the task would wait, which are
- * sorted by the expected end. */
+/* Sorts servers with room by their random rank, those of the local zone first, before those where
+ * the task would wait, which are sorted by the expected end. */
 static int by_preference(const void *a, const void *b)
 {
 	const struct candidate *left = a;
@@ -103,6 +104,8 @@
 		return left->must_wait ? 1 : -1;
 	if (left->must_wait)
 		return (left->end_us > right->end_us) - (left->end_us < right->end_us);
+	if (left->remote != right->remote)
+		return left->remote ? 1 : -1;
 	return (left->rank > right->rank) - (left->rank < right->rank);
 }
 
@@ -126,6 +129,12 @@
 	return left;
 }
 
+static bool is_remote(const struct fleet_server *server, const struct placement_request *request)
+{
+	return request->policy->local_zone && request->local_zone && request->local_zone[0] &&
+	       strcmp(server->zone, request->local_zone) != 0;
+}
+
 /* Returns the servers on which tasks of REQUEST can be placed, unsorted. */
 static GArray *find_candidates(const struct fleet *fleet, const struct placement_request *request,
 			       double slowness_exponent, int64_t now_us, uint64_t *random_state)
@@ -143,6 +152,7 @@
 			.free = server->free,
 			.end_us = placement_end_us(server, request, now_us),
 			.must_wait = would_wait(server, &request->need),
+			.remote = is_remote(server, request),
 			.tasks_left = tested ? 1 : UINT32_MAX,
 		};
 
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -312,6 +312,9 @@
 	memcpy(&seed, incarnation->bytes, sizeof(seed));
 	dispatch_init(&entry->dispatch, &limits, &callbacks, seed);
 	policy_switch_off(&entry->dispatch.policy, settings->policy_off);
+	if (settings->local_zone)
+		g_strlcpy(entry->dispatch.local_zone, settings->zone,
+			  sizeof(entry->dispatch.local_zone));
 	dispatch_await_agents(&entry->dispatch, entry->loop.now_us);
 }
 
--- a/packages/greengaged/src/node_settings.h
+++ b/packages/greengaged/src/node_settings.h
@@ -43,6 +43,7 @@
 	char *server_address; /* agent: address at which the backend server accepts orders */
 
 	char **policy_off; /* entry: mechanisms switched off for experiments; see policy.h */
+	bool local_zone;   /* entry: prefers backend servers in its own zone */
 
 	double lease_ms;	/* longest lease that a backend server grants */
 	double stop_ms;		/* time within which a backend server ends a stopped run */
--- a/test/unit/node_settings_test.c
+++ b/test/unit/node_settings_test.c
@@ -39,6 +39,11 @@
 
 	g_assert_cmpint(load(ENTRY_JSON "}", &settings, &err), ==, STATUS_OK);
 	g_assert_cmpint(settings.peer_port, ==, 7720);
+	g_assert_false(settings.local_zone);
+	node_settings_free(&settings);
+	g_assert_cmpint(load(ENTRY_JSON ",\"policy\":{\"local_zone\":true}}", &settings, &err), ==,
+			STATUS_OK);
+	g_assert_true(settings.local_zone);
 	node_settings_free(&settings);
 	g_assert_cmpint(load(AGENT_JSON "}", &settings, &err), ==, STATUS_OK);
 	node_settings_free(&settings);
@@ -87,6 +92,7 @@
 	{"{" COMMON_JSON PEERS_JSON ",\"role\":\"agent\",\"listen\":{\"control\":\"10.0.0.1:1\"}}",
 	 "server.address"},
 	{"{" COMMON_JSON ",\"role\":\"entry\"}", "peers.ip"},
+	{ENTRY_JSON ",\"policy\":{\"local_zone\":\"z\"}}", "policy.local_zone"},
 	{ENTRY_JSON ",\"limits\":{\"grace_s\":\"6\"}}", "limits.grace_s"},
 	{ENTRY_JSON ",\"limits\":{\"resend_ms\":500}}", "limits.resend_ms"},
 	{ENTRY_JSON ",\"limits\":{\"lease_ms\":-1}}", "limits.lease_ms"},
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -116,6 +116,7 @@
 	uint32_t incarnation;
 	struct simulation_process process;
 	int64_t unreachable_until_us; /* for clients */
+	char zone[NAME_BYTES];
 	struct node_entry node;
 	struct handle servers[SIMULATION_MAX_SERVERS];
 	bool connected[SIMULATION_MAX_SERVERS];
@@ -201,6 +202,8 @@
 	 * answers after a task had started. Jobs with an unanswered request are not counted. */
 	uint32_t started_although_refused;
 	uint32_t refused_starts; /* Start requests that a server refused for lack of CPU. */
+	uint32_t orders;	 /* start orders */
+	uint32_t remote_orders;	 /* start orders from an entry to a server of another zone */
 	uint32_t refused_orders; /* Start orders that an agent refused for lack of resources. */
 	/* Interval between reports of free resources; 0: entries see them at once. */
 	int64_t report_interval_us;
@@ -1145,6 +1148,7 @@
 	struct simulation_entry *entry = context;
 	uint32_t server = GPOINTER_TO_UINT(link) - 1;
 	struct simulation_message *message = simulation_new_message(entry, server, order->run);
+	const struct fleet_server *fleet_server;
 
 	message->task = g_strdup_printf("%s.0.%u.%u", order->job, order->step, order->index);
 	message->attempt = order->attempt;
@@ -1154,6 +1158,9 @@
 	message->start_within_us = order->start_within_us;
 	message->urgent_within_us = order->urgent_within_us;
 	message->order_number = ++entry->last_order_sent[server];
+	fleet_server = fleet_get(&entry->node.dispatch.fleet, entry->servers[server]);
+	entry->sim->orders++;
+	entry->sim->remote_orders += fleet_server && strcmp(fleet_server->zone, entry->zone) != 0;
 	simulation_schedule(entry->sim, entry->sim->now_us + SIMULATION_NETWORK_DELAY_US,
 			    simulation_on_order, message);
 	return message->order_number;
