Placement: wait some time for room in the entry's own zone

A task now goes to other zones at once only if a server there has ample room (35 % of its cpu), or no server of its own zone could end it by its target. Otherwise it waits for the first 0.4 of its slack, but not into the last 100 ms before its latest start. Switch: wait_for_zone. Without policy.local_zone nothing changes.

--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -11,7 +11,9 @@
  *
  * Traffic between zones may be expensive, and each order to another zone is followed by reports and
  * a result from there. With a local zone set, tasks go to other zones only when no server of the
- * local zone has free room on which they end by the target time.
+ * local zone has free room on which they end by the target time. When most servers are full, tasks
+ * with enough slack wait for a while until room becomes free in the local zone: otherwise each free
+ * slot would be taken from all zones alike, and the preference would have no effect.
  */
 #ifndef GG_PLACEMENT_H
 #define GG_PLACEMENT_H
@@ -25,7 +27,10 @@
 	const char *service;
 	uint32_t partition;
 	const char *local_zone; /* zone whose servers are preferred; empty: none */
-	struct resources need;	/* of each task */
+	/* Before this time, tasks go to other zones only to servers with ample room, unless no
+	 * server of the local zone can end them by the target. */
+	int64_t spill_from_us;
+	struct resources need; /* of each task */
 	uint32_t tasks;
 	uint32_t priority;
 	int64_t work_us; /* expected run time of one task on a typical server, which has speed 1 */
--- a/packages/core/include/policy.h
+++ b/packages/core/include/policy.h
@@ -32,6 +32,8 @@
 	X(random_choice)                                                                           \
 	/* prefer servers in the entry's own zone, if the settings ask for it */                   \
 	X(local_zone)                                                                              \
+	/* let tasks wait some time for room in the entry's own zone, if that is preferred */      \
+	X(wait_for_zone)                                                                           \
 	/* restart slow runs elsewhere */                                                          \
 	X(move_runs)                                                                               \
 	/* learn run times from measured ones */                                                   \
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -12,9 +12,17 @@
 	PROGRESS_LEAD_US = 200 * US_PER_MS,
 	/* A job that has no progress and can no longer reach its planned end is sorted as if it
 	 * were less urgent by this much, which puts it behind all others. */
-	LATE_LAG_US = 60 * US_PER_SECOND
+	LATE_LAG_US = 60 * US_PER_SECOND,
+	/* A task waits for room in its own zone only until this time before its latest start. It
+	 * then competes for room everywhere, where several orders may be refused before one
+	 * finds room. With 60 ms, jobs with little slack were late when most servers were full. */
+	SPILL_LEAD_US = 100 * US_PER_MS
 };
 
+/* A task waits for room in its own zone for at most this share of its slack, so that jobs with much
+ * slack don't use it up there. */
+static const double spill_slack_share = 0.4;
+
 int64_t dispatch_latest_start_us(const struct job *job, double fastest)
 {
 	if (fastest <= 0)
@@ -178,6 +186,16 @@
 	return held;
 }
 
+/* Returns the time from which tasks of JOB go to other zones that have little room. */
+static int64_t spill_from_us(const struct job *job, const struct fleet_totals *sum)
+{
+	int64_t latest_start_us = dispatch_latest_start_us(job, sum->max_speed);
+	int64_t slack_us = latest_start_us - job->arrived_us;
+
+	return MIN(job->arrived_us + (int64_t)(spill_slack_share * (double)slack_us),
+		   latest_start_us - SPILL_LEAD_US);
+}
+
 /* Starts the queued tasks of JOB for which there is room. */
 static void place_tasks(struct dispatch *dispatch, struct job *job, struct service_view *view,
 			int64_t urgent_us, bool behind_plan, int64_t now_us)
@@ -192,6 +210,7 @@
 		.service = job->service,
 		.partition = job->stats->partition,
 		.local_zone = dispatch->local_zone,
+		.spill_from_us = spill_from_us(job, &view->sum),
 		.need = job->need,
 		.tasks = job->queued_tasks - held,
 		.work_us = job->longest_task_us,
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -20,6 +20,10 @@
 /* Lower limit of speeds and weights that are used as divisors; avoids a division by zero. */
 static const double divisor_floor = 0.01;
 
+/* From this share of free cpu on, a server has room for tasks of other zones at once. At a lower
+ * share, entries of its own zone may need the room. */
+static const double ample_free_share = 0.35;
+
 /* The weight of a server is slots^slots_exponent * slowness^slowness_exponent: slots is the number
  * of tasks that fit there now, slowness is 1 / speed. */
 static const double slots_exponent = 2;
@@ -135,6 +139,32 @@
 	       strcmp(server->zone, request->local_zone) != 0;
 }
 
+/* Returns whether a server of the local zone could end a task of REQUEST by the target if it had
+ * room. */
+static bool local_zone_can_serve(const struct fleet *fleet, const struct placement_request *request,
+				 int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	const struct fleet_server *server;
+
+	while ((server = table_next(&fleet->servers, &cursor, &handle))) {
+		if (!is_remote(server, request) && server->ready && fleet_is_useful(server) &&
+		    fleet_serves(server, request->service, request->partition) &&
+		    !handle_equal(handle, request->avoid_server) &&
+		    resources_fit(&request->need, &server->total) &&
+		    now_us + ORDER_DELAY_US + placement_run_us(server, request->work_us) <=
+			    request->target_us)
+			return true;
+	}
+	return false;
+}
+
+static bool has_ample_room(const struct fleet_server *server)
+{
+	return (double)server->free.cpu >= ample_free_share * (double)server->total.cpu;
+}
+
 /* Returns the servers on which tasks of REQUEST can be placed, unsorted. */
 static GArray *find_candidates(const struct fleet *fleet, const struct placement_request *request,
 			       double slowness_exponent, int64_t now_us, uint64_t *random_state)
@@ -143,6 +173,8 @@
 	uint32_t cursor = 0;
 	struct handle handle;
 	const struct fleet_server *server;
+	bool stay = request->policy->wait_for_zone && now_us < request->spill_from_us &&
+		    local_zone_can_serve(fleet, request, now_us);
 
 	while ((server = table_next(&fleet->servers, &cursor, &handle))) {
 		bool tested = fleet_is_tested(server, now_us);
@@ -169,6 +201,8 @@
 			continue;
 		if (candidate.end_us > request->target_us)
 			continue;
+		if (candidate.remote && stay && !has_ample_room(server))
+			continue;
 		candidate.rank = draw_rank(&candidate, request, slowness_exponent, random_state);
 		g_array_append_val(found, candidate);
 	}
--- a/test/unit/placement_test.c
+++ b/test/unit/placement_test.c
@@ -237,6 +237,27 @@
 	g_assert_cmpfloat(in_time_share(&with), >=, 0.99);
 }
 
+/*
+ * When nearly all servers are full, the entries of the first zone get 1.35 times what its servers
+ * can do, so 0.13 of the orders must go to other zones; without a preference, 0.67 do. At least a
+ * quarter of the difference must be saved, and no kind may lose more than 0.03 of its jobs in time,
+ * the most that a deployment may lose. Guards against a preference without an effect because each
+ * free slot is taken from all zones at once.
+ */
+static void test_local_zone_full_servers(void)
+{
+	const double load = 0.9;
+	const double unavoidable = zone_shares[0] - 1 / (load * ZONES);
+	struct counts without = replay(load, local_zone_off);
+	struct counts with = replay(load, nothing_off);
+
+	g_assert_cmpfloat(remote_share(&with), <=,
+			  remote_share(&without) - 0.25 * (remote_share(&without) - unavoidable));
+	for (uint32_t i = 0; i < KINDS; i++)
+		g_assert_cmpfloat((double)with.in_time[i] / with.submitted[i], >=,
+				  (double)without.in_time[i] / without.submitted[i] - 0.03);
+}
+
 /* The entries of one zone get one and a half times the work that its servers can do, and all zones
  * together have little room left or none. Guards against tasks that wait in a full zone or crowd
  * its last free slots while another zone has room: at most 1 % of the jobs may lose their
@@ -260,11 +281,12 @@
 	uint32_t free_slots;
 };
 
-/* Places TASKS tasks of WORK_US on the COUNT servers ROWS and stores in PLACED how many each server
- * gets. The target time is TARGET_US from now. Returns the number of placed tasks. */
-static uint32_t place(const struct server_row *rows, uint32_t count, const char *local_zone,
-		      uint32_t tasks, int64_t work_us, int64_t target_us, uint64_t seed,
-		      uint32_t *placed)
+/* Places TASKS tasks of WORK_US at time 0 on the COUNT servers ROWS and stores in PLACED how many
+ * each server gets. Tasks prefer LOCAL_ZONE and may wait for it until SPILL_FROM_US. Returns the
+ * number of placed tasks. */
+static uint32_t place_before(const struct server_row *rows, uint32_t count, const char *local_zone,
+			     uint32_t tasks, int64_t work_us, int64_t target_us,
+			     int64_t spill_from_us, uint64_t seed, uint32_t *placed)
 {
 	struct fleet fleet;
 	struct policy policy;
@@ -300,6 +322,7 @@
 					 .priority = 1,
 					 .work_us = work_us,
 					 .target_us = target_us,
+					 .spill_from_us = spill_from_us,
 				 },
 				 &sum, 0, &seed, chosen);
 	for (uint32_t i = 0; i < total; i++) {
@@ -312,6 +335,33 @@
 	return total;
 }
 
+static uint32_t place(const struct server_row *rows, uint32_t count, const char *local_zone,
+		      uint32_t tasks, int64_t work_us, int64_t target_us, uint64_t seed,
+		      uint32_t *placed)
+{
+	return place_before(rows, count, local_zone, tasks, work_us, target_us, 0, seed, placed);
+}
+
+/* A task that may wait for its zone doesn't take the last slots of another one, but goes there at
+ * once if there is ample room, or if no server of its zone can ever end it in time. */
+static void test_local_zone_waits(void)
+{
+	static const struct server_row scarce[] = {{"a", 1, 0}, {"b", 1, 2}};
+	static const struct server_row ample[] = {{"a", 1, 0}, {"b", 1, SERVER_SLOTS / 2}};
+	static const struct server_row slow[] = {{"a", 0.55, SERVER_SLOTS}, {"b", 1.2, 2}};
+	uint32_t placed[2];
+
+	g_assert_cmpuint(place_before(scarce, 2, "a", 1, MEDIUM_US, DEADLINE_US, 1, 1, placed), ==,
+			 0);
+	g_assert_cmpuint(place_before(scarce, 2, "a", 1, MEDIUM_US, DEADLINE_US, 0, 1, placed), ==,
+			 1);
+	g_assert_cmpuint(place_before(scarce, 2, "c", 1, MEDIUM_US, DEADLINE_US, 1, 1, placed), ==,
+			 1);
+	g_assert_cmpuint(place_before(ample, 2, "a", 1, MEDIUM_US, DEADLINE_US, 1, 1, placed), ==,
+			 1);
+	g_assert_cmpuint(place_before(slow, 2, "a", 1, LONG_US, 1500000, 1, 1, placed), ==, 1);
+}
+
 /* Tasks stay in the zone as far as it has room, also if other zones have more of it. */
 static void test_local_zone_first(void)
 {
@@ -365,8 +415,10 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/placement/local_zone/first", test_local_zone_first);
 	g_test_add_func("/placement/local_zone/spills", test_local_zone_spills);
+	g_test_add_func("/placement/local_zone/waits", test_local_zone_waits);
 	g_test_add_func("/placement/local_zone/alone", test_local_zone_alone);
 	g_test_add_func("/placement/local_zone/usual_load", test_local_zone_usual_load);
+	g_test_add_func("/placement/local_zone/full_servers", test_local_zone_full_servers);
 	g_test_add_func("/placement/local_zone/high_load", test_local_zone_high_load);
 	return g_test_run();
 }
