--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -8,6 +8,12 @@
  * Many entries learn of free room some milliseconds late. If all of them ranked the servers alike,
  * they would compete for the same room and most of their orders would be refused. Therefore each
  * entry selects servers at random, weighted by their free room and speed.
+ *
+ * Traffic between zones may be expensive, and each order to another zone is followed by reports and
+ * a result from there. With a local zone set, tasks go to other zones only when no server of the
+ * local zone has free room on which they end by the target time. When most servers are full, tasks
+ * with enough slack wait for a while until room becomes free in the local zone: otherwise each free
+ * slot would be taken from all zones alike, and the preference would have no effect.
  */
 #ifndef GG_PLACEMENT_H
 #define GG_PLACEMENT_H
@@ -20,6 +26,10 @@
 	const struct policy *policy;
 	const char *service;
 	uint32_t partition;
+	const char *local_zone; /* zone whose servers are preferred; empty: none */
+	/* Before this time, tasks go to other zones only to servers with ample room, unless no
+	 * server of the local zone can end them by the target. */
+	int64_t spill_from_us;
 	struct resources need; /* of each task */
 	uint32_t tasks;
 	uint32_t priority;
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -20,6 +20,10 @@
 /* Lower limit of speeds and weights that are used as divisors; avoids a division by zero. */
 static const double divisor_floor = 0.01;
 
+/* From this share of free cpu on, a server has room for tasks of other zones at once. At a lower
+ * share, entries of its own zone may need the room. */
+static const double ample_free_share = 0.35;
+
 /* The weight of a server is slots^slots_exponent * slowness^slowness_exponent: slots is the number
  * of tasks that fit there now, slowness is 1 / speed. */
 static const double slots_exponent = 2;
@@ -33,6 +37,7 @@
 	struct resources free;
 	uint32_t wait_allowance_cpu; /* cpu of further tasks that may be sent there to wait */
 	bool must_wait;		     /* a task would have to wait there */
+	bool remote;		     /* it is not in the local zone of the request */
 	int64_t end_us;
 	double rank;	     /* random rank among servers with room; the lowest comes first */
 	uint32_t tasks_left; /* tasks that may still be placed there */
@@ -92,8 +97,8 @@
 	return -log(prng_uniform(random_state)) / MAX(weight, divisor_floor);
 }
 
-/* Sorts servers with room by their random rank, before those where the task would wait, which are
- * sorted by the expected end. */
+/* Sorts servers with room by their random rank, those of the local zone first, before those where
+ * the task would wait, which are sorted by the expected end. */
 static int by_preference(const void *a, const void *b)
 {
 	const struct candidate *left = a;
@@ -103,6 +108,8 @@
 		return left->must_wait ? 1 : -1;
 	if (left->must_wait)
 		return (left->end_us > right->end_us) - (left->end_us < right->end_us);
+	if (left->remote != right->remote)
+		return left->remote ? 1 : -1;
 	return (left->rank > right->rank) - (left->rank < right->rank);
 }
 
@@ -126,6 +133,38 @@
 	return left;
 }
 
+static bool is_remote(const struct fleet_server *server, const struct placement_request *request)
+{
+	return request->policy->local_zone && request->local_zone && request->local_zone[0] &&
+	       strcmp(server->zone, request->local_zone) != 0;
+}
+
+/* Returns whether a server of the local zone could end a task of REQUEST by the target if it had
+ * room. */
+static bool local_zone_can_serve(const struct fleet *fleet, const struct placement_request *request,
+				 int64_t now_us)
+{
+	uint32_t cursor = 0;
+	struct handle handle;
+	const struct fleet_server *server;
+
+	while ((server = table_next(&fleet->servers, &cursor, &handle))) {
+		if (!is_remote(server, request) && server->ready && fleet_is_useful(server) &&
+		    fleet_serves(server, request->service, request->partition) &&
+		    !handle_equal(handle, request->avoid_server) &&
+		    resources_fit(&request->need, &server->total) &&
+		    now_us + ORDER_DELAY_US + placement_run_us(server, request->work_us) <=
+			    request->target_us)
+			return true;
+	}
+	return false;
+}
+
+static bool has_ample_room(const struct fleet_server *server)
+{
+	return (double)server->free.cpu >= ample_free_share * (double)server->total.cpu;
+}
+
 /* Returns the servers on which tasks of REQUEST can be placed, unsorted. */
 static GArray *find_candidates(const struct fleet *fleet, const struct placement_request *request,
 			       double slowness_exponent, int64_t now_us, uint64_t *random_state)
@@ -134,6 +173,8 @@
 	uint32_t cursor = 0;
 	struct handle handle;
 	const struct fleet_server *server;
+	bool stay = request->policy->wait_for_zone && now_us < request->spill_from_us &&
+		    local_zone_can_serve(fleet, request, now_us);
 
 	while ((server = table_next(&fleet->servers, &cursor, &handle))) {
 		bool tested = fleet_is_tested(server, now_us);
@@ -143,6 +184,7 @@
 			.free = server->free,
 			.end_us = placement_end_us(server, request, now_us),
 			.must_wait = would_wait(server, &request->need),
+			.remote = is_remote(server, request),
 			.tasks_left = tested ? 1 : UINT32_MAX,
 		};
 
@@ -159,6 +201,8 @@
 			continue;
 		if (candidate.end_us > request->target_us)
 			continue;
+		if (candidate.remote && stay && !has_ample_room(server))
+			continue;
 		candidate.rank = draw_rank(&candidate, request, slowness_exponent, random_state);
 		g_array_append_val(found, candidate);
 	}
