Prefer the entry's own zone only where it has enough servers; switch it on in the template

Change: setting policy.local_zone_servers, 16 by default: with fewer ready servers in the zone nothing is preferred. The template switches the preference on.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -120,6 +120,7 @@
 	struct dispatch_callbacks callbacks;
 	struct policy policy;	     /* dispatch_init switches all mechanisms on */
 	char local_zone[NAME_BYTES]; /* zone whose servers are preferred; empty: none */
+	uint32_t local_zone_servers; /* see struct placement_request */
 	struct fleet fleet;
 	struct table jobs;
 	struct table runs;
--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -27,6 +27,10 @@
 	const char *service;
 	uint32_t partition;
 	const char *local_zone; /* zone whose servers are preferred; empty: none */
+	/* The local zone is not preferred while fewer of its servers are ready. Among few servers,
+	 * one that is slow or full leaves too little choice, and jobs are late that other zones had
+	 * room for. */
+	uint32_t local_zone_servers;
 	/* Before this time, tasks go to other zones only to servers with ample room, unless no
 	 * server of the local zone can end them by the target. */
 	int64_t spill_from_us;
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -210,6 +210,7 @@
 		.service = job->service,
 		.partition = job->stats->partition,
 		.local_zone = dispatch->local_zone,
+		.local_zone_servers = dispatch->local_zone_servers,
 		.spill_from_us = spill_from_us(job, &view->sum),
 		.need = job->need,
 		.tasks = job->queued_tasks - held,
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -291,17 +291,36 @@
 	return (slots + 1) / 2;
 }
 
-uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *request,
+/* Returns whether the local zone of REQUEST has enough ready servers to be preferred. */
+static bool local_zone_is_large(const struct fleet *fleet, const struct placement_request *request)
+{
+	uint32_t cursor = 0;
+	uint32_t count = 0;
+	const struct fleet_server *server;
+
+	while (count < request->local_zone_servers &&
+	       (server = table_next(&fleet->servers, &cursor, NULL)))
+		count += server->ready && !is_remote(server, request) &&
+			 fleet_serves(server, request->service, request->partition);
+	return count >= request->local_zone_servers;
+}
+
+uint32_t placement_choose(const struct fleet *fleet, const struct placement_request *wanted,
 			  const struct fleet_totals *sum, int64_t now_us, uint64_t *random_state,
 			  struct handle *servers)
 {
+	struct placement_request adjusted = *wanted;
+	const struct placement_request *request = &adjusted;
 	bool scarce = (double)sum->free_cpu < scarce_free_share * (double)sum->cpu;
 	double slowness_exponent = scarce && !request->prefer_fast && request->policy->prefer_slow
 					   ? prefer_slow_exponent
 					   : prefer_fast_exponent;
-	GArray *found = find_candidates(fleet, request, slowness_exponent, now_us, random_state);
+	GArray *found;
 	uint32_t placed = 0;
 
+	if (!local_zone_is_large(fleet, request))
+		adjusted.local_zone = NULL;
+	found = find_candidates(fleet, request, slowness_exponent, now_us, random_state);
 	g_array_sort(found, by_preference);
 	for (guint i = 0; i < found->len && placed < request->tasks; i++) {
 		struct candidate *candidate = &g_array_index(found, struct candidate, i);
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -324,6 +324,7 @@
 	if (settings->local_zone)
 		g_strlcpy(entry->dispatch.local_zone, settings->zone,
 			  sizeof(entry->dispatch.local_zone));
+	entry->dispatch.local_zone_servers = (uint32_t)settings->local_zone_servers;
 	dispatch_await_agents(&entry->dispatch, entry->loop.now_us);
 }
 
--- a/packages/greengaged/src/node_settings.c
+++ b/packages/greengaged/src/node_settings.c
@@ -17,7 +17,10 @@
 	HOUR_S = 3600,
 	RESEND_MARGIN_MS = 100,	      /* for messages in transit and differences between clocks */
 	MIN_SILENCE_TIMEOUT_MS = 300, /* shorter pauses of a healthy peer are usual */
-	PERCENT = 100
+	PERCENT = 100,
+	MAX_LOCAL_ZONE_SERVERS = 100000,
+	/* With 2 to 4 servers in a zone, the preference cost callers more than it gained. */
+	DEFAULT_LOCAL_ZONE_SERVERS = 16
 };
 
 static const char *const mode_choices[] = {"platform", NULL};
@@ -73,6 +76,12 @@
 	{.path = "policy.local_zone",
 	 .type = SETTINGS_BOOL,
 	 .offset = offsetof(struct node_settings, local_zone)},
+	{.path = "policy.local_zone_servers",
+	 .type = SETTINGS_INT,
+	 .offset = offsetof(struct node_settings, local_zone_servers),
+	 .min = 1,
+	 .max = MAX_LOCAL_ZONE_SERVERS,
+	 .default_number = DEFAULT_LOCAL_ZONE_SERVERS},
 	NUMBER("limits.lease_ms", lease_ms, 50, HOUR_MS, 1000),
 	NUMBER("limits.stop_ms", stop_ms, 0, HOUR_MS, 50),
 	NUMBER("limits.resend_ms", resend_ms, 1, HOUR_MS, 1300),
--- a/packages/greengaged/src/node_settings.h
+++ b/packages/greengaged/src/node_settings.h
@@ -44,6 +44,7 @@
 
 	char **policy_off; /* entry: mechanisms switched off for experiments; see policy.h */
 	bool local_zone;   /* entry: prefers backend servers in its own zone */
+	int64_t local_zone_servers; /* entry: while at least so many of them are ready */
 
 	double lease_ms;	/* longest lease that a backend server grants */
 	double stop_ms;		/* time within which a backend server ends a stopped run */
--- a/test/unit/node_settings_test.c
+++ b/test/unit/node_settings_test.c
@@ -116,11 +116,14 @@
  * every rendered file. The array keys must match the settings that node_settings.c reads. */
 static void test_template_keys(void)
 {
-	static const char *const keys[] = {
-		"mode",	     "role",	"name",		  "zone",   "listen",	"clients",
-		"readiness", "control", "peers",	  "ip",	    "port",	"seeds",
-		"store",     "address", "server",	  "limits", "lease_ms", "stop_ms",
-		"resend_ms", "grace_s", "config_apply_ms"};
+	static const char *const keys[] = {"mode",	"role",	     "name",
+					   "zone",	"listen",    "clients",
+					   "readiness", "control",   "peers",
+					   "ip",	"port",	     "seeds",
+					   "store",	"address",   "server",
+					   "limits",	"lease_ms",  "stop_ms",
+					   "resend_ms", "grace_s",   "config_apply_ms",
+					   "policy",	"local_zone"};
 	GRegex *regex = g_regex_new("\"([a-z_]+)\":", 0, 0, NULL);
 	GMatchInfo *match;
 	char *text;
