Agent's gate for evacuated zones moves to agent_owners

Cause: the handling of Orders.evacuations lay in node_agent.c, which no unit test links, so no test could play it with the real modules of both sides.

Change: agent_owners keeps the evacuations of an agent, applies those in orders before the starts, closes and opens the server, and answers an entry's request for the configuration. node_agent.c passes the zone and the address for the log.

--- a/packages/greengaged/src/agent_owners.c
+++ b/packages/greengaged/src/agent_owners.c
@@ -2,6 +2,7 @@
 
 #include "client_api.h"
 #include "event.h"
+#include "node_evacuations.h"
 
 enum {
 	/*
@@ -35,6 +36,7 @@
 {
 	owners->list = g_ptr_array_new();
 	owners->last_number = 0;
+	evacuations_init(&owners->evacuations);
 }
 
 struct owner *owners_find(const struct owners *owners, uint32_t number)
@@ -130,6 +132,24 @@
 		((struct owner *)owners->list->pdata[i])->status_changed = true;
 }
 
+/* The server may name another zone than this process has, so both count. */
+void owners_update_evacuated(struct owners *owners)
+{
+	const struct server_identity *identity = &owners->backend->presence.identity;
+	struct runs *runs = &owners->backend->runs;
+	bool evacuated = evacuations_contains(&owners->evacuations, owners->zone) ||
+			 evacuations_contains(&owners->evacuations, identity->zone);
+
+	if (evacuated == runs->evacuated)
+		return;
+	runs_set_evacuated(runs, evacuated, owners->backend->loop->now_us);
+	event_log(EVENT_SERVER_EVACUATED, EV_S("server", identity->id),
+		  EV_S("zone", identity->zone),
+		  EV_S("state", evacuated ? "evacuated" : "in_service"),
+		  EV_I("runs", table_count(&runs->table)));
+	owners_mark_status_changed(owners);
+}
+
 static void start_runs(struct owners *owners, const struct owner *owner,
 		       const Ggd__StartBatch *batch, uint64_t order)
 {
@@ -201,12 +221,15 @@
 }
 
 bool owners_handle_orders(struct owners *owners, struct owner *owner, const Ggd__Orders *orders,
-			  const struct message_times *times)
+			  const struct message_times *times, const char *source)
 {
 	/* A stop that was delayed by a lost connection is at most as old as the last message. */
 	int64_t by_us = stop_by_us(owners, owner);
 	int64_t since_us = heard_us(owners, owner, times);
 
+	/* Before the starts, which may be for a server of a zone that has been evacuated. */
+	if (node_evacuations_receive(&owners->evacuations, orders->evacuations, source))
+		owners_update_evacuated(owners);
 	/* Started so late, a task may run elsewhere already, as its owner may have ended. */
 	if (!is_next(owner, orders) || (orders->n_starts > 0 && is_silent(owners, since_us)))
 		return false;
@@ -261,3 +284,23 @@
 	}
 	return next_us;
 }
+
+void owners_send_config(const struct owners *owners, uint32_t number, uint64_t version,
+			const char *document, size_t length)
+{
+	struct owner *owner = owners_find(owners, number);
+	Ggd__Frame frame = GGD__FRAME__INIT;
+	Ggd__ConfigDocument message = GGD__CONFIG_DOCUMENT__INIT;
+	Ggd__Evacuations evacuations = GGD__EVACUATIONS__INIT;
+
+	if (!owner || !owner->link)
+		return;
+	message.version = version;
+	node_evacuations_fill(&owners->evacuations, &evacuations);
+	message.evacuations = &evacuations;
+	message.document.data = (uint8_t *)document;
+	message.document.len = document ? length : 0;
+	frame.body_case = GGD__FRAME__BODY_CONFIG;
+	frame.config = &message;
+	node_link_send(owner->link, &frame);
+}
--- a/packages/greengaged/src/agent_owners.h
+++ b/packages/greengaged/src/agent_owners.h
@@ -3,6 +3,7 @@
 #define GG_AGENT_OWNERS_H
 
 #include "agent_owner.h"
+#include "evacuation.h"
 
 struct owners {
 	struct backend *backend;
@@ -10,14 +11,17 @@
 	/* A run that goes on for this long after the silence timeout of its owner is ended by its
 	 * lease. */
 	int64_t stop_wait_us;
-	GPtrArray *list; /* struct owner * */
+	const char *zone;		/* of this process */
+	struct evacuations evacuations; /* as this process knows them */
+	GPtrArray *list;		/* struct owner * */
 	uint32_t last_number;
 	/* OWNER, which is disconnected, is about to be freed. */
 	void (*removed)(void *context, struct owner *owner);
 	void *context;
 };
 
-/* Initializes the list. The caller sets the backend, the timeout and the callback. */
+/* Initializes the list and the evacuations. The caller sets the backend, the timeouts, the zone and
+ * the callback. */
 void owners_init(struct owners *owners);
 
 /* Returns the owner with NUMBER, or NULL. */
@@ -41,11 +45,21 @@
 /* Marks the reports to all owners as due. */
 void owners_mark_status_changed(struct owners *owners);
 
-/* Carries out the starts and stops of ORDERS, which were sent and arrived at TIMES. Returns false,
- * with nothing done, if they are not the next ones on the owner's link, belong to another session,
- * or are to start runs although they are older than the silence timeout. */
+/* Closes the server for starts if its zone is evacuated, else opens it. To be called when the
+ * evacuations or the server's identity may have changed. */
+void owners_update_evacuated(struct owners *owners);
+
+/* Applies the evacuations in ORDERS and carries out the starts and stops, which were sent and
+ * arrived at TIMES. SOURCE names the owner in the log. Returns false, with no run started or
+ * stopped, if the orders are not the next ones on the owner's link, belong to another session, or
+ * are to start runs although they are older than the silence timeout. */
 bool owners_handle_orders(struct owners *owners, struct owner *owner, const Ggd__Orders *orders,
-			  const struct message_times *times);
+			  const struct message_times *times, const char *source);
+
+/* Answers the request of the owner with NUMBER, if it is connected, to read the configuration. For
+ * VERSION, DOCUMENT and LENGTH see node_config_relay_callback. */
+void owners_send_config(const struct owners *owners, uint32_t number, uint64_t version,
+			const char *document, size_t length);
 
 /* Sends the reports that are due to the connected owners: ends and runs behind their estimates at
  * once, mere changes of the free resources at the report interval. Returns the time at which the
--- a/packages/greengaged/src/node_agent.c
+++ b/packages/greengaged/src/node_agent.c
@@ -8,7 +8,6 @@
 #include "agent_owners.h"
 #include "event.h"
 #include "node_config_relay.h"
-#include "node_evacuations.h"
 #include "node_link.h"
 #include "node_members.h"
 #include "node_reload.h"
@@ -52,7 +51,6 @@
 	struct node_members members;
 	struct store *store;
 	struct node_config_relay config_relay;
-	struct evacuations evacuations;
 	struct node_signals signals;
 	struct node_reload reload;
 	struct backend backend;
@@ -78,35 +76,18 @@
 	}
 }
 
-/* Closes or opens the server for starts. The server may name another zone than this process has, so
- * both count. */
-static void update_evacuated(struct node_agent *agent)
-{
-	const struct server_identity *identity = &agent->backend.presence.identity;
-	struct runs *runs = &agent->backend.runs;
-	bool evacuated = evacuations_contains(&agent->evacuations, agent->settings->zone) ||
-			 evacuations_contains(&agent->evacuations, identity->zone);
-
-	if (evacuated == runs->evacuated)
-		return;
-	runs_set_evacuated(runs, evacuated, agent->loop.now_us);
-	event_log(EVENT_SERVER_EVACUATED, EV_S("server", identity->id),
-		  EV_S("zone", identity->zone),
-		  EV_S("state", evacuated ? "evacuated" : "in_service"),
-		  EV_I("runs", table_count(&runs->table)));
-	owners_mark_status_changed(&agent->owners);
-}
-
 static void on_evacuations_read(void *context)
 {
-	update_evacuated(context);
+	struct node_agent *agent = context;
+
+	owners_update_evacuated(&agent->owners);
 }
 
 static void on_state_changed(void *context)
 {
 	struct node_agent *agent = context;
 
-	update_evacuated(agent);
+	owners_update_evacuated(&agent->owners);
 	owners_mark_status_changed(&agent->owners);
 }
 
@@ -116,10 +97,8 @@
 	struct node_agent *agent = endpoint->agent;
 	const struct message_times times = node_link_frame_times(link);
 
-	/* Before the starts, which may be for a server of a zone that has been evacuated. */
-	if (node_evacuations_receive(&agent->evacuations, orders->evacuations, endpoint->address))
-		update_evacuated(agent);
-	if (!owners_handle_orders(&agent->owners, endpoint->owner, orders, &times)) {
+	if (!owners_handle_orders(&agent->owners, endpoint->owner, orders, &times,
+				  endpoint->address)) {
 		node_link_fail(link, "the entry sent orders twice, left some out, took them from "
 				     "another session, or they are too old");
 		return;
@@ -145,21 +124,8 @@
 			size_t length)
 {
 	struct node_agent *agent = context;
-	struct owner *owner = owners_find(&agent->owners, entry);
-	Ggd__Frame frame = GGD__FRAME__INIT;
-	Ggd__ConfigDocument message = GGD__CONFIG_DOCUMENT__INIT;
-	Ggd__Evacuations evacuations = GGD__EVACUATIONS__INIT;
 
-	if (!owner || !owner->link)
-		return;
-	message.version = version;
-	node_evacuations_fill(&agent->evacuations, &evacuations);
-	message.evacuations = &evacuations;
-	message.document.data = (uint8_t *)document;
-	message.document.len = document ? length : 0;
-	frame.body_case = GGD__FRAME__BODY_CONFIG;
-	frame.config = &message;
-	node_link_send(owner->link, &frame);
+	owners_send_config(&agent->owners, entry, version, document, length);
 }
 
 static bool on_up(void *context, struct node_link *link, const Ggd__Hello *hello)
@@ -517,6 +483,7 @@
 		.backend = &agent->backend,
 		.silence_timeout_us = node_settings_silence_timeout_ms(settings) * US_PER_MS,
 		.stop_wait_us = NODE_STOP_WAIT_MS * US_PER_MS,
+		.zone = settings->zone,
 		.removed = on_owner_removed,
 		.context = agent,
 	};
@@ -524,10 +491,9 @@
 	agent->subset_size = SUBSET_MIN_ENTRIES;
 	agent->no_entry_since_us = agent->loop.now_us;
 	agent->store = store_new(&agent->loop, settings->store_address);
-	evacuations_init(&agent->evacuations);
 	agent->config_relay = (struct node_config_relay){
 		.store = agent->store,
-		.evacuations = &agent->evacuations,
+		.evacuations = &agent->owners.evacuations,
 		.evacuations_read = on_evacuations_read,
 		.answer = send_config,
 		.context = agent,
--- a/test/unit/agent_owners_test.c
+++ b/test/unit/agent_owners_test.c
@@ -73,7 +73,8 @@
 				    &(struct message_times){
 					    .sent_us = now_us + OWNER_CLOCK_US - age_us,
 					    .received_us = now_us,
-				    });
+				    },
+				    "entry");
 }
 
 static bool handle_orders(struct fixture *fixture, const Ggd__Orders *orders)
@@ -142,6 +143,7 @@
 		.backend = &fixture->backend,
 		.silence_timeout_us = SILENCE_TIMEOUT_US,
 		.stop_wait_us = STOP_WAIT_US,
+		.zone = "zone-1",
 		.removed = on_owner_removed,
 		.context = fixture,
 	};
@@ -154,6 +156,7 @@
 {
 	owners_remove(&fixture->owners, fixture->owner);
 	g_ptr_array_free(fixture->owners.list, TRUE);
+	evacuations_free(&fixture->owners.evacuations);
 	runs_free(&fixture->backend.runs);
 }
 
@@ -379,13 +382,45 @@
 	for (int i = 0; i < 10; i++) {
 		advance(fixture, HEARTBEAT_US);
 		times.received_us = fixture->loop.now_us;
-		g_assert_true(
-			owners_handle_orders(&fixture->owners, fixture->owner, &heartbeat, &times));
+		g_assert_true(owners_handle_orders(&fixture->owners, fixture->owner, &heartbeat,
+						   &times, "entry"));
 		owners_abandon_silent(&fixture->owners);
 		g_assert_false(fixture->owner->abandoned);
 	}
 }
 
+/* Names the only evacuated zone, or none if it is NULL, as of VERSION. */
+static void order_evacuation(struct fixture *fixture, uint64_t version, const char *zone)
+{
+	Ggd__Orders orders = GGD__ORDERS__INIT;
+	Ggd__Evacuations evacuations = GGD__EVACUATIONS__INIT;
+
+	evacuations.version = version;
+	evacuations.zones = (char **)&zone;
+	evacuations.n_zones = zone != NULL;
+	orders.session = fixture->owner->number;
+	orders.evacuations = &evacuations;
+	g_assert_true(handle_orders(fixture, &orders));
+}
+
+/* Guards against a start in an evacuated zone: one that waits at the agent, one that is ordered
+ * later, and one after a message that another entry had sent before it learned of the record. */
+static void test_evacuated(struct fixture *fixture, const void *unused)
+{
+	order_evacuation(fixture, 5, "zone-2");
+	g_assert_false(fixture->backend.runs.evacuated);
+	order_evacuation(fixture, 6, "zone-1");
+	g_assert_true(fixture->backend.runs.evacuated);
+	end_first_run(fixture);
+	g_assert_cmpuint(fixture->starts, ==, 1);
+	order_runs(fixture, RUNS + 1, RUNS, NULL);
+	order_evacuation(fixture, 5, NULL);
+	g_assert_true(fixture->backend.runs.evacuated);
+	order_runs(fixture, 2 * RUNS + 1, RUNS, NULL);
+	order_evacuation(fixture, 7, NULL);
+	g_assert_false(fixture->backend.runs.evacuated);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -407,5 +442,6 @@
 	CASE("started_and_stopped", test_started_and_stopped);
 	CASE("orders_of_other_session", test_orders_of_other_session);
 	CASE("unconfirmed_heartbeat", test_unconfirmed_heartbeat);
+	CASE("evacuated", test_evacuated);
 	return g_test_run();
 }
--- a/test/unit/session_world.h
+++ b/test/unit/session_world.h
@@ -415,7 +415,7 @@
 		link->callbacks->frame(link->context, link, frame);
 	else if (frame->body_case == GGD__FRAME__BODY_ORDERS && path->owner &&
 		 !owners_handle_orders(&link->world->owners[link->server], path->owner,
-				       frame->orders, &link->frame_times))
+				       frame->orders, &link->frame_times, "entry"))
 		node_link_fail(link, "refused orders");
 }
 
@@ -524,6 +524,7 @@
 		.backend = &agent->backend,
 		.silence_timeout_us = SIMULATION_OWNER_TIMEOUT_US,
 		.stop_wait_us = SIMULATION_OWNER_STOP_WAIT_US,
+		.zone = "",
 		.removed = on_owner_removed,
 		.context = agent,
 	};
@@ -535,6 +536,7 @@
 	for (guint i = 0; i < world->owners[index].list->len; i++)
 		owner_free(world->owners[index].list->pdata[i]);
 	g_ptr_array_free(world->owners[index].list, TRUE);
+	evacuations_free(&world->owners[index].evacuations);
 }
 
 /* Closes the ends of a process that has ended. */
