Divide scarce room among queues; refuse on arrival what exceeds a share

Jobs were admitted, waited until their latest start and were refused then. Jobs of the highest priority bypassed all others because they may wait at any server.

Switch shed_by_share.

--- a/packages/core/include/policy.h
+++ b/packages/core/include/policy.h
@@ -14,6 +14,8 @@
 	X(refuse_new)                                                                              \
 	/* refuse jobs whose expected wait exceeds their slack */                                  \
 	X(refuse_by_wait)                                                                          \
+	/* divide scarce room among the queues and refuse what exceeds the share of one */         \
+	X(shed_by_share)                                                                           \
 	/* order jobs of a higher priority earlier */                                              \
 	X(priority_order)                                                                          \
 	/* order started jobs earlier */                                                           \
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -205,6 +205,8 @@
 
 	job->finished = true;
 	dispatch_dequeue(dispatch, job);
+	dispatch_kind(job->stats, now_us)->lost_core_us +=
+		job->queued_tasks * dispatch_task_core_us(job);
 	stop_runs(dispatch, job, now_us);
 	end->elapsed_us = now_us - job->arrived_us;
 	end->objective_us = job->objective_at_us - job->arrived_us;
@@ -232,6 +234,16 @@
 	dispatch_finish(dispatch, job, &end, now_us);
 }
 
+struct shedding_kind *dispatch_kind(struct queue_stats *stats, int64_t now_us)
+{
+	double decay = exp(-(double)(now_us - stats->kind_us) / (double)SHEDDING_MEMORY_US);
+
+	stats->kind.offered_core_us *= decay;
+	stats->kind.lost_core_us *= decay;
+	stats->kind_us = now_us;
+	return &stats->kind;
+}
+
 static double demand_at(const struct queue_stats *stats, int64_t now_us)
 {
 	return stats->demand_core_us *
@@ -245,6 +257,9 @@
 	stats->demand_core_us =
 		demand_at(stats, now_us) + job->task_count * dispatch_task_core_us(job);
 	stats->demand_us = now_us;
+	dispatch_kind(stats, now_us)->offered_core_us +=
+		job->task_count * dispatch_task_core_us(job);
+	stats->kind.priority = job->priority;
 	if (g_strcmp0(stats->service, job->service) != 0) {
 		g_free(stats->service);
 		stats->service = g_strdup(job->service);
--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -11,7 +11,8 @@
 	 */
 	PROGRESS_LEAD_US = 200 * US_PER_MS,
 	/* A job that has no progress and can no longer reach its planned end is sorted as if it
-	 * were less urgent by this much, which puts it behind all others. */
+	 * were less urgent by this much, which puts it behind all others. So is a job whose queue
+	 * has got its share of the room. */
 	LATE_LAG_US = 60 * US_PER_SECOND
 };
 
@@ -51,8 +52,30 @@
 struct queued_job {
 	struct job *job;
 	int64_t urgent_us; /* an earlier time is more urgent */
+	bool moved_back;   /* see SHEDDING_MOVE_BACK */
 };
 
+/* Returns JOB as the shedding module sees it. */
+static struct shedding_job shedding_view(const struct job *job, const struct fleet_totals *sum)
+{
+	return (struct shedding_job){
+		.kind = &job->stats->kind,
+		.arrived_us = job->arrived_us,
+		.latest_start_us = dispatch_latest_start_us(job, sum->max_speed),
+		.begun = has_progress(job) || job->may_have_run,
+		.admitted = job->admitted,
+	};
+}
+
+/* Returns whether JOB may only take free room that no other job takes. */
+static bool is_moved_back(const struct policy *policy, const struct job *job,
+			  const struct fleet_totals *sum, int64_t now_us)
+{
+	const struct shedding_job view = shedding_view(job, sum);
+
+	return policy->shed_by_share && shedding_decide(&view, now_us) == SHEDDING_MOVE_BACK;
+}
+
 /*
  * Returns the sort key of JOB: its latest start, adjusted for the following cases.
  *
@@ -68,6 +91,10 @@
  * servers to return. Jobs that have no progress and can no longer reach their planned end go last,
  * so they only use room that no other job takes.
  *
+ * Demand may exceed the capacity for seconds, and some kinds of jobs have several times the slack
+ * of others. A kind with much slack would start only when its jobs can hardly be in time any more.
+ * Therefore each job is to start early in its slack while room is divided (shedding.h).
+ *
  * Each lower priority level makes the key later by PRIORITY_OFFSET_US, so a job of a lower priority
  * still comes first if it is more urgent by more than that.
  */
@@ -75,6 +102,7 @@
 			  const struct fleet_totals *sum, int64_t now_us)
 {
 	double cpu = (double)job->task_count * job->need.cpu;
+	const struct shedding_job view = shedding_view(job, sum);
 	int64_t lead_us = 0;
 
 	if (policy->room_lead && sum->cpu_release_rate > 0)
@@ -85,7 +113,9 @@
 		lead_us -= LATE_LAG_US;
 	if (policy->priority_order)
 		lead_us -= PRIORITY_OFFSET_US * job->priority;
-	return dispatch_latest_start_us(job, sum->max_speed) - lead_us;
+	if (policy->shed_by_share && lead_us > -LATE_LAG_US)
+		return shedding_start_by_us(&view) - lead_us;
+	return view.latest_start_us - lead_us;
 }
 
 static int by_urgency(const void *a, const void *b)
@@ -179,9 +209,10 @@
 }
 
 /* Starts the queued tasks of JOB for which there is room. */
-static void place_tasks(struct dispatch *dispatch, struct job *job, struct service_view *view,
-			int64_t urgent_us, bool behind_plan, int64_t now_us)
+static void place_tasks(struct dispatch *dispatch, const struct queued_job *item,
+			struct service_view *view, bool behind_plan, int64_t now_us)
 {
+	struct job *job = item->job;
 	struct handle *servers;
 	/* If no server is known to be sound, only a trial can find one, even a late one. */
 	bool any_end = behind_plan || view->sum.max_speed <= 0;
@@ -196,8 +227,8 @@
 		.work_us = job->longest_task_us,
 		.target_us = any_end ? job->deadline_us : job->planned_end_us,
 		.priority = job->priority,
-		.may_wait = dispatch->policy.wait_at_servers && now_us >= job->may_wait_from_us &&
-			    (!behind_plan || has_progress(job)),
+		.may_wait = dispatch->policy.wait_at_servers && !item->moved_back &&
+			    now_us >= job->may_wait_from_us && (!behind_plan || has_progress(job)),
 		.prefer_fast = behind_plan,
 		.avoid_server = job->avoid_server,
 	};
@@ -221,7 +252,7 @@
 		if (job->tasks[i].phase != TASK_QUEUED || task_holds_index(indexes, i))
 			continue;
 		add_server_name(names, fleet_get(&dispatch->fleet, servers[next]), &oldest_us);
-		start_task(dispatch, job, i, servers[next++], urgent_us, now_us);
+		start_task(dispatch, job, i, servers[next++], item->urgent_us, now_us);
 	}
 	g_free(servers);
 	if (placed > 0) {
@@ -315,7 +346,10 @@
 		.ahead_core_us = ahead_core_us + peer_backlog_ahead(dispatch, job->priority),
 	};
 	int64_t latest_start_us = dispatch_latest_start_us(job, sum->max_speed);
+	struct shedding_job view = shedding_view(job, sum);
 
+	view.wait_us = admission_wait_us(&load);
+	view.found_no_room = true;
 	if (cannot_meet_deadline(job, sum, now_us)) {
 		refuse_job(dispatch, job, STATUS_DEADLINE_UNREACHABLE,
 			   "the job cannot end before its deadline", &load, now_us);
@@ -338,6 +372,10 @@
 		 now_us + admission_wait_us(&load) > latest_start_us)
 		refuse_job(dispatch, job, STATUS_DEADLINE_UNREACHABLE,
 			   "the job cannot start in time to meet its objective", &load, now_us);
+	else if (dispatch->policy.shed_by_share &&
+		 shedding_decide(&view, now_us) == SHEDDING_REFUSE)
+		refuse_job(dispatch, job, STATUS_DEADLINE_UNREACHABLE,
+			   "the queue has got its share of the scarce capacity", &load, now_us);
 	else if (dispatch->policy.refuse_new && !job->admitted &&
 		 admission_must_shed(job->stats->oldest_wait_share))
 		refuse_job(dispatch, job, STATUS_DEADLINE_UNREACHABLE,
@@ -381,10 +419,13 @@
 		struct queued_job item = {
 			.job = job,
 			.urgent_us = urgency_us(&dispatch->policy, job, sum, now_us),
+			.moved_back = is_moved_back(&dispatch->policy, job, sum, now_us),
 		};
 		double share = wait_share(dispatch, job, sum, now_us);
 
 		job->stats->oldest_wait_share = MAX(job->stats->oldest_wait_share, share);
+		if (item.moved_back)
+			item.urgent_us += LATE_LAG_US;
 		g_array_append_val(sorted, item);
 	}
 	g_array_sort(sorted, by_urgency);
@@ -402,8 +443,7 @@
 	uint32_t queued = job->queued_tasks;
 	double left_core_us;
 
-	place_tasks(dispatch, job, view, item->urgent_us, cannot_meet_plan(job, sum, now_us),
-		    now_us);
+	place_tasks(dispatch, item, view, cannot_meet_plan(job, sum, now_us), now_us);
 	sum->free_cpu -= MIN(sum->free_cpu, (uint64_t)(queued - job->queued_tasks) * job->need.cpu);
 	if (job->queued_tasks == 0) {
 		dispatch_dequeue(dispatch, job);
@@ -433,6 +473,58 @@
 	}
 }
 
+/* Removes the first queue of ALL, an array of struct queue_stats *, and those that compete for the
+ * same servers, and sets their shares. */
+static void divide_among_rivals(GPtrArray *all)
+{
+	const struct queue_stats *first = all->pdata[0];
+	GPtrArray *kinds = g_ptr_array_new();
+
+	for (guint i = all->len; i-- > 0;) {
+		struct queue_stats *stats = all->pdata[i];
+
+		if (stats->partition != first->partition ||
+		    strcmp(stats->service, first->service) != 0)
+			continue;
+		g_ptr_array_add(kinds, &stats->kind);
+		g_ptr_array_remove_index_fast(all, i);
+	}
+	shedding_divide((struct shedding_kind *const *)kinds->pdata, kinds->len);
+	g_ptr_array_free(kinds, TRUE);
+}
+
+/* Sets the share of each queue in the room of the servers that it competes for. */
+static void divide_room(struct dispatch *dispatch, struct views *views, int64_t now_us)
+{
+	GPtrArray *all = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatch->queue_stats);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct queue_stats *stats = value;
+
+		dispatch_kind(stats, now_us)->queued_core_us = 0;
+		stats->kind.overdue_core_us = 0;
+		if (stats->service)
+			g_ptr_array_add(all, stats);
+	}
+	for (guint i = 0; i < dispatch->queue->len; i++) {
+		struct job *job =
+			dispatch_find(dispatch, dispatch_unpack(dispatch->queue->pdata[i]));
+
+		const struct shedding_job view = shedding_view(job, &get_view(views, job)->sum);
+		double core_us = job->queued_tasks * dispatch_task_core_us(job);
+
+		job->stats->kind.queued_core_us += core_us;
+		if (!view.begun && shedding_is_overdue(&view, now_us))
+			job->stats->kind.overdue_core_us += core_us;
+	}
+	while (all->len > 0)
+		divide_among_rivals(all);
+	g_ptr_array_free(all, TRUE);
+}
+
 void dispatch_pump(struct dispatch *dispatch, int64_t now_us)
 {
 	struct views views = {.fleet = &dispatch->fleet, .now_us = now_us};
@@ -445,6 +537,8 @@
 	fleet_normalize_speeds(&dispatch->fleet);
 	assign_partitions(dispatch, now_us);
 	views.by_partition = g_hash_table_new_full(hash_view, equal_views, free_view, NULL);
+	if (dispatch->policy.shed_by_share)
+		divide_room(dispatch, &views, now_us);
 	sorted = sort_queue(dispatch, &views, now_us);
 	for (guint i = 0; i < sorted->len; i++) {
 		const struct queued_job *item = &g_array_index(sorted, struct queued_job, i);
--- a/packages/core/src/dispatch_state.h
+++ b/packages/core/src/dispatch_state.h
@@ -5,6 +5,7 @@
 #include "core_defs.h"
 #include "dispatch.h"
 #include "run_time_model.h"
+#include "shedding.h"
 
 enum task_phase {
 	TASK_QUEUED,
@@ -32,6 +33,8 @@
 	/* Share of its slack that the longest waiting job of the queue has used; see
 	 * admission_must_shed. Computed anew in each pump. */
 	double oldest_wait_share;
+	struct shedding_kind kind; /* its decaying members as of kind_us */
+	int64_t kind_us;
 };
 
 struct job {
@@ -93,6 +96,9 @@
  * task runs on the fastest server, whose speed is FASTEST. */
 int64_t dispatch_latest_start_us(const struct job *job, double fastest);
 
+/* Returns what was observed of the jobs of a queue, as of NOW_US. */
+struct shedding_kind *dispatch_kind(struct queue_stats *stats, int64_t now_us);
+
 /* Returns the expected work of a task of JOB, in core-microseconds. */
 static inline double dispatch_task_core_us(const struct job *job)
 {
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -38,7 +38,21 @@
 	DRAIN_END_US = 5550000,
 	LAST_SECOND_US = 1000000,
 	DRAIN_SEED_COUNT = 10,
-	REFUSAL_TARGET_MS = 95 /* a quarter of the objective of a medium job */
+	REFUSAL_TARGET_MS = 95, /* a quarter of the objective of a medium job */
+	/* Hard load: see struct hard_load. */
+	HARD_CPU = 1500, /* of a task */
+	HARD_SERVER_CPU = 16000,
+	HARD_SERVERS = 32,
+	HARD_ENTRIES = 6,
+	HARD_DURATION_US = 10000000,
+	HARD_END_US = 13000000,
+	HARD_WINDOW_US = 2000000,
+	HARD_WINDOWS = HARD_DURATION_US / HARD_WINDOW_US,
+	HARD_LEAVE_MIN_US = 2000000, /* clients leave between these times */
+	HARD_LEAVE_MAX_US = 2700000,
+	HARD_LOSS_US = 4000000, /* a third of the servers leaves at this time */
+	HARD_SEED_COUNT = 2,
+	HARD_REFUSAL_MS = 20
 };
 
 static const double stalled_speed = 0.0001; /* Speed of a server that makes no progress. */
@@ -822,6 +836,209 @@
 			  (double)calm.served / calm.sent - 0.02);
 }
 
+/*
+ * The load of the page hard-load.md at half its size: six entries of unequal shares, a quarter of
+ * the servers at speed 0.55, run times that are spread within and between jobs, and declared times
+ * that are off. All kinds have the same demand per unit of capacity.
+ */
+struct hard_load {
+	uint32_t seed;
+	double demand;	 /* as a multiple of the capacity of all servers */
+	bool lose_third; /* a third of the servers is evacuated during the load */
+};
+
+/* Of the jobs of one queue that were first sent within one window. */
+struct hard_counts {
+	uint32_t submitted;
+	uint32_t in_time;
+	uint32_t late;
+	uint32_t refused;
+	uint32_t left; /* the client has left before an answer */
+};
+
+struct hard_result {
+	struct hard_counts counts[G_N_ELEMENTS(job_types)][HARD_WINDOWS];
+	GArray *refused_after_us; /* int64_t, over all jobs */
+	double in_time_core_us;	  /* work of the jobs that ended in time */
+};
+
+static const double hard_sigma = 0.4; /* of run times and of declared times */
+static const double hard_tail_share = 0.03;
+static const double hard_tail_factor = 7;
+
+/* Sends a job to an entry; the share of each entry is proportional to 1 + its index. */
+static void submit_unequally(struct simulation *sim, void *data)
+{
+	struct simulation_job *job = data;
+	gint32 sum = HARD_ENTRIES * (HARD_ENTRIES + 1) / 2;
+	gint32 left = g_rand_int_range(sim->rand, 0, sum);
+	uint32_t entry = 0;
+
+	while (left >= (gint32)entry + 1)
+		left -= (gint32)++entry;
+	job->task_sigma = hard_sigma;
+	job->tail_share = hard_tail_share;
+	job->tail_factor = hard_tail_factor;
+	job->first_sent_us = sim->now_us;
+	job->deadline_us =
+		sim->now_us + g_rand_int_range(sim->rand, HARD_LEAVE_MIN_US, HARD_LEAVE_MAX_US);
+	simulation_send_job(sim, job, entry);
+}
+
+static void evacuate_third(struct simulation *sim, void *data)
+{
+	for (uint32_t i = 0; i < sim->entry_count; i++) {
+		struct simulation_entry *entry = &sim->entries[i];
+
+		for (uint32_t j = 0; j < sim->server_count; j += 3)
+			dispatch_server_evacuated(&entry->node.dispatch, entry->servers[j], true);
+	}
+}
+
+/* Returns the work of a job of TYPE, in core microseconds at speed 1. */
+static double hard_job_core_us(const struct job_type *type)
+{
+	return type->tasks * (double)type->work_us * HARD_CPU / MILLICORES;
+}
+
+/* Returns how much longer tasks take in the mean than the typical time of their queue. */
+static double hard_mean_factor(void)
+{
+	/* schedule_jobs_with spreads the mean run times of jobs by 0.3. */
+	return exp((hard_sigma * hard_sigma + 0.3 * 0.3) / 2) *
+	       (1 + hard_tail_share * (hard_tail_factor - 1));
+}
+
+static void count_hard_job(const struct simulation_job *job, struct hard_result *result)
+{
+	uint32_t window = (uint32_t)(job->first_sent_us / HARD_WINDOW_US);
+	size_t kind = 0;
+	struct hard_counts *counts;
+
+	while (strcmp(job_types[kind].queue, job->queue) != 0)
+		kind++;
+	counts = &result->counts[kind][MIN(window, HARD_WINDOWS - 1)];
+	counts->submitted++;
+	if (is_in_time(job)) {
+		counts->in_time++;
+		result->in_time_core_us += hard_job_core_us(&job_types[kind]);
+	} else if (job->answered && !job->refused) {
+		counts->late++;
+	} else if (job->answered) {
+		int64_t after_us = job->answered_us - job->first_sent_us;
+
+		counts->refused++;
+		g_array_append_val(result->refused_after_us, after_us);
+	} else {
+		counts->left++;
+	}
+}
+
+static int by_value(const void *a, const void *b)
+{
+	const int64_t *left = a;
+	const int64_t *right = b;
+
+	return (*left > *right) - (*left < *right);
+}
+
+/* Returns the time within which 95 of 100 refusals are sent, in milliseconds. */
+static double hard_refusal_p95_ms(const struct hard_result *result)
+{
+	GArray *times = result->refused_after_us;
+
+	g_array_sort(times, by_value);
+	return times->len > 0
+		       ? (double)g_array_index(times, int64_t, times->len * 95 / 100) / US_PER_MS
+		       : 0;
+}
+
+static void print_hard_result(const struct hard_load *load, const struct hard_result *result)
+{
+	g_test_message("demand %.2f%s: refusals 95th percentile %.1f ms", load->demand,
+		       load->lose_third ? ", a third of the servers leaves" : "",
+		       hard_refusal_p95_ms(result));
+	for (size_t i = 0; i < G_N_ELEMENTS(job_types); i++) {
+		for (uint32_t j = 0; j < HARD_WINDOWS; j++) {
+			const struct hard_counts *counts = &result->counts[i][j];
+
+			g_test_message("  %s from %u s: %u submitted, %u in time, %u late, "
+				       "%u refused, %u left",
+				       job_types[i].queue, j * HARD_WINDOW_US / US_PER_SECOND,
+				       counts->submitted, counts->in_time, counts->late,
+				       counts->refused, counts->left);
+		}
+	}
+}
+
+/* Runs LOAD and adds what became of its jobs to RESULT. */
+static void replay_hard_load(const struct hard_load *load, struct hard_result *result)
+{
+	double capacity_us = 0; /* core microseconds at speed 1 per second */
+	double unit_us = 0;	/* the same, of the rates in job_types */
+	struct simulation sim;
+	GHashTableIter iter;
+	gpointer value;
+
+	simulation_init(&sim, load->seed, HARD_ENTRIES, HARD_SERVERS, HARD_SERVER_CPU);
+	simulation_delay_reports(&sim, REPORT_INTERVAL_US);
+	for (uint32_t i = 0; i < HARD_SERVERS; i++) {
+		sim.servers[i].speed = i % 4 == 0 ? 0.55 : 1.2;
+		capacity_us += sim.servers[i].speed * (HARD_SERVER_CPU / HARD_CPU) * HARD_CPU /
+			       MILLICORES * US_PER_SECOND;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(job_types); i++)
+		unit_us +=
+			job_types[i].per_s * hard_job_core_us(&job_types[i]) * hard_mean_factor();
+	for (size_t i = 0; i < G_N_ELEMENTS(job_types); i++) {
+		struct job_type type = job_types[i];
+
+		type.cpu = HARD_CPU;
+		type.estimate_sigma = hard_sigma;
+		schedule_jobs_with(&sim, &type, load->demand * capacity_us / unit_us,
+				   HARD_DURATION_US, submit_unequally);
+	}
+	if (load->lose_third)
+		simulation_schedule(&sim, HARD_LOSS_US, evacuate_third, NULL);
+	simulation_run_until(&sim, HARD_END_US);
+	g_hash_table_iter_init(&iter, sim.jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count_hard_job(value, result);
+	simulation_free(&sim);
+}
+
+/* Replays LOAD with several seeds. The caller frees the times of refusals in the result. */
+static struct hard_result replay_hard_loads(double demand, bool lose_third)
+{
+	struct hard_result result = {.refused_after_us =
+					     g_array_new(FALSE, FALSE, sizeof(int64_t))};
+	struct hard_load load = {.demand = demand, .lose_third = lose_third};
+
+	for (load.seed = 1; load.seed <= HARD_SEED_COUNT; load.seed++)
+		replay_hard_load(&load, &result);
+	print_hard_result(&load, &result);
+	return result;
+}
+
+/* The demand of all kinds is 1.3 to 2 times the capacity, also because a third of the servers
+ * leaves. Callers learn within 20 ms in 95 of 100 cases that their job is refused. Guards against
+ * jobs that are admitted and refused when it is too late for them: with room given to the most
+ * urgent jobs only, it took 170 ms. */
+static void test_hard_load_refuses_at_once(void)
+{
+	static const struct {
+		double demand;
+		bool lose_third;
+	} cases[] = {{1.3, false}, {1.5, false}, {2.0, false}, {4.0 / 3, true}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct hard_result result = replay_hard_loads(cases[i].demand, cases[i].lose_third);
+
+		g_assert_cmpfloat(hard_refusal_p95_ms(&result), <=, HARD_REFUSAL_MS);
+		g_array_free(result.refused_after_us, TRUE);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -833,6 +1050,7 @@
 	g_test_add_func("/load/burst/keeps_urgent_jobs", test_burst_keeps_urgent_jobs);
 	g_test_add_func("/load/burst/refuses_early", test_burst_refuses_early);
 	g_test_add_func("/load/overload/refuses_on_arrival", test_overload_refuses_on_arrival);
+	g_test_add_func("/load/hard/refuses_at_once", test_hard_load_refuses_at_once);
 	g_test_add_func("/load/wrong_declarations", test_wrong_declarations);
 	g_test_add_func("/load/unequal_speeds", test_unequal_speeds);
 	g_test_add_func("/load/slow_server", test_slow_server);
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -8,6 +8,7 @@
 #define GG_TEST_SIMULATION_H
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 #include "agent_backend.h"
@@ -15,7 +16,7 @@
 
 enum {
 	SIMULATION_MAX_ENTRIES = 12,
-	SIMULATION_MAX_SERVERS = 16,
+	SIMULATION_MAX_SERVERS = 32,
 	SIMULATION_NETWORK_DELAY_US = 500, /* Message delay between an entry and an agent. */
 	SIMULATION_LOCAL_DELAY_US = 500,   /* Message delay between an agent and its server. */
 	SIMULATION_TICK_US = 10000,
@@ -135,6 +136,11 @@
 	struct resources need;
 	int64_t work_us; /* Mean run time of a task at speed 1. */
 	int64_t estimate_us;
+	/* Standard deviation of the natural logarithm of the run times within the job; 0: a
+	 * normal distribution with 15 %. */
+	double task_sigma;
+	double tail_share; /* Share of the tasks that take tail_factor times as long. */
+	double tail_factor;
 	uint32_t priority;
 	/* Objective of the job: stretch * run time of its longest task + slack_us. */
 	double stretch;
@@ -386,18 +392,26 @@
 	return cpu;
 }
 
-/* Returns the run time of a task at speed 1. Its standard deviation within a job is 15 %. */
+/* Returns the next pseudo-random value between 0 and 1 of the sequence whose state is HASH. */
+static inline double simulation_hash_uniform(uint32_t *hash)
+{
+	*hash = *hash * 1664525u + 1013904223u;
+	return (double)(*hash >> 8) / (double)(1 << 24);
+}
+
+/* Returns the run time of a task at speed 1. */
 static inline int64_t simulation_task_run_us(const struct simulation_job *job, const char *task)
 {
 	uint32_t hash = g_str_hash(task);
 	double sum = -2;
 
 	/* The sum of four uniform values has a standard deviation of 0.577. */
-	for (int i = 0; i < 4; i++) {
-		hash = hash * 1664525u + 1013904223u;
-		sum += (double)(hash >> 8) / (double)(1 << 24);
-	}
-	return (int64_t)((double)job->work_us * (1 + 0.15 * sum / 0.577));
+	for (int i = 0; i < 4; i++)
+		sum += simulation_hash_uniform(&hash);
+	if (job->task_sigma <= 0)
+		return (int64_t)((double)job->work_us * (1 + 0.15 * sum / 0.577));
+	return (int64_t)((double)job->work_us * exp(job->task_sigma * sum / 0.577) *
+			 (simulation_hash_uniform(&hash) < job->tail_share ? job->tail_factor : 1));
 }
 
 /* Returns the run time of the job's longest task at speed 1. */
