Load shedding by share is a setting; only refusals for lack of room count as lost

Cause: the shares were also divided after restarts, as jobs that ended because no server was known yet counted as lost.

Change: setting policy.shed_by_share, false by default, so that a deployment asks for it. Lost work is what was refused for lack of room.

--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -205,8 +205,11 @@
 
 	job->finished = true;
 	dispatch_dequeue(dispatch, job);
-	dispatch_kind(job->stats, now_us)->lost_core_us +=
-		job->queued_tasks * dispatch_task_core_us(job);
+	/* Jobs that end for other reasons than too little room, for example because no server is
+	 * known after a restart, say nothing of the capacity. */
+	if (end->status == STATUS_DEADLINE_UNREACHABLE)
+		dispatch_kind(job->stats, now_us)->lost_core_us +=
+			job->queued_tasks * dispatch_task_core_us(job);
 	stop_runs(dispatch, job, now_us);
 	end->elapsed_us = now_us - job->arrived_us;
 	end->objective_us = job->objective_at_us - job->arrived_us;
--- a/packages/greengaged/src/node_entry.c
+++ b/packages/greengaged/src/node_entry.c
@@ -320,6 +320,7 @@
 
 	memcpy(&seed, incarnation->bytes, sizeof(seed));
 	dispatch_init(&entry->dispatch, &limits, &callbacks, seed);
+	entry->dispatch.policy.shed_by_share = settings->shed_by_share;
 	policy_switch_off(&entry->dispatch.policy, settings->policy_off);
 	if (settings->local_zone)
 		g_strlcpy(entry->dispatch.local_zone, settings->zone,
--- a/packages/greengaged/src/node_settings.h
+++ b/packages/greengaged/src/node_settings.h
@@ -42,8 +42,9 @@
 
 	char *server_address; /* agent: address at which the backend server accepts orders */
 
-	char **policy_off; /* entry: mechanisms switched off for experiments; see policy.h */
-	bool local_zone;   /* entry: prefers backend servers in its own zone */
+	char **policy_off;  /* entry: mechanisms switched off for experiments; see policy.h */
+	bool shed_by_share; /* entry: divides scarce room among the queues; see shedding.h */
+	bool local_zone;    /* entry: prefers backend servers in its own zone */
 	int64_t local_zone_servers; /* entry: while at least so many of them are ready */
 
 	double lease_ms;	/* longest lease that a backend server grants */
