--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -974,6 +974,7 @@
 /* Runs LOAD and adds what became of its jobs to RESULT. */
 static void replay_hard_load(const struct hard_load *load, struct hard_result *result)
 {
+	const uint32_t slots = HARD_SERVER_CPU / HARD_CPU; /* of a server */
 	double capacity_us = 0; /* core microseconds at speed 1 per second */
 	double unit_us = 0;	/* the same, of the rates in job_types */
 	struct simulation sim;
@@ -984,8 +985,7 @@
 	simulation_delay_reports(&sim, REPORT_INTERVAL_US);
 	for (uint32_t i = 0; i < HARD_SERVERS; i++) {
 		sim.servers[i].speed = i % 4 == 0 ? 0.55 : 1.2;
-		capacity_us += sim.servers[i].speed * (HARD_SERVER_CPU / HARD_CPU) * HARD_CPU /
-			       MILLICORES * US_PER_SECOND;
+		capacity_us += sim.servers[i].speed * slots * HARD_CPU / MILLICORES * US_PER_SECOND;
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(job_types); i++)
 		unit_us +=
