Random histories of evacuations in overlap_diff_test

Cause: no test combined evacuations with cuts, pauses and ended processes.

Change: the new kind writes and removes records of zones in a simulated log of the operator, also within a second and for several or all zones. Entries and agents read it with node_config and node_config_relay from a store that refuses single processes or all, answers late and out of order, or drops its history. evacuation_world.h computes what each process must know and checks the starts that agents send, the zones of each process against the log at its version, and the servers in the end. Values are drawn only with the new kind.

--- a/test/unit/agent_owners_test.c
+++ b/test/unit/agent_owners_test.c
@@ -19,7 +19,8 @@
 	struct owners owners;
 	struct owner *owner;
 	uint32_t starts;
-	struct handle started; /* the run that was ordered last */
+	struct handle started;	       /* the run that was ordered last */
+	Ggd__Evacuations *evacuations; /* sent with the next orders of runs, or NULL */
 };
 
 bool backend_ready(const struct backend *backend)
@@ -105,6 +106,7 @@
 	orders.n_starts = 1;
 	orders.stops = stopped;
 	orders.n_stops = stopped != NULL;
+	orders.evacuations = fixture->evacuations;
 	g_assert_true(handle_orders(fixture, &orders));
 	/* Only one run has room. */
 	g_assert_cmpuint(fixture->starts, ==, 1);
@@ -404,9 +406,13 @@
 }
 
 /* Guards against a start in an evacuated zone: one that waits at the agent, one that is ordered
- * later, and one after a message that another entry had sent before it learned of the record. */
+ * later, one after a message that another entry had sent before it learned of the record, and one
+ * that comes with the evacuation. */
 static void test_evacuated(struct fixture *fixture, const void *unused)
 {
+	Ggd__Evacuations evacuations = GGD__EVACUATIONS__INIT;
+	char *zone = (char *)"zone-1";
+
 	order_evacuation(fixture, 5, "zone-2");
 	g_assert_false(fixture->backend.runs.evacuated);
 	order_evacuation(fixture, 6, "zone-1");
@@ -419,6 +425,12 @@
 	order_runs(fixture, 2 * RUNS + 1, RUNS, NULL);
 	order_evacuation(fixture, 7, NULL);
 	g_assert_false(fixture->backend.runs.evacuated);
+	advance(fixture, RUNS_RETURN_US);
+	evacuations.version = 8;
+	evacuations.zones = &zone;
+	evacuations.n_zones = 1;
+	fixture->evacuations = &evacuations;
+	order_runs(fixture, 3 * RUNS + 1, RUNS, NULL);
 }
 
 int main(int argc, char **argv)
--- a/test/unit/overlap_diff_test.c
+++ b/test/unit/overlap_diff_test.c
@@ -2,20 +2,22 @@
  * Plays random histories in which all faults overlap, with the real modules of entries and agents:
  * links that are cut, silent in one direction, refused or reset, processes that end, freeze or are
  * suspended, hosts that are suspended with their agent and server, servers whose orders or answers
- * are lost or late, and clients that send their jobs again.
+ * are lost or late, clients that send their jobs again, and zones that are evacuated and taken
+ * back.
  *
- * Guards against two concurrent runs of one task, and against the answer that a job has not run
- * when one of its tasks has started.
+ * Guards against two concurrent runs of one task, against the answer that a job has not run when
+ * one of its tasks has started, and against starts in evacuated zones (evacuation_world.h).
  *
  * OVERLAP_DIFF_SEED replays a single history and prints its trace after it has left out all faults
  * that the failure does not need; OVERLAP_DIFF_COUNT sets the number of histories,
  * OVERLAP_DIFF_FIRST the seed of the first, OVERLAP_DIFF_PROCESSES the number of processes.
  * OVERLAP_DIFF_WITH names the only kinds of faults to play, separated by commas, and
  * OVERLAP_DIFF_WITHOUT those to leave out. OVERLAP_DIFF_PARTITIONS=1 adds partitions, and
- * OVERLAP_DIFF_SUSPENSIONS=1 suspended hosts.
+ * OVERLAP_DIFF_SUSPENSIONS=1 suspended hosts, OVERLAP_DIFF_EVACUATIONS=1 evacuations.
  */
 #include <glib/gstdio.h>
 
+#include "evacuation_world.h"
 #include "event.h"
 #include "node_settings.h"
 #include "session_world.h"
@@ -24,6 +26,7 @@
 	HISTORIES = 12000,
 	PARTITION_HISTORIES = 6000,
 	SUSPENSION_HISTORIES = 12000,
+	EVACUATION_HISTORIES = 3000,
 	PROCESSES = 6, /* that play histories beside each other */
 	ENTRIES = 2,
 	/* In histories of partitions, the others remain linked. In those of suspended hosts, one
@@ -39,7 +42,10 @@
 	MAX_FAULTS = 12,
 	MAX_PARTITIONS = 2,
 	MAX_SUSPENSIONS = 2,
-	MAX_ALL_FAULTS = MAX_FAULTS + MAX_PARTITIONS + MAX_SUSPENSIONS,
+	MAX_EVACUATIONS = 3,
+	MAX_STORE_FAULTS = 3,
+	MAX_ALL_FAULTS =
+		MAX_FAULTS + MAX_PARTITIONS + MAX_SUSPENSIONS + MAX_EVACUATIONS + MAX_STORE_FAULTS,
 	MAX_OVERSLEEP_US = 60000, /* how much later than its host an agent may wake up */
 	MIN_FAULT_US = 50000,
 	MAX_FAULT_US = 3000000,
@@ -49,7 +55,31 @@
 	AIMED_PERCENT = 70, /* of the faults meet the entry and server of the first */
 	SHORT_PERCENT = 50, /* of the faults are shorter than what counts as a freeze */
 	OPEN_PERCENT = 30,  /* of the partitions let something through in one direction */
-	SHRINK_TRIES = 30
+	SHRINK_TRIES = 30,
+	/* Histories of evacuations. They last until an agent that has learned of a record late is
+	 * to refuse starts, with jobs until then. */
+	LATER_JOBS = 14,
+	LATER_JOBS_US = 12900000, /* later jobs are sent before this time */
+	LATER_WORK_US = 700000,
+	EVACUATION_END_US = 14500000,
+	RECORDS_END_US = 9500000, /* removals before this time, or none */
+	MAX_EVACUATION_US = 6000000,
+	BRIEF_EVACUATION_US = 1000000,
+	BRIEF_PERCENT = 35,   /* of the evacuations are shorter than that */
+	LASTING_PERCENT = 30, /* of the evacuations are not taken back */
+	ALL_ZONES_PERCENT = 15,
+	ALL_PROCESSES_PERCENT = 20, /* of the faults of the store meet all processes */
+	ALL_ENTRIES_PERCENT = 30,   /* of the faults of the store meet all entries and no agent */
+	OTHER_ZONE_PERCENT = 10,    /* of the agents have another zone than their server */
+	MAX_STORE_FAULT_US = 6000000,
+	/* Histories without other faults than those of the store, in which each server that is
+	 * taken back must get tasks, of a last job if of none before. */
+	CALM_PERCENT = 15,
+	PROBE_US = 13000000,
+	PROBE_CPU = SERVER_CPU / 2 + 1, /* one task a server */
+	/* Enough that waiting for a server that seems faster takes longer than another one. */
+	PROBE_TASKS = 4 * SERVERS,
+	PROBE_WORK_US = 300000
 };
 
 enum fault_kind {
@@ -89,6 +119,11 @@
 	PARTITION,
 	/* Only in histories of suspended hosts. */
 	SUSPEND_HOST,
+	/* Only in histories of evacuations, all or none of them. */
+	EVACUATE,
+	STORE_REFUSES,
+	STORE_LATE,
+	STORE_TRUNCATES,
 	FAULT_KINDS
 };
 
@@ -135,6 +170,10 @@
 	[BRIEF_ISOLATION] = "brief-isolation",
 	[PARTITION] = "partition",
 	[SUSPEND_HOST] = "suspend-host",
+	[EVACUATE] = "evacuate",
+	[STORE_REFUSES] = "store-refuses",
+	[STORE_LATE] = "store-late",
+	[STORE_TRUNCATES] = "store-truncates",
 };
 
 static bool kind_enabled[FAULT_KINDS];
@@ -156,7 +195,7 @@
 	uint32_t server;
 	uint32_t job;
 	double probability;
-	uint32_t side; /* set of the agents on the side of the entry */
+	uint32_t side; /* set of the agents on the side of the entry, of zones, or of processes */
 	enum opening open;
 	bool left_out;
 };
@@ -165,7 +204,10 @@
 	struct world world;
 	struct fault faults[MAX_ALL_FAULTS];
 	uint32_t fault_count;
-	struct simulation_job *jobs[JOBS];
+	struct simulation_job *jobs[JOBS + LATER_JOBS];
+	uint32_t job_count;
+	struct evacuation_world *evacuation; /* or NULL */
+	bool calm;			     /* only faults of the store */
 	/* An entry that was isolated learns this late which clients have left. */
 	int64_t max_learn_us;
 	/* What an entry has sent on a silent link arrives after its end. */
@@ -182,7 +224,9 @@
 
 static uint32_t entry_count(void)
 {
-	return kind_enabled[PARTITION] || kind_enabled[SUSPEND_HOST] ? MORE_ENTRIES : ENTRIES;
+	return kind_enabled[PARTITION] || kind_enabled[SUSPEND_HOST] || kind_enabled[EVACUATE]
+		       ? MORE_ENTRIES
+		       : ENTRIES;
 }
 
 static void trace_fault(const struct simulation *sim, const struct fault *fault)
@@ -507,7 +551,7 @@
 
 	if (fault->end_us - fault->at_us < SIMULATION_OWNER_TIMEOUT_US && !history->brief_isolation)
 		return;
-	for (uint32_t i = 0; i < JOBS; i++) {
+	for (uint32_t i = 0; i < history->job_count; i++) {
 		if (history->jobs[i]->entry == fault->entry)
 			break_connection(sim, history->jobs[i], learnt_us(sim, fault->entry));
 	}
@@ -579,13 +623,55 @@
 	}
 }
 
+/* ---- evacuations ---- */
+
+static void write_zones(struct history *history, uint32_t zones, bool evacuated)
+{
+	for (uint32_t i = 0; i < ZONES; i++) {
+		if (zones & 1u << i)
+			append_record(history->evacuation, i, evacuated);
+	}
+}
+
+static void evacuate(struct simulation *sim, struct fault *fault, simulation_action end)
+{
+	write_zones(history_of(sim), fault->side, true);
+	if (fault->end_us < RECORDS_END_US)
+		simulation_schedule(sim, fault->end_us, end, fault);
+}
+
+/* The store refuses the calls of the processes in fault->side, entries first, or answers late. */
+static void begin_store_fault(struct history *history, const struct fault *fault)
+{
+	for (uint32_t i = 0; i < MORE_ENTRIES + SERVERS; i++) {
+		struct store *store =
+			i < MORE_ENTRIES ? &history->evacuation->stores[AT_ENTRY][i]
+					 : &history->evacuation->stores[AT_AGENT][i - MORE_ENTRIES];
+		int64_t *until_us = fault->kind == STORE_REFUSES ? &store->refused_until_us
+								 : &store->late_until_us;
+
+		if (fault->side & 1u << i)
+			*until_us = MAX(*until_us, fault->end_us);
+	}
+}
+
+/* The store drops all records but the newest, and another one follows. */
+static void truncate_store(struct evacuation_world *evacuation)
+{
+	append_record(evacuation, NO_ZONE, false);
+	evacuation->first = evacuation->records->len;
+	append_record(evacuation, NO_ZONE, false);
+}
+
 /* Ends a fault that needs an event of its own. */
 static void end_fault(struct simulation *sim, void *data)
 {
 	const struct fault *fault = data;
 	struct simulation_agent *agent = &sim->agents[fault->server];
 
-	if (fault->kind == KILL_ENTRY)
+	if (fault->kind == EVACUATE)
+		write_zones(history_of(sim), fault->side, false);
+	else if (fault->kind == KILL_ENTRY)
 		restart_entry(sim, GUINT_TO_POINTER(fault->entry));
 	else if (fault->kind == KILL_AGENT && is_suspended(sim, fault->server))
 		simulation_schedule(sim, sim->servers[fault->server].frozen_until_us, end_fault,
@@ -683,6 +769,16 @@
 		job->deadline_us = sim->now_us;
 		break_connection(sim, job, learnt_us(sim, job->entry));
 		break;
+	case EVACUATE:
+		evacuate(sim, fault, end_fault);
+		break;
+	case STORE_REFUSES:
+	case STORE_LATE:
+		begin_store_fault(history, fault);
+		break;
+	case STORE_TRUNCATES:
+		truncate_store(history->evacuation);
+		break;
 	default:
 		break;
 	}
@@ -800,6 +896,75 @@
 	}
 }
 
+static uint32_t draw_zones(GRand *rand)
+{
+	if (g_rand_int_range(rand, 0, PERCENT) < ALL_ZONES_PERCENT)
+		return (1u << ZONES) - 1;
+	return (uint32_t)g_rand_int_range(rand, 1, 1 << ZONES);
+}
+
+/* Returns when an evacuation that begins at AT_US ends. */
+static int64_t draw_removal_us(int64_t at_us, GRand *rand)
+{
+	int percent = g_rand_int_range(rand, 0, PERCENT);
+
+	if (percent < BRIEF_PERCENT)
+		return at_us + g_rand_int_range(rand, 0, BRIEF_EVACUATION_US);
+	if (percent < PERCENT - LASTING_PERCENT)
+		return at_us + g_rand_int_range(rand, BRIEF_EVACUATION_US, MAX_EVACUATION_US);
+	return INT64_MAX;
+}
+
+static uint32_t draw_processes(GRand *rand)
+{
+	uint32_t all = (1u << (MORE_ENTRIES + SERVERS)) - 1;
+	int percent = g_rand_int_range(rand, 0, PERCENT);
+
+	if (percent < ALL_PROCESSES_PERCENT)
+		return all;
+	if (percent < ALL_PROCESSES_PERCENT + ALL_ENTRIES_PERCENT)
+		return (1u << MORE_ENTRIES) - 1;
+	return (uint32_t)g_rand_int_range(rand, 1, (gint32)all + 1);
+}
+
+/* Adds evacuations and faults of the store at about the time of the other faults. */
+static void draw_evacuations(struct history *history, GRand *rand)
+{
+	int64_t first_us = history->fault_count > 0 ? history->faults[0].at_us
+						    : g_rand_int_range(rand, 0, JOBS_US);
+	uint32_t evacuations = (uint32_t)g_rand_int_range(rand, 1, MAX_EVACUATIONS + 1);
+	uint32_t store_faults = (uint32_t)g_rand_int_range(rand, 0, MAX_STORE_FAULTS + 1);
+
+	history->calm = g_rand_int_range(rand, 0, PERCENT) < CALM_PERCENT;
+	if (history->calm)
+		history->fault_count = 0;
+	for (uint32_t i = 0; i < evacuations + store_faults; i++) {
+		struct fault *fault = &history->faults[history->fault_count++];
+
+		*fault = (struct fault){.kind = EVACUATE};
+		fault->at_us = first_us + g_rand_int_range(rand, 0, MAX_SPREAD_US);
+		if (i < evacuations) {
+			fault->side = draw_zones(rand);
+			fault->end_us = draw_removal_us(fault->at_us, rand);
+			continue;
+		}
+		fault->kind = (enum fault_kind)g_rand_int_range(rand, STORE_REFUSES, FAULT_KINDS);
+		fault->side = draw_processes(rand);
+		fault->end_us = fault->at_us + g_rand_int_range(rand, 0, MAX_STORE_FAULT_US);
+	}
+}
+
+/* The zones of the servers, known before the agents start. */
+static void draw_server_zones(struct evacuation_world *evacuation, GRand *rand)
+{
+	for (uint32_t i = 0; i < SERVERS; i++) {
+		evacuation->server_zones[i] = (uint32_t)g_rand_int_range(rand, 0, ZONES);
+		evacuation->agent_zones[i] = evacuation->server_zones[i];
+		if (g_rand_int_range(rand, 0, PERCENT) < OTHER_ZONE_PERCENT)
+			evacuation->agent_zones[i] = (uint32_t)g_rand_int_range(rand, 0, ZONES);
+	}
+}
+
 static void send_job(struct simulation *sim, void *data)
 {
 	struct simulation_job *job = data;
@@ -823,11 +988,78 @@
 
 		job->entry = (uint32_t)g_rand_int_range(rand, 0, (gint32)entry_count());
 		job->deadline_us = at_us + JOB_LIFE_US;
-		history->jobs[i] = job;
+		history->jobs[history->job_count++] = job;
 		simulation_schedule(sim, at_us, send_job, job);
 	}
 }
 
+/* Adds jobs until the end of a history of evacuations. */
+static void draw_later_jobs(struct history *history, GRand *rand)
+{
+	struct simulation *sim = &history->world.sim;
+
+	for (uint32_t i = 0; i < LATER_JOBS; i++) {
+		int64_t at_us = g_rand_int_range(rand, JOBS_US, LATER_JOBS_US);
+		int64_t work_us = g_rand_int_range(rand, MIN_WORK_US, LATER_WORK_US);
+		uint32_t cpu = (uint32_t)g_rand_int_range(rand, 1000, 4000);
+		uint32_t tasks = (uint32_t)g_rand_int_range(rand, 1, 4);
+		struct simulation_job *job =
+			simulation_add_job(sim, JOBS + i + 1, tasks, cpu, work_us);
+
+		job->entry = (uint32_t)g_rand_int_range(rand, 0, (gint32)entry_count());
+		job->deadline_us = MIN(at_us + JOB_LIFE_US, PROBE_US);
+		history->jobs[history->job_count++] = job;
+		simulation_schedule(sim, at_us, send_job, job);
+	}
+}
+
+/* Adds the last job of a calm history. */
+static void add_probe(struct history *history)
+{
+	struct simulation_job *job = simulation_add_job(&history->world.sim, JOBS + LATER_JOBS + 1,
+							PROBE_TASKS, PROBE_CPU, PROBE_WORK_US);
+
+	job->stretch = PROBE_TASKS; /* worth running on a single server */
+	job->deadline_us = EVACUATION_END_US;
+	simulation_schedule(&history->world.sim, PROBE_US, send_job, job);
+}
+
+/* For the power of the checks of evacuations, over the histories of this process. */
+static struct {
+	uint32_t late_starts;
+	uint32_t returned_starts;
+	uint32_t settled_agents;
+} totals;
+
+/* Checks the servers when the faults are over. Returns what was broken in the history. */
+static const char *end_evacuations(struct history *history)
+{
+	struct evacuation_world *evacuation = history->evacuation;
+	uint32_t settled = check_servers(evacuation);
+
+	totals.late_starts += evacuation->late_starts;
+	totals.returned_starts += evacuation->returned_starts;
+	totals.settled_agents += settled;
+	for (uint32_t i = 0; i < SERVERS && history->calm; i++) {
+		if (!server_evacuated(evacuation, i) &&
+		    evacuation->last_start_us[i] <= last_record_us(evacuation, i))
+			break_history(evacuation, "a server that is taken back gets no task",
+				      AT_AGENT, i);
+	}
+	if (history->calm && settled < SERVERS)
+		break_history(evacuation, "an agent is not in touch though nothing is cut",
+			      AT_AGENT, 0);
+	return evacuation->broken;
+}
+
+static void add_evacuation_history(struct history *history, GRand *rand)
+{
+	draw_evacuations(history, rand);
+	draw_later_jobs(history, rand);
+	if (history->calm)
+		add_probe(history);
+}
+
 /* Plays the history of SEED with the random delays of VARIANT and without the faults in LEFT_OUT.
  * Returns what was broken, or NULL. */
 static const char *play(uint32_t seed, uint32_t variant, uint32_t left_out, bool trace_enabled,
@@ -838,10 +1070,16 @@
 	GRand *rand = g_rand_new_with_seed(seed);
 	const char *broken = NULL;
 
+	if (kind_enabled[EVACUATE]) {
+		history->evacuation = add_evacuations(&history->world);
+		draw_server_zones(history->evacuation, rand);
+	}
 	start_world(&history->world, seed ^ (variant * 2654435761u), entry_count(), SERVERS,
 		    SERVER_CPU);
 	sim->trace = trace_enabled;
 	sim->request_late = send_late_request;
+	if (history->evacuation)
+		sim->accepts = entry_accepts;
 	history->max_learn_us = MAX_DELAY_US;
 	draw_jobs(history, rand);
 	if (any_kind_enabled())
@@ -850,6 +1088,8 @@
 		draw_partitions(history, rand);
 	if (kind_enabled[SUSPEND_HOST])
 		draw_suspensions(history, rand);
+	if (history->evacuation)
+		add_evacuation_history(history, rand);
 	for (uint32_t i = 0; i < history->fault_count; i++) {
 		struct fault *fault = &history->faults[i];
 
@@ -860,13 +1100,17 @@
 		else
 			simulation_schedule(sim, fault->at_us, begin_fault, fault);
 	}
-	simulation_run_until(sim, END_US);
+	simulation_run_until(sim, history->evacuation ? EVACUATION_END_US : END_US);
+	if (history->evacuation)
+		broken = end_evacuations(history);
 	if (sim->started_although_refused > 0)
 		broken = "a job that has started was answered as not run";
 	if (sim->overlapping_starts > 0)
 		broken = "a task ran twice at the same time";
 	*starts += sim->starts;
 	free_world(&history->world);
+	if (history->evacuation)
+		free_evacuations(history->evacuation);
 	g_rand_free(rand);
 	g_free(history);
 	return broken;
@@ -942,6 +1186,32 @@
 	kind_enabled[SUSPEND_HOST] = g_getenv("OVERLAP_DIFF_SUSPENSIONS") != NULL;
 }
 
+/* Guards against checks that histories of evacuations do not reach. */
+static void check_totals(uint32_t count)
+{
+	g_test_message("%u histories: %u starts in zones taken back, %u agents that know the whole "
+		       "log, %u late starts by agents out of touch",
+		       count, totals.returned_starts, totals.settled_agents, totals.late_starts);
+	g_assert_cmpuint(totals.returned_starts, >, count);
+	g_assert_cmpuint(totals.settled_agents, >, count * SERVERS * 9 / 10);
+}
+
+/* Guards against starts in a zone that the operator has evacuated, and against a zone that stays
+ * closed when it was taken back. */
+static void test_evacuations(void)
+{
+	kind_enabled[EVACUATE] = true;
+	check_histories(&(struct history_set){
+		.prefix = "OVERLAP_DIFF",
+		.count = EVACUATION_HISTORIES,
+		.processes = PROCESSES,
+		.min_starts = JOBS / 2,
+		.play = play_whole,
+		.played = check_totals,
+	});
+	kind_enabled[EVACUATE] = g_getenv("OVERLAP_DIFF_EVACUATIONS") != NULL;
+}
+
 static void test_one_history(void)
 {
 	uint32_t seed = number_from("OVERLAP_DIFF_SEED", 1);
@@ -987,6 +1257,7 @@
 
 	kind_enabled[PARTITION] = g_getenv("OVERLAP_DIFF_PARTITIONS") != NULL;
 	kind_enabled[SUSPEND_HOST] = g_getenv("OVERLAP_DIFF_SUSPENSIONS") != NULL;
+	kind_enabled[EVACUATE] = g_getenv("OVERLAP_DIFF_EVACUATIONS") != NULL;
 	for (int i = 0; i < PARTITION; i++) {
 		kind_enabled[i] = !with || strstr(with, kind_names[i]);
 		if (without && strstr(without, kind_names[i]))
@@ -1002,12 +1273,15 @@
 	g_test_add_func("/overlap/diff/times", test_times);
 	if (g_getenv("OVERLAP_DIFF_SEED")) {
 		g_test_add_func("/overlap/diff/one_history", test_one_history);
+	} else if (kind_enabled[EVACUATE]) {
+		g_test_add_func("/overlap/diff/evacuations", test_evacuations);
 	} else if (kind_enabled[SUSPEND_HOST]) {
 		g_test_add_func("/overlap/diff/suspensions", test_suspensions);
 	} else {
 		if (!kind_enabled[PARTITION]) {
 			g_test_add_func("/overlap/diff/histories", test_histories);
 			g_test_add_func("/overlap/diff/suspensions", test_suspensions);
+			g_test_add_func("/overlap/diff/evacuations", test_evacuations);
 		}
 		g_test_add_func("/overlap/diff/partitions", test_partitions);
 	}
--- a/test/unit/session_world.h
+++ b/test/unit/session_world.h
@@ -91,8 +91,22 @@
 	uint64_t lost_agents;	     /* of the other one, when it last told its holds */
 };
 
+/* Calls of a test that adds to the world. */
+struct world_hooks {
+	void (*entry_started)(struct world *world, uint32_t index);
+	void (*entry_ends)(struct world *world, uint32_t index);
+	void (*agent_started)(struct world *world, uint32_t index);
+	/* An agent is asked by the owner with a number to read the configuration from the store. */
+	void (*config_requested)(struct world *world, uint32_t server, uint32_t owner,
+				 uint64_t version);
+	void (*tick)(struct world *world);
+	void (*exchanged)(struct world *world);
+};
+
 struct world {
 	struct simulation sim;
+	const struct world_hooks *hooks; /* or NULL */
+	void *hook_context;
 	struct net_loop loops[MAX_SERVERS]; /* of the agents; only their time is used */
 	GPtrArray *links; /* struct node_link *, both ends, until the end of the history */
 	uint64_t last_link_number;
@@ -417,6 +431,10 @@
 		 !owners_handle_orders(&link->world->owners[link->server], path->owner,
 				       frame->orders, &link->frame_times, "entry"))
 		node_link_fail(link, "refused orders");
+	else if (frame->body_case == GGD__FRAME__BODY_CONFIG_REQUEST && path->owner &&
+		 link->world->hooks)
+		link->world->hooks->config_requested(link->world, link->server, path->owner->number,
+						     frame->config_request->version);
 }
 
 static inline void deliver(struct simulation *sim, void *data)
@@ -529,6 +547,8 @@
 		.context = agent,
 	};
 	owners_init(&world->owners[index]);
+	if (world->hooks)
+		world->hooks->agent_started(world, index);
 }
 
 static inline void free_owners(struct world *world, uint32_t index)
@@ -583,6 +603,8 @@
 	dispatch_await_holds(&entry->node.dispatch, entry->node.loop.now_us + HOLDS_WAIT_US);
 	world->entry_incarnations[index] = random_incarnation(world);
 	entry->node.links.identity.incarnation = world->entry_incarnations[index];
+	if (world->hooks)
+		world->hooks->entry_started(world, index);
 }
 
 static inline void drop_peer(struct world *world, uint32_t index, uint32_t peer)
@@ -600,6 +622,8 @@
 {
 	struct node_entry *node = &world->sim.entries[index].node;
 
+	if (world->hooks)
+		world->hooks->entry_ends(world, index);
 	for (uint32_t i = 0; i < world->sim.entry_count; i++)
 		drop_peer(world, index, i);
 	node_agent_links_free(node);
@@ -892,6 +916,8 @@
 		}
 		owners_abandon_silent(&world->owners[i]);
 	}
+	if (world->hooks)
+		world->hooks->tick(world);
 	simulation_schedule(sim, sim->now_us + LINK_TICK_US, tick_links, NULL);
 }
 
@@ -915,6 +941,8 @@
 		send_records(world, i);
 		node_agent_links_send_queued(&sim->entries[i].node);
 	}
+	if (world->hooks)
+		world->hooks->exchanged(world);
 }
 
 static inline void start_world(struct world *world, uint32_t seed, uint32_t entries,
@@ -976,6 +1004,8 @@
 	/* Plays the history of SEED and adds its starts to *STARTS. Returns what was broken, or
 	 * NULL. */
 	const char *(*play)(uint32_t seed, uint32_t *starts);
+	/* Called when a process has played COUNT histories, or NULL. */
+	void (*played)(uint32_t count);
 };
 
 /* Plays COUNT histories. Returns how many were broken. */
@@ -991,6 +1021,8 @@
 			g_test_message("%s_SEED=%u: %s", set->prefix, first + i, broken);
 	}
 	g_assert_cmpuint(starts, >, count * set->min_starts);
+	if (set->played)
+		set->played(count);
 	return failed;
 }
 
--- a/test/unit/simulation.h
+++ b/test/unit/simulation.h
@@ -211,6 +211,8 @@
 	void (*exchange)(struct simulation *sim);
 	/* If set, called for a job that is sent to an entry that clients can't reach. */
 	void (*request_late)(struct simulation *sim, struct simulation_job *job);
+	/* If set, returns whether an entry accepts jobs. */
+	bool (*accepts)(struct simulation *sim, uint32_t entry);
 	bool trace;
 };
 
@@ -1417,6 +1419,10 @@
 		simulation_handle_missing_answer(sim, job);
 		return;
 	}
+	if (sim->accepts && !sim->accepts(sim, index)) {
+		simulation_handle_missing_answer(sim, job);
+		return;
+	}
 	job->awaiting_answer = true;
 	job->received[index]++;
 	simulation_submit_job(sim, job);
