--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -946,11 +946,10 @@
 static double hard_refusal_p95_ms(const struct hard_result *result)
 {
 	GArray *times = result->refused_after_us;
+	guint index = times->len * 95 / 100;
 
 	g_array_sort(times, by_value);
-	return times->len > 0
-		       ? (double)g_array_index(times, int64_t, times->len * 95 / 100) / US_PER_MS
-		       : 0;
+	return times->len > 0 ? (double)g_array_index(times, int64_t, index) / US_PER_MS : 0;
 }
 
 static void print_hard_result(const struct hard_load *load, const struct hard_result *result)
