--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -118,7 +118,7 @@
 struct dispatch {
 	struct dispatch_limits limits;
 	struct dispatch_callbacks callbacks;
-	struct policy policy;	     /* dispatch_init switches all mechanisms on */
+	struct policy policy;	     /* as policy_init leaves it */
 	char local_zone[NAME_BYTES]; /* zone whose servers are preferred; empty: none */
 	uint32_t local_zone_servers; /* see struct placement_request */
 	struct fleet fleet;
--- a/packages/core/include/policy.h
+++ b/packages/core/include/policy.h
@@ -1,6 +1,7 @@
 /*
  * Switches of the mechanisms that decide how jobs wait, are refused and are placed, for experiments
- * that measure what each of them is worth. All are on in service. No switch affects whether a task
+ * that measure what each of them is worth. All are on in service, but for shed_by_share, which the
+ * settings ask for. No switch affects whether a task
  * may run twice or whether a refusal is true.
  */
 #ifndef GG_POLICY_H
@@ -49,7 +50,7 @@
 #undef POLICY_MEMBER
 };
 
-/* Switches all mechanisms on. */
+/* Switches all mechanisms on but shed_by_share. */
 void policy_init(struct policy *policy);
 
 /* Switches the mechanisms NAMES off, a list that ends with NULL. Stops at the first name that no
--- a/packages/core/src/policy.c
+++ b/packages/core/src/policy.c
@@ -21,6 +21,7 @@
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(mechanisms); i++)
 		*switch_at(policy, i) = true;
+	policy->shed_by_share = false;
 }
 
 static bool switch_off(struct policy *policy, const char *name)
--- a/test/unit/load_test.c
+++ b/test/unit/load_test.c
@@ -981,6 +981,8 @@
 	gpointer value;
 
 	simulation_init(&sim, load->seed, HARD_ENTRIES, HARD_SERVERS, HARD_SERVER_CPU);
+	for (uint32_t i = 0; i < HARD_ENTRIES; i++)
+		sim.entries[i].node.dispatch.policy.shed_by_share = true;
 	simulation_delay_reports(&sim, REPORT_INTERVAL_US);
 	for (uint32_t i = 0; i < HARD_SERVERS; i++) {
 		sim.servers[i].speed = i % 4 == 0 ? 0.55 : 1.2;
