--- a/packages/core/include/policy.h
+++ b/packages/core/include/policy.h
@@ -1,8 +1,7 @@
 /*
  * Switches of the mechanisms that decide how jobs wait, are refused and are placed, for experiments
  * that measure what each of them is worth. All are on in service, but for shed_by_share, which the
- * settings ask for. No switch affects whether a task
- * may run twice or whether a refusal is true.
+ * settings ask for. No switch affects whether a task may run twice or whether a refusal is true.
  */
 #ifndef GG_POLICY_H
 #define GG_POLICY_H
--- a/packages/greengaged/src/node_evacuations.h
+++ b/packages/greengaged/src/node_evacuations.h
@@ -7,16 +7,16 @@
 #include "evacuation.h"
 #include "store.h"
 
-/* Apply the result of a successful store_read_newest, or store_read, of STORE_TOPIC_OPERATOR.
- * SOURCE, as in all of these, names the origin in the log. Return whether the version is higher
- * than before. */
+/* Apply the result of a successful store_read_newest, or store_read, of STORE_TOPIC_OPERATOR. Return
+ * whether the version is higher than before. */
 bool node_evacuations_apply_newest(struct evacuations *evacuations,
 				   const struct store_result *result);
 bool node_evacuations_apply_records(struct evacuations *evacuations,
 				    const struct store_result *result);
 
 /* Applies MESSAGE, which may be NULL. Returns whether the version is higher than before. A message
- * with too many zones, or with a name that is too long, is ignored. */
+ * with too many zones, or with a name that is too long, is ignored. SOURCE names the sender in the
+ * log. */
 bool node_evacuations_receive(struct evacuations *evacuations, const Ggd__Evacuations *message,
 			      const char *source);
 
