--- a/packages/greengaged/src/node_evacuations.h
+++ b/packages/greengaged/src/node_evacuations.h
@@ -7,8 +7,8 @@
 #include "evacuation.h"
 #include "store.h"
 
-/* Apply the result of a successful store_read_newest, or store_read, of STORE_TOPIC_OPERATOR. Return
- * whether the version is higher than before. */
+/* Apply the result of a successful store_read_newest, or store_read, of STORE_TOPIC_OPERATOR.
+ * Return whether the version is higher than before. */
 bool node_evacuations_apply_newest(struct evacuations *evacuations,
 				   const struct store_result *result);
 bool node_evacuations_apply_records(struct evacuations *evacuations,
