Placement skips the scans for the own zone where none is set

Cause: placement_choose counted the servers of the own zone, and looked for one that could end the task, for each job, also without a zone or after it had been found too small. is_moved_back built its arguments with load shedding off.

Change: both scans only with a zone. Decisions stay as they were.

Measured: the replays of placement_test print the same figures as before; load_test, pump_cost_test, dispatch_test, shedding_test, crash_test and stall_test pass.

--- a/packages/core/src/dispatch_pump.c
+++ b/packages/core/src/dispatch_pump.c
@@ -79,9 +79,12 @@
 static bool is_moved_back(const struct policy *policy, const struct job *job,
 			  const struct fleet_totals *sum, int64_t now_us)
 {
-	const struct shedding_job view = shedding_view(job, sum);
+	struct shedding_job view;
 
-	return policy->shed_by_share && shedding_decide(&view, now_us) == SHEDDING_MOVE_BACK;
+	if (!policy->shed_by_share)
+		return false;
+	view = shedding_view(job, sum);
+	return shedding_decide(&view, now_us) == SHEDDING_MOVE_BACK;
 }
 
 /*
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -133,10 +133,14 @@
 	return left;
 }
 
+static bool has_local_zone(const struct placement_request *request)
+{
+	return request->policy->local_zone && request->local_zone && request->local_zone[0];
+}
+
 static bool is_remote(const struct fleet_server *server, const struct placement_request *request)
 {
-	return request->policy->local_zone && request->local_zone && request->local_zone[0] &&
-	       strcmp(server->zone, request->local_zone) != 0;
+	return has_local_zone(request) && strcmp(server->zone, request->local_zone) != 0;
 }
 
 /* Returns whether a server of the local zone could end a task of REQUEST by the target if it had
@@ -173,8 +177,8 @@
 	uint32_t cursor = 0;
 	struct handle handle;
 	const struct fleet_server *server;
-	bool stay = request->policy->wait_for_zone && now_us < request->spill_from_us &&
-		    local_zone_can_serve(fleet, request, now_us);
+	bool stay = has_local_zone(request) && request->policy->wait_for_zone &&
+		    now_us < request->spill_from_us && local_zone_can_serve(fleet, request, now_us);
 
 	while ((server = table_next(&fleet->servers, &cursor, &handle))) {
 		bool tested = fleet_is_tested(server, now_us);
@@ -318,7 +322,7 @@
 	GArray *found;
 	uint32_t placed = 0;
 
-	if (!local_zone_is_large(fleet, request))
+	if (has_local_zone(request) && !local_zone_is_large(fleet, request))
 		adjusted.local_zone = NULL;
 	found = find_candidates(fleet, request, slowness_exponent, now_us, random_state);
 	g_array_sort(found, by_preference);
