--- a/review/standin-3/common.sh
+++ b/review/standin-3/common.sh
@@ -101,7 +101,7 @@
 }
 
 start_deployment() {
-	local i executors=()
+	local i
 	[ -x "$root/target/greengaged" ] || give_up "target/greengaged is not built"
 	[ -x "$root/build-review-3/platform" ] || give_up "the stand-in is not built (review/build-3.sh)"
 	free_port
@@ -117,11 +117,15 @@
 		control[i]=127.0.0.1:$port
 		free_port
 		executor[i]=127.0.0.1:$port
-		executors+=("${executor[i]}=${control[i]}=z$i")
 	done
-	"$root/build-review-3/platform" "$store" "${executors[@]}" >"$work/runs.txt" 2>"$work/platform.log" &
+	"$root/build-review-3/platform" "$store" 2>"$work/store.log" &
 	pids+=($!)
+	: >"$work/runs.txt"
 	for i in 0 1 2; do
+		"$root/build-review-3/platform" "${executor[i]}" "${control[i]}" "i-$i" "z$i" >>"$work/runs.txt" \
+			2>"$work/executor-$i.log" &
+		pids+=($!)
+		executor_pid[i]=$!
 		entry[i]=127.0.0.$((i + 2)):$client_port
 		ready[i]=127.0.0.$((i + 2)):$ready_port
 		settings entry "entry-$i" "z$i" "{\"clients\": \"${entry[i]}\", \"readiness\": \"${ready[i]}\"}" \
@@ -178,8 +182,10 @@
 	note "DELETE /q/$2 at entry $1 is answered: $cancel_code"
 }
 
+# Prints the tasks at work and their executors.
 running() {
-	http GET "$store" /standin/running "" | cut -c5-
+	awk '$3 == "start" {at[$4 " at " $2]} $3 == "end" {delete at[$4 " at " $2]} END {for (run in at) print run}' \
+		"$work/runs.txt" | sort | paste -sd,
 }
 
 # conclude BROKEN TEXT: records the runs and the result, and ends the script.
--- a/review/standin-3/platform.c
+++ b/review/standin-3/platform.c
@@ -1,15 +1,18 @@
 /*
- * Stand-in for the users' platform: a store with keyed topics, and executors beside agents.
+ * Stand-in for the users' platform: a store with keyed topics, or an executor beside an agent.
  *
- * usage: platform STORE_ADDRESS EXECUTOR_ADDRESS=AGENT_CONTROL_ADDRESS=ZONE ...
+ * usage: platform STORE_ADDRESS
+ *        platform EXECUTOR_ADDRESS AGENT_CONTROL_ADDRESS ID ZONE
  *
  * The spec of a task is its run time in milliseconds. Every event of an executor is a line on
- * standard output: the wall clock in ms, then what happened.
+ * standard output: the wall clock in ms, then what happened. Its steady clock does not count the
+ * time for which its machine is suspended, which is from a SIGSTOP to the next SIGCONT.
  *
  * At the store's address, POST /standin/record?key=K appends its body to the operator's topic, or
- * deletes K if the body is empty, and GET /standin/running returns the runs at work.
+ * deletes K if the body is empty.
  */
 #include <jansson.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -18,11 +21,11 @@
 
 enum {
 	US_PER_MS = 1000,
-	MAX_EXECUTORS = 16,
 	TICK_MS = 2,
 	HEARTBEAT_MS = 1500,
 	HEARTBEAT_TIMEOUT_MS = 1000,
-	LEASE_MAX_MS = 1000,
+	LEASE_MAX_MS = 1000, /* holdMaxMs */
+	STOP_MS = 40,	     /* stopMs is 50 */
 	CPU = 16000,
 	TASK_CPU = 1000,
 	BODY_MAX_BYTES = 4 << 20,
@@ -36,6 +39,7 @@
 	int64_t attempt;
 	int64_t started_us;
 	int64_t ends_us;
+	bool stopping;
 };
 
 struct waiting_hold {
@@ -43,11 +47,11 @@
 	int64_t until_us;
 };
 
+/* All times of an executor are on its steady clock. */
 struct executor {
-	unsigned index;
-	char *address;
-	char *zone;
-	char id[32];
+	const char *address;
+	const char *id;
+	const char *zone;
 	struct http_server *server;
 	struct http_client *agent;
 	GPtrArray *runs;      /* struct run * */
@@ -57,7 +61,8 @@
 	int64_t last_end;     /* number of the last row */
 	int64_t fence;	      /* highest seen */
 	int64_t lease_end_us; /* of all runs */
-	int64_t born_ms;
+	int64_t born_us;
+	int64_t born_ms; /* on the wall clock */
 	int64_t sequence;
 };
 
@@ -74,10 +79,21 @@
 };
 
 static struct net_loop loop;
-static struct executor executors[MAX_EXECUTORS];
-static unsigned executor_count;
-static GHashTable *topics; /* name -> GArray of struct record */
-static GArray *reads;	   /* struct waiting_read */
+static volatile int64_t suspended_us; /* total */
+static volatile int64_t ticked_us;    /* the last time at which the machine was awake */
+static GHashTable *topics;	      /* name -> GArray of struct record */
+static GArray *reads;		      /* struct waiting_read */
+
+static int64_t steady_us(void)
+{
+	return timer_clock_us() - suspended_us;
+}
+
+static void on_resumed(int signal)
+{
+	suspended_us += timer_clock_us() - ticked_us;
+	ticked_us = timer_clock_us();
+}
 
 static void log_run(const struct executor *executor, const char *event, const struct run *run,
 		    const char *how)
@@ -119,7 +135,7 @@
 
 static int64_t clock_ms(const struct executor *executor)
 {
-	return timer_wall_ms() - executor->born_ms + 1;
+	return (steady_us() - executor->born_us) / US_PER_MS + 1;
 }
 
 static json_t *clock_json(const struct executor *executor)
@@ -173,13 +189,13 @@
 
 static void end_due_runs(struct executor *executor)
 {
-	int64_t now_us = timer_clock_us();
+	int64_t now_us = steady_us();
 
 	for (guint i = executor->runs->len; i-- > 0;) {
 		const struct run *run = executor->runs->pdata[i];
 
 		if (run->ends_us <= now_us)
-			end_run(executor, i, "done");
+			end_run(executor, i, run->stopping ? "stopped" : "done");
 		else if (executor->lease_end_us < now_us)
 			end_run(executor, i, "lapsed");
 	}
@@ -190,8 +206,7 @@
 	int64_t expires_ms = json_integer_value(json_object_get(document, "expiresMs"));
 	int64_t left_ms = MIN(expires_ms - clock_ms(executor), LEASE_MAX_MS);
 
-	executor->lease_end_us =
-		MAX(executor->lease_end_us, timer_clock_us() + left_ms * US_PER_MS);
+	executor->lease_end_us = MAX(executor->lease_end_us, steady_us() + left_ms * US_PER_MS);
 }
 
 /* Returns why the run is refused, or NULL. */
@@ -217,7 +232,7 @@
 	run = g_new0(struct run, 1);
 	run->task = g_strdup(task);
 	run->attempt = attempt;
-	run->started_us = timer_clock_us();
+	run->started_us = steady_us();
 	run->ends_us = run->started_us + g_ascii_strtoll(spec ? spec : "", NULL, 10) * US_PER_MS;
 	g_ptr_array_add(executor->runs, run);
 	log_run(executor, "start", run, "");
@@ -241,11 +256,13 @@
 	const char *task = json_string_value(json_object_get(document, "task"));
 	int64_t attempt = json_integer_value(json_object_get(document, "attempt"));
 	guint index;
-	const struct run *run = find_run(executor, task, &index);
+	struct run *run = find_run(executor, task, &index);
 
 	raise_highest(executor, task, attempt);
-	if (run && run->attempt <= attempt)
-		end_run(executor, index, "stopped");
+	if (run && run->attempt <= attempt && !run->stopping) {
+		run->stopping = true;
+		run->ends_us = MIN(run->ends_us, steady_us() + STOP_MS * US_PER_MS);
+	}
 	respond(request, 200, clock_json(executor));
 }
 
@@ -256,7 +273,7 @@
 
 	for (guint i = 0; i < executor->runs->len; i++) {
 		const struct run *run = executor->runs->pdata[i];
-		int64_t percent = 100 * (timer_clock_us() - run->started_us) /
+		int64_t percent = 100 * (steady_us() - run->started_us) /
 				  MAX(run->ends_us - run->started_us, 1);
 
 		json_array_append_new(running,
@@ -275,7 +292,7 @@
 	int64_t acknowledged = json_integer_value(json_object_get(document, "ackCursor"));
 	const struct waiting_hold hold = {
 		.request = request,
-		.until_us = timer_clock_us() + wait_ms * US_PER_MS,
+		.until_us = steady_us() + wait_ms * US_PER_MS,
 	};
 
 	if (json_object_get(document, "expiresMs"))
@@ -340,7 +357,7 @@
 	for (guint i = executor->holds->len; i-- > 0;) {
 		struct waiting_hold hold = g_array_index(executor->holds, struct waiting_hold, i);
 
-		if (json_array_size(executor->finished) == 0 && timer_clock_us() < hold.until_us)
+		if (json_array_size(executor->finished) == 0 && steady_us() < hold.until_us)
 			continue;
 		g_array_remove_index_fast(executor->holds, i);
 		answer_hold(executor, hold.request);
@@ -540,20 +557,6 @@
 	g_free(key);
 }
 
-static void handle_running(struct http_request *request)
-{
-	json_t *rows = json_array();
-
-	for (unsigned i = 0; i < executor_count; i++) {
-		for (guint j = 0; j < executors[i].runs->len; j++) {
-			const struct run *run = executors[i].runs->pdata[j];
-
-			json_array_append_new(rows, json_string(run->task));
-		}
-	}
-	respond(request, 200, rows);
-}
-
 static void on_store_request(void *context, struct http_request *request)
 {
 	const char *path = http_request_path(request);
@@ -561,8 +564,6 @@
 
 	if (strcmp(path, "/standin/record") == 0)
 		handle_record(request);
-	else if (strcmp(path, "/standin/running") == 0)
-		handle_running(request);
 	else if (!topic)
 		respond(request, 400, json_object());
 	else if (strcmp(path, "/greengagefront/log-append") == 0)
@@ -590,15 +591,18 @@
 
 /* ---- main ---- */
 
-static void tick(void *context, int64_t now_us)
+static void tick_store(void *context, int64_t now_us)
 {
-	for (unsigned i = 0; i < executor_count; i++) {
-		end_due_runs(&executors[i]);
-		answer_due_holds(&executors[i]);
-	}
 	answer_due_reads();
 }
 
+static void tick_executor(void *context, int64_t now_us)
+{
+	ticked_us = timer_clock_us();
+	end_due_runs(context);
+	answer_due_holds(context);
+}
+
 static const struct http_server_options server_options = {
 	.header_max_bytes = HEADER_MAX_BYTES,
 	.body_max_bytes = BODY_MAX_BYTES,
@@ -616,54 +620,56 @@
 	.on_disconnected = on_store_disconnected,
 };
 
-static bool start_executor(const char *description, struct error *err)
+static bool start_store(const char *address)
+{
+	struct http_server *server;
+	struct error err;
+
+	topics = g_hash_table_new(g_str_hash, g_str_equal);
+	reads = g_array_new(FALSE, FALSE, sizeof(struct waiting_read));
+	timer_subscribe(&loop.timers, loop.now_us, (int64_t)TICK_MS * US_PER_MS, tick_store, NULL);
+	return http_server_listen(&loop, address, &server_options, &store_callbacks, NULL, &server,
+				  &err) == STATUS_OK;
+}
+
+static bool start_executor(struct executor *executor, char **arguments)
 {
-	char **parts = g_strsplit(description, "=", 3);
-	struct executor *executor = &executors[executor_count];
-	enum status status;
+	struct error err;
 
-	if (executor_count == MAX_EXECUTORS || g_strv_length(parts) != 3)
-		return false;
 	*executor = (struct executor){
-		.index = executor_count++,
-		.address = parts[0],
-		.zone = parts[2],
+		.address = arguments[0],
+		.id = arguments[2],
+		.zone = arguments[3],
 		.runs = g_ptr_array_new(),
 		.highest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
 		.finished = json_array(),
 		.holds = g_array_new(FALSE, FALSE, sizeof(struct waiting_hold)),
+		.born_us = steady_us(),
 		.born_ms = timer_wall_ms(),
 	};
-	g_snprintf(executor->id, sizeof(executor->id), "i-%u", executor->index);
 	executor->agent = http_client_new(&loop, &(struct http_client_options){
-							 .address = parts[1],
+							 .address = arguments[1],
 							 .max_connections = 4,
 							 .idle_limit_ms = CONNECTION_LIMIT_MS,
 							 .response_max_bytes = BODY_MAX_BYTES,
 						 });
-	status = http_server_listen(&loop, executor->address, &server_options, &order_callbacks,
-				    executor, &executor->server, err);
+	ticked_us = timer_clock_us();
+	(void)signal(SIGCONT, on_resumed);
 	timer_subscribe(&loop.timers, loop.now_us, (int64_t)HEARTBEAT_MS * US_PER_MS,
 			send_heartbeat, executor);
-	return status == STATUS_OK;
+	timer_subscribe(&loop.timers, loop.now_us, (int64_t)TICK_MS * US_PER_MS, tick_executor,
+			executor);
+	return http_server_listen(&loop, executor->address, &server_options, &order_callbacks,
+				  executor, &executor->server, &err) == STATUS_OK;
 }
 
 int main(int argc, char **argv)
 {
-	struct http_server *store;
-	struct error err = {0};
+	static struct executor executor;
 
-	topics = g_hash_table_new(g_str_hash, g_str_equal);
-	reads = g_array_new(FALSE, FALSE, sizeof(struct waiting_read));
 	net_loop_init(&loop);
-	if (argc < 2 || http_server_listen(&loop, argv[1], &server_options, &store_callbacks, NULL,
-					   &store, &err) != STATUS_OK)
+	if (argc == 2 ? !start_store(argv[1]) : argc != 5 || !start_executor(&executor, argv + 1))
 		return 2;
-	for (int i = 2; i < argc; i++) {
-		if (!start_executor(argv[i], &err))
-			return 2;
-	}
-	timer_subscribe(&loop.timers, loop.now_us, (int64_t)TICK_MS * US_PER_MS, tick, NULL);
 	net_loop_run(&loop);
 	return 0;
 }
